--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Mangovale.
