Bound a planned stop when the log is out of reach

Cause: a host that had to append its leave waited for a log that was gone, so the demo's own stop never ended (both surviving daemons still ran ten minutes later; their logs end in E200 and E303). Change: a leave is tried for 3 s; after that the process ends and the others evict it.

--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -15,6 +15,8 @@
 pub const REGISTER_INTERVAL_MS: Millis = Millis(1_000);
 /// How long the home of a host waits before it proposes the same change again.
 pub const PROPOSAL_REST_MS: Millis = Millis(2_000);
+/// How long a stopping host tries to append its leave; after that the others evict it.
+pub const LEAVE_BOUND_MS: Millis = Millis(3_000);
 /// The longest time that a request or order may still be on its way after its sender is gone.
 pub const LONGEST_FLIGHT_MS: Millis = Millis(5_000);
 
@@ -91,7 +93,7 @@
             log_age_ms: self.freshness.log_age(now),
             stopping: matches!(
                 self.life,
-                Life::Stopping { .. } | Life::Leaving | Life::Ended
+                Life::Stopping { .. } | Life::Leaving { .. } | Life::Ended
             ),
             leaving_upstreams: self.routing.leaving(),
         }
@@ -360,7 +362,7 @@
                 LogEvent::StopBegan.write(&format!("requests={}", self.requests.len()));
                 self.life = Life::Stopping { since: now };
             }
-            Life::Stopping { .. } | Life::Leaving | Life::Ended => {}
+            Life::Stopping { .. } | Life::Leaving { .. } | Life::Ended => {}
         }
     }
 
@@ -375,8 +377,9 @@
                 }
             }
             Life::Stopping { since } => self.try_leave(now, since, fx),
+            Life::Leaving { since } if now.since(since) > LEAVE_BOUND_MS => self.life = Life::Ended,
             Life::Ended => fx.push(Effect::Exit),
-            Life::Joining | Life::Serving | Life::Leaving => {}
+            Life::Joining | Life::Serving | Life::Leaving { .. } => {}
         }
     }
 
@@ -388,11 +391,11 @@
         if !entries_expired || executing || !self.requests.is_empty() {
             return;
         }
-        if !self.driver.is_drained() {
+        if self.driver.is_reachable() && !self.driver.is_drained() {
             return;
         }
         fx.push(Effect::UnregisterHost);
         self.driver.queue(RecordBody::Leave);
-        self.life = Life::Leaving;
+        self.life = Life::Leaving { since: now };
     }
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -55,7 +55,10 @@
         since: Millis,
     },
     /// It appended its leave.
-    Leaving,
+    Leaving {
+        /// Since when.
+        since: Millis,
+    },
     /// It is done.
     Ended,
 }
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -101,7 +101,9 @@
                 "this host cannot tell whether its state is current",
             ),
             Life::Serving | Life::Stopping { .. } => Ok(()),
-            Life::Leaving | Life::Ended => refusal(ErrorKind::Stopping, "this host has stopped"),
+            Life::Leaving { .. } | Life::Ended => {
+                refusal(ErrorKind::Stopping, "this host has stopped")
+            }
         }
     }
 
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -460,6 +460,6 @@
         Life::Serving if node.is_fresh(now) => "serving",
         Life::Serving => "cut_off",
         Life::Stopping { .. } => "stopping",
-        Life::Leaving | Life::Ended => "stopped",
+        Life::Leaving { .. } | Life::Ended => "stopped",
     }
 }
