--- a/src/attempt/message.rs
+++ b/src/attempt/message.rs
@@ -1,6 +1,7 @@
 //! What is said about requests and attempts.
 
 use crate::clock::Millis;
+use crate::idempotency::message::KeptAnswer;
 use crate::table::message::Urgency;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -57,6 +58,9 @@
     pub idempotency_key: Option<Arc<str>>,
     /// SHA-256 of method, path and body, as hex digits.
     pub request_sha256: Arc<str>,
+    /// Whether it asks for its answer as a stream.
+    #[serde(default)]
+    pub streamed: bool,
     /// The length of its body.
     pub body_bytes: u64,
     /// Hashes of the prompt's leading blocks, shortest prefix first, for cache affinity.
@@ -64,6 +68,16 @@
     pub prefix_hashes: Vec<u64>,
 }
 
+/// Which connections an attempt may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConnectionChoice {
+    /// A kept one when there is one.
+    Kept,
+    /// A new one, so that the attempt meets no connection that went silent.
+    New,
+}
+
 /// One attempt of a request at an upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Attempt {
@@ -75,6 +89,8 @@
     pub upstream: Arc<str>,
     /// The upstream's address.
     pub address: SocketAddr,
+    /// Over which connection it goes.
+    pub connection: ConnectionChoice,
     /// The attempt must not begin after this point.
     pub begin_by: Millis,
     /// The request's deadline.
@@ -91,8 +107,12 @@
 pub enum AttemptOutcome {
     /// The caller has the whole answer.
     Answered,
+    /// The same, with the answer to keep for later arrivals of the operation.
+    OperationAnswered(KeptAnswer),
     /// Nothing ran: no byte of the request left this host, or the upstream said so.
     NotRun(String),
+    /// No answer began within the bound; it may have run.
+    Silent(String),
     /// It may have run, and the caller has nothing of an answer.
     Unknown(String),
     /// The answer broke off after the caller had its start; the caller was told.
--- a/src/attempt/requests.rs
+++ b/src/attempt/requests.rs
@@ -1,6 +1,7 @@
 //! The requests that this host holds, each until its one final answer.
 
 use crate::attempt::message::{RequestHead, RequestId};
+use crate::idempotency::message::OperationKey;
 use crate::prelude::*;
 use crate::table::message::{RowKey, Urgency};
 
@@ -9,14 +10,24 @@
 /// Most attempts of one request.
 pub const MAX_ATTEMPTS: u32 = 4;
 
+/// How long after its deadline the task of a running request may still answer it.
+pub const RUNNING_MARGIN_MS: Millis = Millis(2_000);
+
 /// Where a request stands.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// It waits for its claim to be read back.
-    Claiming {
-        /// The claim's record.
-        record: RecordId,
+    Claiming,
+    /// It waits for the outcome of the request that claimed its operation.
+    Following {
+        /// When the claimer is asked again.
+        ask_at: Millis,
+    },
+    /// It did not run, and waits for the release of its claim.
+    Releasing {
+        /// What the caller is told then.
+        refusal: Refusal,
     },
     /// It waits for an upstream.
     Waiting,
@@ -44,10 +55,33 @@
     pub attempts: u32,
     /// Upstreams that failed it.
     pub failed_upstreams: Vec<Name>,
+    /// Whether an attempt may have run it.
+    pub may_have_run: bool,
+    /// Its operation, when it may run once only and has a key.
+    pub operation: Option<OperationKey>,
+    /// Since when it is in its phase.
+    pub phase_since: Millis,
     /// Where it stands.
     pub phase: Phase,
 }
 
+impl HeldRequest {
+    /// Moves the request to another phase.
+    pub fn enter(&mut self, now: Millis, phase: Phase) {
+        self.phase = phase;
+        self.phase_since = now;
+    }
+
+    fn is_due(&self, now: Millis) -> bool {
+        match &self.phase {
+            Phase::Claiming | Phase::Releasing { .. } => true,
+            Phase::Following { ask_at } => now >= *ask_at || now >= self.deadline_at,
+            Phase::Waiting => now >= self.deadline_at,
+            Phase::Running { .. } => now >= self.deadline_at + RUNNING_MARGIN_MS,
+        }
+    }
+}
+
 /// The requests held.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Requests {
@@ -95,12 +129,11 @@
         self.held.values()
     }
 
-    /// Returns the requests that were not begun and whose deadline has passed.
-    pub fn overdue(&self, now: Millis) -> Vec<RequestId> {
+    /// Returns the requests for which something is due by time alone.
+    pub fn due(&self, now: Millis) -> Vec<RequestId> {
         self.held
             .values()
-            .filter(|request| now >= request.deadline_at)
-            .filter(|request| !matches!(request.phase, Phase::Running { .. }))
+            .filter(|request| request.is_due(now))
             .map(|request| request.head.id)
             .collect()
     }
--- /dev/null
+++ b/src/daemon/claim_flow.rs
@@ -0,0 +1,414 @@
+//! Joins claims to a request's way: an operation with a key is claimed on the log before it runs.
+//!
+//! The host whose claim won runs the operation; every other arrival follows it. See
+//! `docs/design/at-most-once.md`.
+
+use crate::attempt::message::RequestId;
+use crate::attempt::requests::{HeldRequest, Phase};
+use crate::daemon::node::Node;
+use crate::idempotency::claims::Claim;
+use crate::idempotency::finished::kept_state;
+use crate::idempotency::message::{
+    ClaimEnd, ClaimOutcome, ClaimRequest, KeptAnswer, OperationKey, OperationState,
+};
+use crate::idempotency::pending::PendingClaim;
+use crate::membership::message::PeerRequest;
+use crate::prelude::*;
+
+/// How long a claim may be on its way before its request is refused.
+pub const CLAIM_BOUND_MS: Millis = Millis(3_000);
+/// How long the log may be out of reach before claims on their way are given up.
+pub const LOG_LOST_MS: Millis = Millis(500);
+/// How long past the deadline the release of a claim is waited for.
+pub const RELEASE_BOUND_MS: Millis = Millis(1_000);
+/// How often a claimer is asked for the outcome.
+pub const FOLLOW_INTERVAL_MS: Millis = Millis(100);
+/// How long a claim is remembered, beside [`KEPT_DEADLINES`] times the request's own time.
+pub const CLAIM_KEEP_MS: Millis = Millis(60 * 60_000);
+
+const KEPT_DEADLINES: u64 = 10;
+const LOG_RETRY_MS: Millis = Millis(2_000);
+
+impl Node {
+    /// Claims the operation of a request, or follows the request that claimed it.
+    pub fn claim_or_follow(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let Some(operation) = request.operation.clone() else {
+            return;
+        };
+        let Some(claim) = self.shared.claims.get(&operation).cloned() else {
+            self.begin_claim(now, id, operation, fx);
+            return;
+        };
+        if claim.request_sha256 != request.head.request_sha256 {
+            let message = "this key was used for another request";
+            self.refuse(now, id, Refusal::new(ErrorKind::KeyReused, message), fx);
+            return;
+        }
+        if claim.claimant == self.config.me {
+            let state = self.operation_state(&operation);
+            self.follow(now, id, &state, fx);
+            return;
+        }
+        self.ask_claimer(now, id, operation, &claim, fx);
+    }
+
+    fn begin_claim(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        operation: OperationKey,
+        fx: &mut Effects,
+    ) {
+        if self.pending_claims.holder(&operation).is_some() {
+            self.follow(now, id, &OperationState::Running, fx);
+            return;
+        }
+        if !self.driver.is_reachable() {
+            self.refuse(now, id, log_unavailable(), fx);
+            return;
+        }
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let lifetime_ms = request.deadline_at.since(request.arrived_at).0;
+        let claim = ClaimRequest {
+            operation,
+            request_sha256: request.head.request_sha256.clone(),
+            keep_ms: CLAIM_KEEP_MS + Millis(lifetime_ms.saturating_mul(KEPT_DEADLINES)),
+        };
+        request.enter(now, Phase::Claiming);
+        let pending = PendingClaim { request: id, claim };
+        if self.pending_claims.begin(pending).is_err() {
+            let refusal = Refusal::new(ErrorKind::Overloaded, "too many claims wait for the log");
+            self.refuse(now, id, refusal.after(LOG_RETRY_MS), fx);
+        }
+    }
+
+    fn ask_claimer(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        operation: OperationKey,
+        claim: &Claim,
+        fx: &mut Effects,
+    ) {
+        let suspected = self.probes.is_suspected(claim.claimant);
+        let member = self.shared.members.get(claim.claimant);
+        let address = member.map(|member| member.entry.peer_address);
+        let present = self.shared.members.is_member(claim.claimant) && !suspected;
+        let Some(address) = address.filter(|_| present) else {
+            self.refuse(now, id, claimer_gone(claim), fx);
+            return;
+        };
+        fx.push(Effect::AskPeer {
+            peer: claim.claimant,
+            address,
+            asked_at: now,
+            request: PeerRequest::Operation { operation },
+        });
+        self.follow(now, id, &OperationState::Running, fx);
+    }
+
+    fn follow(&mut self, now: Millis, id: RequestId, state: &OperationState, fx: &mut Effects) {
+        match state {
+            // A release shows in the fold; after it the operation is claimed anew.
+            OperationState::Running | OperationState::NotRun => {
+                let ask_at = now + FOLLOW_INTERVAL_MS;
+                if let Some(request) = self.requests.get_mut(id) {
+                    request.enter(now, Phase::Following { ask_at });
+                }
+            }
+            OperationState::Answered(answer) => {
+                self.finish(now, id);
+                fx.push(Effect::GiveAnswer {
+                    request: id,
+                    answer: answer.clone(),
+                });
+            }
+            OperationState::AnswerNotKept => {
+                let message = "the operation ran and was answered; the answer is no longer kept";
+                self.refuse(
+                    now,
+                    id,
+                    Refusal::new(ErrorKind::OutcomeUnknown, message),
+                    fx,
+                );
+            }
+            OperationState::Unknown => {
+                let message = "an earlier request with this key may have run the operation";
+                self.refuse(
+                    now,
+                    id,
+                    Refusal::new(ErrorKind::OutcomeUnknown, message),
+                    fx,
+                );
+            }
+        }
+    }
+
+    /// Returns how an operation stands that this host claimed.
+    pub fn operation_state(&self, operation: &OperationKey) -> OperationState {
+        if let Some(state) = self.finished.get(operation) {
+            return state.clone();
+        }
+        if self.pending_claims.holder(operation).is_some() {
+            return OperationState::Running;
+        }
+        match self.own_claim(operation).and_then(|claim| claim.outcome) {
+            Some(ClaimOutcome::Answered) => OperationState::AnswerNotKept,
+            Some(ClaimOutcome::Unknown) => OperationState::Unknown,
+            Some(ClaimOutcome::NotRun) | None => OperationState::NotRun,
+        }
+    }
+
+    /// Takes the word of the host that claimed an operation.
+    pub fn on_operation_state(
+        &mut self,
+        now: Millis,
+        peer: Incarnation,
+        operation: &OperationKey,
+        state: &OperationState,
+        fx: &mut Effects,
+    ) {
+        let claim = self.shared.claims.get(operation);
+        let Some(claim) = claim.filter(|claim| claim.claimant == peer) else {
+            return;
+        };
+        let sha256 = claim.request_sha256.clone();
+        let follows = |request: &&HeldRequest| {
+            matches!(request.phase, Phase::Following { .. })
+                && request.operation.as_ref() == Some(operation)
+                && request.head.request_sha256 == sha256
+        };
+        let followers: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(follows)
+            .map(|request| request.head.id)
+            .collect();
+        for id in followers {
+            self.follow(now, id, state, fx);
+        }
+    }
+
+    /// Queues the records of claims and of ends that are due.
+    pub fn send_claims(&mut self) {
+        if let Some(claims) = self.pending_claims.next_claims()
+            && let Some(record) = self.driver.queue(RecordBody::Claims { claims })
+        {
+            self.pending_claims.claims_sent(record);
+        }
+        if let Some(ends) = self.pending_claims.next_ends()
+            && let Some(record) = self.driver.queue(RecordBody::ClaimEnds { ends })
+        {
+            self.pending_claims.ends_sent(record);
+        }
+    }
+
+    /// Settles the claims and ends whose records were applied.
+    pub fn settle_claims(&mut self, now: Millis, fx: &mut Effects) {
+        let members = &self.shared.members;
+        let applied = |record| members.is_duplicate(record);
+        let claims = self.pending_claims.take_claims(applied);
+        let ends = self.pending_claims.take_ends(applied);
+        for pending in claims.into_iter().flat_map(|batch| batch.claims) {
+            self.settle_claim(now, &pending, fx);
+        }
+        for end in ends.into_iter().flat_map(|batch| batch.ends) {
+            self.settle_end(now, &end, fx);
+        }
+    }
+
+    fn settle_claim(&mut self, now: Millis, pending: &PendingClaim, fx: &mut Effects) {
+        let (id, operation) = (pending.request, &pending.claim.operation);
+        let won = self.own_claim(operation).is_some();
+        match self.pending_claims.holder(operation) {
+            Some(holder) if holder == id && won => {
+                LogEvent::ClaimMade.write(&format!("request={id} key={}", operation.key));
+                self.enqueue(now, id, fx);
+            }
+            Some(holder) if holder == id => {
+                self.pending_claims.let_go(operation, id);
+                self.claim_lost(now, id, operation, fx);
+            }
+            // A later request holds the operation and settles with its own record.
+            Some(_) => {}
+            // The request was given up while its claim was on its way.
+            None if won => self.end_claim(operation, ClaimOutcome::NotRun),
+            None => {}
+        }
+    }
+
+    fn claim_lost(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        operation: &OperationKey,
+        fx: &mut Effects,
+    ) {
+        if self.shared.claims.get(operation).is_some() {
+            self.claim_or_follow(now, id, fx);
+            return;
+        }
+        let kind = if self.shared.members.is_member(self.config.me) {
+            ErrorKind::Overloaded
+        } else {
+            ErrorKind::CutOff
+        };
+        let refusal = Refusal::new(kind, "the claim was not taken").after(LOG_RETRY_MS);
+        self.refuse(now, id, refusal, fx);
+    }
+
+    fn settle_end(&mut self, now: Millis, end: &ClaimEnd, fx: &mut Effects) {
+        let details = format!("key={} outcome={:?}", end.operation.key, end.outcome);
+        LogEvent::ClaimEnded.write(&details);
+        let Some(id) = self.pending_claims.holder(&end.operation) else {
+            return;
+        };
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let Phase::Releasing { refusal } = request.phase.clone() else {
+            return;
+        };
+        let released = self.own_claim(&end.operation).is_none();
+        let refusal = if released { refusal } else { not_released() };
+        self.give_refusal(now, id, refusal, fx);
+    }
+
+    /// Releases the claim of a request that did not run; its caller is told when that is read back.
+    pub fn release(&mut self, now: Millis, id: RequestId, refusal: Refusal) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let Some(operation) = request.operation.clone() else {
+            return;
+        };
+        let target = request.head.name.clone();
+        request.enter(now, Phase::Releasing { refusal });
+        self.queues.remove(&target, id);
+        self.end_claim(&operation, ClaimOutcome::NotRun);
+    }
+
+    /// Keeps the answer of an operation that ran.
+    pub fn keep_answer(&mut self, now: Millis, id: RequestId, answer: Option<KeptAnswer>) {
+        let request = self.requests.get(id);
+        let Some(operation) = request.and_then(|request| request.operation.clone()) else {
+            return;
+        };
+        let state = answer.map_or(OperationState::AnswerNotKept, kept_state);
+        self.finished.insert(now, operation.clone(), state);
+        self.end_claim(&operation, ClaimOutcome::Answered);
+    }
+
+    /// Settles the operation of a request that is let go.
+    pub fn let_go_of_operation(&mut self, now: Millis, request: &HeldRequest) {
+        let Some(operation) = &request.operation else {
+            return;
+        };
+        if self.pending_claims.holder(operation) != Some(request.head.id) {
+            return;
+        }
+        match &request.phase {
+            Phase::Waiting => self.end_claim(operation, ClaimOutcome::NotRun),
+            Phase::Running { .. } if self.finished.get(operation).is_none() => {
+                self.finished
+                    .insert(now, operation.clone(), OperationState::Unknown);
+                self.end_claim(operation, ClaimOutcome::Unknown);
+            }
+            // A claim on its way is released when it is read back.
+            Phase::Claiming
+            | Phase::Following { .. }
+            | Phase::Releasing { .. }
+            | Phase::Running { .. } => {}
+        }
+        self.pending_claims.let_go(operation, request.head.id);
+    }
+
+    /// Tells whether the fold still lets this host run a request.
+    pub fn may_run(&self, request: &HeldRequest) -> bool {
+        let Some(operation) = &request.operation else {
+            return true;
+        };
+        self.own_claim(operation)
+            .is_some_and(|claim| claim.outcome.is_none())
+    }
+
+    /// Gives up a claim that takes too long, without which nothing may run.
+    pub fn tick_claiming(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if now >= request.deadline_at {
+            let message = "the deadline passed before the claim was read back";
+            let refusal = Refusal::new(ErrorKind::DeadlinePassed, message).after(LOG_RETRY_MS);
+            self.refuse(now, id, refusal, fx);
+            return;
+        }
+        let too_long = now.since(request.phase_since) > CLAIM_BOUND_MS;
+        if too_long || self.pending_claims.log_lost_ms(now) > LOG_LOST_MS {
+            self.refuse(now, id, log_unavailable(), fx);
+        }
+    }
+
+    /// Asks again for the outcome of an operation, until the deadline.
+    pub fn tick_following(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let overdue = self
+            .requests
+            .get(id)
+            .is_some_and(|request| now >= request.deadline_at);
+        if !overdue {
+            self.claim_or_follow(now, id, fx);
+            return;
+        }
+        let message = "an earlier request with this key has no outcome yet";
+        let refusal = Refusal::new(ErrorKind::OutcomeUnknown, message).after(LOG_RETRY_MS);
+        self.refuse(now, id, refusal, fx);
+    }
+
+    /// Gives up waiting for a release: the key may stay claimed, so that "not run" is not said.
+    pub fn tick_releasing(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let waited = now.since(request.phase_since) > RELEASE_BOUND_MS;
+        if waited && now >= request.deadline_at {
+            self.give_refusal(now, id, not_released(), fx);
+        }
+    }
+
+    fn own_claim(&self, operation: &OperationKey) -> Option<&Claim> {
+        let claim = self.shared.claims.get(operation)?;
+        (claim.claimant == self.config.me).then_some(claim)
+    }
+
+    fn end_claim(&mut self, operation: &OperationKey, outcome: ClaimOutcome) {
+        self.pending_claims.end(ClaimEnd {
+            operation: operation.clone(),
+            outcome,
+        });
+    }
+}
+
+fn log_unavailable() -> Refusal {
+    let message = "the log cannot be reached, and the operation is claimed there before it runs";
+    Refusal::new(ErrorKind::LogUnavailable, message).after(LOG_RETRY_MS)
+}
+
+fn not_released() -> Refusal {
+    let message = "the operation was not run here, but its key could not be released";
+    Refusal::new(ErrorKind::OutcomeUnknown, message).after(LOG_RETRY_MS)
+}
+
+fn claimer_gone(claim: &Claim) -> Refusal {
+    let message = match claim.outcome {
+        Some(ClaimOutcome::Answered) => {
+            "the operation ran and was answered; the host that has the answer is gone"
+        }
+        _ => "the host that claimed the operation is gone; the operation may have run",
+    };
+    Refusal::new(ErrorKind::OutcomeUnknown, message)
+}
--- a/src/daemon/effect.rs
+++ b/src/daemon/effect.rs
@@ -1,6 +1,7 @@
 //! What a host does about events.
 
 use crate::attempt::message::{Attempt, RequestId};
+use crate::idempotency::message::KeptAnswer;
 use crate::membership::entry::EntryAnswer;
 use crate::membership::message::{PeerReply, PeerRequest};
 use crate::placement::message::EngineOrder;
@@ -84,6 +85,13 @@
         /// The answer.
         refusal: Refusal,
     },
+    /// Gives a request the kept answer of its operation.
+    GiveAnswer {
+        /// The request.
+        request: RequestId,
+        /// The answer.
+        answer: KeptAnswer,
+    },
     /// Answers a caller that asked which hosts to use.
     AnswerEntry {
         /// The call.
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -102,6 +102,15 @@
         /// The request.
         request: RequestId,
     },
+    /// An attempt's answer began.
+    AttemptStarted {
+        /// The request.
+        request: RequestId,
+        /// Which attempt.
+        number: u32,
+        /// How long the upstream took to its first byte.
+        first_byte_ms: Millis,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// The request.
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -254,6 +254,9 @@
         match reply {
             PeerReply::Probe(probe) => self.on_probe_answer(peer, asked_at, &probe, fx),
             PeerReply::Records { records, .. } => self.apply_relayed(now, &records, fx),
+            PeerReply::Operation { operation, state } => {
+                self.on_operation_state(now, peer, &operation, &state, fx);
+            }
         }
     }
 
@@ -311,6 +314,10 @@
                 records: self.records_from(from, MAX_READ_RECORDS),
                 next_offset: self.shared.next_offset,
             },
+            PeerRequest::Operation { operation } => PeerReply::Operation {
+                state: self.operation_state(&operation),
+                operation,
+            },
         };
         fx.push(Effect::AnswerPeer { call, reply });
     }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -4,6 +4,8 @@
 use crate::admission::queue::Queues;
 use crate::attempt::requests::Requests;
 use crate::daemon::event::Event;
+use crate::idempotency::finished::FinishedOperations;
+use crate::idempotency::pending::PendingClaims;
 use crate::membership::freshness::Freshness;
 use crate::membership::message::HostEntry;
 use crate::membership::probes::Probes;
@@ -92,6 +94,10 @@
     pub queues: Queues,
     /// Requests held.
     pub requests: Requests,
+    /// Claims on their way to the log.
+    pub pending_claims: PendingClaims,
+    /// Finished operations with their answers.
+    pub finished: FinishedOperations,
     /// Placement's own state at this host.
     pub demand: crate::daemon::placement_flow::Demand,
     /// Membership's own state at this host.
@@ -118,6 +124,8 @@
             limits: Limits::default(),
             queues: Queues::default(),
             requests: Requests::default(),
+            pending_claims: PendingClaims::default(),
+            finished: FinishedOperations::default(),
             demand: Default::default(),
             platform: Default::default(),
             config,
@@ -134,6 +142,7 @@
         let fresh = self.is_fresh(now);
         self.freshness.note_change(fresh);
         self.pump(now, &mut fx);
+        self.send_claims();
         self.driver.drive(now, self.shared.next_offset, &mut fx);
         fx
     }
@@ -179,7 +188,14 @@
             } => {
                 self.on_entry_asked(now, call, &key_sha256, &name, fx);
             }
-            Event::CallerGone { request } => self.on_caller_gone(request),
+            Event::CallerGone { request } => self.on_caller_gone(now, request),
+            Event::AttemptStarted {
+                request,
+                number,
+                first_byte_ms,
+            } => {
+                self.on_attempt_started(request, number, first_byte_ms);
+            }
             Event::AttemptEnded {
                 request,
                 number,
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -2,13 +2,15 @@
 
 use crate::admission::queue::Waiting;
 use crate::attempt::message::{
-    Attempt, AttemptOutcome, Repeatable, RequestHead, RequestId, TargetKind,
+    Attempt, AttemptOutcome, ConnectionChoice, Repeatable, RequestHead, RequestId, TargetKind,
 };
 use crate::attempt::requests::{HeldRequest, MAX_ATTEMPTS, Phase};
 use crate::daemon::node::{Life, Node};
+use crate::error::Ran;
+use crate::idempotency::message::OperationKey;
 use crate::placement::copies::CopyState;
 use crate::prelude::*;
-use crate::routing::upstreams::{FAILURE_REST_MS, FIRST_BYTE_MS};
+use crate::routing::upstreams::FAILURE_REST_MS;
 use crate::shared_log::fold::Applied;
 use crate::table::message::RowKey;
 use std::net::SocketAddr;
@@ -32,7 +34,17 @@
     pub fn on_request(&mut self, now: Millis, head: RequestHead, fx: &mut Effects) {
         let request = head.id;
         if let Err(refusal) = self.admit(now, head) {
-            self.refuse(request, refusal, fx);
+            self.refuse(now, request, refusal, fx);
+            return;
+        }
+        match self
+            .requests
+            .get(request)
+            .map(|held| held.operation.is_some())
+        {
+            Some(true) => self.claim_or_follow(now, request, fx),
+            Some(false) => self.enqueue(now, request, fx),
+            None => {}
         }
     }
 
@@ -61,14 +73,8 @@
         let deadline_ms = head
             .deadline_ms
             .map_or(row.deadline_ms, |own| own.min(row.deadline_ms));
-        let waiting = Waiting {
-            request: head.id,
-            brand: key.brand.clone(),
-            weight: row.weight,
-            urgency: row.urgency,
-            since: now,
-        };
         let name = head.name.clone();
+        let operation = operation_of(&head, &key);
         self.requests.insert(HeldRequest {
             row: key,
             urgency: row.urgency,
@@ -76,13 +82,38 @@
             deadline_at: now + deadline_ms,
             attempts: 0,
             failed_upstreams: Vec::new(),
+            may_have_run: false,
+            operation,
+            phase_since: now,
             phase: Phase::Waiting,
             head,
         });
         self.demand.note_use(now, &name);
-        self.queues
-            .push(&name, waiting)
-            .map_err(|_| Refusal::new(ErrorKind::Overloaded, "the queue is full").after(RETRY_MS))
+        Ok(())
+    }
+
+    /// Puts a request into the queue of its model or service.
+    pub fn enqueue(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.enter(now, Phase::Waiting);
+        let waiting = Waiting {
+            request: id,
+            brand: request.row.brand.clone(),
+            weight: self
+                .shared
+                .table
+                .row(&request.row)
+                .map_or(1, |row| row.weight),
+            urgency: request.urgency,
+            since: request.arrived_at,
+        };
+        let target = request.head.name.clone();
+        if self.queues.push(&target, waiting).is_err() {
+            let refusal = Refusal::new(ErrorKind::Overloaded, "the queue is full").after(RETRY_MS);
+            self.refuse(now, id, refusal, fx);
+        }
     }
 
     fn check_serving(&self, now: Millis) -> Result<(), Refusal> {
@@ -131,19 +162,40 @@
             .ok_or_else(|| Refusal::new(ErrorKind::BadCredential, "no brand has this API key"))
     }
 
-    /// Refuses what is overdue.
+    /// Acts on what is due by time alone.
     pub fn tick_requests(&mut self, now: Millis, fx: &mut Effects) {
-        for request in self.requests.overdue(now) {
-            let refusal = Refusal::new(
-                ErrorKind::DeadlinePassed,
-                "the deadline passed in the queue",
-            )
-            .after(RETRY_MS);
-            self.refuse(request, refusal, fx);
+        self.pending_claims
+            .note_log(now, self.driver.is_reachable());
+        self.settle_claims(now, fx);
+        self.finished.expire(now);
+        for id in self.requests.due(now) {
+            self.tick_request(now, id, fx);
         }
         self.queues.tidy();
     }
 
+    fn tick_request(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        match &request.phase {
+            Phase::Claiming => self.tick_claiming(now, id, fx),
+            Phase::Following { .. } => self.tick_following(now, id, fx),
+            Phase::Releasing { .. } => self.tick_releasing(now, id, fx),
+            Phase::Waiting => {
+                let message = "the deadline passed in the queue";
+                let refusal = Refusal::new(ErrorKind::DeadlinePassed, message).after(RETRY_MS);
+                self.refuse(now, id, refusal, fx);
+            }
+            Phase::Running { .. } => {
+                self.end_in_flight(id);
+                self.note_may_have_run(id);
+                let why = "the attempt did not end by the deadline";
+                self.retry_or_refuse(now, id, why, fx);
+            }
+        }
+    }
+
     /// Begins every attempt that can begin.
     pub fn pump(&mut self, now: Millis, fx: &mut Effects) {
         for target in self.queues.targets() {
@@ -206,27 +258,75 @@
     }
 
     fn begin(&mut self, now: Millis, id: RequestId, chosen: &Candidate, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if !self.may_run(request) {
+            let message = "the claim of the operation is no longer this host's";
+            self.refuse(
+                now,
+                id,
+                Refusal::new(ErrorKind::OutcomeUnknown, message),
+                fx,
+            );
+            return;
+        }
+        let first_byte_ms = self.first_byte_bound(request, &chosen.name);
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
-        request.attempts += 1;
-        request.phase = Phase::Running {
-            upstream: chosen.name.clone(),
+        let retried = request.attempts > 0;
+        let connection = match request.head.repeatable {
+            Repeatable::Yes if !retried => ConnectionChoice::Kept,
+            Repeatable::Yes | Repeatable::No => ConnectionChoice::New,
         };
+        request.attempts += 1;
+        let upstream = chosen.name.clone();
+        request.enter(now, Phase::Running { upstream });
         let attempt = Attempt {
             request: id,
             number: request.attempts,
             upstream: chosen.name.clone(),
             address: chosen.address,
+            connection,
             begin_by: now + BEGIN_WITHIN_MS,
             deadline_at: request.deadline_at,
-            first_byte_ms: FIRST_BYTE_MS,
+            first_byte_ms,
             urgency: request.urgency,
         };
         self.routing.view(&chosen.name).in_flight += 1;
         fx.push(Effect::Begin { attempt });
     }
 
+    /// Takes the start of an attempt's answer.
+    pub fn on_attempt_started(&mut self, id: RequestId, number: u32, first_byte_ms: Millis) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let Phase::Running { upstream } = &request.phase else {
+            return;
+        };
+        if request.attempts == number {
+            let streamed = request.head.streamed;
+            self.routing
+                .view(upstream)
+                .note_first_byte(streamed, first_byte_ms);
+        }
+    }
+
+    fn first_byte_bound(&self, request: &HeldRequest, upstream: &Name) -> Millis {
+        let to_deadline_ms = request.deadline_at.since(request.phase_since);
+        if request.head.repeatable == Repeatable::No {
+            // Giving up early would only turn an answer into an unknown outcome.
+            return to_deadline_ms;
+        }
+        let bound_ms = self
+            .routing
+            .first_byte_bound(upstream, request.head.streamed);
+        let patience = 1 << request.attempts.min(MAX_ATTEMPTS);
+        Millis(bound_ms.0 * patience).min(to_deadline_ms)
+    }
+
     /// Takes the end of an attempt.
     pub fn on_attempt_ended(
         &mut self,
@@ -236,7 +336,7 @@
         outcome: AttemptOutcome,
         fx: &mut Effects,
     ) {
-        let Some(request) = self.requests.get_mut(id) else {
+        let Some(request) = self.requests.get(id) else {
             return;
         };
         let Phase::Running { upstream } = request.phase.clone() else {
@@ -245,85 +345,119 @@
         if request.attempts != number {
             return;
         }
-        let view = self.routing.view(&upstream);
-        view.in_flight = view.in_flight.saturating_sub(1);
+        self.end_in_flight(id);
         match outcome {
-            AttemptOutcome::Answered | AttemptOutcome::CallerGone | AttemptOutcome::Broken(_) => {
-                self.finish(id);
+            AttemptOutcome::Answered => {
+                self.keep_answer(now, id, None);
+                self.finish(now, id);
+            }
+            AttemptOutcome::OperationAnswered(answer) => {
+                self.keep_answer(now, id, Some(answer));
+                self.finish(now, id);
             }
+            AttemptOutcome::CallerGone | AttemptOutcome::Broken(_) => self.finish(now, id),
             AttemptOutcome::NotRun(why) => {
-                view.resting_until = now + FAILURE_REST_MS;
-                self.retry_or_refuse(now, id, ErrorKind::UpstreamFailed, &why, fx);
+                self.routing.view(&upstream).resting_until = now + FAILURE_REST_MS;
+                self.retry_or_refuse(now, id, &why, fx);
+            }
+            AttemptOutcome::Silent(why) => {
+                self.note_may_have_run(id);
+                self.retry_or_refuse(now, id, &why, fx);
             }
             AttemptOutcome::Unknown(why) => {
-                view.resting_until = now + FAILURE_REST_MS;
-                let kind = match request.head.repeatable {
-                    Repeatable::Yes => ErrorKind::UpstreamFailed,
-                    Repeatable::No => ErrorKind::OutcomeUnknown,
-                };
-                self.retry_or_refuse(now, id, kind, &why, fx);
+                self.routing.view(&upstream).resting_until = now + FAILURE_REST_MS;
+                self.note_may_have_run(id);
+                self.retry_or_refuse(now, id, &why, fx);
             }
         }
     }
 
-    fn retry_or_refuse(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        kind: ErrorKind,
-        why: &str,
-        fx: &mut Effects,
-    ) {
-        let Some(request) = self.requests.get_mut(id) else {
+    fn note_may_have_run(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.may_have_run = true;
+        }
+    }
+
+    fn retry_or_refuse(&mut self, now: Millis, id: RequestId, why: &str, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
             return;
         };
-        let may_retry = kind == ErrorKind::UpstreamFailed
-            && request.attempts < MAX_ATTEMPTS
-            && now < request.deadline_at;
-        if !may_retry {
-            self.refuse(id, Refusal::new(kind, why).after(RETRY_MS), fx);
+        LogEvent::AttemptFailed.write(&format!("request={id} why={why}"));
+        let repeatable = request.head.repeatable == Repeatable::Yes;
+        if !repeatable && request.may_have_run {
+            LogEvent::OutcomeUnknown.write(&format!("request={id} why={why}"));
+            self.refuse(now, id, Refusal::new(ErrorKind::OutcomeUnknown, why), fx);
             return;
         }
-        request.phase = Phase::Waiting;
-        let waiting = Waiting {
-            request: id,
-            brand: request.row.brand.clone(),
-            weight: 1,
-            urgency: request.urgency,
-            since: request.arrived_at,
-        };
-        let target = request.head.name.clone();
-        if self.queues.push(&target, waiting).is_err() {
-            let refusal = Refusal::new(ErrorKind::Overloaded, "the queue is full").after(RETRY_MS);
-            self.refuse(id, refusal, fx);
+        let may_retry = repeatable || request.operation.is_some();
+        if may_retry && request.attempts < MAX_ATTEMPTS && now < request.deadline_at {
+            self.enqueue(now, id, fx);
+            return;
         }
+        let kind = if now < request.deadline_at {
+            ErrorKind::UpstreamFailed
+        } else {
+            ErrorKind::DeadlinePassed
+        };
+        self.refuse(now, id, Refusal::new(kind, why).after(RETRY_MS), fx);
     }
 
     /// Takes the end of a request's task: whatever is still held of the request is let go.
-    pub fn on_caller_gone(&mut self, id: RequestId) {
+    pub fn on_caller_gone(&mut self, now: Millis, id: RequestId) {
+        self.end_in_flight(id);
+        self.finish(now, id);
+    }
+
+    fn end_in_flight(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
-        if let Phase::Running { upstream } = request.phase.clone() {
-            let view = self.routing.view(&upstream);
+        if let Phase::Running { upstream } = &request.phase {
+            let view = self.routing.view(upstream);
             view.in_flight = view.in_flight.saturating_sub(1);
         }
-        self.finish(id);
     }
 
-    fn refuse(&mut self, id: RequestId, refusal: Refusal, fx: &mut Effects) {
+    /// Gives a request its final answer; one that claimed its operation and did not run releases the
+    /// claim first.
+    pub fn refuse(&mut self, now: Millis, id: RequestId, refusal: Refusal, fx: &mut Effects) {
+        let must_release = self.requests.get(id).is_some_and(|request| {
+            let claimed = matches!(request.phase, Phase::Waiting | Phase::Running { .. });
+            claimed && request.operation.is_some() && !request.may_have_run
+        });
+        if must_release && refusal.ran == Ran::NotRun {
+            self.release(now, id, refusal);
+            return;
+        }
+        self.give_refusal(now, id, refusal, fx);
+    }
+
+    /// Gives a request its final answer now.
+    pub fn give_refusal(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        mut refusal: Refusal,
+        fx: &mut Effects,
+    ) {
+        let request = self.requests.get(id);
+        if request.is_some_and(|request| request.may_have_run) {
+            refusal.ran = Ran::Unknown;
+        }
         LogEvent::RequestRefused.write(&format!("request={id} kind={:?}", refusal.kind));
-        self.finish(id);
+        self.finish(now, id);
         fx.push(Effect::Refuse {
             request: id,
             refusal,
         });
     }
 
-    fn finish(&mut self, id: RequestId) {
+    /// Lets a request go.
+    pub fn finish(&mut self, now: Millis, id: RequestId) {
         let Some(request) = self.requests.remove(id) else {
             return;
         };
+        self.let_go_of_operation(now, &request);
         self.queues.remove(&request.head.name, id);
         self.limits.end(&request.row);
         if request.head.target == TargetKind::Model {
@@ -333,5 +467,21 @@
     }
 
     /// Takes an applied record.
-    pub fn requests_applied(&mut self, _now: Millis, _applied: &Applied, _fx: &mut Effects) {}
+    pub fn requests_applied(&mut self, now: Millis, applied: &Applied, fx: &mut Effects) {
+        if applied.record.id.host == self.config.me {
+            self.settle_claims(now, fx);
+        }
+    }
+}
+
+fn operation_of(head: &RequestHead, row: &RowKey) -> Option<OperationKey> {
+    if head.repeatable == Repeatable::Yes {
+        return None;
+    }
+    let key = head.idempotency_key.clone()?;
+    Some(OperationKey {
+        brand: row.brand.clone(),
+        service: row.model.clone(),
+        key,
+    })
 }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -6,10 +6,10 @@
 use crate::daemon::node::{Life, Node, NodeConfig};
 use crate::daemon::trace::Trace;
 use crate::edge::caller::CallerEdge;
+use crate::edge::connections::Connections;
 use crate::edge::engine::HttpEngines;
 use crate::edge::gate::{Gate, Input, Instruction, Query};
 use crate::edge::hosts::HttpHostList;
-use crate::edge::http::client;
 use crate::edge::log_service::HttpLog;
 use crate::edge::operator::OperatorEdge;
 use crate::edge::peer::{PeerEdge, PeerError};
@@ -199,7 +199,7 @@
     let edge = Arc::new(CallerEdge {
         gate: gate.clone(),
         clock,
-        client: client(),
+        connections: Arc::new(Connections::new()),
         me,
         bounds: settings.bounds.clone(),
     });
@@ -443,6 +443,9 @@
             Effect::Refuse { request, refusal } => {
                 self.gate.instruct(request, Instruction::Refuse(refusal));
             }
+            Effect::GiveAnswer { request, answer } => {
+                self.gate.instruct(request, Instruction::Answer(answer));
+            }
             Effect::AnswerEntry { call, result } => self.gate.answer_entry(call, result),
             Effect::AnswerEdit { call, result } => self.gate.answer_edit(call, result),
             Effect::Exit => {}
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -3,19 +3,23 @@
 //! `POST /v1/chat/completions` for models, any method on `/services/{name}/...` for plain services,
 //! `GET /v1/entry?model=NAME` for the hosts to use.
 
-use crate::attempt::message::{AttemptOutcome, Repeatable, RequestHead, TargetKind};
+use crate::attempt::message::{AttemptOutcome, Repeatable, RequestHead, RequestId, TargetKind};
 use crate::clock::Clock;
 use crate::daemon::event::Event;
+use crate::edge::connections::Connections;
 use crate::edge::digest::{sha256, sha256_of_parts};
 use crate::edge::gate::{Gate, Instruction, OpenRequest};
-use crate::edge::pipe::pipe;
-use crate::edge::upstream::{self, Outgoing, SILENCE_TIMEOUT, Started};
+use crate::edge::http::within;
+use crate::edge::pipe::{ChunkWriter, pipe};
+use crate::edge::stream::{WRITE_STALL, pass_stream};
+use crate::edge::upstream::{Call, NOT_RUN, Outgoing, RUN_HEADER, Started};
+use crate::error::Ran;
+use crate::idempotency::message::KeptAnswer;
 use crate::prelude::*;
 use crate::settings::BoundSettings;
 use serde_json::json;
-use smol::channel::Sender;
+use std::time::Duration;
 use trillium::{Body, Conn, Method};
-use trillium_client::Client;
 
 /// The header with the caller's own deadline, in milliseconds from its arrival.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -26,6 +30,10 @@
 const ENTRY_PATH: &str = "/v1/entry";
 const SERVICES_PREFIX: &str = "/services/";
 const MAX_KEY_BYTES: usize = 256;
+/// How long a caller may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long the caller of a broken stream may take to read the error.
+const BREAK_STALL: Duration = Duration::from_secs(1);
 
 /// What the callers' interface works with.
 #[derive(Debug)]
@@ -34,8 +42,8 @@
     pub gate: Arc<Gate>,
     /// The clock.
     pub clock: Clock,
-    /// The client for upstreams.
-    pub client: Client,
+    /// The connections to upstreams.
+    pub connections: Arc<Connections>,
     /// This process.
     pub me: Incarnation,
     /// Bounds on what callers send.
@@ -45,6 +53,22 @@
 #[derive(Deserialize)]
 struct ChatHead {
     model: Name,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// What a caller asks of an upstream.
+struct Asked {
+    name: Name,
+    path: String,
+    body: Vec<u8>,
+    streamed: bool,
+}
+
+/// An upstream's answer.
+enum Answer {
+    Stream(Started),
+    Whole(KeptAnswer),
 }
 
 impl CallerEdge {
@@ -95,8 +119,13 @@
                 return refuse(conn, &Refusal::new(ErrorKind::BadRequest, message), "");
             }
         };
-        self.serve(conn, TargetKind::Model, head.model, CHAT_PATH.into(), body)
-            .await
+        let asked = Asked {
+            name: head.model,
+            path: CHAT_PATH.into(),
+            body,
+            streamed: head.stream,
+        };
+        self.serve(conn, TargetKind::Model, asked).await
     }
 
     async fn service(&self, mut conn: Conn, path: &str) -> Conn {
@@ -110,34 +139,34 @@
             Ok(body) => body,
             Err(refusal) => return refuse(conn, &refusal, ""),
         };
-        self.serve(conn, TargetKind::Service, name, upstream_path, body)
-            .await
+        let asked = Asked {
+            name,
+            path: upstream_path,
+            body,
+            streamed: false,
+        };
+        self.serve(conn, TargetKind::Service, asked).await
     }
 
-    async fn serve(
-        &self,
-        conn: Conn,
-        target: TargetKind,
-        name: Name,
-        path: String,
-        body: Vec<u8>,
-    ) -> Conn {
+    async fn serve(&self, conn: Conn, target: TargetKind, asked: Asked) -> Conn {
         let open = self.gate.open_request();
         let request_id: Name = format!("{}-{}", self.me, open.id).into();
-        let head = match head_of(&conn, open.id, target, name, &path, &body) {
+        let head = match head_of(&conn, open.id, target, &asked) {
             Ok(head) => head,
             Err(refusal) => return refuse(conn, &refusal, &request_id),
         };
         let outgoing = Outgoing {
             method: conn.method(),
-            path,
-            body: body.into(),
+            path: asked.path,
+            body: asked.body.into(),
             content_type: conn
                 .request_headers()
                 .get_str("content-type")
                 .unwrap_or("application/json")
                 .into(),
             request_id,
+            target,
+            repeatable: head.repeatable,
             operation_id: head.idempotency_key.clone(),
         };
         self.gate.send(Event::RequestArrived { head }).await;
@@ -157,52 +186,87 @@
                 Some(Ok(Instruction::Refuse(refusal))) => {
                     return refuse(conn, &refusal, &outgoing.request_id);
                 }
+                Some(Ok(Instruction::Answer(answer))) => {
+                    return whole_answer(conn, &answer, &outgoing.request_id);
+                }
                 Some(Ok(Instruction::Begin(attempt))) => attempt,
             };
-            let started = upstream::start(&self.client, &self.clock, &attempt, &outgoing).await;
-            let outcome = match started {
-                Ok(started) if started.is_event_stream() => {
-                    return self.stream(conn, open, attempt.number, started, outgoing.request_id);
-                }
-                Ok(started) => {
-                    let limit = attempt.deadline_at.since(self.clock.now()).to_duration();
-                    let (status, kind) = (started.status, started.content_type.clone());
-                    let whole =
-                        upstream::read_whole(started, self.bounds.answer_bytes, limit).await;
-                    match whole {
-                        Ok(bytes) => {
-                            self.end(&open, attempt.number, AttemptOutcome::Answered)
-                                .await;
-                            return whole_answer(conn, status, kind, bytes, &outgoing.request_id);
-                        }
-                        Err(outcome) => outcome,
-                    }
+            let call = Call {
+                attempt,
+                outgoing: outgoing.clone(),
+                connections: self.connections.clone(),
+                clock: self.clock,
+            };
+            let outcome = match self.attempt(&mut conn, &open, &call).await {
+                Ok(Answer::Stream(started)) => return self.stream(conn, open, call, started),
+                Ok(Answer::Whole(answer)) => {
+                    let outcome = outcome_with(&outgoing, &answer);
+                    self.end(&open, call.attempt.number, outcome).await;
+                    return whole_answer(conn, &answer, &outgoing.request_id);
                 }
                 Err(outcome) => outcome,
             };
-            self.end(&open, attempt.number, outcome).await;
+            if !matches!(outcome, AttemptOutcome::NotRun(_)) {
+                call.cancel();
+            }
+            self.end(&open, call.attempt.number, outcome).await;
         }
     }
 
-    fn stream(
+    async fn attempt(
         &self,
-        conn: Conn,
-        open: OpenRequest,
-        number: u32,
-        started: Started,
-        request_id: Name,
-    ) -> Conn {
+        conn: &mut Conn,
+        open: &OpenRequest,
+        call: &Call,
+    ) -> Result<Answer, AttemptOutcome> {
+        let running = self.run(open, call);
+        match call.outgoing.repeatable {
+            // What may run once only goes on without its caller, whose next arrival gets the answer.
+            Repeatable::No => running.await,
+            Repeatable::Yes => conn
+                .cancel_on_disconnect(running)
+                .await
+                .unwrap_or(Err(AttemptOutcome::CallerGone)),
+        }
+    }
+
+    async fn run(&self, open: &OpenRequest, call: &Call) -> Result<Answer, AttemptOutcome> {
+        let started = call.start().await?;
+        self.gate
+            .send(Event::AttemptStarted {
+                request: open.id,
+                number: call.attempt.number,
+                first_byte_ms: started.first_byte_ms,
+            })
+            .await;
+        if started.is_event_stream() && call.outgoing.repeatable == Repeatable::Yes {
+            return Ok(Answer::Stream(started));
+        }
+        let (status, content_type) = (started.status, started.content_type.clone());
+        let body = call.read_whole(started, self.bounds.answer_bytes).await?;
+        Ok(Answer::Whole(KeptAnswer {
+            status,
+            content_type: content_type.map(Name::from),
+            body: body.into(),
+        }))
+    }
+
+    fn stream(&self, conn: Conn, open: OpenRequest, call: Call, started: Started) -> Conn {
         let (caller, reader) = pipe();
         let gate = self.gate.clone();
+        let request_id = call.outgoing.request_id.to_string();
         smol::spawn(async move {
-            let outcome = upstream::pass_stream(started, &caller).await;
-            if let AttemptOutcome::Broken(why) = &outcome {
-                send_break(&caller, why).await;
+            let outcome = pass_stream(&call, started, &caller).await;
+            match &outcome {
+                AttemptOutcome::Answered => {
+                    let _ = caller.end(WRITE_STALL).await;
+                }
+                AttemptOutcome::Broken(why) => send_break(caller, &call, why).await,
+                _ => drop(caller),
             }
-            let request = open.id;
             gate.send(Event::AttemptEnded {
-                request,
-                number,
+                request: open.id,
+                number: call.attempt.number,
                 outcome,
             })
             .await;
@@ -211,7 +275,7 @@
         conn.with_status(200)
             .with_response_header("content-type", "text/event-stream")
             .with_response_header("cache-control", "no-store")
-            .with_response_header("x-request-id", request_id.to_string())
+            .with_response_header("x-request-id", request_id)
             .with_body(Body::new_streaming(reader, None))
             .halt()
     }
@@ -227,19 +291,29 @@
     }
 }
 
-async fn send_break(caller: &Sender<Vec<u8>>, why: &str) {
+fn outcome_with(outgoing: &Outgoing, answer: &KeptAnswer) -> AttemptOutcome {
+    let keeps = outgoing.repeatable == Repeatable::No && outgoing.operation_id.is_some();
+    match keeps {
+        true => AttemptOutcome::OperationAnswered(answer.clone()),
+        false => AttemptOutcome::Answered,
+    }
+}
+
+/// Ends a stream with an explicit error, so that half an answer does not look whole.
+async fn send_break(caller: ChunkWriter, call: &Call, why: &str) {
     let refusal = Refusal::new(ErrorKind::AnswerBroken, why);
-    let event = format!("\n\nevent: error\ndata: {}\n\n", error_body(&refusal, ""));
-    let _ = crate::edge::http::within(SILENCE_TIMEOUT, caller.send(event.into_bytes())).await;
+    let body = error_body(&refusal, &call.outgoing.request_id);
+    let event = format!("event: error\ndata: {body}\n\n");
+    if caller.write(event.into_bytes(), BREAK_STALL).await.is_ok() {
+        let _ = caller.end(BREAK_STALL).await;
+    }
 }
 
 fn head_of(
     conn: &Conn,
-    id: crate::attempt::message::RequestId,
+    id: RequestId,
     target: TargetKind,
-    name: Name,
-    path: &str,
-    body: &[u8],
+    asked: &Asked,
 ) -> Result<RequestHead, Refusal> {
     let headers = conn.request_headers();
     let idempotency_key = headers.get_str(IDEMPOTENCY_HEADER).map(Name::from);
@@ -265,17 +339,22 @@
     } else {
         Repeatable::No
     };
-    let request_sha256 = sha256_of_parts(&[method.as_str().as_bytes(), path.as_bytes(), body]);
+    let request_sha256 = sha256_of_parts(&[
+        method.as_str().as_bytes(),
+        asked.path.as_bytes(),
+        &asked.body,
+    ]);
     Ok(RequestHead {
         id,
         key_sha256: key_of(conn)?,
         target,
-        name,
+        name: asked.name.clone(),
         deadline_ms,
         repeatable,
         idempotency_key,
         request_sha256,
-        body_bytes: body.len() as u64,
+        streamed: asked.streamed,
+        body_bytes: asked.body.len() as u64,
         prefix_hashes: Vec::new(),
     })
 }
@@ -316,7 +395,10 @@
         return Err(too_long());
     }
     let body = conn.request_body().with_max_len(most_bytes);
-    let bytes = body.read_bytes().await;
+    let Some(bytes) = within(BODY_TIMEOUT, body.read_bytes()).await else {
+        let message = format!("the body did not come within {} s", BODY_TIMEOUT.as_secs());
+        return Err(Refusal::new(ErrorKind::BadRequest, message));
+    };
     bytes.map_err(|error| match error {
         trillium_http::Error::ReceivedBodyTooLong(_) => too_long(),
         error => Refusal::new(
@@ -335,18 +417,13 @@
         .map(|p| p.1)
 }
 
-fn whole_answer(
-    conn: Conn,
-    status: u16,
-    content_type: Option<String>,
-    bytes: Vec<u8>,
-    request_id: &str,
-) -> Conn {
-    let content_type = content_type.unwrap_or_else(|| "application/octet-stream".to_string());
-    conn.with_status(status)
-        .with_response_header("content-type", content_type)
+fn whole_answer(conn: Conn, answer: &KeptAnswer, request_id: &str) -> Conn {
+    let content_type = answer.content_type.as_deref();
+    let content_type = content_type.unwrap_or("application/octet-stream");
+    conn.with_status(answer.status)
+        .with_response_header("content-type", content_type.to_string())
         .with_response_header("x-request-id", request_id.to_string())
-        .with_body(bytes)
+        .with_body(answer.body.to_vec())
         .halt()
 }
 
@@ -370,6 +447,9 @@
         let seconds = retry_after_ms.as_secs_ceil().to_string();
         conn = conn.with_response_header("retry-after", seconds);
     }
+    if refusal.ran == Ran::NotRun {
+        conn = conn.with_response_header(RUN_HEADER, NOT_RUN);
+    }
     conn.halt()
 }
 
--- a/src/edge/gate.rs
+++ b/src/edge/gate.rs
@@ -4,6 +4,7 @@
 
 use crate::attempt::message::{Attempt, RequestId};
 use crate::daemon::event::Event;
+use crate::idempotency::message::KeptAnswer;
 use crate::membership::entry::EntryAnswer;
 use crate::membership::message::PeerReply;
 use crate::prelude::*;
@@ -23,6 +24,8 @@
 pub enum Instruction {
     /// Begin an attempt.
     Begin(Attempt),
+    /// Give the kept answer of the request's operation.
+    Answer(KeptAnswer),
     /// Give the final answer.
     Refuse(Refusal),
 }
--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -110,6 +110,11 @@
     Client::new(BoundedConnector(ClientConfig::new().with_nodelay(true)))
 }
 
+/// Makes a client whose every call goes over a connection of its own.
+pub fn new_connection_client() -> Client {
+    client().without_keepalive()
+}
+
 /// Sorts a client error by whether bytes of the request may have left.
 pub fn call_error(error: &trillium_client::Error) -> CallError {
     if let trillium_client::Error::Io(io_error) = error
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! `docs/design/platform-protocols.md`.
 
 pub mod caller;
+pub mod connections;
 pub mod digest;
 pub mod engine;
 pub mod gate;
@@ -14,6 +15,7 @@
 pub mod peer;
 pub mod pipe;
 pub mod store;
+pub mod stream;
 pub mod upstream;
 
 use crate::membership::message::{HostEntry, HostList};
--- a/src/idempotency/claims.rs
+++ b/src/idempotency/claims.rs
@@ -2,6 +2,7 @@
 
 use crate::idempotency::message::{ClaimEnd, ClaimOutcome, ClaimRequest, OperationKey};
 use crate::prelude::*;
+use std::collections::BTreeMap;
 
 /// Most claims remembered.
 pub const MAX_CLAIMS: usize = 200_000;
@@ -21,14 +22,25 @@
     pub outcome: Option<ClaimOutcome>,
 }
 
-/// The claims, in the order of their records.
+/// The claims, with an index by the time at which they are forgotten.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "ClaimList", into = "ClaimList")]
 pub struct Claims {
-    #[serde(with = "claim_list")]
     claims: IndexMap<OperationKey, Claim>,
+    by_expiry: BTreeMap<Millis, Vec<OperationKey>>,
 }
 
 impl Claims {
+    /// Returns how many claims are remembered.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Tells whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
     /// Returns the claim of an operation.
     pub fn get(&self, operation: &OperationKey) -> Option<&Claim> {
         self.claims.get(operation)
@@ -52,16 +64,17 @@
             return Err(Rejection::Full);
         }
         for request in requests {
-            let claim = || Claim {
+            if self.claims.contains_key(&request.operation) {
+                continue;
+            }
+            let claim = Claim {
                 offset,
                 claimant,
                 request_sha256: request.request_sha256.clone(),
                 expires_ms: now + request.keep_ms,
                 outcome: None,
             };
-            self.claims
-                .entry(request.operation.clone())
-                .or_insert_with(claim);
+            self.insert(request.operation.clone(), claim);
         }
         Ok(())
     }
@@ -80,7 +93,7 @@
                 continue;
             }
             if end.outcome == ClaimOutcome::NotRun {
-                self.claims.shift_remove(&end.operation);
+                self.remove(&end.operation);
             } else {
                 claim.outcome = Some(end.outcome);
             }
@@ -88,39 +101,67 @@
         Ok(())
     }
 
+    fn insert(&mut self, operation: OperationKey, claim: Claim) {
+        self.by_expiry
+            .entry(claim.expires_ms)
+            .or_default()
+            .push(operation.clone());
+        self.claims.insert(operation, claim);
+    }
+
+    fn remove(&mut self, operation: &OperationKey) {
+        let Some(claim) = self.claims.swap_remove(operation) else {
+            return;
+        };
+        if let Some(bucket) = self.by_expiry.get_mut(&claim.expires_ms) {
+            bucket.retain(|key| key != operation);
+            if bucket.is_empty() {
+                self.by_expiry.remove(&claim.expires_ms);
+            }
+        }
+    }
+
+    /// Forgets what has expired. Its cost depends on the number forgotten only.
     fn forget_expired(&mut self, now: Millis) {
-        self.claims.retain(|_, claim| claim.expires_ms > now);
+        while let Some(bucket) = self.by_expiry.first_entry() {
+            if *bucket.key() > now {
+                return;
+            }
+            for operation in bucket.remove() {
+                self.claims.swap_remove(&operation);
+            }
+        }
     }
 }
 
-/// Writes the claims as a list, since JSON maps take text keys only.
-mod claim_list {
-    use super::*;
-    use serde::{Deserializer, Serializer};
+/// The claims as a list, since JSON maps take text keys only.
+#[derive(Serialize, Deserialize)]
+struct ClaimList {
+    claims: Vec<ClaimLine>,
+}
 
-    #[derive(Serialize, Deserialize)]
-    struct Line {
-        operation: OperationKey,
-        claim: Claim,
-    }
+#[derive(Serialize, Deserialize)]
+struct ClaimLine {
+    operation: OperationKey,
+    claim: Claim,
+}
 
-    pub fn serialize<S: Serializer>(
-        claims: &IndexMap<OperationKey, Claim>,
-        serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        serializer.collect_seq(claims.iter().map(|(operation, claim)| Line {
-            operation: operation.clone(),
-            claim: claim.clone(),
-        }))
+impl From<ClaimList> for Claims {
+    fn from(list: ClaimList) -> Self {
+        let mut claims = Self::default();
+        for line in list.claims {
+            claims.insert(line.operation, line.claim);
+        }
+        claims
     }
+}
 
-    pub fn deserialize<'de, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<IndexMap<OperationKey, Claim>, D::Error> {
-        let lines = Vec::<Line>::deserialize(deserializer)?;
-        Ok(lines
-            .into_iter()
-            .map(|line| (line.operation, line.claim))
-            .collect())
+impl From<Claims> for ClaimList {
+    fn from(claims: Claims) -> Self {
+        let lines = claims.claims.into_iter();
+        let claims = lines.map(|(operation, claim)| ClaimLine { operation, claim });
+        Self {
+            claims: claims.collect(),
+        }
     }
 }
--- /dev/null
+++ b/src/idempotency/finished.rs
@@ -0,0 +1,99 @@
+//! The finished operations of this host, with their answers, within bounds of count, bytes and time.
+
+use crate::idempotency::message::{KeptAnswer, OperationKey, OperationState};
+use crate::prelude::*;
+use std::collections::VecDeque;
+
+/// Most finished operations kept.
+pub const MAX_FINISHED: usize = 10_000;
+/// Most bytes of answers kept.
+pub const MAX_FINISHED_BYTES: usize = 16 << 20;
+/// The longest answer that is kept.
+pub const MAX_KEPT_ANSWER_BYTES: usize = 256 << 10;
+/// How long a finished operation is kept.
+pub const FINISHED_KEEP_MS: Millis = Millis(15 * 60_000);
+
+#[derive(Clone, Debug)]
+struct Finished {
+    at: Millis,
+    state: OperationState,
+}
+
+/// The finished operations, oldest first.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct FinishedOperations {
+    #[serde(skip)]
+    by_key: IndexMap<OperationKey, Finished>,
+    #[serde(skip)]
+    order: VecDeque<(Millis, OperationKey)>,
+    bytes: usize,
+}
+
+impl FinishedOperations {
+    /// Keeps how an operation ended; the oldest ones give way.
+    pub fn insert(&mut self, now: Millis, operation: OperationKey, state: OperationState) {
+        self.remove(&operation);
+        self.bytes += body_bytes(&state);
+        self.order.push_back((now, operation.clone()));
+        self.by_key.insert(operation, Finished { at: now, state });
+        self.expire(now);
+    }
+
+    /// Returns how an operation ended, while that is kept.
+    pub fn get(&self, operation: &OperationKey) -> Option<&OperationState> {
+        self.by_key.get(operation).map(|finished| &finished.state)
+    }
+
+    /// Returns how many operations are kept.
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Tells whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.by_key.is_empty()
+    }
+
+    /// Returns how many bytes of answers are kept.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Drops what is too old or too much.
+    pub fn expire(&mut self, now: Millis) {
+        while let Some((at, operation)) = self.order.front() {
+            let too_old = now.since(*at) > FINISHED_KEEP_MS;
+            let too_many = self.order.len() > MAX_FINISHED || self.bytes > MAX_FINISHED_BYTES;
+            if !too_old && !too_many {
+                return;
+            }
+            let (at, operation) = (*at, operation.clone());
+            self.order.pop_front();
+            let is_current = self.by_key.get(&operation).is_some_and(|f| f.at == at);
+            if is_current {
+                self.remove(&operation);
+            }
+        }
+    }
+
+    fn remove(&mut self, operation: &OperationKey) {
+        if let Some(finished) = self.by_key.swap_remove(operation) {
+            self.bytes -= body_bytes(&finished.state);
+        }
+    }
+}
+
+/// Returns the state to keep of an answer: the answer itself unless it is too long.
+pub fn kept_state(answer: KeptAnswer) -> OperationState {
+    if answer.body.len() > MAX_KEPT_ANSWER_BYTES {
+        return OperationState::AnswerNotKept;
+    }
+    OperationState::Answered(answer)
+}
+
+fn body_bytes(state: &OperationState) -> usize {
+    match state {
+        OperationState::Answered(answer) => answer.body.len(),
+        _ => 0,
+    }
+}
--- a/src/idempotency/message.rs
+++ b/src/idempotency/message.rs
@@ -48,3 +48,29 @@
     /// How it ended.
     pub outcome: ClaimOutcome,
 }
+
+/// An answer that is kept for later arrivals of its operation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body's type.
+    pub content_type: Option<Arc<str>>,
+    /// The body.
+    pub body: Arc<[u8]>,
+}
+
+/// What the host that claimed an operation says of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum OperationState {
+    /// It is claimed, waits, or runs.
+    Running,
+    /// It was answered.
+    Answered(KeptAnswer),
+    /// It was answered, and the answer is no longer kept.
+    AnswerNotKept,
+    /// It certainly did not run; its claim is being released.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -1,6 +1,7 @@
 //! What is said about hosts and upstreams, on the log and between hosts.
 
 use crate::clock::Millis;
+use crate::idempotency::message::{OperationKey, OperationState};
 use crate::shared_log::record::{Incarnation, LoggedRecord, Offset};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -82,6 +83,11 @@
         /// The first offset wanted.
         from: Offset,
     },
+    /// Asks the claimer of an operation how it stands.
+    Operation {
+        /// The operation.
+        operation: OperationKey,
+    },
 }
 
 /// What one host answers to another.
@@ -96,6 +102,13 @@
         /// The sender's next offset.
         next_offset: Offset,
     },
+    /// How an operation stands that the sender claimed.
+    Operation {
+        /// The operation.
+        operation: OperationKey,
+        /// How it stands.
+        state: OperationState,
+    },
 }
 
 /// The content of a probe and of its answer.
--- a/src/routing/upstreams.rs
+++ b/src/routing/upstreams.rs
@@ -2,13 +2,12 @@
 
 use crate::placement::message::EngineReport;
 use crate::prelude::*;
+use crate::routing::first_byte::{FirstByteTimes, GREATEST_BOUND_MS};
 
 /// How long an upstream is passed over after a failure.
 pub const FAILURE_REST_MS: Millis = Millis(500);
 /// How often an engine is asked for its report.
 pub const REPORT_INTERVAL_MS: Millis = Millis(500);
-/// How long an upstream may take to its first byte.
-pub const FIRST_BYTE_MS: Millis = Millis(10_000);
 
 /// What is known of one upstream.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -19,6 +18,10 @@
     pub resting_until: Millis,
     /// Whether anyone said that it is leaving.
     pub leaving: bool,
+    /// Times to the first byte of streams.
+    pub streams: FirstByteTimes,
+    /// Times to the first byte of answers that come whole.
+    pub wholes: FirstByteTimes,
     /// Its last report.
     pub report: Option<EngineReport>,
     /// When the report was asked for.
@@ -27,6 +30,16 @@
     pub report_under_way: bool,
 }
 
+impl UpstreamView {
+    /// Takes note of the time to an answer's first byte.
+    pub fn note_first_byte(&mut self, streamed: bool, took_ms: Millis) {
+        match streamed {
+            true => self.streams.note(took_ms),
+            false => self.wholes.note(took_ms),
+        }
+    }
+}
+
 /// The upstreams by name.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Routing {
@@ -53,6 +66,17 @@
             .collect()
     }
 
+    /// Returns how long an upstream may take to its first byte.
+    pub fn first_byte_bound(&self, upstream: &str, streamed: bool) -> Millis {
+        let Some(view) = self.get(upstream) else {
+            return GREATEST_BOUND_MS;
+        };
+        match streamed {
+            true => view.streams.bound_ms(),
+            false => view.wholes.bound_ms(),
+        }
+    }
+
     /// Forgets upstreams that are gone.
     pub fn retain(&mut self, exists: impl Fn(&str) -> bool) {
         self.views.retain(|name, _| exists(name));
