--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,1 +1,6 @@
-//! x
+//! The load and experiment tool, with the sites it starts and the checkers it reads histories with.
+
+pub mod call;
+pub mod link;
+pub mod process;
+pub mod site;
--- /dev/null
+++ b/bench/src/site.rs
@@ -0,0 +1,599 @@
+//! A whole site on loopback: stand-ins of the platform and daemons, as separate processes.
+//!
+//! ```no_run
+//! use mangovale_bench::site::{EngineSpec, Site};
+//!
+//! let mut site = Site::plan().engine(EngineSpec::named("engine-1")).hosts(3).start();
+//! site.put_model("m", 1_000, &["north"]);
+//! site.host(0).process.kill();
+//! ```
+
+use crate::call::{Caller, Outcome, finish};
+use crate::link::{TcpLink, UdpLink};
+use crate::process::{Process, wait_for};
+use mangovale::edge::digest::sha256;
+use mangovale::edge::http::client;
+use mangovale::shared_log::record::Offset;
+use mangovale::table::message::{Brand, Change, Edit, Model, Row, RowKey, Service};
+use serde_json::{Value, json};
+use std::fmt::Write;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tempfile::TempDir;
+use trillium_client::Method;
+
+const OPERATOR: &str = "operator";
+const DATA_CENTRE: &str = "sapporo-a";
+
+/// An engine of a planned site.
+#[derive(Clone, Debug)]
+pub struct EngineSpec {
+    /// Its name.
+    pub name: String,
+    /// Its accelerator memory.
+    pub memory_bytes: u64,
+    /// How many requests it batches.
+    pub slots: u32,
+    /// How long a load takes.
+    pub load_ms: u64,
+    /// The time of one token.
+    pub token_ms: u64,
+    /// Whether it refuses old fencing numbers.
+    pub checks_fencing: bool,
+    /// Further arguments of the stand-in.
+    pub arguments: Vec<String>,
+}
+
+impl EngineSpec {
+    /// Makes an engine with usual figures.
+    pub fn named(name: &str) -> Self {
+        Self {
+            name: name.to_string(),
+            memory_bytes: 10_000,
+            slots: 8,
+            load_ms: 300,
+            token_ms: 5,
+            checks_fencing: true,
+            arguments: Vec::new(),
+        }
+    }
+}
+
+/// What a site is to be made of.
+#[derive(Debug, Default)]
+pub struct Plan {
+    engines: Vec<EngineSpec>,
+    services: Vec<ServiceSpec>,
+    store_arguments: Option<Vec<String>>,
+    log_arguments: Vec<String>,
+    hosts_arguments: Vec<String>,
+    host_count: usize,
+    host_settings: String,
+    links: bool,
+}
+
+#[derive(Debug)]
+struct ServiceSpec {
+    name: String,
+    arguments: Vec<String>,
+}
+
+impl Plan {
+    /// Adds an engine.
+    pub fn engine(mut self, engine: EngineSpec) -> Self {
+        self.engines.push(engine);
+        self
+    }
+
+    /// Adds a plain service's upstream, with further arguments of the stand-in.
+    pub fn service(mut self, name: &str, arguments: &[&str]) -> Self {
+        let arguments = to_strings(arguments);
+        self.services.push(ServiceSpec {
+            name: name.to_string(),
+            arguments,
+        });
+        self
+    }
+
+    /// Adds the weight store, from which the engines then fetch.
+    pub fn store(mut self, arguments: &[&str]) -> Self {
+        self.store_arguments = Some(to_strings(arguments));
+        self
+    }
+
+    /// Sets further arguments of the log stand-in.
+    pub fn log(mut self, arguments: &[&str]) -> Self {
+        self.log_arguments = to_strings(arguments);
+        self
+    }
+
+    /// Sets further arguments of the host list stand-in.
+    pub fn host_list(mut self, arguments: &[&str]) -> Self {
+        self.hosts_arguments = to_strings(arguments);
+        self
+    }
+
+    /// Sets the number of daemons.
+    pub fn hosts(mut self, count: usize) -> Self {
+        self.host_count = count;
+        self
+    }
+
+    /// Adds lines to every daemon's settings: whole TOML sections.
+    pub fn settings(mut self, lines: &str) -> Self {
+        self.host_settings = lines.to_string();
+        self
+    }
+
+    /// Puts links that can be cut before the log and between the daemons.
+    pub fn links(mut self) -> Self {
+        self.links = true;
+        self
+    }
+
+    /// Starts everything and waits until every daemon serves.
+    pub fn start(self) -> Site {
+        Site::start(self)
+    }
+}
+
+/// A stand-in of a running site.
+#[derive(Debug)]
+pub struct StandIn {
+    /// Its process.
+    pub process: Process,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl StandIn {
+    /// Sets all active faults; an empty object lifts them.
+    pub fn faults(&self, faults: &Value) {
+        let answer = post(&format!("http://{}/admin/faults", self.address), faults);
+        assert!(answer.is_success(), "faults refused: {answer:?}");
+    }
+
+    /// Posts to an admin path.
+    pub fn admin_post(&self, path: &str, body: &Value) -> Outcome {
+        post(&format!("http://{}{path}", self.address), body)
+    }
+
+    /// Reads a JSON page.
+    pub fn get(&self, path: &str) -> Value {
+        get_json(&format!("http://{}{path}", self.address))
+    }
+}
+
+/// A daemon of a running site.
+#[derive(Debug)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Its process.
+    pub process: Process,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where operators connect.
+    pub operator: SocketAddr,
+    /// Where it listens for peers.
+    pub peer: SocketAddr,
+    /// Its own link to the log, when the site has links.
+    pub log_link: Option<TcpLink>,
+    /// The link by which peers reach it, when the site has links.
+    pub peer_link: Option<UdpLink>,
+    settings_path: std::path::PathBuf,
+    starts: u32,
+}
+
+impl Host {
+    /// Tells whether it serves.
+    pub fn is_serving(&self) -> bool {
+        let url = format!("http://{}/healthz", self.caller);
+        smol::block_on(finish(client().build_conn(Method::Get, url))).is_success()
+    }
+}
+
+/// A running site.
+#[derive(Debug)]
+pub struct Site {
+    /// The log.
+    pub log: StandIn,
+    /// The host list.
+    pub host_list: StandIn,
+    /// The weight store, if there is one.
+    pub store: Option<StandIn>,
+    /// The engines, in the order of the plan.
+    pub engines: Vec<StandIn>,
+    /// The plain services' upstreams, in the order of the plan.
+    pub services: Vec<StandIn>,
+    /// The daemons.
+    pub hosts: Vec<Host>,
+    directory: TempDir,
+    host_settings: String,
+    links: bool,
+    token: String,
+    token_sha256: Arc<str>,
+    next_edit: AtomicU64,
+}
+
+impl Site {
+    /// Begins a plan.
+    pub fn plan() -> Plan {
+        Plan {
+            host_count: 3,
+            ..Plan::default()
+        }
+    }
+
+    fn start(plan: Plan) -> Self {
+        let directory = TempDir::new().expect("a temporary directory");
+        let at = directory.path();
+        let log = stand_in(at, "log", with(&["log"], &plan.log_arguments));
+        let host_list = stand_in(at, "hosts", with(&["hosts"], &plan.hosts_arguments));
+        let store = plan
+            .store_arguments
+            .as_ref()
+            .map(|arguments| stand_in(at, "store", with(&["store"], arguments)));
+        let engines = plan
+            .engines
+            .iter()
+            .map(|engine| {
+                stand_in(
+                    at,
+                    &engine.name,
+                    engine_arguments(engine, &host_list, &store),
+                )
+            })
+            .collect();
+        let services = plan
+            .services
+            .iter()
+            .map(|service| stand_in(at, &service.name, service_arguments(service, &host_list)))
+            .collect();
+        let token = "operator-token-of-a-test".to_string();
+        let token_sha256 = sha256(&token);
+        let mut site = Self {
+            log,
+            host_list,
+            store,
+            engines,
+            services,
+            hosts: Vec::new(),
+            directory,
+            host_settings: plan.host_settings,
+            links: plan.links,
+            token,
+            token_sha256,
+            next_edit: AtomicU64::new(1),
+        };
+        for _ in 0..plan.host_count {
+            site.add_host();
+        }
+        site.wait_serving();
+        site
+    }
+
+    /// Returns a daemon.
+    pub fn host(&mut self, index: usize) -> &mut Host {
+        &mut self.hosts[index]
+    }
+
+    /// Returns the directory with the keys, settings and logs.
+    pub fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    /// Returns the operators' token.
+    pub fn token(&self) -> &str {
+        &self.token
+    }
+
+    /// Starts one more daemon and returns its index.
+    pub fn add_host(&mut self) -> usize {
+        let index = self.hosts.len();
+        let name = format!("entry-{}", index + 1);
+        self.make_keys(&name);
+        let (caller, operator, peer) = (free_tcp(), free_tcp(), free_udp());
+        let log_link = self.links.then(|| TcpLink::start(self.log.address));
+        let peer_link = self.links.then(|| UdpLink::start(peer));
+        let log_address = log_link.as_ref().map_or(self.log.address, TcpLink::address);
+        let mut text = format!(
+            "name = \"{name}\"\ndata_centre = \"{DATA_CENTRE}\"\ncaller_listen = \"{caller}\"\n\
+             operator_listen = \"{operator}\"\npeer_listen = \"{peer}\"\n"
+        );
+        if let Some(link) = &peer_link {
+            let _ = writeln!(text, "peer_advertise = \"{}\"", link.address());
+        }
+        let _ = writeln!(
+            text,
+            "[platform]\nlog_url = \"http://{log_address}\"\nhosts_url = \"http://{}\"",
+            self.host_list.address
+        );
+        if let Some(store) = &self.store {
+            let _ = writeln!(text, "store_url = \"http://{}\"", store.address);
+        }
+        let keys = self.directory.path().join("keys");
+        let _ = writeln!(
+            text,
+            "[keys]\nfleet_certificate = \"{0}/fleet.pem\"\nhost_certificate = \"{0}/{name}.pem\"\n\
+             host_key = \"{0}/{name}.key\"\noperator_token_sha256 = [\"{1}\"]\n{2}",
+            keys.display(),
+            self.token_sha256,
+            self.host_settings
+        );
+        let settings_path = self.directory.path().join(format!("{name}.toml"));
+        std::fs::write(&settings_path, text).expect("the settings can be written");
+        let process = start_daemon(self.directory.path(), &name, &settings_path, 0);
+        let host = Host {
+            name,
+            process,
+            caller,
+            operator,
+            peer,
+            log_link,
+            peer_link,
+            settings_path,
+            starts: 1,
+        };
+        self.hosts.push(host);
+        index
+    }
+
+    /// Starts a daemon again whose process has ended.
+    pub fn restart_host(&mut self, index: usize) {
+        let directory = self.directory.path().to_path_buf();
+        let host = &mut self.hosts[index];
+        host.process = start_daemon(&directory, &host.name, &host.settings_path, host.starts);
+        host.starts += 1;
+    }
+
+    /// Waits until every daemon that runs serves.
+    pub fn wait_serving(&mut self) {
+        for host in &mut self.hosts {
+            if host.process.is_running() {
+                wait_for(&format!("{} to serve", host.name), || host.is_serving());
+            }
+        }
+    }
+
+    /// Reads a page of a daemon's operator interface.
+    pub fn operator_get(&self, host: usize, path: &str) -> Value {
+        let url = format!("http://{}{path}", self.hosts[host].operator);
+        let conn = client()
+            .build_conn(Method::Get, url)
+            .with_request_header("authorization", format!("Bearer {}", self.token));
+        match smol::block_on(finish(conn)) {
+            Outcome::Answered { text, .. } => serde_json::from_str(&text).unwrap_or_default(),
+            other => panic!("{path}: {other:?}"),
+        }
+    }
+
+    /// Sends an edit to a daemon.
+    pub async fn send_edit(&self, host: usize, edit: &Edit) -> Outcome {
+        let url = format!("http://{}/table/edits", self.hosts[host].operator);
+        let body = serde_json::to_string(edit).expect("an edit can be encoded");
+        let conn = client()
+            .build_conn(Method::Post, url)
+            .with_request_header("authorization", format!("Bearer {}", self.token))
+            .with_request_header("content-type", "application/json");
+        finish(conn.with_body(body)).await
+    }
+
+    /// Makes an edit against the present table of a daemon.
+    pub fn make_edit(&self, host: usize, changes: Vec<Change>) -> Edit {
+        let version = self.operator_get(host, "/table")["version"]
+            .as_u64()
+            .unwrap_or(0);
+        let number = self.next_edit.fetch_add(1, Ordering::Relaxed);
+        Edit {
+            edit_id: format!("edit-{number}").into(),
+            operator: OPERATOR.into(),
+            base_version: Offset(version),
+            changes,
+        }
+    }
+
+    /// Edits the table through the first daemon and waits until the edit is in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the edit is refused.
+    pub fn edit(&self, changes: Vec<Change>) {
+        let edit = self.make_edit(0, changes);
+        wait_for("an edit to be in force", || {
+            let answer = smol::block_on(self.send_edit(0, &edit));
+            match &answer {
+                Outcome::Answered { text, .. } => text.contains("in_force"),
+                Outcome::Refused { kind, .. } if kind == "edit_pending" => false,
+                other => panic!("edit refused: {other:?}"),
+            }
+        });
+    }
+
+    /// Adds a model with one row for each brand, and the brands.
+    pub fn put_model(&self, model: &str, reserved_bytes: u64, brands: &[&str]) {
+        let mut changes: Vec<Change> = brands.iter().map(|brand| put_brand(brand)).collect();
+        changes.push(put_model(model, reserved_bytes));
+        changes.extend(brands.iter().map(|brand| put_row(brand, model)));
+        self.edit(changes);
+    }
+
+    /// Adds a plain service run by all service upstreams of the plan, with one row for each brand.
+    pub fn put_service(&self, service: &str, upstreams: &[&str], brands: &[&str]) {
+        let mut changes: Vec<Change> = brands.iter().map(|brand| put_brand(brand)).collect();
+        let upstreams = upstreams.iter().map(|name| Arc::from(*name)).collect();
+        changes.push(Change::PutService {
+            name: service.into(),
+            service: Service { upstreams },
+        });
+        changes.extend(brands.iter().map(|brand| put_row(brand, service)));
+        self.edit(changes);
+    }
+
+    /// Makes a caller of a brand; the brand's API key is its name with `-key`.
+    pub fn caller(&self, brand: &str) -> Caller {
+        Caller::new(&api_key(brand))
+    }
+
+    fn make_keys(&self, host: &str) {
+        let options = mangovale::cli::options::KeysOptions {
+            directory: self.directory.path().join("keys"),
+            host: vec![host.to_string()],
+            operator: Vec::new(),
+        };
+        mangovale::cli::keys::make(&options).expect("keys can be made");
+    }
+}
+
+/// Returns the API key of a brand in tests.
+pub fn api_key(brand: &str) -> String {
+    format!("{brand}-key")
+}
+
+/// Makes a change that adds a brand with its test key.
+pub fn put_brand(brand: &str) -> Change {
+    let brand_entry = Brand {
+        key_sha256: vec![sha256(&api_key(brand))],
+    };
+    Change::PutBrand {
+        name: brand.into(),
+        brand: brand_entry,
+    }
+}
+
+/// Makes a change that adds a model.
+pub fn put_model(model: &str, reserved_bytes: u64) -> Change {
+    let spec = Model {
+        version: "1".into(),
+        reserved_bytes,
+        checkpoint_bytes: reserved_bytes,
+        base: None,
+    };
+    Change::PutModel {
+        name: model.into(),
+        model: spec,
+    }
+}
+
+/// Makes a change that adds a row with the usual values.
+pub fn put_row(brand: &str, model: &str) -> Change {
+    put_row_with(brand, model, json!({}))
+}
+
+/// Makes a change that adds a row with the given values.
+///
+/// # Panics
+///
+/// Panics when the values are not a row's.
+pub fn put_row_with(brand: &str, model: &str, values: Value) -> Change {
+    let key = RowKey {
+        brand: brand.into(),
+        model: model.into(),
+    };
+    let row: Row = serde_json::from_value(values).expect("the values of a row");
+    Change::PutRow { key, row }
+}
+
+fn start_daemon(directory: &Path, name: &str, settings: &Path, starts: u32) -> Process {
+    let arguments = ["--settings".to_string(), settings.display().to_string()];
+    let log_path = directory.join(format!("{name}-{starts}.log"));
+    Process::start("mangovaled", &arguments, &log_path)
+}
+
+fn stand_in(directory: &Path, name: &str, mut arguments: Vec<String>) -> StandIn {
+    arguments.extend(["--listen".to_string(), "127.0.0.1:0".to_string()]);
+    let log_path = directory.join(format!("{name}.log"));
+    let process = Process::start("mangovale-standins", &arguments, &log_path);
+    let mut address = None;
+    wait_for(&format!("{name} to listen"), || {
+        let log = process.log();
+        address = log
+            .lines()
+            .find_map(|line| line.strip_prefix("listening on "))
+            .and_then(|text| text.trim().parse().ok());
+        address.is_some()
+    });
+    StandIn {
+        process,
+        address: address.expect("the stand-in listens"),
+    }
+}
+
+fn engine_arguments(
+    engine: &EngineSpec,
+    host_list: &StandIn,
+    store: &Option<StandIn>,
+) -> Vec<String> {
+    let mut arguments = with(&["engine", "--name", &engine.name], &[]);
+    let hosts = format!("http://{}", host_list.address);
+    let pairs = [
+        ("--data-centre", DATA_CENTRE.to_string()),
+        ("--hosts", hosts),
+        ("--memory-bytes", engine.memory_bytes.to_string()),
+        ("--slots", engine.slots.to_string()),
+        ("--token-ms", engine.token_ms.to_string()),
+        ("--checks-fencing", engine.checks_fencing.to_string()),
+    ];
+    for (option, value) in pairs {
+        arguments.extend([option.to_string(), value]);
+    }
+    match store {
+        Some(store) => {
+            arguments.extend(["--store".to_string(), format!("http://{}", store.address)]);
+        }
+        None => arguments.extend(["--load-ms".to_string(), engine.load_ms.to_string()]),
+    }
+    arguments.extend(engine.arguments.iter().cloned());
+    arguments
+}
+
+fn service_arguments(service: &ServiceSpec, host_list: &StandIn) -> Vec<String> {
+    let hosts = format!("http://{}", host_list.address);
+    let arguments = [
+        "service",
+        "--name",
+        &service.name,
+        "--data-centre",
+        DATA_CENTRE,
+        "--hosts",
+        &hosts,
+    ];
+    with(&arguments, &service.arguments)
+}
+
+fn with(first: &[&str], rest: &[String]) -> Vec<String> {
+    let mut arguments = to_strings(first);
+    arguments.extend(rest.iter().cloned());
+    arguments
+}
+
+fn to_strings(texts: &[&str]) -> Vec<String> {
+    texts.iter().map(|text| text.to_string()).collect()
+}
+
+fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound address")
+}
+
+fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("a bound address")
+}
+
+fn post(url: &str, body: &Value) -> Outcome {
+    let conn = client()
+        .build_conn(Method::Post, url)
+        .with_request_header("content-type", "application/json")
+        .with_body(body.to_string());
+    smol::block_on(finish(conn))
+}
+
+fn get_json(url: &str) -> Value {
+    match smol::block_on(finish(client().build_conn(Method::Get, url))) {
+        Outcome::Answered { text, .. } => serde_json::from_str(&text).unwrap_or_default(),
+        other => panic!("{url}: {other:?}"),
+    }
+}
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -171,8 +171,8 @@
         entry: HostEntry {
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
-            caller_address: settings.caller_listen,
-            peer_address: settings.peer_listen,
+            caller_address: settings.caller_advertise.unwrap_or(settings.caller_listen),
+            peer_address: settings.peer_advertise.unwrap_or(settings.peer_listen),
         },
         fresh_bound_ms: timing.fresh_bound_ms,
         pause_ms: timing.pause_ms,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -53,6 +53,12 @@
     pub peer_listen: SocketAddr,
     /// Where operators connect.
     pub operator_listen: SocketAddr,
+    /// The address that callers are told, when it is not `caller_listen`.
+    #[serde(default)]
+    pub caller_advertise: Option<SocketAddr>,
+    /// The address that other hosts are told, when it is not `peer_listen`.
+    #[serde(default)]
+    pub peer_advertise: Option<SocketAddr>,
     /// The platform's services.
     pub platform: PlatformSettings,
     /// Keys and certificates.
