--- a/bench/src/link.rs
+++ b/bench/src/link.rs
@@ -7,7 +7,8 @@
 use smol::Task;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream, UdpSocket};
-use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -27,6 +28,7 @@
 struct LinkState {
     cut: AtomicBool,
     cuts: AtomicU64,
+    passed_bytes: AtomicU64,
 }
 
 impl TcpLink {
@@ -52,6 +54,11 @@
         self.address
     }
 
+    /// Returns how many bytes went through, both ways.
+    pub fn passed_bytes(&self) -> u64 {
+        self.state.passed_bytes.load(Ordering::Relaxed)
+    }
+
     /// Silences all connections, open and new.
     pub fn cut(&self) {
         self.state.cuts.fetch_add(1, Ordering::SeqCst);
@@ -96,6 +103,9 @@
             hold(to).await;
             return;
         }
+        state
+            .passed_bytes
+            .fetch_add(count as u64, Ordering::Relaxed);
         if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
@@ -106,8 +116,9 @@
 #[derive(Debug)]
 pub struct UdpLink {
     address: SocketAddr,
-    cut_senders: Arc<Mutex<HashMap<SocketAddr, ()>>>,
+    cut_senders: Arc<Mutex<HashSet<SocketAddr>>>,
     cut: Arc<AtomicBool>,
+    passed_bytes: Arc<AtomicU64>,
     _relaying: Task<()>,
 }
 
@@ -120,18 +131,22 @@
     pub fn start(target: SocketAddr) -> Self {
         let socket = smol::block_on(UdpSocket::bind(LOCALHOST)).expect("a free port");
         let address = socket.local_addr().expect("a bound address");
-        let cut_senders = Arc::new(Mutex::new(HashMap::new()));
+        let cut_senders = Arc::new(Mutex::new(HashSet::new()));
         let cut = Arc::new(AtomicBool::new(false));
-        let relaying = smol::spawn(relay_datagrams(
+        let passed_bytes = Arc::new(AtomicU64::new(0));
+        let relay = DatagramRelay {
             socket,
             target,
-            cut_senders.clone(),
-            cut.clone(),
-        ));
+            cut_senders: cut_senders.clone(),
+            cut: cut.clone(),
+            passed_bytes: passed_bytes.clone(),
+        };
+        let relaying = smol::spawn(relay.run());
         Self {
             address,
             cut_senders,
             cut,
+            passed_bytes,
             _relaying: relaying,
         }
     }
@@ -141,6 +156,11 @@
         self.address
     }
 
+    /// Returns how many bytes of datagrams went through, both ways.
+    pub fn passed_bytes(&self) -> u64 {
+        self.passed_bytes.load(Ordering::Relaxed)
+    }
+
     /// Drops every datagram, both ways.
     pub fn cut(&self) {
         self.cut.store(true, Ordering::SeqCst);
@@ -148,7 +168,7 @@
 
     /// Drops the datagrams from and to one sender.
     pub fn cut_from(&self, sender: SocketAddr) {
-        lock(&self.cut_senders).insert(sender, ());
+        lock(&self.cut_senders).insert(sender);
     }
 
     /// Passes everything on again.
@@ -158,47 +178,54 @@
     }
 }
 
-async fn relay_datagrams(
+#[derive(Clone)]
+struct DatagramRelay {
     socket: UdpSocket,
     target: SocketAddr,
-    cut_senders: Arc<Mutex<HashMap<SocketAddr, ()>>>,
+    cut_senders: Arc<Mutex<HashSet<SocketAddr>>>,
     cut: Arc<AtomicBool>,
-) {
-    let mut onward: HashMap<SocketAddr, UdpSocket> = HashMap::new();
-    let mut buffer = vec![0; BUFFER_BYTES];
-    while let Ok((count, sender)) = socket.recv_from(&mut buffer).await {
-        let is_cut = {
-            let (cut_senders, cut) = (cut_senders.clone(), cut.clone());
-            move || cut.load(Ordering::SeqCst) || lock(&cut_senders).contains_key(&sender)
-        };
-        if is_cut() {
-            continue;
-        }
-        if let std::collections::hash_map::Entry::Vacant(entry) = onward.entry(sender) {
-            let Ok(own) = UdpSocket::bind(LOCALHOST).await else {
+    passed_bytes: Arc<AtomicU64>,
+}
+
+impl DatagramRelay {
+    async fn run(self) {
+        let mut onward: HashMap<SocketAddr, UdpSocket> = HashMap::new();
+        let mut buffer = vec![0; BUFFER_BYTES];
+        while let Ok((count, sender)) = self.socket.recv_from(&mut buffer).await {
+            if self.is_cut(sender) {
                 continue;
-            };
-            smol::spawn(relay_back(own.clone(), socket.clone(), sender, is_cut)).detach();
-            entry.insert(own);
-        }
-        if let Some(own) = onward.get(&sender) {
-            let _ = own.send_to(&buffer[..count], target).await;
+            }
+            if let Entry::Vacant(entry) = onward.entry(sender) {
+                let Ok(own) = UdpSocket::bind(LOCALHOST).await else {
+                    continue;
+                };
+                smol::spawn(self.clone().run_back(own.clone(), sender)).detach();
+                entry.insert(own);
+            }
+            if let Some(own) = onward.get(&sender) {
+                self.count(count);
+                let _ = own.send_to(&buffer[..count], self.target).await;
+            }
         }
     }
-}
 
-async fn relay_back(
-    own: UdpSocket,
-    socket: UdpSocket,
-    sender: SocketAddr,
-    is_cut: impl Fn() -> bool,
-) {
-    let mut buffer = vec![0; BUFFER_BYTES];
-    while let Ok((count, _)) = own.recv_from(&mut buffer).await {
-        if !is_cut() {
-            let _ = socket.send_to(&buffer[..count], sender).await;
+    async fn run_back(self, own: UdpSocket, sender: SocketAddr) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        while let Ok((count, _)) = own.recv_from(&mut buffer).await {
+            if !self.is_cut(sender) {
+                self.count(count);
+                let _ = self.socket.send_to(&buffer[..count], sender).await;
+            }
         }
     }
+
+    fn is_cut(&self, sender: SocketAddr) -> bool {
+        self.cut.load(Ordering::SeqCst) || lock(&self.cut_senders).contains(&sender)
+    }
+
+    fn count(&self, bytes: usize) {
+        self.passed_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
