Test the stand-ins as processes over their protocols

Bodies that are JSON arrays are refused now: the parser took them for the fields of a message in order, so that posting [] cleared all faults.

--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -81,12 +81,16 @@
             .transpose()
     }
 
-    /// Reads the body as JSON.
+    /// Reads the body as a JSON object.
     ///
     /// # Errors
     ///
     /// Refuses a body that does not parse, with the parser's reason.
     pub fn json<T: DeserializeOwned>(&self) -> Result<T, Refusal> {
+        // The parser would take an array for the fields of a message in their order.
+        if !self.body.trim_ascii_start().starts_with(b"{") {
+            return Err(Refusal::bad_request("the body must be a JSON object"));
+        }
         serde_json::from_slice(&self.body).map_err(|error| Refusal::bad_request(error.to_string()))
     }
 }
--- /dev/null
+++ b/standins/tests/standins/engine_orders.rs
@@ -0,0 +1,261 @@
+//! Orders to an engine, its copies and its memory.
+
+use std::thread;
+
+use serde_json::{Value, json};
+
+use crate::support::{Process, Reply, wait_until};
+
+/// A load order whose fencing number is its own number.
+fn load(order: u64, model: &str, bytes: u64) -> Value {
+    load_with_fence(order, order, model, bytes)
+}
+
+fn load_with_fence(order: u64, fence: u64, model: &str, bytes: u64) -> Value {
+    json!({
+        "order": order,
+        "fence": fence,
+        "action": "load",
+        "model": model,
+        "version": "1",
+        "bytes": bytes,
+        "base": null,
+    })
+}
+
+fn unload(order: u64, model: &str) -> Value {
+    json!({"order": order, "fence": order, "action": "unload", "model": model, "version": "1"})
+}
+
+fn chat(model: &str, max_tokens: u32) -> Value {
+    json!({
+        "model": model,
+        "messages": [{"role": "user", "content": "next address"}],
+        "max_tokens": max_tokens,
+    })
+}
+
+fn order(engine: &Process, body: &Value) -> Reply {
+    engine.post("/orders", body)
+}
+
+fn assert_done(reply: &Reply) {
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert_eq!(reply.json()["state"], "done");
+}
+
+fn state(engine: &Process) -> Value {
+    engine.get("/state?exact=1").json()
+}
+
+fn peaks(engine: &Process) -> Value {
+    engine.get("/admin/peaks").json()
+}
+
+#[test]
+fn a_loaded_model_is_listed_and_runs_and_an_unloaded_one_is_gone() {
+    let engine = Process::start_engine("--slots 4");
+    engine
+        .post("/v1/chat/completions", &chat("m", 1))
+        .assert_refused(404, "not_loaded");
+    assert_done(&order(&engine, &load(41, "m", 600)));
+    let copy = json!({
+        "model": "m", "version": "1", "bytes": 600, "state": "ready", "order": 41,
+    });
+    assert_eq!(state(&engine)["copies"], json!([copy]));
+    assert_eq!(state(&engine)["used_bytes"], 600);
+    assert_eq!(
+        engine.post("/v1/chat/completions", &chat("m", 1)).status,
+        200
+    );
+    assert_eq!(
+        engine.post("/v1/chat/completions", &chat("m@1", 1)).status,
+        200
+    );
+
+    assert_done(&order(&engine, &unload(42, "m")));
+    assert_eq!(state(&engine)["copies"], json!([]));
+    assert_eq!(state(&engine)["used_bytes"], 0);
+    engine
+        .post("/v1/chat/completions", &chat("m", 1))
+        .assert_refused(404, "not_loaded");
+    assert_eq!(peaks(&engine)["runs"], 2);
+}
+
+#[test]
+fn an_order_that_goes_on_says_so_and_can_be_asked_for() {
+    let engine = Process::start_engine("--slots 4 --load-ms 300 --order-wait-ms 1");
+    let reply = order(&engine, &load(41, "m", 600));
+    assert_eq!(reply.status, 202);
+    assert_eq!(reply.json()["state"], "running");
+    assert_eq!(state(&engine)["copies"][0]["state"], "loading");
+    let is_done = || engine.get("/orders/41").json()["state"] == "done";
+    wait_until("the load is done", is_done);
+    let expected = json!({"order": 41, "state": "done", "error": null});
+    assert_eq!(engine.get("/orders/41").json(), expected);
+    assert_eq!(engine.get("/orders/42").status, 404);
+    assert_eq!(engine.get("/orders/x").status, 400);
+}
+
+#[test]
+fn a_repeated_order_is_answered_and_does_nothing_again() {
+    for checks_fencing in [true, false] {
+        let engine = Process::start_engine(&format!("--slots 4 --checks-fencing {checks_fencing}"));
+        assert_done(&order(&engine, &load(41, "m", 400)));
+        assert_done(&order(&engine, &load(41, "m", 400)));
+        assert_eq!(peaks(&engine)["loads_started"], 1);
+    }
+}
+
+#[test]
+fn a_checking_engine_refuses_old_fencing_numbers_of_the_same_model() {
+    let engine = Process::start_engine("--slots 4");
+    assert_done(&order(&engine, &load(57, "m", 400)));
+    let refused = order(&engine, &load(41, "m", 400));
+    refused.assert_refused(409, "fenced");
+    assert_eq!(refused.json()["highest"], 57);
+    order(&engine, &unload(56, "m")).assert_refused(409, "fenced");
+    assert_done(&order(&engine, &load(42, "other", 400)));
+    assert_eq!(peaks(&engine)["orders_fenced"], 2);
+    assert_eq!(
+        peaks(&engine)["peak_copies"],
+        json!({"m@1": 1, "other@1": 1})
+    );
+}
+
+#[test]
+fn a_checking_engine_hands_a_load_to_a_takeover_of_the_same_order() {
+    let engine = Process::start_engine("--slots 4 --load-ms 200 --order-wait-ms 1");
+    assert_eq!(
+        order(&engine, &load_with_fence(41, 41, "m", 400)).status,
+        202
+    );
+    assert_eq!(
+        order(&engine, &load_with_fence(41, 50, "m", 400)).status,
+        202
+    );
+    let old = order(&engine, &load_with_fence(41, 41, "m", 400));
+    old.assert_refused(409, "fenced");
+    wait_until("the load is done", || {
+        engine.get("/orders/41").json()["state"] == "done"
+    });
+    assert_eq!(peaks(&engine)["loads_started"], 1);
+}
+
+#[test]
+fn an_engine_that_ignores_fencing_obeys_every_order() {
+    let engine = Process::start_engine("--slots 4 --checks-fencing false");
+    assert_done(&order(&engine, &load(57, "m", 300)));
+    assert_done(&order(&engine, &load(41, "m", 300)));
+    assert_eq!(peaks(&engine)["peak_copies"], json!({"m@1": 2}));
+    assert_done(&order(&engine, &load_with_fence(41, 60, "m", 300)));
+    assert_eq!(peaks(&engine)["peak_copies"], json!({"m@1": 3}));
+    assert_eq!(peaks(&engine)["orders_fenced"], 0);
+}
+
+#[test]
+fn a_load_without_room_is_refused() {
+    let engine = Process::start_engine("--slots 4");
+    assert_done(&order(&engine, &load(41, "m", 600)));
+    order(&engine, &load(42, "n", 500)).assert_refused(507, "memory");
+    assert_done(&order(&engine, &load(43, "n", 400)));
+    assert_eq!(peaks(&engine)["overcommitted"], false);
+    assert_eq!(peaks(&engine)["peak_used_bytes"], 1000);
+}
+
+#[test]
+fn an_engine_that_does_not_enforce_memory_records_the_overcommit() {
+    let engine = Process::start_engine("--slots 4 --enforce-memory false");
+    assert_done(&order(&engine, &load(41, "m", 600)));
+    assert_done(&order(&engine, &load(42, "n", 500)));
+    let peaks = peaks(&engine);
+    assert_eq!(peaks["overcommitted"], true);
+    assert_eq!(peaks["peak_used_bytes"], 1100);
+    assert_eq!(peaks["memory_bytes"], 1000);
+}
+
+#[test]
+fn an_unload_lets_requests_under_way_finish() {
+    let engine = Process::start_engine("--slots 4 --token-ms 20 --order-wait-ms 1");
+    assert_done(&engine.post("/orders", &{
+        let mut order = load(41, "m", 600);
+        order["wait_ms"] = json!(20_000);
+        order
+    }));
+    let caller = engine.caller();
+    let running = thread::spawn(move || caller.post("/v1/chat/completions", &chat("m", 20)));
+    wait_until("the request runs", || state(&engine)["running"] == 1);
+    assert_eq!(order(&engine, &unload(42, "m")).status, 202);
+    assert_eq!(state(&engine)["copies"][0]["state"], "unloading");
+    engine
+        .post("/v1/chat/completions", &chat("m", 1))
+        .assert_refused(404, "not_loaded");
+    assert_eq!(running.join().expect("the request ends").status, 200);
+    wait_until("the memory is free", || state(&engine)["used_bytes"] == 0);
+    assert_eq!(engine.get("/orders/42").json()["state"], "done");
+}
+
+#[test]
+fn an_unload_interrupts_a_load() {
+    let engine = Process::start_engine("--slots 4 --load-ms 600000 --order-wait-ms 20000");
+    let mut patient = load(41, "m", 600);
+    patient["wait_ms"] = json!(1);
+    assert_eq!(order(&engine, &patient).status, 202);
+    assert_done(&order(&engine, &unload(42, "m")));
+    assert_eq!(state(&engine)["used_bytes"], 0);
+    let failed = json!({"order": 41, "state": "failed", "error": "unloaded"});
+    assert_eq!(engine.get("/orders/41").json(), failed);
+    assert_eq!(order(&engine, &patient).status, 409);
+}
+
+#[test]
+fn an_adapter_needs_its_base() {
+    let engine = Process::start_engine("--slots 4");
+    let mut adapter = load(42, "adapter", 10);
+    adapter["base"] = json!("base");
+    order(&engine, &adapter).assert_refused(422, "base_not_loaded");
+    assert_done(&order(&engine, &load(43, "base", 600)));
+    assert_done(&order(&engine, &adapter));
+    assert_eq!(
+        engine
+            .post("/v1/chat/completions", &chat("adapter", 1))
+            .status,
+        200
+    );
+    assert_done(&order(&engine, &unload(44, "base")));
+    let refused = engine.post("/v1/chat/completions", &chat("adapter", 1));
+    refused.assert_refused(404, "not_loaded");
+}
+
+#[test]
+fn malformed_orders_are_refused() {
+    let engine = Process::start_engine("--slots 4");
+    let mut order_without_bytes = load(41, "m", 1);
+    order_without_bytes["bytes"] = json!(0);
+    let mut unknown_action = load(41, "m", 1);
+    unknown_action["action"] = json!("explode");
+    let mut unknown_field = load(41, "m", 1);
+    unknown_field["colour"] = json!("red");
+    for body in [
+        order_without_bytes,
+        unknown_action,
+        unknown_field,
+        load(41, "", 1),
+    ] {
+        assert_eq!(order(&engine, &body).status, 400, "{body}");
+    }
+    assert_eq!(peaks(&engine)["loads_started"], 0);
+}
+
+#[test]
+fn a_leaving_engine_takes_no_loads_or_requests_but_unloads() {
+    let engine = Process::start_engine("--slots 4");
+    assert_done(&order(&engine, &load(41, "m", 600)));
+    engine.post("/admin/leaving", &json!({"leaving": true}));
+    assert_eq!(state(&engine)["leaving"], true);
+    engine
+        .post("/v1/chat/completions", &chat("m", 1))
+        .assert_refused(503, "leaving");
+    order(&engine, &load(42, "n", 100)).assert_refused(503, "leaving");
+    assert_done(&order(&engine, &unload(43, "m")));
+}
