Take a fencing number only with the order, refuse addresses that are no URL

A mistyped list or store address made an engine retry for ever without a word; it ends with the reason now.

--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use snafu::ensure;
 use trillium::{Method, Status};
 use trillium_client::Client;
+use trillium_server_common::Url;
+
+use crate::error::{ArgumentSnafu, StandInError};
 
 /// Connects, sends and reads within this time unless a caller asks for more.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -17,14 +21,22 @@
 }
 
 impl JsonClient {
-    /// Builds a client; `base_url` carries no path.
-    pub fn new(base_url: &str, timeout: Duration) -> Self {
+    /// Builds a client; `base_url` carries no path, and `http://` may be left out.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address is no URL.
+    pub fn new(base_url: &str, timeout: Duration) -> Result<Self, StandInError> {
+        let base_url = match base_url.contains("://") {
+            true => base_url.trim_end_matches('/').to_owned(),
+            false => format!("http://{base_url}"),
+        };
+        let parsed = Url::parse(&base_url);
+        let detail = format!("`{base_url}` is no URL");
+        ensure!(parsed.is_ok(), ArgumentSnafu { detail });
         let config = trillium_smol::ClientConfig::default().with_nodelay(true);
         let client = Client::new(config).with_timeout(timeout);
-        Self {
-            client,
-            base_url: base_url.trim_end_matches('/').to_owned(),
-        }
+        Ok(Self { client, base_url })
     }
 
     /// Posts a JSON body and returns the status, or none if the call failed.
--- a/standins/src/engine/copies.rs
+++ b/standins/src/engine/copies.rs
@@ -176,13 +176,13 @@
             return Ok(NextStep::Nothing);
         }
         if let Some(copy_id) = self.copy_to_adopt(order) {
-            self.record(order.key(), Some(copy_id));
+            self.record(order, Some(copy_id));
             return Ok(NextStep::Nothing);
         }
         self.check_room(order)?;
         self.check_base(order)?;
         let task = self.add_copy(order);
-        self.record(order.key(), Some(task.copy_id));
+        self.record(order, Some(task.copy_id));
         Ok(NextStep::Load(task))
     }
 
@@ -198,7 +198,7 @@
         }
         let model_version = order.model_version();
         let copy_ids = self.start_unloading(&model_version);
-        self.record(order.key(), None);
+        self.record(order, None);
         Ok(NextStep::Unload(UnloadTask {
             order: order.key(),
             model_version,
@@ -210,18 +210,14 @@
         if !self.checks_fencing {
             return Ok(());
         }
-        let is_known = self.highest_fences.contains_key(&order.model);
-        if !is_known && self.highest_fences.len() >= MAX_MODELS {
-            return Err(Refusal::Busy);
-        }
-        let model = Arc::clone(&order.model);
-        let highest = self.highest_fences.entry(model).or_default();
-        if order.fence < *highest {
-            self.peaks.orders_fenced += 1;
-            return Err(Refusal::Fenced { highest: *highest });
+        match self.highest_fences.get(&order.model) {
+            Some(&highest) if order.fence < highest => {
+                self.peaks.orders_fenced += 1;
+                Err(Refusal::Fenced { highest })
+            }
+            None if self.highest_fences.len() >= MAX_MODELS => Err(Refusal::Busy),
+            _ => Ok(()),
         }
-        *highest = order.fence;
-        Ok(())
     }
 
     /// Finds the copy that a fence-checking engine hands to a takeover of the same order.
@@ -304,8 +300,13 @@
         }
     }
 
-    fn record(&mut self, key: OrderKey, copy_id: Option<u64>) {
+    /// Remembers an order that was taken, and its fencing number.
+    fn record(&mut self, order: &Order, copy_id: Option<u64>) {
         self.forget_oldest_order();
+        if self.checks_fencing {
+            self.highest_fences
+                .insert(Arc::clone(&order.model), order.fence);
+        }
         let is_ready = self
             .copies
             .iter()
@@ -314,8 +315,9 @@
             true => OrderState::Done,
             false => OrderState::Running,
         };
-        let status = OrderStatus::new(key.order, state);
-        self.orders.insert(key, OrderRecord { status, copy_id });
+        let status = OrderStatus::new(order.order, state);
+        self.orders
+            .insert(order.key(), OrderRecord { status, copy_id });
     }
 
     fn forget_oldest_order(&mut self) {
--- a/standins/src/engine/loading.rs
+++ b/standins/src/engine/loading.rs
@@ -11,6 +11,7 @@
 use crate::engine::args::{CacheTier, EngineSettings};
 use crate::engine::checkpoints::Tier;
 use crate::engine::copies::{LoadTask, UnloadTask};
+use crate::error::StandInError;
 use crate::store::Fetch;
 
 /// How long one fetch may take.
@@ -36,13 +37,17 @@
 
 impl WeightSource {
     /// Builds the source that the settings name.
-    pub fn new(settings: &EngineSettings) -> Self {
-        match &settings.store_url {
-            Some(url) => Self::Store(JsonClient::new(url, FETCH_TIMEOUT)),
-            None => Self::FixedTime {
-                load_ms: settings.load_ms,
-            },
-        }
+    ///
+    /// # Errors
+    ///
+    /// Fails where the store's address is no URL.
+    pub fn new(settings: &EngineSettings) -> Result<Self, StandInError> {
+        let Some(url) = &settings.store_url else {
+            let load_ms = settings.load_ms;
+            return Ok(Self::FixedTime { load_ms });
+        };
+        let client = JsonClient::new(url, FETCH_TIMEOUT)?;
+        Ok(Self::Store(client))
     }
 
     async fn fetch(&self, task: &LoadTask) -> Result<(), &'static str> {
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -99,12 +99,11 @@
         slots: Some(settings.slots),
         checks_fencing: Some(settings.checks_fencing),
     };
-    let engine = Arc::new(Engine::new(settings));
+    let engine = Arc::new(Engine::new(settings)?);
     report::start_sampling(&engine);
     let is_leaving = || engine.is_leaving();
     let serving = server.serve(Arc::new(EngineService(Arc::clone(&engine))));
-    registered(hosts_url.as_deref(), description, is_leaving, serving).await;
-    Ok(())
+    registered(hosts_url.as_deref(), description, is_leaving, serving).await
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -112,9 +111,9 @@
 }
 
 impl Engine {
-    fn new(settings: EngineSettings) -> Self {
-        Self {
-            source: WeightSource::new(&settings),
+    fn new(settings: EngineSettings) -> Result<Self, StandInError> {
+        Ok(Self {
+            source: WeightSource::new(&settings)?,
             leaving: AtomicBool::new(false),
             runs_started: AtomicU64::new(0),
             copies: Mutex::new(CopyTable::new(&settings)),
@@ -125,7 +124,7 @@
             reports: Mutex::default(),
             changed: Notifier::default(),
             settings,
-        }
+        })
     }
 
     fn is_leaving(&self) -> bool {
--- a/standins/src/registration.rs
+++ b/standins/src/registration.rs
@@ -8,6 +8,7 @@
 
 use crate::client::{CALL_TIMEOUT, JsonClient};
 use crate::clock::sleep_ms;
+use crate::error::StandInError;
 use crate::hosts::{Host, HostState, Role};
 
 /// How often the entry is renewed.
@@ -56,16 +57,21 @@
 }
 
 /// Serves while renewing the entry, then removes it.
+///
+/// # Errors
+///
+/// Fails where the list's address is no URL.
 pub async fn registered<F: Future<Output = ()>>(
     hosts_url: Option<&str>,
     description: HostDescription,
     is_leaving: impl Fn() -> bool,
     serving: F,
-) {
+) -> Result<(), StandInError> {
     let Some(hosts_url) = hosts_url else {
-        return serving.await;
+        serving.await;
+        return Ok(());
     };
-    let client = JsonClient::new(hosts_url, CALL_TIMEOUT);
+    let client = JsonClient::new(hosts_url, CALL_TIMEOUT)?;
     let renewing = renew_forever(&client, &description, is_leaving);
     serving.or(renewing).await;
     let path = format!("/hosts/{}", description.name);
@@ -76,6 +82,7 @@
         smol::Timer::after(REMOVE_WITHIN).await;
     };
     removal.or(timeout).await;
+    Ok(())
 }
 
 async fn renew_forever(
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -111,8 +111,7 @@
     };
     let is_leaving = || service.is_leaving();
     let serving = server.serve(Arc::clone(&service));
-    registered(args.hosts.as_deref(), description, is_leaving, serving).await;
-    Ok(())
+    registered(args.hosts.as_deref(), description, is_leaving, serving).await
 }
 
 /// Counts a call as running until dropped.
--- a/standins/tests/standins/engine_orders.rs
+++ b/standins/tests/standins/engine_orders.rs
@@ -163,6 +163,15 @@
     assert_eq!(peaks(&engine)["peak_used_bytes"], 1000);
 }
 
+#[test]
+fn a_refused_order_leaves_the_fencing_number_as_it_was() {
+    let engine = Process::start_engine("--slots 4");
+    assert_done(&order(&engine, &load(41, "m", 600)));
+    order(&engine, &load(57, "m", 500)).assert_refused(507, "memory");
+    assert_done(&order(&engine, &unload(50, "m")));
+    assert_done(&order(&engine, &load(57, "m", 500)));
+}
+
 #[test]
 fn an_engine_that_does_not_enforce_memory_records_the_overcommit() {
     let engine = Process::start_engine("--slots 4 --enforce-memory false");
