--- a/standins/src/engine/args.rs
+++ b/standins/src/engine/args.rs
@@ -33,6 +33,9 @@
     /// weight store to fetch from
     #[argh(option)]
     store: Option<String>,
+    /// how long a fetch that fails or is refused is repeated before the load fails
+    #[argh(option, default = "30000")]
+    fetch_retry_ms: u64,
     /// accelerator memory
     #[argh(option)]
     memory_bytes: u64,
@@ -124,6 +127,8 @@
     pub data_centre: Arc<str>,
     /// The weight store, if loads are fetched.
     pub store_url: Option<String>,
+    /// How long a fetch that fails or is refused is repeated.
+    pub fetch_retry_ms: u64,
     /// The accelerator memory.
     pub memory_bytes: u64,
     /// Whether a load without room is refused.
@@ -200,6 +205,7 @@
             name: self.name.into(),
             data_centre: self.data_centre.into(),
             store_url: self.store,
+            fetch_retry_ms: self.fetch_retry_ms,
             memory_bytes: self.memory_bytes,
             enforce_memory: self.enforce_memory,
             checks_fencing: self.checks_fencing,
--- a/standins/src/engine/loading.rs
+++ b/standins/src/engine/loading.rs
@@ -16,8 +16,6 @@
 
 /// How long one fetch may take.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(600);
-/// How long fetches that fail or are refused are repeated.
-const GIVE_UP_AFTER: Duration = Duration::from_secs(30);
 /// How long a failed fetch waits before it is repeated.
 const RETRY_AFTER_MS: u64 = 250;
 /// The error of a load whose weights could not be fetched.
@@ -27,7 +25,12 @@
 #[derive(Debug)]
 pub enum WeightSource {
     /// The weight store.
-    Store(JsonClient),
+    Store {
+        /// Calls the store.
+        client: JsonClient,
+        /// How long a fetch that fails or is refused is repeated.
+        retry_for: Duration,
+    },
     /// Nowhere: a load takes a fixed time.
     FixedTime {
         /// The time of a load.
@@ -47,19 +50,24 @@
             return Ok(Self::FixedTime { load_ms });
         };
         let client = JsonClient::new(url, FETCH_TIMEOUT)?;
-        Ok(Self::Store(client))
+        let retry_for = Duration::from_millis(settings.fetch_retry_ms);
+        Ok(Self::Store { client, retry_for })
     }
 
     async fn fetch(&self, task: &LoadTask) -> Result<(), &'static str> {
         match self {
             Self::FixedTime { load_ms } => sleep_ms(*load_ms).await,
-            Self::Store(client) => fetch_from_store(client, task).await?,
+            Self::Store { client, retry_for } => fetch(client, task, *retry_for).await?,
         }
         Ok(())
     }
 }
 
-async fn fetch_from_store(client: &JsonClient, task: &LoadTask) -> Result<(), &'static str> {
+async fn fetch(
+    client: &JsonClient,
+    task: &LoadTask,
+    retry_for: Duration,
+) -> Result<(), &'static str> {
     let fetch = Fetch {
         model: Arc::clone(&task.model_version.model),
         version: Arc::clone(&task.model_version.version),
@@ -71,7 +79,7 @@
         if status.is_some_and(|status| status.is_success()) {
             return Ok(());
         }
-        if started.elapsed() > GIVE_UP_AFTER {
+        if started.elapsed() > retry_for {
             return Err(STORE_ERROR);
         }
         sleep_ms(RETRY_AFTER_MS).await;
--- a/standins/src/engine/order.rs
+++ b/standins/src/engine/order.rs
@@ -94,8 +94,7 @@
     fn http_status(&self) -> u16 {
         match self.state {
             OrderState::Running => 202,
-            OrderState::Done => 200,
-            OrderState::Failed => 502,
+            OrderState::Done | OrderState::Failed => 200,
         }
     }
 }
--- a/standins/tests/standins/engine_orders.rs
+++ b/standins/tests/standins/engine_orders.rs
@@ -207,14 +207,33 @@
 #[test]
 fn an_unload_interrupts_a_load() {
     let engine = Process::start_engine("--slots 4 --load-ms 600000 --order-wait-ms 20000");
-    let mut patient = load(41, "m", 600);
-    patient["wait_ms"] = json!(1);
-    assert_eq!(order(&engine, &patient).status, 202);
+    let caller = engine.caller();
+    let loading = thread::spawn(move || caller.post("/orders", &load(41, "m", 600)));
+    wait_until("the load has begun", || state(&engine)["used_bytes"] == 600);
     assert_done(&order(&engine, &unload(42, "m")));
     assert_eq!(state(&engine)["used_bytes"], 0);
     let failed = json!({"order": 41, "state": "failed", "error": "unloaded"});
+    let answer = loading.join().expect("the order is answered");
+    assert_eq!((answer.status, answer.json()), (200, failed.clone()));
     assert_eq!(engine.get("/orders/41").json(), failed);
-    assert_eq!(order(&engine, &patient).status, 409);
+    order(&engine, &load(41, "m", 600)).assert_refused(409, "fenced");
+}
+
+#[test]
+fn a_load_whose_weights_cannot_be_fetched_fails_and_frees_its_memory() {
+    let store = Process::start("store", "");
+    store.set_faults(&json!({"outage": true}));
+    let args = format!("--slots 4 --fetch-retry-ms 0 --store {}", store.url());
+    let engine = Process::start_engine(&args);
+    let answer = order(&engine, &load(41, "m", 600));
+    assert_eq!(
+        answer.json(),
+        json!({"order": 41, "state": "failed", "error": "store"})
+    );
+    assert_eq!(state(&engine)["used_bytes"], 0);
+    assert_eq!(peaks(&engine)["loads_failed"], 1);
+    store.set_faults(&json!({}));
+    assert_done(&order(&engine, &load(42, "m", 600)));
 }
 
 #[test]
