Give chat requests up whose caller is gone, and make tests independent of time

A frozen stand-in now takes a request up after the thaw although its caller has given up, also where the request would be stopped by a closed connection later.

--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -37,6 +37,9 @@
 use crate::registration::{HostDescription, registered};
 use crate::server::Server;
 
+/// Where chat requests are posted.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
 /// A model and its version, written `model@version`.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct ModelVersion {
@@ -164,8 +167,10 @@
 impl StandIn for EngineService {
     async fn answer(&self, request: &Request) -> Result<Answer, Refusal> {
         let engine = &self.0;
+        if request.method == Method::Post && request.path == CHAT_PATH {
+            return chat::complete(engine, request).await;
+        }
         match (request.method, request.segments().as_slice()) {
-            (Method::Post, ["v1", "chat", "completions"]) => chat::complete(engine, request).await,
             (Method::Post, ["orders"]) => order::take(engine, request).await,
             (Method::Get, ["orders", order]) => order::state(engine, order),
             (Method::Get, ["state"]) => report::state(engine, request),
@@ -176,4 +181,9 @@
             _ => Err(Refusal::NotFound),
         }
     }
+
+    /// A chat request without a reader is given up after the hold time; orders are not.
+    fn stops_on_disconnect(&self, request: &Request) -> bool {
+        request.method == Method::Get || request.path == CHAT_PATH
+    }
 }
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -120,12 +120,7 @@
                 .await;
             return conn;
         }
-        let answering = self.answer_with_faults(&request, switch);
-        if !self.stand_in.stops_on_disconnect(&request) {
-            let answer = answering.await;
-            return write_answer(conn, answer);
-        }
-        match conn.cancel_on_disconnect(answering).await {
+        match self.answer_with_faults(&mut conn, &request, switch).await {
             Some(answer) => write_answer(conn, answer),
             None => conn,
         }
@@ -143,20 +138,27 @@
         }
     }
 
+    /// Answers with the active faults, or not at all if the request is given up.
     async fn answer_with_faults(
         &self,
+        conn: &mut Conn,
         request: &Request,
         switch: Option<Arc<ConnectionSwitch>>,
-    ) -> Answer {
+    ) -> Option<Answer> {
         self.counters.count_request();
         self.faults.until_thawed(&request.path).await;
         if self.faults.is_outage(&request.path) {
             self.counters.count_outage();
-            return Refusal::Outage.into();
+            return Some(Refusal::Outage.into());
         }
-        let answer = Answer::from(self.stand_in.answer(request).await);
+        let answering = self.stand_in.answer(request);
+        let answer = match self.stand_in.stops_on_disconnect(request) {
+            true => conn.cancel_on_disconnect(answering).await?,
+            false => answering.await,
+        };
+        let answer = Answer::from(answer);
         self.counters.count_answer(answer.status);
-        self.spoil(request, answer, switch).await
+        Some(self.spoil(request, answer, switch).await)
     }
 
     /// Delays or loses an answer whose effect has taken place.
--- a/standins/tests/standins/engine_chat.rs
+++ b/standins/tests/standins/engine_chat.rs
@@ -1,6 +1,7 @@
 //! Chat requests to an engine.
 
 use std::thread;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -123,6 +124,17 @@
     wait_until("its slot is free", || state(&engine, "running") == 0);
 }
 
+#[test]
+fn a_request_whose_caller_is_gone_is_given_up_after_the_hold_time() {
+    let engine = engine_with_model("--slots 4 --hold-ms 50 --token-ms 20");
+    let impatient = engine.caller().with_timeout(Duration::from_secs(1));
+    let mut body = chat(8000);
+    body["stream"] = json!(false);
+    assert!(impatient.try_post(CHAT, &body).is_none());
+    wait_until("its slot is free", || state(&engine, "running") == 0);
+    assert_eq!(engine.get("/admin/peaks").json()["runs"], 1);
+}
+
 #[test]
 fn a_cancelled_stream_does_not_look_whole() {
     let engine = engine_with_model("--slots 4 --token-ms 10");
@@ -209,15 +221,20 @@
 
 #[test]
 fn load_reports_lag_and_memory_can_be_asked_for_exactly() {
-    let engine = engine_with_model("--slots 4 --report-lag-ms 400");
+    let engine = engine_with_model("--slots 4 --report-lag-ms 600000");
+    let report = engine.get("/state").json();
+    assert_eq!(report["used_bytes"], 0);
+    assert_eq!(report["copies"], json!([]));
     let exact = engine.get("/state?exact=1").json();
     assert_eq!(exact["used_bytes"], 1);
     assert_eq!(exact["copies"][0]["state"], "ready");
+    assert_eq!(exact["as_of_ms"], report["as_of_ms"]);
+}
+
+#[test]
+fn load_reports_show_a_copy_after_their_lag() {
+    let engine = engine_with_model("--slots 4 --report-lag-ms 100");
     wait_until("the report shows the copy", || {
         state(&engine, "used_bytes") == 1
     });
-    let report = engine.get("/state").json();
-    let as_of_ms = report["as_of_ms"].as_u64().expect("a time");
-    let later = engine.get("/state").json();
-    assert!(later["as_of_ms"].as_u64().expect("a time") >= as_of_ms);
 }
--- a/standins/tests/standins/engine_orders.rs
+++ b/standins/tests/standins/engine_orders.rs
@@ -52,6 +52,15 @@
     engine.get("/admin/peaks").json()
 }
 
+/// Starts an engine whose loads go on until the store's faults are lifted.
+fn engine_with_frozen_store() -> (Process, Process) {
+    let store = Process::start("store", "");
+    store.set_faults(&json!({"freeze": true}));
+    let args = format!("--slots 4 --order-wait-ms 1 --store {}", store.url());
+    let engine = Process::start_engine(&args);
+    (store, engine)
+}
+
 #[test]
 fn a_loaded_model_is_listed_and_runs_and_an_unloaded_one_is_gone() {
     let engine = Process::start_engine("--slots 4");
@@ -84,11 +93,13 @@
 
 #[test]
 fn an_order_that_goes_on_says_so_and_can_be_asked_for() {
-    let engine = Process::start_engine("--slots 4 --load-ms 300 --order-wait-ms 1");
+    let (store, engine) = engine_with_frozen_store();
     let reply = order(&engine, &load(41, "m", 600));
     assert_eq!(reply.status, 202);
     assert_eq!(reply.json()["state"], "running");
     assert_eq!(state(&engine)["copies"][0]["state"], "loading");
+    assert_eq!(state(&engine)["used_bytes"], 600);
+    store.set_faults(&json!({}));
     let is_done = || engine.get("/orders/41").json()["state"] == "done";
     wait_until("the load is done", is_done);
     let expected = json!({"order": 41, "state": "done", "error": null});
@@ -125,7 +136,7 @@
 
 #[test]
 fn a_checking_engine_hands_a_load_to_a_takeover_of_the_same_order() {
-    let engine = Process::start_engine("--slots 4 --load-ms 200 --order-wait-ms 1");
+    let (store, engine) = engine_with_frozen_store();
     assert_eq!(
         order(&engine, &load_with_fence(41, 41, "m", 400)).status,
         202
@@ -136,9 +147,10 @@
     );
     let old = order(&engine, &load_with_fence(41, 41, "m", 400));
     old.assert_refused(409, "fenced");
-    wait_until("the load is done", || {
-        engine.get("/orders/41").json()["state"] == "done"
-    });
+    store.set_faults(&json!({}));
+    let is_done = || engine.get("/orders/41").json()["state"] == "done";
+    wait_until("the load is done", is_done);
+    assert_done(&order(&engine, &load_with_fence(41, 60, "m", 400)));
     assert_eq!(peaks(&engine)["loads_started"], 1);
 }
 
@@ -185,23 +197,30 @@
 
 #[test]
 fn an_unload_lets_requests_under_way_finish() {
-    let engine = Process::start_engine("--slots 4 --token-ms 20 --order-wait-ms 1");
-    assert_done(&engine.post("/orders", &{
-        let mut order = load(41, "m", 600);
-        order["wait_ms"] = json!(20_000);
-        order
-    }));
-    let caller = engine.caller();
-    let running = thread::spawn(move || caller.post("/v1/chat/completions", &chat("m", 20)));
-    wait_until("the request runs", || state(&engine)["running"] == 1);
-    assert_eq!(order(&engine, &unload(42, "m")).status, 202);
+    let engine = Process::start_engine("--slots 4 --token-ms 20 --order-wait-ms 20000");
+    assert_done(&order(&engine, &load(41, "m", 600)));
+    let start = |request_id: &str, max_tokens: u32| {
+        let caller = engine.caller().with_header("x-request-id", request_id);
+        thread::spawn(move || caller.post("/v1/chat/completions", &chat("m", max_tokens)))
+    };
+    let long = start("long", 8000);
+    wait_until("the long request runs", || state(&engine)["running"] == 1);
+    let short = start("short", 20);
+    wait_until("both run", || peaks(&engine)["runs"] == 2);
+
+    let mut impatient = unload(42, "m");
+    impatient["wait_ms"] = json!(1);
+    assert_eq!(order(&engine, &impatient).status, 202);
     assert_eq!(state(&engine)["copies"][0]["state"], "unloading");
-    engine
-        .post("/v1/chat/completions", &chat("m", 1))
-        .assert_refused(404, "not_loaded");
-    assert_eq!(running.join().expect("the request ends").status, 200);
-    wait_until("the memory is free", || state(&engine)["used_bytes"] == 0);
-    assert_eq!(engine.get("/orders/42").json()["state"], "done");
+    let refused = engine.post("/v1/chat/completions", &chat("m", 1));
+    refused.assert_refused(404, "not_loaded");
+    assert_eq!(short.join().expect("the short request ends").status, 200);
+    assert_eq!(state(&engine)["used_bytes"], 600);
+
+    engine.post("/cancel/long", &json!({}));
+    assert_eq!(long.join().expect("the long request ends").status, 409);
+    assert_done(&order(&engine, &unload(42, "m")));
+    assert_eq!(state(&engine)["used_bytes"], 0);
 }
 
 #[test]
--- a/standins/tests/standins/faults.rs
+++ b/standins/tests/standins/faults.rs
@@ -86,7 +86,7 @@
 fn a_frozen_log_answers_nothing_until_the_freeze_is_lifted() {
     let log = Process::start("log", "");
     log.set_faults(&json!({"freeze": true}));
-    let impatient = log.caller().with_timeout(Duration::from_millis(200));
+    let impatient = log.caller().with_timeout(Duration::from_secs(1));
     assert!(
         impatient
             .try_post(RECORDS, &json!({"records": ["a"]}))
@@ -105,8 +105,9 @@
 #[test]
 fn open_connections_go_silent_for_good_and_new_ones_work() {
     let log = Process::start("log", "");
-    let old = log.caller().with_timeout(Duration::from_millis(500));
+    let old = log.caller();
     assert_eq!(old.post(RECORDS, &json!({"records": ["a"]})).status, 200);
+    let old = old.with_timeout(Duration::from_millis(500));
     log.set_faults(&json!({"silent": true}));
     log.set_faults(&json!({}));
     assert!(
--- a/standins/tests/standins/hosts.rs
+++ b/standins/tests/standins/hosts.rs
@@ -33,9 +33,15 @@
 
 #[test]
 fn the_list_lags_what_it_was_told() {
-    let hosts = Process::start("hosts", "--lag-ms 400");
+    let hosts = Process::start("hosts", "--lag-ms 600000");
     hosts.post("/hosts", &entry_host("entry-1"));
     assert!(names(&hosts).is_empty());
+}
+
+#[test]
+fn the_list_shows_a_host_after_its_lag() {
+    let hosts = Process::start("hosts", "--lag-ms 100");
+    hosts.post("/hosts", &entry_host("entry-1"));
     wait_until("the host is listed", || names(&hosts) == ["entry-1"]);
 }
 
