--- a/standins/src/engine/admin.rs
+++ b/standins/src/engine/admin.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use crate::engine::Engine;
-use crate::engine::copies::Peaks;
+use crate::engine::peaks::Peaks;
 use crate::error::Refusal;
 use crate::http::{Answer, Request};
 use crate::service::Leaving;
--- a/standins/src/engine/copies.rs
+++ b/standins/src/engine/copies.rs
@@ -8,13 +8,14 @@
 use crate::engine::ModelVersion;
 use crate::engine::args::EngineSettings;
 use crate::engine::order::{Order, OrderKey, OrderState, OrderStatus};
+use crate::engine::peaks::Peaks;
 use crate::error::Refusal;
 
 /// How many finished and running orders are remembered.
 const MAX_ORDERS: usize = 10_000;
 /// How many copies are held at once.
 const MAX_COPIES: usize = 10_000;
-/// For how many models fencing numbers and peaks are kept.
+/// For how many models fencing numbers are kept.
 const MAX_MODELS: usize = 100_000;
 
 /// Where a copy stands.
@@ -80,19 +81,6 @@
     Nothing,
 }
 
-/// The highest figures since the process started.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Peaks {
-    peak_used_bytes: u64,
-    memory_bytes: u64,
-    overcommitted: bool,
-    peak_copies: IndexMap<Arc<str>, u64>,
-    loads_started: u64,
-    loads_done: u64,
-    loads_failed: u64,
-    orders_fenced: u64,
-}
-
 /// An order and the copy whose load it waits for.
 #[derive(Debug)]
 struct OrderRecord {
@@ -116,10 +104,6 @@
 impl CopyTable {
     /// Builds an empty table.
     pub fn new(settings: &EngineSettings) -> Self {
-        let peaks = Peaks {
-            memory_bytes: settings.memory_bytes,
-            ..Peaks::default()
-        };
         Self {
             memory_bytes: settings.memory_bytes,
             enforce_memory: settings.enforce_memory,
@@ -128,7 +112,7 @@
             copies: Vec::new(),
             orders: IndexMap::new(),
             highest_fences: IndexMap::new(),
-            peaks,
+            peaks: Peaks::new(settings.memory_bytes),
         }
     }
 
@@ -212,7 +196,7 @@
         }
         match self.highest_fences.get(&order.model) {
             Some(&highest) if order.fence < highest => {
-                self.peaks.orders_fenced += 1;
+                self.peaks.count_fenced();
                 Err(Refusal::Fenced { highest })
             }
             None if self.highest_fences.len() >= MAX_MODELS => Err(Refusal::Busy),
@@ -286,18 +270,10 @@
     }
 
     fn note_peaks(&mut self, added: &ModelVersion) {
-        let used_bytes = self.used_bytes();
         let same = self.copies.iter();
         let copies = same.filter(|copy| copy.model_version == *added).count() as u64;
-        let name: Arc<str> = added.to_string().into();
-        let peaks = &mut self.peaks;
-        peaks.loads_started += 1;
-        peaks.peak_used_bytes = peaks.peak_used_bytes.max(used_bytes);
-        peaks.overcommitted |= used_bytes > self.memory_bytes;
-        if peaks.peak_copies.len() < MAX_MODELS || peaks.peak_copies.contains_key(&name) {
-            let peak = peaks.peak_copies.entry(name).or_default();
-            *peak = copies.max(*peak);
-        }
+        let used_bytes = self.used_bytes();
+        self.peaks.count_load(added, copies, used_bytes);
     }
 
     /// Remembers an order that was taken, and its fencing number.
@@ -360,7 +336,7 @@
         for copy in self.copies.iter_mut().filter(|copy| copy.id == copy_id) {
             copy.state = CopyState::Ready;
         }
-        self.peaks.loads_done += 1;
+        self.peaks.count_done();
         self.finish_orders_of(copy_id, OrderState::Done, None);
     }
 
@@ -370,7 +346,7 @@
             return;
         }
         self.remove_copy(copy_id);
-        self.peaks.loads_failed += 1;
+        self.peaks.count_failed();
         self.finish_orders_of(copy_id, OrderState::Failed, Some(error));
     }
 
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod copies;
 mod loading;
 mod order;
+mod peaks;
 mod prefix_cache;
 mod report;
 mod run;
