Let the harness play the part of the platform that knows which processes exist

Cause: the host list stand-in dropped lines that were not renewed, so a frozen host looked gone, and the fold could free what its orders still hold.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod capacity;
 pub mod idle;
 pub mod link;
+pub mod platform;
 pub mod process;
 pub mod site;
--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -10,6 +10,7 @@
 
 use crate::call::{Caller, Outcome, finish};
 use crate::link::{TcpLink, UdpLink};
+use crate::platform::PlatformWatch;
 use crate::process::{Process, wait_for};
 use mangovale::edge::digest::sha256;
 use mangovale::edge::http::client;
@@ -26,6 +27,8 @@
 
 const OPERATOR: &str = "operator";
 const DATA_CENTRE: &str = "sapporo-a";
+/// The platform knows which processes exist; a frozen one does not vanish from its list.
+const HOST_LIST: &[&str] = &["hosts", "--expire-ms", "86400000"];
 
 /// An engine of a planned site.
 #[derive(Clone, Debug)]
@@ -210,6 +213,7 @@
     pub services: Vec<StandIn>,
     /// The daemons.
     pub hosts: Vec<Host>,
+    platform: PlatformWatch,
     directory: TempDir,
     host_settings: String,
     links: bool,
@@ -231,7 +235,8 @@
         let directory = TempDir::new().expect("a temporary directory");
         let at = directory.path();
         let log = stand_in(at, "log", with(&["log"], &plan.log_arguments));
-        let host_list = stand_in(at, "hosts", with(&["hosts"], &plan.hosts_arguments));
+        let host_list = stand_in(at, "hosts", with(HOST_LIST, &plan.hosts_arguments));
+        let platform = PlatformWatch::start(host_list.address);
         let store = plan
             .store_arguments
             .as_ref()
@@ -261,6 +266,7 @@
             engines,
             services,
             hosts: Vec::new(),
+            platform,
             directory,
             host_settings: plan.host_settings,
             links: plan.links,
@@ -268,6 +274,12 @@
             token_sha256,
             next_edit: AtomicU64::new(1),
         };
+        for (spec, engine) in plan.engines.iter().zip(&site.engines) {
+            site.platform.watch(&spec.name, engine.process.id());
+        }
+        for (spec, service) in plan.services.iter().zip(&site.services) {
+            site.platform.watch(&spec.name, service.process.id());
+        }
         for _ in 0..plan.host_count {
             site.add_host();
         }
@@ -326,6 +338,7 @@
         let settings_path = self.directory.path().join(format!("{name}.toml"));
         std::fs::write(&settings_path, text).expect("the settings can be written");
         let process = start_daemon(self.directory.path(), &name, &settings_path, 0);
+        self.platform.watch(&name, process.id());
         let host = Host {
             name,
             process,
@@ -347,6 +360,7 @@
         let host = &mut self.hosts[index];
         host.process = start_daemon(&directory, &host.name, &host.settings_path, host.starts);
         host.starts += 1;
+        self.platform.watch(&host.name, host.process.id());
     }
 
     /// Waits until every daemon that runs serves.
