Decode records by format, append within bounds, start from checkpoints

The skeleton's fold skipped what it could not decode, applied over gaps in the offsets, wrote no checkpoint and started empty when the log was trimmed. Each record now carries a format number: garbage is passed over everywhere, a newer format ends reading and serving. Appends stay within 900 KiB. The home of one key writes checkpoints; a host whose next record is gone scans for a whole one.

--- a/src/daemon/log_flow.rs
+++ b/src/daemon/log_flow.rs
@@ -1,19 +1,48 @@
 //! Joins the log's driver and the fold to the other slices.
 
-use crate::daemon::node::Node;
+use crate::daemon::node::{Life, Node};
 use crate::prelude::*;
+use crate::shared_log::checkpoint::{Scan, ScanStep, parts_of};
 use crate::shared_log::driver::{LogCallError, LogPage};
-use crate::shared_log::fold::Applied;
+use crate::shared_log::fold::{Applied, Shared, Step};
 use crate::shared_log::record::LoggedRecord;
 
 /// Most applied records kept for peers.
 pub const MAX_RECENT_RECORDS: usize = 4096;
 
+/// The key whose home writes the checkpoints.
+const CHECKPOINT_KEY: &str = "checkpoint";
+
+/// Whether the records after one may be applied too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Onward {
+    Yes,
+    No,
+}
+
 impl Node {
+    /// Returns the offset to read next.
+    pub fn next_read_offset(&self) -> Offset {
+        let scanned = self.scan.as_ref().map(|scan| scan.next_offset());
+        scanned.unwrap_or(self.shared.next_offset)
+    }
+
     /// Takes a page of the log.
     pub fn on_log_read(&mut self, now: Millis, asked_at: Millis, page: LogPage, fx: &mut Effects) {
+        if page.next_offset > page.end_offset {
+            self.on_log_shorter(now, page.end_offset);
+            return;
+        }
+        self.log_oldest = page.oldest_offset;
+        if self.scan.is_some() {
+            self.scan_page(&page, fx);
+            return;
+        }
         for logged in &page.records {
-            self.apply_logged(now, logged, fx);
+            if self.apply_logged(now, logged, fx) == Onward::No {
+                self.scan_after_gap(logged);
+                break;
+            }
         }
         self.driver
             .on_page(asked_at, self.shared.next_offset, page.end_offset);
@@ -22,44 +51,135 @@
         }
     }
 
+    /// A log that ends before what was applied lost records; what it holds is not followed.
+    fn on_log_shorter(&mut self, now: Millis, end_offset: Offset) {
+        let next_offset = self.shared.next_offset;
+        if self.driver.is_reachable() {
+            LogEvent::LogShorter.write(&format!("end={end_offset} applied={next_offset}"));
+        }
+        self.driver.on_read_failed(now);
+    }
+
     /// Takes a failed read.
     pub fn on_log_read_failed(&mut self, now: Millis, error: &LogCallError) {
         if let LogCallError::Trimmed(oldest) = error {
-            LogEvent::LogTrimmed.write(&format!(
-                "wanted={} oldest={oldest}",
-                self.shared.next_offset
-            ));
+            self.start_scan(*oldest);
+            self.driver.on_page_unused();
+            return;
         }
         self.driver.on_read_failed(now);
     }
 
+    fn start_scan(&mut self, oldest: Offset) {
+        let wanted = self.shared.next_offset;
+        LogEvent::LogTrimmed.write(&format!("wanted={wanted} oldest={oldest}"));
+        self.scan = Some(Scan::new(oldest));
+    }
+
+    fn scan_after_gap(&mut self, logged: &LoggedRecord) {
+        if logged.offset > self.shared.next_offset {
+            self.start_scan(logged.offset);
+        }
+    }
+
+    fn scan_page(&mut self, page: &LogPage, fx: &mut Effects) {
+        self.driver.on_page_unused();
+        for logged in &page.records {
+            let Some(scan) = &mut self.scan else {
+                return;
+            };
+            match scan.take(logged) {
+                ScanStep::More => {}
+                ScanStep::Whole(shared) => self.replace_state(*shared, fx),
+                ScanStep::Newer { format } => self.halt(logged.offset, format),
+            }
+        }
+    }
+
+    /// Goes on from the state of a checkpoint.
+    fn replace_state(&mut self, shared: Shared, fx: &mut Effects) {
+        self.scan = None;
+        if shared.next_offset < self.shared.next_offset {
+            return;
+        }
+        LogEvent::CheckpointRead.write(&format!("as_of={}", shared.next_offset));
+        self.shared = shared;
+        self.recent.clear();
+        let last_seq = self.shared.members.last_seq(self.config.me);
+        self.driver.on_state_replaced(last_seq);
+        self.acceptance.on_state_replaced(&self.shared.table, fx);
+    }
+
+    fn halt(&mut self, offset: Offset, format: u32) {
+        if !self.driver.is_halted() {
+            LogEvent::RecordNewer.write(&format!("offset={offset} format={format}"));
+        }
+        self.driver.halt();
+    }
+
+    /// Appends a checkpoint when one is due and this host is its preferred writer.
+    pub fn tick_checkpoint(&mut self, now: Millis) {
+        let shared = &self.shared;
+        let due = shared
+            .checkpoints
+            .is_due(shared.log_ms, shared.next_offset, self.log_oldest);
+        let able = self.life == Life::Serving && self.driver.is_reachable() && self.is_fresh(now);
+        if !due || !able || self.driver.has_background() || !self.is_home(CHECKPOINT_KEY) {
+            return;
+        }
+        if self.platform.may_propose(now, CHECKPOINT_KEY) {
+            self.write_checkpoint();
+        }
+    }
+
+    fn write_checkpoint(&mut self) {
+        let Ok(parts) = parts_of(&self.shared) else {
+            return;
+        };
+        let as_of = self.shared.next_offset;
+        LogEvent::CheckpointWritten.write(&format!("as_of={as_of} parts={}", parts.len()));
+        let bodies = parts
+            .into_iter()
+            .map(|part| RecordBody::Checkpoint { part });
+        self.driver.queue_background(bodies);
+    }
+
     /// Applies records that a peer passed on.
     pub fn apply_relayed(&mut self, now: Millis, records: &[LoggedRecord], fx: &mut Effects) {
         for logged in records {
-            if logged.offset != self.shared.next_offset {
-                continue;
+            if self.apply_logged(now, logged, fx) == Onward::No {
+                break;
             }
-            self.apply_logged(now, logged, fx);
+        }
+        let reached = |scan: &Scan| self.shared.next_offset >= scan.from();
+        if self.scan.as_ref().is_some_and(reached) {
+            self.scan = None;
         }
     }
 
-    fn apply_logged(&mut self, now: Millis, logged: &LoggedRecord, fx: &mut Effects) {
+    fn apply_logged(&mut self, now: Millis, logged: &LoggedRecord, fx: &mut Effects) -> Onward {
         match self.shared.apply_logged(logged) {
-            Ok(None) => return,
-            Ok(Some(applied)) => self.after_applied(now, &applied, fx),
-            Err(error) => {
-                LogEvent::RecordUndecodable.write(&format!("offset={} {error}", logged.offset));
+            Step::Known => return Onward::Yes,
+            Step::Gap => return Onward::No,
+            Step::Newer { format } => {
+                self.halt(logged.offset, format);
+                return Onward::No;
+            }
+            Step::Applied(applied) => self.after_applied(now, &applied, fx),
+            Step::Garbage { why } => {
+                LogEvent::RecordUndecodable.write(&format!("offset={} {why}", logged.offset));
             }
         }
         self.recent.push_back(logged.clone());
         while self.recent.len() > MAX_RECENT_RECORDS {
             self.recent.pop_front();
         }
+        Onward::Yes
     }
 
     fn after_applied(&mut self, now: Millis, applied: &Applied, fx: &mut Effects) {
         self.driver.on_own_record(applied.record.id);
-        self.acceptance.on_applied(applied, fx);
+        self.acceptance.on_applied(applied, &self.shared.table, fx);
         self.membership_applied(applied);
         self.placement_applied(now, applied);
         self.requests_applied(now, applied, fx);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -11,6 +11,7 @@
 use crate::placement::policy::keep_warm::KeepWarmRule;
 use crate::prelude::*;
 use crate::routing::upstreams::Routing;
+use crate::shared_log::checkpoint::Scan;
 use crate::shared_log::driver::Driver;
 use crate::shared_log::fold::Shared;
 use crate::shared_log::record::LoggedRecord;
@@ -74,6 +75,10 @@
     pub shared: Shared,
     /// The log's driver.
     pub driver: Driver,
+    /// The search for a checkpoint, while the next record is no longer kept.
+    pub scan: Option<Scan>,
+    /// The oldest record that the log kept at the last read.
+    pub log_oldest: Offset,
     /// The newest applied records, for peers.
     pub recent: VecDeque<LoggedRecord>,
     /// Whether this host's state is current.
@@ -105,6 +110,8 @@
             life: Life::default(),
             shared: Shared::default(),
             driver: Driver::new(config.me),
+            scan: None,
+            log_oldest: Offset(0),
             recent: VecDeque::new(),
             freshness: Freshness::new(config.fresh_bound_ms, config.pause_ms),
             probes: Probes::new(
@@ -134,7 +141,7 @@
         let fresh = self.is_fresh(now);
         self.freshness.note_change(fresh);
         self.pump(now, &mut fx);
-        self.driver.drive(now, self.shared.next_offset, &mut fx);
+        self.driver.drive(now, self.next_read_offset(), &mut fx);
         fx
     }
 
@@ -195,6 +202,7 @@
     fn on_tick(&mut self, now: Millis, fx: &mut Effects) {
         self.tick_membership(now, fx);
         self.tick_edits(now, fx);
+        self.tick_checkpoint(now);
         self.tick_placement(now, fx);
         self.tick_requests(now, fx);
         self.tick_life(now, fx);
@@ -202,7 +210,9 @@
 
     /// Tells whether this host's state is current.
     pub fn is_fresh(&self, now: Millis) -> bool {
-        self.freshness
-            .is_fresh(now, self.config.me, &self.shared.members)
+        let current = self
+            .freshness
+            .is_fresh(now, self.config.me, &self.shared.members);
+        current && !self.driver.is_halted()
     }
 }
--- a/src/edge/log_service.rs
+++ b/src/edge/log_service.rs
@@ -3,6 +3,7 @@
 use crate::edge::http::{CallError, call_json, client};
 use crate::edge::{BoxFuture, LogService};
 use crate::prelude::*;
+use crate::shared_log::codec::encode;
 use crate::shared_log::driver::{LogCallError, LogPage, MAX_READ_RECORDS};
 use std::time::Duration;
 use trillium_client::{Client, Method};
@@ -63,7 +64,7 @@
     }
 
     async fn append_batch(&self, records: Vec<Record>) -> Result<(), LogCallError> {
-        let encoded: Result<Vec<String>, _> = records.iter().map(serde_json::to_string).collect();
+        let encoded: Result<Vec<String>, _> = records.iter().map(encode).collect();
         let records = encoded.map_err(|_| LogCallError::Refused)?;
         let body = AppendBody { records };
         let url = &self.records_url;
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -28,6 +28,10 @@
     CheckpointWritten = 205,
     /// The state was taken from a checkpoint.
     CheckpointRead = 206,
+    /// The log ends before what was applied.
+    LogShorter = 207,
+    /// A newer release wrote a record; this host stops serving before it.
+    RecordNewer = 208,
     /// This host stopped being fresh.
     BecameStale = 300,
     /// This host is fresh again.
@@ -89,6 +93,8 @@
             | Self::LogTrimmed
             | Self::RecordUndecodable
             | Self::AppendUnknown
+            | Self::LogShorter
+            | Self::RecordNewer
             | Self::BecameStale
             | Self::Paused
             | Self::PeerSuspected
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -9,6 +9,9 @@
 /// Most hosts in the fold, departed ones included.
 pub const MAX_MEMBERS: usize = 4096;
 
+/// Most incarnations remembered after their processes are gone.
+pub const MAX_FORGOTTEN: usize = 4096;
+
 /// Where a host stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -39,14 +42,22 @@
 pub struct Members {
     hosts: IndexMap<Incarnation, Member>,
     last_counted_at: Offset,
+    /// Incarnations that are gone, so that a late copy of their records stays without effect.
+    forgotten: IndexSet<Incarnation>,
 }
 
 impl Members {
     /// Tells whether the fold saw this record, or a later one of the same writer.
     pub fn is_duplicate(&self, id: RecordId) -> bool {
-        self.hosts
-            .get(&id.host)
-            .is_some_and(|member| id.seq <= member.last_seq)
+        if self.forgotten.contains(&id.host) {
+            return true;
+        }
+        id.seq <= self.last_seq(id.host)
+    }
+
+    /// Returns the last sequence number that the fold saw of a host, or zero.
+    pub fn last_seq(&self, host: Incarnation) -> u64 {
+        self.hosts.get(&host).map_or(0, |member| member.last_seq)
     }
 
     /// Takes note of a record's sequence number.
@@ -185,6 +196,10 @@
             return Err(Rejection::WrongHostState);
         }
         self.hosts.shift_remove(&host);
+        self.forgotten.insert(host);
+        if self.forgotten.len() > MAX_FORGOTTEN {
+            self.forgotten.shift_remove_index(0);
+        }
         Ok(())
     }
 }
--- a/src/shared_log/driver.rs
+++ b/src/shared_log/driver.rs
@@ -1,15 +1,19 @@
 //! The driver that tails the log and appends to it, as a pure state machine.
 //!
-//! One read and one append are outstanding at most. A batch whose answer was lost is appended again
+//! One read and one append are outstanding at most, and at most one batch is on its way, so that a
+//! writer's records stand on the log in the order of their sequence numbers. A batch whose answer was lost is appended again
 //! only after a read that started later reached the end of the log without showing it; the fold
 //! ignores the second copy if the first turns up after all.
 
 use crate::prelude::*;
+use crate::shared_log::codec::encode;
 use crate::shared_log::record::LoggedRecord;
 use std::collections::VecDeque;
 
 /// Most records in one append.
 pub const MAX_BATCH_RECORDS: usize = 64;
+/// Most bytes of records in one append.
+pub const MAX_BATCH_BYTES: usize = 900 << 10;
 /// Most records waiting to be appended.
 pub const MAX_PENDING_RECORDS: usize = 4096;
 /// Most records in one read.
@@ -28,6 +32,9 @@
     pub next_offset: Offset,
     /// The end of the log when the answer was made.
     pub end_offset: Offset,
+    /// The oldest record that the log kept when the answer was made.
+    #[serde(default)]
+    pub oldest_offset: Offset,
 }
 
 /// Why a call to the log failed.
@@ -60,18 +67,27 @@
     RetryAt(Millis),
 }
 
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Queued {
+    record: Record,
+    len_bytes: usize,
+}
+
 /// The state of the driver.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Driver {
     me: Incarnation,
     last_seq: u64,
-    pending: VecDeque<Record>,
+    pending: VecDeque<Queued>,
+    /// Parts of a checkpoint; each waits until nothing else does.
+    background: VecDeque<RecordBody>,
     batch: Vec<Record>,
     append: AppendState,
     read: ReadState,
     reachable: bool,
     end_seen_at: Option<Millis>,
     failing_since: Option<Millis>,
+    halted: bool,
 }
 
 impl Driver {
@@ -95,25 +111,75 @@
 
     /// Tells whether everything queued was read back.
     pub fn is_drained(&self) -> bool {
-        self.batch.is_empty() && self.pending.is_empty()
+        self.batch.is_empty() && self.pending.is_empty() && self.background.is_empty()
+    }
+
+    /// Tells whether a record that this release cannot apply ended the reading for good.
+    pub fn is_halted(&self) -> bool {
+        self.halted
     }
 
-    /// Queues a record and returns its id, or nothing when the queue is full.
+    /// Ends reading and appending for good.
+    pub fn halt(&mut self) {
+        self.halted = true;
+        self.reachable = false;
+    }
+
+    /// Queues a record and returns its id, or nothing when the queue is full or the record too long.
     pub fn queue(&mut self, body: RecordBody) -> Option<RecordId> {
         if self.pending.len() >= MAX_PENDING_RECORDS {
             return None;
         }
-        self.last_seq += 1;
+        let queued = self.number(body)?;
+        let id = queued.record.id;
+        self.pending.push_back(queued);
+        Some(id)
+    }
+
+    fn number(&mut self, body: RecordBody) -> Option<Queued> {
         let id = RecordId {
             host: self.me,
-            seq: self.last_seq,
+            seq: self.last_seq + 1,
         };
-        self.pending.push_back(Record { id, body });
-        Some(id)
+        let record = Record { id, body };
+        let len_bytes = encode(&record).ok()?.len();
+        if len_bytes > MAX_BATCH_BYTES {
+            return None;
+        }
+        self.last_seq += 1;
+        Some(Queued { record, len_bytes })
+    }
+
+    /// Queues records that give way to all others.
+    pub fn queue_background(&mut self, bodies: impl IntoIterator<Item = RecordBody>) {
+        self.background.extend(bodies);
+    }
+
+    /// Tells whether records of [`Driver::queue_background`] still wait.
+    pub fn has_background(&self) -> bool {
+        !self.background.is_empty()
+    }
+
+    /// Drops the records of [`Driver::queue_background`] that still wait.
+    pub fn drop_background(&mut self) {
+        self.background.clear();
+    }
+
+    /// Drops own records that the fold has seen, after the state was taken from a checkpoint.
+    pub fn on_state_replaced(&mut self, last_seq: u64) {
+        self.batch.retain(|record| record.id.seq > last_seq);
+        self.pending
+            .retain(|queued| queued.record.id.seq > last_seq);
+        if self.batch.is_empty() && !matches!(self.append, AppendState::Sent) {
+            self.append = AppendState::Idle;
+        }
     }
 
     /// Starts whatever call is due.
     pub fn drive(&mut self, now: Millis, next_offset: Offset, fx: &mut Effects) {
+        if self.halted {
+            return;
+        }
         self.drive_read(now, next_offset, fx);
         self.drive_append(now, fx);
     }
@@ -139,15 +205,34 @@
     fn drive_append(&mut self, now: Millis, fx: &mut Effects) {
         match self.append {
             AppendState::RetryAt(at) if now >= at => self.send_batch(fx),
-            AppendState::Idle if !self.pending.is_empty() => {
-                let count = self.pending.len().min(MAX_BATCH_RECORDS);
-                self.batch = self.pending.drain(..count).collect();
-                self.send_batch(fx);
+            AppendState::Idle => {
+                self.fill_batch();
+                if !self.batch.is_empty() {
+                    self.send_batch(fx);
+                }
             }
             _ => {}
         }
     }
 
+    fn fill_batch(&mut self) {
+        if self.pending.is_empty()
+            && let Some(body) = self.background.pop_front()
+        {
+            let queued = self.number(body);
+            self.pending.extend(queued);
+        }
+        let mut left_bytes = MAX_BATCH_BYTES;
+        while self.batch.len() < MAX_BATCH_RECORDS {
+            let fits = |queued: &mut Queued| queued.len_bytes <= left_bytes;
+            let Some(queued) = self.pending.pop_front_if(fits) else {
+                return;
+            };
+            left_bytes -= queued.len_bytes;
+            self.batch.push(queued.record);
+        }
+    }
+
     fn send_batch(&mut self, fx: &mut Effects) {
         self.append = AppendState::Sent;
         fx.push(Effect::AppendLog {
@@ -155,6 +240,11 @@
         });
     }
 
+    /// Takes the answer to a read that cannot be applied yet, so that another one may start.
+    pub fn on_page_unused(&mut self) {
+        self.read = ReadState::Idle;
+    }
+
     /// Takes a read's answer; the caller has applied its records to the fold, up to `next_offset`.
     pub fn on_page(&mut self, asked_at: Millis, next_offset: Offset, end_offset: Offset) {
         self.read = ReadState::Idle;
--- a/src/shared_log/fold.rs
+++ b/src/shared_log/fold.rs
@@ -4,6 +4,8 @@
 use crate::membership::members::Members;
 use crate::placement::copies::Placement;
 use crate::prelude::*;
+use crate::shared_log::checkpoint::Checkpoints;
+use crate::shared_log::codec::{DecodeError, decode};
 use crate::shared_log::record::LoggedRecord;
 use crate::table::Table;
 
@@ -22,6 +24,8 @@
     pub placement: Placement,
     /// Operations that may run at most once.
     pub claims: Claims,
+    /// The checkpoints on the log.
+    pub checkpoints: Checkpoints,
 }
 
 /// An applied record with its verdict.
@@ -37,31 +41,58 @@
     pub verdict: Verdict,
 }
 
+/// What became of a record that came from the log.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// It was applied.
+    Applied(Box<Applied>),
+    /// It was applied before.
+    Known,
+    /// It is no record of any release; it is passed over, as at every host.
+    Garbage {
+        /// Why it does not decode.
+        why: String,
+    },
+    /// A newer release wrote it; the state stays before it.
+    Newer {
+        /// The record's format.
+        format: u32,
+    },
+    /// Records before it are missing; the state stays before them.
+    Gap,
+}
+
 impl Shared {
-    /// Applies the next record. Records before [`Shared::next_offset`] are skipped.
-    ///
-    /// Returns nothing for a skipped or undecodable record.
-    ///
-    /// # Errors
-    ///
-    /// Returns the decoder's error; the offset still advances, as it does at every host.
-    pub fn apply_logged(
-        &mut self,
-        logged: &LoggedRecord,
-    ) -> Result<Option<Applied>, serde_json::Error> {
+    /// Applies a record if it is the next one.
+    pub fn apply_logged(&mut self, logged: &LoggedRecord) -> Step {
         if logged.offset < self.next_offset {
-            return Ok(None);
+            return Step::Known;
+        }
+        if logged.offset > self.next_offset {
+            return Step::Gap;
+        }
+        let decoded = decode(&logged.payload);
+        if let Err(DecodeError::Newer { format }) = decoded {
+            return Step::Newer { format };
         }
         self.next_offset = logged.offset.next();
         self.log_ms = self.log_ms.max(logged.appended_ms);
-        let record: Record = serde_json::from_str(&logged.payload)?;
+        match decoded {
+            Ok(record) => Step::Applied(Box::new(self.apply_record(logged, record))),
+            Err(error) => Step::Garbage {
+                why: error.to_string(),
+            },
+        }
+    }
+
+    fn apply_record(&mut self, logged: &LoggedRecord, record: Record) -> Applied {
         let verdict = self.apply(logged.offset, &record);
-        Ok(Some(Applied {
+        Applied {
             offset: logged.offset,
             appended_ms: logged.appended_ms,
             record,
             verdict,
-        }))
+        }
     }
 
     fn apply(&mut self, offset: Offset, record: &Record) -> Verdict {
@@ -81,15 +112,13 @@
         if let RecordBody::Join { entry } = &record.body {
             return self.members.join(offset, writer, entry);
         }
-        if let RecordBody::Checkpoint { .. } = &record.body {
-            return Ok(());
-        }
         if !self.members.is_member(writer) {
             return Err(Rejection::NotMember);
         }
         let now = self.log_ms;
         match &record.body {
-            RecordBody::Join { .. } | RecordBody::Checkpoint { .. } => Ok(()),
+            RecordBody::Join { .. } => Err(Rejection::WrongHostState),
+            RecordBody::Checkpoint { part } => self.checkpoints.take(now, writer, part),
             RecordBody::Counted {
                 host,
                 confirmed_offset,
--- a/src/shared_log/record.rs
+++ b/src/shared_log/record.rs
@@ -1,8 +1,7 @@
 //! The records on the log.
 //!
-//! Records are JSON texts, so that an operator can read the log with any HTTP client and a newer
-//! release can add fields. A record kind that this release does not know stops the fold (see
-//! `docs/design/shared-log.md`).
+//! Records are JSON texts, so that an operator can read the log with any HTTP client. Each carries the
+//! number of its format (see [`crate::shared_log::codec`] and `docs/design/shared-log.md`).
 
 use crate::clock::Millis;
 use crate::idempotency::message::{ClaimEnd, ClaimRequest};
--- a/src/shared_log/tests.rs
+++ b/src/shared_log/tests.rs
@@ -1,1 +1,6 @@
-//! Tests of the fold and the driver.
+//! Tests of the log's driver and of the fold.
+
+mod checkpoints;
+mod fake_log;
+mod fold;
+mod lost_answers;
--- /dev/null
+++ b/src/shared_log/tests/fold.rs
@@ -0,0 +1,163 @@
+//! The same records give the same state, and unreadable ones are met the same way everywhere.
+
+use super::fake_log::{FakeHost, FakeLog, host_entry, put_model, text_of};
+use crate::prelude::*;
+use crate::shared_log::codec::{DecodeError, RECORD_FORMAT, decode, encode};
+use crate::shared_log::fold::{Shared, Step};
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+
+fn arbitrary_body(u: &mut Unstructured<'_>, number: usize) -> Result<RecordBody> {
+    let host = Incarnation(u.int_in_range(1..=4u64)?);
+    Ok(match u.int_in_range(0..=7u8)? {
+        0 => RecordBody::Join {
+            entry: host_entry(host.0),
+        },
+        1 => RecordBody::Counted {
+            host,
+            confirmed_offset: Offset(u.int_in_range(0..=60u64)?),
+        },
+        2 => RecordBody::Leave,
+        3 => RecordBody::Evict { host },
+        4 => RecordBody::Gone { host },
+        5 => RecordBody::ClaimEnds { ends: Vec::new() },
+        _ => {
+            let base = Offset(u.int_in_range(0..=60u64)?);
+            put_model(
+                &format!("edit-{number}"),
+                base,
+                &format!("m{}", u.int_in_range(0..=3u8)?),
+            )
+        }
+    })
+}
+
+fn arbitrary_log(u: &mut Unstructured<'_>) -> Result<FakeLog> {
+    let mut log = FakeLog::default();
+    for number in 0..u.int_in_range(1..=60usize)? {
+        if u.ratio(1, 10)? {
+            log.append_text("{\"format\":1,\"kind\":\"no such kind\"}");
+            continue;
+        }
+        let id = RecordId {
+            host: Incarnation(u.int_in_range(1..=4u64)?),
+            seq: u.int_in_range(1..=20u64)?,
+        };
+        let body = arbitrary_body(u, number)?;
+        log.append(&[Record { id, body }]);
+    }
+    Ok(log)
+}
+
+fn fold_all(log: &FakeLog) -> Shared {
+    let mut shared = Shared::default();
+    for logged in &log.records {
+        shared.apply_logged(logged);
+    }
+    shared
+}
+
+#[test]
+fn split_repeated_and_resumed_reads_give_the_same_state() {
+    arbtest(|u| {
+        let log = arbitrary_log(u)?;
+        let whole = text_of(&fold_all(&log));
+        let mut shared = Shared::default();
+        while shared.next_offset < log.end() {
+            let next = shared.next_offset.0 as usize;
+            let from = next - u.int_in_range(0..=next.min(5))?;
+            let to = u.int_in_range(next + 1..=log.records.len())?;
+            for logged in &log.records[from..to] {
+                shared.apply_logged(logged);
+            }
+            if u.arbitrary()? {
+                shared = serde_json::from_str(&text_of(&shared)).unwrap();
+            }
+        }
+        assert_eq!(text_of(&shared), whole);
+        Ok(())
+    })
+    .size_max(4096)
+    .budget_ms(3_000);
+}
+
+#[test]
+fn a_gap_is_not_applied_over() {
+    let mut log = FakeLog::default();
+    for _ in 0..3 {
+        log.append_text("garbage");
+    }
+    let mut shared = Shared::default();
+    assert!(matches!(shared.apply_logged(&log.records[1]), Step::Gap));
+    assert_eq!(shared, Shared::default());
+}
+
+#[test]
+fn garbage_is_passed_over() {
+    let mut log = FakeLog::default();
+    for text in ["", "null", "{}", "{\"format\":\"1\"}", "{\"format\":1}"] {
+        log.append_text(text);
+    }
+    let mut shared = Shared::default();
+    for logged in &log.records {
+        assert!(matches!(shared.apply_logged(logged), Step::Garbage { .. }));
+    }
+    assert_eq!(shared.next_offset, log.end());
+}
+
+#[test]
+fn a_newer_record_stops_the_fold_before_it() {
+    let mut log = FakeLog::default();
+    log.append_text(&format!("{{\"format\":{}}}", RECORD_FORMAT + 1));
+    let mut shared = Shared::default();
+    let step = shared.apply_logged(&log.records[0]);
+    assert!(matches!(step, Step::Newer { format: 2 }));
+    assert_eq!(shared, Shared::default());
+}
+
+#[test]
+fn records_survive_their_text() {
+    let record = Record {
+        id: RecordId {
+            host: Incarnation(u64::MAX >> 1),
+            seq: 7,
+        },
+        body: put_model("edit", Offset(3), "model"),
+    };
+    let text = encode(&record).unwrap();
+    assert_eq!(decode(&text), Ok(record));
+    let unknown = text.replace("\"kind\":\"edit\"", "\"kind\":\"other\"");
+    assert!(matches!(decode(&unknown), Err(DecodeError::Garbage { .. })));
+}
+
+#[test]
+fn a_late_copy_of_a_forgotten_host_s_join_has_no_effect() {
+    let mut host = FakeHost::new(1);
+    let mut log = FakeLog::default();
+    let join = |seq| Record {
+        id: RecordId {
+            host: Incarnation(2),
+            seq,
+        },
+        body: RecordBody::Join {
+            entry: host_entry(2),
+        },
+    };
+    let own = |seq, body| Record {
+        id: RecordId {
+            host: Incarnation(1),
+            seq,
+        },
+        body,
+    };
+    let other = Incarnation(2);
+    let entry = host_entry(1);
+    log.append(&[own(1, RecordBody::Join { entry }), join(1)]);
+    log.append(&[
+        own(2, RecordBody::Evict { host: other }),
+        own(3, RecordBody::Gone { host: other }),
+        join(1),
+    ]);
+    host.read(&log, usize::MAX);
+    assert!(!host.shared.members.knows(other));
+}
--- a/src/shared_log/verdict.rs
+++ b/src/shared_log/verdict.rs
@@ -65,6 +65,8 @@
     StaleFence,
     /// The executor is still a member.
     ExecutorAlive,
+    /// The part of a checkpoint does not follow the writer's last one.
+    PartOutOfOrder,
     /// A table of the fold is full.
     Full,
 }
--- a/src/table/acceptance.rs
+++ b/src/table/acceptance.rs
@@ -6,6 +6,7 @@
 use crate::membership::members::Members;
 use crate::prelude::*;
 use crate::shared_log::fold::Applied;
+use crate::table::Table;
 use crate::table::message::{Edit, EditAnswer};
 
 /// Most edits of operators under way at one host.
@@ -64,23 +65,42 @@
     }
 
     /// Takes an applied record; answers the operator when the fold rejected its edit.
-    pub fn on_applied(&mut self, applied: &Applied, fx: &mut Effects) {
+    pub fn on_applied(&mut self, applied: &Applied, table: &Table, fx: &mut Effects) {
         let RecordBody::Edit { edit } = &applied.record.body else {
             return;
         };
+        log_verdict(applied, edit);
         let id = applied.record.id;
         let mut refused = Vec::new();
         for (call, entry) in &mut self.under_way {
             if entry.record != Some(id) || entry.accepted.is_some() {
                 continue;
             }
-            match &applied.verdict {
-                Verdict::Accepted => entry.accepted = Some(applied.offset),
+            match first_verdict(applied, edit, table) {
+                Verdict::Accepted => entry.accepted = Some(entry_version(applied, edit, table)),
                 Verdict::Duplicate => {}
-                Verdict::Rejected(rejection) => refused.push((*call, refusal(rejection))),
+                Verdict::Rejected(rejection) => refused.push((*call, refusal(&rejection))),
             }
         }
-        log_verdict(applied, edit);
+        self.refuse(refused, fx);
+    }
+
+    /// Looks the edits up in the history, after the state was taken from a checkpoint.
+    pub fn on_state_replaced(&mut self, table: &Table, fx: &mut Effects) {
+        let mut refused = Vec::new();
+        for (call, entry) in &mut self.under_way {
+            let Some(line) = table.find_edit(&entry.edit_id) else {
+                continue;
+            };
+            match &line.rejected {
+                None => entry.accepted = Some(line.offset),
+                Some(rejection) => refused.push((*call, refusal(rejection))),
+            }
+        }
+        self.refuse(refused, fx);
+    }
+
+    fn refuse(&mut self, refused: Vec<(CallId, Refusal)>, fx: &mut Effects) {
         for (call, refusal) in refused {
             self.under_way.shift_remove(&call);
             fx.push(Effect::AnswerEdit {
@@ -153,6 +173,21 @@
     }
 }
 
+/// Returns the verdict on the first record of an edit; a repeated one has no verdict of its own.
+fn first_verdict(applied: &Applied, edit: &Edit, table: &Table) -> Verdict {
+    if applied.verdict != Verdict::Rejected(Rejection::EditRepeated) {
+        return applied.verdict.clone();
+    }
+    let first = table.find_edit(&edit.edit_id);
+    let rejected = first.and_then(|line| line.rejected.clone());
+    rejected.map_or(Verdict::Accepted, Verdict::Rejected)
+}
+
+fn entry_version(applied: &Applied, edit: &Edit, table: &Table) -> Offset {
+    let first = table.find_edit(&edit.edit_id);
+    first.map_or(applied.offset, |line| line.offset)
+}
+
 fn not_logged() -> Refusal {
     let message = "the edit has not been read back from the log; repeat it with the same edit id";
     Refusal::new(ErrorKind::EditPending, message).after(Millis(1_000))
