--- a/src/daemon/effect.rs
+++ b/src/daemon/effect.rs
@@ -53,6 +53,8 @@
         order: EngineOrder,
         /// Whether only to ask about it.
         watch_only: bool,
+        /// The call must not begin after this point.
+        begin_by: Millis,
     },
     /// Asks a peer.
     AskPeer {
--- a/src/daemon/placement_flow.rs
+++ b/src/daemon/placement_flow.rs
@@ -36,16 +36,12 @@
     /// Proposes loads and unloads, sends orders, and asks engines for reports.
     pub fn tick_placement(&mut self, now: Millis, fx: &mut Effects) {
         self.ask_engines(now, fx);
+        self.relinquish_lost_orders(now);
         if !self.is_fresh(now) {
             return;
         }
-        self.executor.on_tick(
-            now,
-            self.config.me,
-            &self.shared.placement,
-            &self.shared.table,
-            fx,
-        );
+        self.executor
+            .on_tick(now, self.config.me, &self.shared.placement, fx);
         self.propose_takeovers(now);
         if self.life == Life::Serving {
             self.propose_unloads(now);
@@ -130,12 +126,20 @@
         }
     }
 
+    /// A departed host does this too: only the record must not be held up, no order is sent.
+    fn relinquish_lost_orders(&mut self, now: Millis) {
+        let me = self.config.me;
+        for copy in self.executor.relinquished(now, me, &self.shared.placement) {
+            LogEvent::OrderRelinquished.write(&format!("copy={copy}"));
+            self.driver.queue(RecordBody::Relinquish { copy });
+        }
+    }
+
     fn propose_takeovers(&mut self, now: Millis) {
         let orphans: Vec<Offset> = self
             .shared
             .placement
-            .copies
-            .iter()
+            .unsettled()
             .filter(|(_, copy)| copy.action_under_way().is_some())
             .filter(|(_, copy)| !self.shared.members.is_member(copy.executor))
             .map(|(id, _)| *id)
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -16,6 +16,7 @@
 use crate::edge::store::HttpStore;
 use crate::edge::{EngineControl, HostDirectory, LogService, WeightStore};
 use crate::membership::message::HostEntry;
+use crate::placement::message::OrderAnswer;
 use crate::prelude::*;
 use crate::settings::Settings;
 use async_signal::{Signal, Signals};
@@ -399,11 +400,14 @@
                 address,
                 order,
                 watch_only,
+                begin_by,
             } => {
-                let engines = self.platform.engines.clone();
+                let (engines, clock) = (self.platform.engines.clone(), self.clock);
                 spawn(async move {
                     let fence = order.fence;
-                    let answer = if watch_only {
+                    let answer = if clock.now() > begin_by {
+                        OrderAnswer::NotSent("decided too long ago".to_string())
+                    } else if watch_only {
                         engines.order_state(address, order.order).await
                     } else {
                         engines.order(address, order).await
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -9,6 +9,8 @@
 use trillium_client::{Client, Method};
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// The error of an engine that takes no more loads.
+const LEAVING: &str = "leaving";
 const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Engines as the platform's protocol page describes them.
@@ -88,10 +90,11 @@
     match (answer.status, answer.body.and_then(|body| body.state)) {
         (200, Some(State::Done)) => OrderAnswer::Done,
         (200 | 202, Some(State::Running)) => OrderAnswer::Running,
-        (200, Some(State::Failed)) => OrderAnswer::Failed(error),
+        (200 | 502, Some(State::Failed)) => OrderAnswer::Failed(error),
         (404, _) => OrderAnswer::NeverSeen,
         (409, _) => OrderAnswer::Fenced,
-        (400 | 507, _) => OrderAnswer::Failed(error),
+        (400 | 422 | 507, _) => OrderAnswer::Failed(error),
+        (503, _) if error == LEAVING => OrderAnswer::NotSent(error),
         (status, _) => OrderAnswer::Lost(format!("status {status} {error}")),
     }
 }
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -58,6 +58,8 @@
     CopyGone = 504,
     /// An order was taken over.
     OrderTakenOver = 505,
+    /// An order that another host took over is sent no more.
+    OrderRelinquished = 506,
     /// An upstream was registered.
     UpstreamRegistered = 600,
     /// An upstream is leaving.
--- /dev/null
+++ b/src/placement/checks.rs
@@ -0,0 +1,111 @@
+//! What a load must satisfy before the fold accepts it.
+
+use crate::membership::message::UpstreamRole;
+use crate::placement::copies::{CopyState, MAX_COPIES, Placement};
+use crate::placement::message::LoadDecision;
+use crate::prelude::*;
+use crate::table::Table;
+
+const SECOND_MS: Millis = Millis(1_000);
+
+impl Placement {
+    /// Checks a load against the table, the copies, the memory and the weight store's limits.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first thing that it breaks.
+    pub(super) fn check_load(
+        &mut self,
+        now: Millis,
+        load: &LoadDecision,
+        table: &Table,
+    ) -> Result<(), Rejection> {
+        check_model(load, table)?;
+        self.check_count(load, table)?;
+        self.check_upstream(load)?;
+        self.check_base(load, table)?;
+        self.check_store(now, table)?;
+        if self.copies.len() >= MAX_COPIES {
+            return Err(Rejection::Full);
+        }
+        Ok(())
+    }
+
+    /// An engine unloads and fences by model, so that it takes one copy of each model.
+    fn check_count(&self, load: &LoadDecision, table: &Table) -> Result<(), Rejection> {
+        let mut count = 0;
+        for (_, copy) in self.copies_of(&load.model) {
+            let same_engine = copy.load.upstream == load.upstream;
+            if same_engine || copy.load.copy_index == load.copy_index {
+                return Err(Rejection::CopyExists);
+            }
+            count += 1;
+        }
+        let allowed = table.copies_allowed(&load.model);
+        if count >= allowed || load.copy_index >= allowed {
+            return Err(Rejection::CopiesReached);
+        }
+        Ok(())
+    }
+
+    fn check_upstream(&self, load: &LoadDecision) -> Result<(), Rejection> {
+        let upstream = self
+            .upstreams
+            .get(&load.upstream)
+            .ok_or(Rejection::UnknownUpstream)?;
+        if upstream.role != UpstreamRole::Engine {
+            return Err(Rejection::UnknownUpstream);
+        }
+        if upstream.leaving {
+            return Err(Rejection::UpstreamLeaving);
+        }
+        let reserved_bytes = self.reserved_bytes(&load.upstream);
+        if reserved_bytes.saturating_add(load.reserved_bytes) > upstream.memory_bytes {
+            return Err(Rejection::NoMemory);
+        }
+        Ok(())
+    }
+
+    fn check_base(&self, load: &LoadDecision, table: &Table) -> Result<(), Rejection> {
+        let Some(model) = table.model(&load.model) else {
+            return Ok(());
+        };
+        let Some(base) = &model.base else {
+            return Ok(());
+        };
+        let is_ready = self
+            .copies_of(base)
+            .any(|(_, copy)| copy.load.upstream == load.upstream && copy.state == CopyState::Ready);
+        if is_ready {
+            Ok(())
+        } else {
+            Err(Rejection::NoBase)
+        }
+    }
+
+    fn check_store(&mut self, now: Millis, table: &Table) -> Result<(), Rejection> {
+        while self
+            .recent_loads
+            .front()
+            .is_some_and(|at| now.since(*at) >= SECOND_MS)
+        {
+            self.recent_loads.pop_front();
+        }
+        let limits = table.store.value;
+        let is_busy = self.loading() >= limits.parallel_loads as usize
+            || self.recent_loads.len() >= limits.loads_per_s as usize;
+        if is_busy {
+            Err(Rejection::StoreBusy)
+        } else {
+            Ok(())
+        }
+    }
+}
+
+fn check_model(load: &LoadDecision, table: &Table) -> Result<(), Rejection> {
+    let model = table.model(&load.model).ok_or(Rejection::UnknownModel)?;
+    if model.version != load.version || model.reserved_bytes != load.reserved_bytes {
+        return Err(Rejection::UnknownModel);
+    }
+    Ok(())
+}
--- a/src/placement/copies.rs
+++ b/src/placement/copies.rs
@@ -1,7 +1,8 @@
 //! The fold's part of placement: upstreams, copies, and the memory reserved for them.
 
 use crate::membership::members::Members;
-use crate::membership::message::{UpstreamEntry, UpstreamRole};
+use crate::membership::message::UpstreamEntry;
+use crate::placement::index::Index;
 use crate::placement::message::{LoadDecision, OrderAction, OrderOutcome};
 use crate::prelude::*;
 use crate::table::Table;
@@ -12,8 +13,6 @@
 /// Most copies in the fold.
 pub const MAX_COPIES: usize = 131_072;
 
-const SECOND_MS: Millis = Millis(1_000);
-
 /// The state of a copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -24,6 +23,8 @@
     Ready,
     /// Its unload order is under way.
     Unloading,
+    /// The engine holds nothing of it, but a former executor may still send its last order.
+    Ended,
 }
 
 /// A copy of a model on an engine.
@@ -31,6 +32,9 @@
 pub struct Copy {
     /// The decision that made it.
     pub load: LoadDecision,
+    /// The base model that it needs beside it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<Name>,
     /// Its state.
     pub state: CopyState,
     /// The order under way, or the last one: the offset of its decision.
@@ -51,22 +55,50 @@
         match self.state {
             CopyState::Loading => Some(OrderAction::Load),
             CopyState::Unloading => Some(OrderAction::Unload),
-            CopyState::Ready => None,
+            CopyState::Ready | CopyState::Ended => None,
         }
     }
+
+    /// Tells whether an order is under way, or a former executor may still send one.
+    pub fn is_unsettled(&self) -> bool {
+        self.action_under_way().is_some() || !self.former.is_empty()
+    }
 }
 
 /// Upstreams and copies.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredPlacement")]
 pub struct Placement {
     /// The upstreams by name.
     pub upstreams: IndexMap<Name, UpstreamEntry>,
-    /// The copies by the offset of their load.
+    /// The copies by the offset of their load. Only this module changes them.
     pub copies: IndexMap<Offset, Copy>,
     /// When the loads of the last second were decided, by the log's clock.
+    pub(super) recent_loads: VecDeque<Millis>,
+    #[serde(skip)]
+    pub(super) index: Index,
+}
+
+/// What a checkpoint holds of [`Placement`]; the index is made anew.
+#[derive(Deserialize)]
+struct StoredPlacement {
+    upstreams: IndexMap<Name, UpstreamEntry>,
+    copies: IndexMap<Offset, Copy>,
     recent_loads: VecDeque<Millis>,
 }
 
+impl From<StoredPlacement> for Placement {
+    fn from(stored: StoredPlacement) -> Self {
+        let index = Index::new(&stored.copies);
+        Self {
+            upstreams: stored.upstreams,
+            copies: stored.copies,
+            recent_loads: stored.recent_loads,
+            index,
+        }
+    }
+}
+
 impl Placement {
     /// Adds or updates an upstream.
     ///
@@ -91,27 +123,67 @@
     ///
     /// Rejects an upstream that is not known.
     pub fn upstream_gone(&mut self, name: &str) -> Result<(), Rejection> {
-        if self.upstreams.shift_remove(name).is_none() {
+        if self.upstreams.swap_remove(name).is_none() {
             return Err(Rejection::UnknownUpstream);
         }
-        self.copies.retain(|_, copy| &*copy.load.upstream != name);
+        for id in self.index.on_upstream(name).to_vec() {
+            self.remove(id);
+        }
         Ok(())
     }
 
     /// Returns the memory reserved on an upstream.
     pub fn reserved_bytes(&self, upstream: &str) -> u64 {
-        self.copies
-            .values()
-            .filter(|copy| &*copy.load.upstream == upstream)
-            .map(|copy| copy.load.reserved_bytes)
-            .sum()
+        self.index.reserved_bytes(upstream)
     }
 
     /// Returns the copies of a model, all versions.
-    pub fn copies_of<'a>(&'a self, model: &'a str) -> impl Iterator<Item = (&'a Offset, &'a Copy)> {
-        self.copies
-            .iter()
-            .filter(move |(_, copy)| &*copy.load.model == model)
+    pub fn copies_of<'a>(&'a self, model: &str) -> impl Iterator<Item = (&'a Offset, &'a Copy)> {
+        self.entries(self.index.of_model(model))
+    }
+
+    /// Returns the copies on an upstream.
+    pub fn copies_on<'a>(&'a self, upstream: &str) -> impl Iterator<Item = (&'a Offset, &'a Copy)> {
+        self.entries(self.index.on_upstream(upstream))
+    }
+
+    /// Returns the copies with an order under way, or with a former executor that may still send one.
+    pub fn unsettled(&self) -> impl Iterator<Item = (&Offset, &Copy)> {
+        self.index
+            .unsettled()
+            .filter_map(|id| self.copies.get_key_value(id))
+    }
+
+    /// Returns how many loads are under way.
+    pub fn loading(&self) -> usize {
+        self.index.loading()
+    }
+
+    /// Tells whether another model's copy on the same engine needs this copy as its base.
+    pub fn is_base_in_use(&self, copy: &Copy) -> bool {
+        self.copies_on(&copy.load.upstream)
+            .any(|(_, other)| other.base.as_ref() == Some(&copy.load.model))
+    }
+
+    fn entries<'a>(&'a self, ids: &'a [Offset]) -> impl Iterator<Item = (&'a Offset, &'a Copy)> {
+        ids.iter().filter_map(|id| self.copies.get_key_value(id))
+    }
+
+    fn insert(&mut self, id: Offset, copy: Copy) {
+        self.index.add(id, &copy);
+        self.copies.insert(id, copy);
+    }
+
+    fn remove(&mut self, id: Offset) {
+        if let Some(copy) = self.copies.swap_remove(&id) {
+            self.index.remove(id, &copy);
+        }
+    }
+
+    /// Replaces a copy that is there.
+    fn put(&mut self, id: Offset, copy: Copy) {
+        self.remove(id);
+        self.insert(id, copy);
     }
 
     /// Decides a load.
@@ -127,16 +199,13 @@
         load: &LoadDecision,
         table: &Table,
     ) -> Result<(), Rejection> {
-        self.check_model(load, table)?;
-        self.check_count(load, table)?;
-        self.check_upstream(load)?;
-        self.check_base(load, table)?;
-        self.check_store(now, table)?;
-        if self.copies.len() >= MAX_COPIES {
-            return Err(Rejection::Full);
-        }
+        self.check_load(now, load, table)?;
+        let base = table
+            .model(&load.model)
+            .and_then(|model| model.base.clone());
         let copy = Copy {
             load: load.clone(),
+            base,
             state: CopyState::Loading,
             order: offset,
             fence: offset,
@@ -144,7 +213,7 @@
             former: Vec::new(),
             decided_ms: now,
         };
-        self.copies.insert(offset, copy);
+        self.insert(offset, copy);
         self.recent_loads.push_back(now);
         Ok(())
     }
@@ -153,7 +222,8 @@
     ///
     /// # Errors
     ///
-    /// Rejects a copy that is not ready, and a base whose adapters are still there.
+    /// Rejects a copy that is not ready, a base whose adapters are still there, and on an engine that
+    /// ignores fencing numbers a copy whose load may still be sent by a former executor.
     pub fn unload(
         &mut self,
         offset: Offset,
@@ -161,13 +231,14 @@
         executor: Incarnation,
         id: Offset,
     ) -> Result<(), Rejection> {
-        let copy = self.copies.get_mut(&id).ok_or(Rejection::WrongCopyState)?;
+        let mut copy = self.copy(id)?.clone();
         if copy.state != CopyState::Ready {
             return Err(Rejection::WrongCopyState);
         }
-        let upstream = self.upstreams.get(&copy.load.upstream);
-        let checks_fencing = upstream.is_some_and(|upstream| upstream.checks_fencing);
-        if !checks_fencing && !copy.former.is_empty() {
+        if self.is_base_in_use(&copy) {
+            return Err(Rejection::BaseInUse);
+        }
+        if !self.checks_fencing(&copy) && !copy.former.is_empty() {
             return Err(Rejection::ExecutorAlive);
         }
         copy.state = CopyState::Unloading;
@@ -176,6 +247,7 @@
         copy.executor = executor;
         copy.former.clear();
         copy.decided_ms = now;
+        self.put(id, copy);
         Ok(())
     }
 
@@ -191,7 +263,7 @@
         id: Offset,
         members: &Members,
     ) -> Result<(), Rejection> {
-        let copy = self.copies.get_mut(&id).ok_or(Rejection::WrongCopyState)?;
+        let mut copy = self.copy(id)?.clone();
         if copy.action_under_way().is_none() {
             return Err(Rejection::WrongCopyState);
         }
@@ -203,14 +275,19 @@
         }
         copy.executor = writer;
         copy.fence = offset;
+        self.put(id, copy);
         Ok(())
     }
 
     /// Takes the end of an order.
     ///
+    /// An order that leaves no copy behind frees the memory, unless a former executor may still send
+    /// it to an engine that ignores fencing numbers.
+    ///
     /// # Errors
     ///
-    /// Rejects the outcome of an order that is no longer the present one.
+    /// Rejects the outcome of an order that is no longer the present one, and the word that an order
+    /// was never sent while a former executor may still send it.
     pub fn outcome(
         &mut self,
         now: Millis,
@@ -218,112 +295,81 @@
         fence: Offset,
         outcome: OrderOutcome,
     ) -> Result<(), Rejection> {
-        let copy = self.copies.get_mut(&id).ok_or(Rejection::WrongCopyState)?;
+        let mut copy = self.copy(id)?.clone();
         if copy.fence != fence {
             return Err(Rejection::StaleFence);
         }
+        let is_held = !copy.former.is_empty() && !self.checks_fencing(&copy);
+        if is_held && outcome == OrderOutcome::NotSent {
+            return Err(Rejection::ExecutorAlive);
+        }
         match (copy.state, outcome) {
             (CopyState::Loading, OrderOutcome::Done) => {
                 copy.state = CopyState::Ready;
                 copy.decided_ms = now;
+                self.put(id, copy);
             }
             (CopyState::Unloading, OrderOutcome::Failed | OrderOutcome::NotSent) => {
                 copy.state = CopyState::Ready;
+                self.put(id, copy);
             }
             (CopyState::Loading, OrderOutcome::Failed | OrderOutcome::NotSent)
             | (CopyState::Unloading, OrderOutcome::Done) => {
-                self.copies.shift_remove(&id);
+                copy.state = CopyState::Ended;
+                self.put(id, copy);
+                if !is_held {
+                    self.remove(id);
+                }
             }
-            (CopyState::Ready, _) => return Err(Rejection::WrongCopyState),
+            (CopyState::Ready | CopyState::Ended, _) => return Err(Rejection::WrongCopyState),
         }
         Ok(())
     }
 
-    /// Takes note that a host's process no longer exists, so that it sends nothing any more.
-    pub fn executor_gone(&mut self, host: Incarnation) {
-        for copy in self.copies.values_mut() {
-            copy.former.retain(|former| *former != host);
-        }
-    }
-
-    fn check_model(&self, load: &LoadDecision, table: &Table) -> Result<(), Rejection> {
-        let model = table.model(&load.model).ok_or(Rejection::UnknownModel)?;
-        if model.version != load.version || model.reserved_bytes != load.reserved_bytes {
-            return Err(Rejection::UnknownModel);
+    /// Takes a former executor's word that it sends an order no more.
+    ///
+    /// # Errors
+    ///
+    /// Rejects a host that is not a former executor of the copy's order.
+    pub fn relinquish(&mut self, writer: Incarnation, id: Offset) -> Result<(), Rejection> {
+        if !self.copy(id)?.former.contains(&writer) {
+            return Err(Rejection::WrongCopyState);
         }
+        self.drop_former(id, writer);
         Ok(())
     }
 
-    fn check_count(&self, load: &LoadDecision, table: &Table) -> Result<(), Rejection> {
-        let mut count = 0;
-        for (_, copy) in self.copies_of(&load.model) {
-            if copy.load.copy_index == load.copy_index {
-                return Err(Rejection::CopyExists);
-            }
-            count += 1;
-        }
-        let allowed = table.copies_allowed(&load.model);
-        if count >= allowed || load.copy_index >= allowed {
-            return Err(Rejection::CopiesReached);
+    /// Takes note that a host's process no longer exists, so that it sends nothing any more.
+    pub fn executor_gone(&mut self, host: Incarnation) {
+        let held: Vec<Offset> = self
+            .unsettled()
+            .filter(|(_, copy)| copy.former.contains(&host))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in held {
+            self.drop_former(id, host);
         }
-        Ok(())
     }
 
-    fn check_upstream(&self, load: &LoadDecision) -> Result<(), Rejection> {
-        let upstream = self
-            .upstreams
-            .get(&load.upstream)
-            .ok_or(Rejection::UnknownUpstream)?;
-        if upstream.role != UpstreamRole::Engine {
-            return Err(Rejection::UnknownUpstream);
-        }
-        if upstream.leaving {
-            return Err(Rejection::UpstreamLeaving);
-        }
-        let reserved_bytes = self.reserved_bytes(&load.upstream);
-        if reserved_bytes.saturating_add(load.reserved_bytes) > upstream.memory_bytes {
-            return Err(Rejection::NoMemory);
+    fn drop_former(&mut self, id: Offset, host: Incarnation) {
+        let Some(mut copy) = self.copies.get(&id).cloned() else {
+            return;
+        };
+        copy.former.retain(|former| *former != host);
+        let is_over = copy.state == CopyState::Ended && copy.former.is_empty();
+        self.put(id, copy);
+        if is_over {
+            self.remove(id);
         }
-        Ok(())
     }
 
-    fn check_base(&self, load: &LoadDecision, table: &Table) -> Result<(), Rejection> {
-        let Some(base) = table
-            .model(&load.model)
-            .and_then(|model| model.base.clone())
-        else {
-            return Ok(());
-        };
-        let ready = self
-            .copies_of(&base)
-            .any(|(_, copy)| copy.load.upstream == load.upstream && copy.state == CopyState::Ready);
-        if ready {
-            Ok(())
-        } else {
-            Err(Rejection::NoBase)
-        }
+    fn copy(&self, id: Offset) -> Result<&Copy, Rejection> {
+        self.copies.get(&id).ok_or(Rejection::WrongCopyState)
     }
 
-    fn check_store(&mut self, now: Millis, table: &Table) -> Result<(), Rejection> {
-        while self
-            .recent_loads
-            .front()
-            .is_some_and(|at| now.since(*at) >= SECOND_MS)
-        {
-            self.recent_loads.pop_front();
-        }
-        let limits = table.store.value;
-        let loading = self
-            .copies
-            .values()
-            .filter(|copy| copy.state == CopyState::Loading)
-            .count();
-        let busy = loading >= limits.parallel_loads as usize
-            || self.recent_loads.len() >= limits.loads_per_s as usize;
-        if busy {
-            Err(Rejection::StoreBusy)
-        } else {
-            Ok(())
-        }
+    fn checks_fencing(&self, copy: &Copy) -> bool {
+        self.upstreams
+            .get(&copy.load.upstream)
+            .is_some_and(|upstream| upstream.checks_fencing)
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,7 +1,9 @@
 //! Which copies of which models exist, on which upstreams, and the orders that make and remove them.
 
+mod checks;
 pub mod copies;
 pub mod executor;
+mod index;
 pub mod message;
 pub mod policy;
 
--- a/src/shared_log/fold.rs
+++ b/src/shared_log/fold.rs
@@ -84,12 +84,17 @@
         if let RecordBody::Checkpoint { .. } = &record.body {
             return Ok(());
         }
+        if let RecordBody::Relinquish { copy } = &record.body {
+            return self.placement.relinquish(writer, *copy);
+        }
         if !self.members.is_member(writer) {
             return Err(Rejection::NotMember);
         }
         let now = self.log_ms;
         match &record.body {
-            RecordBody::Join { .. } | RecordBody::Checkpoint { .. } => Ok(()),
+            RecordBody::Join { .. }
+            | RecordBody::Checkpoint { .. }
+            | RecordBody::Relinquish { .. } => Ok(()),
             RecordBody::Counted {
                 host,
                 confirmed_offset,
--- a/src/shared_log/record.rs
+++ b/src/shared_log/record.rs
@@ -133,6 +133,12 @@
         /// The offset of the copy's load.
         copy: Offset,
     },
+    /// The writer lost a copy's order to another executor and sends it no more. A departed host may
+    /// still say so.
+    Relinquish {
+        /// The offset of the copy's load.
+        copy: Offset,
+    },
     /// How a copy's order ended.
     Outcome {
         /// The offset of the copy's load.
--- a/src/shared_log/verdict.rs
+++ b/src/shared_log/verdict.rs
@@ -57,6 +57,8 @@
     NoMemory,
     /// An adapter's base model is not ready on the upstream.
     NoBase,
+    /// An adapter on the upstream needs the copy as its base model.
+    BaseInUse,
     /// The weight store's limits are reached.
     StoreBusy,
     /// No such copy, or not in the state that the record needs.
