--- /dev/null
+++ b/src/placement/interleaving_tests.rs
@@ -0,0 +1,336 @@
+//! Executors, engines and calls on the way, in any interleaving.
+//!
+//! Hosts read the log as late as they like, calls stay in the hands of frozen or slow hosts, answers
+//! are lost, hosts are evicted while they live. The engines enforce nothing, so that each order
+//! too many shows.
+
+use crate::daemon::membership_flow::LONGEST_FLIGHT_MS;
+use crate::placement::executor::Executor;
+use crate::placement::message::{EngineOrder, OrderAction, OrderAnswer};
+use crate::placement::test_site::{A, B, C, MEMORY_BYTES, TestLog};
+use crate::prelude::*;
+use crate::shared_log::fold::Shared;
+use arbtest::arbitrary::{Result, Unstructured};
+
+const MODELS: [&str; 4] = ["m", "n", "o", "p"];
+const ENGINES: [&str; 2] = ["checks", "ignores"];
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    checks_fencing: bool,
+    copies: Vec<(Name, Offset, u64)>,
+    orders: IndexMap<(Offset, Offset), bool>,
+    highest: IndexMap<Name, Offset>,
+    loads: u32,
+}
+
+impl Engine {
+    fn ask(&self, order: Offset) -> OrderAnswer {
+        let last = self
+            .orders
+            .iter()
+            .rev()
+            .find(|((seen, _), _)| *seen == order);
+        match last {
+            None => OrderAnswer::NeverSeen,
+            Some((_, true)) => OrderAnswer::Done,
+            Some((_, false)) => OrderAnswer::Failed(String::new()),
+        }
+    }
+
+    fn take(&mut self, order: &EngineOrder, fails: bool) -> OrderAnswer {
+        let key = (order.order, order.fence);
+        if self.checks_fencing {
+            let highest = self.highest.entry(order.model.clone()).or_default();
+            if order.fence < *highest {
+                return OrderAnswer::Fenced;
+            }
+            *highest = order.fence;
+        }
+        if self.orders.contains_key(&key) {
+            return self.ask(order.order);
+        }
+        let adopts = self
+            .copies
+            .iter()
+            .any(|(_, made_by, _)| *made_by == order.order);
+        match order.action {
+            OrderAction::Unload => self.copies.retain(|(model, ..)| *model != order.model),
+            OrderAction::Load if self.checks_fencing && adopts => {}
+            OrderAction::Load if fails => {
+                self.orders.insert(key, false);
+                return OrderAnswer::Failed(String::new());
+            }
+            OrderAction::Load => {
+                self.loads += 1;
+                self.copies
+                    .push((order.model.clone(), order.order, order.bytes));
+            }
+        }
+        self.orders.insert(key, true);
+        OrderAnswer::Done
+    }
+
+    fn check(&self) {
+        let used: u64 = self.copies.iter().map(|(.., bytes)| bytes).sum();
+        assert!(used <= MEMORY_BYTES, "overcommitted: {:?}", self.copies);
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    host: Incarnation,
+    copy: Offset,
+    engine: &'static str,
+    order: EngineOrder,
+    watch_only: bool,
+    /// Since when its host takes it for lost.
+    lost_at: Option<Millis>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Host {
+    shared: Shared,
+    executor: Executor,
+    killed_at: Option<Millis>,
+}
+
+struct World {
+    log: TestLog,
+    hosts: IndexMap<Incarnation, Host>,
+    engines: IndexMap<&'static str, Engine>,
+    calls: Vec<Call>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut log = TestLog::new();
+        for model in MODELS {
+            log.put_model(model, "1", None, 1);
+        }
+        let engine = |name| Engine {
+            checks_fencing: name == "checks",
+            ..Engine::default()
+        };
+        Self {
+            log,
+            hosts: [A, B, C].map(|host| (host, Host::default())).into(),
+            engines: ENGINES.map(|name| (name, engine(name))).into(),
+            calls: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let host = *u.choose(&[A, B, C])?;
+        match u.int_in_range(0..=13)? {
+            0 | 1 => self.propose_load(u, host)?,
+            2 => self.propose(u, host, |copy| RecordBody::Unload { copy })?,
+            3 => self.propose(u, host, |copy| RecordBody::Takeover { copy })?,
+            4 | 5 => self.read(host),
+            6 | 7 => self.tick(host),
+            8..=10 => self.deliver(u)?,
+            11 => self.lose(u)?,
+            12 => self.log.now += Millis(u.int_in_range(0..=7_000)?),
+            _ => self.fail_host(u, host)?,
+        }
+        self.check();
+        Ok(())
+    }
+
+    fn propose_load(&mut self, u: &mut Unstructured<'_>, host: Incarnation) -> Result<()> {
+        let body = self
+            .log
+            .load_body(u.choose(&MODELS)?, 0, u.choose(&ENGINES)?);
+        self.append(host, body);
+        Ok(())
+    }
+
+    fn propose(
+        &mut self,
+        u: &mut Unstructured<'_>,
+        host: Incarnation,
+        body: impl Fn(Offset) -> RecordBody,
+    ) -> Result<()> {
+        let copies: Vec<Offset> = self.log.placement().copies.keys().copied().collect();
+        if !copies.is_empty() {
+            let copy = *u.choose(&copies)?;
+            self.append(host, body(copy));
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, host: Incarnation, body: RecordBody) {
+        if self.hosts[&host].killed_at.is_none() {
+            self.log.append(host, body);
+        }
+    }
+
+    fn read(&mut self, host: Incarnation) {
+        let records = &self.log.records;
+        let shared = &mut self.hosts[&host].shared;
+        for logged in &records[shared.next_offset.0 as usize..] {
+            shared.apply_logged(logged).unwrap();
+        }
+    }
+
+    fn tick(&mut self, id: Incarnation) {
+        let now = self.log.now;
+        let host = &mut self.hosts[&id];
+        if host.killed_at.is_some() {
+            return;
+        }
+        let mut fx = Effects::new();
+        let placement = &host.shared.placement;
+        host.executor.on_tick(now, id, placement, &mut fx);
+        let relinquished = host.executor.relinquished(now, id, placement);
+        for effect in fx {
+            self.call(id, effect);
+        }
+        for copy in relinquished {
+            self.append(id, RecordBody::Relinquish { copy });
+        }
+    }
+
+    fn call(&mut self, host: Incarnation, effect: Effect) {
+        let Effect::OrderEngine {
+            copy,
+            order,
+            watch_only,
+            ..
+        } = effect
+        else {
+            return;
+        };
+        let placement = &self.hosts[&host].shared.placement;
+        let upstream = &placement.copies[&copy].load.upstream;
+        let engine = ENGINES.into_iter().find(|name| *name == &**upstream);
+        self.calls.push(Call {
+            host,
+            copy,
+            engine: engine.unwrap(),
+            order,
+            watch_only,
+            lost_at: None,
+        });
+    }
+
+    /// Lets a call reach its engine, and its answer the host if the host still waits.
+    fn deliver(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let now = self.log.now;
+        self.calls.retain(|call| {
+            call.lost_at
+                .is_none_or(|at| now.since(at) <= LONGEST_FLIGHT_MS)
+        });
+        if self.calls.is_empty() {
+            return Ok(());
+        }
+        let index = u.choose_index(self.calls.len())?;
+        let call = self.calls.swap_remove(index);
+        let fails = u.ratio(1, 4)?;
+        let engine = &mut self.engines[call.engine];
+        let mut answer = if call.watch_only {
+            engine.ask(call.order.order)
+        } else {
+            engine.take(&call.order, fails)
+        };
+        if u.ratio(1, 4)? {
+            answer = OrderAnswer::Lost(String::new());
+        }
+        if call.lost_at.is_none() {
+            self.answer(&call, &answer);
+        }
+        Ok(())
+    }
+
+    /// Lets a host take a call for lost that may still arrive.
+    fn lose(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let waiting: Vec<usize> = (0..self.calls.len())
+            .filter(|index| self.calls[*index].lost_at.is_none())
+            .collect();
+        if waiting.is_empty() {
+            return Ok(());
+        }
+        let index = *u.choose(&waiting)?;
+        self.calls[index].lost_at = Some(self.log.now);
+        let call = self.calls[index].clone();
+        self.answer(&call, &OrderAnswer::Lost(String::new()));
+        Ok(())
+    }
+
+    fn answer(&mut self, call: &Call, answer: &OrderAnswer) {
+        let fence = call.order.fence;
+        let host = &mut self.hosts[&call.host];
+        let outcome = host
+            .executor
+            .on_answer(self.log.now, call.copy, fence, answer);
+        if let Some(outcome) = outcome {
+            let copy = call.copy;
+            let body = RecordBody::Outcome {
+                copy,
+                fence,
+                outcome,
+            };
+            self.append(call.host, body);
+        }
+    }
+
+    /// Evicts a host that may live on, kills it, or folds that it is gone. C stays.
+    fn fail_host(&mut self, u: &mut Unstructured<'_>, host: Incarnation) -> Result<()> {
+        let now = self.log.now;
+        let killed_at = self.hosts[&host].killed_at;
+        match u.int_in_range(0..=2)? {
+            _ if host == C => {}
+            0 => drop(self.log.append(C, RecordBody::Evict { host })),
+            1 if killed_at.is_none() => {
+                self.hosts[&host].killed_at = Some(now);
+                for call in self.calls.iter_mut().filter(|call| call.host == host) {
+                    call.lost_at = call.lost_at.or(Some(now));
+                }
+            }
+            _ if killed_at.is_some_and(|at| now.since(at) > LONGEST_FLIGHT_MS) => {
+                let confirmed_offset = self.log.shared.next_offset;
+                let counted = RecordBody::Counted {
+                    host,
+                    confirmed_offset,
+                };
+                self.log.append(C, counted);
+                self.log.append(C, RecordBody::Gone { host });
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn check(&self) {
+        for engine in self.engines.values() {
+            engine.check();
+        }
+        for model in MODELS {
+            let copies = self.engines.values().flat_map(|engine| &engine.copies);
+            let count = copies.filter(|(name, ..)| &**name == model).count();
+            assert!(count <= 1, "{model} has {count} copies");
+        }
+    }
+}
+
+#[test]
+fn no_interleaving_overcommits_memory_or_loads_a_copy_too_many() {
+    let (mut runs, mut loads) = (0, 0);
+    arbtest::arbtest(|u| {
+        let mut world = World::new();
+        while !u.is_empty() {
+            world.step(u)?;
+        }
+        runs += 1;
+        loads += world
+            .engines
+            .values()
+            .map(|engine| engine.loads)
+            .sum::<u32>();
+        Ok(())
+    })
+    .size_min(500)
+    .size_max(3_000)
+    .budget_ms(1_500);
+    assert!(loads > runs, "{loads} loads in {runs} runs");
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,5 +7,9 @@
 pub mod message;
 pub mod policy;
 
+#[cfg(test)]
+mod interleaving_tests;
+#[cfg(test)]
+mod test_site;
 #[cfg(test)]
 mod tests;
