--- a/src/shared_log/fold.rs
+++ b/src/shared_log/fold.rs
@@ -112,12 +112,17 @@
         if let RecordBody::Join { entry } = &record.body {
             return self.members.join(offset, writer, entry);
         }
+        if let RecordBody::Relinquish { copy } = &record.body {
+            return self.placement.relinquish(writer, *copy);
+        }
         if !self.members.is_member(writer) {
             return Err(Rejection::NotMember);
         }
         let now = self.log_ms;
         match &record.body {
-            RecordBody::Join { .. } => Err(Rejection::WrongHostState),
+            RecordBody::Join { .. } | RecordBody::Relinquish { .. } => {
+                Err(Rejection::WrongHostState)
+            }
             RecordBody::Checkpoint { part } => self.checkpoints.take(now, writer, part),
             RecordBody::Counted {
                 host,
