Split the daemon's loop by duty, bound the trace in bytes, widen the metrics

The loop, the servers, the effects and the metrics stood in one file of 465 lines. The trace cloned up to 20,000 events of any size and dropped the oldest without a state to replay from; it is now two segments bounded by bytes, each with the state it starts from. Long texts (dump, trace, table) are written by another thread from a copy, so the loop does not wait for the encoder.

--- /dev/null
+++ b/src/daemon/effects.rs
@@ -0,0 +1,183 @@
+//! Carries out the decisions' effects: each one is a task whose result is the next event.
+
+use crate::clock::Clock;
+use crate::daemon::event::Event;
+use crate::daemon::node::NodeConfig;
+use crate::edge::engine::HttpEngines;
+use crate::edge::gate::{Gate, Instruction};
+use crate::edge::hosts::HttpHostList;
+use crate::edge::log_service::HttpLog;
+use crate::edge::peer::PeerEdge;
+use crate::edge::store::HttpStore;
+use crate::edge::{EngineControl, HostDirectory, LogService, WeightStore};
+use crate::membership::message::HostEntry;
+use crate::prelude::*;
+use crate::settings::Settings;
+
+/// The platform's services.
+pub struct Platform {
+    log: Arc<dyn LogService>,
+    hosts: Arc<dyn HostDirectory>,
+    engines: Arc<dyn EngineControl>,
+    store: Option<Arc<dyn WeightStore>>,
+    entry: HostEntry,
+    me: Incarnation,
+}
+
+impl Platform {
+    /// Makes the clients that the settings ask for.
+    pub fn new(settings: &Settings, config: &NodeConfig) -> Self {
+        let platform = &settings.platform;
+        let store = platform.store_url.as_deref();
+        Self {
+            log: Arc::new(HttpLog::new(&platform.log_url, &platform.stream)),
+            hosts: Arc::new(HttpHostList::new(&platform.hosts_url)),
+            engines: Arc::new(HttpEngines::new()),
+            store: store.map(|url| Arc::new(HttpStore::new(url)) as Arc<dyn WeightStore>),
+            entry: config.entry.clone(),
+            me: config.me,
+        }
+    }
+}
+
+/// What effects are carried out with.
+pub struct EffectRunner {
+    /// The clock.
+    pub clock: Clock,
+    /// Where events go, and answers to whoever waits for them.
+    pub gate: Arc<Gate>,
+    /// The calls to peers.
+    pub peers: Arc<PeerEdge>,
+    /// The platform's services.
+    pub platform: Platform,
+}
+
+impl EffectRunner {
+    /// Starts what an effect asks for; its result comes back to the gate as an event.
+    pub fn carry_out(&self, effect: Effect) {
+        let gate = self.gate.clone();
+        match effect {
+            Effect::ReadLog { from, wait_ms } => {
+                let (log, clock) = (self.platform.log.clone(), self.clock);
+                spawn(async move {
+                    let asked_at = clock.now();
+                    let event = match log.read(from, wait_ms).await {
+                        Ok(page) => Event::LogRead { asked_at, page },
+                        Err(error) => Event::LogReadFailed { error },
+                    };
+                    gate.send(event).await;
+                });
+            }
+            Effect::AppendLog { records } => {
+                let log = self.platform.log.clone();
+                spawn(async move {
+                    let event = match log.append(records).await {
+                        Ok(()) => Event::Appended,
+                        Err(error) => Event::AppendFailed { error },
+                    };
+                    gate.send(event).await;
+                });
+            }
+            Effect::ListHosts => {
+                let hosts = self.platform.hosts.clone();
+                spawn(async move {
+                    let event = match hosts.list().await {
+                        Some(list) => Event::HostsListed { list },
+                        None => Event::HostsFailed,
+                    };
+                    gate.send(event).await;
+                });
+            }
+            Effect::RegisterHost => {
+                let hosts = self.platform.hosts.clone();
+                let (entry, me) = (self.platform.entry.clone(), self.platform.me);
+                spawn(async move { hosts.register(entry, me).await });
+            }
+            Effect::UnregisterHost => {
+                let hosts = self.platform.hosts.clone();
+                let name = self.platform.entry.name.clone();
+                spawn(async move { hosts.unregister(name).await });
+            }
+            Effect::AskStore => {
+                if let Some(store) = self.platform.store.clone() {
+                    spawn(async move {
+                        let report = store.report().await;
+                        gate.send(Event::StoreReported { report }).await;
+                    });
+                }
+            }
+            Effect::AskEngine {
+                upstream,
+                address,
+                asked_at,
+            } => {
+                let engines = self.platform.engines.clone();
+                spawn(async move {
+                    let report = engines.report(address).await;
+                    gate.send(Event::EngineReported {
+                        upstream,
+                        asked_at,
+                        report,
+                    })
+                    .await;
+                });
+            }
+            Effect::OrderEngine {
+                copy,
+                address,
+                order,
+                watch_only,
+            } => {
+                let engines = self.platform.engines.clone();
+                spawn(async move {
+                    let fence = order.fence;
+                    let answer = if watch_only {
+                        engines.order_state(address, order.order).await
+                    } else {
+                        engines.order(address, order).await
+                    };
+                    gate.send(Event::OrderAnswered {
+                        copy,
+                        fence,
+                        answer,
+                    })
+                    .await;
+                });
+            }
+            Effect::AskPeer {
+                peer,
+                address,
+                asked_at,
+                request,
+            } => {
+                let peers = self.peers.clone();
+                spawn(async move {
+                    let event = match peers.ask(address, &request).await {
+                        Some(reply) => Event::PeerAnswered {
+                            peer,
+                            asked_at,
+                            reply,
+                        },
+                        None => Event::PeerFailed { peer },
+                    };
+                    gate.send(event).await;
+                });
+            }
+            Effect::AnswerPeer { call, reply } => self.gate.answer_peer(call, reply),
+            Effect::Begin { attempt } => {
+                let request = attempt.request;
+                self.gate.instruct(request, Instruction::Begin(attempt));
+            }
+            Effect::Refuse { request, refusal } => {
+                self.gate.instruct(request, Instruction::Refuse(refusal));
+            }
+            Effect::AnswerEntry { call, result } => self.gate.answer_entry(call, result),
+            Effect::AnswerEdit { call, result } => self.gate.answer_edit(call, result),
+            Effect::Exit => {}
+        }
+    }
+}
+
+fn spawn(task: impl Future<Output = ()> + Send + 'static) {
+    smol::spawn(task).detach();
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,13 +5,16 @@
 pub mod dump;
 pub mod edit_flow;
 pub mod effect;
+pub mod effects;
 pub mod event;
 pub mod log_flow;
 pub mod membership_flow;
+pub mod metrics;
 pub mod node;
 pub mod placement_flow;
 pub mod request_flow;
 pub mod run;
+pub mod servers;
 pub mod trace;
 
 #[cfg(test)]
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,42 +1,32 @@
 //! The event loop and the tasks that carry out its effects.
 
 use crate::clock::Clock;
-use crate::daemon::dump::dump;
+use crate::daemon::dump;
+use crate::daemon::effects::{EffectRunner, Platform};
 use crate::daemon::event::Event;
+use crate::daemon::metrics::{Metrics, Sampler};
 use crate::daemon::node::{Life, Node, NodeConfig};
+use crate::daemon::servers::{close, listen_callers, listen_operators};
 use crate::daemon::trace::Trace;
-use crate::edge::caller::CallerEdge;
-use crate::edge::engine::HttpEngines;
-use crate::edge::gate::{Gate, Input, Instruction, Query};
-use crate::edge::hosts::HttpHostList;
-use crate::edge::http::client;
-use crate::edge::log_service::HttpLog;
-use crate::edge::operator::OperatorEdge;
+use crate::edge::gate::{Gate, Input, Query};
 use crate::edge::peer::{PeerEdge, PeerError};
-use crate::edge::store::HttpStore;
-use crate::edge::{EngineControl, HostDirectory, LogService, WeightStore};
 use crate::membership::message::HostEntry;
 use crate::prelude::*;
 use crate::settings::Settings;
 use async_signal::{Signal, Signals};
-use opentelemetry::metrics::{Counter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
-use smol::channel::Receiver;
+use smol::channel::{Receiver, Sender};
 use smol::stream::StreamExt;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
-use std::net::TcpListener;
+use std::ops::ControlFlow;
 use std::time::Duration;
-use trillium_server_common::ServerHandle;
 
 /// How often the loop is woken without anything else happening.
 const TICK: Duration = Duration::from_millis(20);
-/// How long open connections get to end after the last request.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why the daemon cannot run.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum RunError {
     /// An address cannot be used.
     #[snafu(display("cannot listen on {address} ({key}): {source}"))]
@@ -68,55 +58,6 @@
     },
 }
 
-/// The process's metrics.
-#[derive(Clone, Debug)]
-pub struct Metrics {
-    registry: Registry,
-    _provider: Arc<SdkMeterProvider>,
-    events: Counter<u64>,
-    refusals: Counter<u64>,
-    attempts: Counter<u64>,
-    appends: Counter<u64>,
-}
-
-impl Metrics {
-    fn new() -> Result<Self, RunError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| RunError::Metrics {
-                why: error.to_string(),
-            })?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("mangovale");
-        Ok(Self {
-            registry,
-            events: meter.u64_counter("mangovale_events").build(),
-            refusals: meter.u64_counter("mangovale_refusals").build(),
-            attempts: meter.u64_counter("mangovale_attempts").build(),
-            appends: meter.u64_counter("mangovale_log_appends").build(),
-            _provider: Arc::new(provider),
-        })
-    }
-
-    /// Returns the metrics in the Prometheus text form.
-    pub fn text(&self) -> String {
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
-    }
-
-    fn count(&self, effect: &Effect) {
-        match effect {
-            Effect::Refuse { .. } => self.refusals.add(1, &[]),
-            Effect::Begin { .. } => self.attempts.add(1, &[]),
-            Effect::AppendLog { .. } => self.appends.add(1, &[]),
-            _ => {}
-        }
-    }
-}
-
 /// Runs a daemon until it has stopped.
 ///
 /// # Errors
@@ -132,7 +73,7 @@
     let (gate, inputs) = Gate::new();
     let metrics = Metrics::new()?;
     let peers = PeerEdge::bind(settings.peer_listen, &settings.keys).context(PeerSnafu)?;
-    let callers = listen_callers(&settings, me, clock, &gate)?;
+    let callers = listen_callers(&settings, me, clock, &gate, &metrics)?;
     let operators = listen_operators(&settings, &gate, &metrics)?;
     smol::spawn(peers.clone().serve(gate.clone())).detach();
     smol::spawn(watch_signals(gate.clone(), signals()?)).detach();
@@ -142,14 +83,17 @@
         settings.name, settings.caller_listen, settings.peer_listen, settings.operator_listen
     ));
     let node = Node::new(node_config(&settings, me));
-    let platform = Platform::new(&settings, &node.config);
-    let runner = Runner {
+    let effects = EffectRunner {
         clock,
         gate,
         peers: peers.clone(),
-        platform,
+        platform: Platform::new(&settings, &node.config),
+    };
+    let runner = Runner {
+        trace: Trace::new(node.config.clone()),
+        sampler: Sampler::default(),
+        effects,
         metrics,
-        trace: Trace::default(),
     };
     runner.run(node, inputs).await;
     close(callers).await;
@@ -159,11 +103,6 @@
     Ok(())
 }
 
-async fn close(server: ServerHandle) {
-    let closing = async move { server.shut_down().await };
-    crate::edge::http::within(CLOSE_TIMEOUT, closing).await;
-}
-
 fn node_config(settings: &Settings, me: Incarnation) -> NodeConfig {
     let timing = &settings.timing;
     NodeConfig {
@@ -183,62 +122,6 @@
     }
 }
 
-fn bind(key: &'static str, address: SocketAddr) -> Result<smol::net::TcpListener, RunError> {
-    let listener = TcpListener::bind(address).context(ListenSnafu { key, address })?;
-    let listener = smol::Async::new(listener).context(ListenSnafu { key, address })?;
-    Ok(listener.into())
-}
-
-fn listen_callers(
-    settings: &Settings,
-    me: Incarnation,
-    clock: Clock,
-    gate: &Arc<Gate>,
-) -> Result<ServerHandle, RunError> {
-    let listener = bind("caller_listen", settings.caller_listen)?;
-    let edge = Arc::new(CallerEdge {
-        gate: gate.clone(),
-        clock,
-        client: client(),
-        me,
-        bounds: settings.bounds.clone(),
-    });
-    let server = trillium_smol::config()
-        .without_signals()
-        .with_nodelay()
-        .with_max_connections(Some(settings.bounds.connections))
-        .with_prebound_server(listener)
-        .spawn(move |conn: trillium::Conn| {
-            let edge = edge.clone();
-            async move { edge.handle(conn).await }
-        });
-    Ok(server)
-}
-
-fn listen_operators(
-    settings: &Settings,
-    gate: &Arc<Gate>,
-    metrics: &Metrics,
-) -> Result<ServerHandle, RunError> {
-    const MAX_CONNECTIONS: usize = 256;
-    let listener = bind("operator_listen", settings.operator_listen)?;
-    let edge = Arc::new(OperatorEdge {
-        gate: gate.clone(),
-        token_sha256: settings.keys.operator_token_sha256.clone(),
-        metrics: metrics.clone(),
-    });
-    let server = trillium_smol::config()
-        .without_signals()
-        .with_nodelay()
-        .with_max_connections(Some(MAX_CONNECTIONS))
-        .with_prebound_server(listener)
-        .spawn(move |conn: trillium::Conn| {
-            let edge = edge.clone();
-            async move { edge.handle(conn).await }
-        });
-    Ok(server)
-}
-
 fn signals() -> Result<Signals, RunError> {
     Signals::new([Signal::Term, Signal::Int]).context(SignalSnafu)
 }
@@ -256,201 +139,86 @@
     }
 }
 
-/// The platform's services.
-struct Platform {
-    log: Arc<dyn LogService>,
-    hosts: Arc<dyn HostDirectory>,
-    engines: Arc<dyn EngineControl>,
-    store: Option<Arc<dyn WeightStore>>,
-    entry: HostEntry,
-    me: Incarnation,
-}
-
-impl Platform {
-    fn new(settings: &Settings, config: &NodeConfig) -> Self {
-        let platform = &settings.platform;
-        let store = platform.store_url.as_deref();
-        Self {
-            log: Arc::new(HttpLog::new(&platform.log_url, &platform.stream)),
-            hosts: Arc::new(HttpHostList::new(&platform.hosts_url)),
-            engines: Arc::new(HttpEngines::new()),
-            store: store.map(|url| Arc::new(HttpStore::new(url)) as Arc<dyn WeightStore>),
-            entry: config.entry.clone(),
-            me: config.me,
-        }
-    }
-}
-
+/// The event loop.
 struct Runner {
-    clock: Clock,
-    gate: Arc<Gate>,
-    peers: Arc<PeerEdge>,
-    platform: Platform,
+    effects: EffectRunner,
     metrics: Metrics,
+    sampler: Sampler,
     trace: Trace,
 }
 
 impl Runner {
     async fn run(mut self, mut node: Node, inputs: Receiver<Input>) {
         while let Ok(input) = inputs.recv().await {
-            let now = self.clock.now();
+            let now = self.effects.clock.now();
             match input {
                 Input::Query(query) => self.answer(now, &node, query),
                 Input::Event(event) => {
-                    self.trace.push(now, &event);
-                    self.metrics.events.add(1, &[]);
-                    let effects = node.handle(now, event);
-                    if effects.contains(&Effect::Exit) {
+                    if self.step(now, &mut node, event).is_break() {
                         return;
                     }
-                    for effect in effects {
-                        self.metrics.count(&effect);
-                        self.carry_out(effect);
-                    }
                 }
             }
         }
     }
 
-    fn answer(&self, now: Millis, node: &Node, query: Query) {
-        let (sender, text) = match query {
-            Query::Dump(sender) => (sender, dump(now, node).ok()),
-            Query::Trace(sender) => (sender, serde_json::to_string(&self.trace).ok()),
-            Query::Table(sender) => (sender, serde_json::to_string(&node.shared.table).ok()),
-            Query::Hosts(sender) => (sender, serde_json::to_string(&node.shared.members).ok()),
-            Query::Placements(sender) => {
-                (sender, serde_json::to_string(&node.shared.placement).ok())
-            }
-            Query::Health(sender) => (sender, Some(health(now, node).to_string())),
-        };
-        let _ = sender.try_send(text.unwrap_or_default());
+    /// Handles one event; breaks when the process is to end.
+    fn step(&mut self, now: Millis, node: &mut Node, event: Event) -> ControlFlow<()> {
+        self.trace.push(now, &event, node);
+        self.metrics.count_event(&event);
+        let effects = node.handle(now, event);
+        self.sampler
+            .sample(now, node, self.trace.bytes(), &self.metrics);
+        if effects.contains(&Effect::Exit) {
+            return ControlFlow::Break(());
+        }
+        for effect in effects {
+            self.metrics.count_effect(&effect);
+            self.effects.carry_out(effect);
+        }
+        ControlFlow::Continue(())
     }
 
-    fn carry_out(&self, effect: Effect) {
-        let gate = self.gate.clone();
-        match effect {
-            Effect::ReadLog { from, wait_ms } => {
-                let (log, clock) = (self.platform.log.clone(), self.clock);
-                spawn(async move {
-                    let asked_at = clock.now();
-                    let event = match log.read(from, wait_ms).await {
-                        Ok(page) => Event::LogRead { asked_at, page },
-                        Err(error) => Event::LogReadFailed { error },
-                    };
-                    gate.send(event).await;
-                });
-            }
-            Effect::AppendLog { records } => {
-                let log = self.platform.log.clone();
-                spawn(async move {
-                    let event = match log.append(records).await {
-                        Ok(()) => Event::Appended,
-                        Err(error) => Event::AppendFailed { error },
-                    };
-                    gate.send(event).await;
-                });
-            }
-            Effect::ListHosts => {
-                let hosts = self.platform.hosts.clone();
-                spawn(async move {
-                    let event = match hosts.list().await {
-                        Some(list) => Event::HostsListed { list },
-                        None => Event::HostsFailed,
-                    };
-                    gate.send(event).await;
-                });
-            }
-            Effect::RegisterHost => {
-                let hosts = self.platform.hosts.clone();
-                let (entry, me) = (self.platform.entry.clone(), self.platform.me);
-                spawn(async move { hosts.register(entry, me).await });
-            }
-            Effect::UnregisterHost => {
-                let hosts = self.platform.hosts.clone();
-                let name = self.platform.entry.name.clone();
-                spawn(async move { hosts.unregister(name).await });
-            }
-            Effect::AskStore => {
-                if let Some(store) = self.platform.store.clone() {
-                    spawn(async move {
-                        let report = store.report().await;
-                        gate.send(Event::StoreReported { report }).await;
-                    });
-                }
+    /// Answers a question. Long texts are written by another thread from a copy of the state.
+    fn answer(&self, now: Millis, node: &Node, query: Query) {
+        match query {
+            Query::Health(sender) => {
+                let _ = sender.try_send(health(now, node).to_string());
             }
-            Effect::AskEngine {
-                upstream,
-                address,
-                asked_at,
-            } => {
-                let engines = self.platform.engines.clone();
-                spawn(async move {
-                    let report = engines.report(address).await;
-                    gate.send(Event::EngineReported {
-                        upstream,
-                        asked_at,
-                        report,
-                    })
-                    .await;
-                });
+            Query::Dump(sender) => {
+                let state = node.clone();
+                write_text(sender, move || dump::dump(now, &state));
             }
-            Effect::OrderEngine {
-                copy,
-                address,
-                order,
-                watch_only,
-            } => {
-                let engines = self.platform.engines.clone();
-                spawn(async move {
-                    let fence = order.fence;
-                    let answer = if watch_only {
-                        engines.order_state(address, order.order).await
-                    } else {
-                        engines.order(address, order).await
-                    };
-                    gate.send(Event::OrderAnswered {
-                        copy,
-                        fence,
-                        answer,
-                    })
-                    .await;
-                });
+            Query::Trace(sender) => {
+                let (trace, state) = (self.trace.clone(), node.clone());
+                write_text(sender, move || trace.to_file(&state));
             }
-            Effect::AskPeer {
-                peer,
-                address,
-                asked_at,
-                request,
-            } => {
-                let peers = self.peers.clone();
-                spawn(async move {
-                    let event = match peers.ask(address, &request).await {
-                        Some(reply) => Event::PeerAnswered {
-                            peer,
-                            asked_at,
-                            reply,
-                        },
-                        None => Event::PeerFailed { peer },
-                    };
-                    gate.send(event).await;
-                });
+            Query::Table(sender) => {
+                let table = node.shared.table.clone();
+                write_text(sender, move || serde_json::to_string(&table));
             }
-            Effect::AnswerPeer { call, reply } => self.gate.answer_peer(call, reply),
-            Effect::Begin { attempt } => {
-                let request = attempt.request;
-                self.gate.instruct(request, Instruction::Begin(attempt));
+            Query::Hosts(sender) => {
+                let members = node.shared.members.clone();
+                write_text(sender, move || serde_json::to_string(&members));
             }
-            Effect::Refuse { request, refusal } => {
-                self.gate.instruct(request, Instruction::Refuse(refusal));
+            Query::Placements(sender) => {
+                let placement = node.shared.placement.clone();
+                write_text(sender, move || serde_json::to_string(&placement));
             }
-            Effect::AnswerEntry { call, result } => self.gate.answer_entry(call, result),
-            Effect::AnswerEdit { call, result } => self.gate.answer_edit(call, result),
-            Effect::Exit => {}
         }
     }
 }
 
-fn spawn(task: impl Future<Output = ()> + Send + 'static) {
+fn write_text(
+    sender: Sender<String>,
+    write: impl FnOnce() -> Result<String, serde_json::Error> + Send + 'static,
+) {
+    let task = async move {
+        // Without a text the sender is dropped, and whoever asked learns that there is none.
+        if let Ok(text) = smol::unblock(write).await {
+            let _ = sender.try_send(text);
+        }
+    };
     smol::spawn(task).detach();
 }
 
--- /dev/null
+++ b/src/daemon/servers.rs
@@ -0,0 +1,93 @@
+//! The HTTP servers of a process: one for callers, one for operators.
+
+use crate::clock::Clock;
+use crate::daemon::metrics::Metrics;
+use crate::daemon::run::{ListenSnafu, RunError};
+use crate::edge::caller::CallerEdge;
+use crate::edge::gate::Gate;
+use crate::edge::http::{client, within};
+use crate::edge::operator::OperatorEdge;
+use crate::prelude::*;
+use crate::settings::Settings;
+use snafu::ResultExt;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+use trillium_server_common::ServerHandle;
+
+/// How long open connections get to end after the last request.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Most connections of operators at once.
+const MAX_OPERATOR_CONNECTIONS: usize = 256;
+
+/// Opens the callers' interface.
+///
+/// # Errors
+///
+/// Returns why its address cannot be used.
+pub fn listen_callers(
+    settings: &Settings,
+    me: Incarnation,
+    clock: Clock,
+    gate: &Arc<Gate>,
+    metrics: &Metrics,
+) -> Result<ServerHandle, RunError> {
+    let listener = bind("caller_listen", settings.caller_listen)?;
+    let edge = Arc::new(CallerEdge {
+        gate: gate.clone(),
+        clock,
+        client: client(),
+        me,
+        bounds: settings.bounds.clone(),
+        metrics: metrics.clone(),
+    });
+    let server = trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_max_connections(Some(settings.bounds.connections))
+        .with_prebound_server(listener)
+        .spawn(move |conn: trillium::Conn| {
+            let edge = edge.clone();
+            async move { edge.handle(conn).await }
+        });
+    Ok(server)
+}
+
+/// Opens the operators' interface.
+///
+/// # Errors
+///
+/// Returns why its address cannot be used.
+pub fn listen_operators(
+    settings: &Settings,
+    gate: &Arc<Gate>,
+    metrics: &Metrics,
+) -> Result<ServerHandle, RunError> {
+    let listener = bind("operator_listen", settings.operator_listen)?;
+    let edge = Arc::new(OperatorEdge {
+        gate: gate.clone(),
+        token_sha256: settings.keys.operator_token_sha256.clone(),
+        metrics: metrics.clone(),
+    });
+    let server = trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_max_connections(Some(MAX_OPERATOR_CONNECTIONS))
+        .with_prebound_server(listener)
+        .spawn(move |conn: trillium::Conn| {
+            let edge = edge.clone();
+            async move { edge.handle(conn).await }
+        });
+    Ok(server)
+}
+
+/// Closes a server, waiting a little for its open connections.
+pub async fn close(server: ServerHandle) {
+    let closing = async move { server.shut_down().await };
+    within(CLOSE_TIMEOUT, closing).await;
+}
+
+fn bind(key: &'static str, address: SocketAddr) -> Result<smol::net::TcpListener, RunError> {
+    let listener = TcpListener::bind(address).context(ListenSnafu { key, address })?;
+    let listener = smol::Async::new(listener).context(ListenSnafu { key, address })?;
+    Ok(listener.into())
+}
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -6,6 +6,7 @@
 use crate::attempt::message::{AttemptOutcome, Repeatable, RequestHead, TargetKind};
 use crate::clock::Clock;
 use crate::daemon::event::Event;
+use crate::daemon::metrics::Metrics;
 use crate::edge::digest::{sha256, sha256_of_parts};
 use crate::edge::gate::{Gate, Instruction, OpenRequest};
 use crate::edge::pipe::pipe;
@@ -40,6 +41,15 @@
     pub me: Incarnation,
     /// Bounds on what callers send.
     pub bounds: BoundSettings,
+    /// The metrics.
+    pub metrics: Metrics,
+}
+
+/// When a request came, and for what.
+#[derive(Clone, Copy)]
+struct Arrival {
+    at: Millis,
+    target: TargetKind,
 }
 
 #[derive(Deserialize)]
@@ -141,10 +151,20 @@
             operation_id: head.idempotency_key.clone(),
         };
         self.gate.send(Event::RequestArrived { head }).await;
-        self.follow(conn, open, outgoing).await
+        let arrival = Arrival {
+            at: self.clock.now(),
+            target,
+        };
+        self.follow(conn, open, arrival, outgoing).await
     }
 
-    async fn follow(&self, mut conn: Conn, open: OpenRequest, outgoing: Outgoing) -> Conn {
+    async fn follow(
+        &self,
+        mut conn: Conn,
+        open: OpenRequest,
+        arrival: Arrival,
+        outgoing: Outgoing,
+    ) -> Conn {
         loop {
             let waiting = conn.cancel_on_disconnect(open.instructions.recv()).await;
             let attempt = match waiting {
@@ -160,6 +180,10 @@
                 Some(Ok(Instruction::Begin(attempt))) => attempt,
             };
             let started = upstream::start(&self.client, &self.clock, &attempt, &outgoing).await;
+            if started.is_ok() {
+                let span_ms = self.clock.now().since(arrival.at);
+                self.metrics.first_byte(arrival.target, span_ms);
+            }
             let outcome = match started {
                 Ok(started) if started.is_event_stream() => {
                     return self.stream(conn, open, attempt.number, started, outgoing.request_id);
--- a/src/edge/operator.rs
+++ b/src/edge/operator.rs
@@ -17,7 +17,7 @@
     /// SHA-256 of each operator's token.
     pub token_sha256: Vec<Name>,
     /// Gives the metrics as text.
-    pub metrics: crate::daemon::run::Metrics,
+    pub metrics: crate::daemon::metrics::Metrics,
 }
 
 impl OperatorEdge {
--- a/src/error.rs
+++ b/src/error.rs
@@ -106,6 +106,35 @@
         Self::Internal,
     ];
 
+    /// Returns the kind's name, as answers, metrics and logs have it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::BadCredential => "bad_credential",
+            Self::Forbidden => "forbidden",
+            Self::UnknownModel => "unknown_model",
+            Self::NotFound => "not_found",
+            Self::BodyTooLarge => "body_too_large",
+            Self::RowLimit => "row_limit",
+            Self::Overloaded => "overloaded",
+            Self::ColdStartTooLong => "cold_start_too_long",
+            Self::NoCapacity => "no_capacity",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::CutOff => "cut_off",
+            Self::Starting => "starting",
+            Self::LogUnavailable => "log_unavailable",
+            Self::Stopping => "stopping",
+            Self::UpstreamFailed => "upstream_failed",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::AnswerBroken => "answer_broken",
+            Self::KeyReused => "key_reused",
+            Self::EditConflict => "edit_conflict",
+            Self::EditInvalid => "edit_invalid",
+            Self::EditPending => "edit_pending",
+            Self::Internal => "internal",
+        }
+    }
+
     /// Returns the answer that belongs to this kind.
     pub const fn answer(self) -> AnswerLine {
         use Ran::{NotRun, Unknown};
