Give the tool its whole set of commands

Site and token also come from the environment. Unknown keys of a change are refused by the tool and at the operators' interface: the decoder passed over them.

--- a/src/bin/mangovale.rs
+++ b/src/bin/mangovale.rs
@@ -14,6 +14,7 @@
         Ok(exit) => exit,
         Err(error) => {
             eprintln!("mangovale: {error}");
+            eprintln!("  next: {}", error.advice());
             error.exit()
         }
     }
--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -1,9 +1,11 @@
-//! Calls to a host's operator interface.
+//! Calls to a host's operator interface, and the error form of all answers.
 
-use crate::cli::exit::{CallSnafu, CliError, FileSnafu};
-use crate::cli::options::Site;
+use crate::cli::exit::{CallSnafu, CliError};
+use crate::cli::site::Site;
 use crate::edge::http::{CallError, call_error, client, within};
-use serde::{Deserialize, Serialize};
+use crate::error::Ran;
+use crate::prelude::*;
+use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use std::time::Duration;
 use trillium_client::{Client, Conn, Method};
@@ -11,11 +13,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A client of one host's operator interface.
-#[derive(Debug)]
 pub struct OperatorClient {
     client: Client,
-    url: String,
-    token: String,
+    site: Site,
 }
 
 /// The error form of all answers.
@@ -28,44 +28,77 @@
 /// The fields of an error.
 #[derive(Debug, Deserialize)]
 pub struct ErrorFields {
-    /// The kind.
+    /// The name of the kind; a newer host may have kinds that this release does not know.
     pub kind: String,
     /// What happened.
     pub message: String,
     /// What to do.
-    #[serde(default)]
     pub advice: String,
+    /// Whether anything ran.
+    pub ran: Ran,
+    /// Whether the same request may succeed later or at another host.
+    pub retryable: bool,
+    /// When to come back.
+    pub retry_after_ms: Option<Millis>,
+    /// Other hosts to try.
+    #[serde(default)]
+    pub try_hosts: Vec<Name>,
 }
 
 impl From<ErrorBody> for CliError {
     fn from(body: ErrorBody) -> Self {
-        let ErrorFields {
-            kind,
-            message,
-            advice,
-        } = body.error;
         Self::Refused {
-            kind,
-            message,
-            advice,
+            fields: Box::new(body.error),
+        }
+    }
+}
+
+impl From<Refusal> for CliError {
+    fn from(refusal: Refusal) -> Self {
+        let line = refusal.kind.answer();
+        Self::Refused {
+            fields: Box::new(ErrorFields {
+                kind: refusal.kind.name().to_string(),
+                message: refusal.message,
+                advice: line.advice.to_string(),
+                ran: refusal.ran,
+                retryable: line.retryable,
+                retry_after_ms: refusal.retry_after_ms,
+                try_hosts: refusal.try_hosts,
+            }),
         }
     }
 }
 
 impl OperatorClient {
-    /// Makes a client; the token is read from its file.
+    /// Makes a client.
+    pub fn new(site: Site) -> Self {
+        Self {
+            client: client(),
+            site,
+        }
+    }
+
+    /// Reads a page and decodes it.
     ///
     /// # Errors
     ///
-    /// Returns why the token cannot be read.
-    pub fn new(site: &Site) -> Result<Self, CliError> {
-        let path = &site.token_file;
-        let token = std::fs::read_to_string(path).context(FileSnafu { path })?;
-        let url = site.url.trim_end_matches('/').to_string();
-        Ok(Self {
-            client: client(),
-            url,
-            token: token.trim().to_string(),
+    /// Returns why no page came, the host's refusal, or why it cannot be decoded.
+    pub async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        self.decode(&self.get(path).await?)
+    }
+
+    /// Decodes an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be decoded.
+    pub fn decode<T: DeserializeOwned>(&self, text: &str) -> Result<T, CliError> {
+        let decoded = serde_json::from_str(text).map_err(|error| CallError::Malformed {
+            why: error.to_string(),
+        });
+        decoded.context(CallSnafu {
+            url: &self.site.url,
         })
     }
 
@@ -95,8 +128,8 @@
 
     fn build(&self, method: Method, path: &str) -> Conn {
         self.client
-            .build_conn(method, format!("{}{path}", self.url))
-            .with_request_header("authorization", format!("Bearer {}", self.token))
+            .build_conn(method, format!("{}{path}", self.site.url))
+            .with_request_header("authorization", format!("Bearer {}", self.site.token))
     }
 
     async fn finish(&self, conn: Conn) -> Result<String, CliError> {
@@ -104,7 +137,9 @@
         let answered = answered.unwrap_or(Err(CallError::TimedOut {
             limit: CALL_TIMEOUT,
         }));
-        let answer = answered.context(CallSnafu { url: &self.url })?;
+        let answer = answered.context(CallSnafu {
+            url: &self.site.url,
+        })?;
         if (200..300).contains(&answer.status) {
             return Ok(answer.text);
         }
@@ -112,7 +147,9 @@
             Ok(body) => Err(body.into()),
             Err(_) => {
                 let why = format!("status {}", answer.status);
-                Err(CallError::Malformed { why }).context(CallSnafu { url: &self.url })
+                Err(CallError::Malformed { why }).context(CallSnafu {
+                    url: &self.site.url,
+                })
             }
         }
     }
--- /dev/null
+++ b/src/cli/edit.rs
@@ -0,0 +1,161 @@
+//! Edits the table from a file of changes.
+
+use crate::cli::call::OperatorClient;
+use crate::cli::diff::{DiffLine, diff};
+use crate::cli::exit::{CliError, Exit, FileSnafu};
+use crate::cli::options::TableEditOptions;
+use crate::cli::render::print_line;
+use crate::cli::site::Site;
+use crate::edge::http::CallError;
+use crate::edge::operator::unknown_key;
+use crate::prelude::*;
+use crate::table::Table;
+use crate::table::acceptance::refusal;
+use crate::table::message::{Change, Edit, EditAnswer};
+use serde_json::{Value, json};
+use snafu::ResultExt;
+use std::path::Path;
+
+/// A file of changes.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EditFile {
+    /// The operator's own identity of the edit.
+    pub edit_id: Option<Name>,
+    /// Who makes it.
+    pub operator: Name,
+    /// The table version it is made from.
+    pub base_version: Option<Offset>,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// Shows what an edit changes, sends it, and prints the answer.
+///
+/// # Errors
+///
+/// Returns what is wrong with the file, or why the edit is not accepted.
+pub async fn edit(options: &TableEditOptions) -> Result<Exit, CliError> {
+    let file = read_file(&options.file)?;
+    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
+    let client = OperatorClient::new(site);
+    let table: Table = client.read("/table").await?;
+    let edit = make_edit(options, file, &table);
+    let repeated = table.find_edit(&edit.edit_id).is_some();
+    let lines = diff(&table, &edit);
+    if !options.json {
+        print_diff(&table, &edit, &lines, repeated)?;
+    }
+    if options.dry_run {
+        return dry_run(options, table, &edit, &lines, repeated);
+    }
+    let answer = match client.post("/table/edits", &edit).await {
+        Ok(text) => client.decode::<EditAnswer>(&text)?,
+        Err(error) => return Err(edit_error(error, &edit)),
+    };
+    report(options, &edit, &answer)
+}
+
+fn read_file(path: &Path) -> Result<EditFile, CliError> {
+    let text = std::fs::read_to_string(path).context(FileSnafu { path })?;
+    let content_error = |why: String| CliError::Content {
+        path: path.to_path_buf(),
+        why,
+    };
+    let file: EditFile = toml::from_str(&text).map_err(|error| content_error(error.to_string()))?;
+    let raw: Value = toml::from_str(&text).map_err(|error| content_error(error.to_string()))?;
+    match unknown_key(&raw["changes"], &file.changes) {
+        None => Ok(file),
+        Some(why) => Err(content_error(why)),
+    }
+}
+
+fn make_edit(options: &TableEditOptions, file: EditFile, table: &Table) -> Edit {
+    let from_options = options.edit_id.as_deref().map(Name::from);
+    let made_up = || format!("edit-{:016x}", fastrand::u64(..)).into();
+    let base_version = options.base_version.map(Offset).or(file.base_version);
+    Edit {
+        edit_id: from_options.or(file.edit_id).unwrap_or_else(made_up),
+        operator: file.operator,
+        base_version: base_version.unwrap_or(table.version),
+        changes: file.changes,
+    }
+}
+
+fn print_diff(
+    table: &Table,
+    edit: &Edit,
+    lines: &[DiffLine],
+    repeated: bool,
+) -> Result<(), CliError> {
+    print_line(&format!(
+        "edit {} by {}, based on version {} (present version {})",
+        edit.edit_id, edit.operator, edit.base_version, table.version
+    ))?;
+    if repeated {
+        return print_line("this edit was made before; asking for its answer");
+    }
+    for line in lines {
+        print_line(&line.text())?;
+    }
+    Ok(())
+}
+
+/// Applies the edit to a copy of the table, by the same rules as the site.
+fn dry_run(
+    options: &TableEditOptions,
+    mut table: Table,
+    edit: &Edit,
+    lines: &[DiffLine],
+    repeated: bool,
+) -> Result<Exit, CliError> {
+    let next_version = table.version.next();
+    if !repeated {
+        let outcome = table.apply_edit(next_version, edit);
+        outcome.map_err(|rejection| refusal(&rejection))?;
+    }
+    if options.json {
+        let edit_id = &edit.edit_id;
+        print_line(&json!({ "edit_id": edit_id, "dry_run": true, "diff": lines }).to_string())?;
+    } else {
+        print_line("dry run: the edit is valid; nothing was sent")?;
+    }
+    Ok(Exit::Done)
+}
+
+fn edit_error(error: CliError, edit: &Edit) -> CliError {
+    match error {
+        CliError::Call {
+            url,
+            source: source @ (CallError::TimedOut { .. } | CallError::Broken { .. }),
+        } => CliError::EditLost {
+            url,
+            source,
+            edit_id: edit.edit_id.to_string(),
+        },
+        other => other,
+    }
+}
+
+fn report(options: &TableEditOptions, edit: &Edit, answer: &EditAnswer) -> Result<Exit, CliError> {
+    let edit_id = &edit.edit_id;
+    if options.json {
+        print_line(&json!({ "edit_id": edit_id, "answer": answer }).to_string())?;
+    }
+    match answer {
+        EditAnswer::InForce { version } => {
+            if !options.json {
+                print_line(&format!(
+                    "edit {edit_id} is in force everywhere as version {version}"
+                ))?;
+            }
+            Ok(Exit::Done)
+        }
+        EditAnswer::Pending { unconfirmed, .. } => {
+            let hosts = unconfirmed.join(", ");
+            let message = format!("edit {edit_id} is not confirmed yet by {hosts}");
+            let error = CliError::from(Refusal::new(ErrorKind::EditPending, message));
+            Err(error)
+        }
+    }
+}
--- a/src/cli/keys.rs
+++ b/src/cli/keys.rs
@@ -1,7 +1,8 @@
-//! Makes the fleet's key, the hosts' certificates and operators' tokens.
+//! Makes the fleet's key, the hosts' certificates, operators' tokens and brands' API keys.
 
 use crate::cli::exit::{CliError, Exit, FileSnafu};
 use crate::cli::options::KeysOptions;
+use crate::cli::render::print_line;
 use crate::edge::digest::sha256;
 use crate::edge::peer::FLEET_SERVER_NAME;
 use rcgen::{
@@ -33,11 +34,19 @@
     let issuer = Issuer::new(fleet_params()?, key);
     for host in &options.host {
         host_certificate(directory, host, &issuer)?;
-        println!("host {host}: {host}.pem and {host}.key");
+        print_line(&format!("host {host}: {host}.pem and {host}.key"))?;
     }
     for operator in &options.operator {
-        let hash = operator_token(directory, operator)?;
-        println!("operator {operator}: {operator}.token, operator_token_sha256 = [\"{hash}\"]");
+        let hash = secret(directory, &format!("{operator}.token"))?;
+        print_line(&format!(
+            "operator {operator}: {operator}.token, operator_token_sha256 = [\"{hash}\"]"
+        ))?;
+    }
+    for brand in &options.brand {
+        let hash = secret(directory, &format!("{brand}.key"))?;
+        print_line(&format!(
+            "brand {brand}: {brand}.key, key_sha256 = [\"{hash}\"]"
+        ))?;
     }
     Ok(Exit::Done)
 }
@@ -63,7 +72,9 @@
     write_secret(&path, &key.serialize_pem())?;
     let path = directory.join(FLEET_CERTIFICATE);
     fs::write(&path, certificate.pem()).context(FileSnafu { path: &path })?;
-    println!("fleet: {FLEET_CERTIFICATE} and {FLEET_KEY} (keep the key off the hosts)");
+    print_line(&format!(
+        "fleet: {FLEET_CERTIFICATE} and {FLEET_KEY} (keep the key off the hosts)"
+    ))?;
     Ok(key)
 }
 
@@ -87,14 +98,14 @@
     write_secret(&directory.join(format!("{host}.key")), &key.serialize_pem())
 }
 
-fn operator_token(directory: &Path, operator: &str) -> Result<std::sync::Arc<str>, CliError> {
+fn secret(directory: &Path, file: &str) -> Result<std::sync::Arc<str>, CliError> {
     let mut bytes = [0; TOKEN_BYTES];
     SystemRandom::new().fill(&mut bytes).map_err(keys_error)?;
     let mut token = String::new();
     for byte in bytes {
         let _ = write!(token, "{byte:02x}");
     }
-    write_secret(&directory.join(format!("{operator}.token")), &token)?;
+    write_secret(&directory.join(file), &token)?;
     Ok(sha256(&token))
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,34 +1,48 @@
-//! The command-line tool: one module a command.
+//! The command-line tool: one module a command, or a few that are alike.
 
 pub mod call;
+pub mod diff;
+pub mod edit;
 pub mod exit;
 pub mod keys;
 pub mod options;
+pub mod render;
+pub mod replay;
+pub mod request;
 pub mod send;
+pub mod site;
 pub mod table;
+pub mod view;
 
-use crate::cli::call::OperatorClient;
 use crate::cli::exit::{CliError, Exit};
-use crate::cli::options::{Command, Options};
+use crate::cli::options::{Command, Options, TableAction};
+use std::future::Future;
 
 /// Carries out a command and returns the exit code.
 ///
 /// # Errors
 ///
-/// Returns what went wrong, for one line on standard error.
+/// Returns what went wrong, for standard error.
 pub fn run(options: Options) -> Result<Exit, CliError> {
     match options.command {
-        Command::Keys(keys) => keys::make(&keys),
-        Command::Table(command) => smol::block_on(table::run(&command.action)),
-        Command::Dump(options) => smol::block_on(print(&options.site, "/dump")),
-        Command::Hosts(options) => smol::block_on(print(&options.site, "/hosts")),
-        Command::Placements(options) => smol::block_on(print(&options.site, "/placements")),
-        Command::Send(options) => smol::block_on(send::send(&options)),
+        Command::Keys(options) => keys::make(&options),
+        Command::CheckSettings(options) => view::check_settings(&options),
+        Command::Health(options) => wait(view::health(&options)),
+        Command::Table(options) => match options.action {
+            TableAction::Show(options) => wait(table::show(&options)),
+            TableAction::Edit(options) => wait(edit::edit(&options)),
+            TableAction::History(options) => wait(table::history(&options)),
+        },
+        Command::Hosts(options) => wait(view::hosts(&options)),
+        Command::Placements(options) => wait(view::placements(&options)),
+        Command::Send(options) => wait(send::send(&options)),
+        Command::Dump(options) => wait(view::dump(&options)),
+        Command::Trace(options) => wait(view::trace(&options)),
+        Command::Replay(options) => replay::replay(&options),
+        Command::Errors(options) => view::errors(&options),
     }
 }
 
-async fn print(site: &options::Site, path: &str) -> Result<Exit, CliError> {
-    let client = OperatorClient::new(site)?;
-    println!("{}", client.get(path).await?);
-    Ok(Exit::Done)
+fn wait(command: impl Future<Output = Result<Exit, CliError>>) -> Result<Exit, CliError> {
+    smol::block_on(command)
 }
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -0,0 +1,337 @@
+//! The raw command line. What the commands work with is made from it in [`crate::cli::site`] and in
+//! the commands themselves.
+
+use argh::FromArgs;
+use std::path::PathBuf;
+
+/// Operate a mangovale site.
+#[derive(FromArgs, Debug)]
+#[argh(
+    note = "The operator interface and the token also come from MANGOVALE_SITE and MANGOVALE_TOKEN_FILE.",
+    note = "Exit codes: 0 done, 1 options or a local file, 2 bad settings, 3 no host answered, 4 refused, 5 edit conflict, 6 edit pending, 7 not serving, 8 refused for now, 9 may have run, 10 error status of a service, 11 the replay differs."
+)]
+pub struct Options {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// The commands.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Makes keys.
+    Keys(KeysOptions),
+    /// Checks a settings file.
+    CheckSettings(CheckSettingsOptions),
+    /// Tells whether a host serves.
+    Health(HealthOptions),
+    /// Reads and edits the table.
+    Table(TableOptions),
+    /// Prints the hosts.
+    Hosts(HostsOptions),
+    /// Prints upstreams and copies.
+    Placements(PlacementsOptions),
+    /// Sends one request.
+    Send(SendOptions),
+    /// Prints a process's state.
+    Dump(DumpOptions),
+    /// Prints a process's recorded inputs.
+    Trace(TraceOptions),
+    /// Runs a trace again.
+    Replay(ReplayOptions),
+    /// Prints the error kinds.
+    Errors(ErrorsOptions),
+}
+
+/// Make the fleet's key, certificates for hosts, tokens for operators, and API keys for brands.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "keys",
+    example = "{command_name} --directory keys --host entry-1 --host entry-2 --operator asha --brand north-firm",
+    note = "An existing fleet key in the directory is used again; delete it to make a new one."
+)]
+pub struct KeysOptions {
+    /// the directory to write to
+    #[argh(option, short = 'd')]
+    pub directory: PathBuf,
+    /// a host to make a certificate for; may be given many times
+    #[argh(option)]
+    pub host: Vec<String>,
+    /// an operator to make a token for; may be given many times
+    #[argh(option)]
+    pub operator: Vec<String>,
+    /// a brand to make an API key for; may be given many times
+    #[argh(option)]
+    pub brand: Vec<String>,
+}
+
+/// Check a daemon's settings file, and start nothing.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "check-settings",
+    example = "{command_name} entry-1.toml"
+)]
+pub struct CheckSettingsOptions {
+    /// the settings file
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Tell whether a host serves callers; exits with 0 when it does.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "health",
+    example = "{command_name} --host http://10.0.0.1:7000",
+    note = "Asks the caller interface and needs no credential."
+)]
+pub struct HealthOptions {
+    /// the host's caller interface, as http://host:port
+    #[argh(option)]
+    pub host: String,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Read and edit the table.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "table")]
+pub struct TableOptions {
+    /// what to do with the table
+    #[argh(subcommand)]
+    pub action: TableAction,
+}
+
+/// The commands on the table.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum TableAction {
+    /// Prints the table.
+    Show(TableShowOptions),
+    /// Edits the table.
+    Edit(TableEditOptions),
+    /// Prints the last edits.
+    History(TableHistoryOptions),
+}
+
+/// Print the table as one host has it.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "show",
+    example = "{command_name} --site http://10.0.0.1:7002 --token-file asha.token"
+)]
+pub struct TableShowOptions {
+    /// the operator interface, as http://host:port
+    #[argh(option)]
+    pub site: Option<String>,
+    /// the file with the operator's token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Edit the table from a file of changes, all of them or none.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "edit",
+    example = "{command_name} --dry-run edit.toml",
+    example = "{command_name} --edit-id weights-2026-12 edit.toml",
+    note = "The file holds operator = \"NAME\" and [[changes]] tables: put_row, remove_row, put_model, remove_model, put_service, remove_service, put_brand, remove_brand, set_store.",
+    note = "Repeat an edit whose outcome is not known with the same --edit-id: it takes effect once, and the answer is the same."
+)]
+pub struct TableEditOptions {
+    /// the operator interface, as http://host:port
+    #[argh(option)]
+    pub site: Option<String>,
+    /// the file with the operator's token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// the edit's identity, when the file names none; made up when absent
+    #[argh(option)]
+    pub edit_id: Option<String>,
+    /// the table version that the edit is made from, when the file names none; the present one when absent
+    #[argh(option)]
+    pub base_version: Option<u64>,
+    /// only show what would change
+    #[argh(switch)]
+    pub dry_run: bool,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// the file of changes (TOML)
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Print the last edits, accepted and rejected.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "history", example = "{command_name} --json")]
+pub struct TableHistoryOptions {
+    /// the operator interface, as http://host:port
+    #[argh(option)]
+    pub site: Option<String>,
+    /// the file with the operator's token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Print the hosts as one host knows them.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "hosts",
+    example = "{command_name} --site http://10.0.0.1:7002"
+)]
+pub struct HostsOptions {
+    /// the operator interface, as http://host:port
+    #[argh(option)]
+    pub site: Option<String>,
+    /// the file with the operator's token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Print the upstreams and the copies of models as one host knows them.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "placements",
+    example = "{command_name} --site http://10.0.0.1:7002"
+)]
+pub struct PlacementsOptions {
+    /// the operator interface, as http://host:port
+    #[argh(option)]
+    pub site: Option<String>,
+    /// the file with the operator's token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Send one request, and print its answer as it comes.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "send",
+    example = "{command_name} --host http://10.0.0.1:7000 --entry --key-file brand.key --model portfolio-review \"Please assess my case.\"",
+    example = "{command_name} --host http://10.0.0.1:7000 --key-file brand.key --service booking --method POST --path /slots --body '{{\"slot\": 4}}' --idempotency-key b-17",
+    note = "Goes on to the next host when nothing was run at this one. A request that may have run is not sent again."
+)]
+pub struct SendOptions {
+    /// a host's caller interface, as http://host:port; may be given many times
+    #[argh(option)]
+    pub host: Vec<String>,
+    /// ask the given hosts first which hosts to use
+    #[argh(switch)]
+    pub entry: bool,
+    /// the brand's API key
+    #[argh(option)]
+    pub key: Option<String>,
+    /// the file with the brand's API key
+    #[argh(option)]
+    pub key_file: Option<PathBuf>,
+    /// the model, for a chat request
+    #[argh(option)]
+    pub model: Option<String>,
+    /// the plain service, for any other call
+    #[argh(option)]
+    pub service: Option<String>,
+    /// the path at the service; / when absent
+    #[argh(option)]
+    pub path: Option<String>,
+    /// the method of the call to the service; POST with a body, else GET
+    #[argh(option)]
+    pub method: Option<String>,
+    /// the body of the call to the service, or @FILE
+    #[argh(option)]
+    pub body: Option<String>,
+    /// names an operation that may run at most once
+    #[argh(option)]
+    pub idempotency_key: Option<String>,
+    /// the deadline in milliseconds
+    #[argh(option)]
+    pub deadline_ms: Option<u64>,
+    /// print one JSON object at the end
+    #[argh(switch)]
+    pub json: bool,
+    /// the message, for a chat request
+    #[argh(positional)]
+    pub message: Option<String>,
+}
+
+/// Print the state of the process at an operator interface.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "dump",
+    example = "{command_name} --site http://10.0.0.1:7002 > entry-1.json"
+)]
+pub struct DumpOptions {
+    /// the operator interface, as http://host:port
+    #[argh(option)]
+    pub site: Option<String>,
+    /// the file with the operator's token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// print JSON on one line
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Print the last inputs of the process at an operator interface, for `replay`.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "trace",
+    example = "{command_name} --site http://10.0.0.1:7002 > entry-1.trace"
+)]
+pub struct TraceOptions {
+    /// the operator interface, as http://host:port
+    #[argh(option)]
+    pub site: Option<String>,
+    /// the file with the operator's token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+}
+
+/// Run a trace again, and print the effects of each event.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "replay",
+    example = "{command_name} entry-1.trace",
+    note = "Use the release that wrote the trace; exits with 11 when the state at the end differs."
+)]
+pub struct ReplayOptions {
+    /// print one JSON object a line, with whole effects
+    #[argh(switch)]
+    pub json: bool,
+    /// the trace
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Print the table of error kinds.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "errors", example = "{command_name}")]
+pub struct ErrorsOptions {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- a/src/cli/send.rs
+++ b/src/cli/send.rs
@@ -1,128 +1,343 @@
-//! Sends one chat request and prints the streamed answer.
+//! Sends one request, from host to host until it is answered or may have run.
 
 use crate::cli::call::ErrorBody;
-use crate::cli::exit::{CallSnafu, CliError, Exit};
+use crate::cli::exit::{CallSnafu, CliError, Exit, LostSnafu};
 use crate::cli::options::SendOptions;
-use crate::edge::caller::DEADLINE_HEADER;
-use crate::edge::http::{CallError, call_error, client};
+use crate::cli::render::{print, print_line};
+use crate::cli::request::{Request, RequestKind};
+use crate::cli::site::http_url;
+use crate::edge::http::{CallError, call_error, client, within};
+use crate::error::{ErrorKind, Ran};
+use crate::membership::entry::EntryAnswer;
+use crate::prelude::*;
 use serde_json::{Value, json};
 use smol::io::{AsyncBufReadExt, BufReader};
 use smol::stream::StreamExt;
 use snafu::ResultExt;
-use std::io::Write;
-use std::time::Instant;
-use trillium_client::{Conn, Method};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+use trillium_client::{Client, Conn};
 
-/// Sends the request to the first host that can be reached.
+const ENTRY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most hosts tried in one command.
+const MAX_HOSTS: usize = 16;
+const END_OF_STREAM: &str = "[DONE]";
+
+/// Sends the request to the first host that takes it.
 ///
 /// # Errors
 ///
 /// Returns why no whole answer came.
 pub async fn send(options: &SendOptions) -> Result<Exit, CliError> {
-    let mut last = CliError::Option {
-        option: "--host",
-        why: "give at least one".to_string(),
+    let request = Request::new(options)?;
+    let client = client();
+    let mut hosts = Hosts::new(&options.host)?;
+    if options.entry {
+        let answer = ask_entry(&client, &request, &hosts).await?;
+        hosts = Hosts::from_entry(&answer);
+    }
+    let sending = Sending {
+        client,
+        request,
+        json: options.json,
+        started_at: Instant::now(),
     };
-    for host in &options.host {
-        let started_at = Instant::now();
-        match try_host(options, host, started_at).await {
-            Err(
-                error @ CliError::Call {
-                    source: CallError::NotConnected { .. },
-                    ..
-                },
-            ) => {
-                eprintln!("mangovale: {error}; trying the next host");
+    let mut last = no_host();
+    while let Some(url) = hosts.next() {
+        match sending.try_host(&url).await {
+            Err(error) if is_for_another_host(&error) => {
+                hosts.learn(&error);
+                if hosts.is_empty() {
+                    return Err(error);
+                }
+                eprintln!("mangovale: {error}; nothing was run, trying the next host");
                 last = error;
             }
-            other => return other,
+            outcome => return outcome,
         }
     }
     Err(last)
 }
 
-async fn try_host(
-    options: &SendOptions,
-    host: &str,
-    started_at: Instant,
-) -> Result<Exit, CliError> {
-    let url = host.trim_end_matches('/');
-    let conn = build(options, url)
-        .await
-        .map_err(|error| call_error(&error));
-    let mut conn = conn.context(CallSnafu { url })?;
-    if conn.status().is_none_or(|status| !status.is_success()) {
-        return Err(refusal(&mut conn).await);
-    }
-    let first_byte_ms = started_at.elapsed().as_millis();
-    let tokens = print_stream(conn, url).await?;
-    let total_ms = started_at.elapsed().as_millis();
-    eprintln!("[{url}: first byte after {first_byte_ms} ms, {tokens} tokens in {total_ms} ms]");
-    Ok(Exit::Done)
+/// The hosts still to be tried.
+struct Hosts {
+    waiting: VecDeque<String>,
+    seen: IndexSet<String>,
 }
 
-fn build(options: &SendOptions, url: &str) -> Conn {
-    let body = json!({
-        "model": options.model,
-        "stream": true,
-        "messages": [{ "role": "user", "content": options.message }],
-    });
-    let mut conn = client()
-        .build_conn(Method::Post, format!("{url}/v1/chat/completions"))
-        .with_request_header("authorization", format!("Bearer {}", options.key))
-        .with_request_header("content-type", "application/json");
-    if let Some(deadline_ms) = options.deadline_ms {
-        conn = conn.with_request_header(DEADLINE_HEADER, deadline_ms.to_string());
-    }
-    conn.with_body(body.to_string())
+impl Hosts {
+    fn new(given: &[String]) -> Result<Self, CliError> {
+        let mut hosts = Self::empty();
+        for host in given {
+            hosts.add(http_url("--host", host)?);
+        }
+        if hosts.is_empty() {
+            return Err(no_host());
+        }
+        Ok(hosts)
+    }
+
+    fn from_entry(answer: &EntryAnswer) -> Self {
+        let mut hosts = Self::empty();
+        for address in &answer.hosts {
+            hosts.add(format!("http://{address}"));
+        }
+        hosts
+    }
+
+    fn empty() -> Self {
+        Self {
+            waiting: VecDeque::new(),
+            seen: IndexSet::new(),
+        }
+    }
+
+    fn learn(&mut self, error: &CliError) {
+        if let CliError::Refused { fields } = error {
+            for address in &fields.try_hosts {
+                self.add(format!("http://{address}"));
+            }
+        }
+    }
+
+    fn add(&mut self, url: String) {
+        if self.seen.len() < MAX_HOSTS && self.seen.insert(url.clone()) {
+            self.waiting.push_back(url);
+        }
+    }
+
+    fn next(&mut self) -> Option<String> {
+        self.waiting.pop_front()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
 }
 
-async fn refusal(conn: &mut Conn) -> CliError {
-    let text = conn.response_body().read_string().await.unwrap_or_default();
-    match serde_json::from_str::<ErrorBody>(&text) {
-        Ok(body) => body.into(),
-        Err(_) => CliError::Refused {
-            kind: "unreadable".to_string(),
-            message: text,
-            advice: String::new(),
-        },
+fn no_host() -> CliError {
+    CliError::Option {
+        option: "--host",
+        why: "give at least one host".to_string(),
     }
 }
 
-async fn print_stream(mut conn: Conn, url: &str) -> Result<u64, CliError> {
-    let broken = |why: &str| CallError::Broken {
-        why: why.to_string(),
-    };
-    let body = conn.take_response_body();
-    let body = body
-        .ok_or_else(|| broken("no body"))
-        .context(CallSnafu { url })?;
-    let mut lines = BufReader::new(body).lines();
-    let mut tokens = 0;
-    while let Some(line) = lines.next().await {
-        let line = line
-            .map_err(|error| broken(&error.to_string()))
+/// Tells whether nothing was run at this host and another one may take the request.
+fn is_for_another_host(error: &CliError) -> bool {
+    match error {
+        CliError::Call { source, .. } => matches!(source, CallError::NotConnected { .. }),
+        CliError::Refused { fields } => {
+            let kinds = [ErrorKind::CutOff, ErrorKind::Starting, ErrorKind::Stopping];
+            let this_host_only = kinds.iter().any(|kind| kind.name() == fields.kind);
+            fields.ran == Ran::NotRun && (this_host_only || !fields.try_hosts.is_empty())
+        }
+        _ => false,
+    }
+}
+
+async fn ask_entry(
+    client: &Client,
+    request: &Request,
+    hosts: &Hosts,
+) -> Result<EntryAnswer, CliError> {
+    let mut last = no_host();
+    for url in &hosts.seen {
+        match ask_one_entry(client, request, url).await {
+            Ok(answer) if !answer.hosts.is_empty() => return Ok(answer),
+            Ok(_) => {
+                let message = "no host takes requests now";
+                last = Refusal::new(ErrorKind::CutOff, message).into();
+            }
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
+
+async fn ask_one_entry(
+    client: &Client,
+    request: &Request,
+    url: &str,
+) -> Result<EntryAnswer, CliError> {
+    let asking = async {
+        let conn = request.build_entry(client, url).await;
+        let mut conn = conn
+            .map_err(|error| call_error(&error))
             .context(CallSnafu { url })?;
-        let Some(data) = line.strip_prefix("data: ") else {
-            continue;
+        if !is_success(&conn) {
+            return Err(refusal(&mut conn).await);
+        }
+        let text = read_text(&mut conn).await.context(CallSnafu { url })?;
+        let malformed = |error: serde_json::Error| CallError::Malformed {
+            why: error.to_string(),
         };
-        if data == "[DONE]" {
-            println!();
-            return Ok(tokens);
+        serde_json::from_str(&text)
+            .map_err(malformed)
+            .context(CallSnafu { url })
+    };
+    let limit = ENTRY_TIMEOUT;
+    let late = Err(CallError::TimedOut { limit }).context(CallSnafu { url });
+    within(limit, asking).await.unwrap_or(late)
+}
+
+/// A request being sent.
+struct Sending {
+    client: Client,
+    request: Request,
+    json: bool,
+    started_at: Instant,
+}
+
+/// What came of a request.
+struct Received {
+    status: u16,
+    first_byte_ms: u128,
+    tokens: u64,
+    text: String,
+}
+
+impl Sending {
+    async fn try_host(&self, url: &str) -> Result<Exit, CliError> {
+        let conn = self.request.build(&self.client, url).await;
+        let mut conn = match conn.map_err(|error| call_error(&error)) {
+            Ok(conn) => conn,
+            Err(source @ CallError::NotConnected { .. }) => {
+                return Err(source).context(CallSnafu { url });
+            }
+            Err(source) => return Err(source).context(LostSnafu { url }),
+        };
+        let first_byte_ms = self.started_at.elapsed().as_millis();
+        let received = match self.request.kind {
+            RequestKind::Chat if is_success(&conn) => {
+                self.read_stream(conn, url, first_byte_ms).await?
+            }
+            RequestKind::Chat => return Err(refusal(&mut conn).await),
+            RequestKind::Service => self.read_answer(conn, url, first_byte_ms).await?,
+        };
+        self.report(url, &received)
+    }
+
+    async fn read_answer(
+        &self,
+        mut conn: Conn,
+        url: &str,
+        first_byte_ms: u128,
+    ) -> Result<Received, CliError> {
+        let status = status(&conn);
+        let text = read_text(&mut conn).await.context(LostSnafu { url })?;
+        if let Ok(body) = serde_json::from_str::<ErrorBody>(&text) {
+            return Err(body.into());
         }
-        if let Ok(error) = serde_json::from_str::<ErrorBody>(data) {
-            return Err(error.into());
+        if !self.json {
+            print_line(&text)?;
+        }
+        Ok(Received {
+            status,
+            first_byte_ms,
+            tokens: 0,
+            text,
+        })
+    }
+
+    async fn read_stream(
+        &self,
+        mut conn: Conn,
+        url: &str,
+        first_byte_ms: u128,
+    ) -> Result<Received, CliError> {
+        let mut received = Received {
+            status: status(&conn),
+            first_byte_ms,
+            tokens: 0,
+            text: String::new(),
+        };
+        let body = conn.take_response_body().ok_or_else(|| broken("no body"));
+        let mut lines = BufReader::new(body.context(LostSnafu { url })?).lines();
+        while let Some(line) = lines.next().await {
+            let line = line.map_err(|error| broken(&error.to_string()));
+            let line = line.context(LostSnafu { url })?;
+            let Some(data) = line.strip_prefix("data: ") else {
+                continue;
+            };
+            if data == END_OF_STREAM {
+                return Ok(received);
+            }
+            if let Ok(error) = serde_json::from_str::<ErrorBody>(data) {
+                return Err(error.into());
+            }
+            self.take_chunk(data, &mut received)?;
         }
-        tokens += 1;
-        print_token(data);
+        Err(broken("the stream ended before its end mark")).context(LostSnafu { url })
     }
-    Err(broken("the stream ended before its end mark")).context(CallSnafu { url })
+
+    fn take_chunk(&self, data: &str, received: &mut Received) -> Result<(), CliError> {
+        let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+        received.tokens += 1;
+        let token = chunk["choices"][0]["delta"]["content"].as_str();
+        let Some(token) = token else {
+            return Ok(());
+        };
+        received.text.push_str(token);
+        if self.json { Ok(()) } else { print(token) }
+    }
+
+    fn report(&self, url: &str, received: &Received) -> Result<Exit, CliError> {
+        let total_ms = self.started_at.elapsed().as_millis();
+        let first_byte_ms = received.first_byte_ms;
+        if self.json {
+            let summary = json!({
+                "host": url,
+                "status": received.status,
+                "first_byte_ms": first_byte_ms as u64,
+                "total_ms": total_ms as u64,
+                "tokens": received.tokens,
+                "text": received.text,
+            });
+            print_line(&summary.to_string())?;
+        } else if self.request.kind == RequestKind::Chat {
+            print_line("")?;
+            let tokens = received.tokens;
+            eprintln!(
+                "[{url}: first byte after {first_byte_ms} ms, {tokens} tokens in {total_ms} ms]"
+            );
+        } else {
+            eprintln!("[{url}: status {} after {total_ms} ms]", received.status);
+        }
+        if (200..300).contains(&received.status) {
+            return Ok(Exit::Done);
+        }
+        Ok(Exit::ErrorStatus)
+    }
+}
+
+async fn refusal(conn: &mut Conn) -> CliError {
+    let status = status(conn);
+    let text = read_text(conn).await.unwrap_or_default();
+    match serde_json::from_str::<ErrorBody>(&text) {
+        Ok(body) => body.into(),
+        Err(_) => {
+            let message = format!("an answer with status {status} that is not mangovale's: {text}");
+            Refusal::new(ErrorKind::Internal, message).into()
+        }
+    }
+}
+
+async fn read_text(conn: &mut Conn) -> Result<String, CallError> {
+    let body = conn.response_body();
+    let text = body.read_string().await;
+    text.map_err(|error| call_error(&error))
 }
 
-fn print_token(data: &str) {
-    let chunk: Value = serde_json::from_str(data).unwrap_or_default();
-    if let Some(text) = chunk["choices"][0]["delta"]["content"].as_str() {
-        print!("{text}");
-        let _ = std::io::stdout().flush();
+fn status(conn: &Conn) -> u16 {
+    conn.status().map_or(0, |status| status as u16)
+}
+
+fn is_success(conn: &Conn) -> bool {
+    conn.status().is_some_and(|status| status.is_success())
+}
+
+fn broken(why: &str) -> CallError {
+    CallError::Broken {
+        why: why.to_string(),
     }
 }
--- a/src/cli/table.rs
+++ b/src/cli/table.rs
@@ -1,106 +1,180 @@
-//! Reads and edits the table.
+//! Prints the table and its history.
 
 use crate::cli::call::OperatorClient;
-use crate::cli::exit::{CliError, Exit, FileSnafu};
-use crate::cli::options::{TableAction, TableEditOptions};
-use crate::shared_log::record::Offset;
-use crate::table::message::{Change, Edit, EditAnswer};
-use serde::Deserialize;
-use snafu::ResultExt;
-use std::sync::Arc;
+use crate::cli::exit::{CliError, Exit};
+use crate::cli::options::{TableHistoryOptions, TableShowOptions};
+use crate::cli::render::{bytes, columns, or_dash, print, print_line};
+use crate::cli::site::Site;
+use crate::cli::view::text_of;
+use crate::prelude::*;
+use crate::table::Table;
+use crate::table::message::{HistoryLine, Row, RowKey};
 
-/// A file of changes.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct EditFile {
-    /// The operator's own identity of the edit; made up when absent.
-    pub edit_id: Option<Arc<str>>,
-    /// Who makes it.
-    pub operator: Arc<str>,
-    /// The table version it is made from; the present one when absent.
-    pub base_version: Option<Offset>,
-    /// The changes.
-    #[serde(rename = "changes")]
-    pub changes: Vec<Change>,
-}
-
-#[derive(Deserialize)]
-struct VersionOnly {
-    version: Offset,
+/// Prints the table.
+///
+/// # Errors
+///
+/// Returns why it cannot be read.
+pub async fn show(options: &TableShowOptions) -> Result<Exit, CliError> {
+    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
+    let client = OperatorClient::new(site);
+    let text = client.get("/table").await?;
+    if options.json {
+        print_line(&text)?;
+        return Ok(Exit::Done);
+    }
+    let table: Table = client.decode(&text)?;
+    print(&table_text(&table))?;
+    Ok(Exit::Done)
 }
 
-/// Carries out a command on the table.
+/// Prints the last edits.
 ///
 /// # Errors
 ///
-/// Returns what went wrong.
-pub async fn run(action: &TableAction) -> Result<Exit, CliError> {
-    match action {
-        TableAction::Show(options) => {
-            let client = OperatorClient::new(&options.site)?;
-            println!("{}", client.get("/table").await?);
-            Ok(Exit::Done)
-        }
-        TableAction::Edit(options) => edit(options).await,
+/// Returns why they cannot be read.
+pub async fn history(options: &TableHistoryOptions) -> Result<Exit, CliError> {
+    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
+    let client = OperatorClient::new(site);
+    let table: Table = client.read("/table").await?;
+    if options.json {
+        print_line(&serde_json::to_string(&table.history).unwrap_or_default())?;
+        return Ok(Exit::Done);
     }
+    let rows: Vec<Vec<String>> = table.history.iter().map(history_row).collect();
+    let header = ["VERSION", "EDIT", "OPERATOR", "CHANGES", "OUTCOME"];
+    print(&columns(&header, &rows))?;
+    Ok(Exit::Done)
 }
 
-async fn edit(options: &TableEditOptions) -> Result<Exit, CliError> {
-    let path = &options.file;
-    let text = std::fs::read_to_string(path).context(FileSnafu { path })?;
-    let content_error = |why: String| CliError::Content {
-        path: path.clone(),
-        why,
-    };
-    let file: EditFile = toml::from_str(&text).map_err(|error| content_error(error.to_string()))?;
-    let client = OperatorClient::new(&options.site)?;
-    let base_version = match file.base_version {
-        Some(version) => version,
-        None => present_version(&client).await?,
-    };
-    let edit_id = file
-        .edit_id
-        .unwrap_or_else(|| format!("edit-{:x}", fastrand::u64(..)).into());
-    let edit = Edit {
-        edit_id,
-        operator: file.operator,
-        base_version,
-        changes: file.changes,
+fn history_row(line: &HistoryLine) -> Vec<String> {
+    let outcome = match &line.rejected {
+        None => "accepted".to_string(),
+        Some(rejection) => {
+            format!(
+                "rejected: {}",
+                serde_json::to_string(rejection).unwrap_or_default()
+            )
+        }
     };
-    let answer = client.post("/table/edits", &edit).await?;
-    let answer: EditAnswer =
-        serde_json::from_str(&answer).map_err(|error| content_error(error.to_string()))?;
-    Ok(report(&edit, &answer))
+    vec![
+        line.offset.to_string(),
+        line.edit_id.to_string(),
+        line.operator.to_string(),
+        line.changes.to_string(),
+        outcome,
+    ]
 }
 
-async fn present_version(client: &OperatorClient) -> Result<Offset, CliError> {
-    let text = client.get("/table").await?;
-    let table: Result<VersionOnly, _> = serde_json::from_str(&text);
-    table
-        .map(|table| table.version)
-        .map_err(|error| CliError::Refused {
-            kind: "internal".to_string(),
-            message: format!("the table cannot be read: {error}"),
-            advice: String::new(),
+fn table_text(table: &Table) -> String {
+    let store = &table.store.value;
+    format!(
+        "table version {} (weight store: {} loads at once, {} a second)\n\n{}\n{}\n{}\n{}",
+        table.version,
+        store.parallel_loads,
+        store.loads_per_s,
+        row_lines(table),
+        model_lines(table),
+        service_lines(table),
+        brand_lines(table),
+    )
+}
+
+fn row_lines(table: &Table) -> String {
+    let rows: Vec<Vec<String>> = table
+        .rows
+        .iter()
+        .map(|(key, row)| row_cells(key, &row.value, row.version))
+        .collect();
+    let header = [
+        "BRAND",
+        "MODEL OR SERVICE",
+        "WEIGHT",
+        "REQUESTS/S",
+        "AT ONCE",
+        "COPIES",
+        "URGENCY",
+        "DEADLINE",
+        "DATA CENTRES",
+        "CHANGED",
+    ];
+    columns(&header, &rows)
+}
+
+fn row_cells(key: &RowKey, row: &Row, version: Offset) -> Vec<String> {
+    vec![
+        key.brand.to_string(),
+        key.model.to_string(),
+        row.weight.to_string(),
+        or_dash(row.requests_per_s),
+        or_dash(row.concurrent_requests),
+        row.copies.to_string(),
+        text_of(&row.urgency),
+        row.deadline_ms.to_string(),
+        list(&row.data_centres, "all"),
+        version.to_string(),
+    ]
+}
+
+fn model_lines(table: &Table) -> String {
+    let rows: Vec<Vec<String>> = table
+        .models
+        .iter()
+        .map(|(name, model)| {
+            vec![
+                name.to_string(),
+                model.value.version.to_string(),
+                bytes(model.value.reserved_bytes),
+                bytes(model.value.checkpoint_bytes),
+                or_dash(model.value.base.as_ref()),
+                model.version.to_string(),
+            ]
         })
+        .collect();
+    let header = [
+        "MODEL",
+        "VERSION",
+        "RESERVED",
+        "CHECKPOINT",
+        "BASE",
+        "CHANGED",
+    ];
+    columns(&header, &rows)
 }
 
-fn report(edit: &Edit, answer: &EditAnswer) -> Exit {
-    match answer {
-        EditAnswer::InForce { version } => {
-            println!(
-                "edit {} is in force everywhere as version {version}",
-                edit.edit_id
-            );
-            Exit::Done
-        }
-        EditAnswer::Pending { unconfirmed, .. } => {
-            println!(
-                "edit {} is not in force yet; not confirmed by: {}",
-                edit.edit_id,
-                unconfirmed.join(", ")
-            );
-            Exit::Pending
-        }
+fn service_lines(table: &Table) -> String {
+    let rows: Vec<Vec<String>> = table
+        .services
+        .iter()
+        .map(|(name, service)| {
+            vec![
+                name.to_string(),
+                list(&service.value.upstreams, "-"),
+                service.version.to_string(),
+            ]
+        })
+        .collect();
+    columns(&["SERVICE", "UPSTREAMS", "CHANGED"], &rows)
+}
+
+fn brand_lines(table: &Table) -> String {
+    let rows: Vec<Vec<String>> = table
+        .brands
+        .iter()
+        .map(|(name, brand)| {
+            vec![
+                name.to_string(),
+                brand.value.key_sha256.len().to_string(),
+                brand.version.to_string(),
+            ]
+        })
+        .collect();
+    columns(&["BRAND", "KEYS", "CHANGED"], &rows)
+}
+
+fn list(names: &[Name], empty: &str) -> String {
+    if names.is_empty() {
+        return empty.to_string();
     }
+    names.join(", ")
 }
--- a/src/edge/operator.rs
+++ b/src/edge/operator.rs
@@ -3,7 +3,8 @@
 use crate::edge::caller::{json_answer, key_of, read_body, refuse};
 use crate::edge::gate::{Gate, Query};
 use crate::prelude::*;
-use crate::table::message::Edit;
+use crate::table::message::{Change, Edit};
+use serde_json::Value;
 use smol::channel::Sender;
 use trillium::{Conn, Method};
 
@@ -72,12 +73,9 @@
             Ok(body) => body,
             Err(refusal) => return refuse(conn, &refusal, ""),
         };
-        let edit: Edit = match serde_json::from_slice(&body) {
+        let edit = match parse_edit(&body) {
             Ok(edit) => edit,
-            Err(error) => {
-                let message = format!("the body is not an edit: {error}");
-                return refuse(conn, &Refusal::new(ErrorKind::BadRequest, message), "");
-            }
+            Err(refusal) => return refuse(conn, &refusal, ""),
         };
         match self.gate.ask_edit(edit).await {
             Ok(answer) => json_answer(conn, 200, &answer),
@@ -85,3 +83,37 @@
         }
     }
 }
+
+fn parse_edit(body: &[u8]) -> Result<Edit, Refusal> {
+    let refusal = |why: String| {
+        let message = format!("the body is not an edit: {why}");
+        Refusal::new(ErrorKind::BadRequest, message)
+    };
+    let edit: Edit = serde_json::from_slice(body).map_err(|error| refusal(error.to_string()))?;
+    let raw: Value = serde_json::from_slice(body).map_err(|error| refusal(error.to_string()))?;
+    match unknown_key(&raw["changes"], &edit.changes) {
+        None => Ok(edit),
+        Some(why) => Err(refusal(why)),
+    }
+}
+
+/// Finds a key of a change that its kind does not have, and says what the kind has.
+///
+/// The decoder passes over such keys, since a change carries its kind among its other keys.
+pub fn unknown_key(raw_changes: &Value, changes: &[Change]) -> Option<String> {
+    let raw_changes = raw_changes.as_array()?;
+    let pairs = raw_changes.iter().zip(changes).enumerate();
+    for (index, (raw, change)) in pairs {
+        let known = serde_json::to_value(change).unwrap_or_default();
+        let known: Vec<&String> = known.as_object()?.keys().collect();
+        if let Some(key) = raw.as_object()?.keys().find(|key| !known.contains(key)) {
+            let allowed = known.iter().map(|key| format!("`{key}`"));
+            let allowed = allowed.collect::<Vec<_>>().join(", ");
+            let number = index + 1;
+            return Some(format!(
+                "change {number}: unknown key `{key}`, expected {allowed}"
+            ));
+        }
+    }
+    None
+}
