--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -442,6 +442,7 @@
             directory: self.directory.path().join("keys"),
             host: vec![host.to_string()],
             operator: Vec::new(),
+            brand: Vec::new(),
         };
         mangovale::cli::keys::make(&options).expect("keys can be made");
     }
