Check every setting with its line, choose the log's form, end the process on a panic

A panic in any task aborts the process after event E104: a process that lost a task would answer some calls and not others.

--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -156,9 +156,7 @@
             Self::Content { .. } => "correct the file".to_string(),
             Self::Output { .. } => "check where the output goes".to_string(),
             Self::Keys { .. } => "check the names and the directory".to_string(),
-            Self::Settings { .. } => {
-                "correct the settings; docs/OPERATORS.md lists every key".to_string()
-            }
+            Self::Settings { source } => source.advice().to_string(),
             Self::Option { .. } => "see --help".to_string(),
             Self::Call { .. } => "check the address, or ask another host".to_string(),
             Self::Lost { .. } => ErrorKind::OutcomeUnknown.answer().advice.to_string(),
--- a/src/cli/keys.rs
+++ b/src/cli/keys.rs
@@ -22,33 +22,46 @@
 const TOKEN_BYTES: usize = 32;
 const OWNER_ONLY: u32 = 0o600;
 
-/// Writes what the options ask for.
+/// Makes what the options ask for, and prints one line for each.
 ///
 /// # Errors
 ///
 /// Returns which file cannot be written, or why a key cannot be made.
-pub fn make(options: &KeysOptions) -> Result<Exit, CliError> {
+pub fn keys(options: &KeysOptions) -> Result<Exit, CliError> {
+    for line in make(options)? {
+        print_line(&line)?;
+    }
+    Ok(Exit::Done)
+}
+
+/// Makes what the options ask for, and says what was made, one line each.
+///
+/// # Errors
+///
+/// Returns which file cannot be written, or why a key cannot be made.
+pub fn make(options: &KeysOptions) -> Result<Vec<String>, CliError> {
     let directory = &options.directory;
     fs::create_dir_all(directory).context(FileSnafu { path: directory })?;
-    let key = fleet_key(directory)?;
+    let mut lines = Vec::new();
+    let key = fleet_key(directory, &mut lines)?;
     let issuer = Issuer::new(fleet_params()?, key);
     for host in &options.host {
         host_certificate(directory, host, &issuer)?;
-        print_line(&format!("host {host}: {host}.pem and {host}.key"))?;
+        lines.push(format!("host {host}: {host}.pem and {host}.key"));
     }
     for operator in &options.operator {
         let hash = secret(directory, &format!("{operator}.token"))?;
-        print_line(&format!(
+        lines.push(format!(
             "operator {operator}: {operator}.token, operator_token_sha256 = [\"{hash}\"]"
-        ))?;
+        ));
     }
     for brand in &options.brand {
         let hash = secret(directory, &format!("{brand}.key"))?;
-        print_line(&format!(
+        lines.push(format!(
             "brand {brand}: {brand}.key, key_sha256 = [\"{hash}\"]"
-        ))?;
+        ));
     }
-    Ok(Exit::Done)
+    Ok(lines)
 }
 
 fn fleet_params() -> Result<CertificateParams, CliError> {
@@ -61,7 +74,7 @@
     Ok(params)
 }
 
-fn fleet_key(directory: &Path) -> Result<KeyPair, CliError> {
+fn fleet_key(directory: &Path, lines: &mut Vec<String>) -> Result<KeyPair, CliError> {
     let path = directory.join(FLEET_KEY);
     if path.exists() {
         let text = fs::read_to_string(&path).context(FileSnafu { path: &path })?;
@@ -72,9 +85,9 @@
     write_secret(&path, &key.serialize_pem())?;
     let path = directory.join(FLEET_CERTIFICATE);
     fs::write(&path, certificate.pem()).context(FileSnafu { path: &path })?;
-    print_line(&format!(
+    lines.push(format!(
         "fleet: {FLEET_CERTIFICATE} and {FLEET_KEY} (keep the key off the hosts)"
-    ))?;
+    ));
     Ok(key)
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -25,7 +25,7 @@
 /// Returns what went wrong, for standard error.
 pub fn run(options: Options) -> Result<Exit, CliError> {
     match options.command {
-        Command::Keys(options) => keys::make(&options),
+        Command::Keys(options) => keys::keys(&options),
         Command::CheckSettings(options) => view::check_settings(&options),
         Command::Health(options) => wait(view::health(&options)),
         Command::Table(options) => match options.action {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod node;
 pub mod placement_flow;
+pub mod process_log;
 pub mod request_flow;
 pub mod run;
 pub mod servers;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -58,6 +58,20 @@
     },
 }
 
+impl RunError {
+    /// Returns what to do next, in one sentence.
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Self::Listen { .. }
+            | Self::Peer {
+                source: PeerError::Listen { .. },
+            } => "end the process that uses the address, or change the setting",
+            Self::Peer { .. } => "check the files under [keys]; `mangovale keys` makes them",
+            Self::Signal { .. } | Self::Metrics { .. } => "report this with the message above",
+        }
+    }
+}
+
 /// Runs a daemon until it has stopped.
 ///
 /// # Errors
--- a/src/edge/peer.rs
+++ b/src/edge/peer.rs
@@ -51,7 +51,7 @@
         why: String,
     },
     /// The address cannot be used.
-    #[snafu(display("cannot listen on {address} (UDP): {source}"))]
+    #[snafu(display("cannot listen on {address} (peer_listen, UDP): {source}"))]
     Listen {
         /// The address.
         address: SocketAddr,
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -1,5 +1,6 @@
 //! Numbered log events. `docs/EVENTS.md` is their catalogue.
 
+use crate::daemon::process_log::LOG_TARGET;
 use log::Level;
 
 /// Something a daemon reports in its log under a fixed number.
@@ -14,6 +15,8 @@
     StopBegan = 102,
     /// The daemon stopped.
     Stopped = 103,
+    /// A task panicked; the process ends at once.
+    Panicked = 104,
     /// The log cannot be reached.
     LogLost = 200,
     /// The log can be reached again.
@@ -77,6 +80,45 @@
 }
 
 impl LogEvent {
+    /// Every event, in the order of the numbers.
+    pub const ALL: [Self; 35] = [
+        Self::Started,
+        Self::Joined,
+        Self::StopBegan,
+        Self::Stopped,
+        Self::Panicked,
+        Self::LogLost,
+        Self::LogBack,
+        Self::LogTrimmed,
+        Self::RecordUndecodable,
+        Self::AppendUnknown,
+        Self::CheckpointWritten,
+        Self::CheckpointRead,
+        Self::BecameStale,
+        Self::BecameFresh,
+        Self::Paused,
+        Self::PeerSuspected,
+        Self::HostEvicted,
+        Self::PeerRefused,
+        Self::EditAccepted,
+        Self::EditRejected,
+        Self::EditInForce,
+        Self::LoadDecided,
+        Self::CopyReady,
+        Self::LoadFailed,
+        Self::UnloadDecided,
+        Self::CopyGone,
+        Self::OrderTakenOver,
+        Self::UpstreamRegistered,
+        Self::UpstreamLeaving,
+        Self::UpstreamSilent,
+        Self::RequestRefused,
+        Self::AttemptFailed,
+        Self::OutcomeUnknown,
+        Self::ClaimMade,
+        Self::ClaimEnded,
+    ];
+
     /// Returns the event's number.
     pub const fn number(self) -> u16 {
         self as u16
@@ -85,6 +127,7 @@
     /// Returns the level at which the event is logged.
     pub const fn level(self) -> Level {
         match self {
+            Self::Panicked => Level::Error,
             Self::LogLost
             | Self::LogTrimmed
             | Self::RecordUndecodable
@@ -105,6 +148,6 @@
 
     /// Writes the event with its number, name and details to the process log.
     pub fn write(self, details: &str) {
-        log::log!(target: "mangovale", self.level(), "E{} {:?} {details}", self.number(), self);
+        log::log!(target: LOG_TARGET, self.level(), "E{} {:?} {details}", self.number(), self);
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,7 @@
 //! The daemon's settings: a TOML file, checked whole before anything starts.
 
+mod check;
+
 use crate::clock::Millis;
 use crate::placement::policy::keep_warm::KeepWarmRule;
 use serde::{Deserialize, Serialize};
@@ -28,10 +30,12 @@
         source: Box<toml::de::Error>,
     },
     /// A value is outside of its range.
-    #[snafu(display("{}: {key}: {why}", path.display()))]
+    #[snafu(display("{}{}: {key}: {why}", path.display(), line_text(*line)))]
     OutOfRange {
         /// The file.
         path: PathBuf,
+        /// The line, when the key is in the file.
+        line: Option<usize>,
         /// The key.
         key: &'static str,
         /// What is allowed.
@@ -39,6 +43,22 @@
     },
 }
 
+impl SettingsError {
+    /// Returns what to do next, in one sentence.
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Self::Unreadable { .. } => "check the path and its permissions",
+            Self::Malformed { .. } | Self::OutOfRange { .. } => {
+                "correct the settings; docs/OPERATORS.md lists every key"
+            }
+        }
+    }
+}
+
+fn line_text(line: Option<usize>) -> String {
+    line.map_or_else(String::new, |line| format!(": line {line}"))
+}
+
 /// The settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -175,6 +195,8 @@
 pub struct LogSettings {
     /// The least level that is written.
     pub level: LogLevel,
+    /// The form of its lines.
+    pub format: LogFormat,
     /// Where to write; standard error when absent.
     pub file: Option<PathBuf>,
 }
@@ -183,6 +205,7 @@
     fn default() -> Self {
         Self {
             level: LogLevel::Info,
+            format: LogFormat::Text,
             file: None,
         }
     }
@@ -202,6 +225,16 @@
     Debug,
 }
 
+/// The form of the lines of the process's own log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// Time, level, event number, event name, details.
+    Text,
+    /// One JSON object a line, the same as its `message`.
+    Json,
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
@@ -213,51 +246,15 @@
         let settings: Self = toml::from_str(&text)
             .map_err(Box::new)
             .context(MalformedSnafu { path })?;
-        settings.check(path)?;
-        Ok(settings)
-    }
-
-    fn check(&self, path: &Path) -> Result<(), SettingsError> {
-        let refuse = |key, why: &str| OutOfRangeSnafu { path, key, why }.fail();
-        if self.name.is_empty() {
-            return refuse("name", "takes a name, not an empty text");
-        }
-        if self.data_centre.is_empty() {
-            return refuse("data_centre", "takes a name, not an empty text");
-        }
-        if !self.platform.log_url.starts_with("http://") {
-            return refuse("platform.log_url", "takes http://host:port");
-        }
-        if !self.platform.hosts_url.starts_with("http://") {
-            return refuse("platform.hosts_url", "takes http://host:port");
-        }
-        let timing = &self.timing;
-        if timing.probe_interval_ms == Millis::ZERO {
-            return refuse("timing.probe_interval_ms", "must be above 0");
-        }
-        if timing.fresh_bound_ms < timing.probe_interval_ms {
-            return refuse(
-                "timing.fresh_bound_ms",
-                "must not be below timing.probe_interval_ms",
-            );
+        match check::check(&settings) {
+            Ok(()) => Ok(settings),
+            Err(check::Fault { key, why }) => OutOfRangeSnafu {
+                path,
+                line: check::line_of(&text, key),
+                key,
+                why,
+            }
+            .fail(),
         }
-        if timing.pause_ms > timing.fresh_bound_ms {
-            return refuse("timing.pause_ms", "must not be above timing.fresh_bound_ms");
-        }
-        if timing.probes_per_round == 0 {
-            return refuse("timing.probes_per_round", "must be 1 or more");
-        }
-        let is_hash = |hash: &Arc<str>| hash.len() == 64 && hash.bytes().all(is_hex);
-        if !self.keys.operator_token_sha256.iter().all(is_hash) {
-            return refuse("keys.operator_token_sha256", "takes 64 hex digits each");
-        }
-        if self.bounds.body_bytes == 0 {
-            return refuse("bounds.body_bytes", "must be above 0");
-        }
-        Ok(())
     }
 }
-
-fn is_hex(byte: u8) -> bool {
-    byte.is_ascii_hexdigit()
-}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,245 @@
+//! Settings that are refused, and how it is said.
+
+mod common;
+
+use common::{Place, Run, SETTINGS};
+
+/// Checks the usual settings with one line replaced; `line` names its number.
+fn with_line(line: usize, text: &str) -> Run {
+    let mut lines: Vec<&str> = SETTINGS.lines().collect();
+    lines[line - 1] = text;
+    check(&lines.join("\n"))
+}
+
+fn check(settings: &str) -> Run {
+    let place = Place::new();
+    place.file("entry-1.toml", settings);
+    place.daemon(&["--settings", "entry-1.toml", "--check"])
+}
+
+#[track_caller]
+fn refused(line: usize, text: &str, why: &str) {
+    let at = format!("line {line}");
+    with_line(line, text)
+        .exits_with(2)
+        .says(&at)
+        .says(why)
+        .says("next: correct the settings");
+}
+
+#[test]
+fn whole_settings_are_valid() {
+    check(SETTINGS)
+        .exits_with(0)
+        .prints("the settings are valid");
+}
+
+#[test]
+fn the_tool_checks_settings_too() {
+    let place = Place::new();
+    place.file("good.toml", SETTINGS);
+    place.file("bad.toml", "name = 1");
+    place.tool(&["check-settings", "good.toml"]).exits_with(0);
+    place
+        .tool(&["check-settings", "bad.toml"])
+        .exits_with(2)
+        .says("line 1");
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let run = Place::new().daemon(&["--settings", "nothing.toml"]);
+    run.exits_with(2)
+        .says("cannot read the settings file nothing.toml");
+}
+
+#[test]
+fn an_unknown_key_is_refused_with_the_known_ones() {
+    refused(
+        3,
+        "caller_lissen = \"127.0.0.1:7000\"",
+        "unknown field `caller_lissen`, expected one of `name`",
+    );
+    refused(
+        19,
+        "fresh_bound = 2000",
+        "unknown field `fresh_bound`, expected one of `fresh_bound_ms`",
+    );
+}
+
+#[test]
+fn a_missing_key_is_refused() {
+    check("data_centre = \"here\"")
+        .exits_with(2)
+        .says("missing field `name`");
+}
+
+#[test]
+fn names_are_checked() {
+    refused(1, "name = \"\"", "name: takes 1 to 64 letters");
+    refused(
+        2,
+        "data_centre = \"a b\"",
+        "data_centre: takes 1 to 64 letters",
+    );
+}
+
+#[test]
+fn addresses_are_checked() {
+    refused(3, "caller_listen = \"here:7000\"", "invalid socket address");
+    refused(
+        3,
+        "caller_listen = \"127.0.0.1:0\"",
+        "caller_listen: takes a port above 0",
+    );
+    refused(
+        3,
+        "caller_listen = \"0.0.0.0:7000\"",
+        "set caller_advertise",
+    );
+    refused(4, "peer_listen = \"0.0.0.0:7001\"", "set peer_advertise");
+    refused(
+        5,
+        "operator_listen = \"127.0.0.1:7000\"",
+        "must not be caller_listen",
+    );
+    let advertise = "caller_advertise = \"0.0.0.0:7000\"";
+    refused(
+        6,
+        advertise,
+        "caller_advertise: takes an address that others can reach",
+    );
+}
+
+#[test]
+fn platform_addresses_are_checked() {
+    refused(
+        8,
+        "log_url = \"127.0.0.1:7100\"",
+        "platform.log_url: takes http://host:port",
+    );
+    refused(
+        8,
+        "log_url = \"http://127.0.0.1\"",
+        "platform.log_url: takes http://host:port",
+    );
+    refused(
+        9,
+        "hosts_url = \"http://h:1/list\"",
+        "platform.hosts_url: takes http://host:port",
+    );
+    refused(
+        10,
+        "store_url = \"https://h:1\"",
+        "platform.store_url: takes http://host:port",
+    );
+    refused(
+        10,
+        "stream = \"a/b\"",
+        "platform.stream: takes 1 to 64 letters",
+    );
+}
+
+#[test]
+fn operator_hashes_are_checked() {
+    refused(15, "operator_token_sha256 = []", "takes at least one hash");
+    refused(
+        15,
+        "operator_token_sha256 = [\"secret\"]",
+        "takes 64 hex digits each",
+    );
+}
+
+#[test]
+fn times_are_checked() {
+    refused(
+        18,
+        "fresh_bound_ms = 100",
+        "timing.fresh_bound_ms: must be between",
+    );
+    refused(
+        18,
+        "fresh_bound_ms = 60001",
+        "timing.fresh_bound_ms: must be between",
+    );
+    refused(18, "fresh_bound_ms = -1", "expected u64");
+    refused(
+        19,
+        "pause_ms = 99",
+        "timing.pause_ms: must be between 100 ms",
+    );
+    refused(
+        19,
+        "pause_ms = 2001",
+        "timing.pause_ms: must be between 100 ms",
+    );
+    refused(
+        20,
+        "probe_interval_ms = 0",
+        "timing.probe_interval_ms: must be above 0",
+    );
+    refused(
+        21,
+        "suspect_after_ms = 250",
+        "timing.suspect_after_ms: must be above",
+    );
+    refused(
+        22,
+        "probes_per_round = 0",
+        "timing.probes_per_round: must be between 1 and 64",
+    );
+    refused(
+        22,
+        "probes_per_round = 65",
+        "timing.probes_per_round: must be between 1 and 64",
+    );
+}
+
+#[test]
+fn policy_is_checked() {
+    let line = "keep_warm = { rule = \"fixed_timeout\", idle_ms = 0 }";
+    refused(25, line, "policy.keep_warm: idle_ms must be above 0");
+    refused(
+        25,
+        "keep_warm = { rule = \"always\" }",
+        "unknown variant `always`, expected",
+    );
+}
+
+#[test]
+fn bounds_are_checked() {
+    refused(
+        28,
+        "body_bytes = 0",
+        "bounds.body_bytes: must be between 1 and",
+    );
+    refused(
+        28,
+        "body_bytes = 1073741825",
+        "bounds.body_bytes: must be between 1 and",
+    );
+    refused(
+        29,
+        "answer_bytes = 0",
+        "bounds.answer_bytes: must be between 1 and",
+    );
+    refused(
+        30,
+        "connections = 0",
+        "bounds.connections: must be between 1 and",
+    );
+}
+
+#[test]
+fn log_settings_are_checked() {
+    refused(
+        33,
+        "level = \"loud\"",
+        "unknown variant `loud`, expected one of `error`",
+    );
+    refused(
+        34,
+        "format = \"xml\"",
+        "unknown variant `xml`, expected `text` or `json`",
+    );
+}
