--- a/standins/src/engine/copies.rs
+++ b/standins/src/engine/copies.rs
@@ -8,13 +8,14 @@
 use crate::engine::ModelVersion;
 use crate::engine::args::EngineSettings;
 use crate::engine::order::{Order, OrderKey, OrderState, OrderStatus};
+use crate::engine::peaks::Peaks;
 use crate::error::Refusal;
 
 /// How many finished and running orders are remembered.
 const MAX_ORDERS: usize = 10_000;
 /// How many copies are held at once.
 const MAX_COPIES: usize = 10_000;
-/// For how many models fencing numbers and peaks are kept.
+/// For how many models fencing numbers are kept.
 const MAX_MODELS: usize = 100_000;
 
 /// Where a copy stands.
@@ -80,19 +81,6 @@
     Nothing,
 }
 
-/// The highest figures since the process started.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Peaks {
-    peak_used_bytes: u64,
-    memory_bytes: u64,
-    overcommitted: bool,
-    peak_copies: IndexMap<Arc<str>, u64>,
-    loads_started: u64,
-    loads_done: u64,
-    loads_failed: u64,
-    orders_fenced: u64,
-}
-
 /// An order and the copy whose load it waits for.
 #[derive(Debug)]
 struct OrderRecord {
@@ -116,10 +104,6 @@
 impl CopyTable {
     /// Builds an empty table.
     pub fn new(settings: &EngineSettings) -> Self {
-        let peaks = Peaks {
-            memory_bytes: settings.memory_bytes,
-            ..Peaks::default()
-        };
         Self {
             memory_bytes: settings.memory_bytes,
             enforce_memory: settings.enforce_memory,
@@ -128,7 +112,7 @@
             copies: Vec::new(),
             orders: IndexMap::new(),
             highest_fences: IndexMap::new(),
-            peaks,
+            peaks: Peaks::new(settings.memory_bytes),
         }
     }
 
@@ -176,13 +160,13 @@
             return Ok(NextStep::Nothing);
         }
         if let Some(copy_id) = self.copy_to_adopt(order) {
-            self.record(order.key(), Some(copy_id));
+            self.record(order, Some(copy_id));
             return Ok(NextStep::Nothing);
         }
         self.check_room(order)?;
         self.check_base(order)?;
         let task = self.add_copy(order);
-        self.record(order.key(), Some(task.copy_id));
+        self.record(order, Some(task.copy_id));
         Ok(NextStep::Load(task))
     }
 
@@ -198,7 +182,7 @@
         }
         let model_version = order.model_version();
         let copy_ids = self.start_unloading(&model_version);
-        self.record(order.key(), None);
+        self.record(order, None);
         Ok(NextStep::Unload(UnloadTask {
             order: order.key(),
             model_version,
@@ -210,18 +194,14 @@
         if !self.checks_fencing {
             return Ok(());
         }
-        let is_known = self.highest_fences.contains_key(&order.model);
-        if !is_known && self.highest_fences.len() >= MAX_MODELS {
-            return Err(Refusal::Busy);
-        }
-        let model = Arc::clone(&order.model);
-        let highest = self.highest_fences.entry(model).or_default();
-        if order.fence < *highest {
-            self.peaks.orders_fenced += 1;
-            return Err(Refusal::Fenced { highest: *highest });
+        match self.highest_fences.get(&order.model) {
+            Some(&highest) if order.fence < highest => {
+                self.peaks.count_fenced();
+                Err(Refusal::Fenced { highest })
+            }
+            None if self.highest_fences.len() >= MAX_MODELS => Err(Refusal::Busy),
+            _ => Ok(()),
         }
-        *highest = order.fence;
-        Ok(())
     }
 
     /// Finds the copy that a fence-checking engine hands to a takeover of the same order.
@@ -290,22 +270,19 @@
     }
 
     fn note_peaks(&mut self, added: &ModelVersion) {
-        let used_bytes = self.used_bytes();
         let same = self.copies.iter();
         let copies = same.filter(|copy| copy.model_version == *added).count() as u64;
-        let name: Arc<str> = added.to_string().into();
-        let peaks = &mut self.peaks;
-        peaks.loads_started += 1;
-        peaks.peak_used_bytes = peaks.peak_used_bytes.max(used_bytes);
-        peaks.overcommitted |= used_bytes > self.memory_bytes;
-        if peaks.peak_copies.len() < MAX_MODELS || peaks.peak_copies.contains_key(&name) {
-            let peak = peaks.peak_copies.entry(name).or_default();
-            *peak = copies.max(*peak);
-        }
+        let used_bytes = self.used_bytes();
+        self.peaks.count_load(added, copies, used_bytes);
     }
 
-    fn record(&mut self, key: OrderKey, copy_id: Option<u64>) {
+    /// Remembers an order that was taken, and its fencing number.
+    fn record(&mut self, order: &Order, copy_id: Option<u64>) {
         self.forget_oldest_order();
+        if self.checks_fencing {
+            self.highest_fences
+                .insert(Arc::clone(&order.model), order.fence);
+        }
         let is_ready = self
             .copies
             .iter()
@@ -314,8 +291,9 @@
             true => OrderState::Done,
             false => OrderState::Running,
         };
-        let status = OrderStatus::new(key.order, state);
-        self.orders.insert(key, OrderRecord { status, copy_id });
+        let status = OrderStatus::new(order.order, state);
+        self.orders
+            .insert(order.key(), OrderRecord { status, copy_id });
     }
 
     fn forget_oldest_order(&mut self) {
@@ -358,7 +336,7 @@
         for copy in self.copies.iter_mut().filter(|copy| copy.id == copy_id) {
             copy.state = CopyState::Ready;
         }
-        self.peaks.loads_done += 1;
+        self.peaks.count_done();
         self.finish_orders_of(copy_id, OrderState::Done, None);
     }
 
@@ -368,7 +346,7 @@
             return;
         }
         self.remove_copy(copy_id);
-        self.peaks.loads_failed += 1;
+        self.peaks.count_failed();
         self.finish_orders_of(copy_id, OrderState::Failed, Some(error));
     }
 
