--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -4,7 +4,7 @@
 use mangovale::daemon::event::Event;
 use mangovale::daemon::node::{Node, NodeConfig};
 use mangovale::membership::message::{HostEntry, UpstreamEntry, UpstreamRole};
-use mangovale::placement::message::LoadDecision;
+use mangovale::placement::message::{LoadDecision, OrderOutcome};
 use mangovale::placement::policy::keep_warm::KeepWarmRule;
 use mangovale::shared_log::codec::encode;
 use mangovale::shared_log::fold::{Shared, Step};
@@ -52,7 +52,7 @@
     pub load_record_bytes: usize,
     /// Microseconds to fold an edit with one change.
     pub edit_us: f64,
-    /// Microseconds to fold a load.
+    /// Microseconds to fold a load and its outcome.
     pub load_us: f64,
     /// Microseconds of one tick of the event loop without requests.
     pub tick_us: f64,
@@ -68,6 +68,7 @@
     shared: Shared,
     seq: u64,
     record_bytes: usize,
+    load_record_bytes: usize,
 }
 
 impl Fold {
@@ -110,6 +111,7 @@
         shared: Shared::default(),
         seq: 0,
         record_bytes: 0,
+        load_record_bytes: 0,
     };
     join_hosts(&mut fold, size.hosts);
     put_table(&mut fold, size.models);
@@ -119,7 +121,7 @@
     let started_at = Instant::now();
     load_copies(&mut fold, size);
     let load_us = micros(started_at) / size.copies.max(1) as f64;
-    let load_record_bytes = fold.record_bytes;
+    let load_record_bytes = fold.load_record_bytes;
     let with_copies = footprint_bytes(&fold.shared);
     let started_at = Instant::now();
     for number in 0..SINGLE_EDITS {
@@ -234,7 +236,16 @@
             upstream: format!("engine-{}", number % size.upstreams).into(),
             reserved_bytes: 1_000,
         };
+        let copy = fold.shared.next_offset;
         fold.apply(WRITER, RecordBody::Load { load });
+        fold.load_record_bytes = fold.record_bytes;
+        let outcome = OrderOutcome::Done;
+        let ready = RecordBody::Outcome {
+            copy,
+            fence: copy,
+            outcome,
+        };
+        fold.apply(WRITER, ready);
     }
 }
 
