Probe at constant cost, evict by agreement, rejoin after an eviction

A host was evicted on one host's bad link, and with more hosts than a round of probes reaches within the suspicion bound every host would have been suspected. Silence now counts from the first unanswered probe, suspects are named on probes, and an eviction needs the platform's list or other hosts. An evicted host comes back under a new incarnation. Hints that an upstream is leaving carry their age. An edit also waits for departed hosts that may not know it.

--- a/src/daemon/edit_flow.rs
+++ b/src/daemon/edit_flow.rs
@@ -2,6 +2,7 @@
 
 use crate::daemon::node::{Life, Node};
 use crate::prelude::*;
+use crate::table::MAX_CHANGES;
 use crate::table::acceptance::{CallId, refusal};
 use crate::table::message::Edit;
 
@@ -40,28 +41,46 @@
             let message = "too many edits are under way at this host";
             return Err(Refusal::new(ErrorKind::Overloaded, message).after(EDIT_RETRY_MS));
         }
+        if edit.changes.len() > MAX_CHANGES {
+            let message = format!("more than {MAX_CHANGES} changes in one edit");
+            return Err(Refusal::new(ErrorKind::EditInvalid, message));
+        }
         let record = self.driver.queue(RecordBody::Edit { edit: edit.clone() });
         if record.is_none() {
-            let message = "too many records wait for the log";
+            let message =
+                "the edit is too long for one record, or too many records wait for the log";
             return Err(Refusal::new(ErrorKind::Overloaded, message).after(EDIT_RETRY_MS));
         }
         self.acceptance.start(now, call, &edit, record, None);
         Ok(())
     }
 
-    /// Answers the operators whose edits are in force, or overdue.
+    /// Answers the operators whose edits are in force, or overdue, and asks for missing confirmations.
     pub fn tick_edits(&mut self, now: Millis, fx: &mut Effects) {
-        let me = self.config.me;
-        let own_offset = self.shared.next_offset;
-        let probes = &self.probes;
-        let confirmed = |host: Incarnation| {
-            if host == me {
-                return own_offset;
-            }
-            probes.get(host).map_or(Offset(0), |view| view.next_offset)
-        };
         let bound_ms = self.freshness.bound_ms();
+        let confirmed: IndexMap<Incarnation, Offset> = self.applied_offsets();
         self.acceptance
-            .on_tick(now, bound_ms, &self.shared.members, confirmed, fx);
+            .on_tick(now, bound_ms, &self.shared.members, &confirmed, fx);
+        let Some(newest) = self.acceptance.newest_version() else {
+            return;
+        };
+        let probe = self.own_probe(now);
+        let missing = confirmed
+            .iter()
+            .filter(|(_, offset)| **offset <= newest)
+            .map(|(host, _)| *host);
+        self.probes
+            .ask_now(now, missing, &self.shared.members, &probe, fx);
+    }
+
+    fn applied_offsets(&self) -> IndexMap<Incarnation, Offset> {
+        if self.acceptance.is_empty() {
+            return IndexMap::new();
+        }
+        let members = &self.shared.members;
+        members
+            .known()
+            .map(|host| (host, self.applied_by(host)))
+            .collect()
     }
 }
--- a/src/daemon/effect.rs
+++ b/src/daemon/effect.rs
@@ -29,7 +29,10 @@
     /// Reads the platform's list.
     ListHosts,
     /// Registers or renews this host in the platform's list.
-    RegisterHost,
+    RegisterHost {
+        /// The incarnation to register.
+        host: Incarnation,
+    },
     /// Removes this host from the platform's list.
     UnregisterHost,
     /// Asks the weight store for its report.
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -1,7 +1,8 @@
 //! Joins membership to the log and the platform's list, and drives a host's life.
 
 use crate::daemon::node::{Life, Node};
-use crate::membership::entry::{ENTRY_TTL_MS, entry_answer, home};
+use crate::membership::entry::{entry_answer, home};
+use crate::membership::leaving::{LEAVING_MARK_MS, MAX_HINTS};
 use crate::membership::message::{HostList, PeerReply, PeerRequest, Probe};
 use crate::prelude::*;
 use crate::shared_log::driver::MAX_READ_RECORDS;
@@ -15,8 +16,8 @@
 pub const REGISTER_INTERVAL_MS: Millis = Millis(1_000);
 /// How long the home of a host waits before it proposes the same change again.
 pub const PROPOSAL_REST_MS: Millis = Millis(2_000);
-/// How long a stopping host tries to append its leave; after that the others evict it.
-pub const LEAVE_BOUND_MS: Millis = Millis(3_000);
+/// How old the platform's list may be to speak against a host.
+pub const LIST_MAX_AGE_MS: Millis = Millis(3_000);
 /// The longest time that a request or order may still be on its way after its sender is gone.
 pub const LONGEST_FLIGHT_MS: Millis = Millis(5_000);
 
@@ -27,6 +28,7 @@
     list_under_way: bool,
     next_list_at: Millis,
     next_register_at: Millis,
+    listed_at: Option<Millis>,
     proposed_at: IndexMap<Name, Millis>,
     missing_since: IndexMap<Incarnation, Millis>,
 }
@@ -48,6 +50,14 @@
         true
     }
 
+    /// Tells whether a list read lately lacks a host.
+    fn misses(&self, now: Millis, name: &str, host: Incarnation) -> bool {
+        let recent = self
+            .listed_at
+            .is_some_and(|at| now.since(at) <= LIST_MAX_AGE_MS);
+        recent && !self.lists(name, host)
+    }
+
     fn lists(&self, name: &str, host: Incarnation) -> bool {
         self.list.as_ref().is_none_or(|list| {
             list.hosts
@@ -64,7 +74,10 @@
         let probe = self.own_probe(now);
         self.probes.on_tick(now, &self.shared.members, &probe, fx);
         self.freshness.retain_members(&self.shared.members);
-        if self.life != Life::Serving || !self.is_fresh(now) {
+        self.tick_leaving(now);
+        let able = self.life == Life::Serving && self.is_fresh(now);
+        // What was proposed during an outage would be stale when the log takes it.
+        if !able || !self.driver.is_reachable() {
             return;
         }
         self.propose_upstreams(now);
@@ -82,11 +95,13 @@
         let registers = matches!(self.life, Life::CatchingUp | Life::Joining | Life::Serving);
         if registers && now >= self.platform.next_register_at {
             self.platform.next_register_at = now + REGISTER_INTERVAL_MS;
-            fx.push(Effect::RegisterHost);
+            let host = self.config.me;
+            fx.push(Effect::RegisterHost { host });
         }
     }
 
-    fn own_probe(&self, now: Millis) -> Probe {
+    /// Returns what this host tells its peers.
+    pub fn own_probe(&self, now: Millis) -> Probe {
         Probe {
             from: self.config.me,
             next_offset: self.shared.next_offset,
@@ -95,13 +110,15 @@
                 self.life,
                 Life::Stopping { .. } | Life::Leaving { .. } | Life::Ended
             ),
-            leaving_upstreams: self.routing.leaving(),
+            leaving_upstreams: self.leaving.hints(now),
+            suspects: self.probes.suspects(),
         }
     }
 
     /// Takes the platform's list.
-    pub fn on_hosts_listed(&mut self, _now: Millis, list: HostList) {
+    pub fn on_hosts_listed(&mut self, now: Millis, list: HostList) {
         self.platform.list_under_way = false;
+        self.platform.listed_at = Some(now);
         for entry in &list.upstreams {
             if entry.leaving {
                 self.mark_leaving(&entry.name);
@@ -110,13 +127,31 @@
         self.platform.list = Some(list);
     }
 
-    /// Takes note that an upstream is leaving.
+    /// Takes the upstream's or the platform's word that an upstream is leaving.
     pub fn mark_leaving(&mut self, upstream: &Name) {
-        let view = self.routing.view(upstream);
-        if !view.leaving {
-            view.leaving = true;
+        self.mark_leaving_at(upstream, self.freshness.now());
+    }
+
+    fn mark_leaving_at(&mut self, upstream: &Name, said_at: Millis) {
+        if self.leaving.mark(upstream, said_at) {
             LogEvent::UpstreamLeaving.write(&format!("upstream={upstream}"));
         }
+        self.routing.view(upstream).leaving = true;
+    }
+
+    fn take_hints(&mut self, now: Millis, probe: &Probe) {
+        for hint in probe.leaving_upstreams.iter().take(MAX_HINTS) {
+            let known = self.shared.placement.upstreams.contains_key(&hint.upstream);
+            if known && hint.age_ms < LEAVING_MARK_MS {
+                self.mark_leaving_at(&hint.upstream, now - hint.age_ms);
+            }
+        }
+    }
+
+    fn tick_leaving(&mut self, now: Millis) {
+        for upstream in self.leaving.expire(now) {
+            self.routing.view(&upstream).leaving = false;
+        }
     }
 
     fn propose_upstreams(&mut self, now: Millis) {
@@ -172,7 +207,8 @@
         counted == 0 || with_it * 2 > counted
     }
 
-    fn applied_by(&self, host: Incarnation) -> Offset {
+    /// Returns the next offset of a host, as far as it is known here.
+    pub fn applied_by(&self, host: Incarnation) -> Offset {
         if host == self.config.me {
             return self.shared.next_offset;
         }
@@ -182,14 +218,14 @@
     }
 
     fn propose_evictions(&mut self, now: Millis) {
-        let suspected: Vec<Incarnation> = self
+        let dead: Vec<Incarnation> = self
             .shared
             .members
             .iter()
+            .filter(|(host, member)| self.is_dead(now, **host, &member.entry.name))
             .map(|(host, _)| *host)
-            .filter(|host| self.probes.is_suspected(*host))
             .collect();
-        for host in suspected {
+        for host in dead {
             let key = format!("evict {host}");
             if self.is_home(&key) && self.platform.may_propose(now, &key) {
                 self.driver.queue(RecordBody::Evict { host });
@@ -197,6 +233,12 @@
         }
     }
 
+    /// One silent link proves nothing: the platform or other hosts must agree.
+    fn is_dead(&self, now: Millis, host: Incarnation, name: &str) -> bool {
+        let agreed = self.probes.is_agreed_dead(now, host, &self.shared.members);
+        agreed || (self.probes.is_suspected(host) && self.platform.misses(now, name, host))
+    }
+
     fn propose_gone(&mut self, now: Millis) {
         let departed: Vec<(Incarnation, Name, bool)> = self
             .shared
@@ -220,6 +262,10 @@
 
     /// Takes an applied record.
     pub fn membership_applied(&mut self, applied: &Applied) {
+        let own = applied.record.id.host == self.config.me;
+        if own && applied.record.body == RecordBody::Leave {
+            self.life = Life::Ended;
+        }
         if !applied.verdict.is_accepted() {
             return;
         }
@@ -233,11 +279,11 @@
             RecordBody::Evict { host } => LogEvent::HostEvicted.write(&format!("host={host}")),
             RecordBody::Upstream { entry } => {
                 LogEvent::UpstreamRegistered.write(&format!("upstream={}", entry.name));
+                if !entry.leaving {
+                    self.leaving.clear(&entry.name);
+                }
                 self.routing.view(&entry.name).leaving = entry.leaving;
             }
-            RecordBody::Leave if applied.record.id.host == self.config.me => {
-                self.life = Life::Ended;
-            }
             _ => {}
         }
     }
@@ -252,30 +298,42 @@
         fx: &mut Effects,
     ) {
         match reply {
-            PeerReply::Probe(probe) => self.on_probe_answer(peer, asked_at, &probe, fx),
-            PeerReply::Records { records, .. } => self.apply_relayed(now, &records, fx),
+            PeerReply::Probe(probe) => self.on_probe_answer(now, peer, asked_at, &probe, fx),
+            PeerReply::Records { records, .. } => {
+                self.freshness.relay_answered();
+                self.apply_relayed(now, &records, fx);
+            }
         }
     }
 
     fn on_probe_answer(
         &mut self,
+        now: Millis,
         peer: Incarnation,
         asked_at: Millis,
         probe: &Probe,
         fx: &mut Effects,
     ) {
-        self.probes.on_answer(peer, asked_at, probe);
-        for upstream in &probe.leaving_upstreams {
-            self.mark_leaving(upstream);
+        if probe.from != peer {
+            // Another incarnation answers at the same address.
+            self.probes.on_failed(peer);
+            return;
         }
-        if self.shared.next_offset >= probe.next_offset {
+        self.probes.on_answer(now, peer, asked_at, probe);
+        self.take_hints(now, probe);
+        let own_offset = self.shared.next_offset;
+        if own_offset >= probe.next_offset {
             self.freshness.peer_known(peer, asked_at);
             if let Some(age_ms) = probe.log_age_ms {
                 self.freshness.log_known(asked_at - age_ms);
             }
             return;
         }
-        if self.driver.is_reachable() {
+        let reachable = self.driver.is_reachable();
+        if !self
+            .freshness
+            .is_relay_due(now, own_offset, probe.next_offset, reachable)
+        {
             return;
         }
         let Some(member) = self.shared.members.get(peer) else {
@@ -301,10 +359,8 @@
     ) {
         let reply = match request {
             PeerRequest::Probe(probe) => {
-                self.probes.on_probe(&probe);
-                for upstream in &probe.leaving_upstreams {
-                    self.mark_leaving(upstream);
-                }
+                self.probes.on_probe(now, &probe);
+                self.take_hints(now, &probe);
                 PeerReply::Probe(self.own_probe(now))
             }
             PeerRequest::Records { from } => PeerReply::Records {
@@ -353,49 +409,4 @@
             &self.probes,
         ))
     }
-
-    /// Begins a planned stop.
-    pub fn on_stop_asked(&mut self, now: Millis) {
-        match self.life {
-            Life::CatchingUp => self.life = Life::Ended,
-            Life::Joining | Life::Serving => {
-                LogEvent::StopBegan.write(&format!("requests={}", self.requests.len()));
-                self.life = Life::Stopping { since: now };
-            }
-            Life::Stopping { .. } | Life::Leaving { .. } | Life::Ended => {}
-        }
-    }
-
-    /// Moves through the host's life.
-    pub fn tick_life(&mut self, now: Millis, fx: &mut Effects) {
-        match self.life {
-            Life::CatchingUp => {
-                if self.driver.end_seen_at().is_some() {
-                    let entry = self.config.entry.clone();
-                    self.driver.queue(RecordBody::Join { entry });
-                    self.life = Life::Joining;
-                }
-            }
-            Life::Stopping { since } => self.try_leave(now, since, fx),
-            Life::Leaving { since } if now.since(since) > LEAVE_BOUND_MS => self.life = Life::Ended,
-            Life::Ended => fx.push(Effect::Exit),
-            Life::Joining | Life::Serving | Life::Leaving { .. } => {}
-        }
-    }
-
-    fn try_leave(&mut self, now: Millis, since: Millis, fx: &mut Effects) {
-        let entries_expired = now.since(since) > ENTRY_TTL_MS;
-        let executing = self
-            .executor
-            .is_busy(self.config.me, &self.shared.placement);
-        if !entries_expired || executing || !self.requests.is_empty() {
-            return;
-        }
-        if self.driver.is_reachable() && !self.driver.is_drained() {
-            return;
-        }
-        fx.push(Effect::UnregisterHost);
-        self.driver.queue(RecordBody::Leave);
-        self.life = Life::Leaving { since: now };
-    }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 pub mod edit_flow;
 pub mod effect;
 pub mod event;
+pub mod life_flow;
 pub mod log_flow;
 pub mod membership_flow;
 pub mod node;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -5,6 +5,7 @@
 use crate::attempt::requests::Requests;
 use crate::daemon::event::Event;
 use crate::membership::freshness::Freshness;
+use crate::membership::leaving::Leaving;
 use crate::membership::message::HostEntry;
 use crate::membership::probes::Probes;
 use crate::placement::executor::Executor;
@@ -85,6 +86,8 @@
     pub freshness: Freshness,
     /// Probes between hosts.
     pub probes: Probes,
+    /// Upstreams that are leaving.
+    pub leaving: Leaving,
     /// Edits that operators wait for.
     pub acceptance: Acceptance,
     /// Orders that this host executes.
@@ -119,6 +122,7 @@
                 config.suspect_after_ms,
                 config.probes_per_round as usize,
             ),
+            leaving: Leaving::default(),
             acceptance: Acceptance::default(),
             executor: Executor::default(),
             routing: Routing::default(),
@@ -136,7 +140,9 @@
     /// The same events at the same times give the same effects.
     pub fn handle(&mut self, now: Millis, event: Event) -> Effects {
         let mut fx = Effects::new();
-        self.freshness.note_time(now);
+        if self.freshness.note_time(now) {
+            self.probes.on_pause();
+        }
         self.dispatch(now, event, &mut fx);
         let fresh = self.is_fresh(now);
         self.freshness.note_change(fresh);
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -263,7 +263,6 @@
     engines: Arc<dyn EngineControl>,
     store: Option<Arc<dyn WeightStore>>,
     entry: HostEntry,
-    me: Incarnation,
 }
 
 impl Platform {
@@ -276,7 +275,6 @@
             engines: Arc::new(HttpEngines::new()),
             store: store.map(|url| Arc::new(HttpStore::new(url)) as Arc<dyn WeightStore>),
             entry: config.entry.clone(),
-            me: config.me,
         }
     }
 }
@@ -360,10 +358,10 @@
                     gate.send(event).await;
                 });
             }
-            Effect::RegisterHost => {
+            Effect::RegisterHost { host } => {
                 let hosts = self.platform.hosts.clone();
-                let (entry, me) = (self.platform.entry.clone(), self.platform.me);
-                spawn(async move { hosts.register(entry, me).await });
+                let entry = self.platform.entry.clone();
+                spawn(async move { hosts.register(entry, host).await });
             }
             Effect::UnregisterHost => {
                 let hosts = self.platform.hosts.clone();
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -44,6 +44,8 @@
     HostEvicted = 304,
     /// A peer was refused for its certificate.
     PeerRefused = 305,
+    /// This host was taken for dead and comes back as another incarnation.
+    Rejoining = 306,
     /// An edit was accepted by the fold.
     EditAccepted = 400,
     /// An edit was rejected by the fold.
--- a/src/membership/freshness.rs
+++ b/src/membership/freshness.rs
@@ -7,6 +7,11 @@
 use crate::membership::members::Members;
 use crate::prelude::*;
 
+/// How long a reachable log gets to show what a peer has applied, before the peer is asked for it.
+pub const RELAY_AFTER_MS: Millis = Millis(300);
+/// How long a peer's records are waited for before they are asked for again.
+pub const RELAY_TIMEOUT_MS: Millis = Millis(1_000);
+
 /// What this host knows of its own freshness.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Freshness {
@@ -17,6 +22,15 @@
     log_known_at: Option<Millis>,
     peers_known_at: IndexMap<Incarnation, Millis>,
     was_fresh: bool,
+    behind: Option<Behind>,
+    relay_asked_at: Option<Millis>,
+}
+
+/// Since when an offset is known of that is not applied here.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Behind {
+    offset: Offset,
+    since: Millis,
 }
 
 impl Freshness {
@@ -59,6 +73,44 @@
         *known_at = (*known_at).max(at);
     }
 
+    /// Takes note that a peer has applied more; tells whether it is to be asked for its records.
+    pub fn is_relay_due(
+        &mut self,
+        now: Millis,
+        own: Offset,
+        peer: Offset,
+        log_reachable: bool,
+    ) -> bool {
+        let caught_up = self.behind.is_none_or(|behind| own >= behind.offset);
+        if caught_up {
+            self.behind = Some(Behind {
+                offset: peer,
+                since: now,
+            });
+        }
+        let waited = self
+            .behind
+            .is_some_and(|behind| now.since(behind.since) >= RELAY_AFTER_MS);
+        let asked = self
+            .relay_asked_at
+            .is_some_and(|at| now.since(at) < RELAY_TIMEOUT_MS);
+        if asked || (log_reachable && !waited) {
+            return false;
+        }
+        self.relay_asked_at = Some(now);
+        true
+    }
+
+    /// Takes note that a peer passed records on.
+    pub fn relay_answered(&mut self) {
+        self.relay_asked_at = None;
+    }
+
+    /// Returns the time of the newest event.
+    pub fn now(&self) -> Millis {
+        self.last_event_at.unwrap_or_default()
+    }
+
     /// Forgets peers that are no longer members.
     pub fn retain_members(&mut self, members: &Members) {
         self.peers_known_at.retain(|peer, _| members.knows(*peer));
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -84,6 +84,11 @@
         self.hosts.get(&host)
     }
 
+    /// Returns the hosts that are present or departed.
+    pub fn known(&self) -> impl Iterator<Item = Incarnation> {
+        self.hosts.keys().copied()
+    }
+
     /// Returns the hosts that are present.
     pub fn iter(&self) -> impl Iterator<Item = (&Incarnation, &Member)> {
         self.hosts
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -1,6 +1,7 @@
 //! What is said about hosts and upstreams, on the log and between hosts.
 
 use crate::clock::Millis;
+use crate::membership::leaving::LeavingHint;
 use crate::shared_log::record::{Incarnation, LoggedRecord, Offset};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -110,5 +111,7 @@
     /// Whether the sender is stopping.
     pub stopping: bool,
     /// Upstreams that the sender knows to be leaving.
-    pub leaving_upstreams: Vec<Arc<str>>,
+    pub leaving_upstreams: Vec<LeavingHint>,
+    /// Hosts that the sender suspects to be dead.
+    pub suspects: Vec<Incarnation>,
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod entry;
 pub mod freshness;
+pub mod leaving;
 pub mod members;
 pub mod message;
 pub mod probes;
--- a/src/placement/executor.rs
+++ b/src/placement/executor.rs
@@ -109,6 +109,11 @@
         Some(outcome)
     }
 
+    /// Tells whether a call to an engine is under way.
+    pub fn is_calling(&self) -> bool {
+        self.orders.values().any(|view| view.call_under_way)
+    }
+
     /// Tells whether an order of this host is under way.
     pub fn is_busy(&self, me: Incarnation, placement: &Placement) -> bool {
         placement
--- a/src/shared_log/driver.rs
+++ b/src/shared_log/driver.rs
@@ -99,6 +99,23 @@
         }
     }
 
+    /// Begins anew under another incarnation; what was queued stays behind. Calls under way go on.
+    pub fn rejoin(&mut self, me: Incarnation) {
+        *self = Self {
+            me,
+            read: std::mem::take(&mut self.read),
+            reachable: self.reachable,
+            end_seen_at: self.end_seen_at,
+            failing_since: self.failing_since,
+            ..Self::default()
+        };
+    }
+
+    /// Tells whether an append's answer is still awaited.
+    pub fn is_appending(&self) -> bool {
+        matches!(self.append, AppendState::Sent)
+    }
+
     /// Tells whether the last read succeeded.
     pub fn is_reachable(&self) -> bool {
         self.reachable
--- a/src/table/acceptance.rs
+++ b/src/table/acceptance.rs
@@ -1,7 +1,9 @@
 //! When an operator may be told that an edit is in force.
 //!
-//! An edit is in force once every counted host has confirmed its offset, or once a majority has and the
-//! freshness bound has passed since: whoever has not confirmed by then refuses new work by its own rule.
+//! An edit is in force once every host that may still serve has confirmed its offset, or once a majority
+//! of the counted hosts has and the freshness bound has passed since: whoever has not confirmed by then
+//! refuses new work by its own rule. A departed host may not know yet that it departed, so it is waited
+//! for like a present one until its process is gone. `docs/design/membership.md` has the argument.
 
 use crate::membership::members::Members;
 use crate::prelude::*;
@@ -64,6 +66,19 @@
         self.under_way.len() < MAX_EDITS_UNDER_WAY
     }
 
+    /// Tells whether no operator waits.
+    pub fn is_empty(&self) -> bool {
+        self.under_way.is_empty()
+    }
+
+    /// Returns the newest version that an operator waits for.
+    pub fn newest_version(&self) -> Option<Offset> {
+        self.under_way
+            .values()
+            .filter_map(|entry| entry.accepted)
+            .max()
+    }
+
     /// Takes an applied record; answers the operator when the fold rejected its edit.
     pub fn on_applied(&mut self, applied: &Applied, table: &Table, fx: &mut Effects) {
         let RecordBody::Edit { edit } = &applied.record.body else {
@@ -116,12 +131,12 @@
         now: Millis,
         fresh_bound_ms: Millis,
         members: &Members,
-        confirmed: impl Fn(Incarnation) -> Offset,
+        confirmed: &IndexMap<Incarnation, Offset>,
         fx: &mut Effects,
     ) {
         let mut answered = Vec::new();
         for (call, entry) in &mut self.under_way {
-            if let Some(result) = entry.check(now, fresh_bound_ms, members, &confirmed) {
+            if let Some(result) = entry.check(now, fresh_bound_ms, members, confirmed) {
                 answered.push((*call, entry.edit_id.clone(), result));
             }
         }
@@ -141,25 +156,24 @@
         now: Millis,
         fresh_bound_ms: Millis,
         members: &Members,
-        confirmed: &impl Fn(Incarnation) -> Offset,
+        confirmed: &IndexMap<Incarnation, Offset>,
     ) -> Option<EditResult> {
         let overdue = now.since(self.asked_at) >= PENDING_ANSWER_MS;
         let Some(version) = self.accepted else {
             return overdue.then(|| Err(not_logged()));
         };
+        let has_it = |host: &Incarnation| confirmed.get(host).is_some_and(|next| *next > version);
         let unconfirmed: Vec<Name> = members
             .iter()
-            .filter(|(host, _)| confirmed(**host) <= version)
+            .chain(members.departed())
+            .filter(|(host, _)| !has_it(host))
             .map(|(_, member)| member.entry.name.clone())
             .collect();
         if unconfirmed.is_empty() {
             return Some(Ok(EditAnswer::InForce { version }));
         }
         let counted = members.counted().count();
-        let with_it = members
-            .counted()
-            .filter(|host| confirmed(*host) > version)
-            .count();
+        let with_it = members.counted().filter(has_it).count();
         if with_it * 2 > counted {
             let since = *self.majority_at.get_or_insert(now);
             if now.since(since) > fresh_bound_ms {
@@ -201,6 +215,10 @@
             format!("{what} changed after the base version"),
         ),
         Rejection::EditInvalid { why } => Refusal::new(ErrorKind::EditInvalid, why.clone()),
+        Rejection::NotMember => {
+            let message = "this host was taken for dead; send the edit to another one";
+            Refusal::new(ErrorKind::CutOff, message).after(Millis(1_000))
+        }
         other => Refusal::new(
             ErrorKind::EditInvalid,
             format!("the edit was rejected: {other:?}"),
