Test membership on a cluster of nodes; let hosts that are gone count no more

With most counted hosts gone for good no departure could be confirmed, so no edit came into force again: the test with two of three hosts frozen and missing from the list waited in vain. A departed host that counts and is missing from the list for 30 s is gone now.

--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -20,6 +20,9 @@
 pub const LIST_MAX_AGE_MS: Millis = Millis(3_000);
 /// The longest time that a request or order may still be on its way after its sender is gone.
 pub const LONGEST_FLIGHT_MS: Millis = Millis(5_000);
+/// How long a departed host that still counts must be missing from the list before it is gone: only when
+/// no majority of the counted hosts is left to confirm its departure.
+pub const COUNTED_GONE_MS: Millis = Millis(30_000);
 
 /// What this host knows from the platform, and what it proposed.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -253,8 +256,13 @@
             }
             let since = *self.platform.missing_since.entry(host).or_insert(now);
             let key = format!("gone {host}");
-            let flown = now.since(since) > LONGEST_FLIGHT_MS;
-            if flown && !counted && self.is_home(&key) && self.platform.may_propose(now, &key) {
+            let rest_ms = if counted {
+                COUNTED_GONE_MS
+            } else {
+                LONGEST_FLIGHT_MS
+            };
+            let flown = now.since(since) > rest_ms;
+            if flown && self.is_home(&key) && self.platform.may_propose(now, &key) {
                 self.driver.queue(RecordBody::Gone { host });
             }
         }
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -190,16 +190,20 @@
         Ok(())
     }
 
-    /// Forgets a departed host whose process no longer exists.
+    /// Forgets a departed host whose process no longer exists. It counts no more, since nobody can learn
+    /// anything from it; later changes wait for a majority that knows this.
     ///
     /// # Errors
     ///
-    /// Rejects a host that is not departed, or whose departure does not count yet.
-    pub fn gone(&mut self, host: Incarnation) -> Result<(), Rejection> {
+    /// Rejects a host that is not departed.
+    pub fn gone(&mut self, offset: Offset, host: Incarnation) -> Result<(), Rejection> {
         let member = self.hosts.get(&host).ok_or(Rejection::WrongHostState)?;
-        if member.state != MemberState::Departed || member.counted {
+        if member.state != MemberState::Departed {
             return Err(Rejection::WrongHostState);
         }
+        if member.counted {
+            self.last_counted_at = offset;
+        }
         self.hosts.shift_remove(&host);
         self.forgotten.insert(host);
         if self.forgotten.len() > MAX_FORGOTTEN {
--- /dev/null
+++ b/src/membership/tests/cluster.rs
@@ -0,0 +1,278 @@
+//! A few nodes in one thread with a log, a list of hosts, and links that can be cut.
+
+use crate::daemon::event::Event;
+use crate::daemon::node::{Life, Node, NodeConfig};
+use crate::membership::message::{HostEntry, HostList, ListedHost};
+use crate::prelude::*;
+use crate::shared_log::driver::{LogCallError, LogPage};
+use crate::shared_log::tests::fake_log::{FakeLog, host_entry};
+use crate::table::acceptance::{CallId, EditResult};
+use crate::table::message::Edit;
+
+/// How far the time moves in a step.
+pub const STEP_MS: Millis = Millis(20);
+/// The hosts' freshness bound.
+pub const FRESH_BOUND_MS: Millis = Millis(2_000);
+const START: Millis = Millis(1_000_000);
+
+/// A node with what the outside does to it.
+pub struct Host {
+    pub node: Node,
+    pub log_cut: bool,
+    pub frozen: bool,
+    pub unlisted: bool,
+    inbox: Vec<Event>,
+    registered: Option<Incarnation>,
+}
+
+/// Some nodes and their platform.
+pub struct Cluster {
+    pub now: Millis,
+    pub log: FakeLog,
+    pub hosts: Vec<Host>,
+    pub cut_links: IndexSet<(usize, usize)>,
+    pub edits: IndexMap<CallId, EditResult>,
+    pub in_force: Vec<Offset>,
+    calls: Vec<PeerCall>,
+    next_call: u64,
+}
+
+struct PeerCall {
+    call: CallId,
+    caller: usize,
+    peer: Incarnation,
+    asked_at: Millis,
+}
+
+impl Cluster {
+    pub fn new(count: usize) -> Self {
+        let mut cluster = Self {
+            now: START,
+            log: FakeLog::default(),
+            hosts: Vec::new(),
+            cut_links: IndexSet::new(),
+            edits: IndexMap::new(),
+            in_force: Vec::new(),
+            calls: Vec::new(),
+            next_call: 0,
+        };
+        for number in 0..count {
+            cluster.hosts.push(Host::new(number));
+        }
+        cluster.run_until("all to serve and to count", |cluster| {
+            let counted = cluster.hosts[0].node.shared.members.counted().count();
+            counted == count && cluster.hosts.iter().all(|host| host.is_fresh(cluster.now))
+        });
+        cluster
+    }
+
+    /// Moves the time by one step and lets everything due happen.
+    pub fn step(&mut self) {
+        self.now += STEP_MS;
+        for index in 0..self.hosts.len() {
+            if self.hosts[index].frozen {
+                continue;
+            }
+            let mut events = std::mem::take(&mut self.hosts[index].inbox);
+            events.push(Event::Tick);
+            for event in events {
+                let fx = self.hosts[index].node.handle(self.now, event);
+                self.carry_out(index, fx);
+            }
+        }
+        self.check();
+    }
+
+    pub fn run_for(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub fn run_until(&mut self, what: &str, mut condition: impl FnMut(&Self) -> bool) {
+        const MAX_STEPS: usize = 3_000;
+        for _ in 0..MAX_STEPS {
+            if condition(self) {
+                return;
+            }
+            self.step();
+        }
+        panic!("waited in vain for {what}");
+    }
+
+    /// Hands an edit to a host.
+    pub fn edit(&mut self, host: usize, edit: Edit) -> CallId {
+        let call = self.new_call();
+        self.hosts[host].inbox.push(Event::EditAsked { call, edit });
+        call
+    }
+
+    /// Cuts or mends the link between two hosts.
+    pub fn cut_link(&mut self, a: usize, b: usize, cut: bool) {
+        for link in [(a, b), (b, a)] {
+            if cut {
+                self.cut_links.insert(link);
+            } else {
+                self.cut_links.shift_remove(&link);
+            }
+        }
+    }
+
+    /// Cuts or mends all links of a host, and its way to the log.
+    pub fn cut_host(&mut self, host: usize, cut: bool) {
+        self.hosts[host].log_cut = cut;
+        for other in 0..self.hosts.len() {
+            self.cut_link(host, other, cut);
+        }
+    }
+
+    /// No host that may serve lacks an edit that an operator was told is in force.
+    fn check(&self) {
+        let newest = self.in_force.iter().max().copied().unwrap_or_default();
+        for host in &self.hosts {
+            if host.frozen || !host.is_fresh(self.now) {
+                continue;
+            }
+            let version = host.node.shared.table.version;
+            assert!(
+                version >= newest,
+                "a host serves {version}, {newest} is in force"
+            );
+        }
+    }
+
+    fn new_call(&mut self) -> CallId {
+        self.next_call += 1;
+        CallId(self.next_call)
+    }
+
+    fn carry_out(&mut self, index: usize, fx: Effects) {
+        for effect in fx {
+            match effect {
+                Effect::ReadLog { from, .. } => self.read_log(index, from),
+                Effect::AppendLog { records } => self.append_log(index, &records),
+                Effect::ListHosts => self.list_hosts(index),
+                Effect::RegisterHost { host } => self.hosts[index].registered = Some(host),
+                Effect::UnregisterHost => self.hosts[index].registered = None,
+                Effect::AskPeer {
+                    peer,
+                    address,
+                    asked_at,
+                    request,
+                } => {
+                    let to = self
+                        .hosts
+                        .iter()
+                        .position(|host| host.node.config.entry.peer_address == address);
+                    let to = to.expect("a known address");
+                    if self.cut_links.contains(&(index, to)) || self.hosts[to].frozen {
+                        self.hosts[index].inbox.push(Event::PeerFailed { peer });
+                        continue;
+                    }
+                    let call = self.new_call();
+                    self.calls.push(PeerCall {
+                        call,
+                        caller: index,
+                        peer,
+                        asked_at,
+                    });
+                    self.hosts[to]
+                        .inbox
+                        .push(Event::PeerAsked { call, request });
+                }
+                Effect::AnswerPeer { call, reply } => {
+                    let known = self.calls.iter().position(|entry| entry.call == call);
+                    let call = self.calls.swap_remove(known.expect("a known call"));
+                    self.hosts[call.caller].inbox.push(Event::PeerAnswered {
+                        peer: call.peer,
+                        asked_at: call.asked_at,
+                        reply,
+                    });
+                }
+                Effect::AnswerEdit { call, result } => {
+                    if let Ok(crate::table::message::EditAnswer::InForce { version }) = &result {
+                        self.in_force.push(*version);
+                    }
+                    self.edits.insert(call, result);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn read_log(&mut self, index: usize, from: Offset) {
+        let end_offset = self.log.end();
+        let event = if self.hosts[index].log_cut {
+            let error = LogCallError::Refused;
+            Event::LogReadFailed { error }
+        } else {
+            let records = self.log.records[from.0 as usize..].to_vec();
+            let page = LogPage {
+                records,
+                next_offset: end_offset,
+                end_offset,
+                oldest_offset: Offset(0),
+            };
+            let asked_at = self.now;
+            Event::LogRead { asked_at, page }
+        };
+        self.hosts[index].inbox.push(event);
+    }
+
+    fn append_log(&mut self, index: usize, records: &[Record]) {
+        let event = if self.hosts[index].log_cut {
+            let error = LogCallError::Unknown;
+            Event::AppendFailed { error }
+        } else {
+            self.log.append(records);
+            Event::Appended
+        };
+        self.hosts[index].inbox.push(event);
+    }
+
+    fn list_hosts(&mut self, index: usize) {
+        let listed = |host: &Host| ListedHost {
+            name: host.node.config.entry.name.clone(),
+            incarnation: host.registered,
+        };
+        let hosts = self.hosts.iter().filter(|host| !host.unlisted);
+        let list = HostList {
+            upstreams: Vec::new(),
+            hosts: hosts.map(listed).collect(),
+        };
+        self.hosts[index].inbox.push(Event::HostsListed { list });
+    }
+}
+
+impl Host {
+    fn new(number: usize) -> Self {
+        let entry: HostEntry = host_entry(number as u64 + 1);
+        let node = Node::new(NodeConfig {
+            me: Incarnation::new(START, number as u64),
+            entry,
+            fresh_bound_ms: FRESH_BOUND_MS,
+            pause_ms: Millis(1_000),
+            probe_interval_ms: Millis(250),
+            suspect_after_ms: Millis(5_000),
+            probes_per_round: 8,
+            keep_warm: Default::default(),
+        });
+        Self {
+            node,
+            log_cut: false,
+            frozen: false,
+            unlisted: false,
+            inbox: Vec::new(),
+            registered: None,
+        }
+    }
+
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        self.node.life == Life::Serving && self.node.is_fresh(now)
+    }
+
+    pub fn me(&self) -> Incarnation {
+        self.node.config.me
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,9 +1,15 @@
 //! Which copies of which models exist, on which upstreams, and the orders that make and remove them.
 
+mod checks;
 pub mod copies;
 pub mod executor;
+mod index;
 pub mod message;
 pub mod policy;
 
+#[cfg(test)]
+mod interleaving_tests;
+#[cfg(test)]
+mod test_site;
 #[cfg(test)]
 mod tests;
