--- a/src/membership/tests/leaving.rs
+++ b/src/membership/tests/leaving.rs
@@ -11,7 +11,11 @@
     assert!(hosts[0].mark(&upstream, said_at));
     let mut now = said_at;
     while now.since(said_at) <= LEAVING_MARK_MS {
-        let (from, to) = if now.0.is_multiple_of(2_000) { (0, 1) } else { (1, 0) };
+        let (from, to) = if now.0.is_multiple_of(2_000) {
+            (0, 1)
+        } else {
+            (1, 0)
+        };
         for hint in hosts[from].hints(now) {
             hosts[to].mark(&hint.upstream, now - hint.age_ms);
         }
--- a/src/placement/test_site.rs
+++ b/src/placement/test_site.rs
@@ -4,6 +4,7 @@
 use crate::placement::copies::{Copy, Placement};
 use crate::placement::message::{LoadDecision, OrderOutcome};
 use crate::prelude::*;
+use crate::shared_log::codec::encode;
 use crate::shared_log::fold::{Shared, Step};
 use crate::shared_log::record::LoggedRecord;
 use crate::table::message::{Change, Edit, Model, Row, RowKey, StoreLimits};
@@ -51,7 +52,7 @@
         let logged = LoggedRecord {
             offset: self.shared.next_offset,
             appended_ms: self.now,
-            payload: serde_json::to_string(&record).unwrap().into(),
+            payload: encode(&record).unwrap().into(),
         };
         self.records.push(logged.clone());
         match self.shared.apply_logged(&logged) {
