--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -22,7 +22,6 @@
     engines: Arc<dyn EngineControl>,
     store: Option<Arc<dyn WeightStore>>,
     entry: HostEntry,
-    me: Incarnation,
 }
 
 impl Platform {
@@ -36,7 +35,6 @@
             engines: Arc::new(HttpEngines::new()),
             store: store.map(|url| Arc::new(HttpStore::new(url)) as Arc<dyn WeightStore>),
             entry: config.entry.clone(),
-            me: config.me,
         }
     }
 }
@@ -89,10 +87,10 @@
                     gate.send(event).await;
                 });
             }
-            Effect::RegisterHost => {
+            Effect::RegisterHost { host } => {
                 let hosts = self.platform.hosts.clone();
-                let (entry, me) = (self.platform.entry.clone(), self.platform.me);
-                spawn(async move { hosts.register(entry, me).await });
+                let entry = self.platform.entry.clone();
+                spawn(async move { hosts.register(entry, host).await });
             }
             Effect::UnregisterHost => {
                 let hosts = self.platform.hosts.clone();
--- a/src/placement/executor.rs
+++ b/src/placement/executor.rs
@@ -173,6 +173,11 @@
         Some(outcome)
     }
 
+    /// Tells whether an order may be on its way to an engine.
+    pub fn is_calling(&self, now: Millis) -> bool {
+        self.orders.values().any(|view| view.is_flying(now))
+    }
+
     /// Returns the copies whose last order this host was to send and, having lost it to another host,
     /// certainly sends no more. Each is returned once.
     pub fn relinquished(
--- a/src/shared_log/mod.rs
+++ b/src/shared_log/mod.rs
@@ -9,4 +9,4 @@
 pub mod verdict;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
