--- a/src/daemon/effect.rs
+++ b/src/daemon/effect.rs
@@ -30,7 +30,10 @@
     /// Reads the platform's list.
     ListHosts,
     /// Registers or renews this host in the platform's list.
-    RegisterHost,
+    RegisterHost {
+        /// The incarnation to register.
+        host: Incarnation,
+    },
     /// Removes this host from the platform's list.
     UnregisterHost,
     /// Asks the weight store for its report.
@@ -54,6 +57,8 @@
         order: EngineOrder,
         /// Whether only to ask about it.
         watch_only: bool,
+        /// The call must not begin after this point.
+        begin_by: Millis,
     },
     /// Asks a peer.
     AskPeer {
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -7,12 +7,14 @@
 use crate::idempotency::finished::FinishedOperations;
 use crate::idempotency::pending::PendingClaims;
 use crate::membership::freshness::Freshness;
+use crate::membership::leaving::Leaving;
 use crate::membership::message::HostEntry;
 use crate::membership::probes::Probes;
 use crate::placement::executor::Executor;
 use crate::placement::policy::keep_warm::KeepWarmRule;
 use crate::prelude::*;
 use crate::routing::upstreams::Routing;
+use crate::shared_log::checkpoint::Scan;
 use crate::shared_log::driver::Driver;
 use crate::shared_log::fold::Shared;
 use crate::shared_log::record::LoggedRecord;
@@ -76,12 +78,18 @@
     pub shared: Shared,
     /// The log's driver.
     pub driver: Driver,
+    /// The search for a checkpoint, while the next record is no longer kept.
+    pub scan: Option<Scan>,
+    /// The oldest record that the log kept at the last read.
+    pub log_oldest: Offset,
     /// The newest applied records, for peers.
     pub recent: VecDeque<LoggedRecord>,
     /// Whether this host's state is current.
     pub freshness: Freshness,
     /// Probes between hosts.
     pub probes: Probes,
+    /// Upstreams that are leaving.
+    pub leaving: Leaving,
     /// Edits that operators wait for.
     pub acceptance: Acceptance,
     /// Orders that this host executes.
@@ -111,6 +119,8 @@
             life: Life::default(),
             shared: Shared::default(),
             driver: Driver::new(config.me),
+            scan: None,
+            log_oldest: Offset(0),
             recent: VecDeque::new(),
             freshness: Freshness::new(config.fresh_bound_ms, config.pause_ms),
             probes: Probes::new(
@@ -118,6 +128,7 @@
                 config.suspect_after_ms,
                 config.probes_per_round as usize,
             ),
+            leaving: Leaving::default(),
             acceptance: Acceptance::default(),
             executor: Executor::default(),
             routing: Routing::default(),
@@ -137,13 +148,15 @@
     /// The same events at the same times give the same effects.
     pub fn handle(&mut self, now: Millis, event: Event) -> Effects {
         let mut fx = Effects::new();
-        self.freshness.note_time(now);
+        if self.freshness.note_time(now) {
+            self.probes.on_pause();
+        }
         self.dispatch(now, event, &mut fx);
         let fresh = self.is_fresh(now);
         self.freshness.note_change(fresh);
         self.pump(now, &mut fx);
         self.send_claims();
-        self.driver.drive(now, self.shared.next_offset, &mut fx);
+        self.driver.drive(now, self.next_read_offset(), &mut fx);
         fx
     }
 
@@ -211,6 +224,7 @@
     fn on_tick(&mut self, now: Millis, fx: &mut Effects) {
         self.tick_membership(now, fx);
         self.tick_edits(now, fx);
+        self.tick_checkpoint(now);
         self.tick_placement(now, fx);
         self.tick_requests(now, fx);
         self.tick_life(now, fx);
@@ -218,7 +232,9 @@
 
     /// Tells whether this host's state is current.
     pub fn is_fresh(&self, now: Millis) -> bool {
-        self.freshness
-            .is_fresh(now, self.config.me, &self.shared.members)
+        let current = self
+            .freshness
+            .is_fresh(now, self.config.me, &self.shared.members);
+        current && !self.driver.is_halted()
     }
 }
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -6,6 +6,7 @@
 use crate::attempt::message::{AttemptOutcome, Repeatable, RequestHead, RequestId, TargetKind};
 use crate::clock::Clock;
 use crate::daemon::event::Event;
+use crate::daemon::metrics::Metrics;
 use crate::edge::connections::Connections;
 use crate::edge::digest::{sha256, sha256_of_parts};
 use crate::edge::gate::{Gate, Instruction, OpenRequest};
@@ -48,6 +49,15 @@
     pub me: Incarnation,
     /// Bounds on what callers send.
     pub bounds: BoundSettings,
+    /// The metrics.
+    pub metrics: Metrics,
+}
+
+/// When a request came, and for what.
+#[derive(Clone, Copy)]
+struct Arrival {
+    at: Millis,
+    target: TargetKind,
 }
 
 #[derive(Deserialize)]
@@ -170,10 +180,20 @@
             operation_id: head.idempotency_key.clone(),
         };
         self.gate.send(Event::RequestArrived { head }).await;
-        self.follow(conn, open, outgoing).await
+        let arrival = Arrival {
+            at: self.clock.now(),
+            target,
+        };
+        self.follow(conn, open, arrival, outgoing).await
     }
 
-    async fn follow(&self, mut conn: Conn, open: OpenRequest, outgoing: Outgoing) -> Conn {
+    async fn follow(
+        &self,
+        mut conn: Conn,
+        open: OpenRequest,
+        arrival: Arrival,
+        outgoing: Outgoing,
+    ) -> Conn {
         loop {
             let waiting = conn.cancel_on_disconnect(open.instructions.recv()).await;
             let attempt = match waiting {
@@ -197,7 +217,7 @@
                 connections: self.connections.clone(),
                 clock: self.clock,
             };
-            let outcome = match self.attempt(&mut conn, &open, &call).await {
+            let outcome = match self.attempt(&mut conn, &open, &arrival, &call).await {
                 Ok(Answer::Stream(started)) => return self.stream(conn, open, call, started),
                 Ok(Answer::Whole(answer)) => {
                     let outcome = outcome_with(&outgoing, &answer);
@@ -217,9 +237,10 @@
         &self,
         conn: &mut Conn,
         open: &OpenRequest,
+        arrival: &Arrival,
         call: &Call,
     ) -> Result<Answer, AttemptOutcome> {
-        let running = self.run(open, call);
+        let running = self.run(open, arrival, call);
         match call.outgoing.repeatable {
             // What may run once only goes on without its caller, whose next arrival gets the answer.
             Repeatable::No => running.await,
@@ -230,8 +251,15 @@
         }
     }
 
-    async fn run(&self, open: &OpenRequest, call: &Call) -> Result<Answer, AttemptOutcome> {
+    async fn run(
+        &self,
+        open: &OpenRequest,
+        arrival: &Arrival,
+        call: &Call,
+    ) -> Result<Answer, AttemptOutcome> {
         let started = call.start().await?;
+        let span_ms = self.clock.now().since(arrival.at);
+        self.metrics.first_byte(arrival.target, span_ms);
         self.gate
             .send(Event::AttemptStarted {
                 request: open.id,
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -1,5 +1,6 @@
 //! Numbered log events. `docs/EVENTS.md` is their catalogue.
 
+use crate::daemon::process_log::LOG_TARGET;
 use log::Level;
 
 /// Something a daemon reports in its log under a fixed number.
@@ -14,6 +15,8 @@
     StopBegan = 102,
     /// The daemon stopped.
     Stopped = 103,
+    /// A task panicked; the process ends at once.
+    Panicked = 104,
     /// The log cannot be reached.
     LogLost = 200,
     /// The log can be reached again.
@@ -28,6 +31,10 @@
     CheckpointWritten = 205,
     /// The state was taken from a checkpoint.
     CheckpointRead = 206,
+    /// The log ends before what was applied.
+    LogShorter = 207,
+    /// A newer release wrote a record; this host stops serving before it.
+    RecordNewer = 208,
     /// This host stopped being fresh.
     BecameStale = 300,
     /// This host is fresh again.
@@ -40,6 +47,8 @@
     HostEvicted = 304,
     /// A peer was refused for its certificate.
     PeerRefused = 305,
+    /// This host was taken for dead and comes back as another incarnation.
+    Rejoining = 306,
     /// An edit was accepted by the fold.
     EditAccepted = 400,
     /// An edit was rejected by the fold.
@@ -58,6 +67,8 @@
     CopyGone = 504,
     /// An order was taken over.
     OrderTakenOver = 505,
+    /// An order that another host took over is sent no more.
+    OrderRelinquished = 506,
     /// An upstream was registered.
     UpstreamRegistered = 600,
     /// An upstream is leaving.
@@ -77,6 +88,45 @@
 }
 
 impl LogEvent {
+    /// Every event, in the order of the numbers.
+    pub const ALL: [Self; 35] = [
+        Self::Started,
+        Self::Joined,
+        Self::StopBegan,
+        Self::Stopped,
+        Self::Panicked,
+        Self::LogLost,
+        Self::LogBack,
+        Self::LogTrimmed,
+        Self::RecordUndecodable,
+        Self::AppendUnknown,
+        Self::CheckpointWritten,
+        Self::CheckpointRead,
+        Self::BecameStale,
+        Self::BecameFresh,
+        Self::Paused,
+        Self::PeerSuspected,
+        Self::HostEvicted,
+        Self::PeerRefused,
+        Self::EditAccepted,
+        Self::EditRejected,
+        Self::EditInForce,
+        Self::LoadDecided,
+        Self::CopyReady,
+        Self::LoadFailed,
+        Self::UnloadDecided,
+        Self::CopyGone,
+        Self::OrderTakenOver,
+        Self::UpstreamRegistered,
+        Self::UpstreamLeaving,
+        Self::UpstreamSilent,
+        Self::RequestRefused,
+        Self::AttemptFailed,
+        Self::OutcomeUnknown,
+        Self::ClaimMade,
+        Self::ClaimEnded,
+    ];
+
     /// Returns the event's number.
     pub const fn number(self) -> u16 {
         self as u16
@@ -85,10 +135,13 @@
     /// Returns the level at which the event is logged.
     pub const fn level(self) -> Level {
         match self {
+            Self::Panicked => Level::Error,
             Self::LogLost
             | Self::LogTrimmed
             | Self::RecordUndecodable
             | Self::AppendUnknown
+            | Self::LogShorter
+            | Self::RecordNewer
             | Self::BecameStale
             | Self::Paused
             | Self::PeerSuspected
@@ -105,6 +158,6 @@
 
     /// Writes the event with its number, name and details to the process log.
     pub fn write(self, details: &str) {
-        log::log!(target: "mangovale", self.level(), "E{} {:?} {details}", self.number(), self);
+        log::log!(target: LOG_TARGET, self.level(), "E{} {:?} {details}", self.number(), self);
     }
 }
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -9,6 +9,9 @@
 /// Most hosts in the fold, departed ones included.
 pub const MAX_MEMBERS: usize = 4096;
 
+/// Most incarnations remembered after their processes are gone.
+pub const MAX_FORGOTTEN: usize = 4096;
+
 /// Where a host stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -39,14 +42,22 @@
 pub struct Members {
     hosts: IndexMap<Incarnation, Member>,
     last_counted_at: Offset,
+    /// Incarnations that are gone, so that a late copy of their records stays without effect.
+    forgotten: IndexSet<Incarnation>,
 }
 
 impl Members {
     /// Tells whether the fold saw this record, or a later one of the same writer.
     pub fn is_duplicate(&self, id: RecordId) -> bool {
-        self.hosts
-            .get(&id.host)
-            .is_some_and(|member| id.seq <= member.last_seq)
+        if self.forgotten.contains(&id.host) {
+            return true;
+        }
+        id.seq <= self.last_seq(id.host)
+    }
+
+    /// Returns the last sequence number that the fold saw of a host, or zero.
+    pub fn last_seq(&self, host: Incarnation) -> u64 {
+        self.hosts.get(&host).map_or(0, |member| member.last_seq)
     }
 
     /// Takes note of a record's sequence number.
@@ -73,6 +84,11 @@
         self.hosts.get(&host)
     }
 
+    /// Returns the hosts that are present or departed.
+    pub fn known(&self) -> impl Iterator<Item = Incarnation> {
+        self.hosts.keys().copied()
+    }
+
     /// Returns the hosts that are present.
     pub fn iter(&self) -> impl Iterator<Item = (&Incarnation, &Member)> {
         self.hosts
@@ -174,17 +190,25 @@
         Ok(())
     }
 
-    /// Forgets a departed host whose process no longer exists.
+    /// Forgets a departed host whose process no longer exists. It counts no more, since nobody can learn
+    /// anything from it; later changes wait for a majority that knows this.
     ///
     /// # Errors
     ///
-    /// Rejects a host that is not departed, or whose departure does not count yet.
-    pub fn gone(&mut self, host: Incarnation) -> Result<(), Rejection> {
+    /// Rejects a host that is not departed.
+    pub fn gone(&mut self, offset: Offset, host: Incarnation) -> Result<(), Rejection> {
         let member = self.hosts.get(&host).ok_or(Rejection::WrongHostState)?;
-        if member.state != MemberState::Departed || member.counted {
+        if member.state != MemberState::Departed {
             return Err(Rejection::WrongHostState);
         }
+        if member.counted {
+            self.last_counted_at = offset;
+        }
         self.hosts.shift_remove(&host);
+        self.forgotten.insert(host);
+        if self.forgotten.len() > MAX_FORGOTTEN {
+            self.forgotten.shift_remove_index(0);
+        }
         Ok(())
     }
 }
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::idempotency::message::{OperationKey, OperationState};
+use crate::membership::leaving::LeavingHint;
 use crate::shared_log::record::{Incarnation, LoggedRecord, Offset};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -123,5 +124,7 @@
     /// Whether the sender is stopping.
     pub stopping: bool,
     /// Upstreams that the sender knows to be leaving.
-    pub leaving_upstreams: Vec<Arc<str>>,
+    pub leaving_upstreams: Vec<LeavingHint>,
+    /// Hosts that the sender suspects to be dead.
+    pub suspects: Vec<Incarnation>,
 }
--- a/src/shared_log/record.rs
+++ b/src/shared_log/record.rs
@@ -1,8 +1,7 @@
 //! The records on the log.
 //!
-//! Records are JSON texts, so that an operator can read the log with any HTTP client and a newer
-//! release can add fields. A record kind that this release does not know stops the fold (see
-//! `docs/design/shared-log.md`).
+//! Records are JSON texts, so that an operator can read the log with any HTTP client. Each carries the
+//! number of its format (see [`crate::shared_log::codec`] and `docs/design/shared-log.md`).
 
 use crate::clock::Millis;
 use crate::idempotency::message::{ClaimEnd, ClaimRequest};
@@ -133,6 +132,12 @@
         /// The offset of the copy's load.
         copy: Offset,
     },
+    /// The writer lost a copy's order to another executor and sends it no more. A departed host may
+    /// still say so.
+    Relinquish {
+        /// The offset of the copy's load.
+        copy: Offset,
+    },
     /// How a copy's order ended.
     Outcome {
         /// The offset of the copy's load.
--- a/src/table/acceptance.rs
+++ b/src/table/acceptance.rs
@@ -1,11 +1,14 @@
 //! When an operator may be told that an edit is in force.
 //!
-//! An edit is in force once every counted host has confirmed its offset, or once a majority has and the
-//! freshness bound has passed since: whoever has not confirmed by then refuses new work by its own rule.
+//! An edit is in force once every host that may still serve has confirmed its offset, or once a majority
+//! of the counted hosts has and the freshness bound has passed since: whoever has not confirmed by then
+//! refuses new work by its own rule. A departed host may not know yet that it departed, so it is waited
+//! for like a present one until its process is gone. `docs/design/membership.md` has the argument.
 
 use crate::membership::members::Members;
 use crate::prelude::*;
 use crate::shared_log::fold::Applied;
+use crate::table::Table;
 use crate::table::message::{Edit, EditAnswer};
 
 /// Most edits of operators under way at one host.
@@ -63,24 +66,56 @@
         self.under_way.len() < MAX_EDITS_UNDER_WAY
     }
 
+    /// Tells whether no operator waits.
+    pub fn is_empty(&self) -> bool {
+        self.under_way.is_empty()
+    }
+
+    /// Returns the newest version that an operator waits for.
+    pub fn newest_version(&self) -> Option<Offset> {
+        self.under_way
+            .values()
+            .filter_map(|entry| entry.accepted)
+            .max()
+    }
+
     /// Takes an applied record; answers the operator when the fold rejected its edit.
-    pub fn on_applied(&mut self, applied: &Applied, fx: &mut Effects) {
+    pub fn on_applied(&mut self, applied: &Applied, table: &Table, fx: &mut Effects) {
         let RecordBody::Edit { edit } = &applied.record.body else {
             return;
         };
+        log_verdict(applied, edit);
         let id = applied.record.id;
         let mut refused = Vec::new();
         for (call, entry) in &mut self.under_way {
             if entry.record != Some(id) || entry.accepted.is_some() {
                 continue;
             }
-            match &applied.verdict {
-                Verdict::Accepted => entry.accepted = Some(applied.offset),
+            match first_verdict(applied, edit, table) {
+                Verdict::Accepted => entry.accepted = Some(entry_version(applied, edit, table)),
                 Verdict::Duplicate => {}
-                Verdict::Rejected(rejection) => refused.push((*call, refusal(rejection))),
+                Verdict::Rejected(rejection) => refused.push((*call, refusal(&rejection))),
             }
         }
-        log_verdict(applied, edit);
+        self.refuse(refused, fx);
+    }
+
+    /// Looks the edits up in the history, after the state was taken from a checkpoint.
+    pub fn on_state_replaced(&mut self, table: &Table, fx: &mut Effects) {
+        let mut refused = Vec::new();
+        for (call, entry) in &mut self.under_way {
+            let Some(line) = table.find_edit(&entry.edit_id) else {
+                continue;
+            };
+            match &line.rejected {
+                None => entry.accepted = Some(line.offset),
+                Some(rejection) => refused.push((*call, refusal(rejection))),
+            }
+        }
+        self.refuse(refused, fx);
+    }
+
+    fn refuse(&mut self, refused: Vec<(CallId, Refusal)>, fx: &mut Effects) {
         for (call, refusal) in refused {
             self.under_way.shift_remove(&call);
             fx.push(Effect::AnswerEdit {
@@ -96,12 +131,12 @@
         now: Millis,
         fresh_bound_ms: Millis,
         members: &Members,
-        confirmed: impl Fn(Incarnation) -> Offset,
+        confirmed: &IndexMap<Incarnation, Offset>,
         fx: &mut Effects,
     ) {
         let mut answered = Vec::new();
         for (call, entry) in &mut self.under_way {
-            if let Some(result) = entry.check(now, fresh_bound_ms, members, &confirmed) {
+            if let Some(result) = entry.check(now, fresh_bound_ms, members, confirmed) {
                 answered.push((*call, entry.edit_id.clone(), result));
             }
         }
@@ -121,25 +156,24 @@
         now: Millis,
         fresh_bound_ms: Millis,
         members: &Members,
-        confirmed: &impl Fn(Incarnation) -> Offset,
+        confirmed: &IndexMap<Incarnation, Offset>,
     ) -> Option<EditResult> {
         let overdue = now.since(self.asked_at) >= PENDING_ANSWER_MS;
         let Some(version) = self.accepted else {
             return overdue.then(|| Err(not_logged()));
         };
+        let has_it = |host: &Incarnation| confirmed.get(host).is_some_and(|next| *next > version);
         let unconfirmed: Vec<Name> = members
             .iter()
-            .filter(|(host, _)| confirmed(**host) <= version)
+            .chain(members.departed())
+            .filter(|(host, _)| !has_it(host))
             .map(|(_, member)| member.entry.name.clone())
             .collect();
         if unconfirmed.is_empty() {
             return Some(Ok(EditAnswer::InForce { version }));
         }
         let counted = members.counted().count();
-        let with_it = members
-            .counted()
-            .filter(|host| confirmed(*host) > version)
-            .count();
+        let with_it = members.counted().filter(has_it).count();
         if with_it * 2 > counted {
             let since = *self.majority_at.get_or_insert(now);
             if now.since(since) > fresh_bound_ms {
@@ -153,6 +187,21 @@
     }
 }
 
+/// Returns the verdict on the first record of an edit; a repeated one has no verdict of its own.
+fn first_verdict(applied: &Applied, edit: &Edit, table: &Table) -> Verdict {
+    if applied.verdict != Verdict::Rejected(Rejection::EditRepeated) {
+        return applied.verdict.clone();
+    }
+    let first = table.find_edit(&edit.edit_id);
+    let rejected = first.and_then(|line| line.rejected.clone());
+    rejected.map_or(Verdict::Accepted, Verdict::Rejected)
+}
+
+fn entry_version(applied: &Applied, edit: &Edit, table: &Table) -> Offset {
+    let first = table.find_edit(&edit.edit_id);
+    first.map_or(applied.offset, |line| line.offset)
+}
+
 fn not_logged() -> Refusal {
     let message = "the edit has not been read back from the log; repeat it with the same edit id";
     Refusal::new(ErrorKind::EditPending, message).after(Millis(1_000))
@@ -166,6 +215,10 @@
             format!("{what} changed after the base version"),
         ),
         Rejection::EditInvalid { why } => Refusal::new(ErrorKind::EditInvalid, why.clone()),
+        Rejection::NotMember => {
+            let message = "this host was taken for dead; send the edit to another one";
+            Refusal::new(ErrorKind::CutOff, message).after(Millis(1_000))
+        }
         other => Refusal::new(
             ErrorKind::EditInvalid,
             format!("the edit was rejected: {other:?}"),
