--- a/src/placement/executor.rs
+++ b/src/placement/executor.rs
@@ -23,6 +23,8 @@
     call_under_way: bool,
     /// Whether the call under way was made while no former executor was left.
     alone: bool,
+    /// Whether the order could have been sent when the call under way was made.
+    may_send: bool,
     /// Whether to ask about the order before it is sent again.
     ask_first: bool,
     /// Whether no call of any host can have reached the engine.
@@ -71,7 +73,8 @@
                 None
             }
             OrderAnswer::NeverSeen => {
-                self.ask_first = false;
+                // Asked earlier, a former executor may have sent it since.
+                self.ask_first = !self.may_send;
                 self.unseen = self.alone && !self.is_flying(now);
                 None
             }
@@ -137,6 +140,7 @@
         let may_send = upstream.checks_fencing || alone;
         view.call_under_way = true;
         view.alone = alone;
+        view.may_send = may_send;
         fx.push(Effect::OrderEngine {
             copy: id,
             address: upstream.address,
