--- a/src/placement/interleaving_tests.rs
+++ b/src/placement/interleaving_tests.rs
@@ -9,7 +9,7 @@
 use crate::placement::message::{EngineOrder, OrderAction, OrderAnswer};
 use crate::placement::test_site::{A, B, C, MEMORY_BYTES, TestLog};
 use crate::prelude::*;
-use crate::shared_log::fold::Shared;
+use crate::shared_log::fold::{Shared, Step};
 use arbtest::arbitrary::{Result, Unstructured};
 
 const MODELS: [&str; 3] = ["m", "n", "o"];
@@ -174,7 +174,8 @@
         let records = &self.log.records;
         let shared = &mut self.hosts[&host].shared;
         for logged in &records[shared.next_offset.0 as usize..] {
-            shared.apply_logged(logged).unwrap();
+            let step = shared.apply_logged(logged);
+            assert!(matches!(step, Step::Applied(_)), "{step:?}");
         }
     }
 
--- a/src/placement/test_site.rs
+++ b/src/placement/test_site.rs
@@ -4,7 +4,8 @@
 use crate::placement::copies::{Copy, Placement};
 use crate::placement::message::{LoadDecision, OrderOutcome};
 use crate::prelude::*;
-use crate::shared_log::fold::Shared;
+use crate::shared_log::codec::encode;
+use crate::shared_log::fold::{Shared, Step};
 use crate::shared_log::record::LoggedRecord;
 use crate::table::message::{Change, Edit, Model, Row, RowKey, StoreLimits};
 
@@ -51,10 +52,13 @@
         let logged = LoggedRecord {
             offset: self.shared.next_offset,
             appended_ms: self.now,
-            payload: serde_json::to_string(&record).unwrap().into(),
+            payload: encode(&record).unwrap().into(),
         };
         self.records.push(logged.clone());
-        self.shared.apply_logged(&logged).unwrap().unwrap().verdict
+        match self.shared.apply_logged(&logged) {
+            Step::Applied(applied) => applied.verdict,
+            other => panic!("{other:?}"),
+        }
     }
 
     pub fn accept(&mut self, host: Incarnation, body: RecordBody) -> Offset {
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod copies;
 mod loading;
 mod order;
+mod peaks;
 mod prefix_cache;
 mod report;
 mod run;
@@ -37,6 +38,9 @@
 use crate::registration::{HostDescription, registered};
 use crate::server::Server;
 
+/// Where chat requests are posted.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
 /// A model and its version, written `model@version`.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct ModelVersion {
@@ -99,12 +103,11 @@
         slots: Some(settings.slots),
         checks_fencing: Some(settings.checks_fencing),
     };
-    let engine = Arc::new(Engine::new(settings));
+    let engine = Arc::new(Engine::new(settings)?);
     report::start_sampling(&engine);
     let is_leaving = || engine.is_leaving();
     let serving = server.serve(Arc::new(EngineService(Arc::clone(&engine))));
-    registered(hosts_url.as_deref(), description, is_leaving, serving).await;
-    Ok(())
+    registered(hosts_url.as_deref(), description, is_leaving, serving).await
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -112,9 +115,9 @@
 }
 
 impl Engine {
-    fn new(settings: EngineSettings) -> Self {
-        Self {
-            source: WeightSource::new(&settings),
+    fn new(settings: EngineSettings) -> Result<Self, StandInError> {
+        Ok(Self {
+            source: WeightSource::new(&settings)?,
             leaving: AtomicBool::new(false),
             runs_started: AtomicU64::new(0),
             copies: Mutex::new(CopyTable::new(&settings)),
@@ -125,7 +128,7 @@
             reports: Mutex::default(),
             changed: Notifier::default(),
             settings,
-        }
+        })
     }
 
     fn is_leaving(&self) -> bool {
@@ -165,8 +168,10 @@
 impl StandIn for EngineService {
     async fn answer(&self, request: &Request) -> Result<Answer, Refusal> {
         let engine = &self.0;
+        if request.method == Method::Post && request.path == CHAT_PATH {
+            return chat::complete(engine, request).await;
+        }
         match (request.method, request.segments().as_slice()) {
-            (Method::Post, ["v1", "chat", "completions"]) => chat::complete(engine, request).await,
             (Method::Post, ["orders"]) => order::take(engine, request).await,
             (Method::Get, ["orders", order]) => order::state(engine, order),
             (Method::Get, ["state"]) => report::state(engine, request),
@@ -177,4 +182,9 @@
             _ => Err(Refusal::NotFound),
         }
     }
+
+    /// A chat request without a reader is given up after the hold time; orders are not.
+    fn stops_on_disconnect(&self, request: &Request) -> bool {
+        request.method == Method::Get || request.path == CHAT_PATH
+    }
 }
