--- a/src/daemon/placement_flow.rs
+++ b/src/daemon/placement_flow.rs
@@ -3,8 +3,11 @@
 use crate::daemon::node::{Life, Node};
 use crate::membership::message::UpstreamRole;
 use crate::placement::copies::CopyState;
+use crate::placement::decided::DecidedCopies;
 use crate::placement::message::{EngineReport, OrderAnswer, StoreReport};
 use crate::placement::policy::choice::choose_load;
+use crate::placement::presence::Presence;
+use crate::placement::retire::{RetireReason, retired_by_table};
 use crate::prelude::*;
 use crate::routing::upstreams::REPORT_INTERVAL_MS;
 use crate::shared_log::fold::Applied;
@@ -12,12 +15,18 @@
 /// How long a host waits for a proposed load to be read back before it proposes again.
 pub const LOAD_PROPOSAL_REST_MS: Millis = Millis(1_000);
 
+/// Most copies that are looked at in one tick, to find those that are to go.
+pub const COPIES_PER_TICK: usize = 64;
+
 /// What this host knows of the demand for models.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Demand {
     last_used_at: IndexMap<Name, Millis>,
     proposed_loads: IndexMap<Name, Millis>,
     store: Option<StoreReport>,
+    presence: Presence,
+    decided: DecidedCopies,
+    cursor: usize,
 }
 
 impl Demand {
@@ -89,7 +98,7 @@
     /// Takes an engine's report.
     pub fn on_engine_reported(
         &mut self,
-        _now: Millis,
+        now: Millis,
         upstream: &Name,
         _asked_at: Millis,
         report: Option<EngineReport>,
@@ -100,6 +109,9 @@
             return;
         };
         let leaving = report.leaving;
+        self.demand
+            .presence
+            .on_report(now, upstream, &report, &self.shared.placement);
         view.report = Some(report);
         if leaving {
             self.mark_leaving(upstream);
@@ -153,25 +165,65 @@
     }
 
     fn propose_unloads(&mut self, now: Millis) {
-        let rule = self.config.keep_warm;
-        let ready: Vec<(Offset, Name)> = self
-            .shared
-            .placement
-            .copies
-            .iter()
-            .filter(|(_, copy)| copy.state == CopyState::Ready)
-            .map(|(id, copy)| (*id, copy.load.model.clone()))
-            .collect();
-        for (copy, model) in ready {
-            let last_used_at = *self.demand.last_used_at.entry(model.clone()).or_insert(now);
-            let due = rule.is_due(now.since(last_used_at)) && self.queues.waiting(&model) == 0;
-            let key = format!("unload {copy}");
-            if due && self.is_home(&model) && self.platform.may_propose(now, &key) {
-                self.driver.queue(RecordBody::Unload { copy });
+        self.demand.decided.refresh(&self.shared.table);
+        self.demand.presence.retain(&self.shared.placement);
+        for id in self.next_copies() {
+            let Some(copy) = self.shared.placement.copies.get(&id) else {
+                continue;
+            };
+            if copy.state != CopyState::Ready || self.shared.placement.is_base_in_use(copy) {
+                continue;
+            }
+            let model = copy.load.model.clone();
+            let reason = self.retire_reason(now, id);
+            if reason.is_none() && !self.is_idle_too_long(now, &model) {
+                continue;
+            }
+            let key = format!("unload {id}");
+            if self.is_home(&model) && self.platform.may_propose(now, &key) {
+                if let Some(reason) = reason {
+                    LogEvent::CopyRetired.write(&format!("copy={id} reason={reason:?}"));
+                }
+                self.driver.queue(RecordBody::Unload { copy: id });
             }
         }
     }
 
+    /// Returns the copies to look at in this tick, each in its turn.
+    fn next_copies(&mut self) -> Vec<Offset> {
+        let copies = &self.shared.placement.copies;
+        let count = copies.len().min(COPIES_PER_TICK);
+        let from = self.demand.cursor;
+        self.demand.cursor = from.wrapping_add(count);
+        (from..from + count)
+            .filter_map(|index| copies.get_index(index % copies.len()))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    fn retire_reason(&self, now: Millis, id: Offset) -> Option<RetireReason> {
+        let copy = self.shared.placement.copies.get(&id)?;
+        if self.demand.presence.is_missing(now, id) {
+            return Some(RetireReason::Missing);
+        }
+        if self.is_leaving(&copy.load.upstream) {
+            return Some(RetireReason::UpstreamLeaving);
+        }
+        retired_by_table(copy, &self.demand.decided, &self.shared.table)
+    }
+
+    /// Tells whether anyone says that an upstream is leaving.
+    pub fn is_leaving(&self, upstream: &str) -> bool {
+        let entry = self.shared.placement.upstreams.get(upstream);
+        let view = self.routing.get(upstream);
+        entry.is_some_and(|entry| entry.leaving) || view.is_some_and(|view| view.leaving)
+    }
+
+    fn is_idle_too_long(&mut self, now: Millis, model: &Name) -> bool {
+        let last_used_at = *self.demand.last_used_at.entry(model.clone()).or_insert(now);
+        self.config.keep_warm.is_due(now.since(last_used_at)) && self.queues.waiting(model) == 0
+    }
+
     /// Takes an applied record.
     pub fn placement_applied(&mut self, _now: Millis, applied: &Applied) {
         let offset = applied.offset;
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -67,6 +67,8 @@
     OrderTakenOver = 505,
     /// An order that another host took over is sent no more.
     OrderRelinquished = 506,
+    /// A copy is to go whatever the demand for it.
+    CopyRetired = 507,
     /// An upstream was registered.
     UpstreamRegistered = 600,
     /// An upstream is leaving.
--- a/src/placement/checks.rs
+++ b/src/placement/checks.rs
@@ -2,6 +2,7 @@
 
 use crate::membership::message::UpstreamRole;
 use crate::placement::copies::{CopyState, MAX_COPIES, Placement};
+use crate::placement::decided::decided_copies;
 use crate::placement::message::LoadDecision;
 use crate::prelude::*;
 use crate::table::Table;
@@ -41,7 +42,7 @@
             }
             count += 1;
         }
-        let allowed = table.copies_allowed(&load.model);
+        let allowed = decided_copies(table, &load.model);
         if count >= allowed || load.copy_index >= allowed {
             return Err(Rejection::CopiesReached);
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,10 +2,13 @@
 
 mod checks;
 pub mod copies;
+pub mod decided;
 pub mod executor;
 mod index;
 pub mod message;
 pub mod policy;
+pub mod presence;
+pub mod retire;
 
 #[cfg(test)]
 mod interleaving_tests;
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the fold's part of placement.
 
 use crate::placement::copies::{CopyState, Placement};
+use crate::placement::decided::decided_copies;
 use crate::placement::message::OrderOutcome;
 use crate::placement::test_site::{A, B, C, MEMORY_BYTES, TestLog};
 use crate::prelude::*;
@@ -268,7 +269,7 @@
     }
     for (model, _) in &log.shared.table.models {
         let copies = placement.copies_of(model).count();
-        assert!(copies <= log.shared.table.copies_allowed(model) as usize);
+        assert!(copies <= decided_copies(&log.shared.table, model) as usize);
     }
     let scanned = placement
         .copies
