--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -6,6 +6,7 @@
 use mangovale::membership::message::{HostEntry, UpstreamEntry, UpstreamRole};
 use mangovale::placement::message::LoadDecision;
 use mangovale::placement::policy::keep_warm::KeepWarmRule;
+use mangovale::shared_log::codec::encode;
 use mangovale::shared_log::fold::{Shared, Step};
 use mangovale::shared_log::record::{Incarnation, LoggedRecord, Record, RecordBody, RecordId};
 use mangovale::table::message::{Change, Edit, Model, StoreLimits};
@@ -76,7 +77,7 @@
             host: writer,
             seq: self.seq,
         };
-        let payload = serde_json::to_string(&Record { id, body }).expect("a record can be encoded");
+        let payload = encode(&Record { id, body }).expect("a record can be encoded");
         self.record_bytes = payload.len();
         let offset = self.shared.next_offset;
         // Ten records a second, so that the weight store's limits do not refuse the loads.
@@ -86,9 +87,10 @@
             appended_ms,
             payload: payload.into(),
         };
-        let step = self.shared.apply_logged(&logged);
-        let accepted = matches!(step, Step::Applied(applied) if applied.verdict.is_accepted());
-        assert!(accepted, "refused: {}", logged.payload);
+        let Step::Applied(applied) = self.shared.apply_logged(&logged) else {
+            panic!("not applied: {}", logged.payload);
+        };
+        assert!(applied.verdict.is_accepted(), "refused: {}", logged.payload);
     }
 
     fn edit(&mut self, changes: Vec<Change>) {
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -176,18 +176,20 @@
 }
 
 fn sample_copies(node: &Node, metrics: &Metrics) {
-    let (mut loading, mut ready, mut unloading) = (0, 0, 0);
+    let (mut loading, mut ready, mut unloading, mut ended) = (0, 0, 0, 0);
     for copy in node.shared.placement.copies.values() {
         match copy.state {
             CopyState::Loading => loading += 1,
             CopyState::Ready => ready += 1,
             CopyState::Unloading => unloading += 1,
+            CopyState::Ended => ended += 1,
         }
     }
     for (state, count) in [
         ("loading", loading),
         ("ready", ready),
         ("unloading", unloading),
+        ("ended", ended),
     ] {
         let labels = [KeyValue::new("state", state)];
         metrics.copies.record(count, &labels);
