--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -87,7 +87,7 @@
 
 impl LogEvent {
     /// Every event, in the order of the numbers.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: &[Self] = &[
         Self::Started,
         Self::Joined,
         Self::StopBegan,
@@ -100,6 +100,8 @@
         Self::AppendUnknown,
         Self::CheckpointWritten,
         Self::CheckpointRead,
+        Self::LogShorter,
+        Self::RecordNewer,
         Self::BecameStale,
         Self::BecameFresh,
         Self::Paused,
@@ -115,6 +117,7 @@
         Self::UnloadDecided,
         Self::CopyGone,
         Self::OrderTakenOver,
+        Self::OrderRelinquished,
         Self::UpstreamRegistered,
         Self::UpstreamLeaving,
         Self::UpstreamSilent,
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,111 @@
+//! The bounded trace, and its replay by the tool.
+
+mod common;
+
+use common::Place;
+use mangovale::clock::Millis;
+use mangovale::daemon::event::Event;
+use mangovale::daemon::node::{Node, NodeConfig};
+use mangovale::daemon::trace::{Trace, TraceFile};
+use mangovale::membership::message::{HostEntry, HostList, ListedHost};
+use mangovale::settings::TimingSettings;
+use mangovale::shared_log::record::Incarnation;
+
+const STARTED_AT: Millis = Millis(1_000_000);
+const BOUND_BYTES: usize = 64 << 10;
+
+fn config() -> NodeConfig {
+    let timing = TimingSettings::default();
+    let address = "127.0.0.1:7000".parse().expect("an address");
+    NodeConfig {
+        me: Incarnation(1),
+        entry: HostEntry {
+            name: "entry-1".into(),
+            data_centre: "here".into(),
+            caller_address: address,
+            peer_address: address,
+        },
+        fresh_bound_ms: timing.fresh_bound_ms,
+        pause_ms: timing.pause_ms,
+        probe_interval_ms: timing.probe_interval_ms,
+        suspect_after_ms: timing.suspect_after_ms,
+        probes_per_round: timing.probes_per_round,
+        keep_warm: Default::default(),
+    }
+}
+
+fn host_list(length: usize) -> Event {
+    let listed = |number| ListedHost {
+        name: format!("entry-{number}").into(),
+        incarnation: Some(Incarnation(number as u64)),
+    };
+    let hosts = (0..length).map(listed).collect();
+    let list = HostList {
+        hosts,
+        ..HostList::default()
+    };
+    Event::HostsListed { list }
+}
+
+/// Drives a node through `steps` pairs of a tick and a host list, and records them.
+fn record(steps: u64) -> (Trace, Node) {
+    let mut node = Node::new(config());
+    let mut trace = Trace::with_bound(config(), BOUND_BYTES);
+    for step in 0..steps {
+        let at = STARTED_AT + Millis(step * 20);
+        for event in [Event::Tick, host_list((step % 7) as usize)] {
+            trace.push(at, &event, &node);
+            node.handle(at, event);
+        }
+    }
+    (trace, node)
+}
+
+fn to_file(trace: &Trace, node: &Node) -> (String, TraceFile) {
+    let text = trace.to_file(node).expect("a trace can be encoded");
+    let file = serde_json::from_str(&text).expect("a trace can be decoded");
+    (text, file)
+}
+
+#[test]
+fn a_short_trace_starts_from_a_new_node() {
+    let (trace, node) = record(5);
+    let (_, file) = to_file(&trace, &node);
+    assert!(file.start.is_none());
+    assert_eq!(file.events.len(), 10);
+}
+
+#[test]
+fn a_long_trace_stays_in_its_bound_and_keeps_the_newest_events() {
+    let (trace, node) = record(2_000);
+    assert!(trace.bytes() <= BOUND_BYTES, "{}", trace.bytes());
+    let (_, file) = to_file(&trace, &node);
+    assert!(file.start.is_some());
+    let last = file.events.last().expect("an event");
+    assert_eq!(last.at, STARTED_AT + Millis(1_999 * 20));
+}
+
+#[test]
+fn a_long_trace_replays_to_the_recorded_state() {
+    let (trace, node) = record(2_000);
+    let place = Place::new();
+    place.file("long.trace", &to_file(&trace, &node).0);
+    place
+        .tool(&["replay", "long.trace"])
+        .exits_with(0)
+        .prints("the state at the end is the recorded one");
+}
+
+#[test]
+fn a_replay_that_comes_to_another_state_says_so() {
+    let (trace, node) = record(5);
+    let place = Place::new();
+    let text = to_file(&trace, &node)
+        .0
+        .replace("\"Tick\"", "\"StopAsked\"");
+    place.file("changed.trace", &text);
+    place
+        .tool(&["replay", "changed.trace", "--json"])
+        .exits_with(11)
+        .prints("\"same_end\":false");
+}
