--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 pub mod effect;
 pub mod effects;
 pub mod event;
+pub mod life_flow;
 pub mod log_flow;
 pub mod membership_flow;
 pub mod metrics;
--- a/src/shared_log/tests.rs
+++ b/src/shared_log/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the log's driver and of the fold.
 
 mod checkpoints;
-mod fake_log;
+pub(crate) mod fake_log;
 mod fold;
 mod lost_answers;
