--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -91,7 +91,7 @@
 
 impl LogEvent {
     /// Every event, in the order of the numbers.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: &[Self] = &[
         Self::Started,
         Self::Joined,
         Self::StopBegan,
@@ -104,6 +104,8 @@
         Self::AppendUnknown,
         Self::CheckpointWritten,
         Self::CheckpointRead,
+        Self::LogShorter,
+        Self::RecordNewer,
         Self::BecameStale,
         Self::BecameFresh,
         Self::Paused,
@@ -119,6 +121,7 @@
         Self::UnloadDecided,
         Self::CopyGone,
         Self::OrderTakenOver,
+        Self::OrderRelinquished,
         Self::UpstreamRegistered,
         Self::UpstreamLeaving,
         Self::UpstreamSilent,
