Run an operation with a key at most once, by claims read back from the log

Cause: a service call was sent again after a failure whatever it did, and the same key at two hosts ran twice.

Claims share records, the first one wins, later arrivals get the claimer's answer or "unknown", and "not run" is said only after the claim's release is read back.

Ruled out: asking the claimer only once (an arrival must wait for a running operation); releasing without holding the claim (a second arrival then frees a running operation: idempotency::tests::operations finds the second run).

--- a/src/daemon/claim_flow.rs
+++ b/src/daemon/claim_flow.rs
@@ -208,6 +208,29 @@
         }
     }
 
+    /// Begins claims anew after this host joined again under another incarnation.
+    pub fn note_incarnation(&mut self, now: Millis, fx: &mut Effects) {
+        if !self.pending_claims.note_host(self.config.me) {
+            return;
+        }
+        let is_on_its_way = |request: &&HeldRequest| {
+            matches!(request.phase, Phase::Claiming | Phase::Releasing { .. })
+        };
+        let requests = self.requests.iter().filter(is_on_its_way);
+        let held: Vec<HeldRequest> = requests.cloned().collect();
+        for request in held {
+            let id = request.head.id;
+            if matches!(request.phase, Phase::Releasing { .. }) {
+                self.give_refusal(now, id, not_released(), fx);
+                continue;
+            }
+            if let Some(operation) = &request.operation {
+                self.pending_claims.let_go(operation, id);
+            }
+            self.claim_or_follow(now, id, fx);
+        }
+    }
+
     /// Settles the claims and ends whose records were applied.
     pub fn settle_claims(&mut self, now: Millis, fx: &mut Effects) {
         let members = &self.shared.members;
@@ -274,7 +297,7 @@
         let Phase::Releasing { refusal } = request.phase.clone() else {
             return;
         };
-        let released = self.own_claim(&end.operation).is_none();
+        let released = self.shared.claims.get(&end.operation).is_none();
         let refusal = if released { refusal } else { not_released() };
         self.give_refusal(now, id, refusal, fx);
     }
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -166,6 +166,7 @@
     pub fn tick_requests(&mut self, now: Millis, fx: &mut Effects) {
         self.pending_claims
             .note_log(now, self.driver.is_reachable());
+        self.note_incarnation(now, fx);
         self.settle_claims(now, fx);
         self.finished.expire(now);
         for id in self.requests.due(now) {
--- a/src/idempotency/pending.rs
+++ b/src/idempotency/pending.rs
@@ -49,6 +49,7 @@
     claims_under_way: Option<ClaimBatch>,
     ends_under_way: Option<EndBatch>,
     log_lost_since: Option<Millis>,
+    host: Option<Incarnation>,
 }
 
 impl PendingClaims {
@@ -60,6 +61,21 @@
         };
     }
 
+    /// Takes note of the incarnation under which this host writes, and tells whether it changed.
+    ///
+    /// What was on its way under the former one has no effect any more.
+    pub fn note_host(&mut self, host: Incarnation) -> bool {
+        let former = self.host.replace(host);
+        if former.is_none_or(|former| former == host) {
+            return false;
+        }
+        self.waiting.clear();
+        self.waiting_ends.clear();
+        self.claims_under_way = None;
+        self.ends_under_way = None;
+        true
+    }
+
     /// Returns how long the log has been out of reach.
     pub fn log_lost_ms(&self, now: Millis) -> Millis {
         self.log_lost_since
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,4 +8,4 @@
 pub mod probes;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of membership: probes, freshness, evictions, and edits under cuts and pauses.
 
-mod cluster;
+pub mod cluster;
 mod edits;
 mod evictions;
 mod freshness;
--- a/src/membership/tests/cluster.rs
+++ b/src/membership/tests/cluster.rs
@@ -2,7 +2,7 @@
 
 use crate::daemon::event::Event;
 use crate::daemon::node::{Life, Node, NodeConfig};
-use crate::membership::message::{HostEntry, HostList, ListedHost};
+use crate::membership::message::{HostEntry, HostList, ListedHost, UpstreamEntry};
 use crate::prelude::*;
 use crate::shared_log::driver::{LogCallError, LogPage};
 use crate::shared_log::tests::fake_log::{FakeLog, host_entry};
@@ -33,6 +33,9 @@
     pub cut_links: IndexSet<(usize, usize)>,
     pub edits: IndexMap<CallId, EditResult>,
     pub in_force: Vec<Offset>,
+    pub upstreams: Vec<UpstreamEntry>,
+    /// Effects that the cluster does not carry out, with their hosts.
+    pub outputs: Vec<(usize, Effect)>,
     calls: Vec<PeerCall>,
     next_call: u64,
 }
@@ -53,6 +56,8 @@
             cut_links: IndexSet::new(),
             edits: IndexMap::new(),
             in_force: Vec::new(),
+            upstreams: Vec::new(),
+            outputs: Vec::new(),
             calls: Vec::new(),
             next_call: 0,
         };
@@ -101,6 +106,11 @@
         panic!("waited in vain for {what}");
     }
 
+    /// Hands an event to a host.
+    pub fn send(&mut self, host: usize, event: Event) {
+        self.hosts[host].inbox.push(event);
+    }
+
     /// Hands an edit to a host.
     pub fn edit(&mut self, host: usize, edit: Edit) -> CallId {
         let call = self.new_call();
@@ -196,7 +206,7 @@
                     }
                     self.edits.insert(call, result);
                 }
-                _ => {}
+                other => self.outputs.push((index, other)),
             }
         }
     }
@@ -238,7 +248,7 @@
         };
         let hosts = self.hosts.iter().filter(|host| !host.unlisted);
         let list = HostList {
-            upstreams: Vec::new(),
+            upstreams: self.upstreams.clone(),
             hosts: hosts.map(listed).collect(),
         };
         self.hosts[index].inbox.push(Event::HostsListed { list });
