Take ports that nobody else takes, and show a daemon's log when it does not come up

Seen: an_invalid_edit_is_refused waited 60 s in vain for entry-1 in one run of five, with other builds on the machine. Likely cause: the harness took ephemeral ports and gave them back before the daemon bound them, so an outgoing connection could take one in between; the daemon's log of that run is lost, so this is not proved. Change: ports below the ephemeral range, and a panic that carries the log.

--- a/bench/src/process.rs
+++ b/bench/src/process.rs
@@ -10,7 +10,8 @@
 
 /// How long a condition is waited for before the wait counts as failed.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
-const POLL: Duration = Duration::from_millis(10);
+/// How long to wait before a condition is looked at again.
+pub const POLL: Duration = Duration::from_millis(10);
 
 /// A running process with its log file.
 #[derive(Debug)]
--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -11,7 +11,7 @@
 use crate::call::{Caller, Outcome, finish};
 use crate::link::{TcpLink, UdpLink};
 use crate::platform::PlatformWatch;
-use crate::process::{Process, wait_for};
+use crate::process::{POLL, Process, WAIT_LIMIT, wait_for};
 use mangovale::edge::digest::sha256;
 use mangovale::edge::http::client;
 use mangovale::shared_log::record::Offset;
@@ -22,10 +22,13 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::sleep;
+use std::time::Instant;
 use tempfile::TempDir;
 use trillium_client::Method;
 
 const OPERATOR: &str = "operator";
+const LISTEN_PORTS: std::ops::Range<u16> = 10_000..32_000;
 const DATA_CENTRE: &str = "sapporo-a";
 /// The platform knows which processes exist; a frozen one does not vanish from its list.
 const HOST_LIST: &[&str] = &["hosts", "--expire-ms", "86400000"];
@@ -284,6 +287,14 @@
             site.add_host();
         }
         site.wait_serving();
+        for host in &mut site.hosts {
+            let name = &host.name;
+            assert!(
+                host.process.is_running(),
+                "{name} ended:\n{}",
+                host.process.log()
+            );
+        }
         site
     }
 
@@ -364,10 +375,22 @@
     }
 
     /// Waits until every daemon that runs serves.
+    ///
+    /// # Panics
+    ///
+    /// Panics with a daemon's log when it ends or does not serve in time.
     pub fn wait_serving(&mut self) {
         for host in &mut self.hosts {
-            if host.process.is_running() {
-                wait_for(&format!("{} to serve", host.name), || host.is_serving());
+            let started_at = Instant::now();
+            while host.process.is_running() && !host.is_serving() {
+                let name = &host.name;
+                let log = || host.process.log();
+                assert!(
+                    started_at.elapsed() < WAIT_LIMIT,
+                    "{name} does not serve:\n{}",
+                    log()
+                );
+                sleep(POLL);
             }
         }
     }
@@ -588,14 +611,21 @@
     texts.iter().map(|text| text.to_string()).collect()
 }
 
+/// Finds a port that nobody listens on, below the range from which outgoing connections take theirs.
+fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
+    const TRIES: u32 = 1_000;
+    (0..TRIES)
+        .map(|_| SocketAddr::from(([127, 0, 0, 1], fastrand::u16(LISTEN_PORTS))))
+        .find(|address| is_free(*address))
+        .expect("a free port")
+}
+
 fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
+    free_port(|address| TcpListener::bind(address).is_ok())
 }
 
 fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("a bound address")
+    free_port(|address| UdpSocket::bind(address).is_ok())
 }
 
 fn post(url: &str, body: &Value) -> Outcome {
