--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -47,7 +47,8 @@
     /// Takes the request that goes next: the most urgent, and of those the oldest.
     pub fn pop(&mut self, target: &str) -> Option<Waiting> {
         let queue = self.queues.get_mut(target)?;
-        let best = (0..queue.len()).min_by_key(|index| (queue[*index].urgency, *index))?;
+        let best =
+            (0..queue.len()).min_by_key(|index| (queue[*index].urgency, queue[*index].since))?;
         queue.remove(best)
     }
 
--- a/src/attempt/message.rs
+++ b/src/attempt/message.rs
@@ -111,6 +111,8 @@
     OperationAnswered(KeptAnswer),
     /// Nothing ran: no byte of the request left this host, or the upstream said so.
     NotRun(String),
+    /// Nothing ran, since the upstream has too much to do.
+    Busy(String),
     /// No answer began within the bound; it may have run.
     Silent(String),
     /// It may have run, and the caller has nothing of an answer.
--- a/src/attempt/requests.rs
+++ b/src/attempt/requests.rs
@@ -7,8 +7,8 @@
 
 /// Most requests held at once.
 pub const MAX_REQUESTS: usize = 20_000;
-/// Most attempts of one request.
-pub const MAX_ATTEMPTS: u32 = 4;
+/// Most failed attempts of one request.
+pub const MAX_FAILURES: u32 = 4;
 
 /// How long after its deadline the task of a running request may still answer it.
 pub const RUNNING_MARGIN_MS: Millis = Millis(2_000);
@@ -55,6 +55,8 @@
     pub deadline_at: Millis,
     /// How many attempts were begun.
     pub attempts: u32,
+    /// How many of them failed, other than by a busy upstream.
+    pub failures: u32,
     /// Upstreams that failed it.
     pub failed_upstreams: Vec<Name>,
     /// Whether an attempt may have run it.
--- a/src/attempt/tests.rs
+++ b/src/attempt/tests.rs
@@ -1,1 +1,95 @@
-//! Tests of attempts.
+//! Tests of streamed answers: whole, in order, and the attempt's own, or broken.
+
+use crate::attempt::events::{AnswerEvents, MAX_EVENT_BYTES, StreamStep, is_own_whole_answer};
+use arbtest::arbtest;
+
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+fn chunk(id: &str, index: u32, last: bool) -> Vec<u8> {
+    let finish = if last {
+        r#","finish_reason":"stop""#
+    } else {
+        ""
+    };
+    format!("data: {{\"id\":\"{id}\",\"index\":{index}{finish}}}\n\n").into_bytes()
+}
+
+fn steps(events: &mut AnswerEvents, bytes: &[u8]) -> Vec<StreamStep> {
+    events.push(bytes);
+    std::iter::from_fn(|| events.next_step()).collect()
+}
+
+fn is_broken(steps: &[StreamStep]) -> bool {
+    matches!(steps, [StreamStep::Broken(_)])
+}
+
+fn answer(tokens: u32) -> Vec<u8> {
+    let mut bytes: Vec<u8> = (0..tokens)
+        .flat_map(|index| chunk("r", index, index + 1 == tokens))
+        .collect();
+    bytes.extend_from_slice(DONE);
+    bytes
+}
+
+#[test]
+fn a_whole_answer_passes_however_its_bytes_are_cut_and_repeated() {
+    arbtest(|u| {
+        let bytes = answer(6);
+        let mut events = AnswerEvents::new("r".into());
+        let mut passed = Vec::new();
+        let mut from = 0;
+        let mut ended = false;
+        while from < bytes.len() {
+            let count = u.int_in_range(1..=bytes.len() - from)?;
+            for step in steps(&mut events, &bytes[from..from + count]) {
+                match step {
+                    StreamStep::Pass(event) => passed.extend(event),
+                    StreamStep::End(event) => {
+                        passed.extend(event);
+                        ended = true;
+                    }
+                    StreamStep::Broken(why) => panic!("{why}"),
+                }
+            }
+            from += count;
+            if !u.is_empty() && u.ratio(1, 5)? && !ended {
+                // Another connection goes on from the position, or from some tokens before it.
+                events.restart();
+                let back = events.next_index().saturating_sub(u.int_in_range(0..=2)?);
+                from = (0..back).map(|index| chunk("r", index, false).len()).sum();
+            }
+        }
+        assert!(ended);
+        assert_eq!(passed, bytes);
+        Ok(())
+    })
+    .seed(0x5eed_0000_0400);
+}
+
+#[test]
+fn chunks_of_another_request_break_the_answer() {
+    let mut events = AnswerEvents::new("r".into());
+    assert_eq!(steps(&mut events, &chunk("r", 0, false)).len(), 1);
+    assert!(is_broken(&steps(&mut events, &chunk("q", 1, false))));
+}
+
+#[test]
+fn a_gap_an_early_end_and_an_error_break_the_answer() {
+    let broken = |bytes: &[u8]| {
+        let mut events = AnswerEvents::new("r".into());
+        is_broken(&steps(&mut events, bytes))
+    };
+    assert!(broken(&chunk("r", 1, false)));
+    assert!(broken(DONE));
+    assert!(broken(b"data: {\"id\":\"r\",\"error\":\"cancelled\"}\n\n"));
+    assert!(broken(b"data: not JSON\n\n"));
+    assert!(broken(&vec![b'x'; MAX_EVENT_BYTES + 1]));
+}
+
+#[test]
+fn a_whole_answer_is_complete_json_of_its_own_request() {
+    assert!(is_own_whole_answer("r", br#"{"id":"r"}"#));
+    assert!(is_own_whole_answer("r", br#"{"answer":1}"#));
+    assert!(!is_own_whole_answer("r", br#"{"id":"q"}"#));
+    assert!(!is_own_whole_answer("r", br#"{"id":"r""#));
+}
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -138,7 +138,10 @@
             }
             AttemptOutcome::Broken(_) => self.count_request(ErrorKind::AnswerBroken.name()),
             AttemptOutcome::CallerGone => self.count_request("caller_gone"),
-            AttemptOutcome::NotRun(_) | AttemptOutcome::Silent(_) | AttemptOutcome::Unknown(_) => {}
+            AttemptOutcome::NotRun(_)
+            | AttemptOutcome::Busy(_)
+            | AttemptOutcome::Silent(_)
+            | AttemptOutcome::Unknown(_) => {}
         }
     }
 
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -4,13 +4,13 @@
 use crate::attempt::message::{
     Attempt, AttemptOutcome, ConnectionChoice, Repeatable, RequestHead, RequestId, TargetKind,
 };
-use crate::attempt::requests::{HeldRequest, MAX_ATTEMPTS, Phase};
+use crate::attempt::requests::{HeldRequest, MAX_FAILURES, Phase};
 use crate::daemon::node::{Life, Node};
 use crate::error::Ran;
 use crate::idempotency::message::OperationKey;
 use crate::placement::copies::CopyState;
 use crate::prelude::*;
-use crate::routing::upstreams::FAILURE_REST_MS;
+use crate::routing::upstreams::{BUSY_REST_MS, FAILURE_REST_MS};
 use crate::shared_log::fold::Applied;
 use crate::table::message::RowKey;
 use std::net::SocketAddr;
@@ -81,6 +81,7 @@
             arrived_at: now,
             deadline_at: now + deadline_ms,
             attempts: 0,
+            failures: 0,
             failed_upstreams: Vec::new(),
             may_have_run: false,
             operation,
@@ -324,7 +325,7 @@
         let bound_ms = self
             .routing
             .first_byte_bound(upstream, request.head.streamed);
-        let patience = 1 << request.attempts.min(MAX_ATTEMPTS);
+        let patience = 1 << request.failures.min(MAX_FAILURES);
         Millis(bound_ms.0 * patience).min(to_deadline_ms)
     }
 
@@ -347,6 +348,7 @@
             return;
         }
         self.end_in_flight(id);
+        self.note_failure(id, &outcome);
         match outcome {
             AttemptOutcome::Answered => {
                 self.keep_answer(now, id, None);
@@ -361,18 +363,38 @@
                 self.routing.view(&upstream).resting_until = now + FAILURE_REST_MS;
                 self.retry_or_refuse(now, id, &why, fx);
             }
+            AttemptOutcome::Busy(why) => {
+                self.routing.view(&upstream).resting_until = now + BUSY_REST_MS;
+                self.retry_or_refuse(now, id, &why, fx);
+            }
             AttemptOutcome::Silent(why) => {
-                self.note_may_have_run(id);
                 self.retry_or_refuse(now, id, &why, fx);
             }
             AttemptOutcome::Unknown(why) => {
                 self.routing.view(&upstream).resting_until = now + FAILURE_REST_MS;
-                self.note_may_have_run(id);
                 self.retry_or_refuse(now, id, &why, fx);
             }
         }
     }
 
+    fn note_failure(&mut self, id: RequestId, outcome: &AttemptOutcome) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        match outcome {
+            AttemptOutcome::NotRun(_) => request.failures += 1,
+            AttemptOutcome::Silent(_) | AttemptOutcome::Unknown(_) => {
+                request.failures += 1;
+                request.may_have_run = true;
+            }
+            AttemptOutcome::Answered
+            | AttemptOutcome::OperationAnswered(_)
+            | AttemptOutcome::Busy(_)
+            | AttemptOutcome::Broken(_)
+            | AttemptOutcome::CallerGone => {}
+        }
+    }
+
     fn note_may_have_run(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(id) {
             request.may_have_run = true;
@@ -391,7 +413,7 @@
             return;
         }
         let may_retry = repeatable || request.operation.is_some();
-        if may_retry && request.attempts < MAX_ATTEMPTS && now < request.deadline_at {
+        if may_retry && request.failures < MAX_FAILURES && now < request.deadline_at {
             self.enqueue(now, id, fx);
             return;
         }
--- a/src/daemon/servers.rs
+++ b/src/daemon/servers.rs
@@ -8,6 +8,7 @@
 use crate::edge::gate::Gate;
 use crate::edge::http::within;
 use crate::edge::operator::OperatorEdge;
+use crate::edge::stall::StallAcceptor;
 use crate::prelude::*;
 use crate::settings::Settings;
 use snafu::ResultExt;
@@ -45,6 +46,7 @@
         .without_signals()
         .with_nodelay()
         .with_max_connections(Some(settings.bounds.connections))
+        .with_acceptor(StallAcceptor)
         .with_prebound_server(listener)
         .spawn(move |conn: trillium::Conn| {
             let edge = edge.clone();
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -226,7 +226,7 @@
                 }
                 Err(outcome) => outcome,
             };
-            if !matches!(outcome, AttemptOutcome::NotRun(_)) {
+            if !matches!(outcome, AttemptOutcome::NotRun(_) | AttemptOutcome::Busy(_)) {
                 call.cancel();
             }
             self.end(&open, call.attempt.number, outcome).await;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -14,6 +14,7 @@
 pub mod operator;
 pub mod peer;
 pub mod pipe;
+pub mod stall;
 pub mod store;
 pub mod stream;
 pub mod upstream;
--- /dev/null
+++ b/src/edge/stall.rs
@@ -0,0 +1,97 @@
+//! Callers' connections whose writes may not stall for ever: one that is never read from is closed.
+
+use smol::Timer;
+use smol::io::{AsyncRead, AsyncWrite};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use trillium_server_common::{Acceptor, Transport};
+
+/// How long a write may make no progress.
+pub const STALL_LIMIT: Duration = Duration::from_secs(30);
+
+/// Wraps each accepted connection in a [`StallGuard`].
+#[derive(Clone, Copy, Debug)]
+pub struct StallAcceptor;
+
+impl<Input: Transport> Acceptor<Input> for StallAcceptor {
+    type Output = StallGuard<Input>;
+    type Error = Infallible;
+
+    async fn accept(&self, input: Input) -> Result<StallGuard<Input>, Infallible> {
+        Ok(StallGuard {
+            inner: input,
+            stalled: None,
+        })
+    }
+
+    fn is_secure(&self) -> bool {
+        false
+    }
+}
+
+/// A connection whose writes fail once they made no progress for [`STALL_LIMIT`].
+#[derive(Debug)]
+pub struct StallGuard<T> {
+    inner: T,
+    stalled: Option<Timer>,
+}
+
+impl<T> StallGuard<T> {
+    fn bound<V>(
+        &mut self,
+        cx: &mut Context<'_>,
+        polled: Poll<io::Result<V>>,
+    ) -> Poll<io::Result<V>> {
+        if polled.is_ready() {
+            self.stalled = None;
+            return polled;
+        }
+        let timer = self
+            .stalled
+            .get_or_insert_with(|| Timer::after(STALL_LIMIT));
+        match Pin::new(timer).poll(cx) {
+            Poll::Ready(_) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl<T: Transport> AsyncRead for StallGuard<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_read(cx, buffer)
+    }
+}
+
+impl<T: Transport> AsyncWrite for StallGuard<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write(cx, bytes);
+        self.bound(cx, polled)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.inner).poll_flush(cx);
+        self.bound(cx, polled)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
+
+impl<T: Transport> Transport for StallGuard<T> {
+    fn peer_addr(&self) -> io::Result<Option<SocketAddr>> {
+        self.inner.peer_addr()
+    }
+}
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -22,6 +22,7 @@
 /// The header with the position at which the answer goes on.
 pub const RESUME_FROM_HEADER: &str = "x-resume-from";
 
+const TOO_MANY_REQUESTS: u16 = 429;
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Statuses that blame the request itself, so that another upstream would say the same.
 const REQUEST_FAULTS: [u16; 3] = [400, 413, 422];
@@ -182,7 +183,10 @@
         let not_run = headers.get_str(RUN_HEADER) == Some(NOT_RUN);
         if not_run && !REQUEST_FAULTS.contains(&status) {
             let why = format!("{} answered {status}", self.attempt.upstream);
-            return Err(AttemptOutcome::NotRun(why));
+            return Err(match status {
+                TOO_MANY_REQUESTS => AttemptOutcome::Busy(why),
+                _ => AttemptOutcome::NotRun(why),
+            });
         }
         let content_type = headers.get_str("content-type").map(str::to_owned);
         let Some(body) = conn.take_response_body() else {
--- a/src/routing/upstreams.rs
+++ b/src/routing/upstreams.rs
@@ -6,6 +6,8 @@
 
 /// How long an upstream is passed over after a failure.
 pub const FAILURE_REST_MS: Millis = Millis(500);
+/// How long an upstream is passed over that has too much to do.
+pub const BUSY_REST_MS: Millis = Millis(50);
 /// How often an engine is asked for its report.
 pub const REPORT_INTERVAL_MS: Millis = Millis(500);
 
