--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod link;
 pub mod platform;
 pub mod process;
+pub mod recovery;
 pub mod site;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,7 +1,7 @@
 //! The load and experiment tool.
 
 use argh::FromArgs;
-use mangovale_bench::{capacity, idle};
+use mangovale_bench::{capacity, idle, recovery};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -18,6 +18,19 @@
 enum Command {
     Capacity(CapacityOptions),
     Idle(IdleOptions),
+    Recovery(RecoveryOptions),
+}
+
+/// Measure how long a kill, a log outage and the start of a new daemon are felt.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "recovery")]
+struct RecoveryOptions {
+    /// how long the log is out, in seconds (default: 20)
+    #[argh(option, default = "20")]
+    outage_s: u64,
+    /// how many models the new daemon meets (default: 54410)
+    #[argh(option, default = "54410")]
+    models: usize,
 }
 
 /// Measure slopes of state, messages and processor time in this process.
@@ -52,6 +65,7 @@
     match options.command {
         Command::Capacity(options) => measure_capacity(&options),
         Command::Idle(options) => measure_idle(&options),
+        Command::Recovery(options) => measure_recovery(&options),
     }
 }
 
@@ -93,6 +107,14 @@
     }
 }
 
+fn measure_recovery(options: &RecoveryOptions) {
+    print(&recovery::measure_kill());
+    print(&recovery::measure_outage(Duration::from_secs(
+        options.outage_s,
+    )));
+    print(&recovery::measure_new_host(options.models));
+}
+
 fn print(result: &impl Serialize) {
     println!("{}", serde_json::to_string(result).unwrap_or_default());
 }
