Leave a host out of entry answers after one unanswered probe

Cause: entry answers left a host out only once it was suspected, after 5 s, the time that eviction needs. Change: one unanswered probe is enough for the entry answer; where nobody answers, all are named, since then this host is likely the one that is cut off.

--- a/src/membership/entry.rs
+++ b/src/membership/entry.rs
@@ -43,14 +43,26 @@
     members: &Members,
     probes: &Probes,
 ) -> EntryAnswer {
-    let usable = members.iter().map(|(host, _)| *host).filter(|host| {
-        if *host == me {
-            return serving;
-        }
-        let view = probes.get(*host);
-        !view.is_some_and(|view| view.suspected || view.stopping)
-    });
-    let hosts = rank(key, usable)
+    let others = members
+        .iter()
+        .map(|(host, _)| *host)
+        .filter(|host| *host != me);
+    let (answering, silent): (Vec<_>, Vec<_>) = others
+        .filter(|host| {
+            !probes
+                .get(*host)
+                .is_some_and(|view| view.suspected || view.stopping)
+        })
+        .partition(|host| !probes.is_failing(*host));
+    let mut usable = answering;
+    if serving {
+        usable.push(me);
+    }
+    if usable.is_empty() {
+        // Likely this host is the one that is cut off.
+        usable = silent;
+    }
+    let hosts = rank(key, usable.into_iter())
         .into_iter()
         .take(MAX_ENTRY_HOSTS)
         .filter_map(|host| members.get(host))
--- a/src/membership/probes.rs
+++ b/src/membership/probes.rs
@@ -77,6 +77,12 @@
         self.get(peer).is_some_and(|view| view.suspected)
     }
 
+    /// Tells whether a peer left the last probe to it unanswered.
+    pub fn is_failing(&self, peer: Incarnation) -> bool {
+        self.get(peer)
+            .is_some_and(|view| view.failing_since.is_some())
+    }
+
     /// Returns the suspects to name in a probe.
     pub fn suspects(&self) -> Vec<Incarnation> {
         self.peers
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod edits;
+mod entry;
 mod evictions;
 mod freshness;
 mod leaving;
--- a/src/membership/tests/probes.rs
+++ b/src/membership/tests/probes.rs
@@ -19,7 +19,7 @@
     members
 }
 
-fn probe() -> Probe {
+pub fn probe() -> Probe {
     Probe {
         from: Incarnation(1),
         next_offset: Offset(0),
