--- a/src/membership/tests/evictions.rs
+++ b/src/membership/tests/evictions.rs
@@ -10,13 +10,30 @@
 
 #[test]
 fn one_bad_link_evicts_nobody() {
-    let mut cluster = Cluster::new(3);
-    cluster.cut_link(0, 1, true);
-    cluster.run_for(Millis(30_000));
-    assert_eq!(member_count(&cluster), 3);
+    let mut cluster = Cluster::new(5);
+    for a in 0..5 {
+        for b in 0..a {
+            cluster.cut_link(a, b, true);
+            cluster.run_for(Millis(8_000));
+            cluster.cut_link(a, b, false);
+        }
+    }
+    assert_eq!(member_count(&cluster), 5);
     assert!(cluster.hosts.iter().all(|host| host.is_fresh(cluster.now)));
 }
 
+#[test]
+fn no_departure_counts_while_most_counted_hosts_have_not_applied_it() {
+    let mut cluster = Cluster::new(5);
+    for host in [0, 2, 3] {
+        cluster.hosts[host].frozen = true;
+        cluster.hosts[host].unlisted = true;
+    }
+    cluster.run_until("the evictions", |cluster| member_count(cluster) == 2);
+    cluster.run_for(Millis(15_000));
+    assert_eq!(cluster.hosts[1].node.shared.members.counted().count(), 5);
+}
+
 #[test]
 fn an_outage_of_the_log_evicts_nobody() {
     let mut cluster = Cluster::new(3);
--- a/src/membership/tests/freshness.rs
+++ b/src/membership/tests/freshness.rs
@@ -65,6 +65,21 @@
     assert_eq!(fresh, [false, false, true, true, true]);
 }
 
+#[test]
+fn half_of_the_hosts_without_the_log_are_no_majority() {
+    let mut cluster = Cluster::new(4);
+    cluster
+        .hosts
+        .iter_mut()
+        .for_each(|host| host.log_cut = true);
+    for (a, b) in [(0, 2), (0, 3), (1, 2), (1, 3)] {
+        cluster.cut_link(a, b, true);
+    }
+    cluster.run_for(Millis(5_000));
+    let now = cluster.now;
+    assert!(!cluster.hosts.iter().any(|host| host.is_fresh(now)));
+}
+
 #[test]
 fn a_pause_makes_a_host_stale_before_it_does_anything() {
     let mut cluster = Cluster::new(3);
