--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -69,6 +69,8 @@
     OrderTakenOver = 505,
     /// An order that another host took over is sent no more.
     OrderRelinquished = 506,
+    /// A copy is to go whatever the demand for it.
+    CopyRetired = 507,
     /// An upstream was registered.
     UpstreamRegistered = 600,
     /// An upstream is leaving.
@@ -89,7 +91,7 @@
 
 impl LogEvent {
     /// Every event, in the order of the numbers.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: &[Self] = &[
         Self::Started,
         Self::Joined,
         Self::StopBegan,
@@ -102,6 +104,8 @@
         Self::AppendUnknown,
         Self::CheckpointWritten,
         Self::CheckpointRead,
+        Self::LogShorter,
+        Self::RecordNewer,
         Self::BecameStale,
         Self::BecameFresh,
         Self::Paused,
@@ -117,6 +121,7 @@
         Self::UnloadDecided,
         Self::CopyGone,
         Self::OrderTakenOver,
+        Self::OrderRelinquished,
         Self::UpstreamRegistered,
         Self::UpstreamLeaving,
         Self::UpstreamSilent,
