--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -110,6 +110,7 @@
         Self::PeerSuspected,
         Self::HostEvicted,
         Self::PeerRefused,
+        Self::Rejoining,
         Self::EditAccepted,
         Self::EditRejected,
         Self::EditInForce,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -243,3 +243,23 @@
         "unknown variant `xml`, expected `text` or `json`",
     );
 }
+
+#[test]
+fn the_operators_page_lists_every_key() {
+    let page = include_str!("../docs/OPERATORS.md");
+    let more = "caller_advertise\npeer_advertise\n[platform]\nstore_url\nstream\n[log]\nfile";
+    let text = format!("{SETTINGS}{more}");
+    let mut section = String::new();
+    for line in text.lines() {
+        let key = line.split('=').next().unwrap_or_default().trim();
+        match key.strip_prefix('[') {
+            Some(name) => section = format!("{}.", name.trim_end_matches(']')),
+            None if key.is_empty() => {}
+            None if key.ends_with("_advertise") => assert!(page.contains(&format!("`{key}`"))),
+            None => assert!(
+                page.contains(&format!("`{section}{key}`")),
+                "{section}{key}"
+            ),
+        }
+    }
+}
