--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -4,6 +4,8 @@
 use log::Level;
 
 /// Something a daemon reports in its log under a fixed number.
+///
+/// A new one also goes into [`LogEvent::ALL`] and `docs/EVENTS.md`; `tests/events.rs` checks it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[repr(u16)]
 pub enum LogEvent {
@@ -123,6 +125,7 @@
         Self::CopyGone,
         Self::OrderTakenOver,
         Self::OrderRelinquished,
+        Self::CopyRetired,
         Self::UpstreamRegistered,
         Self::UpstreamLeaving,
         Self::UpstreamSilent,
