Take other ports where one was just taken

Cause: a daemon of a test ended with 'Address already in use (operator_listen)': other test processes draw from the same ports between the harness's look and the daemon's bind. This explains the daemon that did not come up before as well as a log can. Change: the harness starts such a daemon again on other ports; any other early end fails with its log.

--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -28,6 +28,7 @@
 use trillium_client::Method;
 
 const OPERATOR: &str = "operator";
+const PORT_TAKEN: &str = "Address already in use";
 const LISTEN_PORTS: std::ops::Range<u16> = 10_000..32_000;
 const DATA_CENTRE: &str = "sapporo-a";
 /// The platform knows which processes exist; a frozen one does not vanish from its list.
@@ -196,8 +197,22 @@
 impl Host {
     /// Tells whether it serves.
     pub fn is_serving(&self) -> bool {
+        self.health().is_success()
+    }
+
+    /// Waits until it answers callers, serving or not; tells whether it did not end instead.
+    fn is_listening(&mut self) -> bool {
+        wait_for(&format!("{} to listen or end", self.name), || {
+            !self.process.is_running() || self.health() != Outcome::NotConnected
+        });
+        // Where another process has the port, that one answered, and the daemon is about to end.
+        sleep(POLL);
+        self.process.is_running()
+    }
+
+    fn health(&self) -> Outcome {
         let url = format!("http://{}/healthz", self.caller);
-        smol::block_on(finish(client().build_conn(Method::Get, url))).is_success()
+        smol::block_on(finish(client().build_conn(Method::Get, url)))
     }
 }
 
@@ -314,10 +329,29 @@
     }
 
     /// Starts one more daemon and returns its index.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the daemon's log when it ends at once, other than for a port that was just taken.
     pub fn add_host(&mut self) -> usize {
+        const TRIES: usize = 10;
         let index = self.hosts.len();
         let name = format!("entry-{}", index + 1);
         self.make_keys(&name);
+        for _ in 0..TRIES {
+            let mut host = self.start_host(&name);
+            if host.is_listening() {
+                self.platform.watch(&name, host.process.id());
+                self.hosts.push(host);
+                return index;
+            }
+            let log = host.process.log();
+            assert!(log.contains(PORT_TAKEN), "{name} ended:\n{log}");
+        }
+        panic!("{name} found no free ports in {TRIES} tries");
+    }
+
+    fn start_host(&self, name: &str) -> Host {
         let (caller, operator, peer) = (free_tcp(), free_tcp(), free_udp());
         let log_link = self.links.then(|| TcpLink::start(self.log.address));
         let peer_link = self.links.then(|| UdpLink::start(peer));
@@ -348,10 +382,9 @@
         );
         let settings_path = self.directory.path().join(format!("{name}.toml"));
         std::fs::write(&settings_path, text).expect("the settings can be written");
-        let process = start_daemon(self.directory.path(), &name, &settings_path, 0);
-        self.platform.watch(&name, process.id());
-        let host = Host {
-            name,
+        let process = start_daemon(self.directory.path(), name, &settings_path, 0);
+        Host {
+            name: name.to_string(),
             process,
             caller,
             operator,
@@ -360,9 +393,7 @@
             peer_link,
             settings_path,
             starts: 1,
-        };
-        self.hosts.push(host);
-        index
+        }
     }
 
     /// Starts a daemon again whose process has ended.
