Refuse cold requests at once while the log is out of reach

Ruled out: the driver's own view of the log, which knew of the outage after its first failed read. Change: whoever waits for a model without a copy is refused with log_unavailable and a time to come back.

--- a/bench/src/call.rs
+++ b/bench/src/call.rs
@@ -13,6 +13,9 @@
 /// How long any call of a test may take.
 pub const CALL_LIMIT: Duration = Duration::from_secs(120);
 
+/// The longest answer that is read; a table of 54,000 models takes some 20 MB.
+const MAX_ANSWER_BYTES: u64 = 128 << 20;
+
 /// How a call ended, as the caller saw it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -177,7 +180,8 @@
     if kind.starts_with("text/event-stream") {
         return read_stream(conn, status, started_at, first_byte_ms).await;
     }
-    let text = match conn.response_body().read_string().await {
+    let body = conn.response_body().with_max_len(MAX_ANSWER_BYTES);
+    let text = match body.read_string().await {
         Ok(text) => text,
         Err(error) => return Outcome::Broken(error.to_string()),
     };
--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use trillium_client::{Client, Conn, Method};
 
+/// The longest answer that is read; a table of 54,000 models takes some 20 MB.
+const MAX_ANSWER_BYTES: u64 = 128 << 20;
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A client of one host's operator interface.
@@ -165,6 +167,7 @@
     let status = conn.status().map_or(0, |status| status as u16);
     let text = conn
         .response_body()
+        .with_max_len(MAX_ANSWER_BYTES)
         .read_string()
         .await
         .map_err(|error| call_error(&error))?;
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -211,7 +211,7 @@
         let candidates = self.candidates(target);
         let is_model = self.shared.table.model(target).is_some();
         if candidates.is_empty() && is_model {
-            self.ensure_loading(now, target);
+            self.load_or_refuse(now, target, fx);
             return;
         }
         loop {
@@ -231,6 +231,20 @@
         }
     }
 
+    /// Asks for a copy, or refuses whoever waits when the log, which decides on copies, is out of reach.
+    fn load_or_refuse(&mut self, now: Millis, model: &Name, fx: &mut Effects) {
+        let has_copy = self.shared.placement.copies_of(model).next().is_some();
+        if has_copy || self.driver.is_reachable() {
+            self.ensure_loading(now, model);
+            return;
+        }
+        while let Some(waiting) = self.queues.pop(model) {
+            let message = format!("{model} has no copy, and the log is out of reach");
+            let refusal = Refusal::new(ErrorKind::LogUnavailable, message).after(RETRY_MS);
+            self.refuse(now, waiting.request, refusal, fx);
+        }
+    }
+
     fn candidates(&self, target: &str) -> Vec<Candidate> {
         let upstreams = &self.shared.placement.upstreams;
         let names: Vec<&Name> = match self.shared.table.service(target) {
