--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -11,7 +11,7 @@
 use crate::call::{Caller, Outcome, finish};
 use crate::link::{TcpLink, UdpLink};
 use crate::platform::PlatformWatch;
-use crate::process::{Process, wait_for};
+use crate::process::{POLL, Process, WAIT_LIMIT, wait_for};
 use mangovale::edge::digest::sha256;
 use mangovale::edge::http::client;
 use mangovale::shared_log::record::Offset;
@@ -22,10 +22,14 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::sleep;
+use std::time::Instant;
 use tempfile::TempDir;
 use trillium_client::Method;
 
 const OPERATOR: &str = "operator";
+const PORT_TAKEN: &str = "Address already in use";
+const LISTEN_PORTS: std::ops::Range<u16> = 10_000..32_000;
 const DATA_CENTRE: &str = "sapporo-a";
 /// The platform knows which processes exist; a frozen one does not vanish from its list.
 const HOST_LIST: &[&str] = &["hosts", "--expire-ms", "86400000"];
@@ -193,8 +197,22 @@
 impl Host {
     /// Tells whether it serves.
     pub fn is_serving(&self) -> bool {
+        self.health().is_success()
+    }
+
+    /// Waits until it answers callers, serving or not; tells whether it did not end instead.
+    fn is_listening(&mut self) -> bool {
+        wait_for(&format!("{} to listen or end", self.name), || {
+            !self.process.is_running() || self.health() != Outcome::NotConnected
+        });
+        // Where another process has the port, that one answered, and the daemon is about to end.
+        sleep(POLL);
+        self.process.is_running()
+    }
+
+    fn health(&self) -> Outcome {
         let url = format!("http://{}/healthz", self.caller);
-        smol::block_on(finish(client().build_conn(Method::Get, url))).is_success()
+        smol::block_on(finish(client().build_conn(Method::Get, url)))
     }
 }
 
@@ -284,6 +302,14 @@
             site.add_host();
         }
         site.wait_serving();
+        for host in &mut site.hosts {
+            let name = &host.name;
+            assert!(
+                host.process.is_running(),
+                "{name} ended:\n{}",
+                host.process.log()
+            );
+        }
         site
     }
 
@@ -303,10 +329,29 @@
     }
 
     /// Starts one more daemon and returns its index.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the daemon's log when it ends at once, other than for a port that was just taken.
     pub fn add_host(&mut self) -> usize {
+        const TRIES: usize = 10;
         let index = self.hosts.len();
         let name = format!("entry-{}", index + 1);
         self.make_keys(&name);
+        for _ in 0..TRIES {
+            let mut host = self.start_host(&name);
+            if host.is_listening() {
+                self.platform.watch(&name, host.process.id());
+                self.hosts.push(host);
+                return index;
+            }
+            let log = host.process.log();
+            assert!(log.contains(PORT_TAKEN), "{name} ended:\n{log}");
+        }
+        panic!("{name} found no free ports in {TRIES} tries");
+    }
+
+    fn start_host(&self, name: &str) -> Host {
         let (caller, operator, peer) = (free_tcp(), free_tcp(), free_udp());
         let log_link = self.links.then(|| TcpLink::start(self.log.address));
         let peer_link = self.links.then(|| UdpLink::start(peer));
@@ -337,10 +382,9 @@
         );
         let settings_path = self.directory.path().join(format!("{name}.toml"));
         std::fs::write(&settings_path, text).expect("the settings can be written");
-        let process = start_daemon(self.directory.path(), &name, &settings_path, 0);
-        self.platform.watch(&name, process.id());
-        let host = Host {
-            name,
+        let process = start_daemon(self.directory.path(), name, &settings_path, 0);
+        Host {
+            name: name.to_string(),
             process,
             caller,
             operator,
@@ -349,9 +393,7 @@
             peer_link,
             settings_path,
             starts: 1,
-        };
-        self.hosts.push(host);
-        index
+        }
     }
 
     /// Starts a daemon again whose process has ended.
@@ -364,10 +406,22 @@
     }
 
     /// Waits until every daemon that runs serves.
+    ///
+    /// # Panics
+    ///
+    /// Panics with a daemon's log when it ends or does not serve in time.
     pub fn wait_serving(&mut self) {
         for host in &mut self.hosts {
-            if host.process.is_running() {
-                wait_for(&format!("{} to serve", host.name), || host.is_serving());
+            let started_at = Instant::now();
+            while host.process.is_running() && !host.is_serving() {
+                let name = &host.name;
+                let log = || host.process.log();
+                assert!(
+                    started_at.elapsed() < WAIT_LIMIT,
+                    "{name} does not serve:\n{}",
+                    log()
+                );
+                sleep(POLL);
             }
         }
     }
@@ -588,14 +642,21 @@
     texts.iter().map(|text| text.to_string()).collect()
 }
 
+/// Finds a port that nobody listens on, below the range from which outgoing connections take theirs.
+fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
+    const TRIES: u32 = 1_000;
+    (0..TRIES)
+        .map(|_| SocketAddr::from(([127, 0, 0, 1], fastrand::u16(LISTEN_PORTS))))
+        .find(|address| is_free(*address))
+        .expect("a free port")
+}
+
 fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
+    free_port(|address| TcpListener::bind(address).is_ok())
 }
 
 fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("a bound address")
+    free_port(|address| UdpSocket::bind(address).is_ok())
 }
 
 fn post(url: &str, body: &Value) -> Outcome {
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -173,6 +173,9 @@
             Effect::Refuse { request, refusal } => {
                 self.gate.instruct(request, Instruction::Refuse(refusal));
             }
+            Effect::GiveAnswer { request, answer } => {
+                self.gate.instruct(request, Instruction::Answer(answer));
+            }
             Effect::AnswerEntry { call, result } => self.gate.answer_entry(call, result),
             Effect::AnswerEdit { call, result } => self.gate.answer_edit(call, result),
             Effect::Exit => {}
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -332,6 +332,9 @@
                 self.freshness.relay_answered();
                 self.apply_relayed(now, &records, fx);
             }
+            PeerReply::Operation { operation, state } => {
+                self.on_operation_state(now, peer, &operation, &state, fx);
+            }
         }
     }
 
@@ -395,6 +398,10 @@
                 records: self.records_from(from, MAX_READ_RECORDS),
                 next_offset: self.shared.next_offset,
             },
+            PeerRequest::Operation { operation } => PeerReply::Operation {
+                state: self.operation_state(&operation),
+                operation,
+            },
         };
         fx.push(Effect::AnswerPeer { call, reply });
     }
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -124,6 +124,7 @@
     pub fn count_effect(&self, effect: &Effect) {
         match effect {
             Effect::Refuse { refusal, .. } => self.count_request(refusal.kind.name()),
+            Effect::GiveAnswer { .. } => self.count_request("answered"),
             Effect::Begin { .. } => self.attempts.add(1, &[]),
             Effect::AppendLog { .. } => self.appends.add(1, &[]),
             _ => {}
@@ -132,10 +133,12 @@
 
     fn count_attempt(&self, outcome: &AttemptOutcome) {
         match outcome {
-            AttemptOutcome::Answered => self.count_request("answered"),
+            AttemptOutcome::Answered | AttemptOutcome::OperationAnswered(_) => {
+                self.count_request("answered")
+            }
             AttemptOutcome::Broken(_) => self.count_request(ErrorKind::AnswerBroken.name()),
             AttemptOutcome::CallerGone => self.count_request("caller_gone"),
-            AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => {}
+            AttemptOutcome::NotRun(_) | AttemptOutcome::Silent(_) | AttemptOutcome::Unknown(_) => {}
         }
     }
 
--- a/src/daemon/servers.rs
+++ b/src/daemon/servers.rs
@@ -4,8 +4,9 @@
 use crate::daemon::metrics::Metrics;
 use crate::daemon::run::{ListenSnafu, RunError};
 use crate::edge::caller::CallerEdge;
+use crate::edge::connections::Connections;
 use crate::edge::gate::Gate;
-use crate::edge::http::{client, within};
+use crate::edge::http::within;
 use crate::edge::operator::OperatorEdge;
 use crate::prelude::*;
 use crate::settings::Settings;
@@ -35,7 +36,7 @@
     let edge = Arc::new(CallerEdge {
         gate: gate.clone(),
         clock,
-        client: client(),
+        connections: Arc::new(Connections::new()),
         me,
         bounds: settings.bounds.clone(),
         metrics: metrics.clone(),
