Take an engine's own word over a lagging list; prove leaving and refused peers over processes

With the list out of reach, a model on an engine that said it was leaving was never loaded elsewhere: bench/tests/leaving.rs waited in vain for the other engine. The word now goes on the log like the list's. A call with another fleet's certificate is not answered; the test fails with no client certificates asked.

--- a/bench/tests/leaving.rs
+++ b/bench/tests/leaving.rs
@@ -60,8 +60,8 @@
 }
 
 fn calls_at(upstream: &StandIn) -> u64 {
-    let runs = upstream.get("/admin/runs");
-    runs["calls"].as_u64().expect("a count of calls")
+    let counters = upstream.get("/admin/counters");
+    counters["requests"].as_u64().expect("a count of calls")
 }
 
 fn requests_run_at(engine: &StandIn) -> u64 {
@@ -69,6 +69,21 @@
     peaks["runs"].as_u64().expect("a count of runs")
 }
 
+/// Waits until one of the upstreams has work, and returns which.
+fn busy_one(upstreams: &[StandIn], count: impl Fn(&StandIn) -> u64) -> usize {
+    let mut busy = None;
+    wait_for("work at an upstream", || {
+        busy = upstreams.iter().position(|upstream| count(upstream) > 10);
+        busy.is_some()
+    });
+    busy.expect("an upstream with work")
+}
+
+fn say_leaving(upstream: &StandIn) {
+    let answer = upstream.admin_post("/admin/leaving", &json!({ "leaving": true }));
+    assert!(answer.is_success(), "{answer:?}");
+}
+
 /// Nothing new runs at an upstream from the limit on.
 fn check_no_new_work(count: impl Fn() -> u64, left_at: Instant) {
     std::thread::sleep(NEW_WORK_LIMIT.saturating_sub(left_at.elapsed()));
@@ -77,17 +92,6 @@
     assert_eq!(count(), before);
 }
 
-/// The list's lines, with one upstream leaving.
-fn lines_with_leaving(site: &Site, upstream: &str) -> Value {
-    let mut list = site.host_list.get("/hosts");
-    for line in list["hosts"].as_array_mut().expect("lines") {
-        if line["name"] == upstream {
-            line["state"] = json!("leaving");
-        }
-    }
-    list
-}
-
 #[test]
 fn a_service_upstream_that_the_list_shows_leaving_gets_no_new_work() {
     let site = Site::plan()
@@ -97,24 +101,20 @@
         .start();
     site.put_service("work", &["back-1", "back-2"], &["north"]);
     let load = calls_of_services(&site);
-    wait_for("work at both", || {
-        site.services.iter().all(|upstream| calls_at(upstream) > 10)
-    });
-    let answer = site
-        .host_list
-        .admin_post("/admin/hosts", &lines_with_leaving(&site, "back-1"));
-    assert!(answer.is_success(), "{answer:?}");
-    check_no_new_work(|| calls_at(&site.services[0]), Instant::now());
+    let leaving = busy_one(&site.services, calls_at);
+    // A plain service has no report: its word reaches the hosts by the list alone.
+    say_leaving(&site.services[leaving]);
+    let left_at = Instant::now();
+    check_no_new_work(|| calls_at(&site.services[leaving]), left_at);
     let outcomes = load.stop();
     let failed: Vec<&Outcome> = outcomes.iter().filter(|end| !end.is_success()).collect();
     assert!(failed.is_empty(), "{failed:?}");
 }
 
-fn engine_site(host_list: &[&str]) -> Site {
+fn engine_site() -> Site {
     let site = Site::plan()
         .engine(EngineSpec::named("engine-1"))
         .engine(EngineSpec::named("engine-2"))
-        .host_list(host_list)
         .hosts(3)
         .start();
     site.edit(vec![
@@ -142,20 +142,14 @@
     Load { stopped, callers }
 }
 
-/// The list shows it only after an hour, so the engine's own word must do.
 #[test]
 fn an_engine_that_says_it_is_leaving_gets_no_new_work() {
-    let site = engine_site(&["--lag-ms", "0"]);
+    let mut site = engine_site();
     let load = chats(&site);
-    let mut leaving = 0;
-    wait_for("work at an engine", || {
-        let busy = |engine: &StandIn| requests_run_at(engine) > 5;
-        let found = site.engines.iter().position(busy);
-        leaving = found.unwrap_or_default();
-        found.is_some()
-    });
-    let answer = site.engines[leaving].admin_post("/admin/leaving", &json!({ "leaving": true }));
-    assert!(answer.is_success(), "{answer:?}");
+    let leaving = busy_one(&site.engines, requests_run_at);
+    // Without the list only the engine's own word can tell.
+    site.host_list.process.kill();
+    say_leaving(&site.engines[leaving]);
     let count = || requests_run_at(&site.engines[leaving]);
     check_no_new_work(count, Instant::now());
     let other = &site.engines[1 - leaving];
@@ -238,6 +232,11 @@
     }
     let outcomes = load.stop();
     let failed: Vec<&Outcome> = outcomes.iter().filter(|end| !end.is_success()).collect();
-    assert!(failed.is_empty(), "{} of {}: {failed:?}", failed.len(), outcomes.len());
+    assert!(
+        failed.is_empty(),
+        "{} of {}: {failed:?}",
+        failed.len(),
+        outcomes.len()
+    );
     assert!(outcomes.len() > 100, "{}", outcomes.len());
 }
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -2,7 +2,6 @@
 
 use crate::daemon::node::{Life, Node};
 use crate::membership::entry::{entry_answer, home};
-use crate::membership::leaving::{LEAVING_MARK_MS, MAX_HINTS};
 use crate::membership::message::{HostList, PeerReply, PeerRequest, Probe};
 use crate::prelude::*;
 use crate::shared_log::driver::MAX_READ_RECORDS;
@@ -42,6 +41,11 @@
         self.list_under_way = false;
     }
 
+    /// Returns the list as last read.
+    pub fn list(&self) -> Option<&HostList> {
+        self.list.as_ref()
+    }
+
     /// Tells whether something may be proposed now, and takes note of it.
     pub fn may_propose(&mut self, now: Millis, what: &str) -> bool {
         self.proposed_at
@@ -131,49 +135,6 @@
         self.platform.list = Some(list);
     }
 
-    /// Takes the upstream's or the platform's word that an upstream is leaving.
-    pub fn mark_leaving(&mut self, upstream: &Name) {
-        self.mark_leaving_at(upstream, self.freshness.now());
-    }
-
-    fn mark_leaving_at(&mut self, upstream: &Name, said_at: Millis) {
-        if self.leaving.mark(upstream, said_at) {
-            LogEvent::UpstreamLeaving.write(&format!("upstream={upstream}"));
-        }
-        self.routing.view(upstream).leaving = true;
-    }
-
-    fn take_hints(&mut self, now: Millis, probe: &Probe) {
-        for hint in probe.leaving_upstreams.iter().take(MAX_HINTS) {
-            let known = self.shared.placement.upstreams.contains_key(&hint.upstream);
-            if known && hint.age_ms < LEAVING_MARK_MS {
-                self.mark_leaving_at(&hint.upstream, now - hint.age_ms);
-            }
-        }
-    }
-
-    fn tick_leaving(&mut self, now: Millis) {
-        for upstream in self.leaving.expire(now) {
-            self.routing.view(&upstream).leaving = false;
-        }
-    }
-
-    fn propose_upstreams(&mut self, now: Millis) {
-        let Some(list) = self.platform.list.clone() else {
-            return;
-        };
-        for entry in &list.upstreams {
-            if self.shared.placement.upstreams.get(&entry.name) == Some(entry) {
-                continue;
-            }
-            if self.is_home(&entry.name) && self.platform.may_propose(now, &entry.name) {
-                self.driver.queue(RecordBody::Upstream {
-                    entry: entry.clone(),
-                });
-            }
-        }
-    }
-
     /// Tells whether this host is the preferred proposer for a key.
     pub fn is_home(&self, key: &str) -> bool {
         home(key, &self.shared.members, &self.probes) == Some(self.config.me)
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 pub mod run;
 pub mod servers;
 pub mod trace;
+pub mod upstream_flow;
 
 #[cfg(test)]
 mod tests;
--- a/src/membership/leaving.rs
+++ b/src/membership/leaving.rs
@@ -41,6 +41,11 @@
         true
     }
 
+    /// Tells whether an upstream is marked.
+    pub fn is_marked(&self, upstream: &str) -> bool {
+        self.said_at.contains_key(upstream)
+    }
+
     /// Takes the word that an upstream is live after all.
     pub fn clear(&mut self, upstream: &str) {
         self.said_at.shift_remove(upstream);
--- a/src/membership/tests/leaving.rs
+++ b/src/membership/tests/leaving.rs
@@ -1,6 +1,8 @@
 //! Hints that an upstream is leaving spread, and do not outlive the first-hand word.
 
+use super::cluster::Cluster;
 use crate::membership::leaving::{LEAVING_MARK_MS, Leaving};
+use crate::membership::message::{UpstreamEntry, UpstreamRole};
 use crate::prelude::*;
 
 #[test]
@@ -24,3 +26,29 @@
     assert_eq!(hosts[0].expire(now), std::slice::from_ref(&upstream));
     assert_eq!(hosts[1].expire(now), [upstream]);
 }
+
+#[test]
+fn a_peer_s_hint_keeps_new_work_away_within_a_second() {
+    let mut cluster = Cluster::new(4);
+    let upstream: Name = "engine-1".into();
+    let entry = UpstreamEntry {
+        name: upstream.clone(),
+        role: UpstreamRole::Engine,
+        address: cluster.hosts[0].node.config.entry.caller_address,
+        data_centre: "otaru".into(),
+        memory_bytes: 1,
+        slots: 1,
+        checks_fencing: true,
+        leaving: false,
+    };
+    cluster.hosts[0]
+        .node
+        .driver
+        .queue(RecordBody::Upstream { entry });
+    cluster.run_for(Millis(1_000));
+    cluster.hosts[0].node.mark_leaving(&upstream);
+    cluster.run_for(Millis(1_000));
+    for host in &cluster.hosts {
+        assert!(!host.node.routing.is_usable(cluster.now, &upstream));
+    }
+}
--- /dev/null
+++ b/tests/peer_certificates.rs
@@ -0,0 +1,69 @@
+//! Only hosts of the fleet are answered as peers.
+
+use mangovale::cli::keys;
+use mangovale::cli::options::KeysOptions;
+use mangovale::daemon::event::Event;
+use mangovale::edge::gate::{Gate, Input};
+use mangovale::edge::peer::PeerEdge;
+use mangovale::membership::message::{PeerReply, PeerRequest};
+use mangovale::settings::KeySettings;
+use mangovale::shared_log::record::Offset;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::Path;
+
+const REQUEST: PeerRequest = PeerRequest::Records { from: Offset(0) };
+
+fn make_keys(directory: &Path) -> KeySettings {
+    let options = KeysOptions {
+        directory: directory.to_path_buf(),
+        host: vec!["entry".to_string()],
+        operator: Vec::new(),
+        brand: Vec::new(),
+    };
+    keys::make(&options).expect("keys can be made");
+    KeySettings {
+        fleet_certificate: directory.join("fleet.pem"),
+        host_certificate: directory.join("entry.pem"),
+        host_key: directory.join("entry.key"),
+        operator_token_sha256: Vec::new(),
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("a bound address")
+}
+
+#[test]
+fn a_peer_of_another_fleet_is_not_answered() {
+    let directory = tempfile::TempDir::new().expect("a temporary directory");
+    let own = make_keys(&directory.path().join("own"));
+    let other = make_keys(&directory.path().join("other"));
+    let mixed = KeySettings {
+        fleet_certificate: own.fleet_certificate.clone(),
+        ..other.clone()
+    };
+    let address = free_address();
+    let server = PeerEdge::bind(address, &own).expect("a server");
+    let (gate, inputs) = Gate::new();
+    smol::spawn(server.serve(gate.clone())).detach();
+    smol::spawn(async move {
+        while let Ok(input) = inputs.recv().await {
+            if let Input::Event(Event::PeerAsked { call, .. }) = input {
+                let reply = PeerReply::Records {
+                    records: Vec::new(),
+                    next_offset: Offset(0),
+                };
+                gate.answer_peer(call, reply);
+            }
+        }
+    })
+    .detach();
+    let ask = |keys: &KeySettings| {
+        let client = PeerEdge::bind(free_address(), keys).expect("a client");
+        smol::block_on(client.ask(address, &REQUEST))
+    };
+    assert!(ask(&own).is_some());
+    assert!(ask(&other).is_none());
+    assert!(ask(&mixed).is_none());
+}
