--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -2,7 +2,6 @@
 
 use crate::daemon::node::{Life, Node};
 use crate::membership::entry::{entry_answer, home};
-use crate::membership::leaving::{LEAVING_MARK_MS, MAX_HINTS};
 use crate::membership::message::{HostList, PeerReply, PeerRequest, Probe};
 use crate::prelude::*;
 use crate::shared_log::driver::MAX_READ_RECORDS;
@@ -42,6 +41,11 @@
         self.list_under_way = false;
     }
 
+    /// Returns the list as last read.
+    pub fn list(&self) -> Option<&HostList> {
+        self.list.as_ref()
+    }
+
     /// Tells whether something may be proposed now, and takes note of it.
     pub fn may_propose(&mut self, now: Millis, what: &str) -> bool {
         self.proposed_at
@@ -78,6 +82,7 @@
         self.probes.on_tick(now, &self.shared.members, &probe, fx);
         self.freshness.retain_members(&self.shared.members);
         self.tick_leaving(now);
+        self.ask_counted(now, fx);
         let able = self.life == Life::Serving && self.is_fresh(now);
         // What was proposed during an outage would be stale when the log takes it.
         if !able || !self.driver.is_reachable() {
@@ -130,49 +135,6 @@
         self.platform.list = Some(list);
     }
 
-    /// Takes the upstream's or the platform's word that an upstream is leaving.
-    pub fn mark_leaving(&mut self, upstream: &Name) {
-        self.mark_leaving_at(upstream, self.freshness.now());
-    }
-
-    fn mark_leaving_at(&mut self, upstream: &Name, said_at: Millis) {
-        if self.leaving.mark(upstream, said_at) {
-            LogEvent::UpstreamLeaving.write(&format!("upstream={upstream}"));
-        }
-        self.routing.view(upstream).leaving = true;
-    }
-
-    fn take_hints(&mut self, now: Millis, probe: &Probe) {
-        for hint in probe.leaving_upstreams.iter().take(MAX_HINTS) {
-            let known = self.shared.placement.upstreams.contains_key(&hint.upstream);
-            if known && hint.age_ms < LEAVING_MARK_MS {
-                self.mark_leaving_at(&hint.upstream, now - hint.age_ms);
-            }
-        }
-    }
-
-    fn tick_leaving(&mut self, now: Millis) {
-        for upstream in self.leaving.expire(now) {
-            self.routing.view(&upstream).leaving = false;
-        }
-    }
-
-    fn propose_upstreams(&mut self, now: Millis) {
-        let Some(list) = self.platform.list.clone() else {
-            return;
-        };
-        for entry in &list.upstreams {
-            if self.shared.placement.upstreams.get(&entry.name) == Some(entry) {
-                continue;
-            }
-            if self.is_home(&entry.name) && self.platform.may_propose(now, &entry.name) {
-                self.driver.queue(RecordBody::Upstream {
-                    entry: entry.clone(),
-                });
-            }
-        }
-    }
-
     /// Tells whether this host is the preferred proposer for a key.
     pub fn is_home(&self, key: &str) -> bool {
         home(key, &self.shared.members, &self.probes) == Some(self.config.me)
@@ -199,6 +161,25 @@
         }
     }
 
+    /// Asks the counted hosts for their offsets while a change waits for them.
+    fn ask_counted(&mut self, now: Millis, fx: &mut Effects) {
+        let members = &self.shared.members;
+        let newest = members
+            .uncounted_changes()
+            .map(|(_, member)| members.needed_offset(member))
+            .max();
+        let Some(needed) = newest else {
+            return;
+        };
+        let missing: Vec<Incarnation> = members
+            .counted()
+            .filter(|host| self.applied_by(*host) < needed)
+            .collect();
+        let probe = self.own_probe(now);
+        self.probes
+            .ask_now(now, missing.into_iter(), &self.shared.members, &probe, fx);
+    }
+
     fn majority_applied(&self, needed: Offset) -> bool {
         let counted = self.shared.members.counted().count();
         let with_it = self
@@ -236,10 +217,11 @@
         }
     }
 
-    /// One silent link proves nothing: the platform or other hosts must agree.
+    /// One silent link proves nothing: the platform, other hosts or the host's successor must agree.
     fn is_dead(&self, now: Millis, host: Incarnation, name: &str) -> bool {
         let agreed = self.probes.is_agreed_dead(now, host, &self.shared.members);
-        agreed || (self.probes.is_suspected(host) && self.platform.misses(now, name, host))
+        let missing = self.probes.is_suspected(host) && self.platform.misses(now, name, host);
+        agreed || missing || self.probes.is_replaced(host)
     }
 
     fn propose_gone(&mut self, now: Millis) {
@@ -326,18 +308,17 @@
         fx: &mut Effects,
     ) {
         if probe.from != peer {
-            // Another incarnation answers at the same address.
-            self.probes.on_failed(peer);
+            self.probes.on_replaced(peer);
             return;
         }
         self.probes.on_answer(now, peer, asked_at, probe);
         self.take_hints(now, probe);
         let own_offset = self.shared.next_offset;
+        let log_known_at = probe.log_age_ms.map(|age_ms| asked_at - age_ms);
+        self.freshness
+            .on_peer_offset(peer, probe.next_offset, asked_at, log_known_at);
+        self.freshness.on_applied(own_offset);
         if own_offset >= probe.next_offset {
-            self.freshness.peer_known(peer, asked_at);
-            if let Some(age_ms) = probe.log_age_ms {
-                self.freshness.log_known(asked_at - age_ms);
-            }
             return;
         }
         let reachable = self.driver.is_reachable();
