Replay from a state in the midst of a trace: write the limits and pending claims whole

Limits::rows and PendingClaims::holders were left out of the written state, so a replay that starts from a copy of the state could admit what the daemon refused. Both are written as lists of pairs now. A trace of a real daemon is recorded again with a bound that makes it start in its midst, and replays to the same state. Kept answers count in the trace's bytes. E602 is written once when an engine falls silent, and a test asks that each event of the catalogue is written somewhere.

--- a/bench/tests/tool.rs
+++ b/bench/tests/tool.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use common::{Run, file, tool};
+use mangovale::daemon::node::Node;
+use mangovale::daemon::trace::{Trace, TraceFile, TracedEvent};
 use mangovale_bench::site::{EngineSpec, Site, api_key};
+use std::mem::size_of;
 use std::net::SocketAddr;
 
 const EDIT: &str = r#"
@@ -220,16 +223,35 @@
 #[test]
 fn a_trace_of_a_daemon_replays_to_the_same_state() {
     let site = serving(2);
-    send(
-        &site,
-        &[site.hosts[0].caller],
-        &["--model", "review", "hello"],
-    )
-    .exits_with(0);
-    let trace = tool(&site, 0, &["trace"]).exits_with(0).out;
-    let trace = file(&site, "entry-1.trace", &trace);
-    tool(&site, 0, &["replay", &trace])
+    let host = [site.hosts[0].caller];
+    send(&site, &host, &["--model", "review", "hello"]).exits_with(0);
+    send(&site, &host, &["--service", "booking", "--body", "{}"]).exits_with(0);
+    let text = tool(&site, 0, &["trace"]).exits_with(0).out;
+    replays(&site, &text);
+    replays(&site, &with_a_start(&text));
+}
+
+fn replays(site: &Site, trace: &str) {
+    let trace = file(site, "entry-1.trace", trace);
+    tool(site, 0, &["replay", &trace])
         .exits_with(0)
-        .prints("AppendLog join")
         .prints("the state at the end is the recorded one");
 }
+
+/// Records a whole trace again with a bound that makes it start in its midst.
+fn with_a_start(text: &str) -> String {
+    let file: TraceFile = serde_json::from_str(text).expect("a trace");
+    let mut node = Node::new(file.config.clone());
+    let bytes = file.events.len() * size_of::<TracedEvent>();
+    let mut trace = Trace::with_bound(file.config, bytes);
+    for TracedEvent { at, event } in file.events {
+        trace.push(at, &event, &node);
+        node.handle(at, event);
+    }
+    let text = trace.to_file(&node).expect("a trace can be encoded");
+    assert!(
+        text.contains("\"start\":{"),
+        "the trace starts from a new node"
+    );
+    text
+}
--- a/src/admission/limits.rs
+++ b/src/admission/limits.rs
@@ -15,7 +15,7 @@
 /// What each row uses at this host.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Limits {
-    #[serde(skip)]
+    #[serde(with = "crate::pairs")]
     rows: IndexMap<RowKey, RowUse>,
 }
 
--- a/src/daemon/placement_flow.rs
+++ b/src/daemon/placement_flow.rs
@@ -105,7 +105,11 @@
     ) {
         let view = self.routing.view(upstream);
         view.report_under_way = false;
+        let was_silent = std::mem::replace(&mut view.silent, report.is_none());
         let Some(report) = report else {
+            if !was_silent {
+                LogEvent::UpstreamSilent.write(&format!("upstream={upstream}"));
+            }
             return;
         };
         let leaving = report.leaving;
--- a/src/daemon/trace.rs
+++ b/src/daemon/trace.rs
@@ -1,11 +1,14 @@
 //! A bounded record of a process's inputs, for replay.
 //!
 //! The record is kept in two segments. When the newer one is full, the older one goes, and a copy of
-//! the state is taken where the next one starts; so a replay always has a state to start from.
+//! the state is taken where the next one starts; so a replay always has a state to start from. A state
+//! in a file leaves the kept answers of operations out, as a dump does.
 
+use crate::attempt::message::AttemptOutcome;
 use crate::daemon::event::Event;
 use crate::daemon::node::{Node, NodeConfig};
 use crate::edge::digest::sha256;
+use crate::idempotency::message::OperationState;
 use crate::membership::message::PeerReply;
 use crate::prelude::*;
 use std::mem::size_of;
@@ -136,6 +139,10 @@
         Event::EngineReported { report, .. } => report
             .as_ref()
             .map_or(0, |report| report.copies.len() * LINE_BYTES),
+        Event::AttemptEnded {
+            outcome: AttemptOutcome::OperationAnswered(answer),
+            ..
+        } => answer.body.len(),
         Event::EditAsked { edit, .. } => edit.changes.len() * LINE_BYTES,
         Event::RequestArrived { head } => head.prefix_hashes.len() * 8 + 4 * SMALL_BYTES,
         _ => 0,
@@ -149,6 +156,10 @@
             let payloads = records.iter().map(|record| record.payload.len());
             payloads.sum::<usize>() + records.len() * SMALL_BYTES
         }
+        PeerReply::Operation {
+            state: OperationState::Answered(answer),
+            ..
+        } => answer.body.len(),
         _ => SMALL_BYTES,
     }
 }
--- a/src/idempotency/pending.rs
+++ b/src/idempotency/pending.rs
@@ -42,7 +42,7 @@
 /// The claims of this host that are not settled.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct PendingClaims {
-    #[serde(skip)]
+    #[serde(with = "crate::pairs")]
     holders: IndexMap<OperationKey, RequestId>,
     waiting: Vec<PendingClaim>,
     waiting_ends: Vec<ClaimEnd>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event_log;
 pub mod idempotency;
 pub mod membership;
+mod pairs;
 pub mod placement;
 pub mod prelude;
 pub mod routing;
--- a/src/routing/upstreams.rs
+++ b/src/routing/upstreams.rs
@@ -28,6 +28,8 @@
     pub report_asked_at: Millis,
     /// Whether a report call is under way.
     pub report_under_way: bool,
+    /// Whether the last report call got no answer.
+    pub silent: bool,
 }
 
 impl UpstreamView {
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -1,6 +1,8 @@
 //! The catalogue of log events.
 
 use mangovale::event_log::LogEvent;
+use std::fs::{read_dir, read_to_string};
+use std::path::Path;
 
 const CATALOGUE: &str = include_str!("../docs/EVENTS.md");
 const SOURCE: &str = include_str!("../src/event_log.rs");
@@ -48,3 +50,27 @@
     let all = LogEvent::ALL.iter().map(|event| format!("{event:?}"));
     assert_eq!(variants.collect::<Vec<_>>(), all.collect::<Vec<_>>());
 }
+
+#[test]
+fn every_event_is_written_somewhere() {
+    let source = source_text(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/src")));
+    for event in LogEvent::ALL {
+        let name = format!("LogEvent::{event:?}");
+        let is_end = |rest: &str| !rest.starts_with(|c: char| c.is_alphanumeric());
+        let written = source.split(&name).skip(1).any(is_end);
+        assert!(written, "{event:?} is never written");
+    }
+}
+
+fn source_text(directory: &Path) -> String {
+    let mut text = String::new();
+    for entry in read_dir(directory).expect("a directory") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            text += &source_text(&path);
+        } else if !path.ends_with("event_log.rs") {
+            text += &read_to_string(&path).expect("a source file");
+        }
+    }
+    text
+}
