--- a/bench/tests/first_day.rs
+++ b/bench/tests/first_day.rs
@@ -244,6 +244,32 @@
     line.rsplit(' ').next()?.parse().ok()
 }
 
+#[test]
+fn the_operators_page_lists_every_metric() {
+    let site = with_a_model("");
+    let host = site.hosts[0].caller;
+    smol::block_on(site.caller("north").chat(host, "review", "hello", None));
+    wait_for("the first request to be counted", || {
+        metric(&site, "mangovale_requests_total", "") == Some(1)
+    });
+    let page = call(
+        Method::Get,
+        site.hosts[0].operator,
+        "/metrics",
+        site.token(),
+        "",
+    );
+    let Outcome::Answered { text, .. } = page else {
+        panic!("no metrics: {page:?}");
+    };
+    let operators_page = include_str!("../../docs/OPERATORS.md");
+    let kinds = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: Vec<&str> = kinds.filter_map(|kind| kind.split(' ').next()).collect();
+    for name in names {
+        assert!(operators_page.contains(&format!("`{name}`")), "{name}");
+    }
+}
+
 #[test]
 fn a_fleet_certificate_is_replaced_host_by_host() {
     let mut site = Site::plan().hosts(2).start();
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -32,7 +32,7 @@
     appends: Counter<u64>,
     append_failures: Counter<u64>,
     log_bytes: Counter<u64>,
-    probes: Counter<u64>,
+    peer_calls: Counter<u64>,
     fresh: Gauge<u64>,
     log_age_ms: Gauge<u64>,
     held: Gauge<u64>,
@@ -74,7 +74,7 @@
             appends: counter("mangovale_log_appends"),
             append_failures: counter("mangovale_log_append_failures"),
             log_bytes: counter("mangovale_log_read_bytes"),
-            probes: counter("mangovale_probes"),
+            peer_calls: counter("mangovale_peer_calls"),
             fresh: gauge("mangovale_fresh"),
             log_age_ms: gauge("mangovale_log_age_ms"),
             held: gauge("mangovale_requests_held"),
@@ -110,8 +110,8 @@
             Event::RequestArrived { head } => self.request_bytes.add(head.body_bytes, &[]),
             Event::AttemptEnded { outcome, .. } => self.count_attempt(outcome),
             Event::AppendFailed { .. } => self.append_failures.add(1, &[]),
-            Event::PeerAnswered { .. } => self.count_probe("answered"),
-            Event::PeerFailed { .. } => self.count_probe("failed"),
+            Event::PeerAnswered { .. } => self.count_peer_call("answered"),
+            Event::PeerFailed { .. } => self.count_peer_call("failed"),
             Event::LogRead { page, .. } => {
                 let bytes = page.records.iter().map(|record| record.payload.len());
                 self.log_bytes.add(bytes.sum::<usize>() as u64, &[]);
@@ -146,8 +146,8 @@
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
-    fn count_probe(&self, outcome: &'static str) {
-        self.probes.add(1, &[KeyValue::new("outcome", outcome)]);
+    fn count_peer_call(&self, outcome: &'static str) {
+        self.peer_calls.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 }
 
