Say of a pending edit how to repeat it

The refusal edit_pending has the status 202, so the tool took its body for an answer and said that it could not be read (exit 3). Bodies in the error form are now read as such whatever the status. Test: an edit whose append hangs exits with 6 and names its edit id; repeated, it is in force and once in the history.

--- a/bench/tests/outages.rs
+++ b/bench/tests/outages.rs
@@ -66,6 +66,20 @@
     wait_for("the edit to be taken", || edit(&site, 0).code == 0);
 }
 
+#[test]
+fn an_edit_whose_append_hangs_is_pending_and_takes_effect_once() {
+    let site = warm_site(false);
+    site.log.faults(&json!({ "freeze": true }));
+    edit(&site, 0)
+        .exits_with(6)
+        .says("refused (edit_pending)")
+        .says("next: repeat the command with --edit-id the-edit");
+    site.log.faults(&json!({}));
+    wait_for("the edit to be in force", || edit(&site, 0).code == 0);
+    let history = tool(&site, 0, &["table", "history"]).exits_with(0).out;
+    assert_eq!(history.matches("the-edit").count(), 1, "{history}");
+}
+
 #[test]
 fn while_the_host_list_is_down_hosts_keep_the_last_one() {
     let site = warm_site(false);
--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
+use std::path::PathBuf;
 use std::time::Duration;
 use trillium_client::{Client, Conn, Method};
 
@@ -71,12 +72,16 @@
 }
 
 impl OperatorClient {
-    /// Makes a client.
-    pub fn new(site: Site) -> Self {
-        Self {
+    /// Makes a client of the site that the options or the environment name.
+    ///
+    /// # Errors
+    ///
+    /// Returns which of the two is missing or cannot be used.
+    pub fn new(site: &Option<String>, token_file: &Option<PathBuf>) -> Result<Self, CliError> {
+        Ok(Self {
             client: client(),
-            site,
-        }
+            site: Site::resolve(site.as_deref(), token_file.as_deref())?,
+        })
     }
 
     /// Reads a page and decodes it.
@@ -137,21 +142,17 @@
         let answered = answered.unwrap_or(Err(CallError::TimedOut {
             limit: CALL_TIMEOUT,
         }));
-        let answer = answered.context(CallSnafu {
-            url: &self.site.url,
-        })?;
+        let url = &self.site.url;
+        let answer = answered.context(CallSnafu { url })?;
+        // A pending edit is refused with a status of success.
+        if let Ok(body) = serde_json::from_str::<ErrorBody>(&answer.text) {
+            return Err(body.into());
+        }
         if (200..300).contains(&answer.status) {
             return Ok(answer.text);
         }
-        match serde_json::from_str::<ErrorBody>(&answer.text) {
-            Ok(body) => Err(body.into()),
-            Err(_) => {
-                let why = format!("status {}", answer.status);
-                Err(CallError::Malformed { why }).context(CallSnafu {
-                    url: &self.site.url,
-                })
-            }
-        }
+        let why = format!("status {}", answer.status);
+        Err(CallError::Malformed { why }).context(CallSnafu { url })
     }
 }
 
--- a/src/cli/edit.rs
+++ b/src/cli/edit.rs
@@ -5,7 +5,6 @@
 use crate::cli::exit::{CliError, Exit, FileSnafu};
 use crate::cli::options::TableEditOptions;
 use crate::cli::render::print_line;
-use crate::cli::site::Site;
 use crate::edge::http::CallError;
 use crate::edge::operator::unknown_key;
 use crate::prelude::*;
@@ -37,8 +36,7 @@
 /// Returns what is wrong with the file, or why the edit is not accepted.
 pub async fn edit(options: &TableEditOptions) -> Result<Exit, CliError> {
     let file = read_file(&options.file)?;
-    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
-    let client = OperatorClient::new(site);
+    let client = OperatorClient::new(&options.site, &options.token_file)?;
     let table: Table = client.read("/table").await?;
     let edit = make_edit(options, file, &table);
     let repeated = table.find_edit(&edit.edit_id).is_some();
@@ -133,6 +131,10 @@
             source,
             edit_id: edit.edit_id.to_string(),
         },
+        CliError::Refused { mut fields } if fields.kind == ErrorKind::EditPending.name() => {
+            fields.advice = format!("repeat the command with --edit-id {}", edit.edit_id);
+            CliError::Refused { fields }
+        }
         other => other,
     }
 }
@@ -154,8 +156,8 @@
         EditAnswer::Pending { unconfirmed, .. } => {
             let hosts = unconfirmed.join(", ");
             let message = format!("edit {edit_id} is not confirmed yet by {hosts}");
-            let error = CliError::from(Refusal::new(ErrorKind::EditPending, message));
-            Err(error)
+            let refusal = Refusal::new(ErrorKind::EditPending, message);
+            Err(edit_error(refusal.into(), edit))
         }
     }
 }
--- a/src/cli/table.rs
+++ b/src/cli/table.rs
@@ -4,7 +4,6 @@
 use crate::cli::exit::{CliError, Exit};
 use crate::cli::options::{TableHistoryOptions, TableShowOptions};
 use crate::cli::render::{bytes, columns, or_dash, print, print_line};
-use crate::cli::site::Site;
 use crate::cli::view::text_of;
 use crate::prelude::*;
 use crate::table::Table;
@@ -16,8 +15,7 @@
 ///
 /// Returns why it cannot be read.
 pub async fn show(options: &TableShowOptions) -> Result<Exit, CliError> {
-    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
-    let client = OperatorClient::new(site);
+    let client = OperatorClient::new(&options.site, &options.token_file)?;
     let text = client.get("/table").await?;
     if options.json {
         print_line(&text)?;
@@ -34,8 +32,7 @@
 ///
 /// Returns why they cannot be read.
 pub async fn history(options: &TableHistoryOptions) -> Result<Exit, CliError> {
-    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
-    let client = OperatorClient::new(site);
+    let client = OperatorClient::new(&options.site, &options.token_file)?;
     let table: Table = client.read("/table").await?;
     if options.json {
         print_line(&serde_json::to_string(&table.history).unwrap_or_default())?;
--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -7,7 +7,7 @@
     PlacementsOptions, TraceOptions,
 };
 use crate::cli::render::{bytes, columns, print, print_line};
-use crate::cli::site::{Site, http_url};
+use crate::cli::site::http_url;
 use crate::edge::http::{call_json, client};
 use crate::error::Ran;
 use crate::membership::members::Members;
@@ -53,8 +53,7 @@
 ///
 /// Returns why they cannot be read.
 pub async fn hosts(options: &HostsOptions) -> Result<Exit, CliError> {
-    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
-    let client = OperatorClient::new(site);
+    let client = OperatorClient::new(&options.site, &options.token_file)?;
     let text = client.get("/hosts").await?;
     if options.json {
         print_line(&text)?;
@@ -95,8 +94,7 @@
 ///
 /// Returns why they cannot be read.
 pub async fn placements(options: &PlacementsOptions) -> Result<Exit, CliError> {
-    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
-    let client = OperatorClient::new(site);
+    let client = OperatorClient::new(&options.site, &options.token_file)?;
     let text = client.get("/placements").await?;
     if options.json {
         print_line(&text)?;
@@ -172,8 +170,7 @@
 ///
 /// Returns why it cannot be read.
 pub async fn dump(options: &DumpOptions) -> Result<Exit, CliError> {
-    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
-    let client = OperatorClient::new(site);
+    let client = OperatorClient::new(&options.site, &options.token_file)?;
     let text = client.get("/dump").await?;
     if options.json {
         print_line(&text)?;
@@ -190,8 +187,7 @@
 ///
 /// Returns why they cannot be read.
 pub async fn trace(options: &TraceOptions) -> Result<Exit, CliError> {
-    let site = Site::resolve(options.site.as_deref(), options.token_file.as_deref())?;
-    let client = OperatorClient::new(site);
+    let client = OperatorClient::new(&options.site, &options.token_file)?;
     print_line(&client.get("/trace").await?)?;
     Ok(Exit::Done)
 }
