--- a/bench/tests/first_day.rs
+++ b/bench/tests/first_day.rs
@@ -211,8 +211,10 @@
     for model in ["review", "nothing"] {
         smol::block_on(caller.chat(host, model, "hello", None));
     }
+    call(Method::Post, host, "/v1/chat/completions", "", "{");
     let wanted = [
         ("mangovale_requests_total", "outcome=\"answered\"", 1),
+        ("mangovale_requests_total", "outcome=\"bad_request\"", 1),
         ("mangovale_requests_total", "outcome=\"unknown_model\"", 1),
         ("mangovale_first_byte_ms_count", "target=\"model\"", 1),
         ("mangovale_copies", "state=\"ready\"", 1),
--- a/src/cli/replay.rs
+++ b/src/cli/replay.rs
@@ -5,6 +5,7 @@
 use crate::cli::render::print_line;
 use crate::daemon::event::Event;
 use crate::daemon::node::Node;
+use crate::daemon::run::RELEASE;
 use crate::daemon::trace::{TraceFile, TracedEvent, state_sha256};
 use crate::prelude::*;
 use serde_json::{Value, json};
@@ -20,9 +21,15 @@
     let text = std::fs::read_to_string(path).context(FileSnafu { path })?;
     let content_error = |error: serde_json::Error| CliError::Content {
         path: path.clone(),
-        why: format!("this is no trace of this release: {error}"),
+        why: format!("this is no trace of release {RELEASE}: {error}"),
     };
     let file: TraceFile = serde_json::from_str(&text).map_err(content_error)?;
+    if *file.release != *RELEASE {
+        eprintln!(
+            "mangovale: the trace is of release {}, this is {RELEASE}",
+            file.release
+        );
+    }
     let started_at = file.events.first().map_or(Millis::ZERO, |first| first.at);
     let mut node = file.start.unwrap_or_else(|| Node::new(file.config));
     let events = file.events.len();
--- a/src/daemon/dump.rs
+++ b/src/daemon/dump.rs
@@ -1,6 +1,7 @@
 //! The state dump: everything a process knows, without secrets.
 
 use crate::daemon::node::Node;
+use crate::daemon::run::RELEASE;
 use crate::prelude::*;
 
 /// Writes the state of a host as JSON. API keys appear only as their hashes.
@@ -11,11 +12,13 @@
 pub fn dump(now: Millis, node: &Node) -> Result<String, serde_json::Error> {
     #[derive(Serialize)]
     struct Dump<'a> {
+        release: &'static str,
         now_ms: Millis,
         fresh: bool,
         node: &'a Node,
     }
     serde_json::to_string(&Dump {
+        release: RELEASE,
         now_ms: now,
         fresh: node.is_fresh(now),
         node,
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -103,6 +103,11 @@
         self.first_byte_ms.record(span_ms.0 as f64, &labels);
     }
 
+    /// Counts a request that was refused.
+    pub fn count_refusal(&self, kind: ErrorKind) {
+        self.count_request(kind.name());
+    }
+
     /// Counts an event before it is handled.
     pub fn count_event(&self, event: &Event) {
         self.events.add(1, &[]);
@@ -123,7 +128,7 @@
     /// Counts an effect before it is carried out.
     pub fn count_effect(&self, effect: &Effect) {
         match effect {
-            Effect::Refuse { refusal, .. } => self.count_request(refusal.kind.name()),
+            Effect::Refuse { refusal, .. } => self.count_refusal(refusal.kind),
             Effect::GiveAnswer { .. } => self.count_request("answered"),
             Effect::Begin { .. } => self.attempts.add(1, &[]),
             Effect::AppendLog { .. } => self.appends.add(1, &[]),
@@ -136,7 +141,7 @@
             AttemptOutcome::Answered | AttemptOutcome::OperationAnswered(_) => {
                 self.count_request("answered")
             }
-            AttemptOutcome::Broken(_) => self.count_request(ErrorKind::AnswerBroken.name()),
+            AttemptOutcome::Broken(_) => self.count_refusal(ErrorKind::AnswerBroken),
             AttemptOutcome::CallerGone => self.count_request("caller_gone"),
             AttemptOutcome::NotRun(_) | AttemptOutcome::Silent(_) | AttemptOutcome::Unknown(_) => {}
         }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -21,6 +21,8 @@
 use std::ops::ControlFlow;
 use std::time::Duration;
 
+/// The release of this program.
+pub const RELEASE: &str = env!("CARGO_PKG_VERSION");
 /// How often the loop is woken without anything else happening.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -93,7 +95,7 @@
     smol::spawn(watch_signals(gate.clone(), signals()?)).detach();
     smol::spawn(tick(gate.clone())).detach();
     LogEvent::Started.write(&format!(
-        "name={} incarnation={me} callers={} peers={} operators={}",
+        "name={} incarnation={me} release={RELEASE} callers={} peers={} operators={}",
         settings.name, settings.caller_listen, settings.peer_listen, settings.operator_listen
     ));
     let node = Node::new(node_config(&settings, me));
--- a/src/daemon/trace.rs
+++ b/src/daemon/trace.rs
@@ -7,6 +7,7 @@
 use crate::attempt::message::AttemptOutcome;
 use crate::daemon::event::Event;
 use crate::daemon::node::{Node, NodeConfig};
+use crate::daemon::run::RELEASE;
 use crate::edge::digest::sha256;
 use crate::idempotency::message::OperationState;
 use crate::membership::message::PeerReply;
@@ -48,6 +49,8 @@
 /// A trace as a file: all that a replay needs.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TraceFile {
+    /// The release that wrote it.
+    pub release: Name,
     /// What the node was made from.
     pub config: NodeConfig,
     /// The state before the first event; a new one when absent.
@@ -106,6 +109,7 @@
         let rest = self.older.as_ref().map(|_| &self.newer);
         let events = first.events.iter();
         let file = TraceFile {
+            release: RELEASE.into(),
             config: self.config.clone(),
             start: first.start.as_deref().cloned(),
             events: events
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -120,13 +120,14 @@
     async fn chat(&self, mut conn: Conn) -> Conn {
         let body = match read_body(&mut conn, self.bounds.body_bytes).await {
             Ok(body) => body,
-            Err(refusal) => return refuse(conn, &refusal, ""),
+            Err(refusal) => return self.refuse_early(conn, &refusal, ""),
         };
         let head: ChatHead = match serde_json::from_slice(&body) {
             Ok(head) => head,
             Err(error) => {
                 let message = format!("the body is not a chat request: {error}");
-                return refuse(conn, &Refusal::new(ErrorKind::BadRequest, message), "");
+                let refusal = Refusal::new(ErrorKind::BadRequest, message);
+                return self.refuse_early(conn, &refusal, "");
             }
         };
         let asked = Asked {
@@ -147,7 +148,7 @@
         let name: Name = name.into();
         let body = match read_body(&mut conn, self.bounds.body_bytes).await {
             Ok(body) => body,
-            Err(refusal) => return refuse(conn, &refusal, ""),
+            Err(refusal) => return self.refuse_early(conn, &refusal, ""),
         };
         let asked = Asked {
             name,
@@ -163,7 +164,7 @@
         let request_id: Name = format!("{}-{}", self.me, open.id).into();
         let head = match head_of(&conn, open.id, target, &asked) {
             Ok(head) => head,
-            Err(refusal) => return refuse(conn, &refusal, &request_id),
+            Err(refusal) => return self.refuse_early(conn, &refusal, &request_id),
         };
         let outgoing = Outgoing {
             method: conn.method(),
@@ -187,6 +188,12 @@
         self.follow(conn, open, arrival, outgoing).await
     }
 
+    /// Refuses a call that no decision saw.
+    fn refuse_early(&self, conn: Conn, refusal: &Refusal, request_id: &str) -> Conn {
+        self.metrics.count_refusal(refusal.kind);
+        refuse(conn, refusal, request_id)
+    }
+
     async fn follow(
         &self,
         mut conn: Conn,
@@ -201,7 +208,7 @@
                 None => return conn.halt(),
                 Some(Err(_)) => {
                     let refusal = Refusal::new(ErrorKind::Internal, "the request was let go");
-                    return refuse(conn, &refusal, &outgoing.request_id);
+                    return self.refuse_early(conn, &refusal, &outgoing.request_id);
                 }
                 Some(Ok(Instruction::Refuse(refusal))) => {
                     return refuse(conn, &refusal, &outgoing.request_id);
