--- a/bench/tests/first_day.rs
+++ b/bench/tests/first_day.rs
@@ -211,8 +211,10 @@
     for model in ["review", "nothing"] {
         smol::block_on(caller.chat(host, model, "hello", None));
     }
+    call(Method::Post, host, "/v1/chat/completions", "", "{");
     let wanted = [
         ("mangovale_requests_total", "outcome=\"answered\"", 1),
+        ("mangovale_requests_total", "outcome=\"bad_request\"", 1),
         ("mangovale_requests_total", "outcome=\"unknown_model\"", 1),
         ("mangovale_first_byte_ms_count", "target=\"model\"", 1),
         ("mangovale_copies", "state=\"ready\"", 1),
@@ -244,6 +246,32 @@
     line.rsplit(' ').next()?.parse().ok()
 }
 
+#[test]
+fn the_operators_page_lists_every_metric() {
+    let site = with_a_model("");
+    let host = site.hosts[0].caller;
+    smol::block_on(site.caller("north").chat(host, "review", "hello", None));
+    wait_for("the first request to be counted", || {
+        metric(&site, "mangovale_requests_total", "") == Some(1)
+    });
+    let page = call(
+        Method::Get,
+        site.hosts[0].operator,
+        "/metrics",
+        site.token(),
+        "",
+    );
+    let Outcome::Answered { text, .. } = page else {
+        panic!("no metrics: {page:?}");
+    };
+    let operators_page = include_str!("../../docs/OPERATORS.md");
+    let kinds = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: Vec<&str> = kinds.filter_map(|kind| kind.split(' ').next()).collect();
+    for name in names {
+        assert!(operators_page.contains(&format!("`{name}`")), "{name}");
+    }
+}
+
 #[test]
 fn a_fleet_certificate_is_replaced_host_by_host() {
     let mut site = Site::plan().hosts(2).start();
