--- a/bench/src/call.rs
+++ b/bench/src/call.rs
@@ -25,7 +25,7 @@
         text: String,
         /// The digest of the last chunk of a stream.
         digest: Option<String>,
-        /// From the start to the first byte.
+        /// From the start to the first byte; of a stream, to its first event.
         first_byte_ms: u64,
         /// From the start to the end.
         total_ms: u64,
@@ -167,7 +167,7 @@
             other => return Outcome::Broken(other.to_string()),
         },
     };
-    let first_byte_ms = elapsed_ms(started_at);
+    let head_ms = elapsed_ms(started_at);
     let status = conn.status().map_or(0, |status| status as u16);
     let kind = conn
         .response_headers()
@@ -175,7 +175,7 @@
         .unwrap_or("")
         .to_string();
     if kind.starts_with("text/event-stream") {
-        return read_stream(conn, status, started_at, first_byte_ms).await;
+        return read_stream(conn, status, started_at).await;
     }
     let text = match conn.response_body().read_string().await {
         Ok(text) => text,
@@ -190,23 +190,19 @@
         status,
         text,
         digest: None,
-        first_byte_ms,
+        first_byte_ms: head_ms,
         total_ms,
     }
 }
 
-async fn read_stream(
-    mut conn: Conn,
-    status: u16,
-    started_at: Instant,
-    first_byte_ms: u64,
-) -> Outcome {
+async fn read_stream(mut conn: Conn, status: u16, started_at: Instant) -> Outcome {
     let Some(body) = conn.take_response_body() else {
         return Outcome::Broken("no body".to_string());
     };
     let mut lines = BufReader::new(body).lines();
     let mut text = String::new();
     let mut digest = None;
+    let mut first_event_ms = None;
     while let Some(line) = lines.next().await {
         let line = match line {
             Ok(line) => line,
@@ -215,6 +211,7 @@
         let Some(data) = line.strip_prefix("data: ") else {
             continue;
         };
+        let first_byte_ms = *first_event_ms.get_or_insert_with(|| elapsed_ms(started_at));
         if data == "[DONE]" {
             let total_ms = elapsed_ms(started_at);
             return Outcome::Answered {
--- a/bench/src/idle.rs
+++ b/bench/src/idle.rs
@@ -1,13 +1,10 @@
 //! What idle daemons cost: processor time, memory and control bytes of each process.
 
-use crate::process::Process;
+use crate::proc_stat::{CLOCK_TICKS_PER_S, CpuTicks, resident_bytes};
 use crate::site::{EngineSpec, Site};
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
-const CLOCK_TICKS_PER_S: f64 = 100.0;
-const KIB: u64 = 1_024;
-
 /// The cost of one idle daemon, as the mean over the site.
 #[derive(Clone, Debug, Serialize)]
 pub struct IdleCost {
@@ -90,8 +87,8 @@
 fn sum(site: &Site) -> Sum {
     let mut sum = Sum::default();
     for host in &site.hosts {
-        sum.cpu_ticks += cpu_ticks(&host.process);
-        sum.resident_bytes += resident_bytes(&host.process);
+        sum.cpu_ticks += CpuTicks::of(host.process.id()).total();
+        sum.resident_bytes += resident_bytes(host.process.id());
         sum.log_bytes += host.log_link.as_ref().map_or(0, |link| link.passed_bytes());
         sum.peer_bytes += host
             .peer_link
@@ -100,23 +97,3 @@
     }
     sum
 }
-
-fn cpu_ticks(process: &Process) -> u64 {
-    const USER_FIELD: usize = 11;
-    let text = std::fs::read_to_string(format!("/proc/{}/stat", process.id())).unwrap_or_default();
-    let after_name = text.rsplit(')').next().unwrap_or_default();
-    after_name
-        .split_whitespace()
-        .skip(USER_FIELD)
-        .take(2)
-        .filter_map(|field| field.parse::<u64>().ok())
-        .sum()
-}
-
-fn resident_bytes(process: &Process) -> u64 {
-    let text =
-        std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-    kib.unwrap_or(0) * KIB
-}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,12 @@
 //! The load and experiment tool.
 
 use argh::FromArgs;
-use mangovale_bench::{capacity, idle};
+use mangovale_bench::scenario::Scenario;
+use mangovale_bench::{capacity, experiment, idle};
 use serde::Serialize;
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
 use std::time::Duration;
 
 /// Measure mangovale against its stand-ins on this machine.
@@ -18,6 +22,25 @@
 enum Command {
     Capacity(CapacityOptions),
     Idle(IdleOptions),
+    Run(RunOptions),
+}
+
+/// Run a scenario under one policy after another, with the same arrivals.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunOptions {
+    /// the scenario file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// a policy of the file; may be given many times (default: all)
+    #[argh(option)]
+    policy: Vec<String>,
+    /// the seed of the arrivals (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// where histories, CSV and plots go (default: target/bench-out)
+    #[argh(option, default = "PathBuf::from(\"target/bench-out\")")]
+    out: PathBuf,
 }
 
 /// Measure slopes of state, messages and processor time in this process.
@@ -47,14 +70,36 @@
     seconds: u64,
 }
 
-fn main() {
+fn main() -> ExitCode {
     let options: Options = argh::from_env();
-    match options.command {
-        Command::Capacity(options) => measure_capacity(&options),
-        Command::Idle(options) => measure_idle(&options),
+    let ended = match options.command {
+        Command::Capacity(options) => {
+            measure_capacity(&options);
+            Ok(())
+        }
+        Command::Idle(options) => {
+            measure_idle(&options);
+            Ok(())
+        }
+        Command::Run(options) => run(&options),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
     }
 }
 
+fn run(options: &RunOptions) -> Result<(), Box<dyn Error>> {
+    let scenario = Scenario::read(&options.scenario)?;
+    let policies = scenario.choose_policies(&options.policy)?;
+    let all = experiment::run(&scenario, &policies, options.seed, &options.out)?;
+    print!("{}", experiment::to_table(&all));
+    Ok(())
+}
+
 fn measure_capacity(options: &CapacityOptions) {
     let default = vec![10, 50, 100];
     let percents = if options.percent.is_empty() {
--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -35,6 +35,8 @@
 pub struct EngineSpec {
     /// Its name.
     pub name: String,
+    /// The data centre it stands in.
+    pub data_centre: String,
     /// Its accelerator memory.
     pub memory_bytes: u64,
     /// How many requests it batches.
@@ -54,6 +56,7 @@
     pub fn named(name: &str) -> Self {
         Self {
             name: name.to_string(),
+            data_centre: DATA_CENTRE.to_string(),
             memory_bytes: 10_000,
             slots: 8,
             load_ms: 300,
@@ -74,12 +77,14 @@
     hosts_arguments: Vec<String>,
     host_count: usize,
     host_settings: String,
+    host_data_centres: Vec<String>,
     links: bool,
 }
 
 #[derive(Debug)]
 struct ServiceSpec {
     name: String,
+    data_centre: String,
     arguments: Vec<String>,
 }
 
@@ -91,15 +96,26 @@
     }
 
     /// Adds a plain service's upstream, with further arguments of the stand-in.
-    pub fn service(mut self, name: &str, arguments: &[&str]) -> Self {
-        let arguments = to_strings(arguments);
+    pub fn service(self, name: &str, arguments: &[&str]) -> Self {
+        self.service_in(DATA_CENTRE, name, arguments)
+    }
+
+    /// Adds a plain service's upstream in a data centre.
+    pub fn service_in(mut self, data_centre: &str, name: &str, arguments: &[&str]) -> Self {
         self.services.push(ServiceSpec {
             name: name.to_string(),
-            arguments,
+            data_centre: data_centre.to_string(),
+            arguments: to_strings(arguments),
         });
         self
     }
 
+    /// Spreads the daemons over data centres, in turn.
+    pub fn host_data_centres(mut self, names: &[String]) -> Self {
+        self.host_data_centres = names.to_vec();
+        self
+    }
+
     /// Adds the weight store, from which the engines then fetch.
     pub fn store(mut self, arguments: &[&str]) -> Self {
         self.store_arguments = Some(to_strings(arguments));
@@ -216,6 +232,7 @@
     platform: PlatformWatch,
     directory: TempDir,
     host_settings: String,
+    host_data_centres: Vec<String>,
     links: bool,
     token: String,
     token_sha256: Arc<str>,
@@ -269,6 +286,7 @@
             platform,
             directory,
             host_settings: plan.host_settings,
+            host_data_centres: plan.host_data_centres,
             links: plan.links,
             token,
             token_sha256,
@@ -311,8 +329,9 @@
         let log_link = self.links.then(|| TcpLink::start(self.log.address));
         let peer_link = self.links.then(|| UdpLink::start(peer));
         let log_address = log_link.as_ref().map_or(self.log.address, TcpLink::address);
+        let data_centre = self.data_centre_of_host(index);
         let mut text = format!(
-            "name = \"{name}\"\ndata_centre = \"{DATA_CENTRE}\"\ncaller_listen = \"{caller}\"\n\
+            "name = \"{name}\"\ndata_centre = \"{data_centre}\"\ncaller_listen = \"{caller}\"\n\
              operator_listen = \"{operator}\"\npeer_listen = \"{peer}\"\n"
         );
         if let Some(link) = &peer_link {
@@ -354,6 +373,14 @@
         index
     }
 
+    fn data_centre_of_host(&self, index: usize) -> &str {
+        let names = &self.host_data_centres;
+        match names.len() {
+            0 => DATA_CENTRE,
+            count => &names[index % count],
+        }
+    }
+
     /// Starts a daemon again whose process has ended.
     pub fn restart_host(&mut self, index: usize) {
         let directory = self.directory.path().to_path_buf();
@@ -544,7 +571,7 @@
     let mut arguments = with(&["engine", "--name", &engine.name], &[]);
     let hosts = format!("http://{}", host_list.address);
     let pairs = [
-        ("--data-centre", DATA_CENTRE.to_string()),
+        ("--data-centre", engine.data_centre.clone()),
         ("--hosts", hosts),
         ("--memory-bytes", engine.memory_bytes.to_string()),
         ("--slots", engine.slots.to_string()),
@@ -571,7 +598,7 @@
         "--name",
         &service.name,
         "--data-centre",
-        DATA_CENTRE,
+        &service.data_centre,
         "--hosts",
         &hosts,
     ];
