--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -9,6 +9,7 @@
 use crate::samples::{self, EngineSamples};
 use crate::scenario::{PolicySpec, Scenario, Target};
 use crate::site::{EngineSpec, Site, put_brand, put_row_with};
+use indexmap::IndexMap;
 use mangovale::table::message::{Change, Model, Service, StoreLimits};
 use serde_json::{Value, json};
 use std::fmt::Write;
@@ -109,6 +110,7 @@
         .host_data_centres(&spec.data_centres)
         .settings(&policy.settings_text())
         .store(&store)
+        .log(&["--appends-per-s", &spec.log_appends_per_s.to_string()])
         .links();
     for index in 0..spec.engines {
         plan = plan.engine(EngineSpec {
@@ -240,6 +242,34 @@
     as_u64(&page["end_offset"])
 }
 
+/// Counts the records from an offset on by kind, the first many of them.
+fn record_kinds(site: &Site, from: u64) -> IndexMap<String, u64> {
+    const MOST_PAGES: usize = 100;
+    let mut kinds = IndexMap::new();
+    let mut next = from;
+    for _ in 0..MOST_PAGES {
+        let path = format!("/streams/mangovale/records?from={next}&max=512&wait_ms=0");
+        let page = site.log.get(&path);
+        let records = page["records"].as_array().map_or(&[][..], Vec::as_slice);
+        if records.is_empty() {
+            break;
+        }
+        for record in records {
+            *kinds.entry(record_kind(record)).or_insert(0) += 1;
+        }
+        next = as_u64(&page["next_offset"]);
+    }
+    kinds.sort_unstable_keys();
+    kinds
+}
+
+fn record_kind(record: &Value) -> String {
+    let payload = record["payload"].as_str().unwrap_or("");
+    let payload: Value = serde_json::from_str(payload).unwrap_or_default();
+    let kind = payload["kind"].as_str();
+    kind.unwrap_or("other").to_string()
+}
+
 fn count(site: &Site, before: &Totals, span: Duration) -> Counted {
     let after = Totals::of(site);
     let cpu = after.cpu - before.cpu;
@@ -253,6 +283,7 @@
     let sum = |key: &str| peaks.iter().map(|peaks| as_u64(&peaks[key])).sum();
     Counted {
         log_records: after.log_records - before.log_records,
+        log_record_kinds: record_kinds(site, before.log_records),
         log_calls: after.log_calls - before.log_calls,
         loads_started: sum("loads_started"),
         loads_failed: sum("loads_failed"),
@@ -393,6 +424,9 @@
         for (kind, count) in &figures.failures {
             let _ = writeln!(table, "    {kind}: {count}");
         }
+        for (kind, count) in &counted.log_record_kinds {
+            let _ = writeln!(table, "    record {kind}: {count}");
+        }
         for share in &figures.shares {
             let _ = writeln!(
                 table,
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod arrivals;
 pub mod call;
 pub mod capacity;
-
 pub mod experiment;
 pub mod history;
 pub mod idle;
@@ -17,3 +16,4 @@
 pub mod samples;
 pub mod scenario;
 pub mod site;
+pub mod way;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use mangovale_bench::scenario::Scenario;
+use mangovale_bench::way::{WayOptions, WaySite};
 use mangovale_bench::{capacity, experiment, idle};
 use serde::Serialize;
 use std::error::Error;
@@ -23,6 +24,28 @@
     Capacity(CapacityOptions),
     Idle(IdleOptions),
     Run(RunOptions),
+    Way(WayArguments),
+}
+
+/// Measure what the way through one daemon costs, against direct connections.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "way")]
+struct WayArguments {
+    /// requests each way for the time to the first token (default: 1000)
+    #[argh(option, default = "1000")]
+    requests: usize,
+    /// streams at once; may be given many times (default: 16, 64, 256)
+    #[argh(option)]
+    streams: Vec<usize>,
+    /// tokens of each stream (default: 500)
+    #[argh(option, default = "500")]
+    tokens: u32,
+    /// time of one token at the engine (default: 5)
+    #[argh(option, default = "5")]
+    token_ms: u64,
+    /// threads that read the streams (default: 2)
+    #[argh(option, default = "2")]
+    threads: usize,
 }
 
 /// Run a scenario under one policy after another, with the same arrivals.
@@ -82,6 +105,10 @@
             Ok(())
         }
         Command::Run(options) => run(&options),
+        Command::Way(arguments) => {
+            measure_way(arguments);
+            Ok(())
+        }
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -100,6 +127,23 @@
     Ok(())
 }
 
+fn measure_way(arguments: WayArguments) {
+    let streams = match arguments.streams.is_empty() {
+        true => vec![16, 64, 256],
+        false => arguments.streams,
+    };
+    let way = WaySite::start(WayOptions {
+        requests: arguments.requests,
+        tokens: arguments.tokens,
+        token_ms: arguments.token_ms,
+        threads: arguments.threads,
+    });
+    print(&way.first_token());
+    for count in streams {
+        print(&way.throughput(count));
+    }
+}
+
 fn measure_capacity(options: &CapacityOptions) {
     let default = vec![10, 50, 100];
     let percents = if options.percent.is_empty() {
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -76,7 +76,7 @@
     pub cold: Spread,
     /// How many of those got no answer.
     pub cold_unanswered: usize,
-    /// From arrival to first byte, of requests that found one.
+    /// From arrival to first byte, of requests that found one; those of the saturation are left out.
     pub warm: Spread,
     /// How many of those got no answer.
     pub warm_unanswered: usize,
@@ -93,10 +93,12 @@
 }
 
 /// Figures from the processes' counters.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Counted {
     /// Records on the log.
     pub log_records: u64,
+    /// The same by kind of record, as far as they were read.
+    pub log_record_kinds: IndexMap<String, u64>,
     /// Calls to the log, reads included.
     pub log_calls: u64,
     /// Loads that engines started.
@@ -123,9 +125,12 @@
     samples: &[EngineSamples],
     counted: Counted,
 ) -> Figures {
-    let chats = || history.iter().filter(|line| is_chat(line));
+    // Under saturation the wait in the queue would hide what a warm request costs.
+    let usual = history
+        .iter()
+        .filter(|line| is_chat(line) && line.phase != Phase::Saturation);
     let (warm, cold): (Vec<&HistoryLine>, Vec<&HistoryLine>) =
-        chats().partition(|line| found_ready(samples, &line.target, line.asked_ms));
+        usual.partition(|line| found_ready(samples, &line.target, line.asked_ms));
     let good = history.iter().filter(|line| line.is_good()).count();
     Figures {
         policy: policy.to_string(),
@@ -286,3 +291,34 @@
         false => 0.0,
     }
 }
+
+/// Short times of many requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// How many.
+    pub count: u64,
+    /// Half of them took at most this.
+    pub p50_us: u64,
+    /// 99 of 100 took at most this.
+    pub p99_us: u64,
+}
+
+impl Quantiles {
+    /// Summarizes times.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the histogram's fixed bounds are not allowed by its library.
+    pub fn of(times_us: &[u64]) -> Self {
+        let mut histogram = Histogram::<u64>::new_with_bounds(1, HIGHEST_MS, SIGNIFICANT_DIGITS)
+            .expect("the bounds are valid");
+        times_us
+            .iter()
+            .for_each(|us| histogram.saturating_record((*us).max(1)));
+        Self {
+            count: histogram.len(),
+            p50_us: histogram.value_at_quantile(0.50),
+            p99_us: histogram.value_at_quantile(0.99),
+        }
+    }
+}
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -85,6 +85,8 @@
     pub store_parallel: u32,
     /// Rate of one fetch.
     pub store_bytes_per_s: u64,
+    /// Appends that the log takes in a second.
+    pub log_appends_per_s: u32,
 }
 
 /// Models, adapters and the plain service.
