--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -93,7 +93,8 @@
     summarize(scenario, &policy.name, lines, samples, counted)
 }
 
-fn start_site(scenario: &Scenario, policy: &PolicySpec) -> Site {
+/// Starts the site of a scenario with a policy's settings.
+pub fn start_site(scenario: &Scenario, policy: &PolicySpec) -> Site {
     let spec = &scenario.site;
     let data_centre = |index: usize| &spec.data_centres[index % spec.data_centres.len()];
     let store = [
@@ -118,6 +119,7 @@
             memory_bytes: spec.engine_memory_bytes,
             slots: spec.engine_slots,
             token_ms: spec.token_ms,
+            checks_fencing: index >= spec.engines_ignoring_fences,
             arguments: engine_arguments(scenario),
             ..EngineSpec::named(&format!("engine-{index:02}"))
         });
@@ -147,7 +149,8 @@
     format!("service-{index}")
 }
 
-fn put_table(site: &Site, scenario: &Scenario) {
+/// Puts the scenario's table in force.
+pub fn put_table(site: &Site, scenario: &Scenario) {
     let limits = StoreLimits {
         parallel_loads: scenario.site.store_parallel,
         loads_per_s: scenario.site.store_loads_per_s,
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod arrivals;
 pub mod call;
 pub mod capacity;
+pub mod check;
 pub mod experiment;
+pub mod faults;
 pub mod history;
 pub mod idle;
 pub mod link;
@@ -16,4 +18,5 @@
 pub mod samples;
 pub mod scenario;
 pub mod site;
+pub mod storm;
 pub mod way;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use mangovale_bench::scenario::Scenario;
 use mangovale_bench::way::{WayOptions, WaySite};
-use mangovale_bench::{capacity, experiment, idle};
+use mangovale_bench::{capacity, experiment, history, idle, storm};
 use serde::Serialize;
 use std::error::Error;
 use std::path::PathBuf;
@@ -25,6 +25,22 @@
     Idle(IdleOptions),
     Run(RunOptions),
     Way(WayArguments),
+    Storm(StormOptions),
+}
+
+/// Run faults, load and edits together by seed, and check what came of it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "storm")]
+struct StormOptions {
+    /// the seed (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how long, in seconds (default: 20)
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// where the history goes (default: target/bench-out)
+    #[argh(option, default = "PathBuf::from(\"target/bench-out\")")]
+    out: PathBuf,
 }
 
 /// Measure what the way through one daemon costs, against direct connections.
@@ -105,6 +121,7 @@
             Ok(())
         }
         Command::Run(options) => run(&options),
+        Command::Storm(options) => run_storm(&options),
         Command::Way(arguments) => {
             measure_way(arguments);
             Ok(())
@@ -127,6 +144,20 @@
     Ok(())
 }
 
+fn run_storm(options: &StormOptions) -> Result<(), Box<dyn Error>> {
+    let (report, lines) = storm::run(options.seed, Duration::from_secs(options.seconds));
+    std::fs::create_dir_all(&options.out)?;
+    let path = options.out.join(format!("storm-{}.jsonl", options.seed));
+    history::write(&path, &lines)?;
+    print(&report);
+    match report.violations.first() {
+        None => Ok(()),
+        Some(first) => {
+            Err(format!("seed {}: {first:?}; see {}", options.seed, path.display()).into())
+        }
+    }
+}
+
 fn measure_way(arguments: WayArguments) {
     let streams = match arguments.streams.is_empty() {
         true => vec![16, 64, 256],
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -65,6 +65,9 @@
     pub hosts: usize,
     /// How many engines.
     pub engines: usize,
+    /// How many of these ignore fencing numbers.
+    #[serde(default)]
+    pub engines_ignoring_fences: usize,
     /// How many upstreams the plain service has.
     pub services: usize,
     /// Accelerator memory of each engine.
