--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plot;
 pub mod proc_stat;
 pub mod process;
+pub mod recovery;
 pub mod report;
 pub mod samples;
 pub mod scenario;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use mangovale_bench::scenario::Scenario;
 use mangovale_bench::way::{WayOptions, WaySite};
-use mangovale_bench::{capacity, experiment, history, idle, storm};
+use mangovale_bench::{capacity, experiment, history, idle, recovery, storm};
 use serde::Serialize;
 use std::error::Error;
 use std::path::PathBuf;
@@ -26,6 +26,19 @@
     Run(RunOptions),
     Way(WayArguments),
     Storm(StormOptions),
+    Recovery(RecoveryOptions),
+}
+
+/// Measure how long a kill, a log outage and the start of a new daemon are felt.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "recovery")]
+struct RecoveryOptions {
+    /// how long the log is out, in seconds (default: 20)
+    #[argh(option, default = "20")]
+    outage_s: u64,
+    /// how many models the new daemon meets (default: 54410)
+    #[argh(option, default = "54410")]
+    models: usize,
 }
 
 /// Run faults, load and edits together by seed, and check what came of it.
@@ -112,20 +125,12 @@
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
     let ended = match options.command {
-        Command::Capacity(options) => {
-            measure_capacity(&options);
-            Ok(())
-        }
-        Command::Idle(options) => {
-            measure_idle(&options);
-            Ok(())
-        }
+        Command::Capacity(options) => done(measure_capacity(&options)),
+        Command::Idle(options) => done(measure_idle(&options)),
         Command::Run(options) => run(&options),
+        Command::Way(arguments) => done(measure_way(arguments)),
         Command::Storm(options) => run_storm(&options),
-        Command::Way(arguments) => {
-            measure_way(arguments);
-            Ok(())
-        }
+        Command::Recovery(options) => done(measure_recovery(&options)),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -136,6 +141,10 @@
     }
 }
 
+fn done(_: ()) -> Result<(), Box<dyn Error>> {
+    Ok(())
+}
+
 fn run(options: &RunOptions) -> Result<(), Box<dyn Error>> {
     let scenario = Scenario::read(&options.scenario)?;
     let policies = scenario.choose_policies(&options.policy)?;
@@ -213,6 +222,14 @@
     }
 }
 
+fn measure_recovery(options: &RecoveryOptions) {
+    print(&recovery::measure_kill());
+    print(&recovery::measure_outage(Duration::from_secs(
+        options.outage_s,
+    )));
+    print(&recovery::measure_new_host(options.models));
+}
+
 fn print(result: &impl Serialize) {
     println!("{}", serde_json::to_string(result).unwrap_or_default());
 }
--- a/bench/src/storm.rs
+++ b/bench/src/storm.rs
@@ -14,7 +14,8 @@
 use crate::site::{Site, put_row_with};
 use mangovale::edge::http::{client, within};
 use mangovale::shared_log::record::Offset;
-use mangovale::table::message::{Edit, EditAnswer};
+use mangovale::table::Table;
+use mangovale::table::message::{Edit, EditAnswer, RowKey};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -107,6 +108,9 @@
         run_id: format!("storm-{seed}"),
     });
     let arrivals = arrivals::draw(scenario, seed);
+    for fault in &planned {
+        eprintln!("{}", serde_json::to_string(fault).unwrap_or_default());
+    }
     let operators = Operators::of(site);
     let span = Duration::from_millis(scenario.span_ms);
     let started_at = load.started_at();
@@ -263,12 +267,13 @@
 
     /// Returns the weight of the edited row at a host.
     async fn weight(&self, host: usize) -> Option<u64> {
-        let table = self.call(host, Method::Get, "/table", None).await?;
-        let rows = table["rows"].as_array()?;
-        let row = rows
-            .iter()
-            .find(|row| row["brand"] == EDITED_BRAND && row["model"] == EDITED_MODEL)?;
-        row["weight"].as_u64().or(row["row"]["weight"].as_u64())
+        let page = self.call(host, Method::Get, "/table", None).await?;
+        let table: Table = serde_json::from_value(page).ok()?;
+        let key = RowKey {
+            brand: EDITED_BRAND.into(),
+            model: EDITED_MODEL.into(),
+        };
+        table.row(&key).map(|row| u64::from(row.weight))
     }
 
     async fn call(
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of membership: probes, freshness, evictions, and edits under cuts and pauses.
 
-mod cluster;
+pub mod cluster;
 mod edits;
+mod entry;
 mod evictions;
 mod freshness;
 mod leaving;
