--- a/bench/src/idle.rs
+++ b/bench/src/idle.rs
@@ -51,29 +51,24 @@
     }
 }
 
-fn put_models(site: &Site, models: usize) {
+/// Fills the table with models and a row for each; returns how many edits it took.
+pub fn put_models(site: &Site, models: usize) -> u64 {
     const PER_EDIT: usize = 500;
     if models == 0 {
-        return;
+        return 0;
     }
     site.edit(vec![crate::site::put_brand("north")]);
+    let mut edits = 1;
     for first in (0..models).step_by(PER_EDIT) {
-        let names: Vec<String> = (first..models.min(first + PER_EDIT))
-            .map(|n| format!("model-{n:05}"))
-            .collect();
-        site.edit(
-            names
-                .iter()
-                .map(|name| crate::site::put_model(name, 1_000))
-                .collect(),
-        );
-        site.edit(
-            names
-                .iter()
-                .map(|name| crate::site::put_row("north", name))
-                .collect(),
-        );
+        let last = models.min(first + PER_EDIT);
+        let names: Vec<String> = (first..last).map(|n| format!("model-{n:05}")).collect();
+        let put_models = names.iter().map(|name| crate::site::put_model(name, 1_000));
+        site.edit(put_models.collect());
+        let put_rows = names.iter().map(|name| crate::site::put_row("north", name));
+        site.edit(put_rows.collect());
+        edits += 2;
     }
+    edits
 }
 
 #[derive(Default)]
