--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -307,6 +307,7 @@
                 "stopping",
                 "overloaded",
                 "upstream_failed",
+                "log_unavailable",
             ];
             *not_run && elsewhere.contains(&kind.as_str())
         }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -122,15 +122,17 @@
     seconds: u64,
 }
 
+type Ended = Result<(), Box<dyn Error>>;
+
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
     let ended = match options.command {
-        Command::Capacity(options) => done(measure_capacity(&options)),
-        Command::Idle(options) => done(measure_idle(&options)),
+        Command::Capacity(options) => measure_capacity(&options),
+        Command::Idle(options) => measure_idle(&options),
         Command::Run(options) => run(&options),
-        Command::Way(arguments) => done(measure_way(arguments)),
+        Command::Way(arguments) => measure_way(arguments),
         Command::Storm(options) => run_storm(&options),
-        Command::Recovery(options) => done(measure_recovery(&options)),
+        Command::Recovery(options) => measure_recovery(&options),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -141,11 +143,7 @@
     }
 }
 
-fn done(_: ()) -> Result<(), Box<dyn Error>> {
-    Ok(())
-}
-
-fn run(options: &RunOptions) -> Result<(), Box<dyn Error>> {
+fn run(options: &RunOptions) -> Ended {
     let scenario = Scenario::read(&options.scenario)?;
     let policies = scenario.choose_policies(&options.policy)?;
     let all = experiment::run(&scenario, &policies, options.seed, &options.out)?;
@@ -153,7 +151,7 @@
     Ok(())
 }
 
-fn run_storm(options: &StormOptions) -> Result<(), Box<dyn Error>> {
+fn run_storm(options: &StormOptions) -> Ended {
     let (report, lines) = storm::run(options.seed, Duration::from_secs(options.seconds));
     std::fs::create_dir_all(&options.out)?;
     let path = options.out.join(format!("storm-{}.jsonl", options.seed));
@@ -167,7 +165,7 @@
     }
 }
 
-fn measure_way(arguments: WayArguments) {
+fn measure_way(arguments: WayArguments) -> Ended {
     let streams = match arguments.streams.is_empty() {
         true => vec![16, 64, 256],
         false => arguments.streams,
@@ -182,9 +180,10 @@
     for count in streams {
         print(&way.throughput(count));
     }
+    Ok(())
 }
 
-fn measure_capacity(options: &CapacityOptions) {
+fn measure_capacity(options: &CapacityOptions) -> Ended {
     let default = vec![10, 50, 100];
     let percents = if options.percent.is_empty() {
         &default
@@ -202,9 +201,10 @@
         };
         print(&capacity::measure(size));
     }
+    Ok(())
 }
 
-fn measure_idle(options: &IdleOptions) {
+fn measure_idle(options: &IdleOptions) -> Ended {
     let default = vec![3, 8, 24];
     let counts = if options.hosts.is_empty() {
         &default
@@ -220,14 +220,16 @@
             span,
         ));
     }
+    Ok(())
 }
 
-fn measure_recovery(options: &RecoveryOptions) {
+fn measure_recovery(options: &RecoveryOptions) -> Ended {
     print(&recovery::measure_kill());
     print(&recovery::measure_outage(Duration::from_secs(
         options.outage_s,
     )));
     print(&recovery::measure_new_host(options.models));
+    Ok(())
 }
 
 fn print(result: &impl Serialize) {
