--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -254,13 +254,17 @@
         let path = format!("/streams/mangovale/records?from={next}&max=512&wait_ms=0");
         let page = site.log.get(&path);
         let records = page["records"].as_array().map_or(&[][..], Vec::as_slice);
-        if records.is_empty() {
+        let oldest = as_u64(&page["oldest_offset"]);
+        if records.is_empty() && oldest <= next {
             break;
         }
         for record in records {
             *kinds.entry(record_kind(record)).or_insert(0) += 1;
         }
-        next = as_u64(&page["next_offset"]);
+        next = match records.is_empty() {
+            true => oldest,
+            false => as_u64(&page["next_offset"]),
+        };
     }
     kinds.sort_unstable_keys();
     kinds
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -76,7 +76,7 @@
     pub cold: Spread,
     /// How many of those got no answer.
     pub cold_unanswered: usize,
-    /// From arrival to first byte, of requests that found one; those of the saturation are left out.
+    /// From arrival to first byte, of requests that found one; those that met the saturation are left out.
     pub warm: Spread,
     /// How many of those got no answer.
     pub warm_unanswered: usize,
@@ -128,7 +128,7 @@
     // Under saturation the wait in the queue would hide what a warm request costs.
     let usual = history
         .iter()
-        .filter(|line| is_chat(line) && line.phase != Phase::Saturation);
+        .filter(|line| is_chat(line) && !meets_saturation(scenario, line));
     let (warm, cold): (Vec<&HistoryLine>, Vec<&HistoryLine>) =
         usual.partition(|line| found_ready(samples, &line.target, line.asked_ms));
     let good = history.iter().filter(|line| line.is_good()).count();
@@ -147,6 +147,16 @@
     }
 }
 
+/// Tells whether a request is for the saturated model, while its queue is longer than usual.
+fn meets_saturation(scenario: &Scenario, line: &HistoryLine) -> bool {
+    let Some(saturation) = &scenario.load.saturation else {
+        return false;
+    };
+    let over_ms = saturation.start_ms + saturation.span_ms + line.deadline_ms;
+    let is_saturated = scenario.targets()[0].name == line.target;
+    is_saturated && (saturation.start_ms..over_ms).contains(&line.asked_ms)
+}
+
 fn is_chat(line: &HistoryLine) -> bool {
     matches!(line.call, CallKind::Chat { .. })
 }
