--- a/bench/tests/copies.rs
+++ b/bench/tests/copies.rs
@@ -3,6 +3,7 @@
 //! The engines' own peaks are the witness. They enforce no memory here, so that each order too many
 //! would show.
 
+use mangovale::table::message::{Change, StoreLimits};
 use mangovale_bench::call::Outcome;
 use mangovale_bench::process::wait_for;
 use mangovale_bench::site::{EngineSpec, Plan, Site};
@@ -45,6 +46,15 @@
     calls
 }
 
+/// Lets the hosts decide loads as fast as they like.
+fn fast_store() -> Change {
+    let limits = StoreLimits {
+        parallel_loads: 100,
+        loads_per_s: 100,
+    };
+    Change::SetStore { limits }
+}
+
 fn outcomes(calls: Vec<Task<Outcome>>) -> Vec<Outcome> {
     calls.into_iter().map(smol::block_on).collect()
 }
@@ -121,6 +131,7 @@
     for model in models {
         site.put_model(model, 4_000, &["north"]);
     }
+    site.edit(vec![fast_store()]);
     site.log
         .faults(&json!({ "lose_answers": 0.2, "seed": 5, "paths": ["/streams"] }));
     let mut calls = Vec::new();
