--- a/bench/tests/copies.rs
+++ b/bench/tests/copies.rs
@@ -138,13 +138,63 @@
     for model in models {
         calls.extend(burst(&site, &[0, 1, 2, 3], model, 1));
     }
-    wait_for("two models to be loaded", || {
-        let peaks = site.engines[0].get("/admin/peaks");
-        peaks["loads_done"].as_u64() >= Some(2)
-    });
+    assert_answered(&outcomes(calls));
     let peaks = site.engines[0].get("/admin/peaks");
     assert_eq!(peaks["overcommitted"], false, "{peaks}");
-    drop(calls);
+}
+
+#[test]
+fn a_request_that_cannot_wait_for_its_model_is_refused_at_once_and_served_when_it_comes_back() {
+    let slow = EngineSpec {
+        load_ms: 1_500,
+        ..engine("engine", true)
+    };
+    let site = plan(3).engine(slow).start();
+    site.put_model("first", 3_000, &["north"]);
+    site.put_model("second", 3_000, &["north"]);
+    assert_answered(&outcomes(burst(&site, &[0], "first", 1)));
+    let caller = site.caller("north");
+    let address = site.hosts[0].caller;
+    let early = smol::block_on(caller.chat(address, "second", "in a hurry", Some(700)));
+    let Outcome::Refused {
+        kind,
+        ran,
+        retry_after_ms,
+        total_ms,
+        ..
+    } = early
+    else {
+        panic!("{early:?}");
+    };
+    assert_eq!((&*kind, &*ran), ("cold_start_too_long", "not_run"));
+    assert!(total_ms < 500, "refused after {total_ms} ms");
+    assert!((1_000..5_000).contains(&retry_after_ms.unwrap()));
+    wait_ready(&site, 0, "second");
+    let again = smol::block_on(caller.chat(address, "second", "in a hurry", Some(700)));
+    assert!(again.is_success(), "{again:?}");
+}
+
+#[test]
+fn a_copy_that_its_engine_lost_is_loaded_again() {
+    let site = plan(3).engine(engine("engine", false)).start();
+    site.put_model("review", 4_000, &["north"]);
+    assert_answered(&outcomes(burst(&site, &[0], "review", 1)));
+    let first = copy_of(&site, 0, "review").unwrap();
+    wait_for("the engine's report to reach every host", || {
+        (0..3).all(|host| {
+            let dump = site.operator_get(host, "/dump").to_string();
+            dump.contains("\"was_reported\":true")
+        })
+    });
+    let order = json!({
+        "order": 900_000, "fence": 900_000, "action": "unload", "model": "review", "version": "1",
+    });
+    assert!(site.engines[0].admin_post("/orders", &order).is_success());
+    wait_for("the lost copy to be dropped or loaded again", || {
+        copy_of(&site, 0, "review").is_none_or(|copy| copy["order"] != first["order"])
+    });
+    assert_answered(&outcomes(burst(&site, &[0, 1, 2], "review", 1)));
+    assert_one_load(&site, "review");
 }
 
 /// How an executor fails.
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -63,6 +63,12 @@
         self.queues.get(target).map_or(0, VecDeque::len)
     }
 
+    /// Returns the highest urgency among the requests that wait for a target.
+    pub fn most_urgent(&self, target: &str) -> Option<Urgency> {
+        let queue = self.queues.get(target)?;
+        queue.iter().map(|waiting| waiting.urgency).min()
+    }
+
     /// Returns the targets that are waited for.
     pub fn targets(&self) -> Vec<Name> {
         self.queues
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -307,6 +307,7 @@
     ) {
         match reply {
             PeerReply::Probe(probe) => self.on_probe_answer(now, peer, asked_at, &probe, fx),
+            PeerReply::Noted => {}
             PeerReply::Records { records, .. } => {
                 self.freshness.relay_answered();
                 self.apply_relayed(now, &records, fx);
@@ -374,6 +375,10 @@
                 self.take_hints(now, &probe);
                 PeerReply::Probe(self.own_probe(now))
             }
+            PeerRequest::Demand(hints) => {
+                self.on_demand(now, &hints);
+                PeerReply::Noted
+            }
             PeerRequest::Records { from } => PeerReply::Records {
                 records: self.records_from(from, MAX_READ_RECORDS),
                 next_offset: self.shared.next_offset,
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -107,7 +107,7 @@
     /// Finished operations with their answers.
     pub finished: FinishedOperations,
     /// Placement's own state at this host.
-    pub demand: crate::daemon::placement_flow::Demand,
+    pub demand: crate::daemon::demand_flow::Demand,
     /// Membership's own state at this host.
     pub platform: crate::daemon::membership_flow::Platform,
 }
--- a/src/daemon/placement_flow.rs
+++ b/src/daemon/placement_flow.rs
@@ -1,46 +1,18 @@
 //! Joins demand, placement policy and the executor to the log.
 
+use crate::daemon::demand_flow::LEAST_IDLE_MS;
 use crate::daemon::node::{Life, Node};
 use crate::membership::message::UpstreamRole;
 use crate::placement::copies::CopyState;
-use crate::placement::decided::DecidedCopies;
-use crate::placement::message::{EngineReport, OrderAnswer, StoreReport};
-use crate::placement::policy::choice::choose_load;
-use crate::placement::presence::Presence;
+use crate::placement::message::{EngineReport, OrderAnswer};
 use crate::placement::retire::{RetireReason, retired_by_table};
 use crate::prelude::*;
 use crate::routing::upstreams::REPORT_INTERVAL_MS;
 use crate::shared_log::fold::Applied;
 
-/// How long a host waits for a proposed load to be read back before it proposes again.
-pub const LOAD_PROPOSAL_REST_MS: Millis = Millis(1_000);
-
 /// Most copies that are looked at in one tick, to find those that are to go.
 pub const COPIES_PER_TICK: usize = 64;
 
-/// What this host knows of the demand for models.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Demand {
-    last_used_at: IndexMap<Name, Millis>,
-    proposed_loads: IndexMap<Name, Millis>,
-    store: Option<StoreReport>,
-    presence: Presence,
-    decided: DecidedCopies,
-    cursor: usize,
-}
-
-impl Demand {
-    /// Takes note of a request for a model.
-    pub fn note_use(&mut self, now: Millis, model: &Name) {
-        self.last_used_at.insert(model.clone(), now);
-    }
-
-    /// Takes the weight store's report.
-    pub fn on_store(&mut self, report: Option<StoreReport>) {
-        self.store = report;
-    }
-}
-
 impl Node {
     /// Proposes loads and unloads, sends orders, and asks engines for reports.
     pub fn tick_placement(&mut self, now: Millis, fx: &mut Effects) {
@@ -55,22 +27,7 @@
         if self.life == Life::Serving {
             self.propose_unloads(now);
         }
-    }
-
-    /// Proposes a load when a model is waited for and has no copy.
-    pub fn ensure_loading(&mut self, now: Millis, model: &Name) {
-        if self.shared.placement.copies_of(model).next().is_some() {
-            return;
-        }
-        let proposed = self.demand.proposed_loads.get(model);
-        if proposed.is_some_and(|at| now.since(*at) < LOAD_PROPOSAL_REST_MS) {
-            return;
-        }
-        let Some(load) = choose_load(&self.shared.placement, &self.shared.table, model) else {
-            return;
-        };
-        self.demand.proposed_loads.insert(model.clone(), now);
-        self.driver.queue(RecordBody::Load { load });
+        self.tick_demand(now, fx);
     }
 
     fn ask_engines(&mut self, now: Millis, fx: &mut Effects) {
@@ -174,13 +131,13 @@
             if copy.state != CopyState::Ready || self.shared.placement.is_base_in_use(copy) {
                 continue;
             }
-            let model = copy.load.model.clone();
+            let upstream = copy.load.upstream.clone();
             let reason = self.retire_reason(now, id);
-            if reason.is_none() && !self.is_idle_too_long(now, &model) {
+            if reason.is_none() && !self.is_idle_too_long(now, id) {
                 continue;
             }
             let key = format!("unload {id}");
-            if self.is_home(&model) && self.platform.may_propose(now, &key) {
+            if self.is_home(&upstream) && self.platform.may_propose(now, &key) {
                 if let Some(reason) = reason {
                     LogEvent::CopyRetired.write(&format!("copy={id} reason={reason:?}"));
                 }
@@ -219,9 +176,15 @@
         entry.is_some_and(|entry| entry.leaving) || view.is_some_and(|view| view.leaving)
     }
 
-    fn is_idle_too_long(&mut self, now: Millis, model: &Name) -> bool {
-        let last_used_at = *self.demand.last_used_at.entry(model.clone()).or_insert(now);
-        self.config.keep_warm.is_due(now.since(last_used_at)) && self.queues.waiting(model) == 0
+    fn is_idle_too_long(&mut self, now: Millis, id: Offset) -> bool {
+        let Some(copy) = self.shared.placement.copies.get(&id) else {
+            return false;
+        };
+        self.demand.uses.meet(now, &copy.load.model);
+        let idle = self.idle_copy(now, copy);
+        idle.is_some_and(|idle| {
+            idle.idle_ms >= LEAST_IDLE_MS && self.config.keep_warm.is_due(&idle)
+        })
     }
 
     /// Takes an applied record.
@@ -229,8 +192,9 @@
         let offset = applied.offset;
         match &applied.record.body {
             RecordBody::Load { load } => {
-                self.demand.proposed_loads.shift_remove(&load.model);
+                self.demand.on_load(&load.model);
                 if applied.verdict.is_accepted() {
+                    self.demand.on_load_decided(offset, self.shared.log_ms);
                     let details = format!(
                         "copy={offset} model={} upstream={}",
                         load.model, load.upstream
@@ -245,6 +209,8 @@
                 LogEvent::OrderTakenOver.write(&format!("copy={copy} fence={offset}"));
             }
             RecordBody::Outcome { copy, .. } if applied.verdict.is_accepted() => {
+                let placement = &self.shared.placement;
+                self.demand.on_outcome(self.shared.log_ms, *copy, placement);
                 let ready = self.shared.placement.copies.contains_key(copy);
                 let event = if ready {
                     LogEvent::CopyReady
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -63,6 +63,10 @@
             let message = "this host holds too many requests";
             return Err(Refusal::new(ErrorKind::Overloaded, message).after(RETRY_MS));
         }
+        let deadline_ms = head
+            .deadline_ms
+            .map_or(row.deadline_ms, |own| own.min(row.deadline_ms));
+        self.check_cold_start(now, &head.name, deadline_ms)?;
         if let Err(retry_after_ms) = self.limits.admit(now, &key, &row) {
             let message = format!(
                 "the limit of brand {} for {} is reached",
@@ -70,9 +74,6 @@
             );
             return Err(Refusal::new(ErrorKind::RowLimit, message).after(retry_after_ms));
         }
-        let deadline_ms = head
-            .deadline_ms
-            .map_or(row.deadline_ms, |own| own.min(row.deadline_ms));
         let name = head.name.clone();
         let operation = operation_of(&head, &key);
         self.requests.insert(HeldRequest {
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -73,6 +73,8 @@
     OrderRelinquished = 506,
     /// A copy is to go whatever the demand for it.
     CopyRetired = 507,
+    /// An idle copy is to go for another model.
+    CopyEvicted = 508,
     /// An upstream was registered.
     UpstreamRegistered = 600,
     /// An upstream is leaving.
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -3,6 +3,7 @@
 use crate::clock::Millis;
 use crate::idempotency::message::{OperationKey, OperationState};
 use crate::membership::leaving::LeavingHint;
+use crate::placement::policy::demand::DemandHints;
 use crate::shared_log::record::{Incarnation, LoggedRecord, Offset};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -79,6 +80,8 @@
 pub enum PeerRequest {
     /// Shows life and exchanges offsets.
     Probe(Probe),
+    /// Tells of demand for models.
+    Demand(DemandHints),
     /// Asks for applied records from an offset on.
     Records {
         /// The first offset wanted.
@@ -96,6 +99,8 @@
 pub enum PeerReply {
     /// The answer to a probe.
     Probe(Probe),
+    /// The hints were taken.
+    Noted,
     /// Applied records, in order.
     Records {
         /// The records; empty when there are none, or they are no longer kept.
--- /dev/null
+++ b/src/placement/policy/tests.rs
@@ -0,0 +1,226 @@
+//! Tests of the policies, and their cost over a seeded trace.
+
+use crate::placement::message::{CheckpointCache, EngineReport, OrderOutcome};
+use crate::placement::policy::choice::{Choice, LoadView, UpstreamHint, choose, store_wait_ms};
+use crate::placement::policy::demand::{UseHint, Uses};
+use crate::placement::policy::gaps::Gaps;
+use crate::placement::policy::keep_warm::{IdleCopy, KeepWarmRule};
+use crate::placement::test_site::{A, TestLog};
+use crate::prelude::*;
+use crate::table::message::{StoreLimits, Urgency};
+
+fn gaps(seconds: &[u64]) -> Gaps {
+    let mut gaps = Gaps::default();
+    for gap in seconds {
+        gaps.note(Millis(gap * 1_000));
+    }
+    gaps
+}
+
+#[test]
+fn without_history_a_copy_is_kept_as_long_as_a_cold_start_is_worth() {
+    let none = Gaps::default();
+    assert!(none.is_worth_waiting(Millis(99_000), 100.0));
+    assert!(!none.is_worth_waiting(Millis(100_000), 100.0));
+}
+
+#[test]
+fn a_model_used_every_few_seconds_is_kept_and_one_used_daily_is_not() {
+    let often = gaps(&[5, 6, 5, 7, 5, 6]);
+    assert!(often.is_worth_waiting(Millis(1_000), 30.0));
+    let daily = gaps(&[80_000, 81_000, 79_000, 82_000, 80_000]);
+    assert!(!daily.is_worth_waiting(Millis(1_000), 30.0));
+}
+
+#[test]
+fn a_copy_past_its_usual_gap_is_given_up() {
+    let often = gaps(&[5, 6, 5, 7, 5, 6]);
+    assert!(!often.is_worth_waiting(Millis(60_000), 30.0));
+}
+
+#[test]
+fn the_gap_counts_stay_bounded() {
+    let mut gaps = Gaps::default();
+    for gap in 0..100_000 {
+        gaps.note(Millis(gap));
+    }
+    assert!(gaps.is_worth_waiting(Millis(0), 1_000.0));
+    assert!(size_of::<Gaps>() <= 32);
+}
+
+#[test]
+fn hints_of_other_hosts_make_gaps_and_hold_a_model_busy() {
+    let mut uses = Uses::default();
+    let model: Name = "m".into();
+    uses.note_own(Millis(10_000), &model);
+    let hint = UseHint {
+        model: model.clone(),
+        idle_ms: Millis(0),
+        waiting: 0,
+        running: 1,
+        urgency: Urgency::Normal,
+    };
+    uses.note_hint(Millis(20_000), &hint);
+    let used = uses.get("m").unwrap();
+    assert_eq!(used.last_used_at, Millis(20_000));
+    assert!(used.busy_until > Millis(20_000));
+}
+
+fn choose_in(log: &TestLog, model: &str, report: Option<(&str, &EngineReport)>) -> Choice {
+    let view = LoadView {
+        placement: log.placement(),
+        table: &log.shared.table,
+        decided: 1,
+        store: None,
+        load_ms: Some(Millis(60_000)),
+    };
+    choose(&view, model, |upstream| UpstreamHint {
+        usable: true,
+        report: report
+            .filter(|(name, _)| *name == upstream)
+            .map(|(_, report)| report),
+    })
+}
+
+#[test]
+fn the_engine_with_the_checkpoint_near_is_taken_before_one_with_more_memory() {
+    let mut log = TestLog::new();
+    log.put_model("other", "1", None, 1);
+    log.put_model("m", "1", None, 1);
+    let other = log.load(A, "other", "ignores");
+    log.end(A, other, OrderOutcome::Done);
+    let Choice::Load(load) = choose_in(&log, "m", None) else {
+        panic!("no load");
+    };
+    assert_eq!(&*load.upstream, "checks");
+    let report = EngineReport {
+        cache: CheckpointCache {
+            memory: Vec::new(),
+            disk: vec!["m@1".into()],
+        },
+        ..EngineReport::default()
+    };
+    let Choice::Load(load) = choose_in(&log, "m", Some(("ignores", &report))) else {
+        panic!("no load");
+    };
+    assert_eq!(&*load.upstream, "ignores");
+}
+
+#[test]
+fn an_adapter_brings_its_base_first_and_then_goes_beside_it() {
+    let mut log = TestLog::new();
+    log.put_model("base", "1", None, 1);
+    log.put_model("adapter", "1", Some("base"), 1);
+    let Choice::Load(load) = choose_in(&log, "adapter", None) else {
+        panic!("no load");
+    };
+    assert_eq!(&*load.model, "base");
+    let base = log.accept(A, RecordBody::Load { load: load.clone() });
+    assert_eq!(choose_in(&log, "adapter", None), Choice::Wait);
+    log.end(A, base, OrderOutcome::Done);
+    let Choice::Load(adapter) = choose_in(&log, "adapter", None) else {
+        panic!("no load");
+    };
+    assert_eq!(
+        (&*adapter.model, &adapter.upstream),
+        ("adapter", &load.upstream)
+    );
+}
+
+#[test]
+fn a_model_too_large_for_every_engine_is_never_loaded_and_a_full_site_must_make_room() {
+    let mut log = TestLog::new();
+    for model in ["a", "b", "c", "d", "e"] {
+        log.put_model(model, "1", None, 1);
+    }
+    for (model, upstream) in [
+        ("a", "checks"),
+        ("b", "checks"),
+        ("c", "ignores"),
+        ("d", "ignores"),
+    ] {
+        log.load(A, model, upstream);
+    }
+    assert!(matches!(
+        choose_in(&log, "e", None),
+        Choice::MakeRoom { .. }
+    ));
+    log.shared
+        .table
+        .models
+        .get_mut("e")
+        .unwrap()
+        .value
+        .reserved_bytes = 1_000;
+    assert_eq!(choose_in(&log, "e", None), Choice::Never);
+}
+
+#[test]
+fn a_load_waits_for_the_stores_slots() {
+    let limits = StoreLimits {
+        parallel_loads: 4,
+        loads_per_s: 2,
+    };
+    assert_eq!(store_wait_ms(3, &limits, Millis(8_000)), Millis(0));
+    assert_eq!(store_wait_ms(4, &limits, Millis(8_000)), Millis(2_000));
+}
+
+/// The cost of a rule over a trace of one model's requests: idle seconds and cold starts.
+fn replay(rule: KeepWarmRule, gaps_s: &[u64], cold_start_ms: Millis) -> (u64, u64) {
+    let mut gaps = Gaps::default();
+    let (mut idle_s, mut cold_starts) = (0, 0);
+    for gap in gaps_s {
+        let kept_s = (0..*gap).find(|second| {
+            rule.is_due(&IdleCopy {
+                idle_ms: Millis(second * 1_000),
+                cold_start_ms,
+                accelerator_share: 1.0,
+                gaps: &gaps,
+            })
+        });
+        idle_s += kept_s.unwrap_or(*gap);
+        cold_starts += u64::from(kept_s.is_some());
+        gaps.note(Millis(gap * 1_000));
+    }
+    (idle_s, cold_starts)
+}
+
+/// Models of three kinds: used in bursts, used regularly, used hardly ever.
+fn trace(kind: usize, rng: &mut fastrand::Rng) -> Vec<u64> {
+    (0..60)
+        .map(|_| match kind {
+            0 if rng.f64() < 0.8 => rng.u64(1..20),
+            0 => rng.u64(5_000..20_000),
+            1 => rng.u64(100..140),
+            _ => rng.u64(2_000..40_000),
+        })
+        .collect()
+}
+
+#[test]
+fn the_learned_rule_costs_less_than_a_fixed_timeout_and_lru_over_a_seeded_trace() {
+    const PRICE: f64 = 10.0;
+    const COLD_START_MS: Millis = Millis(30_000);
+    let rules = [
+        KeepWarmRule::FixedTimeout {
+            idle_ms: Millis(300_000),
+        },
+        KeepWarmRule::LeastRecentlyUsed,
+        KeepWarmRule::Learned {
+            cold_second_price: PRICE,
+        },
+    ];
+    let costs = rules.map(|rule| {
+        let mut rng = fastrand::Rng::with_seed(7);
+        let mut total = (0, 0);
+        for model in 0..30 {
+            let (idle_s, cold_starts) = replay(rule, &trace(model % 3, &mut rng), COLD_START_MS);
+            total = (total.0 + idle_s, total.1 + cold_starts);
+        }
+        let cold_s = total.1 as f64 * PRICE * COLD_START_MS.0 as f64 / 1_000.0;
+        println!("{rule:?}: idle {} s, cold starts {}", total.0, total.1);
+        total.0 as f64 + cold_s
+    });
+    assert!(costs[2] < costs[0], "{costs:?}");
+    assert!(costs[2] < costs[1], "{costs:?}");
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -165,6 +165,10 @@
     if let KeepWarmRule::FixedTimeout { idle_ms } = settings.policy.keep_warm {
         require(idle_ms > Millis::ZERO, key, "idle_ms must be above 0")?;
     }
+    if let KeepWarmRule::Learned { cold_second_price } = settings.policy.keep_warm {
+        let allowed = cold_second_price.is_finite() && cold_second_price >= 0.0;
+        require(allowed, key, "cold_second_price must be 0 or more")?;
+    }
     Ok(())
 }
 
