--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -128,6 +128,7 @@
         Self::OrderTakenOver,
         Self::OrderRelinquished,
         Self::CopyRetired,
+        Self::CopyEvicted,
         Self::UpstreamRegistered,
         Self::UpstreamLeaving,
         Self::UpstreamSilent,
