--- a/bench/src/idle.rs
+++ b/bench/src/idle.rs
@@ -1,13 +1,10 @@
 //! What idle daemons cost: processor time, memory and control bytes of each process.
 
-use crate::process::Process;
+use crate::proc_stat::{CLOCK_TICKS_PER_S, CpuTicks, resident_bytes};
 use crate::site::{EngineSpec, Site};
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
-const CLOCK_TICKS_PER_S: f64 = 100.0;
-const KIB: u64 = 1_024;
-
 /// The cost of one idle daemon, as the mean over the site.
 #[derive(Clone, Debug, Serialize)]
 pub struct IdleCost {
@@ -54,29 +51,24 @@
     }
 }
 
-fn put_models(site: &Site, models: usize) {
+/// Fills the table with models and a row for each; returns how many edits it took.
+pub fn put_models(site: &Site, models: usize) -> u64 {
     const PER_EDIT: usize = 500;
     if models == 0 {
-        return;
+        return 0;
     }
     site.edit(vec![crate::site::put_brand("north")]);
+    let mut edits = 1;
     for first in (0..models).step_by(PER_EDIT) {
-        let names: Vec<String> = (first..models.min(first + PER_EDIT))
-            .map(|n| format!("model-{n:05}"))
-            .collect();
-        site.edit(
-            names
-                .iter()
-                .map(|name| crate::site::put_model(name, 1_000))
-                .collect(),
-        );
-        site.edit(
-            names
-                .iter()
-                .map(|name| crate::site::put_row("north", name))
-                .collect(),
-        );
+        let last = models.min(first + PER_EDIT);
+        let names: Vec<String> = (first..last).map(|n| format!("model-{n:05}")).collect();
+        let put_models = names.iter().map(|name| crate::site::put_model(name, 1_000));
+        site.edit(put_models.collect());
+        let put_rows = names.iter().map(|name| crate::site::put_row("north", name));
+        site.edit(put_rows.collect());
+        edits += 2;
     }
+    edits
 }
 
 #[derive(Default)]
@@ -90,8 +82,8 @@
 fn sum(site: &Site) -> Sum {
     let mut sum = Sum::default();
     for host in &site.hosts {
-        sum.cpu_ticks += cpu_ticks(&host.process);
-        sum.resident_bytes += resident_bytes(&host.process);
+        sum.cpu_ticks += CpuTicks::of(host.process.id()).total();
+        sum.resident_bytes += resident_bytes(host.process.id());
         sum.log_bytes += host.log_link.as_ref().map_or(0, |link| link.passed_bytes());
         sum.peer_bytes += host
             .peer_link
@@ -100,23 +92,3 @@
     }
     sum
 }
-
-fn cpu_ticks(process: &Process) -> u64 {
-    const USER_FIELD: usize = 11;
-    let text = std::fs::read_to_string(format!("/proc/{}/stat", process.id())).unwrap_or_default();
-    let after_name = text.rsplit(')').next().unwrap_or_default();
-    after_name
-        .split_whitespace()
-        .skip(USER_FIELD)
-        .take(2)
-        .filter_map(|field| field.parse::<u64>().ok())
-        .sum()
-}
-
-fn resident_bytes(process: &Process) -> u64 {
-    let text =
-        std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-    kib.unwrap_or(0) * KIB
-}
--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -28,6 +28,7 @@
 use trillium_client::Method;
 
 const OPERATOR: &str = "operator";
+const PORT_TAKEN: &str = "Address already in use";
 const LISTEN_PORTS: std::ops::Range<u16> = 10_000..32_000;
 const DATA_CENTRE: &str = "sapporo-a";
 /// The platform knows which processes exist; a frozen one does not vanish from its list.
@@ -38,6 +39,8 @@
 pub struct EngineSpec {
     /// Its name.
     pub name: String,
+    /// The data centre it stands in.
+    pub data_centre: String,
     /// Its accelerator memory.
     pub memory_bytes: u64,
     /// How many requests it batches.
@@ -57,6 +60,7 @@
     pub fn named(name: &str) -> Self {
         Self {
             name: name.to_string(),
+            data_centre: DATA_CENTRE.to_string(),
             memory_bytes: 10_000,
             slots: 8,
             load_ms: 300,
@@ -77,12 +81,14 @@
     hosts_arguments: Vec<String>,
     host_count: usize,
     host_settings: String,
+    host_data_centres: Vec<String>,
     links: bool,
 }
 
 #[derive(Debug)]
 struct ServiceSpec {
     name: String,
+    data_centre: String,
     arguments: Vec<String>,
 }
 
@@ -94,15 +100,26 @@
     }
 
     /// Adds a plain service's upstream, with further arguments of the stand-in.
-    pub fn service(mut self, name: &str, arguments: &[&str]) -> Self {
-        let arguments = to_strings(arguments);
+    pub fn service(self, name: &str, arguments: &[&str]) -> Self {
+        self.service_in(DATA_CENTRE, name, arguments)
+    }
+
+    /// Adds a plain service's upstream in a data centre.
+    pub fn service_in(mut self, data_centre: &str, name: &str, arguments: &[&str]) -> Self {
         self.services.push(ServiceSpec {
             name: name.to_string(),
-            arguments,
+            data_centre: data_centre.to_string(),
+            arguments: to_strings(arguments),
         });
         self
     }
 
+    /// Spreads the daemons over data centres, in turn.
+    pub fn host_data_centres(mut self, names: &[String]) -> Self {
+        self.host_data_centres = names.to_vec();
+        self
+    }
+
     /// Adds the weight store, from which the engines then fetch.
     pub fn store(mut self, arguments: &[&str]) -> Self {
         self.store_arguments = Some(to_strings(arguments));
@@ -196,8 +213,22 @@
 impl Host {
     /// Tells whether it serves.
     pub fn is_serving(&self) -> bool {
+        self.health().is_success()
+    }
+
+    /// Waits until it answers callers, serving or not; tells whether it did not end instead.
+    fn is_listening(&mut self) -> bool {
+        wait_for(&format!("{} to listen or end", self.name), || {
+            !self.process.is_running() || self.health() != Outcome::NotConnected
+        });
+        // Where another process has the port, that one answered, and the daemon is about to end.
+        sleep(POLL);
+        self.process.is_running()
+    }
+
+    fn health(&self) -> Outcome {
         let url = format!("http://{}/healthz", self.caller);
-        smol::block_on(finish(client().build_conn(Method::Get, url))).is_success()
+        smol::block_on(finish(client().build_conn(Method::Get, url)))
     }
 }
 
@@ -219,6 +250,7 @@
     platform: PlatformWatch,
     directory: TempDir,
     host_settings: String,
+    host_data_centres: Vec<String>,
     links: bool,
     token: String,
     token_sha256: Arc<str>,
@@ -272,6 +304,7 @@
             platform,
             directory,
             host_settings: plan.host_settings,
+            host_data_centres: plan.host_data_centres,
             links: plan.links,
             token,
             token_sha256,
@@ -314,16 +347,36 @@
     }
 
     /// Starts one more daemon and returns its index.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the daemon's log when it ends at once, other than for a port that was just taken.
     pub fn add_host(&mut self) -> usize {
+        const TRIES: usize = 10;
         let index = self.hosts.len();
         let name = format!("entry-{}", index + 1);
         self.make_keys(&name);
+        for _ in 0..TRIES {
+            let mut host = self.start_host(&name);
+            if host.is_listening() {
+                self.platform.watch(&name, host.process.id());
+                self.hosts.push(host);
+                return index;
+            }
+            let log = host.process.log();
+            assert!(log.contains(PORT_TAKEN), "{name} ended:\n{log}");
+        }
+        panic!("{name} found no free ports in {TRIES} tries");
+    }
+
+    fn start_host(&self, name: &str) -> Host {
         let (caller, operator, peer) = (free_tcp(), free_tcp(), free_udp());
         let log_link = self.links.then(|| TcpLink::start(self.log.address));
         let peer_link = self.links.then(|| UdpLink::start(peer));
         let log_address = log_link.as_ref().map_or(self.log.address, TcpLink::address);
+        let data_centre = self.data_centre_of_host(index);
         let mut text = format!(
-            "name = \"{name}\"\ndata_centre = \"{DATA_CENTRE}\"\ncaller_listen = \"{caller}\"\n\
+            "name = \"{name}\"\ndata_centre = \"{data_centre}\"\ncaller_listen = \"{caller}\"\n\
              operator_listen = \"{operator}\"\npeer_listen = \"{peer}\"\n"
         );
         if let Some(link) = &peer_link {
@@ -348,10 +401,9 @@
         );
         let settings_path = self.directory.path().join(format!("{name}.toml"));
         std::fs::write(&settings_path, text).expect("the settings can be written");
-        let process = start_daemon(self.directory.path(), &name, &settings_path, 0);
-        self.platform.watch(&name, process.id());
-        let host = Host {
-            name,
+        let process = start_daemon(self.directory.path(), name, &settings_path, 0);
+        Host {
+            name: name.to_string(),
             process,
             caller,
             operator,
@@ -360,9 +412,15 @@
             peer_link,
             settings_path,
             starts: 1,
-        };
-        self.hosts.push(host);
-        index
+        }
+    }
+
+    fn data_centre_of_host(&self, index: usize) -> &str {
+        let names = &self.host_data_centres;
+        match names.len() {
+            0 => DATA_CENTRE,
+            count => &names[index % count],
+        }
     }
 
     /// Starts a daemon again whose process has ended.
@@ -567,7 +625,7 @@
     let mut arguments = with(&["engine", "--name", &engine.name], &[]);
     let hosts = format!("http://{}", host_list.address);
     let pairs = [
-        ("--data-centre", DATA_CENTRE.to_string()),
+        ("--data-centre", engine.data_centre.clone()),
         ("--hosts", hosts),
         ("--memory-bytes", engine.memory_bytes.to_string()),
         ("--slots", engine.slots.to_string()),
@@ -594,7 +652,7 @@
         "--name",
         &service.name,
         "--data-centre",
-        DATA_CENTRE,
+        &service.data_centre,
         "--hosts",
         &hosts,
     ];
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -4,6 +4,8 @@
 use log::Level;
 
 /// Something a daemon reports in its log under a fixed number.
+///
+/// A new one also goes into [`LogEvent::ALL`] and `docs/EVENTS.md`; `tests/events.rs` checks it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[repr(u16)]
 pub enum LogEvent {
@@ -71,6 +73,8 @@
     OrderRelinquished = 506,
     /// A copy is to go whatever the demand for it.
     CopyRetired = 507,
+    /// An idle copy is to go for another model.
+    CopyEvicted = 508,
     /// An upstream was registered.
     UpstreamRegistered = 600,
     /// An upstream is leaving.
@@ -124,6 +128,7 @@
         Self::OrderTakenOver,
         Self::OrderRelinquished,
         Self::CopyRetired,
+        Self::CopyEvicted,
         Self::UpstreamRegistered,
         Self::UpstreamLeaving,
         Self::UpstreamSilent,
