--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,6 +1,7 @@
 //! Which waiting request goes next, and which are refused at once.
 
 pub mod limits;
+pub mod pace;
 pub mod queue;
 
 #[cfg(test)]
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -1,12 +1,23 @@
 //! The waiting requests of each model or service, and the order in which they go.
+//!
+//! The most urgent class goes first; waiting moves a request up one class at a time, so that no class
+//! starves. Within a class the brands share by weight: start-time fair queueing, where each request
+//! starts when its brand's former one would have finished at the brand's share.
 
+use crate::admission::pace::Pace;
 use crate::attempt::message::RequestId;
 use crate::prelude::*;
 use crate::table::message::Urgency;
-use std::collections::VecDeque;
 
 /// Most requests waiting for one model or service at one host.
 pub const MAX_WAITING: usize = 2_000;
+/// Most requests of one brand among them.
+pub const MAX_WAITING_OF_BRAND: usize = 500;
+/// How long a request waits before it counts as one class more urgent.
+pub const AGEING_MS: Millis = Millis(10_000);
+
+/// What one request of a brand with weight 1 takes of its brand's share.
+const REQUEST_COST: u64 = 1 << 20;
 
 /// A waiting request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -21,12 +32,109 @@
     pub urgency: Urgency,
     /// Since when it waits.
     pub since: Millis,
+    /// When it must be answered.
+    pub deadline_at: Millis,
+    /// Whether it went before and came back, so that its share is paid.
+    pub came_back: bool,
+}
+
+/// A waiting request that cannot be served by its deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hopeless {
+    /// The request.
+    pub request: RequestId,
+    /// How long it would wait.
+    pub wait_ms: Millis,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Entry {
+    waiting: Waiting,
+    start: u64,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Queue {
+    entries: Vec<Entry>,
+    /// The start of the last request that went.
+    now_at: u64,
+    /// When the last request of each brand finishes at the brand's share.
+    finish: IndexMap<Name, u64>,
+    pace: Pace,
 }
 
 /// The queues by model or service.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Queues {
-    queues: IndexMap<Name, VecDeque<Waiting>>,
+    queues: IndexMap<Name, Queue>,
+}
+
+/// The order of service, least first.
+type Rank = (u64, u64, Millis);
+
+impl Entry {
+    fn rank(&self, now: Millis) -> Rank {
+        let class = match self.waiting.urgency {
+            Urgency::Critical => 0,
+            Urgency::Normal => 1,
+            Urgency::Batch => 2u64,
+        };
+        let aged = now.since(self.waiting.since).0 / AGEING_MS.0;
+        (class.saturating_sub(aged), self.start, self.waiting.since)
+    }
+}
+
+impl Queue {
+    fn push(&mut self, waiting: Waiting) -> Result<(), Waiting> {
+        let same_brand = |entry: &&Entry| entry.waiting.brand == waiting.brand;
+        let of_brand = self.entries.iter().filter(same_brand).count();
+        if self.entries.len() >= MAX_WAITING || of_brand >= MAX_WAITING_OF_BRAND {
+            return Err(waiting);
+        }
+        let start = self.start_of(&waiting);
+        self.entries.push(Entry { waiting, start });
+        Ok(())
+    }
+
+    fn start_of(&mut self, waiting: &Waiting) -> u64 {
+        if waiting.came_back {
+            return self.now_at;
+        }
+        let finish = self.finish.entry(waiting.brand.clone()).or_default();
+        let start = self.now_at.max(*finish);
+        *finish = start + REQUEST_COST / u64::from(waiting.weight.max(1));
+        start
+    }
+
+    fn pop(&mut self, now: Millis) -> Option<Waiting> {
+        let best = (0..self.entries.len()).min_by_key(|index| self.entries[*index].rank(now))?;
+        let entry = self.entries.swap_remove(best);
+        self.now_at = self.now_at.max(entry.start);
+        self.finish.retain(|_, finish| *finish > self.now_at);
+        self.pace.note_start(now);
+        if self.entries.is_empty() {
+            self.pace.reset();
+        }
+        Some(entry.waiting)
+    }
+
+    fn hopeless(&self, now: Millis) -> Vec<Hopeless> {
+        let Some(interval_ms) = self.pace.interval_ms(now) else {
+            return Vec::new();
+        };
+        let mut order: Vec<&Entry> = self.entries.iter().collect();
+        order.sort_by_key(|entry| entry.rank(now));
+        order
+            .iter()
+            .zip(1u64..)
+            .map(|(entry, place)| (entry, Millis(interval_ms.0 * place)))
+            .filter(|(entry, wait_ms)| now + *wait_ms > entry.waiting.deadline_at)
+            .map(|(entry, wait_ms)| Hopeless {
+                request: entry.waiting.request,
+                wait_ms,
+            })
+            .collect()
+    }
 }
 
 impl Queues {
@@ -34,53 +142,61 @@
     ///
     /// # Errors
     ///
-    /// Gives the request back when the queue is full.
+    /// Gives the request back when the queue, or its brand's part of it, is full.
     pub fn push(&mut self, target: &Name, waiting: Waiting) -> Result<(), Waiting> {
-        let queue = self.queues.entry(target.clone()).or_default();
-        if queue.len() >= MAX_WAITING {
-            return Err(waiting);
-        }
-        queue.push_back(waiting);
-        Ok(())
+        self.queues.entry(target.clone()).or_default().push(waiting)
     }
 
-    /// Takes the request that goes next: the most urgent, and of those the oldest.
-    pub fn pop(&mut self, target: &str) -> Option<Waiting> {
-        let queue = self.queues.get_mut(target)?;
-        let best =
-            (0..queue.len()).min_by_key(|index| (queue[*index].urgency, queue[*index].since))?;
-        queue.remove(best)
+    /// Takes the request that goes next.
+    pub fn pop(&mut self, now: Millis, target: &str) -> Option<Waiting> {
+        self.queues.get_mut(target)?.pop(now)
     }
 
     /// Removes a request that is given up.
     pub fn remove(&mut self, target: &str, request: RequestId) {
         if let Some(queue) = self.queues.get_mut(target) {
-            queue.retain(|waiting| waiting.request != request);
+            queue
+                .entries
+                .retain(|entry| entry.waiting.request != request);
         }
     }
 
+    /// Returns the requests that cannot be served by their deadlines at the present pace.
+    pub fn hopeless(&self, now: Millis) -> Vec<Hopeless> {
+        self.queues
+            .values()
+            .flat_map(|queue| queue.hopeless(now))
+            .collect()
+    }
+
     /// Returns how many requests wait for a target.
     pub fn waiting(&self, target: &str) -> usize {
-        self.queues.get(target).map_or(0, VecDeque::len)
+        self.queues
+            .get(target)
+            .map_or(0, |queue| queue.entries.len())
     }
 
     /// Returns the highest urgency among the requests that wait for a target.
     pub fn most_urgent(&self, target: &str) -> Option<Urgency> {
         let queue = self.queues.get(target)?;
-        queue.iter().map(|waiting| waiting.urgency).min()
+        queue
+            .entries
+            .iter()
+            .map(|entry| entry.waiting.urgency)
+            .min()
     }
 
     /// Returns the targets that are waited for.
     pub fn targets(&self) -> Vec<Name> {
         self.queues
             .iter()
-            .filter(|(_, queue)| !queue.is_empty())
+            .filter(|(_, queue)| !queue.entries.is_empty())
             .map(|(target, _)| target.clone())
             .collect()
     }
 
     /// Drops empty queues.
     pub fn tidy(&mut self) {
-        self.queues.retain(|_, queue| !queue.is_empty());
+        self.queues.retain(|_, queue| !queue.entries.is_empty());
     }
 }
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -110,6 +110,8 @@
                 .map_or(1, |row| row.weight),
             urgency: request.urgency,
             since: request.arrived_at,
+            deadline_at: request.deadline_at,
+            came_back: request.attempts > 0,
         };
         let target = request.head.name.clone();
         if self.queues.push(&target, waiting).is_err() {
@@ -174,9 +176,20 @@
         for id in self.requests.due(now) {
             self.tick_request(now, id, fx);
         }
+        self.refuse_hopeless(now, fx);
         self.queues.tidy();
     }
 
+    /// Refuses whoever cannot be served by the deadline, with the time by which the queue is through.
+    fn refuse_hopeless(&mut self, now: Millis, fx: &mut Effects) {
+        for hopeless in self.queues.hopeless(now) {
+            let message = "the queue is longer than the request's deadline allows";
+            let refusal = Refusal::new(ErrorKind::Overloaded, message);
+            let refusal = refusal.after(hopeless.wait_ms.max(RETRY_MS));
+            self.refuse(now, hopeless.request, refusal, fx);
+        }
+    }
+
     fn tick_request(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
         let Some(request) = self.requests.get(id) else {
             return;
@@ -223,7 +236,7 @@
             let Some(chosen) = self.routing.choose(now, slots).cloned() else {
                 return;
             };
-            let Some(waiting) = self.queues.pop(target) else {
+            let Some(waiting) = self.queues.pop(now, target) else {
                 return;
             };
             let chosen = candidates.iter().find(|candidate| candidate.name == chosen);
@@ -240,7 +253,7 @@
             self.ensure_loading(now, model);
             return;
         }
-        while let Some(waiting) = self.queues.pop(model) {
+        while let Some(waiting) = self.queues.pop(now, model) {
             let message = format!("{model} has no copy, and the log is out of reach");
             let refusal = Refusal::new(ErrorKind::LogUnavailable, message).after(RETRY_MS);
             self.refuse(now, waiting.request, refusal, fx);
