--- a/bench/tests/once.rs
+++ b/bench/tests/once.rs
@@ -226,12 +226,11 @@
 #[test]
 fn an_operation_that_did_not_run_gives_its_key_back() {
     let mut site = site("0");
-    let leaving = site.services[0].admin_post("/admin/leaving", &json!({ "leaving": true }));
-    assert!(leaving.is_success());
+    site.services[0].faults(&json!({ "outage": true, "paths": ["/slots"] }));
     let first = send(&site, 0, "k1", 2_000);
     assert_eq!(ran(&first), "not_run", "{first:?}");
     site.host(0).process.kill();
-    site.services[0].admin_post("/admin/leaving", &json!({ "leaving": false }));
+    site.services[0].faults(&json!({}));
     let mut again = first;
     wait_for("the service to be used again", || {
         again = send(&site, 1, "k1", 4_000);
