Keep a row's requests a second over all hosts, by slices from the row's home

Cause: each host enforced the limit for itself, so a row could use it once at each host.

Found by the property test: the members were looked at on each tick only, so that a question between an eviction's record and the next tick was granted twice (6 in a second, limit 5).

--- a/src/admission/limits.rs
+++ b/src/admission/limits.rs
@@ -1,22 +1,15 @@
-//! The rows' limits, as far as this host enforces them.
+//! The rows' limits on requests at once, as far as this host enforces them.
 
 use crate::prelude::*;
 use crate::table::message::{Row, RowKey};
-use std::collections::VecDeque;
 
-const SECOND_MS: Millis = Millis(1_000);
-
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct RowUse {
-    running: u32,
-    begun: VecDeque<Millis>,
-}
+const RETRY_MS: Millis = Millis(1_000);
 
 /// What each row uses at this host.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Limits {
-    #[serde(with = "crate::pairs")]
-    rows: IndexMap<RowKey, RowUse>,
+    #[serde(skip)]
+    running: IndexMap<RowKey, u32>,
 }
 
 impl Limits {
@@ -25,39 +18,22 @@
     /// # Errors
     ///
     /// Returns the time to wait when the row's limit is reached.
-    pub fn admit(&mut self, now: Millis, key: &RowKey, row: &Row) -> Result<(), Millis> {
-        let used = self.rows.entry(key.clone()).or_default();
-        while used
-            .begun
-            .front()
-            .is_some_and(|at| now.since(*at) >= SECOND_MS)
-        {
-            used.begun.pop_front();
-        }
+    pub fn admit(&mut self, key: &RowKey, row: &Row) -> Result<(), Millis> {
+        let running = self.running.entry(key.clone()).or_default();
         if row
             .concurrent_requests
-            .is_some_and(|limit| used.running >= limit)
+            .is_some_and(|limit| *running >= limit)
         {
-            return Err(SECOND_MS);
-        }
-        if row
-            .requests_per_s
-            .is_some_and(|limit| used.begun.len() >= limit as usize)
-        {
-            let oldest = used.begun.front().copied().unwrap_or(now);
-            return Err(SECOND_MS - now.since(oldest));
-        }
-        used.running += 1;
-        if row.requests_per_s.is_some() {
-            used.begun.push_back(now);
+            return Err(RETRY_MS);
         }
+        *running += 1;
         Ok(())
     }
 
     /// Takes the end of an admitted request.
     pub fn end(&mut self, key: &RowKey) {
-        if let Some(used) = self.rows.get_mut(key) {
-            used.running = used.running.saturating_sub(1);
+        if let Some(running) = self.running.get_mut(key) {
+            *running = running.saturating_sub(1);
         }
     }
 }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -3,6 +3,7 @@
 pub mod limits;
 pub mod pace;
 pub mod queue;
+pub mod slices;
 
 #[cfg(test)]
 mod tests;
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the queues: shares by weight, urgency with ageing, bounds, and predicted waits.
 
+mod limits;
+
 use crate::admission::pace::LEAST_STARTS;
 use crate::admission::queue::{AGEING_MS, MAX_WAITING_OF_BRAND, Queues, Waiting};
 use crate::attempt::message::RequestId;
--- /dev/null
+++ b/src/admission/tests/limits.rs
@@ -0,0 +1,155 @@
+//! No second sees more requests of a row begin, over all hosts, than the row allows.
+
+use crate::admission::slices::{Granting, SLICE_MS};
+use crate::attempt::message::RequestId;
+use crate::attempt::requests::Phase;
+use crate::daemon::event::Event;
+use crate::error::Ran;
+use crate::idempotency::tests::operations::{head, service_entry, table_edit};
+use crate::membership::tests::cluster::Cluster;
+use crate::prelude::*;
+use crate::shared_log::tests::fake_log::check_seeds;
+use crate::table::message::{EditAnswer, RowKey};
+use arbtest::arbitrary::{Result, Unstructured};
+
+const LIMIT: u32 = 5;
+const SECOND_MS: Millis = Millis(1_000);
+
+fn check_seconds(mut begun_at: Vec<Millis>) {
+    begun_at.sort_unstable();
+    for first in &begun_at {
+        let within = |at: &&Millis| **at >= *first && at.since(*first) < SECOND_MS;
+        let count = begun_at.iter().filter(within).count();
+        assert!(
+            count <= LIMIT as usize,
+            "{count} in the second from {first}"
+        );
+    }
+}
+
+#[test]
+fn slices_used_late_stay_within_the_limit() {
+    check_seeds(100, 2048, |u| {
+        let row = RowKey {
+            brand: "north".into(),
+            model: "booking".into(),
+        };
+        let mut granting = Granting::default();
+        let mut now = Millis(1_000_000);
+        let mut begun_at = Vec::new();
+        for _ in 0..200 {
+            now += Millis(u.int_in_range(0..=150u64)?);
+            let wanted = u.int_in_range(1..=8u32)?;
+            let slice = granting.grant(now, &row, LIMIT, wanted);
+            assert!(slice.granted <= wanted);
+            for _ in 0..slice.granted {
+                begun_at.push(now + Millis(u.int_in_range(0..=SLICE_MS.0)?));
+            }
+        }
+        check_seconds(begun_at);
+        Ok(())
+    });
+}
+
+struct World {
+    cluster: Cluster,
+    next_id: u64,
+    seen: IndexSet<u64>,
+    begun_at: Vec<Millis>,
+    refused: usize,
+}
+
+impl World {
+    fn new(hosts: usize) -> Self {
+        let mut cluster = Cluster::new(hosts);
+        cluster.upstreams.push(service_entry());
+        let row = format!(r#"{{"requests_per_s": {LIMIT}}}"#);
+        let call = cluster.edit(0, table_edit(&row));
+        cluster.run_until("the table", |cluster| {
+            let answer = cluster.edits.get(&call);
+            matches!(answer, Some(Ok(EditAnswer::InForce { .. })))
+        });
+        cluster.run_for(Millis(3_000));
+        Self {
+            cluster,
+            next_id: 0,
+            seen: IndexSet::new(),
+            begun_at: Vec::new(),
+            refused: 0,
+        }
+    }
+
+    fn arrive(&mut self, host: usize) {
+        let mut head = head(RequestId(self.next_id), 0);
+        head.idempotency_key = None;
+        self.next_id += 1;
+        self.cluster.send(host, Event::RequestArrived { head });
+    }
+
+    /// Notes the requests that got past the limit in this step.
+    fn step(&mut self) {
+        self.cluster.step();
+        let now = self.cluster.now;
+        for host in &self.cluster.hosts {
+            for request in host.node.requests.iter() {
+                let admitted = matches!(request.phase, Phase::Waiting | Phase::Running { .. });
+                if admitted && self.seen.insert(request.head.id.0) {
+                    self.begun_at.push(now);
+                }
+            }
+        }
+        for (_, effect) in std::mem::take(&mut self.cluster.outputs) {
+            if let Effect::Refuse { refusal, .. } = effect
+                && refusal.ran == Ran::NotRun
+            {
+                assert!(refusal.retry_after_ms.is_some());
+                self.refused += 1;
+            }
+        }
+    }
+}
+
+fn disturb(u: &mut Unstructured<'_>, cluster: &mut Cluster) -> Result<()> {
+    let host = u.choose_index(cluster.hosts.len())?;
+    let other = u.choose_index(cluster.hosts.len())?;
+    match u.int_in_range(0..=6u8)? {
+        0 => cluster.cut_link(host, other, true),
+        1 => cluster.cut_link(host, other, false),
+        2 => cluster.hosts[host].frozen = true,
+        3 | 4 => cluster.hosts[host].frozen = false,
+        _ => cluster.cut_host(host, u.arbitrary()?),
+    }
+    Ok(())
+}
+
+#[test]
+fn hosts_that_freeze_leave_and_are_cut_off_stay_within_the_limit() {
+    check_seeds(60, 4096, |u| {
+        let mut world = World::new(u.int_in_range(2..=4usize)?);
+        for _ in 0..30 {
+            disturb(u, &mut world.cluster)?;
+            for _ in 0..u.int_in_range(1..=100u8)? {
+                let host = u.choose_index(world.cluster.hosts.len())?;
+                world.arrive(host);
+                world.step();
+            }
+        }
+        check_seconds(world.begun_at);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_row_gets_most_of_its_limit_over_several_hosts() {
+    const SECONDS: usize = 20;
+    let mut world = World::new(3);
+    let end = world.cluster.now + Millis(SECOND_MS.0 * SECONDS as u64);
+    while world.cluster.now < end {
+        world.arrive(world.next_id as usize % 3);
+        world.step();
+    }
+    let begun = world.begun_at.len();
+    check_seconds(world.begun_at);
+    assert!(begun * 10 >= SECONDS * LIMIT as usize * 7, "{begun} begun");
+    assert!(world.refused > 0);
+}
--- a/src/attempt/requests.rs
+++ b/src/attempt/requests.rs
@@ -19,6 +19,8 @@
 pub enum Phase {
     /// It was just admitted.
     Arrived,
+    /// It waits for a slice of its row's limit.
+    Metered,
     /// It waits for its claim to be read back.
     Claiming,
     /// It waits for the outcome of the request that claimed its operation.
@@ -78,7 +80,7 @@
 
     fn is_due(&self, now: Millis) -> bool {
         match &self.phase {
-            Phase::Claiming | Phase::Releasing { .. } => true,
+            Phase::Metered | Phase::Claiming | Phase::Releasing { .. } => true,
             Phase::Following { ask_at } => now >= *ask_at || now >= self.deadline_at,
             Phase::Arrived | Phase::Waiting => now >= self.deadline_at,
             Phase::Running { .. } => now >= self.deadline_at + RUNNING_MARGIN_MS,
--- a/src/daemon/claim_flow.rs
+++ b/src/daemon/claim_flow.rs
@@ -353,6 +353,7 @@
             }
             // A claim on its way is released when it is read back.
             Phase::Arrived
+            | Phase::Metered
             | Phase::Claiming
             | Phase::Following { .. }
             | Phase::Releasing { .. }
--- /dev/null
+++ b/src/daemon/limit_flow.rs
@@ -0,0 +1,129 @@
+//! Joins the rows' limits over all hosts to membership: who grants, and who asks.
+
+use crate::admission::slices::Slice;
+use crate::attempt::message::RequestId;
+use crate::attempt::requests::Phase;
+use crate::daemon::node::Node;
+use crate::membership::entry::rank;
+use crate::membership::message::PeerRequest;
+use crate::prelude::*;
+use crate::table::message::RowKey;
+
+/// How long a request waits for a slice of its row's limit.
+pub const SLICE_BOUND_MS: Millis = Millis(1_500);
+
+const RETRY_MS: Millis = Millis(1_000);
+
+impl Node {
+    /// Asks for the slices that are due, and forgets old ones.
+    pub fn tick_limits(&mut self, now: Millis, fx: &mut Effects) {
+        self.note_members(now);
+        self.granting.expire(now);
+        self.ask_slices(now, fx);
+    }
+
+    fn note_members(&mut self, now: Millis) {
+        let present = self.shared.members.iter();
+        let members = present.fold(0, |sum: u64, (host, _)| sum.wrapping_add(host.0));
+        self.granting.note_members(now, members);
+    }
+
+    /// Lets a request of a limited row wait for a slice.
+    pub fn meter(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.enter(now, Phase::Metered);
+        let row = request.row.clone();
+        self.metered.push(&row, id);
+        self.ask_slices(now, fx);
+    }
+
+    fn ask_slices(&mut self, now: Millis, fx: &mut Effects) {
+        for (row, wanted) in self.metered.due(now) {
+            let Some(home) = self.home_of_row(&row) else {
+                continue;
+            };
+            if home == self.config.me {
+                let slice = self.grant_slice(now, &row, wanted);
+                self.on_slice(now, &row, now, slice, wanted, fx);
+                continue;
+            }
+            let Some(member) = self.shared.members.get(home) else {
+                continue;
+            };
+            fx.push(Effect::AskPeer {
+                peer: home,
+                address: member.entry.peer_address,
+                asked_at: now,
+                request: PeerRequest::Slice { row, wanted },
+            });
+        }
+    }
+
+    /// Returns the home of a row. It depends on the members alone, so that hosts that have applied the
+    /// same records agree.
+    fn home_of_row(&self, row: &RowKey) -> Option<Incarnation> {
+        let key = format!("limit {}\n{}", row.brand, row.model);
+        let members = self.shared.members.iter().map(|(host, _)| *host);
+        rank(&key, members).first().copied()
+    }
+
+    /// Grants a slice of a row's limit, if this host is the row's home.
+    pub fn grant_slice(&mut self, now: Millis, row: &RowKey, wanted: u32) -> Slice {
+        self.note_members(now);
+        let is_home = self.home_of_row(row) == Some(self.config.me);
+        let settled = self.granting.is_settled(now, self.config.fresh_bound_ms);
+        let limit = self.shared.table.row(row).map(|row| row.requests_per_s);
+        match limit {
+            Some(None) => Slice {
+                granted: wanted,
+                retry_after_ms: RETRY_MS,
+            },
+            Some(Some(limit)) if is_home && settled && self.is_fresh(now) => {
+                self.granting.grant(now, row, limit, wanted)
+            }
+            Some(Some(_)) | None => Slice {
+                granted: 0,
+                retry_after_ms: RETRY_MS,
+            },
+        }
+    }
+
+    /// Takes a home's answer.
+    pub fn on_slice(
+        &mut self,
+        now: Millis,
+        row: &RowKey,
+        asked_at: Millis,
+        slice: Slice,
+        wanted: u32,
+        fx: &mut Effects,
+    ) {
+        let decided = self.metered.on_slice(now, row, asked_at, slice, wanted);
+        for id in decided.refuse {
+            let message = format!(
+                "the limit of brand {} for {} is reached",
+                row.brand, row.model
+            );
+            let refusal = Refusal::new(ErrorKind::RowLimit, message);
+            self.refuse(now, id, refusal.after(slice.retry_after_ms), fx);
+        }
+        for id in decided.begin {
+            self.proceed(now, id, fx);
+        }
+    }
+
+    /// Refuses a request whose row's home does not answer.
+    pub fn tick_metered(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let waited = now.since(request.phase_since) > SLICE_BOUND_MS;
+        if waited || now >= request.deadline_at {
+            let message = "the row's limit cannot be checked now";
+            let refusal = Refusal::new(ErrorKind::RowLimit, message).after(RETRY_MS);
+            self.refuse(now, id, refusal, fx);
+        }
+    }
+}
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -294,6 +294,9 @@
                 self.freshness.relay_answered();
                 self.apply_relayed(now, &records, fx);
             }
+            PeerReply::Slice { row, slice, wanted } => {
+                self.on_slice(now, &row, asked_at, slice, wanted, fx);
+            }
             PeerReply::Operation { operation, state } => {
                 self.on_operation_state(now, peer, &operation, &state, fx);
             }
@@ -364,6 +367,11 @@
                 records: self.records_from(from, MAX_READ_RECORDS),
                 next_offset: self.shared.next_offset,
             },
+            PeerRequest::Slice { row, wanted } => PeerReply::Slice {
+                slice: self.grant_slice(now, &row, wanted),
+                row,
+                wanted,
+            },
             PeerRequest::Operation { operation } => PeerReply::Operation {
                 state: self.operation_state(&operation),
                 operation,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 pub mod effects;
 pub mod event;
 pub mod life_flow;
+pub mod limit_flow;
 pub mod log_flow;
 pub mod membership_flow;
 pub mod metrics;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::limits::Limits;
 use crate::admission::queue::Queues;
+use crate::admission::slices::{Granting, Metered};
 use crate::attempt::requests::Requests;
 use crate::daemon::event::Event;
 use crate::idempotency::finished::FinishedOperations;
@@ -98,6 +99,10 @@
     pub routing: Routing,
     /// The rows' limits.
     pub limits: Limits,
+    /// Requests that wait for a slice of their row's limit.
+    pub metered: Metered,
+    /// Slices that this host granted as a row's home.
+    pub granting: Granting,
     /// Waiting requests.
     pub queues: Queues,
     /// Requests held.
@@ -133,6 +138,8 @@
             executor: Executor::default(),
             routing: Routing::default(),
             limits: Limits::default(),
+            metered: Metered::default(),
+            granting: Granting::default(),
             queues: Queues::default(),
             requests: Requests::default(),
             pending_claims: PendingClaims::default(),
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -37,14 +37,22 @@
             self.refuse(now, request, refusal, fx);
             return;
         }
-        match self
-            .requests
-            .get(request)
-            .map(|held| held.operation.is_some())
-        {
-            Some(true) => self.claim_or_follow(now, request, fx),
-            Some(false) => self.enqueue(now, request, fx),
-            None => {}
+        let held = self.requests.get(request);
+        let row = held.and_then(|held| self.shared.table.row(&held.row));
+        match row.is_some_and(|row| row.requests_per_s.is_some()) {
+            true => self.meter(now, request, fx),
+            false => self.proceed(now, request, fx),
+        }
+    }
+
+    /// Lets an admitted request go on to its claim or its queue.
+    pub fn proceed(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        match request.operation.is_some() {
+            true => self.claim_or_follow(now, id, fx),
+            false => self.enqueue(now, id, fx),
         }
     }
 
@@ -67,7 +75,7 @@
             .deadline_ms
             .map_or(row.deadline_ms, |own| own.min(row.deadline_ms));
         self.check_cold_start(now, &head.name, deadline_ms)?;
-        if let Err(retry_after_ms) = self.limits.admit(now, &key, &row) {
+        if let Err(retry_after_ms) = self.limits.admit(&key, &row) {
             let message = format!(
                 "the limit of brand {} for {} is reached",
                 key.brand, key.model
@@ -176,6 +184,7 @@
         for id in self.requests.due(now) {
             self.tick_request(now, id, fx);
         }
+        self.tick_limits(now, fx);
         self.refuse_hopeless(now, fx);
         self.queues.tidy();
     }
@@ -195,6 +204,7 @@
             return;
         };
         match &request.phase {
+            Phase::Metered => self.tick_metered(now, id, fx),
             Phase::Claiming => self.tick_claiming(now, id, fx),
             Phase::Following { .. } => self.tick_following(now, id, fx),
             Phase::Releasing { .. } => self.tick_releasing(now, id, fx),
@@ -510,6 +520,7 @@
         };
         self.let_go_of_operation(now, &request);
         self.queues.remove(&request.head.name, id);
+        self.metered.remove(&request.row, id);
         self.limits.end(&request.row);
         if request.head.target == TargetKind::Model {
             let last_use_at = request.arrived_at;
--- a/src/idempotency/mod.rs
+++ b/src/idempotency/mod.rs
@@ -6,4 +6,4 @@
 pub mod pending;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/idempotency/tests.rs
+++ b/src/idempotency/tests.rs
@@ -1,4 +1,4 @@
 //! Tests of claims: the fold's part, the bounds, and whole operations under faults.
 
 mod fold;
-mod operations;
+pub mod operations;
--- a/src/idempotency/tests/operations.rs
+++ b/src/idempotency/tests/operations.rs
@@ -53,7 +53,7 @@
     fn new(hosts: usize) -> Self {
         let mut cluster = Cluster::new(hosts);
         cluster.upstreams.push(service_entry());
-        let call = cluster.edit(0, table_edit());
+        let call = cluster.edit(0, table_edit("{}"));
         cluster.run_until("the table", |cluster| {
             let answer = cluster.edits.get(&call);
             let in_force = matches!(answer, Some(Ok(EditAnswer::InForce { .. })));
@@ -191,7 +191,7 @@
     }
 }
 
-fn service_entry() -> UpstreamEntry {
+pub fn service_entry() -> UpstreamEntry {
     UpstreamEntry {
         name: "service-1".into(),
         role: UpstreamRole::Service,
@@ -204,8 +204,9 @@
     }
 }
 
-fn table_edit() -> Edit {
-    let row: Row = serde_json::from_str("{}").unwrap();
+/// An edit that adds a service with one row.
+pub fn table_edit(row: &str) -> Edit {
+    let row: Row = serde_json::from_str(row).unwrap();
     Edit {
         edit_id: "table".into(),
         operator: "operator".into(),
@@ -234,7 +235,7 @@
     }
 }
 
-fn head(id: RequestId, operation: usize) -> RequestHead {
+pub fn head(id: RequestId, operation: usize) -> RequestHead {
     RequestHead {
         id,
         key_sha256: KEY_SHA256.repeat(32).into(),
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -1,10 +1,12 @@
 //! What is said about hosts and upstreams, on the log and between hosts.
 
+use crate::admission::slices::Slice;
 use crate::clock::Millis;
 use crate::idempotency::message::{OperationKey, OperationState};
 use crate::membership::leaving::LeavingHint;
 use crate::placement::policy::demand::DemandHints;
 use crate::shared_log::record::{Incarnation, LoggedRecord, Offset};
+use crate::table::message::RowKey;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -87,6 +89,13 @@
         /// The first offset wanted.
         from: Offset,
     },
+    /// Asks a row's home for a slice of its requests a second.
+    Slice {
+        /// The row.
+        row: RowKey,
+        /// How many requests wait for it.
+        wanted: u32,
+    },
     /// Asks the claimer of an operation how it stands.
     Operation {
         /// The operation.
@@ -108,6 +117,15 @@
         /// The sender's next offset.
         next_offset: Offset,
     },
+    /// A slice of a row's requests a second.
+    Slice {
+        /// The row.
+        row: RowKey,
+        /// The slice.
+        slice: Slice,
+        /// How many requests were asked for.
+        wanted: u32,
+    },
     /// How an operation stands that the sender claimed.
     Operation {
         /// The operation.
