Say once that an event is too long

Cause: an over-long event stayed in the buffer, so each further step said "broken" again and attempt::tests::a_gap_an_early_end_and_an_error_break_the_answer never ended.

--- a/src/attempt/events.rs
+++ b/src/attempt/events.rs
@@ -70,8 +70,11 @@
                 return Some(step);
             }
         }
-        let too_long = self.buffer.len() > MAX_EVENT_BYTES;
-        too_long.then(|| StreamStep::Broken("an event is too long".into()))
+        if self.buffer.len() <= MAX_EVENT_BYTES {
+            return None;
+        }
+        self.buffer.clear();
+        broken("an event is too long")
     }
 
     /// Returns the step for an event, or nothing when it is passed over.
