--- a/bench/tests/table.rs
+++ b/bench/tests/table.rs
@@ -163,3 +163,16 @@
         link.cut_from(isolated.peer);
     }
 }
+
+#[test]
+fn a_host_that_wakes_cut_off_refuses_instead_of_serving_an_old_row() {
+    let mut site = plan().links().start();
+    let mut editor = Editor::begin(&site);
+    site.host(0).process.freeze();
+    isolate(&site, 0);
+    editor.edit_and_check_but(&mut site, &[1], &[0]);
+    let early = probe(&site, 0, editor.removed_service());
+    site.host(0).process.thaw();
+    let early = smol::block_on(early);
+    assert_eq!(early.refusal_kind(), Some("cut_off"));
+}
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod acceptance;
 pub mod message;
+mod undo;
 
 #[cfg(test)]
 mod tests;
@@ -9,6 +10,7 @@
 use crate::prelude::*;
 use message::{Brand, Change, Edit, HistoryLine, Model, Row, RowKey, Service, StoreLimits};
 use std::collections::VecDeque;
+use undo::Former;
 
 /// Most lines of history kept.
 pub const MAX_HISTORY_LINES: usize = 1024;
@@ -131,15 +133,22 @@
         for change in &edit.changes {
             self.check_base(edit.base_version, change)?;
         }
-        let mut next = self.clone();
-        for change in &edit.changes {
-            next.apply_change(offset, change)?;
+        let former = Former::of(self, &edit.changes);
+        let outcome = self.apply_changes(offset, &edit.changes);
+        match outcome {
+            Ok(()) => self.version = offset,
+            Err(_) => former.restore(self),
         }
-        for change in &edit.changes {
-            next.check_references(change)?;
+        outcome
+    }
+
+    fn apply_changes(&mut self, offset: Offset, changes: &[Change]) -> Result<(), Rejection> {
+        for change in changes {
+            self.apply_change(offset, change)?;
+        }
+        for change in changes {
+            self.check_references(change)?;
         }
-        next.version = offset;
-        *self = next;
         Ok(())
     }
 
