--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -63,6 +63,10 @@
             let message = "this host holds too many requests";
             return Err(Refusal::new(ErrorKind::Overloaded, message).after(RETRY_MS));
         }
+        let deadline_ms = head
+            .deadline_ms
+            .map_or(row.deadline_ms, |own| own.min(row.deadline_ms));
+        self.check_cold_start(now, &head.name, deadline_ms)?;
         if let Err(retry_after_ms) = self.limits.admit(now, &key, &row) {
             let message = format!(
                 "the limit of brand {} for {} is reached",
@@ -70,9 +74,6 @@
             );
             return Err(Refusal::new(ErrorKind::RowLimit, message).after(retry_after_ms));
         }
-        let deadline_ms = head
-            .deadline_ms
-            .map_or(row.deadline_ms, |own| own.min(row.deadline_ms));
         let name = head.name.clone();
         let operation = operation_of(&head, &key);
         self.requests.insert(HeldRequest {
@@ -211,7 +212,7 @@
         let candidates = self.candidates(target);
         let is_model = self.shared.table.model(target).is_some();
         if candidates.is_empty() && is_model {
-            self.ensure_loading(now, target);
+            self.load_or_refuse(now, target, fx);
             return;
         }
         loop {
@@ -231,6 +232,20 @@
         }
     }
 
+    /// Asks for a copy, or refuses whoever waits when the log, which decides on copies, is out of reach.
+    fn load_or_refuse(&mut self, now: Millis, model: &Name, fx: &mut Effects) {
+        let has_copy = self.shared.placement.copies_of(model).next().is_some();
+        if has_copy || self.driver.is_reachable() {
+            self.ensure_loading(now, model);
+            return;
+        }
+        while let Some(waiting) = self.queues.pop(model) {
+            let message = format!("{model} has no copy, and the log is out of reach");
+            let refusal = Refusal::new(ErrorKind::LogUnavailable, message).after(RETRY_MS);
+            self.refuse(now, waiting.request, refusal, fx);
+        }
+    }
+
     fn candidates(&self, target: &str) -> Vec<Candidate> {
         let upstreams = &self.shared.placement.upstreams;
         let names: Vec<&Name> = match self.shared.table.service(target) {
