--- a/src/attempt/requests.rs
+++ b/src/attempt/requests.rs
@@ -7,8 +7,8 @@
 
 /// Most requests held at once.
 pub const MAX_REQUESTS: usize = 20_000;
-/// Most attempts of one request.
-pub const MAX_ATTEMPTS: u32 = 4;
+/// Most failed attempts of one request.
+pub const MAX_FAILURES: u32 = 4;
 
 /// How long after its deadline the task of a running request may still answer it.
 pub const RUNNING_MARGIN_MS: Millis = Millis(2_000);
@@ -19,6 +19,8 @@
 pub enum Phase {
     /// It was just admitted.
     Arrived,
+    /// It waits for a slice of its row's limit.
+    Metered,
     /// It waits for its claim to be read back.
     Claiming,
     /// It waits for the outcome of the request that claimed its operation.
@@ -55,6 +57,8 @@
     pub deadline_at: Millis,
     /// How many attempts were begun.
     pub attempts: u32,
+    /// How many of them failed, other than by a busy upstream.
+    pub failures: u32,
     /// Upstreams that failed it.
     pub failed_upstreams: Vec<Name>,
     /// Whether an attempt may have run it.
@@ -76,7 +80,7 @@
 
     fn is_due(&self, now: Millis) -> bool {
         match &self.phase {
-            Phase::Claiming | Phase::Releasing { .. } => true,
+            Phase::Metered | Phase::Claiming | Phase::Releasing { .. } => true,
             Phase::Following { ask_at } => now >= *ask_at || now >= self.deadline_at,
             Phase::Arrived | Phase::Waiting => now >= self.deadline_at,
             Phase::Running { .. } => now >= self.deadline_at + RUNNING_MARGIN_MS,
