--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,13 @@
 //! The load and experiment tool.
 
 use argh::FromArgs;
-use mangovale_bench::{capacity, idle, recovery};
+use mangovale_bench::scenario::Scenario;
+use mangovale_bench::way::{WayOptions, WaySite};
+use mangovale_bench::{capacity, experiment, history, idle, recovery, storm};
 use serde::Serialize;
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
 use std::time::Duration;
 
 /// Measure mangovale against its stand-ins on this machine.
@@ -18,6 +23,9 @@
 enum Command {
     Capacity(CapacityOptions),
     Idle(IdleOptions),
+    Run(RunOptions),
+    Way(WayArguments),
+    Storm(StormOptions),
     Recovery(RecoveryOptions),
 }
 
@@ -33,6 +41,60 @@
     models: usize,
 }
 
+/// Run faults, load and edits together by seed, and check what came of it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "storm")]
+struct StormOptions {
+    /// the seed (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how long, in seconds (default: 20)
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// where the history goes (default: target/bench-out)
+    #[argh(option, default = "PathBuf::from(\"target/bench-out\")")]
+    out: PathBuf,
+}
+
+/// Measure what the way through one daemon costs, against direct connections.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "way")]
+struct WayArguments {
+    /// requests each way for the time to the first token (default: 1000)
+    #[argh(option, default = "1000")]
+    requests: usize,
+    /// streams at once; may be given many times (default: 16, 64, 256)
+    #[argh(option)]
+    streams: Vec<usize>,
+    /// tokens of each stream (default: 500)
+    #[argh(option, default = "500")]
+    tokens: u32,
+    /// time of one token at the engine (default: 5)
+    #[argh(option, default = "5")]
+    token_ms: u64,
+    /// threads that read the streams (default: 2)
+    #[argh(option, default = "2")]
+    threads: usize,
+}
+
+/// Run a scenario under one policy after another, with the same arrivals.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunOptions {
+    /// the scenario file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// a policy of the file; may be given many times (default: all)
+    #[argh(option)]
+    policy: Vec<String>,
+    /// the seed of the arrivals (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// where histories, CSV and plots go (default: target/bench-out)
+    #[argh(option, default = "PathBuf::from(\"target/bench-out\")")]
+    out: PathBuf,
+}
+
 /// Measure slopes of state, messages and processor time in this process.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
@@ -60,16 +122,68 @@
     seconds: u64,
 }
 
-fn main() {
+type Ended = Result<(), Box<dyn Error>>;
+
+fn main() -> ExitCode {
     let options: Options = argh::from_env();
-    match options.command {
+    let ended = match options.command {
         Command::Capacity(options) => measure_capacity(&options),
         Command::Idle(options) => measure_idle(&options),
+        Command::Run(options) => run(&options),
+        Command::Way(arguments) => measure_way(arguments),
+        Command::Storm(options) => run_storm(&options),
         Command::Recovery(options) => measure_recovery(&options),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: &RunOptions) -> Ended {
+    let scenario = Scenario::read(&options.scenario)?;
+    let policies = scenario.choose_policies(&options.policy)?;
+    let all = experiment::run(&scenario, &policies, options.seed, &options.out)?;
+    print!("{}", experiment::to_table(&all));
+    Ok(())
+}
+
+fn run_storm(options: &StormOptions) -> Ended {
+    let (report, lines) = storm::run(options.seed, Duration::from_secs(options.seconds));
+    std::fs::create_dir_all(&options.out)?;
+    let path = options.out.join(format!("storm-{}.jsonl", options.seed));
+    history::write(&path, &lines)?;
+    print(&report);
+    match report.violations.first() {
+        None => Ok(()),
+        Some(first) => {
+            Err(format!("seed {}: {first:?}; see {}", options.seed, path.display()).into())
+        }
+    }
+}
+
+fn measure_way(arguments: WayArguments) -> Ended {
+    let streams = match arguments.streams.is_empty() {
+        true => vec![16, 64, 256],
+        false => arguments.streams,
+    };
+    let way = WaySite::start(WayOptions {
+        requests: arguments.requests,
+        tokens: arguments.tokens,
+        token_ms: arguments.token_ms,
+        threads: arguments.threads,
+    });
+    print(&way.first_token());
+    for count in streams {
+        print(&way.throughput(count));
     }
+    Ok(())
 }
 
-fn measure_capacity(options: &CapacityOptions) {
+fn measure_capacity(options: &CapacityOptions) -> Ended {
     let default = vec![10, 50, 100];
     let percents = if options.percent.is_empty() {
         &default
@@ -87,9 +201,10 @@
         };
         print(&capacity::measure(size));
     }
+    Ok(())
 }
 
-fn measure_idle(options: &IdleOptions) {
+fn measure_idle(options: &IdleOptions) -> Ended {
     let default = vec![3, 8, 24];
     let counts = if options.hosts.is_empty() {
         &default
@@ -105,14 +220,16 @@
             span,
         ));
     }
+    Ok(())
 }
 
-fn measure_recovery(options: &RecoveryOptions) {
+fn measure_recovery(options: &RecoveryOptions) -> Ended {
     print(&recovery::measure_kill());
     print(&recovery::measure_outage(Duration::from_secs(
         options.outage_s,
     )));
     print(&recovery::measure_new_host(options.models));
+    Ok(())
 }
 
 fn print(result: &impl Serialize) {
--- a/bench/src/recovery.rs
+++ b/bench/src/recovery.rs
@@ -1,7 +1,7 @@
 //! How long faults are felt: a killed daemon, a log outage, a new daemon in a large site.
 
 use crate::call::{Caller, Outcome, ServiceCall};
-use crate::idle::resident_bytes;
+use crate::proc_stat::resident_bytes;
 use crate::process::wait_for;
 use crate::site::{EngineSpec, Site};
 use serde::Serialize;
@@ -240,8 +240,8 @@
     NewHostCost {
         models,
         serving_after_ms,
-        old_resident_bytes: resident_bytes(&site.hosts[0].process),
-        new_resident_bytes: resident_bytes(&site.hosts[index].process),
+        old_resident_bytes: resident_bytes(site.hosts[0].process.id()),
+        new_resident_bytes: resident_bytes(site.hosts[index].process.id()),
         edit_in_force_ms,
     }
 }
--- a/src/daemon/trace.rs
+++ b/src/daemon/trace.rs
@@ -1,11 +1,15 @@
 //! A bounded record of a process's inputs, for replay.
 //!
 //! The record is kept in two segments. When the newer one is full, the older one goes, and a copy of
-//! the state is taken where the next one starts; so a replay always has a state to start from.
+//! the state is taken where the next one starts; so a replay always has a state to start from. A state
+//! in a file leaves the kept answers of operations out, as a dump does.
 
+use crate::attempt::message::AttemptOutcome;
 use crate::daemon::event::Event;
 use crate::daemon::node::{Node, NodeConfig};
+use crate::daemon::run::RELEASE;
 use crate::edge::digest::sha256;
+use crate::idempotency::message::OperationState;
 use crate::membership::message::PeerReply;
 use crate::prelude::*;
 use std::mem::size_of;
@@ -45,6 +49,8 @@
 /// A trace as a file: all that a replay needs.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TraceFile {
+    /// The release that wrote it.
+    pub release: Name,
     /// What the node was made from.
     pub config: NodeConfig,
     /// The state before the first event; a new one when absent.
@@ -103,6 +109,7 @@
         let rest = self.older.as_ref().map(|_| &self.newer);
         let events = first.events.iter();
         let file = TraceFile {
+            release: RELEASE.into(),
             config: self.config.clone(),
             start: first.start.as_deref().cloned(),
             events: events
@@ -136,6 +143,10 @@
         Event::EngineReported { report, .. } => report
             .as_ref()
             .map_or(0, |report| report.copies.len() * LINE_BYTES),
+        Event::AttemptEnded {
+            outcome: AttemptOutcome::OperationAnswered(answer),
+            ..
+        } => answer.body.len(),
         Event::EditAsked { edit, .. } => edit.changes.len() * LINE_BYTES,
         Event::RequestArrived { head } => head.prefix_hashes.len() * 8 + 4 * SMALL_BYTES,
         _ => 0,
@@ -149,6 +160,10 @@
             let payloads = records.iter().map(|record| record.payload.len());
             payloads.sum::<usize>() + records.len() * SMALL_BYTES
         }
+        PeerReply::Operation {
+            state: OperationState::Answered(answer),
+            ..
+        } => answer.body.len(),
         _ => SMALL_BYTES,
     }
 }
