--- a/src/daemon/cold_start.rs
+++ b/src/daemon/cold_start.rs
@@ -25,6 +25,12 @@
 }
 
 impl Node {
+    /// Tells whether the log has been out of reach for longer than a few lost answers take.
+    pub(super) fn is_log_away(&self, now: Millis) -> bool {
+        let log_age_ms = self.freshness.log_age(now);
+        log_age_ms.is_some_and(|age_ms| age_ms > LOG_AWAY_MS)
+    }
+
     /// Predicts when a model can serve.
     pub fn predicted_ready(&self, now: Millis, model: &str) -> Ready {
         let placement = &self.shared.placement;
@@ -85,8 +91,7 @@
             return Ok(());
         }
         let has_copy = self.shared.placement.copies_of(model).next().is_some();
-        let log_age_ms = self.freshness.log_age(now);
-        if !has_copy && log_age_ms.is_some_and(|age_ms| age_ms > LOG_AWAY_MS) {
+        if !has_copy && self.is_log_away(now) {
             let message = "the model is not loaded, and the log that decides loads is out of reach";
             let refusal = Refusal::new(ErrorKind::LogUnavailable, message);
             return Err(refusal.after(LOG_AWAY_MS));
