--- a/tests/process.rs
+++ b/tests/process.rs
@@ -7,6 +7,7 @@
 use std::net::{TcpListener, UdpSocket};
 use std::os::unix::process::ExitStatusExt;
 use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 const SIGABRT: i32 = 6;
 const PANIC_VARIABLE: &str = "MANGOVALE_TEST_PANIC";
@@ -47,9 +48,20 @@
     }
 }
 
+/// Finds a port that nobody listens on, below the range from which outgoing connections take theirs,
+/// and another one at each call.
 fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address").port()
+    const FIRST: u16 = 10_000;
+    const SPAN: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST + (std::process::id().wrapping_mul(61).wrapping_add(number) % SPAN) as u16;
+        let address = ("127.0.0.1", port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return port;
+        }
+    }
 }
 
 #[test]
