--- a/bench/tests/outages.rs
+++ b/bench/tests/outages.rs
@@ -10,12 +10,17 @@
 const EDIT: &str = "operator = \"o\"\n[[changes]]\nchange = \"set_store\"\n\
                     limits = { parallel_loads = 2, loads_per_s = 2 }\n";
 
-/// A site of three hosts with one warm model.
+/// A site of three hosts, all of which count for majorities, with one warm model.
 fn warm_site(links: bool) -> Site {
     let plan = Site::plan().engine(EngineSpec::named("engine-1")).hosts(3);
     let site = if links { plan.links() } else { plan }.start();
     site.put_model("review", 1_000, &["north"]);
     ask(&site, 0).exits_with(0);
+    wait_for("every host to count", || {
+        let members = site.operator_get(0, "/hosts");
+        let hosts = members["hosts"].as_object().expect("the hosts");
+        hosts.values().all(|member| member["counted"] == true)
+    });
     site
 }
 
