--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -374,7 +374,7 @@
         let log_link = self.links.then(|| TcpLink::start(self.log.address));
         let peer_link = self.links.then(|| UdpLink::start(peer));
         let log_address = log_link.as_ref().map_or(self.log.address, TcpLink::address);
-        let data_centre = self.data_centre_of_host(index);
+        let data_centre = self.data_centre_of_host(self.hosts.len());
         let mut text = format!(
             "name = \"{name}\"\ndata_centre = \"{data_centre}\"\ncaller_listen = \"{caller}\"\n\
              operator_listen = \"{operator}\"\npeer_listen = \"{peer}\"\n"
