--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -1,18 +1,17 @@
 //! Runs a scenario under one policy after another, with the same arrivals.
 
 use crate::arrivals;
+use crate::figures_text::{to_csv, to_plot};
 use crate::history::{self, HistoryLine};
 use crate::load::{Load, LoadTarget};
-use crate::plot::{Plot, Point};
 use crate::proc_stat::{CLOCK_TICKS_PER_S, CpuTicks};
 use crate::report::{Counted, Figures, summarize};
-use crate::samples::{self, EngineSamples};
+use crate::samples;
 use crate::scenario::{PolicySpec, Scenario, Target};
 use crate::site::{EngineSpec, Site, put_brand, put_row_with};
 use indexmap::IndexMap;
 use mangovale::table::message::{Change, Model, Service, StoreLimits};
 use serde_json::{Value, json};
-use std::fmt::Write;
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
@@ -79,20 +78,10 @@
         (lines, sampling.await)
     });
     let counted = count(&site, &before, began_at.elapsed());
-    let figures = finish_figures(scenario, policy, &lines, &samples, counted);
+    let figures = summarize(scenario, &policy.name, &lines, &samples, counted);
     (figures, lines)
 }
 
-fn finish_figures(
-    scenario: &Scenario,
-    policy: &PolicySpec,
-    lines: &[HistoryLine],
-    samples: &[EngineSamples],
-    counted: Counted,
-) -> Figures {
-    summarize(scenario, &policy.name, lines, samples, counted)
-}
-
 /// Starts the site of a scenario with a policy's settings.
 pub fn start_site(scenario: &Scenario, policy: &PolicySpec) -> Site {
     let spec = &scenario.site;
@@ -306,141 +295,3 @@
 fn as_u64(value: &Value) -> u64 {
     value.as_u64().unwrap_or(0)
 }
-
-/// Returns the figures as CSV, one line for each policy.
-pub fn to_csv(all: &[Figures]) -> String {
-    let mut csv = String::from(
-        "policy,requests,good_percent,cold,cold_unanswered,cold_p50_ms,cold_p95_ms,cold_p99_ms,\
-         warm,warm_unanswered,warm_p50_ms,warm_p95_ms,warm_p99_ms,idle_accelerator_hours,\
-         held_accelerator_hours,loads_started,loads_failed,log_records,log_calls,core_percent,\
-         system_percent,log_bytes_per_s,peer_bytes_per_s\n",
-    );
-    for figures in all {
-        let Figures {
-            cold,
-            warm,
-            counted,
-            ..
-        } = figures;
-        let _ = writeln!(
-            csv,
-            "{},{},{:.2},{},{},{},{},{},{},{},{},{},{},{:.3},{:.3},{},{},{},{},{:.2},{:.1},{:.0},{:.0}",
-            figures.policy,
-            figures.requests,
-            figures.good_percent,
-            cold.count,
-            figures.cold_unanswered,
-            cold.p50_ms,
-            cold.p95_ms,
-            cold.p99_ms,
-            warm.count,
-            figures.warm_unanswered,
-            warm.p50_ms,
-            warm.p95_ms,
-            warm.p99_ms,
-            figures.accelerator_hours.idle,
-            figures.accelerator_hours.held,
-            counted.loads_started,
-            counted.loads_failed,
-            counted.log_records,
-            counted.log_calls,
-            counted.core_percent,
-            counted.system_percent,
-            counted.log_bytes_per_s,
-            counted.peer_bytes_per_s,
-        );
-    }
-    csv
-}
-
-fn to_plot(scenario: &Scenario, all: &[Figures]) -> Plot {
-    let point = |figures: &Figures| Point {
-        label: figures.policy.clone(),
-        x: figures.accelerator_hours.idle,
-        y: figures.cold.p99_ms as f64,
-    };
-    Plot {
-        title: format!(
-            "{}: p99 cold start against idle accelerator hours",
-            scenario.name
-        ),
-        x_name: format!(
-            "idle accelerator hours (run time x {})",
-            scenario.time_factor
-        ),
-        y_name: "p99 cold start, ms of the run".to_string(),
-        points: all.iter().map(point).collect(),
-    }
-}
-
-/// Returns the figures as a table to read.
-pub fn to_table(all: &[Figures]) -> String {
-    let mut table = format!(
-        "{:<16} {:>6} {:>7} | {:>5} {:>5} {:>7} {:>7} {:>7} | {:>5} {:>5} {:>6} {:>6} {:>6} | {:>7} {:>7} | {:>5} {:>5} {:>7} {:>6}\n",
-        "policy",
-        "reqs",
-        "good %",
-        "cold",
-        "none",
-        "p50",
-        "p95",
-        "p99",
-        "warm",
-        "none",
-        "p50",
-        "p95",
-        "p99",
-        "idle h",
-        "held h",
-        "loads",
-        "recs",
-        "core %",
-        "sys %",
-    );
-    for figures in all {
-        let Figures {
-            cold,
-            warm,
-            counted,
-            accelerator_hours,
-            ..
-        } = figures;
-        let _ = writeln!(
-            table,
-            "{:<16} {:>6} {:>7.2} | {:>5} {:>5} {:>7} {:>7} {:>7} | {:>5} {:>5} {:>6} {:>6} {:>6} | {:>7.2} {:>7.2} | {:>5} {:>5} {:>7.2} {:>6.1}",
-            figures.policy,
-            figures.requests,
-            figures.good_percent,
-            cold.count,
-            figures.cold_unanswered,
-            cold.p50_ms,
-            cold.p95_ms,
-            cold.p99_ms,
-            warm.count,
-            figures.warm_unanswered,
-            warm.p50_ms,
-            warm.p95_ms,
-            warm.p99_ms,
-            accelerator_hours.idle,
-            accelerator_hours.held,
-            counted.loads_started,
-            counted.log_records,
-            counted.core_percent,
-            counted.system_percent,
-        );
-        for (kind, count) in &figures.failures {
-            let _ = writeln!(table, "    {kind}: {count}");
-        }
-        for (kind, count) in &counted.log_record_kinds {
-            let _ = writeln!(table, "    record {kind}: {count}");
-        }
-        for share in &figures.shares {
-            let _ = writeln!(
-                table,
-                "    share of {}: {:.1} % at a weight of {:.1} %",
-                share.brand, share.got_percent, share.weight_percent
-            );
-        }
-    }
-    table
-}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod experiment;
 pub mod faults;
+pub mod figures_text;
 pub mod history;
 pub mod idle;
 pub mod link;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use mangovale_bench::scenario::Scenario;
 use mangovale_bench::way::{WayOptions, WaySite};
-use mangovale_bench::{capacity, experiment, history, idle, recovery, storm};
+use mangovale_bench::{capacity, experiment, figures_text, history, idle, recovery, storm};
 use serde::Serialize;
 use std::error::Error;
 use std::path::PathBuf;
@@ -147,7 +147,7 @@
     let scenario = Scenario::read(&options.scenario)?;
     let policies = scenario.choose_policies(&options.policy)?;
     let all = experiment::run(&scenario, &policies, options.seed, &options.out)?;
-    print!("{}", experiment::to_table(&all));
+    print!("{}", figures_text::to_table(&all));
     Ok(())
 }
 
--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -8,6 +8,13 @@
 //! site.host(0).process.kill();
 //! ```
 
+mod changes;
+mod plan;
+mod start;
+
+pub use changes::{api_key, put_brand, put_model, put_row, put_row_with};
+pub use plan::{EngineSpec, Plan};
+
 use crate::call::{Caller, Outcome, finish};
 use crate::link::{TcpLink, UdpLink};
 use crate::platform::PlatformWatch;
@@ -15,10 +22,13 @@
 use mangovale::edge::digest::sha256;
 use mangovale::edge::http::client;
 use mangovale::shared_log::record::Offset;
-use mangovale::table::message::{Brand, Change, Edit, Model, Row, RowKey, Service};
-use serde_json::{Value, json};
+use mangovale::table::message::{Change, Edit, Service};
+use serde_json::Value;
+use start::{
+    engine_arguments, free_tcp, free_udp, service_arguments, stand_in, start_daemon, with,
+};
 use std::fmt::Write;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -29,139 +39,10 @@
 
 const OPERATOR: &str = "operator";
 const PORT_TAKEN: &str = "Address already in use";
-const LISTEN_PORTS: std::ops::Range<u16> = 10_000..32_000;
 const DATA_CENTRE: &str = "sapporo-a";
 /// The platform knows which processes exist; a frozen one does not vanish from its list.
 const HOST_LIST: &[&str] = &["hosts", "--expire-ms", "86400000"];
 
-/// An engine of a planned site.
-#[derive(Clone, Debug)]
-pub struct EngineSpec {
-    /// Its name.
-    pub name: String,
-    /// The data centre it stands in.
-    pub data_centre: String,
-    /// Its accelerator memory.
-    pub memory_bytes: u64,
-    /// How many requests it batches.
-    pub slots: u32,
-    /// How long a load takes.
-    pub load_ms: u64,
-    /// The time of one token.
-    pub token_ms: u64,
-    /// Whether it refuses old fencing numbers.
-    pub checks_fencing: bool,
-    /// Further arguments of the stand-in.
-    pub arguments: Vec<String>,
-}
-
-impl EngineSpec {
-    /// Makes an engine with usual figures.
-    pub fn named(name: &str) -> Self {
-        Self {
-            name: name.to_string(),
-            data_centre: DATA_CENTRE.to_string(),
-            memory_bytes: 10_000,
-            slots: 8,
-            load_ms: 300,
-            token_ms: 5,
-            checks_fencing: true,
-            arguments: Vec::new(),
-        }
-    }
-}
-
-/// What a site is to be made of.
-#[derive(Debug, Default)]
-pub struct Plan {
-    engines: Vec<EngineSpec>,
-    services: Vec<ServiceSpec>,
-    store_arguments: Option<Vec<String>>,
-    log_arguments: Vec<String>,
-    hosts_arguments: Vec<String>,
-    host_count: usize,
-    host_settings: String,
-    host_data_centres: Vec<String>,
-    links: bool,
-}
-
-#[derive(Debug)]
-struct ServiceSpec {
-    name: String,
-    data_centre: String,
-    arguments: Vec<String>,
-}
-
-impl Plan {
-    /// Adds an engine.
-    pub fn engine(mut self, engine: EngineSpec) -> Self {
-        self.engines.push(engine);
-        self
-    }
-
-    /// Adds a plain service's upstream, with further arguments of the stand-in.
-    pub fn service(self, name: &str, arguments: &[&str]) -> Self {
-        self.service_in(DATA_CENTRE, name, arguments)
-    }
-
-    /// Adds a plain service's upstream in a data centre.
-    pub fn service_in(mut self, data_centre: &str, name: &str, arguments: &[&str]) -> Self {
-        self.services.push(ServiceSpec {
-            name: name.to_string(),
-            data_centre: data_centre.to_string(),
-            arguments: to_strings(arguments),
-        });
-        self
-    }
-
-    /// Spreads the daemons over data centres, in turn.
-    pub fn host_data_centres(mut self, names: &[String]) -> Self {
-        self.host_data_centres = names.to_vec();
-        self
-    }
-
-    /// Adds the weight store, from which the engines then fetch.
-    pub fn store(mut self, arguments: &[&str]) -> Self {
-        self.store_arguments = Some(to_strings(arguments));
-        self
-    }
-
-    /// Sets further arguments of the log stand-in.
-    pub fn log(mut self, arguments: &[&str]) -> Self {
-        self.log_arguments = to_strings(arguments);
-        self
-    }
-
-    /// Sets further arguments of the host list stand-in.
-    pub fn host_list(mut self, arguments: &[&str]) -> Self {
-        self.hosts_arguments = to_strings(arguments);
-        self
-    }
-
-    /// Sets the number of daemons.
-    pub fn hosts(mut self, count: usize) -> Self {
-        self.host_count = count;
-        self
-    }
-
-    /// Adds lines to every daemon's settings: whole TOML sections.
-    pub fn settings(mut self, lines: &str) -> Self {
-        self.host_settings = lines.to_string();
-        self
-    }
-
-    /// Puts links that can be cut before the log and between the daemons.
-    pub fn links(mut self) -> Self {
-        self.links = true;
-        self
-    }
-
-    /// Starts everything and waits until every daemon serves.
-    pub fn start(self) -> Site {
-        Site::start(self)
-    }
-}
-
 /// A stand-in of a running site.
 #[derive(Debug)]
 pub struct StandIn {
@@ -543,149 +424,6 @@
     }
 }
 
-/// Returns the API key of a brand in tests.
-pub fn api_key(brand: &str) -> String {
-    format!("{brand}-key")
-}
-
-/// Makes a change that adds a brand with its test key.
-pub fn put_brand(brand: &str) -> Change {
-    let brand_entry = Brand {
-        key_sha256: vec![sha256(&api_key(brand))],
-    };
-    Change::PutBrand {
-        name: brand.into(),
-        brand: brand_entry,
-    }
-}
-
-/// Makes a change that adds a model.
-pub fn put_model(model: &str, reserved_bytes: u64) -> Change {
-    let spec = Model {
-        version: "1".into(),
-        reserved_bytes,
-        checkpoint_bytes: reserved_bytes,
-        base: None,
-    };
-    Change::PutModel {
-        name: model.into(),
-        model: spec,
-    }
-}
-
-/// Makes a change that adds a row with the usual values.
-pub fn put_row(brand: &str, model: &str) -> Change {
-    put_row_with(brand, model, json!({}))
-}
-
-/// Makes a change that adds a row with the given values.
-///
-/// # Panics
-///
-/// Panics when the values are not a row's.
-pub fn put_row_with(brand: &str, model: &str, values: Value) -> Change {
-    let key = RowKey {
-        brand: brand.into(),
-        model: model.into(),
-    };
-    let row: Row = serde_json::from_value(values).expect("the values of a row");
-    Change::PutRow { key, row }
-}
-
-fn start_daemon(directory: &Path, name: &str, settings: &Path, starts: u32) -> Process {
-    let arguments = ["--settings".to_string(), settings.display().to_string()];
-    let log_path = directory.join(format!("{name}-{starts}.log"));
-    Process::start("mangovaled", &arguments, &log_path)
-}
-
-fn stand_in(directory: &Path, name: &str, mut arguments: Vec<String>) -> StandIn {
-    arguments.extend(["--listen".to_string(), "127.0.0.1:0".to_string()]);
-    let log_path = directory.join(format!("{name}.log"));
-    let process = Process::start("mangovale-standins", &arguments, &log_path);
-    let mut address = None;
-    wait_for(&format!("{name} to listen"), || {
-        let log = process.log();
-        address = log
-            .lines()
-            .find_map(|line| line.strip_prefix("listening on "))
-            .and_then(|text| text.trim().parse().ok());
-        address.is_some()
-    });
-    StandIn {
-        process,
-        address: address.expect("the stand-in listens"),
-    }
-}
-
-fn engine_arguments(
-    engine: &EngineSpec,
-    host_list: &StandIn,
-    store: &Option<StandIn>,
-) -> Vec<String> {
-    let mut arguments = with(&["engine", "--name", &engine.name], &[]);
-    let hosts = format!("http://{}", host_list.address);
-    let pairs = [
-        ("--data-centre", engine.data_centre.clone()),
-        ("--hosts", hosts),
-        ("--memory-bytes", engine.memory_bytes.to_string()),
-        ("--slots", engine.slots.to_string()),
-        ("--token-ms", engine.token_ms.to_string()),
-        ("--checks-fencing", engine.checks_fencing.to_string()),
-    ];
-    for (option, value) in pairs {
-        arguments.extend([option.to_string(), value]);
-    }
-    match store {
-        Some(store) => {
-            arguments.extend(["--store".to_string(), format!("http://{}", store.address)]);
-        }
-        None => arguments.extend(["--load-ms".to_string(), engine.load_ms.to_string()]),
-    }
-    arguments.extend(engine.arguments.iter().cloned());
-    arguments
-}
-
-fn service_arguments(service: &ServiceSpec, host_list: &StandIn) -> Vec<String> {
-    let hosts = format!("http://{}", host_list.address);
-    let arguments = [
-        "service",
-        "--name",
-        &service.name,
-        "--data-centre",
-        &service.data_centre,
-        "--hosts",
-        &hosts,
-    ];
-    with(&arguments, &service.arguments)
-}
-
-fn with(first: &[&str], rest: &[String]) -> Vec<String> {
-    let mut arguments = to_strings(first);
-    arguments.extend(rest.iter().cloned());
-    arguments
-}
-
-fn to_strings(texts: &[&str]) -> Vec<String> {
-    texts.iter().map(|text| text.to_string()).collect()
-}
-
-/// Finds a port that nobody listens on, below the range from which outgoing connections take theirs.
-fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
-    const TRIES: u32 = 1_000;
-    (0..TRIES)
-        .map(|_| SocketAddr::from(([127, 0, 0, 1], fastrand::u16(LISTEN_PORTS))))
-        .find(|address| is_free(*address))
-        .expect("a free port")
-}
-
-fn free_tcp() -> SocketAddr {
-    free_port(|address| TcpListener::bind(address).is_ok())
-}
-
-fn free_udp() -> SocketAddr {
-    free_port(|address| UdpSocket::bind(address).is_ok())
-}
-
 fn post(url: &str, body: &Value) -> Outcome {
     let conn = client()
         .build_conn(Method::Post, url)
--- a/bench/tests/experiment.rs
+++ b/bench/tests/experiment.rs
@@ -7,7 +7,7 @@
 use mangovale_bench::report::{Counted, Figures, Spread, summarize};
 use mangovale_bench::samples::{Sample, SampledCopy, SampledState};
 use mangovale_bench::scenario::Scenario;
-use mangovale_bench::{experiment, faults};
+use mangovale_bench::{faults, figures_text};
 use std::path::{Path, PathBuf};
 
 const MODEL: &str = "model-00";
@@ -193,7 +193,7 @@
         policy: "never".to_string(),
         ..Figures::default()
     };
-    let csv = experiment::to_csv(&[figures]);
+    let csv = figures_text::to_csv(&[figures]);
     let columns: Vec<usize> = csv.lines().map(|line| line.split(',').count()).collect();
     assert_eq!(columns.len(), 2);
     assert_eq!(columns[0], columns[1]);
