--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 //! [`node::Node::handle`] is pure. The `*_flow` modules join the slices into it, one duty each.
 
 pub mod claim_flow;
+pub mod demand_flow;
 pub mod dump;
 pub mod edit_flow;
 pub mod effect;
@@ -19,6 +20,7 @@
 pub mod run;
 pub mod servers;
 pub mod trace;
+pub mod upstream_flow;
 
 #[cfg(test)]
 mod tests;
