Count the log out of reach after a second of failed reads, not after one

bench/tests/copies.rs (lost answers on reads and appends) met log_unavailable: one failed read made the log count as out of reach (E200 and E201 in turn, each 600 ms), and cold requests were refused at once. Ruled out: the stand-in's watch for closed connections.

--- a/src/edge/log_service.rs
+++ b/src/edge/log_service.rs
@@ -1,6 +1,6 @@
 //! The append-only log over HTTP.
 
-use crate::edge::http::{CallError, call_json, client};
+use crate::edge::http::{CallError, JsonAnswer, call_json, client, new_connection_client};
 use crate::edge::{BoxFuture, LogService};
 use crate::prelude::*;
 use crate::shared_log::codec::encode;
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub struct HttpLog {
     client: Client,
+    /// For appends, whose outcome would be unknown on a kept connection that the log has closed.
+    fresh_client: Client,
     records_url: String,
 }
 
@@ -41,6 +43,7 @@
         let base = log_url.trim_end_matches('/');
         Self {
             client: client(),
+            fresh_client: new_connection_client(),
             records_url: format!("{base}/streams/{stream}/records"),
         }
     }
@@ -51,9 +54,12 @@
             self.records_url, from.0, wait_ms.0
         );
         let limit = wait_ms.to_duration() + READ_TIMEOUT;
-        let answer = call_json(&self.client, Method::Get, &url, None::<&()>, limit)
-            .await
-            .map_err(|_| LogCallError::Refused)?;
+        let answer = match get_page(&self.client, &url, limit).await {
+            // A lost answer or a closed connection is no sign that the log is out of reach.
+            Err(CallError::Broken { .. }) => get_page(&self.fresh_client, &url, limit).await,
+            other => other,
+        };
+        let answer = answer.map_err(|_| LogCallError::Refused)?;
         match (answer.status, answer.body) {
             (200, Some(ReadAnswer::Page(page))) => Ok(page),
             (410, Some(ReadAnswer::Trimmed { oldest_offset })) => {
@@ -68,8 +74,14 @@
         let records = encoded.map_err(|_| LogCallError::Refused)?;
         let body = AppendBody { records };
         let url = &self.records_url;
-        let answer: Result<crate::edge::http::JsonAnswer<AppendAnswer>, CallError> =
-            call_json(&self.client, Method::Post, url, Some(&body), APPEND_TIMEOUT).await;
+        let answer: Result<JsonAnswer<AppendAnswer>, CallError> = call_json(
+            &self.fresh_client,
+            Method::Post,
+            url,
+            Some(&body),
+            APPEND_TIMEOUT,
+        )
+        .await;
         match answer {
             Ok(answer) if answer.status == 200 => Ok(()),
             Ok(answer) if (400..500).contains(&answer.status) => Err(LogCallError::Refused),
@@ -79,6 +91,14 @@
     }
 }
 
+async fn get_page(
+    client: &Client,
+    url: &str,
+    limit: Duration,
+) -> Result<JsonAnswer<ReadAnswer>, CallError> {
+    call_json(client, Method::Get, url, None::<&()>, limit).await
+}
+
 impl LogService for HttpLog {
     fn read(&self, from: Offset, wait_ms: Millis) -> BoxFuture<'_, Result<LogPage, LogCallError>> {
         Box::pin(self.read_page(from, wait_ms))
--- a/src/shared_log/driver.rs
+++ b/src/shared_log/driver.rs
@@ -20,6 +20,8 @@
 pub const MAX_READ_RECORDS: usize = 512;
 /// How long a read waits at the end of the log.
 pub const READ_WAIT_MS: Millis = Millis(500);
+/// How long reads must fail before the log counts as out of reach: single answers get lost.
+pub const UNREACHABLE_AFTER_MS: Millis = Millis(1_000);
 /// How long to wait after a failed call.
 pub const RETRY_MS: Millis = Millis(100);
 
@@ -116,7 +118,7 @@
         matches!(self.append, AppendState::Sent)
     }
 
-    /// Tells whether the last read succeeded.
+    /// Tells whether the log answered lately.
     pub fn is_reachable(&self) -> bool {
         self.reachable
     }
@@ -211,7 +213,9 @@
             return;
         }
         self.read = ReadState::Asked;
-        let urgent = matches!(self.append, AppendState::UnknownSince(_)) || !self.reachable;
+        let urgent = matches!(self.append, AppendState::UnknownSince(_))
+            || self.failing_since.is_some()
+            || !self.reachable;
         let wait_ms = if urgent { Millis::ZERO } else { READ_WAIT_MS };
         fx.push(Effect::ReadLog {
             from: next_offset,
@@ -284,11 +288,11 @@
     /// Takes a read's failure.
     pub fn on_read_failed(&mut self, now: Millis) {
         self.read = ReadState::RetryAt(now + RETRY_MS);
-        if self.reachable || self.failing_since.is_none() {
-            self.failing_since = Some(now);
+        let since = *self.failing_since.get_or_insert(now);
+        if self.reachable && now.since(since) >= UNREACHABLE_AFTER_MS {
+            self.reachable = false;
             LogEvent::LogLost.write("waiting for the log, retrying");
         }
-        self.reachable = false;
     }
 
     /// Takes note of an own record read back; the batch ends with its last record.
