--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -251,7 +251,7 @@
     }
 
     /// Takes an applied record.
-    pub fn membership_applied(&mut self, applied: &Applied) {
+    pub fn membership_applied(&mut self, now: Millis, applied: &Applied) {
         let own = applied.record.id.host == self.config.me;
         if own && applied.record.body == RecordBody::Leave {
             self.life = Life::Ended;
@@ -270,7 +270,7 @@
             RecordBody::Upstream { entry } => {
                 LogEvent::UpstreamRegistered.write(&format!("upstream={}", entry.name));
                 if !entry.leaving {
-                    self.leaving.clear(&entry.name);
+                    self.leaving.clear(&entry.name, now);
                 }
                 self.routing.view(&entry.name).leaving = entry.leaving;
             }
@@ -294,6 +294,9 @@
                 self.freshness.relay_answered();
                 self.apply_relayed(now, &records, fx);
             }
+            PeerReply::Slice { row, slice, wanted } => {
+                self.on_slice(now, &row, asked_at, slice, wanted, fx);
+            }
             PeerReply::Operation { operation, state } => {
                 self.on_operation_state(now, peer, &operation, &state, fx);
             }
@@ -364,6 +367,11 @@
                 records: self.records_from(from, MAX_READ_RECORDS),
                 next_offset: self.shared.next_offset,
             },
+            PeerRequest::Slice { row, wanted } => PeerReply::Slice {
+                slice: self.grant_slice(now, &row, wanted),
+                row,
+                wanted,
+            },
             PeerRequest::Operation { operation } => PeerReply::Operation {
                 state: self.operation_state(&operation),
                 operation,
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -143,7 +143,10 @@
             }
             AttemptOutcome::Broken(_) => self.count_refusal(ErrorKind::AnswerBroken),
             AttemptOutcome::CallerGone => self.count_request("caller_gone"),
-            AttemptOutcome::NotRun(_) | AttemptOutcome::Silent(_) | AttemptOutcome::Unknown(_) => {}
+            AttemptOutcome::NotRun(_)
+            | AttemptOutcome::Busy(_)
+            | AttemptOutcome::Silent(_)
+            | AttemptOutcome::Unknown(_) => {}
         }
     }
 
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -4,13 +4,13 @@
 use crate::attempt::message::{
     Attempt, AttemptOutcome, ConnectionChoice, Repeatable, RequestHead, RequestId, TargetKind,
 };
-use crate::attempt::requests::{HeldRequest, MAX_ATTEMPTS, Phase};
+use crate::attempt::requests::{HeldRequest, MAX_FAILURES, Phase};
 use crate::daemon::node::{Life, Node};
 use crate::error::Ran;
 use crate::idempotency::message::OperationKey;
 use crate::placement::copies::CopyState;
 use crate::prelude::*;
-use crate::routing::upstreams::FAILURE_REST_MS;
+use crate::routing::upstreams::{BUSY_REST_MS, FAILURE_REST_MS};
 use crate::shared_log::fold::Applied;
 use crate::table::message::RowKey;
 use std::net::SocketAddr;
@@ -37,14 +37,22 @@
             self.refuse(now, request, refusal, fx);
             return;
         }
-        match self
-            .requests
-            .get(request)
-            .map(|held| held.operation.is_some())
-        {
-            Some(true) => self.claim_or_follow(now, request, fx),
-            Some(false) => self.enqueue(now, request, fx),
-            None => {}
+        let held = self.requests.get(request);
+        let row = held.and_then(|held| self.shared.table.row(&held.row));
+        match row.is_some_and(|row| row.requests_per_s.is_some()) {
+            true => self.meter(now, request, fx),
+            false => self.proceed(now, request, fx),
+        }
+    }
+
+    /// Lets an admitted request go on to its claim or its queue.
+    pub fn proceed(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        match request.operation.is_some() {
+            true => self.claim_or_follow(now, id, fx),
+            false => self.enqueue(now, id, fx),
         }
     }
 
@@ -67,7 +75,7 @@
             .deadline_ms
             .map_or(row.deadline_ms, |own| own.min(row.deadline_ms));
         self.check_cold_start(now, &head.name, deadline_ms)?;
-        if let Err(retry_after_ms) = self.limits.admit(now, &key, &row) {
+        if let Err(retry_after_ms) = self.limits.admit(&key, &row) {
             let message = format!(
                 "the limit of brand {} for {} is reached",
                 key.brand, key.model
@@ -82,6 +90,7 @@
             arrived_at: now,
             deadline_at: now + deadline_ms,
             attempts: 0,
+            failures: 0,
             failed_upstreams: Vec::new(),
             may_have_run: false,
             operation,
@@ -109,6 +118,8 @@
                 .map_or(1, |row| row.weight),
             urgency: request.urgency,
             since: request.arrived_at,
+            deadline_at: request.deadline_at,
+            came_back: request.attempts > 0,
         };
         let target = request.head.name.clone();
         if self.queues.push(&target, waiting).is_err() {
@@ -173,14 +184,27 @@
         for id in self.requests.due(now) {
             self.tick_request(now, id, fx);
         }
+        self.tick_limits(now, fx);
+        self.refuse_hopeless(now, fx);
         self.queues.tidy();
     }
 
+    /// Refuses whoever cannot be served by the deadline, with the time by which the queue is through.
+    fn refuse_hopeless(&mut self, now: Millis, fx: &mut Effects) {
+        for hopeless in self.queues.hopeless(now) {
+            let message = "the queue is longer than the request's deadline allows";
+            let refusal = Refusal::new(ErrorKind::Overloaded, message);
+            let refusal = refusal.after(hopeless.wait_ms.max(RETRY_MS));
+            self.refuse(now, hopeless.request, refusal, fx);
+        }
+    }
+
     fn tick_request(&mut self, now: Millis, id: RequestId, fx: &mut Effects) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
         match &request.phase {
+            Phase::Metered => self.tick_metered(now, id, fx),
             Phase::Claiming => self.tick_claiming(now, id, fx),
             Phase::Following { .. } => self.tick_following(now, id, fx),
             Phase::Releasing { .. } => self.tick_releasing(now, id, fx),
@@ -222,7 +246,7 @@
             let Some(chosen) = self.routing.choose(now, slots).cloned() else {
                 return;
             };
-            let Some(waiting) = self.queues.pop(target) else {
+            let Some(waiting) = self.queues.pop(now, target) else {
                 return;
             };
             let chosen = candidates.iter().find(|candidate| candidate.name == chosen);
@@ -235,11 +259,11 @@
     /// Asks for a copy, or refuses whoever waits when the log, which decides on copies, is out of reach.
     fn load_or_refuse(&mut self, now: Millis, model: &Name, fx: &mut Effects) {
         let has_copy = self.shared.placement.copies_of(model).next().is_some();
-        if has_copy || self.driver.is_reachable() {
+        if has_copy || !self.driver.is_out_of_reach(now) {
             self.ensure_loading(now, model);
             return;
         }
-        while let Some(waiting) = self.queues.pop(model) {
+        while let Some(waiting) = self.queues.pop(now, model) {
             let message = format!("{model} has no copy, and the log is out of reach");
             let refusal = Refusal::new(ErrorKind::LogUnavailable, message).after(RETRY_MS);
             self.refuse(now, waiting.request, refusal, fx);
@@ -339,7 +363,7 @@
         let bound_ms = self
             .routing
             .first_byte_bound(upstream, request.head.streamed);
-        let patience = 1 << request.attempts.min(MAX_ATTEMPTS);
+        let patience = 1 << request.failures.min(MAX_FAILURES);
         Millis(bound_ms.0 * patience).min(to_deadline_ms)
     }
 
@@ -362,6 +386,7 @@
             return;
         }
         self.end_in_flight(id);
+        self.note_failure(id, &outcome);
         match outcome {
             AttemptOutcome::Answered => {
                 self.keep_answer(now, id, None);
@@ -376,18 +401,38 @@
                 self.routing.view(&upstream).resting_until = now + FAILURE_REST_MS;
                 self.retry_or_refuse(now, id, &why, fx);
             }
+            AttemptOutcome::Busy(why) => {
+                self.routing.view(&upstream).resting_until = now + BUSY_REST_MS;
+                self.retry_or_refuse(now, id, &why, fx);
+            }
             AttemptOutcome::Silent(why) => {
-                self.note_may_have_run(id);
                 self.retry_or_refuse(now, id, &why, fx);
             }
             AttemptOutcome::Unknown(why) => {
                 self.routing.view(&upstream).resting_until = now + FAILURE_REST_MS;
-                self.note_may_have_run(id);
                 self.retry_or_refuse(now, id, &why, fx);
             }
         }
     }
 
+    fn note_failure(&mut self, id: RequestId, outcome: &AttemptOutcome) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        match outcome {
+            AttemptOutcome::NotRun(_) => request.failures += 1,
+            AttemptOutcome::Silent(_) | AttemptOutcome::Unknown(_) => {
+                request.failures += 1;
+                request.may_have_run = true;
+            }
+            AttemptOutcome::Answered
+            | AttemptOutcome::OperationAnswered(_)
+            | AttemptOutcome::Busy(_)
+            | AttemptOutcome::Broken(_)
+            | AttemptOutcome::CallerGone => {}
+        }
+    }
+
     fn note_may_have_run(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(id) {
             request.may_have_run = true;
@@ -406,7 +451,7 @@
             return;
         }
         let may_retry = repeatable || request.operation.is_some();
-        if may_retry && request.attempts < MAX_ATTEMPTS && now < request.deadline_at {
+        if may_retry && request.failures < MAX_FAILURES && now < request.deadline_at {
             self.enqueue(now, id, fx);
             return;
         }
@@ -475,6 +520,7 @@
         };
         self.let_go_of_operation(now, &request);
         self.queues.remove(&request.head.name, id);
+        self.metered.remove(&request.row, id);
         self.limits.end(&request.row);
         if request.head.target == TargetKind::Model {
             let last_use_at = request.arrived_at;
