--- a/src/shared_log/driver.rs
+++ b/src/shared_log/driver.rs
@@ -89,6 +89,7 @@
     reachable: bool,
     end_seen_at: Option<Millis>,
     failing_since: Option<Millis>,
+    loss_told: bool,
     halted: bool,
 }
 
@@ -280,6 +281,7 @@
             LogEvent::LogBack.write("");
         }
         self.failing_since = None;
+        self.loss_told = false;
         if next_offset < end_offset {
             return;
         }
@@ -295,8 +297,9 @@
     pub fn on_read_failed(&mut self, now: Millis) {
         self.read = ReadState::RetryAt(now + RETRY_MS);
         let since = *self.failing_since.get_or_insert(now);
-        if self.reachable && now.since(since) >= OUT_OF_REACH_AFTER_MS {
+        if !self.loss_told && now.since(since) >= OUT_OF_REACH_AFTER_MS {
             self.reachable = false;
+            self.loss_told = true;
             LogEvent::LogLost.write("waiting for the log, retrying");
         }
     }
