--- a/src/edge/log_service.rs
+++ b/src/edge/log_service.rs
@@ -55,7 +55,7 @@
         );
         let limit = wait_ms.to_duration() + READ_TIMEOUT;
         let answer = match get_page(&self.client, &url, limit).await {
-            // The log may have closed a kept connection; that is no sign that it is out of reach.
+            // A lost answer or a closed connection is no sign that the log is out of reach.
             Err(CallError::Broken { .. }) => get_page(&self.fresh_client, &url, limit).await,
             other => other,
         };
--- a/src/shared_log/driver.rs
+++ b/src/shared_log/driver.rs
@@ -89,6 +89,7 @@
     reachable: bool,
     end_seen_at: Option<Millis>,
     failing_since: Option<Millis>,
+    loss_told: bool,
     halted: bool,
 }
 
@@ -124,7 +125,7 @@
         !self.reachable && failing_ms.is_some_and(|failing_ms| failing_ms >= OUT_OF_REACH_AFTER_MS)
     }
 
-    /// Tells whether the last read succeeded.
+    /// Tells whether the log answered lately.
     pub fn is_reachable(&self) -> bool {
         self.reachable
     }
@@ -219,7 +220,9 @@
             return;
         }
         self.read = ReadState::Asked;
-        let urgent = matches!(self.append, AppendState::UnknownSince(_)) || !self.reachable;
+        let urgent = matches!(self.append, AppendState::UnknownSince(_))
+            || self.failing_since.is_some()
+            || !self.reachable;
         let wait_ms = if urgent { Millis::ZERO } else { READ_WAIT_MS };
         fx.push(Effect::ReadLog {
             from: next_offset,
@@ -278,6 +281,7 @@
             LogEvent::LogBack.write("");
         }
         self.failing_since = None;
+        self.loss_told = false;
         if next_offset < end_offset {
             return;
         }
@@ -292,11 +296,12 @@
     /// Takes a read's failure.
     pub fn on_read_failed(&mut self, now: Millis) {
         self.read = ReadState::RetryAt(now + RETRY_MS);
-        if self.reachable || self.failing_since.is_none() {
-            self.failing_since = Some(now);
+        let since = *self.failing_since.get_or_insert(now);
+        if !self.loss_told && now.since(since) >= OUT_OF_REACH_AFTER_MS {
+            self.reachable = false;
+            self.loss_told = true;
             LogEvent::LogLost.write("waiting for the log, retrying");
         }
-        self.reachable = false;
     }
 
     /// Takes note of an own record read back; the batch ends with its last record.
