Keep loads that wait for the store off the log, and wait for engines that are about to be known

Change: proposals look at the same room that the fold checks, homes get new room first, and a refused load rests 500 ms. Test daemon::tests, failed first.

--- a/src/daemon/cold_start.rs
+++ b/src/daemon/cold_start.rs
@@ -44,12 +44,28 @@
             return Ready::After(left_ms);
         }
         match self.choose(now, model) {
+            Choice::Never if self.is_engine_coming(model) => Ready::Soon,
             Choice::Never => Ready::Never,
             Choice::Wait => Ready::Soon,
             Choice::Load(_) | Choice::MakeRoom { .. } => Ready::After(self.cold_start_ms(model)),
         }
     }
 
+    /// Tells whether the platform's list has, or may have, an engine for a model that is not on the log yet.
+    fn is_engine_coming(&self, model: &str) -> bool {
+        let wanted = self.demand.decided.of(model) > 0;
+        let bytes = self
+            .shared
+            .table
+            .model(model)
+            .map(|spec| spec.reserved_bytes);
+        let known = &self.shared.placement.upstreams;
+        let may_list = self.platform.may_list(|entry| {
+            !known.contains_key(&entry.name) && Some(entry.memory_bytes) >= bytes
+        });
+        wanted && may_list
+    }
+
     fn cold_start_ms(&self, model: &str) -> Millis {
         let Some(spec) = self.shared.table.model(model) else {
             return Millis::ZERO;
--- a/src/daemon/demand_flow.rs
+++ b/src/daemon/demand_flow.rs
@@ -22,6 +22,8 @@
 pub const PROPOSAL_REST_MS: Millis = Millis(1_000);
 /// How long a model that cannot be loaded now is left before it is looked at again.
 pub const LOOK_REST_MS: Millis = Millis(100);
+/// How long a model whose load the weight store's limits refused is left.
+pub const STORE_REST_MS: Millis = Millis(500);
 /// How long a host that is not the model's home waits for the home's proposal.
 pub const HOME_FIRST_MS: Millis = Millis(200);
 /// How often a host tells others of its use of models.
@@ -47,6 +49,8 @@
     store: Option<StoreReport>,
     wanted: IndexMap<Name, Wanted>,
     proposed_at: IndexMap<Name, Millis>,
+    /// Since when the weight store has room for a load.
+    store_room_since: Option<Millis>,
     room_wanted: Vec<RoomWanted>,
     next_hints_at: Millis,
     /// When the loads under way were decided, by the log's clock.
@@ -81,6 +85,13 @@
         self.proposed_at.swap_remove(model);
     }
 
+    /// Takes note that a load was refused for the weight store's limits: it rests until there may be room.
+    pub(super) fn on_store_busy(&mut self, now: Millis, model: &Name) {
+        if let Some(wanted) = self.wanted.get_mut(model) {
+            wanted.look_at = now + STORE_REST_MS;
+        }
+    }
+
     /// Takes note that a load was decided.
     pub(super) fn on_load_decided(&mut self, id: Offset, decided_at: Millis) {
         self.loads_since.insert(id, decided_at);
@@ -197,9 +208,10 @@
 
     fn propose_loads(&mut self, now: Millis) {
         self.demand.decided.refresh(&self.shared.table);
-        let parallel = self.shared.table.store.value.parallel_loads as usize;
-        let under_way = self.shared.placement.loading() + self.demand.proposed_at.len();
-        let mut free = parallel.saturating_sub(under_way);
+        let room_since = self.note_store_room(now);
+        let limits = &self.shared.table.store.value;
+        let room = self.shared.placement.store_room(self.log_now(now), limits);
+        let mut free = room.saturating_sub(self.demand.proposed_at.len());
         let mut models: Vec<(Name, Wanted)> = self
             .demand
             .wanted
@@ -214,7 +226,8 @@
             if now < wanted.look_at {
                 continue;
             }
-            let is_due = now.since(wanted.since) >= HOME_FIRST_MS || self.is_home(&model);
+            let home_had_ms = now.since(wanted.since.max(room_since));
+            let is_due = home_had_ms >= HOME_FIRST_MS || self.is_home(&model);
             if !is_due {
                 continue;
             }
@@ -226,6 +239,22 @@
         }
     }
 
+    /// Returns the log's clock as far as this host can tell.
+    fn log_now(&self, now: Millis) -> Millis {
+        self.shared.log_ms.max(now)
+    }
+
+    /// Returns since when the weight store has room for a load, so that homes get it first.
+    fn note_store_room(&mut self, now: Millis) -> Millis {
+        let limits = &self.shared.table.store.value;
+        let room = self.shared.placement.store_room(self.log_now(now), limits);
+        if room == 0 {
+            self.demand.store_room_since = None;
+            return now;
+        }
+        *self.demand.store_room_since.get_or_insert(now)
+    }
+
     /// Tells whether a load was proposed.
     fn propose_load(&mut self, now: Millis, model: &Name) -> bool {
         let mut copies = self.shared.placement.copies_of(model);
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -2,7 +2,7 @@
 
 use crate::daemon::node::{Life, Node};
 use crate::membership::entry::{entry_answer, home};
-use crate::membership::message::{HostList, PeerReply, PeerRequest, Probe};
+use crate::membership::message::{HostList, PeerReply, PeerRequest, Probe, UpstreamEntry};
 use crate::prelude::*;
 use crate::shared_log::driver::MAX_READ_RECORDS;
 use crate::shared_log::fold::Applied;
@@ -46,6 +46,12 @@
         self.list.as_ref()
     }
 
+    /// Tells whether the list has an upstream of some kind, or was not read yet.
+    pub fn may_list(&self, is_meant: impl Fn(&UpstreamEntry) -> bool) -> bool {
+        let list = self.list.as_ref();
+        list.is_none_or(|list| list.upstreams.iter().any(is_meant))
+    }
+
     /// Tells whether something may be proposed now, and takes note of it.
     pub fn may_propose(&mut self, now: Millis, what: &str) -> bool {
         self.proposed_at
--- a/src/daemon/placement_flow.rs
+++ b/src/daemon/placement_flow.rs
@@ -192,11 +192,14 @@
     }
 
     /// Takes an applied record.
-    pub fn placement_applied(&mut self, _now: Millis, applied: &Applied) {
+    pub fn placement_applied(&mut self, now: Millis, applied: &Applied) {
         let offset = applied.offset;
         match &applied.record.body {
             RecordBody::Load { load } => {
                 self.demand.on_load(&load.model);
+                if applied.verdict == Verdict::Rejected(Rejection::StoreBusy) {
+                    self.demand.on_store_busy(now, &load.model);
+                }
                 if applied.verdict.is_accepted() {
                     self.demand.on_load_decided(offset, self.shared.log_ms);
                     let details = format!(
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,1 +1,81 @@
 //! Tests of the joined decisions.
+
+use crate::membership::message::{HostList, UpstreamEntry, UpstreamRole};
+use crate::membership::tests::cluster::Cluster;
+use crate::prelude::*;
+use crate::table::message::{Brand, Change, Edit, Model, Row, RowKey};
+
+const MODEL: &str = "review";
+const BYTES: u64 = 1_000;
+const DEADLINE_MS: Millis = Millis(30_000);
+
+fn table_with_a_row() -> Edit {
+    let key = RowKey {
+        brand: "north".into(),
+        model: MODEL.into(),
+    };
+    let model = Model {
+        version: "1".into(),
+        reserved_bytes: BYTES,
+        checkpoint_bytes: BYTES,
+        base: None,
+    };
+    let row: Row = serde_json::from_str("{}").unwrap();
+    let brand = Brand {
+        key_sha256: Vec::new(),
+    };
+    Edit {
+        edit_id: "first".into(),
+        operator: "test".into(),
+        base_version: Offset(0),
+        changes: vec![
+            Change::PutBrand {
+                name: "north".into(),
+                brand,
+            },
+            Change::PutModel {
+                name: MODEL.into(),
+                model,
+            },
+            Change::PutRow { key, row },
+        ],
+    }
+}
+
+fn engine(memory_bytes: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        name: "engine-1".into(),
+        role: UpstreamRole::Engine,
+        address: ([127, 0, 0, 1], 9_000).into(),
+        data_centre: "otaru".into(),
+        memory_bytes,
+        slots: 1,
+        checks_fencing: true,
+        leaving: false,
+    }
+}
+
+fn cold_request_with_listed(upstreams: Vec<UpstreamEntry>) -> Result<(), Refusal> {
+    let mut cluster = Cluster::new(1);
+    cluster.edit(0, table_with_a_row());
+    cluster.run_for(Millis(500));
+    let now = cluster.now;
+    let node = &mut cluster.hosts[0].node;
+    let hosts = Vec::new();
+    node.on_hosts_listed(now, HostList { upstreams, hosts });
+    node.check_cold_start(now, &MODEL.into(), DEADLINE_MS)
+}
+
+#[test]
+fn a_cold_request_waits_for_a_listed_engine_that_is_not_on_the_log_yet() {
+    assert_eq!(cold_request_with_listed(vec![engine(BYTES)]), Ok(()));
+}
+
+#[test]
+fn a_cold_request_that_no_engine_can_take_is_refused_at_once() {
+    let refused = |outcome: Result<(), Refusal>| outcome.map_err(|refusal| refusal.kind);
+    let too_small = cold_request_with_listed(vec![engine(BYTES - 1)]);
+    assert_eq!(refused(too_small), Err(ErrorKind::NoCapacity));
+    let none = cold_request_with_listed(Vec::new());
+    assert_eq!(refused(none), Err(ErrorKind::NoCapacity));
+}
--- a/src/placement/checks.rs
+++ b/src/placement/checks.rs
@@ -5,6 +5,7 @@
 use crate::placement::message::LoadDecision;
 use crate::prelude::*;
 use crate::table::Table;
+use crate::table::message::StoreLimits;
 
 const SECOND_MS: Millis = Millis(1_000);
 
@@ -84,6 +85,14 @@
         }
     }
 
+    /// Returns how many loads the weight store's limits allow to begin now, by the log's clock.
+    pub fn store_room(&self, now: Millis, limits: &StoreLimits) -> usize {
+        let began_lately = |at: &&Millis| now.since(**at) < SECOND_MS;
+        let begun = self.recent_loads.iter().filter(began_lately).count();
+        let parallel = (limits.parallel_loads as usize).saturating_sub(self.loading());
+        parallel.min((limits.loads_per_s as usize).saturating_sub(begun))
+    }
+
     fn check_store(&mut self, now: Millis, table: &Table) -> Result<(), Rejection> {
         while self
             .recent_loads
@@ -92,9 +101,7 @@
         {
             self.recent_loads.pop_front();
         }
-        let limits = table.store.value;
-        let is_busy = self.loading() >= limits.parallel_loads as usize
-            || self.recent_loads.len() >= limits.loads_per_s as usize;
+        let is_busy = self.store_room(now, &table.store.value) == 0;
         if is_busy {
             Err(Rejection::StoreBusy)
         } else {
