Ask a bounded number of engines for their reports

Cause: each host asked every engine each 500 ms: at 6,600 engines 13,200 calls a second and host, where 16 KB/s are allowed, and a scan of all upstreams in each tick. Change: 8 engines an interval, at least half of them without requests of this host, those asked longest ago first. Today's 12 engines are each asked at least each 1.5 s.

--- a/src/daemon/placement_flow.rs
+++ b/src/daemon/placement_flow.rs
@@ -7,7 +7,6 @@
 use crate::placement::message::{EngineReport, OrderAnswer};
 use crate::placement::retire::{RetireReason, retired_by_table};
 use crate::prelude::*;
-use crate::routing::upstreams::REPORT_INTERVAL_MS;
 use crate::shared_log::fold::Applied;
 
 /// Most copies that are looked at in one tick, to find those that are to go.
@@ -31,17 +30,10 @@
     }
 
     fn ask_engines(&mut self, now: Millis, fx: &mut Effects) {
-        let engines = self
-            .shared
-            .placement
-            .upstreams
-            .values()
-            .filter(|upstream| upstream.role == UpstreamRole::Engine);
-        for engine in engines {
+        let upstreams = self.shared.placement.upstreams.values();
+        let engines = upstreams.filter(|upstream| upstream.role == UpstreamRole::Engine);
+        for engine in self.routing.due_reports(now, engines) {
             let view = self.routing.view(&engine.name);
-            if view.report_under_way || now.since(view.report_asked_at) < REPORT_INTERVAL_MS {
-                continue;
-            }
             view.report_under_way = true;
             view.report_asked_at = now;
             fx.push(Effect::AskEngine {
--- a/src/routing/upstreams.rs
+++ b/src/routing/upstreams.rs
@@ -1,5 +1,6 @@
 //! What this host knows of each upstream: its own requests there, reports, health, and leaving.
 
+use crate::membership::message::UpstreamEntry;
 use crate::placement::message::EngineReport;
 use crate::prelude::*;
 use crate::routing::first_byte::{FirstByteTimes, GREATEST_BOUND_MS};
@@ -10,6 +11,8 @@
 pub const BUSY_REST_MS: Millis = Millis(50);
 /// How often an engine is asked for its report.
 pub const REPORT_INTERVAL_MS: Millis = Millis(500);
+/// Most engines asked for their report in one interval, however many there are.
+pub const MAX_REPORT_ASKS: usize = 8;
 
 /// What is known of one upstream.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -47,6 +50,7 @@
 /// The upstreams by name.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Routing {
+    next_reports_at: Millis,
     views: IndexMap<Name, UpstreamView>,
 }
 
@@ -56,6 +60,37 @@
         self.views.get(upstream)
     }
 
+    /// Chooses the engines to ask for their reports now: a bounded number in each interval, at least half of
+    /// it for engines without requests of this host, and of each kind those asked longest ago.
+    pub fn due_reports<'a>(
+        &mut self,
+        now: Millis,
+        engines: impl Iterator<Item = &'a UpstreamEntry>,
+    ) -> Vec<&'a UpstreamEntry> {
+        if now < self.next_reports_at {
+            return Vec::new();
+        }
+        self.next_reports_at = now + REPORT_INTERVAL_MS;
+        let mut idle = Vec::new();
+        let mut in_use = Vec::new();
+        for engine in engines {
+            let view = self.get(&engine.name);
+            let asked_at = view.map_or(Millis::ZERO, |view| view.report_asked_at);
+            match view {
+                Some(view) if view.report_under_way => {}
+                Some(view) if view.in_flight > 0 => in_use.push((asked_at, engine)),
+                _ => idle.push((asked_at, engine)),
+            }
+        }
+        idle.sort_by_key(|(asked_at, _)| *asked_at);
+        in_use.sort_by_key(|(asked_at, _)| *asked_at);
+        let for_idle = idle.len().min(MAX_REPORT_ASKS / 2);
+        in_use.truncate(MAX_REPORT_ASKS - for_idle);
+        idle.truncate(MAX_REPORT_ASKS - in_use.len());
+        in_use.extend(idle);
+        in_use.into_iter().map(|(_, engine)| engine).collect()
+    }
+
     /// Returns what is known of an upstream, for change.
     pub fn view(&mut self, upstream: &Name) -> &mut UpstreamView {
         self.views.entry(upstream.clone()).or_default()
