Keep to the data centres that a row names

Change: the choice of an engine, requests' candidates and the retirement of copies look at the data centres that all rows of a model allow.

--- a/src/daemon/placement_flow.rs
+++ b/src/daemon/placement_flow.rs
@@ -162,6 +162,11 @@
         if self.is_leaving(&copy.load.upstream) {
             return Some(RetireReason::UpstreamLeaving);
         }
+        let upstream = self.shared.placement.upstreams.get(&copy.load.upstream);
+        let places = self.demand.decided.places_of(&copy.load.model);
+        if upstream.is_some_and(|upstream| !places.allow(&upstream.data_centre)) {
+            return Some(RetireReason::DataCentre);
+        }
         retired_by_table(copy, &self.demand.decided, &self.shared.table)
     }
 
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -224,6 +224,7 @@
 
     /// Begins every attempt that can begin.
     pub fn pump(&mut self, now: Millis, fx: &mut Effects) {
+        self.demand.decided.refresh(&self.shared.table);
         for target in self.queues.targets() {
             self.pump_target(now, &target, fx);
         }
@@ -272,6 +273,7 @@
 
     fn candidates(&self, target: &str) -> Vec<Candidate> {
         let upstreams = &self.shared.placement.upstreams;
+        let places = self.demand.decided.places_of(target);
         let names: Vec<&Name> = match self.shared.table.service(target) {
             Some(service) => service.upstreams.iter().collect(),
             None => self
@@ -285,6 +287,7 @@
         names
             .into_iter()
             .filter_map(|name| upstreams.get(name))
+            .filter(|upstream| places.allow(&upstream.data_centre))
             .map(|upstream| Candidate {
                 name: upstream.name.clone(),
                 address: upstream.address,
--- a/src/placement/policy/choice.rs
+++ b/src/placement/policy/choice.rs
@@ -2,6 +2,7 @@
 
 use crate::membership::message::{UpstreamEntry, UpstreamRole};
 use crate::placement::copies::{Copy, CopyState, Placement};
+use crate::placement::decided::Places;
 use crate::placement::message::{EngineReport, LoadDecision, StoreReport};
 use crate::prelude::*;
 use crate::table::Table;
@@ -20,6 +21,8 @@
     pub table: &'a Table,
     /// How many copies the model is to have at most.
     pub decided: u32,
+    /// Where the model may run.
+    pub places: Places<'a>,
     /// The weight store's last report.
     pub store: Option<&'a StoreReport>,
     /// How long a load of this model takes, by earlier ones.
@@ -89,6 +92,7 @@
         upstream.role == UpstreamRole::Engine
             && upstream.memory_bytes >= bytes
             && !upstream.leaving
+            && view.places.allow(&upstream.data_centre)
             && !has_copy(view.placement, model, &upstream.name)
             && hint(&upstream.name).usable
     };
@@ -104,6 +108,7 @@
             .placement
             .upstreams
             .values()
+            .filter(|upstream| view.places.allow(&upstream.data_centre))
             .any(|upstream| upstream.memory_bytes >= bytes);
         return if is_possible {
             Choice::Wait
--- a/src/placement/policy/tests.rs
+++ b/src/placement/policy/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the policies, and their cost over a seeded trace.
 
+use crate::placement::decided::Places;
 use crate::placement::message::{CheckpointCache, EngineReport, OrderOutcome};
 use crate::placement::policy::choice::{Choice, LoadView, UpstreamHint, choose, store_wait_ms};
 use crate::placement::policy::demand::{UseHint, Uses};
@@ -71,6 +72,7 @@
         placement: log.placement(),
         table: &log.shared.table,
         decided: 1,
+        places: Places::default(),
         store: None,
         load_ms: Some(Millis(60_000)),
     };
--- a/src/placement/retire.rs
+++ b/src/placement/retire.rs
@@ -13,6 +13,8 @@
     OldVersion,
     /// The table asks for fewer copies.
     Surplus,
+    /// A row allows the model in other data centres only.
+    DataCentre,
     /// The upstream is leaving.
     UpstreamLeaving,
     /// The engine no longer reports it.
--- a/src/placement/scale_tests.rs
+++ b/src/placement/scale_tests.rs
@@ -1,5 +1,6 @@
 //! The fold and the choice at the sizes to design for.
 
+use crate::placement::decided::Places;
 use crate::placement::message::OrderOutcome;
 use crate::placement::policy::choice::{Choice, LoadView, UpstreamHint, choose};
 use crate::placement::test_site::{A, TestLog};
@@ -70,6 +71,7 @@
             placement: log.placement(),
             table: &log.shared.table,
             decided: 1,
+            places: Places::default(),
             store: None,
             load_ms: None,
         };
