--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 pub mod claim_flow;
 pub mod cold_start;
 pub mod demand_flow;
+pub mod dispatch_flow;
 pub mod dump;
 pub mod edit_flow;
 pub mod effect;
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -1,33 +1,18 @@
-//! Joins a request's way: admission, placement's demand, routing, attempts, the final answer.
+//! Joins a request's way: admission, the ends of its attempts, the final answer.
 
 use crate::admission::queue::Waiting;
-use crate::attempt::message::{
-    Attempt, AttemptOutcome, ConnectionChoice, Repeatable, RequestHead, RequestId, TargetKind,
-};
+use crate::attempt::message::{AttemptOutcome, Repeatable, RequestHead, RequestId, TargetKind};
 use crate::attempt::requests::{HeldRequest, MAX_FAILURES, Phase};
 use crate::daemon::node::{Life, Node};
 use crate::error::Ran;
 use crate::idempotency::message::OperationKey;
-use crate::placement::copies::CopyState;
 use crate::prelude::*;
 use crate::routing::upstreams::{BUSY_REST_MS, FAILURE_REST_MS};
 use crate::shared_log::fold::Applied;
 use crate::table::message::RowKey;
-use std::net::SocketAddr;
 
-/// How long after its decision an attempt may begin.
-pub const BEGIN_WITHIN_MS: Millis = Millis(500);
-/// How many requests of one host a service upstream may have at once.
-pub const SERVICE_SLOTS: u32 = 256;
-
-const RETRY_MS: Millis = Millis(1_000);
-
-/// An upstream that can take a request.
-struct Candidate {
-    name: Name,
-    address: SocketAddr,
-    slots: u32,
-}
+/// When to come back, where nothing better is known.
+pub const RETRY_MS: Millis = Millis(1_000);
 
 impl Node {
     /// Takes a caller's request.
@@ -222,154 +207,6 @@
         }
     }
 
-    /// Begins every attempt that can begin.
-    pub fn pump(&mut self, now: Millis, fx: &mut Effects) {
-        self.demand.decided.refresh(&self.shared.table);
-        for target in self.queues.targets() {
-            self.pump_target(now, &target, fx);
-        }
-    }
-
-    fn pump_target(&mut self, now: Millis, target: &Name, fx: &mut Effects) {
-        if !self.is_fresh(now) {
-            return;
-        }
-        let candidates = self.candidates(target);
-        let is_model = self.shared.table.model(target).is_some();
-        if candidates.is_empty() && is_model {
-            self.load_or_refuse(now, target, fx);
-            return;
-        }
-        loop {
-            let slots = candidates
-                .iter()
-                .map(|candidate| (&candidate.name, candidate.slots));
-            let Some(chosen) = self.routing.choose(now, slots).cloned() else {
-                return;
-            };
-            let Some(waiting) = self.queues.pop(now, target) else {
-                return;
-            };
-            let chosen = candidates.iter().find(|candidate| candidate.name == chosen);
-            if let Some(chosen) = chosen {
-                self.begin(now, waiting.request, chosen, fx);
-            }
-        }
-    }
-
-    /// Asks for a copy, or refuses whoever waits when the log, which decides on copies, is out of reach.
-    fn load_or_refuse(&mut self, now: Millis, model: &Name, fx: &mut Effects) {
-        let has_copy = self.shared.placement.copies_of(model).next().is_some();
-        if has_copy || !self.driver.is_out_of_reach(now) {
-            self.ensure_loading(now, model);
-            return;
-        }
-        while let Some(waiting) = self.queues.pop(now, model) {
-            let message = format!("{model} has no copy, and the log is out of reach");
-            let refusal = Refusal::new(ErrorKind::LogUnavailable, message).after(RETRY_MS);
-            self.refuse(now, waiting.request, refusal, fx);
-        }
-    }
-
-    fn candidates(&self, target: &str) -> Vec<Candidate> {
-        let upstreams = &self.shared.placement.upstreams;
-        let places = self.demand.decided.places_of(target);
-        let names: Vec<&Name> = match self.shared.table.service(target) {
-            Some(service) => service.upstreams.iter().collect(),
-            None => self
-                .shared
-                .placement
-                .copies_of(target)
-                .filter(|(_, copy)| copy.state == CopyState::Ready)
-                .map(|(_, copy)| &copy.load.upstream)
-                .collect(),
-        };
-        names
-            .into_iter()
-            .filter_map(|name| upstreams.get(name))
-            .filter(|upstream| places.allow(&upstream.data_centre))
-            .map(|upstream| Candidate {
-                name: upstream.name.clone(),
-                address: upstream.address,
-                slots: if upstream.slots == 0 {
-                    SERVICE_SLOTS
-                } else {
-                    upstream.slots
-                },
-            })
-            .collect()
-    }
-
-    fn begin(&mut self, now: Millis, id: RequestId, chosen: &Candidate, fx: &mut Effects) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        if !self.may_run(request) {
-            let message = "the claim of the operation is no longer this host's";
-            self.refuse(
-                now,
-                id,
-                Refusal::new(ErrorKind::OutcomeUnknown, message),
-                fx,
-            );
-            return;
-        }
-        let first_byte_ms = self.first_byte_bound(request, &chosen.name);
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let retried = request.attempts > 0;
-        let connection = match request.head.repeatable {
-            Repeatable::Yes if !retried => ConnectionChoice::Kept,
-            Repeatable::Yes | Repeatable::No => ConnectionChoice::New,
-        };
-        request.attempts += 1;
-        let upstream = chosen.name.clone();
-        request.enter(now, Phase::Running { upstream });
-        let attempt = Attempt {
-            request: id,
-            number: request.attempts,
-            upstream: chosen.name.clone(),
-            address: chosen.address,
-            connection,
-            begin_by: now + BEGIN_WITHIN_MS,
-            deadline_at: request.deadline_at,
-            first_byte_ms,
-            urgency: request.urgency,
-        };
-        self.routing.view(&chosen.name).in_flight += 1;
-        fx.push(Effect::Begin { attempt });
-    }
-
-    /// Takes the start of an attempt's answer.
-    pub fn on_attempt_started(&mut self, id: RequestId, number: u32, first_byte_ms: Millis) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let Phase::Running { upstream } = &request.phase else {
-            return;
-        };
-        if request.attempts == number {
-            let streamed = request.head.streamed;
-            self.routing
-                .view(upstream)
-                .note_first_byte(streamed, first_byte_ms);
-        }
-    }
-
-    fn first_byte_bound(&self, request: &HeldRequest, upstream: &Name) -> Millis {
-        let to_deadline_ms = request.deadline_at.since(request.phase_since);
-        if request.head.repeatable == Repeatable::No {
-            // Giving up early would only turn an answer into an unknown outcome.
-            return to_deadline_ms;
-        }
-        let bound_ms = self
-            .routing
-            .first_byte_bound(upstream, request.head.streamed);
-        let patience = 1 << request.failures.min(MAX_FAILURES);
-        Millis(bound_ms.0 * patience).min(to_deadline_ms)
-    }
-
     /// Takes the end of an attempt.
     pub fn on_attempt_ended(
         &mut self,
--- /dev/null
+++ b/src/edge/answer.rs
@@ -0,0 +1,63 @@
+//! Writes answers: whole ones, JSON pages, refusals.
+
+use crate::edge::upstream::{NOT_RUN, RUN_HEADER};
+use crate::error::Ran;
+use crate::idempotency::message::KeptAnswer;
+use crate::prelude::*;
+use serde_json::json;
+use trillium::Conn;
+
+/// Answers with what an upstream answered.
+pub(super) fn whole_answer(conn: Conn, answer: &KeptAnswer, request_id: &str) -> Conn {
+    let content_type = answer.content_type.as_deref();
+    let content_type = content_type.unwrap_or("application/octet-stream");
+    conn.with_status(answer.status)
+        .with_response_header("content-type", content_type.to_string())
+        .with_response_header("x-request-id", request_id.to_string())
+        .with_body(answer.body.to_vec())
+        .halt()
+}
+
+/// Answers with a JSON body.
+pub fn json_answer(conn: Conn, status: u16, body: &impl Serialize) -> Conn {
+    let text = serde_json::to_string(body).unwrap_or_default();
+    conn.with_status(status)
+        .with_response_header("content-type", "application/json")
+        .with_body(text)
+        .halt()
+}
+
+/// Answers with a refusal, by the table of error kinds.
+pub fn refuse(conn: Conn, refusal: &Refusal, request_id: &str) -> Conn {
+    let line = refusal.kind.answer();
+    let mut conn = conn
+        .with_status(line.status)
+        .with_response_header("content-type", "application/json")
+        .with_body(error_body(refusal, request_id));
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        let seconds = retry_after_ms.as_secs_ceil().to_string();
+        conn = conn.with_response_header("retry-after", seconds);
+    }
+    if refusal.ran == Ran::NotRun {
+        conn = conn.with_response_header(RUN_HEADER, NOT_RUN);
+    }
+    conn.halt()
+}
+
+/// Returns the one JSON form of all errors.
+pub(super) fn error_body(refusal: &Refusal, request_id: &str) -> String {
+    let line = refusal.kind.answer();
+    json!({
+        "error": {
+            "kind": refusal.kind,
+            "message": refusal.message,
+            "advice": line.advice,
+            "ran": refusal.ran,
+            "retryable": line.retryable,
+            "retry_after_ms": refusal.retry_after_ms,
+            "try_hosts": refusal.try_hosts,
+            "request_id": request_id,
+        }
+    })
+    .to_string()
+}
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -3,18 +3,17 @@
 //! `POST /v1/chat/completions` for models, any method on `/services/{name}/...` for plain services,
 //! `GET /v1/entry?model=NAME` for the hosts to use.
 
-use crate::attempt::message::{AttemptOutcome, Repeatable, RequestHead, RequestId, TargetKind};
+use crate::attempt::message::{AttemptOutcome, Repeatable, TargetKind};
 use crate::clock::Clock;
 use crate::daemon::event::Event;
 use crate::daemon::metrics::Metrics;
+use crate::edge::answer::{error_body, json_answer, refuse, whole_answer};
 use crate::edge::connections::Connections;
-use crate::edge::digest::{sha256, sha256_of_parts};
 use crate::edge::gate::{Gate, Instruction, OpenRequest};
-use crate::edge::http::within;
+use crate::edge::intake::{Asked, head_of, key_of, query_value, read_body};
 use crate::edge::pipe::{ChunkWriter, pipe};
 use crate::edge::stream::{WRITE_STALL, pass_stream};
-use crate::edge::upstream::{Call, NOT_RUN, Outgoing, RUN_HEADER, Started};
-use crate::error::Ran;
+use crate::edge::upstream::{Call, Outgoing, Started};
 use crate::idempotency::message::KeptAnswer;
 use crate::prelude::*;
 use crate::settings::BoundSettings;
@@ -22,17 +21,9 @@
 use std::time::Duration;
 use trillium::{Body, Conn, Method};
 
-/// The header with the caller's own deadline, in milliseconds from its arrival.
-pub const DEADLINE_HEADER: &str = "x-deadline-ms";
-/// The header that names an operation which may run at most once.
-pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
-
 const CHAT_PATH: &str = "/v1/chat/completions";
 const ENTRY_PATH: &str = "/v1/entry";
 const SERVICES_PREFIX: &str = "/services/";
-const MAX_KEY_BYTES: usize = 256;
-/// How long a caller may take to send a body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long the caller of a broken stream may take to read the error.
 const BREAK_STALL: Duration = Duration::from_secs(1);
 
@@ -67,14 +58,6 @@
     stream: bool,
 }
 
-/// What a caller asks of an upstream.
-struct Asked {
-    name: Name,
-    path: String,
-    body: Vec<u8>,
-    streamed: bool,
-}
-
 /// An upstream's answer.
 enum Answer {
     Stream(Started),
@@ -343,164 +326,3 @@
         let _ = caller.end(BREAK_STALL).await;
     }
 }
-
-fn head_of(
-    conn: &Conn,
-    id: RequestId,
-    target: TargetKind,
-    asked: &Asked,
-) -> Result<RequestHead, Refusal> {
-    let headers = conn.request_headers();
-    let idempotency_key = headers.get_str(IDEMPOTENCY_HEADER).map(Name::from);
-    if idempotency_key
-        .as_ref()
-        .is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES)
-    {
-        let message = format!("{IDEMPOTENCY_HEADER} takes 1 to {MAX_KEY_BYTES} bytes");
-        return Err(Refusal::new(ErrorKind::BadRequest, message));
-    }
-    let deadline_ms = match headers.get_str(DEADLINE_HEADER).map(str::parse) {
-        None => None,
-        Some(Ok(deadline_ms)) => Some(Millis(deadline_ms)),
-        Some(Err(_)) => {
-            let message = format!("{DEADLINE_HEADER} takes a number of milliseconds");
-            return Err(Refusal::new(ErrorKind::BadRequest, message));
-        }
-    };
-    let method = conn.method();
-    let reads_only = matches!(method, Method::Get | Method::Head | Method::Options);
-    let repeatable = if target == TargetKind::Model || reads_only {
-        Repeatable::Yes
-    } else {
-        Repeatable::No
-    };
-    let request_sha256 = sha256_of_parts(&[
-        method.as_str().as_bytes(),
-        asked.path.as_bytes(),
-        &asked.body,
-    ]);
-    Ok(RequestHead {
-        id,
-        key_sha256: key_of(conn)?,
-        target,
-        name: asked.name.clone(),
-        deadline_ms,
-        repeatable,
-        idempotency_key,
-        request_sha256,
-        streamed: asked.streamed,
-        body_bytes: asked.body.len() as u64,
-        prefix_hashes: Vec::new(),
-    })
-}
-
-/// Returns the hash of the bearer token of a call.
-///
-/// # Errors
-///
-/// Refuses a call without one.
-pub fn key_of(conn: &Conn) -> Result<Name, Refusal> {
-    let header = conn.request_headers().get_str("authorization");
-    header
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .map(sha256)
-        .ok_or_else(|| {
-            Refusal::new(
-                ErrorKind::BadCredential,
-                "send the header Authorization: Bearer KEY",
-            )
-        })
-}
-
-/// Reads a call's body, up to a bound.
-///
-/// # Errors
-///
-/// Refuses a longer one, and one that breaks off.
-pub async fn read_body(conn: &mut Conn, most_bytes: u64) -> Result<Vec<u8>, Refusal> {
-    let declared = conn
-        .request_headers()
-        .get_str("content-length")
-        .and_then(|v| v.parse().ok());
-    let too_long = || {
-        let message = format!("the body is longer than {most_bytes} bytes");
-        Refusal::new(ErrorKind::BodyTooLarge, message)
-    };
-    if declared.is_some_and(|length: u64| length > most_bytes) {
-        return Err(too_long());
-    }
-    let body = conn.request_body().with_max_len(most_bytes);
-    let Some(bytes) = within(BODY_TIMEOUT, body.read_bytes()).await else {
-        let message = format!("the body did not come within {} s", BODY_TIMEOUT.as_secs());
-        return Err(Refusal::new(ErrorKind::BadRequest, message));
-    };
-    bytes.map_err(|error| match error {
-        trillium_http::Error::ReceivedBodyTooLong(_) => too_long(),
-        error => Refusal::new(
-            ErrorKind::BadRequest,
-            format!("the body broke off: {error}"),
-        ),
-    })
-}
-
-/// Finds a value in a query string.
-pub fn query_value<'a>(query: &'a str, key: &str) -> Option<&'a str> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(k, _)| *k == key)
-        .map(|p| p.1)
-}
-
-fn whole_answer(conn: Conn, answer: &KeptAnswer, request_id: &str) -> Conn {
-    let content_type = answer.content_type.as_deref();
-    let content_type = content_type.unwrap_or("application/octet-stream");
-    conn.with_status(answer.status)
-        .with_response_header("content-type", content_type.to_string())
-        .with_response_header("x-request-id", request_id.to_string())
-        .with_body(answer.body.to_vec())
-        .halt()
-}
-
-/// Answers with a JSON body.
-pub fn json_answer(conn: Conn, status: u16, body: &impl Serialize) -> Conn {
-    let text = serde_json::to_string(body).unwrap_or_default();
-    conn.with_status(status)
-        .with_response_header("content-type", "application/json")
-        .with_body(text)
-        .halt()
-}
-
-/// Answers with a refusal, by the table of error kinds.
-pub fn refuse(conn: Conn, refusal: &Refusal, request_id: &str) -> Conn {
-    let line = refusal.kind.answer();
-    let mut conn = conn
-        .with_status(line.status)
-        .with_response_header("content-type", "application/json")
-        .with_body(error_body(refusal, request_id));
-    if let Some(retry_after_ms) = refusal.retry_after_ms {
-        let seconds = retry_after_ms.as_secs_ceil().to_string();
-        conn = conn.with_response_header("retry-after", seconds);
-    }
-    if refusal.ran == Ran::NotRun {
-        conn = conn.with_response_header(RUN_HEADER, NOT_RUN);
-    }
-    conn.halt()
-}
-
-fn error_body(refusal: &Refusal, request_id: &str) -> String {
-    let line = refusal.kind.answer();
-    json!({
-        "error": {
-            "kind": refusal.kind,
-            "message": refusal.message,
-            "advice": line.advice,
-            "ran": refusal.ran,
-            "retryable": line.retryable,
-            "retry_after_ms": refusal.retry_after_ms,
-            "try_hosts": refusal.try_hosts,
-            "request_id": request_id,
-        }
-    })
-    .to_string()
-}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,7 @@
 //! Each outside system has a trait here and one HTTP implementation of
 //! `docs/design/platform-protocols.md`.
 
+pub mod answer;
 pub mod caller;
 pub mod connections;
 pub mod digest;
@@ -10,6 +11,7 @@
 pub mod gate;
 pub mod hosts;
 pub mod http;
+pub mod intake;
 pub mod log_service;
 pub mod operator;
 pub mod peer;
--- a/src/edge/operator.rs
+++ b/src/edge/operator.rs
@@ -1,7 +1,8 @@
 //! The operators' interface over HTTP, on its own address and with its own credential.
 
-use crate::edge::caller::{json_answer, key_of, read_body, refuse};
+use crate::edge::answer::{json_answer, refuse};
 use crate::edge::gate::{Gate, Query};
+use crate::edge::intake::{key_of, read_body};
 use crate::prelude::*;
 use crate::table::message::{Change, Edit};
 use serde_json::Value;
