--- a/src/table/message.rs
+++ b/src/table/message.rs
@@ -39,7 +39,7 @@
     /// Most requests a second over all hosts, or no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub requests_per_s: Option<u32>,
-    /// Most requests at once over all hosts, or no limit.
+    /// Most requests at once at each host, or no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub concurrent_requests: Option<u32>,
     /// Most replicas of the model that this brand asks for.
@@ -51,7 +51,7 @@
     /// The deadline of a request that names none.
     #[serde(default = "default_deadline_ms")]
     pub deadline_ms: Millis,
-    /// The data centres where it may run; all when empty.
+    /// The data centres where it may run; all when empty. A model runs where all of its rows allow it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub data_centres: Vec<Arc<str>>,
 }
