Let the engine stand-in take orders that change a copy's role

A copy for prompts only takes no chat requests; fencing numbers count as for other orders. Tests: two in engine_orders.rs.

--- a/standins/src/engine/copies.rs
+++ b/standins/src/engine/copies.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::engine::ModelVersion;
 use crate::engine::args::EngineSettings;
@@ -30,6 +30,19 @@
     Unloading,
 }
 
+/// Which part of requests a copy computes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CopyRole {
+    /// Prompts and tokens.
+    #[default]
+    Mixed,
+    /// Prompts only: it takes no chat requests.
+    Prefill,
+    /// Tokens, and prompts for want of another copy.
+    Decode,
+}
+
 /// One copy of a model in accelerator memory.
 #[derive(Clone, Debug, Serialize)]
 pub struct ModelCopy {
@@ -41,6 +54,7 @@
     version: Arc<str>,
     bytes: u64,
     state: CopyState,
+    role: CopyRole,
     order: u64,
     #[serde(skip)]
     base: Option<Arc<str>>,
@@ -190,6 +204,33 @@
         }))
     }
 
+    /// Changes the role of the ready copies of a model and version.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an old fencing number, and a model that is not ready.
+    pub fn take_role(&mut self, order: &Order, role: CopyRole) -> Result<NextStep, Refusal> {
+        self.check_fence(order)?;
+        if self.orders.contains_key(&order.key()) {
+            return Ok(NextStep::Nothing);
+        }
+        let model_version = order.model_version();
+        let is_meant = |copy: &&mut ModelCopy| {
+            copy.state == CopyState::Ready && copy.model_version == model_version
+        };
+        let mut changed = 0;
+        for copy in self.copies.iter_mut().filter(is_meant) {
+            copy.role = role;
+            changed += 1;
+        }
+        if changed == 0 {
+            return Err(Refusal::NotLoaded);
+        }
+        self.record(order, None);
+        self.finish_order(order.key());
+        Ok(NextStep::Nothing)
+    }
+
     fn check_fence(&mut self, order: &Order) -> Result<(), Refusal> {
         if !self.checks_fencing {
             return Ok(());
@@ -257,6 +298,7 @@
             version: Arc::clone(&order.version),
             bytes: order.bytes,
             state: CopyState::Loading,
+            role: CopyRole::default(),
             order: order.order,
             base: order.base.clone(),
             active_runs: 0,
@@ -355,8 +397,8 @@
         self.copies.retain(|copy| copy.id != copy_id);
     }
 
-    /// Ends an unload order.
-    pub fn finish_unload(&mut self, key: OrderKey) {
+    /// Ends an order.
+    pub fn finish_order(&mut self, key: OrderKey) {
         if let Some(record) = self.orders.get_mut(&key) {
             record.status.state = OrderState::Done;
         }
@@ -377,7 +419,8 @@
     ///
     /// Refuses where the model, or the base of an adapter, is not ready.
     pub fn start_run(&mut self, name: &str) -> Result<CopyInUse, Refusal> {
-        let copy = self.ready_copies(name).next_back();
+        let takes_chats = |copy: &&ModelCopy| copy.role != CopyRole::Prefill;
+        let copy = self.ready_copies(name).rfind(takes_chats);
         let copy = copy.ok_or(Refusal::NotLoaded)?;
         if copy.base.as_ref().is_some_and(|base| !self.is_ready(base)) {
             return Err(Refusal::NotLoaded);
--- a/standins/src/engine/loading.rs
+++ b/standins/src/engine/loading.rs
@@ -162,5 +162,5 @@
     for copy_id in &task.copy_ids {
         copies.remove_copy(*copy_id);
     }
-    copies.finish_unload(task.order);
+    copies.finish_order(task.order);
 }
--- a/standins/src/engine/order.rs
+++ b/standins/src/engine/order.rs
@@ -1,11 +1,11 @@
-//! Orders to load and unload, as callers give them.
+//! Orders to load, unload and change role, as callers give them.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::engine::copies::NextStep;
+use crate::engine::copies::{CopyRole, NextStep};
 use crate::engine::{Engine, ModelVersion, loading};
 use crate::error::Refusal;
 use crate::http::{Answer, Request};
@@ -23,6 +23,8 @@
     Load,
     /// Free the memory of all copies.
     Unload,
+    /// Change which part of requests the copies compute.
+    Role,
 }
 
 /// The body of an order.
@@ -45,6 +47,9 @@
     /// The base model of an adapter.
     #[serde(default)]
     pub base: Option<Arc<str>>,
+    /// The new role of the copies.
+    #[serde(default)]
+    role: Option<CopyRole>,
     /// How long the answer may wait for the end of the order.
     #[serde(default)]
     wait_ms: Option<u64>,
@@ -125,6 +130,11 @@
         if self.action == Action::Load && self.bytes == 0 {
             return Err(Refusal::bad_request("a load must say its `bytes`"));
         }
+        if (self.action == Action::Role) != self.role.is_some() {
+            return Err(Refusal::bad_request(
+                "a change of role, and no other order, says its `role`",
+            ));
+        }
         Ok(())
     }
 }
@@ -155,6 +165,9 @@
             engine.copies().take_load(order)
         }
         Action::Unload => engine.copies().take_unload(order),
+        Action::Role => engine
+            .copies()
+            .take_role(order, order.role.unwrap_or_default()),
     }
 }
 
--- a/standins/tests/standins/engine_orders.rs
+++ b/standins/tests/standins/engine_orders.rs
@@ -306,3 +306,37 @@
     order(&engine, &load(42, "n", 100)).assert_refused(503, "leaving");
     assert_done(&order(&engine, &unload(43, "m")));
 }
+
+fn change_role(order: u64, fence: u64, role: &str) -> Value {
+    let mut body =
+        json!({"order": order, "fence": fence, "action": "role", "model": "m", "version": "1"});
+    body["role"] = json!(role);
+    body
+}
+
+#[test]
+fn a_copy_for_prompts_only_takes_no_chats_until_its_role_changes_back() {
+    let engine = Process::start_engine("--slots 4 --checks-fencing true");
+    order(&engine, &change_role(40, 40, "prefill")).assert_refused(404, "not_loaded");
+    assert_done(&order(&engine, &load(41, "m", 600)));
+    assert_done(&order(&engine, &change_role(42, 42, "prefill")));
+    assert_eq!(state(&engine)["copies"][0]["role"], "prefill");
+    let refused = engine.post("/v1/chat/completions", &chat("m", 1));
+    refused.assert_refused(404, "not_loaded");
+    assert_eq!(order(&engine, &change_role(40, 40, "mixed")).status, 409);
+    assert_done(&order(&engine, &change_role(43, 43, "decode")));
+    let answer = engine.post("/v1/chat/completions", &chat("m", 1));
+    assert_eq!(answer.status, 200);
+}
+
+#[test]
+fn a_role_belongs_to_changes_of_role_only() {
+    let engine = Process::start_engine("--slots 4");
+    let mut load_with_role = load(41, "m", 1);
+    load_with_role["role"] = json!("prefill");
+    let mut no_role = change_role(42, 42, "prefill");
+    no_role.as_object_mut().unwrap().remove("role");
+    for body in [load_with_role, no_role, change_role(43, 43, "cook")] {
+        assert_eq!(order(&engine, &body).status, 400, "{body}");
+    }
+}
