--- a/standins/src/engine/copies.rs
+++ b/standins/src/engine/copies.rs
@@ -43,6 +43,12 @@
     Decode,
 }
 
+impl CopyRole {
+    fn is_mixed(&self) -> bool {
+        *self == Self::Mixed
+    }
+}
+
 /// One copy of a model in accelerator memory.
 #[derive(Clone, Debug, Serialize)]
 pub struct ModelCopy {
@@ -54,6 +60,7 @@
     version: Arc<str>,
     bytes: u64,
     state: CopyState,
+    #[serde(skip_serializing_if = "CopyRole::is_mixed")]
     role: CopyRole,
     order: u64,
     #[serde(skip)]
