--- a/src/daemon/cold_start.rs
+++ b/src/daemon/cold_start.rs
@@ -104,7 +104,7 @@
             return Ok(());
         }
         let has_copy = self.shared.placement.copies_of(model).next().is_some();
-        if !has_copy && self.driver.is_out_of_reach(now) {
+        if !has_copy && !self.driver.is_reachable() {
             let message = "the model is not loaded, and the log that decides loads is out of reach";
             let refusal = Refusal::new(ErrorKind::LogUnavailable, message);
             return Err(refusal.after(LOG_RETRY_MS));
--- a/src/daemon/dispatch_flow.rs
+++ b/src/daemon/dispatch_flow.rs
@@ -59,7 +59,7 @@
     /// Asks for a copy, or refuses whoever waits when the log, which decides on copies, is out of reach.
     fn load_or_refuse(&mut self, now: Millis, model: &Name, fx: &mut Effects) {
         let has_copy = self.shared.placement.copies_of(model).next().is_some();
-        if has_copy || !self.driver.is_out_of_reach(now) {
+        if has_copy || self.driver.is_reachable() {
             self.ensure_loading(now, model);
             return;
         }
--- a/src/routing/upstreams.rs
+++ b/src/routing/upstreams.rs
@@ -96,15 +96,6 @@
         self.views.entry(upstream.clone()).or_default()
     }
 
-    /// Returns the upstreams known to be leaving.
-    pub fn leaving(&self) -> Vec<Name> {
-        self.views
-            .iter()
-            .filter(|(_, view)| view.leaving)
-            .map(|(name, _)| name.clone())
-            .collect()
-    }
-
     /// Returns how long an upstream may take to its first byte.
     pub fn first_byte_bound(&self, upstream: &str, streamed: bool) -> Millis {
         let Some(view) = self.get(upstream) else {
--- a/src/shared_log/driver.rs
+++ b/src/shared_log/driver.rs
@@ -119,13 +119,7 @@
         matches!(self.append, AppendState::Sent)
     }
 
-    /// Tells whether reads have failed for long enough that it is no single lost answer.
-    pub fn is_out_of_reach(&self, now: Millis) -> bool {
-        let failing_ms = self.failing_since.map(|since| now.since(since));
-        !self.reachable && failing_ms.is_some_and(|failing_ms| failing_ms >= OUT_OF_REACH_AFTER_MS)
-    }
-
-    /// Tells whether the log answered lately.
+    /// Tells whether the log answered lately: reads that fail for less than [`OUT_OF_REACH_AFTER_MS`] do not count.
     pub fn is_reachable(&self) -> bool {
         self.reachable
     }
