--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,11 +3,11 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::ops::{Add, AddAssign, Sub};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// A point in time or a span, in milliseconds.
 ///
-/// Points are Unix time as first read at process start and advanced by the monotonic clock, so they
+/// Points are Unix time as first read at process start and advanced by the boot-time clock, so they
 /// never step back within a process. Subtraction saturates at zero.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -66,9 +66,12 @@
 }
 
 /// Reads the time at the edge of a process.
+///
+/// It advances with the boot-time clock, which runs on while a machine is suspended: a lease or a deadline
+/// that ends meanwhile must be seen as ended. The time of day is read once, so its jumps change nothing.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started_at: Instant,
+    started_boot_ms: u64,
     started_unix_ms: u64,
 }
 
@@ -79,13 +82,18 @@
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
         Self {
-            started_at: Instant::now(),
+            started_boot_ms: boot_ms(),
             started_unix_ms: since_epoch.as_millis() as u64,
         }
     }
 
     /// Returns the present time.
     pub fn now(&self) -> Millis {
-        Millis(self.started_unix_ms + self.started_at.elapsed().as_millis() as u64)
+        Millis(self.started_unix_ms + boot_ms().saturating_sub(self.started_boot_ms))
     }
 }
+
+fn boot_ms() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
--- /dev/null
+++ b/src/desired/mod.rs
@@ -0,0 +1,136 @@
+//! The desired state that an operator orders from outside: routes, services and models under one version.
+
+pub mod routes;
+
+#[cfg(test)]
+mod tests;
+
+use crate::prelude::*;
+pub use routes::RouteTable;
+
+/// A whole desired state.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DesiredState {
+    /// Its version; a higher one replaces a lower one.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services by name.
+    pub services: IndexMap<Name, Service>,
+    /// Bounds on what callers send.
+    pub limits: CallerLimits,
+}
+
+/// How often a request of a route may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeat {
+    /// More than once.
+    Idempotent,
+    /// Once at most.
+    Once,
+    /// Once at most, but a broken stream of events may go on after its last whole event.
+    Resumable,
+}
+
+/// From requests to a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Its name.
+    pub name: Name,
+    /// The host that callers ask, in lower case.
+    pub host: Name,
+    /// The paths, by their beginning; it ends with a slash.
+    pub path_prefix: Name,
+    /// The services that serve it, with their shares; one at least.
+    pub targets: Vec<Target>,
+    /// How often a request may run.
+    pub repeat: Repeat,
+    /// Whether answers are streams of events.
+    pub streams: bool,
+    /// The longest time that a caller is kept waiting.
+    pub time_limit_ms: Millis,
+    /// The time within which an answer (of a stream, its first event) is worth most.
+    pub goal_ms: Millis,
+    /// The longest gap between events of a stream that is still on time.
+    pub event_gap_ms: Option<Millis>,
+    /// Most upstreams on which one request may run.
+    pub attempts: u32,
+    /// The rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Whether requests with the same beginning do well to meet at one upstream.
+    pub prefix_affinity: bool,
+}
+
+/// One service of a route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// The service.
+    pub service: Name,
+    /// Its share of the route's requests.
+    pub weight: u32,
+}
+
+/// A set of like upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Most connections that one upstream accepts from all callers together.
+    pub max_connections: u32,
+    /// What its upstreams hold, where they are model engines.
+    pub engine: Option<EngineSpec>,
+}
+
+/// What engines of a service can hold, and what they may be asked to.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineSpec {
+    /// Requests that one engine runs at once.
+    pub slots: u32,
+    /// Memory of one engine for prompts and answers, in tokens.
+    pub kv_tokens: u64,
+    /// Memory of one engine for weights and adapters, in megabytes.
+    pub weights_mb: f64,
+    /// Adapters that one engine holds.
+    pub adapter_slots: u32,
+    /// Loads a second that the weight store allows all engines together.
+    pub loads_per_s: f64,
+    /// The models by name.
+    pub models: IndexMap<Name, ModelSpec>,
+}
+
+/// A model that engines can load.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ModelSpec {
+    /// The size of its weights in megabytes.
+    pub weights_mb: f64,
+    /// The time of a load from the weight store.
+    pub load_ms: Millis,
+    /// The time of a load from the engine's own disk.
+    pub from_disk_ms: Millis,
+    /// The size of one of its adapters in megabytes.
+    pub adapter_mb: f64,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// The longest head of a request.
+    pub head_bytes: usize,
+    /// The longest body of a request.
+    pub body_bytes: u64,
+    /// The longest time for a head to arrive.
+    pub head_ms: Millis,
+    /// The longest time that a connection stays idle.
+    pub idle_ms: Millis,
+}
+
+impl Default for CallerLimits {
+    /// Bounds for the time before the first desired state is known.
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            head_ms: Millis(3_000),
+            idle_ms: Millis(15_000),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/follow.rs
@@ -0,0 +1,270 @@
+//! Following the tables that the operator and the upstreams write.
+
+use crate::desired::{DesiredState, RouteTable};
+use crate::entry::host::Host;
+use crate::entry::lines;
+use crate::entry::platform::{Platform, RowValue, StoreError, Table, TablePage, TableRow};
+use crate::prelude::*;
+use crate::upstreams::UpstreamEntry;
+use crate::upstreams::registry::Change;
+use smol::Timer;
+use std::rc::Rc;
+
+/// How long a read waits for a change. A connection may go silent for good without a reset; then only the end
+/// of the wait shows it, and the new read must be made well within the two seconds in which a change is to be
+/// in force. Shorter waits cost more calls.
+const WAIT_MS: Millis = Millis(1_500);
+/// The pauses after failed reads: short first, since a single refusal passes; each refused call is paid too.
+const RETRY_MS: [Millis; 3] = [Millis(100), Millis(250), Millis(500)];
+/// Most pages of one whole read; at 500 rows each, far above any site.
+const MAX_PAGES: usize = 1_000;
+
+/// Where in a table the reader is.
+struct Cursor {
+    table: Table,
+    next: Option<Offset>,
+    written_at: IndexMap<Name, Offset>,
+    failures: usize,
+}
+
+#[derive(Serialize)]
+struct TableLine<'a> {
+    table: &'static str,
+    error: &'a str,
+}
+
+#[derive(Serialize)]
+struct DesiredLine {
+    version: u64,
+    routes: usize,
+    services: usize,
+    former: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct UpstreamLine<'a> {
+    upstream: &'a str,
+    change: &'static str,
+    offset: Option<u64>,
+    service: Option<&'a str>,
+    models: Vec<&'a str>,
+}
+
+/// Follows a table until the process ends.
+pub async fn follow<P: Platform>(host: Rc<Host<P>>, table: Table) {
+    let mut cursor = Cursor {
+        table,
+        next: None,
+        written_at: IndexMap::new(),
+        failures: 0,
+    };
+    loop {
+        let read = match cursor.next {
+            None => read_all(&host, &mut cursor).await,
+            Some(from) => read_changes(&host, &mut cursor, from).await,
+        };
+        match read {
+            Ok(()) => note_answer(&mut cursor),
+            Err(StoreError::Trimmed) => {
+                lines::write(
+                    LogEvent::LogTrimmed,
+                    &TableLine {
+                        table: table.name(),
+                        error: "",
+                    },
+                );
+                cursor.next = None;
+            }
+            Err(error) => {
+                note_failure(&mut cursor, &error);
+                let pause_ms = RETRY_MS[cursor.failures.min(RETRY_MS.len()) - 1];
+                Timer::after(pause_ms.to_duration()).await;
+            }
+        }
+    }
+}
+
+fn note_answer(cursor: &mut Cursor) {
+    if cursor.failures > 1 {
+        let table = cursor.table.name();
+        lines::write(LogEvent::LogBack, &TableLine { table, error: "" });
+    }
+    cursor.failures = 0;
+}
+
+fn note_failure(cursor: &mut Cursor, error: &StoreError) {
+    cursor.failures += 1;
+    // A single failure is a poll whose connection was closed; the second in a row is an outage.
+    if cursor.failures == 2 {
+        let line = TableLine {
+            table: cursor.table.name(),
+            error: &error.to_string(),
+        };
+        lines::write(LogEvent::LogLost, &line);
+    }
+}
+
+/// Reads the newest row of each key. The pages are no snapshot, so reading goes on at the end that the first
+/// page named; rows that come again are older than what is known and passed over.
+async fn read_all<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Result<(), StoreError> {
+    let first = host.platform.read_table(cursor.table, None).await?;
+    let next = first.end;
+    let mut rows = first.rows;
+    let mut after = first.more_after;
+    for _ in 0..MAX_PAGES {
+        let Some(key) = after else { break };
+        let page = host.platform.read_table(cursor.table, Some(&key)).await?;
+        rows.extend(page.rows);
+        after = page.more_after;
+    }
+    cursor.written_at = rows
+        .iter()
+        .map(|row| (row.key.clone(), row.offset))
+        .collect();
+    cursor.next = Some(next);
+    match cursor.table {
+        Table::Desired => rows.into_iter().for_each(|row| take_desired(host, row)),
+        Table::Upstreams => replace_upstreams(host, rows),
+    }
+    Ok(())
+}
+
+async fn read_changes<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    from: Offset,
+) -> Result<(), StoreError> {
+    let read = host.platform.follow_table(cursor.table, from, WAIT_MS);
+    let TablePage { rows, end, .. } = read.await?;
+    cursor.next = Some(end);
+    if cursor.table == Table::Upstreams {
+        host.upstreams.borrow_mut().note_heard(host.now());
+    }
+    for row in rows {
+        let known = cursor.written_at.get(&row.key);
+        if known.is_some_and(|known| *known >= row.offset) {
+            continue;
+        }
+        cursor.written_at.insert(row.key.clone(), row.offset);
+        match cursor.table {
+            Table::Desired => take_desired(host, row),
+            Table::Upstreams => take_upstream(host, row),
+        }
+    }
+    Ok(())
+}
+
+fn take_desired<P: Platform>(host: &Host<P>, row: TableRow) {
+    match row.value {
+        RowValue::Desired(state) => put_in_force(host, state),
+        RowValue::Unreadable(why) => {
+            let line = TableLine {
+                table: Table::Desired.name(),
+                error: &why,
+            };
+            lines::write(LogEvent::RecordUndecodable, &line);
+        }
+        RowValue::Upstream(_) | RowValue::Removed => {}
+    }
+}
+
+/// Takes a desired state with a higher version; within one life of a process no version is replaced by a lower.
+fn put_in_force<P: Platform>(host: &Host<P>, state: DesiredState) {
+    let former = host.routes.borrow().as_ref().map(|table| table.version);
+    if former.is_some_and(|former| former >= state.version) {
+        return;
+    }
+    let table = RouteTable::new(state);
+    let line = DesiredLine {
+        version: table.version,
+        routes: table.route_count(),
+        services: table.services.len(),
+        former,
+    };
+    *host.routes.borrow_mut() = Some(Rc::new(table));
+    lines::write(LogEvent::DesiredTaken, &line);
+    host.note_change();
+}
+
+fn replace_upstreams<P: Platform>(host: &Host<P>, rows: Vec<TableRow>) {
+    let mut entries: Vec<UpstreamEntry> = Vec::new();
+    for row in rows {
+        match row.value {
+            RowValue::Upstream(entry) => entries.push(entry),
+            RowValue::Unreadable(why) => {
+                let line = TableLine {
+                    table: Table::Upstreams.name(),
+                    error: &why,
+                };
+                lines::write(LogEvent::RecordUndecodable, &line);
+            }
+            RowValue::Desired(_) | RowValue::Removed => {}
+        }
+    }
+    let now = host.now();
+    let changes = {
+        let mut registry = host.upstreams.borrow_mut();
+        registry.note_heard(now);
+        registry.replace(now, entries)
+    };
+    for (id, change) in changes {
+        note_upstream(host, &id, &change, None);
+    }
+    host.upstreams_known.set(true);
+    host.note_change();
+}
+
+fn take_upstream<P: Platform>(host: &Host<P>, row: TableRow) {
+    let change = match row.value {
+        RowValue::Upstream(entry) => host.upstreams.borrow_mut().put(entry),
+        RowValue::Removed => host.upstreams.borrow_mut().remove(host.now(), &row.key),
+        RowValue::Unreadable(why) => {
+            let line = TableLine {
+                table: Table::Upstreams.name(),
+                error: &why,
+            };
+            lines::write(LogEvent::RecordUndecodable, &line);
+            return;
+        }
+        RowValue::Desired(_) => return,
+    };
+    note_upstream(host, &row.key, &change, Some(row.offset));
+    host.note_change();
+}
+
+fn note_upstream<P: Platform>(host: &Host<P>, id: &str, change: &Change, offset: Option<Offset>) {
+    let (event, change) = match change {
+        Change::Added => (LogEvent::UpstreamRegistered, "added"),
+        Change::Leaving => (LogEvent::UpstreamLeaving, "leaving"),
+        Change::Gone => (LogEvent::UpstreamGone, "gone"),
+        Change::Held => (LogEvent::UpstreamSilent, "entry lapsed in an outage"),
+        Change::Updated => (LogEvent::UpstreamUpdated, "updated"),
+        Change::None => return,
+    };
+    if event == LogEvent::UpstreamGone {
+        host.pool.forget(id);
+    }
+    let upstreams = host.upstreams.borrow();
+    let entry = upstreams.get(id).map(|upstream| &upstream.entry);
+    let models = entry.map(|entry| entry.models.iter().map(|held| &*held.name).collect());
+    let line = UpstreamLine {
+        upstream: id,
+        change,
+        offset: offset.map(|offset| offset.0),
+        service: entry.map(|entry| &*entry.service),
+        models: models.unwrap_or_default(),
+    };
+    lines::write(event, &line);
+}
+
+/// Writes the line about an upstream that is used no longer.
+pub fn note_gone(id: &str, change: &'static str) {
+    let line = UpstreamLine {
+        upstream: id,
+        change,
+        offset: None,
+        service: None,
+        models: Vec::new(),
+    };
+    lines::write(LogEvent::UpstreamGone, &line);
+}
--- /dev/null
+++ b/src/entry/host.rs
@@ -0,0 +1,159 @@
+//! The state that the tasks of an entry host share.
+
+use crate::clock::Clock;
+use crate::desired::RouteTable;
+use crate::entry::metrics::EntryMetrics;
+use crate::entry::platform::Platform;
+use crate::entry::pool::Pool;
+use crate::entry::settings::EntrySettings;
+use crate::ordering::view::View;
+use crate::prelude::*;
+use crate::retry::RetryBudget;
+use crate::upstreams::Registry;
+use event_listener::{Event as Wakeup, EventListener};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// An entry host. Borrows of its cells end before the next wait.
+pub struct Host<P> {
+    /// The settings in effect.
+    pub settings: RefCell<Rc<EntrySettings>>,
+    /// The platform.
+    pub platform: P,
+    /// The time.
+    pub clock: Clock,
+    /// Counters and latencies.
+    pub metrics: EntryMetrics,
+    /// Kept connections to upstreams.
+    pub pool: Pool,
+    /// The desired state in force.
+    pub routes: RefCell<Option<Rc<RouteTable>>>,
+    /// The upstreams.
+    pub upstreams: Rc<RefCell<Registry>>,
+    /// Whether the list of upstreams was read.
+    pub upstreams_known: Cell<bool>,
+    /// The other hosts and this one, as the group has them.
+    pub members: RefCell<crate::entry::members::Members>,
+    /// What the orderer says.
+    pub view: RefCell<View>,
+    /// What callers asked of each model since the orderer was told last.
+    pub demand: RefCell<crate::ordering::demand::Demand>,
+    /// The retry budget of each service.
+    pub budgets: RefCell<IndexMap<Name, RetryBudget>>,
+    /// When a planned stop was asked for.
+    pub stop_asked_at: Cell<Option<Millis>>,
+    /// Requests that were read and are not answered.
+    pub active_requests: Cell<u32>,
+    /// Connections of callers that are open.
+    pub caller_connections: Cell<usize>,
+    changed: Wakeup,
+    wanted: Wakeup,
+    stopping: Wakeup,
+}
+
+impl<P: Platform> Host<P> {
+    /// Makes the state of a host that starts.
+    pub fn new(
+        settings: EntrySettings,
+        platform: P,
+        clock: Clock,
+        metrics: EntryMetrics,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings: RefCell::new(Rc::new(settings)),
+            platform,
+            clock,
+            metrics,
+            pool: Pool::default(),
+            routes: RefCell::default(),
+            upstreams: Rc::default(),
+            upstreams_known: Cell::new(false),
+            members: RefCell::default(),
+            view: RefCell::default(),
+            demand: RefCell::default(),
+            budgets: RefCell::default(),
+            stop_asked_at: Cell::new(None),
+            active_requests: Cell::new(0),
+            caller_connections: Cell::new(0),
+            changed: Wakeup::new(),
+            wanted: Wakeup::new(),
+            stopping: Wakeup::new(),
+        })
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Returns the settings in effect.
+    pub fn settings(&self) -> Rc<EntrySettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Tells whether a planned stop was asked for.
+    pub fn is_stopping(&self) -> bool {
+        self.stop_asked_at.get().is_some()
+    }
+
+    /// Tells whether callers do well to come here.
+    pub fn is_ready(&self) -> bool {
+        self.routes.borrow().is_some() && self.upstreams_known.get() && !self.is_stopping()
+    }
+
+    /// Wakes requests that wait for a change of what this host knows.
+    pub fn note_change(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Returns what wakes at the next change. Listen first, then look at the state.
+    pub fn next_change(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// Wakes the task that speaks with the orderer: a request waits for a model.
+    pub fn note_want(&self) {
+        self.wanted.notify(usize::MAX);
+    }
+
+    /// Returns what wakes when a request begins to wait for a model.
+    pub fn next_want(&self) -> EventListener {
+        self.wanted.listen()
+    }
+
+    /// Begins a planned stop.
+    pub fn ask_stop(&self) {
+        if !self.is_stopping() {
+            self.stop_asked_at.set(Some(self.now()));
+            self.stopping.notify(usize::MAX);
+            self.note_change();
+        }
+    }
+
+    /// Returns what wakes when a planned stop begins.
+    pub fn next_stop(&self) -> EventListener {
+        self.stopping.listen()
+    }
+
+    /// Counts a request for a service in the retry budget.
+    pub fn note_request(&self, service: &Name) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.note_request(now));
+    }
+
+    /// Takes one repeated send from the retry budget of a service.
+    pub fn take_repeat(&self, service: &Name) -> bool {
+        let now = self.now();
+        let members = self.members.borrow().count();
+        self.with_budget(service, |budget| budget.take(now, members))
+    }
+
+    fn with_budget<T>(&self, service: &Name, with: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let rule = self.settings().budget_rule();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(rule));
+        with(budget)
+    }
+}
--- /dev/null
+++ b/src/entry/lines.rs
@@ -0,0 +1,38 @@
+//! Log lines of an entry host: one JSON object each, under the event's number.
+
+use crate::entry::budgeted_log;
+use crate::prelude::*;
+
+/// Writes an event with typed fields as one line.
+///
+/// Lines of one kind are bounded a second; see [`budgeted_log`].
+pub fn write(event: LogEvent, fields: &impl Serialize) {
+    if !budgeted_log::admit(event) {
+        return;
+    }
+    let line = Line {
+        at_unix_ms: budgeted_log::now(),
+        level: event.level().as_str(),
+        event: event.number(),
+        name: format!("{event:?}"),
+        fields,
+    };
+    match serde_json::to_string(&line) {
+        Ok(text) => log::log!(target: budgeted_log::TARGET, event.level(), "{text}"),
+        Err(error) => log::error!(
+            target: budgeted_log::TARGET,
+            "{{\"event\":{},\"fault\":\"{error}\"}}",
+            event.number()
+        ),
+    }
+}
+
+#[derive(Serialize)]
+struct Line<'a, T> {
+    at_unix_ms: Millis,
+    level: &'static str,
+    event: u16,
+    name: String,
+    #[serde(flatten)]
+    fields: &'a T,
+}
--- /dev/null
+++ b/src/entry/members.rs
@@ -0,0 +1,169 @@
+//! Which hosts there are: a group on the platform's store.
+
+use crate::entry::host::Host;
+use crate::entry::lines;
+use crate::entry::platform::{Platform, StoreError};
+use crate::prelude::*;
+use smol::Timer;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// How often a host renews its membership. A call costs a tenth of others, and a change of the group is
+/// learned with the next one.
+const JOIN_INTERVAL_MS: Millis = Millis(1_000);
+/// How long a silent member stays: two lost renewals are borne.
+const LAPSE_MS: Millis = Millis(3_000);
+/// The least time between two tries after a failure: a refused call is paid too.
+const RETRY_MS: Millis = Millis(500);
+
+/// One host as the group names it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other hosts connect.
+    pub peer_address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// The incarnation of its process.
+    pub incarnation: u64,
+    /// The SHA-256 of the certificate by which other hosts know it, as hex digits.
+    pub fingerprint: Name,
+}
+
+impl Member {
+    /// Writes the member as the group's name for it.
+    pub fn to_text(&self) -> String {
+        let Self {
+            caller_address,
+            peer_address,
+            data_centre,
+            incarnation,
+            fingerprint,
+        } = self;
+        format!("{caller_address};{peer_address};{data_centre};{incarnation:x};{fingerprint}")
+    }
+
+    /// Reads a member from the group's name for it; nothing when it is another release's.
+    pub fn from_text(text: &str) -> Option<Self> {
+        let mut parts = text.split(';');
+        Some(Self {
+            caller_address: parts.next()?.parse().ok()?,
+            peer_address: parts.next()?.parse().ok()?,
+            data_centre: parts.next()?.into(),
+            incarnation: u64::from_str_radix(parts.next()?, 16).ok()?,
+            fingerprint: parts.next()?.into(),
+        })
+    }
+}
+
+/// The members of the group, as last read.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    generation: u64,
+    list: IndexSet<Member>,
+}
+
+impl Members {
+    /// Returns how many hosts there are; this one counts before the group was read.
+    pub fn count(&self) -> usize {
+        self.list.len().max(1)
+    }
+
+    /// Returns the hosts.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.list.iter()
+    }
+}
+
+#[derive(Serialize)]
+struct MembersLine {
+    generation: u64,
+    members: usize,
+    joined: Vec<SocketAddr>,
+    left: Vec<SocketAddr>,
+}
+
+#[derive(Serialize)]
+struct StoreLine<'a> {
+    call: &'static str,
+    error: &'a str,
+}
+
+/// Keeps this host in the group and reads the group when it has changed, until a planned stop.
+pub async fn keep<P: Platform>(host: Rc<Host<P>>, me: Member) {
+    let name = me.to_text();
+    let mut lost = false;
+    while !host.is_stopping() {
+        match renew(&host, &name).await {
+            Ok(()) => {
+                if std::mem::take(&mut lost) {
+                    lines::write(
+                        LogEvent::LogBack,
+                        &StoreLine {
+                            call: "join",
+                            error: "",
+                        },
+                    );
+                }
+                Timer::after(JOIN_INTERVAL_MS.to_duration()).await;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    let error = &error.to_string();
+                    lines::write(
+                        LogEvent::LogLost,
+                        &StoreLine {
+                            call: "join",
+                            error,
+                        },
+                    );
+                }
+                Timer::after(RETRY_MS.to_duration()).await;
+            }
+        }
+    }
+    if let Err(error) = host.platform.leave(&name).await {
+        let error = &error.to_string();
+        lines::write(
+            LogEvent::LogLost,
+            &StoreLine {
+                call: "leave",
+                error,
+            },
+        );
+    }
+}
+
+async fn renew<P: Platform>(host: &Host<P>, name: &str) -> Result<(), StoreError> {
+    let known = host.members.borrow().generation;
+    let generation = host.platform.join(name, known, LAPSE_MS).await?;
+    if generation != known || host.members.borrow().list.is_empty() {
+        let names = host.platform.members().await?;
+        take(host, generation, &names);
+    }
+    Ok(())
+}
+
+fn take<P: Platform>(host: &Host<P>, generation: u64, names: &IndexSet<Name>) {
+    let list: IndexSet<Member> = names
+        .iter()
+        .filter_map(|name| Member::from_text(name))
+        .collect();
+    let mut members = host.members.borrow_mut();
+    let addresses = |of: &IndexSet<Member>, but: &IndexSet<Member>| {
+        of.difference(but)
+            .map(|member| member.caller_address)
+            .collect::<Vec<_>>()
+    };
+    let line = MembersLine {
+        generation,
+        members: list.len(),
+        joined: addresses(&list, &members.list),
+        left: addresses(&members.list, &list),
+    };
+    if !line.joined.is_empty() || !line.left.is_empty() {
+        lines::write(LogEvent::MembersChanged, &line);
+    }
+    *members = Members { generation, list };
+}
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,96 @@
+//! Counters and latencies of an entry host, in the Prometheus text form.
+
+use crate::entry::budgeted_log;
+use crate::prelude::*;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// The upper bounds of latencies, from a plain service's answer to the longest time limit.
+const LATENCY_BOUNDS_MS: [f64; 12] = [
+    10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0, 16_000.0, 32_000.0,
+];
+
+/// The instruments.
+pub struct EntryMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    store_calls: Counter<u64>,
+    first_byte_ms: Histogram<f64>,
+    whole_ms: Histogram<f64>,
+}
+
+impl EntryMetrics {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the exporter cannot be made.
+    pub fn new() -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| error.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("mangovale");
+        let latency = |name| {
+            let histogram = meter.f64_histogram(name);
+            histogram
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build()
+        };
+        Ok(Self {
+            requests: meter.u64_counter("mangovale_entry_requests").build(),
+            sends: meter.u64_counter("mangovale_entry_sends").build(),
+            store_calls: meter.u64_counter("mangovale_entry_store_calls").build(),
+            first_byte_ms: latency("mangovale_entry_first_byte_ms"),
+            whole_ms: latency("mangovale_entry_whole_ms"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that ended, with its latencies.
+    pub fn count_request(
+        &self,
+        outcome: &'static str,
+        first_byte_ms: Option<Millis>,
+        whole_ms: Millis,
+    ) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        if let Some(first_byte_ms) = first_byte_ms {
+            self.first_byte_ms.record(first_byte_ms.0 as f64, &[]);
+        }
+        self.whole_ms.record(whole_ms.0 as f64, &labels);
+    }
+
+    /// Counts a request sent to an upstream.
+    pub fn count_send(&self, outcome: &'static str) {
+        self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a call of the store.
+    pub fn count_store_call(&self, outcome: &'static str) {
+        self.store_calls
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Returns the metrics in the Prometheus text form.
+    pub fn text(&self) -> String {
+        let mut text = TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| format!("# the metrics cannot be written: {error}\n"));
+        let dropped = budgeted_log::dropped();
+        text.push_str("# TYPE mangovale_entry_log_lines_dropped_total counter\n");
+        text.push_str(&format!(
+            "mangovale_entry_log_lines_dropped_total {dropped}\n"
+        ));
+        text
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,25 @@
+//! An entry host on a platform that keeps the state: callers' requests, the answer which addresses to use,
+//! readiness, and the tasks that follow the platform.
+//!
+//! One thread runs all tasks of a process; shared state is in [`host::Host`], and nothing holds a borrow of it
+//! across a wait. What the platform calls things is behind [`platform::Platform`].
+
+pub mod budgeted_log;
+pub mod caller;
+pub mod directory;
+pub mod follow;
+pub mod forward;
+pub mod host;
+pub mod lines;
+pub mod members;
+pub mod metrics;
+pub mod platform;
+pub mod pool;
+pub mod relay;
+pub mod run;
+pub mod send;
+pub mod settings;
+pub mod stop;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/relay.rs
@@ -0,0 +1,377 @@
+//! Passing an answer on to its caller, piece by piece, so that one that ends early never looks complete.
+
+use crate::desired::Repeat;
+use crate::entry::caller::{BodyForm, CallerSide};
+use crate::entry::forward::{Ask, CourseLog, Tries, choose, try_upstream};
+use crate::entry::host::Host;
+use crate::entry::lines;
+use crate::entry::platform::Platform;
+use crate::entry::send::{Sent, StartedAnswer, keep, note_failure};
+use crate::http1::client::within;
+use crate::http1::{Framing, ReadError};
+use crate::prelude::*;
+
+/// How long a resumable stream may be silent before it goes on at another upstream. Callers give a stream up
+/// after two seconds at the earliest, and after eight goals for a first event of a second.
+const SILENCE_MS: Millis = Millis(2_500);
+/// How long after its time an answer is still passed on: the last piece may be on its way.
+const OVERTIME_MS: Millis = Millis(100);
+/// Most bytes of an event that is not whole yet.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Most upstreams asked to go on with one broken stream.
+const MAX_RESUME_TRIES: usize = 3;
+
+/// How passing an answer on ended.
+pub enum Relayed {
+    /// The caller has all of it.
+    Whole,
+    /// The caller has a part; its connection must end.
+    Broken(&'static str),
+    /// The caller has nothing yet.
+    NotBegun(&'static str),
+}
+
+/// Passes an answer on.
+pub async fn relay<P: Platform>(
+    host: &Host<P>,
+    ask: &Ask,
+    out: &mut CallerSide,
+    log: &mut CourseLog<'_, P>,
+    tries: &mut Tries,
+    answer: Box<StartedAnswer>,
+) -> Relayed {
+    if answer.reader.is_done() {
+        return relay_whole(host, ask, out, log, answer).await;
+    }
+    match ask.route.streams && answer.head.status == 200 {
+        true => {
+            let stream = EventRelay {
+                host,
+                ask,
+                tries,
+                buffer: Vec::new(),
+                last_event_id: None,
+                begun: false,
+                last_piece_at: host.now(),
+            };
+            stream.run(out, log, answer).await
+        }
+        false => relay_pieces(host, ask, out, log, answer).await,
+    }
+}
+
+async fn relay_whole<P: Platform>(
+    host: &Host<P>,
+    ask: &Ask,
+    out: &mut CallerSide,
+    log: &mut CourseLog<'_, P>,
+    answer: Box<StartedAnswer>,
+) -> Relayed {
+    let StartedAnswer {
+        upstream,
+        head,
+        begun,
+        reader,
+        connection,
+        in_flight,
+    } = *answer;
+    drop(in_flight);
+    let form = match &*ask.head.method {
+        "HEAD" => BodyForm::HeadOnly,
+        _ => BodyForm::Length(begun.len() as u64),
+    };
+    note_first_byte(host, ask, log);
+    let written = out.write_whole(&head, form, &begun).await;
+    keep(host, &upstream, connection, &head, reader);
+    match written {
+        Ok(()) => Relayed::Whole,
+        Err(_) => Relayed::Broken("the caller's connection broke"),
+    }
+}
+
+/// Passes a long answer that is no stream of events on as it comes.
+async fn relay_pieces<P: Platform>(
+    host: &Host<P>,
+    ask: &Ask,
+    out: &mut CallerSide,
+    log: &mut CourseLog<'_, P>,
+    mut answer: Box<StartedAnswer>,
+) -> Relayed {
+    let form = match answer.head.framing {
+        Framing::Length(length) => BodyForm::Length(length),
+        _ => BodyForm::Chunked,
+    };
+    note_first_byte(host, ask, log);
+    let begun = std::mem::take(&mut answer.begun);
+    if out.begin(&answer.head, form).await.is_err() || out.piece(&begun).await.is_err() {
+        return Relayed::Broken("the caller's connection broke");
+    }
+    loop {
+        let left_ms = (ask.ends_at + OVERTIME_MS).since(host.now());
+        let read = answer.reader.next(&mut answer.connection.io);
+        match within(left_ms, read).await {
+            None => return Relayed::Broken("the time limit was reached"),
+            Some(Err(_)) => {
+                note_failure(host, &answer.upstream, host.now(), false);
+                return Relayed::Broken("the upstream broke off");
+            }
+            Some(Ok(Some(piece))) => {
+                if out.piece(&piece).await.is_err() {
+                    return Relayed::Broken("the caller's connection broke");
+                }
+            }
+            Some(Ok(None)) => {
+                let ended = out.end().await;
+                let StartedAnswer {
+                    upstream,
+                    head,
+                    reader,
+                    connection,
+                    ..
+                } = *answer;
+                keep(host, &upstream, connection, &head, reader);
+                return match ended {
+                    Ok(()) => Relayed::Whole,
+                    Err(_) => Relayed::Broken("the caller's connection broke"),
+                };
+            }
+        }
+    }
+}
+
+fn note_first_byte<P: Platform>(host: &Host<P>, ask: &Ask, log: &mut CourseLog<'_, P>) {
+    let took_ms = host.now().since(ask.arrived_at);
+    log.course.first_byte_ms.get_or_insert(took_ms);
+}
+
+/// Passes a stream of events on. Only whole events are written, so that a resumed stream can go on after
+/// the last one.
+struct EventRelay<'a, P: Platform> {
+    host: &'a Host<P>,
+    ask: &'a Ask,
+    tries: &'a mut Tries,
+    buffer: Vec<u8>,
+    last_event_id: Option<String>,
+    begun: bool,
+    last_piece_at: Millis,
+}
+
+enum Piece {
+    Bytes(Vec<u8>),
+    End,
+    Fault(&'static str),
+    OutOfTime,
+}
+
+#[derive(Serialize)]
+struct ResumeLine<'a> {
+    request: Option<&'a str>,
+    from: &'a str,
+    why: &'static str,
+    after_event: Option<&'a str>,
+    to: Option<&'a str>,
+}
+
+impl<P: Platform> EventRelay<'_, P> {
+    async fn run(
+        mut self,
+        out: &mut CallerSide,
+        log: &mut CourseLog<'_, P>,
+        mut answer: Box<StartedAnswer>,
+    ) -> Relayed {
+        self.buffer = std::mem::take(&mut answer.begun);
+        loop {
+            if self.write_events(out, log, &answer).await.is_err() {
+                return Relayed::Broken("the caller's connection broke");
+            }
+            match self.next_piece(&mut answer).await {
+                Piece::Bytes(bytes) => self.buffer.extend_from_slice(&bytes),
+                Piece::End => return self.finish(out, log, answer).await,
+                Piece::OutOfTime => return self.broken("the time limit was reached"),
+                Piece::Fault(why) => {
+                    note_failure(self.host, &answer.upstream, self.host.now(), false);
+                    if !self.begun {
+                        return Relayed::NotBegun(why);
+                    }
+                    match self.resume(&answer.upstream, why, log).await {
+                        Some(next) => {
+                            answer = next;
+                            self.buffer = std::mem::take(&mut answer.begun);
+                        }
+                        None => return self.broken(why),
+                    }
+                }
+            }
+        }
+    }
+
+    async fn next_piece(&self, answer: &mut StartedAnswer) -> Piece {
+        let now = self.host.now();
+        let ends_at = self.ask.ends_at + OVERTIME_MS;
+        let until = match self.may_resume() {
+            true => ends_at.min(now + SILENCE_MS),
+            false => ends_at,
+        };
+        let read = answer.reader.next(&mut answer.connection.io);
+        match within(until.since(now), read).await {
+            None if self.host.now() + Millis(1) >= ends_at => Piece::OutOfTime,
+            None => Piece::Fault("the upstream fell silent"),
+            Some(Ok(Some(_))) if self.buffer.len() > MAX_EVENT_BYTES => {
+                Piece::Fault("an event is too long")
+            }
+            Some(Ok(Some(bytes))) => Piece::Bytes(bytes),
+            Some(Ok(None)) => Piece::End,
+            Some(Err(ReadError::Ended)) => Piece::Fault("the upstream closed before the end"),
+            Some(Err(_)) => Piece::Fault("the upstream broke off"),
+        }
+    }
+
+    /// Writes the whole events of the buffer.
+    async fn write_events(
+        &mut self,
+        out: &mut CallerSide,
+        log: &mut CourseLog<'_, P>,
+        answer: &StartedAnswer,
+    ) -> std::io::Result<()> {
+        let Some(end) = end_of_events(&self.buffer) else {
+            return Ok(());
+        };
+        let rest = self.buffer.split_off(end);
+        let events = std::mem::replace(&mut self.buffer, rest);
+        if let Some(id) = last_event_id(&events) {
+            self.last_event_id = Some(id);
+        }
+        self.begin(out, log, answer).await?;
+        let now = self.host.now();
+        let gap_ms = now.since(self.last_piece_at);
+        log.course.longest_gap_ms = log.course.longest_gap_ms.max(gap_ms);
+        self.last_piece_at = now;
+        out.piece(&events).await
+    }
+
+    async fn begin(
+        &mut self,
+        out: &mut CallerSide,
+        log: &mut CourseLog<'_, P>,
+        answer: &StartedAnswer,
+    ) -> std::io::Result<()> {
+        if std::mem::replace(&mut self.begun, true) {
+            return Ok(());
+        }
+        self.last_piece_at = self.host.now();
+        note_first_byte(self.host, self.ask, log);
+        let form = match answer.head.framing {
+            Framing::Length(length) => BodyForm::Length(length),
+            _ => BodyForm::Chunked,
+        };
+        out.begin(&answer.head, form).await
+    }
+
+    async fn finish(
+        mut self,
+        out: &mut CallerSide,
+        log: &mut CourseLog<'_, P>,
+        answer: Box<StartedAnswer>,
+    ) -> Relayed {
+        let rest = std::mem::take(&mut self.buffer);
+        let begun = self.begin(out, log, &answer).await;
+        let written = match begun {
+            Ok(()) if rest.is_empty() => out.end().await,
+            Ok(()) => match out.piece(&rest).await {
+                Ok(()) => out.end().await,
+                Err(error) => Err(error),
+            },
+            Err(error) => Err(error),
+        };
+        let StartedAnswer {
+            upstream,
+            head,
+            reader,
+            connection,
+            ..
+        } = *answer;
+        keep(self.host, &upstream, connection, &head, reader);
+        match written {
+            Ok(()) => Relayed::Whole,
+            Err(_) => Relayed::Broken("the caller's connection broke"),
+        }
+    }
+
+    fn broken(&self, why: &'static str) -> Relayed {
+        match self.begun {
+            true => Relayed::Broken(why),
+            false => Relayed::NotBegun(why),
+        }
+    }
+
+    fn may_resume(&self) -> bool {
+        let route = &self.ask.route;
+        route.repeat == Repeat::Resumable && self.tries.runs + 1 < route.attempts
+    }
+
+    /// Goes on with a broken stream at another upstream, after the last event that the caller has.
+    async fn resume(
+        &mut self,
+        from: &Name,
+        why: &'static str,
+        log: &mut CourseLog<'_, P>,
+    ) -> Option<Box<StartedAnswer>> {
+        if !self.may_resume() {
+            return None;
+        }
+        let after = self.last_event_id.clone()?;
+        self.tries.note_perhaps_run(from.clone());
+        let mut resumed = None;
+        for _ in 0..MAX_RESUME_TRIES {
+            let Some(upstream) = choose(self.host, self.ask, self.tries) else {
+                break;
+            };
+            if !self.tries.may_repeat(self.host, self.ask) {
+                break;
+            }
+            let sent = try_upstream(self.host, self.ask, &upstream, self.tries, Some(&after)).await;
+            log.course.sends.push((upstream.clone(), sent.name()));
+            self.host.metrics.count_send(sent.name());
+            match sent {
+                Sent::Answered(answer) if answer.head.status == 200 => {
+                    resumed = Some(answer);
+                    break;
+                }
+                Sent::Answered(_) | Sent::PerhapsRun => {
+                    self.tries.note_perhaps_run(upstream);
+                    break;
+                }
+                Sent::NotRun { .. } | Sent::NotSent => self.tries.note_not_run(upstream),
+            }
+        }
+        let line = ResumeLine {
+            request: self.ask.facts.id.as_deref(),
+            from,
+            why,
+            after_event: Some(&after),
+            to: resumed.as_ref().map(|answer| &*answer.upstream),
+        };
+        lines::write(LogEvent::StreamResumed, &line);
+        resumed
+    }
+}
+
+/// Returns where the last whole event ends.
+pub fn end_of_events(bytes: &[u8]) -> Option<usize> {
+    let end = |mark: &[u8]| {
+        bytes
+            .windows(mark.len())
+            .rposition(|window| window == mark)
+            .map(|at| at + mark.len())
+    };
+    end(b"\n\n").max(end(b"\r\n\r\n"))
+}
+
+/// Returns the id of the last event that has one.
+pub fn last_event_id(events: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(events).ok()?;
+    text.lines()
+        .rev()
+        .find_map(|line| line.strip_prefix("id:"))
+        .map(|id| id.trim().to_string())
+}
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,239 @@
+//! Starting an entry host and its tasks.
+
+use crate::clock::Clock;
+use crate::entry::directory::{self, Questions};
+use crate::entry::host::Host;
+use crate::entry::members::{self, Member};
+use crate::entry::metrics::EntryMetrics;
+use crate::entry::platform::{Platform, Table};
+use crate::entry::settings::EntrySettings;
+use crate::entry::{budgeted_log, caller, follow, lines, stop};
+use crate::prelude::*;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use smol::net::TcpListener;
+use smol::{LocalExecutor, Timer};
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+/// How often what was kept for a while only is dropped.
+const SWEEP_MS: Millis = Millis(500);
+/// How often the settings file is read again without a signal.
+const SETTINGS_MS: Millis = Millis(5_000);
+
+/// Why an entry host cannot run.
+#[derive(Debug, Snafu)]
+pub enum EntryError {
+    /// An address cannot be used.
+    #[snafu(display("cannot listen on {address} ({key}): {source}"))]
+    Listen {
+        /// The settings key.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The signals cannot be taken.
+    #[snafu(display("cannot take signals: {source}"))]
+    Signals {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The log or the metrics cannot be set up.
+    #[snafu(display("cannot set up {what}: {why}"))]
+    Setup {
+        /// What.
+        what: &'static str,
+        /// Why.
+        why: String,
+    },
+}
+
+impl EntryError {
+    /// Returns what to do next, in one sentence.
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Self::Listen { .. } => "end the process that uses the address, or change the setting",
+            Self::Signals { .. } | Self::Setup { .. } => "report this with the message above",
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct StartLine<'a> {
+    host: &'a str,
+    data_centre: &'a str,
+    release: &'static str,
+    callers: SocketAddr,
+    incarnation: String,
+}
+
+#[derive(Serialize)]
+struct SettingsLine<'a> {
+    result: &'a str,
+}
+
+/// Runs an entry host until a planned stop is over.
+///
+/// `reconnect` is told the settings when the platform's store has another address.
+///
+/// # Errors
+///
+/// Returns why it cannot start.
+pub fn run<P: Platform + 'static>(
+    settings: EntrySettings,
+    path: PathBuf,
+    platform: P,
+    reconnect: impl Fn(&P, &EntrySettings) + 'static,
+) -> Result<(), EntryError> {
+    let clock = Clock::start();
+    budgeted_log::start(clock).map_err(|why| EntryError::Setup {
+        what: "the log",
+        why,
+    })?;
+    let metrics = EntryMetrics::new().map_err(|why| EntryError::Setup {
+        what: "metrics",
+        why,
+    })?;
+    let host = Host::new(settings, platform, clock, metrics);
+    let executor = Rc::new(LocalExecutor::new());
+    let main = start(host, executor.clone(), path, reconnect);
+    smol::block_on(executor.run(main))
+}
+
+async fn start<P: Platform + 'static>(
+    host: Rc<Host<P>>,
+    executor: Rc<LocalExecutor<'static>>,
+    path: PathBuf,
+    reconnect: impl Fn(&P, &EntrySettings) + 'static,
+) -> Result<(), EntryError> {
+    let settings = host.settings();
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context(SignalsSnafu)?;
+    let incarnation = fastrand::u64(..);
+    let line = StartLine {
+        host: &settings.name,
+        data_centre: &settings.data_centre,
+        release: crate::daemon::run::RELEASE,
+        callers: settings.caller_listen,
+        incarnation: format!("{incarnation:x}"),
+    };
+    lines::write(LogEvent::Started, &line);
+    let questions = [
+        (
+            "directory_listen",
+            settings.directory_listen,
+            Questions::Directory,
+        ),
+        ("ready_listen", settings.ready_listen, Questions::Ready),
+        (
+            "metrics_listen",
+            settings.metrics_listen,
+            Questions::Metrics,
+        ),
+    ];
+    for (key, address, questions) in questions {
+        let listener = listen(key, address).await?;
+        let answer = directory::answer(host.clone(), executor.clone(), listener, questions);
+        executor.spawn(answer).detach();
+    }
+    let callers = listen("caller_listen", settings.caller_listen).await?;
+    let me = Member {
+        caller_address: settings.caller_listen,
+        peer_address: settings.peer_listen,
+        data_centre: settings.data_centre.clone(),
+        incarnation,
+        fingerprint: "".into(),
+    };
+    let tasks = [
+        executor.spawn(caller::accept(host.clone(), executor.clone(), callers)),
+        executor.spawn(follow::follow(host.clone(), Table::Desired)),
+        executor.spawn(follow::follow(host.clone(), Table::Upstreams)),
+        executor.spawn(sweep(host.clone())),
+        executor.spawn(watch_signals(host.clone(), signals, path, reconnect)),
+    ];
+    let members = executor.spawn(members::keep(host.clone(), me));
+    stop::wait(&host).await;
+    drop(members);
+    drop(tasks);
+    log::logger().flush();
+    // The thread that writes the log takes the last lines.
+    Timer::after(Millis(20).to_duration()).await;
+    Ok(())
+}
+
+async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { key, address })
+}
+
+async fn sweep<P: Platform>(host: Rc<Host<P>>) {
+    loop {
+        Timer::after(SWEEP_MS.to_duration()).await;
+        let now = host.now();
+        host.pool.expire(now);
+        let gone = host.upstreams.borrow_mut().expire(now);
+        for id in &gone {
+            host.pool.forget(id);
+            follow::note_gone(id, "its entry did not come back after an outage");
+        }
+    }
+}
+
+async fn watch_signals<P: Platform>(
+    host: Rc<Host<P>>,
+    mut signals: Signals,
+    path: PathBuf,
+    reconnect: impl Fn(&P, &EntrySettings),
+) {
+    loop {
+        let next = async { signals.next().await.and_then(Result::ok) };
+        let timer = async {
+            Timer::after(SETTINGS_MS.to_duration()).await;
+            Some(Signal::Hup)
+        };
+        match futures_lite::future::or(next, timer).await {
+            Some(Signal::Hup) => reload(&host, &path, &reconnect),
+            Some(_) => host.ask_stop(),
+            None => {}
+        }
+    }
+}
+
+/// Reads the settings again. Bounds and the store's address take effect; addresses that this host listens on
+/// stay until it is started again. A file that cannot be used changes nothing.
+fn reload<P: Platform>(host: &Host<P>, path: &Path, reconnect: &impl Fn(&P, &EntrySettings)) {
+    let settings = match EntrySettings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            let result = &error.to_string();
+            lines::write(LogEvent::SettingsRejected, &SettingsLine { result });
+            return;
+        }
+    };
+    let former = host.settings();
+    if *former == settings {
+        return;
+    }
+    if former.store != settings.store {
+        reconnect(&host.platform, &settings);
+    }
+    lines::write(
+        LogEvent::SettingsReloaded,
+        &SettingsLine {
+            result: "in effect",
+        },
+    );
+    let kept = EntrySettings {
+        caller_listen: former.caller_listen,
+        directory_listen: former.directory_listen,
+        ready_listen: former.ready_listen,
+        peer_listen: former.peer_listen,
+        metrics_listen: former.metrics_listen,
+        ..settings
+    };
+    *host.settings.borrow_mut() = Rc::new(kept);
+}
--- /dev/null
+++ b/src/entry/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the entry host.
--- a/src/error.rs
+++ b/src/error.rs
@@ -19,6 +19,10 @@
     NotFound,
     /// The body is larger than allowed.
     BodyTooLarge,
+    /// The head is larger than allowed.
+    HeadTooLarge,
+    /// The request did not arrive whole.
+    RequestIncomplete,
     /// The row's limit is reached.
     RowLimit,
     /// Queues are full.
@@ -41,6 +45,8 @@
     UpstreamFailed,
     /// The upstream may have run the operation; the answer is lost.
     OutcomeUnknown,
+    /// The upstream did not answer within the request's time; it may have run it.
+    AnswerTimeout,
     /// The answer broke off after its start.
     AnswerBroken,
     /// The same operation key came with another request.
@@ -80,13 +86,15 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 26] = [
         Self::BadRequest,
         Self::BadCredential,
         Self::Forbidden,
         Self::UnknownModel,
         Self::NotFound,
         Self::BodyTooLarge,
+        Self::HeadTooLarge,
+        Self::RequestIncomplete,
         Self::RowLimit,
         Self::Overloaded,
         Self::ColdStartTooLong,
@@ -98,6 +106,7 @@
         Self::Stopping,
         Self::UpstreamFailed,
         Self::OutcomeUnknown,
+        Self::AnswerTimeout,
         Self::AnswerBroken,
         Self::KeyReused,
         Self::EditConflict,
@@ -115,6 +124,8 @@
             Self::UnknownModel => "unknown_model",
             Self::NotFound => "not_found",
             Self::BodyTooLarge => "body_too_large",
+            Self::HeadTooLarge => "head_too_large",
+            Self::RequestIncomplete => "request_incomplete",
             Self::RowLimit => "row_limit",
             Self::Overloaded => "overloaded",
             Self::ColdStartTooLong => "cold_start_too_long",
@@ -126,6 +137,7 @@
             Self::Stopping => "stopping",
             Self::UpstreamFailed => "upstream_failed",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::AnswerTimeout => "answer_timeout",
             Self::AnswerBroken => "answer_broken",
             Self::KeyReused => "key_reused",
             Self::EditConflict => "edit_conflict",
@@ -150,6 +162,8 @@
             ),
             Self::NotFound => line(404, NotRun, false, "see the documentation for the paths"),
             Self::BodyTooLarge => line(413, NotRun, false, "send a smaller body"),
+            Self::HeadTooLarge => line(431, NotRun, false, "send fewer or shorter headers"),
+            Self::RequestIncomplete => line(408, NotRun, true, "send the whole request"),
             Self::RowLimit => line(429, NotRun, true, "come back after the given time"),
             Self::Overloaded => line(503, NotRun, true, "come back after the given time"),
             Self::ColdStartTooLong => {
@@ -165,6 +179,9 @@
             Self::OutcomeUnknown => {
                 line(502, Unknown, false, "check with the service whether it ran")
             }
+            Self::AnswerTimeout => {
+                line(504, Unknown, false, "check with the service whether it ran")
+            }
             Self::AnswerBroken => line(502, Unknown, true, "discard the partial answer"),
             Self::KeyReused => line(409, NotRun, false, "use a new key for a new request"),
             Self::EditConflict => {
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -19,6 +19,10 @@
     Stopped = 103,
     /// A task panicked; the process ends at once.
     Panicked = 104,
+    /// Changed settings are in effect.
+    SettingsReloaded = 105,
+    /// Changed settings cannot be used.
+    SettingsRejected = 106,
     /// The log cannot be reached.
     LogLost = 200,
     /// The log can be reached again.
@@ -51,12 +55,16 @@
     PeerRefused = 305,
     /// This host was taken for dead and comes back as another incarnation.
     Rejoining = 306,
+    /// The group of hosts has other members.
+    MembersChanged = 307,
     /// An edit was accepted by the fold.
     EditAccepted = 400,
     /// An edit was rejected by the fold.
     EditRejected = 401,
     /// An edit is in force everywhere.
     EditInForce = 402,
+    /// A version of the desired state is in force at this host.
+    DesiredTaken = 403,
     /// A load was decided.
     LoadDecided = 500,
     /// A copy became ready.
@@ -75,18 +83,42 @@
     CopyRetired = 507,
     /// An idle copy is to go for another model.
     CopyEvicted = 508,
+    /// This host took the lease to order loads.
+    LeaseTaken = 509,
+    /// This host orders loads no longer.
+    LeaseEnded = 510,
+    /// An order was sent to an engine.
+    OrderSent = 511,
+    /// What became of an order is known.
+    OrderEnded = 512,
+    /// The orderer read an engine anew.
+    EngineRead = 513,
+    /// Another host orders loads.
+    OrdererChanged = 514,
     /// An upstream was registered.
     UpstreamRegistered = 600,
     /// An upstream is leaving.
     UpstreamLeaving = 601,
     /// An upstream does not answer.
     UpstreamSilent = 602,
+    /// An upstream is used no longer.
+    UpstreamGone = 603,
+    /// The entry of an upstream changed.
+    UpstreamUpdated = 604,
     /// A request was refused.
     RequestRefused = 700,
     /// An attempt failed.
     AttemptFailed = 701,
     /// An outcome is unknown.
     OutcomeUnknown = 702,
+    /// A request has its whole answer.
+    RequestAnswered = 703,
+    /// A request ended without a whole answer.
+    RequestFailed = 704,
+    /// A caller left before the answer was whole.
+    CallerGone = 705,
+    /// A broken stream went on at another upstream, or could not.
+    StreamResumed = 706,
     /// A claim was made for an operation.
     ClaimMade = 800,
     /// A claim ended.
@@ -101,6 +133,8 @@
         Self::StopBegan,
         Self::Stopped,
         Self::Panicked,
+        Self::SettingsReloaded,
+        Self::SettingsRejected,
         Self::LogLost,
         Self::LogBack,
         Self::LogTrimmed,
@@ -117,9 +151,11 @@
         Self::HostEvicted,
         Self::PeerRefused,
         Self::Rejoining,
+        Self::MembersChanged,
         Self::EditAccepted,
         Self::EditRejected,
         Self::EditInForce,
+        Self::DesiredTaken,
         Self::LoadDecided,
         Self::CopyReady,
         Self::LoadFailed,
@@ -129,12 +165,24 @@
         Self::OrderRelinquished,
         Self::CopyRetired,
         Self::CopyEvicted,
+        Self::LeaseTaken,
+        Self::LeaseEnded,
+        Self::OrderSent,
+        Self::OrderEnded,
+        Self::EngineRead,
+        Self::OrdererChanged,
         Self::UpstreamRegistered,
         Self::UpstreamLeaving,
         Self::UpstreamSilent,
+        Self::UpstreamGone,
+        Self::UpstreamUpdated,
         Self::RequestRefused,
         Self::AttemptFailed,
         Self::OutcomeUnknown,
+        Self::RequestAnswered,
+        Self::RequestFailed,
+        Self::CallerGone,
+        Self::StreamResumed,
         Self::ClaimMade,
         Self::ClaimEnded,
     ];
@@ -160,7 +208,9 @@
             | Self::PeerRefused
             | Self::LoadFailed
             | Self::UpstreamSilent
-            | Self::OutcomeUnknown => Level::Warn,
+            | Self::OutcomeUnknown
+            | Self::SettingsRejected
+            | Self::RequestFailed => Level::Warn,
             Self::RequestRefused | Self::AttemptFailed | Self::ClaimMade | Self::ClaimEnded => {
                 Level::Debug
             }
--- /dev/null
+++ b/src/http1/tests.rs
@@ -0,0 +1,135 @@
+//! Framing, truncation and bytes that belong to nothing.
+
+use super::*;
+use futures_lite::io::Cursor;
+use smol::block_on;
+
+fn connection(bytes: &[u8]) -> Connection<Cursor<Vec<u8>>> {
+    Connection::new(Cursor::new(bytes.to_vec()))
+}
+
+fn parse(head: &str) -> Result<RequestHead, HeadError> {
+    let parsed = RequestHead::parse(head.as_bytes(), 16 << 10)?;
+    Ok(parsed.expect("the head is whole").0)
+}
+
+fn read_body(
+    framing: Framing,
+    from: &mut Connection<Cursor<Vec<u8>>>,
+) -> Result<Vec<u8>, ReadError> {
+    let mut reader = BodyReader::new(framing);
+    let mut body = Vec::new();
+    while let Some(piece) = block_on(reader.next(from))? {
+        body.extend(piece);
+    }
+    Ok(body)
+}
+
+#[test]
+fn a_request_with_two_framings_is_refused() {
+    for framing in [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: +5\r\n",
+        "Content-Length: 5, 5\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        let head = format!("POST /a/ HTTP/1.1\r\nHost: x\r\n{framing}\r\n");
+        assert_eq!(parse(&head), Err(HeadError::AmbiguousFraming), "{framing}");
+    }
+}
+
+#[test]
+fn a_space_before_the_colon_and_a_folded_line_are_refused() {
+    for line in ["Content-Length : 5\r\n", "X-A: 1\r\n  folded\r\n"] {
+        let head = format!("POST /a/ HTTP/1.1\r\nHost: x\r\n{line}\r\n");
+        assert_eq!(parse(&head), Err(HeadError::Malformed), "{line}");
+    }
+}
+
+#[test]
+fn a_head_over_the_bound_is_refused_before_it_ends() {
+    let endless = format!("GET /{} ", "a".repeat(300));
+    assert_eq!(
+        RequestHead::parse(endless.as_bytes(), 256),
+        Err(HeadError::TooLarge)
+    );
+}
+
+#[test]
+fn headers_of_one_connection_are_removed_with_those_that_they_name() {
+    let head = "GET /a/ HTTP/1.1\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\nX-End: 2\r\n\r\n";
+    let mut headers = parse(head).expect("the head is proper").headers;
+    headers.remove_hop_by_hop();
+    let mut written = Vec::new();
+    headers.write(&mut written);
+    assert_eq!(written, b"X-End: 2\r\n");
+}
+
+#[test]
+fn a_pipelined_request_stays_for_the_next_read() {
+    let mut two =
+        connection(b"GET /1/ HTTP/1.1\r\nHost: x\r\n\r\nGET /2/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    let first = block_on(two.read_request_head(1024)).expect("a head");
+    let second = block_on(two.read_request_head(1024)).expect("a head");
+    assert_eq!(&*first.expect("the first").target, "/1/");
+    assert_eq!(&*second.expect("the second").target, "/2/");
+    assert!(
+        block_on(two.read_request_head(1024))
+            .expect("the end")
+            .is_none()
+    );
+}
+
+#[test]
+fn a_chunked_body_is_joined_and_what_follows_stays() {
+    let mut from = connection(b"3\r\nabc\r\n2;x=1\r\nde\r\n0\r\nTrailer: 1\r\n\r\nrest");
+    let body = read_body(Framing::Chunked, &mut from).expect("a whole body");
+    assert_eq!(body, b"abcde");
+    assert!(from.has_unused_bytes());
+}
+
+#[test]
+fn a_body_that_ends_early_is_never_complete() {
+    for (framing, bytes) in [
+        (Framing::Length(9), &b"abc"[..]),
+        (Framing::Chunked, &b"3\r\nabc\r\n"[..]),
+        (Framing::Chunked, &b"9\r\nabc"[..]),
+        (Framing::Chunked, &b"0\r\n"[..]),
+    ] {
+        let read = read_body(framing, &mut connection(bytes));
+        assert!(matches!(read, Err(ReadError::Ended)), "{framing:?}");
+    }
+}
+
+#[test]
+fn a_malformed_chunk_is_a_fault() {
+    for bytes in [
+        &b"zz\r\nabc\r\n"[..],
+        &b"\r\nabc\r\n"[..],
+        &b"3\r\nabcd\r\n"[..],
+    ] {
+        let read = read_body(Framing::Chunked, &mut connection(bytes));
+        assert!(matches!(read, Err(ReadError::Malformed)));
+    }
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    let mut from = connection(b"HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\nabc");
+    let head = block_on(from.read_response_head(1024, false)).expect("a head");
+    assert_eq!(head.framing, Framing::UntilClose);
+    assert_eq!(read_body(head.framing, &mut from).expect("a body"), b"abc");
+}
+
+#[test]
+fn any_bytes_are_parsed_without_a_panic() {
+    arbtest::arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let _ = RequestHead::parse(&bytes, 1024);
+        let _ = ResponseHead::parse(&bytes, 1024, false);
+        let _ = read_body(Framing::Chunked, &mut connection(&bytes));
+        Ok(())
+    });
+}
--- /dev/null
+++ b/src/ordering/demand.rs
@@ -0,0 +1,50 @@
+//! What callers ask of each model.
+
+use crate::entry::platform::ModelAsk;
+use crate::prelude::*;
+
+/// Most models and adapters that one host counts between two messages to the orderer; more are asked for again
+/// by the requests that wait for them.
+const MAX_ASKS: usize = 4_096;
+
+/// The requests for one model or adapter at one host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AskCount {
+    /// Requests since the last message.
+    pub asked: u32,
+    /// Requests that wait for it to be loaded.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Prompt tokens of the requests since the last message.
+    pub tokens: u64,
+}
+
+/// The demand at one host.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    counts: IndexMap<ModelAsk, AskCount>,
+}
+
+impl Demand {
+    /// Returns the counts of a model or adapter for change; nothing when too many are counted.
+    pub fn count(&mut self, ask: &ModelAsk) -> Option<&mut AskCount> {
+        if self.counts.len() >= MAX_ASKS && !self.counts.contains_key(ask) {
+            return None;
+        }
+        Some(self.counts.entry(ask.clone()).or_default())
+    }
+
+    /// Returns the counts and begins to count the next span; what waits or runs stays.
+    pub fn take(&mut self) -> Vec<(ModelAsk, AskCount)> {
+        let counts = self.counts.iter().map(|(ask, count)| (ask.clone(), *count));
+        let counts = counts.collect();
+        self.counts
+            .retain(|_, count| count.waiting > 0 || count.running > 0);
+        for count in self.counts.values_mut() {
+            count.asked = 0;
+            count.tokens = 0;
+        }
+        counts
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,5 +3,6 @@
 pub mod first_byte;
 pub mod upstreams;
 
+pub mod pick;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/routing/pick.rs
@@ -0,0 +1,117 @@
+//! Which upstream gets a request: by its load, this host's results with it, and what it kept of prompts.
+//!
+//! Answers the pattern of a few busy models whose prompts share long beginnings: a shared beginning that is
+//! read anew costs an engine as much time as the rest of the prompt, but requests of one beginning that all
+//! go to one engine wait for each other. So each beginning has a home among the engines that hold the
+//! model, and a request leaves it when waiting there costs more than reading the beginning elsewhere.
+
+use crate::prelude::*;
+use crate::upstreams::Upstream;
+use rapidhash::v3::rapidhash_v3;
+
+/// What a running request costs another one, in prompt tokens: each step of an engine serves all of them, and a
+/// prompt is read in pieces between the steps.
+const RUNNING_TOKENS: f64 = 150.0;
+/// What an upstream that fails every request costs, in prompt tokens: more than any queue that is worth waiting in.
+const FAILING_TOKENS: f64 = 60_000.0;
+/// What a request under way at a plain service costs, in shares of the upstream's slots, against failures.
+const FAILING_SLOTS: f64 = 4.0;
+/// What another data centre costs, in shares of an upstream's slots: it only breaks ties, since a round trip
+/// of a few milliseconds is less than any queue.
+const FAR_SLOTS: f64 = 0.05;
+
+/// The work of other hosts at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    /// Prompt tokens of requests without a first event.
+    pub prompt_tokens: u64,
+    /// Requests under way.
+    pub running: u32,
+}
+
+/// What the choice of an engine needs of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptShape {
+    /// A digest of the model, the adapter and the shared parts of the prompt.
+    pub beginning: u64,
+    /// The tokens of the shared parts.
+    pub shared_tokens: u64,
+}
+
+/// Chooses an engine among those that hold the model: the least predicted wait, in prompt tokens.
+pub fn engine<'a>(
+    now: Millis,
+    candidates: impl Iterator<Item = (&'a Upstream, Work)>,
+    prompt: PromptShape,
+) -> Option<&'a Upstream> {
+    let candidates: Vec<_> = candidates
+        .filter(|(upstream, _)| is_open(now, upstream))
+        .collect();
+    let home = candidates
+        .iter()
+        .max_by_key(|(upstream, _)| affinity(&upstream.entry.id, prompt.beginning))
+        .map(|(upstream, _)| upstream.entry.id.clone())?;
+    let cost = |(upstream, others): &(&Upstream, Work)| {
+        let prompt_tokens = upstream.prompt_tokens + others.prompt_tokens;
+        let running = f64::from(upstream.in_flight + others.running);
+        let read_again = match upstream.entry.id == home {
+            true => 0,
+            false => prompt.shared_tokens,
+        };
+        (prompt_tokens + read_again) as f64
+            + running * RUNNING_TOKENS
+            + upstream.health.failure_share(now) * FAILING_TOKENS
+    };
+    least(candidates, cost)
+}
+
+/// Chooses an upstream of a plain service: the least share of slots in use, near ones first.
+pub fn service<'a>(
+    now: Millis,
+    candidates: impl Iterator<Item = &'a Upstream>,
+    data_centre: &str,
+    point: f64,
+) -> Option<&'a Upstream> {
+    let candidates: Vec<_> = candidates
+        .filter(|upstream| is_open(now, upstream))
+        .map(|upstream| (upstream, Work::default()))
+        .collect();
+    let mut nth = 0;
+    let cost = |(upstream, _): &(&Upstream, Work)| {
+        nth += 1;
+        let used = f64::from(upstream.in_flight) / f64::from(upstream.entry.slots.max(1));
+        let far = match &*upstream.entry.data_centre == data_centre {
+            true => 0.0,
+            false => FAR_SLOTS,
+        };
+        // Hosts of one data centre without an upstream must not all choose the same one.
+        let spread = (point + f64::from(nth) * 0.618).fract() * FAR_SLOTS / 2.0;
+        used + far + spread + upstream.health.failure_share(now) * FAILING_SLOTS
+    };
+    least(candidates, cost)
+}
+
+fn is_open(now: Millis, upstream: &Upstream) -> bool {
+    !upstream.health.is_resting(now)
+}
+
+fn least<'a>(
+    candidates: Vec<(&'a Upstream, Work)>,
+    mut cost: impl FnMut(&(&'a Upstream, Work)) -> f64,
+) -> Option<&'a Upstream> {
+    let costs = candidates.into_iter().map(|candidate| {
+        let cost = cost(&candidate);
+        (cost, candidate.0)
+    });
+    costs
+        .min_by(|(a, _), (b, _)| a.total_cmp(b))
+        .map(|(_, upstream)| upstream)
+}
+
+/// Returns the rank of an upstream for a beginning (rendezvous hashing): the same at every host, and an upstream
+/// that comes or goes moves only its own beginnings.
+fn affinity(id: &str, beginning: u64) -> u64 {
+    let mut bytes = id.as_bytes().to_vec();
+    bytes.extend_from_slice(&beginning.to_le_bytes());
+    rapidhash_v3(&bytes)
+}
--- /dev/null
+++ b/src/upstreams/mod.rs
@@ -0,0 +1,44 @@
+//! The upstreams of a site as one host knows them: the platform's list, corrected by its own sends.
+
+pub mod health;
+pub mod registry;
+
+#[cfg(test)]
+mod tests;
+
+use crate::prelude::*;
+pub use health::Health;
+pub use registry::{Registry, Upstream};
+use std::net::SocketAddr;
+
+/// What the platform's list says of one lifetime of an upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamEntry {
+    /// The name of this lifetime; each start has a new one.
+    pub id: Name,
+    /// The service that it serves.
+    pub service: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// How long it stays, when it is taken away at short notice.
+    pub leaves_in_ms: Option<Millis>,
+    /// Orders that it had accepted when it wrote the entry.
+    pub order_count: u64,
+    /// The models that it held then.
+    pub models: Vec<HeldModel>,
+}
+
+/// A model that an engine holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldModel {
+    /// The model.
+    pub name: Name,
+    /// Its adapters that the engine holds too.
+    pub adapters: Vec<Name>,
+}
--- /dev/null
+++ b/src/upstreams/tests.rs
@@ -0,0 +1,101 @@
+//! Leaving, outages of the list, and lifetimes that ended.
+
+use super::registry::Change;
+use super::*;
+
+fn entry(id: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.into(),
+        service: "service".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        data_centre: "here".into(),
+        slots: 4,
+        leaving: false,
+        leaves_in_ms: None,
+        order_count: 0,
+        models: Vec::new(),
+    }
+}
+
+fn leaving(id: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        leaving: true,
+        ..entry(id)
+    }
+}
+
+fn usable(registry: &Registry) -> Vec<String> {
+    let usable = registry.usable("service");
+    usable
+        .map(|upstream| upstream.entry.id.to_string())
+        .collect()
+}
+
+#[test]
+fn an_upstream_that_leaves_gets_nothing_and_does_not_come_back() {
+    let mut registry = Registry::default();
+    registry.note_heard(Millis(0));
+    assert_eq!(registry.put(entry("a")), Change::Added);
+    assert_eq!(registry.put(leaving("a")), Change::Leaving);
+    assert_eq!(usable(&registry), [""; 0]);
+    registry.put(entry("a"));
+    assert_eq!(usable(&registry), [""; 0]);
+}
+
+#[test]
+fn a_removal_in_quiet_times_takes_effect_at_once() {
+    let mut registry = Registry::default();
+    registry.note_heard(Millis(0));
+    registry.put(entry("a"));
+    registry.note_heard(Millis(1_500));
+    assert_eq!(registry.remove(Millis(1_500), "a"), Change::Gone);
+    assert_eq!(usable(&registry), [""; 0]);
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_are_used_until_they_had_time_to_come_back() {
+    let mut registry = Registry::default();
+    registry.note_heard(Millis(0));
+    for id in ["back", "gone", "left"] {
+        registry.put(entry(id));
+    }
+    registry.put(leaving("left"));
+    registry.note_heard(Millis(6_000));
+    let changes = registry.replace(Millis(6_000), Vec::new());
+    assert_eq!(changes.len(), 3);
+    assert_eq!(usable(&registry), ["back", "gone"]);
+    registry.put(entry("back"));
+    assert!(registry.expire(Millis(7_900)).is_empty());
+    assert_eq!(registry.expire(Millis(8_000)), ["gone".into()]);
+    assert_eq!(usable(&registry), ["back"]);
+}
+
+#[test]
+fn a_late_copy_of_an_entry_does_not_revive_a_lifetime_that_ended() {
+    let mut registry = Registry::default();
+    registry.put(entry("a"));
+    assert!(registry.end_lifetime(Millis(10), "a"));
+    assert_eq!(registry.put(entry("a")), Change::None);
+    assert_eq!(usable(&registry), [""; 0]);
+}
+
+#[test]
+fn a_silent_upstream_rests_longer_each_time_and_an_answer_ends_it() {
+    let mut health = Health::default();
+    let first = health.note_unreachable(Millis(0));
+    let second = health.note_unreachable(first);
+    assert!(second - first > first);
+    assert!(health.is_resting(first));
+    health.note_success(first);
+    assert!(!health.is_resting(first));
+}
+
+#[test]
+fn a_failing_upstream_is_known_after_a_few_results_and_forgiven_in_time() {
+    let mut health = Health::default();
+    for _ in 0..6 {
+        health.note_failure(Millis(1_000));
+    }
+    assert!(health.failure_share(Millis(1_000)) > 0.5);
+    assert!(health.failure_share(Millis(13_000)) < 0.1);
+}
