--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -14,6 +14,9 @@
 /// of the wait shows it, and the new read must be made well within the two seconds in which a change is to be
 /// in force. Shorter waits cost more calls.
 const WAIT_MS: Millis = Millis(1_500);
+/// How long a reader rests after a page of changes, so that changes in quick succession come with one call: at most
+/// two calls a second, and a change is known within half a second.
+const PAGE_REST_MS: Millis = Millis(450);
 /// The pauses after failed reads: short first, since a single refusal passes; each refused call is paid too.
 const RETRY_MS: [Millis; 3] = [Millis(100), Millis(250), Millis(500)];
 /// Most pages of one whole read; at 500 rows each, far above any site.
@@ -64,7 +67,12 @@
             Some(from) => read_changes(&host, &mut cursor, from).await,
         };
         match read {
-            Ok(()) => note_answer(&mut cursor),
+            Ok(changed) => {
+                note_answer(&mut cursor);
+                if changed {
+                    Timer::after(PAGE_REST_MS.to_duration()).await;
+                }
+            }
             Err(StoreError::Trimmed) => {
                 lines::write(
                     LogEvent::LogTrimmed,
@@ -105,8 +113,8 @@
 }
 
 /// Reads the newest row of each key. The pages are no snapshot, so reading goes on at the end that the first
-/// page named; rows that come again are older than what is known and passed over.
-async fn read_all<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Result<(), StoreError> {
+/// page named; rows that come again are older than what is known and passed over. Returns whether a rest is due.
+async fn read_all<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Result<bool, StoreError> {
     let first = host.platform.read_table(cursor.table, None).await?;
     let next = first.end;
     let mut rows = first.rows;
@@ -126,20 +134,21 @@
         Table::Desired => rows.into_iter().for_each(|row| take_desired(host, row)),
         Table::Upstreams => replace_upstreams(host, rows),
     }
-    Ok(())
+    Ok(false)
 }
 
 async fn read_changes<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
     from: Offset,
-) -> Result<(), StoreError> {
+) -> Result<bool, StoreError> {
     let read = host.platform.follow_table(cursor.table, from, WAIT_MS);
     let TablePage { rows, end, .. } = read.await?;
     cursor.next = Some(end);
     if cursor.table == Table::Upstreams {
         host.upstreams.borrow_mut().note_heard(host.now());
     }
+    let changed = !rows.is_empty();
     for row in rows {
         let known = cursor.written_at.get(&row.key);
         if known.is_some_and(|known| *known >= row.offset) {
@@ -151,7 +160,7 @@
             Table::Upstreams => take_upstream(host, row),
         }
     }
-    Ok(())
+    Ok(changed)
 }
 
 fn take_desired<P: Platform>(host: &Host<P>, row: TableRow) {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -29,6 +29,13 @@
 const COME_BACK_PART: u64 = 3;
 /// Most sends of one request, whatever refuses it.
 const MAX_SENDS: u32 = 4;
+/// How long callers wait for the first event of a stream: two seconds, four times its goal or eight times the gap
+/// that is on time, whichever is longest.
+const STREAM_PATIENCE_MS: Millis = Millis(2_000);
+const STREAM_PATIENCE_GOALS: u64 = 4;
+const STREAM_PATIENCE_GAPS: u64 = 8;
+/// What an upstream needs for the first event once it may have the request: a prompt of some thousand tokens.
+const BEGIN_MARGIN_MS: Millis = Millis(300);
 /// What is left of a request's time for an answer to reach the caller.
 const ANSWER_MARGIN_MS: Millis = Millis(20);
 
@@ -50,6 +57,8 @@
     pub arrived_at: Millis,
     /// When it gets its final answer at the latest.
     pub ends_at: Millis,
+    /// When its caller gives it up unless the answer has begun.
+    pub begins_by: Millis,
     /// The version of the desired state that it was read under.
     pub version: u64,
 }
@@ -498,7 +507,7 @@
     ask: &Ask,
     began_at: Millis,
 ) -> Result<Millis, Refusal> {
-    let last = ask.ends_at - ANSWER_MARGIN_MS - ANSWER_MARGIN_MS;
+    let last = ask.begins_by - BEGIN_MARGIN_MS.min(Millis((ask.begins_by - ask.arrived_at).0 / 4));
     let ready_at = ask
         .facts
         .model
@@ -601,12 +610,14 @@
         Err(refusal) => return Err((refusal, facts)),
     };
     let wait_ms = facts.wait_ms.unwrap_or(Millis::NEVER);
+    let ends_at = arrived_at + wait_ms.min(route.time_limit_ms);
     Ok(Ask {
         at_engine: table
             .services
             .get(&service)
             .is_some_and(|service| service.engine.is_some()),
-        ends_at: arrived_at + wait_ms.min(route.time_limit_ms),
+        begins_by: ends_at.min(arrived_at + patience_ms(&route)),
+        ends_at,
         route,
         service,
         head,
@@ -617,6 +628,17 @@
     })
 }
 
+/// Returns how long a caller of a route waits for an answer to begin.
+fn patience_ms(route: &Route) -> Millis {
+    if !route.streams {
+        return Millis::NEVER;
+    }
+    let by_goal = Millis(route.goal_ms.0 * STREAM_PATIENCE_GOALS);
+    let gap_ms = route.event_gap_ms.unwrap_or(Millis::ZERO);
+    let by_gap = Millis(gap_ms.0 * STREAM_PATIENCE_GAPS);
+    STREAM_PATIENCE_MS.max(by_goal).max(by_gap)
+}
+
 type Found = (Rc<RouteTable>, Arc<Route>, Name);
 
 fn find_service(
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -2,7 +2,10 @@
 
 use crate::clock::Clock;
 use crate::desired::RouteTable;
+use crate::entry::members::{Member, Members};
 use crate::entry::metrics::EntryMetrics;
+use crate::entry::orderer::Orders;
+use crate::entry::peers::Known;
 use crate::entry::platform::Platform;
 use crate::entry::pool::Pool;
 use crate::entry::settings::EntrySettings;
@@ -33,9 +36,13 @@
     /// Whether the list of upstreams was read.
     pub upstreams_known: Cell<bool>,
     /// The other hosts and this one, as the group has them.
-    pub members: RefCell<crate::entry::members::Members>,
+    pub members: RefCell<Members>,
     /// What the orderer says.
     pub view: RefCell<View>,
+    /// The state of ordering loads.
+    pub orders: RefCell<Orders>,
+    /// The certificates of hosts that are accepted.
+    pub known_hosts: Arc<Known>,
     /// What callers asked of each model since the orderer was told last.
     pub demand: RefCell<crate::ordering::demand::Demand>,
     /// The retry budget of each service.
@@ -58,6 +65,7 @@
         platform: P,
         clock: Clock,
         metrics: EntryMetrics,
+        known_hosts: Arc<Known>,
     ) -> Rc<Self> {
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
@@ -70,6 +78,8 @@
             upstreams_known: Cell::new(false),
             members: RefCell::default(),
             view: RefCell::default(),
+            orders: RefCell::default(),
+            known_hosts,
             demand: RefCell::default(),
             budgets: RefCell::default(),
             stop_asked_at: Cell::new(None),
@@ -121,6 +131,20 @@
         self.wanted.listen()
     }
 
+    /// Accepts connections of the members, and of the orderer also before it is listed.
+    pub fn accept_members(&self, orderer: Option<&Member>) {
+        let members = self.members.borrow();
+        let listed = members.iter().chain(orderer);
+        self.known_hosts
+            .replace(listed.map(|member| member.fingerprint.clone()).collect());
+    }
+
+    /// Accepts connections of the members and of the orderer, as they are known now.
+    pub fn accept_listed(&self) {
+        let orderer = self.orders.borrow().holder().cloned();
+        self.accept_members(orderer.as_ref());
+    }
+
     /// Begins a planned stop.
     pub fn ask_stop(&self) {
         if !self.is_stopping() {
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -166,4 +166,6 @@
         lines::write(LogEvent::MembersChanged, &line);
     }
     *members = Members { generation, list };
+    drop(members);
+    host.accept_listed();
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,8 @@
 pub mod lines;
 pub mod members;
 pub mod metrics;
+pub mod orderer;
+pub mod peers;
 pub mod platform;
 pub mod pool;
 pub mod relay;
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -1,6 +1,7 @@
 //! What an entry host needs of the platform that it runs on.
 
 use crate::desired::DesiredState;
+use crate::ordering::message::{EngineReport, Order, OrderAnswer};
 use crate::http1::{Headers, RequestHead, ResponseHead};
 use crate::prelude::*;
 use crate::upstreams::UpstreamEntry;
@@ -164,13 +165,13 @@
     EndMoved(Offset),
 }
 
-/// Records of a stream.
+/// The end of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StreamPage {
+pub struct StreamEnd {
     /// The offset after the last record of the stream.
     pub end: Offset,
-    /// The records from the offset asked for.
-    pub records: Vec<Vec<u8>>,
+    /// The newest record, unless none is kept.
+    pub newest: Option<Vec<u8>>,
 }
 
 /// The platform's store, as far as an entry host uses it.
@@ -232,6 +233,23 @@
         record: &[u8],
     ) -> impl Future<Output = Result<AppendOutcome, StoreError>>;
 
-    /// Reads the stream of leases.
-    fn read_leases(&self, from: Offset) -> impl Future<Output = Result<StreamPage, StoreError>>;
+    /// Reads the end of the stream of leases. It was no earlier than `from`.
+    fn read_leases(&self, from: Offset) -> impl Future<Output = Result<StreamEnd, StoreError>>;
+
+    /// Sends an order to an engine at an address. `fence` is the orderer's fencing token.
+    fn order(
+        &self,
+        address: SocketAddr,
+        upstream: &str,
+        holder: &str,
+        fence: u64,
+        order: &Order,
+    ) -> impl Future<Output = OrderAnswer>;
+
+    /// Reads an engine's report. Returns nothing when there is none.
+    fn report(
+        &self,
+        address: SocketAddr,
+        upstream: &str,
+    ) -> impl Future<Output = Option<EngineReport>>;
 }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -6,13 +6,14 @@
 use crate::entry::members::{self, Member};
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::platform::{Platform, Table};
+use crate::entry::peers::{self, Peers};
 use crate::entry::settings::EntrySettings;
-use crate::entry::{budgeted_log, caller, follow, lines, stop};
+use crate::entry::{budgeted_log, caller, follow, lines, orderer, stop};
 use crate::prelude::*;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use smol::net::TcpListener;
-use smol::{LocalExecutor, Timer};
+use smol::{Executor, LocalExecutor, Timer};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -98,15 +99,19 @@
         what: "metrics",
         why,
     })?;
-    let host = Host::new(settings, platform, clock, metrics);
+    // Tasks of QUIC may not share state by `Rc`, so they have an executor of their own on the same thread.
+    let shared = Arc::new(Executor::new());
+    let peers = Peers::bind(settings.peer_listen, shared.clone())?;
+    let host = Host::new(settings, platform, clock, metrics, peers.known.clone());
     let executor = Rc::new(LocalExecutor::new());
-    let main = start(host, executor.clone(), path, reconnect);
-    smol::block_on(executor.run(main))
+    let main = start(host, executor.clone(), peers, path, reconnect);
+    smol::block_on(shared.run(executor.run(main)))
 }
 
 async fn start<P: Platform + 'static>(
     host: Rc<Host<P>>,
     executor: Rc<LocalExecutor<'static>>,
+    peers: Rc<Peers>,
     path: PathBuf,
     reconnect: impl Fn(&P, &EntrySettings) + 'static,
 ) -> Result<(), EntryError> {
@@ -145,18 +150,22 @@
         peer_address: settings.peer_listen,
         data_centre: settings.data_centre.clone(),
         incarnation,
-        fingerprint: "".into(),
+        fingerprint: peers.fingerprint.clone(),
     };
     let tasks = [
         executor.spawn(caller::accept(host.clone(), executor.clone(), callers)),
         executor.spawn(follow::follow(host.clone(), Table::Desired)),
         executor.spawn(follow::follow(host.clone(), Table::Upstreams)),
         executor.spawn(sweep(host.clone())),
+        executor.spawn(orderer::plan(host.clone(), me.clone(), executor.clone())),
+        executor.spawn(orderer::sync(host.clone(), peers.clone(), me.clone())),
+        executor.spawn(peers::serve(host.clone(), peers, executor.clone())),
         executor.spawn(watch_signals(host.clone(), signals, path, reconnect)),
     ];
-    let members = executor.spawn(members::keep(host.clone(), me));
+    let members = executor.spawn(members::keep(host.clone(), me.clone()));
+    let lease = executor.spawn(orderer::keep_lease(host.clone(), me));
     stop::wait(&host).await;
-    drop(members);
+    drop((members, lease));
     drop(tasks);
     log::logger().flush();
     // The thread that writes the log takes the last lines.
--- /dev/null
+++ b/src/ordering/book.rs
@@ -0,0 +1,181 @@
+//! The demand of all hosts, as the orderer adds it up.
+
+use crate::entry::platform::ModelAsk;
+use crate::ordering::demand::AskCount;
+use crate::prelude::*;
+use crate::routing::pick::Work;
+
+/// How fast a rate forgets: busy models change every few seconds.
+const HALF_LIFE_MS: f64 = 5_000.0;
+/// How long a silent host's counts are used.
+const HOST_MS: Millis = Millis(1_500);
+/// How long a model that nobody asks for is remembered: for choosing what to unload.
+const REMEMBER_MS: Millis = Millis(120_000);
+
+/// The demand for one model or adapter.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Asked {
+    /// Requests that wait for it now.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// When it was asked for last.
+    pub last_at: Option<Millis>,
+    asked: f64,
+    tokens: f64,
+    updated_at: Millis,
+}
+
+impl Asked {
+    /// Returns the requests a second of late.
+    pub fn per_s(&self, now: Millis) -> f64 {
+        per_s(self.asked * self.decay(now))
+    }
+
+    /// Returns the prompt tokens a second of late.
+    pub fn tokens_per_s(&self, now: Millis) -> f64 {
+        per_s(self.tokens * self.decay(now))
+    }
+
+    fn decay(&self, now: Millis) -> f64 {
+        0.5f64.powf(now.since(self.updated_at).0 as f64 / HALF_LIFE_MS)
+    }
+
+    fn add(&mut self, now: Millis, count: &AskCount) {
+        let decay = self.decay(now);
+        self.asked = self.asked * decay + f64::from(count.asked);
+        self.tokens = self.tokens * decay + count.tokens as f64;
+        self.updated_at = now;
+        if count.asked > 0 || count.waiting > 0 {
+            self.last_at = Some(now);
+        }
+    }
+}
+
+/// Turns a decayed count into a rate: the mean age of what it holds is the half life over the logarithm of two.
+fn per_s(decayed: f64) -> f64 {
+    decayed * std::f64::consts::LN_2 * 1_000.0 / HALF_LIFE_MS
+}
+
+#[derive(Clone, Debug, Default)]
+struct HostCounts {
+    at: Millis,
+    counts: IndexMap<ModelAsk, AskCount>,
+    work: IndexMap<Name, Work>,
+}
+
+/// The demand of all hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    asked: IndexMap<ModelAsk, Asked>,
+    hosts: IndexMap<u64, HostCounts>,
+}
+
+impl Book {
+    /// Takes one host's message.
+    pub fn take(
+        &mut self,
+        now: Millis,
+        host: u64,
+        demand: Vec<(ModelAsk, AskCount)>,
+        work: Vec<(Name, Work)>,
+    ) {
+        for (ask, count) in &demand {
+            self.asked.entry(ask.clone()).or_default().add(now, count);
+        }
+        let counts = HostCounts {
+            at: now,
+            counts: demand.into_iter().collect(),
+            work: work.into_iter().collect(),
+        };
+        self.hosts.insert(host, counts);
+        self.add_up(now);
+    }
+
+    /// Forgets hosts that fell silent and models that nobody asks for.
+    pub fn expire(&mut self, now: Millis) {
+        self.add_up(now);
+        self.asked.retain(|_, asked| {
+            asked
+                .last_at
+                .is_some_and(|last_at| now.since(last_at) < REMEMBER_MS)
+        });
+    }
+
+    /// Returns the demand for a model or adapter.
+    pub fn asked(&self, ask: &ModelAsk) -> Asked {
+        self.asked.get(ask).copied().unwrap_or_default()
+    }
+
+    /// Returns all that was asked for.
+    pub fn iter(&self) -> impl Iterator<Item = (&ModelAsk, &Asked)> {
+        self.asked.iter()
+    }
+
+    /// Returns the demand for a model together with its adapters.
+    pub fn model(&self, now: Millis, model: &str) -> ModelDemand {
+        let mut demand = ModelDemand::default();
+        for (ask, asked) in &self.asked {
+            if &*ask.model != model {
+                continue;
+            }
+            demand.waiting += asked.waiting;
+            demand.running += asked.running;
+            demand.per_s += asked.per_s(now);
+            demand.tokens_per_s += asked.tokens_per_s(now);
+            demand.last_at = demand.last_at.max(asked.last_at);
+        }
+        demand
+    }
+
+    /// Returns the work at each engine of all hosts but one.
+    pub fn work_of_others(&self, host: u64) -> Vec<(Name, Work)> {
+        let mut all: IndexMap<Name, Work> = IndexMap::new();
+        for (other, counts) in &self.hosts {
+            if *other == host {
+                continue;
+            }
+            for (upstream, work) in &counts.work {
+                let sum = all.entry(upstream.clone()).or_default();
+                sum.prompt_tokens += work.prompt_tokens;
+                sum.running += work.running;
+            }
+        }
+        all.into_iter().collect()
+    }
+
+    /// Returns how many hosts were heard of late.
+    pub fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    fn add_up(&mut self, now: Millis) {
+        self.hosts.retain(|_, counts| now.since(counts.at) < HOST_MS);
+        for asked in self.asked.values_mut() {
+            (asked.waiting, asked.running) = (0, 0);
+        }
+        for counts in self.hosts.values() {
+            for (ask, count) in &counts.counts {
+                if let Some(asked) = self.asked.get_mut(ask) {
+                    asked.waiting += count.waiting;
+                    asked.running += count.running;
+                }
+            }
+        }
+    }
+}
+
+/// The demand for a model with its adapters.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ModelDemand {
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests a second of late.
+    pub per_s: f64,
+    /// Prompt tokens a second of late.
+    pub tokens_per_s: f64,
+    /// When it was asked for last.
+    pub last_at: Option<Millis>,
+}
--- /dev/null
+++ b/src/ordering/ceiling.rs
@@ -0,0 +1,69 @@
+//! The load on the weight store: loads a second over all engines and lifetimes of hosts, and loads at once.
+//!
+//! Answers the pattern of many models asked for at once after a shift of demand: the store serves a few loads at full
+//! speed, and each further one slows all of them in proportion, so that ten loads at once are ready
+//! later than the same ten one after the other.
+
+use crate::prelude::*;
+
+/// The part of the allowed rate that is used.
+const USED_PART: f64 = 0.9;
+/// Loads that may begin at once after a pause.
+const BURST: f64 = 3.0;
+/// Loads at once before any was measured.
+const FIRST_AT_ONCE: f64 = 4.0;
+/// A load that took less than this factor of its stated time was not slowed by others.
+const FULL_SPEED_FACTOR: f64 = 1.15;
+/// Most loads at once.
+const MOST_AT_ONCE: f64 = 64.0;
+
+/// Admits loads from the weight store.
+///
+/// A new holder of the lease begins with nothing saved up: what a former holder began in the last seconds is not
+/// known, and the rate alone keeps the sum under the bound.
+#[derive(Clone, Debug)]
+pub struct Ceiling {
+    saved: f64,
+    filled_at: Millis,
+    at_once: f64,
+}
+
+impl Ceiling {
+    /// Makes the ceiling of a host that begins to order.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            saved: 0.0,
+            filled_at: now,
+            at_once: FIRST_AT_ONCE,
+        }
+    }
+
+    /// Tells whether a load may begin while `under_way` others run.
+    pub fn admits(&mut self, now: Millis, loads_per_s: f64, under_way: usize) -> bool {
+        let passed_s = now.since(self.filled_at).0 as f64 / 1_000.0;
+        self.saved = (self.saved + passed_s * loads_per_s * USED_PART).min(BURST);
+        self.filled_at = now;
+        self.saved >= 1.0 && (under_way as f64) < self.at_once.floor()
+    }
+
+    /// Counts a load that begins.
+    pub fn note_begun(&mut self) {
+        self.saved -= 1.0;
+    }
+
+    /// Learns from a load that took `took_ms` against `stated_ms`, with `under_way` loads at once while it ran.
+    pub fn note_done(&mut self, took_ms: Millis, stated_ms: Millis, under_way: usize) {
+        let factor = took_ms.0 as f64 / stated_ms.0.max(1) as f64;
+        let under_way = under_way.max(1) as f64;
+        if factor > FULL_SPEED_FACTOR * 1.15 {
+            self.at_once = (under_way / factor).max(1.0).min(self.at_once);
+        } else if factor <= FULL_SPEED_FACTOR && under_way >= self.at_once.floor() {
+            self.at_once = (self.at_once + 0.5).min(MOST_AT_ONCE);
+        }
+    }
+
+    /// Returns how many loads may run at once.
+    pub fn at_once(&self) -> usize {
+        self.at_once as usize
+    }
+}
--- /dev/null
+++ b/src/ordering/lease.rs
@@ -0,0 +1,166 @@
+//! The lease to order loads: who may send an order, and until when.
+//!
+//! A record on a stream renews the lease; it is appended only if the stream ends where the holder last saw it, so
+//! two hosts never renew in turns. What is proved by the tests: no two hosts may order within the engines' lease
+//! time of each other, whatever is lost, late or paused.
+
+use crate::entry::members::Member;
+use crate::prelude::*;
+
+/// How long after the sending of its last acknowledged renewal a holder may order.
+pub const VALID_MS: Millis = Millis(2_000);
+/// How often a holder renews: one lost renewal is borne.
+pub const RENEW_MS: Millis = Millis(800);
+/// How long a stream must not have moved before another host claims: the holder's validity, and the time of a call.
+pub const SILENT_MS: Millis = Millis(2_300);
+/// What is added to waits between two holders: clocks of two hosts run at slightly different speeds, and a call may
+/// be under way for a moment.
+const MARGIN_MS: Millis = Millis(300);
+
+/// A record of the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Who wrote it.
+    pub holder: Member,
+    /// Whether the holder gives the lease up with it.
+    pub released: bool,
+}
+
+/// A holder's own view of its lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holding {
+    /// The offset of its claim plus one: the fencing token, above every former holder's.
+    pub fence: u64,
+    /// The end of the stream after its newest record.
+    pub end: Offset,
+    /// When its newest acknowledged record was sent.
+    pub renewed_at: Millis,
+    /// Before this point another holder may still order.
+    pub orders_from: Millis,
+}
+
+/// One host's view of the lease.
+#[derive(Clone, Debug, Default)]
+pub struct Lease {
+    end: Option<Offset>,
+    newest: Option<LeaseRecord>,
+    still_since: Option<Millis>,
+    holding: Option<Holding>,
+}
+
+impl Lease {
+    /// Takes the end of the stream, and its newest record where one was read, as of `asked_at`.
+    pub fn note_read(&mut self, asked_at: Millis, end: Offset, newest: Option<LeaseRecord>) {
+        if self.end != Some(end) {
+            self.end = Some(end);
+            self.still_since = Some(asked_at);
+        }
+        if newest.is_some() {
+            self.newest = newest;
+        }
+    }
+
+    /// Returns from which offset to read the newest record.
+    pub fn end(&self) -> Option<Offset> {
+        self.end
+    }
+
+    /// Returns the host that holds the lease, as far as this one knows.
+    pub fn holder(&self) -> Option<&Member> {
+        let newest = self.newest.as_ref()?;
+        (!newest.released).then_some(&newest.holder)
+    }
+
+    /// Returns the condition under which to claim the lease now, if it may be claimed.
+    pub fn may_claim(&self, now: Millis) -> Option<Offset> {
+        let end = self.end?;
+        let still_ms = now.since(self.still_since?);
+        let was_released = self.newest.as_ref().is_some_and(|record| record.released);
+        // Without its newest record a stream that has an end was written by someone who may still order.
+        let is_free = end == Offset(0) || was_released || still_ms >= SILENT_MS;
+        (is_free && self.holding.is_none()).then_some(end)
+    }
+
+    /// Takes an acknowledged claim, sent at `sent_at` under the condition `end`, now at `offset`.
+    ///
+    /// The former holder's last record was on the stream when its end was first read, at `still_since`, so it
+    /// orders until then plus its validity at the latest.
+    pub fn note_claimed(
+        &mut self,
+        sent_at: Millis,
+        offset: Offset,
+        me: Member,
+        engine_lease_ms: Millis,
+    ) {
+        let still_since = self.still_since.unwrap_or(sent_at);
+        let was_released = self.newest.as_ref().is_some_and(|record| record.released);
+        let orders_from = match (offset, was_released) {
+            (Offset(0), _) => sent_at,
+            (_, true) => still_since + engine_lease_ms + MARGIN_MS,
+            (_, false) => still_since + VALID_MS + engine_lease_ms + MARGIN_MS,
+        };
+        let end = Offset(offset.0 + 1);
+        self.holding = Some(Holding {
+            fence: end.0,
+            end,
+            renewed_at: sent_at,
+            orders_from,
+        });
+        self.newest = Some(LeaseRecord {
+            holder: me,
+            released: false,
+        });
+        self.end = Some(end);
+        self.still_since = Some(sent_at);
+    }
+
+    /// Takes an acknowledged renewal.
+    pub fn note_renewed(&mut self, sent_at: Millis, offset: Offset) {
+        let end = Offset(offset.0 + 1);
+        if let Some(holding) = &mut self.holding {
+            holding.end = end;
+            holding.renewed_at = holding.renewed_at.max(sent_at);
+        }
+        self.end = Some(end);
+        self.still_since = Some(sent_at);
+    }
+
+    /// Takes that the stream ends elsewhere than this holder thinks. `newest` is the record before its end. When it is
+    /// this host's own, an earlier renewal took effect without an answer, and the lease is kept; the
+    /// validity still counts from renewals that were acknowledged.
+    pub fn note_moved(&mut self, asked_at: Millis, end: Offset, newest: LeaseRecord) {
+        let is_own = self
+            .newest
+            .as_ref()
+            .is_some_and(|own| own.holder == newest.holder && !newest.released);
+        match (&mut self.holding, is_own) {
+            (Some(holding), true) => holding.end = end,
+            _ => self.holding = None,
+        }
+        self.note_read(asked_at, end, Some(newest));
+    }
+
+    /// Gives the lease up in this host's own view.
+    pub fn drop_holding(&mut self) {
+        self.holding = None;
+    }
+
+    /// Returns this host's lease, if it has one.
+    pub fn holding(&self) -> Option<&Holding> {
+        self.holding.as_ref()
+    }
+
+    /// Tells whether this host may send an order now.
+    pub fn may_order(&self, now: Millis) -> bool {
+        self.holding.as_ref().is_some_and(|holding| {
+            now >= holding.orders_from && now < holding.renewed_at + VALID_MS
+        })
+    }
+
+    /// Tells whether a renewal is due.
+    pub fn is_renewal_due(&self, now: Millis) -> bool {
+        self.holding
+            .as_ref()
+            .is_some_and(|holding| now.since(holding.renewed_at) >= RENEW_MS)
+    }
+}
--- /dev/null
+++ b/src/ordering/ledger.rs
@@ -0,0 +1,532 @@
+//! What each engine holds, what is on its way to it, and what may still become of unanswered orders.
+//!
+//! An engine takes an order only if it has accepted exactly as many as the order says. So of two orders with the
+//! same number at most one takes effect, and an order without an answer is sent again unchanged: until the engine's
+//! report shows a higher number, its model counts as held, and no other order to that engine is made.
+
+use crate::desired::EngineSpec;
+use crate::entry::platform::ModelAsk;
+use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
+use crate::ordering::view::EngineView;
+use crate::prelude::*;
+use crate::upstreams::HeldModel;
+
+/// How long an adapter takes from the acceptance of its order until the engine runs requests with it, when few are on
+/// their way: it is fetched in 5 to 7 ms.
+const ADAPTER_MS: Millis = Millis(9);
+/// How often an engine's report is read while an order's outcome is waited for, and otherwise. A report costs about
+/// a sixth of an order.
+const BUSY_REPORT_MS: Millis = Millis(250);
+const REPORT_MS: Millis = Millis(5_000);
+/// How long freed memory is kept for the model that it was freed for: the unload waits for what runs.
+const INTENDED_MS: Millis = Millis(3_000);
+/// How long an engine rests after an answer that gives no hint what it will do next.
+const REST_MS: Millis = Millis(400);
+
+/// A model on an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Copy {
+    /// It can run.
+    Held,
+    /// It is being loaded.
+    Loading {
+        /// When the order was accepted.
+        since: Millis,
+        /// When it should be ready.
+        ready_at: Millis,
+        /// Whether the weights come from the weight store.
+        from_store: bool,
+    },
+    /// It is being dropped.
+    Unloading,
+}
+
+/// An order that was made and of which the outcome is not known.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// The order.
+    pub order: Order,
+    /// When it was sent last; nothing while it waits to be sent.
+    pub sent_at: Option<Millis>,
+    /// Whether a call is under way.
+    pub in_call: bool,
+    /// Whether a call of it got no answer, so that it may take effect later.
+    pub is_uncertain: bool,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Its lifetime.
+    pub id: Name,
+    /// Its service.
+    pub service: Name,
+    /// The models on it.
+    pub copies: IndexMap<Name, Copy>,
+    /// The adapters on it, with the time from which each can run.
+    pub adapters: IndexMap<ModelAsk, Millis>,
+    /// Models whose weights it has at hand.
+    pub at_hand: IndexSet<Name>,
+    /// The order under way.
+    pub pending: Option<Pending>,
+    /// The model for which memory is being freed, and until when it is kept for it.
+    intended: Option<(Name, Millis)>,
+    /// Whether its report was read since this host began to order.
+    pub is_known: bool,
+    /// Whether a report call is under way.
+    pub in_report: bool,
+    order_count: u64,
+    is_doubtful: bool,
+    rests_until: Millis,
+    /// When its report is to be read next.
+    pub report_at: Millis,
+    was_busy: bool,
+}
+
+impl Engine {
+    fn new(id: Name, service: Name) -> Self {
+        Self {
+            id,
+            service,
+            copies: IndexMap::new(),
+            adapters: IndexMap::new(),
+            at_hand: IndexSet::new(),
+            pending: None,
+            intended: None,
+            is_known: false,
+            in_report: false,
+            order_count: 0,
+            is_doubtful: false,
+            rests_until: Millis::ZERO,
+            report_at: Millis::ZERO,
+            was_busy: false,
+        }
+    }
+
+    /// Tells whether the engine takes a new order now.
+    pub fn is_free(&self, now: Millis) -> bool {
+        self.is_known && !self.is_doubtful && self.pending.is_none() && !self.is_busy() && now >= self.rests_until
+    }
+
+    /// Tells whether the engine is carrying out an order for a whole model.
+    pub fn is_busy(&self) -> bool {
+        let changes = |copy: &Copy| !matches!(copy, Copy::Held);
+        self.was_busy || self.copies.values().any(changes)
+    }
+
+    /// Tells whether a model on the engine can run.
+    pub fn holds_model(&self, model: &str) -> bool {
+        matches!(self.copies.get(model), Some(Copy::Held))
+    }
+
+    /// Returns the model for which memory is being freed here.
+    pub fn intended(&self, now: Millis) -> Option<&Name> {
+        let (model, until) = self.intended.as_ref()?;
+        (now < *until).then_some(model)
+    }
+
+    /// Tells whether a model is on the engine, on its way, or about to be.
+    pub fn will_hold(&self, now: Millis, model: &str) -> bool {
+        let copy = self.copies.get(model);
+        let stays = copy.is_some_and(|copy| *copy != Copy::Unloading);
+        stays || self.intended(now).is_some_and(|intended| &**intended == model)
+    }
+
+    /// Returns the memory in use, with what is on its way and what an unanswered order may bring.
+    pub fn used_mb(&self, spec: &EngineSpec) -> f64 {
+        let mb = |model: &str| spec.models.get(model).map_or(0.0, |model| model.weights_mb);
+        let adapter_mb = |ask: &ModelAsk| {
+            let model = spec.models.get(&ask.model);
+            model.map_or(0.0, |model| model.adapter_mb)
+        };
+        let models: f64 = self.copies.keys().map(|model| mb(model)).sum();
+        let adapters: f64 = self.adapters.keys().map(adapter_mb).sum();
+        models + adapters
+    }
+
+    /// Returns the adapters of a model.
+    pub fn adapters_of<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a ModelAsk> {
+        self.adapters.keys().filter(move |ask| &*ask.model == model)
+    }
+
+    /// Returns the order for an action, to be sent now.
+    fn order(&self, action: Action, ask: ModelAsk) -> Order {
+        Order {
+            action,
+            ask,
+            after_orders: self.order_count,
+        }
+    }
+
+    /// Takes a report. An engine counts an order when it accepts it and reports both at once, so a report with the
+    /// count that is known here shows the effect of every order so far, and one with a lower count is older.
+    fn take_report(&mut self, now: Millis, report: EngineReport) -> Vec<Loaded> {
+        self.in_report = false;
+        self.at_hand.extend(report.at_hand.iter().cloned());
+        if self.is_known && report.order_count < self.order_count {
+            self.report_at = now + BUSY_REPORT_MS;
+            return Vec::new();
+        }
+        if report.order_count > self.order_count || !self.is_known {
+            self.pending = None;
+        }
+        self.order_count = report.order_count;
+        self.is_known = true;
+        self.is_doubtful = false;
+        self.was_busy = report.busy;
+        let is_waited_for = report.busy || self.pending.is_some();
+        self.report_at = now + if is_waited_for { BUSY_REPORT_MS } else { REPORT_MS };
+        let under_way: Vec<(Name, Copy)> = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| **copy != Copy::Held)
+            .map(|(model, copy)| (model.clone(), *copy))
+            .collect();
+        self.take_models(report.models, report.coming);
+        if report.busy {
+            self.copies.extend(under_way);
+            return Vec::new();
+        }
+        let pending = self.pending.clone();
+        if let Some(pending) = pending.filter(|pending| pending.is_uncertain) {
+            self.reserve(&pending.order);
+        }
+        let loaded = under_way.into_iter().filter_map(|(model, copy)| match copy {
+            Copy::Loading { since, from_store, .. } if self.holds_model(&model) => Some(Loaded {
+                took_ms: now.since(since),
+                from_store,
+                model,
+            }),
+            _ => None,
+        });
+        loaded.collect()
+    }
+
+    fn take_models(&mut self, models: Vec<HeldModel>, coming: Vec<ModelAsk>) {
+        let former = std::mem::take(&mut self.adapters);
+        self.copies.clear();
+        for held in models {
+            self.at_hand.insert(held.name.clone());
+            for adapter in held.adapters {
+                let ask = ModelAsk {
+                    model: held.name.clone(),
+                    adapter: Some(adapter),
+                };
+                let ready_at = former.get(&ask).copied().unwrap_or(Millis::ZERO);
+                self.adapters.insert(ask, ready_at);
+            }
+            self.copies.insert(held.name, Copy::Held);
+        }
+        for ask in coming {
+            let ready_at = former.get(&ask).copied().unwrap_or(Millis::ZERO);
+            self.adapters.entry(ask).or_insert(ready_at);
+        }
+    }
+}
+
+/// A load that was seen to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loaded {
+    /// The model.
+    pub model: Name,
+    /// How long it took.
+    pub took_ms: Millis,
+    /// Whether the weights came from the weight store.
+    pub from_store: bool,
+}
+
+/// The engines by lifetime.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    engines: IndexMap<Name, Engine>,
+    version: u64,
+}
+
+impl Ledger {
+    /// Takes which engines there are; new ones are unknown until their report is read.
+    pub fn take_engines(&mut self, engines: impl Iterator<Item = (Name, Name)>) {
+        let listed: IndexMap<Name, Name> = engines.collect();
+        let before = self.engines.len();
+        self.engines.retain(|id, _| listed.contains_key(id));
+        let mut changed = self.engines.len() != before;
+        for (id, service) in listed {
+            if !self.engines.contains_key(&id) {
+                self.engines.insert(id.clone(), Engine::new(id, service));
+                changed = true;
+            }
+        }
+        if changed {
+            self.version += 1;
+        }
+    }
+
+    /// Returns an engine.
+    pub fn get(&self, id: &str) -> Option<&Engine> {
+        self.engines.get(id)
+    }
+
+    /// Returns an engine, for change of what does not show in the view.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Engine> {
+        self.engines.get_mut(id)
+    }
+
+    /// Returns every engine.
+    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.values()
+    }
+
+    /// Returns the version of what the engines hold.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns how many loads from the weight store are under way.
+    pub fn store_loads(&self) -> usize {
+        let copies = self.engines.values().flat_map(|engine| engine.copies.values());
+        let from_store = |copy: &&Copy| matches!(copy, Copy::Loading { from_store: true, .. });
+        copies.filter(from_store).count()
+    }
+
+    /// Makes an order that is to be sent; the caller sends it and tells the answer. `makes_way_for` is the model that
+    /// is to be loaded next in the memory that it frees.
+    pub fn begin(
+        &mut self,
+        now: Millis,
+        id: &str,
+        action: Action,
+        ask: ModelAsk,
+        makes_way_for: Option<Name>,
+    ) -> Option<Order> {
+        let engine = self.engines.get_mut(id)?;
+        let order = engine.order(action, ask);
+        engine.intended = makes_way_for.map(|model| (model, now + INTENDED_MS));
+        engine.reserve(&order);
+        // Hosts stop sending before the engine begins to drop what they ask for.
+        if action == Action::Unload {
+            match &order.ask.adapter {
+                Some(_) => drop(engine.adapters.shift_remove(&order.ask)),
+                None => drop(engine.copies.insert(order.ask.model.clone(), Copy::Unloading)),
+            }
+        }
+        engine.pending = Some(Pending {
+            order: order.clone(),
+            sent_at: None,
+            in_call: false,
+            is_uncertain: false,
+        });
+        self.version += 1;
+        Some(order)
+    }
+
+    /// Returns the orders that are to be sent now, new ones and unanswered ones, and counts them as sent.
+    pub fn due(&mut self, now: Millis) -> Vec<(Name, Order)> {
+        let mut due = Vec::new();
+        for engine in self.engines.values_mut() {
+            if now < engine.rests_until {
+                continue;
+            }
+            if let Some(pending) = &mut engine.pending
+                && !pending.in_call
+            {
+                pending.in_call = true;
+                pending.sent_at = Some(now);
+                due.push((engine.id.clone(), pending.order.clone()));
+            }
+        }
+        due
+    }
+
+    /// Takes the answer to an order that was sent at `sent_at`. `ready_in_ms` is how long its load should take.
+    pub fn take_answer(
+        &mut self,
+        now: Millis,
+        id: &str,
+        order: &Order,
+        answer: OrderAnswer,
+        load: LoadTime,
+    ) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let is_pending = engine
+            .pending
+            .as_ref()
+            .is_some_and(|pending| pending.order == *order);
+        if !is_pending {
+            return;
+        }
+        self.version += 1;
+        match answer {
+            OrderAnswer::Accepted | OrderAnswer::AlreadyDone => {
+                engine.pending = None;
+                engine.order_count += u64::from(answer == OrderAnswer::Accepted);
+                // An adapter that nobody uses is dropped at once, which is answered as done but counted.
+                let is_quick_unload = order.action == Action::Unload && order.ask.adapter.is_some();
+                engine.order_count +=
+                    u64::from(answer == OrderAnswer::AlreadyDone && is_quick_unload);
+                engine.take_effect(now, order, answer, load);
+            }
+            OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Invalid => {
+                engine.pending = None;
+                engine.undo(order);
+                engine.is_doubtful = true;
+                engine.report_at = now;
+                engine.rests_until = now + Millis(100);
+            }
+            OrderAnswer::Silent => {
+                if let Some(pending) = &mut engine.pending {
+                    pending.in_call = false;
+                    pending.is_uncertain = true;
+                }
+                engine.report_at = now;
+                engine.rests_until = now + REST_MS;
+            }
+            OrderAnswer::NotSent => match &mut engine.pending {
+                Some(pending) if pending.is_uncertain => {
+                    pending.in_call = false;
+                    engine.rests_until = now + REST_MS;
+                }
+                _ => {
+                    engine.pending = None;
+                    engine.undo(order);
+                    engine.rests_until = now + REST_MS;
+                }
+            },
+            OrderAnswer::OtherLifetime => {
+                self.engines.shift_remove(id);
+            }
+        }
+    }
+
+    /// Takes an engine's report, or that there is none.
+    pub fn take_report(
+        &mut self,
+        now: Millis,
+        id: &str,
+        report: Option<EngineReport>,
+    ) -> Vec<Loaded> {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return Vec::new();
+        };
+        let Some(report) = report else {
+            engine.in_report = false;
+            engine.report_at = now + REST_MS;
+            return Vec::new();
+        };
+        let before = (engine.copies.clone(), engine.adapters.len());
+        let loaded = engine.take_report(now, report);
+        if before != (engine.copies.clone(), engine.adapters.len()) {
+            self.version += 1;
+        }
+        loaded
+    }
+
+    /// Returns what the engines hold, for the hosts.
+    pub fn view(&self, now: Millis) -> Vec<EngineView> {
+        let known = self.engines.values().filter(|engine| engine.is_known);
+        known.map(|engine| engine.view(now)).collect()
+    }
+}
+
+/// How long a load should take.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadTime {
+    /// The time.
+    pub takes_ms: Millis,
+    /// Whether the weights come from the weight store.
+    pub from_store: bool,
+}
+
+impl Engine {
+    fn view(&self, now: Millis) -> EngineView {
+        let held = self.copies.iter();
+        let models = held
+            .filter(|(_, copy)| matches!(copy, Copy::Held))
+            .map(|(model, _)| ModelAsk {
+                model: model.clone(),
+                adapter: None,
+            });
+        let adapters = self.adapters.iter();
+        let adapters = adapters
+            .filter(|(ask, ready_at)| **ready_at <= now && self.holds_model(&ask.model))
+            .map(|(ask, _)| ask.clone());
+        EngineView {
+            upstream: self.id.clone(),
+            held: models.chain(adapters).collect(),
+        }
+    }
+
+    fn take_effect(&mut self, now: Millis, order: &Order, answer: OrderAnswer, load: LoadTime) {
+        let is_done = answer == OrderAnswer::AlreadyDone;
+        match (order.action, &order.ask.adapter) {
+            (Action::Load, Some(_)) => {
+                let ready_at = if is_done { now } else { now + ADAPTER_MS };
+                self.adapters.insert(order.ask.clone(), ready_at);
+            }
+            (Action::Unload, Some(_)) => {
+                self.adapters.shift_remove(&order.ask);
+            }
+            (Action::Load, None) if is_done => {
+                self.copies.insert(order.ask.model.clone(), Copy::Held);
+            }
+            (Action::Load, None) => {
+                let copy = Copy::Loading {
+                    since: now,
+                    ready_at: now + load.takes_ms,
+                    from_store: load.from_store,
+                };
+                self.copies.insert(order.ask.model.clone(), copy);
+                self.was_busy = true;
+                self.report_at = now + load.takes_ms;
+            }
+            (Action::Unload, None) => {
+                self.adapters.retain(|ask, _| ask.model != order.ask.model);
+                match is_done {
+                    true => drop(self.copies.shift_remove(&order.ask.model)),
+                    false => {
+                        self.copies.insert(order.ask.model.clone(), Copy::Unloading);
+                        self.was_busy = true;
+                    }
+                }
+                self.report_at = now + Millis(250);
+            }
+        }
+    }
+
+    /// Counts what an order may bring, until it is known to be in vain.
+    fn reserve(&mut self, order: &Order) {
+        if order.action == Action::Load {
+            match &order.ask.adapter {
+                Some(_) => drop(self.adapters.entry(order.ask.clone()).or_insert(Millis::NEVER)),
+                None => {
+                    let model = order.ask.model.clone();
+                    self.copies.entry(model).or_insert(Copy::Loading {
+                        since: Millis::NEVER,
+                        ready_at: Millis::NEVER,
+                        from_store: false,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Takes back what was assumed of an order that did not take effect.
+    fn undo(&mut self, order: &Order) {
+        match (order.action, &order.ask.adapter) {
+            (Action::Load, Some(_)) => {
+                if self.adapters.get(&order.ask) == Some(&Millis::NEVER) {
+                    self.adapters.shift_remove(&order.ask);
+                }
+            }
+            (Action::Load, None) => {
+                self.copies.shift_remove(&order.ask.model);
+            }
+            (Action::Unload, Some(_)) => {
+                self.adapters.insert(order.ask.clone(), Millis::ZERO);
+            }
+            (Action::Unload, None) => {
+                self.copies.insert(order.ask.model.clone(), Copy::Held);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ordering/message.rs
@@ -0,0 +1,98 @@
+//! Orders to engines, their answers and reports, and the messages between a host and the orderer.
+
+use crate::entry::members::Member;
+use crate::entry::platform::ModelAsk;
+use crate::ordering::demand::AskCount;
+use crate::ordering::view::EngineView;
+use crate::prelude::*;
+use crate::routing::pick::Work;
+use crate::upstreams::HeldModel;
+
+/// What an engine is told to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Loads a model or an adapter.
+    Load,
+    /// Drops a model or an adapter.
+    Unload,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// What to do.
+    pub action: Action,
+    /// With which model or adapter.
+    pub ask: ModelAsk,
+    /// How many orders the engine has accepted; it refuses the order when there are more.
+    pub after_orders: u64,
+}
+
+/// What an engine answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderAnswer {
+    /// It carries the order out.
+    Accepted,
+    /// It already is as ordered.
+    AlreadyDone,
+    /// Another order is under way, or it has accepted more orders than the order says.
+    Conflict,
+    /// A higher fencing token was seen.
+    Fenced,
+    /// Another lifetime has its address.
+    OtherLifetime,
+    /// The order cannot be carried out.
+    Invalid,
+    /// There was no answer; the order may be carried out now, later or never.
+    Silent,
+    /// The order was not sent: this host may not order any more.
+    NotSent,
+}
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// How many orders it has accepted.
+    pub order_count: u64,
+    /// Whether it is carrying one out.
+    pub busy: bool,
+    /// The models and adapters that it holds.
+    pub models: Vec<HeldModel>,
+    /// Adapters on their way to it.
+    pub coming: Vec<ModelAsk>,
+    /// Models whose weights it has on disk or in memory.
+    pub at_hand: Vec<Name>,
+}
+
+/// What a host tells the orderer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SyncAsk {
+    /// The incarnation of the host's process.
+    pub incarnation: u64,
+    /// The version of what it knows of the engines.
+    pub view_version: (u64, u64),
+    /// What its callers asked since the last message.
+    pub demand: Vec<(ModelAsk, AskCount)>,
+    /// Its own work at each engine.
+    pub work: Vec<(Name, Work)>,
+}
+
+/// What the orderer tells a host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum SyncReply {
+    /// The host that was asked does not order; perhaps this one does.
+    NotOrderer(Option<Member>),
+    /// What the orderer knows.
+    View {
+        /// The version of what the engines hold.
+        version: (u64, u64),
+        /// What they hold, when the asker has another version.
+        engines: Option<Vec<EngineView>>,
+        /// The other hosts' work at each engine.
+        work: Vec<(Name, Work)>,
+        /// How long until models are expected to be ready.
+        ready_in_ms: Vec<(ModelAsk, Millis)>,
+    },
+}
--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -1,4 +1,16 @@
-//! Which engine holds which model: one host orders loads and unloads, all others tell it what callers ask.
+//! Which engine holds which model: one host at a time orders loads and unloads, the others tell it what callers ask.
+//!
+//! Everything here decides without network: [`lease`] who may order, [`ledger`] what engines hold and what is on
+//! its way, [`ceiling`] how many loads the weight store gets, [`planner`] what to order next.
 
+pub mod book;
+pub mod ceiling;
 pub mod demand;
+pub mod lease;
+pub mod ledger;
+pub mod message;
+pub mod planner;
 pub mod view;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/ordering/planner.rs
@@ -0,0 +1,405 @@
+//! What to order next.
+//!
+//! Answers the pattern of many models of which few are busy at a time, the busy ones changing every few seconds, with
+//! engines that together hold most but not all of them: a load from the weight store takes longer than most
+//! callers wait, a load from an engine's own disk about half a second. So free memory is filled before anyone
+//! asks, a model that comes back goes where its weights are at hand, and what makes way for it is what is asked
+//! for least.
+
+use crate::desired::EngineSpec;
+use crate::entry::platform::ModelAsk;
+use crate::ordering::book::Book;
+use crate::ordering::ceiling::Ceiling;
+use crate::ordering::ledger::{Copy, Engine, Ledger, LoadTime};
+use crate::ordering::message::Action;
+use crate::prelude::*;
+
+/// Prompt tokens that an engine reads in a second for a large model; smaller ones are faster in proportion to
+/// their weights. From the engines' stated speed.
+const PROMPT_TOKENS_PER_S: f64 = 38_000.0;
+/// The weights of a model that is read at that speed, in megabytes.
+const LARGE_MB: f64 = 34_000.0;
+/// The share of an engine's time that a model may need on each engine that holds it before it gets one more: with
+/// random arrivals waits grow steeply above it.
+const BUSY_SHARE: f64 = 0.35;
+/// Most engines that hold the same model by demand, as a part of all.
+const COPIES_PART: f64 = 0.5;
+/// How long a model must not have been asked for to make way for one that is asked for.
+const IDLE_MS: Millis = Millis(1_500);
+/// What an engine is worse by, in prompt tokens a second, for each model with adapters in demand that it holds while a
+/// model is loaded there: it takes no adapters meanwhile.
+const BLOCKED_ADAPTERS: f64 = 2_000.0;
+/// What a load from the weight store costs against one from the engine's disk, in prompt tokens a second of what
+/// makes way.
+const STORE_LOAD: f64 = 4_000.0;
+/// The time of a load from the engine's memory or disk beyond what is stated: the report of its end lags.
+const REPORT_LAG_MS: Millis = Millis(250);
+
+/// An order that the planner wants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// The engine.
+    pub engine: Name,
+    /// What to do.
+    pub action: Action,
+    /// With what.
+    pub ask: ModelAsk,
+    /// The model that is to be loaded next in the memory that an unload frees.
+    pub makes_way_for: Option<Name>,
+    /// Why, for the log.
+    pub why: &'static str,
+}
+
+/// What the planner looks at.
+pub struct Planner<'a> {
+    /// The present time.
+    pub now: Millis,
+    /// The service whose engines are planned.
+    pub service: &'a str,
+    /// What its engines can hold.
+    pub spec: &'a EngineSpec,
+    /// What they hold.
+    pub ledger: &'a Ledger,
+    /// What is asked for.
+    pub book: &'a Book,
+    /// Engines that are leaving or cannot be reached.
+    pub unusable: &'a IndexSet<Name>,
+}
+
+/// A model with its demand.
+struct Need<'a> {
+    model: &'a Name,
+    waiting: u32,
+    tokens_per_s: f64,
+    copies: usize,
+    wanted: usize,
+}
+
+impl Planner<'_> {
+    /// Returns the next order, if there is one to make now.
+    pub fn next(&self, ceiling: &mut Ceiling) -> Option<Planned> {
+        self.adapter_order()
+            .or_else(|| self.model_order(ceiling))
+            .or_else(|| self.spare_order(ceiling))
+    }
+
+    /// Returns how long until what callers wait for is ready, as far as that can be told.
+    pub fn ready_in_ms(&self) -> Vec<(ModelAsk, Millis)> {
+        let waiting = self.book.iter().filter(|(_, asked)| asked.waiting > 0);
+        waiting
+            .filter(|(ask, _)| self.spec.models.contains_key(&ask.model))
+            .map(|(ask, _)| (ask.clone(), self.ready_in(ask)))
+            .collect()
+    }
+
+    fn ready_in(&self, ask: &ModelAsk) -> Millis {
+        let adapter_ms = Millis(if ask.adapter.is_some() { 30 } else { 0 });
+        let mut best: Option<Millis> = None;
+        for engine in self.engines() {
+            let in_ms = match engine.copies.get(&ask.model) {
+                Some(Copy::Held) if engine.is_busy() && ask.adapter.is_some() => {
+                    self.free_in(engine)
+                }
+                Some(Copy::Held) => Millis::ZERO,
+                Some(Copy::Loading { ready_at, .. }) if *ready_at != Millis::NEVER => {
+                    ready_at.since(self.now) + REPORT_LAG_MS
+                }
+                _ => continue,
+            };
+            best = Some(best.map_or(in_ms, |best| best.min(in_ms)));
+        }
+        best.unwrap_or_else(|| self.load_in(&ask.model)) + adapter_ms
+    }
+
+    /// Returns how long until an engine takes orders again.
+    fn free_in(&self, engine: &Engine) -> Millis {
+        let ends = engine.copies.values().filter_map(|copy| match copy {
+            Copy::Loading { ready_at, .. } if *ready_at != Millis::NEVER => {
+                Some(ready_at.since(self.now))
+            }
+            _ => None,
+        });
+        ends.max().unwrap_or(Millis(300)) + REPORT_LAG_MS
+    }
+
+    /// Returns how long a load that has not begun will take, with the wait for its turn at the weight store.
+    fn load_in(&self, model: &Name) -> Millis {
+        let Some(spec) = self.spec.models.get(model) else {
+            return Millis::NEVER;
+        };
+        let is_at_hand = self
+            .engines()
+            .any(|engine| engine.at_hand.contains(model) && !engine.is_busy());
+        match is_at_hand {
+            true => spec.from_disk_ms + REPORT_LAG_MS + REPORT_LAG_MS,
+            false => spec.load_ms + REPORT_LAG_MS,
+        }
+    }
+
+    fn engines(&self) -> impl Iterator<Item = &Engine> {
+        self.ledger.iter().filter(|engine| {
+            &*engine.service == self.service && !self.unusable.contains(&engine.id)
+        })
+    }
+
+    fn free_engines(&self) -> impl Iterator<Item = &Engine> {
+        self.engines().filter(|engine| engine.is_free(self.now))
+    }
+
+    /// Brings an adapter that callers wait for to an engine with its model; when the engine's places are taken, the one
+    /// that was asked for longest ago makes way.
+    fn adapter_order(&self) -> Option<Planned> {
+        let mut waiting: Vec<_> = self
+            .book
+            .iter()
+            .filter(|(ask, asked)| ask.adapter.is_some() && asked.waiting > 0)
+            .filter(|(ask, _)| !self.engines().any(|engine| engine.adapters.contains_key(*ask)))
+            .collect();
+        waiting.sort_by_key(|(_, asked)| std::cmp::Reverse(asked.waiting));
+        waiting
+            .into_iter()
+            .find_map(|(ask, _)| self.place_adapter(ask))
+    }
+
+    fn place_adapter(&self, ask: &ModelAsk) -> Option<Planned> {
+        let spec = self.spec.models.get(&ask.model)?;
+        let places = self.spec.adapter_slots as usize;
+        let holding = || {
+            self.free_engines()
+                .filter(|engine| engine.holds_model(&ask.model))
+        };
+        let with_place = holding()
+            .filter(|engine| engine.adapters.len() < places)
+            .filter(|engine| engine.used_mb(self.spec) + spec.adapter_mb <= self.spec.weights_mb)
+            .min_by_key(|engine| engine.adapters.len());
+        if let Some(engine) = with_place {
+            return Some(Planned {
+                engine: engine.id.clone(),
+                action: Action::Load,
+                ask: ask.clone(),
+                makes_way_for: None,
+                why: "callers wait for the adapter",
+            });
+        }
+        let victims = holding().filter_map(|engine| {
+            let unused = engine.adapters.iter().filter(|(_, ready_at)| **ready_at != Millis::NEVER);
+            let unused = unused.map(|(other, _)| (other, self.book.asked(other)));
+            let unused = unused.filter(|(_, asked)| asked.running == 0 && asked.waiting == 0);
+            let oldest = unused.min_by_key(|(_, asked)| asked.last_at)?;
+            Some((oldest.1.last_at, engine, oldest.0))
+        });
+        let (_, engine, victim) = victims.min_by_key(|(last_at, ..)| *last_at)?;
+        Some(Planned {
+            engine: engine.id.clone(),
+            action: Action::Unload,
+            ask: victim.clone(),
+            makes_way_for: None,
+            why: "another adapter needs its place",
+        })
+    }
+
+    /// Loads the model that is most wanted and not on enough engines.
+    fn model_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
+        let mut needs: Vec<Need<'_>> = self.needs();
+        if let Some(order) = self.intended_order(ceiling) {
+            return Some(order);
+        }
+        needs.retain(|need| need.copies < need.wanted);
+        needs.sort_by(|a, b| {
+            let key = |need: &Need<'_>| (need.copies == 0, need.waiting);
+            let by_waiting = key(b).cmp(&key(a));
+            by_waiting.then(b.tokens_per_s.total_cmp(&a.tokens_per_s))
+        });
+        needs
+            .into_iter()
+            .find_map(|need| self.place_model(&need, ceiling))
+    }
+
+    /// Goes on where memory was freed for a model: loads it, or frees more.
+    fn intended_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
+        self.free_engines().find_map(|engine| {
+            let model = engine.intended(self.now)?;
+            let demand = self.book.model(self.now, model);
+            let need = Need {
+                model,
+                waiting: demand.waiting,
+                tokens_per_s: demand.tokens_per_s,
+                copies: 0,
+                wanted: 1,
+            };
+            self.place_on(&need, std::iter::once(engine), ceiling)
+        })
+    }
+
+    fn needs(&self) -> Vec<Need<'_>> {
+        let engines = self.engines().count();
+        let most = ((engines as f64 * COPIES_PART) as usize).max(1);
+        let models = self.spec.models.iter().map(|(model, spec)| {
+            let demand = self.book.model(self.now, model);
+            let speed = PROMPT_TOKENS_PER_S * LARGE_MB / spec.weights_mb.max(1.0);
+            let share = demand.tokens_per_s / speed;
+            let by_load = (share / BUSY_SHARE).ceil() as usize;
+            let is_asked = demand.waiting > 0 || demand.per_s > 0.05;
+            let wanted = by_load.clamp(usize::from(is_asked), most);
+            let on = |engine: &&Engine| engine.will_hold(self.now, model);
+            Need {
+                model,
+                waiting: demand.waiting,
+                tokens_per_s: demand.tokens_per_s,
+                copies: self.engines().filter(on).count(),
+                wanted,
+            }
+        });
+        models.collect()
+    }
+
+    /// Chooses the engine for one more copy: the least that makes way, weights at hand before the weight store.
+    fn place_model(&self, need: &Need<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
+        let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
+        self.place_on(need, self.free_engines().filter(unclaimed), ceiling)
+    }
+
+    fn place_on<'b>(
+        &self,
+        need: &Need<'_>,
+        engines: impl Iterator<Item = &'b Engine>,
+        ceiling: &mut Ceiling,
+    ) -> Option<Planned> {
+        let spec = self.spec.models.get(need.model)?;
+        let may_use_store =
+            ceiling.admits(self.now, self.spec.loads_per_s, self.ledger.store_loads());
+        let places = engines
+            .filter(|engine| !engine.copies.contains_key(need.model))
+            .filter(|engine| may_use_store || engine.at_hand.contains(need.model))
+            .filter_map(|engine| {
+                let lacking_mb = engine.used_mb(self.spec) + spec.weights_mb - self.spec.weights_mb;
+                let (victims, lost) = self.victims(engine, lacking_mb, need)?;
+                let from_store = match engine.at_hand.contains(need.model) {
+                    true => 0.0,
+                    false => STORE_LOAD,
+                };
+                let cost = lost + from_store + self.blocked_adapters(engine);
+                Some((cost, engine, victims))
+            });
+        let (_, engine, victims) = places.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
+        let model = |model: &Name| ModelAsk {
+            model: model.clone(),
+            adapter: None,
+        };
+        let engine = engine.id.clone();
+        Some(match victims.first() {
+            Some(victim) => Planned {
+                engine,
+                action: Action::Unload,
+                ask: model(victim),
+                makes_way_for: Some(need.model.clone()),
+                why: "a model that callers ask for needs its memory",
+            },
+            None => Planned {
+                engine,
+                action: Action::Load,
+                ask: model(need.model),
+                makes_way_for: None,
+                why: "callers ask for the model",
+            },
+        })
+    }
+
+    /// Chooses what makes way on an engine: the least asked for first, and nothing that is in use or wanted as much as
+    /// what comes. Returns it with the prompt tokens a second that are lost, or nothing when too little may go.
+    fn victims(&self, engine: &Engine, lacking_mb: f64, need: &Need<'_>) -> Option<(Vec<Name>, f64)> {
+        if lacking_mb <= 0.0 {
+            return Some((Vec::new(), 0.0));
+        }
+        let held = engine.copies.iter().filter(|(_, copy)| **copy == Copy::Held);
+        let mut candidates: Vec<(f64, &Name)> = held
+            .filter_map(|(model, _)| Some((self.value(model, need)?, model)))
+            .collect();
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut freed_mb, mut lost, mut victims) = (0.0, 0.0, Vec::new());
+        for (value, model) in candidates {
+            let adapters = engine.adapters_of(model).count() as f64;
+            let spec = self.spec.models.get(model);
+            freed_mb += spec.map_or(0.0, |spec| spec.weights_mb + adapters * spec.adapter_mb);
+            lost += value;
+            victims.push(model.clone());
+            if freed_mb >= lacking_mb {
+                return Some((victims, lost));
+            }
+        }
+        None
+    }
+
+    /// Returns what a copy of a model is worth, in prompt tokens a second; nothing when it must stay.
+    fn value(&self, model: &Name, need: &Need<'_>) -> Option<f64> {
+        let demand = self.book.model(self.now, model);
+        let on = |engine: &&Engine| engine.holds_model(model);
+        let copies = self.engines().filter(on).count().max(1);
+        let is_idle = demand.waiting == 0
+            && demand.running == 0
+            && demand.last_at.is_none_or(|at| self.now.since(at) >= IDLE_MS);
+        // A model in use stays, unless other engines hold it too and the one that comes is on none.
+        let may_go = is_idle || (copies > 2 && need.copies == 0);
+        may_go.then(|| demand.tokens_per_s / copies as f64)
+    }
+
+    fn blocked_adapters(&self, engine: &Engine) -> f64 {
+        let in_demand = engine.copies.keys().filter(|model| {
+            let asks = self.book.iter();
+            asks.filter(|(ask, _)| ask.adapter.is_some() && ask.model == **model)
+                .any(|(_, asked)| asked.per_s(self.now) > 0.05)
+        });
+        in_demand.count() as f64 * BLOCKED_ADAPTERS
+    }
+
+    /// Fills free memory with models that no engine holds, before anyone asks for them.
+    fn spare_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
+        let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
+        let engines: Vec<&Engine> = self.free_engines().filter(unclaimed).collect();
+        let missing = self.spec.models.iter().filter(|(model, _)| {
+            !self.engines().any(|engine| engine.will_hold(self.now, model))
+        });
+        for (model, spec) in missing {
+            let place = engines
+                .iter()
+                .filter(|engine| engine.used_mb(self.spec) + spec.weights_mb <= self.spec.weights_mb)
+                // The tightest fit leaves room for the largest.
+                .max_by(|a, b| a.used_mb(self.spec).total_cmp(&b.used_mb(self.spec)));
+            let Some(engine) = place else { continue };
+            let is_at_hand = engine.at_hand.contains(model);
+            if !is_at_hand && !ceiling.admits(self.now, self.spec.loads_per_s, self.ledger.store_loads()) {
+                return None;
+            }
+            return Some(Planned {
+                engine: engine.id.clone(),
+                action: Action::Load,
+                ask: ModelAsk {
+                    model: model.clone(),
+                    adapter: None,
+                },
+                makes_way_for: None,
+                why: "its memory is free and no engine holds the model",
+            });
+        }
+        None
+    }
+
+    /// Returns how long the load of an order takes, and whether it is one from the weight store.
+    pub fn load_time(&self, planned: &Planned) -> LoadTime {
+        load_time(self.spec, self.ledger, &planned.engine, &planned.ask)
+    }
+}
+
+/// Returns how long the load of a model on an engine takes.
+pub fn load_time(spec: &EngineSpec, ledger: &Ledger, engine: &str, ask: &ModelAsk) -> LoadTime {
+    let (Some(model), None) = (spec.models.get(&ask.model), &ask.adapter) else {
+        return LoadTime::default();
+    };
+    let is_at_hand = ledger
+        .get(engine)
+        .is_some_and(|engine| engine.at_hand.contains(&ask.model));
+    LoadTime {
+        takes_ms: if is_at_hand { model.from_disk_ms } else { model.load_ms },
+        from_store: !is_at_hand,
+    }
+}
