Take no requests late in a planned stop

Change: the listener closes 3 s after the stop was asked for, and requests on open connections are refused as not run from then on.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -14,6 +14,8 @@
 use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
 
+/// How often an idle listener looks whether it is to close.
+const ACCEPT_LOOK_MS: Millis = Millis(500);
 /// The longest gap between two pieces of a body.
 const BODY_GAP_MS: Millis = Millis(5_000);
 /// Most bytes that a caller may send ahead of the answer to its request.
@@ -27,14 +29,17 @@
 /// directory may still send on it, and learn from the answer that it closes.
 const STOP_IDLE_MS: Millis = Millis(2_000);
 
-/// Accepts callers until the listener closes.
+/// Accepts callers until a planned stop takes no more requests; then the listener closes, and callers go elsewhere.
 pub async fn accept<P: Platform + 'static>(
     host: Rc<Host<P>>,
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
 ) {
-    loop {
-        match listener.accept().await {
+    while host.takes_requests() {
+        let Some(accepted) = within(ACCEPT_LOOK_MS, listener.accept()).await else {
+            continue;
+        };
+        match accepted {
             Ok((stream, _)) if has_room(&host) => {
                 let host = host.clone();
                 executor.spawn(serve_connection(host, stream)).detach();
@@ -126,6 +131,11 @@
     log: &mut CourseLog<'_, P>,
 ) -> Ended {
     match forward::prepare(host, head, body, arrived_at) {
+        Ok(ask) if !host.takes_requests() => {
+            log.course.request = ask.facts.id.clone();
+            let refusal = Refusal::new(ErrorKind::Stopping, "this host is about to end").after(Millis::ZERO);
+            forward::own_answer(host, ask.facts.id.as_deref(), side, log, &refusal).await
+        }
         Ok(ask) => {
             log.course.request = ask.facts.id.clone();
             log.course.route = Some(ask.route.name.clone());
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -9,6 +9,7 @@
 use crate::entry::platform::Platform;
 use crate::entry::pool::Pool;
 use crate::entry::settings::EntrySettings;
+use crate::entry::stop::ACCEPT_ON_MS;
 use crate::ordering::view::View;
 use crate::prelude::*;
 use crate::retry::RetryBudget;
@@ -106,6 +107,13 @@
         self.stop_asked_at.get().is_some()
     }
 
+    /// Tells whether a request that arrives now is served. A stopping host takes requests for a while; one that came
+    /// later might not be done before the process is killed.
+    pub fn takes_requests(&self) -> bool {
+        let asked_at = self.stop_asked_at.get();
+        asked_at.is_none_or(|at| self.now() < at + ACCEPT_ON_MS)
+    }
+
     /// Tells whether callers do well to come here.
     pub fn is_ready(&self) -> bool {
         self.routes.borrow().is_some() && self.upstreams_known.get() && !self.is_stopping()
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -8,7 +8,7 @@
 
 /// How long new connections are still taken: callers may keep an older answer of the directory for about
 /// three times its life.
-const ACCEPT_ON_MS: Millis = Millis(3_000);
+pub const ACCEPT_ON_MS: Millis = Millis(3_000);
 /// How long before the platform kills the process it ends by itself: answers under way are cut either way, and
 /// an end of its own lets the line about it out.
 const END_MARGIN_MS: Millis = Millis(500);
--- /dev/null
+++ b/src/ordering/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of ordering.
