--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -133,7 +133,8 @@
     match forward::prepare(host, head, body, arrived_at) {
         Ok(ask) if !host.takes_requests() => {
             log.course.request = ask.facts.id.clone();
-            let refusal = Refusal::new(ErrorKind::Stopping, "this host is about to end").after(Millis::ZERO);
+            let refusal =
+                Refusal::new(ErrorKind::Stopping, "this host is about to end").after(Millis::ZERO);
             forward::own_answer(host, ask.facts.id.as_deref(), side, log, &refusal).await
         }
         Ok(ask) => {
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -184,7 +184,11 @@
         None => orders.lease.drop_holding(),
     }
     if orders.lease.holding().is_none() {
-        note_lease(LogEvent::LeaseEnded, &orders.lease, "another host claimed it");
+        note_lease(
+            LogEvent::LeaseEnded,
+            &orders.lease,
+            "another host claimed it",
+        );
     }
     Ok(())
 }
@@ -201,7 +205,11 @@
         end
     };
     let Some(end) = end else { return };
-    if let Err(error) = host.platform.append_lease(end, &record_bytes(me, true)).await {
+    if let Err(error) = host
+        .platform
+        .append_lease(end, &record_bytes(me, true))
+        .await
+    {
         note_store_error(&error);
     }
 }
@@ -321,7 +329,10 @@
 ) {
     let due: Vec<Name> = {
         let mut orders = host.orders.borrow_mut();
-        let due = orders.ledger.iter().filter(|engine| !engine.in_report && now >= engine.report_at);
+        let due = orders
+            .ledger
+            .iter()
+            .filter(|engine| !engine.in_report && now >= engine.report_at);
         let due: Vec<Name> = due.map(|engine| engine.id.clone()).collect();
         for id in &due {
             if let Some(engine) = orders.ledger.get_mut(id) {
@@ -332,12 +343,18 @@
     };
     for id in due {
         let host = host.clone();
-        executor.spawn(async move { ask_report(&host, &id).await }).detach();
+        executor
+            .spawn(async move { ask_report(&host, &id).await })
+            .detach();
     }
 }
 
 async fn ask_report<P: Platform>(host: &Host<P>, id: &Name) {
-    let address = host.upstreams.borrow().get(id).map(|upstream| upstream.address());
+    let address = host
+        .upstreams
+        .borrow()
+        .get(id)
+        .map(|upstream| upstream.address());
     let report = match address {
         Some(address) => host.platform.report(address, id).await,
         None => None,
@@ -346,8 +363,14 @@
     let mut orders = host.orders.borrow_mut();
     let under_way = orders.ledger.store_loads();
     let loaded = orders.ledger.take_report(now, id, report);
-    for Loaded { model, took_ms, from_store } in loaded {
-        if from_store && let Some(stated_ms) = stated_load_ms(host, id, &model)
+    for Loaded {
+        model,
+        took_ms,
+        from_store,
+    } in loaded
+    {
+        if from_store
+            && let Some(stated_ms) = stated_load_ms(host, id, &model)
             && let Some(ceiling) = &mut orders.ceiling
         {
             ceiling.note_done(took_ms, stated_ms, under_way);
@@ -375,7 +398,13 @@
     let unusable = unusable(host, now);
     let mut orders = host.orders.borrow_mut();
     orders.book.expire(now);
-    let Orders { ledger, book, ceiling, lease, .. } = &mut *orders;
+    let Orders {
+        ledger,
+        book,
+        ceiling,
+        lease,
+        ..
+    } = &mut *orders;
     let ceiling = ceiling.get_or_insert_with(|| Ceiling::new(now));
     let fence = lease.holding().map_or(0, |holding| holding.fence);
     for (service, spec) in engine_specs(table) {
@@ -388,14 +417,27 @@
                 book,
                 unusable: &unusable,
             };
-            let Some(planned) = planner.next(ceiling) else { break };
+            let Some(planned) = planner.next(ceiling) else {
+                break;
+            };
             let load = planner.load_time(&planned);
-            let Planned { engine, action, ask, makes_way_for, why } = planned;
+            let Planned {
+                engine,
+                action,
+                ask,
+                makes_way_for,
+                why,
+            } = planned;
             if load.from_store && action == crate::ordering::message::Action::Load {
                 ceiling.note_begun();
             }
             if let Some(order) = ledger.begin(now, &engine, action, ask, makes_way_for) {
-                let line = OrderLine { upstream: &engine, order: &order, why, fence };
+                let line = OrderLine {
+                    upstream: &engine,
+                    order: &order,
+                    why,
+                    fence,
+                };
                 lines::write(LogEvent::OrderSent, &line);
             }
         }
@@ -441,7 +483,11 @@
             .filter(|_| orders.lease.may_order(sent_at))
             .map(|holding| holding.fence)
     };
-    let address = host.upstreams.borrow().get(id).map(|upstream| upstream.address());
+    let address = host
+        .upstreams
+        .borrow()
+        .get(id)
+        .map(|upstream| upstream.address());
     let answer = match (fence, address) {
         (Some(fence), Some(address)) => {
             host.platform.order(address, id, holder, fence, order).await
@@ -497,7 +543,11 @@
     }
 }
 
-fn ready_in_ms<P: Platform>(host: &Host<P>, orders: &Orders, now: Millis) -> Vec<(ModelAsk, Millis)> {
+fn ready_in_ms<P: Platform>(
+    host: &Host<P>,
+    orders: &Orders,
+    now: Millis,
+) -> Vec<(ModelAsk, Millis)> {
     let Some(table) = host.routes.borrow().clone() else {
         return Vec::new();
     };
@@ -574,7 +624,12 @@
     let now = host.now();
     match reply {
         SyncReply::NotOrderer(_) => {}
-        SyncReply::View { version, engines, work, ready_in_ms } => {
+        SyncReply::View {
+            version,
+            engines,
+            work,
+            ready_in_ms,
+        } => {
             let mut view = host.view.borrow_mut();
             view.answered_at = Some(now);
             if let Some(engines) = engines {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -56,7 +56,9 @@
     fn check(&self, certificate: &CertificateDer<'_>) -> Result<(), rustls::Error> {
         match self.lock().contains(&*fingerprint(certificate)) {
             true => Ok(()),
-            false => Err(rustls::Error::General("the certificate is no member's".to_string())),
+            false => Err(rustls::Error::General(
+                "the certificate is no member's".to_string(),
+            )),
         }
     }
 
@@ -83,7 +85,10 @@
     /// # Errors
     ///
     /// Returns why the address or the certificate cannot be used.
-    pub fn bind(address: SocketAddr, executor: Arc<Executor<'static>>) -> Result<Rc<Self>, EntryError> {
+    pub fn bind(
+        address: SocketAddr,
+        executor: Arc<Executor<'static>>,
+    ) -> Result<Rc<Self>, EntryError> {
         let known = Arc::new(Known::default());
         let identity = Identity::make()?;
         let verifier = Arc::new(Pinned::new(known.clone()));
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -1,8 +1,8 @@
 //! What an entry host needs of the platform that it runs on.
 
 use crate::desired::DesiredState;
-use crate::ordering::message::{EngineReport, Order, OrderAnswer};
 use crate::http1::{Headers, RequestHead, ResponseHead};
+use crate::ordering::message::{EngineReport, Order, OrderAnswer};
 use crate::prelude::*;
 use crate::upstreams::UpstreamEntry;
 use snafu::Snafu;
--- a/src/ordering/book.rs
+++ b/src/ordering/book.rs
@@ -150,7 +150,8 @@
     }
 
     fn add_up(&mut self, now: Millis) {
-        self.hosts.retain(|_, counts| now.since(counts.at) < HOST_MS);
+        self.hosts
+            .retain(|_, counts| now.since(counts.at) < HOST_MS);
         for asked in self.asked.values_mut() {
             (asked.waiting, asked.running) = (0, 0);
         }
--- a/src/ordering/lease.rs
+++ b/src/ordering/lease.rs
@@ -29,6 +29,8 @@
 /// A holder's own view of its lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holding {
+    /// The host itself.
+    pub me: Member,
     /// The offset of its claim plus one: the fencing token, above every former holder's.
     pub fence: u64,
     /// The end of the stream after its newest record.
@@ -58,6 +60,17 @@
         if newest.is_some() {
             self.newest = newest;
         }
+        if !self.is_own_newest() {
+            self.holding = None;
+        }
+    }
+
+    /// Tells whether the newest record is one of this holder's that keeps the lease.
+    fn is_own_newest(&self) -> bool {
+        match (&self.holding, &self.newest) {
+            (Some(holding), Some(newest)) => newest.holder == holding.me && !newest.released,
+            _ => false,
+        }
     }
 
     /// Returns from which offset to read the newest record.
@@ -101,6 +114,7 @@
         };
         let end = Offset(offset.0 + 1);
         self.holding = Some(Holding {
+            me: me.clone(),
             fence: end.0,
             end,
             renewed_at: sent_at,
@@ -129,15 +143,10 @@
     /// this host's own, an earlier renewal took effect without an answer, and the lease is kept; the
     /// validity still counts from renewals that were acknowledged.
     pub fn note_moved(&mut self, asked_at: Millis, end: Offset, newest: LeaseRecord) {
-        let is_own = self
-            .newest
-            .as_ref()
-            .is_some_and(|own| own.holder == newest.holder && !newest.released);
-        match (&mut self.holding, is_own) {
-            (Some(holding), true) => holding.end = end,
-            _ => self.holding = None,
-        }
         self.note_read(asked_at, end, Some(newest));
+        if let Some(holding) = &mut self.holding {
+            holding.end = end;
+        }
     }
 
     /// Gives the lease up in this host's own view.
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -105,7 +105,11 @@
 
     /// Tells whether the engine takes a new order now.
     pub fn is_free(&self, now: Millis) -> bool {
-        self.is_known && !self.is_doubtful && self.pending.is_none() && !self.is_busy() && now >= self.rests_until
+        self.is_known
+            && !self.is_doubtful
+            && self.pending.is_none()
+            && !self.is_busy()
+            && now >= self.rests_until
     }
 
     /// Tells whether the engine is carrying out an order for a whole model.
@@ -129,7 +133,10 @@
     pub fn will_hold(&self, now: Millis, model: &str) -> bool {
         let copy = self.copies.get(model);
         let stays = copy.is_some_and(|copy| *copy != Copy::Unloading);
-        stays || self.intended(now).is_some_and(|intended| &**intended == model)
+        stays
+            || self
+                .intended(now)
+                .is_some_and(|intended| &**intended == model)
     }
 
     /// Returns the memory in use, with what is on its way and what an unanswered order may bring.
@@ -175,7 +182,12 @@
         self.is_doubtful = false;
         self.was_busy = report.busy;
         let is_waited_for = report.busy || self.pending.is_some();
-        self.report_at = now + if is_waited_for { BUSY_REPORT_MS } else { REPORT_MS };
+        self.report_at = now
+            + if is_waited_for {
+                BUSY_REPORT_MS
+            } else {
+                REPORT_MS
+            };
         let under_way: Vec<(Name, Copy)> = self
             .copies
             .iter()
@@ -191,14 +203,18 @@
         if let Some(pending) = pending.filter(|pending| pending.is_uncertain) {
             self.reserve(&pending.order);
         }
-        let loaded = under_way.into_iter().filter_map(|(model, copy)| match copy {
-            Copy::Loading { since, from_store, .. } if self.holds_model(&model) => Some(Loaded {
-                took_ms: now.since(since),
-                from_store,
-                model,
-            }),
-            _ => None,
-        });
+        let loaded = under_way
+            .into_iter()
+            .filter_map(|(model, copy)| match copy {
+                Copy::Loading {
+                    since, from_store, ..
+                } if self.holds_model(&model) => Some(Loaded {
+                    took_ms: now.since(since),
+                    from_store,
+                    model,
+                }),
+                _ => None,
+            });
         loaded.collect()
     }
 
@@ -282,8 +298,19 @@
 
     /// Returns how many loads from the weight store are under way.
     pub fn store_loads(&self) -> usize {
-        let copies = self.engines.values().flat_map(|engine| engine.copies.values());
-        let from_store = |copy: &&Copy| matches!(copy, Copy::Loading { from_store: true, .. });
+        let copies = self
+            .engines
+            .values()
+            .flat_map(|engine| engine.copies.values());
+        let from_store = |copy: &&Copy| {
+            matches!(
+                copy,
+                Copy::Loading {
+                    from_store: true,
+                    ..
+                }
+            )
+        };
         copies.filter(from_store).count()
     }
 
@@ -305,7 +332,11 @@
         if action == Action::Unload {
             match &order.ask.adapter {
                 Some(_) => drop(engine.adapters.shift_remove(&order.ask)),
-                None => drop(engine.copies.insert(order.ask.model.clone(), Copy::Unloading)),
+                None => drop(
+                    engine
+                        .copies
+                        .insert(order.ask.model.clone(), Copy::Unloading),
+                ),
             }
         }
         engine.pending = Some(Pending {
@@ -497,7 +528,11 @@
     fn reserve(&mut self, order: &Order) {
         if order.action == Action::Load {
             match &order.ask.adapter {
-                Some(_) => drop(self.adapters.entry(order.ask.clone()).or_insert(Millis::NEVER)),
+                Some(_) => drop(
+                    self.adapters
+                        .entry(order.ask.clone())
+                        .or_insert(Millis::NEVER),
+                ),
                 None => {
                     let model = order.ask.model.clone();
                     self.copies.entry(model).or_insert(Copy::Loading {
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -153,7 +153,11 @@
             .book
             .iter()
             .filter(|(ask, asked)| ask.adapter.is_some() && asked.waiting > 0)
-            .filter(|(ask, _)| !self.engines().any(|engine| engine.adapters.contains_key(*ask)))
+            .filter(|(ask, _)| {
+                !self
+                    .engines()
+                    .any(|engine| engine.adapters.contains_key(*ask))
+            })
             .collect();
         waiting.sort_by_key(|(_, asked)| std::cmp::Reverse(asked.waiting));
         waiting
@@ -182,7 +186,10 @@
             });
         }
         let victims = holding().filter_map(|engine| {
-            let unused = engine.adapters.iter().filter(|(_, ready_at)| **ready_at != Millis::NEVER);
+            let unused = engine
+                .adapters
+                .iter()
+                .filter(|(_, ready_at)| **ready_at != Millis::NEVER);
             let unused = unused.map(|(other, _)| (other, self.book.asked(other)));
             let unused = unused.filter(|(_, asked)| asked.running == 0 && asked.waiting == 0);
             let oldest = unused.min_by_key(|(_, asked)| asked.last_at)?;
@@ -307,11 +314,19 @@
 
     /// Chooses what makes way on an engine: the least asked for first, and nothing that is in use or wanted as much as
     /// what comes. Returns it with the prompt tokens a second that are lost, or nothing when too little may go.
-    fn victims(&self, engine: &Engine, lacking_mb: f64, need: &Need<'_>) -> Option<(Vec<Name>, f64)> {
+    fn victims(
+        &self,
+        engine: &Engine,
+        lacking_mb: f64,
+        need: &Need<'_>,
+    ) -> Option<(Vec<Name>, f64)> {
         if lacking_mb <= 0.0 {
             return Some((Vec::new(), 0.0));
         }
-        let held = engine.copies.iter().filter(|(_, copy)| **copy == Copy::Held);
+        let held = engine
+            .copies
+            .iter()
+            .filter(|(_, copy)| **copy == Copy::Held);
         let mut candidates: Vec<(f64, &Name)> = held
             .filter_map(|(model, _)| Some((self.value(model, need)?, model)))
             .collect();
@@ -337,7 +352,9 @@
         let copies = self.engines().filter(on).count().max(1);
         let is_idle = demand.waiting == 0
             && demand.running == 0
-            && demand.last_at.is_none_or(|at| self.now.since(at) >= IDLE_MS);
+            && demand
+                .last_at
+                .is_none_or(|at| self.now.since(at) >= IDLE_MS);
         // A model in use stays, unless other engines hold it too and the one that comes is on none.
         let may_go = is_idle || (copies > 2 && need.copies == 0);
         may_go.then(|| demand.tokens_per_s / copies as f64)
@@ -357,17 +374,23 @@
         let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
         let engines: Vec<&Engine> = self.free_engines().filter(unclaimed).collect();
         let missing = self.spec.models.iter().filter(|(model, _)| {
-            !self.engines().any(|engine| engine.will_hold(self.now, model))
+            !self
+                .engines()
+                .any(|engine| engine.will_hold(self.now, model))
         });
         for (model, spec) in missing {
             let place = engines
                 .iter()
-                .filter(|engine| engine.used_mb(self.spec) + spec.weights_mb <= self.spec.weights_mb)
+                .filter(|engine| {
+                    engine.used_mb(self.spec) + spec.weights_mb <= self.spec.weights_mb
+                })
                 // The tightest fit leaves room for the largest.
                 .max_by(|a, b| a.used_mb(self.spec).total_cmp(&b.used_mb(self.spec)));
             let Some(engine) = place else { continue };
             let is_at_hand = engine.at_hand.contains(model);
-            if !is_at_hand && !ceiling.admits(self.now, self.spec.loads_per_s, self.ledger.store_loads()) {
+            if !is_at_hand
+                && !ceiling.admits(self.now, self.spec.loads_per_s, self.ledger.store_loads())
+            {
                 return None;
             }
             return Some(Planned {
@@ -399,7 +422,11 @@
         .get(engine)
         .is_some_and(|engine| engine.at_hand.contains(&ask.model));
     LoadTime {
-        takes_ms: if is_at_hand { model.from_disk_ms } else { model.load_ms },
+        takes_ms: if is_at_hand {
+            model.from_disk_ms
+        } else {
+            model.load_ms
+        },
         from_store: !is_at_hand,
     }
 }
--- a/src/ordering/tests.rs
+++ b/src/ordering/tests.rs
@@ -1,1 +1,7 @@
-//! Tests of ordering.
+//! The lease, the ledger, the ceiling and the plan, without network.
+
+mod ceiling;
+mod fake_engine;
+mod lease;
+mod ledger;
+mod planner;
--- /dev/null
+++ b/src/ordering/tests/ceiling.rs
@@ -0,0 +1,61 @@
+//! Loads in any window over all holders stay under the bound.
+
+use crate::ordering::ceiling::Ceiling;
+use crate::prelude::*;
+
+const LOADS_PER_S: f64 = 2.1;
+const WINDOW_MS: Millis = Millis(5_000);
+/// What is allowed in a window: the rate with a tenth in excess, and three.
+const ALLOWED: f64 = LOADS_PER_S * 5.0 * 1.1 + 3.0;
+
+#[test]
+fn loads_in_any_window_stay_under_the_bound_over_changes_of_the_holder() {
+    arbtest::arbtest(|u| {
+        let mut now = Millis(1_000_000);
+        let mut ceiling = Ceiling::new(now);
+        let mut begun: Vec<Millis> = Vec::new();
+        for _ in 0..u.int_in_range(0..=300u16)? {
+            now += Millis(u.int_in_range(0..=400u64)?);
+            match u.int_in_range(0..=30u8)? {
+                0 => {
+                    // A new holder orders no sooner than the engines' lease time after the last one.
+                    now += Millis(3_000);
+                    ceiling = Ceiling::new(now);
+                }
+                _ if ceiling.admits(now, LOADS_PER_S, 0) => {
+                    ceiling.note_begun();
+                    begun.push(now);
+                }
+                _ => {}
+            }
+        }
+        for end in &begun {
+            let in_window = |at: &&Millis| **at <= *end && **at + WINDOW_MS >= *end;
+            let loads = begun.iter().filter(in_window).count() as f64;
+            assert!(loads <= ALLOWED, "{loads} loads in one window");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_store_that_serves_one_load_at_a_time_soon_gets_one_at_a_time() {
+    let mut ceiling = Ceiling::new(Millis::ZERO);
+    for under_way in [4, 3, 2] {
+        let took_ms = Millis(13_200 * under_way);
+        ceiling.note_done(took_ms, Millis(13_200), under_way as usize);
+    }
+    assert_eq!(ceiling.at_once(), 1);
+    assert!(ceiling.admits(Millis(100_000), 19.0, 0));
+    assert!(!ceiling.admits(Millis(100_000), 19.0, 1));
+}
+
+#[test]
+fn a_store_that_keeps_its_speed_gets_more_at_once() {
+    let mut ceiling = Ceiling::new(Millis::ZERO);
+    for _ in 0..8 {
+        let under_way = ceiling.at_once();
+        ceiling.note_done(Millis(6_200), Millis(6_000), under_way);
+    }
+    assert!(ceiling.at_once() >= 7);
+}
--- /dev/null
+++ b/src/ordering/tests/fake_engine.rs
@@ -0,0 +1,155 @@
+//! An engine as far as orders see it: it takes an order only after the stated number of others, and fails when it is told
+//! to hold more than it can.
+
+use crate::desired::{EngineSpec, ModelSpec};
+use crate::entry::platform::ModelAsk;
+use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
+use crate::prelude::*;
+use crate::upstreams::HeldModel;
+
+/// Models named `m0`, `m1` and so on with these sizes, on engines of this capacity.
+pub fn spec(capacity_mb: f64, sizes_mb: &[f64]) -> EngineSpec {
+    let model = |(n, weights_mb): (usize, &f64)| {
+        let model = ModelSpec {
+            weights_mb: *weights_mb,
+            load_ms: Millis(6_000),
+            from_disk_ms: Millis(500),
+            adapter_mb: 10.0,
+        };
+        (Name::from(format!("m{n}")), model)
+    };
+    EngineSpec {
+        slots: 96,
+        kv_tokens: 200_000,
+        weights_mb: capacity_mb,
+        adapter_slots: 3,
+        loads_per_s: 50.0,
+        models: sizes_mb.iter().enumerate().map(model).collect(),
+    }
+}
+
+/// The engine.
+#[derive(Debug)]
+pub struct FakeEngine {
+    spec: EngineSpec,
+    count: u64,
+    models: IndexSet<Name>,
+    adapters: IndexSet<ModelAsk>,
+    changing: Option<(Order, Millis)>,
+    /// Loads of models that it began.
+    pub loads: usize,
+}
+
+impl FakeEngine {
+    /// Makes an engine that holds some models.
+    pub fn new(spec: EngineSpec, models: &[&str]) -> Self {
+        Self {
+            spec,
+            count: 0,
+            models: models.iter().map(|model| Name::from(*model)).collect(),
+            adapters: IndexSet::new(),
+            changing: None,
+            loads: 0,
+        }
+    }
+
+    /// Takes an order.
+    pub fn order(&mut self, now: Millis, order: &Order) -> OrderAnswer {
+        self.advance(now);
+        if order.after_orders != self.count || self.changing.is_some() {
+            return OrderAnswer::Conflict;
+        }
+        let holds = match &order.ask.adapter {
+            Some(_) => self.adapters.contains(&order.ask),
+            None => self.models.contains(&order.ask.model),
+        };
+        let is_load = order.action == Action::Load;
+        if holds == is_load {
+            return OrderAnswer::AlreadyDone;
+        }
+        if order.ask.adapter.is_some() && is_load && !self.models.contains(&order.ask.model) {
+            return OrderAnswer::Invalid;
+        }
+        self.count += 1;
+        match (&order.ask.adapter, order.action) {
+            (Some(_), Action::Load) => {
+                self.adapters.insert(order.ask.clone());
+            }
+            (Some(_), Action::Unload) => {
+                self.adapters.shift_remove(&order.ask);
+                self.check();
+                return OrderAnswer::AlreadyDone;
+            }
+            (None, Action::Load) => {
+                self.loads += 1;
+                self.changing = Some((order.clone(), now + Millis(500)));
+            }
+            (None, Action::Unload) => self.changing = Some((order.clone(), now + Millis(100))),
+        }
+        self.check();
+        OrderAnswer::Accepted
+    }
+
+    /// Returns its report.
+    pub fn report(&mut self, now: Millis) -> EngineReport {
+        self.advance(now);
+        let held = |model: &Name| HeldModel {
+            name: model.clone(),
+            adapters: self
+                .adapters
+                .iter()
+                .filter(|ask| ask.model == *model)
+                .filter_map(|ask| ask.adapter.clone())
+                .collect(),
+        };
+        EngineReport {
+            order_count: self.count,
+            busy: self.changing.is_some(),
+            models: self.models.iter().map(held).collect(),
+            coming: Vec::new(),
+            at_hand: Vec::new(),
+        }
+    }
+
+    /// Tells whether the engine holds a model.
+    pub fn holds(&self, model: &str) -> bool {
+        self.models.contains(model)
+    }
+
+    fn advance(&mut self, now: Millis) {
+        if let Some((order, _)) = self.changing.take_if(|(_, at)| now >= *at) {
+            match order.action {
+                Action::Load => {
+                    self.models.insert(order.ask.model.clone());
+                }
+                Action::Unload => {
+                    self.models.shift_remove(&order.ask.model);
+                    self.adapters.retain(|ask| ask.model != order.ask.model);
+                }
+            }
+        }
+    }
+
+    fn check(&self) {
+        let mb = |model: &Name| self.spec.models[model].weights_mb;
+        let coming = self
+            .changing
+            .iter()
+            .filter(|(order, _)| order.action == Action::Load);
+        let coming: f64 = coming.map(|(order, _)| mb(&order.ask.model)).sum();
+        let models: f64 = self.models.iter().map(mb).sum();
+        let adapters: f64 = self
+            .adapters
+            .iter()
+            .map(|ask| self.spec.models[&ask.model].adapter_mb)
+            .sum();
+        assert!(
+            models + coming + adapters <= self.spec.weights_mb,
+            "more weights than memory"
+        );
+        assert!(
+            self.adapters.len() <= self.spec.adapter_slots as usize,
+            "more adapters than places"
+        );
+    }
+}
--- /dev/null
+++ b/src/ordering/tests/lease.rs
@@ -0,0 +1,249 @@
+//! Two hosts never order within the engines' lease time of each other, whatever is lost, late or paused.
+
+use crate::entry::members::Member;
+use crate::ordering::lease::{Lease, LeaseRecord};
+use crate::prelude::*;
+use std::net::SocketAddr;
+
+const ENGINE_LEASE_MS: Millis = Millis(3_000);
+const HOSTS: usize = 3;
+
+fn member(host: usize, life: u64) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + host as u16));
+    Member {
+        caller_address: address,
+        peer_address: address,
+        data_centre: "here".into(),
+        incarnation: (host as u64) << 32 | life,
+        fingerprint: "".into(),
+    }
+}
+
+/// An append that is on its way to the log; it may arrive late, and its answer may be lost.
+struct Flight {
+    host: usize,
+    life: u64,
+    sent_at: Millis,
+    end: Offset,
+    record: LeaseRecord,
+    is_claim: bool,
+}
+
+#[derive(Default)]
+struct World {
+    now: Millis,
+    log: Vec<LeaseRecord>,
+    leases: Vec<Lease>,
+    lives: Vec<u64>,
+    flights: Vec<Flight>,
+    last_order: Option<(usize, u64, Millis)>,
+    orders: usize,
+    takeovers: usize,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            now: Millis(1_000_000),
+            leases: (0..HOSTS).map(|_| Lease::default()).collect(),
+            lives: vec![0; HOSTS],
+            ..Self::default()
+        }
+    }
+
+    fn me(&self, host: usize) -> Member {
+        member(host, self.lives[host])
+    }
+
+    fn end(&self) -> Offset {
+        Offset(self.log.len() as u64)
+    }
+
+    fn read(&mut self, host: usize) {
+        let (end, newest) = (self.end(), self.log.last().cloned());
+        self.leases[host].note_read(self.now, end, newest);
+    }
+
+    fn claim(&mut self, host: usize) {
+        if let Some(end) = self.leases[host].may_claim(self.now) {
+            self.send(host, end, false, true);
+        }
+    }
+
+    fn renew(&mut self, host: usize) {
+        let due = self.leases[host].is_renewal_due(self.now);
+        let end = self.leases[host].holding().map(|holding| holding.end);
+        if let Some(end) = end.filter(|_| due) {
+            self.send(host, end, false, false);
+        }
+    }
+
+    fn release(&mut self, host: usize) {
+        if let Some(end) = self.leases[host].holding().map(|holding| holding.end) {
+            self.leases[host].drop_holding();
+            self.send(host, end, true, false);
+        }
+    }
+
+    fn send(&mut self, host: usize, end: Offset, released: bool, is_claim: bool) {
+        let record = LeaseRecord {
+            holder: self.me(host),
+            released,
+        };
+        self.flights.push(Flight {
+            host,
+            life: self.lives[host],
+            sent_at: self.now,
+            end,
+            record,
+            is_claim,
+        });
+    }
+
+    /// Lets an append take effect; `is_heard` tells whether its sender gets the answer.
+    fn land(&mut self, flight: usize, is_heard: bool) {
+        let flight = self.flights.remove(flight);
+        let fits = flight.end == self.end();
+        let offset = self.end();
+        if fits {
+            self.log.push(flight.record.clone());
+        }
+        let is_alive = self.lives[flight.host] == flight.life;
+        if !is_heard || !is_alive || flight.record.released {
+            return;
+        }
+        let lease = &mut self.leases[flight.host];
+        match (fits, flight.is_claim) {
+            (true, true) => {
+                let me = flight.record.holder;
+                lease.note_claimed(flight.sent_at, offset, me, ENGINE_LEASE_MS);
+            }
+            (true, false) => lease.note_renewed(flight.sent_at, offset),
+            (false, true) => {}
+            (false, false) => {
+                let newest = self.log.last().cloned().expect("the end has moved");
+                let end = Offset(self.log.len() as u64);
+                lease.note_moved(self.now, end, newest);
+            }
+        }
+    }
+
+    fn restart(&mut self, host: usize) {
+        self.lives[host] += 1;
+        self.leases[host] = Lease::default();
+    }
+
+    fn order(&mut self, host: usize) {
+        if !self.leases[host].may_order(self.now) {
+            return;
+        }
+        let fence = self.leases[host].holding().expect("it holds").fence;
+        if let Some((former, former_fence, at)) = self.last_order
+            && former != host
+        {
+            self.takeovers += 1;
+            let apart_ms = self.now - at;
+            assert!(apart_ms >= ENGINE_LEASE_MS, "two holders within {apart_ms}");
+            assert!(fence > former_fence, "a lower fence after a higher one");
+        }
+        self.last_order = Some((host, fence, self.now));
+        self.orders += 1;
+    }
+}
+
+fn drive(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<(usize, usize)> {
+    let mut world = World::new();
+    for _ in 0..u.int_in_range(0..=600u16)? {
+        let host = u.choose_index(HOSTS)?;
+        match u.int_in_range(0..=20u8)? {
+            0..=3 => world.read(host),
+            4..=6 => world.claim(host),
+            7..=9 => world.renew(host),
+            10..=12 => world.order(host),
+            13..=16 if !world.flights.is_empty() => {
+                let flight = u.choose_index(world.flights.len())?;
+                let is_heard = u.ratio(4, 5)?;
+                world.land(flight, is_heard);
+            }
+            17 if u.ratio(1, 6)? => world.restart(host),
+            18 if u.ratio(1, 6)? => world.release(host),
+            _ => {
+                // A long step is a host that stands still while others go on.
+                let most = if u.ratio(1, 8)? { 4_000 } else { 300 };
+                world.now += Millis(u.int_in_range(1..=most)?);
+            }
+        }
+    }
+    Ok((world.orders, world.takeovers))
+}
+
+#[test]
+fn no_two_hosts_order_within_the_engines_lease_time() {
+    arbtest::arbtest(|u| drive(u).map(drop)).budget_ms(2_000);
+}
+
+#[test]
+fn the_interleavings_reach_orders_and_takeovers() {
+    let (mut orders, mut takeovers) = (0, 0);
+    for seed in 0..400u64 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let bytes: Vec<u8> = (0..8_192).map(|_| random.u8(..)).collect();
+        let driven = drive(&mut arbtest::arbitrary::Unstructured::new(&bytes));
+        let (more_orders, more_takeovers) = driven.expect("there are enough bytes");
+        orders += more_orders;
+        takeovers += more_takeovers;
+    }
+    assert!(orders > 100, "{orders} orders");
+    assert!(takeovers > 3, "{takeovers} takeovers");
+}
+
+#[test]
+fn the_first_holder_of_an_empty_log_orders_at_once() {
+    let mut world = World::new();
+    world.read(0);
+    world.claim(0);
+    world.land(0, true);
+    assert!(world.leases[0].may_order(world.now));
+}
+
+#[test]
+fn a_renewal_without_an_answer_keeps_the_lease_but_does_not_prolong_it() {
+    let mut world = World::new();
+    world.read(0);
+    world.claim(0);
+    world.land(0, true);
+    world.now += Millis(1_000);
+    world.renew(0);
+    world.land(0, false);
+    world.now += Millis(900);
+    world.renew(0);
+    world.land(0, true);
+    assert!(world.leases[0].holding().is_some());
+    world.now += Millis(200);
+    assert!(!world.leases[0].may_order(world.now));
+    world.renew(0);
+    world.land(0, true);
+    assert!(world.leases[0].may_order(world.now));
+}
+
+#[test]
+fn a_released_lease_is_claimed_without_waiting_for_silence() {
+    let mut world = World::new();
+    world.read(0);
+    world.claim(0);
+    world.land(0, true);
+    world.release(0);
+    world.land(0, true);
+    world.now += Millis(10);
+    world.read(1);
+    world.claim(1);
+    world.land(0, true);
+    assert!(world.leases[1].holding().is_some());
+    assert!(!world.leases[1].may_order(world.now));
+    world.now += ENGINE_LEASE_MS + Millis(300);
+    world.renew(1);
+    world.land(0, true);
+    assert!(world.leases[1].may_order(world.now));
+}
--- /dev/null
+++ b/src/ordering/tests/ledger.rs
@@ -0,0 +1,178 @@
+//! Memory and adapter places are never exceeded, whatever answers are lost and whatever orders take effect late.
+
+use super::fake_engine::{FakeEngine, spec};
+use crate::entry::platform::ModelAsk;
+use crate::ordering::book::Book;
+use crate::ordering::ceiling::Ceiling;
+use crate::ordering::demand::AskCount;
+use crate::ordering::ledger::Ledger;
+use crate::ordering::message::{Order, OrderAnswer};
+use crate::ordering::planner::{Planner, load_time};
+use crate::prelude::*;
+
+const SIZES_MB: [f64; 6] = [100.0, 100.0, 60.0, 60.0, 40.0, 40.0];
+const CAPACITY_MB: f64 = 170.0;
+
+fn ask(u: &mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<ModelAsk> {
+    let model = u.choose_index(SIZES_MB.len())?;
+    let adapter = u.int_in_range(0..=8u8)?;
+    Ok(ModelAsk {
+        model: format!("m{model}").into(),
+        adapter: (adapter > 3).then(|| format!("a{adapter}").into()),
+    })
+}
+
+struct World {
+    now: Millis,
+    engines: IndexMap<Name, FakeEngine>,
+    ledger: Ledger,
+    book: Book,
+    ceiling: Ceiling,
+    /// Orders that were sent and have not arrived; each may also have been given up by its sender.
+    flights: Vec<(Name, Order, bool)>,
+}
+
+impl World {
+    fn new() -> Self {
+        let spec = spec(CAPACITY_MB, &SIZES_MB);
+        let engine = |n: usize| {
+            (
+                Name::from(format!("e{n}")),
+                FakeEngine::new(spec.clone(), &["m0"]),
+            )
+        };
+        Self {
+            now: Millis(1_000_000),
+            engines: (0..3).map(engine).collect(),
+            ledger: Ledger::default(),
+            book: Book::default(),
+            ceiling: Ceiling::new(Millis(900_000)),
+            flights: Vec::new(),
+        }
+    }
+
+    fn plan(&mut self) {
+        let listed = self.engines.keys().map(|id| (id.clone(), Name::from("s")));
+        self.ledger.take_engines(listed);
+        let spec = spec(CAPACITY_MB, &SIZES_MB);
+        for _ in 0..8 {
+            let planner = Planner {
+                now: self.now,
+                service: "s",
+                spec: &spec,
+                ledger: &self.ledger,
+                book: &self.book,
+                unusable: &IndexSet::new(),
+            };
+            let Some(planned) = planner.next(&mut self.ceiling) else {
+                break;
+            };
+            let (now, engine) = (self.now, planned.engine);
+            self.ledger.begin(
+                now,
+                &engine,
+                planned.action,
+                planned.ask,
+                planned.makes_way_for,
+            );
+        }
+        for (id, order) in self.ledger.due(self.now) {
+            self.flights.push((id, order, true));
+        }
+    }
+
+    fn land(&mut self, flight: usize, is_heard: bool) {
+        let (id, order, is_waited_for) = self.flights.remove(flight);
+        let answer = self.engines[&id].order(self.now, &order);
+        if is_waited_for {
+            let answer = if is_heard {
+                answer
+            } else {
+                OrderAnswer::Silent
+            };
+            self.tell(&id, &order, answer);
+        }
+    }
+
+    /// The sender gives an order up that is still on its way.
+    fn time_out(&mut self, flight: usize) {
+        let (id, order, is_waited_for) = self.flights[flight].clone();
+        self.flights[flight].2 = false;
+        if is_waited_for {
+            self.tell(&id, &order, OrderAnswer::Silent);
+        }
+    }
+
+    fn tell(&mut self, id: &Name, order: &Order, answer: OrderAnswer) {
+        let spec = spec(CAPACITY_MB, &SIZES_MB);
+        let load = load_time(&spec, &self.ledger, id, &order.ask);
+        self.ledger.take_answer(self.now, id, order, answer, load);
+    }
+
+    fn report(&mut self, engine: usize) {
+        let id = self.engines.get_index(engine).expect("it exists").0.clone();
+        let report = self.engines[engine].report(self.now);
+        self.ledger.take_report(self.now, &id, Some(report));
+    }
+}
+
+fn drive(u: &mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<usize> {
+    let mut world = World::new();
+    for _ in 0..u.int_in_range(0..=400u16)? {
+        match u.int_in_range(0..=11u8)? {
+            0..=2 => world.plan(),
+            3..=5 if !world.flights.is_empty() => {
+                let flight = u.choose_index(world.flights.len())?;
+                let is_heard = u.ratio(3, 4)?;
+                world.land(flight, is_heard);
+            }
+            6 if !world.flights.is_empty() => {
+                let flight = u.choose_index(world.flights.len())?;
+                world.time_out(flight);
+            }
+            7..=8 => {
+                let engine = u.choose_index(world.engines.len())?;
+                world.report(engine);
+            }
+            9 => {
+                // A new holder of the lease knows nothing of its predecessor's orders.
+                if u.ratio(1, 10)? {
+                    world.ledger = Ledger::default();
+                    world.flights.iter_mut().for_each(|flight| flight.2 = false);
+                }
+            }
+            10 => {
+                let count = AskCount {
+                    asked: 1,
+                    waiting: u.int_in_range(0..=2u32)?,
+                    running: 0,
+                    tokens: 1_000,
+                };
+                let demand = vec![(ask(u)?, count)];
+                world
+                    .book
+                    .take(world.now, u.int_in_range(0..=3u64)?, demand, Vec::new());
+            }
+            _ => world.now += Millis(u.int_in_range(1..=900u64)?),
+        }
+    }
+    Ok(world.engines.values().map(|engine| engine.loads).sum())
+}
+
+#[test]
+fn engines_are_never_told_to_hold_more_than_they_can() {
+    arbtest::arbtest(|u| drive(u).map(drop)).budget_ms(2_000);
+}
+
+#[test]
+fn the_interleavings_reach_loads() {
+    let loads: usize = (0..100u64)
+        .map(|seed| {
+            let mut random = fastrand::Rng::with_seed(seed);
+            let bytes: Vec<u8> = (0..8_192).map(|_| random.u8(..)).collect();
+            let driven = drive(&mut arbtest::arbitrary::Unstructured::new(&bytes));
+            driven.expect("there are enough bytes")
+        })
+        .sum();
+    assert!(loads > 100, "{loads} loads");
+}
--- /dev/null
+++ b/src/ordering/tests/planner.rs
@@ -0,0 +1,236 @@
+//! What is loaded for which demand.
+
+use super::fake_engine::spec;
+use crate::desired::EngineSpec;
+use crate::entry::platform::ModelAsk;
+use crate::ordering::book::Book;
+use crate::ordering::ceiling::Ceiling;
+use crate::ordering::demand::AskCount;
+use crate::ordering::ledger::{Ledger, LoadTime};
+use crate::ordering::message::{Action, EngineReport, OrderAnswer};
+use crate::ordering::planner::{Planned, Planner};
+use crate::prelude::*;
+use crate::upstreams::HeldModel;
+
+const NOW: Millis = Millis(1_000_000);
+
+fn model(name: &str) -> ModelAsk {
+    ModelAsk {
+        model: name.into(),
+        adapter: None,
+    }
+}
+
+fn adapter(name: &str, adapter: &str) -> ModelAsk {
+    ModelAsk {
+        model: name.into(),
+        adapter: Some(adapter.into()),
+    }
+}
+
+/// A site of engines `e0`, `e1` and so on that hold these models.
+struct Site {
+    spec: EngineSpec,
+    ledger: Ledger,
+    book: Book,
+    ceiling: Ceiling,
+}
+
+impl Site {
+    fn new(spec: EngineSpec, engines: &[&[&str]]) -> Self {
+        let mut ledger = Ledger::default();
+        let id = |n: usize| Name::from(format!("e{n}"));
+        ledger.take_engines((0..engines.len()).map(|n| (id(n), Name::from("s"))));
+        for (n, models) in engines.iter().enumerate() {
+            let held = |name: &&str| HeldModel {
+                name: Name::from(*name),
+                adapters: Vec::new(),
+            };
+            let report = EngineReport {
+                models: models.iter().map(held).collect(),
+                ..EngineReport::default()
+            };
+            ledger.take_report(NOW, &id(n), Some(report));
+        }
+        Self {
+            spec,
+            ledger,
+            book: Book::default(),
+            ceiling: Ceiling::new(Millis(0)),
+        }
+    }
+
+    fn ask(&mut self, host: u64, at: Millis, asks: &[(ModelAsk, AskCount)]) {
+        self.book.take(at, host, asks.to_vec(), Vec::new());
+    }
+
+    fn next(&mut self, now: Millis) -> Option<Planned> {
+        let planner = Planner {
+            now,
+            service: "s",
+            spec: &self.spec,
+            ledger: &self.ledger,
+            book: &self.book,
+            unusable: &IndexSet::new(),
+        };
+        planner.next(&mut self.ceiling)
+    }
+
+    /// Carries out what is planned until nothing is, with engines that accept every order and have not finished.
+    fn plan_all(&mut self) -> Vec<Planned> {
+        let mut all = Vec::new();
+        while let Some(planned) = self.next(NOW) {
+            let Planned {
+                engine,
+                action,
+                ask,
+                makes_way_for,
+                ..
+            } = planned.clone();
+            let order = self
+                .ledger
+                .begin(NOW, &engine, action, ask, makes_way_for)
+                .expect("a known engine");
+            self.ledger.due(NOW);
+            let load = LoadTime {
+                takes_ms: Millis(6_000),
+                from_store: true,
+            };
+            self.ledger
+                .take_answer(NOW, &engine, &order, OrderAnswer::Accepted, load);
+            all.push(planned);
+            assert!(all.len() < 100, "the plan does not end");
+        }
+        all
+    }
+}
+
+fn waiting(requests: u32) -> AskCount {
+    AskCount {
+        asked: requests,
+        waiting: requests,
+        running: 0,
+        tokens: u64::from(requests) * 1_000,
+    }
+}
+
+#[test]
+fn free_memory_is_filled_before_anyone_asks_and_each_model_once() {
+    let mut site = Site::new(
+        spec(100.0, &[50.0, 50.0, 50.0]),
+        &[&["m0"], &["m0"], &["m0"]],
+    );
+    let planned = site.plan_all();
+    let loaded: IndexSet<Name> = planned
+        .iter()
+        .map(|planned| planned.ask.model.clone())
+        .collect();
+    assert_eq!(planned.len(), 2);
+    assert_eq!(loaded.len(), 2);
+}
+
+#[test]
+fn a_burst_at_many_hosts_loads_a_model_once() {
+    let mut site = Site::new(spec(100.0, &[50.0, 60.0]), &[&["m0"], &["m0"], &["m0"]]);
+    for host in 0..8 {
+        site.ask(host, NOW, &[(model("m1"), waiting(1))]);
+    }
+    let planned = site.plan_all();
+    let orders: Vec<_> = planned
+        .iter()
+        .map(|planned| (planned.action, &*planned.ask.model))
+        .collect();
+    assert_eq!(orders, [(Action::Unload, "m0")]);
+    assert_eq!(planned[0].makes_way_for.as_deref(), Some("m1"));
+}
+
+#[test]
+fn a_model_in_use_does_not_make_way_for_one_that_waits() {
+    let mut site = Site::new(spec(60.0, &[50.0, 50.0]), &[&["m0"]]);
+    let running = AskCount {
+        running: 2,
+        ..waiting(0)
+    };
+    site.ask(1, NOW, &[(model("m0"), running), (model("m1"), waiting(3))]);
+    assert_eq!(site.next(NOW), None);
+}
+
+#[test]
+fn what_is_asked_for_least_makes_way() {
+    let mut site = Site::new(spec(60.0, &[50.0, 50.0, 50.0]), &[&["m0"], &["m1"]]);
+    site.ask(
+        1,
+        NOW - Millis(3_000),
+        &[(
+            model("m0"),
+            AskCount {
+                waiting: 0,
+                ..waiting(9)
+            },
+        )],
+    );
+    site.ask(
+        1,
+        NOW - Millis(3_000),
+        &[(
+            model("m1"),
+            AskCount {
+                waiting: 0,
+                ..waiting(1)
+            },
+        )],
+    );
+    site.ask(1, NOW, &[(model("m2"), waiting(1))]);
+    let planned = site.next(NOW).expect("a plan");
+    assert_eq!(
+        (planned.action, &*planned.ask.model),
+        (Action::Unload, "m1")
+    );
+}
+
+#[test]
+fn an_adapter_goes_to_an_engine_with_its_model_and_the_oldest_makes_way() {
+    let mut site = Site::new(spec(200.0, &[50.0]), &[&["m0"]]);
+    for (n, name) in ["a0", "a1", "a2"].iter().enumerate() {
+        let at = NOW - Millis(9_000) + Millis(n as u64 * 1_000);
+        site.ask(1, at, &[(adapter("m0", name), waiting(1))]);
+        let planned = site.next(NOW).expect("a plan");
+        assert_eq!(planned.ask, adapter("m0", name));
+        let order = site
+            .ledger
+            .begin(NOW, &planned.engine, planned.action, planned.ask, None);
+        let order = order.expect("a known engine");
+        site.ledger.take_answer(
+            NOW,
+            "e0",
+            &order,
+            OrderAnswer::Accepted,
+            LoadTime::default(),
+        );
+    }
+    site.ask(1, NOW, &[(adapter("m0", "a3"), waiting(1))]);
+    let planned = site.next(NOW).expect("a plan");
+    assert_eq!(
+        (planned.action, planned.ask),
+        (Action::Unload, adapter("m0", "a0"))
+    );
+}
+
+#[test]
+fn a_busy_model_gets_more_engines() {
+    let mut site = Site::new(spec(100.0, &[34_000.0]), &[&["m0"], &[], &[], &[]]);
+    site.spec.weights_mb = 40_000.0;
+    for step in 0..20 {
+        let at = NOW - Millis(100 * (20 - step));
+        let count = AskCount {
+            asked: 1,
+            waiting: 0,
+            running: 3,
+            tokens: 6_000,
+        };
+        site.ask(1, at, &[(model("m0"), count)]);
+    }
+    let planned = site.plan_all();
+    assert_eq!(planned.len(), 1, "half of the engines at most");
+    assert!(planned.iter().all(|planned| planned.action == Action::Load));
+}
