Learn the weight store's limit from the loads that ran beside one

Cause: the limit fell to one load at once, since it was learned from the loads that were still under way when a slowed one ended.

--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -365,19 +365,19 @@
     };
     let now = host.now();
     let mut orders = host.orders.borrow_mut();
-    let under_way = orders.ledger.store_loads();
     let loaded = orders.ledger.take_report(now, id, report);
     for Loaded {
         model,
         took_ms,
         from_store,
+        beside,
     } in loaded
     {
         if from_store
             && let Some(stated_ms) = stated_load_ms(host, id, &model)
             && let Some(ceiling) = &mut orders.ceiling
         {
-            ceiling.note_done(took_ms, stated_ms, under_way);
+            ceiling.note_done(took_ms, stated_ms, beside);
         }
         let line = LoadedLine {
             upstream: id,
--- a/src/ordering/ceiling.rs
+++ b/src/ordering/ceiling.rs
@@ -12,8 +12,12 @@
 const BURST: f64 = 3.0;
 /// Loads at once before any was measured.
 const FIRST_AT_ONCE: f64 = 4.0;
-/// A load that took less than this factor of its stated time was not slowed by others.
+/// A load that took less than this factor of its stated time was not slowed by others; the report of its end lags by
+/// up to half a second.
 const FULL_SPEED_FACTOR: f64 = 1.15;
+/// By how many loads at once the limit grows with each load at full speed, before and after one was slowed.
+const FIRST_GROWTH: f64 = 0.25;
+const SLOWED_GROWTH: f64 = 0.05;
 /// Most loads at once.
 const MOST_AT_ONCE: f64 = 64.0;
 
@@ -26,6 +30,7 @@
     saved: f64,
     filled_at: Millis,
     at_once: f64,
+    growth: f64,
 }
 
 impl Ceiling {
@@ -35,6 +40,7 @@
             saved: 0.0,
             filled_at: now,
             at_once: FIRST_AT_ONCE,
+            growth: FIRST_GROWTH,
         }
     }
 
@@ -51,14 +57,15 @@
         self.saved -= 1.0;
     }
 
-    /// Learns from a load that took `took_ms` against `stated_ms`, with `under_way` loads at once while it ran.
-    pub fn note_done(&mut self, took_ms: Millis, stated_ms: Millis, under_way: usize) {
+    /// Learns from a load that took `took_ms` against `stated_ms` while `beside` loads ran at most, itself included.
+    pub fn note_done(&mut self, took_ms: Millis, stated_ms: Millis, beside: usize) {
         let factor = took_ms.0 as f64 / stated_ms.0.max(1) as f64;
-        let under_way = under_way.max(1) as f64;
-        if factor > FULL_SPEED_FACTOR * 1.15 {
-            self.at_once = (under_way / factor).max(1.0).min(self.at_once);
-        } else if factor <= FULL_SPEED_FACTOR && under_way >= self.at_once.floor() {
-            self.at_once = (self.at_once + 0.5).min(MOST_AT_ONCE);
+        let beside = beside.max(1) as f64;
+        if factor > FULL_SPEED_FACTOR {
+            self.at_once = (beside / factor).round().max(1.0).min(self.at_once);
+            self.growth = SLOWED_GROWTH;
+        } else if beside >= self.at_once.floor() {
+            self.at_once = (self.at_once + self.growth).min(MOST_AT_ONCE);
         }
     }
 
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -36,6 +36,8 @@
         ready_at: Millis,
         /// Whether the weights come from the weight store.
         from_store: bool,
+        /// How many loads from the weight store ran beside it at most, itself included.
+        beside: usize,
     },
     /// It is being dropped.
     Unloading,
@@ -210,10 +212,14 @@
             .into_iter()
             .filter_map(|(model, copy)| match copy {
                 Copy::Loading {
-                    since, from_store, ..
+                    since,
+                    from_store,
+                    beside,
+                    ..
                 } if self.holds_model(&model) => Some(Loaded {
                     took_ms: now.since(since),
                     from_store,
+                    beside,
                     model,
                 }),
                 _ => None,
@@ -256,6 +262,8 @@
     pub took_ms: Millis,
     /// Whether the weights came from the weight store.
     pub from_store: bool,
+    /// How many loads from the weight store ran beside it at most, itself included.
+    pub beside: usize,
 }
 
 /// The engines by lifetime.
@@ -321,6 +329,25 @@
         copies.filter(from_store).count()
     }
 
+    /// Notes at each load under way how many run beside it.
+    fn count_store_loads(&mut self) {
+        let loads = self.store_loads();
+        let copies = self
+            .engines
+            .values_mut()
+            .flat_map(|engine| engine.copies.values_mut());
+        for copy in copies {
+            if let Copy::Loading {
+                from_store: true,
+                beside,
+                ..
+            } = copy
+            {
+                *beside = loads.max(*beside);
+            }
+        }
+    }
+
     /// Makes an order that is to be sent; the caller sends it and tells the answer. `makes_way_for` is the model that
     /// is to be loaded next in the memory that it frees.
     pub fn begin(
@@ -403,6 +430,7 @@
                 engine.order_count +=
                     u64::from(answer == OrderAnswer::AlreadyDone && is_quick_unload);
                 engine.take_effect(now, order, answer, load);
+                self.count_store_loads();
             }
             OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Invalid => {
                 engine.pending = None;
@@ -512,6 +540,7 @@
                     since: now,
                     ready_at: now + load.takes_ms,
                     from_store: load.from_store,
+                    beside: 1,
                 };
                 self.copies.insert(order.ask.model.clone(), copy);
                 self.was_busy = true;
@@ -546,6 +575,7 @@
                         since: Millis::NEVER,
                         ready_at: Millis::NEVER,
                         from_store: false,
+                        beside: 1,
                     });
                 }
             }
