--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -10,13 +10,15 @@
 use smol::Timer;
 use std::rc::Rc;
 
-/// How long a read waits for a change. A connection may go silent for good without a reset; then only the end
-/// of the wait shows it, and the new read must be made well within the two seconds in which a change is to be
-/// in force. Shorter waits cost more calls.
-const WAIT_MS: Millis = Millis(1_500);
-/// How long a reader rests after a page of changes, so that changes in quick succession come with one call: at most
-/// two calls a second, and a change is known within half a second.
-const PAGE_REST_MS: Millis = Millis(450);
+/// How long a reader of the upstreams rests after a page of changes, so that changes in quick succession come with one
+/// call: fewer than two calls a second, and a change is known within as long.
+const PAGE_REST_MS: Millis = Millis(600);
+/// How long the store may take to answer beyond the wait that it was asked for.
+const ANSWER_MS: Millis = Millis(500);
+/// What is left of the contact time after a rest, a wait and an answer.
+const CONTACT_MARGIN_MS: Millis = Millis(100);
+/// The shortest wait, whatever the platform's bounds.
+const LEAST_WAIT_MS: Millis = Millis(300);
 /// The pauses after failed reads: short first, since a single refusal passes; each refused call is paid too.
 const RETRY_MS: [Millis; 3] = [Millis(100), Millis(250), Millis(500)];
 /// Most pages of one whole read; at 500 rows each, far above any site.
@@ -70,7 +72,7 @@
             Ok(changed) => {
                 note_answer(&mut cursor);
                 if changed {
-                    Timer::after(PAGE_REST_MS.to_duration()).await;
+                    Timer::after(rest_ms(table).to_duration()).await;
                 }
             }
             Err(StoreError::Trimmed) => {
@@ -92,6 +94,21 @@
     }
 }
 
+/// Returns how long a reader rests after changes. Desired states are rare and must be in force soon.
+fn rest_ms(table: Table) -> Millis {
+    match table {
+        Table::Desired => Millis::ZERO,
+        Table::Upstreams => PAGE_REST_MS,
+    }
+}
+
+/// Returns how long a read waits for a change. A connection may go silent for good without a reset; then only the end
+/// of the wait shows it, so rest, wait and answer together fit into the time after which the platform counts this
+/// host as in contact again. Shorter waits cost more calls.
+fn wait_ms(contact_ms: Millis, rest_ms: Millis) -> Millis {
+    (contact_ms - rest_ms - ANSWER_MS - CONTACT_MARGIN_MS).max(LEAST_WAIT_MS)
+}
+
 fn note_answer(cursor: &mut Cursor) {
     if cursor.failures > 1 {
         let table = cursor.table.name();
@@ -142,7 +159,8 @@
     cursor: &mut Cursor,
     from: Offset,
 ) -> Result<bool, StoreError> {
-    let read = host.platform.follow_table(cursor.table, from, WAIT_MS);
+    let wait_ms = wait_ms(host.settings().bounds.contact_ms, rest_ms(cursor.table));
+    let read = host.platform.follow_table(cursor.table, from, wait_ms, ANSWER_MS);
     let TablePage { rows, end, .. } = read.await?;
     cursor.next = Some(end);
     if cursor.table == Table::Upstreams {
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -204,12 +204,13 @@
         after: Option<&str>,
     ) -> impl Future<Output = Result<TablePage, StoreError>>;
 
-    /// Reads the changes of a table from an offset on, waiting at its end.
+    /// Reads the changes of a table from an offset on, waiting at its end; the answer may take `answer_ms` more.
     fn follow_table(
         &self,
         table: Table,
         from: Offset,
         wait_ms: Millis,
+        answer_ms: Millis,
     ) -> impl Future<Output = Result<TablePage, StoreError>>;
 
     /// Joins the group of hosts or keeps this one in it. Returns the group's generation.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -80,6 +80,8 @@
 pub struct PlatformBounds {
     /// How long after a stop was asked for the process is killed.
     pub stop_s: f64,
+    /// How long after trouble with its connections the platform counts a host as in contact again.
+    pub contact_ms: Millis,
     /// Repeated sends for each request, over all hosts.
     pub retry_ratio: f64,
     /// Repeated sends that are allowed besides, over all hosts.
