Let long prompts take turns at an engine, and keep room at the weight store for wanted loads

Change: hosts tell the orderer of long prompts at once and wait for a turn, two fifths of the goal at most; two of the store's places stay free for wanted loads; swaps go on without waiting for the report of an unload.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -160,7 +160,9 @@
     from: Offset,
 ) -> Result<bool, StoreError> {
     let wait_ms = wait_ms(host.settings().bounds.contact_ms, rest_ms(cursor.table));
-    let read = host.platform.follow_table(cursor.table, from, wait_ms, ANSWER_MS);
+    let read = host
+        .platform
+        .follow_table(cursor.table, from, wait_ms, ANSWER_MS);
     let TablePage { rows, end, .. } = read.await?;
     cursor.next = Some(end);
     if cursor.table == Table::Upstreams {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -14,7 +14,7 @@
 use crate::http1::client::within;
 use crate::prelude::*;
 use crate::routing::pick::{self, PromptShape};
-use crate::routing::roles::LONG_PROMPT_TOKENS;
+use crate::routing::roles::is_long;
 use crate::upstreams::Upstream;
 use rapidhash::v3::rapidhash_v3;
 use std::rc::Rc;
@@ -35,6 +35,10 @@
 const STREAM_PATIENCE_MS: Millis = Millis(2_000);
 const STREAM_PATIENCE_GOALS: u64 = 4;
 const STREAM_PATIENCE_GAPS: u64 = 8;
+/// How long a long prompt waits for news of other hosts' long prompts; the orderer answers in a few milliseconds.
+const FRESH_MS: Millis = Millis(15);
+/// How often a long prompt looks whether it is its turn: some steps of an engine, so that there is a pause between two.
+const TURN_LOOK_MS: Millis = Millis(30);
 /// What an upstream needs for the first event once it may have the request: a prompt of some thousand tokens.
 const BEGIN_MARGIN_MS: Millis = Millis(300);
 /// What is left of a request's time for an answer to reach the caller.
@@ -90,6 +94,8 @@
     pub sends: Vec<(Name, &'static str)>,
     /// How long it waited for an upstream.
     pub waited_ms: Millis,
+    /// How long its long prompt waited for its turn.
+    pub turn_ms: Millis,
     /// The final status.
     pub status: u16,
     /// Why it was refused or failed.
@@ -181,6 +187,10 @@
         if tries.sends > 0 && !tries.may_repeat(host, ask) {
             return give_up(host, ask, out, log, tries).await;
         }
+        let upstream = match wait_for_turn(host, ask, &mut tries, log).await {
+            Some(upstream) => upstream,
+            None => upstream,
+        };
         let result = try_upstream(host, ask, &upstream, &mut tries, None).await;
         log.course.sends.push((upstream.clone(), result.name()));
         host.metrics.count_send(result.name());
@@ -312,7 +322,7 @@
             count.asked += 1;
             count.running += 1;
             count.tokens += ask.facts.prompt_tokens;
-            count.long += u32::from(ask.facts.prompt_tokens >= LONG_PROMPT_TOKENS);
+            count.long += u32::from(is_long(ask.facts.prompt_tokens));
         }
         Self { host, ask }
     }
@@ -506,6 +516,51 @@
     }
 }
 
+/// Lets a long prompt wait until no other one is being read at the engine that it goes to, and returns the engine that
+/// is best then.
+///
+/// An engine reads long prompts in pieces between the steps of its streams. Two that follow each other without a pause
+/// hold every stream there up for longer than the gap that is on time, and are ready no sooner than one after the
+/// other. Hosts know of each other's long prompts through the orderer, which is asked first.
+async fn wait_for_turn<P: Platform>(
+    host: &Host<P>,
+    ask: &Ask,
+    tries: &mut Tries,
+    log: &mut CourseLog<'_, P>,
+) -> Option<Name> {
+    if !ask.at_engine || !is_long(ask.facts.prompt_tokens) || tries.sends > 0 {
+        return None;
+    }
+    let began_at = host.now();
+    let until = began_at + Millis(ask.route.goal_ms.0 * 2 / 5);
+    let until = until.min(ask.begins_by - BEGIN_MARGIN_MS);
+    let answers = host.view.borrow().answers;
+    host.note_want();
+    loop {
+        let change = host.next_change();
+        let upstream = choose(host, ask, tries)?;
+        let now = host.now();
+        let view = host.view.borrow();
+        // The orderer's answer takes a few milliseconds; without one the choice is by what is known.
+        let is_fresh = view.answers > answers || now.since(began_at) >= FRESH_MS;
+        let own = host
+            .upstreams
+            .borrow()
+            .get(&upstream)
+            .map_or(0, |up| up.long_prompts);
+        let is_free = own + view.work(&upstream).long_prompts == 0;
+        drop(view);
+        if (is_fresh && is_free) || now >= until {
+            log.course.turn_ms += now.since(began_at);
+            return Some(upstream);
+        }
+        within(TURN_LOOK_MS, change).await;
+        if is_fresh {
+            host.note_want();
+        }
+    }
+}
+
 /// Returns until when a request does well to wait for an upstream, or the refusal when it cannot be in time.
 fn patient_until<P: Platform>(
     host: &Host<P>,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -10,6 +10,7 @@
 use crate::entry::pool::Pool;
 use crate::entry::settings::EntrySettings;
 use crate::entry::stop::ACCEPT_ON_MS;
+use crate::http1::client::within;
 use crate::ordering::view::View;
 use crate::prelude::*;
 use crate::retry::RetryBudget;
@@ -54,6 +55,7 @@
     pub active_requests: Cell<u32>,
     /// Connections of callers that are open.
     pub caller_connections: Cell<usize>,
+    has_news: Cell<bool>,
     changed: Wakeup,
     wanted: Wakeup,
     stopping: Wakeup,
@@ -86,6 +88,7 @@
             stop_asked_at: Cell::new(None),
             active_requests: Cell::new(0),
             caller_connections: Cell::new(0),
+            has_news: Cell::new(false),
             changed: Wakeup::new(),
             wanted: Wakeup::new(),
             stopping: Wakeup::new(),
@@ -129,11 +132,21 @@
         self.changed.listen()
     }
 
-    /// Wakes the task that speaks with the orderer: a request waits for a model.
+    /// Wakes the task that speaks with the orderer: there is something that cannot wait for the next turn.
     pub fn note_want(&self) {
+        self.has_news.set(true);
         self.wanted.notify(usize::MAX);
     }
 
+    /// Waits until something is to be told to the orderer, or for a while.
+    pub async fn wait_for_news(&self, at_most_ms: Millis) {
+        let wanted = self.wanted.listen();
+        if !self.has_news.get() {
+            within(at_most_ms, wanted).await;
+        }
+        self.has_news.set(false);
+    }
+
     /// Returns what wakes when a request begins to wait for a model.
     pub fn next_want(&self) -> EventListener {
         self.wanted.listen()
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -37,6 +37,7 @@
 /// [`SYNC_HOSTS`] hosts; with more, less often in proportion, so that the orderer's work stays the same.
 const SYNC_MS: u64 = 250;
 const WAITING_SYNC_MS: u64 = 30;
+const LEAST_SYNC_MS: u64 = 4;
 const SYNC_HOSTS: usize = 24;
 
 /// The state of ordering at one host.
@@ -402,6 +403,7 @@
     let unusable = unusable(host, now);
     let mut orders = host.orders.borrow_mut();
     orders.book.expire(now);
+    orders.ledger.assume_unloaded(now);
     let Orders {
         ledger,
         book,
@@ -573,15 +575,14 @@
     specs.flatten().collect()
 }
 
-/// Tells the orderer this host's demand, and takes what it says, again and again.
+/// Tells the orderer this host's demand, and takes what it says, again and again: at once when a request waits for a
+/// model or a long prompt begins or ends, else now and then.
 pub async fn sync<P: Platform>(host: Rc<Host<P>>, peers: Rc<Peers>, me: Member) {
     let mut waited_for = false;
     loop {
         let interval_ms = interval_ms(&host, waited_for);
-        match waited_for {
-            true => drop(Timer::after(interval_ms.to_duration()).await),
-            false => drop(within(interval_ms, host.next_want()).await),
-        }
+        Timer::after(least_interval_ms(&host).to_duration()).await;
+        host.wait_for_news(interval_ms).await;
         let ask = sync_ask(&host, &me);
         waited_for = ask.demand.iter().any(|(_, count)| count.waiting > 0);
         let (holds, orderer) = {
@@ -600,6 +601,11 @@
     }
 }
 
+fn least_interval_ms<P: Platform>(host: &Host<P>) -> Millis {
+    let factor = host.members.borrow().count().div_ceil(SYNC_HOSTS) as u64;
+    Millis(LEAST_SYNC_MS * factor)
+}
+
 fn interval_ms<P: Platform>(host: &Host<P>, waited_for: bool) -> Millis {
     let hosts = host.members.borrow().count();
     let factor = hosts.div_ceil(SYNC_HOSTS) as u64;
@@ -615,6 +621,7 @@
     let work = busy.map(|upstream| {
         let work = Work {
             prompt_tokens: upstream.prompt_tokens,
+            long_prompts: upstream.long_prompts,
             running: upstream.in_flight,
         };
         (upstream.entry.id.clone(), work)
@@ -652,6 +659,7 @@
             }
             view.take_work(work);
             view.take_ready(now, ready_in_ms);
+            view.answers += 1;
             drop(view);
             host.note_change();
         }
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -9,6 +9,7 @@
 use crate::http1::client::{MAX_HEAD_BYTES, within};
 use crate::http1::{BodyReader, Framing, Headers, ReadError, ResponseHead};
 use crate::prelude::*;
+use crate::routing::roles::is_long;
 use crate::upstreams::Registry;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -84,6 +85,7 @@
         if let Some(view) = registry.borrow_mut().get_mut(upstream) {
             view.in_flight += 1;
             view.prompt_tokens += prompt_tokens;
+            view.long_prompts += u32::from(is_long(prompt_tokens));
         }
         Self {
             registry,
@@ -97,6 +99,8 @@
         let prompt_tokens = std::mem::take(&mut self.prompt_tokens);
         if let Some(view) = self.registry.borrow_mut().get_mut(&self.upstream) {
             view.prompt_tokens = view.prompt_tokens.saturating_sub(prompt_tokens);
+            let long_prompts = u32::from(is_long(prompt_tokens));
+            view.long_prompts = view.long_prompts.saturating_sub(long_prompts);
         }
     }
 }
@@ -143,6 +147,9 @@
     };
     attempt.reused = connection.is_reused;
     let mut in_flight = InFlight::new(host.upstreams.clone(), upstream, ask.facts.prompt_tokens);
+    if is_long(ask.facts.prompt_tokens) {
+        host.note_want();
+    }
     let exchange = exchange(host, ask, &mut connection, headers, &mut in_flight);
     let left_ms = answer_by.since(host.now());
     let answer = within(left_ms, exchange).await;
@@ -275,6 +282,9 @@
         begun.extend_from_slice(&piece);
     }
     in_flight.note_first_byte();
+    if is_long(ask.facts.prompt_tokens) {
+        host.note_want();
+    }
     let is_short = matches!(head.framing, Framing::Length(length) if length <= WHOLE_BYTES);
     if !ask.route.streams || is_short || head.status != 200 {
         read_whole(&mut reader, connection, &mut begun).await?;
--- a/src/ordering/book.rs
+++ b/src/ordering/book.rs
@@ -114,6 +114,12 @@
         self.asked.get(ask).copied().unwrap_or_default()
     }
 
+    /// Tells whether anything was asked for within a time.
+    pub fn is_asked_of_late(&self, now: Millis, within_ms: Millis) -> bool {
+        let mut last = self.asked.values().filter_map(|asked| asked.last_at);
+        last.any(|at| now.since(at) < within_ms)
+    }
+
     /// Returns all that was asked for.
     pub fn iter(&self) -> impl Iterator<Item = (&ModelAsk, &Asked)> {
         self.asked.iter()
@@ -146,6 +152,7 @@
             for (upstream, work) in &counts.work {
                 let sum = all.entry(upstream.clone()).or_default();
                 sum.prompt_tokens += work.prompt_tokens;
+                sum.long_prompts += work.long_prompts;
                 sum.running += work.running;
             }
         }
--- a/src/ordering/ceiling.rs
+++ b/src/ordering/ceiling.rs
@@ -18,6 +18,8 @@
 /// By how many loads at once the limit grows with each load at full speed, before and after one was slowed.
 const FIRST_GROWTH: f64 = 0.25;
 const SLOWED_GROWTH: f64 = 0.05;
+/// Loads at once that are kept for models that are asked for: a load under way holds its place for seconds.
+const KEPT_FREE: usize = 2;
 /// Most loads at once.
 const MOST_AT_ONCE: f64 = 64.0;
 
@@ -52,6 +54,19 @@
         self.saved >= 1.0 && (under_way as f64) < self.at_once.floor()
     }
 
+    /// Tells whether a load that nobody waits for may begin: while models are asked for, some room is left for loads that
+    /// are wanted.
+    pub fn admits_spare(
+        &mut self,
+        now: Millis,
+        loads_per_s: f64,
+        under_way: usize,
+        are_models_asked_for: bool,
+    ) -> bool {
+        let kept_free = if are_models_asked_for { KEPT_FREE } else { 0 };
+        self.admits(now, loads_per_s, under_way + kept_free)
+    }
+
     /// Counts a load that begins.
     pub fn note_begun(&mut self) {
         self.saved -= 1.0;
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -14,6 +14,11 @@
 /// How long an adapter takes from the acceptance of its order until the engine runs requests with it, when few are on
 /// their way: it is fetched in 5 to 7 ms.
 const ADAPTER_MS: Millis = Millis(9);
+/// How long after the stated time a load from disk is taken for done.
+const READY_MARGIN_MS: Millis = Millis(25);
+/// How long an unload of a model that nobody uses takes; the next order is tried then, and refused by an engine that
+/// is not done.
+const UNLOAD_MS: Millis = Millis(130);
 /// How often an engine's report is read while an order's outcome is waited for, and otherwise. A report costs about
 /// a sixth of an order.
 const BUSY_REPORT_MS: Millis = Millis(250);
@@ -43,6 +48,22 @@
     Unloading,
 }
 
+impl Copy {
+    /// Tells whether the copy can run, as far as that can be told. A load from the engine's own disk takes the stated
+    /// time, and the report of its end lags by some hundred milliseconds; an engine that is not ready says so.
+    pub fn should_run(&self, now: Millis) -> bool {
+        match self {
+            Self::Held => true,
+            Self::Loading {
+                ready_at,
+                from_store: false,
+                ..
+            } => *ready_at != Millis::NEVER && now >= *ready_at + READY_MARGIN_MS,
+            Self::Loading { .. } | Self::Unloading => false,
+        }
+    }
+}
+
 /// An order that was made and of which the outcome is not known.
 #[derive(Clone, Debug)]
 pub struct Pending {
@@ -81,6 +102,7 @@
     pub in_report: bool,
     order_count: u64,
     is_doubtful: bool,
+    unloaded_at: Option<Millis>,
     rests_until: Millis,
     /// When its report is to be read next.
     pub report_at: Millis,
@@ -102,6 +124,7 @@
             in_report: false,
             order_count: 0,
             is_doubtful: false,
+            unloaded_at: None,
             rests_until: Millis::ZERO,
             report_at: Millis::ZERO,
             was_busy: false,
@@ -123,6 +146,17 @@
         self.was_busy || self.copies.values().any(changes)
     }
 
+    /// Takes an unload for done when it should be: the engine refuses the next order if it is not.
+    fn assume_unloaded(&mut self, now: Millis) -> bool {
+        let is_due = self.unloaded_at.is_some_and(|at| now >= at);
+        if is_due {
+            self.unloaded_at = None;
+            self.was_busy = false;
+            self.copies.retain(|_, copy| *copy != Copy::Unloading);
+        }
+        is_due
+    }
+
     /// Tells whether a model on the engine can run.
     pub fn holds_model(&self, model: &str) -> bool {
         matches!(self.copies.get(model), Some(Copy::Held))
@@ -185,6 +219,7 @@
         self.order_count = report.order_count;
         self.is_known = true;
         self.is_doubtful = false;
+        self.unloaded_at = None;
         self.was_busy = report.busy;
         let is_waited_for = report.busy || self.pending.is_some();
         self.report_at = now
@@ -291,6 +326,13 @@
         }
     }
 
+    /// Takes unloads for done that should be.
+    pub fn assume_unloaded(&mut self, now: Millis) {
+        for engine in self.engines.values_mut() {
+            self.version += u64::from(engine.assume_unloaded(now));
+        }
+    }
+
     /// Returns an engine.
     pub fn get(&self, id: &str) -> Option<&Engine> {
         self.engines.get(id)
@@ -435,6 +477,10 @@
             OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Invalid => {
                 engine.pending = None;
                 engine.undo(order);
+                if order.action == Action::Load && order.ask.adapter.is_none() {
+                    // The unload before it is not done; the memory is still meant for this model.
+                    engine.intended = Some((order.ask.model.clone(), now + INTENDED_MS));
+                }
                 engine.is_doubtful = true;
                 engine.report_at = now;
                 engine.rests_until = now + Millis(100);
@@ -507,7 +553,7 @@
     fn view(&self, now: Millis) -> EngineView {
         let held = self.copies.iter();
         let models = held
-            .filter(|(_, copy)| matches!(copy, Copy::Held))
+            .filter(|(_, copy)| copy.should_run(now))
             .map(|(model, _)| ModelAsk {
                 model: model.clone(),
                 adapter: None,
@@ -553,9 +599,10 @@
                     false => {
                         self.copies.insert(order.ask.model.clone(), Copy::Unloading);
                         self.was_busy = true;
+                        self.unloaded_at = Some(now + UNLOAD_MS);
                     }
                 }
-                self.report_at = now + Millis(250);
+                self.report_at = now + BUSY_REPORT_MS;
             }
         }
     }
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -406,6 +406,7 @@
     fn spare_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
         let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
         let engines: Vec<&Engine> = self.free_engines().filter(unclaimed).collect();
+        let asked = self.book.is_asked_of_late(self.now, RECENT_MS);
         let missing = self.spec.models.iter().filter(|(model, _)| {
             !self
                 .engines()
@@ -422,7 +423,12 @@
             let Some(engine) = place else { continue };
             let is_at_hand = engine.at_hand.contains(model);
             if !is_at_hand
-                && !ceiling.admits(self.now, self.spec.loads_per_s, self.ledger.store_loads())
+                && !ceiling.admits_spare(
+                    self.now,
+                    self.spec.loads_per_s,
+                    self.ledger.store_loads(),
+                    asked,
+                )
             {
                 return None;
             }
--- a/src/ordering/tests/ledger.rs
+++ b/src/ordering/tests/ledger.rs
@@ -55,6 +55,7 @@
     fn plan(&mut self) {
         let listed = self.engines.keys().map(|id| (id.clone(), Name::from("s")));
         self.ledger.take_engines(listed);
+        self.ledger.assume_unloaded(self.now);
         let spec = spec(CAPACITY_MB, &SIZES_MB);
         for _ in 0..8 {
             let planner = Planner {
--- a/src/ordering/view.rs
+++ b/src/ordering/view.rs
@@ -5,7 +5,7 @@
 use crate::routing::pick::Work;
 
 /// How long an engine is passed over for a model that it said it lacks: about the age of what hosts know.
-const LACKING_MS: Millis = Millis(1_000);
+const LACKING_MS: Millis = Millis(150);
 
 /// What one engine holds, as the orderer knows it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -21,10 +21,10 @@
 pub struct View {
     /// The version of what the engines hold; a new orderer's is higher.
     pub version: (u64, u64),
-    /// Where the orderer is.
-    pub orderer: Option<std::net::SocketAddr>,
     /// When the orderer answered last.
     pub answered_at: Option<Millis>,
+    /// How often it answered.
+    pub answers: u64,
     engines: IndexMap<Name, IndexSet<ModelAsk>>,
     work: IndexMap<Name, Work>,
     ready_at: IndexMap<ModelAsk, Millis>,
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -6,7 +6,7 @@
 //! model, and a request leaves it when waiting there costs more than reading the beginning elsewhere.
 
 use crate::prelude::*;
-use crate::routing::roles::{LONG_PROMPT_TOKENS, short_copies};
+use crate::routing::roles::{is_long, short_copies};
 use crate::upstreams::Upstream;
 use rapidhash::v3::rapidhash_v3;
 
@@ -29,6 +29,8 @@
 pub struct Work {
     /// Prompt tokens of requests without a first event.
     pub prompt_tokens: u64,
+    /// How many of these requests have long prompts.
+    pub long_prompts: u32,
     /// Requests under way.
     pub running: u32,
 }
@@ -54,7 +56,7 @@
     let holders: Vec<_> = candidates.collect();
     let ids = holders.iter().map(|(upstream, _)| &upstream.entry.id);
     let short_copies = short_copies(model, ids);
-    let is_long = prompt.tokens >= LONG_PROMPT_TOKENS;
+    let is_long = is_long(prompt.tokens);
     let is_off_role = |id: &Name| !short_copies.is_empty() && short_copies.contains(&id) == is_long;
     let candidates: Vec<_> = holders
         .iter()
--- a/src/routing/roles.rs
+++ b/src/routing/roles.rs
@@ -9,7 +9,12 @@
 use crate::routing::pick::affinity;
 
 /// A prompt of at least so many tokens is long: a large model reads it in some 65 ms, the time of several steps.
-pub const LONG_PROMPT_TOKENS: u64 = 2_500;
+const LONG_PROMPT_TOKENS: u64 = 2_500;
+/// Tells whether a prompt of so many tokens is long.
+pub fn is_long(prompt_tokens: u64) -> bool {
+    prompt_tokens >= LONG_PROMPT_TOKENS
+}
+
 /// Of so many copies one is kept for short prompts: these are about a tenth of the tokens.
 const COPIES_FOR_EACH_SHORT: usize = 3;
 
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -23,8 +23,8 @@
     pub in_flight: u32,
     /// Prompt tokens of this host's requests there that have no first event yet.
     pub prompt_tokens: u64,
-    /// Connections of this host that are open there.
-    pub connections: u32,
+    /// How many of these requests have long prompts.
+    pub long_prompts: u32,
     vanished_at: Option<Millis>,
 }
 
@@ -105,7 +105,7 @@
                     health: Health::default(),
                     in_flight: 0,
                     prompt_tokens: 0,
-                    connections: 0,
+                    long_prompts: 0,
                     vanished_at: None,
                 };
                 self.upstreams.insert(upstream.entry.id.clone(), upstream);
