Refuse waiting requests of a stopping host, read the list of upstreams less often, pause after repeated trims

The test of a trimmed list spun: a store that answers 'trimmed' to each read was asked without pause. Change: a stopping host refuses what waits at once; readers rest two fifths of the contact time after a page of changes and wait the rest of it; members are read every 1.8 s at most; a second trim in a row pauses. Tests of the entry host with a platform in memory and scripted upstreams; the stop and the trim test failed first.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -10,9 +10,9 @@
 use smol::Timer;
 use std::rc::Rc;
 
-/// How long a reader of the upstreams rests after a page of changes, so that changes in quick succession come with one
-/// call: fewer than two calls a second, and a change is known within as long.
-const PAGE_REST_MS: Millis = Millis(600);
+/// For which part of the contact time a reader of the upstreams rests after a page of changes, so that changes in quick
+/// succession come with one call. Desired states are rare and must be in force soon; they are read at once.
+const REST_PART: f64 = 0.4;
 /// How long the store may take to answer beyond the wait that it was asked for.
 const ANSWER_MS: Millis = Millis(500);
 /// What is left of the contact time after a rest, a wait and an answer.
@@ -30,6 +30,8 @@
     next: Option<Offset>,
     written_at: IndexMap<Name, Offset>,
     failures: usize,
+    trims: usize,
+    rested_ms: Millis,
 }
 
 #[derive(Serialize)]
@@ -62,6 +64,8 @@
         next: None,
         written_at: IndexMap::new(),
         failures: 0,
+        trims: 0,
+        rested_ms: Millis::ZERO,
     };
     loop {
         let read = match cursor.next {
@@ -71,8 +75,9 @@
         match read {
             Ok(changed) => {
                 note_answer(&mut cursor);
-                if changed {
-                    Timer::after(rest_ms(table).to_duration()).await;
+                if changed && table == Table::Upstreams {
+                    cursor.rested_ms = rest_ms(host.settings().bounds.contact_ms);
+                    Timer::after(cursor.rested_ms.to_duration()).await;
                 }
             }
             Err(StoreError::Trimmed) => {
@@ -84,6 +89,11 @@
                     },
                 );
                 cursor.next = None;
+                cursor.trims += 1;
+                // A store that has dropped the history again and again is not asked without pause.
+                if cursor.trims > 1 {
+                    Timer::after(RETRY_MS[0].to_duration()).await;
+                }
             }
             Err(error) => {
                 note_failure(&mut cursor, &error);
@@ -94,12 +104,8 @@
     }
 }
 
-/// Returns how long a reader rests after changes. Desired states are rare and must be in force soon.
-fn rest_ms(table: Table) -> Millis {
-    match table {
-        Table::Desired => Millis::ZERO,
-        Table::Upstreams => PAGE_REST_MS,
-    }
+fn rest_ms(contact_ms: Millis) -> Millis {
+    Millis((contact_ms.0 as f64 * REST_PART) as u64)
 }
 
 /// Returns how long a read waits for a change. A connection may go silent for good without a reset; then only the end
@@ -159,12 +165,14 @@
     cursor: &mut Cursor,
     from: Offset,
 ) -> Result<bool, StoreError> {
-    let wait_ms = wait_ms(host.settings().bounds.contact_ms, rest_ms(cursor.table));
+    let contact_ms = host.settings().bounds.contact_ms;
+    let wait_ms = wait_ms(contact_ms, std::mem::take(&mut cursor.rested_ms));
     let read = host
         .platform
         .follow_table(cursor.table, from, wait_ms, ANSWER_MS);
     let TablePage { rows, end, .. } = read.await?;
     cursor.next = Some(end);
+    cursor.trims = 0;
     if cursor.table == Table::Upstreams {
         host.upstreams.borrow_mut().note_heard(host.now());
     }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -505,6 +505,10 @@
             return Ok(());
         }
         let now = host.now();
+        if host.is_stopping() {
+            let why = "this host stops, and no upstream could take the request at once";
+            return Err(Refusal::new(ErrorKind::Stopping, why).after(Millis::ZERO));
+        }
         let until = until.max(patient_until(host, ask, began_at)?);
         if now >= until {
             log.course.waited_ms += now.since(began_at);
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -13,6 +13,8 @@
 const JOIN_INTERVAL_MS: Millis = Millis(1_000);
 /// How long a silent member stays: two lost renewals are borne.
 const LAPSE_MS: Millis = Millis(3_000);
+/// How often the group is read at most: when many hosts start, each of them changes it.
+const READ_MS: Millis = Millis(1_800);
 /// The least time between two tries after a failure: a refused call is paid too.
 const RETRY_MS: Millis = Millis(500);
 
@@ -62,6 +64,7 @@
 pub struct Members {
     generation: u64,
     list: IndexSet<Member>,
+    read_at: Option<Millis>,
 }
 
 impl Members {
@@ -138,14 +141,17 @@
 async fn renew<P: Platform>(host: &Host<P>, name: &str) -> Result<(), StoreError> {
     let known = host.members.borrow().generation;
     let generation = host.platform.join(name, known, LAPSE_MS).await?;
-    if generation != known || host.members.borrow().list.is_empty() {
+    let now = host.now();
+    let read_at = host.members.borrow().read_at;
+    let is_due = read_at.is_none_or(|at| now.since(at) >= READ_MS);
+    if generation != known && is_due {
         let names = host.platform.members().await?;
-        take(host, generation, &names);
+        take(host, now, generation, &names);
     }
     Ok(())
 }
 
-fn take<P: Platform>(host: &Host<P>, generation: u64, names: &IndexSet<Name>) {
+fn take<P: Platform>(host: &Host<P>, now: Millis, generation: u64, names: &IndexSet<Name>) {
     let list: IndexSet<Member> = names
         .iter()
         .filter_map(|name| Member::from_text(name))
@@ -165,7 +171,11 @@
     if !line.joined.is_empty() || !line.left.is_empty() {
         lines::write(LogEvent::MembersChanged, &line);
     }
-    *members = Members { generation, list };
+    *members = Members {
+        generation,
+        list,
+        read_at: Some(now),
+    };
     drop(members);
     host.accept_listed();
 }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,1 +1,9 @@
-//! Tests of the entry host.
+//! An entry host over loopback sockets, with a platform that lives in memory and upstreams that follow a script.
+
+mod answers;
+mod callers;
+mod fake_platform;
+mod fake_upstream;
+mod follow;
+mod site;
+mod stop;
--- /dev/null
+++ b/src/entry/tests/fake_platform.rs
@@ -0,0 +1,222 @@
+//! A platform in memory: tables, a group and a stream of leases that several hosts share.
+
+use crate::desired::DesiredState;
+use crate::entry::platform::*;
+use crate::http1::{Headers, RequestHead, ResponseHead};
+use crate::ordering::message::{EngineReport, Order, OrderAnswer};
+use crate::prelude::*;
+use crate::upstreams::UpstreamEntry;
+use event_listener::Event as Wakeup;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What the hosts of a test share.
+#[derive(Default)]
+pub struct FakeStore {
+    desired: RefCell<Vec<DesiredState>>,
+    upstreams: RefCell<Vec<(Name, Option<UpstreamEntry>)>>,
+    members: RefCell<IndexSet<Name>>,
+    leases: RefCell<Vec<Vec<u8>>>,
+    /// Whether every call is refused.
+    pub is_down: Cell<bool>,
+    /// The first upstream record that is still kept.
+    pub kept_from: Cell<u64>,
+    changed: Wakeup,
+}
+
+impl FakeStore {
+    /// Writes a desired state.
+    pub fn order(&self, state: DesiredState) {
+        self.desired.borrow_mut().push(state);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Writes or removes the entry of an upstream.
+    pub fn list(&self, id: &str, entry: Option<UpstreamEntry>) {
+        self.upstreams.borrow_mut().push((id.into(), entry));
+        self.changed.notify(usize::MAX);
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        match self.is_down.get() {
+            true => Err(StoreError::Refused { status: 503 }),
+            false => Ok(()),
+        }
+    }
+
+    fn rows(&self, table: Table) -> Vec<TableRow> {
+        let row = |(at, key, value): (usize, Name, RowValue)| TableRow {
+            key,
+            offset: Offset(at as u64),
+            value,
+        };
+        match table {
+            Table::Desired => {
+                let desired = self.desired.borrow();
+                let values = desired.iter().enumerate();
+                values
+                    .map(|(at, state)| row((at, "config".into(), RowValue::Desired(state.clone()))))
+                    .collect()
+            }
+            Table::Upstreams => {
+                let upstreams = self.upstreams.borrow();
+                let values = upstreams.iter().enumerate();
+                values
+                    .map(|(at, (id, entry))| {
+                        let value = entry.clone().map_or(RowValue::Removed, RowValue::Upstream);
+                        row((at, id.clone(), value))
+                    })
+                    .collect()
+            }
+        }
+    }
+}
+
+/// One host's access to the platform.
+pub struct FakePlatform(pub Rc<FakeStore>);
+
+impl Platform for FakePlatform {
+    fn read_request(&self, headers: &Headers) -> RequestFacts {
+        RequestFacts {
+            id: headers.text("Id").map(Name::from),
+            wait_ms: headers.number("Wait-Ms").map(Millis),
+            ..RequestFacts::default()
+        }
+    }
+
+    fn address_request(&self, headers: &mut Headers, facts: &SendFacts<'_>) {
+        headers.remove("Reserved");
+        headers.remove("Wait-Ms");
+        headers.push("Wait-Ms", &facts.left_ms.0.to_string());
+        headers.push("Upstream", facts.upstream);
+        if let Some(event) = facts.resume_after {
+            headers.push("Resume-After", event);
+        }
+    }
+
+    fn read_answer(&self, head: &ResponseHead, expected: &str) -> AnswerFacts {
+        let lifetime = head.headers.text("Lifetime").filter(|own| *own != expected);
+        AnswerFacts {
+            request_id: head.headers.text("Id").map(Name::from),
+            is_sealed: head.headers.bytes("Seal").is_some(),
+            not_run: head.headers.bytes("Not-Run").is_some(),
+            other_lifetime: lifetime.filter(|_| head.status == 421).map(Name::from),
+            lacks_model: false,
+        }
+    }
+
+    fn own_answer(&self, request_id: Option<&str>) -> Headers {
+        let mut headers = Headers::default();
+        headers.push("Id", request_id.unwrap_or("none"));
+        headers
+    }
+
+    fn read_directory(&self, _head: &RequestHead) -> Option<DirectoryQuestion> {
+        Some(DirectoryQuestion::default())
+    }
+
+    fn write_directory(&self, addresses: &[SocketAddr], _ttl_ms: Millis) -> Vec<u8> {
+        format!("{addresses:?}").into_bytes()
+    }
+
+    fn asks_ready(&self, _head: &RequestHead) -> bool {
+        true
+    }
+
+    async fn read_table(
+        &self,
+        table: Table,
+        _after: Option<&str>,
+    ) -> Result<TablePage, StoreError> {
+        self.0.check()?;
+        let rows = self.0.rows(table);
+        let end = Offset(rows.len() as u64);
+        let newest: IndexMap<Name, TableRow> =
+            rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        Ok(TablePage {
+            rows: newest
+                .into_values()
+                .filter(|row| row.value != RowValue::Removed)
+                .collect(),
+            end,
+            more_after: None,
+        })
+    }
+
+    async fn follow_table(
+        &self,
+        table: Table,
+        from: Offset,
+        _wait_ms: Millis,
+        _answer_ms: Millis,
+    ) -> Result<TablePage, StoreError> {
+        loop {
+            let changed = self.0.changed.listen();
+            self.0.check()?;
+            if table == Table::Upstreams && from.0 < self.0.kept_from.get() {
+                return Err(StoreError::Trimmed);
+            }
+            let rows = self.0.rows(table);
+            let end = Offset(rows.len() as u64);
+            if end > from {
+                let rows = rows.into_iter().skip(from.0 as usize).collect();
+                return Ok(TablePage {
+                    rows,
+                    end,
+                    more_after: None,
+                });
+            }
+            changed.await;
+        }
+    }
+
+    async fn join(
+        &self,
+        member: &str,
+        _generation: u64,
+        _lapse_ms: Millis,
+    ) -> Result<u64, StoreError> {
+        self.0.check()?;
+        let mut members = self.0.members.borrow_mut();
+        members.insert(member.into());
+        Ok(members.len() as u64)
+    }
+
+    async fn leave(&self, member: &str) -> Result<(), StoreError> {
+        self.0.members.borrow_mut().shift_remove(member);
+        Ok(())
+    }
+
+    async fn members(&self) -> Result<IndexSet<Name>, StoreError> {
+        Ok(self.0.members.borrow().clone())
+    }
+
+    async fn append_lease(&self, end: Offset, record: &[u8]) -> Result<AppendOutcome, StoreError> {
+        self.0.check()?;
+        let mut leases = self.0.leases.borrow_mut();
+        let present = Offset(leases.len() as u64);
+        if end != present {
+            return Ok(AppendOutcome::EndMoved(present));
+        }
+        leases.push(record.to_vec());
+        Ok(AppendOutcome::Appended(present))
+    }
+
+    async fn read_leases(&self, _from: Offset) -> Result<StreamEnd, StoreError> {
+        self.0.check()?;
+        let leases = self.0.leases.borrow();
+        Ok(StreamEnd {
+            end: Offset(leases.len() as u64),
+            newest: leases.last().cloned(),
+        })
+    }
+
+    async fn order(&self, _: SocketAddr, _: &str, _: &str, _: u64, _: &Order) -> OrderAnswer {
+        OrderAnswer::Invalid
+    }
+
+    async fn report(&self, _: SocketAddr, _: &str) -> Option<EngineReport> {
+        None
+    }
+}
--- /dev/null
+++ b/src/entry/tests/fake_upstream.rs
@@ -0,0 +1,108 @@
+//! Upstreams that answer each request by a script and remember what reached them.
+
+use crate::http1::{BodyReader, Connection, RequestHead};
+use futures_lite::AsyncWriteExt;
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What an upstream does with a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Writes bytes; `{id}` stands for the request's id.
+    Write(&'static str),
+    /// Waits until the test allows it to go on.
+    Wait(Rc<Cell<bool>>),
+    /// Closes the connection.
+    Close,
+    /// Says nothing until the caller's side closes.
+    Hang,
+}
+
+/// A request that reached an upstream.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// An upstream.
+pub struct FakeUpstream {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The requests that reached it.
+    pub arrivals: Rc<RefCell<Vec<Arrival>>>,
+    /// Connections that the other side closed while it said nothing.
+    pub left: Rc<RefCell<usize>>,
+}
+
+impl FakeUpstream {
+    /// Starts an upstream. Each request takes the next script; the last one is repeated.
+    pub async fn start(executor: &Rc<LocalExecutor<'static>>, scripts: Vec<Vec<Step>>) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0))
+            .await
+            .expect("a free port");
+        let upstream = Self {
+            address: listener.local_addr().expect("an address"),
+            arrivals: Rc::default(),
+            left: Rc::default(),
+        };
+        let arrivals = upstream.arrivals.clone();
+        let left = upstream.left.clone();
+        let tasks = executor.clone();
+        let accept = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let serve = serve(stream, arrivals.clone(), left.clone(), scripts.clone());
+                tasks.spawn(serve).detach();
+            }
+        };
+        executor.spawn(accept).detach();
+        upstream
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    arrivals: Rc<RefCell<Vec<Arrival>>>,
+    left: Rc<RefCell<usize>>,
+    scripts: Vec<Vec<Step>>,
+) {
+    let mut connection = Connection::new(stream);
+    while let Ok(Some(head)) = connection.read_request_head(16 << 10).await {
+        let mut reader = BodyReader::new(head.framing);
+        let mut body = Vec::new();
+        while let Ok(Some(piece)) = reader.next(&mut connection).await {
+            body.extend(piece);
+        }
+        let id = head.headers.text("Id").unwrap_or_default().to_string();
+        let nth = arrivals.borrow().len().min(scripts.len() - 1);
+        arrivals.borrow_mut().push(Arrival { head, body });
+        for step in &scripts[nth] {
+            match step {
+                Step::Write(text) => {
+                    let text = text.replace("{id}", &id);
+                    let mut writer = connection.stream().clone();
+                    if writer.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                Step::Wait(may_go_on) => {
+                    while !may_go_on.get() {
+                        Timer::after(Duration::from_millis(1)).await;
+                    }
+                }
+                Step::Close => return,
+                Step::Hang => {
+                    while connection.read_more().await.is_ok() {}
+                    *left.borrow_mut() += 1;
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/tests/follow.rs
@@ -0,0 +1,61 @@
+//! Desired states and upstreams as the host follows them, through trims and outages of the store.
+
+use super::site::{entry, on_site, route};
+use crate::desired::{Repeat, Route};
+use std::net::SocketAddr;
+
+fn nowhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+#[test]
+fn an_older_version_never_replaces_a_newer_one() {
+    on_site(|site| async move {
+        let renamed = Route {
+            name: "newer".into(),
+            ..route(Repeat::Once)
+        };
+        site.order(7, vec![renamed]);
+        site.until_version(7).await;
+        site.order(3, vec![route(Repeat::Once)]);
+        site.order(8, vec![route(Repeat::Once)]);
+        site.until_version(8).await;
+        site.order(5, Vec::new());
+        site.store.list("u1", Some(entry("u1", nowhere())));
+        site.until(|host| host.upstreams.borrow().get("u1").is_some())
+            .await;
+        site.until_version(8).await;
+    });
+}
+
+#[test]
+fn a_list_whose_history_is_gone_is_read_anew() {
+    on_site(|site| async move {
+        site.store.list("u1", Some(entry("u1", nowhere())));
+        site.until(|host| host.upstreams.borrow().get("u1").is_some())
+            .await;
+        site.store.kept_from.set(100);
+        site.store.list("u1", None);
+        site.store.list("u2", Some(entry("u2", nowhere())));
+        site.until(|host| {
+            let upstreams = host.upstreams.borrow();
+            upstreams.get("u1").is_none() && upstreams.get("u2").is_some()
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_store_that_is_away_changes_nothing() {
+    on_site(|site| async move {
+        site.order(1, vec![route(Repeat::Once)]);
+        site.store.list("u1", Some(entry("u1", nowhere())));
+        site.until(|host| host.is_ready()).await;
+        site.store.is_down.set(true);
+        site.store.list("u2", Some(entry("u2", nowhere())));
+        assert!(site.host.is_ready());
+        site.store.is_down.set(false);
+        site.until(|host| host.upstreams.borrow().get("u2").is_some())
+            .await;
+    });
+}
--- /dev/null
+++ b/src/entry/tests/site.rs
@@ -0,0 +1,249 @@
+//! One entry host with its upstreams, and a caller.
+
+use super::fake_platform::{FakePlatform, FakeStore};
+use super::fake_upstream::{FakeUpstream, Step};
+use crate::clock::Clock;
+use crate::desired::{CallerLimits, DesiredState, Repeat, Route, Service, Target};
+use crate::entry::caller;
+use crate::entry::follow::follow;
+use crate::entry::host::Host;
+use crate::entry::metrics::EntryMetrics;
+use crate::entry::peers::Known;
+use crate::entry::platform::Table;
+use crate::entry::settings::{EntrySettings, PlatformBounds};
+use crate::http1::{BodyReader, Connection, ReadError, ResponseHead};
+use crate::prelude::*;
+use crate::upstreams::UpstreamEntry;
+use futures_lite::AsyncWriteExt;
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Longer than any step of a test takes; a test that waits so long has failed.
+const TEST_MS: Millis = Millis(20_000);
+
+/// A host, its platform and its upstreams.
+pub struct Site {
+    /// Runs the tasks.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// The platform's store.
+    pub store: Rc<FakeStore>,
+    /// The host.
+    pub host: Rc<Host<FakePlatform>>,
+    /// Where callers connect.
+    pub address: SocketAddr,
+}
+
+/// Runs a test on a site whose host follows its tables and takes callers.
+pub fn on_site<F: Future<Output = ()>>(test: impl FnOnce(Site) -> F) {
+    let executor = Rc::new(LocalExecutor::new());
+    let tasks = executor.clone();
+    let run = executor.run(async move {
+        let site = Site::start(tasks).await;
+        let done = crate::http1::client::within(TEST_MS, test(site)).await;
+        assert!(done.is_some(), "the test did not end");
+    });
+    smol::block_on(run);
+}
+
+impl Site {
+    async fn start(executor: Rc<LocalExecutor<'static>>) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0))
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let store = Rc::new(FakeStore::default());
+        let metrics = EntryMetrics::new().expect("metrics");
+        let platform = FakePlatform(store.clone());
+        let host = Host::new(
+            settings(address),
+            platform,
+            Clock::start(),
+            metrics,
+            Arc::new(Known::default()),
+        );
+        executor
+            .spawn(caller::accept(host.clone(), executor.clone(), listener))
+            .detach();
+        executor
+            .spawn(follow(host.clone(), Table::Desired))
+            .detach();
+        executor
+            .spawn(follow(host.clone(), Table::Upstreams))
+            .detach();
+        Self {
+            executor,
+            store,
+            host,
+            address,
+        }
+    }
+
+    /// Orders a desired state of one service on these routes.
+    pub fn order(&self, version: u64, routes: Vec<Route>) {
+        let service = Service {
+            max_connections: 100,
+            engine: None,
+        };
+        self.store.order(DesiredState {
+            version,
+            routes,
+            services: [(Name::from("s"), service)].into_iter().collect(),
+            limits: CallerLimits::default(),
+        });
+    }
+
+    /// Starts an upstream of the service and lists it.
+    pub async fn upstream(&self, id: &str, scripts: Vec<Vec<Step>>) -> FakeUpstream {
+        let upstream = FakeUpstream::start(&self.executor, scripts).await;
+        self.store.list(id, Some(entry(id, upstream.address)));
+        self.until(|host| host.upstreams.borrow().get(id).is_some())
+            .await;
+        upstream
+    }
+
+    /// Waits until the host is in a state.
+    pub async fn until(&self, holds: impl Fn(&Host<FakePlatform>) -> bool) {
+        while !holds(&self.host) {
+            Timer::after(Millis(1).to_duration()).await;
+        }
+    }
+
+    /// Waits until the host serves by this version.
+    pub async fn until_version(&self, version: u64) {
+        self.until(|host| {
+            host.routes
+                .borrow()
+                .as_ref()
+                .is_some_and(|table| table.version == version)
+        })
+        .await;
+    }
+
+    /// Connects as a caller.
+    pub async fn connect(&self) -> Caller {
+        let stream = TcpStream::connect(self.address)
+            .await
+            .expect("the host listens");
+        Caller(Connection::new(stream))
+    }
+
+    /// Sends one request on a connection of its own and returns the answer.
+    pub async fn call(&self, request: &str) -> Answer {
+        let mut caller = self.connect().await;
+        caller.send(request).await;
+        caller.answer().await
+    }
+}
+
+/// A caller's connection.
+pub struct Caller(Connection<TcpStream>);
+
+/// An answer, with the body as far as it came.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its head.
+    pub head: ResponseHead,
+    /// Its body.
+    pub body: String,
+    /// Whether the body came whole.
+    pub is_whole: bool,
+}
+
+impl Caller {
+    /// Sends bytes.
+    pub async fn send(&mut self, bytes: &str) {
+        let mut stream = self.0.stream().clone();
+        stream
+            .write_all(bytes.as_bytes())
+            .await
+            .expect("the host reads");
+    }
+
+    /// Reads an answer.
+    pub async fn answer(&mut self) -> Answer {
+        self.try_answer().await.expect("an answer")
+    }
+
+    /// Reads an answer, or why there is none.
+    pub async fn try_answer(&mut self) -> Result<Answer, ReadError> {
+        let head = self.0.read_response_head(64 << 10, false).await?;
+        let mut reader = BodyReader::new(head.framing);
+        let mut body = Vec::new();
+        let is_whole = loop {
+            match reader.next(&mut self.0).await {
+                Ok(Some(piece)) => body.extend(piece),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        Ok(Answer {
+            head,
+            body: String::from_utf8(body).expect("text"),
+            is_whole,
+        })
+    }
+}
+
+/// A route `/a/` of the host `x`, which a test changes as it needs.
+pub fn route(repeat: Repeat) -> Route {
+    Route {
+        name: "r".into(),
+        host: "x".into(),
+        path_prefix: "/a/".into(),
+        targets: vec![Target {
+            service: "s".into(),
+            weight: 1,
+        }],
+        repeat,
+        streams: false,
+        time_limit_ms: Millis(10_000),
+        goal_ms: Millis(100),
+        event_gap_ms: None,
+        attempts: 2,
+        rank: 0,
+        prefix_affinity: false,
+    }
+}
+
+/// A ready upstream of the service.
+pub fn entry(id: &str, address: SocketAddr) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.into(),
+        service: "s".into(),
+        address,
+        data_centre: "here".into(),
+        slots: 4,
+        leaving: false,
+        leaves_in_ms: None,
+        order_count: 0,
+        models: Vec::new(),
+    }
+}
+
+fn settings(address: SocketAddr) -> EntrySettings {
+    EntrySettings {
+        name: "entry-1".into(),
+        data_centre: "here".into(),
+        caller_listen: address,
+        directory_listen: address,
+        ready_listen: address,
+        peer_listen: address,
+        metrics_listen: address,
+        store: address,
+        max_descriptors: 1_000,
+        bounds: PlatformBounds {
+            stop_s: 8.0,
+            contact_ms: Millis(3_000),
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window_s: 10.0,
+            order_lease_ms: Millis(3_000),
+            load_window_s: 5.0,
+            load_excess: 1.1,
+            directory_ttl_s: 5.0,
+            member_lapse_ms: Millis(1_000),
+        },
+    }
+}
--- /dev/null
+++ b/src/entry/tests/stop.rs
@@ -0,0 +1,71 @@
+//! A planned stop.
+
+use super::fake_upstream::Step::Write;
+use super::site::{on_site, route};
+use crate::desired::Repeat;
+use crate::entry::stop::ACCEPT_ON_MS;
+use crate::prelude::*;
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+const REQUEST: &str = "GET /a/ HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\n\r\n";
+
+#[test]
+fn a_stopping_host_is_not_ready_serves_what_comes_soon_and_closes_after_each_answer() {
+    on_site(|site| async move {
+        site.order(1, vec![route(Repeat::Once)]);
+        site.until_version(1).await;
+        site.upstream("u1", vec![vec![Write(WHOLE)]]).await;
+        assert!(site.host.is_ready());
+        site.host.ask_stop();
+        assert!(!site.host.is_ready());
+        let answer = site.call(REQUEST).await;
+        assert_eq!(answer.head.status, 200);
+        assert!(!answer.head.keep_alive);
+    });
+}
+
+#[test]
+fn a_request_late_in_a_stop_is_refused_as_not_run() {
+    on_site(|site| async move {
+        site.order(1, vec![route(Repeat::Once)]);
+        site.until_version(1).await;
+        let upstream = site.upstream("u1", vec![vec![Write(WHOLE)]]).await;
+        let mut caller = site.connect().await;
+        caller.send(REQUEST).await;
+        assert_eq!(caller.answer().await.head.status, 200);
+        site.host
+            .stop_asked_at
+            .set(Some(site.host.now() - ACCEPT_ON_MS));
+        caller.send(REQUEST).await;
+        let answer = caller.answer().await;
+        assert_eq!(answer.head.status, 503);
+        assert!(!answer.head.keep_alive);
+        assert_eq!(upstream.arrivals.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn a_stop_is_over_when_nothing_runs_and_callers_had_time_to_go() {
+    on_site(|site| async move {
+        site.host.ask_stop();
+        let asked_at = site.host.stop_asked_at.get().expect("it stops");
+        site.host.stop_asked_at.set(Some(asked_at - ACCEPT_ON_MS));
+        crate::entry::stop::wait(&*site.host).await;
+        assert!(site.host.now() < asked_at + Millis(4_000));
+    });
+}
+
+#[test]
+fn a_request_that_waits_for_an_upstream_is_refused_when_its_host_stops() {
+    on_site(|site| async move {
+        site.order(1, vec![route(Repeat::Once)]);
+        site.until_version(1).await;
+        let mut caller = site.connect().await;
+        caller.send(REQUEST).await;
+        site.until(|host| host.active_requests.get() == 1).await;
+        site.host.ask_stop();
+        let answer = caller.answer().await;
+        assert_eq!(answer.head.status, 503);
+        assert!(answer.body.contains("stopping"), "{}", answer.body);
+    });
+}
--- a/src/ordering/tests/fake_engine.rs
+++ b/src/ordering/tests/fake_engine.rs
@@ -111,11 +111,6 @@
         }
     }
 
-    /// Tells whether the engine holds a model.
-    pub fn holds(&self, model: &str) -> bool {
-        self.models.contains(model)
-    }
-
     fn advance(&mut self, now: Millis) {
         if let Some((order, _)) = self.changing.take_if(|(_, at)| now >= *at) {
             match order.action {
