--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -1,7 +1,9 @@
 //! Connections of callers: reading requests, writing answers, noticing callers that have gone.
 
 use crate::desired::CallerLimits;
-use crate::entry::forward::{self, CourseLog, Ended};
+use crate::entry::ask;
+use crate::entry::course::{CourseLog, Ended};
+use crate::entry::forward;
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::http1::client::{prepare, within};
@@ -130,7 +132,7 @@
     side: &mut CallerSide,
     log: &mut CourseLog<'_, P>,
 ) -> Ended {
-    match forward::prepare(host, head, body, arrived_at) {
+    match ask::prepare(host, head, body, arrived_at) {
         Ok(ask) if !host.takes_requests() => {
             log.course.request = ask.facts.id.clone();
             let refusal =
@@ -146,7 +148,8 @@
             log.course.wait_ms = ask.facts.wait_ms;
             forward::serve(host, &ask, side, log).await
         }
-        Err((refusal, facts)) => {
+        Err(refused) => {
+            let (refusal, facts) = *refused;
             log.course.request = facts.id.clone();
             forward::own_answer(host, facts.id.as_deref(), side, log, &refusal).await
         }
--- /dev/null
+++ b/src/entry/choice.rs
@@ -0,0 +1,75 @@
+//! Choosing the upstream of a request's next try from what this host knows.
+
+use crate::entry::ask::Ask;
+use crate::entry::host::Host;
+use crate::entry::platform::{ModelAsk, Platform, RequestFacts};
+use crate::entry::tries::Tries;
+use crate::ordering::view::View;
+use crate::prelude::*;
+use crate::routing::pick::{self, PromptShape};
+use crate::upstreams::Upstream;
+use rapidhash::v3::rapidhash_v3;
+
+/// Chooses the upstream of the next try.
+pub fn choose<P: Platform>(host: &Host<P>, ask: &Ask, tries: &Tries) -> Option<Name> {
+    let now = host.now();
+    let upstreams = host.upstreams.borrow();
+    let view = host.view.borrow();
+    let cap = connection_cap(host, ask);
+    let open = upstreams.usable(&ask.service).filter(|upstream| {
+        upstream.in_flight < cap && !tries.passed_over.contains(&upstream.entry.id)
+    });
+    let chosen = match (&ask.facts.model, ask.at_engine) {
+        (Some(model), true) => {
+            let holding = open.filter(|upstream| holds(&view, now, upstream, model));
+            let with_work = holding.map(|upstream| (upstream, view.work(&upstream.entry.id)));
+            pick::engine(now, &model.model, with_work, prompt_shape(&ask.facts))
+        }
+        _ => {
+            let data_centre = host.settings().data_centre.clone();
+            pick::service(now, open, &data_centre, fastrand::f64())
+        }
+    };
+    chosen.map(|upstream| upstream.entry.id.clone())
+}
+
+fn holds(view: &View, now: Millis, upstream: &Upstream, model: &ModelAsk) -> bool {
+    let id = &upstream.entry.id;
+    if view.is_lacking(now, id, model) {
+        return false;
+    }
+    view.holds(id, model)
+        .unwrap_or_else(|| upstream.holds(&model.model, model.adapter.as_deref()))
+}
+
+/// Returns how many requests this host may have under way at one upstream, so that all hosts together stay
+/// under the connections that it accepts.
+fn connection_cap<P: Platform>(host: &Host<P>, ask: &Ask) -> u32 {
+    let routes = host.routes.borrow();
+    let service = routes
+        .as_ref()
+        .and_then(|table| table.services.get(&ask.service));
+    let members = host.members.borrow().count() as u32;
+    match service.map_or(0, |service| service.max_connections) {
+        0 => u32::MAX,
+        all => (all / members).max(2),
+    }
+}
+
+fn prompt_shape(facts: &RequestFacts) -> PromptShape {
+    let (_, shared) = facts.parts.split_last().unzip();
+    let shared = shared.unwrap_or_default();
+    let mut digested = Vec::new();
+    if let Some(model) = &facts.model {
+        digested.extend_from_slice(model.model.as_bytes());
+        digested.extend_from_slice(model.adapter.as_deref().unwrap_or_default().as_bytes());
+    }
+    for part in shared {
+        digested.extend_from_slice(&part.id.to_le_bytes());
+    }
+    PromptShape {
+        beginning: rapidhash_v3(&digested),
+        shared_tokens: shared.iter().map(|part| part.tokens).sum(),
+        tokens: facts.prompt_tokens,
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,12 +4,16 @@
 //! One thread runs all tasks of a process; shared state is in [`host::Host`], and nothing holds a borrow of it
 //! across a wait. What the platform calls things is behind [`platform::Platform`].
 
+pub mod ask;
 pub mod budgeted_log;
 pub mod caller;
+pub mod choice;
+pub mod course;
 pub mod directory;
 pub mod follow;
 pub mod forward;
 pub mod host;
+pub mod lease_keeper;
 pub mod lines;
 pub mod members;
 pub mod metrics;
@@ -22,6 +26,9 @@
 pub mod send;
 pub mod settings;
 pub mod stop;
+pub mod sync;
+pub mod tries;
+pub mod waiting;
 
 #[cfg(test)]
 mod tests;
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -1,55 +1,43 @@
-//! Ordering loads: the tasks that hold the lease, plan, send orders, and speak with the other hosts.
+//! Ordering loads while this host holds the lease: reading engines, planning, sending orders.
 
 use crate::desired::{EngineSpec, RouteTable};
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::members::Member;
-use crate::entry::peers::Peers;
-use crate::entry::platform::{AppendOutcome, ModelAsk, Platform, StoreError};
+use crate::entry::platform::Platform;
 use crate::http1::client::within;
 use crate::ordering::book::Book;
 use crate::ordering::ceiling::Ceiling;
-use crate::ordering::lease::{Lease, LeaseRecord};
+use crate::ordering::lease::Lease;
 use crate::ordering::ledger::{Ledger, Loaded};
-use crate::ordering::message::{Order, OrderAnswer, SyncAsk, SyncReply};
+use crate::ordering::message::{Action, Order, OrderAnswer};
 use crate::ordering::planner::{Planned, Planner, load_time};
 use crate::prelude::*;
-use crate::routing::pick::Work;
-use smol::{LocalExecutor, Timer};
+use smol::LocalExecutor;
 use std::rc::Rc;
 
-/// How often the state of the lease is looked at.
-const LEASE_TICK_MS: Millis = Millis(100);
-/// How often a host that hears nothing of an orderer reads the lease.
-const LEASE_READ_MS: Millis = Millis(500);
-/// How long a silent orderer is borne before the lease is read: a lost call or two.
-const SILENT_ORDERER_MS: Millis = Millis(1_200);
-/// How long a holder that hears of no other host keeps the lease; then it is cut off from them and another host does
-/// better.
-const ALONE_MS: Millis = Millis(3_000);
-/// How long a host that gave the lease up for that reason does not claim it.
-const YIELD_MS: Millis = Millis(6_000);
 /// How often the plan is made without a new demand.
 const PLAN_MS: Millis = Millis(50);
 /// Most orders planned in one round.
 const MAX_PLANNED: usize = 32;
-/// How often a host speaks with the orderer, and how often while a request waits for a model, with up to
-/// [`SYNC_HOSTS`] hosts; with more, less often in proportion, so that the orderer's work stays the same.
-const SYNC_MS: u64 = 250;
-const WAITING_SYNC_MS: u64 = 30;
-const LEAST_SYNC_MS: u64 = 4;
-const SYNC_HOSTS: usize = 24;
 
 /// The state of ordering at one host.
 #[derive(Default)]
 pub struct Orders {
-    lease: Lease,
-    ledger: Ledger,
-    book: Book,
-    ceiling: Option<Ceiling>,
-    alone_since: Option<Millis>,
-    yields_until: Millis,
-    noted_holder: Option<u64>,
+    /// The lease as this host knows it.
+    pub lease: Lease,
+    /// What the engines hold.
+    pub ledger: Ledger,
+    /// What callers ask for.
+    pub book: Book,
+    /// The load on the weight store, while this host orders.
+    pub ceiling: Option<Ceiling>,
+    /// Since when no other host was heard of.
+    pub alone_since: Option<Millis>,
+    /// Until when this host does not claim the lease.
+    pub yields_until: Millis,
+    /// The orderer that was last written to the log.
+    pub noted_holder: Option<u64>,
 }
 
 impl Orders {
@@ -59,13 +47,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct LeaseLine<'a> {
-    fence: Option<u64>,
-    orders_from_unix_ms: Option<Millis>,
-    why: &'a str,
-}
-
 #[derive(Serialize)]
 struct OrderLine<'a> {
     upstream: &'a str,
@@ -92,202 +73,22 @@
 }
 
 #[derive(Serialize)]
-struct ErrorLine<'a> {
-    error: &'a str,
-}
-
-/// Writes that a peer was refused.
-pub fn note_peer_refused(error: &str) {
-    lines::write(LogEvent::PeerRefused, &ErrorLine { error });
-}
-
-/// Holds the lease when it is free, renews it, and gives it up at a planned stop.
-pub async fn keep_lease<P: Platform>(host: Rc<Host<P>>, me: Member) {
-    let mut read_at = Millis::ZERO;
-    loop {
-        if host.is_stopping() {
-            release(&host, "this host stops").await;
-            return;
-        }
-        let now = host.now();
-        if host.orders.borrow().lease.holding().is_some() {
-            hold(&host, now).await;
-        } else if now.since(read_at) >= LEASE_READ_MS && hears_no_orderer(&host, now) {
-            read_at = now;
-            if let Err(error) = look_for_lease(&host, &me).await {
-                note_store_error(&error);
-            }
-        }
-        within(LEASE_TICK_MS, host.next_stop()).await;
-    }
-}
-
-fn note_store_error(error: &StoreError) {
-    let error = &error.to_string();
-    lines::write(LogEvent::AppendUnknown, &ErrorLine { error });
-}
-
-fn hears_no_orderer<P: Platform>(host: &Host<P>, now: Millis) -> bool {
-    let answered_at = host.view.borrow().answered_at;
-    answered_at.is_none_or(|at| now.since(at) >= SILENT_ORDERER_MS)
-}
-
-/// Renews the lease when that is due, and gives it up when no other host is heard of.
-async fn hold<P: Platform>(host: &Host<P>, now: Millis) {
-    if host.orders.borrow().lease.is_failing(now) {
-        let mut orders = host.orders.borrow_mut();
-        note_lease(
-            LogEvent::LeaseEnded,
-            &orders.lease,
-            "the store does not take renewals",
-        );
-        orders.lease.resign(now);
-        orders.ledger = Ledger::default();
-        orders.yields_until = now + YIELD_MS;
-        return;
-    }
-    if is_alone(host, now) {
-        host.orders.borrow_mut().yields_until = now + YIELD_MS;
-        release(host, "no other host is heard of").await;
-        return;
-    }
-    let due = {
-        let orders = host.orders.borrow();
-        let holding = orders.lease.holding().cloned();
-        holding.filter(|_| orders.lease.is_renewal_due(now))
-    };
-    let Some(holding) = due else { return };
-    let record = record_bytes(&holding.record(false));
-    match host.platform.append_lease(holding.end, &record).await {
-        Ok(AppendOutcome::Appended(offset)) => {
-            host.orders.borrow_mut().lease.note_renewed(now, offset);
-        }
-        Ok(AppendOutcome::EndMoved(_)) => {
-            if let Err(error) = read_moved(host).await {
-                note_store_error(&error);
-            }
-        }
-        Err(error) => note_store_error(&error),
-    }
-}
-
-fn is_alone<P: Platform>(host: &Host<P>, now: Millis) -> bool {
-    let mut orders = host.orders.borrow_mut();
-    let has_others = host.members.borrow().count() > 1;
-    let hears_others = orders.book.hosts() > 1;
-    if !has_others || hears_others {
-        orders.alone_since = None;
-        return false;
-    }
-    let since = *orders.alone_since.get_or_insert(now);
-    now.since(since) >= ALONE_MS
-}
-
-/// Learns who wrote after this holder's last record.
-async fn read_moved<P: Platform>(host: &Host<P>) -> Result<(), StoreError> {
-    let asked_at = host.now();
-    let from = host.orders.borrow().lease.end().unwrap_or(Offset(0));
-    let read = host.platform.read_leases(from).await?;
-    let newest = read.newest.as_deref().and_then(read_record);
-    let mut orders = host.orders.borrow_mut();
-    match newest {
-        Some(newest) => orders.lease.note_moved(asked_at, read.end, newest),
-        None => orders.lease.drop_holding(),
-    }
-    if orders.lease.holding().is_none() {
-        note_lease(
-            LogEvent::LeaseEnded,
-            &orders.lease,
-            "another host claimed it",
-        );
-    }
-    Ok(())
-}
-
-async fn release<P: Platform>(host: &Host<P>, why: &str) {
-    let held = {
-        let mut orders = host.orders.borrow_mut();
-        let held = orders.lease.holding().cloned();
-        if held.is_some() {
-            note_lease(LogEvent::LeaseEnded, &orders.lease, why);
-        }
-        orders.lease.drop_holding();
-        orders.ledger = Ledger::default();
-        held
-    };
-    let Some(held) = held else { return };
-    let record = record_bytes(&held.record(true));
-    if let Err(error) = host.platform.append_lease(held.end, &record).await {
-        note_store_error(&error);
-    }
-}
-
-/// Reads the lease, and claims it when it is free.
-async fn look_for_lease<P: Platform>(host: &Host<P>, me: &Member) -> Result<(), StoreError> {
-    let asked_at = host.now();
-    let from = host.orders.borrow().lease.end().unwrap_or(Offset(0));
-    let read = host.platform.read_leases(from).await?;
-    let newest = read.newest.as_deref().and_then(read_record);
-    let claim_end = {
-        let mut orders = host.orders.borrow_mut();
-        orders.lease.note_read(asked_at, read.end, newest);
-        note_orderer(host, &mut orders);
-        let yields = asked_at < orders.yields_until;
-        orders.lease.may_claim(asked_at).filter(|_| !yields)
-    };
-    let Some(end) = claim_end else { return Ok(()) };
-    let sent_at = host.now();
-    let record = host.orders.borrow_mut().lease.claim_record(me.clone());
-    let bytes = record_bytes(&record);
-    let AppendOutcome::Appended(offset) = host.platform.append_lease(end, &bytes).await? else {
-        return Ok(());
-    };
-    let mut orders = host.orders.borrow_mut();
-    let engine_lease_ms = host.settings().bounds.order_lease_ms;
-    orders
-        .lease
-        .note_claimed(sent_at, offset, record, engine_lease_ms);
-    orders.ledger = Ledger::default();
-    orders.ceiling = None;
-    orders.alone_since = None;
-    note_lease(LogEvent::LeaseTaken, &orders.lease, "it was free");
-    note_orderer(host, &mut orders);
-    Ok(())
-}
-
-fn note_lease(event: LogEvent, lease: &Lease, why: &str) {
-    let holding = lease.holding();
-    let line = LeaseLine {
-        fence: holding.map(|holding| holding.fence),
-        orders_from_unix_ms: holding.map(|holding| holding.orders_from),
-        why,
-    };
-    lines::write(event, &line);
+struct EngineLine<'a> {
+    upstream: &'a str,
+    models: Vec<&'a Name>,
+    adapters: usize,
 }
 
+/// The fields of a line about an error.
 #[derive(Serialize)]
-struct OrdererLine {
-    orderer: Option<std::net::SocketAddr>,
-}
-
-fn note_orderer<P: Platform>(host: &Host<P>, orders: &mut Orders) {
-    let holder = orders.lease.holder();
-    let incarnation = holder.map(|holder| holder.incarnation);
-    if orders.noted_holder != incarnation {
-        let orderer = holder.map(|holder| holder.caller_address);
-        lines::write(LogEvent::OrdererChanged, &OrdererLine { orderer });
-        orders.noted_holder = incarnation;
-    }
-    host.accept_members(holder);
+pub struct ErrorLine<'a> {
+    /// The error.
+    pub error: &'a str,
 }
 
-fn record_bytes(record: &LeaseRecord) -> Vec<u8> {
-    // A struct of texts and numbers always serialises.
-    serde_json::to_vec(record).unwrap_or_default()
-}
-
-fn read_record(bytes: &[u8]) -> Option<LeaseRecord> {
-    serde_json::from_slice(bytes).ok()
+/// Writes that a peer was refused.
+pub fn note_peer_refused(error: &str) {
+    lines::write(LogEvent::PeerRefused, &ErrorLine { error });
 }
 
 /// Plans and sends orders while this host holds the lease.
@@ -366,7 +167,16 @@
     };
     let now = host.now();
     let mut orders = host.orders.borrow_mut();
+    let was_known = orders.ledger.get(id).is_some_and(|engine| engine.is_known);
     let loaded = orders.ledger.take_report(now, id, report);
+    if !was_known && let Some(engine) = orders.ledger.get(id).filter(|engine| engine.is_known) {
+        let line = EngineLine {
+            upstream: id,
+            models: engine.copies.keys().collect(),
+            adapters: engine.adapters.len(),
+        };
+        lines::write(LogEvent::EngineRead, &line);
+    }
     for Loaded {
         model,
         took_ms,
@@ -434,7 +244,7 @@
                 makes_way_for,
                 why,
             } = planned;
-            if load.from_store && action == crate::ordering::message::Action::Load {
+            if load.from_store && action == Action::Load {
                 ceiling.note_begun();
             }
             if let Some(order) = ledger.begin(now, &engine, action, ask, makes_way_for) {
@@ -450,12 +260,14 @@
     }
 }
 
-fn engine_specs(table: &RouteTable) -> impl Iterator<Item = (&str, &EngineSpec)> {
+/// Returns the services whose upstreams are engines.
+pub fn engine_specs(table: &RouteTable) -> impl Iterator<Item = (&str, &EngineSpec)> {
     let services = table.services.iter();
     services.filter_map(|(name, service)| Some((&**name, service.engine.as_ref()?)))
 }
 
-fn unusable<P: Platform>(host: &Host<P>, now: Millis) -> IndexSet<Name> {
+/// Returns the engines that are leaving or cannot be reached.
+pub fn unusable<P: Platform>(host: &Host<P>, now: Millis) -> IndexSet<Name> {
     let upstreams = host.upstreams.borrow();
     let unusable = upstreams
         .iter()
@@ -524,144 +336,3 @@
     };
     lines::write(LogEvent::OrderEnded, &line);
 }
-
-/// Answers a host that tells its demand.
-pub fn answer<P: Platform>(host: &Host<P>, ask: SyncAsk) -> SyncReply {
-    let now = host.now();
-    let mut orders = host.orders.borrow_mut();
-    let Some(holding) = orders.lease.holding() else {
-        return SyncReply::NotOrderer {
-            holder: orders.lease.holder().cloned(),
-            resignation: orders.lease.resignation(now),
-        };
-    };
-    let fence = holding.fence;
-    let wants = ask.demand.iter().any(|(_, count)| count.waiting > 0);
-    orders.book.take(now, ask.incarnation, ask.demand, ask.work);
-    if wants {
-        host.note_want();
-    }
-    let version = (fence, orders.ledger.version());
-    // Adapters become ready without an order's answer, so a host that waits gets the newest state in any case.
-    let is_news = wants || version != ask.view_version;
-    SyncReply::View {
-        version,
-        engines: is_news.then(|| orders.ledger.view(now)),
-        work: orders.book.work_of_others(ask.incarnation),
-        ready_in_ms: ready_in_ms(host, &orders, now),
-    }
-}
-
-fn ready_in_ms<P: Platform>(
-    host: &Host<P>,
-    orders: &Orders,
-    now: Millis,
-) -> Vec<(ModelAsk, Millis)> {
-    let Some(table) = host.routes.borrow().clone() else {
-        return Vec::new();
-    };
-    let unusable = unusable(host, now);
-    let specs = engine_specs(&table).map(|(service, spec)| {
-        let planner = Planner {
-            now,
-            service,
-            spec,
-            ledger: &orders.ledger,
-            book: &orders.book,
-            unusable: &unusable,
-        };
-        planner.ready_in_ms()
-    });
-    specs.flatten().collect()
-}
-
-/// Tells the orderer this host's demand, and takes what it says, again and again: at once when a request waits for a
-/// model or a long prompt begins or ends, else now and then.
-pub async fn sync<P: Platform>(host: Rc<Host<P>>, peers: Rc<Peers>, me: Member) {
-    let mut waited_for = false;
-    loop {
-        let interval_ms = interval_ms(&host, waited_for);
-        Timer::after(least_interval_ms(&host).to_duration()).await;
-        host.wait_for_news(interval_ms).await;
-        let ask = sync_ask(&host, &me);
-        waited_for = ask.demand.iter().any(|(_, count)| count.waiting > 0);
-        let (holds, orderer) = {
-            let orders = host.orders.borrow();
-            let holds = orders.lease.holding().is_some();
-            (holds, orders.lease.holder().cloned())
-        };
-        let reply = match (holds, orderer) {
-            (true, _) => Some(answer(&host, ask)),
-            (false, Some(orderer)) => peers.ask(orderer.peer_address, &ask).await,
-            (false, None) => None,
-        };
-        if let Some(reply) = reply {
-            take_reply(&host, reply);
-        }
-    }
-}
-
-fn least_interval_ms<P: Platform>(host: &Host<P>) -> Millis {
-    let factor = host.members.borrow().count().div_ceil(SYNC_HOSTS) as u64;
-    Millis(LEAST_SYNC_MS * factor)
-}
-
-fn interval_ms<P: Platform>(host: &Host<P>, waited_for: bool) -> Millis {
-    let hosts = host.members.borrow().count();
-    let factor = hosts.div_ceil(SYNC_HOSTS) as u64;
-    match waited_for {
-        true => Millis(WAITING_SYNC_MS * factor),
-        false => Millis(SYNC_MS * factor),
-    }
-}
-
-fn sync_ask<P: Platform>(host: &Host<P>, me: &Member) -> SyncAsk {
-    let upstreams = host.upstreams.borrow();
-    let busy = upstreams.iter().filter(|upstream| upstream.in_flight > 0);
-    let work = busy.map(|upstream| {
-        let work = Work {
-            prompt_tokens: upstream.prompt_tokens,
-            long_prompts: upstream.long_prompts,
-            running: upstream.in_flight,
-        };
-        (upstream.entry.id.clone(), work)
-    });
-    SyncAsk {
-        incarnation: me.incarnation,
-        view_version: host.view.borrow().version,
-        work: work.collect(),
-        demand: host.demand.borrow_mut().take(),
-    }
-}
-
-fn take_reply<P: Platform>(host: &Host<P>, reply: SyncReply) {
-    let now = host.now();
-    match reply {
-        SyncReply::NotOrderer { resignation, .. } => {
-            if let Some(resignation) = resignation {
-                host.orders
-                    .borrow_mut()
-                    .lease
-                    .note_resigned(now, resignation);
-                host.view.borrow_mut().answered_at = None;
-            }
-        }
-        SyncReply::View {
-            version,
-            engines,
-            work,
-            ready_in_ms,
-        } => {
-            let mut view = host.view.borrow_mut();
-            view.answered_at = Some(now);
-            if let Some(engines) = engines {
-                view.take_engines(version, engines);
-            }
-            view.take_work(work);
-            view.take_ready(now, ready_in_ms);
-            view.answers += 1;
-            drop(view);
-            host.note_change();
-        }
-    }
-}
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -7,6 +7,7 @@
 use crate::entry::orderer;
 use crate::entry::platform::Platform;
 use crate::entry::run::EntryError;
+use crate::entry::sync;
 use crate::http1::client::within;
 use crate::ordering::message::{SyncAsk, SyncReply};
 use crate::prelude::*;
@@ -180,7 +181,7 @@
         let answer = async move {
             let bytes = receive.read_to_end(MAX_MESSAGE_BYTES).await.ok()?;
             let ask = postcard::from_bytes(&bytes).ok()?;
-            let reply = orderer::answer(&host, ask);
+            let reply = sync::answer(&host, ask);
             let bytes = postcard::to_stdvec(&reply).ok()?;
             send.write_all(&bytes).await.ok()?;
             send.finish().ok()
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -1,12 +1,16 @@
 //! Passing an answer on to its caller, piece by piece, so that one that ends early never looks complete.
 
 use crate::desired::Repeat;
+use crate::entry::ask::Ask;
 use crate::entry::caller::{BodyForm, CallerSide};
-use crate::entry::forward::{Ask, CourseLog, Tries, choose, try_upstream};
+use crate::entry::choice::choose;
+use crate::entry::course::CourseLog;
+use crate::entry::forward::try_upstream;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::Platform;
 use crate::entry::send::{Sent, StartedAnswer, keep, note_failure};
+use crate::entry::tries::Tries;
 use crate::http1::client::within;
 use crate::http1::{Framing, ReadError};
 use crate::prelude::*;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -8,7 +8,7 @@
 use crate::entry::peers::{self, Peers};
 use crate::entry::platform::{Platform, Table};
 use crate::entry::settings::EntrySettings;
-use crate::entry::{budgeted_log, caller, follow, lines, orderer, stop};
+use crate::entry::{budgeted_log, caller, follow, lease_keeper, lines, orderer, stop, sync};
 use crate::prelude::*;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -158,12 +158,12 @@
         executor.spawn(follow::follow(host.clone(), Table::Upstreams)),
         executor.spawn(sweep(host.clone())),
         executor.spawn(orderer::plan(host.clone(), me.clone(), executor.clone())),
-        executor.spawn(orderer::sync(host.clone(), peers.clone(), me.clone())),
+        executor.spawn(sync::sync(host.clone(), peers.clone(), me.clone())),
         executor.spawn(peers::serve(host.clone(), peers, executor.clone())),
         executor.spawn(watch_signals(host.clone(), signals, path, reconnect)),
     ];
     let members = executor.spawn(members::keep(host.clone(), me.clone()));
-    let lease = executor.spawn(orderer::keep_lease(host.clone(), me));
+    let lease = executor.spawn(lease_keeper::keep_lease(host.clone(), me));
     stop::wait(&host).await;
     drop((members, lease));
     drop(tasks);
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -1,7 +1,7 @@
 //! One send of a request to one upstream, up to the start of its answer.
 
 use crate::desired::Repeat;
-use crate::entry::forward::Ask;
+use crate::entry::ask::Ask;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::Platform;
--- /dev/null
+++ b/src/entry/sync.rs
@@ -0,0 +1,161 @@
+//! What hosts and the orderer tell each other: demand and work one way, what engines hold the other way.
+
+use crate::entry::host::Host;
+use crate::entry::members::Member;
+use crate::entry::orderer::{Orders, engine_specs, unusable};
+use crate::entry::peers::Peers;
+use crate::entry::platform::{ModelAsk, Platform};
+use crate::ordering::message::{SyncAsk, SyncReply};
+use crate::ordering::planner::Planner;
+use crate::prelude::*;
+use crate::routing::pick::Work;
+use smol::Timer;
+use std::rc::Rc;
+
+/// How often a host speaks with the orderer, and how often while a request waits for a model, with up to
+/// [`SYNC_HOSTS`] hosts; with more, less often in proportion, so that the orderer's work stays the same.
+const SYNC_MS: u64 = 250;
+const WAITING_SYNC_MS: u64 = 30;
+const LEAST_SYNC_MS: u64 = 4;
+const SYNC_HOSTS: usize = 24;
+
+/// Answers a host that tells its demand.
+pub fn answer<P: Platform>(host: &Host<P>, ask: SyncAsk) -> SyncReply {
+    let now = host.now();
+    let mut orders = host.orders.borrow_mut();
+    let Some(holding) = orders.lease.holding() else {
+        return SyncReply::NotOrderer {
+            holder: orders.lease.holder().cloned(),
+            resignation: orders.lease.resignation(now),
+        };
+    };
+    let fence = holding.fence;
+    let wants = ask.demand.iter().any(|(_, count)| count.waiting > 0);
+    orders.book.take(now, ask.incarnation, ask.demand, ask.work);
+    if wants {
+        host.note_want();
+    }
+    let version = (fence, orders.ledger.version());
+    // Adapters become ready without an order's answer, so a host that waits gets the newest state in any case.
+    let is_news = wants || version != ask.view_version;
+    SyncReply::View {
+        version,
+        engines: is_news.then(|| orders.ledger.view(now)),
+        work: orders.book.work_of_others(ask.incarnation),
+        ready_in_ms: ready_in_ms(host, &orders, now),
+    }
+}
+
+fn ready_in_ms<P: Platform>(
+    host: &Host<P>,
+    orders: &Orders,
+    now: Millis,
+) -> Vec<(ModelAsk, Millis)> {
+    let Some(table) = host.routes.borrow().clone() else {
+        return Vec::new();
+    };
+    let unusable = unusable(host, now);
+    let specs = engine_specs(&table).map(|(service, spec)| {
+        let planner = Planner {
+            now,
+            service,
+            spec,
+            ledger: &orders.ledger,
+            book: &orders.book,
+            unusable: &unusable,
+        };
+        planner.ready_in_ms()
+    });
+    specs.flatten().collect()
+}
+
+/// Tells the orderer this host's demand, and takes what it says, again and again: at once when a request waits for a
+/// model or a long prompt begins or ends, else now and then.
+pub async fn sync<P: Platform>(host: Rc<Host<P>>, peers: Rc<Peers>, me: Member) {
+    let mut waited_for = false;
+    loop {
+        let interval_ms = interval_ms(&host, waited_for);
+        Timer::after(least_interval_ms(&host).to_duration()).await;
+        host.wait_for_news(interval_ms).await;
+        let ask = sync_ask(&host, &me);
+        waited_for = ask.demand.iter().any(|(_, count)| count.waiting > 0);
+        let (holds, orderer) = {
+            let orders = host.orders.borrow();
+            let holds = orders.lease.holding().is_some();
+            (holds, orders.lease.holder().cloned())
+        };
+        let reply = match (holds, orderer) {
+            (true, _) => Some(answer(&host, ask)),
+            (false, Some(orderer)) => peers.ask(orderer.peer_address, &ask).await,
+            (false, None) => None,
+        };
+        if let Some(reply) = reply {
+            take_reply(&host, reply);
+        }
+    }
+}
+
+fn least_interval_ms<P: Platform>(host: &Host<P>) -> Millis {
+    let factor = host.members.borrow().count().div_ceil(SYNC_HOSTS) as u64;
+    Millis(LEAST_SYNC_MS * factor)
+}
+
+fn interval_ms<P: Platform>(host: &Host<P>, waited_for: bool) -> Millis {
+    let hosts = host.members.borrow().count();
+    let factor = hosts.div_ceil(SYNC_HOSTS) as u64;
+    match waited_for {
+        true => Millis(WAITING_SYNC_MS * factor),
+        false => Millis(SYNC_MS * factor),
+    }
+}
+
+fn sync_ask<P: Platform>(host: &Host<P>, me: &Member) -> SyncAsk {
+    let upstreams = host.upstreams.borrow();
+    let busy = upstreams.iter().filter(|upstream| upstream.in_flight > 0);
+    let work = busy.map(|upstream| {
+        let work = Work {
+            prompt_tokens: upstream.prompt_tokens,
+            long_prompts: upstream.long_prompts,
+            running: upstream.in_flight,
+        };
+        (upstream.entry.id.clone(), work)
+    });
+    SyncAsk {
+        incarnation: me.incarnation,
+        view_version: host.view.borrow().version,
+        work: work.collect(),
+        demand: host.demand.borrow_mut().take(),
+    }
+}
+
+fn take_reply<P: Platform>(host: &Host<P>, reply: SyncReply) {
+    let now = host.now();
+    match reply {
+        SyncReply::NotOrderer { resignation, .. } => {
+            if let Some(resignation) = resignation {
+                host.orders
+                    .borrow_mut()
+                    .lease
+                    .note_resigned(now, resignation);
+                host.view.borrow_mut().answered_at = None;
+            }
+        }
+        SyncReply::View {
+            version,
+            engines,
+            work,
+            ready_in_ms,
+        } => {
+            let mut view = host.view.borrow_mut();
+            view.answered_at = Some(now);
+            if let Some(engines) = engines {
+                view.take_engines(version, engines);
+            }
+            view.take_work(work);
+            view.take_ready(now, ready_in_ms);
+            view.answers += 1;
+            drop(view);
+            host.note_change();
+        }
+    }
+}
