--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -22,6 +22,10 @@
 const ONCE_IDLE_MS: Millis = Millis(800);
 /// The same for requests that may be sent again.
 const IDLE_MS: Millis = Millis(4_000);
+/// How long a plain service must not have answered to count as out of reach: ten times its usual answer.
+const SILENT_MS: Millis = Millis(1_000);
+/// Why a send failed that got no answer within the request's time.
+const NO_ANSWER: &str = "no answer in time";
 /// Answers up to this length are read whole before the caller gets their first byte, so that one that breaks
 /// off can still be replaced.
 const WHOLE_BYTES: u64 = 64 << 10;
@@ -155,14 +159,18 @@
     let answer = within(left_ms, exchange).await;
     let now = host.now();
     let fail = |why: &str, unreachable: bool| {
-        note_failure(host, upstream, now, unreachable);
+        if unreachable || why != NO_ANSWER {
+            note_failure(host, upstream, now, unreachable);
+        }
         attempt.note("perhaps_run", None, Some(why));
         Sent::PerhapsRun
     };
     match answer {
         None => {
-            // An engine that is busy for long is no dead one; only short plain calls tell that much.
-            fail("no answer in time", !ask.at_engine)
+            // A short limit of the request's own says nothing of the upstream, but a connection may have gone silent.
+            host.pool.forget(upstream);
+            let is_silent = now.since(attempt.began_at) >= SILENT_MS && !ask.at_engine;
+            fail(NO_ANSWER, is_silent)
         }
         Some(Err(error)) => fail(&error.to_string(), false),
         Some(Ok(Exchanged {
--- a/src/ordering/book.rs
+++ b/src/ordering/book.rs
@@ -159,6 +159,15 @@
         all.into_iter().collect()
     }
 
+    /// Returns how many requests of all hosts run at an engine.
+    pub fn running_at(&self, engine: &str) -> u32 {
+        let at_engine = self
+            .hosts
+            .values()
+            .filter_map(|counts| counts.work.get(engine));
+        at_engine.map(|work| work.running).sum()
+    }
+
     /// Returns how many hosts were heard of late.
     pub fn hosts(&self) -> usize {
         self.hosts.len()
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -361,7 +361,7 @@
                 let loaded_at = engine.loaded_at.get(*model);
                 loaded_at.is_none_or(|at| self.now.since(*at) >= STAY_MS)
             })
-            .filter_map(|(model, _)| Some((self.value(model, need)?, model)))
+            .filter_map(|(model, _)| Some((self.value(engine, model, need)?, model)))
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (mut freed_mb, mut lost, mut victims) = (0.0, 0.0, Vec::new());
@@ -379,7 +379,7 @@
     }
 
     /// Returns what a copy of a model is worth, in prompt tokens a second; nothing when it must stay.
-    fn value(&self, model: &Name, need: &Need<'_>) -> Option<f64> {
+    fn value(&self, engine: &Engine, model: &Name, need: &Need<'_>) -> Option<f64> {
         let demand = self.book.model(self.now, model);
         let on = |engine: &&Engine| engine.holds_model(model);
         let copies = self.engines().filter(on).count().max(1);
@@ -388,8 +388,10 @@
             && demand
                 .last_at
                 .is_none_or(|at| self.now.since(at) >= IDLE_MS);
-        // A model in use stays, unless other engines hold it too and the one that comes is on none.
-        let may_go = is_idle || (copies > 2 && need.copies == 0);
+        // A model in use stays, unless other engines hold it too, the one that comes is on none, and nothing runs at
+        // this engine: an unload waits for what runs, and the engine refuses requests for the model meanwhile.
+        let is_spare = copies > 2 && need.copies == 0 && self.book.running_at(&engine.id) == 0;
+        let may_go = is_idle || is_spare;
         may_go.then(|| demand.tokens_per_s / copies as f64)
     }
 
--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -10,6 +10,7 @@
 use crate::ordering::message::{Action, EngineReport, OrderAnswer};
 use crate::ordering::planner::{Planned, Planner};
 use crate::prelude::*;
+use crate::routing::pick::Work;
 use crate::upstreams::HeldModel;
 
 const NOW: Millis = Millis(1_000_000);
@@ -236,3 +237,27 @@
     assert_eq!(planned.len(), 1, "half of the engines at most");
     assert!(planned.iter().all(|planned| planned.action == Action::Load));
 }
+
+#[test]
+fn a_copy_at_an_engine_that_runs_requests_does_not_make_way() {
+    let spec = spec(60.0, &[50.0, 50.0]);
+    let mut site = Site::new(spec, &[&["m0"], &["m0"], &["m0"]]);
+    let running = AskCount {
+        running: 9,
+        ..waiting(0)
+    };
+    let work = |engine: &str| {
+        let work = Work {
+            running: 3,
+            ..Work::default()
+        };
+        (Name::from(engine), work)
+    };
+    let at_work = vec![work("e0"), work("e1"), work("e2")];
+    let demand = vec![(model("m0"), running), (model("m1"), waiting(3))];
+    site.book.take(NOW, 1, demand.clone(), at_work);
+    assert_eq!(site.next(NOW), None);
+    site.book.take(NOW, 1, demand, vec![work("e0"), work("e2")]);
+    let planned = site.next(NOW).expect("a plan");
+    assert_eq!((planned.action, &*planned.engine), (Action::Unload, "e1"));
+}
