--- a/src/entry/budgeted_log.rs
+++ b/src/entry/budgeted_log.rs
@@ -39,12 +39,7 @@
 ///
 /// Returns why it cannot be set up.
 pub fn start(clock: Clock) -> Result<(), String> {
-    let (lines, queue) = sync_channel(QUEUE_LINES);
-    std::thread::Builder::new()
-        .name("log".to_string())
-        .stack_size(WRITER_STACK_BYTES)
-        .spawn(move || write_lines(&queue, std::io::stdout()))
-        .map_err(|error| error.to_string())?;
+    let lines = spawn_writer(std::io::stdout()).map_err(|error| error.to_string())?;
     let _ = STATE.set(LogState {
         clock,
         budgets: Mutex::default(),
@@ -94,6 +89,21 @@
         .map_or(0, |state| state.dropped.load(Ordering::Relaxed))
 }
 
+/// Starts the thread that writes lines, and returns the queue to it.
+fn spawn_writer(out: impl Write + Send + 'static) -> std::io::Result<SyncSender<String>> {
+    let (lines, queue) = sync_channel(QUEUE_LINES);
+    std::thread::Builder::new()
+        .name("log".to_string())
+        .stack_size(WRITER_STACK_BYTES)
+        .spawn(move || write_lines(&queue, out))?;
+    Ok(lines)
+}
+
+/// Puts a line into the queue; false when it is full and the line is dropped.
+fn push(lines: &SyncSender<String>, text: String) -> bool {
+    !matches!(lines.try_send(text), Err(TrySendError::Full(_)))
+}
+
 fn write_lines(queue: &Receiver<String>, mut out: impl Write) {
     while let Ok(mut text) = queue.recv() {
         text.push('\n');
@@ -109,7 +119,7 @@
 
 impl Append for QueueAppender {
     fn append(&self, record: &LogRecord<'_>) -> anyhow::Result<()> {
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(record.args().to_string())
+        if !push(&self.lines, record.args().to_string())
             && let Some(state) = STATE.get()
         {
             state.dropped.fetch_add(1, Ordering::Relaxed);
@@ -119,3 +129,7 @@
 
     fn flush(&self) {}
 }
+
+#[cfg(test)]
+#[path = "tests/budgeted_log.rs"]
+mod tests;
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -11,8 +11,9 @@
 /// How often a host renews its membership. A call costs a tenth of others, and a change of the group is
 /// learned with the next one.
 const JOIN_INTERVAL_MS: Millis = Millis(1_000);
-/// How long a silent member stays: two lost renewals are borne.
-const LAPSE_MS: Millis = Millis(3_000);
+/// How long a silent member stays: one lost renewal is borne. A host that is suspended is named to callers for as long,
+/// and they send to it.
+const LAPSE_MS: Millis = Millis(2_200);
 /// How often the group is read at most: when many hosts start, each of them changes it.
 const READ_MS: Millis = Millis(1_800);
 /// The least time between two tries after a failure: a refused call is paid too.
@@ -140,7 +141,8 @@
 
 async fn renew<P: Platform>(host: &Host<P>, name: &str) -> Result<(), StoreError> {
     let known = host.members.borrow().generation;
-    let generation = host.platform.join(name, known, LAPSE_MS).await?;
+    let lapse_ms = LAPSE_MS.max(host.settings().bounds.member_lapse_ms);
+    let generation = host.platform.join(name, known, lapse_ms).await?;
     let now = host.now();
     let read_at = host.members.borrow().read_at;
     let is_due = read_at.is_none_or(|at| now.since(at) >= READ_MS);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -118,6 +118,15 @@
         }))
     }
 
+    /// Returns the address that other hosts connect to.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the socket has none.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
     /// Asks a peer. Returns nothing when no answer came in time.
     pub async fn ask(&self, address: SocketAddr, ask: &SyncAsk) -> Option<SyncReply> {
         let reply = within(CALL_MS, self.try_ask(address, ask)).await.flatten();
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -214,7 +214,7 @@
 
 /// Reads the settings again. Bounds and the store's address take effect; addresses that this host listens on
 /// stay until it is started again. A file that cannot be used changes nothing.
-fn reload<P: Platform>(host: &Host<P>, path: &Path, reconnect: &impl Fn(&P, &EntrySettings)) {
+pub fn reload<P: Platform>(host: &Host<P>, path: &Path, reconnect: &impl Fn(&P, &EntrySettings)) {
     let settings = match EntrySettings::read(path) {
         Ok(settings) => settings,
         Err(error) => {
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -5,5 +5,7 @@
 mod fake_platform;
 mod fake_upstream;
 mod follow;
+mod peers;
+mod reload;
 mod site;
 mod stop;
--- /dev/null
+++ b/src/entry/tests/peers.rs
@@ -0,0 +1,55 @@
+//! Only hosts that the group lists are answered.
+
+use super::site::on_site;
+use crate::entry::peers::{self, Peers};
+use crate::ordering::message::{SyncAsk, SyncReply};
+use crate::prelude::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+fn bind(executor: &Arc<smol::Executor<'static>>) -> Rc<Peers> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Peers::bind(any, executor.clone()).expect("a free port")
+}
+
+fn ask() -> SyncAsk {
+    SyncAsk {
+        incarnation: 1,
+        view_version: (0, 0),
+        demand: Vec::new(),
+        work: Vec::new(),
+    }
+}
+
+#[test]
+fn a_host_that_the_group_does_not_list_gets_no_answer() {
+    on_site(|site| async move {
+        let shared = Arc::new(smol::Executor::new());
+        let (answering, asking) = (bind(&shared), bind(&shared));
+        let serve = peers::serve(site.host.clone(), answering.clone(), site.executor.clone());
+        site.executor.spawn(serve).detach();
+        let address = answering.address().expect("an address");
+        let test = async {
+            let only = |fingerprint: &Name| [fingerprint.clone()].into_iter().collect();
+            assert!(
+                asking.ask(address, &ask()).await.is_none(),
+                "neither knows the other"
+            );
+            asking.known.replace(only(&answering.fingerprint));
+            assert!(
+                asking.ask(address, &ask()).await.is_none(),
+                "the answering one does not know the asking one"
+            );
+            answering.known.replace(only(&asking.fingerprint));
+            asking.known.replace(IndexSet::new());
+            assert!(
+                asking.ask(address, &ask()).await.is_none(),
+                "the asking one does not know the answering one"
+            );
+            asking.known.replace(only(&answering.fingerprint));
+            let reply = asking.ask(address, &ask()).await;
+            assert!(matches!(reply, Some(SyncReply::NotOrderer { .. })));
+        };
+        shared.run(test).await;
+    });
+}
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -222,7 +222,8 @@
     }
 }
 
-fn settings(address: SocketAddr) -> EntrySettings {
+/// The settings of a host whose every address is this one.
+pub fn settings(address: SocketAddr) -> EntrySettings {
     EntrySettings {
         name: "entry-1".into(),
         data_centre: "here".into(),
