--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -16,6 +16,7 @@
 pub mod operator;
 pub mod peer;
 pub mod pipe;
+pub mod quic;
 pub mod stall;
 pub mod store;
 pub mod stream;
--- a/src/edge/peer.rs
+++ b/src/edge/peer.rs
@@ -4,12 +4,13 @@
 
 use crate::edge::gate::Gate;
 use crate::edge::http::within;
+use crate::edge::quic;
 use crate::membership::message::{PeerReply, PeerRequest};
 use crate::prelude::*;
 use crate::settings::KeySettings;
-use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, Connection, Endpoint, ServerConfig, TransportConfig};
 use rustls::RootCertStore;
+use rustls::client::WebPkiServerVerifier;
 use rustls::server::WebPkiClientVerifier;
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
@@ -196,32 +197,18 @@
             WebPkiClientVerifier::builder_with_provider(self.roots.clone(), provider.clone())
                 .build()
                 .map_err(keys_error)?;
-        let mut tls = rustls::ServerConfig::builder_with_provider(provider)
-            .with_protocol_versions(&[&rustls::version::TLS13])
-            .map_err(keys_error)?
-            .with_client_cert_verifier(verifier)
-            .with_single_cert(self.chain.clone(), self.key.clone_key())
-            .map_err(keys_error)?;
-        tls.alpn_protocols = vec![ALPN.to_vec()];
-        let quic = QuicServerConfig::try_from(tls).map_err(keys_error)?;
-        let mut config = ServerConfig::with_crypto(Arc::new(quic));
-        config.transport_config(Arc::new(transport()));
-        Ok(config)
+        let identity = (self.chain.clone(), self.key.clone_key());
+        quic::server(provider, verifier, identity, ALPN, transport()).map_err(keys_error)
     }
 
     fn client_config(&self) -> Result<ClientConfig, PeerError> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
-            .with_protocol_versions(&[&rustls::version::TLS13])
-            .map_err(keys_error)?
-            .with_root_certificates(self.roots.clone())
-            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
-            .map_err(keys_error)?;
-        tls.alpn_protocols = vec![ALPN.to_vec()];
-        let quic = QuicClientConfig::try_from(tls).map_err(keys_error)?;
-        let mut config = ClientConfig::new(Arc::new(quic));
-        config.transport_config(Arc::new(transport()));
-        Ok(config)
+        let verifier =
+            WebPkiServerVerifier::builder_with_provider(self.roots.clone(), provider.clone())
+                .build()
+                .map_err(keys_error)?;
+        let identity = (self.chain.clone(), self.key.clone_key());
+        quic::client(provider, verifier, identity, ALPN, transport()).map_err(keys_error)
     }
 }
 
--- /dev/null
+++ b/src/edge/quic.rs
@@ -0,0 +1,58 @@
+//! Configurations of QUIC between hosts: TLS 1.3 only, certificates on both sides.
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, ServerConfig, TransportConfig};
+use rustls::client::danger::ServerCertVerifier;
+use rustls::crypto::CryptoProvider;
+use rustls::server::danger::ClientCertVerifier;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use std::error::Error;
+use std::sync::Arc;
+
+/// A certificate with its chain, and its key.
+pub type Identity = (Vec<CertificateDer<'static>>, PrivateKeyDer<'static>);
+
+/// Makes the answering side's configuration.
+///
+/// # Errors
+///
+/// Returns why the parts do not fit together.
+pub fn server(
+    provider: Arc<CryptoProvider>,
+    verifier: Arc<dyn ClientCertVerifier>,
+    (chain, key): Identity,
+    protocol: &[u8],
+    transport: TransportConfig,
+) -> Result<ServerConfig, Box<dyn Error>> {
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain, key)?;
+    tls.alpn_protocols = vec![protocol.to_vec()];
+    let mut config = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
+    config.transport_config(Arc::new(transport));
+    Ok(config)
+}
+
+/// Makes the calling side's configuration.
+///
+/// # Errors
+///
+/// Returns why the parts do not fit together.
+pub fn client(
+    provider: Arc<CryptoProvider>,
+    verifier: Arc<dyn ServerCertVerifier>,
+    (chain, key): Identity,
+    protocol: &[u8],
+    transport: TransportConfig,
+) -> Result<ClientConfig, Box<dyn Error>> {
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .dangerous()
+        .with_custom_certificate_verifier(verifier)
+        .with_client_auth_cert(chain, key)?;
+    tls.alpn_protocols = vec![protocol.to_vec()];
+    let mut config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
+    config.transport_config(Arc::new(transport));
+    Ok(config)
+}
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -3,6 +3,7 @@
 //! No secret is shared and no authority signs: a process makes its certificate when it starts and publishes its
 //! fingerprint with its membership, and a connection counts only between listed fingerprints.
 
+use crate::edge::quic;
 use crate::entry::host::Host;
 use crate::entry::orderer;
 use crate::entry::platform::Platform;
@@ -11,7 +12,6 @@
 use crate::http1::client::within;
 use crate::ordering::message::{SyncAsk, SyncReply};
 use crate::prelude::*;
-use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{
     AsyncTimer, AsyncUdpSocket, ClientConfig, Connection, Endpoint, EndpointConfig, Runtime,
     ServerConfig, SmolRuntime, TransportConfig,
@@ -221,37 +221,19 @@
         })
     }
 
-    fn key(&self) -> PrivateKeyDer<'static> {
-        PrivateKeyDer::Pkcs8(self.key.clone_key())
+    fn pair(&self) -> quic::Identity {
+        let key = PrivateKeyDer::Pkcs8(self.key.clone_key());
+        (vec![self.certificate.clone()], key)
     }
 
     fn server_config(&self, verifier: Arc<Pinned>) -> Result<ServerConfig, EntryError> {
-        let mut tls = rustls::ServerConfig::builder_with_provider(verifier.provider.clone())
-            .with_protocol_versions(&[&rustls::version::TLS13])
-            .map_err(setup_error)?
-            .with_client_cert_verifier(verifier)
-            .with_single_cert(vec![self.certificate.clone()], self.key())
-            .map_err(setup_error)?;
-        tls.alpn_protocols = vec![ALPN.to_vec()];
-        let quic = QuicServerConfig::try_from(tls).map_err(setup_error)?;
-        let mut config = ServerConfig::with_crypto(Arc::new(quic));
-        config.transport_config(Arc::new(transport()));
-        Ok(config)
+        let provider = verifier.provider.clone();
+        quic::server(provider, verifier, self.pair(), ALPN, transport()).map_err(setup_error)
     }
 
     fn client_config(&self, verifier: Arc<Pinned>) -> Result<ClientConfig, EntryError> {
-        let mut tls = rustls::ClientConfig::builder_with_provider(verifier.provider.clone())
-            .with_protocol_versions(&[&rustls::version::TLS13])
-            .map_err(setup_error)?
-            .dangerous()
-            .with_custom_certificate_verifier(verifier)
-            .with_client_auth_cert(vec![self.certificate.clone()], self.key())
-            .map_err(setup_error)?;
-        tls.alpn_protocols = vec![ALPN.to_vec()];
-        let quic = QuicClientConfig::try_from(tls).map_err(setup_error)?;
-        let mut config = ClientConfig::new(Arc::new(quic));
-        config.transport_config(Arc::new(transport()));
-        Ok(config)
+        let provider = verifier.provider.clone();
+        quic::client(provider, verifier, self.pair(), ALPN, transport()).map_err(setup_error)
     }
 }
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -2,52 +2,10 @@
 
 use crate::prelude::*;
 use crate::retry::BudgetRule;
-use snafu::{ResultExt, Snafu};
+use crate::settings::{MalformedSnafu, OutOfRangeSnafu, SettingsError, UnreadableSnafu};
+use snafu::ResultExt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-
-/// Why settings cannot be used.
-#[derive(Debug, Snafu)]
-pub enum EntrySettingsError {
-    /// The file cannot be read.
-    #[snafu(display("cannot read the settings file {}: {source}", path.display()))]
-    Unreadable {
-        /// The file.
-        path: PathBuf,
-        /// Why.
-        source: std::io::Error,
-    },
-    /// The file is not TOML, lacks a field or has a wrong one.
-    #[snafu(display("{}: {}", path.display(), source.to_string().trim_end()))]
-    Malformed {
-        /// The file.
-        path: PathBuf,
-        /// Where and why.
-        source: Box<toml::de::Error>,
-    },
-    /// A value is outside of its range.
-    #[snafu(display("{}: {key}: {why}", path.display()))]
-    OutOfRange {
-        /// The file.
-        path: PathBuf,
-        /// The key.
-        key: &'static str,
-        /// What is allowed.
-        why: &'static str,
-    },
-}
-
-impl EntrySettingsError {
-    /// Returns what to do next, in one sentence.
-    pub fn advice(&self) -> &'static str {
-        match self {
-            Self::Unreadable { .. } => "check the path and its permissions",
-            Self::Malformed { .. } | Self::OutOfRange { .. } => {
-                "correct the settings; docs/OPERATORS.md lists every key"
-            }
-        }
-    }
-}
+use std::path::Path;
 
 /// The settings of one entry host. Fields that it does not know are passed over, so that a platform may
 /// add some before the program is replaced.
@@ -127,14 +85,20 @@
     /// # Errors
     ///
     /// Returns the file, the key and what is allowed.
-    pub fn read(path: &Path) -> Result<Self, EntrySettingsError> {
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
         let settings: Self = toml::from_str(&text)
             .map_err(Box::new)
             .context(MalformedSnafu { path })?;
         match settings.fault() {
             None => Ok(settings),
-            Some((key, why)) => OutOfRangeSnafu { path, key, why }.fail(),
+            Some((key, why)) => OutOfRangeSnafu {
+                path,
+                line: None::<usize>,
+                key,
+                why,
+            }
+            .fail(),
         }
     }
 
--- /dev/null
+++ b/src/ordering/engine.rs
@@ -0,0 +1,410 @@
+//! One engine as the orderer knows it: what it holds, what is on its way, the order under way.
+
+use crate::desired::EngineSpec;
+use crate::entry::platform::ModelAsk;
+use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
+use crate::ordering::view::EngineView;
+use crate::prelude::*;
+use crate::upstreams::HeldModel;
+
+/// How long an adapter takes from the acceptance of its order until the engine runs requests with it, when few are on
+/// their way: it is fetched in 5 to 7 ms.
+const ADAPTER_MS: Millis = Millis(9);
+/// How long after the stated time a load from disk is taken for done.
+const READY_MARGIN_MS: Millis = Millis(25);
+/// How long an unload of a model that nobody uses takes; the next order is tried then, and refused by an engine that
+/// is not done.
+const UNLOAD_MS: Millis = Millis(130);
+/// How often an engine's report is read while an order's outcome is waited for, and otherwise. A report costs about
+/// a sixth of an order.
+const BUSY_REPORT_MS: Millis = Millis(250);
+const REPORT_MS: Millis = Millis(5_000);
+
+/// A model on an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Copy {
+    /// It can run.
+    Held,
+    /// It is being loaded.
+    Loading {
+        /// When the order was accepted.
+        since: Millis,
+        /// When it should be ready.
+        ready_at: Millis,
+        /// Whether the weights come from the weight store.
+        from_store: bool,
+        /// How many loads from the weight store ran beside it at most, itself included.
+        beside: usize,
+    },
+    /// It is being dropped.
+    Unloading,
+}
+
+impl Copy {
+    /// Tells whether the copy can run, as far as that can be told. A load from the engine's own disk takes the stated
+    /// time, and the report of its end lags by some hundred milliseconds; an engine that is not ready says so.
+    pub fn should_run(&self, now: Millis) -> bool {
+        match self {
+            Self::Held => true,
+            Self::Loading {
+                ready_at,
+                from_store: false,
+                ..
+            } => *ready_at != Millis::NEVER && now >= *ready_at + READY_MARGIN_MS,
+            Self::Loading { .. } | Self::Unloading => false,
+        }
+    }
+}
+
+/// An order that was made and of which the outcome is not known.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// The order.
+    pub order: Order,
+    /// When it was sent last; nothing while it waits to be sent.
+    pub sent_at: Option<Millis>,
+    /// Whether a call is under way.
+    pub in_call: bool,
+    /// Whether a call of it got no answer, so that it may take effect later.
+    pub is_uncertain: bool,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Its lifetime.
+    pub id: Name,
+    /// Its service.
+    pub service: Name,
+    /// The models on it.
+    pub copies: IndexMap<Name, Copy>,
+    /// The adapters on it, with the time from which each can run.
+    pub adapters: IndexMap<ModelAsk, Millis>,
+    /// When models were loaded by this host's orders.
+    pub loaded_at: IndexMap<Name, Millis>,
+    /// Models whose weights it has at hand.
+    pub at_hand: IndexSet<Name>,
+    /// The order under way.
+    pub pending: Option<Pending>,
+    /// The model for which memory is being freed, and until when it is kept for it.
+    pub(super) intended: Option<(Name, Millis)>,
+    /// Whether its report was read since this host began to order.
+    pub is_known: bool,
+    /// Whether a report call is under way.
+    pub in_report: bool,
+    pub(super) order_count: u64,
+    pub(super) is_doubtful: bool,
+    pub(super) unloaded_at: Option<Millis>,
+    pub(super) rests_until: Millis,
+    /// When its report is to be read next.
+    pub report_at: Millis,
+    pub(super) was_busy: bool,
+}
+
+impl Engine {
+    pub(super) fn new(id: Name, service: Name) -> Self {
+        Self {
+            id,
+            service,
+            copies: IndexMap::new(),
+            adapters: IndexMap::new(),
+            loaded_at: IndexMap::new(),
+            at_hand: IndexSet::new(),
+            pending: None,
+            intended: None,
+            is_known: false,
+            in_report: false,
+            order_count: 0,
+            is_doubtful: false,
+            unloaded_at: None,
+            rests_until: Millis::ZERO,
+            report_at: Millis::ZERO,
+            was_busy: false,
+        }
+    }
+
+    /// Tells whether the engine takes a new order now.
+    pub fn is_free(&self, now: Millis) -> bool {
+        self.is_known
+            && !self.is_doubtful
+            && self.pending.is_none()
+            && !self.is_busy()
+            && now >= self.rests_until
+    }
+
+    /// Tells whether the engine is carrying out an order for a whole model.
+    pub fn is_busy(&self) -> bool {
+        let changes = |copy: &Copy| !matches!(copy, Copy::Held);
+        self.was_busy || self.copies.values().any(changes)
+    }
+
+    /// Takes an unload for done when it should be: the engine refuses the next order if it is not.
+    pub(super) fn assume_unloaded(&mut self, now: Millis) -> bool {
+        let is_due = self.unloaded_at.is_some_and(|at| now >= at);
+        if is_due {
+            self.unloaded_at = None;
+            self.was_busy = false;
+            self.copies.retain(|_, copy| *copy != Copy::Unloading);
+        }
+        is_due
+    }
+
+    /// Tells whether a model on the engine can run.
+    pub fn holds_model(&self, model: &str) -> bool {
+        matches!(self.copies.get(model), Some(Copy::Held))
+    }
+
+    /// Returns the model for which memory is being freed here.
+    pub fn intended(&self, now: Millis) -> Option<&Name> {
+        let (model, until) = self.intended.as_ref()?;
+        (now < *until).then_some(model)
+    }
+
+    /// Tells whether a model is on the engine, on its way, or about to be.
+    pub fn will_hold(&self, now: Millis, model: &str) -> bool {
+        let copy = self.copies.get(model);
+        let stays = copy.is_some_and(|copy| *copy != Copy::Unloading);
+        stays
+            || self
+                .intended(now)
+                .is_some_and(|intended| &**intended == model)
+    }
+
+    /// Returns the memory in use, with what is on its way and what an unanswered order may bring.
+    pub fn used_mb(&self, spec: &EngineSpec) -> f64 {
+        let mb = |model: &str| spec.models.get(model).map_or(0.0, |model| model.weights_mb);
+        let adapter_mb = |ask: &ModelAsk| {
+            let model = spec.models.get(&ask.model);
+            model.map_or(0.0, |model| model.adapter_mb)
+        };
+        let models: f64 = self.copies.keys().map(|model| mb(model)).sum();
+        let adapters: f64 = self.adapters.keys().map(adapter_mb).sum();
+        models + adapters
+    }
+
+    /// Returns the adapters of a model.
+    pub fn adapters_of<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a ModelAsk> {
+        self.adapters.keys().filter(move |ask| &*ask.model == model)
+    }
+
+    /// Returns the order for an action, to be sent now.
+    pub(super) fn order(&self, action: Action, ask: ModelAsk) -> Order {
+        Order {
+            action,
+            ask,
+            after_orders: self.order_count,
+        }
+    }
+
+    /// Takes a report. An engine counts an order when it accepts it and reports both at once, so a report with the
+    /// count that is known here shows the effect of every order so far, and one with a lower count is older.
+    pub(super) fn take_report(&mut self, now: Millis, report: EngineReport) -> Vec<Loaded> {
+        self.in_report = false;
+        self.at_hand.extend(report.at_hand.iter().cloned());
+        if self.is_known && report.order_count < self.order_count {
+            self.report_at = now + BUSY_REPORT_MS;
+            return Vec::new();
+        }
+        if report.order_count > self.order_count || !self.is_known {
+            self.pending = None;
+        }
+        self.order_count = report.order_count;
+        self.is_known = true;
+        self.is_doubtful = false;
+        self.unloaded_at = None;
+        self.was_busy = report.busy;
+        let is_waited_for = report.busy || self.pending.is_some();
+        self.report_at = now
+            + if is_waited_for {
+                BUSY_REPORT_MS
+            } else {
+                REPORT_MS
+            };
+        let under_way: Vec<(Name, Copy)> = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| **copy != Copy::Held)
+            .map(|(model, copy)| (model.clone(), *copy))
+            .collect();
+        self.take_models(report.models, report.coming);
+        if report.busy {
+            self.copies.extend(under_way);
+            return Vec::new();
+        }
+        let pending = self.pending.clone();
+        if let Some(pending) = pending.filter(|pending| pending.is_uncertain) {
+            self.reserve(&pending.order);
+        }
+        let loaded = under_way
+            .into_iter()
+            .filter_map(|(model, copy)| match copy {
+                Copy::Loading {
+                    since,
+                    from_store,
+                    beside,
+                    ..
+                } if self.holds_model(&model) => Some(Loaded {
+                    took_ms: now.since(since),
+                    from_store,
+                    beside,
+                    model,
+                }),
+                _ => None,
+            });
+        let loaded: Vec<Loaded> = loaded.collect();
+        for load in &loaded {
+            self.loaded_at.insert(load.model.clone(), now);
+        }
+        loaded
+    }
+
+    fn take_models(&mut self, models: Vec<HeldModel>, coming: Vec<ModelAsk>) {
+        let former = std::mem::take(&mut self.adapters);
+        self.copies.clear();
+        for held in models {
+            self.at_hand.insert(held.name.clone());
+            for adapter in held.adapters {
+                let ask = ModelAsk {
+                    model: held.name.clone(),
+                    adapter: Some(adapter),
+                };
+                let ready_at = former.get(&ask).copied().unwrap_or(Millis::ZERO);
+                self.adapters.insert(ask, ready_at);
+            }
+            self.copies.insert(held.name, Copy::Held);
+        }
+        for ask in coming {
+            let ready_at = former.get(&ask).copied().unwrap_or(Millis::ZERO);
+            self.adapters.entry(ask).or_insert(ready_at);
+        }
+    }
+}
+
+impl Engine {
+    pub(super) fn view(&self, now: Millis) -> EngineView {
+        let held = self.copies.iter();
+        let models = held
+            .filter(|(_, copy)| copy.should_run(now))
+            .map(|(model, _)| ModelAsk {
+                model: model.clone(),
+                adapter: None,
+            });
+        let adapters = self.adapters.iter();
+        let adapters = adapters
+            .filter(|(ask, ready_at)| **ready_at <= now && self.holds_model(&ask.model))
+            .map(|(ask, _)| ask.clone());
+        EngineView {
+            upstream: self.id.clone(),
+            held: models.chain(adapters).collect(),
+        }
+    }
+
+    pub(super) fn take_effect(
+        &mut self,
+        now: Millis,
+        order: &Order,
+        answer: OrderAnswer,
+        load: LoadTime,
+    ) {
+        let is_done = answer == OrderAnswer::AlreadyDone;
+        match (order.action, &order.ask.adapter) {
+            (Action::Load, Some(_)) => {
+                let ready_at = if is_done { now } else { now + ADAPTER_MS };
+                self.adapters.insert(order.ask.clone(), ready_at);
+            }
+            (Action::Unload, Some(_)) => {
+                self.adapters.shift_remove(&order.ask);
+            }
+            (Action::Load, None) if is_done => {
+                self.copies.insert(order.ask.model.clone(), Copy::Held);
+            }
+            (Action::Load, None) => {
+                let copy = Copy::Loading {
+                    since: now,
+                    ready_at: now + load.takes_ms,
+                    from_store: load.from_store,
+                    beside: 1,
+                };
+                self.copies.insert(order.ask.model.clone(), copy);
+                self.was_busy = true;
+                self.report_at = now + load.takes_ms;
+            }
+            (Action::Unload, None) => {
+                self.adapters.retain(|ask, _| ask.model != order.ask.model);
+                match is_done {
+                    true => drop(self.copies.shift_remove(&order.ask.model)),
+                    false => {
+                        self.copies.insert(order.ask.model.clone(), Copy::Unloading);
+                        self.was_busy = true;
+                        self.unloaded_at = Some(now + UNLOAD_MS);
+                    }
+                }
+                self.report_at = now + BUSY_REPORT_MS;
+            }
+        }
+    }
+
+    /// Counts what an order may bring, until it is known to be in vain.
+    pub(super) fn reserve(&mut self, order: &Order) {
+        if order.action == Action::Load {
+            match &order.ask.adapter {
+                Some(_) => drop(
+                    self.adapters
+                        .entry(order.ask.clone())
+                        .or_insert(Millis::NEVER),
+                ),
+                None => {
+                    let model = order.ask.model.clone();
+                    self.copies.entry(model).or_insert(Copy::Loading {
+                        since: Millis::NEVER,
+                        ready_at: Millis::NEVER,
+                        from_store: false,
+                        beside: 1,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Takes back what was assumed of an order that did not take effect.
+    pub(super) fn undo(&mut self, order: &Order) {
+        match (order.action, &order.ask.adapter) {
+            (Action::Load, Some(_)) => {
+                if self.adapters.get(&order.ask) == Some(&Millis::NEVER) {
+                    self.adapters.shift_remove(&order.ask);
+                }
+            }
+            (Action::Load, None) => {
+                self.copies.shift_remove(&order.ask.model);
+            }
+            (Action::Unload, Some(_)) => {
+                self.adapters.insert(order.ask.clone(), Millis::ZERO);
+            }
+            (Action::Unload, None) => {
+                self.copies.insert(order.ask.model.clone(), Copy::Held);
+            }
+        }
+    }
+}
+
+/// A load that was seen to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loaded {
+    /// The model.
+    pub model: Name,
+    /// How long it took.
+    pub took_ms: Millis,
+    /// Whether the weights came from the weight store.
+    pub from_store: bool,
+    /// How many loads from the weight store ran beside it at most, itself included.
+    pub beside: usize,
+}
+
+/// How long a load should take.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadTime {
+    /// The time.
+    pub takes_ms: Millis,
+    /// Whether the weights come from the weight store.
+    pub from_store: bool,
+}
--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -6,6 +6,7 @@
 pub mod book;
 pub mod ceiling;
 pub mod demand;
+pub mod engine;
 pub mod lease;
 pub mod ledger;
 pub mod message;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
 
 /// Why settings cannot be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum SettingsError {
     /// The file cannot be read.
     #[snafu(display("cannot read the settings file {}: {source}", path.display()))]
