Pass on no refusal that does not say 'not run', and no answer without a seal

Cause, found by reading: an upstream's own 408, 421, 429 or 503 without its word that it did not run was passed on, and would have promised the caller that a request has not run that may have; an unsealed 4xx would have looked like the host's own denial. Both tests failed first.

--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -26,6 +26,8 @@
 const SILENT_MS: Millis = Millis(1_000);
 /// Why a send failed that got no answer within the request's time.
 const NO_ANSWER: &str = "no answer in time";
+/// The statuses that promise a caller that its request has not run. An upstream's own is passed on only with its word.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Answers up to this length are read whole before the caller gets their first byte, so that one that breaks
 /// off can still be replaced.
 const WHOLE_BYTES: u64 = 64 << 10;
@@ -192,8 +194,11 @@
                     lacks_model: facts.lacks_model,
                 };
             }
-            if !facts.is_sealed && head.status < 300 {
-                return fail("a success without a seal", false);
+            if PROMISES.contains(&head.status) {
+                return fail("a refusal that does not say that it did not run", false);
+            }
+            if !facts.is_sealed && head.status < 500 {
+                return fail("an answer without a seal", false);
             }
             match head.status >= 500 {
                 true => note_failure(host, upstream, now, false),
--- a/src/entry/tests/answers.rs
+++ b/src/entry/tests/answers.rs
@@ -241,3 +241,29 @@
         site.until(|_| *upstream.left.borrow() == 1).await;
     });
 }
+
+#[test]
+fn a_refusal_that_does_not_say_not_run_is_no_promise_to_the_caller() {
+    for refusal in [
+        "HTTP/1.1 503 Busy\r\nId: {id}\r\nSeal: s\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 429 Busy\r\nId: {id}\r\nSeal: s\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 408 Busy\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        on_site(|site| async move {
+            serve_by(&site, Repeat::Once).await;
+            let upstream = site.upstream("u1", vec![vec![Write(refusal)]]).await;
+            assert_eq!(site.call(REQUEST).await.head.status, 502);
+            assert_eq!(upstream.arrivals.borrow().len(), 1);
+        });
+    }
+}
+
+#[test]
+fn a_denial_without_a_seal_is_not_passed_on() {
+    on_site(|site| async move {
+        serve_by(&site, Repeat::Once).await;
+        let denial = "HTTP/1.1 404 Gone\r\nId: {id}\r\nContent-Length: 0\r\n\r\n";
+        site.upstream("u1", vec![vec![Write(denial)]]).await;
+        assert_eq!(site.call(REQUEST).await.head.status, 502);
+    });
+}
