Wait for changes for less than the time in which they must be known

Ruled out: a silent connection (the polls were answered), a lost answer (no 200 or 201 line). Change: the wait also fits into the time in which a desired state must be in force, or a leaving upstream known.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -16,7 +16,7 @@
 /// How long the store may take to answer beyond the wait that it was asked for.
 const ANSWER_MS: Millis = Millis(500);
 /// What is left of the contact time after a rest, a wait and an answer.
-const CONTACT_MARGIN_MS: Millis = Millis(100);
+const MARGIN_MS: Millis = Millis(100);
 /// The shortest wait, whatever the platform's bounds.
 const LEAST_WAIT_MS: Millis = Millis(300);
 /// The pauses after failed reads: short first, since a single refusal passes; each refused call is paid too.
@@ -108,11 +108,15 @@
     Millis((contact_ms.0 as f64 * REST_PART) as u64)
 }
 
-/// Returns how long a read waits for a change. A connection may go silent for good without a reset; then only the end
-/// of the wait shows it, so rest, wait and answer together fit into the time after which the platform counts this
-/// host as in contact again. Shorter waits cost more calls.
-fn wait_ms(contact_ms: Millis, rest_ms: Millis) -> Millis {
-    (contact_ms - rest_ms - ANSWER_MS - CONTACT_MARGIN_MS).max(LEAST_WAIT_MS)
+/// Returns how long a read waits for a change. Two things can keep a change from it until its end: a connection that
+/// went silent for good without a reset, so rest, wait and answer together fit into the time after which the
+/// platform counts this host as in contact again; and a read that reaches the store while the change is being
+/// written, which is not woken, so the wait fits into the time in which the change must be known. Shorter waits
+/// cost more calls.
+pub fn wait_ms(contact_ms: Millis, known_within_ms: Millis, rested_ms: Millis) -> Millis {
+    let for_silence = contact_ms - rested_ms - ANSWER_MS - MARGIN_MS;
+    let for_missed_wakeup = known_within_ms - ANSWER_MS;
+    for_silence.min(for_missed_wakeup).max(LEAST_WAIT_MS)
 }
 
 fn note_answer(cursor: &mut Cursor) {
@@ -165,8 +169,13 @@
     cursor: &mut Cursor,
     from: Offset,
 ) -> Result<bool, StoreError> {
-    let contact_ms = host.settings().bounds.contact_ms;
-    let wait_ms = wait_ms(contact_ms, std::mem::take(&mut cursor.rested_ms));
+    let bounds = host.settings().bounds;
+    let known_within_ms = match cursor.table {
+        Table::Desired => bounds.apply_ms,
+        Table::Upstreams => bounds.drain_ms,
+    };
+    let rested_ms = std::mem::take(&mut cursor.rested_ms);
+    let wait_ms = wait_ms(bounds.contact_ms, known_within_ms, rested_ms);
     let read = host
         .platform
         .follow_table(cursor.table, from, wait_ms, ANSWER_MS);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -40,6 +40,10 @@
     pub stop_s: f64,
     /// How long after trouble with its connections the platform counts a host as in contact again.
     pub contact_ms: Millis,
+    /// Within what time a new desired state must be in force.
+    pub apply_ms: Millis,
+    /// Within what time an upstream that leaves must get no more requests.
+    pub drain_ms: Millis,
     /// Repeated sends for each request, over all hosts.
     pub retry_ratio: f64,
     /// Repeated sends that are allowed besides, over all hosts.
--- a/src/entry/tests/follow.rs
+++ b/src/entry/tests/follow.rs
@@ -2,6 +2,8 @@
 
 use super::site::{entry, on_site, route};
 use crate::desired::{Repeat, Route};
+use crate::entry::follow::wait_ms;
+use crate::prelude::*;
 use std::net::SocketAddr;
 
 fn nowhere() -> SocketAddr {
@@ -59,3 +61,24 @@
             .await;
     });
 }
+
+/// A read that reaches the store while a record is being written is not woken by it and returns at the end of its
+/// wait; a read over a connection that went silent returns nothing at all.
+#[test]
+fn a_change_that_a_read_is_not_woken_for_is_known_in_time() {
+    for (contact_ms, bound_ms) in [
+        (3_000, 2_000),
+        (4_000, 3_000),
+        (3_000, 5_000),
+        (2_000, 1_000),
+    ] {
+        for rested_ms in [0, contact_ms * 2 / 5] {
+            let wait = wait_ms(Millis(contact_ms), Millis(bound_ms), Millis(rested_ms));
+            assert!(
+                wait + Millis(300) <= Millis(bound_ms),
+                "{wait} of {bound_ms}"
+            );
+            assert!(wait + Millis(rested_ms + 500) < Millis(contact_ms));
+        }
+    }
+}
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -237,6 +237,8 @@
         bounds: PlatformBounds {
             stop_s: 8.0,
             contact_ms: Millis(3_000),
+            apply_ms: Millis(2_000),
+            drain_ms: Millis(2_000),
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_s: 10.0,
