Drop two settings that nothing reads

The ceiling of loads uses nine tenths of the rate and a burst of three, whatever window and excess the platform judges by.

--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -52,10 +52,6 @@
     pub retry_window_s: f64,
     /// How long after another host's last order a host may send its first.
     pub order_lease_ms: Millis,
-    /// The window in which loads from the weight store are counted.
-    pub load_window_s: f64,
-    /// By which factor loads in that window may exceed the weight store's rate.
-    pub load_excess: f64,
     /// The longest time for which callers may keep an answer of the directory.
     pub directory_ttl_s: f64,
     /// The shortest time after which a silent member may be dropped from the group of hosts.
@@ -72,11 +68,6 @@
     pub fn directory_ttl_ms(&self) -> Millis {
         millis(self.directory_ttl_s)
     }
-
-    /// Returns the window in which loads from the weight store are counted.
-    pub fn load_window_ms(&self) -> Millis {
-        millis(self.load_window_s)
-    }
 }
 
 fn millis(seconds: f64) -> Millis {
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -243,8 +243,6 @@
             retry_slack: 50.0,
             retry_window_s: 10.0,
             order_lease_ms: Millis(3_000),
-            load_window_s: 5.0,
-            load_excess: 1.1,
             directory_ttl_s: 5.0,
             member_lapse_ms: Millis(1_000),
         },
