--- a/src/entry/course.rs
+++ b/src/entry/course.rs
@@ -27,7 +27,7 @@
     pub model: Option<ModelAsk>,
     /// The tokens of its prompt.
     pub prompt_tokens: u64,
-    /// The upstreams that it was sent to, with the result of each.
+    /// The upstreams that it was sent to, with the result of each, or `under_way` when the caller left before one.
     pub sends: Vec<(Name, &'static str)>,
     /// How long it waited for an upstream.
     pub waited_ms: Millis,
@@ -74,6 +74,20 @@
     }
 }
 
+impl Course {
+    /// Takes note of a send that begins.
+    pub fn note_send(&mut self, upstream: &Name) {
+        self.sends.push((upstream.clone(), "under_way"));
+    }
+
+    /// Takes note of the result of the send that began last.
+    pub fn note_result(&mut self, result: &'static str) {
+        if let Some((_, last)) = self.sends.last_mut() {
+            *last = result;
+        }
+    }
+}
+
 impl<P: Platform> Drop for CourseLog<'_, P> {
     fn drop(&mut self) {
         let host = self.host;
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -54,8 +54,9 @@
             Some(upstream) => upstream,
             None => upstream,
         };
+        log.course.note_send(&upstream);
         let result = try_upstream(host, ask, &upstream, &mut tries, None).await;
-        log.course.sends.push((upstream.clone(), result.name()));
+        log.course.note_result(result.name());
         host.metrics.count_send(result.name());
         match result {
             Sent::Answered(answer) if tries.prefers_another(host, ask, &answer) => {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -334,8 +334,10 @@
             if !self.tries.may_repeat(self.host, self.ask) {
                 break;
             }
-            let sent = try_upstream(self.host, self.ask, &upstream, self.tries, Some(&after)).await;
-            log.course.sends.push((upstream.clone(), sent.name()));
+            log.course.note_send(&upstream);
+            let resume_after = Some(&*after);
+            let sent = try_upstream(self.host, self.ask, &upstream, self.tries, resume_after).await;
+            log.course.note_result(sent.name());
             self.host.metrics.count_send(sent.name());
             match sent {
                 Sent::Answered(answer) if answer.head.status == 200 => {
--- a/src/entry/tests/answers.rs
+++ b/src/entry/tests/answers.rs
@@ -3,6 +3,7 @@
 use super::fake_upstream::Step::{Close, Hang, Wait, Write};
 use super::site::{Site, entry, on_site, route};
 use crate::desired::{Repeat, Route};
+use crate::entry::course::Course;
 use crate::prelude::*;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -267,3 +268,12 @@
         assert_eq!(site.call(REQUEST).await.head.status, 502);
     });
 }
+
+#[test]
+fn the_upstream_of_a_send_without_a_result_is_in_the_log_line() {
+    let mut course = Course::default();
+    course.note_send(&Name::from("u1"));
+    assert_eq!(course.sends, [("u1".into(), "under_way")]);
+    course.note_result("answered");
+    assert_eq!(course.sends, [("u1".into(), "answered")]);
+}
