Begin with two loads at once, learn from overdue ones, tell callers of the turn at the weight store

Callers that waited for it were told "ready in 250 ms" again and again, since the estimate of an overdue load was its report's lag, and 108 requests of the best-paid class were held 6 to 8 s and refused.

Ruled out: engines that refuse the order (512 says accepted), a lost report (503 lines show the engine busy).

Change: two loads at once at first, fast growth up to the usual four while none is slowed, a lower limit as soon as an engine reports a load as overdue; estimates count how many loads run beside and which models come first. waited_ms of a request refused while it waits is written to its line now; it said 0.

--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -169,7 +169,11 @@
     let now = host.now();
     let mut orders = host.orders.borrow_mut();
     let was_known = orders.ledger.get(id).is_some_and(|engine| engine.is_known);
+    let is_answered = report.is_some();
     let loaded = orders.ledger.take_report(now, id, report);
+    if is_answered {
+        learn_from_overdue(host, &mut orders, id, now);
+    }
     if !was_known && let Some(engine) = orders.ledger.get(id).filter(|engine| engine.is_known) {
         let line = EngineLine {
             upstream: id,
@@ -202,6 +206,28 @@
     }
 }
 
+/// Lowers the number of loads at once when an engine says that it still carries out one that is overdue.
+fn learn_from_overdue<P: Platform>(host: &Host<P>, orders: &mut Orders, id: &str, now: Millis) {
+    let engine = orders.ledger.get(id);
+    let under_way: Vec<Loaded> = engine
+        .into_iter()
+        .flat_map(|engine| engine.loads_under_way(now))
+        .collect();
+    for Loaded {
+        model,
+        took_ms,
+        beside,
+        ..
+    } in under_way
+    {
+        if let Some(stated_ms) = stated_load_ms(host, id, &model)
+            && let Some(ceiling) = &mut orders.ceiling
+        {
+            ceiling.note_overdue(took_ms, stated_ms, beside);
+        }
+    }
+}
+
 fn stated_load_ms<P: Platform>(host: &Host<P>, id: &str, model: &Name) -> Option<Millis> {
     let routes = host.routes.borrow();
     let upstreams = host.upstreams.borrow();
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -5,6 +5,7 @@
 use crate::entry::orderer::{Orders, engine_specs, unusable};
 use crate::entry::peers::Peers;
 use crate::entry::platform::{ModelAsk, Platform};
+use crate::ordering::ceiling::Ceiling;
 use crate::ordering::message::{SyncAsk, SyncReply};
 use crate::ordering::planner::Planner;
 use crate::prelude::*;
@@ -55,6 +56,7 @@
         return Vec::new();
     };
     let unusable = unusable(host, now);
+    let store_loads_at_once = orders.ceiling.as_ref().map_or(1, Ceiling::at_once);
     let specs = engine_specs(&table).map(|(service, spec)| {
         let planner = Planner {
             now,
@@ -64,7 +66,7 @@
             book: &orders.book,
             unusable: &unusable,
         };
-        planner.ready_in_ms()
+        planner.ready_in_ms(store_loads_at_once)
     });
     specs.flatten().collect()
 }
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -33,13 +33,23 @@
         return Err(tries.last_refusal());
     }
     tries.waited = true;
+    let waited = wait(host, ask, tries, began_at).await;
+    log.course.waited_ms += host.now().since(began_at);
+    waited
+}
+
+async fn wait<P: Platform>(
+    host: &Host<P>,
+    ask: &Ask,
+    tries: &mut Tries,
+    began_at: Millis,
+) -> Result<(), Refusal> {
     let until = patient_until(host, ask, began_at)?;
     let _waiting = Waiting::new(host, ask);
     loop {
         let change = host.next_change();
         tries.passed_over.clear();
         if choose(host, ask, tries).is_some() {
-            log.course.waited_ms += host.now().since(began_at);
             return Ok(());
         }
         let now = host.now();
@@ -49,7 +59,6 @@
         }
         let until = until.max(patient_until(host, ask, began_at)?);
         if now >= until {
-            log.course.waited_ms += now.since(began_at);
             return Err(no_upstream(host, ask, now));
         }
         // Rests of upstreams end without a change, so the state is looked at now and then.
--- a/src/ordering/ceiling.rs
+++ b/src/ordering/ceiling.rs
@@ -2,7 +2,9 @@
 //!
 //! Answers the pattern of many models asked for at once after a shift of demand: the store serves a few loads at full
 //! speed, and each further one slows all of them in proportion, so that ten loads at once are ready
-//! later than the same ten one after the other.
+//! later than the same ten one after the other. How many are served at full speed is not stated anywhere: it is learned
+//! from loads that end, and sooner from loads that are overdue. Where one load at a time of 13 s is served, four at once
+//! were all ready after 53 s; one after the other the first is ready after 13 s.
 
 use crate::prelude::*;
 
@@ -10,12 +12,17 @@
 const USED_PART: f64 = 0.9;
 /// Loads that may begin at once after a pause.
 const BURST: f64 = 3.0;
-/// Loads at once before any was measured.
-const FIRST_AT_ONCE: f64 = 4.0;
+/// Loads at once before any was measured: the least that shows whether loads slow each other. Two that do are overdue
+/// after one load's time, and are ready together after two loads' time.
+const FIRST_AT_ONCE: f64 = 2.0;
+/// Up to so many at once the limit grows fast: the usual speed of a weight store.
+const USUAL_AT_ONCE: f64 = 4.0;
 /// A load that took less than this factor of its stated time was not slowed by others; the report of its end lags by
 /// up to half a second.
 const FULL_SPEED_FACTOR: f64 = 1.15;
-/// By how many loads at once the limit grows with each load at full speed, before and after one was slowed.
+/// By how many loads at once the limit grows with each load at full speed: below the usual speed, above it, and after
+/// one was slowed.
+const FAST_GROWTH: f64 = 1.0;
 const FIRST_GROWTH: f64 = 0.25;
 const SLOWED_GROWTH: f64 = 0.05;
 /// Loads at once that are kept for models that are asked for: a load under way holds its place for seconds.
@@ -32,7 +39,7 @@
     saved: f64,
     filled_at: Millis,
     at_once: f64,
-    growth: f64,
+    was_slowed: bool,
 }
 
 impl Ceiling {
@@ -42,7 +49,7 @@
             saved: 0.0,
             filled_at: now,
             at_once: FIRST_AT_ONCE,
-            growth: FIRST_GROWTH,
+            was_slowed: false,
         }
     }
 
@@ -74,13 +81,33 @@
 
     /// Learns from a load that took `took_ms` against `stated_ms` while `beside` loads ran at most, itself included.
     pub fn note_done(&mut self, took_ms: Millis, stated_ms: Millis, beside: usize) {
-        let factor = took_ms.0 as f64 / stated_ms.0.max(1) as f64;
+        let factor = slowed_by(took_ms, stated_ms);
         let beside = beside.max(1) as f64;
         if factor > FULL_SPEED_FACTOR {
-            self.at_once = (beside / factor).round().max(1.0).min(self.at_once);
-            self.growth = SLOWED_GROWTH;
+            self.lower_to((beside / factor).round());
         } else if beside >= self.at_once.floor() {
-            self.at_once = (self.at_once + self.growth).min(MOST_AT_ONCE);
+            self.at_once = (self.at_once + self.growth()).min(MOST_AT_ONCE);
+        }
+    }
+
+    /// Learns from a load that its engine still carries out `passed_ms` after it began.
+    pub fn note_overdue(&mut self, passed_ms: Millis, stated_ms: Millis, beside: usize) {
+        let factor = slowed_by(passed_ms, stated_ms);
+        if beside > 1 && factor > FULL_SPEED_FACTOR {
+            self.lower_to((beside as f64 / factor).floor());
+        }
+    }
+
+    fn lower_to(&mut self, at_once: f64) {
+        self.at_once = at_once.max(1.0).min(self.at_once);
+        self.was_slowed = true;
+    }
+
+    fn growth(&self) -> f64 {
+        match (self.was_slowed, self.at_once < USUAL_AT_ONCE) {
+            (true, _) => SLOWED_GROWTH,
+            (false, true) => FAST_GROWTH,
+            (false, false) => FIRST_GROWTH,
         }
     }
 
@@ -89,3 +116,7 @@
         self.at_once as usize
     }
 }
+
+fn slowed_by(took_ms: Millis, stated_ms: Millis) -> f64 {
+    took_ms.0 as f64 / stated_ms.0.max(1) as f64
+}
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -41,6 +41,17 @@
 }
 
 impl Copy {
+    /// Tells whether the copy is being loaded from the weight store.
+    pub fn is_from_store(&self) -> bool {
+        matches!(
+            self,
+            Self::Loading {
+                from_store: true,
+                ..
+            }
+        )
+    }
+
     /// Tells whether the copy can run, as far as that can be told. A load from the engine's own disk takes the stated
     /// time, and the report of its end lags by some hundred milliseconds; an engine that is not ready says so.
     pub fn should_run(&self, now: Millis) -> bool {
@@ -196,6 +207,26 @@
         }
     }
 
+    /// Returns the loads from the weight store that the engine said, a moment ago, it still carries out.
+    pub fn loads_under_way(&self, now: Millis) -> impl Iterator<Item = Loaded> {
+        let reported = self.was_busy && self.is_known;
+        let copies = self.copies.iter().filter(move |_| reported);
+        copies.filter_map(move |(model, copy)| match copy {
+            Copy::Loading {
+                since,
+                from_store: true,
+                beside,
+                ..
+            } => Some(Loaded {
+                model: model.clone(),
+                took_ms: now.since(*since),
+                from_store: true,
+                beside: *beside,
+            }),
+            _ => None,
+        })
+    }
+
     /// Takes a report. An engine counts an order when it accepts it and reports both at once, so a report with the
     /// count that is known here shows the effect of every order so far, and one with a lower count is older.
     pub(super) fn take_report(&mut self, now: Millis, report: EngineReport) -> Vec<Loaded> {
@@ -387,7 +418,7 @@
     }
 }
 
-/// A load that was seen to be done.
+/// A load that was seen to be done, or to be still under way.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Loaded {
     /// The model.
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -73,16 +73,7 @@
             .engines
             .values()
             .flat_map(|engine| engine.copies.values());
-        let from_store = |copy: &&Copy| {
-            matches!(
-                copy,
-                Copy::Loading {
-                    from_store: true,
-                    ..
-                }
-            )
-        };
-        copies.filter(from_store).count()
+        copies.filter(|copy| copy.is_from_store()).count()
     }
 
     /// Notes at each load under way how many run beside it.
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -43,6 +43,11 @@
 /// What a load from the weight store costs against one from the engine's disk, in prompt tokens a second of what
 /// makes way.
 const STORE_LOAD: f64 = 4_000.0;
+/// By which part of its time so far a load that is overdue is expected to go on: one that waits for others has no end
+/// that could be told, and callers are told to come back then.
+const OVERDUE_PART: u64 = 4;
+/// When an engine that unloads a model takes orders again: the unload and the report of it.
+const UNLOADED_IN_MS: Millis = Millis(550);
 /// The time of a load from the engine's memory or disk beyond what is stated: the report of its end lags.
 const REPORT_LAG_MS: Millis = Millis(250);
 
@@ -94,47 +99,78 @@
             .or_else(|| self.spare_order(ceiling))
     }
 
-    /// Returns how long until what callers wait for is ready, as far as that can be told.
-    pub fn ready_in_ms(&self) -> Vec<(ModelAsk, Millis)> {
+    /// Returns how long until what callers wait for is ready, as far as that can be told, while the weight store serves
+    /// `store_loads_at_once` loads at full speed.
+    pub fn ready_in_ms(&self, store_loads_at_once: usize) -> Vec<(ModelAsk, Millis)> {
         let waiting = self.book.iter().filter(|(_, asked)| asked.waiting > 0);
         waiting
             .filter(|(ask, _)| self.spec.models.contains_key(&ask.model))
-            .map(|(ask, _)| (ask.clone(), self.ready_in(ask)))
+            .map(|(ask, _)| (ask.clone(), self.ready_in(ask, store_loads_at_once)))
             .collect()
     }
 
-    fn ready_in(&self, ask: &ModelAsk) -> Millis {
+    fn ready_in(&self, ask: &ModelAsk, store_loads_at_once: usize) -> Millis {
         let adapter_ms = Millis(if ask.adapter.is_some() { 30 } else { 0 });
         let mut best: Option<Millis> = None;
         for engine in self.engines() {
             let in_ms = match engine.copies.get(&ask.model) {
                 Some(Copy::Held) if engine.is_busy() && ask.adapter.is_some() => {
-                    self.free_in(engine)
+                    self.free_in(engine, store_loads_at_once)
                 }
                 Some(Copy::Held) => Millis::ZERO,
-                Some(Copy::Loading { ready_at, .. }) if *ready_at != Millis::NEVER => {
-                    ready_at.since(self.now) + REPORT_LAG_MS
-                }
-                _ => continue,
+                Some(copy) => match self.loaded_in(&ask.model, copy, store_loads_at_once) {
+                    Some(in_ms) => in_ms,
+                    None => continue,
+                },
+                None => continue,
             };
             best = Some(best.map_or(in_ms, |best| best.min(in_ms)));
         }
-        best.unwrap_or_else(|| self.load_in(&ask.model)) + adapter_ms
+        best.unwrap_or_else(|| self.load_in(&ask.model, store_loads_at_once)) + adapter_ms
     }
 
-    /// Returns how long until an engine takes orders again.
-    fn free_in(&self, engine: &Engine) -> Millis {
-        let ends = engine.copies.values().filter_map(|copy| match copy {
-            Copy::Loading { ready_at, .. } if *ready_at != Millis::NEVER => {
-                Some(ready_at.since(self.now))
+    /// Returns how long until a load under way is done; nothing when the copy is not being loaded, or its order may not
+    /// have taken effect. Loads from the weight store beyond those at full speed slow each other in proportion. One
+    /// that is overdue all the same is taken to need a quarter of its time so far in addition.
+    fn loaded_in(&self, model: &str, copy: &Copy, store_loads_at_once: usize) -> Option<Millis> {
+        let Copy::Loading {
+            since,
+            ready_at,
+            from_store,
+            beside,
+        } = *copy
+        else {
+            return None;
+        };
+        if ready_at == Millis::NEVER {
+            return None;
+        }
+        let slowed_by = (beside as f64 / store_loads_at_once.max(1) as f64).max(1.0);
+        let stated_ms = self.spec.models.get(model).map(|spec| spec.load_ms);
+        let ready_at = match stated_ms {
+            Some(stated_ms) if from_store => {
+                since + Millis((stated_ms.0 as f64 * slowed_by) as u64)
             }
-            _ => None,
-        });
-        ends.max().unwrap_or(Millis(300)) + REPORT_LAG_MS
+            _ => ready_at,
+        };
+        let left_ms = match ready_at > self.now {
+            true => ready_at - self.now,
+            false => Millis(self.now.since(since).0 / OVERDUE_PART),
+        };
+        Some(left_ms + REPORT_LAG_MS)
+    }
+
+    /// Returns how long until an engine takes orders again.
+    fn free_in(&self, engine: &Engine, store_loads_at_once: usize) -> Millis {
+        let ends = engine
+            .copies
+            .iter()
+            .filter_map(|(model, copy)| self.loaded_in(model, copy, store_loads_at_once));
+        ends.max().unwrap_or(UNLOADED_IN_MS)
     }
 
     /// Returns how long a load that has not begun will take, with the wait for its turn at the weight store.
-    fn load_in(&self, model: &Name) -> Millis {
+    fn load_in(&self, model: &Name, store_loads_at_once: usize) -> Millis {
         let Some(spec) = self.spec.models.get(model) else {
             return Millis::NEVER;
         };
@@ -143,8 +179,43 @@
             .any(|engine| engine.at_hand.contains(model) && !engine.is_busy());
         match is_at_hand {
             true => spec.from_disk_ms + REPORT_LAG_MS + REPORT_LAG_MS,
-            false => spec.load_ms + REPORT_LAG_MS,
+            false => {
+                let turn_ms = self.turn_in(model, spec.load_ms, store_loads_at_once);
+                turn_ms + spec.load_ms + REPORT_LAG_MS
+            }
+        }
+    }
+
+    /// Returns how long until a load may begin at the weight store: when one of those under way ends, and after the
+    /// loads of models that more callers wait for.
+    fn turn_in(&self, model: &Name, load_ms: Millis, store_loads_at_once: usize) -> Millis {
+        let mut ends: Vec<Millis> = self
+            .engines()
+            .flat_map(|engine| engine.copies.iter())
+            .filter(|(_, copy)| copy.is_from_store())
+            .filter_map(|(other, copy)| self.loaded_in(other, copy, store_loads_at_once))
+            .collect();
+        ends.sort_unstable();
+        let waiting = self.book.model(self.now, model).waiting;
+        let before = self
+            .spec
+            .models
+            .keys()
+            .filter(|other| *other != model && self.book.model(self.now, other).waiting > waiting)
+            .filter(|other| {
+                !self
+                    .engines()
+                    .any(|engine| engine.will_hold(self.now, other))
+            })
+            .count();
+        let at_once = store_loads_at_once.max(1);
+        let free = at_once.saturating_sub(ends.len());
+        if before < free {
+            return Millis::ZERO;
         }
+        let place = before - free;
+        let first_ms = ends.first().copied().unwrap_or(load_ms);
+        first_ms + Millis(load_ms.0 * (place / at_once) as u64)
     }
 
     fn engines(&self) -> impl Iterator<Item = &Engine> {
--- a/src/ordering/tests/ceiling.rs
+++ b/src/ordering/tests/ceiling.rs
@@ -50,6 +50,33 @@
     assert!(!ceiling.admits(Millis(100_000), 19.0, 1));
 }
 
+#[test]
+fn a_load_that_is_overdue_lowers_the_loads_at_once_before_it_ends() {
+    let mut ceiling = Ceiling::new(Millis::ZERO);
+    assert!(ceiling.admits(Millis(100_000), 19.0, 1));
+    ceiling.note_overdue(Millis(13_500), Millis(13_200), 2);
+    assert_eq!(ceiling.at_once(), 2);
+    ceiling.note_overdue(Millis(15_400), Millis(13_200), 2);
+    assert_eq!(ceiling.at_once(), 1);
+}
+
+#[test]
+fn a_load_alone_that_is_overdue_says_nothing_of_the_store() {
+    let mut ceiling = Ceiling::new(Millis::ZERO);
+    ceiling.note_overdue(Millis(60_000), Millis(13_200), 1);
+    assert_eq!(ceiling.at_once(), 2);
+}
+
+#[test]
+fn two_loads_at_full_speed_are_enough_for_the_usual_number_at_once() {
+    let mut ceiling = Ceiling::new(Millis::ZERO);
+    ceiling.note_done(Millis(6_200), Millis(6_000), 2);
+    ceiling.note_done(Millis(6_200), Millis(6_000), 2);
+    assert!(ceiling.at_once() >= 3);
+    ceiling.note_done(Millis(6_200), Millis(6_000), 3);
+    assert_eq!(ceiling.at_once(), 4);
+}
+
 #[test]
 fn a_store_that_keeps_its_speed_gets_more_at_once() {
     let mut ceiling = Ceiling::new(Millis::ZERO);
--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -262,3 +262,46 @@
     let planned = site.next(NOW).expect("a plan");
     assert_eq!((planned.action, &*planned.engine), (Action::Unload, "e1"));
 }
+
+#[test]
+fn callers_are_told_of_the_turn_at_a_weight_store_that_serves_one_load_at_a_time() {
+    let mut site = Site::new(spec(80_000.0, &[30_000.0, 30_000.0]), &[&[], &[]]);
+    let asks = [(model("m0"), waiting(5)), (model("m1"), waiting(1))];
+    site.ask(1, NOW, &asks);
+    let ready_in = |site: &Site, now: Millis, name: &str| {
+        let planner = Planner {
+            now,
+            service: "s",
+            spec: &site.spec,
+            ledger: &site.ledger,
+            book: &site.book,
+            unusable: &IndexSet::new(),
+        };
+        let ready = planner.ready_in_ms(1);
+        let found = ready.into_iter().find(|(ask, _)| *ask == model(name));
+        found.expect("callers wait for the model").1
+    };
+    let load_ms = site.spec.models["m0"].load_ms;
+    let alone_ms = ready_in(&site, NOW, "m0");
+    assert!(alone_ms >= load_ms && alone_ms < load_ms + Millis(500));
+    assert!(ready_in(&site, NOW, "m1") >= load_ms + load_ms);
+}
+
+#[test]
+fn a_load_that_is_overdue_is_not_said_to_be_ready_at_any_moment() {
+    let mut site = Site::new(spec(80_000.0, &[30_000.0, 30_000.0]), &[&[]]);
+    site.ask(1, NOW, &[(model("m0"), waiting(1))]);
+    site.plan_all();
+    let now = NOW + Millis(20_000);
+    site.ask(1, now, &[(model("m0"), waiting(1))]);
+    let planner = Planner {
+        now,
+        service: "s",
+        spec: &site.spec,
+        ledger: &site.ledger,
+        book: &site.book,
+        unusable: &IndexSet::new(),
+    };
+    let ready = planner.ready_in_ms(1);
+    assert!(ready[0].1 >= Millis(4_000), "{ready:?}");
+}
