Hand on to the next orderer how many loads the weight store serves at once

Cause: an orderer that begins with two loads at once learns the store's speed from its own loads, and a new one began anew; sites lose their orderer often (a kill, a planned stop, a cut from the store). The lease's record carries the learned figure now. Test: a_new_holder_goes_on_with_what_the_former_one_learned.

--- a/src/entry/lease_keeper.rs
+++ b/src/entry/lease_keeper.rs
@@ -88,10 +88,13 @@
     let due = {
         let orders = host.orders.borrow();
         let holding = orders.lease.holding().cloned();
-        holding.filter(|_| orders.lease.is_renewal_due(now))
+        let due = holding.filter(|_| orders.lease.is_renewal_due(now));
+        due.map(|holding| (holding, orders.store_loads_at_once()))
     };
-    let Some(holding) = due else { return };
-    let record = record_bytes(&holding.record(false));
+    let Some((holding, store_loads_at_once)) = due else {
+        return;
+    };
+    let record = record_bytes(&holding.record(false, store_loads_at_once));
     match host.platform.append_lease(holding.end, &record).await {
         Ok(AppendOutcome::Appended(offset)) => {
             host.orders.borrow_mut().lease.note_renewed(now, offset);
@@ -147,11 +150,11 @@
         }
         orders.lease.drop_holding();
         orders.ledger = Ledger::default();
-        held
+        held.map(|held| (held.end, held.record(true, orders.store_loads_at_once())))
     };
-    let Some(held) = held else { return };
-    let record = record_bytes(&held.record(true));
-    if let Err(error) = host.platform.append_lease(held.end, &record).await {
+    let Some((end, record)) = held else { return };
+    let record = record_bytes(&record);
+    if let Err(error) = host.platform.append_lease(end, &record).await {
         note_store_error(&error);
     }
 }
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -42,6 +42,12 @@
 }
 
 impl Orders {
+    /// Returns how many loads the weight store serves at full speed, as far as any holder has learned it.
+    pub fn store_loads_at_once(&self) -> Option<usize> {
+        let own = self.ceiling.as_ref().and_then(Ceiling::learned_at_once);
+        own.or(self.lease.store_loads_at_once())
+    }
+
     /// Returns the host that orders loads, as far as this one knows.
     pub fn holder(&self) -> Option<&Member> {
         self.lease.holder()
@@ -248,7 +254,7 @@
         lease,
         ..
     } = &mut *orders;
-    let ceiling = ceiling.get_or_insert_with(|| Ceiling::new(now));
+    let ceiling = ceiling.get_or_insert_with(|| Ceiling::new(now, lease.store_loads_at_once()));
     let fence = lease.holding().map_or(0, |holding| holding.fence);
     for (service, spec) in engine_specs(table) {
         for _ in 0..MAX_PLANNED {
--- a/src/ordering/ceiling.rs
+++ b/src/ordering/ceiling.rs
@@ -40,16 +40,19 @@
     filled_at: Millis,
     at_once: f64,
     was_slowed: bool,
+    is_learned: bool,
 }
 
 impl Ceiling {
-    /// Makes the ceiling of a host that begins to order.
-    pub fn new(now: Millis) -> Self {
+    /// Makes the ceiling of a host that begins to order. `learned_at_once` is what a former holder learned.
+    pub fn new(now: Millis, learned_at_once: Option<usize>) -> Self {
+        let learned = learned_at_once.map(|at_once| (at_once as f64).clamp(1.0, MOST_AT_ONCE));
         Self {
             saved: 0.0,
             filled_at: now,
-            at_once: FIRST_AT_ONCE,
+            at_once: learned.unwrap_or(FIRST_AT_ONCE),
             was_slowed: false,
+            is_learned: learned.is_some(),
         }
     }
 
@@ -83,6 +86,7 @@
     pub fn note_done(&mut self, took_ms: Millis, stated_ms: Millis, beside: usize) {
         let factor = slowed_by(took_ms, stated_ms);
         let beside = beside.max(1) as f64;
+        self.is_learned |= beside > 1.0;
         if factor > FULL_SPEED_FACTOR {
             self.lower_to((beside / factor).round());
         } else if beside >= self.at_once.floor() {
@@ -101,6 +105,7 @@
     fn lower_to(&mut self, at_once: f64) {
         self.at_once = at_once.max(1.0).min(self.at_once);
         self.was_slowed = true;
+        self.is_learned = true;
     }
 
     fn growth(&self) -> f64 {
@@ -111,6 +116,11 @@
         }
     }
 
+    /// Returns how many loads may run at once, if that was learned from loads that ran beside each other.
+    pub fn learned_at_once(&self) -> Option<usize> {
+        self.is_learned.then_some(self.at_once())
+    }
+
     /// Returns how many loads may run at once.
     pub fn at_once(&self) -> usize {
         self.at_once as usize
--- a/src/ordering/lease.rs
+++ b/src/ordering/lease.rs
@@ -28,6 +28,10 @@
     pub claim: u64,
     /// Whether the holder gives the lease up with it.
     pub released: bool,
+    /// How many loads at once the weight store serves at full speed, as far as holders have learned it; learning it
+    /// anew costs the next holder some loads' time.
+    #[serde(default)]
+    pub store_loads_at_once: Option<usize>,
 }
 
 /// A holder's own view of its lease.
@@ -71,11 +75,12 @@
     }
 
     /// Returns the record that renews or releases it.
-    pub fn record(&self, released: bool) -> LeaseRecord {
+    pub fn record(&self, released: bool, store_loads_at_once: Option<usize>) -> LeaseRecord {
         LeaseRecord {
             holder: self.me.clone(),
             claim: self.claim,
             released,
+            store_loads_at_once,
         }
     }
 }
@@ -179,9 +184,15 @@
             holder: me,
             claim: self.claims,
             released: false,
+            store_loads_at_once: self.store_loads_at_once(),
         }
     }
 
+    /// Returns what former holders learned of the weight store.
+    pub fn store_loads_at_once(&self) -> Option<usize> {
+        self.newest.as_ref()?.store_loads_at_once
+    }
+
     /// Takes an acknowledged claim, sent at `sent_at` under the condition `end`, now at `offset`.
     ///
     /// The former holder's last record was on the stream when its end was first read, at `still_since`, so it
--- a/src/ordering/tests/ceiling.rs
+++ b/src/ordering/tests/ceiling.rs
@@ -12,7 +12,7 @@
 fn loads_in_any_window_stay_under_the_bound_over_changes_of_the_holder() {
     arbtest::arbtest(|u| {
         let mut now = Millis(1_000_000);
-        let mut ceiling = Ceiling::new(now);
+        let mut ceiling = Ceiling::new(now, None);
         let mut begun: Vec<Millis> = Vec::new();
         for _ in 0..u.int_in_range(0..=300u16)? {
             now += Millis(u.int_in_range(0..=400u64)?);
@@ -20,7 +20,7 @@
                 0 => {
                     // A new holder orders no sooner than the engines' lease time after the last one.
                     now += Millis(3_000);
-                    ceiling = Ceiling::new(now);
+                    ceiling = Ceiling::new(now, None);
                 }
                 _ if ceiling.admits(now, LOADS_PER_S, 0) => {
                     ceiling.note_begun();
@@ -40,7 +40,7 @@
 
 #[test]
 fn a_store_that_serves_one_load_at_a_time_soon_gets_one_at_a_time() {
-    let mut ceiling = Ceiling::new(Millis::ZERO);
+    let mut ceiling = Ceiling::new(Millis::ZERO, None);
     for under_way in [4, 3, 2] {
         let took_ms = Millis(13_200 * under_way);
         ceiling.note_done(took_ms, Millis(13_200), under_way as usize);
@@ -52,7 +52,7 @@
 
 #[test]
 fn a_load_that_is_overdue_lowers_the_loads_at_once_before_it_ends() {
-    let mut ceiling = Ceiling::new(Millis::ZERO);
+    let mut ceiling = Ceiling::new(Millis::ZERO, None);
     assert!(ceiling.admits(Millis(100_000), 19.0, 1));
     ceiling.note_overdue(Millis(13_500), Millis(13_200), 2);
     assert_eq!(ceiling.at_once(), 2);
@@ -62,14 +62,14 @@
 
 #[test]
 fn a_load_alone_that_is_overdue_says_nothing_of_the_store() {
-    let mut ceiling = Ceiling::new(Millis::ZERO);
+    let mut ceiling = Ceiling::new(Millis::ZERO, None);
     ceiling.note_overdue(Millis(60_000), Millis(13_200), 1);
     assert_eq!(ceiling.at_once(), 2);
 }
 
 #[test]
 fn two_loads_at_full_speed_are_enough_for_the_usual_number_at_once() {
-    let mut ceiling = Ceiling::new(Millis::ZERO);
+    let mut ceiling = Ceiling::new(Millis::ZERO, None);
     ceiling.note_done(Millis(6_200), Millis(6_000), 2);
     ceiling.note_done(Millis(6_200), Millis(6_000), 2);
     assert!(ceiling.at_once() >= 3);
@@ -77,9 +77,18 @@
     assert_eq!(ceiling.at_once(), 4);
 }
 
+#[test]
+fn a_new_holder_goes_on_with_what_the_former_one_learned() {
+    let mut ceiling = Ceiling::new(Millis::ZERO, None);
+    assert_eq!(ceiling.learned_at_once(), None);
+    ceiling.note_overdue(Millis(15_400), Millis(13_200), 2);
+    let next = Ceiling::new(Millis(20_000), ceiling.learned_at_once());
+    assert_eq!(next.at_once(), 1);
+}
+
 #[test]
 fn a_store_that_keeps_its_speed_gets_more_at_once() {
-    let mut ceiling = Ceiling::new(Millis::ZERO);
+    let mut ceiling = Ceiling::new(Millis::ZERO, None);
     for _ in 0..20 {
         let under_way = ceiling.at_once();
         ceiling.note_done(Millis(6_200), Millis(6_000), under_way);
--- a/src/ordering/tests/lease.rs
+++ b/src/ordering/tests/lease.rs
@@ -77,14 +77,14 @@
         let due = self.leases[host].is_renewal_due(self.now);
         let holding = self.leases[host].holding().cloned();
         if let Some(holding) = holding.filter(|_| due) {
-            self.send(host, holding.end, holding.record(false), false);
+            self.send(host, holding.end, holding.record(false, Some(3)), false);
         }
     }
 
     fn release(&mut self, host: usize) {
         if let Some(holding) = self.leases[host].holding().cloned() {
             self.leases[host].drop_holding();
-            self.send(host, holding.end, holding.record(true), false);
+            self.send(host, holding.end, holding.record(true, Some(3)), false);
         }
     }
 
--- a/src/ordering/tests/ledger.rs
+++ b/src/ordering/tests/ledger.rs
@@ -47,7 +47,7 @@
             engines: (0..3).map(engine).collect(),
             ledger: Ledger::default(),
             book: Book::default(),
-            ceiling: Ceiling::new(Millis(900_000)),
+            ceiling: Ceiling::new(Millis(900_000), None),
             flights: Vec::new(),
         }
     }
--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -58,7 +58,7 @@
             spec,
             ledger,
             book: Book::default(),
-            ceiling: Ceiling::new(Millis(0)),
+            ceiling: Ceiling::new(Millis(0), None),
         }
     }
 
