--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -6,6 +6,7 @@
 use crate::entry::forward;
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
+use crate::entry::tries::BUSY_COME_BACK_MS;
 use crate::http1::client::{prepare, within};
 use crate::http1::{
     BodyReader, Connection, HeadError, Headers, ReadError, RequestHead, ResponseHead,
@@ -20,6 +21,9 @@
 const ACCEPT_LOOK_MS: Millis = Millis(500);
 /// The longest gap between two pieces of a body.
 const BODY_GAP_MS: Millis = Millis(5_000);
+/// Most bytes of request bodies that a host holds at once, those of requests that wait included: a fifth of the memory
+/// of the smallest host (160 MB).
+pub const MAX_HELD_BODY_BYTES: u64 = 32 << 20;
 /// Most bytes that a caller may send ahead of the answer to its request.
 const MAX_AHEAD_BYTES: usize = 64 << 10;
 /// How long, and how much, is read of a request that was refused before it arrived whole.
@@ -98,8 +102,9 @@
     };
     let arrived_at = host.now();
     let mut log = CourseLog::new(host, arrived_at);
+    let mut held = HeldBody::new(host);
     let read = match read {
-        Ok(head) => read_body(connection, side, &head, limits)
+        Ok(head) => read_body(connection, side, &head, limits, &mut held)
             .await
             .map(|body| (head, body)),
         Err(error) => Err(refusal_of(&error)),
@@ -207,11 +212,12 @@
     futures_lite::future::or(arrives, expires).await
 }
 
-async fn read_body(
+async fn read_body<P: Platform>(
     connection: &mut Connection<TcpStream>,
     side: &mut CallerSide,
     head: &RequestHead,
     limits: CallerLimits,
+    held: &mut HeldBody<'_, P>,
 ) -> Result<Vec<u8>, Refusal> {
     let mut reader = BodyReader::new(head.framing);
     if let crate::http1::Framing::Length(length) = head.framing
@@ -219,6 +225,9 @@
     {
         return Err(too_large());
     }
+    if let crate::http1::Framing::Length(length) = head.framing {
+        held.grow_to(length)?;
+    }
     if head.expects_continue && !reader.is_done() {
         let permission = b"HTTP/1.1 100 Continue\r\n\r\n";
         if side.stream.write_all(permission).await.is_err() {
@@ -238,6 +247,39 @@
         if body.len() as u64 > limits.body_bytes {
             return Err(too_large());
         }
+        held.grow_to(body.len() as u64)?;
+    }
+}
+
+/// Counts a request's body while it is held.
+struct HeldBody<'a, P: Platform> {
+    host: &'a Host<P>,
+    bytes: u64,
+}
+
+impl<'a, P: Platform> HeldBody<'a, P> {
+    fn new(host: &'a Host<P>) -> Self {
+        Self { host, bytes: 0 }
+    }
+
+    /// Counts the body with so many bytes, or says that there is no room for it.
+    fn grow_to(&mut self, bytes: u64) -> Result<(), Refusal> {
+        let more = bytes.saturating_sub(self.bytes);
+        let all = self.host.held_body_bytes.get() + more;
+        if all > MAX_HELD_BODY_BYTES {
+            let why = "this host holds as many bytes of requests as it may";
+            return Err(Refusal::new(ErrorKind::Overloaded, why).after(BUSY_COME_BACK_MS));
+        }
+        self.host.held_body_bytes.set(all);
+        self.bytes += more;
+        Ok(())
+    }
+}
+
+impl<P: Platform> Drop for HeldBody<'_, P> {
+    fn drop(&mut self) {
+        let held = &self.host.held_body_bytes;
+        held.set(held.get().saturating_sub(self.bytes));
     }
 }
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -207,13 +207,17 @@
 /// page named; rows that come again are older than what is known and passed over. Returns whether a rest is due.
 async fn read_all<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Result<bool, StoreError> {
     let asked_at = host.now();
-    let first = host.platform.read_table(cursor.table, None).await?;
+    let first = host
+        .count_call(host.platform.read_table(cursor.table, None))
+        .await?;
     let next = first.end;
     let mut rows = first.rows;
     let mut after = first.more_after;
     for _ in 0..MAX_PAGES {
         let Some(key) = after else { break };
-        let page = host.platform.read_table(cursor.table, Some(&key)).await?;
+        let page = host
+            .count_call(host.platform.read_table(cursor.table, Some(&key)))
+            .await?;
         rows.extend(page.rows);
         after = page.more_after;
     }
@@ -243,7 +247,7 @@
     let read = host
         .platform
         .follow_table(cursor.table, from, wait_ms, ANSWER_MS);
-    let TablePage { rows, end, .. } = read.await?;
+    let TablePage { rows, end, .. } = host.count_call(read).await?;
     cursor.next = Some(end);
     cursor.trims = 0;
     host.followed.note_read(cursor.table, asked_at, end);
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -7,7 +7,7 @@
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::orderer::Orders;
 use crate::entry::peers::Known;
-use crate::entry::platform::Platform;
+use crate::entry::platform::{Platform, StoreError};
 use crate::entry::pool::Pool;
 use crate::entry::settings::EntrySettings;
 use crate::entry::stop::ACCEPT_ON_MS;
@@ -56,6 +56,8 @@
     pub stop_asked_at: Cell<Option<Millis>>,
     /// Requests that were read and are not answered.
     pub active_requests: Cell<u32>,
+    /// Bytes of request bodies that are held.
+    pub held_body_bytes: Cell<u64>,
     /// Connections of callers that are open.
     pub caller_connections: Cell<usize>,
     has_news: Cell<bool>,
@@ -91,6 +93,7 @@
             budgets: RefCell::default(),
             stop_asked_at: Cell::new(None),
             active_requests: Cell::new(0),
+            held_body_bytes: Cell::new(0),
             caller_connections: Cell::new(0),
             has_news: Cell::new(false),
             changed: Wakeup::new(),
@@ -121,6 +124,25 @@
         asked_at.is_none_or(|at| self.now() < at + ACCEPT_ON_MS)
     }
 
+    /// Makes a call of the platform's store and counts it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the call's error.
+    pub async fn count_call<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let result = call.await;
+        self.metrics.count_store_call(match &result {
+            Ok(_) => "answered",
+            Err(StoreError::Refused { .. }) => "refused",
+            Err(StoreError::Trimmed) => "trimmed",
+            Err(_) => "no_answer",
+        });
+        result
+    }
+
     /// Tells whether this host orders loads.
     pub fn is_orderer(&self) -> bool {
         self.orders.borrow().lease.holding().is_some()
--- a/src/entry/lease_keeper.rs
+++ b/src/entry/lease_keeper.rs
@@ -95,7 +95,10 @@
         return;
     };
     let record = record_bytes(&holding.record(false, store_loads_at_once));
-    match host.platform.append_lease(holding.end, &record).await {
+    match host
+        .count_call(host.platform.append_lease(holding.end, &record))
+        .await
+    {
         Ok(AppendOutcome::Appended(offset)) => {
             host.orders.borrow_mut().lease.note_renewed(now, offset);
         }
@@ -124,7 +127,7 @@
 async fn read_moved<P: Platform>(host: &Host<P>) -> Result<(), StoreError> {
     let asked_at = host.now();
     let from = host.orders.borrow().lease.end().unwrap_or(Offset(0));
-    let read = host.platform.read_leases(from).await?;
+    let read = host.count_call(host.platform.read_leases(from)).await?;
     let newest = read.newest.as_deref().and_then(read_record);
     let mut orders = host.orders.borrow_mut();
     match newest {
@@ -154,7 +157,10 @@
     };
     let Some((end, record)) = held else { return };
     let record = record_bytes(&record);
-    if let Err(error) = host.platform.append_lease(end, &record).await {
+    if let Err(error) = host
+        .count_call(host.platform.append_lease(end, &record))
+        .await
+    {
         note_store_error(&error);
     }
 }
@@ -163,7 +169,7 @@
 async fn look_for_lease<P: Platform>(host: &Host<P>, me: &Member) -> Result<(), StoreError> {
     let asked_at = host.now();
     let from = host.orders.borrow().lease.end().unwrap_or(Offset(0));
-    let read = host.platform.read_leases(from).await?;
+    let read = host.count_call(host.platform.read_leases(from)).await?;
     let newest = read.newest.as_deref().and_then(read_record);
     let claim_end = {
         let mut orders = host.orders.borrow_mut();
@@ -176,7 +182,10 @@
     let sent_at = host.now();
     let record = host.orders.borrow_mut().lease.claim_record(me.clone());
     let bytes = record_bytes(&record);
-    let AppendOutcome::Appended(offset) = host.platform.append_lease(end, &bytes).await? else {
+    let AppendOutcome::Appended(offset) = host
+        .count_call(host.platform.append_lease(end, &bytes))
+        .await?
+    else {
         return Ok(());
     };
     let mut orders = host.orders.borrow_mut();
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -127,7 +127,7 @@
             }
         }
     }
-    if let Err(error) = host.platform.leave(&name).await {
+    if let Err(error) = host.count_call(host.platform.leave(&name)).await {
         let error = &error.to_string();
         lines::write(
             LogEvent::LogLost,
@@ -142,12 +142,14 @@
 async fn renew<P: Platform>(host: &Host<P>, name: &str) -> Result<(), StoreError> {
     let known = host.members.borrow().generation;
     let lapse_ms = LAPSE_MS.max(host.settings().bounds.member_lapse_ms);
-    let generation = host.platform.join(name, known, lapse_ms).await?;
+    let generation = host
+        .count_call(host.platform.join(name, known, lapse_ms))
+        .await?;
     let now = host.now();
     let read_at = host.members.borrow().read_at;
     let is_due = read_at.is_none_or(|at| now.since(at) >= READ_MS);
     if generation != known && is_due {
-        let names = host.platform.members().await?;
+        let names = host.count_call(host.platform.members()).await?;
         take(host, now, generation, &names);
     }
     Ok(())
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -79,6 +79,12 @@
     store_loads_at_once: usize,
 }
 
+#[derive(Serialize)]
+struct ReportLine<'a> {
+    upstream: &'a str,
+    error: &'a str,
+}
+
 #[derive(Serialize)]
 struct EngineLine<'a> {
     upstream: &'a str,
@@ -170,8 +176,16 @@
         .map(|upstream| upstream.address());
     let report = match address {
         Some(address) => host.platform.report(address, id).await,
-        None => None,
+        None => Err("it is listed no longer".to_string()),
     };
+    if let Err(error) = &report {
+        let line = ReportLine {
+            upstream: id,
+            error,
+        };
+        lines::write(LogEvent::ReportFailed, &line);
+    }
+    let report = report.ok();
     let now = host.now();
     let mut orders = host.orders.borrow_mut();
     let was_known = orders.ledger.get(id).is_some_and(|engine| engine.is_known);
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -247,10 +247,10 @@
         order: &Order,
     ) -> impl Future<Output = OrderAnswer>;
 
-    /// Reads an engine's report. Returns nothing when there is none.
+    /// Reads an engine's report, or returns why there is none.
     fn report(
         &self,
         address: SocketAddr,
         upstream: &str,
-    ) -> impl Future<Output = Option<EngineReport>>;
+    ) -> impl Future<Output = Result<EngineReport, String>>;
 }
--- a/src/entry/tests/callers.rs
+++ b/src/entry/tests/callers.rs
@@ -3,6 +3,7 @@
 use super::fake_upstream::Step::Write;
 use super::site::{on_site, route};
 use crate::desired::Repeat;
+use crate::entry::caller::MAX_HELD_BODY_BYTES;
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 4\r\n\r\n{id}";
 
@@ -89,3 +90,21 @@
         assert_eq!(upstream.arrivals.borrow()[0].body, b"abcde");
     });
 }
+
+#[test]
+fn a_body_beyond_what_a_host_holds_at_once_is_refused_as_not_run() {
+    on_site(|site| async move {
+        site.order(1, vec![route(Repeat::Once)]);
+        site.until_version(1).await;
+        let upstream = site.upstream("u1", vec![vec![Write(WHOLE)]]).await;
+        let request = "POST /a/ HTTP/1.1\r\nHost: x\r\nId: i001\r\nContent-Length: 3\r\n\r\nabc";
+        site.host.held_body_bytes.set(MAX_HELD_BODY_BYTES - 2);
+        let answer = site.call(request).await;
+        assert_eq!(answer.head.status, 503);
+        assert!(answer.head.headers.text("Retry-After").is_some());
+        assert!(upstream.arrivals.borrow().is_empty());
+        site.host.held_body_bytes.set(MAX_HELD_BODY_BYTES - 3);
+        assert_eq!(site.call(request).await.head.status, 200);
+        assert_eq!(site.host.held_body_bytes.get(), MAX_HELD_BODY_BYTES - 3);
+    });
+}
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -216,7 +216,7 @@
         OrderAnswer::Invalid
     }
 
-    async fn report(&self, _: SocketAddr, _: &str) -> Option<EngineReport> {
-        None
+    async fn report(&self, _: SocketAddr, _: &str) -> Result<EngineReport, String> {
+        Err("there are no engines".to_string())
     }
 }
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -95,6 +95,8 @@
     EngineRead = 513,
     /// Another host orders loads.
     OrdererChanged = 514,
+    /// An engine's report could not be read.
+    ReportFailed = 515,
     /// An upstream was registered.
     UpstreamRegistered = 600,
     /// An upstream is leaving.
@@ -171,6 +173,7 @@
         Self::OrderEnded,
         Self::EngineRead,
         Self::OrdererChanged,
+        Self::ReportFailed,
         Self::UpstreamRegistered,
         Self::UpstreamLeaving,
         Self::UpstreamSilent,
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -72,8 +72,6 @@
 pub struct Pending {
     /// The order.
     pub order: Order,
-    /// When it was sent last; nothing while it waits to be sent.
-    pub sent_at: Option<Millis>,
     /// Whether a call is under way.
     pub in_call: bool,
     /// Whether a call of it got no answer, so that it may take effect later.
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -122,7 +122,6 @@
         }
         engine.pending = Some(Pending {
             order: order.clone(),
-            sent_at: None,
             in_call: false,
             is_uncertain: false,
         });
@@ -141,14 +140,13 @@
                 && !pending.in_call
             {
                 pending.in_call = true;
-                pending.sent_at = Some(now);
                 due.push((engine.id.clone(), pending.order.clone()));
             }
         }
         due
     }
 
-    /// Takes the answer to an order that was sent at `sent_at`. `ready_in_ms` is how long its load should take.
+    /// Takes the answer to an order. `load` is how long a load that it began should take, and from where.
     pub fn take_answer(
         &mut self,
         now: Millis,
