--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -54,11 +54,7 @@
             Some(upstream) => upstream,
             None => upstream,
         };
-        log.course.note_send(&upstream);
-        let result = try_upstream(host, ask, &upstream, &mut tries, None).await;
-        log.course.note_result(result.name());
-        host.metrics.count_send(result.name());
-        match result {
+        match try_upstream(host, ask, &upstream, &tries, log, None).await {
             Sent::Answered(answer) if tries.prefers_another(host, ask, &answer) => {
                 tries.keep_failure(answer);
             }
@@ -202,14 +198,16 @@
     }
 }
 
-/// Sends a request to an upstream and waits for the start of its answer.
+/// Sends a request to an upstream, waits for the start of its answer, and notes the result.
 pub async fn try_upstream<P: Platform>(
     host: &Host<P>,
     ask: &Ask,
     upstream: &Name,
-    tries: &mut Tries,
+    tries: &Tries,
+    log: &mut CourseLog<'_, P>,
     resume_after: Option<&str>,
 ) -> Sent {
+    log.course.note_send(upstream);
     let now = host.now();
     let left_ms = ask.ends_at.since(now);
     let mut headers = ask.head.headers.clone();
@@ -228,5 +226,8 @@
         }
         _ => ask.ends_at - ANSWER_MARGIN_MS,
     };
-    send::send(host, ask, upstream, headers, answer_by).await
+    let sent = send::send(host, ask, upstream, headers, answer_by).await;
+    log.course.note_result(sent.name());
+    host.metrics.count_send(sent.name());
+    sent
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -334,12 +334,8 @@
             if !self.tries.may_repeat(self.host, self.ask) {
                 break;
             }
-            log.course.note_send(&upstream);
-            let resume_after = Some(&*after);
-            let sent = try_upstream(self.host, self.ask, &upstream, self.tries, resume_after).await;
-            log.course.note_result(sent.name());
-            self.host.metrics.count_send(sent.name());
-            match sent {
+            let (host, ask, after) = (self.host, self.ask, Some(&*after));
+            match try_upstream(host, ask, &upstream, self.tries, log, after).await {
                 Sent::Answered(answer) if answer.head.status == 200 => {
                     resumed = Some(answer);
                     break;
