Bring adapters to free places before anyone asks for them

The planner fills free places now, those asked for most first, four on their way at once, one place an engine kept for what callers wait for; nothing makes way for it.

Test first: adapters_are_brought_before_anyone_asks_as_long_as_places_are_free.

--- a/src/desired/mod.rs
+++ b/src/desired/mod.rs
@@ -106,6 +106,8 @@
     pub from_disk_ms: Millis,
     /// The size of one of its adapters in megabytes.
     pub adapter_mb: f64,
+    /// Its adapters.
+    pub adapters: Vec<Name>,
 }
 
 /// Bounds on what callers send.
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -43,6 +43,11 @@
 /// What a load from the weight store costs against one from the engine's disk, in prompt tokens a second of what
 /// makes way.
 const STORE_LOAD: f64 = 4_000.0;
+/// Adapters that are brought ahead at once, over all engines: half of what the smallest weight store fetches at full
+/// speed, so that those that callers wait for are not slowed.
+const AHEAD_AT_ONCE: usize = 4;
+/// Places of each engine that are kept for adapters that callers wait for.
+const PLACES_KEPT_FREE: usize = 1;
 /// By which part of its time so far a load that is overdue is expected to go on: one that waits for others has no end
 /// that could be told, and callers are told to come back then.
 const OVERDUE_PART: u64 = 4;
@@ -97,6 +102,7 @@
         self.adapter_order()
             .or_else(|| self.model_order(ceiling))
             .or_else(|| self.spare_order(ceiling))
+            .or_else(|| self.adapter_ahead())
     }
 
     /// Returns how long until what callers wait for is ready, as far as that can be told, while the weight store serves
@@ -520,6 +526,56 @@
         None
     }
 
+    /// Fills free places with adapters that no engine holds, before anyone asks for them, those asked for most first: an
+    /// adapter that is there needs no orderer, which a site may lack for seconds.
+    fn adapter_ahead(&self) -> Option<Planned> {
+        let places = (self.spec.adapter_slots as usize).saturating_sub(PLACES_KEPT_FREE);
+        let adapters = || self.engines().flat_map(|engine| engine.adapters.iter());
+        let on_their_way = adapters().filter(|(_, ready_at)| **ready_at > self.now);
+        if on_their_way.count() >= AHEAD_AT_ONCE {
+            return None;
+        }
+        let with_place: Vec<&Engine> = self
+            .free_engines()
+            .filter(|engine| engine.adapters.len() < places)
+            .collect();
+        if with_place.is_empty() {
+            return None;
+        }
+        let held: IndexSet<&ModelAsk> = adapters().map(|(ask, _)| ask).collect();
+        let models = self.spec.models.iter();
+        let missing = models.flat_map(|(model, spec)| {
+            spec.adapters.iter().map(|adapter| ModelAsk {
+                model: model.clone(),
+                adapter: Some(adapter.clone()),
+            })
+        });
+        let mut missing: Vec<(f64, ModelAsk)> = missing
+            .filter(|ask| !held.contains(ask))
+            .map(|ask| (self.book.asked(&ask).per_s(self.now), ask))
+            .collect();
+        missing.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        missing
+            .into_iter()
+            .find_map(|(_, ask)| self.place_ahead(&with_place, ask))
+    }
+
+    fn place_ahead(&self, with_place: &[&Engine], ask: ModelAsk) -> Option<Planned> {
+        let adapter_mb = self.spec.models.get(&ask.model)?.adapter_mb;
+        let engine = with_place
+            .iter()
+            .filter(|engine| engine.holds_model(&ask.model))
+            .filter(|engine| engine.used_mb(self.spec) + adapter_mb <= self.spec.weights_mb)
+            .min_by_key(|engine| engine.adapters.len())?;
+        Some(Planned {
+            engine: engine.id.clone(),
+            action: Action::Load,
+            ask,
+            makes_way_for: None,
+            why: "a place for adapters is free and no engine holds this one",
+        })
+    }
+
     /// Returns how long the load of an order takes, and whether it is one from the weight store.
     pub fn load_time(&self, planned: &Planned) -> LoadTime {
         load_time(self.spec, self.ledger, &planned.engine, &planned.ask)
--- a/src/ordering/tests/fake_engine.rs
+++ b/src/ordering/tests/fake_engine.rs
@@ -15,6 +15,7 @@
             load_ms: Millis(6_000),
             from_disk_ms: Millis(500),
             adapter_mb: 10.0,
+            adapters: Vec::new(),
         };
         (Name::from(format!("m{n}")), model)
     };
--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -305,3 +305,43 @@
     let ready = planner.ready_in_ms(1);
     assert!(ready[0].1 >= Millis(4_000), "{ready:?}");
 }
+
+/// Answers the pattern of an orderer that is lost for some seconds while callers ask for one adapter after the other.
+#[test]
+fn adapters_are_brought_before_anyone_asks_as_long_as_places_are_free() {
+    let mut spec = spec(80_000.0, &[30_000.0, 30_000.0]);
+    for (model, count) in [("m0", 5), ("m1", 2)] {
+        let names = (1..=count).map(|n| Name::from(format!("a{n}")));
+        spec.models[model].adapters = names.collect();
+    }
+    let mut site = Site::new(spec, &[&["m0"], &["m0"], &["m1"]]);
+    let asked = AskCount {
+        asked: 1,
+        ..AskCount::default()
+    };
+    site.ask(1, NOW, &[(adapter("m0", "a4"), asked)]);
+    let first = site.next(NOW).expect("an order");
+    assert_eq!(first.ask, adapter("m0", "a4"));
+    let mut brought = IndexSet::new();
+    for step in 0..40 {
+        let now = NOW + Millis(20 * step);
+        while let Some(planned) = site.next(now) {
+            assert_eq!(planned.action, Action::Load, "nothing makes way for it");
+            let Planned { engine, ask, .. } = planned;
+            let order = site
+                .ledger
+                .begin(now, &engine, Action::Load, ask.clone(), None);
+            let order = order.expect("a known engine");
+            site.ledger.due(now);
+            let load = LoadTime::default();
+            let answer = OrderAnswer::Accepted;
+            site.ledger.take_answer(now, &engine, &order, answer, load);
+            assert!(brought.insert(ask), "an adapter is brought once");
+        }
+    }
+    // Three places an engine, one of them kept free: four of the five of m0, both of m1.
+    assert_eq!(brought.len(), 6);
+    for engine in site.ledger.iter() {
+        assert!(engine.adapters.len() <= 2);
+    }
+}
