Read the lease less often by hosts that are not first in the row, accept restarted hosts sooner

Three members read each 500 ms now, the others each 2 s; a host that refuses a peer reads the group at the next chance, half a second after the last read instead of 1.8 s; a host that stops leaves the group at once instead of up to a second later.

Test: a_few_members_are_the_first_to_claim_and_a_host_without_a_list_is_one.

--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -60,9 +60,12 @@
     pub held_body_bytes: Cell<u64>,
     /// Connections of callers that are open.
     pub caller_connections: Cell<usize>,
+    /// Whether a host was refused that the group did not list when it was read last.
+    pub has_unknown_peer: Cell<bool>,
     has_news: Cell<bool>,
     changed: Wakeup,
     wanted: Wakeup,
+    refused: Wakeup,
     stopping: Wakeup,
 }
 
@@ -95,9 +98,11 @@
             active_requests: Cell::new(0),
             held_body_bytes: Cell::new(0),
             caller_connections: Cell::new(0),
+            has_unknown_peer: Cell::new(false),
             has_news: Cell::new(false),
             changed: Wakeup::new(),
             wanted: Wakeup::new(),
+            refused: Wakeup::new(),
             stopping: Wakeup::new(),
         })
     }
@@ -183,6 +188,17 @@
         self.wanted.listen()
     }
 
+    /// Takes note that a host was refused: it may have joined since the group was read.
+    pub fn note_unknown_peer(&self) {
+        self.has_unknown_peer.set(true);
+        self.refused.notify(usize::MAX);
+    }
+
+    /// Returns what wakes when a host is refused.
+    pub fn next_unknown_peer(&self) -> EventListener {
+        self.refused.listen()
+    }
+
     /// Accepts connections of the members, and of the orderer also before it is listed.
     pub fn accept_members(&self, orderer: Option<&Member>) {
         let members = self.members.borrow();
--- a/src/entry/lease_keeper.rs
+++ b/src/entry/lease_keeper.rs
@@ -6,15 +6,18 @@
 use crate::entry::orderer::{ErrorLine, Orders};
 use crate::entry::platform::{AppendOutcome, Platform, StoreError};
 use crate::http1::client::within;
-use crate::ordering::lease::{Lease, LeaseRecord};
+use crate::ordering::lease::{Lease, LeaseRecord, is_candidate};
 use crate::ordering::ledger::Ledger;
 use crate::prelude::*;
 use std::rc::Rc;
 
 /// How often the state of the lease is looked at.
 const LEASE_TICK_MS: Millis = Millis(100);
-/// How often a host that hears nothing of an orderer reads the lease.
+/// How often a host that hears nothing of an orderer reads the lease: the first candidates soon, the others only in case
+/// that all of these are lost too. When a site of 83 hosts loses its orderer, the store gets some 45 reads a second
+/// instead of 166.
 const LEASE_READ_MS: Millis = Millis(500);
+const OTHERS_LEASE_READ_MS: Millis = Millis(2_000);
 /// How long a silent orderer is borne before the lease is read: a lost call or two.
 const SILENT_ORDERER_MS: Millis = Millis(1_200);
 /// How long a holder that hears of no other host keeps the lease; then it is cut off from them and another host does
@@ -46,7 +49,7 @@
         let now = host.now();
         if host.orders.borrow().lease.holding().is_some() {
             hold(&host, now).await;
-        } else if now.since(read_at) >= LEASE_READ_MS && hears_no_orderer(&host, now) {
+        } else if now.since(read_at) >= lease_read_ms(&host, &me) && hears_no_orderer(&host, now) {
             read_at = now;
             if let Err(error) = look_for_lease(&host, &me).await {
                 note_store_error(&error);
@@ -61,6 +64,15 @@
     lines::write(LogEvent::AppendUnknown, &ErrorLine { error });
 }
 
+fn lease_read_ms<P: Platform>(host: &Host<P>, me: &Member) -> Millis {
+    let members = host.members.borrow();
+    let incarnations = members.iter().map(|member| member.incarnation);
+    match is_candidate(me.incarnation, incarnations) {
+        true => LEASE_READ_MS,
+        false => OTHERS_LEASE_READ_MS,
+    }
+}
+
 fn hears_no_orderer<P: Platform>(host: &Host<P>, now: Millis) -> bool {
     let answered_at = host.view.borrow().answered_at;
     answered_at.is_none_or(|at| now.since(at) >= SILENT_ORDERER_MS)
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -3,6 +3,7 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{Platform, StoreError};
+use crate::http1::client::within;
 use crate::prelude::*;
 use smol::Timer;
 use std::net::SocketAddr;
@@ -16,6 +17,8 @@
 const LAPSE_MS: Millis = Millis(2_200);
 /// How often the group is read at most: when many hosts start, each of them changes it.
 const READ_MS: Millis = Millis(1_800);
+/// The same when a host was refused that is not listed yet.
+const REFUSED_READ_MS: Millis = Millis(500);
 /// The least time between two tries after a failure: a refused call is paid too.
 const RETRY_MS: Millis = Millis(500);
 
@@ -75,7 +78,7 @@
     }
 
     /// Returns the hosts.
-    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+    pub fn iter(&self) -> impl Iterator<Item = &Member> + Clone {
         self.list.iter()
     }
 }
@@ -98,7 +101,12 @@
 pub async fn keep<P: Platform>(host: Rc<Host<P>>, me: Member) {
     let name = me.to_text();
     let mut lost = false;
-    while !host.is_stopping() {
+    loop {
+        let stop = host.next_stop();
+        let refused = host.next_unknown_peer();
+        if host.is_stopping() {
+            break;
+        }
         match renew(&host, &name).await {
             Ok(()) => {
                 if std::mem::take(&mut lost) {
@@ -110,7 +118,11 @@
                         },
                     );
                 }
-                Timer::after(JOIN_INTERVAL_MS.to_duration()).await;
+                let rest = async {
+                    Timer::after(REFUSED_READ_MS.to_duration()).await;
+                    within(JOIN_INTERVAL_MS - REFUSED_READ_MS, refused).await;
+                };
+                futures_lite::future::or(rest, stop).await;
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
@@ -147,7 +159,11 @@
         .await?;
     let now = host.now();
     let read_at = host.members.borrow().read_at;
-    let is_due = read_at.is_none_or(|at| now.since(at) >= READ_MS);
+    let rest_ms = match host.has_unknown_peer.take() {
+        true => REFUSED_READ_MS,
+        false => READ_MS,
+    };
+    let is_due = read_at.is_none_or(|at| now.since(at) >= rest_ms);
     if generation != known && is_due {
         let names = host.count_call(host.platform.members()).await?;
         take(host, now, generation, &names);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -173,7 +173,10 @@
         let serve = async move {
             match incoming.await {
                 Ok(connection) => serve_connection(host, connection, tasks).await,
-                Err(error) => orderer::note_peer_refused(&error.to_string()),
+                Err(error) => {
+                    orderer::note_peer_refused(&error.to_string());
+                    host.note_unknown_peer();
+                }
             }
         };
         executor.spawn(serve).detach();
--- a/src/ordering/lease.rs
+++ b/src/ordering/lease.rs
@@ -19,6 +19,17 @@
 /// be under way for a moment.
 const MARGIN_MS: Millis = Millis(300);
 
+/// How many members are the first to claim a lease that is free.
+const CANDIDATES: usize = 3;
+
+/// Tells whether a host is one of the first candidates for the lease among the members, by their incarnations. A host
+/// that is not listed yet is one too, so that the first hosts of a site need not wait for a list.
+pub fn is_candidate(own: u64, members: impl Iterator<Item = u64> + Clone) -> bool {
+    let is_listed = members.clone().any(|other| other == own);
+    let before = members.filter(|other| *other < own).count();
+    !is_listed || before < CANDIDATES
+}
+
 /// A record of the stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRecord {
--- a/src/ordering/tests/lease.rs
+++ b/src/ordering/tests/lease.rs
@@ -2,7 +2,7 @@
 
 use super::seeded;
 use crate::entry::members::Member;
-use crate::ordering::lease::{Lease, LeaseRecord};
+use crate::ordering::lease::{Lease, LeaseRecord, is_candidate};
 use crate::prelude::*;
 use std::net::SocketAddr;
 
@@ -268,3 +268,14 @@
     world.land(0, true);
     assert!(world.leases[1].may_order(world.now));
 }
+
+#[test]
+fn a_few_members_are_the_first_to_claim_and_a_host_without_a_list_is_one() {
+    let members = || [50, 10, 90, 20, 70].into_iter();
+    let first: Vec<u64> = members()
+        .filter(|own| is_candidate(*own, members()))
+        .collect();
+    assert_eq!(first, [50, 10, 20]);
+    assert!(is_candidate(95, members()));
+    assert!(is_candidate(95, std::iter::empty()));
+}
