Refuse at once what only an order could serve while no host orders, and count a new orderer's wait

A new orderer adds the time until it may order to what it tells, and says nothing of engines that it has not read yet: it took the models on them for absent and announced loads of seconds.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -7,7 +7,7 @@
 use crate::entry::platform::{ModelAsk, Platform};
 use crate::ordering::ceiling::Ceiling;
 use crate::ordering::message::{SyncAsk, SyncReply};
-use crate::ordering::planner::Planner;
+use crate::ordering::planner::{Pace, Planner};
 use crate::prelude::*;
 use crate::routing::pick::Work;
 use smol::Timer;
@@ -57,7 +57,11 @@
         return Vec::new();
     };
     let unusable = unusable(host, now);
-    let store_loads_at_once = orders.ceiling.as_ref().map_or(1, Ceiling::at_once);
+    let holding = orders.lease.holding();
+    let pace = Pace {
+        store_loads_at_once: orders.ceiling.as_ref().map_or(1, Ceiling::at_once),
+        orders_in_ms: holding.map_or(Millis::ZERO, |holding| holding.orders_from.since(now)),
+    };
     let specs = engine_specs(&table).map(|(service, spec)| {
         let planner = Planner {
             now,
@@ -67,7 +71,7 @@
             book: &orders.book,
             unusable: &unusable,
         };
-        planner.ready_in_ms(store_loads_at_once)
+        planner.ready_in_ms(pace)
     });
     specs.flatten().collect()
 }
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -13,6 +13,11 @@
 /// How long a request goes on waiting for an upstream when nothing says that one will come: a restart or the
 /// list's lag passes within it.
 const PATIENCE_MS: Millis = Millis(300);
+/// How long the orderer must have been silent to count as lost: hosts of a large site hear from it each two seconds.
+const ORDERER_LOST_MS: Millis = Millis(2_500);
+/// How long after a lost orderer's last word the next one orders: its lease is claimed when it has been silent for 2.3 s,
+/// and the next holder waits out the rest of its right to order and the engines' lease time.
+const NEXT_ORDERER_MS: Millis = Millis(6_000);
 /// How long a long prompt waits for news of other hosts' long prompts; the orderer answers in a few milliseconds.
 const FRESH_MS: Millis = Millis(15);
 /// How often a long prompt looks whether it is its turn: some steps of an engine, so that there is a pause between two.
@@ -130,10 +135,24 @@
         .after(ready_at.since(host.now()))),
         // The expected time is an estimate; the engine's report of it lags.
         Some(ready_at) => Ok((ready_at + Millis(1_500)).min(last)),
-        None => Ok((began_at + PATIENCE_MS).min(last)),
+        None => match orderer_lost_ms(host) {
+            Some(lost_ms) if ask.facts.model.is_some() => Err(Refusal::new(
+                ErrorKind::ColdStartTooLong,
+                "no upstream holds the model, and no host orders loads now",
+            )
+            .after((NEXT_ORDERER_MS - lost_ms).max(COME_BACK_MS))),
+            _ => Ok((began_at + PATIENCE_MS).min(last)),
+        },
     }
 }
 
+/// Returns for how long the orderer has been silent, when it is lost.
+fn orderer_lost_ms<P: Platform>(host: &Host<P>) -> Option<Millis> {
+    let answered_at = host.view.borrow().answered_at?;
+    let silent_ms = host.now().since(answered_at);
+    (silent_ms >= ORDERER_LOST_MS).then_some(silent_ms)
+}
+
 fn no_upstream<P: Platform>(host: &Host<P>, ask: &Ask, now: Millis) -> Refusal {
     let upstreams = host.upstreams.borrow();
     let any = upstreams.usable(&ask.service).next().is_some();
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -48,6 +48,8 @@
 const AHEAD_AT_ONCE: usize = 4;
 /// Places of each engine that are kept for adapters that callers wait for.
 const PLACES_KEPT_FREE: usize = 1;
+/// How long an adapter takes from the wish to the engine's readiness: an order, the fetch, and the word of it.
+const ADAPTER_IN_MS: Millis = Millis(30);
 /// By which part of its time so far a load that is overdue is expected to go on: one that waits for others has no end
 /// that could be told, and callers are told to come back then.
 const OVERDUE_PART: u64 = 4;
@@ -71,6 +73,15 @@
     pub why: &'static str,
 }
 
+/// How fast orders take effect.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// How many loads at once the weight store serves at full speed.
+    pub store_loads_at_once: usize,
+    /// How long until orders may be sent: a new orderer waits until its predecessor's last one is long past.
+    pub orders_in_ms: Millis,
+}
+
 /// What the planner looks at.
 pub struct Planner<'a> {
     /// The present time.
@@ -105,34 +116,36 @@
             .or_else(|| self.adapter_ahead())
     }
 
-    /// Returns how long until what callers wait for is ready, as far as that can be told, while the weight store serves
-    /// `store_loads_at_once` loads at full speed.
-    pub fn ready_in_ms(&self, store_loads_at_once: usize) -> Vec<(ModelAsk, Millis)> {
+    /// Returns how long until what callers wait for is ready, as far as that can be told.
+    pub fn ready_in_ms(&self, pace: Pace) -> Vec<(ModelAsk, Millis)> {
         let waiting = self.book.iter().filter(|(_, asked)| asked.waiting > 0);
         waiting
             .filter(|(ask, _)| self.spec.models.contains_key(&ask.model))
-            .map(|(ask, _)| (ask.clone(), self.ready_in(ask, store_loads_at_once)))
+            .filter_map(|(ask, _)| Some((ask.clone(), self.ready_in(ask, pace)?)))
             .collect()
     }
 
-    fn ready_in(&self, ask: &ModelAsk, store_loads_at_once: usize) -> Millis {
-        let adapter_ms = Millis(if ask.adapter.is_some() { 30 } else { 0 });
-        let mut best: Option<Millis> = None;
-        for engine in self.engines() {
-            let in_ms = match engine.copies.get(&ask.model) {
-                Some(Copy::Held) if engine.is_busy() && ask.adapter.is_some() => {
-                    self.free_in(engine, store_loads_at_once)
-                }
-                Some(Copy::Held) => Millis::ZERO,
-                Some(copy) => match self.loaded_in(&ask.model, copy, store_loads_at_once) {
-                    Some(in_ms) => in_ms,
-                    None => continue,
-                },
-                None => continue,
-            };
-            best = Some(best.map_or(in_ms, |best| best.min(in_ms)));
-        }
-        best.unwrap_or_else(|| self.load_in(&ask.model, store_loads_at_once)) + adapter_ms
+    fn ready_in(&self, ask: &ModelAsk, pace: Pace) -> Option<Millis> {
+        let at_once = pace.store_loads_at_once;
+        let adapter_ms = match &ask.adapter {
+            Some(_) => ADAPTER_IN_MS.max(pace.orders_in_ms),
+            None => Millis::ZERO,
+        };
+        let model_in = |engine: &Engine| match engine.copies.get(&ask.model)? {
+            Copy::Held if engine.is_busy() && ask.adapter.is_some() => {
+                Some(self.free_in(engine, at_once))
+            }
+            Copy::Held => Some(Millis::ZERO),
+            copy => self.loaded_in(&ask.model, copy, at_once),
+        };
+        let soonest = self.engines().filter_map(model_in).min();
+        let model_ms = match soonest {
+            Some(in_ms) => in_ms,
+            // An engine of which no report was read may hold the model.
+            None if self.engines().any(|engine| !engine.is_known) => return None,
+            None => pace.orders_in_ms + self.load_in(&ask.model, at_once),
+        };
+        Some(model_ms + adapter_ms)
     }
 
     /// Returns how long until a load under way is done; nothing when the copy is not being loaded, or its order may not
--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -9,12 +9,17 @@
 use crate::ordering::engine::LoadTime;
 use crate::ordering::ledger::Ledger;
 use crate::ordering::message::{Action, EngineReport, OrderAnswer};
-use crate::ordering::planner::{Planned, Planner};
+use crate::ordering::planner::{Pace, Planned, Planner};
 use crate::prelude::*;
 use crate::routing::pick::Work;
 use crate::upstreams::HeldModel;
 
 const NOW: Millis = Millis(1_000_000);
+/// An orderer that may order, before a weight store that serves one load at a time.
+const PACE: Pace = Pace {
+    store_loads_at_once: 1,
+    orders_in_ms: Millis::ZERO,
+};
 
 fn model(name: &str) -> ModelAsk {
     ModelAsk {
@@ -277,7 +282,7 @@
             book: &site.book,
             unusable: &IndexSet::new(),
         };
-        let ready = planner.ready_in_ms(1);
+        let ready = planner.ready_in_ms(PACE);
         let found = ready.into_iter().find(|(ask, _)| *ask == model(name));
         found.expect("callers wait for the model").1
     };
@@ -302,7 +307,7 @@
         book: &site.book,
         unusable: &IndexSet::new(),
     };
-    let ready = planner.ready_in_ms(1);
+    let ready = planner.ready_in_ms(PACE);
     assert!(ready[0].1 >= Millis(4_000), "{ready:?}");
 }
 
@@ -345,3 +350,29 @@
         assert!(engine.adapters.len() <= 2);
     }
 }
+
+#[test]
+fn callers_are_told_of_the_wait_of_a_new_orderer_and_nothing_of_engines_that_it_does_not_know() {
+    let mut site = Site::new(spec(80_000.0, &[30_000.0]), &[&["m0"]]);
+    site.ask(1, NOW, &[(adapter("m0", "a1"), waiting(1))]);
+    let pace = Pace {
+        orders_in_ms: Millis(2_500),
+        ..PACE
+    };
+    let ready = |site: &Site| {
+        let planner = Planner {
+            now: NOW,
+            service: "s",
+            spec: &site.spec,
+            ledger: &site.ledger,
+            book: &site.book,
+            unusable: &IndexSet::new(),
+        };
+        planner.ready_in_ms(pace)
+    };
+    assert_eq!(ready(&site), [(adapter("m0", "a1"), Millis(2_500))]);
+    site.ledger = Ledger::default();
+    let unknown = [(Name::from("e0"), Name::from("s"))];
+    site.ledger.take_engines(unknown.into_iter());
+    assert!(ready(&site).is_empty());
+}
