Take engines' word for which weights they have at hand

The ledger only ever added to the weights at hand; engines drop the copies used longest ago.

Ruled out: a store slower than stated (loads beside at most three others took 6.26 s).

Change: a report's list replaces what was known; an order without an answer counts at the store; the number of loads at once falls by one at a time and grows again; loads whose beginning is not known teach nothing.

Tests first: weights_that_an_engine_has_dropped_are_not_at_hand, a_load_whose_order_got_no_answer_takes_a_place_at_the_weight_store, one_late_load_does_not_leave_the_store_idle.

--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -74,7 +74,7 @@
 struct LoadedLine<'a> {
     upstream: &'a str,
     model: &'a str,
-    took_ms: Millis,
+    took_ms: Option<Millis>,
     from_store: bool,
     store_loads_at_once: usize,
 }
@@ -210,6 +210,7 @@
     } in loaded
     {
         if from_store
+            && let Some(took_ms) = took_ms
             && let Some(stated_ms) = stated_load_ms(host, id, &model)
             && let Some(ceiling) = &mut orders.ceiling
         {
@@ -240,7 +241,8 @@
         ..
     } in under_way
     {
-        if let Some(stated_ms) = stated_load_ms(host, id, &model)
+        if let Some(took_ms) = took_ms
+            && let Some(stated_ms) = stated_load_ms(host, id, &model)
             && let Some(ceiling) = &mut orders.ceiling
         {
             ceiling.note_overdue(took_ms, stated_ms, beside);
--- a/src/ordering/ceiling.rs
+++ b/src/ordering/ceiling.rs
@@ -24,7 +24,7 @@
 /// one was slowed.
 const FAST_GROWTH: f64 = 1.0;
 const FIRST_GROWTH: f64 = 0.25;
-const SLOWED_GROWTH: f64 = 0.05;
+const SLOWED_GROWTH: f64 = 0.1;
 /// Loads at once that are kept for models that are asked for: a load under way holds its place for seconds.
 const KEPT_FREE: usize = 2;
 /// Most loads at once.
@@ -102,8 +102,11 @@
         }
     }
 
+    /// Lowers the limit, by one at a time: a load may be late for a reason of its own, and a limit that is too low leaves
+    /// the store idle until it has grown again.
     fn lower_to(&mut self, at_once: f64) {
-        self.at_once = at_once.max(1.0).min(self.at_once);
+        let lowest = (self.at_once.floor() - 1.0).max(1.0);
+        self.at_once = at_once.max(lowest).min(self.at_once);
         self.was_slowed = true;
         self.is_learned = true;
     }
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -217,7 +217,7 @@
                 ..
             } => Some(Loaded {
                 model: model.clone(),
-                took_ms: now.since(*since),
+                took_ms: (*since != Millis::NEVER).then(|| now.since(*since)),
                 from_store: true,
                 beside: *beside,
             }),
@@ -229,11 +229,18 @@
     /// count that is known here shows the effect of every order so far, and one with a lower count is older.
     pub(super) fn take_report(&mut self, now: Millis, report: EngineReport) -> Vec<Loaded> {
         self.in_report = false;
-        self.at_hand.extend(report.at_hand.iter().cloned());
         if self.is_known && report.order_count < self.order_count {
             self.report_at = now + BUSY_REPORT_MS;
             return Vec::new();
         }
+        match report.at_hand {
+            // An engine drops the copies of weights that it used longest ago.
+            Some(at_hand) => self.at_hand = at_hand.into_iter().collect(),
+            None => {
+                let held = report.models.iter().map(|held| held.name.clone());
+                self.at_hand.extend(held);
+            }
+        }
         if report.order_count > self.order_count || !self.is_known {
             self.pending = None;
         }
@@ -273,7 +280,7 @@
                     beside,
                     ..
                 } if self.holds_model(&model) => Some(Loaded {
-                    took_ms: now.since(since),
+                    took_ms: (since != Millis::NEVER).then(|| now.since(since)),
                     from_store,
                     beside,
                     model,
@@ -291,7 +298,6 @@
         let former = std::mem::take(&mut self.adapters);
         self.copies.clear();
         for held in models {
-            self.at_hand.insert(held.name.clone());
             for adapter in held.adapters {
                 let ask = ModelAsk {
                     model: held.name.clone(),
@@ -384,10 +390,11 @@
                 ),
                 None => {
                     let model = order.ask.model.clone();
+                    let from_store = !self.at_hand.contains(&model);
                     self.copies.entry(model).or_insert(Copy::Loading {
                         since: Millis::NEVER,
                         ready_at: Millis::NEVER,
-                        from_store: false,
+                        from_store,
                         beside: 1,
                     });
                 }
@@ -421,8 +428,8 @@
 pub struct Loaded {
     /// The model.
     pub model: Name,
-    /// How long it took.
-    pub took_ms: Millis,
+    /// How long it took so far; nothing when it is not known when it began, because its order got no answer.
+    pub took_ms: Option<Millis>,
     /// Whether the weights came from the weight store.
     pub from_store: bool,
     /// How many loads from the weight store ran beside it at most, itself included.
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -64,8 +64,8 @@
     pub models: Vec<HeldModel>,
     /// Adapters on their way to it.
     pub coming: Vec<ModelAsk>,
-    /// Models whose weights it has on disk or in memory.
-    pub at_hand: Vec<Name>,
+    /// Models whose weights it has on disk or in memory, where it says so.
+    pub at_hand: Option<Vec<Name>>,
 }
 
 /// What a host tells the orderer.
--- a/src/ordering/tests/ceiling.rs
+++ b/src/ordering/tests/ceiling.rs
@@ -95,3 +95,15 @@
     }
     assert!(ceiling.at_once() >= 7);
 }
+
+#[test]
+fn one_late_load_does_not_leave_the_store_idle() {
+    let mut ceiling = Ceiling::new(Millis::ZERO, Some(4));
+    // Its engine was slow: it took as long as ten loads at once would.
+    ceiling.note_done(Millis(15_000), Millis(6_000), 4);
+    assert_eq!(ceiling.at_once(), 3);
+    for _ in 0..10 {
+        ceiling.note_done(Millis(6_200), Millis(6_000), 3);
+    }
+    assert_eq!(ceiling.at_once(), 4);
+}
--- a/src/ordering/tests/fake_engine.rs
+++ b/src/ordering/tests/fake_engine.rs
@@ -108,7 +108,7 @@
             busy: self.changing.is_some(),
             models: self.models.iter().map(held).collect(),
             coming: Vec::new(),
-            at_hand: Vec::new(),
+            at_hand: None,
         }
     }
 
--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -9,7 +9,7 @@
 use crate::ordering::engine::LoadTime;
 use crate::ordering::ledger::Ledger;
 use crate::ordering::message::{Action, EngineReport, OrderAnswer};
-use crate::ordering::planner::{Pace, Planned, Planner};
+use crate::ordering::planner::{Pace, Planned, Planner, load_time};
 use crate::prelude::*;
 use crate::routing::pick::Work;
 use crate::upstreams::HeldModel;
@@ -376,3 +376,37 @@
     site.ledger.take_engines(unknown.into_iter());
     assert!(ready(&site).is_empty());
 }
+
+/// Answers the pattern of many models that take turns on one engine, whose disk keeps the copies of a few.
+#[test]
+fn weights_that_an_engine_has_dropped_are_not_at_hand() {
+    let mut site = Site::new(spec(40_000.0, &[30_000.0, 30_000.0]), &[&["m0"], &[]]);
+    let report = |order_count: u64, at_hand: &[&str]| EngineReport {
+        order_count,
+        at_hand: Some(at_hand.iter().map(|name| Name::from(*name)).collect()),
+        ..EngineReport::default()
+    };
+    let e1: Name = "e1".into();
+    site.ledger.take_report(NOW, &e1, Some(report(1, &["m1"])));
+    site.ask(1, NOW, &[(model("m1"), waiting(1))]);
+    let planned = site.next(NOW).expect("an order");
+    let load = |site: &Site| load_time(&site.spec, &site.ledger, &planned.engine, &planned.ask);
+    assert!(!load(&site).from_store);
+    site.ledger.take_report(NOW, &e1, Some(report(2, &[])));
+    assert!(load(&site).from_store);
+}
+
+/// An order without an answer may load from the weight store now or later; it keeps its place there.
+#[test]
+fn a_load_whose_order_got_no_answer_takes_a_place_at_the_weight_store() {
+    let mut site = Site::new(spec(40_000.0, &[30_000.0]), &[&[]]);
+    let order = site
+        .ledger
+        .begin(NOW, "e0", Action::Load, model("m0"), None);
+    let order = order.expect("a known engine");
+    site.ledger.due(NOW);
+    let silent = OrderAnswer::Silent;
+    site.ledger
+        .take_answer(NOW, "e0", &order, silent, LoadTime::default());
+    assert_eq!(site.ledger.store_loads(), 1);
+}
