--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -108,7 +108,8 @@
     Millis(LEAST_SYNC_MS * factor)
 }
 
-fn interval_ms<P: Platform>(host: &Host<P>, waited_for: bool) -> Millis {
+/// Returns how often this host speaks with the orderer when nothing cannot wait.
+pub fn interval_ms<P: Platform>(host: &Host<P>, waited_for: bool) -> Millis {
     let hosts = host.members.borrow().count();
     let factor = hosts.div_ceil(SYNC_HOSTS) as u64;
     match waited_for {
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -10,3 +10,4 @@
 mod reload;
 mod site;
 mod stop;
+mod waiting;
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -81,6 +81,10 @@
         RequestFacts {
             id: headers.text("Id").map(Name::from),
             wait_ms: headers.number("Wait-Ms").map(Millis),
+            model: headers.text("Model").map(|model| ModelAsk {
+                model: model.into(),
+                adapter: None,
+            }),
             ..RequestFacts::default()
         }
     }
--- /dev/null
+++ b/src/entry/tests/waiting.rs
@@ -0,0 +1,49 @@
+//! Requests that no upstream can take, with and without a host that orders loads.
+
+use super::site::{on_site, route};
+use crate::desired::Repeat;
+use crate::prelude::*;
+
+const REQUEST: &str = "GET /a/ HTTP/1.1\r\nHost: x\r\nId: i1\r\nModel: m\r\nWait-Ms: 30000\r\n\r\n";
+
+#[test]
+fn a_model_that_nobody_holds_is_refused_at_once_while_no_host_orders() {
+    on_site(|site| async move {
+        site.order(1, vec![route(Repeat::Once)]);
+        site.until_version(1).await;
+        let long_ago = site.host.now() - Millis(4_000);
+        site.host.view.borrow_mut().answered_at = Some(long_ago);
+        let answer = site.call(REQUEST).await;
+        assert_eq!(answer.head.status, 503);
+        assert!(
+            answer.body.contains("no host orders loads now"),
+            "{}",
+            answer.body
+        );
+        let come_back_s: f64 = answer
+            .head
+            .headers
+            .text("Retry-After")
+            .unwrap()
+            .parse()
+            .unwrap();
+        // A new orderer takes six seconds from the last word of the former one.
+        assert!((0.5..=2.0).contains(&come_back_s), "{come_back_s}");
+    });
+}
+
+#[test]
+fn a_model_that_nobody_holds_is_waited_for_while_a_host_orders() {
+    on_site(|site| async move {
+        site.order(1, vec![route(Repeat::Once)]);
+        site.until_version(1).await;
+        site.host.view.borrow_mut().answered_at = Some(site.host.now());
+        let answer = site.call(REQUEST).await;
+        assert_eq!(answer.head.status, 503);
+        assert!(
+            !answer.body.contains("no host orders loads now"),
+            "{}",
+            answer.body
+        );
+    });
+}
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -5,6 +5,7 @@
 use crate::entry::course::CourseLog;
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
+use crate::entry::sync;
 use crate::entry::tries::{BUSY_COME_BACK_MS, COME_BACK_MS, Tries};
 use crate::http1::client::within;
 use crate::prelude::*;
@@ -13,7 +14,8 @@
 /// How long a request goes on waiting for an upstream when nothing says that one will come: a restart or the
 /// list's lag passes within it.
 const PATIENCE_MS: Millis = Millis(300);
-/// How long the orderer must have been silent to count as lost: hosts of a large site hear from it each two seconds.
+/// How long the orderer must have been silent to count as lost, and twice the interval at which a host speaks with it: a
+/// second in a site of some 80 hosts.
 const ORDERER_LOST_MS: Millis = Millis(2_500);
 /// How long after a lost orderer's last word the next one orders: its lease is claimed when it has been silent for 2.3 s,
 /// and the next holder waits out the rest of its right to order and the engines' lease time.
@@ -150,7 +152,9 @@
 fn orderer_lost_ms<P: Platform>(host: &Host<P>) -> Option<Millis> {
     let answered_at = host.view.borrow().answered_at?;
     let silent_ms = host.now().since(answered_at);
-    (silent_ms >= ORDERER_LOST_MS).then_some(silent_ms)
+    let interval_ms = sync::interval_ms(host, false);
+    let bound_ms = ORDERER_LOST_MS.max(interval_ms + interval_ms);
+    (silent_ms >= bound_ms).then_some(silent_ms)
 }
 
 fn no_upstream<P: Platform>(host: &Host<P>, ask: &Ask, now: Millis) -> Refusal {
