Pass over an engine that lacks a model for as long as the orderer is silent about it

The orderer was lost, or had not accepted the host yet; by its last word, seconds old, the engine held it, and the host forgot the engine's own word after 150 ms. It is kept for 5 s now while the orderer is silent, and for 150 ms while it speaks: an adapter that is ready a little later than expected must be tried again soon.

Tests first: an_engine_that_lacks_a_model_is_passed_over_while_the_orderers_word_is_old; the second shows the other case.

--- a/src/ordering/tests.rs
+++ b/src/ordering/tests.rs
@@ -5,6 +5,7 @@
 mod lease;
 mod ledger;
 mod planner;
+mod view;
 
 /// Runs a property on inputs made from fixed seeds, and returns what it returned.
 fn seeded<T>(
--- /dev/null
+++ b/src/ordering/tests/view.rs
@@ -0,0 +1,49 @@
+//! What a host believes of engines when the orderer's word and the engines' own differ.
+
+use crate::entry::platform::ModelAsk;
+use crate::ordering::view::{EngineView, View};
+use crate::prelude::*;
+
+fn ask(model: &str) -> ModelAsk {
+    ModelAsk {
+        model: model.into(),
+        adapter: None,
+    }
+}
+
+fn word(models: &[&str]) -> Vec<EngineView> {
+    vec![EngineView {
+        upstream: "e".into(),
+        held: models.iter().map(|model| ask(model)).collect(),
+    }]
+}
+
+/// Answers the pattern of an orderer that is lost while engines change: hosts go by its last word for seconds.
+#[test]
+fn an_engine_that_lacks_a_model_is_passed_over_while_the_orderers_word_is_old() {
+    let mut view = View::default();
+    let engine: Name = "e".into();
+    let now = Millis(10_000);
+    view.take_engines((1, 7), word(&["m"]));
+    view.answered_at = Some(now - Millis(3_000));
+    view.note_lacking(now, &engine, &ask("m"));
+    assert!(view.is_lacking(now + Millis(2_000), &engine, &ask("m")));
+    assert!(!view.is_lacking(now + Millis(2_000), &engine, &ask("other")));
+    // It is tried again after some seconds in any case, and as soon as the orderer says something new.
+    assert!(!view.is_lacking(now + Millis(5_000), &engine, &ask("m")));
+    view.take_engines((2, 1), word(&["m"]));
+    assert!(!view.is_lacking(now + Millis(2_000), &engine, &ask("m")));
+}
+
+/// An adapter that is ready a little later than expected is tried again soon while the orderer speaks.
+#[test]
+fn an_engine_that_lacks_a_model_is_tried_again_soon_while_the_orderer_speaks() {
+    let mut view = View::default();
+    let engine: Name = "e".into();
+    let now = Millis(10_000);
+    view.take_engines((1, 7), word(&["m"]));
+    view.answered_at = Some(now);
+    view.note_lacking(now, &engine, &ask("m"));
+    assert!(view.is_lacking(now + Millis(100), &engine, &ask("m")));
+    assert!(!view.is_lacking(now + Millis(200), &engine, &ask("m")));
+}
--- a/src/ordering/view.rs
+++ b/src/ordering/view.rs
@@ -6,6 +6,11 @@
 
 /// How long an engine is passed over for a model that it said it lacks: about the age of what hosts know.
 const LACKING_MS: Millis = Millis(150);
+/// For how long while the orderer is silent and its last word is the one that was wrong: the host would else send each
+/// request to the same engine twice and refuse it.
+const LACKING_BY_OLD_WORD_MS: Millis = Millis(5_000);
+/// From what age on the orderer's word is old: hosts of a site of some 80 speak with it each second.
+const OLD_WORD_MS: Millis = Millis(1_200);
 
 /// What one engine holds, as the orderer knows it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -28,7 +33,14 @@
     engines: IndexMap<Name, IndexSet<ModelAsk>>,
     work: IndexMap<Name, Work>,
     ready_at: IndexMap<ModelAsk, Millis>,
-    lacking: IndexMap<(Name, ModelAsk), Millis>,
+    lacking: IndexMap<(Name, ModelAsk), Lacking>,
+}
+
+/// When an engine said that it lacks a model, and the version of the word that had it there.
+#[derive(Clone, Copy, Debug)]
+struct Lacking {
+    at: Millis,
+    version: (u64, u64),
 }
 
 impl View {
@@ -56,9 +68,14 @@
 
     /// Takes note that an engine said it lacks a model.
     pub fn note_lacking(&mut self, now: Millis, upstream: &Name, ask: &ModelAsk) {
-        self.lacking.retain(|_, until| *until > now);
-        let key = (upstream.clone(), ask.clone());
-        self.lacking.insert(key, now + LACKING_MS);
+        self.lacking
+            .retain(|_, lacking| now.since(lacking.at) < LACKING_BY_OLD_WORD_MS);
+        let lacking = Lacking {
+            at: now,
+            version: self.version,
+        };
+        self.lacking
+            .insert((upstream.clone(), ask.clone()), lacking);
     }
 
     /// Tells whether an engine holds a model, by the orderer's word; nothing when the orderer does not know the engine.
@@ -66,10 +83,18 @@
         Some(self.engines.get(upstream)?.contains(ask))
     }
 
-    /// Tells whether an engine said a moment ago that it lacks a model.
+    /// Tells whether an engine said that it lacks a model, a moment ago or since a word of the orderer that is old.
     pub fn is_lacking(&self, now: Millis, upstream: &Name, ask: &ModelAsk) -> bool {
         let key = (upstream.clone(), ask.clone());
-        self.lacking.get(&key).is_some_and(|until| *until > now)
+        let Some(lacking) = self.lacking.get(&key) else {
+            return false;
+        };
+        let age_ms = now.since(lacking.at);
+        let is_same_word = lacking.version == self.version;
+        let is_old_word = self
+            .answered_at
+            .is_none_or(|answered_at| now.since(answered_at) >= OLD_WORD_MS);
+        age_ms < LACKING_MS || (is_same_word && is_old_word && age_ms < LACKING_BY_OLD_WORD_MS)
     }
 
     /// Returns the other hosts' work at an engine.
