--- /dev/null
+++ b/src/ordering/adapters.rs
@@ -0,0 +1,133 @@
+//! Which adapters engines are told to bring, and which make way.
+//!
+//! Answers the pattern of many adapters of a few busy models: an engine has places for some, brings one in a few
+//! milliseconds, and callers wait for it; but only an orderer brings it, and a site may lack one for seconds.
+
+use crate::entry::platform::ModelAsk;
+use crate::ordering::engine::Engine;
+use crate::ordering::message::Action;
+use crate::ordering::planner::{Planned, Planner};
+use crate::prelude::*;
+use crate::routing::roles::short_copies;
+
+/// Adapters that are brought ahead at once, over all engines: half of what the smallest weight store fetches at full
+/// speed, so that those that callers wait for are not slowed.
+const AHEAD_AT_ONCE: usize = 4;
+/// Places of each engine that are kept for adapters that callers wait for.
+const PLACES_KEPT_FREE: usize = 1;
+
+impl Planner<'_> {
+    /// Brings an adapter that callers wait for to an engine with its model; when the engine's places are taken, the one
+    /// that was asked for longest ago makes way.
+    pub(super) fn adapter_order(&self) -> Option<Planned> {
+        let mut waiting: Vec<_> = self
+            .book
+            .iter()
+            .filter(|(ask, asked)| ask.adapter.is_some() && asked.waiting > 0)
+            .filter(|(ask, _)| {
+                !self
+                    .engines()
+                    .any(|engine| engine.adapters.contains_key(*ask))
+            })
+            .collect();
+        waiting.sort_by_key(|(_, asked)| std::cmp::Reverse(asked.waiting));
+        waiting
+            .into_iter()
+            .find_map(|(ask, _)| self.place_adapter(ask))
+    }
+
+    fn place_adapter(&self, ask: &ModelAsk) -> Option<Planned> {
+        let spec = self.spec.models.get(&ask.model)?;
+        let places = self.spec.adapter_slots as usize;
+        let holding = || {
+            self.free_engines()
+                .filter(|engine| engine.holds_model(&ask.model))
+        };
+        let ids = self
+            .engines()
+            .filter(|engine| engine.holds_model(&ask.model));
+        let for_short = short_copies(&ask.model, ids.map(|engine| &engine.id));
+        let with_place = holding()
+            .filter(|engine| engine.adapters.len() < places)
+            .filter(|engine| engine.used_mb(self.spec) + spec.adapter_mb <= self.spec.weights_mb)
+            // Most requests for adapters have short prompts.
+            .min_by_key(|engine| (!for_short.contains(&&engine.id), engine.adapters.len()));
+        if let Some(engine) = with_place {
+            return Some(Planned {
+                engine: engine.id.clone(),
+                action: Action::Load,
+                ask: ask.clone(),
+                makes_way_for: None,
+                why: "callers wait for the adapter",
+            });
+        }
+        let victims = holding().filter_map(|engine| {
+            let unused = engine
+                .adapters
+                .iter()
+                .filter(|(_, ready_at)| **ready_at != Millis::NEVER);
+            let unused = unused.map(|(other, _)| (other, self.book.asked(other)));
+            let unused = unused.filter(|(_, asked)| asked.running == 0 && asked.waiting == 0);
+            let oldest = unused.min_by_key(|(_, asked)| asked.last_at)?;
+            Some((oldest.1.last_at, engine, oldest.0))
+        });
+        let (_, engine, victim) = victims.min_by_key(|(last_at, ..)| *last_at)?;
+        Some(Planned {
+            engine: engine.id.clone(),
+            action: Action::Unload,
+            ask: victim.clone(),
+            makes_way_for: None,
+            why: "another adapter needs its place",
+        })
+    }
+
+    /// Fills free places with adapters that no engine holds, before anyone asks for them, those asked for most first: an
+    /// adapter that is there needs no orderer, which a site may lack for seconds.
+    pub(super) fn adapter_ahead(&self) -> Option<Planned> {
+        let places = (self.spec.adapter_slots as usize).saturating_sub(PLACES_KEPT_FREE);
+        let adapters = || self.engines().flat_map(|engine| engine.adapters.iter());
+        let on_their_way = adapters().filter(|(_, ready_at)| **ready_at > self.now);
+        if on_their_way.count() >= AHEAD_AT_ONCE {
+            return None;
+        }
+        let with_place: Vec<&Engine> = self
+            .free_engines()
+            .filter(|engine| engine.adapters.len() < places)
+            .collect();
+        if with_place.is_empty() {
+            return None;
+        }
+        let held: IndexSet<&ModelAsk> = adapters().map(|(ask, _)| ask).collect();
+        let models = self.spec.models.iter();
+        let missing = models.flat_map(|(model, spec)| {
+            spec.adapters.iter().map(|adapter| ModelAsk {
+                model: model.clone(),
+                adapter: Some(adapter.clone()),
+            })
+        });
+        let mut missing: Vec<(f64, ModelAsk)> = missing
+            .filter(|ask| !held.contains(ask))
+            .map(|ask| (self.book.asked(&ask).per_s(self.now), ask))
+            .collect();
+        missing.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        missing
+            .into_iter()
+            .find_map(|(_, ask)| self.place_ahead(&with_place, ask))
+    }
+
+    fn place_ahead(&self, with_place: &[&Engine], ask: ModelAsk) -> Option<Planned> {
+        let adapter_mb = self.spec.models.get(&ask.model)?.adapter_mb;
+        let engine = with_place
+            .iter()
+            .filter(|engine| engine.holds_model(&ask.model))
+            .filter(|engine| engine.used_mb(self.spec) + adapter_mb <= self.spec.weights_mb)
+            .min_by_key(|engine| engine.adapters.len())?;
+        Some(Planned {
+            engine: engine.id.clone(),
+            action: Action::Load,
+            ask,
+            makes_way_for: None,
+            why: "a place for adapters is free and no engine holds this one",
+        })
+    }
+}
--- /dev/null
+++ b/src/ordering/estimates.rs
@@ -0,0 +1,152 @@
+//! When what callers wait for will be ready.
+//!
+//! Answers the pattern of callers that wait for a model which is not ready: those that cannot be served in time are
+//! refused at once and told when to come back, so the time must count the turn at the weight store, loads that slow each
+//! other, and loads that take longer than stated.
+
+use crate::entry::platform::ModelAsk;
+use crate::ordering::engine::{Copy, Engine};
+use crate::ordering::planner::Planner;
+use crate::prelude::*;
+
+/// How long an adapter takes from the wish to the engine's readiness: an order, the fetch, and the word of it.
+const ADAPTER_IN_MS: Millis = Millis(30);
+/// By which part of its time so far a load that is overdue is expected to go on: one that waits for others has no end
+/// that could be told, and callers are told to come back then.
+const OVERDUE_PART: u64 = 4;
+/// When an engine that unloads a model takes orders again: the unload and the report of it.
+const UNLOADED_IN_MS: Millis = Millis(550);
+/// The time of a load from the engine's memory or disk beyond what is stated: the report of its end lags.
+const REPORT_LAG_MS: Millis = Millis(250);
+
+/// How fast orders take effect.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// How many loads at once the weight store serves at full speed.
+    pub store_loads_at_once: usize,
+    /// How long until orders may be sent: a new orderer waits until its predecessor's last one is long past.
+    pub orders_in_ms: Millis,
+}
+
+impl Planner<'_> {
+    /// Returns how long until what callers wait for is ready, as far as that can be told.
+    pub fn ready_in_ms(&self, pace: Pace) -> Vec<(ModelAsk, Millis)> {
+        let waiting = self.book.iter().filter(|(_, asked)| asked.waiting > 0);
+        waiting
+            .filter(|(ask, _)| self.spec.models.contains_key(&ask.model))
+            .filter_map(|(ask, _)| Some((ask.clone(), self.ready_in(ask, pace)?)))
+            .collect()
+    }
+
+    fn ready_in(&self, ask: &ModelAsk, pace: Pace) -> Option<Millis> {
+        let at_once = pace.store_loads_at_once;
+        let adapter_ms = match &ask.adapter {
+            Some(_) => ADAPTER_IN_MS.max(pace.orders_in_ms),
+            None => Millis::ZERO,
+        };
+        let model_in = |engine: &Engine| match engine.copies.get(&ask.model)? {
+            Copy::Held if engine.is_busy() && ask.adapter.is_some() => {
+                Some(self.free_in(engine, at_once))
+            }
+            Copy::Held => Some(Millis::ZERO),
+            copy => self.loaded_in(&ask.model, copy, at_once),
+        };
+        let soonest = self.engines().filter_map(model_in).min();
+        let model_ms = match soonest {
+            Some(in_ms) => in_ms,
+            // An engine of which no report was read may hold the model.
+            None if self.engines().any(|engine| !engine.is_known) => return None,
+            None => pace.orders_in_ms + self.load_in(&ask.model, at_once),
+        };
+        Some(model_ms + adapter_ms)
+    }
+
+    /// Returns how long until a load under way is done; nothing when the copy is not being loaded, or its order may not
+    /// have taken effect. Loads from the weight store beyond those at full speed slow each other in proportion. One
+    /// that is overdue all the same is taken to need a quarter of its time so far in addition.
+    fn loaded_in(&self, model: &str, copy: &Copy, store_loads_at_once: usize) -> Option<Millis> {
+        let Copy::Loading {
+            since,
+            ready_at,
+            from_store,
+            beside,
+        } = *copy
+        else {
+            return None;
+        };
+        if ready_at == Millis::NEVER {
+            return None;
+        }
+        let slowed_by = (beside as f64 / store_loads_at_once.max(1) as f64).max(1.0);
+        let stated_ms = self.spec.models.get(model).map(|spec| spec.load_ms);
+        let ready_at = match stated_ms {
+            Some(stated_ms) if from_store => {
+                since + Millis((stated_ms.0 as f64 * slowed_by) as u64)
+            }
+            _ => ready_at,
+        };
+        let left_ms = match ready_at > self.now {
+            true => ready_at - self.now,
+            false => Millis(self.now.since(since).0 / OVERDUE_PART),
+        };
+        Some(left_ms + REPORT_LAG_MS)
+    }
+
+    /// Returns how long until an engine takes orders again.
+    fn free_in(&self, engine: &Engine, store_loads_at_once: usize) -> Millis {
+        let ends = engine
+            .copies
+            .iter()
+            .filter_map(|(model, copy)| self.loaded_in(model, copy, store_loads_at_once));
+        ends.max().unwrap_or(UNLOADED_IN_MS)
+    }
+
+    /// Returns how long a load that has not begun will take, with the wait for its turn at the weight store.
+    fn load_in(&self, model: &Name, store_loads_at_once: usize) -> Millis {
+        let Some(spec) = self.spec.models.get(model) else {
+            return Millis::NEVER;
+        };
+        let is_at_hand = self
+            .engines()
+            .any(|engine| engine.at_hand.contains(model) && !engine.is_busy());
+        match is_at_hand {
+            true => spec.from_disk_ms + REPORT_LAG_MS + REPORT_LAG_MS,
+            false => {
+                let turn_ms = self.turn_in(model, spec.load_ms, store_loads_at_once);
+                turn_ms + spec.load_ms + REPORT_LAG_MS
+            }
+        }
+    }
+
+    /// Returns how long until a load may begin at the weight store: when one of those under way ends, and after the
+    /// loads of models that more callers wait for.
+    fn turn_in(&self, model: &Name, load_ms: Millis, store_loads_at_once: usize) -> Millis {
+        let mut ends: Vec<Millis> = self
+            .engines()
+            .flat_map(|engine| engine.copies.iter())
+            .filter(|(_, copy)| copy.is_from_store())
+            .filter_map(|(other, copy)| self.loaded_in(other, copy, store_loads_at_once))
+            .collect();
+        ends.sort_unstable();
+        let waiting = self.book.model(self.now, model).waiting;
+        let before = self
+            .spec
+            .models
+            .keys()
+            .filter(|other| *other != model && self.book.model(self.now, other).waiting > waiting)
+            .filter(|other| {
+                !self
+                    .engines()
+                    .any(|engine| engine.will_hold(self.now, other))
+            })
+            .count();
+        let at_once = store_loads_at_once.max(1);
+        let free = at_once.saturating_sub(ends.len());
+        if before < free {
+            return Millis::ZERO;
+        }
+        let place = before - free;
+        let first_ms = ends.first().copied().unwrap_or(load_ms);
+        first_ms + Millis(load_ms.0 * (place / at_once) as u64)
+    }
+}
--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -1,12 +1,15 @@
 //! Which engine holds which model: one host at a time orders loads and unloads, the others tell it what callers ask.
 //!
 //! Everything here decides without network: [`lease`] who may order, [`ledger`] what engines hold and what is on
-//! its way, [`ceiling`] how many loads the weight store gets, [`planner`] what to order next.
+//! its way, [`ceiling`] how many loads the weight store gets, [`planner`] what to order next,
+//! [`adapters`] also of adapters, [`estimates`] when what callers wait for is ready.
 
+pub mod adapters;
 pub mod book;
 pub mod ceiling;
 pub mod demand;
 pub mod engine;
+pub mod estimates;
 pub mod lease;
 pub mod ledger;
 pub mod message;
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -14,7 +14,6 @@
 use crate::ordering::ledger::Ledger;
 use crate::ordering::message::Action;
 use crate::prelude::*;
-use crate::routing::roles::short_copies;
 
 /// Prompt tokens that an engine reads in a second for a large model; smaller ones are faster in proportion to
 /// their weights. From the engines' stated speed.
@@ -43,20 +42,6 @@
 /// What a load from the weight store costs against one from the engine's disk, in prompt tokens a second of what
 /// makes way.
 const STORE_LOAD: f64 = 4_000.0;
-/// Adapters that are brought ahead at once, over all engines: half of what the smallest weight store fetches at full
-/// speed, so that those that callers wait for are not slowed.
-const AHEAD_AT_ONCE: usize = 4;
-/// Places of each engine that are kept for adapters that callers wait for.
-const PLACES_KEPT_FREE: usize = 1;
-/// How long an adapter takes from the wish to the engine's readiness: an order, the fetch, and the word of it.
-const ADAPTER_IN_MS: Millis = Millis(30);
-/// By which part of its time so far a load that is overdue is expected to go on: one that waits for others has no end
-/// that could be told, and callers are told to come back then.
-const OVERDUE_PART: u64 = 4;
-/// When an engine that unloads a model takes orders again: the unload and the report of it.
-const UNLOADED_IN_MS: Millis = Millis(550);
-/// The time of a load from the engine's memory or disk beyond what is stated: the report of its end lags.
-const REPORT_LAG_MS: Millis = Millis(250);
 
 /// An order that the planner wants.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,15 +58,6 @@
     pub why: &'static str,
 }
 
-/// How fast orders take effect.
-#[derive(Clone, Copy, Debug)]
-pub struct Pace {
-    /// How many loads at once the weight store serves at full speed.
-    pub store_loads_at_once: usize,
-    /// How long until orders may be sent: a new orderer waits until its predecessor's last one is long past.
-    pub orders_in_ms: Millis,
-}
-
 /// What the planner looks at.
 pub struct Planner<'a> {
     /// The present time.
@@ -116,201 +92,16 @@
             .or_else(|| self.adapter_ahead())
     }
 
-    /// Returns how long until what callers wait for is ready, as far as that can be told.
-    pub fn ready_in_ms(&self, pace: Pace) -> Vec<(ModelAsk, Millis)> {
-        let waiting = self.book.iter().filter(|(_, asked)| asked.waiting > 0);
-        waiting
-            .filter(|(ask, _)| self.spec.models.contains_key(&ask.model))
-            .filter_map(|(ask, _)| Some((ask.clone(), self.ready_in(ask, pace)?)))
-            .collect()
-    }
-
-    fn ready_in(&self, ask: &ModelAsk, pace: Pace) -> Option<Millis> {
-        let at_once = pace.store_loads_at_once;
-        let adapter_ms = match &ask.adapter {
-            Some(_) => ADAPTER_IN_MS.max(pace.orders_in_ms),
-            None => Millis::ZERO,
-        };
-        let model_in = |engine: &Engine| match engine.copies.get(&ask.model)? {
-            Copy::Held if engine.is_busy() && ask.adapter.is_some() => {
-                Some(self.free_in(engine, at_once))
-            }
-            Copy::Held => Some(Millis::ZERO),
-            copy => self.loaded_in(&ask.model, copy, at_once),
-        };
-        let soonest = self.engines().filter_map(model_in).min();
-        let model_ms = match soonest {
-            Some(in_ms) => in_ms,
-            // An engine of which no report was read may hold the model.
-            None if self.engines().any(|engine| !engine.is_known) => return None,
-            None => pace.orders_in_ms + self.load_in(&ask.model, at_once),
-        };
-        Some(model_ms + adapter_ms)
-    }
-
-    /// Returns how long until a load under way is done; nothing when the copy is not being loaded, or its order may not
-    /// have taken effect. Loads from the weight store beyond those at full speed slow each other in proportion. One
-    /// that is overdue all the same is taken to need a quarter of its time so far in addition.
-    fn loaded_in(&self, model: &str, copy: &Copy, store_loads_at_once: usize) -> Option<Millis> {
-        let Copy::Loading {
-            since,
-            ready_at,
-            from_store,
-            beside,
-        } = *copy
-        else {
-            return None;
-        };
-        if ready_at == Millis::NEVER {
-            return None;
-        }
-        let slowed_by = (beside as f64 / store_loads_at_once.max(1) as f64).max(1.0);
-        let stated_ms = self.spec.models.get(model).map(|spec| spec.load_ms);
-        let ready_at = match stated_ms {
-            Some(stated_ms) if from_store => {
-                since + Millis((stated_ms.0 as f64 * slowed_by) as u64)
-            }
-            _ => ready_at,
-        };
-        let left_ms = match ready_at > self.now {
-            true => ready_at - self.now,
-            false => Millis(self.now.since(since).0 / OVERDUE_PART),
-        };
-        Some(left_ms + REPORT_LAG_MS)
-    }
-
-    /// Returns how long until an engine takes orders again.
-    fn free_in(&self, engine: &Engine, store_loads_at_once: usize) -> Millis {
-        let ends = engine
-            .copies
-            .iter()
-            .filter_map(|(model, copy)| self.loaded_in(model, copy, store_loads_at_once));
-        ends.max().unwrap_or(UNLOADED_IN_MS)
-    }
-
-    /// Returns how long a load that has not begun will take, with the wait for its turn at the weight store.
-    fn load_in(&self, model: &Name, store_loads_at_once: usize) -> Millis {
-        let Some(spec) = self.spec.models.get(model) else {
-            return Millis::NEVER;
-        };
-        let is_at_hand = self
-            .engines()
-            .any(|engine| engine.at_hand.contains(model) && !engine.is_busy());
-        match is_at_hand {
-            true => spec.from_disk_ms + REPORT_LAG_MS + REPORT_LAG_MS,
-            false => {
-                let turn_ms = self.turn_in(model, spec.load_ms, store_loads_at_once);
-                turn_ms + spec.load_ms + REPORT_LAG_MS
-            }
-        }
-    }
-
-    /// Returns how long until a load may begin at the weight store: when one of those under way ends, and after the
-    /// loads of models that more callers wait for.
-    fn turn_in(&self, model: &Name, load_ms: Millis, store_loads_at_once: usize) -> Millis {
-        let mut ends: Vec<Millis> = self
-            .engines()
-            .flat_map(|engine| engine.copies.iter())
-            .filter(|(_, copy)| copy.is_from_store())
-            .filter_map(|(other, copy)| self.loaded_in(other, copy, store_loads_at_once))
-            .collect();
-        ends.sort_unstable();
-        let waiting = self.book.model(self.now, model).waiting;
-        let before = self
-            .spec
-            .models
-            .keys()
-            .filter(|other| *other != model && self.book.model(self.now, other).waiting > waiting)
-            .filter(|other| {
-                !self
-                    .engines()
-                    .any(|engine| engine.will_hold(self.now, other))
-            })
-            .count();
-        let at_once = store_loads_at_once.max(1);
-        let free = at_once.saturating_sub(ends.len());
-        if before < free {
-            return Millis::ZERO;
-        }
-        let place = before - free;
-        let first_ms = ends.first().copied().unwrap_or(load_ms);
-        first_ms + Millis(load_ms.0 * (place / at_once) as u64)
-    }
-
-    fn engines(&self) -> impl Iterator<Item = &Engine> {
+    pub(super) fn engines(&self) -> impl Iterator<Item = &Engine> {
         self.ledger.iter().filter(|engine| {
             &*engine.service == self.service && !self.unusable.contains(&engine.id)
         })
     }
 
-    fn free_engines(&self) -> impl Iterator<Item = &Engine> {
+    pub(super) fn free_engines(&self) -> impl Iterator<Item = &Engine> {
         self.engines().filter(|engine| engine.is_free(self.now))
     }
 
-    /// Brings an adapter that callers wait for to an engine with its model; when the engine's places are taken, the one
-    /// that was asked for longest ago makes way.
-    fn adapter_order(&self) -> Option<Planned> {
-        let mut waiting: Vec<_> = self
-            .book
-            .iter()
-            .filter(|(ask, asked)| ask.adapter.is_some() && asked.waiting > 0)
-            .filter(|(ask, _)| {
-                !self
-                    .engines()
-                    .any(|engine| engine.adapters.contains_key(*ask))
-            })
-            .collect();
-        waiting.sort_by_key(|(_, asked)| std::cmp::Reverse(asked.waiting));
-        waiting
-            .into_iter()
-            .find_map(|(ask, _)| self.place_adapter(ask))
-    }
-
-    fn place_adapter(&self, ask: &ModelAsk) -> Option<Planned> {
-        let spec = self.spec.models.get(&ask.model)?;
-        let places = self.spec.adapter_slots as usize;
-        let holding = || {
-            self.free_engines()
-                .filter(|engine| engine.holds_model(&ask.model))
-        };
-        let ids = self
-            .engines()
-            .filter(|engine| engine.holds_model(&ask.model));
-        let for_short = short_copies(&ask.model, ids.map(|engine| &engine.id));
-        let with_place = holding()
-            .filter(|engine| engine.adapters.len() < places)
-            .filter(|engine| engine.used_mb(self.spec) + spec.adapter_mb <= self.spec.weights_mb)
-            // Most requests for adapters have short prompts.
-            .min_by_key(|engine| (!for_short.contains(&&engine.id), engine.adapters.len()));
-        if let Some(engine) = with_place {
-            return Some(Planned {
-                engine: engine.id.clone(),
-                action: Action::Load,
-                ask: ask.clone(),
-                makes_way_for: None,
-                why: "callers wait for the adapter",
-            });
-        }
-        let victims = holding().filter_map(|engine| {
-            let unused = engine
-                .adapters
-                .iter()
-                .filter(|(_, ready_at)| **ready_at != Millis::NEVER);
-            let unused = unused.map(|(other, _)| (other, self.book.asked(other)));
-            let unused = unused.filter(|(_, asked)| asked.running == 0 && asked.waiting == 0);
-            let oldest = unused.min_by_key(|(_, asked)| asked.last_at)?;
-            Some((oldest.1.last_at, engine, oldest.0))
-        });
-        let (_, engine, victim) = victims.min_by_key(|(last_at, ..)| *last_at)?;
-        Some(Planned {
-            engine: engine.id.clone(),
-            action: Action::Unload,
-            ask: victim.clone(),
-            makes_way_for: None,
-            why: "another adapter needs its place",
-        })
-    }
-
     /// Loads the model that is most wanted and not on enough engines.
     fn model_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
         let mut needs: Vec<Need<'_>> = self.needs();
@@ -539,56 +330,6 @@
         None
     }
 
-    /// Fills free places with adapters that no engine holds, before anyone asks for them, those asked for most first: an
-    /// adapter that is there needs no orderer, which a site may lack for seconds.
-    fn adapter_ahead(&self) -> Option<Planned> {
-        let places = (self.spec.adapter_slots as usize).saturating_sub(PLACES_KEPT_FREE);
-        let adapters = || self.engines().flat_map(|engine| engine.adapters.iter());
-        let on_their_way = adapters().filter(|(_, ready_at)| **ready_at > self.now);
-        if on_their_way.count() >= AHEAD_AT_ONCE {
-            return None;
-        }
-        let with_place: Vec<&Engine> = self
-            .free_engines()
-            .filter(|engine| engine.adapters.len() < places)
-            .collect();
-        if with_place.is_empty() {
-            return None;
-        }
-        let held: IndexSet<&ModelAsk> = adapters().map(|(ask, _)| ask).collect();
-        let models = self.spec.models.iter();
-        let missing = models.flat_map(|(model, spec)| {
-            spec.adapters.iter().map(|adapter| ModelAsk {
-                model: model.clone(),
-                adapter: Some(adapter.clone()),
-            })
-        });
-        let mut missing: Vec<(f64, ModelAsk)> = missing
-            .filter(|ask| !held.contains(ask))
-            .map(|ask| (self.book.asked(&ask).per_s(self.now), ask))
-            .collect();
-        missing.sort_by(|(a, _), (b, _)| b.total_cmp(a));
-        missing
-            .into_iter()
-            .find_map(|(_, ask)| self.place_ahead(&with_place, ask))
-    }
-
-    fn place_ahead(&self, with_place: &[&Engine], ask: ModelAsk) -> Option<Planned> {
-        let adapter_mb = self.spec.models.get(&ask.model)?.adapter_mb;
-        let engine = with_place
-            .iter()
-            .filter(|engine| engine.holds_model(&ask.model))
-            .filter(|engine| engine.used_mb(self.spec) + adapter_mb <= self.spec.weights_mb)
-            .min_by_key(|engine| engine.adapters.len())?;
-        Some(Planned {
-            engine: engine.id.clone(),
-            action: Action::Load,
-            ask,
-            makes_way_for: None,
-            why: "a place for adapters is free and no engine holds this one",
-        })
-    }
-
     /// Returns how long the load of an order takes, and whether it is one from the weight store.
     pub fn load_time(&self, planned: &Planned) -> LoadTime {
         load_time(self.spec, self.ledger, &planned.engine, &planned.ask)
