--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -82,7 +82,7 @@
     loop {
         let read = match cursor.next {
             None => read_all(&host, &mut cursor).await,
-            Some(from) => match wait_for_turn(&host, &mut cursor).await {
+            Some(from) => match wait_until_due(&host, &mut cursor).await {
                 true => read_changes(&host, &mut cursor, from).await,
                 false => continue,
             },
@@ -121,7 +121,7 @@
 
 /// Waits until the table is to be read by this host itself, which it returns; takes rows that the orderer sent before
 /// that.
-async fn wait_for_turn<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> bool {
+async fn wait_until_due<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> bool {
     loop {
         let word = host.followed.next_word();
         let now = host.now();
