Count an outage of the list only where it was asked in vain; estimate once a plan, not for each message

The record reached front-kolkata-a-3 1.7 s after the store had it, in time, with the line "entry lapsed in an outage": the host had not heard of the list for 2.5 s, which counted as an outage of the store, so it kept the upstream for two seconds more. There was none: the words of the orderer came late.

Ruled out: a late read of the store (offsets 365 and later came 1.7 s after the acknowledgement at all hosts).

Change: a time without word is an outage only if a read of this host's own failed in it. Estimates are made once a plan, plans at least 10 ms apart in proportion to the hosts, and the row at the weight store is looked at once.

Test first: a_removal_after_late_words_of_a_busy_orderer_takes_effect_at_once. The test of an outage tells the registry of the failed read now, as the follower does.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -112,6 +112,9 @@
             }
             Err(error) => {
                 note_failure(&mut cursor, &error);
+                if table == Table::Upstreams {
+                    host.upstreams.borrow_mut().note_unheard();
+                }
                 let pause_ms = RETRY_MS[cursor.failures.min(RETRY_MS.len()) - 1];
                 Timer::after(pause_ms.to_duration()).await;
             }
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -4,21 +4,27 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::members::Member;
-use crate::entry::platform::Platform;
+use crate::entry::platform::{ModelAsk, Platform};
+use crate::entry::sync::SYNC_HOSTS;
 use crate::http1::client::within;
 use crate::ordering::book::Book;
 use crate::ordering::ceiling::Ceiling;
 use crate::ordering::engine::Loaded;
+use crate::ordering::estimates::Pace;
 use crate::ordering::lease::Lease;
 use crate::ordering::ledger::Ledger;
 use crate::ordering::message::{Action, Order, OrderAnswer};
 use crate::ordering::planner::{Planned, Planner, load_time};
 use crate::prelude::*;
-use smol::LocalExecutor;
+use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
 
 /// How often the plan is made without a new demand.
 const PLAN_MS: Millis = Millis(50);
+/// The least time between two plans, with up to [`SYNC_HOSTS`] hosts; with more, more in proportion. A message of a host
+/// whose callers wait asks for a plan, and some hundreds a second come from a large site; on the smallest hosts, an
+/// eighth of a core, plans at each of them left no time to read the tables.
+const LEAST_PLAN_MS: u64 = 10;
 /// Most orders planned in one round.
 const MAX_PLANNED: usize = 32;
 
@@ -31,6 +37,8 @@
     pub ledger: Ledger,
     /// What callers ask for.
     pub book: Book,
+    /// When what callers wait for will be ready, as the last plan had it.
+    pub ready_at: Vec<(ModelAsk, Millis)>,
     /// The load on the weight store, while this host orders.
     pub ceiling: Option<Ceiling>,
     /// Since when no other host was heard of.
@@ -111,7 +119,10 @@
     executor: Rc<LocalExecutor<'static>>,
 ) {
     loop {
-        within(PLAN_MS, host.next_want()).await;
+        let factor = host.members.borrow().count().div_ceil(SYNC_HOSTS) as u64;
+        let want = host.next_want();
+        Timer::after(Millis(LEAST_PLAN_MS * factor).to_duration()).await;
+        within(PLAN_MS, want).await;
         let now = host.now();
         if host.orders.borrow().lease.holding().is_none() {
             continue;
@@ -125,9 +136,39 @@
             plan_orders(&host, &table, now);
             send_due(&host, &executor, &me, now);
         }
+        let ready_at = expect_ready(&host, &table, now);
+        host.orders.borrow_mut().ready_at = ready_at;
     }
 }
 
+/// Returns when what callers wait for will be ready. It is worked out once a plan, not for each message of a host.
+fn expect_ready<P: Platform>(
+    host: &Host<P>,
+    table: &RouteTable,
+    now: Millis,
+) -> Vec<(ModelAsk, Millis)> {
+    let unusable = unusable(host, now);
+    let orders = host.orders.borrow();
+    let holding = orders.lease.holding();
+    let pace = Pace {
+        store_loads_at_once: orders.ceiling.as_ref().map_or(1, Ceiling::at_once),
+        orders_in_ms: holding.map_or(Millis::ZERO, |holding| holding.orders_from.since(now)),
+    };
+    let specs = engine_specs(table).map(|(service, spec)| {
+        let planner = Planner {
+            now,
+            service,
+            spec,
+            ledger: &orders.ledger,
+            book: &orders.book,
+            unusable: &unusable,
+        };
+        planner.ready_in_ms(pace)
+    });
+    let ready = specs.flatten().map(|(ask, in_ms)| (ask, now + in_ms));
+    ready.collect()
+}
+
 fn take_engines<P: Platform>(host: &Host<P>, table: &RouteTable) {
     let upstreams = host.upstreams.borrow();
     let is_engine = |service: &Name| {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -2,13 +2,9 @@
 
 use crate::entry::host::Host;
 use crate::entry::members::Member;
-use crate::entry::orderer::{Orders, engine_specs, unusable};
 use crate::entry::peers::Peers;
-use crate::entry::platform::{ModelAsk, Platform};
-use crate::ordering::ceiling::Ceiling;
-use crate::ordering::estimates::Pace;
+use crate::entry::platform::Platform;
 use crate::ordering::message::{SyncAsk, SyncReply};
-use crate::ordering::planner::Planner;
 use crate::prelude::*;
 use crate::routing::pick::Work;
 use smol::Timer;
@@ -19,7 +15,8 @@
 const SYNC_MS: u64 = 250;
 const WAITING_SYNC_MS: u64 = 30;
 const LEAST_SYNC_MS: u64 = 4;
-const SYNC_HOSTS: usize = 24;
+/// Up to so many hosts the orderer's work for each of them is small; above, intervals grow with their number.
+pub const SYNC_HOSTS: usize = 24;
 
 /// Answers a host that tells its demand.
 pub fn answer<P: Platform>(host: &Host<P>, ask: SyncAsk) -> SyncReply {
@@ -44,39 +41,15 @@
         version,
         engines: is_news.then(|| orders.ledger.view(now)),
         work: orders.book.work_of_others(ask.incarnation),
-        ready_in_ms: ready_in_ms(host, &orders, now),
+        ready_in_ms: orders
+            .ready_at
+            .iter()
+            .map(|(ask, at)| (ask.clone(), at.since(now)))
+            .collect(),
         tables: host.followed.word(now, ask.upstreams_from),
     }
 }
 
-fn ready_in_ms<P: Platform>(
-    host: &Host<P>,
-    orders: &Orders,
-    now: Millis,
-) -> Vec<(ModelAsk, Millis)> {
-    let Some(table) = host.routes.borrow().clone() else {
-        return Vec::new();
-    };
-    let unusable = unusable(host, now);
-    let holding = orders.lease.holding();
-    let pace = Pace {
-        store_loads_at_once: orders.ceiling.as_ref().map_or(1, Ceiling::at_once),
-        orders_in_ms: holding.map_or(Millis::ZERO, |holding| holding.orders_from.since(now)),
-    };
-    let specs = engine_specs(&table).map(|(service, spec)| {
-        let planner = Planner {
-            now,
-            service,
-            spec,
-            ledger: &orders.ledger,
-            book: &orders.book,
-            unusable: &unusable,
-        };
-        planner.ready_in_ms(pace)
-    });
-    specs.flatten().collect()
-}
-
 /// Tells the orderer this host's demand, and takes what it says, again and again: at once when a request waits for a
 /// model or a long prompt begins or ends, else now and then.
 pub async fn sync<P: Platform>(host: Rc<Host<P>>, peers: Rc<Peers>, me: Member) {
--- a/src/ordering/estimates.rs
+++ b/src/ordering/estimates.rs
@@ -28,17 +28,31 @@
     pub orders_in_ms: Millis,
 }
 
+/// The models that callers wait for and no engine holds or is to hold, with how many wait.
+type Row<'a> = IndexMap<&'a Name, u32>;
+
 impl Planner<'_> {
     /// Returns how long until what callers wait for is ready, as far as that can be told.
     pub fn ready_in_ms(&self, pace: Pace) -> Vec<(ModelAsk, Millis)> {
-        let waiting = self.book.iter().filter(|(_, asked)| asked.waiting > 0);
-        waiting
-            .filter(|(ask, _)| self.spec.models.contains_key(&ask.model))
-            .filter_map(|(ask, _)| Some((ask.clone(), self.ready_in(ask, pace)?)))
+        let waited_for = || {
+            let waiting = self.book.iter().filter(|(_, asked)| asked.waiting > 0);
+            waiting.filter(|(ask, _)| self.spec.models.contains_key(&ask.model))
+        };
+        let mut row = Row::new();
+        for (ask, asked) in waited_for() {
+            *row.entry(&ask.model).or_default() += asked.waiting;
+        }
+        row.retain(|model, _| {
+            !self
+                .engines()
+                .any(|engine| engine.will_hold(self.now, model))
+        });
+        waited_for()
+            .filter_map(|(ask, _)| Some((ask.clone(), self.ready_in(ask, pace, &row)?)))
             .collect()
     }
 
-    fn ready_in(&self, ask: &ModelAsk, pace: Pace) -> Option<Millis> {
+    fn ready_in(&self, ask: &ModelAsk, pace: Pace, row: &Row<'_>) -> Option<Millis> {
         let at_once = pace.store_loads_at_once;
         let adapter_ms = match &ask.adapter {
             Some(_) => ADAPTER_IN_MS.max(pace.orders_in_ms),
@@ -56,7 +70,7 @@
             Some(in_ms) => in_ms,
             // An engine of which no report was read may hold the model.
             None if self.engines().any(|engine| !engine.is_known) => return None,
-            None => pace.orders_in_ms + self.load_in(&ask.model, at_once),
+            None => pace.orders_in_ms + self.load_in(&ask.model, at_once, row),
         };
         Some(model_ms + adapter_ms)
     }
@@ -102,7 +116,7 @@
     }
 
     /// Returns how long a load that has not begun will take, with the wait for its turn at the weight store.
-    fn load_in(&self, model: &Name, store_loads_at_once: usize) -> Millis {
+    fn load_in(&self, model: &Name, store_loads_at_once: usize, row: &Row<'_>) -> Millis {
         let Some(spec) = self.spec.models.get(model) else {
             return Millis::NEVER;
         };
@@ -112,7 +126,7 @@
         match is_at_hand {
             true => spec.from_disk_ms + REPORT_LAG_MS + REPORT_LAG_MS,
             false => {
-                let turn_ms = self.turn_in(model, spec.load_ms, store_loads_at_once);
+                let turn_ms = self.turn_in(model, spec.load_ms, store_loads_at_once, row);
                 turn_ms + spec.load_ms + REPORT_LAG_MS
             }
         }
@@ -120,7 +134,13 @@
 
     /// Returns how long until a load may begin at the weight store: when one of those under way ends, and after the
     /// loads of models that more callers wait for.
-    fn turn_in(&self, model: &Name, load_ms: Millis, store_loads_at_once: usize) -> Millis {
+    fn turn_in(
+        &self,
+        model: &Name,
+        load_ms: Millis,
+        store_loads_at_once: usize,
+        row: &Row<'_>,
+    ) -> Millis {
         let mut ends: Vec<Millis> = self
             .engines()
             .flat_map(|engine| engine.copies.iter())
@@ -128,18 +148,8 @@
             .filter_map(|(other, copy)| self.loaded_in(other, copy, store_loads_at_once))
             .collect();
         ends.sort_unstable();
-        let waiting = self.book.model(self.now, model).waiting;
-        let before = self
-            .spec
-            .models
-            .keys()
-            .filter(|other| *other != model && self.book.model(self.now, other).waiting > waiting)
-            .filter(|other| {
-                !self
-                    .engines()
-                    .any(|engine| engine.will_hold(self.now, other))
-            })
-            .count();
+        let own = row.get(model).copied().unwrap_or_default();
+        let before = row.values().filter(|waiting| **waiting > own).count();
         let at_once = store_loads_at_once.max(1);
         let free = at_once.saturating_sub(ends.len());
         if before < free {
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -67,19 +67,26 @@
     upstreams: IndexMap<Name, Upstream>,
     ended: IndexMap<Name, Millis>,
     last_heard_at: Option<Millis>,
+    was_unheard: bool,
     outage_ended_at: Option<Millis>,
 }
 
 impl Registry {
-    /// Takes note that the list answered.
+    /// Takes note that the list answered, or was said to be as known. A long time without either is an outage only when
+    /// the list was asked in vain: a host that relies on another one's word may hear it late.
     pub fn note_heard(&mut self, now: Millis) {
         let gap = self.last_heard_at.map_or(Millis::ZERO, |at| now.since(at));
-        if gap >= OUTAGE_MS {
+        if std::mem::take(&mut self.was_unheard) && gap >= OUTAGE_MS {
             self.outage_ended_at = Some(now);
         }
         self.last_heard_at = Some(now);
     }
 
+    /// Takes note that the list was asked in vain.
+    pub fn note_unheard(&mut self) {
+        self.was_unheard = true;
+    }
+
     /// Takes a new or changed entry.
     pub fn put(&mut self, entry: UpstreamEntry) -> Change {
         if self.ended.contains_key(&entry.id) {
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -51,6 +51,16 @@
     assert_eq!(usable(&registry), [""; 0]);
 }
 
+#[test]
+fn a_removal_after_late_words_of_a_busy_orderer_takes_effect_at_once() {
+    let mut registry = Registry::default();
+    registry.note_heard(Millis(0));
+    registry.put(entry("a"));
+    registry.note_heard(Millis(4_000));
+    assert_eq!(registry.remove(Millis(4_000), "a"), Change::Gone);
+    assert_eq!(usable(&registry), [""; 0]);
+}
+
 #[test]
 fn entries_that_lapsed_in_an_outage_are_used_until_they_had_time_to_come_back() {
     let mut registry = Registry::default();
@@ -59,6 +69,7 @@
         registry.put(entry(id));
     }
     registry.put(leaving("left"));
+    registry.note_unheard();
     registry.note_heard(Millis(6_000));
     let changes = registry.replace(Millis(6_000), Vec::new());
     assert_eq!(changes.len(), 3);
