--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -73,17 +73,16 @@
     }
 
     fn next(&mut self, now: Millis) -> Option<Planned> {
-        let planner = Planner {
-            now,
-            service: "s",
-            spec: &self.spec,
-            ledger: &self.ledger,
-            book: &self.book,
-            unusable: &IndexSet::new(),
-        };
+        let unusable = IndexSet::new();
+        let planner = planner(now, &self.spec, &self.ledger, &self.book, &unusable);
         planner.next(&mut self.ceiling)
     }
 
+    fn ready_in_ms(&self, now: Millis, pace: Pace) -> Vec<(ModelAsk, Millis)> {
+        let unusable = IndexSet::new();
+        planner(now, &self.spec, &self.ledger, &self.book, &unusable).ready_in_ms(pace)
+    }
+
     /// Carries out what is planned until nothing is, with engines that accept every order and have not finished.
     fn plan_all(&mut self) -> Vec<Planned> {
         let mut all = Vec::new();
@@ -113,6 +112,23 @@
     }
 }
 
+fn planner<'a>(
+    now: Millis,
+    spec: &'a EngineSpec,
+    ledger: &'a Ledger,
+    book: &'a Book,
+    unusable: &'a IndexSet<Name>,
+) -> Planner<'a> {
+    Planner {
+        now,
+        service: "s",
+        spec,
+        ledger,
+        book,
+        unusable,
+    }
+}
+
 fn waiting(requests: u32) -> AskCount {
     AskCount {
         asked: requests,
@@ -275,15 +291,7 @@
     let asks = [(model("m0"), waiting(5)), (model("m1"), waiting(1))];
     site.ask(1, NOW, &asks);
     let ready_in = |site: &Site, now: Millis, name: &str| {
-        let planner = Planner {
-            now,
-            service: "s",
-            spec: &site.spec,
-            ledger: &site.ledger,
-            book: &site.book,
-            unusable: &IndexSet::new(),
-        };
-        let ready = planner.ready_in_ms(PACE);
+        let ready = site.ready_in_ms(now, PACE);
         let found = ready.into_iter().find(|(ask, _)| *ask == model(name));
         found.expect("callers wait for the model").1
     };
@@ -300,15 +308,7 @@
     site.plan_all();
     let now = NOW + Millis(20_000);
     site.ask(1, now, &[(model("m0"), waiting(1))]);
-    let planner = Planner {
-        now,
-        service: "s",
-        spec: &site.spec,
-        ledger: &site.ledger,
-        book: &site.book,
-        unusable: &IndexSet::new(),
-    };
-    let ready = planner.ready_in_ms(PACE);
+    let ready = site.ready_in_ms(now, PACE);
     assert!(ready[0].1 >= Millis(4_000), "{ready:?}");
 }
 
@@ -360,17 +360,7 @@
         orders_in_ms: Millis(2_500),
         ..PACE
     };
-    let ready = |site: &Site| {
-        let planner = Planner {
-            now: NOW,
-            service: "s",
-            spec: &site.spec,
-            ledger: &site.ledger,
-            book: &site.book,
-            unusable: &IndexSet::new(),
-        };
-        planner.ready_in_ms(pace)
-    };
+    let ready = |site: &Site| site.ready_in_ms(NOW, pace);
     assert_eq!(ready(&site), [(adapter("m0", "a1"), Millis(2_500))]);
     site.ledger = Ledger::default();
     let unknown = [(Name::from("e0"), Name::from("s"))];
