Keep the rows for other hosts in one piece, so that a new beginning is not lost

Found by reading the change: `drop_rows` left the offset at which kept rows end, so a host that lost the lease and had it again without a new row in between kept rows that it never offered; the others read each of them from the store instead. Nothing was wrong but the price. The three fields are one value now, present or not, and rows after one that cannot be read are kept.

Test first: rows_that_follow_where_others_were_dropped_are_passed_on (0 rows instead of 2 before).

--- a/src/entry/followed.rs
+++ b/src/entry/followed.rs
@@ -15,7 +15,7 @@
 
 /// Rows of the list of upstreams that the orderer keeps for the others: a host asks each second at the latest, and
 /// rows come a few a second.
-const MAX_RECENT: usize = 64;
+const MAX_KEPT: usize = 64;
 
 /// A row of the list of upstreams; without an entry it was removed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -63,9 +63,34 @@
     desired: Copy,
     upstreams: Copy,
     told_rows: Vec<UpstreamRow>,
-    recent: VecDeque<UpstreamRow>,
-    recent_from: Option<Offset>,
-    recent_next: Option<Offset>,
+    kept: Option<KeptRows>,
+}
+
+/// Rows without a gap that the orderer keeps for the others.
+#[derive(Debug)]
+struct KeptRows {
+    from: Offset,
+    rows: VecDeque<UpstreamRow>,
+    next: Offset,
+}
+
+impl KeptRows {
+    fn new(from: Offset) -> Self {
+        Self {
+            from,
+            rows: VecDeque::new(),
+            next: from,
+        }
+    }
+
+    fn push(&mut self, row: UpstreamRow) {
+        self.rows.push_back(row);
+        if self.rows.len() > MAX_KEPT
+            && let Some(dropped) = self.rows.pop_front()
+        {
+            self.from = Offset(dropped.offset.0 + 1);
+        }
+    }
 }
 
 impl State {
@@ -107,39 +132,22 @@
     /// Keeps rows of the list of upstreams for the other hosts. Rows that do not follow those kept before replace them.
     pub fn keep_rows(&self, from: Offset, rows: &[TableRow], next: Offset) {
         let mut state = self.state.borrow_mut();
-        if state.recent_next != Some(from) {
-            state.recent.clear();
-            state.recent_from = Some(from);
-        }
-        state.recent_next = Some(next);
+        let former = state.kept.take().filter(|kept| kept.next == from);
+        let mut kept = former.unwrap_or_else(|| KeptRows::new(from));
         for row in rows {
-            let entry = match &row.value {
-                RowValue::Upstream(entry) => Some(entry.clone()),
-                RowValue::Removed => None,
+            match upstream_row(row) {
+                Some(row) => kept.push(row),
                 // The others read it by themselves, and each notes that it is unreadable.
-                RowValue::Unreadable(_) | RowValue::Desired(_) => {
-                    state.recent.clear();
-                    state.recent_from = Some(next);
-                    return;
-                }
-            };
-            state.recent.push_back(UpstreamRow {
-                key: row.key.clone(),
-                offset: row.offset,
-                entry,
-            });
-            if state.recent.len() > MAX_RECENT {
-                state.recent.pop_front();
-                state.recent_from = state.recent.front().map(|row| row.offset);
+                None => kept = KeptRows::new(Offset(row.offset.0 + 1)),
             }
         }
+        kept.next = next;
+        state.kept = Some(kept);
     }
 
     /// Drops the rows that are kept for others: this host orders no more, or the table was read anew.
     pub fn drop_rows(&self) {
-        let mut state = self.state.borrow_mut();
-        state.recent = VecDeque::new();
-        state.recent_from = None;
+        self.state.borrow_mut().kept = None;
     }
 
     /// Returns from where this host wants rows of the list of upstreams.
@@ -156,9 +164,9 @@
                 age_ms: now.since(copy.confirmed_at?),
             })
         };
-        let rows = match (wants_from, state.recent_from) {
-            (Some(from), Some(kept_from)) if kept_from <= from => {
-                let wanted = state.recent.iter().filter(|row| row.offset >= from);
+        let rows = match (wants_from, &state.kept) {
+            (Some(from), Some(kept)) if kept.from <= from => {
+                let wanted = kept.rows.iter().filter(|row| row.offset >= from);
                 wanted.cloned().collect()
             }
             _ => Vec::new(),
@@ -258,6 +266,20 @@
     }
 }
 
+/// Returns a row as other hosts get it; nothing when it is not one of the list of upstreams that can be read.
+fn upstream_row(row: &TableRow) -> Option<UpstreamRow> {
+    let entry = match &row.value {
+        RowValue::Upstream(entry) => Some(entry.clone()),
+        RowValue::Removed => None,
+        RowValue::Unreadable(_) | RowValue::Desired(_) => return None,
+    };
+    Some(UpstreamRow {
+        key: row.key.clone(),
+        offset: row.offset,
+        entry,
+    })
+}
+
 fn table_row(row: UpstreamRow) -> TableRow {
     TableRow {
         key: row.key,
--- a/src/entry/tests/followed.rs
+++ b/src/entry/tests/followed.rs
@@ -174,3 +174,13 @@
     let offered = orderer.word(Millis(10_000), Some(Offset(5))).rows;
     assert_eq!(offered.len(), 2);
 }
+
+/// A host may lose the lease and have it again without a new row in between.
+#[test]
+fn rows_that_follow_where_others_were_dropped_are_passed_on() {
+    let orderer = orderer(Millis(9_900), 0, 3);
+    orderer.drop_rows();
+    orderer.keep_rows(Offset(3), &rows(3..5), Offset(5));
+    let offered = orderer.word(Millis(10_000), Some(Offset(3))).rows;
+    assert_eq!(offered.len(), 2);
+}
