--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -220,12 +220,10 @@
     held: &mut HeldBody<'_, P>,
 ) -> Result<Vec<u8>, Refusal> {
     let mut reader = BodyReader::new(head.framing);
-    if let crate::http1::Framing::Length(length) = head.framing
-        && length > limits.body_bytes
-    {
-        return Err(too_large());
-    }
     if let crate::http1::Framing::Length(length) = head.framing {
+        if length > limits.body_bytes {
+            return Err(too_large());
+        }
         held.grow_to(length)?;
     }
     if head.expects_continue && !reader.is_done() {
--- a/src/entry/lease_keeper.rs
+++ b/src/entry/lease_keeper.rs
@@ -7,7 +7,6 @@
 use crate::entry::platform::{AppendOutcome, Platform, StoreError};
 use crate::http1::client::within;
 use crate::ordering::lease::{Lease, LeaseRecord, is_candidate};
-use crate::ordering::ledger::Ledger;
 use crate::prelude::*;
 use std::rc::Rc;
 
@@ -47,7 +46,7 @@
             return;
         }
         let now = host.now();
-        if host.orders.borrow().lease.holding().is_some() {
+        if host.is_orderer() {
             hold(&host, now).await;
         } else if now.since(read_at) >= lease_read_ms(&host, &me) && hears_no_orderer(&host, now) {
             read_at = now;
@@ -88,7 +87,7 @@
             "the store does not take renewals",
         );
         orders.lease.resign(now);
-        orders.ledger = Ledger::default();
+        orders.forget_engines();
         orders.yields_until = now + YIELD_MS;
         return;
     }
@@ -164,7 +163,7 @@
             note_lease(LogEvent::LeaseEnded, &orders.lease, why);
         }
         orders.lease.drop_holding();
-        orders.ledger = Ledger::default();
+        orders.forget_engines();
         held.map(|held| (held.end, held.record(true, orders.store_loads_at_once())))
     };
     let Some((end, record)) = held else { return };
@@ -205,7 +204,7 @@
     orders
         .lease
         .note_claimed(sent_at, offset, record, engine_lease_ms);
-    orders.ledger = Ledger::default();
+    orders.forget_engines();
     orders.ceiling = None;
     orders.alone_since = None;
     note_lease(LogEvent::LeaseTaken, &orders.lease, "it was free");
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -5,7 +5,7 @@
 use crate::entry::lines;
 use crate::entry::members::Member;
 use crate::entry::platform::{ModelAsk, Platform};
-use crate::entry::sync::SYNC_HOSTS;
+use crate::entry::sync::stretched;
 use crate::http1::client::within;
 use crate::ordering::book::Book;
 use crate::ordering::ceiling::Ceiling;
@@ -21,10 +21,10 @@
 
 /// How often the plan is made without a new demand.
 const PLAN_MS: Millis = Millis(50);
-/// The least time between two plans, with up to [`SYNC_HOSTS`] hosts; with more, more in proportion. A message of a host
+/// The least time between two plans, in a small site; in a large one more in proportion to the hosts. A message of a host
 /// whose callers wait asks for a plan, and some hundreds a second come from a large site; on the smallest hosts, an
 /// eighth of a core, plans at each of them left no time to read the tables.
-const LEAST_PLAN_MS: u64 = 10;
+const LEAST_PLAN_MS: Millis = Millis(10);
 /// Most orders planned in one round.
 const MAX_PLANNED: usize = 32;
 
@@ -56,6 +56,12 @@
         own.or(self.lease.store_loads_at_once())
     }
 
+    /// Forgets the engines, because another host may order from now on.
+    pub fn forget_engines(&mut self) {
+        self.ledger = Ledger::default();
+        self.ready_at = Vec::new();
+    }
+
     /// Returns the host that orders loads, as far as this one knows.
     pub fn holder(&self) -> Option<&Member> {
         self.lease.holder()
@@ -119,12 +125,11 @@
     executor: Rc<LocalExecutor<'static>>,
 ) {
     loop {
-        let factor = host.members.borrow().count().div_ceil(SYNC_HOSTS) as u64;
         let want = host.next_want();
-        Timer::after(Millis(LEAST_PLAN_MS * factor).to_duration()).await;
+        Timer::after(stretched(&host, LEAST_PLAN_MS).to_duration()).await;
         within(PLAN_MS, want).await;
         let now = host.now();
-        if host.orders.borrow().lease.holding().is_none() {
+        if !host.is_orderer() {
             continue;
         }
         let Some(table) = host.routes.borrow().clone() else {
@@ -132,11 +137,12 @@
         };
         take_engines(&host, &table);
         ask_reports(&host, &executor, now);
+        let unusable = unusable(&host, now);
         if host.orders.borrow().lease.may_order(now) {
-            plan_orders(&host, &table, now);
+            plan_orders(&host, &table, &unusable, now);
             send_due(&host, &executor, &me, now);
         }
-        let ready_at = expect_ready(&host, &table, now);
+        let ready_at = expect_ready(&host, &table, &unusable, now);
         host.orders.borrow_mut().ready_at = ready_at;
     }
 }
@@ -145,9 +151,9 @@
 fn expect_ready<P: Platform>(
     host: &Host<P>,
     table: &RouteTable,
+    unusable: &IndexSet<Name>,
     now: Millis,
 ) -> Vec<(ModelAsk, Millis)> {
-    let unusable = unusable(host, now);
     let orders = host.orders.borrow();
     let holding = orders.lease.holding();
     let pace = Pace {
@@ -161,7 +167,7 @@
             spec,
             ledger: &orders.ledger,
             book: &orders.book,
-            unusable: &unusable,
+            unusable,
         };
         planner.ready_in_ms(pace)
     });
@@ -299,8 +305,12 @@
     Some(spec.models.get(model)?.load_ms)
 }
 
-fn plan_orders<P: Platform>(host: &Host<P>, table: &RouteTable, now: Millis) {
-    let unusable = unusable(host, now);
+fn plan_orders<P: Platform>(
+    host: &Host<P>,
+    table: &RouteTable,
+    unusable: &IndexSet<Name>,
+    now: Millis,
+) {
     let mut orders = host.orders.borrow_mut();
     orders.book.expire(now);
     orders.ledger.assume_unloaded(now);
@@ -321,7 +331,7 @@
                 spec,
                 ledger,
                 book,
-                unusable: &unusable,
+                unusable,
             };
             let Some(planned) = planner.next(ceiling) else {
                 break;
@@ -351,13 +361,13 @@
 }
 
 /// Returns the services whose upstreams are engines.
-pub fn engine_specs(table: &RouteTable) -> impl Iterator<Item = (&str, &EngineSpec)> {
+fn engine_specs(table: &RouteTable) -> impl Iterator<Item = (&str, &EngineSpec)> {
     let services = table.services.iter();
     services.filter_map(|(name, service)| Some((&**name, service.engine.as_ref()?)))
 }
 
 /// Returns the engines that are leaving or cannot be reached.
-pub fn unusable<P: Platform>(host: &Host<P>, now: Millis) -> IndexSet<Name> {
+fn unusable<P: Platform>(host: &Host<P>, now: Millis) -> IndexSet<Name> {
     let upstreams = host.upstreams.borrow();
     let unusable = upstreams
         .iter()
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -12,11 +12,11 @@
 
 /// How often a host speaks with the orderer, and how often while a request waits for a model, with up to
 /// [`SYNC_HOSTS`] hosts; with more, less often in proportion, so that the orderer's work stays the same.
-const SYNC_MS: u64 = 250;
-const WAITING_SYNC_MS: u64 = 30;
-const LEAST_SYNC_MS: u64 = 4;
+const SYNC_MS: Millis = Millis(250);
+const WAITING_SYNC_MS: Millis = Millis(30);
+const LEAST_SYNC_MS: Millis = Millis(4);
 /// Up to so many hosts the orderer's work for each of them is small; above, intervals grow with their number.
-pub const SYNC_HOSTS: usize = 24;
+const SYNC_HOSTS: usize = 24;
 
 /// Answers a host that tells its demand.
 pub fn answer<P: Platform>(host: &Host<P>, ask: SyncAsk) -> SyncReply {
@@ -61,12 +61,8 @@
         let asked_at = host.now();
         let ask = sync_ask(&host, &me);
         waited_for = ask.demand.iter().any(|(_, count)| count.waiting > 0);
-        let (holds, orderer) = {
-            let orders = host.orders.borrow();
-            let holds = orders.lease.holding().is_some();
-            (holds, orders.lease.holder().cloned())
-        };
-        let reply = match (holds, orderer) {
+        let orderer = host.orders.borrow().holder().cloned();
+        let reply = match (host.is_orderer(), orderer) {
             (true, _) => Some(answer(&host, ask)),
             (false, Some(orderer)) => peers.ask(orderer.peer_address, &ask).await,
             (false, None) => None,
@@ -78,20 +74,23 @@
 }
 
 fn least_interval_ms<P: Platform>(host: &Host<P>) -> Millis {
-    let factor = host.members.borrow().count().div_ceil(SYNC_HOSTS) as u64;
-    Millis(LEAST_SYNC_MS * factor)
+    stretched(host, LEAST_SYNC_MS)
 }
 
 /// Returns how often this host speaks with the orderer when nothing cannot wait.
 pub fn interval_ms<P: Platform>(host: &Host<P>, waited_for: bool) -> Millis {
-    let hosts = host.members.borrow().count();
-    let factor = hosts.div_ceil(SYNC_HOSTS) as u64;
     match waited_for {
-        true => Millis(WAITING_SYNC_MS * factor),
-        false => Millis(SYNC_MS * factor),
+        true => stretched(host, WAITING_SYNC_MS),
+        false => stretched(host, SYNC_MS),
     }
 }
 
+/// Returns an interval of a small site as long as it must be in this one.
+pub fn stretched<P: Platform>(host: &Host<P>, interval_ms: Millis) -> Millis {
+    let factor = host.members.borrow().count().div_ceil(SYNC_HOSTS) as u64;
+    Millis(interval_ms.0 * factor)
+}
+
 fn sync_ask<P: Platform>(host: &Host<P>, me: &Member) -> SyncAsk {
     let upstreams = host.upstreams.borrow();
     let busy = upstreams.iter().filter(|upstream| upstream.in_flight > 0);
@@ -131,9 +130,7 @@
             ready_in_ms,
             tables,
         } => {
-            if host.orders.borrow().lease.holding().is_none()
-                && host.followed.take_word(asked_at, tables)
-            {
+            if !host.is_orderer() && host.followed.take_word(asked_at, tables) {
                 host.upstreams.borrow_mut().note_heard(now);
             }
             let mut view = host.view.borrow_mut();
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -52,6 +52,24 @@
         )
     }
 
+    /// Returns the load of the copy's model, as it is by now; nothing when it is not being loaded.
+    fn as_load(&self, now: Millis, model: &Name) -> Option<Loaded> {
+        match *self {
+            Self::Loading {
+                since,
+                from_store,
+                beside,
+                ..
+            } => Some(Loaded {
+                model: model.clone(),
+                took_ms: (since != Millis::NEVER).then(|| now.since(since)),
+                from_store,
+                beside,
+            }),
+            Self::Held | Self::Unloading => None,
+        }
+    }
+
     /// Tells whether the copy can run, as far as that can be told. A load from the engine's own disk takes the stated
     /// time, and the report of its end lags by some hundred milliseconds; an engine that is not ready says so.
     pub fn should_run(&self, now: Millis) -> bool {
@@ -209,20 +227,8 @@
     pub fn loads_under_way(&self, now: Millis) -> impl Iterator<Item = Loaded> {
         let reported = self.was_busy && self.is_known;
         let copies = self.copies.iter().filter(move |_| reported);
-        copies.filter_map(move |(model, copy)| match copy {
-            Copy::Loading {
-                since,
-                from_store: true,
-                beside,
-                ..
-            } => Some(Loaded {
-                model: model.clone(),
-                took_ms: (*since != Millis::NEVER).then(|| now.since(*since)),
-                from_store: true,
-                beside: *beside,
-            }),
-            _ => None,
-        })
+        let from_store = copies.filter(|(_, copy)| copy.is_from_store());
+        from_store.filter_map(move |(model, copy)| copy.as_load(now, model))
     }
 
     /// Takes a report. An engine counts an order when it accepts it and reports both at once, so a report with the
@@ -273,21 +279,10 @@
         }
         let loaded = under_way
             .into_iter()
-            .filter_map(|(model, copy)| match copy {
-                Copy::Loading {
-                    since,
-                    from_store,
-                    beside,
-                    ..
-                } if self.holds_model(&model) => Some(Loaded {
-                    took_ms: (since != Millis::NEVER).then(|| now.since(since)),
-                    from_store,
-                    beside,
-                    model,
-                }),
-                _ => None,
-            });
-        let loaded: Vec<Loaded> = loaded.collect();
+            .filter(|(model, _)| self.holds_model(model));
+        let loaded: Vec<Loaded> = loaded
+            .filter_map(|(model, copy)| copy.as_load(now, &model))
+            .collect();
         for load in &loaded {
             self.loaded_at.insert(load.model.clone(), now);
         }
