--- a/bench/tests/editing/mod.rs
+++ b/bench/tests/editing/mod.rs
@@ -104,7 +104,11 @@
             version.is_some()
         });
         let since = accepted_at.map_or(Duration::ZERO, |at| at.elapsed());
-        assert!(since < IN_FORCE_LIMIT, "in force after {since:?}");
+        assert!(
+            since < IN_FORCE_LIMIT,
+            "in force after {since:?}; {}",
+            logs(site)
+        );
         version.expect("a version")
     }
 
@@ -156,6 +160,13 @@
     }
 }
 
+/// Returns what every host wrote to its log, for a failed check.
+fn logs(site: &Site) -> String {
+    let hosts = site.hosts.iter().enumerate();
+    let logs = hosts.map(|(number, host)| format!("host {number}:\n{}\n", host.process.log()));
+    logs.collect()
+}
+
 /// Waits until every host that runs counts for majorities, and no other one does.
 pub fn wait_settled(site: &Site, host: usize) {
     wait_for("the hosts to count", || {
--- a/src/daemon/demand_flow.rs
+++ b/src/daemon/demand_flow.rs
@@ -330,7 +330,7 @@
     }
 
     fn home_of(&self, key: &str) -> Option<Incarnation> {
-        home(key, &self.shared.members, &self.probes)
+        home(key, self.config.me, &self.shared.members, &self.probes)
     }
 
     fn add_uses(&self, now: Millis, hints: &mut IndexMap<Incarnation, DemandHints>) {
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -2,6 +2,7 @@
 
 use crate::daemon::node::{Life, Node};
 use crate::membership::entry::{entry_answer, home};
+use crate::membership::members::{Member, MemberState};
 use crate::membership::message::{HostList, PeerReply, PeerRequest, Probe, UpstreamEntry};
 use crate::prelude::*;
 use crate::shared_log::driver::MAX_READ_RECORDS;
@@ -143,17 +144,27 @@
 
     /// Tells whether this host is the preferred proposer for a key.
     pub fn is_home(&self, key: &str) -> bool {
-        home(key, &self.shared.members, &self.probes) == Some(self.config.me)
+        let me = self.config.me;
+        home(key, me, &self.shared.members, &self.probes) == Some(me)
     }
 
+    /// Proposes the changes of who counts that a majority knows. Departures come first, and a host that joined counts only
+    /// once it answered this one: a host that reaches the log but no peer joins again and again, and each of its
+    /// incarnations that counted would be one more that never confirms anything.
     fn propose_counted(&mut self, now: Millis) {
-        let changes: Vec<(Incarnation, Offset)> = self
-            .shared
-            .members
+        let members = &self.shared.members;
+        let may_count = |host: Incarnation, member: &Member| {
+            member.state == MemberState::Departed
+                || host == self.config.me
+                || self.probes.answers(host)
+        };
+        let mut changes: Vec<(MemberState, Incarnation, Offset)> = members
             .uncounted_changes()
-            .map(|(host, member)| (*host, self.shared.members.needed_offset(member)))
+            .filter(|(host, member)| may_count(**host, member))
+            .map(|(host, member)| (member.state, *host, members.needed_offset(member)))
             .collect();
-        for (host, needed) in changes {
+        changes.sort_by_key(|(state, ..)| *state != MemberState::Departed);
+        for (_, host, needed) in changes {
             let key = format!("counted {host}");
             if !self.is_home(&key) || !self.majority_applied(needed) {
                 continue;
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -38,7 +38,7 @@
     if view.is_lacking(now, id, model) {
         return false;
     }
-    view.holds(id, model)
+    view.holds(&upstream.lifetime(), model)
         .unwrap_or_else(|| upstream.holds(&model.model, model.adapter.as_deref()))
 }
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -316,6 +316,7 @@
 
 fn replace_upstreams<P: Platform>(host: &Host<P>, rows: Vec<TableRow>) {
     let mut entries: Vec<UpstreamEntry> = Vec::new();
+    let mut unreadable: Vec<Name> = Vec::new();
     for row in rows {
         match row.value {
             RowValue::Upstream(entry) => entries.push(entry),
@@ -325,6 +326,7 @@
                     error: &why,
                 };
                 lines::write(LogEvent::RecordUndecodable, &line);
+                unreadable.push(row.key);
             }
             RowValue::Desired(_) | RowValue::Removed => {}
         }
@@ -333,7 +335,13 @@
     let changes = {
         let mut registry = host.upstreams.borrow_mut();
         registry.note_heard(now);
-        registry.replace(now, entries)
+        let dropped = unreadable.into_iter().map(|id| {
+            let change = registry.drop_unreadable(&id);
+            (id, change)
+        });
+        let mut changes: Vec<(Name, Change)> = dropped.collect();
+        changes.extend(registry.replace(now, entries));
+        changes
     };
     for (id, change) in changes {
         note_upstream(host, &id, &change, None);
@@ -352,7 +360,8 @@
                 error: &why,
             };
             lines::write(LogEvent::RecordUndecodable, &line);
-            return;
+            // The newest entry under the name is no upstream's, so the name stands for none until one writes again.
+            host.upstreams.borrow_mut().drop_unreadable(&row.key)
         }
         RowValue::Desired(_) => return,
     };
@@ -360,18 +369,26 @@
     host.note_change();
 }
 
-fn note_upstream<P: Platform>(host: &Host<P>, id: &str, change: &Change, offset: Option<Offset>) {
+/// Writes the line about a change of an upstream, and forgets what was known of a start that is over.
+pub fn note_upstream<P: Platform>(
+    host: &Host<P>,
+    id: &str,
+    change: &Change,
+    offset: Option<Offset>,
+) {
+    if matches!(change, Change::Gone | Change::Restarted) {
+        host.pool.forget(id);
+        host.view.borrow_mut().forget_lacking(id);
+    }
     let (event, change) = match change {
         Change::Added => (LogEvent::UpstreamRegistered, "added"),
+        Change::Restarted => (LogEvent::UpstreamRegistered, "started again under its name"),
         Change::Leaving => (LogEvent::UpstreamLeaving, "leaving"),
         Change::Gone => (LogEvent::UpstreamGone, "gone"),
         Change::Held => (LogEvent::UpstreamSilent, "entry lapsed in an outage"),
         Change::Updated => (LogEvent::UpstreamUpdated, "updated"),
         Change::None => return,
     };
-    if event == LogEvent::UpstreamGone {
-        host.pool.forget(id);
-    }
     let upstreams = host.upstreams.borrow();
     let entry = upstreams.get(id).map(|upstream| &upstream.entry);
     let models = entry.map(|entry| entry.models.iter().map(|held| &*held.name).collect());
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -1,6 +1,7 @@
 //! Ordering loads while this host holds the lease: reading engines, planning, sending orders.
 
 use crate::desired::{EngineSpec, RouteTable};
+use crate::entry::follow;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::members::Member;
@@ -16,6 +17,7 @@
 use crate::ordering::message::{Action, Order, OrderAnswer};
 use crate::ordering::planner::{Planned, Planner, load_time};
 use crate::prelude::*;
+use crate::upstreams::Lifetime;
 use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
 
@@ -135,7 +137,7 @@
         let Some(table) = host.routes.borrow().clone() else {
             continue;
         };
-        take_engines(&host, &table);
+        take_engines(&host, &table, now);
         ask_reports(&host, &executor, now);
         let unusable = unusable(&host, now);
         if host.orders.borrow().lease.may_order(now) {
@@ -175,7 +177,7 @@
     ready.collect()
 }
 
-fn take_engines<P: Platform>(host: &Host<P>, table: &RouteTable) {
+fn take_engines<P: Platform>(host: &Host<P>, table: &RouteTable, now: Millis) {
     let upstreams = host.upstreams.borrow();
     let is_engine = |service: &Name| {
         let service = table.services.get(service);
@@ -184,8 +186,8 @@
     let engines = upstreams
         .iter()
         .filter(|upstream| is_engine(&upstream.entry.service))
-        .map(|upstream| (upstream.entry.id.clone(), upstream.entry.service.clone()));
-    host.orders.borrow_mut().ledger.take_engines(engines);
+        .map(|upstream| (upstream.lifetime(), upstream.entry.service.clone()));
+    host.orders.borrow_mut().ledger.take_engines(now, engines);
 }
 
 fn ask_reports<P: Platform + 'static>(
@@ -233,6 +235,9 @@
         lines::write(LogEvent::ReportFailed, &line);
     }
     let report = report.ok();
+    if let Some(report) = &report {
+        note_start(host, id, report.born_at);
+    }
     let now = host.now();
     let mut orders = host.orders.borrow_mut();
     let was_known = orders.ledger.get(id).is_some_and(|engine| engine.is_known);
@@ -274,6 +279,16 @@
     }
 }
 
+/// Takes note of the start that an engine's report names: it may tell of a new one before the list does.
+fn note_start<P: Platform>(host: &Host<P>, id: &Name, born_at: Millis) {
+    let lifetime = Lifetime {
+        id: id.clone(),
+        born_at,
+    };
+    let change = host.upstreams.borrow_mut().note_restarted(&lifetime);
+    follow::note_upstream(host, id, &change, None);
+}
+
 /// Lowers the number of loads at once when an engine says that it still carries out one that is overdue.
 fn learn_from_overdue<P: Platform>(host: &Host<P>, orders: &mut Orders, id: &str, now: Millis) {
     let engine = orders.ledger.get(id);
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -15,9 +15,6 @@
 use crate::http1::{Framing, ReadError};
 use crate::prelude::*;
 
-/// How long a resumable stream may be silent before it goes on at another upstream. Callers give a stream up
-/// after two seconds at the earliest, and after eight goals for a first event of a second.
-const SILENCE_MS: Millis = Millis(2_500);
 /// How long after its time an answer is still passed on: the last piece may be on its way.
 const OVERTIME_MS: Millis = Millis(100);
 /// Most bytes of an event that is not whole yet.
@@ -86,7 +83,7 @@
     };
     note_first_byte(host, ask, log);
     let written = out.write_whole(&head, form, &begun).await;
-    keep(host, &upstream, connection, &head, reader);
+    keep(host, &upstream.id, connection, &head, reader);
     match written {
         Ok(()) => Relayed::Whole,
         Err(_) => Relayed::Broken("the caller's connection broke"),
@@ -133,7 +130,7 @@
                     connection,
                     ..
                 } = *answer;
-                keep(host, &upstream, connection, &head, reader);
+                keep(host, &upstream.id, connection, &head, reader);
                 return match ended {
                     Ok(()) => Relayed::Whole,
                     Err(_) => Relayed::Broken("the caller's connection broke"),
@@ -197,7 +194,7 @@
                     if !self.begun {
                         return Relayed::NotBegun(why);
                     }
-                    match self.resume(&answer.upstream, why, log).await {
+                    match self.resume(&answer.upstream.id, why, log).await {
                         Some(next) => {
                             answer = next;
                             self.buffer = std::mem::take(&mut answer.begun);
@@ -209,17 +206,14 @@
         }
     }
 
+    /// Waits for more of the stream. Silence alone ends nothing: an engine that is out of memory puts a stream back and goes
+    /// on with it seconds later. An upstream that is gone resets the connection or leaves its probes unanswered.
     async fn next_piece(&self, answer: &mut StartedAnswer) -> Piece {
-        let now = self.host.now();
         let ends_at = self.ask.ends_at + OVERTIME_MS;
-        let until = match self.may_resume() {
-            true => ends_at.min(now + SILENCE_MS),
-            false => ends_at,
-        };
+        let left_ms = ends_at.since(self.host.now());
         let read = answer.reader.next(&mut answer.connection.io);
-        match within(until.since(now), read).await {
-            None if self.host.now() + Millis(1) >= ends_at => Piece::OutOfTime,
-            None => Piece::Fault("the upstream fell silent"),
+        match within(left_ms, read).await {
+            None => Piece::OutOfTime,
             Some(Ok(Some(_))) if self.buffer.len() > MAX_EVENT_BYTES => {
                 Piece::Fault("an event is too long")
             }
@@ -295,7 +289,7 @@
             connection,
             ..
         } = *answer;
-        keep(self.host, &upstream, connection, &head, reader);
+        keep(self.host, &upstream.id, connection, &head, reader);
         match written {
             Ok(()) => Relayed::Whole,
             Err(_) => Relayed::Broken("the caller's connection broke"),
@@ -352,7 +346,7 @@
             from,
             why,
             after_event: Some(&after),
-            to: resumed.as_ref().map(|answer| &*answer.upstream),
+            to: resumed.as_ref().map(|answer| &*answer.upstream.id),
         };
         lines::write(LogEvent::StreamResumed, &line);
         resumed
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -10,7 +10,7 @@
 use crate::http1::{BodyReader, Framing, Headers, ReadError, ResponseHead};
 use crate::prelude::*;
 use crate::routing::roles::is_long;
-use crate::upstreams::Registry;
+use crate::upstreams::{Lifetime, Registry, Upstream};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -65,8 +65,8 @@
 
 /// An answer of which the head and, where there is a body, its first piece were read.
 pub struct StartedAnswer {
-    /// The upstream.
-    pub upstream: Name,
+    /// The upstream, as it was started when the request was sent.
+    pub upstream: Lifetime,
     /// Its head.
     pub head: ResponseHead,
     /// What was read of the body.
@@ -82,13 +82,13 @@
 /// Counts a request at its upstream while it is under way.
 pub struct InFlight {
     registry: Rc<RefCell<Registry>>,
-    upstream: Name,
+    upstream: Lifetime,
     prompt_tokens: u64,
 }
 
 impl InFlight {
-    fn new(registry: Rc<RefCell<Registry>>, upstream: &Name, prompt_tokens: u64) -> Self {
-        if let Some(view) = registry.borrow_mut().get_mut(upstream) {
+    fn new(registry: Rc<RefCell<Registry>>, upstream: &Lifetime, prompt_tokens: u64) -> Self {
+        if let Some(view) = registry.borrow_mut().get_lifetime_mut(upstream) {
             view.in_flight += 1;
             view.prompt_tokens += prompt_tokens;
             view.long_prompts += u32::from(is_long(prompt_tokens));
@@ -103,7 +103,7 @@
     /// Takes note of the first byte of the answer: the prompt was read.
     fn note_first_byte(&mut self) {
         let prompt_tokens = std::mem::take(&mut self.prompt_tokens);
-        if let Some(view) = self.registry.borrow_mut().get_mut(&self.upstream) {
+        if let Some(view) = self.registry.borrow_mut().get_lifetime_mut(&self.upstream) {
             view.prompt_tokens = view.prompt_tokens.saturating_sub(prompt_tokens);
             let long_prompts = u32::from(is_long(prompt_tokens));
             view.long_prompts = view.long_prompts.saturating_sub(long_prompts);
@@ -114,7 +114,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.note_first_byte();
-        if let Some(view) = self.registry.borrow_mut().get_mut(&self.upstream) {
+        if let Some(view) = self.registry.borrow_mut().get_lifetime_mut(&self.upstream) {
             view.in_flight = view.in_flight.saturating_sub(1);
         }
     }
@@ -140,6 +140,15 @@
     headers: Headers,
     answer_by: Millis,
 ) -> Sent {
+    let known = host
+        .upstreams
+        .borrow()
+        .get(upstream)
+        .map(Upstream::lifetime);
+    let Some(lifetime) = known else {
+        return Sent::NotSent;
+    };
+    let upstream = &lifetime;
     let mut attempt = Attempt {
         host,
         ask,
@@ -170,7 +179,7 @@
     match answer {
         None => {
             // A short limit of the request's own says nothing of the upstream, but a connection may have gone silent.
-            host.pool.forget(upstream);
+            host.pool.forget(&upstream.id);
             let is_silent = now.since(attempt.began_at) >= SILENT_MS && !ask.at_engine;
             fail(NO_ANSWER, is_silent)
         }
@@ -180,15 +189,15 @@
             begun,
             reader,
         })) => {
-            let facts = host.platform.read_answer(&head, upstream);
+            let facts = host.platform.read_answer(&head, &upstream.id);
             let status = Some(head.status);
             if let Some(other) = &facts.other_lifetime {
-                end_lifetime(host, upstream, other, now);
+                end_lifetime(host, upstream, other);
                 attempt.note("not_run", status, Some("another lifetime"));
                 return Sent::NotRun { lacks_model: false };
             }
             if facts.not_run {
-                keep(host, upstream, connection, &head, reader);
+                keep(host, &upstream.id, connection, &head, reader);
                 attempt.note("not_run", status, None);
                 return Sent::NotRun {
                     lacks_model: facts.lacks_model,
@@ -220,7 +229,7 @@
 struct Attempt<'a, P: Platform> {
     host: &'a Host<P>,
     ask: &'a Ask,
-    upstream: &'a Name,
+    upstream: &'a Lifetime,
     reused: bool,
     began_at: Millis,
 }
@@ -232,14 +241,14 @@
         let registry = self.host.upstreams.borrow();
         let line = AttemptLine {
             request: self.ask.facts.id.as_deref(),
-            upstream: self.upstream,
+            upstream: &self.upstream.id,
             reused: self.reused,
             result,
             status,
             why,
             took_ms: now.since(self.began_at),
             failure_share: registry
-                .get(self.upstream)
+                .get_lifetime(self.upstream)
                 .map_or(0.0, |upstream| upstream.health.failure_share(now)),
         };
         lines::write(LogEvent::AttemptFailed, &line);
@@ -249,7 +258,7 @@
 async fn connect<P: Platform>(
     host: &Host<P>,
     ask: &Ask,
-    upstream: &Name,
+    upstream: &Lifetime,
     answer_by: Millis,
 ) -> Option<UpstreamConnection> {
     let now = host.now();
@@ -257,10 +266,10 @@
         Repeat::Once => ONCE_IDLE_MS,
         Repeat::Idempotent | Repeat::Resumable => IDLE_MS,
     };
-    if let Some(kept) = host.pool.take(now, upstream, max_idle_ms).await {
+    if let Some(kept) = host.pool.take(now, &upstream.id, max_idle_ms).await {
         return Some(kept);
     }
-    let address = host.upstreams.borrow().get(upstream)?.address();
+    let address = host.upstreams.borrow().get(&upstream.id)?.address();
     let timeout_ms = CONNECT_MS.min(answer_by.since(now));
     match within(timeout_ms, host.pool.open(address)).await {
         Some(Ok(connection)) => Some(connection),
@@ -424,11 +433,11 @@
     rests_until_unix_ms: Option<Millis>,
 }
 
-fn end_lifetime<P: Platform>(host: &Host<P>, upstream: &Name, other: &str, now: Millis) {
-    if host.upstreams.borrow_mut().end_lifetime(now, upstream) {
-        host.pool.forget(upstream);
+fn end_lifetime<P: Platform>(host: &Host<P>, upstream: &Lifetime, other: &str) {
+    if host.upstreams.borrow_mut().end_lifetime(upstream) {
+        host.pool.forget(&upstream.id);
         let line = UpstreamLine {
-            upstream,
+            upstream: &upstream.id,
             why: "another lifetime has its address",
             now_at_address: Some(other),
             rests_until_unix_ms: None,
@@ -437,17 +446,22 @@
     }
 }
 
-fn note_success<P: Platform>(host: &Host<P>, upstream: &Name, now: Millis) {
-    if let Some(view) = host.upstreams.borrow_mut().get_mut(upstream) {
+fn note_success<P: Platform>(host: &Host<P>, upstream: &Lifetime, now: Millis) {
+    if let Some(view) = host.upstreams.borrow_mut().get_lifetime_mut(upstream) {
         view.health.note_success(now);
     }
 }
 
 /// Takes note of a failure of an upstream.
-pub fn note_failure<P: Platform>(host: &Host<P>, upstream: &Name, now: Millis, unreachable: bool) {
+pub fn note_failure<P: Platform>(
+    host: &Host<P>,
+    upstream: &Lifetime,
+    now: Millis,
+    unreachable: bool,
+) {
     let until = {
         let mut registry = host.upstreams.borrow_mut();
-        let Some(view) = registry.get_mut(upstream) else {
+        let Some(view) = registry.get_lifetime_mut(upstream) else {
             return;
         };
         match unreachable {
@@ -458,9 +472,9 @@
             true => view.health.note_unreachable(now),
         }
     };
-    host.pool.forget(upstream);
+    host.pool.forget(&upstream.id);
     let line = UpstreamLine {
-        upstream,
+        upstream: &upstream.id,
         why: "it cannot be reached",
         now_at_address: None,
         rests_until_unix_ms: Some(until),
--- a/src/entry/tests/answers.rs
+++ b/src/entry/tests/answers.rs
@@ -197,6 +197,33 @@
     });
 }
 
+/// An engine that runs out of memory puts a stream back and goes on with it seconds later; another upstream is there.
+#[test]
+fn a_stream_whose_upstream_is_silent_for_seconds_stays_there() {
+    const SILENCE_MS: Millis = Millis(3_000);
+    on_site(|site| async move {
+        site.order(1, vec![stream_route(Repeat::Resumable)]);
+        site.until_version(1).await;
+        let begun = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
+        let rest = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+        let goes_on = Rc::new(Cell::new(false));
+        let script = vec![Write(begun), Wait(goes_on.clone()), Write(rest)];
+        let first = site.upstream("u1", vec![script]).await;
+        let mut caller = site.connect().await;
+        caller.send(REQUEST).await;
+        site.until(|_| first.arrivals.borrow().len() == 1).await;
+        let second = site.upstream("u2", vec![vec![Hang]]).await;
+        let since = site.host.now();
+        site.until(|host| host.now().since(since) >= SILENCE_MS)
+            .await;
+        goes_on.set(true);
+        let answer = caller.answer().await;
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assert!(second.arrivals.borrow().is_empty());
+    });
+}
+
 #[test]
 fn a_broken_stream_that_must_not_run_twice_does_not_look_whole() {
     on_site(|site| async move {
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -210,6 +210,7 @@
 pub fn entry(id: &str, address: SocketAddr) -> UpstreamEntry {
     UpstreamEntry {
         id: id.into(),
+        born_at: Millis::ZERO,
         service: "s".into(),
         address,
         data_centre: "here".into(),
--- a/src/entry/tries.rs
+++ b/src/entry/tries.rs
@@ -50,7 +50,7 @@
 
     /// Keeps a failure that an upstream answered.
     pub fn keep_failure(&mut self, answer: Box<StartedAnswer>) {
-        self.note_perhaps_run(answer.upstream.clone());
+        self.note_perhaps_run(answer.upstream.id.clone());
         self.failure = Some(answer);
     }
 
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// The longest head of an answer.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -18,6 +19,12 @@
 /// behind a partition sends no reset.
 const UNACKNOWLEDGED_MS: u32 = 2_000;
 
+/// How long a connection is silent before the kernel asks whether the other side is still there, and how often it asks
+/// again, in whole seconds as the kernel takes them. A silent peer is found within some [`UNACKNOWLEDGED_MS`]; one that
+/// is there but has nothing to say keeps its connection.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Why a call has no answer.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -175,6 +182,9 @@
 pub fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     rustix::net::sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED_MS)?;
+    rustix::net::sockopt::set_socket_keepalive(stream, true)?;
+    rustix::net::sockopt::set_tcp_keepidle(stream, PROBE_AFTER)?;
+    rustix::net::sockopt::set_tcp_keepintvl(stream, PROBE_INTERVAL)?;
     Ok(())
 }
 
--- a/src/membership/entry.rs
+++ b/src/membership/entry.rs
@@ -26,12 +26,13 @@
     scored.into_iter().map(|(_, host)| host).collect()
 }
 
-/// Returns the home of a key among the present hosts that are not suspected.
-pub fn home(key: &str, members: &Members, probes: &Probes) -> Option<Incarnation> {
+/// Returns the home of a key among the present hosts that answered their last probe. A host that joined and has answered
+/// none yet may be one that no other host reaches; two hosts that both take themselves for the home do no harm.
+pub fn home(key: &str, me: Incarnation, members: &Members, probes: &Probes) -> Option<Incarnation> {
     members
         .iter()
         .map(|(host, _)| *host)
-        .filter(|host| !probes.is_suspected(*host))
+        .filter(|host| *host == me || probes.answers(*host))
         .max_by_key(|host| (score(key, *host), *host))
 }
 
--- a/src/membership/probes.rs
+++ b/src/membership/probes.rs
@@ -79,6 +79,12 @@
         self.get(peer).is_some_and(|view| view.suspected)
     }
 
+    /// Tells whether a peer answered the last probe to it that ended.
+    pub fn answers(&self, peer: Incarnation) -> bool {
+        self.get(peer)
+            .is_some_and(|view| view.answered_at.is_some() && view.failing_since.is_none())
+    }
+
     /// Tells whether a peer left the last probe to it unanswered.
     pub fn is_failing(&self, peer: Incarnation) -> bool {
         self.get(peer)
--- a/src/membership/tests/evictions.rs
+++ b/src/membership/tests/evictions.rs
@@ -3,6 +3,7 @@
 use super::cluster::Cluster;
 use super::edits::model_edit;
 use crate::prelude::*;
+use crate::table::message::EditAnswer;
 
 fn incarnations(cluster: &Cluster) -> Vec<Incarnation> {
     cluster.hosts.iter().map(|host| host.me()).collect()
@@ -128,3 +129,28 @@
     cluster.run_until("an answer", |cluster| cluster.edits.contains_key(&call));
     assert_eq!(cluster.in_force.len(), 1);
 }
+
+/// A host whose peers cannot reach it, but which reaches the log, joins again as often as it is evicted. It may be the
+/// preferred proposer of a change of membership that it can never confirm; the others then propose it.
+#[test]
+fn edits_are_in_force_soon_while_a_host_cut_from_its_peers_joins_again_and_again() {
+    let mut cluster = Cluster::new(3);
+    cluster.run_until("all to count", |cluster| {
+        cluster.hosts[1].node.shared.members.counted().count() == 3
+    });
+    for other in [1, 2] {
+        cluster.cut_link(0, other, true);
+    }
+    for number in 0..12 {
+        cluster.run_for(Millis(4_000));
+        let call = cluster.edit(1, model_edit(number));
+        let asked_at = cluster.now;
+        cluster.run_until("an edit", |cluster| cluster.edits.contains_key(&call));
+        let took_ms = cluster.now.since(asked_at);
+        assert!(
+            matches!(cluster.edits[&call], Ok(EditAnswer::InForce { .. })),
+            "edit {number} after {took_ms}: {:?}",
+            cluster.edits[&call]
+        );
+    }
+}
--- a/src/ordering/adapters.rs
+++ b/src/ordering/adapters.rs
@@ -48,8 +48,10 @@
             .filter(|engine| engine.holds_model(&ask.model));
         let for_short = short_copies(&ask.model, ids.map(|engine| &engine.id));
         let with_place = holding()
-            .filter(|engine| engine.adapters.len() < places)
-            .filter(|engine| engine.used_mb(self.spec) + spec.adapter_mb <= self.spec.weights_mb)
+            .filter(|engine| engine.adapter_places(self.now) < places)
+            .filter(|engine| {
+                engine.used_mb(self.now, self.spec) + spec.adapter_mb <= self.spec.weights_mb
+            })
             // Most requests for adapters have short prompts.
             .min_by_key(|engine| (!for_short.contains(&&engine.id), engine.adapters.len()));
         if let Some(engine) = with_place {
@@ -92,7 +94,7 @@
         }
         let with_place: Vec<&Engine> = self
             .free_engines()
-            .filter(|engine| engine.adapters.len() < places)
+            .filter(|engine| engine.adapter_places(self.now) < places)
             .collect();
         if with_place.is_empty() {
             return None;
@@ -120,7 +122,9 @@
         let engine = with_place
             .iter()
             .filter(|engine| engine.holds_model(&ask.model))
-            .filter(|engine| engine.used_mb(self.spec) + adapter_mb <= self.spec.weights_mb)
+            .filter(|engine| {
+                engine.used_mb(self.now, self.spec) + adapter_mb <= self.spec.weights_mb
+            })
             .min_by_key(|engine| engine.adapters.len())?;
         Some(Planned {
             engine: engine.id.clone(),
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -5,7 +5,7 @@
 use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::ordering::view::EngineView;
 use crate::prelude::*;
-use crate::upstreams::HeldModel;
+use crate::upstreams::{HeldModel, Lifetime};
 
 /// How long an adapter takes from the acceptance of its order until the engine runs requests with it, when few are on
 /// their way: it is fetched in 5 to 7 ms.
@@ -19,6 +19,11 @@
 /// a sixth of an order.
 const BUSY_REPORT_MS: Millis = Millis(250);
 const REPORT_MS: Millis = Millis(5_000);
+/// How long after a restart an unanswered order to the former start may still be carried out: the platform speaks of
+/// seconds.
+const VOID_ORDER_MS: Millis = Millis(10_000);
+/// How old the state that a report shows may be: reports lag by some hundred milliseconds.
+const REPORT_LAG_AT_MOST_MS: Millis = Millis(2_000);
 
 /// A model on an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -99,8 +104,10 @@
 /// One engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
-    /// Its lifetime.
+    /// Its name.
     pub id: Name,
+    /// The Unix time of the start that all else is known of; zero where it does not say.
+    pub born_at: Millis,
     /// Its service.
     pub service: Name,
     /// The models on it.
@@ -113,6 +120,9 @@
     pub at_hand: IndexSet<Name>,
     /// The order under way.
     pub pending: Option<Pending>,
+    /// An order to a former start that may still arrive at this one, and until when: an engine that has taken as many
+    /// orders by then takes it too.
+    pub(super) void: Option<(Order, Millis)>,
     /// The model for which memory is being freed, and until when it is kept for it.
     pub(super) intended: Option<(Name, Millis)>,
     /// Whether its report was read since this host began to order.
@@ -120,6 +130,8 @@
     /// Whether a report call is under way.
     pub in_report: bool,
     pub(super) order_count: u64,
+    /// Since when reports show a lower count of orders than is known here.
+    lower_count_since: Option<Millis>,
     pub(super) is_doubtful: bool,
     pub(super) unloaded_at: Option<Millis>,
     pub(super) rests_until: Millis,
@@ -129,19 +141,22 @@
 }
 
 impl Engine {
-    pub(super) fn new(id: Name, service: Name) -> Self {
+    pub(super) fn new(lifetime: Lifetime, service: Name) -> Self {
         Self {
-            id,
+            id: lifetime.id,
+            born_at: lifetime.born_at,
             service,
             copies: IndexMap::new(),
             adapters: IndexMap::new(),
             loaded_at: IndexMap::new(),
             at_hand: IndexSet::new(),
             pending: None,
+            void: None,
             intended: None,
             is_known: false,
             in_report: false,
             order_count: 0,
+            lower_count_since: None,
             is_doubtful: false,
             unloaded_at: None,
             rests_until: Millis::ZERO,
@@ -198,7 +213,7 @@
     }
 
     /// Returns the memory in use, with what is on its way and what an unanswered order may bring.
-    pub fn used_mb(&self, spec: &EngineSpec) -> f64 {
+    pub fn used_mb(&self, now: Millis, spec: &EngineSpec) -> f64 {
         let mb = |model: &str| spec.models.get(model).map_or(0.0, |model| model.weights_mb);
         let adapter_mb = |ask: &ModelAsk| {
             let model = spec.models.get(&ask.model);
@@ -206,7 +221,25 @@
         };
         let models: f64 = self.copies.keys().map(|model| mb(model)).sum();
         let adapters: f64 = self.adapters.keys().map(adapter_mb).sum();
-        models + adapters
+        let void = self.void_load(now).map_or(0.0, |ask| match ask.adapter {
+            Some(_) => adapter_mb(ask),
+            None => mb(&ask.model),
+        });
+        models + adapters + void
+    }
+
+    /// Returns what an order to a former start may still bring.
+    pub fn void_load(&self, now: Millis) -> Option<&ModelAsk> {
+        let (order, until) = self.void.as_ref()?;
+        let may_bring = order.action == Action::Load && now < *until;
+        may_bring.then_some(&order.ask)
+    }
+
+    /// Returns the places for adapters in use, with what is on its way and what an order to a former start may bring.
+    pub fn adapter_places(&self, now: Millis) -> usize {
+        let void = self.void_load(now);
+        let void_places = usize::from(void.is_some_and(|ask| ask.adapter.is_some()));
+        self.adapters.len() + void_places
     }
 
     /// Returns the adapters of a model.
@@ -220,6 +253,7 @@
             action,
             ask,
             after_orders: self.order_count,
+            born_at: self.born_at,
         }
     }
 
@@ -231,14 +265,52 @@
         from_store.filter_map(move |(model, copy)| copy.as_load(now, model))
     }
 
+    /// Begins anew with another start of the engine: it holds nothing, its count of orders begins at zero, and orders
+    /// to the former start are void.
+    pub(super) fn begin_lifetime(&mut self, now: Millis, born_at: Millis) {
+        let lifetime = Lifetime {
+            id: self.id.clone(),
+            born_at,
+        };
+        let pending = self.pending.take().map(|pending| pending.order);
+        let void = pending
+            .map(|order| (order, now + VOID_ORDER_MS))
+            .or(self.void.take());
+        *self = Self {
+            void,
+            ..Self::new(lifetime, self.service.clone())
+        };
+    }
+
+    /// Tells whether a report is an old one: of an earlier start, or from before the last order. A lower count that lasts
+    /// longer than any report's lag is that of a new start which does not say when it began.
+    fn is_old_report(&mut self, now: Millis, report: &EngineReport) -> bool {
+        let says_start = report.born_at != Millis::ZERO;
+        if says_start && report.born_at < self.born_at {
+            return true;
+        }
+        if !self.is_known || report.order_count >= self.order_count {
+            self.lower_count_since = None;
+            return false;
+        }
+        let since = *self.lower_count_since.get_or_insert(now);
+        now.since(since) < REPORT_LAG_AT_MOST_MS
+    }
+
     /// Takes a report. An engine counts an order when it accepts it and reports both at once, so a report with the
     /// count that is known here shows the effect of every order so far, and one with a lower count is older.
     pub(super) fn take_report(&mut self, now: Millis, report: EngineReport) -> Vec<Loaded> {
         self.in_report = false;
-        if self.is_known && report.order_count < self.order_count {
+        if report.born_at > self.born_at {
+            self.begin_lifetime(now, report.born_at);
+        }
+        if self.is_old_report(now, &report) {
             self.report_at = now + BUSY_REPORT_MS;
             return Vec::new();
         }
+        if report.order_count < self.order_count {
+            self.begin_lifetime(now, self.born_at);
+        }
         match report.at_hand {
             // An engine drops the copies of weights that it used longest ago.
             Some(at_hand) => self.at_hand = at_hand.into_iter().collect(),
@@ -325,6 +397,7 @@
             .map(|(ask, _)| ask.clone());
         EngineView {
             upstream: self.id.clone(),
+            born_at: self.born_at,
             held: models.chain(adapters).collect(),
         }
     }
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -9,6 +9,7 @@
 use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::ordering::view::EngineView;
 use crate::prelude::*;
+use crate::upstreams::Lifetime;
 
 /// How long freed memory is kept for the model that it was freed for: the unload waits for what runs.
 const INTENDED_MS: Millis = Millis(3_000);
@@ -24,16 +25,21 @@
 
 impl Ledger {
     /// Takes which engines there are; new ones are unknown until their report is read.
-    pub fn take_engines(&mut self, engines: impl Iterator<Item = (Name, Name)>) {
-        let listed: IndexMap<Name, Name> = engines.collect();
+    pub fn take_engines(&mut self, now: Millis, engines: impl Iterator<Item = (Lifetime, Name)>) {
+        let listed: IndexMap<Name, (Lifetime, Name)> = engines
+            .map(|(lifetime, service)| (lifetime.id.clone(), (lifetime, service)))
+            .collect();
         let before = self.engines.len();
         self.engines.retain(|id, _| listed.contains_key(id));
         let mut changed = self.engines.len() != before;
-        for (id, service) in listed {
-            if !self.engines.contains_key(&id) {
-                self.engines.insert(id.clone(), Engine::new(id, service));
-                changed = true;
+        for (id, (lifetime, service)) in listed {
+            match self.engines.get_mut(&id) {
+                // An engine's own report may tell of a new start before the list does.
+                Some(engine) if engine.born_at >= lifetime.born_at => continue,
+                Some(engine) => engine.begin_lifetime(now, lifetime.born_at),
+                None => drop(self.engines.insert(id, Engine::new(lifetime, service))),
             }
+            changed = true;
         }
         if changed {
             self.version += 1;
@@ -228,9 +234,9 @@
             engine.report_at = now + REST_MS;
             return Vec::new();
         };
-        let before = (engine.copies.clone(), engine.adapters.len());
+        let before = (engine.born_at, engine.copies.clone(), engine.adapters.len());
         let loaded = engine.take_report(now, report);
-        if before != (engine.copies.clone(), engine.adapters.len()) {
+        if before != (engine.born_at, engine.copies.clone(), engine.adapters.len()) {
             self.version += 1;
         }
         loaded
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -29,6 +29,8 @@
     pub ask: ModelAsk,
     /// How many orders the engine has accepted; it refuses the order when there are more.
     pub after_orders: u64,
+    /// The start of the engine that the order is for; one of the same name that started later has other counts.
+    pub born_at: Millis,
 }
 
 /// What an engine answered to an order.
@@ -56,6 +58,8 @@
 /// What an engine reports of itself.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineReport {
+    /// The Unix time of the engine's start; zero where it does not say.
+    pub born_at: Millis,
     /// How many orders it has accepted.
     pub order_count: u64,
     /// Whether it is carrying one out.
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -190,7 +190,8 @@
             .filter(|engine| !engine.copies.contains_key(need.model))
             .filter(|engine| may_use_store || engine.at_hand.contains(need.model))
             .filter_map(|engine| {
-                let lacking_mb = engine.used_mb(self.spec) + spec.weights_mb - self.spec.weights_mb;
+                let lacking_mb =
+                    engine.used_mb(self.now, self.spec) + spec.weights_mb - self.spec.weights_mb;
                 let (victims, lost) = self.victims(engine, lacking_mb, need)?;
                 let from_store = match engine.at_hand.contains(need.model) {
                     true => 0.0,
@@ -300,10 +301,13 @@
             let place = engines
                 .iter()
                 .filter(|engine| {
-                    engine.used_mb(self.spec) + spec.weights_mb <= self.spec.weights_mb
+                    engine.used_mb(self.now, self.spec) + spec.weights_mb <= self.spec.weights_mb
                 })
                 // The tightest fit leaves room for the largest.
-                .max_by(|a, b| a.used_mb(self.spec).total_cmp(&b.used_mb(self.spec)));
+                .max_by(|a, b| {
+                    a.used_mb(self.now, self.spec)
+                        .total_cmp(&b.used_mb(self.now, self.spec))
+                });
             let Some(engine) = place else { continue };
             let is_at_hand = engine.at_hand.contains(model);
             if !is_at_hand
--- a/src/ordering/tests/fake_engine.rs
+++ b/src/ordering/tests/fake_engine.rs
@@ -5,7 +5,7 @@
 use crate::entry::platform::ModelAsk;
 use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::prelude::*;
-use crate::upstreams::HeldModel;
+use crate::upstreams::{HeldModel, Lifetime};
 
 /// Models named `m0`, `m1` and so on with these sizes, on engines of this capacity.
 pub fn spec(capacity_mb: f64, sizes_mb: &[f64]) -> EngineSpec {
@@ -29,10 +29,20 @@
     }
 }
 
+/// An engine that does not say when it started.
+pub fn only_start(id: Name) -> Lifetime {
+    Lifetime {
+        id,
+        born_at: Millis::ZERO,
+    }
+}
+
 /// The engine.
 #[derive(Debug)]
 pub struct FakeEngine {
     spec: EngineSpec,
+    /// The Unix time of its start.
+    pub born_at: Millis,
     count: u64,
     models: IndexSet<Name>,
     adapters: IndexSet<ModelAsk>,
@@ -46,6 +56,7 @@
     pub fn new(spec: EngineSpec, models: &[&str]) -> Self {
         Self {
             spec,
+            born_at: Millis::ZERO,
             count: 0,
             models: models.iter().map(|model| Name::from(*model)).collect(),
             adapters: IndexSet::new(),
@@ -54,7 +65,17 @@
         }
     }
 
-    /// Takes an order.
+    /// Starts again under the same name: it holds nothing and has taken no orders.
+    pub fn restart(&mut self, born_at: Millis) {
+        let loads = self.loads;
+        *self = Self {
+            born_at,
+            loads,
+            ..Self::new(self.spec.clone(), &[])
+        };
+    }
+
+    /// Takes an order. It cannot tell one that was meant for a former start of it.
     pub fn order(&mut self, now: Millis, order: &Order) -> OrderAnswer {
         self.advance(now);
         if order.after_orders != self.count || self.changing.is_some() {
@@ -104,6 +125,7 @@
                 .collect(),
         };
         EngineReport {
+            born_at: self.born_at,
             order_count: self.count,
             busy: self.changing.is_some(),
             models: self.models.iter().map(held).collect(),
--- a/src/ordering/tests/ledger.rs
+++ b/src/ordering/tests/ledger.rs
@@ -7,9 +7,10 @@
 use crate::ordering::ceiling::Ceiling;
 use crate::ordering::demand::AskCount;
 use crate::ordering::ledger::Ledger;
-use crate::ordering::message::{Order, OrderAnswer};
+use crate::ordering::message::{EngineReport, Order, OrderAnswer};
 use crate::ordering::planner::{Planner, load_time};
 use crate::prelude::*;
+use crate::upstreams::Lifetime;
 
 const SIZES_MB: [f64; 6] = [100.0, 100.0, 60.0, 60.0, 40.0, 40.0];
 const CAPACITY_MB: f64 = 170.0;
@@ -26,6 +27,8 @@
 struct World {
     now: Millis,
     engines: IndexMap<Name, FakeEngine>,
+    /// The starts that the list names; it lags.
+    listed: IndexMap<Name, Millis>,
     ledger: Ledger,
     book: Book,
     ceiling: Ceiling,
@@ -45,6 +48,9 @@
         Self {
             now: Millis(1_000_000),
             engines: (0..3).map(engine).collect(),
+            listed: (0..3)
+                .map(|n| (format!("e{n}").into(), Millis::ZERO))
+                .collect(),
             ledger: Ledger::default(),
             book: Book::default(),
             ceiling: Ceiling::new(Millis(900_000), None),
@@ -53,8 +59,14 @@
     }
 
     fn plan(&mut self) {
-        let listed = self.engines.keys().map(|id| (id.clone(), Name::from("s")));
-        self.ledger.take_engines(listed);
+        let listed = self.listed.iter().map(|(id, born_at)| {
+            let lifetime = Lifetime {
+                id: id.clone(),
+                born_at: *born_at,
+            };
+            (lifetime, Name::from("s"))
+        });
+        self.ledger.take_engines(self.now, listed);
         self.ledger.assume_unloaded(self.now);
         let spec = spec(CAPACITY_MB, &SIZES_MB);
         for _ in 0..8 {
@@ -116,31 +128,31 @@
         let report = self.engines[engine].report(self.now);
         self.ledger.take_report(self.now, &id, Some(report));
     }
-}
 
-fn drive(u: &mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<usize> {
-    let mut world = World::new();
-    for _ in 0..u.int_in_range(0..=400u16)? {
+    fn step(
+        &mut self,
+        u: &mut arbtest::arbitrary::Unstructured<'_>,
+    ) -> arbtest::arbitrary::Result<()> {
         match u.int_in_range(0..=11u8)? {
-            0..=2 => world.plan(),
-            3..=5 if !world.flights.is_empty() => {
-                let flight = u.choose_index(world.flights.len())?;
+            0..=2 => self.plan(),
+            3..=5 if !self.flights.is_empty() => {
+                let flight = u.choose_index(self.flights.len())?;
                 let is_heard = u.ratio(3, 4)?;
-                world.land(flight, is_heard);
+                self.land(flight, is_heard);
             }
-            6 if !world.flights.is_empty() => {
-                let flight = u.choose_index(world.flights.len())?;
-                world.time_out(flight);
+            6 if !self.flights.is_empty() => {
+                let flight = u.choose_index(self.flights.len())?;
+                self.time_out(flight);
             }
             7..=8 => {
-                let engine = u.choose_index(world.engines.len())?;
-                world.report(engine);
+                let engine = u.choose_index(self.engines.len())?;
+                self.report(engine);
             }
             9 => {
                 // A new holder of the lease knows nothing of its predecessor's orders.
                 if u.ratio(1, 10)? {
-                    world.ledger = Ledger::default();
-                    world.flights.iter_mut().for_each(|flight| flight.2 = false);
+                    self.ledger = Ledger::default();
+                    self.flights.iter_mut().for_each(|flight| flight.2 = false);
                 }
             }
             10 => {
@@ -152,14 +164,78 @@
                     tokens: 1_000,
                 };
                 let demand = vec![(ask(u)?, count)];
-                world
-                    .book
-                    .take(world.now, u.int_in_range(0..=3u64)?, demand, Vec::new());
+                self.book
+                    .take(self.now, u.int_in_range(0..=3u64)?, demand, Vec::new());
             }
-            _ => world.now += Millis(u.int_in_range(1..=900u64)?),
+            _ => self.now += Millis(u.int_in_range(1..=900u64)?),
         }
+        Ok(())
+    }
+
+    fn loads(&self) -> usize {
+        self.engines.values().map(|engine| engine.loads).sum()
+    }
+
+    fn restart(&mut self, engine: usize, later_by_ms: Millis) {
+        let id = self.engines.get_index(engine).expect("it exists").0.clone();
+        let born_at = self.engines[engine].born_at + later_by_ms;
+        self.engines[engine].restart(born_at);
+        // Of the calls under way only the newest may still be carried out: earlier ones had ended before it was made.
+        let newest = self.flights.iter().rposition(|(to, ..)| *to == id);
+        let mut at = 0;
+        self.flights.retain(|(to, ..)| {
+            let stays = *to != id || Some(at) == newest;
+            at += 1;
+            stays
+        });
+    }
+
+    fn list(&mut self, engine: usize) {
+        let (id, engine) = self.engines.get_index(engine).expect("it exists");
+        self.listed.insert(id.clone(), engine.born_at);
+    }
+
+    fn take_old(&mut self, engine: usize, report: EngineReport) {
+        let id = self.engines.get_index(engine).expect("it exists").0.clone();
+        let known = self.ledger.get(&id).map(|engine| engine.born_at);
+        self.ledger.take_report(self.now, &id, Some(report));
+        let after = self.ledger.get(&id).map(|engine| engine.born_at);
+        assert!(after >= known, "an old report undid a newer start");
     }
-    Ok(world.engines.values().map(|engine| engine.loads).sum())
+}
+
+fn drive(u: &mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<usize> {
+    let mut world = World::new();
+    for _ in 0..u.int_in_range(0..=400u16)? {
+        world.step(u)?;
+    }
+    Ok(world.loads())
+}
+
+/// Besides, engines start again under their names, one millisecond or more after their former start, and the list and
+/// old reports tell of it late.
+fn drive_restarts(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<(usize, usize)> {
+    let mut world = World::new();
+    let (mut restarts, mut old_reports) = (0, Vec::new());
+    for _ in 0..u.int_in_range(0..=400u16)? {
+        let engine = u.choose_index(world.engines.len())?;
+        match u.int_in_range(0..=19u8)? {
+            0 => {
+                world.restart(engine, Millis(u.int_in_range(1..=3u64)?));
+                restarts += 1;
+            }
+            1 => world.list(engine),
+            2 => old_reports.push((engine, world.engines[engine].report(world.now))),
+            3 if !old_reports.is_empty() => {
+                let (engine, report) = old_reports.swap_remove(u.choose_index(old_reports.len())?);
+                world.take_old(engine, report);
+            }
+            _ => world.step(u)?,
+        }
+    }
+    Ok((restarts, world.loads()))
 }
 
 #[test]
@@ -168,3 +244,11 @@
     // The interleavings reach what they are about.
     assert!(loads > 2_000, "{loads} loads");
 }
+
+#[test]
+fn engines_that_start_again_under_their_name_are_never_told_to_hold_more_than_they_can() {
+    let (restarts, loads): (Vec<usize>, Vec<usize>) =
+        seeded(2_000, drive_restarts).into_iter().unzip();
+    assert!(restarts.iter().sum::<usize>() > 1_000);
+    assert!(loads.iter().sum::<usize>() > 1_000);
+}
--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -1,6 +1,6 @@
 //! What is loaded for which demand.
 
-use super::fake_engine::spec;
+use super::fake_engine::{only_start, spec};
 use crate::desired::EngineSpec;
 use crate::entry::platform::ModelAsk;
 use crate::ordering::book::Book;
@@ -48,7 +48,10 @@
     fn new(spec: EngineSpec, engines: &[&[&str]]) -> Self {
         let mut ledger = Ledger::default();
         let id = |n: usize| Name::from(format!("e{n}"));
-        ledger.take_engines((0..engines.len()).map(|n| (id(n), Name::from("s"))));
+        ledger.take_engines(
+            NOW,
+            (0..engines.len()).map(|n| (only_start(id(n)), Name::from("s"))),
+        );
         for (n, models) in engines.iter().enumerate() {
             let held = |name: &&str| HeldModel {
                 name: Name::from(*name),
@@ -363,8 +366,8 @@
     let ready = |site: &Site| site.ready_in_ms(NOW, pace);
     assert_eq!(ready(&site), [(adapter("m0", "a1"), Millis(2_500))]);
     site.ledger = Ledger::default();
-    let unknown = [(Name::from("e0"), Name::from("s"))];
-    site.ledger.take_engines(unknown.into_iter());
+    let unknown = [(only_start("e0".into()), Name::from("s"))];
+    site.ledger.take_engines(NOW, unknown.into_iter());
     assert!(ready(&site).is_empty());
 }
 
--- a/src/ordering/tests/view.rs
+++ b/src/ordering/tests/view.rs
@@ -13,6 +13,7 @@
 
 fn word(models: &[&str]) -> Vec<EngineView> {
     vec![EngineView {
+        born_at: Millis::ZERO,
         upstream: "e".into(),
         held: models.iter().map(|model| ask(model)).collect(),
     }]
--- a/src/ordering/view.rs
+++ b/src/ordering/view.rs
@@ -3,6 +3,7 @@
 use crate::entry::platform::ModelAsk;
 use crate::prelude::*;
 use crate::routing::pick::Work;
+use crate::upstreams::Lifetime;
 
 /// How long an engine is passed over for a model that it said it lacks: about the age of what hosts know.
 const LACKING_MS: Millis = Millis(150);
@@ -15,8 +16,10 @@
 /// What one engine holds, as the orderer knows it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineView {
-    /// The engine's lifetime.
+    /// The engine's name.
     pub upstream: Name,
+    /// The start of it that this is known of.
+    pub born_at: Millis,
     /// What it holds: models by themselves, and adapters.
     pub held: Vec<ModelAsk>,
 }
@@ -30,7 +33,7 @@
     pub answered_at: Option<Millis>,
     /// How often it answered.
     pub answers: u64,
-    engines: IndexMap<Name, IndexSet<ModelAsk>>,
+    engines: IndexMap<Lifetime, IndexSet<ModelAsk>>,
     work: IndexMap<Name, Work>,
     ready_at: IndexMap<ModelAsk, Millis>,
     lacking: IndexMap<(Name, ModelAsk), Lacking>,
@@ -49,10 +52,21 @@
         self.version = version;
         self.engines = engines
             .into_iter()
-            .map(|engine| (engine.upstream, engine.held.into_iter().collect()))
+            .map(|engine| {
+                let lifetime = Lifetime {
+                    id: engine.upstream,
+                    born_at: engine.born_at,
+                };
+                (lifetime, engine.held.into_iter().collect())
+            })
             .collect();
     }
 
+    /// Forgets what a former start of an engine said that it lacks.
+    pub fn forget_lacking(&mut self, upstream: &str) {
+        self.lacking.retain(|(other, _), _| &**other != upstream);
+    }
+
     /// Takes the other hosts' work at each engine.
     pub fn take_work(&mut self, work: Vec<(Name, Work)>) {
         self.work = work.into_iter().collect();
@@ -78,8 +92,9 @@
             .insert((upstream.clone(), ask.clone()), lacking);
     }
 
-    /// Tells whether an engine holds a model, by the orderer's word; nothing when the orderer does not know the engine.
-    pub fn holds(&self, upstream: &str, ask: &ModelAsk) -> Option<bool> {
+    /// Tells whether an engine holds a model, by the orderer's word; nothing when the orderer does not know this start of
+    /// the engine.
+    pub fn holds(&self, upstream: &Lifetime, ask: &ModelAsk) -> Option<bool> {
         Some(self.engines.get(upstream)?.contains(ask))
     }
 
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -11,11 +11,13 @@
 pub use registry::{Registry, Upstream};
 use std::net::SocketAddr;
 
-/// What the platform's list says of one lifetime of an upstream.
+/// What the platform's list says of one start of an upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
-    /// The name of this lifetime; each start has a new one.
+    /// Its name; a later start may have it again.
     pub id: Name,
+    /// The Unix time of its start, which tells the starts under one name apart; zero where it does not say.
+    pub born_at: Millis,
     /// The service that it serves.
     pub service: Name,
     /// Where it listens.
@@ -32,6 +34,15 @@
     pub models: Vec<HeldModel>,
 }
 
+/// One start of an upstream. News of an earlier start under the same name changes nothing of a later one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Lifetime {
+    /// The upstream's name.
+    pub id: Name,
+    /// The Unix time of its start; zero where it does not say.
+    pub born_at: Millis,
+}
+
 /// A model that an engine holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldModel {
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -1,7 +1,7 @@
 //! The list of upstreams with its changes, outages and lifetimes.
 
 use crate::prelude::*;
-use crate::upstreams::{Health, UpstreamEntry};
+use crate::upstreams::{Health, Lifetime, UpstreamEntry};
 use std::net::SocketAddr;
 
 /// How long entries that vanished in an outage of the list are still used after it: upstreams that live
@@ -9,8 +9,9 @@
 pub const OUTAGE_GRACE_MS: Millis = Millis(2_000);
 /// How long the list must have been out of reach to count as an outage; shorter gaps are single lost polls.
 const OUTAGE_MS: Millis = Millis(2_500);
-/// How long a lifetime that ended is remembered, so that a late copy of its entry does not bring it back.
-const TOMBSTONE_MS: Millis = Millis(60_000);
+/// Most names of which the last start is remembered after its entry is gone, so that a late copy of that entry does not
+/// bring it back; above the 6,600 servers of the largest site planned for.
+const MAX_PAST: usize = 8_192;
 
 /// One upstream.
 #[derive(Clone, Debug)]
@@ -29,6 +30,25 @@
 }
 
 impl Upstream {
+    fn new(entry: UpstreamEntry) -> Self {
+        Self {
+            entry,
+            health: Health::default(),
+            in_flight: 0,
+            prompt_tokens: 0,
+            long_prompts: 0,
+            vanished_at: None,
+        }
+    }
+
+    /// Returns which start of the upstream this is.
+    pub fn lifetime(&self) -> Lifetime {
+        Lifetime {
+            id: self.entry.id.clone(),
+            born_at: self.entry.born_at,
+        }
+    }
+
     /// Returns where the upstream listens.
     pub fn address(&self) -> SocketAddr {
         self.entry.address
@@ -49,6 +69,8 @@
 pub enum Change {
     /// A lifetime is new.
     Added,
+    /// A known upstream started again under its name: nothing that was known of it holds any more.
+    Restarted,
     /// A lifetime began to leave.
     Leaving,
     /// A lifetime is gone.
@@ -61,11 +83,19 @@
     None,
 }
 
-/// The upstreams by lifetime.
+/// The last start of an upstream that is no longer listed.
+#[derive(Clone, Copy, Debug)]
+struct Past {
+    born_at: Millis,
+    /// Whether it began to leave or its address said that it is over; else its entry may have lapsed only.
+    is_over: bool,
+}
+
+/// The upstreams by name, each with its newest start.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     upstreams: IndexMap<Name, Upstream>,
-    ended: IndexMap<Name, Millis>,
+    past: IndexMap<Name, Past>,
     last_heard_at: Option<Millis>,
     was_unheard: bool,
     outage_ended_at: Option<Millis>,
@@ -87,12 +117,17 @@
         self.was_unheard = true;
     }
 
-    /// Takes a new or changed entry.
+    /// Takes a new or changed entry. One of an earlier start than the one known is late and changes nothing.
     pub fn put(&mut self, entry: UpstreamEntry) -> Change {
-        if self.ended.contains_key(&entry.id) {
+        if self.is_past(&entry) {
             return Change::None;
         }
         match self.upstreams.get_mut(&entry.id) {
+            Some(upstream) if entry.born_at < upstream.entry.born_at => Change::None,
+            Some(upstream) if entry.born_at > upstream.entry.born_at => {
+                *upstream = Upstream::new(entry);
+                Change::Restarted
+            }
             Some(upstream) => {
                 upstream.vanished_at = None;
                 let leaves_now = entry.leaving && !upstream.entry.leaving;
@@ -107,20 +142,49 @@
                 }
             }
             None => {
-                let upstream = Upstream {
-                    entry,
-                    health: Health::default(),
-                    in_flight: 0,
-                    prompt_tokens: 0,
-                    long_prompts: 0,
-                    vanished_at: None,
-                };
-                self.upstreams.insert(upstream.entry.id.clone(), upstream);
+                self.past.shift_remove(&entry.id);
+                self.upstreams
+                    .insert(entry.id.clone(), Upstream::new(entry));
                 Change::Added
             }
         }
     }
 
+    /// Takes note that an upstream said itself that it started again; the list tells the rest later. Models of the
+    /// former start are gone.
+    pub fn note_restarted(&mut self, lifetime: &Lifetime) -> Change {
+        let Some(upstream) = self.upstreams.get(&lifetime.id) else {
+            return Change::None;
+        };
+        if lifetime.born_at <= upstream.entry.born_at {
+            return Change::None;
+        }
+        let entry = UpstreamEntry {
+            born_at: lifetime.born_at,
+            leaving: false,
+            order_count: 0,
+            models: Vec::new(),
+            ..upstream.entry.clone()
+        };
+        self.put(entry)
+    }
+
+    /// Takes note that an upstream's entry was replaced by one that names no upstream.
+    pub fn drop_unreadable(&mut self, id: &str) -> Change {
+        match self.drop_upstream(id, false) {
+            true => Change::Gone,
+            false => Change::None,
+        }
+    }
+
+    /// Tells whether an entry is a late copy: of a start before the last one that was known, or of that one when it is
+    /// over.
+    fn is_past(&self, entry: &UpstreamEntry) -> bool {
+        self.past.get(&entry.id).is_some_and(|past| {
+            entry.born_at < past.born_at || (entry.born_at == past.born_at && past.is_over)
+        })
+    }
+
     /// Takes the removal of an entry. Within [`OUTAGE_GRACE_MS`] after an outage the upstream is kept for the
     /// rest of that time: it may only have been unable to renew its entry.
     pub fn remove(&mut self, now: Millis, id: &str) -> Change {
@@ -134,7 +198,7 @@
             upstream.vanished_at = Some(now);
             return Change::Held;
         }
-        self.drop_upstream(id);
+        self.drop_upstream(id, false);
         Change::Gone
     }
 
@@ -161,19 +225,13 @@
     }
 
     /// Ends a lifetime of which the upstream's own address said that it is over.
-    pub fn end_lifetime(&mut self, now: Millis, id: &str) -> bool {
-        let known = self.upstreams.contains_key(id);
-        if known {
-            self.drop_upstream(id);
-            self.ended.insert(id.into(), now);
-        }
-        known
+    pub fn end_lifetime(&mut self, lifetime: &Lifetime) -> bool {
+        let known = self.get_lifetime(lifetime).is_some();
+        known && self.drop_upstream(&lifetime.id, true)
     }
 
     /// Removes what was kept for a while only. Returns the lifetimes that ended.
     pub fn expire(&mut self, now: Millis) -> Vec<Name> {
-        self.ended
-            .retain(|_, ended_at| now.since(*ended_at) < TOMBSTONE_MS);
         let Some(outage_ended_at) = self.outage_ended_at else {
             return Vec::new();
         };
@@ -187,7 +245,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &vanished {
-            self.drop_upstream(id);
+            self.drop_upstream(id, false);
         }
         vanished
     }
@@ -197,9 +255,17 @@
         self.upstreams.get(id)
     }
 
-    /// Returns an upstream, for change.
-    pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
-        self.upstreams.get_mut(id)
+    /// Returns an upstream if this start of it is the one known.
+    pub fn get_lifetime(&self, lifetime: &Lifetime) -> Option<&Upstream> {
+        let upstream = self.upstreams.get(&lifetime.id)?;
+        (upstream.entry.born_at == lifetime.born_at).then_some(upstream)
+    }
+
+    /// Returns an upstream, for change, if this start of it is the one known: what a request learned of an earlier start
+    /// says nothing of a later one.
+    pub fn get_lifetime_mut(&mut self, lifetime: &Lifetime) -> Option<&mut Upstream> {
+        let upstream = self.upstreams.get_mut(&lifetime.id)?;
+        (upstream.entry.born_at == lifetime.born_at).then_some(upstream)
     }
 
     /// Returns every upstream.
@@ -214,7 +280,18 @@
             .filter(move |upstream| &*upstream.entry.service == service && !upstream.entry.leaving)
     }
 
-    fn drop_upstream(&mut self, id: &str) {
-        self.upstreams.shift_remove(id);
+    fn drop_upstream(&mut self, id: &str, is_over: bool) -> bool {
+        let Some(upstream) = self.upstreams.shift_remove(id) else {
+            return false;
+        };
+        if self.past.len() >= MAX_PAST {
+            self.past.shift_remove_index(0);
+        }
+        let past = Past {
+            born_at: upstream.entry.born_at,
+            is_over: is_over || upstream.entry.leaving,
+        };
+        self.past.insert(upstream.entry.id, past);
+        true
     }
 }
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -6,6 +6,7 @@
 fn entry(id: &str) -> UpstreamEntry {
     UpstreamEntry {
         id: id.into(),
+        born_at: Millis::ZERO,
         service: "service".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         data_centre: "here".into(),
@@ -23,6 +24,13 @@
     }
 }
 
+fn lifetime(id: &str, born_at: u64) -> Lifetime {
+    Lifetime {
+        id: id.into(),
+        born_at: Millis(born_at),
+    }
+}
+
 fn usable(registry: &Registry) -> Vec<String> {
     let usable = registry.usable("service");
     usable
@@ -84,7 +92,7 @@
 fn a_late_copy_of_an_entry_does_not_revive_a_lifetime_that_ended() {
     let mut registry = Registry::default();
     registry.put(entry("a"));
-    assert!(registry.end_lifetime(Millis(10), "a"));
+    assert!(registry.end_lifetime(&lifetime("a", 0)));
     assert_eq!(registry.put(entry("a")), Change::None);
     assert_eq!(usable(&registry), [""; 0]);
 }
@@ -109,3 +117,91 @@
     assert!(health.failure_share(Millis(1_000)) > 0.5);
     assert!(health.failure_share(Millis(13_000)) < 0.1);
 }
+
+#[test]
+fn an_upstream_that_starts_again_under_its_name_is_used_again() {
+    let mut registry = Registry::default();
+    let born = |born_at: u64, leaving: bool| UpstreamEntry {
+        born_at: Millis(born_at),
+        leaving,
+        ..entry("a")
+    };
+    registry.put(born(5, false));
+    let former = lifetime("a", 5);
+    if let Some(upstream) = registry.get_lifetime_mut(&former) {
+        upstream.health.note_unreachable(Millis(0));
+        upstream.in_flight = 3;
+    }
+    assert_eq!(registry.put(born(5, true)), Change::Leaving);
+    assert_eq!(registry.put(born(6, false)), Change::Restarted);
+    assert_eq!(usable(&registry), ["a"]);
+    assert!(registry.get_lifetime_mut(&former).is_none());
+    let upstream = registry.get("a").expect("it is listed");
+    assert!(!upstream.health.is_resting(Millis(1)));
+    assert_eq!(upstream.in_flight, 0);
+    assert!(!registry.end_lifetime(&former));
+    // Its former start's farewell comes late.
+    assert_eq!(registry.put(born(5, true)), Change::None);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_names_no_upstream_until_a_good_one_is_written() {
+    let mut registry = Registry::default();
+    registry.put(entry("a"));
+    registry.put(entry("b"));
+    assert_eq!(registry.drop_unreadable("a"), Change::Gone);
+    assert_eq!(usable(&registry), ["b"]);
+    assert_eq!(registry.put(entry("a")), Change::Added);
+    assert_eq!(usable(&registry), ["b", "a"]);
+}
+
+/// News of one upstream's starts in any order: whatever comes, what is known is of the newest start that was told of.
+#[test]
+fn news_of_an_earlier_start_never_undoes_that_of_a_later_one() {
+    arbtest::arbtest(|u| {
+        let mut registry = Registry::default();
+        let (mut newest, mut left) = (0, IndexSet::new());
+        for _ in 0..u.int_in_range(1..=60u8)? {
+            let born_at = u.int_in_range(1..=6u64)?;
+            let listed = registry.get("a").is_some();
+            match u.int_in_range(0..=7u8)? {
+                0..=2 => {
+                    let leaving = u.ratio(1, 3)?;
+                    let put = UpstreamEntry {
+                        born_at: Millis(born_at),
+                        leaving,
+                        ..entry("a")
+                    };
+                    registry.put(put);
+                    newest = newest.max(born_at);
+                    if leaving && born_at == newest {
+                        left.insert(born_at);
+                    }
+                }
+                3 if listed => {
+                    registry.note_restarted(&lifetime("a", born_at));
+                    newest = newest.max(born_at);
+                }
+                4 => drop(registry.remove(Millis(0), "a")),
+                5 if registry.end_lifetime(&lifetime("a", born_at)) => {
+                    left.insert(born_at);
+                }
+                6 => drop(registry.drop_unreadable("a")),
+                _ => {
+                    if let Some(upstream) = registry.get_lifetime_mut(&lifetime("a", born_at)) {
+                        upstream.in_flight += 1;
+                    }
+                }
+            }
+            if let Some(known) = registry.get("a") {
+                assert_eq!(known.entry.born_at, Millis(newest));
+            }
+            if left.contains(&newest) {
+                assert_eq!(usable(&registry), [""; 0]);
+            }
+        }
+        Ok(())
+    })
+    .size_max(4_096);
+}
