--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -23,6 +23,10 @@
 /// The share of an engine's time that a model may need on each engine that holds it before it gets one more: with
 /// random arrivals waits grow steeply above it.
 const BUSY_SHARE: f64 = 0.35;
+/// The share of an engine's slots that one model's requests may take on each engine that holds it before it gets one
+/// more copy. Above it arrivals in clusters find all slots taken: with 24 slots, first events began to come late when
+/// 28 requests were at an engine, and a load takes a second or more in which the demand grows.
+const SLOT_SHARE: f64 = 0.6;
 /// Most engines that hold the same model by demand, as a part of all.
 const COPIES_PART: f64 = 0.5;
 /// How long ago a model was asked for at most to be loaded, or to get another copy.
@@ -142,7 +146,9 @@
             let demand = self.book.model(self.now, model);
             let speed = PROMPT_TOKENS_PER_S * LARGE_MB / spec.weights_mb.max(1.0);
             let share = demand.tokens_per_s / speed;
-            let by_load = (share / BUSY_SHARE).ceil() as usize;
+            let by_reading = (share / BUSY_SHARE).ceil() as usize;
+            let by_slots = self.copies_by_slots(demand.running);
+            let by_load = by_reading.max(by_slots);
             let asked_of_late = demand
                 .last_at
                 .is_some_and(|at| self.now.since(at) < RECENT_MS);
@@ -171,6 +177,13 @@
         models.collect()
     }
 
+    /// Returns how many engines a model's requests need so that none of them runs out of slots. Requests that wait for the
+    /// model itself are among those that run.
+    fn copies_by_slots(&self, running: u32) -> usize {
+        let slots = f64::from(self.spec.slots.max(1)) * SLOT_SHARE;
+        (f64::from(running) / slots).ceil() as usize
+    }
+
     /// Chooses the engine for one more copy: the least that makes way, weights at hand before the weight store.
     fn place_model(&self, need: &Need<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
         let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
