--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -23,7 +23,13 @@
         (Some(model), true) => {
             let holding = open.filter(|upstream| holds(&view, now, upstream, model));
             let with_work = holding.map(|upstream| (upstream, view.work(&upstream.entry.id)));
-            pick::engine(now, &model.model, with_work, prompt_shape(&ask.facts))
+            pick::engine(
+                now,
+                &model.model,
+                with_work,
+                prompt_shape(&ask.facts),
+                host.occupancy(&ask.service),
+            )
         }
         _ => {
             let data_centre = host.settings().data_centre.clone();
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -15,6 +15,7 @@
 use crate::ordering::view::View;
 use crate::prelude::*;
 use crate::retry::RetryBudget;
+use crate::routing::occupancy::Occupancy;
 use crate::upstreams::Registry;
 use event_listener::{Event as Wakeup, EventListener};
 use std::cell::{Cell, RefCell};
@@ -52,6 +53,8 @@
     pub demand: RefCell<crate::ordering::demand::Demand>,
     /// The retry budget of each service.
     pub budgets: RefCell<IndexMap<Name, RetryBudget>>,
+    /// How long requests of each service keep a slot, as this host's answers show.
+    pub occupancy: RefCell<IndexMap<Name, Occupancy>>,
     /// When a planned stop was asked for.
     pub stop_asked_at: Cell<Option<Millis>>,
     /// Requests that were read and are not answered.
@@ -94,6 +97,7 @@
             known_hosts,
             demand: RefCell::default(),
             budgets: RefCell::default(),
+            occupancy: RefCell::default(),
             stop_asked_at: Cell::new(None),
             active_requests: Cell::new(0),
             held_body_bytes: Cell::new(0),
@@ -227,6 +231,21 @@
         self.stopping.listen()
     }
 
+    /// Returns how long requests of a service keep a slot.
+    pub fn occupancy(&self, service: &Name) -> Occupancy {
+        self.occupancy
+            .borrow()
+            .get(service)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Takes note of how long an answer kept its slot.
+    pub fn note_occupied(&self, service: &Name, took_ms: Millis) {
+        let mut occupancy = self.occupancy.borrow_mut();
+        occupancy.entry(service.clone()).or_default().note(took_ms);
+    }
+
     /// Counts a request for a service in the retry budget.
     pub fn note_request(&self, service: &Name) {
         let now = self.now();
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -53,6 +53,7 @@
                 buffer: Vec::new(),
                 last_event_id: None,
                 begun: false,
+                began_at: host.now(),
                 last_piece_at: host.now(),
             };
             stream.run(out, log, answer).await
@@ -154,6 +155,7 @@
     buffer: Vec<u8>,
     last_event_id: Option<String>,
     begun: bool,
+    began_at: Millis,
     last_piece_at: Millis,
 }
 
@@ -257,7 +259,8 @@
         if std::mem::replace(&mut self.begun, true) {
             return Ok(());
         }
-        self.last_piece_at = self.host.now();
+        self.began_at = self.host.now();
+        self.last_piece_at = self.began_at;
         note_first_byte(self.host, self.ask, log);
         let form = match answer.head.framing {
             Framing::Length(length) => BodyForm::Length(length),
@@ -274,6 +277,10 @@
     ) -> Relayed {
         let rest = std::mem::take(&mut self.buffer);
         let begun = self.begin(out, log, &answer).await;
+        if self.ask.at_engine {
+            let took_ms = self.host.now().since(self.began_at);
+            self.host.note_occupied(&self.ask.service, took_ms);
+        }
         let written = match begun {
             Ok(()) if rest.is_empty() => out.end().await,
             Ok(()) => match out.piece(&rest).await {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Which upstream gets a request.
 
 pub mod first_byte;
+pub mod occupancy;
 pub mod upstreams;
 
 pub mod pick;
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -6,6 +6,7 @@
 //! model, and a request leaves it when waiting there costs more than reading the beginning elsewhere.
 
 use crate::prelude::*;
+use crate::routing::occupancy::Occupancy;
 use crate::routing::roles::{is_long, short_copies};
 use crate::upstreams::Upstream;
 use rapidhash::v3::rapidhash_v3;
@@ -16,6 +17,8 @@
 /// What a long prompt at a copy for short ones costs, and a short one at a copy for long ones, in prompt tokens: about
 /// what makes the streams there late.
 const OFF_ROLE_TOKENS: f64 = 14_000.0;
+/// Prompt tokens that an engine reads in a millisecond: what a wait is worth against prompts that are read anew.
+const TOKENS_PER_MS: f64 = 38.0;
 /// What an upstream that fails every request costs, in prompt tokens: more than any queue that is worth waiting in.
 const FAILING_TOKENS: f64 = 60_000.0;
 /// What a request under way at a plain service costs, in shares of the upstream's slots, against failures.
@@ -52,6 +55,7 @@
     model: &str,
     candidates: impl Iterator<Item = (&'a Upstream, Work)>,
     prompt: PromptShape,
+    occupancy: Occupancy,
 ) -> Option<&'a Upstream> {
     let holders: Vec<_> = candidates.collect();
     let ids = holders.iter().map(|(upstream, _)| &upstream.entry.id);
@@ -70,7 +74,8 @@
         .map(|(upstream, _)| upstream.entry.id.clone());
     let cost = |(upstream, others): &(&Upstream, Work)| {
         let prompt_tokens = upstream.prompt_tokens + others.prompt_tokens;
-        let running = f64::from(upstream.in_flight + others.running);
+        let under_way = upstream.in_flight + others.running;
+        let slot_wait_ms = occupancy.wait_ms(upstream.entry.slots, under_way);
         let read_again = match Some(&upstream.entry.id) == home.as_ref() {
             true => 0,
             false => prompt.shared_tokens,
@@ -81,7 +86,8 @@
         };
         (prompt_tokens + read_again) as f64
             + off_role
-            + running * RUNNING_TOKENS
+            + f64::from(under_way) * RUNNING_TOKENS
+            + slot_wait_ms * TOKENS_PER_MS
             + upstream.health.failure_share(now) * FAILING_TOKENS
     };
     least(candidates, cost)
