Let copies beyond a model's demand make way, and place extra copies where slots are free

Cause: busy models change every few seconds, and copies of formerly busy ones stayed, since their engines ran something; the model asked for most had 5 of the 10 copies that it needed.

--- a/src/ordering/book.rs
+++ b/src/ordering/book.rs
@@ -125,13 +125,11 @@
         self.asked.iter()
     }
 
-    /// Returns the demand for a model together with its adapters.
-    pub fn model(&self, now: Millis, model: &str) -> ModelDemand {
-        let mut demand = ModelDemand::default();
+    /// Returns the demand for each model that was asked for, together with its adapters.
+    pub fn models(&self, now: Millis) -> IndexMap<&Name, ModelDemand> {
+        let mut models: IndexMap<&Name, ModelDemand> = IndexMap::new();
         for (ask, asked) in &self.asked {
-            if &*ask.model != model {
-                continue;
-            }
+            let demand = models.entry(&ask.model).or_default();
             demand.waiting += asked.waiting;
             demand.running += asked.running;
             demand.per_s += asked.per_s(now);
@@ -139,7 +137,7 @@
             demand.tokens_per_s += asked.tokens_per_s(now);
             demand.last_at = demand.last_at.max(asked.last_at);
         }
-        demand
+        models
     }
 
     /// Returns the work at each engine of all hosts but one.
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -6,9 +6,9 @@
 //! asks, a model that comes back goes where its weights are at hand, and what makes way for it is what is asked
 //! for least.
 
-use crate::desired::EngineSpec;
+use crate::desired::{EngineSpec, ModelSpec};
 use crate::entry::platform::ModelAsk;
-use crate::ordering::book::Book;
+use crate::ordering::book::{Book, ModelDemand};
 use crate::ordering::ceiling::Ceiling;
 use crate::ordering::engine::{Copy, Engine, LoadTime};
 use crate::ordering::ledger::Ledger;
@@ -78,15 +78,22 @@
     pub unusable: &'a IndexSet<Name>,
 }
 
-/// A model with its demand.
+/// A model with its demand and its copies.
+#[derive(Clone, Copy)]
 struct Need<'a> {
     model: &'a Name,
-    waiting: u32,
-    tokens_per_s: f64,
+    demand: ModelDemand,
+    /// Engines that hold it, or will.
     copies: usize,
+    /// Engines that hold it now.
+    held: usize,
+    /// Engines that are to hold it.
     wanted: usize,
 }
 
+/// The needs of all models.
+type Needs<'a> = IndexMap<&'a Name, Need<'a>>;
+
 impl Planner<'_> {
     /// Returns the next order, if there is one to make now.
     pub fn next(&self, ceiling: &mut Ceiling) -> Option<Planned> {
@@ -108,73 +115,91 @@
 
     /// Loads the model that is most wanted and not on enough engines.
     fn model_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
-        let mut needs: Vec<Need<'_>> = self.needs();
-        if let Some(order) = self.intended_order(ceiling) {
+        let needs = self.needs();
+        if let Some(order) = self.intended_order(&needs, ceiling) {
             return Some(order);
         }
-        needs.retain(|need| need.copies < need.wanted);
-        needs.sort_by(|a, b| {
-            let key = |need: &Need<'_>| (need.copies == 0, need.waiting);
+        let lacking = needs.values().filter(|need| need.copies < need.wanted);
+        let mut lacking: Vec<Need<'_>> = lacking.copied().collect();
+        lacking.sort_by(|a, b| {
+            let key = |need: &Need<'_>| (need.copies == 0, need.demand.waiting);
             let by_waiting = key(b).cmp(&key(a));
-            by_waiting.then(b.tokens_per_s.total_cmp(&a.tokens_per_s))
+            by_waiting.then(b.demand.tokens_per_s.total_cmp(&a.demand.tokens_per_s))
         });
-        needs
+        lacking
             .into_iter()
-            .find_map(|need| self.place_model(&need, ceiling))
+            .find_map(|need| self.place_model(&need, &needs, ceiling))
     }
 
     /// Goes on where memory was freed for a model: loads it, or frees more.
-    fn intended_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
+    fn intended_order(&self, needs: &Needs<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
         self.free_engines().find_map(|engine| {
-            let model = engine.intended(self.now)?;
-            let demand = self.book.model(self.now, model);
             let need = Need {
-                model,
-                waiting: demand.waiting,
-                tokens_per_s: demand.tokens_per_s,
                 copies: 0,
-                wanted: 1,
+                ..*needs.get(engine.intended(self.now)?)?
             };
-            self.place_on(&need, std::iter::once(engine), ceiling)
+            self.place_on(&need, needs, std::iter::once(engine), ceiling)
         })
     }
 
-    fn needs(&self) -> Vec<Need<'_>> {
-        let engines = self.engines().count();
-        let most = ((engines as f64 * COPIES_PART) as usize).max(1);
-        let models = self.spec.models.iter().map(|(model, spec)| {
-            let demand = self.book.model(self.now, model);
-            let speed = PROMPT_TOKENS_PER_S * LARGE_MB / spec.weights_mb.max(1.0);
-            let share = demand.tokens_per_s / speed;
-            let by_reading = (share / BUSY_SHARE).ceil() as usize;
-            let by_slots = self.copies_by_slots(demand.running);
-            let by_load = by_reading.max(by_slots);
-            let asked_of_late = demand
-                .last_at
-                .is_some_and(|at| self.now.since(at) < RECENT_MS);
-            let is_asked = demand.waiting > 0 || asked_of_late;
-            let short_per_s = demand.per_s - demand.long_per_s;
-            let by_kind = match spec.weights_mb >= SEPARATE_MB
-                && demand.long_per_s >= LONG_PER_S
-                && short_per_s >= SHORT_PER_S
+    fn needs(&self) -> Needs<'_> {
+        let demands = self.book.models(self.now);
+        let mut needs: Needs<'_> = self
+            .spec
+            .models
+            .iter()
+            .map(|(model, spec)| {
+                let demand = demands.get(model).copied().unwrap_or_default();
+                let need = Need {
+                    model,
+                    demand,
+                    copies: 0,
+                    held: 0,
+                    wanted: self.wanted(spec, &demand),
+                };
+                (model, need)
+            })
+            .collect();
+        for engine in self.engines() {
+            for (model, copy) in &engine.copies {
+                let Some(need) = needs.get_mut(model) else {
+                    continue;
+                };
+                need.copies += usize::from(*copy != Copy::Unloading);
+                need.held += usize::from(*copy == Copy::Held);
+            }
+            let intended = engine.intended(self.now);
+            let is_new = |model: &&Name| !engine.copies.contains_key(*model);
+            if let Some(need) = intended
+                .filter(is_new)
+                .and_then(|model| needs.get_mut(model))
             {
-                true => 2,
-                false => 1,
-            };
-            let wanted = match is_asked {
-                true => by_load.max(by_kind).clamp(1, most.max(1)),
-                false => 0,
-            };
-            let on = |engine: &&Engine| engine.will_hold(self.now, model);
-            Need {
-                model,
-                waiting: demand.waiting,
-                tokens_per_s: demand.tokens_per_s,
-                copies: self.engines().filter(on).count(),
-                wanted,
+                need.copies += 1;
             }
-        });
-        models.collect()
+        }
+        needs
+    }
+
+    /// Returns how many engines are to hold a model.
+    fn wanted(&self, spec: &ModelSpec, demand: &ModelDemand) -> usize {
+        let asked_of_late = demand
+            .last_at
+            .is_some_and(|at| self.now.since(at) < RECENT_MS);
+        if demand.waiting == 0 && !asked_of_late {
+            return 0;
+        }
+        let most = ((self.engines().count() as f64 * COPIES_PART) as usize).max(1);
+        let speed = PROMPT_TOKENS_PER_S * LARGE_MB / spec.weights_mb.max(1.0);
+        let by_reading = (demand.tokens_per_s / speed / BUSY_SHARE).ceil() as usize;
+        let short_per_s = demand.per_s - demand.long_per_s;
+        let has_both_kinds = spec.weights_mb >= SEPARATE_MB
+            && demand.long_per_s >= LONG_PER_S
+            && short_per_s >= SHORT_PER_S;
+        let by_kind = 1 + usize::from(has_both_kinds);
+        by_reading
+            .max(self.copies_by_slots(demand.running))
+            .max(by_kind)
+            .min(most)
     }
 
     /// Returns how many engines a model's requests need so that none of them runs out of slots. Requests that wait for the
@@ -185,14 +210,29 @@
     }
 
     /// Chooses the engine for one more copy: the least that makes way, weights at hand before the weight store.
-    fn place_model(&self, need: &Need<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
+    fn place_model(
+        &self,
+        need: &Need<'_>,
+        needs: &Needs<'_>,
+        ceiling: &mut Ceiling,
+    ) -> Option<Planned> {
         let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
-        self.place_on(need, self.free_engines().filter(unclaimed), ceiling)
+        // One more copy helps only where it finds slots.
+        let has_slots = |engine: &&Engine| need.copies == 0 || self.used_slots(engine) < SLOT_SHARE;
+        let engines = self.free_engines().filter(unclaimed).filter(has_slots);
+        self.place_on(need, needs, engines, ceiling)
+    }
+
+    /// Returns the share of an engine's slots that are taken, by what hosts say.
+    fn used_slots(&self, engine: &Engine) -> f64 {
+        let running = f64::from(self.book.running_at(&engine.id));
+        running / f64::from(self.spec.slots.max(1))
     }
 
     fn place_on<'b>(
         &self,
         need: &Need<'_>,
+        needs: &Needs<'_>,
         engines: impl Iterator<Item = &'b Engine>,
         ceiling: &mut Ceiling,
     ) -> Option<Planned> {
@@ -205,7 +245,7 @@
             .filter_map(|engine| {
                 let lacking_mb =
                     engine.used_mb(self.now, self.spec) + spec.weights_mb - self.spec.weights_mb;
-                let (victims, lost) = self.victims(engine, lacking_mb, need)?;
+                let (victims, lost) = self.victims(engine, lacking_mb, need, needs)?;
                 let from_store = match engine.at_hand.contains(need.model) {
                     true => 0.0,
                     false => STORE_LOAD,
@@ -244,6 +284,7 @@
         engine: &Engine,
         lacking_mb: f64,
         need: &Need<'_>,
+        needs: &Needs<'_>,
     ) -> Option<(Vec<Name>, f64)> {
         if lacking_mb <= 0.0 {
             return Some((Vec::new(), 0.0));
@@ -257,7 +298,7 @@
                 let loaded_at = engine.loaded_at.get(*model);
                 loaded_at.is_none_or(|at| self.now.since(*at) >= STAY_MS)
             })
-            .filter_map(|(model, _)| Some((self.value(engine, model, need)?, model)))
+            .filter_map(|(model, _)| Some((self.value(engine, needs.get(model)?, need)?, model)))
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (mut freed_mb, mut lost, mut victims) = (0.0, 0.0, Vec::new());
@@ -275,10 +316,9 @@
     }
 
     /// Returns what a copy of a model is worth, in prompt tokens a second; nothing when it must stay.
-    fn value(&self, engine: &Engine, model: &Name, need: &Need<'_>) -> Option<f64> {
-        let demand = self.book.model(self.now, model);
-        let on = |engine: &&Engine| engine.holds_model(model);
-        let copies = self.engines().filter(on).count().max(1);
+    fn value(&self, engine: &Engine, held: &Need<'_>, need: &Need<'_>) -> Option<f64> {
+        let demand = &held.demand;
+        let copies = held.held.max(1);
         let is_idle = demand.waiting == 0
             && demand.running == 0
             && demand
@@ -287,7 +327,9 @@
         // A model in use stays, unless other engines hold it too, the one that comes is on none, and nothing runs at
         // this engine: an unload waits for what runs, and the engine refuses requests for the model meanwhile.
         let is_spare = copies > 2 && need.copies == 0 && self.book.running_at(&engine.id) == 0;
-        let may_go = is_idle || is_spare;
+        // A copy beyond what the demand needs serves few requests; the others take them.
+        let is_beyond = copies > held.wanted.max(1) && demand.running as usize <= copies;
+        let may_go = is_idle || is_spare || is_beyond;
         may_go.then(|| demand.tokens_per_s / copies as f64)
     }
 
