Keep copies apart for long and short prompts only where both are asked for

Cause: with two or more copies a third was kept for short prompts, also where no long ones came: all requests went to that third until it was worse by 14,000 prompt tokens.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -6,7 +6,7 @@
 use crate::entry::tries::Tries;
 use crate::ordering::view::View;
 use crate::prelude::*;
-use crate::routing::pick::{self, PromptShape};
+use crate::routing::pick::{self, ModelCopies, PromptShape};
 use crate::upstreams::Upstream;
 use rapidhash::v3::rapidhash_v3;
 
@@ -23,9 +23,13 @@
         (Some(model), true) => {
             let holding = open.filter(|upstream| holds(&view, now, upstream, model));
             let with_work = holding.map(|upstream| (upstream, view.work(&upstream.entry.id)));
+            let copies = ModelCopies {
+                name: &model.model,
+                are_separate: view.is_separate(&model.model),
+            };
             pick::engine(
                 now,
-                &model.model,
+                &copies,
                 with_work,
                 prompt_shape(&ask.facts),
                 host.occupancy(&ask.service),
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -41,6 +41,8 @@
     pub book: Book,
     /// When what callers wait for will be ready, as the last plan had it.
     pub ready_at: Vec<(ModelAsk, Millis)>,
+    /// The models whose copies are kept apart for long and for short prompts.
+    pub separate: Vec<Name>,
     /// The load on the weight store, while this host orders.
     pub ceiling: Option<Ceiling>,
     /// Since when no other host was heard of.
@@ -145,7 +147,9 @@
             send_due(&host, &executor, &me, now);
         }
         let ready_at = expect_ready(&host, &table, &unusable, now);
-        host.orders.borrow_mut().ready_at = ready_at;
+        let mut orders = host.orders.borrow_mut();
+        orders.ready_at = ready_at;
+        orders.separate = orders.book.separate(now);
     }
 }
 
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -46,6 +46,7 @@
             .iter()
             .map(|(ask, at)| (ask.clone(), at.since(now)))
             .collect(),
+        separate: orders.separate.clone(),
         tables: host.followed.word(now, ask.upstreams_from),
     }
 }
@@ -128,6 +129,7 @@
             engines,
             work,
             ready_in_ms,
+            separate,
             tables,
         } => {
             if !host.is_orderer() && host.followed.take_word(asked_at, tables) {
@@ -140,6 +142,7 @@
             }
             view.take_work(work);
             view.take_ready(now, ready_in_ms);
+            view.take_separate(separate);
             view.answers += 1;
             drop(view);
             host.note_change();
--- a/src/ordering/adapters.rs
+++ b/src/ordering/adapters.rs
@@ -46,7 +46,10 @@
         let ids = self
             .engines()
             .filter(|engine| engine.holds_model(&ask.model));
-        let for_short = short_copies(&ask.model, ids.map(|engine| &engine.id));
+        let for_short = match self.book.is_separate(self.now, &ask.model) {
+            true => short_copies(&ask.model, ids.map(|engine| &engine.id)),
+            false => Vec::new(),
+        };
         let with_place = holding()
             .filter(|engine| engine.adapter_places(self.now) < places)
             .filter(|engine| {
--- a/src/ordering/book.rs
+++ b/src/ordering/book.rs
@@ -4,6 +4,7 @@
 use crate::ordering::demand::AskCount;
 use crate::prelude::*;
 use crate::routing::pick::Work;
+use crate::routing::roles::has_both_kinds;
 
 /// How fast a rate forgets: busy models change every few seconds.
 const HALF_LIFE_MS: f64 = 5_000.0;
@@ -140,6 +141,19 @@
         models
     }
 
+    /// Returns the models whose copies are kept apart for long and for short prompts.
+    pub fn separate(&self, now: Millis) -> Vec<Name> {
+        let models = self.models(now).into_iter();
+        let separate = models.filter(|(_, demand)| demand.has_both_kinds());
+        separate.map(|(model, _)| model.clone()).collect()
+    }
+
+    /// Tells whether the copies of a model are kept apart for long and for short prompts.
+    pub fn is_separate(&self, now: Millis, model: &Name) -> bool {
+        let models = self.models(now);
+        models.get(model).is_some_and(ModelDemand::has_both_kinds)
+    }
+
     /// Returns the work at each engine of all hosts but one.
     pub fn work_of_others(&self, host: u64) -> Vec<(Name, Work)> {
         let mut all: IndexMap<Name, Work> = IndexMap::new();
@@ -204,3 +218,10 @@
     /// When it was asked for last.
     pub last_at: Option<Millis>,
 }
+
+impl ModelDemand {
+    /// Tells whether the model is asked with long and with short prompts.
+    pub fn has_both_kinds(&self) -> bool {
+        has_both_kinds(self.long_per_s, self.per_s - self.long_per_s)
+    }
+}
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -107,6 +107,8 @@
         work: Vec<(Name, Work)>,
         /// How long until models are expected to be ready.
         ready_in_ms: Vec<(ModelAsk, Millis)>,
+        /// The models whose copies are kept apart for long and for short prompts.
+        separate: Vec<Name>,
         /// How new the platform's tables are.
         tables: TablesWord,
     },
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -31,10 +31,8 @@
 const COPIES_PART: f64 = 0.5;
 /// How long ago a model was asked for at most to be loaded, or to get another copy.
 const RECENT_MS: Millis = Millis(2_500);
-/// The rates of long and of short prompts, and the weights in megabytes, from which a model gets a copy for each: below
-/// them streams are seldom late.
-const LONG_PER_S: f64 = 0.5;
-const SHORT_PER_S: f64 = 0.7;
+/// The weights in megabytes from which a model that is asked with long and with short prompts gets a copy for each: prompts
+/// of smaller ones are read so fast that streams are seldom late.
 const SEPARATE_MB: f64 = 20_000.0;
 /// How long a model that was loaded stays at least: callers come back for it within seconds.
 const STAY_MS: Millis = Millis(3_000);
@@ -191,11 +189,8 @@
         let most = ((self.engines().count() as f64 * COPIES_PART) as usize).max(1);
         let speed = PROMPT_TOKENS_PER_S * LARGE_MB / spec.weights_mb.max(1.0);
         let by_reading = (demand.tokens_per_s / speed / BUSY_SHARE).ceil() as usize;
-        let short_per_s = demand.per_s - demand.long_per_s;
-        let has_both_kinds = spec.weights_mb >= SEPARATE_MB
-            && demand.long_per_s >= LONG_PER_S
-            && short_per_s >= SHORT_PER_S;
-        let by_kind = 1 + usize::from(has_both_kinds);
+        let is_separate = spec.weights_mb >= SEPARATE_MB && demand.has_both_kinds();
+        let by_kind = 1 + usize::from(is_separate);
         by_reading
             .max(self.copies_by_slots(demand.running))
             .max(by_kind)
--- a/src/ordering/view.rs
+++ b/src/ordering/view.rs
@@ -36,6 +36,7 @@
     engines: IndexMap<Lifetime, IndexSet<ModelAsk>>,
     work: IndexMap<Name, Work>,
     ready_at: IndexMap<ModelAsk, Millis>,
+    separate: IndexSet<Name>,
     lacking: IndexMap<(Name, ModelAsk), Lacking>,
 }
 
@@ -72,6 +73,16 @@
         self.work = work.into_iter().collect();
     }
 
+    /// Takes the models whose copies are kept apart for long and for short prompts.
+    pub fn take_separate(&mut self, models: Vec<Name>) {
+        self.separate = models.into_iter().collect();
+    }
+
+    /// Tells whether the copies of a model are kept apart for long and for short prompts.
+    pub fn is_separate(&self, model: &str) -> bool {
+        self.separate.contains(model)
+    }
+
     /// Takes when models are expected to be ready.
     pub fn take_ready(&mut self, now: Millis, ready_in_ms: Vec<(ModelAsk, Millis)>) {
         self.ready_at = ready_in_ms
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -49,17 +49,29 @@
     pub tokens: u64,
 }
 
+/// What the choice of an engine needs of the model.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelCopies<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Whether its copies are kept apart for long and for short prompts.
+    pub are_separate: bool,
+}
+
 /// Chooses an engine among those that hold the model: the least predicted wait, in prompt tokens.
 pub fn engine<'a>(
     now: Millis,
-    model: &str,
+    model: &ModelCopies<'_>,
     candidates: impl Iterator<Item = (&'a Upstream, Work)>,
     prompt: PromptShape,
     occupancy: Occupancy,
 ) -> Option<&'a Upstream> {
     let holders: Vec<_> = candidates.collect();
     let ids = holders.iter().map(|(upstream, _)| &upstream.entry.id);
-    let short_copies = short_copies(model, ids);
+    let short_copies = match model.are_separate {
+        true => short_copies(model.name, ids),
+        false => Vec::new(),
+    };
     let is_long = is_long(prompt.tokens);
     let is_off_role = |id: &Name| !short_copies.is_empty() && short_copies.contains(&id) == is_long;
     let candidates: Vec<_> = holders
--- a/src/routing/roles.rs
+++ b/src/routing/roles.rs
@@ -15,6 +15,16 @@
     prompt_tokens >= LONG_PROMPT_TOKENS
 }
 
+/// The rates of long and of short prompts from which the copies of a model are kept apart: below them streams are
+/// seldom late, and a copy kept for one kind only leaves the slots of the others unused.
+const LONG_PER_S: f64 = 0.5;
+const SHORT_PER_S: f64 = 0.7;
+
+/// Tells whether a model is asked with both kinds of prompts so often that its copies are kept apart.
+pub fn has_both_kinds(long_per_s: f64, short_per_s: f64) -> bool {
+    long_per_s >= LONG_PER_S && short_per_s >= SHORT_PER_S
+}
+
 /// Of so many copies one is kept for short prompts: these are about a tenth of the tokens.
 const COPIES_FOR_EACH_SHORT: usize = 3;
 
