--- a/src/ordering/tests/planner.rs
+++ b/src/ordering/tests/planner.rs
@@ -71,6 +71,16 @@
         }
     }
 
+    /// Lets an engine that holds nothing report that it has a model's weights on its disk.
+    fn has_at_hand(&mut self, engine: usize, model: &str) {
+        let report = EngineReport {
+            at_hand: Some(vec![model.into()]),
+            ..EngineReport::default()
+        };
+        let id = Name::from(format!("e{engine}"));
+        self.ledger.take_report(NOW, &id, Some(report));
+    }
+
     fn ask(&mut self, host: u64, at: Millis, asks: &[(ModelAsk, AskCount)]) {
         self.book.take(at, host, asks.to_vec(), Vec::new());
     }
@@ -404,3 +414,82 @@
         .take_answer(NOW, "e0", &order, silent, LoadTime::default());
     assert_eq!(site.ledger.store_loads(), 1);
 }
+
+/// The pattern: one busy model of which the answers keep slots for seconds, with prompts that are read quickly. Counted at
+/// a site of 24 slots an engine: 150 requests under way at five engines, half of their first events late.
+#[test]
+fn a_model_gets_copies_for_the_slots_that_its_requests_keep() {
+    let copies = |running| {
+        let mut engines: [&[&str]; 10] = [&[]; 10];
+        engines[0] = &["m0"];
+        let mut site = Site::new(spec(60.0, &[50.0]), &engines);
+        site.spec.slots = 24;
+        (1..10).for_each(|engine| site.has_at_hand(engine, "m0"));
+        let busy = AskCount {
+            asked: 10,
+            running,
+            ..waiting(0)
+        };
+        site.ask(1, NOW, &[(model("m0"), busy)]);
+        1 + site.plan_all().len()
+    };
+    // Slots are filled to 0.6, and half of the engines get copies of one model at most.
+    assert_eq!(copies(14), 1);
+    assert_eq!(copies(15), 2);
+    assert_eq!(copies(50), 4);
+    assert_eq!(copies(500), 5);
+}
+
+/// The pattern: busy models change every few seconds, and the engines of formerly busy ones never stand still, since they
+/// run other models' requests.
+#[test]
+fn a_copy_beyond_what_its_demand_needs_makes_way_for_a_busier_model() {
+    let engines: [&[&str]; 4] = [&["m0", "m1"], &["m1"], &["m1"], &["m1"]];
+    let mut site = Site::new(spec(110.0, &[50.0, 50.0, 50.0]), &engines);
+    site.spec.slots = 24;
+    let counts = |running| AskCount {
+        asked: 3,
+        running,
+        ..waiting(0)
+    };
+    // Every engine runs something for the model that is fading.
+    let work = |n: usize| {
+        let work = Work {
+            running: 1,
+            ..Work::default()
+        };
+        (Name::from(format!("e{n}")), work)
+    };
+    let demand = vec![(model("m0"), counts(40)), (model("m1"), counts(4))];
+    site.book.take(NOW, 1, demand, (0..4).map(work).collect());
+    site.spec.weights_mb = 60.0;
+    let planned = site.next(NOW).expect("an order");
+    assert_eq!((planned.action, planned.ask), (Action::Unload, model("m1")));
+    assert_eq!(planned.makes_way_for.as_deref(), Some("m0"));
+}
+
+/// One more copy of a busy model at an engine whose slots are taken would help nobody.
+#[test]
+fn an_extra_copy_goes_to_an_engine_with_free_slots() {
+    let engines: [&[&str]; 4] = [&["m0"], &["m1"], &["m1"], &["m1"]];
+    let mut site = Site::new(spec(110.0, &[50.0, 50.0]), &engines);
+    site.spec.slots = 24;
+    let counts = |running| AskCount {
+        asked: 3,
+        running,
+        ..waiting(0)
+    };
+    let work = |n: usize, running| {
+        let work = Work {
+            running,
+            ..Work::default()
+        };
+        (Name::from(format!("e{n}")), work)
+    };
+    let demand = vec![(model("m0"), counts(20)), (model("m1"), counts(22))];
+    let used = vec![work(0, 20), work(1, 22), work(2, 0), work(3, 22)];
+    site.book.take(NOW, 1, demand, used);
+    let planned = site.next(NOW).expect("an order");
+    assert_eq!((planned.action, planned.ask), (Action::Load, model("m0")));
+    assert_eq!(&*planned.engine, "e2");
+}
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of routing.
 
+mod pick;
+
 use crate::membership::message::{UpstreamEntry, UpstreamRole};
 use crate::prelude::*;
 use crate::routing::first_byte::{FirstByteTimes, GREATEST_BOUND_MS, LEAST_BOUND_MS, MAX_SAMPLES};
--- /dev/null
+++ b/src/routing/tests/pick.rs
@@ -0,0 +1,95 @@
+//! Which engine gets a request, by what is under way there.
+
+use crate::prelude::*;
+use crate::routing::occupancy::Occupancy;
+use crate::routing::pick::{self, ModelCopies, PromptShape, Work};
+use crate::upstreams::{Registry, UpstreamEntry};
+
+const SLOTS: u32 = 24;
+
+fn engines(count: usize) -> Registry {
+    let mut registry = Registry::default();
+    for number in 0..count {
+        registry.put(UpstreamEntry {
+            id: format!("e{number}").into(),
+            born_at: Millis::ZERO,
+            service: "s".into(),
+            address: ([127, 0, 0, 1], 80).into(),
+            data_centre: "here".into(),
+            slots: SLOTS,
+            leaving: false,
+            order_count: 0,
+            models: Vec::new(),
+        });
+    }
+    registry
+}
+
+fn short_prompt(beginning: u64) -> PromptShape {
+    PromptShape {
+        beginning,
+        shared_tokens: 170,
+        tokens: 700,
+    }
+}
+
+/// Sends requests one after the other, each to the engine that is chosen for it, and returns how many each engine got.
+fn spread(requests: u64, are_separate: bool) -> Vec<u32> {
+    let registry = engines(4);
+    let mut running: IndexMap<Name, u32> = registry
+        .iter()
+        .map(|upstream| (upstream.entry.id.clone(), 0))
+        .collect();
+    for request in 0..requests {
+        let with_work = registry.iter().map(|upstream| {
+            let work = Work {
+                running: running[&upstream.entry.id],
+                ..Work::default()
+            };
+            (upstream, work)
+        });
+        let copies = ModelCopies {
+            name: "m",
+            are_separate,
+        };
+        // All prompts share one beginning, which has its home at one of the engines.
+        let prompt = short_prompt(request % 2);
+        let chosen = pick::engine(NOW, &copies, with_work, prompt, Occupancy::default());
+        let chosen = chosen.expect("an engine").entry.id.clone();
+        running[&chosen] += 1;
+    }
+    running.into_values().collect()
+}
+
+const NOW: Millis = Millis(1_000);
+
+/// The pattern: many short prompts for one model with several copies and no long ones. Kept apart, a third of the copies
+/// got all of them until each had some ninety requests more than the others, at 24 slots an engine.
+#[test]
+fn copies_share_short_prompts_where_no_long_ones_come() {
+    let running = spread(4 * 20, false);
+    assert!(
+        running.iter().all(|running| *running <= SLOTS),
+        "{running:?}"
+    );
+}
+
+/// Where both kinds come, the copy for short prompts gets the short ones as long as its queue is no worse.
+#[test]
+fn copies_that_are_kept_apart_take_their_own_kind() {
+    let running = spread(10, true);
+    assert_eq!(running.iter().filter(|running| **running > 0).count(), 1);
+}
+
+/// An engine past its slots costs the time until one is free, as this host's answers show it.
+#[test]
+fn the_wait_for_a_slot_follows_how_long_answers_keep_one() {
+    let mut occupancy = Occupancy::default();
+    (0..500).for_each(|_| occupancy.note(Millis(2_400)));
+    assert_eq!(occupancy.wait_ms(SLOTS, SLOTS - 1), 0.0);
+    let one_ahead_ms = occupancy.wait_ms(SLOTS, SLOTS);
+    assert!((99.0..101.0).contains(&one_ahead_ms), "{one_ahead_ms}");
+    let ten_ahead_ms = occupancy.wait_ms(SLOTS, SLOTS + 9);
+    assert!((990.0..1_010.0).contains(&ten_ahead_ms), "{ten_ahead_ms}");
+    assert_eq!(occupancy.wait_ms(0, 50), 0.0);
+}
