Pass over engines that said they are full, run requests at one priority, give a new process no share of the slack

Now an engine that refused is passed over until some slots should be free, and the slack counts from one window after a process began. Priorities: engines put running streams back for more urgent ones.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -215,7 +215,6 @@
     let facts = SendFacts {
         left_ms,
         upstream,
-        rank: ask.at_engine.then_some(ask.route.rank),
         resume_after,
     };
     host.platform.address_request(&mut headers, &facts);
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -29,6 +29,7 @@
     pub platform: P,
     /// The time.
     pub clock: Clock,
+    started_at: Millis,
     /// Counters and latencies.
     pub metrics: EntryMetrics,
     /// Kept connections to upstreams.
@@ -84,6 +85,7 @@
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             platform,
+            started_at: clock.now(),
             clock,
             metrics,
             pool: Pool::default(),
@@ -264,7 +266,7 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(rule));
+            .or_insert_with(|| RetryBudget::new(rule, self.started_at));
         with(budget)
     }
 }
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -48,8 +48,6 @@
     pub left_ms: Millis,
     /// The lifetime of the upstream that is to run it.
     pub upstream: &'a str,
-    /// Its rank at an engine; 0 is the most urgent.
-    pub rank: Option<u8>,
     /// The last event that the caller has, where a stream goes on.
     pub resume_after: Option<&'a str>,
 }
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -199,6 +199,9 @@
             if facts.not_run {
                 keep(host, &upstream.id, connection, &head, reader);
                 attempt.note("not_run", status, None);
+                if ask.at_engine && !facts.lacks_model {
+                    note_full(host, ask, upstream, now);
+                }
                 return Sent::NotRun {
                     lacks_model: facts.lacks_model,
                 };
@@ -446,6 +449,15 @@
     }
 }
 
+/// Takes note that an engine refused a request as full. Without it the engine looks idle, draws more requests than any
+/// other, and refuses each: one that held a busy model refused 250 a second, and used up the budget of repeated sends.
+fn note_full<P: Platform>(host: &Host<P>, ask: &Ask, upstream: &Lifetime, now: Millis) {
+    let occupancy = host.occupancy(&ask.service);
+    if let Some(view) = host.upstreams.borrow_mut().get_lifetime_mut(upstream) {
+        view.full_until = now + occupancy.full_ms(view.entry.slots);
+    }
+}
+
 fn note_success<P: Platform>(host: &Host<P>, upstream: &Lifetime, now: Millis) {
     if let Some(view) = host.upstreams.borrow_mut().get_lifetime_mut(upstream) {
         view.health.note_success(now);
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -21,19 +21,22 @@
 /// Counts the requests and repeated sends of one service at one host.
 ///
 /// The sum over hosts keeps the rule without messages: a host's own requests count only for itself, and
-/// the slack is divided by the members known.
+/// the slack is divided by the members known. A process that started less than a window ago has no share of the slack:
+/// the one before it on its host may have used that up, and in a restart of all hosts the slack would count twice.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     rule: BudgetRule,
+    slack_from: Millis,
     requests: VecDeque<Millis>,
     repeats: VecDeque<Millis>,
 }
 
 impl RetryBudget {
-    /// Makes an unused budget.
-    pub fn new(rule: BudgetRule) -> Self {
+    /// Makes an unused budget of a process that started at a time.
+    pub fn new(rule: BudgetRule, started_at: Millis) -> Self {
         Self {
             rule,
+            slack_from: started_at + rule.window_ms,
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
         }
@@ -49,7 +52,10 @@
     /// the budget; 0 counts as 1.
     pub fn take(&mut self, now: Millis, members: usize) -> bool {
         self.forget_old(now);
-        let share = self.rule.slack / members.max(1) as f64;
+        let share = match now >= self.slack_from {
+            true => self.rule.slack / members.max(1) as f64,
+            false => 0.0,
+        };
         let earned = self.rule.ratio * self.requests.len() as f64;
         let allowed = (share + earned) * USED_PART;
         let is_allowed = ((self.repeats.len() + 1) as f64) <= allowed;
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -10,15 +10,18 @@
 };
 
 #[test]
-fn hosts_together_stay_within_the_rule_in_every_window() {
+fn hosts_together_stay_within_the_rule_in_every_window_whatever_restarts() {
     arbtest::arbtest(|u| {
         let hosts = usize::from(u.int_in_range(1..=12u8)?);
-        let mut budgets = vec![RetryBudget::new(RULE); hosts];
+        let mut budgets = vec![RetryBudget::new(RULE, Millis::ZERO); hosts];
         let mut now = Millis(1_000_000);
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         for _ in 0..u.int_in_range(0..=400u16)? {
             now += Millis(u.int_in_range(0..=200u64)?);
             let host = u.choose_index(hosts)?;
+            if u.ratio(1, 20)? {
+                budgets[host] = RetryBudget::new(RULE, now);
+            }
             match u.arbitrary()? {
                 true => {
                     budgets[host].note_request(now);
@@ -40,9 +43,10 @@
 
 #[test]
 fn a_budget_comes_back_when_its_window_has_passed() {
-    let mut budget = RetryBudget::new(RULE);
-    let taken = (0..100).filter(|_| budget.take(Millis(0), 1)).count();
+    let mut budget = RetryBudget::new(RULE, Millis(0));
+    assert!(!budget.take(Millis(9_999), 1));
+    let taken = (0..100).filter(|_| budget.take(Millis(10_000), 1)).count();
     assert_eq!(taken, 43);
-    assert!(!budget.take(Millis(10_000), 1));
-    assert!(budget.take(Millis(10_001), 1));
+    assert!(!budget.take(Millis(20_000), 1));
+    assert!(budget.take(Millis(20_001), 1));
 }
--- a/src/routing/occupancy.rs
+++ b/src/routing/occupancy.rs
@@ -11,6 +11,12 @@
 /// The weight of the newest answer: about the last fifty count, some seconds of one host's answers.
 const NEWEST_WEIGHT: f64 = 0.04;
 
+/// How many slots must become free for an engine that was full to be asked again: hosts that all ask at once would fill one
+/// with the first and be refused with the rest.
+const FREED_SLOTS: f64 = 6.0;
+/// The longest time for which an engine counts as full: callers wait half a second for a first event at the least.
+const FULL_MS_AT_MOST: Millis = Millis(500);
+
 /// The mean time for which requests of a service keep a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct Occupancy {
@@ -31,6 +37,12 @@
         self.mean_ms += (took_ms.0 as f64 - self.mean_ms) * NEWEST_WEIGHT;
     }
 
+    /// Returns how long an engine that refused a request as full is taken to be full: until a few of its slots are free.
+    pub fn full_ms(&self, slots: u32) -> Millis {
+        let slot_ms = self.mean_ms / f64::from(slots.max(1));
+        Millis((slot_ms * FREED_SLOTS) as u64).min(FULL_MS_AT_MOST)
+    }
+
     /// Returns how long one more request waits for a slot of an engine that has `under_way` others, in milliseconds.
     pub fn wait_ms(&self, slots: u32, under_way: u32) -> f64 {
         if slots == 0 {
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -77,7 +77,7 @@
     let candidates: Vec<_> = holders
         .iter()
         .copied()
-        .filter(|(upstream, _)| is_open(now, upstream))
+        .filter(|(upstream, _)| is_open(now, upstream) && now >= upstream.full_until)
         .collect();
     let home = candidates
         .iter()
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -26,6 +26,8 @@
     pub prompt_tokens: u64,
     /// How many of these requests have long prompts.
     pub long_prompts: u32,
+    /// Until when the upstream counts as full, since it said so.
+    pub full_until: Millis,
     vanished_at: Option<Millis>,
 }
 
@@ -37,6 +39,7 @@
             in_flight: 0,
             prompt_tokens: 0,
             long_prompts: 0,
+            full_until: Millis::ZERO,
             vanished_at: None,
         }
     }
