--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -13,7 +13,7 @@
 use crate::entry::relay::{self, Relayed};
 use crate::entry::send::{self, Sent, StartedAnswer};
 use crate::entry::tries::Tries;
-use crate::entry::waiting::{wait_for_turn, wait_for_upstream};
+use crate::entry::waiting::{too_late, wait_for_turn, wait_for_upstream};
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 
@@ -47,6 +47,11 @@
                 Err(refusal) => return refuse(host, ask, out, log, refusal).await,
             }
         };
+        if tries.runs == 0
+            && let Some(refusal) = too_late(host, ask, &upstream)
+        {
+            return refuse(host, ask, out, log, refusal).await;
+        }
         if tries.sends > 0 && !tries.may_repeat(host, ask) {
             return give_up(host, ask, out, log, tries).await;
         }
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -117,6 +117,32 @@
     own + host.view.borrow().work(upstream).long_prompts == 0
 }
 
+/// Returns the refusal of a request of which the first event would come after its caller has left, by the slots that are
+/// taken at the best engine and how long answers keep one.
+pub fn too_late<P: Platform>(host: &Host<P>, ask: &Ask, upstream: &Name) -> Option<Refusal> {
+    if !ask.at_engine {
+        return None;
+    }
+    let now = host.now();
+    let wait_ms = slot_wait_ms(host, ask, upstream)?;
+    let left_ms = ask.begins_by.since(now + BEGIN_MARGIN_MS);
+    if wait_ms <= left_ms {
+        return None;
+    }
+    let why = "the first event would come after the caller has left";
+    Some(Refusal::new(ErrorKind::Overloaded, why).after((wait_ms - left_ms).max(BUSY_COME_BACK_MS)))
+}
+
+fn slot_wait_ms<P: Platform>(host: &Host<P>, ask: &Ask, upstream: &Name) -> Option<Millis> {
+    let upstreams = host.upstreams.borrow();
+    let engine = upstreams.get(upstream)?;
+    let under_way = host.view.borrow().work(upstream).under_way(engine);
+    let occupancy = host.occupancy(&ask.service);
+    Some(Millis(
+        occupancy.wait_ms(engine.entry.slots, under_way) as u64
+    ))
+}
+
 /// Returns until when a request does well to wait for an upstream, or the refusal when it cannot be in time.
 fn patient_until<P: Platform>(
     host: &Host<P>,
