--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -19,10 +19,6 @@
 const OFF_ROLE_TOKENS: f64 = 14_000.0;
 /// Prompt tokens that an engine reads in a millisecond: what a wait is worth against prompts that are read anew.
 const TOKENS_PER_MS: f64 = 38.0;
-/// Engines that are drawn at random for the choice. Hosts know each other's work with a delay of up to a second; if all
-/// chose the best engine they would fill it together. Of two drawn ones the better is chosen, so that a request seldom
-/// goes to a bad one and no engine draws all of them: 0.03 of the payoff on calm days of two sites.
-const DRAWN: usize = 2;
 /// What an upstream that fails every request costs, in prompt tokens: more than any queue that is worth waiting in.
 const FAILING_TOKENS: f64 = 60_000.0;
 /// What a request under way at a plain service costs, in shares of the upstream's slots, against failures.
@@ -76,7 +72,6 @@
     candidates: impl Iterator<Item = (&'a Upstream, Work)>,
     prompt: PromptShape,
     occupancy: Occupancy,
-    random: &mut fastrand::Rng,
 ) -> Option<&'a Upstream> {
     let holders: Vec<_> = candidates.collect();
     let ids = holders.iter().map(|(upstream, _)| &upstream.entry.id);
@@ -96,7 +91,6 @@
         .filter(|(upstream, _)| !is_off_role(&upstream.entry.id))
         .max_by_key(|(upstream, _)| affinity(&upstream.entry.id, prompt.beginning))
         .map(|(upstream, _)| upstream.entry.id.clone());
-    let candidates = some_of(candidates, home.as_ref(), random);
     let cost = |(upstream, others): &(&Upstream, Work)| {
         let prompt_tokens = upstream.prompt_tokens + others.prompt_tokens;
         let under_way = others.under_way(upstream);
@@ -144,19 +138,6 @@
     least(candidates, cost)
 }
 
-/// Draws the engines among which the choice is made: a few at random, and the home of the prompt's beginning.
-fn some_of<'a>(
-    mut candidates: Vec<(&'a Upstream, Work)>,
-    home: Option<&Name>,
-    random: &mut fastrand::Rng,
-) -> Vec<(&'a Upstream, Work)> {
-    random.shuffle(&mut candidates);
-    // The sort is stable: behind the home the order stays random.
-    candidates.sort_by_key(|(upstream, _)| Some(&upstream.entry.id) != home);
-    candidates.truncate(DRAWN + usize::from(home.is_some()));
-    candidates
-}
-
 fn is_open(now: Millis, upstream: &Upstream) -> bool {
     !upstream.health.is_resting(now)
 }
