--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -33,6 +33,7 @@
                 with_work,
                 prompt_shape(&ask.facts),
                 host.occupancy(&ask.service),
+                &mut fastrand::Rng::new(),
             )
         }
         _ => {
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -72,6 +72,7 @@
     candidates: impl Iterator<Item = (&'a Upstream, Work)>,
     prompt: PromptShape,
     occupancy: Occupancy,
+    random: &mut fastrand::Rng,
 ) -> Option<&'a Upstream> {
     let holders: Vec<_> = candidates.collect();
     let ids = holders.iter().map(|(upstream, _)| &upstream.entry.id);
@@ -81,7 +82,7 @@
     };
     let is_long = is_long(prompt.tokens);
     let is_off_role = |id: &Name| !short_copies.is_empty() && short_copies.contains(&id) == is_long;
-    let candidates: Vec<_> = holders
+    let mut candidates: Vec<_> = holders
         .iter()
         .copied()
         .filter(|(upstream, _)| is_open(now, upstream) && now >= upstream.full_until)
@@ -91,6 +92,8 @@
         .filter(|(upstream, _)| !is_off_role(&upstream.entry.id))
         .max_by_key(|(upstream, _)| affinity(&upstream.entry.id, prompt.beginning))
         .map(|(upstream, _)| upstream.entry.id.clone());
+    // Of engines that cost the same the first is chosen; hosts that all had one order would fill it together.
+    random.shuffle(&mut candidates);
     let cost = |(upstream, others): &(&Upstream, Work)| {
         let prompt_tokens = upstream.prompt_tokens + others.prompt_tokens;
         let under_way = others.under_way(upstream);
--- a/src/routing/tests/pick.rs
+++ b/src/routing/tests/pick.rs
@@ -40,6 +40,7 @@
         .iter()
         .map(|upstream| (upstream.entry.id.clone(), 0))
         .collect();
+    let mut random = fastrand::Rng::with_seed(7);
     for request in 0..requests {
         let with_work = registry.iter().map(|upstream| {
             let work = Work {
@@ -55,7 +56,7 @@
         // All prompts share one beginning, which has its home at one of the engines.
         let prompt = short_prompt(request % 2);
         let occupancy = Occupancy::default();
-        let chosen = pick::engine(NOW, &copies, with_work, prompt, occupancy);
+        let chosen = pick::engine(NOW, &copies, with_work, prompt, occupancy, &mut random);
         let chosen = chosen.expect("an engine").entry.id.clone();
         running[&chosen] += 1;
     }
@@ -111,6 +112,7 @@
     let choose = |now| {
         let with_work = registry.iter().map(|upstream| (upstream, Work::default()));
         let occupancy = Occupancy::default();
+        let mut random = fastrand::Rng::with_seed(1);
         pick::engine(
             now,
             &copies,
@@ -124,3 +126,26 @@
     assert!(!choose(NOW));
     assert!(choose(NOW + full_ms));
 }
+
+/// The pattern: a model comes into demand at many hosts at the same moment, and its copies have nothing to do yet.
+#[test]
+fn hosts_that_see_equal_engines_do_not_all_choose_the_same() {
+    let registry = engines(4);
+    let copies = ModelCopies {
+        name: "m",
+        are_separate: false,
+    };
+    let choose = |host| {
+        let with_work = registry.iter().map(|upstream| (upstream, Work::default()));
+        let mut random = fastrand::Rng::with_seed(host);
+        let prompt = PromptShape {
+            shared_tokens: 0,
+            ..short_prompt(1)
+        };
+        let occupancy = Occupancy::default();
+        let chosen = pick::engine(NOW, &copies, with_work, prompt, occupancy, &mut random);
+        chosen.expect("an engine").entry.id.clone()
+    };
+    let chosen: IndexSet<Name> = (0..40).map(choose).collect();
+    assert_eq!(chosen.len(), 4);
+}
