Add up the demand once for all adapters that wait; one look at an engine's room; copies in a module of their own

Found in the last read, behaviour unchanged: the orderer added up the demand of all models anew for each adapter that callers wait for, at every plan, since copies are kept apart by demand; now once, and only when one waits.

--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -10,7 +10,7 @@
 use crate::http1::client::within;
 use crate::ordering::book::Book;
 use crate::ordering::ceiling::Ceiling;
-use crate::ordering::engine::Loaded;
+use crate::ordering::copy::Loaded;
 use crate::ordering::estimates::Pace;
 use crate::ordering::lease::Lease;
 use crate::ordering::ledger::Ledger;
--- a/src/ordering/adapters.rs
+++ b/src/ordering/adapters.rs
@@ -31,12 +31,17 @@
             })
             .collect();
         waiting.sort_by_key(|(_, asked)| std::cmp::Reverse(asked.waiting));
+        if waiting.is_empty() {
+            return None;
+        }
+        let separate = self.book.separate(self.now);
         waiting
             .into_iter()
-            .find_map(|(ask, _)| self.place_adapter(ask))
+            .find_map(|(ask, _)| self.place_adapter(ask, &separate))
     }
 
-    fn place_adapter(&self, ask: &ModelAsk) -> Option<Planned> {
+    /// Places one adapter; `separate` are the models whose copies are kept apart for long and for short prompts.
+    fn place_adapter(&self, ask: &ModelAsk, separate: &[Name]) -> Option<Planned> {
         let spec = self.spec.models.get(&ask.model)?;
         let places = self.spec.adapter_slots as usize;
         let holding = || {
@@ -46,15 +51,13 @@
         let ids = self
             .engines()
             .filter(|engine| engine.holds_model(&ask.model));
-        let for_short = match self.book.is_separate(self.now, &ask.model) {
+        let for_short = match separate.contains(&ask.model) {
             true => short_copies(&ask.model, ids.map(|engine| &engine.id)),
             false => Vec::new(),
         };
         let with_place = holding()
             .filter(|engine| engine.adapter_places(self.now) < places)
-            .filter(|engine| {
-                engine.used_mb(self.now, self.spec) + spec.adapter_mb <= self.spec.weights_mb
-            })
+            .filter(|engine| self.has_room(engine, spec.adapter_mb))
             // Most requests for adapters have short prompts.
             .min_by_key(|engine| (!for_short.contains(&&engine.id), engine.adapters.len()));
         if let Some(engine) = with_place {
@@ -125,9 +128,7 @@
         let engine = with_place
             .iter()
             .filter(|engine| engine.holds_model(&ask.model))
-            .filter(|engine| {
-                engine.used_mb(self.now, self.spec) + adapter_mb <= self.spec.weights_mb
-            })
+            .filter(|engine| self.has_room(engine, adapter_mb))
             .min_by_key(|engine| engine.adapters.len())?;
         Some(Planned {
             engine: engine.id.clone(),
--- a/src/ordering/book.rs
+++ b/src/ordering/book.rs
@@ -148,12 +148,6 @@
         separate.map(|(model, _)| model.clone()).collect()
     }
 
-    /// Tells whether the copies of a model are kept apart for long and for short prompts.
-    pub fn is_separate(&self, now: Millis, model: &Name) -> bool {
-        let models = self.models(now);
-        models.get(model).is_some_and(ModelDemand::has_both_kinds)
-    }
-
     /// Returns the work at each engine of all hosts but one.
     pub fn work_of_others(&self, host: u64) -> Vec<(Name, Work)> {
         let mut all: IndexMap<Name, Work> = IndexMap::new();
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::desired::EngineSpec;
 use crate::entry::platform::ModelAsk;
+use crate::ordering::copy::{Copy, LoadTime, Loaded};
 use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::ordering::view::EngineView;
 use crate::prelude::*;
@@ -10,8 +11,6 @@
 /// How long an adapter takes from the acceptance of its order until the engine runs requests with it, when few are on
 /// their way: it is fetched in 5 to 7 ms.
 const ADAPTER_MS: Millis = Millis(9);
-/// How long after the stated time a load from disk is taken for done.
-const READY_MARGIN_MS: Millis = Millis(25);
 /// How long an unload of a model that nobody uses takes; the next order is tried then, and refused by an engine that
 /// is not done.
 const UNLOAD_MS: Millis = Millis(130);
@@ -25,71 +24,6 @@
 /// How old the state that a report shows may be: reports lag by some hundred milliseconds.
 const REPORT_LAG_AT_MOST_MS: Millis = Millis(2_000);
 
-/// A model on an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Copy {
-    /// It can run.
-    Held,
-    /// It is being loaded.
-    Loading {
-        /// When the order was accepted.
-        since: Millis,
-        /// When it should be ready.
-        ready_at: Millis,
-        /// Whether the weights come from the weight store.
-        from_store: bool,
-        /// How many loads from the weight store ran beside it at most, itself included.
-        beside: usize,
-    },
-    /// It is being dropped.
-    Unloading,
-}
-
-impl Copy {
-    /// Tells whether the copy is being loaded from the weight store.
-    pub fn is_from_store(&self) -> bool {
-        matches!(
-            self,
-            Self::Loading {
-                from_store: true,
-                ..
-            }
-        )
-    }
-
-    /// Returns the load of the copy's model, as it is by now; nothing when it is not being loaded.
-    fn as_load(&self, now: Millis, model: &Name) -> Option<Loaded> {
-        match *self {
-            Self::Loading {
-                since,
-                from_store,
-                beside,
-                ..
-            } => Some(Loaded {
-                model: model.clone(),
-                took_ms: (since != Millis::NEVER).then(|| now.since(since)),
-                from_store,
-                beside,
-            }),
-            Self::Held | Self::Unloading => None,
-        }
-    }
-
-    /// Tells whether the copy can run, as far as that can be told. A load from the engine's own disk takes the stated
-    /// time, and the report of its end lags by some hundred milliseconds; an engine that is not ready says so.
-    pub fn should_run(&self, now: Millis) -> bool {
-        match self {
-            Self::Held => true,
-            Self::Loading {
-                ready_at,
-                from_store: false,
-                ..
-            } => *ready_at != Millis::NEVER && now >= *ready_at + READY_MARGIN_MS,
-            Self::Loading { .. } | Self::Unloading => false,
-        }
-    }
-}
-
 /// An order that was made and of which the outcome is not known.
 #[derive(Clone, Debug)]
 pub struct Pending {
@@ -265,13 +199,17 @@
         from_store.filter_map(move |(model, copy)| copy.as_load(now, model))
     }
 
+    fn lifetime(&self, born_at: Millis) -> Lifetime {
+        Lifetime {
+            id: self.id.clone(),
+            born_at,
+        }
+    }
+
     /// Begins anew with another start of the engine: it holds nothing, its count of orders begins at zero, and orders
     /// to the former start are void.
     pub(super) fn begin_lifetime(&mut self, now: Millis, born_at: Millis) {
-        let lifetime = Lifetime {
-            id: self.id.clone(),
-            born_at,
-        };
+        let lifetime = self.lifetime(born_at);
         let pending = self.pending.take().map(|pending| pending.order);
         let void = pending
             .map(|order| (order, now + VOID_ORDER_MS))
@@ -396,8 +334,7 @@
             .filter(|(ask, ready_at)| **ready_at <= now && self.holds_model(&ask.model))
             .map(|(ask, _)| ask.clone());
         EngineView {
-            upstream: self.id.clone(),
-            born_at: self.born_at,
+            engine: self.lifetime(self.born_at),
             held: models.chain(adapters).collect(),
         }
     }
@@ -490,25 +427,3 @@
         }
     }
 }
-
-/// A load that was seen to be done, or to be still under way.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Loaded {
-    /// The model.
-    pub model: Name,
-    /// How long it took so far; nothing when it is not known when it began, because its order got no answer.
-    pub took_ms: Option<Millis>,
-    /// Whether the weights came from the weight store.
-    pub from_store: bool,
-    /// How many loads from the weight store ran beside it at most, itself included.
-    pub beside: usize,
-}
-
-/// How long a load should take.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct LoadTime {
-    /// The time.
-    pub takes_ms: Millis,
-    /// Whether the weights come from the weight store.
-    pub from_store: bool,
-}
--- a/src/ordering/estimates.rs
+++ b/src/ordering/estimates.rs
@@ -5,7 +5,8 @@
 //! other, and loads that take longer than stated.
 
 use crate::entry::platform::ModelAsk;
-use crate::ordering::engine::{Copy, Engine};
+use crate::ordering::copy::Copy;
+use crate::ordering::engine::Engine;
 use crate::ordering::planner::Planner;
 use crate::prelude::*;
 
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -5,7 +5,8 @@
 //! report shows a higher number, its model counts as held, and no other order to that engine is made.
 
 use crate::entry::platform::ModelAsk;
-use crate::ordering::engine::{Copy, Engine, LoadTime, Loaded, Pending};
+use crate::ordering::copy::{Copy, LoadTime, Loaded};
+use crate::ordering::engine::{Engine, Pending};
 use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::ordering::view::EngineView;
 use crate::prelude::*;
--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -7,6 +7,7 @@
 pub mod adapters;
 pub mod book;
 pub mod ceiling;
+pub mod copy;
 pub mod demand;
 pub mod engine;
 pub mod estimates;
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -10,7 +10,8 @@
 use crate::entry::platform::ModelAsk;
 use crate::ordering::book::{Book, ModelDemand};
 use crate::ordering::ceiling::Ceiling;
-use crate::ordering::engine::{Copy, Engine, LoadTime};
+use crate::ordering::copy::{Copy, LoadTime};
+use crate::ordering::engine::Engine;
 use crate::ordering::ledger::Ledger;
 use crate::ordering::message::Action;
 use crate::prelude::*;
@@ -111,6 +112,15 @@
         self.engines().filter(|engine| engine.is_free(self.now))
     }
 
+    fn used_mb(&self, engine: &Engine) -> f64 {
+        engine.used_mb(self.now, self.spec)
+    }
+
+    /// Tells whether an engine has memory for weights of this size.
+    pub(super) fn has_room(&self, engine: &Engine, weights_mb: f64) -> bool {
+        self.used_mb(engine) + weights_mb <= self.spec.weights_mb
+    }
+
     /// Loads the model that is most wanted and not on enough engines.
     fn model_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
         let needs = self.needs();
@@ -238,8 +248,7 @@
             .filter(|engine| !engine.copies.contains_key(need.model))
             .filter(|engine| may_use_store || engine.at_hand.contains(need.model))
             .filter_map(|engine| {
-                let lacking_mb =
-                    engine.used_mb(self.now, self.spec) + spec.weights_mb - self.spec.weights_mb;
+                let lacking_mb = self.used_mb(engine) + spec.weights_mb - self.spec.weights_mb;
                 let (victims, lost) = self.victims(engine, lacking_mb, need, needs)?;
                 let from_store = match engine.at_hand.contains(need.model) {
                     true => 0.0,
@@ -350,14 +359,9 @@
         for (model, spec) in missing {
             let place = engines
                 .iter()
-                .filter(|engine| {
-                    engine.used_mb(self.now, self.spec) + spec.weights_mb <= self.spec.weights_mb
-                })
+                .filter(|engine| self.has_room(engine, spec.weights_mb))
                 // The tightest fit leaves room for the largest.
-                .max_by(|a, b| {
-                    a.used_mb(self.now, self.spec)
-                        .total_cmp(&b.used_mb(self.now, self.spec))
-                });
+                .max_by(|a, b| self.used_mb(a).total_cmp(&self.used_mb(b)));
             let Some(engine) = place else { continue };
             let is_at_hand = engine.at_hand.contains(model);
             if !is_at_hand
--- a/src/ordering/tests/view.rs
+++ b/src/ordering/tests/view.rs
@@ -1,5 +1,6 @@
 //! What a host believes of engines when the orderer's word and the engines' own differ.
 
+use super::fake_engine::only_start;
 use crate::entry::platform::ModelAsk;
 use crate::ordering::view::{EngineView, View};
 use crate::prelude::*;
@@ -13,8 +14,7 @@
 
 fn word(models: &[&str]) -> Vec<EngineView> {
     vec![EngineView {
-        born_at: Millis::ZERO,
-        upstream: "e".into(),
+        engine: only_start("e".into()),
         held: models.iter().map(|model| ask(model)).collect(),
     }]
 }
--- a/src/ordering/view.rs
+++ b/src/ordering/view.rs
@@ -14,12 +14,10 @@
 const OLD_WORD_MS: Millis = Millis(1_200);
 
 /// What one engine holds, as the orderer knows it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineView {
-    /// The engine's name.
-    pub upstream: Name,
-    /// The start of it that this is known of.
-    pub born_at: Millis,
+    /// The start of the engine that this is known of.
+    pub engine: Lifetime,
     /// What it holds: models by themselves, and adapters.
     pub held: Vec<ModelAsk>,
 }
@@ -53,13 +51,7 @@
         self.version = version;
         self.engines = engines
             .into_iter()
-            .map(|engine| {
-                let lifetime = Lifetime {
-                    id: engine.upstream,
-                    born_at: engine.born_at,
-                };
-                (lifetime, engine.held.into_iter().collect())
-            })
+            .map(|view| (view.engine, view.held.into_iter().collect()))
             .collect();
     }
 
