Hold organisations to their rate limits over all hosts, by levels told with the messages to the orderer

Each host admits by what the orderer last said is left of an organisation's bucket, less its own use since; use goes up with the messages that go there anyway, by slots of 250 ms, and is told again until it is heard. The orderer gives silent hosts' shares to nobody else; a host without the orderer's word goes by its relay's bucket, and alone by its share, with a chance for requests larger than that. What did not run is given back.

--- a/src/desired/routes.rs
+++ b/src/desired/routes.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Returns the organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.organisations.values()
+    }
+
     /// Returns an organisation.
     pub fn organisation(&self, name: &str) -> Option<&Arc<Organisation>> {
         self.organisations.get(name)
--- a/src/entry/ask.rs
+++ b/src/entry/ask.rs
@@ -41,6 +41,15 @@
     pub version: u64,
 }
 
+impl Ask {
+    /// Returns the name of the organisation that sent it.
+    pub fn organisation(&self) -> Option<&Name> {
+        self.identity
+            .organisation()
+            .map(|organisation| &organisation.name)
+    }
+}
+
 /// Makes the request under way of a head that was read, or the refusal when it cannot be served.
 pub fn prepare<P: Platform>(
     host: &Host<P>,
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -146,6 +146,7 @@
         }
         Ok(ask) => {
             log.course.request = ask.facts.id.clone();
+            log.course.organisation = ask.organisation().cloned();
             log.course.route = Some(ask.route.name.clone());
             log.course.version = ask.version;
             log.course.model = ask.facts.model.clone();
--- a/src/entry/course.rs
+++ b/src/entry/course.rs
@@ -19,6 +19,8 @@
 pub struct Course {
     /// The request.
     pub request: Option<Name>,
+    /// The organisation that sent it.
+    pub organisation: Option<Name>,
     /// Its route.
     pub route: Option<Name>,
     /// The version of the desired state.
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -9,6 +9,7 @@
 use crate::entry::choice::{choose, prefix_source};
 use crate::entry::course::{CourseLog, Ended};
 use crate::entry::host::Host;
+use crate::entry::limits::Charge;
 use crate::entry::platform::{Platform, SendFacts};
 use crate::entry::relay::{self, Relayed};
 use crate::entry::send::{self, Sent, StartedAnswer};
@@ -29,6 +30,10 @@
     out: &mut CallerSide,
     log: &mut CourseLog<'_, P>,
 ) -> Ended {
+    let mut charge = match Charge::take(host, ask) {
+        Ok(charge) => charge,
+        Err(refusal) => return refuse(host, ask, out, log, refusal).await,
+    };
     host.note_request(&ask.service);
     let _counted = Counted::new(host, ask);
     let mut tries = Tries::default();
@@ -59,7 +64,12 @@
             Some(upstream) => upstream,
             None => upstream,
         };
-        match try_upstream(host, ask, &upstream, &tries, log, None).await {
+        charge.note_send();
+        let sent = try_upstream(host, ask, &upstream, &tries, log, None).await;
+        if matches!(sent, Sent::NotSent | Sent::NotRun { .. }) {
+            charge.note_not_run();
+        }
+        match sent {
             Sent::Answered(answer) if tries.prefers_another(host, ask, &answer) => {
                 tries.keep_failure(answer);
             }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -16,6 +16,7 @@
 use crate::ordering::gather::Gather;
 use crate::ordering::view::View;
 use crate::prelude::*;
+use crate::rate_limit::Limiter;
 use crate::retry::RetryBudget;
 use crate::routing::occupancy::Occupancy;
 use crate::upstreams::Registry;
@@ -64,6 +65,8 @@
     pub demand: RefCell<crate::ordering::demand::Demand>,
     /// The retry budget of each service.
     pub budgets: RefCell<IndexMap<Name, RetryBudget>>,
+    /// What is left of the limits of organisations.
+    pub limiter: RefCell<Limiter>,
     /// How long requests of each service keep a slot, as this host's answers show.
     pub occupancy: RefCell<IndexMap<Name, Occupancy>>,
     /// When a planned stop was asked for.
@@ -92,7 +95,9 @@
         metrics: EntryMetrics,
         known_hosts: Arc<Known>,
     ) -> Rc<Self> {
+        let limiter = Limiter::new(clock.now(), settings.bounds.limit_tolerance);
         Rc::new(Self {
+            limiter: RefCell::new(limiter),
             settings: RefCell::new(Rc::new(settings)),
             platform,
             started_at: clock.now(),
--- /dev/null
+++ b/src/entry/limits.rs
@@ -0,0 +1,158 @@
+//! Rate limits of organisations on a request's way, and in the messages between hosts.
+
+use crate::desired::{RateLimit, RouteTable};
+use crate::entry::ask::Ask;
+use crate::entry::host::Host;
+use crate::entry::platform::Platform;
+use crate::prelude::*;
+use crate::rate_limit::limiter::Place;
+use crate::rate_limit::{Limiter, LimitsNews, Scope, Usage};
+
+/// What one request uses of its organisation's limit. What did not run is given back when it ends, however it ends.
+pub struct Charge<'a, P: Platform> {
+    host: &'a Host<P>,
+    ask: &'a Ask,
+    runs: u32,
+}
+
+impl<'a, P: Platform> Charge<'a, P> {
+    /// Takes a request's cost from the limit, where its organisation has one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the limit is reached.
+    pub fn take(host: &'a Host<P>, ask: &'a Ask) -> Result<Self, Refusal> {
+        if let Some((organisation, limit, cost)) = cost(ask) {
+            let point = fastrand::f64();
+            let admitted = with_limiter(host, |limiter, now, _| {
+                limiter.admit(now, organisation, limit, cost, point)
+            });
+            tell_if_scarce(host, organisation, limit);
+            if let Some(Err(refused)) = admitted {
+                let why = match refused.scope {
+                    Scope::Site => "the rate limit of the organisation is reached",
+                    Scope::Group => "this host's share of the organisation's rate limit is used up",
+                };
+                return Err(Refusal::new(ErrorKind::RateLimited, why).after(refused.retry_after_ms));
+            }
+        }
+        Ok(Self { host, ask, runs: 0 })
+    }
+
+    /// Takes note that the request is being sent: from now on it may run.
+    pub fn note_send(&mut self) {
+        self.runs += 1;
+        if self.runs > 1 {
+            note_extra_run(self.host, self.ask);
+        }
+    }
+
+    /// Takes note that what was sent last did not run.
+    pub fn note_not_run(&mut self) {
+        self.runs = self.runs.saturating_sub(1);
+        if self.runs > 0 {
+            give_back(self.host, self.ask);
+        }
+    }
+}
+
+impl<P: Platform> Drop for Charge<'_, P> {
+    fn drop(&mut self) {
+        if self.runs == 0 {
+            give_back(self.host, self.ask);
+        }
+    }
+}
+
+/// Counts one more run of a request.
+pub fn note_extra_run<P: Platform>(host: &Host<P>, ask: &Ask) {
+    if let Some((organisation, limit, cost)) = cost(ask) {
+        with_limiter(host, |limiter, now, _| {
+            limiter.note_run(now, organisation, limit, cost);
+        });
+    }
+}
+
+fn give_back<P: Platform>(host: &Host<P>, ask: &Ask) {
+    if let Some((organisation, limit, cost)) = cost(ask) {
+        with_limiter(host, |limiter, now, _| {
+            limiter.give_back(now, organisation, limit, cost);
+        });
+    }
+}
+
+fn cost(ask: &Ask) -> Option<(&Name, &RateLimit, u64)> {
+    let organisation = ask.identity.organisation()?;
+    let limit = organisation.rate_limit.as_ref()?;
+    Some((
+        &organisation.name,
+        limit,
+        limit.cost(ask.facts.counted_tokens),
+    ))
+}
+
+fn tell_if_scarce<P: Platform>(host: &Host<P>, organisation: &Name, limit: &RateLimit) {
+    let is_scarce = with_limiter(host, |limiter, now, _| {
+        limiter.is_scarce(now, organisation, limit)
+    });
+    if is_scarce == Some(true) {
+        host.note_want();
+    }
+}
+
+/// Takes the use that another host tells this one.
+pub fn take_usage<P: Platform>(host: &Host<P>, usage: &[Usage]) {
+    with_limiter(host, |limiter, now, table| {
+        limiter.take_usage(now, usage, table);
+    });
+}
+
+/// Returns the use that this host has to tell.
+pub fn report<P: Platform>(host: &Host<P>) -> Vec<Usage> {
+    with_limiter(host, |limiter, now, _| limiter.report(now)).unwrap_or_default()
+}
+
+/// Returns what others are told of what is left.
+pub fn news<P: Platform>(host: &Host<P>) -> Option<LimitsNews> {
+    with_limiter(host, |limiter, now, table| limiter.news(now, table))
+}
+
+/// Takes the answer to a message that told this host's use.
+pub fn take_reply<P: Platform>(host: &Host<P>, asked_at: Millis, news: Option<LimitsNews>) {
+    with_limiter(host, |limiter, _, _| {
+        limiter.settle();
+        if let Some(news) = news {
+            limiter.take_news(asked_at, news);
+        }
+    });
+}
+
+/// Calls the limiter with this host's present place in the site; not before there is a desired state.
+fn with_limiter<P: Platform, T>(
+    host: &Host<P>,
+    with: impl FnOnce(&mut Limiter, Millis, &RouteTable) -> T,
+) -> Option<T> {
+    let table = host.routes.borrow().clone()?;
+    let now = host.now();
+    let place = place(host);
+    let mut limiter = host.limiter.borrow_mut();
+    limiter.set_place(now, place, &table);
+    Some(with(&mut limiter, now, &table))
+}
+
+fn place<P: Platform>(host: &Host<P>) -> Place {
+    let members = host.members.borrow();
+    let members = members.known_at().map(|_| members.count());
+    match host.is_orderer() {
+        true => Place {
+            scope: Scope::Site,
+            heard: host.orders.borrow().book.heard(),
+            members,
+        },
+        false => Place {
+            scope: Scope::Group,
+            heard: 1 + host.gather.borrow().heard(),
+            members,
+        },
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
 pub mod forward;
 pub mod host;
 pub mod lease_keeper;
+pub mod limits;
 pub mod lines;
 pub mod members;
 pub mod metrics;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -7,6 +7,7 @@
 use crate::entry::course::CourseLog;
 use crate::entry::forward::try_upstream;
 use crate::entry::host::Host;
+use crate::entry::limits;
 use crate::entry::lines;
 use crate::entry::platform::Platform;
 use crate::entry::send::{Sent, StartedAnswer, keep, note_failure};
@@ -336,6 +337,7 @@
                 break;
             }
             let (host, ask, after) = (self.host, self.ask, Some(&*after));
+            limits::note_extra_run(host, ask);
             match try_upstream(host, ask, &upstream, self.tries, log, after).await {
                 Sent::Answered(answer) if answer.head.status == 200 => {
                     resumed = Some(answer);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -63,6 +63,9 @@
     pub directory_ttl_s: f64,
     /// The shortest time after which a silent member may be dropped from the group of hosts.
     pub member_lapse_ms: Millis,
+    /// What may be used beyond an organisation's limit, over all hosts, in the limit's unit.
+    #[serde(default)]
+    pub limit_tolerance: f64,
 }
 
 impl PlatformBounds {
@@ -157,6 +160,11 @@
                 "bounds.retry_window_s",
                 "from 0.001 to 3600",
             ),
+            (
+                !(0.0..=1e12).contains(&bounds.limit_tolerance),
+                "bounds.limit_tolerance",
+                "from 0 to 1000000000000",
+            ),
             (
                 !(0.001..=3_600.0).contains(&bounds.directory_ttl_s),
                 "bounds.directory_ttl_s",
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -2,6 +2,7 @@
 //! hold the other way.
 
 use crate::entry::host::Host;
+use crate::entry::limits;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
 use crate::group::Member;
@@ -39,12 +40,17 @@
 
 fn answer_as_orderer<P: Platform>(host: &Host<P>, ask: SyncAsk) -> SyncReply {
     let now = host.now();
+    if ask.incarnation != host.incarnation {
+        limits::take_usage(host, &ask.usage);
+    }
+    let limits = limits::news(host);
     let mut orders = host.orders.borrow_mut();
     let Some(holding) = orders.lease.holding().cloned() else {
-        return SyncReply::NoNews;
+        return SyncReply::NoNews { limits };
     };
     let wants = ask.demand.iter().any(|(_, count)| count.waiting > 0);
     orders.book.take(now, ask.incarnation, ask.demand, ask.work);
+    orders.book.note_through(ask.incarnation, ask.through);
     if wants {
         host.note_want();
     }
@@ -62,11 +68,14 @@
         separate: orders.separate.clone(),
         tables: host.followed.word(now, ask.upstreams_from),
         members: host.members.borrow().news_since(ask.members_generation),
+        limits,
     }))
 }
 
 fn answer_as_relay<P: Platform>(host: &Host<P>, ask: SyncAsk) -> SyncReply {
     let now = host.now();
+    limits::take_usage(host, &ask.usage);
+    let limits = limits::news(host);
     let mut gather = host.gather.borrow_mut();
     gather.take(now, ask.incarnation, ask.demand, ask.work);
     if ask.is_urgent {
@@ -75,7 +84,7 @@
     let view = host.view.borrow();
     let orderer = host.orders.borrow().holder().cloned();
     let (Some(answered_at), Some(orderer)) = (view.answered_at, orderer) else {
-        return SyncReply::NoNews;
+        return SyncReply::NoNews { limits };
     };
     let mut work = own_work(host);
     gather.add_work(Some(ask.incarnation), &mut work);
@@ -90,6 +99,7 @@
         separate: view.separate(),
         tables: host.followed.word(now, ask.upstreams_from),
         members: host.members.borrow().news_since(ask.members_generation),
+        limits,
     }))
 }
 
@@ -161,7 +171,7 @@
     let mut parents = host.parents.borrow_mut();
     match reply {
         Some(SyncReply::News(news)) => parents.note_answered(now, relay, Some(news.age_ms)),
-        Some(SyncReply::NoNews) => parents.note_answered(now, relay, None),
+        Some(SyncReply::NoNews { .. }) => parents.note_answered(now, relay, None),
         Some(SyncReply::NotOrderer { .. }) | None => {
             parents.note_failed(now, relay);
             return false;
@@ -209,6 +219,8 @@
     let mut gather = host.gather.borrow_mut();
     let demand = gather.take_demand(host.now(), host.demand.borrow_mut().take());
     gather.add_work(None, &mut work);
+    let through = gather.heard() as u32;
+    drop(gather);
     SyncAsk {
         incarnation: me.incarnation,
         is_for_orderer: false,
@@ -218,12 +230,14 @@
         work: work.into_iter().collect(),
         demand,
         upstreams_from: host.followed.wants_from(),
+        through,
+        usage: limits::report(host),
     }
 }
 
 fn take_reply<P: Platform>(host: &Host<P>, asked_at: Millis, reply: SyncReply) {
     match reply {
-        SyncReply::NoNews => {}
+        SyncReply::NoNews { limits } => limits::take_reply(host, asked_at, limits),
         SyncReply::NotOrderer { resignation, .. } => {
             let mut orders = host.orders.borrow_mut();
             match resignation {
@@ -248,7 +262,9 @@
         separate,
         tables,
         members,
+        limits,
     } = news;
+    limits::take_reply(host, asked_at, limits);
     if !host.is_orderer() {
         let mut orders = host.orders.borrow_mut();
         orders.note_told(orderer);
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -249,6 +249,7 @@
             order_lease_ms: Millis(3_000),
             directory_ttl_s: 5.0,
             member_lapse_ms: Millis(1_000),
+            limit_tolerance: 0.0,
         },
     }
 }
@@ -264,5 +265,7 @@
         demand: Vec::new(),
         work: Vec::new(),
         upstreams_from: None,
+        through: 0,
+        usage: Vec::new(),
     }
 }
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -99,7 +99,10 @@
 fn a_relay_that_has_heard_of_no_orderer_says_so() {
     on_site(|site| async move {
         make_relay(&site.host);
-        assert!(matches!(answer(&site.host, ask()), SyncReply::NoNews));
+        assert!(matches!(
+            answer(&site.host, ask()),
+            SyncReply::NoNews { .. }
+        ));
     });
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -25,6 +25,8 @@
     RequestIncomplete,
     /// The row's limit is reached.
     RowLimit,
+    /// The organisation's rate limit is reached.
+    RateLimited,
     /// Queues are full.
     Overloaded,
     /// The model cannot be ready before the deadline.
@@ -86,7 +88,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::BadRequest,
         Self::BadCredential,
         Self::Forbidden,
@@ -96,6 +98,7 @@
         Self::HeadTooLarge,
         Self::RequestIncomplete,
         Self::RowLimit,
+        Self::RateLimited,
         Self::Overloaded,
         Self::ColdStartTooLong,
         Self::NoCapacity,
@@ -127,6 +130,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::RequestIncomplete => "request_incomplete",
             Self::RowLimit => "row_limit",
+            Self::RateLimited => "rate_limited",
             Self::Overloaded => "overloaded",
             Self::ColdStartTooLong => "cold_start_too_long",
             Self::NoCapacity => "no_capacity",
@@ -165,6 +169,7 @@
             Self::HeadTooLarge => line(431, NotRun, false, "send fewer or shorter headers"),
             Self::RequestIncomplete => line(408, NotRun, true, "send the whole request"),
             Self::RowLimit => line(429, NotRun, true, "come back after the given time"),
+            Self::RateLimited => line(429, NotRun, true, "come back after the given time"),
             Self::Overloaded => line(503, NotRun, true, "come back after the given time"),
             Self::ColdStartTooLong => {
                 line(503, NotRun, true, "come back once the model can be ready")
--- a/src/ordering/book.rs
+++ b/src/ordering/book.rs
@@ -147,6 +147,16 @@
         self.hosts.running_at(engine)
     }
 
+    /// Takes note of how many hosts speak through one that speaks with this one.
+    pub fn note_through(&mut self, host: u64, through: u32) {
+        self.hosts.note_through(host, through);
+    }
+
+    /// Returns how many hosts were heard of late, those that speak through others included.
+    pub fn heard(&self) -> usize {
+        self.hosts.heard()
+    }
+
     /// Returns how many hosts spoke with this one of late.
     pub fn hosts(&self) -> usize {
         self.hosts.count()
--- a/src/ordering/gather.rs
+++ b/src/ordering/gather.rs
@@ -51,6 +51,11 @@
         sum.into_iter().collect()
     }
 
+    /// Returns how many hosts speak through this one.
+    pub fn heard(&self) -> usize {
+        self.hosts.heard()
+    }
+
     /// Adds the work of all hosts but one.
     pub fn add_work(&self, but: Option<u64>, sum: &mut IndexMap<Name, Work>) {
         self.hosts.add_work(but, sum);
--- a/src/ordering/host_reports.rs
+++ b/src/ordering/host_reports.rs
@@ -16,6 +16,8 @@
     /// Requests that wait or run, by what they ask for.
     present: Vec<(ModelAsk, AskCount)>,
     work: IndexMap<Name, Work>,
+    /// Hosts that speak through it.
+    through: u32,
 }
 
 /// The last messages by the incarnation of the host.
@@ -39,15 +41,30 @@
         }
         let is_present = |count: &AskCount| count.waiting > 0 || count.running > 0;
         let present = demand.into_iter().filter(|(_, count)| is_present(count));
+        let through = self.hosts.get(&host).map_or(0, |report| report.through);
         let report = HostReport {
             at: now,
             present: present.collect(),
             work: work.into_iter().collect(),
+            through,
         };
         self.hosts.insert(host, report);
         true
     }
 
+    /// Takes note of how many hosts speak through one that speaks with this one.
+    pub fn note_through(&mut self, host: u64, through: u32) {
+        if let Some(report) = self.hosts.get_mut(&host) {
+            report.through = through;
+        }
+    }
+
+    /// Returns how many hosts were heard of late, those that speak through others included.
+    pub fn heard(&self) -> usize {
+        let through = self.hosts.values().map(|report| report.through as usize);
+        self.hosts.len() + through.sum::<usize>()
+    }
+
     /// Forgets hosts that fell silent.
     pub fn expire(&mut self, now: Millis) {
         self.hosts
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -8,6 +8,7 @@
 use crate::ordering::lease::Resignation;
 use crate::ordering::published::{EnginesNews, EnginesVersion};
 use crate::prelude::*;
+use crate::rate_limit::{LimitsNews, Usage};
 use crate::routing::pick::Work;
 use crate::upstreams::HeldModel;
 
@@ -92,6 +93,10 @@
     pub work: Vec<(Name, Work)>,
     /// From where it wants rows of the list of upstreams.
     pub upstreams_from: Option<Offset>,
+    /// How many other hosts speak through it.
+    pub through: u32,
+    /// What organisations used at these hosts, as far as it was not told.
+    pub usage: Vec<Usage>,
 }
 
 /// What the orderer knows, for one host.
@@ -115,6 +120,8 @@
     pub tables: TablesWord,
     /// How the list of hosts changed, when the asker's is older.
     pub members: Option<MembersNews>,
+    /// What is left of the limits of organisations.
+    pub limits: Option<LimitsNews>,
 }
 
 /// A call between hosts.
@@ -151,7 +158,10 @@
         resignation: Option<Resignation>,
     },
     /// The host that was asked relays, but has not heard of an orderer.
-    NoNews,
+    NoNews {
+        /// What is left of the limits of organisations at the hosts of this relay.
+        limits: Option<LimitsNews>,
+    },
     /// What the orderer knows.
     News(Box<OrdererNews>),
 }
--- /dev/null
+++ b/src/rate_limit/tests/limiter.rs
@@ -0,0 +1,140 @@
+//! One host's decisions: what it admits alone, as the orderer, and by what it is told.
+
+use super::model::{START, TOLERANCE};
+use crate::desired::{DesiredState, LimitUnit, Organisation, RateLimit, RouteTable};
+use crate::prelude::*;
+use crate::rate_limit::limiter::{Limiter, Place, Scope};
+
+const LIMIT: RateLimit = RateLimit {
+    unit: LimitUnit::Requests,
+    per_s: 10.0,
+    burst: 10.0,
+};
+
+fn table() -> RouteTable {
+    let organisation = Organisation {
+        name: "o".into(),
+        rate_limit: Some(LIMIT),
+        ..Organisation::default()
+    };
+    RouteTable::new(DesiredState {
+        organisations: Some(vec![Arc::new(organisation)]),
+        ..DesiredState::default()
+    })
+}
+
+fn placed(scope: Scope, heard: usize, members: Option<usize>) -> Limiter {
+    let mut limiter = Limiter::new(START, 0.0);
+    let place = Place {
+        scope,
+        heard,
+        members,
+    };
+    limiter.set_place(START, place, &table());
+    limiter
+}
+
+fn admitted(limiter: &mut Limiter, now: Millis, count: usize) -> usize {
+    let admit = |_: &usize| limiter.admit(now, &"o".into(), &LIMIT, 1, 0.5).is_ok();
+    (0..count).filter(admit).count()
+}
+
+#[test]
+fn a_host_that_knows_no_other_admits_nothing() {
+    let mut limiter = placed(Scope::Group, 1, None);
+    assert_eq!(admitted(&mut limiter, START + Millis(60_000), 100), 0);
+}
+
+#[test]
+fn a_host_alone_admits_its_share() {
+    let mut limiter = placed(Scope::Group, 1, Some(2));
+    let mut all = 0;
+    for ms in (2_000..22_000).step_by(10) {
+        all += admitted(&mut limiter, START + Millis(ms), 1);
+    }
+    // Five a second for twenty seconds, and what the bucket held.
+    assert!((90..=105).contains(&all), "{all}");
+}
+
+#[test]
+fn the_orderer_of_a_whole_site_admits_the_limit_and_says_when_there_is_room() {
+    let mut limiter = placed(Scope::Site, 68, Some(68));
+    let now = START + Millis(60_000);
+    assert_eq!(admitted(&mut limiter, now, 100), 8);
+    let now = now + Millis(500);
+    assert_eq!(admitted(&mut limiter, now, 100), 3);
+    let refused = limiter
+        .admit(now, &"o".into(), &LIMIT, 1, 0.0)
+        .expect_err("the bucket is empty");
+    let later = now + refused.retry_after_ms;
+    assert_eq!(admitted(&mut limiter, later, 100), 1);
+}
+
+#[test]
+fn silent_hosts_keep_their_part() {
+    let mut limiter = placed(Scope::Site, 34, Some(68));
+    assert_eq!(admitted(&mut limiter, START + Millis(60_000), 100), 4);
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let mut limiter = placed(Scope::Site, 68, Some(68));
+    let now = START + Millis(60_000);
+    assert_eq!(admitted(&mut limiter, now, 100), 8);
+    limiter.give_back(now, &"o".into(), &LIMIT, 1);
+    assert_eq!(admitted(&mut limiter, now, 100), 1);
+}
+
+#[test]
+fn use_is_told_until_it_is_heard() {
+    let mut host = placed(Scope::Group, 1, Some(68));
+    let mut orderer = placed(Scope::Site, 68, Some(68));
+    let now = START + Millis(60_000);
+    host.take_news(now, orderer.news(now, &table()));
+    assert_eq!(admitted(&mut host, now, 3), 3);
+    let lost = host.report(now);
+    assert_eq!(host.report(now), lost);
+    orderer.take_usage(now, &host.report(now), &table());
+    host.settle();
+    assert!(host.report(now).is_empty());
+    assert_eq!(admitted(&mut orderer, now, 100), 5);
+}
+
+#[test]
+fn a_new_orderer_goes_on_from_what_it_was_told() {
+    let mut former = placed(Scope::Site, 68, Some(68));
+    let mut next = placed(Scope::Group, 1, Some(68));
+    let now = START + Millis(60_000);
+    assert_eq!(admitted(&mut former, now, 100), 8);
+    next.take_news(now, former.news(now, &table()));
+    let place = Place {
+        scope: Scope::Site,
+        heard: 68,
+        members: Some(68),
+    };
+    next.set_place(now, place, &table());
+    assert_eq!(admitted(&mut next, now, 100), 0);
+    assert_eq!(admitted(&mut next, now + Millis(1_000), 100), 8);
+}
+
+#[test]
+fn a_limit_smaller_than_one_request_is_served_after_a_pause() {
+    let small = RateLimit {
+        unit: LimitUnit::Tokens { uncounted: 200 },
+        per_s: 1_000.0,
+        burst: 1_000.0,
+    };
+    let mut limiter = Limiter::new(START, TOLERANCE);
+    let place = Place {
+        scope: Scope::Site,
+        heard: 1,
+        members: Some(1),
+    };
+    limiter.set_place(START, place, &table());
+    let now = START + Millis(120_000);
+    let admit = |limiter: &mut Limiter, now| limiter.admit(now, &"o".into(), &small, 60_000, 0.0);
+    assert!(admit(&mut limiter, now).is_ok());
+    let refused = admit(&mut limiter, now).expect_err("the bucket is in debt");
+    assert!(admit(&mut limiter, now + Millis(1_000)).is_err());
+    assert_eq!(refused.retry_after_ms, Millis(10_000));
+}
--- /dev/null
+++ b/src/rate_limit/tests/meter.rs
@@ -0,0 +1,88 @@
+//! A bucket gives the same level whenever its use is told.
+
+use crate::prelude::*;
+use crate::rate_limit::meter::{Meter, Refill, SLOT_MS, SLOTS};
+use arbtest::arbtest;
+
+const START: Millis = Millis(1_000_000);
+const REFILL: Refill = Refill {
+    per_s: 1_000.0,
+    burst: 500.0,
+};
+
+fn at(slots: u64) -> Millis {
+    START + Millis(slots * SLOT_MS.0)
+}
+
+#[test]
+fn a_bucket_refills_up_to_its_burst() {
+    let meter = Meter::new(START, -1_000.0);
+    assert_eq!(meter.level(at(4), REFILL), 0.0);
+    assert_eq!(meter.level(at(400), REFILL), 500.0);
+}
+
+#[test]
+fn use_that_is_told_late_costs_what_it_would_have_cost_in_time() {
+    let mut in_time = Meter::new(START, 500.0);
+    let mut late = in_time.clone();
+    for slot in 0..12 {
+        in_time.add(at(slot), 0, 200, REFILL);
+    }
+    for slot in 0..12 {
+        late.add(at(11), 11 - slot, 200, REFILL);
+    }
+    assert_eq!(in_time.level(at(11), REFILL), late.level(at(11), REFILL));
+    // Without the slots the use of three seconds at once would leave a debt of 1,900.
+    assert!(late.level(at(11), REFILL) > 0.0);
+}
+
+#[test]
+fn the_order_in_which_use_is_told_changes_nothing() {
+    arbtest(|u| {
+        let uses: Vec<(u64, i64)> = (0..u.int_in_range(0..=40)?)
+            .map(|_| Ok((u.int_in_range(0..=SLOTS - 1)?, u.int_in_range(-300..=700)?)))
+            .collect::<arbtest::arbitrary::Result<_>>()?;
+        let now = at(SLOTS - 1);
+        let mut forwards = Meter::new(START, 500.0);
+        let mut backwards = forwards.clone();
+        for (ago, amount) in &uses {
+            forwards.add(now, *ago, *amount, REFILL);
+        }
+        for (ago, amount) in uses.iter().rev() {
+            backwards.add(now, *ago, *amount, REFILL);
+        }
+        let later = now + Millis(u.int_in_range(0..=20_000)?);
+        assert_eq!(
+            forwards.level(later, REFILL),
+            backwards.level(later, REFILL)
+        );
+        Ok(())
+    });
+}
+
+#[test]
+fn moving_on_changes_no_level() {
+    arbtest(|u| {
+        let mut moved = Meter::new(START, 500.0);
+        let mut now = START;
+        for _ in 0..u.int_in_range(0..=60)? {
+            now += Millis(u.int_in_range(0..=3_000)?);
+            let before = moved.level(now, REFILL);
+            moved.add(now, 0, 0, REFILL);
+            assert!((moved.level(now, REFILL) - before).abs() < 1e-6);
+            moved.add(now, 0, u.int_in_range(0..=900)?, REFILL);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn present_use_is_that_of_the_last_second() {
+    let mut meter = Meter::new(START, 500.0);
+    for slot in 0..20 {
+        meter.add(at(slot), 0, 250, REFILL);
+    }
+    let present = meter.used_per_s(at(20));
+    assert!((present - 1_000.0).abs() < 1.0, "{present}");
+    assert_eq!(meter.used_per_s(at(40)), 0.0);
+}
--- /dev/null
+++ b/src/rate_limit/tests/model.rs
@@ -0,0 +1,246 @@
+//! A site of limiters: hosts that speak through relays with an orderer, cuts between them, kills, and callers.
+
+use crate::desired::{DesiredState, LimitUnit, Organisation, RateLimit, RouteTable};
+use crate::prelude::*;
+use crate::rate_limit::limiter::{Limiter, Place, Scope};
+use std::collections::VecDeque;
+
+/// How long a step is.
+const STEP_MS: Millis = Millis(25);
+/// How often a host speaks with the one above it.
+const SYNC_MS: u64 = 250;
+/// How long a silent host counts as heard.
+const HEARD_MS: Millis = Millis(1_500);
+/// The window in which use is bounded, and what may be used beyond the limit in it.
+const WINDOW_MS: Millis = Millis(8_000);
+const OVER: f64 = 1.1;
+pub const TOLERANCE: f64 = 72_000.0;
+
+pub const START: Millis = Millis(10_000_000);
+
+struct ModelHost {
+    limiter: Limiter,
+    relay: usize,
+    /// When each host that speaks with this one was heard last.
+    heard: IndexMap<usize, (Millis, usize)>,
+    /// Hosts with different numbers here do not hear each other.
+    side: u32,
+    phase_ms: u64,
+    /// Whether it has use to tell at once.
+    is_urgent: bool,
+}
+
+/// A site with one organisation of interest.
+pub struct Model {
+    pub now: Millis,
+    pub orderer: Option<usize>,
+    pub asked: f64,
+    pub admitted: f64,
+    pub requests: u32,
+    pub refused: u32,
+    hosts: Vec<ModelHost>,
+    limit: RateLimit,
+    table: RouteTable,
+    uses: VecDeque<(Millis, f64)>,
+    used_in_window: f64,
+    /// The most that was used in a window.
+    pub most_used: f64,
+    random: fastrand::Rng,
+    next_at_ms: f64,
+}
+
+fn name() -> Name {
+    "o".into()
+}
+
+impl Model {
+    /// Makes a site of 68 hosts, eight of which relay, that has run for long.
+    pub fn new(per_s: f64, seed: u64) -> Self {
+        let limit = RateLimit {
+            unit: LimitUnit::Tokens { uncounted: 200 },
+            per_s,
+            burst: per_s,
+        };
+        let organisation = Organisation {
+            name: name(),
+            rate_limit: Some(limit),
+            ..Organisation::default()
+        };
+        let table = RouteTable::new(DesiredState {
+            organisations: Some(vec![Arc::new(organisation)]),
+            ..DesiredState::default()
+        });
+        let host = |n: usize| ModelHost {
+            limiter: Limiter::new(START, TOLERANCE),
+            relay: n % 8,
+            heard: IndexMap::new(),
+            side: 0,
+            phase_ms: (n as u64 * 37) % SYNC_MS,
+            is_urgent: false,
+        };
+        let mut model = Self {
+            now: START,
+            orderer: Some(60),
+            asked: 0.0,
+            admitted: 0.0,
+            requests: 0,
+            refused: 0,
+            hosts: (0..68).map(host).collect(),
+            limit,
+            table,
+            uses: VecDeque::new(),
+            used_in_window: 0.0,
+            most_used: 0.0,
+            random: fastrand::Rng::with_seed(seed),
+            next_at_ms: 0.0,
+        };
+        model.run(12_000, 0.0);
+        model
+    }
+
+    /// Returns the most that may be used in a window.
+    pub fn bound(&self) -> f64 {
+        let window_s = WINDOW_MS.0 as f64 / 1_000.0;
+        (self.limit.per_s * window_s + self.limit.burst) * OVER + TOLERANCE
+    }
+
+    /// Returns what the limit allows a second.
+    pub fn limit_per_s(&self) -> f64 {
+        self.limit.per_s
+    }
+
+    /// Cuts every so many-th host off from all others, those that are cut off from each other too.
+    pub fn cut(&mut self, each: usize) {
+        for (n, host) in self.hosts.iter_mut().enumerate() {
+            host.side = if n % each == 0 { n as u32 + 1 } else { 0 };
+        }
+    }
+
+    /// Lets all hosts hear each other again.
+    pub fn heal(&mut self) {
+        for host in &mut self.hosts {
+            host.side = 0;
+        }
+    }
+
+    /// Kills every process; nobody orders until [`Self::orderer`] is set.
+    pub fn kill_all(&mut self) {
+        let now = self.now;
+        for host in &mut self.hosts {
+            host.limiter = Limiter::new(now, TOLERANCE);
+            host.heard.clear();
+        }
+        self.orderer = None;
+    }
+
+    /// Plays some milliseconds in which callers ask so many times the limit.
+    pub fn run(&mut self, ms: u64, times: f64) {
+        let until = self.now + Millis(ms);
+        self.next_at_ms = self.now.0 as f64;
+        while self.now < until {
+            self.sync();
+            self.call(times);
+            self.now += STEP_MS;
+        }
+    }
+
+    fn sync(&mut self) {
+        let due = |model: &Self, n: usize| {
+            let host = &model.hosts[n];
+            host.is_urgent || (model.now.0 + host.phase_ms) % SYNC_MS < STEP_MS.0
+        };
+        // A relay speaks after its hosts, so that urgent use goes up within a step.
+        for n in (0..self.hosts.len()).rev() {
+            if !due(self, n) || self.orderer == Some(n) {
+                continue;
+            }
+            let relay = self.hosts[n].relay;
+            let above = match n < 8 {
+                true => self.orderer,
+                false => Some(relay),
+            };
+            let Some(above) = above else { continue };
+            if self.hosts[n].side == self.hosts[above].side {
+                self.hosts[above].is_urgent |= self.hosts[n].is_urgent;
+                self.hosts[n].is_urgent = false;
+                self.exchange(n, above);
+            }
+        }
+    }
+
+    fn exchange(&mut self, below: usize, above: usize) {
+        let now = self.now;
+        self.place(below);
+        self.place(above);
+        let through = self.heard_by(below) - 1;
+        let usage = self.hosts[below].limiter.report(now);
+        let table = &self.table;
+        let host = &mut self.hosts[above];
+        host.heard.insert(below, (now, through));
+        host.limiter.take_usage(now, &usage, table);
+        let news = host.limiter.news(now, table);
+        let host = &mut self.hosts[below];
+        host.limiter.settle();
+        host.limiter.take_news(now, news);
+    }
+
+    fn heard_by(&self, n: usize) -> usize {
+        let heard = self.hosts[n].heard.values();
+        let recent = heard.filter(|(at, _)| self.now.since(*at) < HEARD_MS);
+        1 + recent.map(|(_, through)| 1 + through).sum::<usize>()
+    }
+
+    fn place(&mut self, n: usize) {
+        let scope = match self.orderer == Some(n) {
+            true => Scope::Site,
+            false => Scope::Group,
+        };
+        let place = Place {
+            scope,
+            heard: self.heard_by(n),
+            members: Some(self.hosts.len()),
+        };
+        self.hosts[n]
+            .limiter
+            .set_place(self.now, place, &self.table);
+    }
+
+    /// Lets callers ask at random hosts, with prompts of 1,000 to 18,000 tokens.
+    fn call(&mut self, times: f64) {
+        if times <= 0.0 {
+            return;
+        }
+        let step_end_ms = (self.now + STEP_MS).0 as f64;
+        while self.next_at_ms < step_end_ms {
+            let cost = self.random.u64(1_000..=18_000);
+            let per_ms = self.limit.per_s * times / 9_500.0 / 1_000.0;
+            self.next_at_ms += -self.random.f64().max(1e-9).ln() / per_ms;
+            let host = self.random.usize(0..self.hosts.len());
+            self.place(host);
+            let point = self.random.f64();
+            let limiter = &mut self.hosts[host].limiter;
+            self.asked += cost as f64;
+            self.requests += 1;
+            let admitted = limiter.admit(self.now, &name(), &self.limit, cost, point);
+            let is_scarce = limiter.is_scarce(self.now, &name(), &self.limit);
+            self.hosts[host].is_urgent |= is_scarce;
+            match admitted {
+                Ok(()) => self.note_use(cost as f64),
+                Err(_) => self.refused += 1,
+            }
+        }
+    }
+
+    fn note_use(&mut self, cost: f64) {
+        self.admitted += cost;
+        self.uses.push_back((self.now, cost));
+        self.used_in_window += cost;
+        while let Some((at, cost)) = self.uses.front().copied()
+            && self.now.since(at) > WINDOW_MS
+        {
+            self.uses.pop_front();
+            self.used_in_window -= cost;
+        }
+        self.most_used = self.most_used.max(self.used_in_window);
+    }
+}
--- /dev/null
+++ b/src/rate_limit/told.rs
@@ -0,0 +1,79 @@
+//! What hosts are told of the buckets.
+
+use crate::prelude::*;
+use crate::rate_limit::limiter::Scope;
+use crate::rate_limit::meter::Refill;
+
+/// A bucket that holds more than this part of its burst is not told: most organisations stay far below their limits.
+const FULL_PART: f64 = 0.75;
+
+/// One bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Level {
+    /// What is left; negative when too much was used.
+    pub left: f64,
+    /// What is used a second.
+    pub used_per_s: f64,
+}
+
+/// What a host is told of the buckets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitsNews {
+    /// How long ago this was so.
+    pub age_ms: Millis,
+    /// For which hosts the buckets are.
+    pub scope: Scope,
+    /// Which part of the limits those hosts have.
+    pub share: f64,
+    /// The buckets that are not nearly full.
+    pub levels: Vec<(Name, Level)>,
+}
+
+/// What this host was told last.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// When it was so.
+    pub as_of: Millis,
+    /// For which hosts the buckets are.
+    pub scope: Scope,
+    /// Which part of the limits those hosts have.
+    pub share: f64,
+    levels: IndexMap<Name, Level>,
+}
+
+impl Told {
+    /// Takes news.
+    pub fn new(now: Millis, news: LimitsNews) -> Self {
+        Self {
+            as_of: now - news.age_ms,
+            scope: news.scope,
+            share: news.share,
+            levels: news.levels.into_iter().collect(),
+        }
+    }
+
+    /// Returns what was left of a bucket, less what all hosts use by now beyond what it gains. What it gains more than they
+    /// use is not counted before it is told.
+    pub fn left(&self, now: Millis, organisation: &str, refill: Refill) -> f64 {
+        let Some(level) = self.levels.get(organisation) else {
+            return refill.burst * FULL_PART;
+        };
+        let age_s = now.since(self.as_of).0 as f64 / 1_000.0;
+        level.left - (level.used_per_s - refill.per_s).max(0.0) * age_s
+    }
+
+    /// Returns the bucket of an organisation, where it was told.
+    pub fn level(&self, organisation: &str) -> Option<Level> {
+        self.levels.get(organisation).copied()
+    }
+
+    /// Returns the organisations of which the bucket was told.
+    pub fn organisations(&self) -> impl Iterator<Item = &Name> {
+        self.levels.keys()
+    }
+}
+
+/// Tells whether others need to be told of a bucket.
+pub fn is_worth_telling(left: f64, refill: Refill) -> bool {
+    left < refill.burst * FULL_PART
+}
