--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -27,8 +27,8 @@
 /// How soon after its last read the orderer reads a group that has changed, since the others get the changes from it, and
 /// any host that refused one which is not listed yet.
 const SOON_READ_MS: Millis = Millis(500);
-/// How long a host that starts and is not listed reads the group that often: the processes before have lapsed by then.
-const UNLISTED_MS: Millis = Millis(5_000);
+/// How long a host that starts and hears no orderer reads the group that often: the processes before have lapsed by then.
+const NEW_MS: Millis = Millis(5_000);
 /// The pauses after failures in a row, the last one from then on: a refused call is paid too.
 const RETRY_MS: [Millis; 3] = [Millis(500), Millis(500), Millis(1_000)];
 
@@ -74,7 +74,7 @@
                 }
                 let rest = async {
                     Timer::after(SOON_READ_MS.to_duration()).await;
-                    if !is_new_and_unlisted(&host, host.now()) {
+                    if !is_new_and_alone(&host, host.now()) {
                         within(JOIN_INTERVAL_MS - SOON_READ_MS, refused).await;
                     }
                 };
@@ -137,7 +137,7 @@
     let Some(known_ms) = known_at.map(|at| now.since(at)) else {
         return true;
     };
-    if host.is_orderer() || has_refused || is_new_and_unlisted(host, now) {
+    if host.is_orderer() || has_refused || is_new_and_alone(host, now) {
         return known_ms >= SOON_READ_MS;
     }
     match (host.hears_orderer(now), host.is_relay()) {
@@ -147,14 +147,10 @@
     }
 }
 
-/// Tells whether this host started a moment ago and is not listed yet. When all hosts restart at once the list still has
-/// the processes before them, so that none finds a relay; it is right a second or two later.
-fn is_new_and_unlisted<P: Platform>(host: &Host<P>, now: Millis) -> bool {
-    let members = host.members.borrow();
-    let is_listed = members
-        .iter()
-        .any(|member| member.incarnation == host.incarnation);
-    !is_listed && host.age_ms(now) < UNLISTED_MS
+/// Tells whether this host started a moment ago and hears no orderer. When all hosts restart at once the list has the
+/// processes before them for a second or two, and none finds a relay by it.
+fn is_new_and_alone<P: Platform>(host: &Host<P>, now: Millis) -> bool {
+    host.age_ms(now) < NEW_MS && !host.hears_orderer(now)
 }
 
 fn take<P: Platform>(host: &Host<P>, now: Millis, generation: u64, names: &IndexSet<Name>) {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -78,6 +78,7 @@
     let limits = limits::news(host);
     let mut gather = host.gather.borrow_mut();
     gather.take(now, ask.incarnation, ask.demand, ask.work);
+    gather.note_through(ask.incarnation, ask.through);
     if ask.is_urgent {
         host.note_want();
     }
@@ -138,11 +139,14 @@
         parents.choose(asked_at, &host.tree.borrow(), me)
     };
     let Parent::Relay(relay) = parent else {
-        let orderer = host.orders.borrow().holder().cloned();
-        let ask = SyncAsk {
+        let mut ask = SyncAsk {
             is_for_orderer: true,
             ..ask
         };
+        if !host.hears_orderer(asked_at) {
+            tell_first_relay(host, peers, asked_at, &mut ask).await;
+        }
+        let orderer = host.orders.borrow().holder().cloned();
         if let Some(orderer) = orderer
             && let Some(reply) = ask_peer(peers, orderer.peer_address, ask).await
         {
@@ -158,6 +162,38 @@
         })
 }
 
+/// Tells the first relay what organisations used while nobody orders, in place of the orderer, so that what is left for
+/// them is known for the whole site: the share of one relay's hosts seldom holds a whole request.
+async fn tell_first_relay<P: Platform>(
+    host: &Host<P>,
+    peers: &Peers,
+    asked_at: Millis,
+    ask: &mut SyncAsk,
+) {
+    let first = host.tree.borrow().first_relay().cloned();
+    let is_other = |first: &Member| first.incarnation != host.incarnation;
+    let is_alive = |first: &Member| !host.parents.borrow().has_failed(asked_at, first);
+    let Some(first) = first.filter(is_other).filter(is_alive) else {
+        return;
+    };
+    let use_alone = SyncAsk {
+        is_for_orderer: false,
+        demand: Vec::new(),
+        work: Vec::new(),
+        ..ask.clone()
+    };
+    let limits = match ask_peer(peers, first.peer_address, use_alone).await {
+        Some(SyncReply::NoNews { limits }) => limits,
+        Some(SyncReply::News(news)) => news.limits,
+        Some(SyncReply::NotOrderer { .. }) | None => {
+            host.parents.borrow_mut().note_failed(asked_at, &first);
+            return;
+        }
+    };
+    limits::take_reply(host, asked_at, limits);
+    ask.usage.clear();
+}
+
 async fn ask_peer(peers: &Peers, address: SocketAddr, ask: SyncAsk) -> Option<SyncReply> {
     match peers.call(address, &PeerCall::Sync(ask)).await? {
         PeerReply::Sync(reply) => Some(reply),
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -1,8 +1,10 @@
 //! What a host answers others that ask it as a relay or as the orderer.
 
 use super::fake_platform::FakePlatform;
-use super::site::{on_site, sync_ask};
+use super::site::{Site, on_site, sync_ask};
+use crate::desired::{LimitUnit, Organisation, RateLimit};
 use crate::entry::host::Host;
+use crate::entry::limits;
 use crate::entry::platform::ModelAsk;
 use crate::entry::sync::answer;
 use crate::group::Member;
@@ -10,6 +12,8 @@
 use crate::ordering::message::{OrdererNews, SyncAsk, SyncReply};
 use crate::ordering::published::{EngineView, EnginesNews};
 use crate::prelude::*;
+use crate::rate_limit::told::Level;
+use crate::rate_limit::{LimitsNews, Scope, Usage};
 use crate::routing::pick::Work;
 use crate::test_support::member;
 use crate::upstreams::Lifetime;
@@ -161,3 +165,85 @@
         assert_eq!(told.iter().map(|(_, count)| count.waiting).sum::<u32>(), 1);
     });
 }
+
+/// Lets an organisation with a limit be known at a host.
+fn order_limit(site: &Site) {
+    let organisation = Organisation {
+        name: "o".into(),
+        rate_limit: Some(RateLimit {
+            unit: LimitUnit::Requests,
+            per_s: 1_000.0,
+            burst: 1_000.0,
+        }),
+        ..Organisation::default()
+    };
+    site.order_for(1, Vec::new(), Some(vec![Arc::new(organisation)]));
+}
+
+fn used(requests: i64) -> Vec<Usage> {
+    vec![Usage {
+        organisation: "o".into(),
+        slots: vec![(0, requests)],
+    }]
+}
+
+#[test]
+fn a_relay_without_an_orderer_tells_what_is_left_at_the_hosts_that_it_hears() {
+    on_site(|site| async move {
+        order_limit(&site);
+        site.until_version(1).await;
+        make_relay(&site.host);
+        let tell = |host, through, requests| {
+            let ask = SyncAsk {
+                incarnation: host,
+                through,
+                usage: used(requests),
+                ..ask()
+            };
+            match answer(&site.host, ask) {
+                SyncReply::NoNews { limits } => limits.expect("there is a desired state"),
+                other => panic!("{other:?}"),
+            }
+        };
+        tell(100, 0, 0);
+        let few = tell(101, 7, 0);
+        let many = tell(102, 39, 1_000);
+        assert!(
+            few.share < many.share && many.share <= 1.0,
+            "{few:?} {many:?}"
+        );
+        let (name, level) = &many.levels[0];
+        assert_eq!(&**name, "o");
+        assert!(level.left < 0.0, "{level:?}");
+    });
+}
+
+#[test]
+fn a_relay_passes_the_orderers_word_of_limits_on_less_what_it_was_not_told() {
+    on_site(|site| async move {
+        order_limit(&site);
+        site.until_version(1).await;
+        make_relay(&site.host);
+        let level = Level {
+            left: 300.0,
+            used_per_s: 0.0,
+        };
+        let word = LimitsNews {
+            age_ms: Millis::ZERO,
+            scope: Scope::Site,
+            share: 1.0,
+            levels: vec![("o".into(), level)],
+        };
+        limits::take_reply(&site.host, site.host.now(), Some(word));
+        let ask = SyncAsk {
+            usage: used(100),
+            ..ask()
+        };
+        let SyncReply::NoNews { limits } = answer(&site.host, ask) else {
+            panic!("no orderer is known");
+        };
+        let limits = limits.expect("there is a desired state");
+        assert_eq!(limits.scope, Scope::Site);
+        assert_eq!(limits.levels[0].1.left, 200.0);
+    });
+}
--- a/src/group/parents.rs
+++ b/src/group/parents.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Tells whether a relay did not answer a moment ago.
+    pub fn has_failed(&self, now: Millis, relay: &Member) -> bool {
+        let until = self.failed_until.get(&relay.incarnation);
+        until.is_some_and(|until| now < *until)
+    }
+
     /// Takes note that a relay did not answer, or said that it is none.
     pub fn note_failed(&mut self, now: Millis, relay: &Member) {
         self.failed_until.retain(|_, until| now < *until);
--- a/src/group/tree.rs
+++ b/src/group/tree.rs
@@ -71,6 +71,12 @@
         relays
     }
 
+    /// Returns the relay that adds up use while nobody orders: the one that can do most for others.
+    pub fn first_relay(&self) -> Option<&Member> {
+        let relays = self.relays.values().flatten();
+        relays.min_by_key(|relay| relay.rank())
+    }
+
     /// Returns how many hosts speak with the orderer.
     pub fn direct_hosts(&self) -> usize {
         match self.relays.values().map(Vec::len).sum() {
--- a/src/ordering/gather.rs
+++ b/src/ordering/gather.rs
@@ -51,6 +51,11 @@
         sum.into_iter().collect()
     }
 
+    /// Takes note of how many hosts speak through one that speaks with this one.
+    pub fn note_through(&mut self, host: u64, through: u32) {
+        self.hosts.note_through(host, through);
+    }
+
     /// Returns how many hosts speak through this one.
     pub fn heard(&self) -> usize {
         self.hosts.heard()
--- a/src/rate_limit/limiter.rs
+++ b/src/rate_limit/limiter.rs
@@ -19,6 +19,8 @@
 const NEW_WORD_MS: Millis = Millis(60);
 /// How long a process that starts, or a new orderer, takes the hosts that it has not heard yet for present.
 const GATHER_MS: Millis = Millis(1_500);
+/// How long after a restart of all hosts they hear each other again.
+const SETTLED_MS: Millis = Millis(1_200);
 /// The shortest time after which a refused caller comes back.
 const LEAST_RETRY_MS: Millis = Millis(100);
 /// The longest such time.
@@ -174,8 +176,8 @@
         }
         let wait_ms = match bucket.scope {
             Scope::Site => -bucket.left * 1_000.0 / bucket.refill.per_s,
-            // Another host may know more than this one.
-            Scope::Group => 0.0,
+            // Another host may know more than this one, unless all have just started.
+            Scope::Group => (self.placed_at + SETTLED_MS).since(now).0 as f64,
         };
         // Callers that are refused together come back one after the other.
         let wait_ms = (wait_ms * (1.0 + point)).min(MOST_RETRY_MS.0 as f64);
@@ -269,7 +271,7 @@
 
     /// Returns what others are told.
     pub fn news(&self, now: Millis, table: &RouteTable) -> LimitsNews {
-        match self.fresh_site_word(now) {
+        match self.wider_word(now) {
             Some(told) => self.pass_on(now, told, table),
             None => self.own_news(now, table),
         }
@@ -295,7 +297,7 @@
         }
     }
 
-    /// Returns the orderer's word, less what it was not told yet.
+    /// Returns what this host was told of more hosts, less what that one was not told yet.
     fn pass_on(&self, now: Millis, told: &Told, table: &RouteTable) -> LimitsNews {
         let level = |name: &Name| {
             let limit = table.organisation(name)?.rate_limit?;
@@ -315,7 +317,7 @@
             .collect();
         LimitsNews {
             age_ms: now.since(told.as_of),
-            scope: Scope::Site,
+            scope: told.scope,
             share: told.share,
             levels: names.into_iter().filter_map(level).collect(),
         }
@@ -375,10 +377,11 @@
             .filter(|told| now.since(told.as_of) < STALE_MS)
     }
 
-    fn fresh_site_word(&self, now: Millis) -> Option<&Told> {
+    /// Returns what this host was told of more hosts than those that speak through it.
+    fn wider_word(&self, now: Millis) -> Option<&Told> {
         let is_told = self.place.scope == Scope::Group;
         let told = self.fresh_word(now).filter(|_| is_told)?;
-        (told.scope == Scope::Site).then_some(told)
+        (told.scope == Scope::Site || told.share > self.share(now)).then_some(told)
     }
 
     /// Returns the part of the limits that the hosts of this host's place have. What is silent has the rest.
--- a/src/rate_limit/tests/limiter.rs
+++ b/src/rate_limit/tests/limiter.rs
@@ -71,6 +71,20 @@
     assert_eq!(admitted(&mut limiter, later, 100), 1);
 }
 
+#[test]
+fn a_refused_caller_comes_back_when_restarted_hosts_hear_each_other_and_else_soon() {
+    let mut limiter = placed(Scope::Group, 1, Some(10_000));
+    let mut refuse = |now| {
+        limiter
+            .admit(now, &"o".into(), &LIMIT, 1, 0.9)
+            .expect_err("the share is far below one request")
+    };
+    let soon = refuse(START + Millis(200)).retry_after_ms;
+    assert!(soon >= Millis(1_000), "{soon}");
+    let later = refuse(START + Millis(20_000)).retry_after_ms;
+    assert_eq!(later, Millis(100));
+}
+
 #[test]
 fn silent_hosts_keep_their_part() {
     let mut limiter = placed(Scope::Site, 34, Some(68));
