Hold back the share of hosts that left the list; stop one that reaches nobody; smaller bursts

The group drops hosts that are cut off from the store after 2 s, so the others took the whole limit while those went on by their share of it: 1.35 times the limit together.

--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -165,7 +165,7 @@
 
 fn place<P: Platform>(host: &Host<P>) -> Place {
     let members = host.members.borrow();
-    let known = members.known_at().map(|_| members.count());
+    let known = members.count_serving(host.now());
     let tree = host.tree.borrow();
     match (host.is_orderer(), tree.is_relay(host.incarnation)) {
         (true, _) => Place {
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -110,6 +110,7 @@
     let join = host.platform.join(name, renewal.generation, lapse_ms);
     renewal.generation = host.count_call(StoreCall::Join, join).await?;
     let now = host.now();
+    host.members.borrow_mut().note_heard(now);
     let has_refused = host.has_unknown_peer.take();
     if renewal.generation == host.members.borrow().generation() {
         renewal.behind_since = None;
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -6,7 +6,7 @@
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
 use crate::group::Member;
-use crate::group::parents::Parent;
+use crate::group::parents::{Parent, STALE_MS};
 use crate::ordering::message::{OrdererNews, PeerCall, PeerReply, SyncAsk, SyncReply};
 use crate::prelude::*;
 use crate::routing::pick::Work;
@@ -308,6 +308,9 @@
             orders.lease.note_told_end(now, end);
         }
         drop(orders);
+        if age_ms < STALE_MS {
+            host.members.borrow_mut().note_heard(now);
+        }
         if host.followed.take_word(asked_at, tables) {
             host.upstreams.borrow_mut().note_heard(now);
         }
--- a/src/group/members.rs
+++ b/src/group/members.rs
@@ -6,8 +6,10 @@
 //! instead of 195.
 
 use crate::group::Member;
+use crate::group::departed::{ALONE_MS, Departed};
 use crate::prelude::*;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 /// Most changes that are kept for hosts that know an older list; a host that knows a still older one reads the list
 /// itself. A host hears of changes each half second at the latest, and the list is read once a second.
@@ -51,6 +53,11 @@
     list: IndexSet<Member>,
     changes: VecDeque<MembersChange>,
     known_at: Option<Millis>,
+    /// When the group on the store, or the orderer, was heard last.
+    heard_at: Option<Millis>,
+    /// Where the listed hosts take callers. Two processes of one host may be listed for a moment.
+    addresses: IndexSet<SocketAddr>,
+    departed: Departed,
 }
 
 impl Members {
@@ -64,6 +71,19 @@
         self.list.iter()
     }
 
+    /// Returns how many hosts may admit requests by their share of a limit: those listed and those that left a while ago;
+    /// nothing when this host reached nobody for so long that the others no longer count it.
+    pub fn count_serving(&self, now: Millis) -> Option<usize> {
+        let heard_at = self.known_at.and(self.heard_at)?;
+        let is_counted = now.since(heard_at) < ALONE_MS;
+        is_counted.then(|| self.addresses.len() + self.departed.count(now, &self.addresses))
+    }
+
+    /// Takes note that the group on the store, or the orderer, was heard: the others count this host.
+    pub fn note_heard(&mut self, now: Millis) {
+        self.heard_at = Some(now);
+    }
+
     /// Returns the group's generation when the list was read.
     pub fn generation(&self) -> u64 {
         self.generation
@@ -146,6 +166,8 @@
 
     fn keep(&mut self, now: Millis, change: MembersChange) {
         self.known_at = Some(now);
+        self.addresses = self.list.iter().map(|host| host.caller_address).collect();
+        self.departed.note(now, &change);
         self.generation = change.to;
         if change.is_empty() && change.from == change.to {
             return;
--- a/src/group/tests/members.rs
+++ b/src/group/tests/members.rs
@@ -108,3 +108,60 @@
     );
     assert_eq!(Member::from_text(&newer.to_text()), Some(newer));
 }
+
+fn listed(incarnations: &[u64]) -> IndexSet<Member> {
+    let hosts = incarnations.iter();
+    hosts.map(|n| member(*n, "here", 120)).collect()
+}
+
+#[test]
+fn a_host_that_left_the_list_counts_until_it_admits_nothing_any_more() {
+    let mut members = Members::default();
+    let start = Millis(1_000_000);
+    members.note_heard(start);
+    assert_eq!(members.count_serving(start), None);
+    members.replace(start, 1, listed(&[1, 2, 3]));
+    assert_eq!(members.count_serving(start), Some(3));
+    members.replace(start + Millis(2_000), 2, listed(&[1]));
+    members.note_heard(start + Millis(20_000));
+    assert_eq!(members.count_serving(start + Millis(20_000)), Some(3));
+    members.note_heard(start + Millis(31_000));
+    assert_eq!(members.count_serving(start + Millis(31_000)), Some(1));
+}
+
+#[test]
+fn a_host_that_restarts_counts_once() {
+    let mut members = Members::default();
+    let start = Millis(1_000_000);
+    members.note_heard(start);
+    // The low sixteen bits of the incarnation are the test hosts' port.
+    let restarted = 1 + (1 << 16);
+    members.replace(start, 1, listed(&[1, 2]));
+    members.replace(start, 2, listed(&[1, 2, restarted]));
+    assert_eq!(members.count_serving(start), Some(2));
+    members.replace(start, 3, listed(&[2, restarted]));
+    assert_eq!(members.count_serving(start), Some(2));
+    members.replace(start, 4, listed(&[2]));
+    assert_eq!(members.count_serving(start), Some(2));
+    members.replace(start, 5, listed(&[2, restarted]));
+    assert_eq!(members.count_serving(start), Some(2));
+}
+
+#[test]
+fn a_host_that_reaches_nobody_stops_before_the_others_forget_it() {
+    let mut cut_off = Members::default();
+    let mut other = Members::default();
+    let start = Millis(1_000_000);
+    for members in [&mut cut_off, &mut other] {
+        members.replace(start, 1, listed(&[1, 2]));
+        members.note_heard(start);
+    }
+    other.replace(start + Millis(2_000), 2, listed(&[2]));
+    for ms in (0..60_000).step_by(500) {
+        let now = start + Millis(ms);
+        other.note_heard(now);
+        let is_admitting = cut_off.count_serving(now).is_some();
+        let counts_it = other.count_serving(now) == Some(2);
+        assert!(counts_it || !is_admitting, "after {ms} ms");
+    }
+}
--- a/src/rate_limit/limiter.rs
+++ b/src/rate_limit/limiter.rs
@@ -7,10 +7,10 @@
 use crate::rate_limit::usage::{Untold, Usage};
 
 /// The part of a limit's burst that hosts give out: what they learn of each other's use too late, they give out besides.
-const BURST_PART: f64 = 0.8;
+const BURST_PART: f64 = 0.7;
 /// The part of the tolerance of the site's limits that serves as burst: where a limit's own burst is smaller than one
 /// request, it lets one through after a pause.
-const TOLERANCE_PART: f64 = 0.5;
+const TOLERANCE_PART: f64 = 0.4;
 /// How old what was told may be: some intervals at which hosts are told.
 const STALE_MS: Millis = Millis(1_200);
 /// How old it may be where little is left: hosts tell each other of such use at once.
@@ -18,7 +18,7 @@
 /// How new a word must be for a decision where little is left, if there is a newer one.
 const NEW_WORD_MS: Millis = Millis(60);
 /// How long a process that starts, or a new orderer, takes the hosts that it has not heard yet for present.
-const GATHER_MS: Millis = Millis(1_500);
+const GATHER_MS: Millis = Millis(600);
 /// How long after a restart of all hosts they hear each other again.
 const SETTLED_MS: Millis = Millis(1_200);
 /// The shortest time after which a refused caller comes back.
@@ -45,7 +45,7 @@
     pub heard: usize,
     /// How many hosts are to speak with this one or through one that does, this one included.
     pub expected: usize,
-    /// How many hosts the site has; nothing before that is known.
+    /// How many hosts of the site may admit requests; nothing where this one may not.
     pub members: Option<usize>,
 }
 
