--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -9,8 +9,8 @@
 use crate::rate_limit::limiter::Place;
 use crate::rate_limit::{Limiter, LimitsNews, Scope, Usage};
 
-/// How long a request waits for a newer word of what is left: a few exchanges with a relay and the orderer.
-const WORD_MS: Millis = Millis(40);
+/// How long a request waits for newer levels: a few exchanges with a relay and the orderer.
+const NEWER_LEVELS_MS: Millis = Millis(40);
 
 /// What one request uses of its organisation's limit. What did not run is given back when it ends, however it ends.
 pub struct Charge<'a, P: Platform> {
@@ -27,12 +27,12 @@
     /// Returns the refusal when the limit is reached.
     pub async fn take(host: &'a Host<P>, ask: &'a Ask) -> Result<Self, Refusal> {
         if let Some((organisation, limit, cost)) = cost(ask) {
-            wait_for_word(host, organisation, limit).await;
+            wait_for_newer_levels(host, organisation, limit).await;
             let point = fastrand::f64();
             let admitted = with_limiter(host, |limiter, now, _| {
                 limiter.admit(now, organisation, limit, cost, point)
             });
-            tell_if_scarce(host, organisation, limit);
+            report_if_scarce(host, organisation, limit);
             if let Some(Err(refused)) = admitted {
                 let why = match refused.scope {
                     Scope::Site => "the rate limit of the organisation is reached",
@@ -96,17 +96,21 @@
     ))
 }
 
-/// Waits a moment for a newer word of what is left where that is little: a decision by an old one would refuse what is
+/// Waits a moment for newer levels where little is left: a decision by old ones would refuse what is
 /// allowed, or admit what others have used.
-async fn wait_for_word<P: Platform>(host: &Host<P>, organisation: &Name, limit: &RateLimit) {
-    let until = host.now() + WORD_MS;
+async fn wait_for_newer_levels<P: Platform>(
+    host: &Host<P>,
+    organisation: &Name,
+    limit: &RateLimit,
+) {
+    let until = host.now() + NEWER_LEVELS_MS;
     loop {
         let change = host.next_change();
-        let wants_word = with_limiter(host, |limiter, now, _| {
-            limiter.wants_word(now, organisation, limit)
+        let wants_newer_levels = with_limiter(host, |limiter, now, _| {
+            limiter.wants_newer_levels(now, organisation, limit)
         });
         let now = host.now();
-        if wants_word != Some(true) || now >= until {
+        if wants_newer_levels != Some(true) || now >= until {
             return;
         }
         host.note_want();
@@ -114,7 +118,7 @@
     }
 }
 
-fn tell_if_scarce<P: Platform>(host: &Host<P>, organisation: &Name, limit: &RateLimit) {
+fn report_if_scarce<P: Platform>(host: &Host<P>, organisation: &Name, limit: &RateLimit) {
     let is_scarce = with_limiter(host, |limiter, now, _| {
         limiter.is_scarce(now, organisation, limit)
     });
@@ -123,24 +127,24 @@
     }
 }
 
-/// Takes the use that another host tells this one.
+/// Takes the use that another host reports.
 pub fn take_usage<P: Platform>(host: &Host<P>, usage: &[Usage]) {
     with_limiter(host, |limiter, now, table| {
         limiter.take_usage(now, usage, table);
     });
 }
 
-/// Returns the use that this host has to tell.
+/// Returns the use that this host has to report.
 pub fn report<P: Platform>(host: &Host<P>) -> Vec<Usage> {
     with_limiter(host, |limiter, now, _| limiter.report(now)).unwrap_or_default()
 }
 
-/// Returns what others are told of what is left.
+/// Returns the levels for hosts that report to this one.
 pub fn news<P: Platform>(host: &Host<P>) -> Option<LimitsNews> {
     with_limiter(host, |limiter, now, table| limiter.news(now, table))
 }
 
-/// Takes the answer to a message that told this host's use.
+/// Takes the answer to a message that reported this host's use.
 pub fn take_reply<P: Platform>(host: &Host<P>, asked_at: Millis, news: Option<LimitsNews>) {
     with_limiter(host, |limiter, _, _| {
         limiter.settle();
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -144,7 +144,7 @@
             ..ask
         };
         if !host.hears_orderer(asked_at) {
-            tell_first_relay(host, peers, asked_at, &mut ask).await;
+            report_to_first_relay(host, peers, asked_at, &mut ask).await;
         }
         let orderer = host.orders.borrow().holder().cloned();
         if let Some(orderer) = orderer
@@ -162,9 +162,9 @@
         })
 }
 
-/// Tells the first relay what organisations used while nobody orders, in place of the orderer, so that what is left for
-/// them is known for the whole site: the share of one relay's hosts seldom holds a whole request.
-async fn tell_first_relay<P: Platform>(
+/// Reports what organisations used to the first relay while nobody orders, so that what is left for them is known for the
+/// whole site: the share of one relay's hosts seldom holds a whole request.
+async fn report_to_first_relay<P: Platform>(
     host: &Host<P>,
     peers: &Peers,
     asked_at: Millis,
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -12,7 +12,7 @@
 use crate::ordering::message::{OrdererNews, SyncAsk, SyncReply};
 use crate::ordering::published::{EngineView, EnginesNews};
 use crate::prelude::*;
-use crate::rate_limit::told::Level;
+use crate::rate_limit::levels::Level;
 use crate::rate_limit::{LimitsNews, Scope, Usage};
 use crate::routing::pick::Work;
 use crate::test_support::member;
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -95,7 +95,7 @@
     pub upstreams_from: Option<Offset>,
     /// How many other hosts speak through it.
     pub through: u32,
-    /// What organisations used at these hosts, as far as it was not told.
+    /// What organisations used at these hosts, as far as it was not reported.
     pub usage: Vec<Usage>,
 }
 
--- a/src/rate_limit/told.rs
+++ b/src/rate_limit/levels.rs
@@ -1,10 +1,10 @@
-//! What hosts are told of the buckets.
+//! The levels of buckets, as hosts pass them on.
 
 use crate::prelude::*;
 use crate::rate_limit::limiter::Scope;
-use crate::rate_limit::meter::Refill;
+use crate::rate_limit::token_bucket::Refill;
 
-/// A bucket that holds more than this part of its burst is not told: most organisations stay far below their limits.
+/// A bucket that holds more than this part of its burst is left out: most organisations stay far below their limits.
 const FULL_PART: f64 = 0.75;
 
 /// One bucket.
@@ -16,7 +16,7 @@
     pub used_per_s: f64,
 }
 
-/// What a host is told of the buckets.
+/// The levels for a host that reports its use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitsNews {
     /// How long ago this was so.
@@ -29,9 +29,9 @@
     pub levels: Vec<(Name, Level)>,
 }
 
-/// What this host was told last.
+/// The levels that another host sent last.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct KnownLevels {
     /// When it was so.
     pub as_of: Millis,
     /// For which hosts the buckets are.
@@ -41,7 +41,7 @@
     levels: IndexMap<Name, Level>,
 }
 
-impl Told {
+impl KnownLevels {
     /// Takes news.
     pub fn new(now: Millis, news: LimitsNews) -> Self {
         Self {
@@ -53,7 +53,7 @@
     }
 
     /// Returns what was left of a bucket, less what all hosts use by now beyond what it gains. What it gains more than they
-    /// use is not counted before it is told.
+    /// use is not counted before a newer message has it.
     pub fn left(&self, now: Millis, organisation: &str, refill: Refill) -> f64 {
         let Some(level) = self.levels.get(organisation) else {
             return refill.burst * FULL_PART;
@@ -62,18 +62,18 @@
         level.left - (level.used_per_s - refill.per_s).max(0.0) * age_s
     }
 
-    /// Returns the bucket of an organisation, where it was told.
+    /// Returns the level of an organisation, unless it was left out.
     pub fn level(&self, organisation: &str) -> Option<Level> {
         self.levels.get(organisation).copied()
     }
 
-    /// Returns the organisations of which the bucket was told.
+    /// Returns the organisations whose level was not left out.
     pub fn organisations(&self) -> impl Iterator<Item = &Name> {
         self.levels.keys()
     }
 }
 
-/// Tells whether others need to be told of a bucket.
-pub fn is_worth_telling(left: f64, refill: Refill) -> bool {
+/// Tells whether other hosts need the level of a bucket.
+pub fn is_needed(left: f64, refill: Refill) -> bool {
     left < refill.burst * FULL_PART
 }
--- a/src/rate_limit/limiter.rs
+++ b/src/rate_limit/limiter.rs
@@ -2,21 +2,21 @@
 
 use crate::desired::{RateLimit, RouteTable};
 use crate::prelude::*;
-use crate::rate_limit::meter::{Meter, Refill, SLOTS, slot_of};
-use crate::rate_limit::told::{Level, LimitsNews, Told, is_worth_telling};
-use crate::rate_limit::usage::{Untold, Usage};
+use crate::rate_limit::levels::{KnownLevels, Level, LimitsNews, is_needed};
+use crate::rate_limit::token_bucket::{Refill, SLOTS, TokenBucket, slot_of};
+use crate::rate_limit::usage::{Unreported, Usage};
 
 /// The part of a limit's burst that hosts give out: what they learn of each other's use too late, they give out besides.
 const BURST_PART: f64 = 0.7;
 /// The part of the tolerance of the site's limits that serves as burst: where a limit's own burst is smaller than one
 /// request, it lets one through after a pause.
 const TOLERANCE_PART: f64 = 0.4;
-/// How old what was told may be: some intervals at which hosts are told.
+/// How old the levels known from another host may be: some intervals at which hosts report.
 const STALE_MS: Millis = Millis(1_200);
-/// How old it may be where little is left: hosts tell each other of such use at once.
+/// How old they may be where little is left: such use is reported at once.
 const SCARCE_STALE_MS: Millis = Millis(400);
-/// How new a word must be for a decision where little is left, if there is a newer one.
-const NEW_WORD_MS: Millis = Millis(60);
+/// How recent they must be where little is left, if another host has newer ones.
+const RECENT_MS: Millis = Millis(60);
 /// How long a process that starts, or a new orderer, takes the hosts that it has not heard yet for present.
 const GATHER_MS: Millis = Millis(600);
 /// How long after a restart of all hosts they hear each other again.
@@ -59,15 +59,15 @@
 }
 
 /// What is left for an organisation at some hosts.
-struct Bucket {
+struct Balance {
     left: f64,
     refill: Refill,
     scope: Scope,
-    /// Whether it is this host's, not one that it was told.
+    /// Whether this host counted it, not another one.
     is_own: bool,
 }
 
-impl Bucket {
+impl Balance {
     fn is_scarce(&self) -> bool {
         self.left < self.refill.burst / 2.0
     }
@@ -80,9 +80,10 @@
     place: Place,
     placed_at: Millis,
     /// Of the hosts of this host's place.
-    meters: IndexMap<Name, Meter>,
-    untold: Untold,
-    told: Option<Told>,
+    buckets: IndexMap<Name, TokenBucket>,
+    unreported: Unreported,
+    /// From another host.
+    known: Option<KnownLevels>,
 }
 
 impl Limiter {
@@ -97,13 +98,13 @@
                 members: None,
             },
             placed_at: started_at,
-            meters: IndexMap::new(),
-            untold: Untold::default(),
-            told: None,
+            buckets: IndexMap::new(),
+            unreported: Unreported::default(),
+            known: None,
         }
     }
 
-    /// Takes note of this host's place. A new orderer goes on from the levels that it was told.
+    /// Takes note of this host's place. A new orderer goes on from the levels that it knows.
     pub fn set_place(&mut self, now: Millis, place: Place, table: &RouteTable) {
         if place.scope != self.place.scope {
             self.change_scope(now, place, table);
@@ -112,33 +113,34 @@
     }
 
     fn change_scope(&mut self, now: Millis, place: Place, table: &RouteTable) {
-        self.meters.clear();
+        self.buckets.clear();
         self.placed_at = now;
         if place.scope == Scope::Group {
             return;
         }
-        let untold = self.untold.report(now);
-        self.untold.clear();
+        let unreported = self.unreported.report(now);
+        self.unreported.clear();
         self.place = place;
-        self.begin_site_meters(now, table);
-        self.take_usage(now, &untold, table);
+        self.begin_site_buckets(now, table);
+        self.take_usage(now, &unreported, table);
     }
 
-    /// Begins the buckets of a new orderer with what the one before said last.
-    fn begin_site_meters(&mut self, now: Millis, table: &RouteTable) {
-        let is_kept =
-            |told: &Told| told.scope == Scope::Site && slot_of(now) < slot_of(told.as_of) + SLOTS;
-        let Some(told) = self.told.take().filter(is_kept) else {
+    /// Begins the buckets of a new orderer with the last levels of the one before.
+    fn begin_site_buckets(&mut self, now: Millis, table: &RouteTable) {
+        let is_kept = |known: &KnownLevels| {
+            known.scope == Scope::Site && slot_of(now) < slot_of(known.as_of) + SLOTS
+        };
+        let Some(known) = self.known.take().filter(is_kept) else {
             return;
         };
         for organisation in table.organisations() {
             let Some(limit) = &organisation.rate_limit else {
                 continue;
             };
-            let refill = self.refill(limit, told.share);
-            let left = told.left(told.as_of, &organisation.name, refill);
-            let meter = Meter::new(told.as_of, left);
-            self.meters.insert(organisation.name.clone(), meter);
+            let refill = self.refill(limit, known.share);
+            let left = known.left(known.as_of, &organisation.name, refill);
+            let bucket = TokenBucket::new(known.as_of, left);
+            self.buckets.insert(organisation.name.clone(), bucket);
         }
     }
 
@@ -155,27 +157,27 @@
         cost: u64,
         point: f64,
     ) -> Result<(), Refused> {
-        let bucket = self.bucket(now, organisation, limit);
+        let balance = self.balance(now, organisation, limit);
         let cost = cost as f64;
-        let is_admitted = match bucket.scope {
+        let is_admitted = match balance.scope {
             // The last request may use more than is left, and the next ones wait for that: were there to be room for a
             // whole request, small ones would leave none for large ones.
-            Scope::Site => bucket.left > 0.0,
+            Scope::Site => balance.left > 0.0,
             // The part of a few hosts holds less than a request; each has the chance that their part of one gives.
-            Scope::Group => point * cost < bucket.left,
+            Scope::Group => point * cost < balance.left,
         };
         if is_admitted {
             self.note_use(now, organisation, limit, cost as i64);
             return Ok(());
         }
-        if bucket.is_own && bucket.scope == Scope::Group && bucket.left > 0.0 {
+        if balance.is_own && balance.scope == Scope::Group && balance.left > 0.0 {
             // A chance that was not met is used up, so that on average no more is admitted than the bucket gains.
-            let refill = bucket.refill;
-            self.meter(organisation, refill)
-                .add(now, 0, bucket.left as i64, refill);
+            let refill = balance.refill;
+            self.bucket(organisation, refill)
+                .add(now, 0, balance.left as i64, refill);
         }
-        let wait_ms = match bucket.scope {
-            Scope::Site => -bucket.left * 1_000.0 / bucket.refill.per_s,
+        let wait_ms = match balance.scope {
+            Scope::Site => -balance.left * 1_000.0 / balance.refill.per_s,
             // Another host may know more than this one, unless all have just started.
             Scope::Group => (self.placed_at + SETTLED_MS).since(now).0 as f64,
         };
@@ -183,7 +185,7 @@
         let wait_ms = (wait_ms * (1.0 + point)).min(MOST_RETRY_MS.0 as f64);
         Err(Refused {
             retry_after_ms: LEAST_RETRY_MS.max(Millis(wait_ms as u64)),
-            scope: bucket.scope,
+            scope: balance.scope,
         })
     }
 
@@ -197,34 +199,38 @@
         self.note_use(now, organisation, limit, -(cost as i64));
     }
 
-    /// Tells whether little is left, so that others are to be told of use at once.
+    /// Tells whether little is left, so that use is to be reported at once.
     pub fn is_scarce(&self, now: Millis, organisation: &Name, limit: &RateLimit) -> bool {
-        let bucket = self.bucket(now, organisation, limit);
-        bucket.is_scarce()
+        let balance = self.balance(now, organisation, limit);
+        balance.is_scarce()
     }
 
-    /// Tells whether a decision does well to wait for a newer word: little is left by the last one, and another host
-    /// has a newer one.
-    pub fn wants_word(&self, now: Millis, organisation: &Name, limit: &RateLimit) -> bool {
-        let told = match self.place.scope {
+    /// Tells whether a decision does well to wait for newer levels: little is left by those known, and another host has
+    /// newer ones.
+    pub fn wants_newer_levels(&self, now: Millis, organisation: &Name, limit: &RateLimit) -> bool {
+        let known = match self.place.scope {
             Scope::Site => None,
-            Scope::Group => self.fresh_word(now),
+            Scope::Group => self.fresh_levels(now),
         };
-        told.is_some_and(|told| {
-            let is_old = now.since(told.as_of) >= NEW_WORD_MS;
-            is_old && self.told_bucket(now, told, organisation, limit).is_scarce()
+        known.is_some_and(|known| {
+            let is_old = now.since(known.as_of) >= RECENT_MS;
+            is_old
+                && self
+                    .reported_balance(now, known, organisation, limit)
+                    .is_scarce()
         })
     }
 
     fn note_use(&mut self, now: Millis, organisation: &Name, limit: &RateLimit, amount: i64) {
         let refill = self.refill(limit, self.share(now));
-        self.meter(organisation, refill).add(now, 0, amount, refill);
+        self.bucket(organisation, refill)
+            .add(now, 0, amount, refill);
         if self.place.scope == Scope::Group {
-            self.untold.add(now, organisation, 0, amount);
+            self.unreported.add(now, organisation, 0, amount);
         }
     }
 
-    /// Takes the use of a host that tells it here.
+    /// Takes the use that another host reports.
     pub fn take_usage(&mut self, now: Millis, usage: &[Usage], table: &RouteTable) {
         let share = self.share(now);
         for Usage {
@@ -239,114 +245,114 @@
                 let slots_ago = u64::from(*slots_ago);
                 if let Some(limit) = &limit {
                     let refill = self.refill(limit, share);
-                    self.meter(organisation, refill)
+                    self.bucket(organisation, refill)
                         .add(now, slots_ago, *amount, refill);
                 }
                 if self.place.scope == Scope::Group {
-                    self.untold.add(now, organisation, slots_ago, *amount);
+                    self.unreported.add(now, organisation, slots_ago, *amount);
                 }
             }
         }
     }
 
-    /// Returns the use to tell, by this host and by those that told it.
+    /// Returns the use to report: that of this host and of those that report to it.
     pub fn report(&mut self, now: Millis) -> Vec<Usage> {
         match self.place.scope {
             Scope::Site => Vec::new(),
-            Scope::Group => self.untold.report(now),
+            Scope::Group => self.unreported.report(now),
         }
     }
 
     /// Takes note that the last report was heard.
     pub fn settle(&mut self) {
-        self.untold.settle();
+        self.unreported.settle();
     }
 
-    /// Takes what the orderer or a relay says.
+    /// Takes levels from the orderer or a relay.
     pub fn take_news(&mut self, now: Millis, news: LimitsNews) {
         if self.place.scope == Scope::Group {
-            self.told = Some(Told::new(now, news));
+            self.known = Some(KnownLevels::new(now, news));
         }
     }
 
-    /// Returns what others are told.
+    /// Returns the levels for hosts that report to this one.
     pub fn news(&self, now: Millis, table: &RouteTable) -> LimitsNews {
-        match self.wider_word(now) {
-            Some(told) => self.pass_on(now, told, table),
+        match self.wider_levels(now) {
+            Some(known) => self.pass_on(now, known, table),
             None => self.own_news(now, table),
         }
     }
 
     fn own_news(&self, now: Millis, table: &RouteTable) -> LimitsNews {
         let share = self.share(now);
-        let level = |(name, meter): (&Name, &Meter)| {
+        let level = |(name, bucket): (&Name, &TokenBucket)| {
             let limit = table.organisation(name)?.rate_limit?;
             let refill = self.refill(&limit, share);
-            let left = meter.level(now, refill);
+            let left = bucket.level(now, refill);
             let level = Level {
                 left,
-                used_per_s: meter.used_per_s(now),
+                used_per_s: bucket.used_per_s(now),
             };
-            is_worth_telling(left, refill).then(|| (name.clone(), level))
+            is_needed(left, refill).then(|| (name.clone(), level))
         };
         LimitsNews {
             age_ms: Millis::ZERO,
             scope: self.place.scope,
             share,
-            levels: self.meters.iter().filter_map(level).collect(),
+            levels: self.buckets.iter().filter_map(level).collect(),
         }
     }
 
-    /// Returns what this host was told of more hosts, less what that one was not told yet.
-    fn pass_on(&self, now: Millis, told: &Told, table: &RouteTable) -> LimitsNews {
+    /// Returns levels of more hosts than this one hears, less the use that is not in them yet.
+    fn pass_on(&self, now: Millis, known: &KnownLevels, table: &RouteTable) -> LimitsNews {
         let level = |name: &Name| {
             let limit = table.organisation(name)?.rate_limit?;
-            let refill = self.refill(&limit, told.share);
-            let known = told.level(name);
-            let left = known.map_or(told.left(now, name, refill), |level| level.left);
-            let left = left - self.untold.sum(name) as f64;
+            let refill = self.refill(&limit, known.share);
+            let level = known.level(name);
+            let left = level.map_or(known.left(now, name, refill), |level| level.left);
+            let left = left - self.unreported.sum(name) as f64;
             let level = Level {
                 left,
-                used_per_s: known.map_or(0.0, |level| level.used_per_s),
+                used_per_s: level.map_or(0.0, |level| level.used_per_s),
             };
-            is_worth_telling(left, refill).then(|| (name.clone(), level))
+            is_needed(left, refill).then(|| (name.clone(), level))
         };
-        let names: IndexSet<&Name> = told
+        let names: IndexSet<&Name> = known
             .organisations()
-            .chain(self.untold.organisations())
+            .chain(self.unreported.organisations())
             .collect();
         LimitsNews {
-            age_ms: now.since(told.as_of),
-            scope: told.scope,
-            share: told.share,
+            age_ms: now.since(known.as_of),
+            scope: known.scope,
+            share: known.share,
             levels: names.into_iter().filter_map(level).collect(),
         }
     }
 
     /// Forgets the buckets of organisations that a new desired state does not have.
     pub fn keep_known(&mut self, table: &RouteTable) {
-        self.meters
+        self.buckets
             .retain(|name, _| table.organisation(name).is_some());
     }
 
     /// Returns the bucket by which a request is decided.
-    fn bucket(&self, now: Millis, organisation: &Name, limit: &RateLimit) -> Bucket {
-        let told = match self.place.scope {
+    fn balance(&self, now: Millis, organisation: &Name, limit: &RateLimit) -> Balance {
+        let known = match self.place.scope {
             Scope::Site => None,
-            Scope::Group => self.fresh_word(now),
+            Scope::Group => self.fresh_levels(now),
         };
-        if let Some(told) = told {
-            let bucket = self.told_bucket(now, told, organisation, limit);
-            if !bucket.is_scarce() || now.since(told.as_of) < SCARCE_STALE_MS {
-                return bucket;
+        if let Some(known) = known {
+            let balance = self.reported_balance(now, known, organisation, limit);
+            if !balance.is_scarce() || now.since(known.as_of) < SCARCE_STALE_MS {
+                return balance;
             }
         }
         let refill = self.refill(limit, self.share(now));
-        let left = match self.meters.get(organisation) {
-            Some(meter) => meter.level(now, refill),
+        let left = match self.buckets.get(organisation) {
+            Some(bucket) => bucket.level(now, refill),
             None => self.unused(refill).level(now, refill),
         };
-        Bucket {
+        Balance {
             left,
             refill,
             scope: self.place.scope,
@@ -354,34 +360,34 @@
         }
     }
 
-    fn told_bucket(
+    fn reported_balance(
         &self,
         now: Millis,
-        told: &Told,
+        known: &KnownLevels,
         organisation: &Name,
         limit: &RateLimit,
-    ) -> Bucket {
-        let refill = self.refill(limit, told.share);
-        let left = told.left(now, organisation, refill);
-        Bucket {
-            left: left - self.untold.sum(organisation) as f64,
+    ) -> Balance {
+        let refill = self.refill(limit, known.share);
+        let left = known.left(now, organisation, refill);
+        Balance {
+            left: left - self.unreported.sum(organisation) as f64,
             refill,
-            scope: told.scope,
+            scope: known.scope,
             is_own: false,
         }
     }
 
-    fn fresh_word(&self, now: Millis) -> Option<&Told> {
-        self.told
+    fn fresh_levels(&self, now: Millis) -> Option<&KnownLevels> {
+        self.known
             .as_ref()
-            .filter(|told| now.since(told.as_of) < STALE_MS)
+            .filter(|known| now.since(known.as_of) < STALE_MS)
     }
 
-    /// Returns what this host was told of more hosts than those that speak through it.
-    fn wider_word(&self, now: Millis) -> Option<&Told> {
-        let is_told = self.place.scope == Scope::Group;
-        let told = self.fresh_word(now).filter(|_| is_told)?;
-        (told.scope == Scope::Site || told.share > self.share(now)).then_some(told)
+    /// Returns the levels known of more hosts than those that report to this one.
+    fn wider_levels(&self, now: Millis) -> Option<&KnownLevels> {
+        let is_group = self.place.scope == Scope::Group;
+        let known = self.fresh_levels(now).filter(|_| is_group)?;
+        (known.scope == Scope::Site || known.share > self.share(now)).then_some(known)
     }
 
     /// Returns the part of the limits that the hosts of this host's place have. What is silent has the rest.
@@ -406,17 +412,17 @@
     /// Returns the bucket of an organisation that used nothing since this host has its place. A new orderer begins with
     /// empty ones, since relays gave out what was in theirs. A process that starts begins with full ones: where it
     /// restarts, nothing was given out while it was down.
-    fn unused(&self, refill: Refill) -> Meter {
+    fn unused(&self, refill: Refill) -> TokenBucket {
         let level = match self.place.scope {
             Scope::Site => 0.0,
             Scope::Group => refill.burst,
         };
-        Meter::new(self.placed_at, level)
+        TokenBucket::new(self.placed_at, level)
     }
 
-    fn meter(&mut self, organisation: &Name, refill: Refill) -> &mut Meter {
+    fn bucket(&mut self, organisation: &Name, refill: Refill) -> &mut TokenBucket {
         let unused = self.unused(refill);
-        self.meters
+        self.buckets
             .entry(organisation.clone())
             .or_insert_with(|| unused)
     }
--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -1,23 +1,23 @@
 //! Rate limits of organisations, over all hosts together.
 //!
-//! Every host admits requests by itself, from what it knows of the use of the whole site, and tells its use with the
+//! Every host admits requests by itself, from what it knows of the use of the whole site, and reports its use with the
 //! messages that go to the orderer anyway. So a request waits for no other host, none is needed to admit one, and what
 //! the hosts do not know of each other yet stays within the time between two messages. A host that hears nothing
 //! admits by its share of the limit, so that the sum over all hosts holds whatever is cut off from what.
 //!
-//! - [`meter`]: the bucket of one organisation, with use that is told late.
-//! - [`usage`]: use that is not told yet.
-//! - [`told`]: what the others are told of the buckets.
+//! - [`token_bucket`]: the bucket of one organisation, with use that is reported late.
+//! - [`usage`]: use that is not reported yet.
+//! - [`levels`]: the levels of buckets, as hosts pass them on.
 //! - [`limiter`]: the decision at one host.
 
+pub mod levels;
 pub mod limiter;
-pub mod meter;
-pub mod told;
+pub mod token_bucket;
 pub mod usage;
 
 #[cfg(test)]
 mod tests;
 
+pub use levels::LimitsNews;
 pub use limiter::{Limiter, Refused, Scope};
-pub use told::LimitsNews;
 pub use usage::Usage;
--- a/src/rate_limit/tests/limiter.rs
+++ b/src/rate_limit/tests/limiter.rs
@@ -1,4 +1,4 @@
-//! One host's decisions: what it admits alone, as the orderer, and by what it is told.
+//! One host's decisions: what it admits alone, as the orderer, and by the levels that it knows.
 
 use super::model::{START, TOLERANCE};
 use crate::desired::{DesiredState, LimitUnit, Organisation, RateLimit, RouteTable};
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn use_is_told_until_it_is_heard() {
+fn use_is_reported_until_it_arrives() {
     let mut host = placed(Scope::Group, 1, Some(68));
     let mut orderer = placed(Scope::Site, 68, Some(68));
     let now = START + Millis(60_000);
@@ -116,7 +116,7 @@
 }
 
 #[test]
-fn a_new_orderer_goes_on_from_what_it_was_told() {
+fn a_new_orderer_goes_on_from_the_levels_that_it_knows() {
     let mut former = placed(Scope::Site, 68, Some(68));
     let mut next = placed(Scope::Group, 1, Some(68));
     let now = START + Millis(60_000);
--- a/src/rate_limit/tests/model.rs
+++ b/src/rate_limit/tests/model.rs
@@ -31,7 +31,7 @@
     /// Hosts with different numbers here do not hear each other.
     side: u32,
     phase_ms: u64,
-    /// Whether it has use to tell at once.
+    /// Whether it has use to report at once.
     is_urgent: bool,
 }
 
@@ -234,7 +234,7 @@
             self.next_at_ms += -self.random.f64().max(1e-9).ln() / per_ms;
             let host = self.random.usize(0..self.hosts.len());
             self.place(host);
-            self.wait_for_word(host);
+            self.wait_for_newer_levels(host);
             let point = self.random.f64();
             self.asked += cost as f64;
             let is_large = cost > MEAN_COST;
@@ -254,11 +254,11 @@
         }
     }
 
-    /// Lets a host whose request waits for a newer word speak with its relay, and that with the orderer.
-    fn wait_for_word(&mut self, n: usize) {
+    /// Lets a host whose request waits for newer levels speak with its relay, and that with the orderer.
+    fn wait_for_newer_levels(&mut self, n: usize) {
         let wants = self.hosts[n]
             .limiter
-            .wants_word(self.now, &name(), &self.limit);
+            .wants_newer_levels(self.now, &name(), &self.limit);
         let Some(relay) = self.above(n).filter(|_| wants) else {
             return;
         };
--- a/src/rate_limit/tests/meter.rs
+++ b/src/rate_limit/tests/token_bucket.rs
@@ -1,7 +1,7 @@
-//! A bucket gives the same level whenever its use is told.
+//! A bucket gives the same level whenever its use is reported.
 
 use crate::prelude::*;
-use crate::rate_limit::meter::{Meter, Refill, SLOT_MS, SLOTS};
+use crate::rate_limit::token_bucket::{Refill, SLOT_MS, SLOTS, TokenBucket};
 use arbtest::arbtest;
 
 const START: Millis = Millis(1_000_000);
@@ -16,14 +16,14 @@
 
 #[test]
 fn a_bucket_refills_up_to_its_burst() {
-    let meter = Meter::new(START, -1_000.0);
+    let meter = TokenBucket::new(START, -1_000.0);
     assert_eq!(meter.level(at(4), REFILL), 0.0);
     assert_eq!(meter.level(at(400), REFILL), 500.0);
 }
 
 #[test]
-fn use_that_is_told_late_costs_what_it_would_have_cost_in_time() {
-    let mut in_time = Meter::new(START, 500.0);
+fn use_that_is_reported_late_costs_what_it_would_have_cost_in_time() {
+    let mut in_time = TokenBucket::new(START, 500.0);
     let mut late = in_time.clone();
     for slot in 0..12 {
         in_time.add(at(slot), 0, 200, REFILL);
@@ -37,13 +37,13 @@
 }
 
 #[test]
-fn the_order_in_which_use_is_told_changes_nothing() {
+fn the_order_in_which_use_is_reported_changes_nothing() {
     arbtest(|u| {
         let uses: Vec<(u64, i64)> = (0..u.int_in_range(0..=40)?)
             .map(|_| Ok((u.int_in_range(0..=SLOTS - 1)?, u.int_in_range(-300..=700)?)))
             .collect::<arbtest::arbitrary::Result<_>>()?;
         let now = at(SLOTS - 1);
-        let mut forwards = Meter::new(START, 500.0);
+        let mut forwards = TokenBucket::new(START, 500.0);
         let mut backwards = forwards.clone();
         for (ago, amount) in &uses {
             forwards.add(now, *ago, *amount, REFILL);
@@ -63,7 +63,7 @@
 #[test]
 fn moving_on_changes_no_level() {
     arbtest(|u| {
-        let mut moved = Meter::new(START, 500.0);
+        let mut moved = TokenBucket::new(START, 500.0);
         let mut now = START;
         for _ in 0..u.int_in_range(0..=60)? {
             now += Millis(u.int_in_range(0..=3_000)?);
@@ -78,7 +78,7 @@
 
 #[test]
 fn present_use_is_that_of_the_last_second() {
-    let mut meter = Meter::new(START, 500.0);
+    let mut meter = TokenBucket::new(START, 500.0);
     for slot in 0..20 {
         meter.add(at(slot), 0, 250, REFILL);
     }
--- a/src/rate_limit/meter.rs
+++ b/src/rate_limit/token_bucket.rs
@@ -30,10 +30,10 @@
     now.0 / SLOT_MS.0
 }
 
-/// What is left of a bucket, from the use in the last slots. Use that is told late counts in the slot in which it was,
+/// What is left of a bucket, from the use in the last slots. Use that is reported late counts in the slot in which it was,
 /// so what the bucket would have gained meanwhile is not lost to its organisation.
 #[derive(Clone, Debug)]
-pub struct Meter {
+pub struct TokenBucket {
     /// What was left at the beginning of the first slot kept.
     level: f64,
     first_slot: u64,
@@ -41,7 +41,7 @@
     used: VecDeque<i64>,
 }
 
-impl Meter {
+impl TokenBucket {
     /// Makes a bucket that holds so much now.
     pub fn new(now: Millis, level: f64) -> Self {
         Self {
--- a/src/rate_limit/usage.rs
+++ b/src/rate_limit/usage.rs
@@ -1,9 +1,9 @@
-//! Use that the host which adds it up was not told yet.
+//! Use that is not reported yet to the host which adds it up.
 
 use crate::prelude::*;
-use crate::rate_limit::meter::{SLOTS, slot_of};
+use crate::rate_limit::token_bucket::{SLOTS, slot_of};
 
-/// Most organisations of which a host keeps use that is not told: far above the largest site planned for.
+/// Most organisations of which a host keeps unreported use: far above the largest site planned for.
 const MAX_ORGANISATIONS: usize = 4_096;
 
 /// Use of one organisation.
@@ -15,15 +15,15 @@
     pub slots: Vec<(u8, i64)>,
 }
 
-/// Use by organisation and slot, until it is told.
+/// Use by organisation and slot, until it is reported.
 #[derive(Clone, Debug, Default)]
-pub struct Untold {
+pub struct Unreported {
     organisations: IndexMap<Name, IndexMap<u64, i64>>,
     /// What the message on its way says.
     sent: Option<(u64, Vec<Usage>)>,
 }
 
-impl Untold {
+impl Unreported {
     /// Counts use of some slots ago.
     pub fn add(&mut self, now: Millis, organisation: &Name, slots_ago: u64, amount: i64) {
         let is_known = self.organisations.contains_key(organisation);
@@ -41,12 +41,12 @@
         slots.map_or(0, |slots| slots.values().sum())
     }
 
-    /// Returns the organisations with use that is not told.
+    /// Returns the organisations with unreported use.
     pub fn organisations(&self) -> impl Iterator<Item = &Name> {
         self.organisations.keys()
     }
 
-    /// Returns what is to be told. It stays until [`Self::settle`] says that it was heard: what may have been lost is told
+    /// Returns what is to be reported. It stays until [`Self::settle`] says that it arrived: what may have been lost is reported
     /// again, so that use counts twice rather than not at all.
     pub fn report(&mut self, now: Millis) -> Vec<Usage> {
         let present = slot_of(now);
