--- a/src/desired/tests.rs
+++ b/src/desired/tests.rs
@@ -1,6 +1,7 @@
 //! Longest prefix, and shares of a split route.
 
 use super::*;
+use crate::test_support;
 
 fn route(name: &str, host: &str, prefix: &str, targets: &[(&str, u32)]) -> Route {
     let target = |(service, weight): &(&str, u32)| Target {
@@ -12,14 +13,7 @@
         host: host.into(),
         path_prefix: prefix.into(),
         targets: targets.iter().map(target).collect(),
-        repeat: Repeat::Once,
-        streams: false,
-        time_limit_ms: Millis(1_000),
-        goal_ms: Millis(100),
-        event_gap_ms: None,
-        attempts: 1,
-        rank: 0,
-        is_public: false,
+        ..test_support::route()
     }
 }
 
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -3,7 +3,7 @@
 use super::fake_platform::{FakePlatform, FakeStore};
 use super::fake_upstream::{FakeUpstream, Step};
 use crate::clock::Clock;
-use crate::desired::{CallerLimits, DesiredState, Organisation, Repeat, Route, Service, Target};
+use crate::desired::{CallerLimits, DesiredState, Organisation, Repeat, Route, Service};
 use crate::entry::caller;
 use crate::entry::follow::follow;
 use crate::entry::host::Host;
@@ -14,6 +14,7 @@
 use crate::http1::{BodyReader, Connection, ReadError, ResponseHead};
 use crate::ordering::message::SyncAsk;
 use crate::prelude::*;
+use crate::test_support;
 use crate::upstreams::UpstreamEntry;
 use futures_lite::AsyncWriteExt;
 use smol::net::{TcpListener, TcpStream};
@@ -201,21 +202,12 @@
 /// A route `/a/` of the host `x`, which a test changes as it needs.
 pub fn route(repeat: Repeat) -> Route {
     Route {
-        name: "r".into(),
         host: "x".into(),
         path_prefix: "/a/".into(),
-        targets: vec![Target {
-            service: "s".into(),
-            weight: 1,
-        }],
         repeat,
-        streams: false,
         time_limit_ms: Millis(10_000),
-        goal_ms: Millis(100),
-        event_gap_ms: None,
         attempts: 2,
-        rank: 0,
-        is_public: false,
+        ..test_support::route()
     }
 }
 
--- a/src/identity/tests.rs
+++ b/src/identity/tests.rs
@@ -1,7 +1,8 @@
 //! Who a request's key belongs to, on public and on other routes, and what a desired state may say of keys.
 
 use super::*;
-use crate::desired::{DesiredState, Repeat, RouteTable, Target};
+use crate::desired::{DesiredState, RouteTable};
+use crate::test_support;
 use arbtest::arbtest;
 
 fn organisation(name: &str, keys: &[&str]) -> Arc<Organisation> {
@@ -17,21 +18,8 @@
 
 fn route(is_public: bool) -> Route {
     Route {
-        name: "r".into(),
-        host: "h".into(),
-        path_prefix: "/".into(),
-        targets: vec![Target {
-            service: "s".into(),
-            weight: 1,
-        }],
-        repeat: Repeat::Once,
-        streams: false,
-        time_limit_ms: Millis(1_000),
-        goal_ms: Millis(100),
-        event_gap_ms: None,
-        attempts: 1,
-        rank: 0,
         is_public,
+        ..test_support::route()
     }
 }
 
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -1,6 +1,8 @@
 //! What tests of several modules share.
 
+use crate::desired::{Repeat, Route, Target};
 use crate::group::Member;
+use crate::prelude::*;
 use std::net::SocketAddr;
 
 /// Runs a property on inputs made from fixed seeds, and returns what it returned.
@@ -29,3 +31,24 @@
         cpu_millicores,
     }
 }
+
+/// Makes a route of all requests of host `h` to service `s`, once each, which a test changes as it needs.
+pub fn route() -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        targets: vec![Target {
+            service: "s".into(),
+            weight: 1,
+        }],
+        repeat: Repeat::Once,
+        streams: false,
+        time_limit_ms: Millis(1_000),
+        goal_ms: Millis(100),
+        event_gap_ms: None,
+        attempts: 1,
+        rank: 0,
+        is_public: false,
+    }
+}
