Upstreams: what a host does for a message or a request does not grow with the list

Cause, read in the code: each message of a host (two a second) walked over the whole list of upstreams for those in use, each choice over all of them for those of a service or model, and each upstream that left moved the rest of the list. At 10,000 upstreams and 985 hosts that is some 10,000 entries a message. The names of starts that are over were kept for 8,192 upstreams; where 10,000 were replaced, late copies of entries brought the first ones back.

Now the registry keeps which upstreams are in use, and which list a model or serve a service. Names of past starts are kept for as many as are listed, so the bound holds at any size.

Tests: late_copies_after_a_release_of_ten_thousand_upstreams_bring_none_back (fails with the former bound: 10,000 are more than 8,192); what_is_looked_up_is_what_a_walk_over_all_upstreams_finds over random histories.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -269,8 +269,7 @@
 /// Returns this host's own work at each upstream.
 fn own_work<P: Platform>(host: &Host<P>) -> IndexMap<Name, Work> {
     let upstreams = host.upstreams.borrow();
-    let busy = upstreams.iter().filter(|upstream| upstream.in_flight > 0);
-    let work = busy.map(|upstream| {
+    let work = upstreams.busy().map(|upstream| {
         let work = Work {
             prompt_tokens: upstream.prompt_tokens,
             long_prompts: upstream.long_prompts,
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -1,6 +1,7 @@
 //! The upstreams of a site as one host knows them: the platform's list, corrected by its own sends.
 
 pub mod health;
+pub mod index;
 pub mod registry;
 
 #[cfg(test)]
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -1,7 +1,11 @@
 //! The list of upstreams with its changes, outages and lifetimes.
 
+use crate::entry::platform::ModelAsk;
 use crate::prelude::*;
+use crate::routing::roles::is_long;
+use crate::upstreams::index::ListIndex;
 use crate::upstreams::{Health, Lifetime, UpstreamEntry};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 /// How long entries that vanished in an outage of the list are still used after it: upstreams that live
@@ -10,8 +14,8 @@
 /// How long the list must have been out of reach to count as an outage; shorter gaps are single lost polls.
 const OUTAGE_MS: Millis = Millis(2_500);
 /// Most names of which the last start is remembered after its entry is gone, so that a late copy of that entry does not
-/// bring it back; above the 6,600 servers of the largest site planned for.
-const MAX_PAST: usize = 8_192;
+/// bring it back; as many as there are upstreams where these are more.
+const LEAST_PAST: usize = 1_024;
 
 /// One upstream.
 #[derive(Clone, Debug)]
@@ -65,6 +69,14 @@
             None => true,
         })
     }
+
+    /// Tells whether its entry says that the engine holds these models and adapters, and no others.
+    pub fn holds_just(&self, asks: &[ModelAsk]) -> bool {
+        let models = self.entry.models.iter();
+        let listed: usize = models.map(|held| 1 + held.adapters.len()).sum();
+        let holds = |ask: &ModelAsk| self.holds(&ask.model, ask.adapter.as_deref());
+        listed == asks.len() && asks.iter().all(holds)
+    }
 }
 
 /// What a change of the list did.
@@ -92,13 +104,22 @@
     born_at: Millis,
     /// Whether it began to leave or its address said that it is over; else its entry may have lapsed only.
     is_over: bool,
+    /// How many starts were remembered before it.
+    nth: u64,
 }
 
 /// The upstreams by name, each with its newest start.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     upstreams: IndexMap<Name, Upstream>,
+    index: ListIndex,
+    /// The upstreams with requests of this host under way.
+    busy: IndexSet<Name>,
     past: IndexMap<Name, Past>,
+    /// What was put into `past`, the oldest first, with how many were before it; some names were taken out since.
+    past_order: VecDeque<(u64, Name)>,
+    past_count: u64,
+    version: u64,
     last_heard_at: Option<Millis>,
     was_unheard: bool,
     outage_ended_at: Option<Millis>,
@@ -128,6 +149,10 @@
         match self.upstreams.get_mut(&entry.id) {
             Some(upstream) if entry.born_at < upstream.entry.born_at => Change::None,
             Some(upstream) if entry.born_at > upstream.entry.born_at => {
+                self.busy.swap_remove(&entry.id);
+                self.index.remove(&upstream.entry);
+                self.index.add(&entry);
+                self.version += 1;
                 *upstream = Upstream::new(entry);
                 Change::Restarted
             }
@@ -137,6 +162,12 @@
                 let is_same = upstream.entry == entry;
                 // A lifetime that began to leave never comes back.
                 let leaving = entry.leaving || upstream.entry.leaving;
+                let is_indexed_same = upstream.entry.service == entry.service
+                    && upstream.entry.models == entry.models;
+                if !is_indexed_same {
+                    self.index.remove(&upstream.entry);
+                    self.index.add(&entry);
+                }
                 upstream.entry = UpstreamEntry { leaving, ..entry };
                 match (leaves_now, is_same) {
                     (true, _) => Change::Leaving,
@@ -145,7 +176,9 @@
                 }
             }
             None => {
-                self.past.shift_remove(&entry.id);
+                self.past.swap_remove(&entry.id);
+                self.index.add(&entry);
+                self.version += 1;
                 self.upstreams
                     .insert(entry.id.clone(), Upstream::new(entry));
                 Change::Added
@@ -271,6 +304,47 @@
         (upstream.entry.born_at == lifetime.born_at).then_some(upstream)
     }
 
+    /// Counts a request of this host at a start of an upstream, if that start is the one known.
+    pub fn begin_request(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
+        let Some(upstream) = self.get_lifetime_mut(lifetime) else {
+            return;
+        };
+        upstream.in_flight += 1;
+        upstream.prompt_tokens += prompt_tokens;
+        upstream.long_prompts += u32::from(is_long(prompt_tokens));
+        self.busy.insert(lifetime.id.clone());
+    }
+
+    /// Takes note that the prompt of a request was read.
+    pub fn note_prompt_read(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
+        if let Some(upstream) = self.get_lifetime_mut(lifetime) {
+            upstream.prompt_tokens = upstream.prompt_tokens.saturating_sub(prompt_tokens);
+            let long_prompts = u32::from(is_long(prompt_tokens));
+            upstream.long_prompts = upstream.long_prompts.saturating_sub(long_prompts);
+        }
+    }
+
+    /// Takes note that a request of this host is over.
+    pub fn end_request(&mut self, lifetime: &Lifetime) {
+        let Some(upstream) = self.get_lifetime_mut(lifetime) else {
+            return;
+        };
+        upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        if upstream.in_flight == 0 {
+            self.busy.swap_remove(&lifetime.id);
+        }
+    }
+
+    /// Returns the upstreams with requests of this host under way.
+    pub fn busy(&self) -> impl Iterator<Item = &Upstream> {
+        self.busy.iter().filter_map(|id| self.upstreams.get(id))
+    }
+
+    /// Returns the version of which starts are listed.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns every upstream.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
@@ -278,23 +352,46 @@
 
     /// Returns the upstreams of a service that may get new work.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
-        self.upstreams
-            .values()
-            .filter(move |upstream| &*upstream.entry.service == service && !upstream.entry.leaving)
+        let serving = self.index.serving(service);
+        serving
+            .filter_map(|id| self.upstreams.get(id))
+            .filter(|upstream| !upstream.entry.leaving)
+    }
+
+    /// Returns the upstreams that list a model.
+    pub fn listing<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        let listing = self.index.listing(model);
+        listing.filter_map(|id| self.upstreams.get(id))
     }
 
     fn drop_upstream(&mut self, id: &str, is_over: bool) -> bool {
-        let Some(upstream) = self.upstreams.shift_remove(id) else {
+        let Some(upstream) = self.upstreams.swap_remove(id) else {
             return false;
         };
-        if self.past.len() >= MAX_PAST {
-            self.past.shift_remove_index(0);
-        }
+        self.version += 1;
+        self.busy.swap_remove(id);
+        self.index.remove(&upstream.entry);
         let past = Past {
             born_at: upstream.entry.born_at,
             is_over: is_over || upstream.entry.leaving,
+            nth: self.past_count,
         };
-        self.past.insert(upstream.entry.id, past);
+        let name = upstream.entry.id;
+        self.past_order.push_back((self.past_count, name.clone()));
+        self.past_count += 1;
+        self.past.insert(name, past);
+        self.forget_oldest();
         true
     }
+
+    fn forget_oldest(&mut self) {
+        let most = self.upstreams.len().max(LEAST_PAST);
+        while self.past_order.len() > most
+            && let Some((nth, name)) = self.past_order.pop_front()
+        {
+            if self.past.get(&name).is_some_and(|past| past.nth == nth) {
+                self.past.swap_remove(&name);
+            }
+        }
+    }
 }
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -205,3 +205,75 @@
     })
     .size_max(4_096);
 }
+
+/// Where more upstreams were replaced than names were remembered, late copies of the first ones' entries brought them back.
+#[test]
+fn late_copies_after_a_release_of_ten_thousand_upstreams_bring_none_back() {
+    let mut registry = Registry::default();
+    let old: Vec<UpstreamEntry> = (0..10_000).map(|n| entry(&format!("old{n}"))).collect();
+    for entry in &old {
+        registry.put(entry.clone());
+    }
+    for (n, old) in old.iter().enumerate() {
+        registry.put(entry(&format!("new{n}")));
+        registry.put(leaving(&old.id));
+        registry.remove(Millis(0), &old.id);
+    }
+    for entry in old {
+        assert_eq!(registry.put(entry), Change::None);
+    }
+    assert_eq!(registry.iter().count(), 10_000);
+}
+
+/// Whatever the list and this host's requests do, what is looked up by service, by model and by use is what a walk over all
+/// upstreams finds.
+#[test]
+fn what_is_looked_up_is_what_a_walk_over_all_upstreams_finds() {
+    arbtest::arbtest(|u| {
+        let mut registry = Registry::default();
+        for _ in 0..u.int_in_range(1..=80u8)? {
+            let id = format!("u{}", u.int_in_range(0..=4u8)?);
+            let start = lifetime(&id, u.int_in_range(1..=3u64)?);
+            match u.int_in_range(0..=6u8)? {
+                0..=2 => {
+                    let held = HeldModel {
+                        name: format!("m{}", u.int_in_range(0..=2u8)?).into(),
+                        adapters: Vec::new(),
+                    };
+                    let service = if u.arbitrary()? { "service" } else { "other" };
+                    registry.put(UpstreamEntry {
+                        born_at: start.born_at,
+                        service: service.into(),
+                        leaving: u.ratio(1, 5)?,
+                        models: vec![held],
+                        ..entry(&id)
+                    });
+                }
+                3 => drop(registry.remove(Millis(0), &id)),
+                4 => drop(registry.note_restarted(&start)),
+                5 => registry.begin_request(&start, 10),
+                _ => registry.end_request(&start),
+            }
+            let names = |found: &mut dyn Iterator<Item = &Upstream>| -> IndexSet<Name> {
+                found.map(|upstream| upstream.entry.id.clone()).collect()
+            };
+            let walk = |with: &dyn Fn(&Upstream) -> bool| {
+                names(&mut registry.iter().filter(|upstream| with(upstream)))
+            };
+            let in_use = walk(&|upstream| upstream.in_flight > 0);
+            assert_eq!(names(&mut registry.busy()), in_use);
+            for service in ["service", "other"] {
+                let serving = walk(&|upstream| {
+                    &*upstream.entry.service == service && !upstream.entry.leaving
+                });
+                assert_eq!(names(&mut registry.usable(service)), serving);
+            }
+            for model in ["m0", "m1", "m2"] {
+                let holding = walk(&|upstream| upstream.holds(model, None));
+                assert_eq!(names(&mut registry.listing(model)), holding);
+            }
+        }
+        Ok(())
+    })
+    .size_max(4_096);
+}
