Ordering: count engines as they change, tell hosts of those that differ from the list

Cause, read in the code and timed by the issue's author: each question for the next order counted anew what all engines hold, several times, and searched all engines for each model that few hold; an orderer asks up to 32 questions a round. And every host was told of every engine, also of those that the list of upstreams already describes: some 1 MB a host at 9,640 engines, again with each new orderer, over links of 20 Mbit/s and calls of 700 ms at most.

Now the ledger keeps a census (engines by model and adapter, loads from the weight store) and the set of engines that changed; the published state takes only these, and an engine is told of from when it holds other things than its entry says. The list of engines is compared only when it or the desired state has changed.

Tests: the random histories of the ledger compare the census with a new count, and what was told by changes with what the engines hold, after every step; an_engine_is_told_of_from_when_it_holds_other_things_than_its_entry_says. Ruled out: telling only changes but all engines once (the whole is what a new orderer's hosts get).

--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -15,9 +15,9 @@
 use crate::ordering::ledger::Ledger;
 use crate::ordering::message::{Action, Order, OrderAnswer};
 use crate::ordering::planner::{Planned, Planner, load_time};
-use crate::ordering::published::PublishedEngines;
+use crate::ordering::published::{EngineView, PublishedEngines};
 use crate::prelude::*;
-use crate::upstreams::Lifetime;
+use crate::upstreams::{Lifetime, Registry};
 use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
 
@@ -29,9 +29,6 @@
 const LEAST_PLAN_MS: Millis = Millis(10);
 /// Up to so many hosts plans are made without a longer pause.
 const PLAN_HOSTS: usize = 24;
-/// How often what the engines hold is compared with what the hosts were told: adapters become ready without an order's
-/// answer, within a few milliseconds.
-const PUBLISH_MS: Millis = Millis(20);
 /// Most orders planned in one round.
 const MAX_PLANNED: usize = 32;
 
@@ -44,8 +41,8 @@
     pub ledger: Ledger,
     /// What the hosts are told of it.
     pub published: PublishedEngines,
-    published_as: Option<(u64, u64)>,
-    published_at: Millis,
+    /// The versions of the list of upstreams and of the desired state by which the engines were taken.
+    engines_as_of: Option<(u64, u64)>,
     /// What callers ask for.
     pub book: Book,
     told_holder: Option<Member>,
@@ -73,6 +70,7 @@
     /// Forgets the engines, because another host may order from now on.
     pub fn forget_engines(&mut self) {
         self.ledger = Ledger::default();
+        self.engines_as_of = None;
         self.ready_at = Vec::new();
     }
 
@@ -92,17 +90,16 @@
     }
 
     /// Takes what the engines hold over into what the hosts are told.
-    pub fn publish(&mut self, now: Millis) {
-        let Some(holding) = self.lease.holding() else {
+    pub fn publish(&mut self, now: Millis, upstreams: &Registry) {
+        let Some(fence) = self.lease.holding().map(|holding| holding.fence) else {
             return;
         };
-        let state = Some((holding.fence, self.ledger.version()));
-        let is_new = self.published_as != state || now.since(self.published_at) >= PUBLISH_MS;
-        if is_new {
-            self.published.update(holding.fence, self.ledger.view(now));
-            self.published_as = state;
-            self.published_at = now;
-        }
+        let changes = self.ledger.take_changes(now);
+        let is_as_listed = |view: &EngineView| {
+            let upstream = upstreams.get_lifetime(&view.engine);
+            upstream.is_some_and(|upstream| upstream.holds_just(&view.held))
+        };
+        self.published.update(fence, changes, is_as_listed);
     }
 }
 
@@ -222,6 +219,12 @@
 
 fn take_engines<P: Platform>(host: &Host<P>, table: &RouteTable, now: Millis) {
     let upstreams = host.upstreams.borrow();
+    let mut orders = host.orders.borrow_mut();
+    let as_of = Some((upstreams.version(), table.version));
+    if orders.engines_as_of == as_of && !orders.ledger.lacks_engines() {
+        return;
+    }
+    orders.engines_as_of = as_of;
     let is_engine = |service: &Name| {
         let service = table.services.get(service);
         service.is_some_and(|service| service.engine.is_some())
@@ -230,7 +233,7 @@
         .iter()
         .filter(|upstream| is_engine(&upstream.entry.service))
         .map(|upstream| (upstream.lifetime(), upstream.entry.service.clone()));
-    host.orders.borrow_mut().ledger.take_engines(now, engines);
+    orders.ledger.take_engines(now, engines);
 }
 
 fn ask_reports<P: Platform + 'static>(
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -57,7 +57,7 @@
     if wants {
         host.note_want();
     }
-    orders.publish(now);
+    orders.publish(now, &host.upstreams.borrow());
     let ready_at = orders.ready_at.iter();
     SyncReply::News(Box::new(OrdererNews {
         age_ms: Millis::ZERO,
--- a/src/ordering/adapters.rs
+++ b/src/ordering/adapters.rs
@@ -4,6 +4,7 @@
 //! milliseconds, and callers wait for it; but only an orderer brings it, and a site may lack one for seconds.
 
 use crate::entry::platform::ModelAsk;
+use crate::ordering::census::ServiceCensus;
 use crate::ordering::engine::Engine;
 use crate::ordering::message::Action;
 use crate::ordering::planner::{Planned, Planner};
@@ -19,16 +20,12 @@
 impl Planner<'_> {
     /// Brings an adapter that callers wait for to an engine with its model; when the engine's places are taken, the one
     /// that was asked for longest ago makes way.
-    pub(super) fn adapter_order(&self) -> Option<Planned> {
+    pub(super) fn adapter_order(&self, census: &ServiceCensus) -> Option<Planned> {
         let mut waiting: Vec<_> = self
             .book
             .iter()
             .filter(|(ask, asked)| ask.adapter.is_some() && asked.waiting > 0)
-            .filter(|(ask, _)| {
-                !self
-                    .engines()
-                    .any(|engine| engine.adapters.contains_key(*ask))
-            })
+            .filter(|(ask, _)| !self.is_on_engine(census, ask))
             .collect();
         waiting.sort_by_key(|(_, asked)| std::cmp::Reverse(asked.waiting));
         if waiting.is_empty() {
@@ -40,6 +37,14 @@
             .find_map(|(ask, _)| self.place_adapter(ask, &separate))
     }
 
+    /// Tells whether an engine that may be used has an adapter, or is bringing it.
+    fn is_on_engine(&self, census: &ServiceCensus, ask: &ModelAsk) -> bool {
+        let unused = self
+            .unused_engines()
+            .filter(|engine| engine.adapters.contains_key(ask));
+        census.adapter(ask) > 0 && census.adapter(ask) > unused.count()
+    }
+
     /// Places one adapter; `separate` are the models whose copies are kept apart for long and for short prompts.
     fn place_adapter(&self, ask: &ModelAsk, separate: &[Name]) -> Option<Planned> {
         let spec = self.spec.models.get(&ask.model)?;
@@ -91,21 +96,8 @@
 
     /// Fills free places with adapters that no engine holds, before anyone asks for them, those asked for most first: an
     /// adapter that is there needs no orderer, which a site may lack for seconds.
-    pub(super) fn adapter_ahead(&self) -> Option<Planned> {
+    pub(super) fn adapter_ahead(&self, census: &ServiceCensus) -> Option<Planned> {
         let places = (self.spec.adapter_slots as usize).saturating_sub(PLACES_KEPT_FREE);
-        let adapters = || self.engines().flat_map(|engine| engine.adapters.iter());
-        let on_their_way = adapters().filter(|(_, ready_at)| **ready_at > self.now);
-        if on_their_way.count() >= AHEAD_AT_ONCE {
-            return None;
-        }
-        let with_place: Vec<&Engine> = self
-            .free_engines()
-            .filter(|engine| engine.adapter_places(self.now) < places)
-            .collect();
-        if with_place.is_empty() {
-            return None;
-        }
-        let held: IndexSet<&ModelAsk> = adapters().map(|(ask, _)| ask).collect();
         let models = self.spec.models.iter();
         let missing = models.flat_map(|(model, spec)| {
             spec.adapters.iter().map(|adapter| ModelAsk {
@@ -114,9 +106,24 @@
             })
         });
         let mut missing: Vec<(f64, ModelAsk)> = missing
-            .filter(|ask| !held.contains(ask))
+            .filter(|ask| !self.is_on_engine(census, ask))
             .map(|ask| (self.book.asked(&ask).per_s(self.now), ask))
             .collect();
+        if missing.is_empty() {
+            return None;
+        }
+        let adapters = self.engines().flat_map(|engine| engine.adapters.values());
+        let on_their_way = adapters.filter(|ready_at| **ready_at > self.now);
+        if on_their_way.count() >= AHEAD_AT_ONCE {
+            return None;
+        }
+        let with_place: Vec<&Engine> = self
+            .free_engines()
+            .filter(|engine| engine.adapter_places(self.now) < places)
+            .collect();
+        if with_place.is_empty() {
+            return None;
+        }
         missing.sort_by(|(a, _), (b, _)| b.total_cmp(a));
         missing
             .into_iter()
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -2,22 +2,18 @@
 
 use crate::desired::EngineSpec;
 use crate::entry::platform::ModelAsk;
-use crate::ordering::copy::{Copy, LoadTime, Loaded};
-use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
+use crate::ordering::copy::{Copy, Loaded};
+use crate::ordering::message::{Action, EngineReport, Order};
 use crate::ordering::published::EngineView;
 use crate::prelude::*;
 use crate::upstreams::{HeldModel, Lifetime};
 
-/// How long an adapter takes from the acceptance of its order until the engine runs requests with it, when few are on
-/// their way: it is fetched in 5 to 7 ms.
-const ADAPTER_MS: Millis = Millis(9);
-/// How long an unload of a model that nobody uses takes; the next order is tried then, and refused by an engine that
-/// is not done.
-const UNLOAD_MS: Millis = Millis(130);
 /// How often an engine's report is read while an order's outcome is waited for, and otherwise. A report costs about
 /// a sixth of an order.
-const BUSY_REPORT_MS: Millis = Millis(250);
+pub(super) const BUSY_REPORT_MS: Millis = Millis(250);
 const REPORT_MS: Millis = Millis(5_000);
+/// How long an engine rests after an answer that gives no hint what it will do next.
+pub(super) const REST_MS: Millis = Millis(400);
 /// How long after a restart an unanswered order to the former start may still be carried out: the platform speaks of
 /// seconds.
 const VOID_ORDER_MS: Millis = Millis(10_000);
@@ -114,15 +110,31 @@
         self.was_busy || self.copies.values().any(changes)
     }
 
-    /// Takes an unload for done when it should be: the engine refuses the next order if it is not.
-    pub(super) fn assume_unloaded(&mut self, now: Millis) -> bool {
-        let is_due = self.unloaded_at.is_some_and(|at| now >= at);
-        if is_due {
-            self.unloaded_at = None;
-            self.was_busy = false;
-            self.copies.retain(|_, copy| *copy != Copy::Unloading);
-        }
-        is_due
+    /// Tells whether an unload should be done.
+    pub(super) fn is_unload_due(&self, now: Millis) -> bool {
+        self.unloaded_at.is_some_and(|at| now >= at)
+    }
+
+    /// Takes an unload for done: the engine refuses the next order if it is not.
+    pub(super) fn assume_unloaded(&mut self) {
+        self.unloaded_at = None;
+        self.was_busy = false;
+        self.copies.retain(|_, copy| *copy != Copy::Unloading);
+    }
+
+    /// Tells whether what hosts are told of the engine changes with time alone: a load from its own disk or an adapter is
+    /// about to be ready.
+    pub(super) fn will_change(&self, now: Millis) -> bool {
+        let is_due_later = |at: Millis| at != Millis::NEVER && at > now;
+        let is_loading = |copy: &Copy| match copy {
+            Copy::Loading {
+                ready_at,
+                from_store: false,
+                ..
+            } => *ready_at != Millis::NEVER && !copy.should_run(now),
+            Copy::Loading { .. } | Copy::Held | Copy::Unloading => false,
+        };
+        self.adapters.values().any(|at| is_due_later(*at)) || self.copies.values().any(is_loading)
     }
 
     /// Tells whether a model on the engine can run.
@@ -181,16 +193,6 @@
         self.adapters.keys().filter(move |ask| &*ask.model == model)
     }
 
-    /// Returns the order for an action, to be sent now.
-    pub(super) fn order(&self, action: Action, ask: ModelAsk) -> Order {
-        Order {
-            action,
-            ask,
-            after_orders: self.order_count,
-            born_at: self.born_at,
-        }
-    }
-
     /// Returns the loads from the weight store that the engine said, a moment ago, it still carries out.
     pub fn loads_under_way(&self, now: Millis) -> impl Iterator<Item = Loaded> {
         let reported = self.was_busy && self.is_known;
@@ -220,6 +222,12 @@
         };
     }
 
+    /// Takes note that the report could not be read.
+    pub(super) fn note_unreported(&mut self, now: Millis) {
+        self.in_report = false;
+        self.report_at = now + REST_MS;
+    }
+
     /// Tells whether a report is an old one: of an earlier start, or from before the last order. A lower count that lasts
     /// longer than any report's lag is that of a new start which does not say when it began.
     fn is_old_report(&mut self, now: Millis, report: &EngineReport) -> bool {
@@ -318,9 +326,8 @@
             self.adapters.entry(ask).or_insert(ready_at);
         }
     }
-}
 
-impl Engine {
+    /// Returns what hosts are told of the engine.
     pub(super) fn view(&self, now: Millis) -> EngineView {
         let held = self.copies.iter();
         let models = held
@@ -338,92 +345,4 @@
             held: models.chain(adapters).collect(),
         }
     }
-
-    pub(super) fn take_effect(
-        &mut self,
-        now: Millis,
-        order: &Order,
-        answer: OrderAnswer,
-        load: LoadTime,
-    ) {
-        let is_done = answer == OrderAnswer::AlreadyDone;
-        match (order.action, &order.ask.adapter) {
-            (Action::Load, Some(_)) => {
-                let ready_at = if is_done { now } else { now + ADAPTER_MS };
-                self.adapters.insert(order.ask.clone(), ready_at);
-            }
-            (Action::Unload, Some(_)) => {
-                self.adapters.shift_remove(&order.ask);
-            }
-            (Action::Load, None) if is_done => {
-                self.copies.insert(order.ask.model.clone(), Copy::Held);
-            }
-            (Action::Load, None) => {
-                let copy = Copy::Loading {
-                    since: now,
-                    ready_at: now + load.takes_ms,
-                    from_store: load.from_store,
-                    beside: 1,
-                };
-                self.copies.insert(order.ask.model.clone(), copy);
-                self.was_busy = true;
-                self.report_at = now + load.takes_ms;
-            }
-            (Action::Unload, None) => {
-                self.adapters.retain(|ask, _| ask.model != order.ask.model);
-                match is_done {
-                    true => drop(self.copies.shift_remove(&order.ask.model)),
-                    false => {
-                        self.copies.insert(order.ask.model.clone(), Copy::Unloading);
-                        self.was_busy = true;
-                        self.unloaded_at = Some(now + UNLOAD_MS);
-                    }
-                }
-                self.report_at = now + BUSY_REPORT_MS;
-            }
-        }
-    }
-
-    /// Counts what an order may bring, until it is known to be in vain.
-    pub(super) fn reserve(&mut self, order: &Order) {
-        if order.action == Action::Load {
-            match &order.ask.adapter {
-                Some(_) => drop(
-                    self.adapters
-                        .entry(order.ask.clone())
-                        .or_insert(Millis::NEVER),
-                ),
-                None => {
-                    let model = order.ask.model.clone();
-                    let from_store = !self.at_hand.contains(&model);
-                    self.copies.entry(model).or_insert(Copy::Loading {
-                        since: Millis::NEVER,
-                        ready_at: Millis::NEVER,
-                        from_store,
-                        beside: 1,
-                    });
-                }
-            }
-        }
-    }
-
-    /// Takes back what was assumed of an order that did not take effect.
-    pub(super) fn undo(&mut self, order: &Order) {
-        match (order.action, &order.ask.adapter) {
-            (Action::Load, Some(_)) => {
-                if self.adapters.get(&order.ask) == Some(&Millis::NEVER) {
-                    self.adapters.shift_remove(&order.ask);
-                }
-            }
-            (Action::Load, None) => {
-                self.copies.shift_remove(&order.ask.model);
-            }
-            (Action::Unload, Some(_)) => {
-                self.adapters.insert(order.ask.clone(), Millis::ZERO);
-            }
-            (Action::Unload, None) => {
-                self.copies.insert(order.ask.model.clone(), Copy::Held);
-            }
-        }
-    }
 }
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -5,52 +5,117 @@
 //! report shows a higher number, its model counts as held, and no other order to that engine is made.
 
 use crate::entry::platform::ModelAsk;
+use crate::ordering::census::{Census, ServiceCensus};
 use crate::ordering::copy::{Copy, LoadTime, Loaded};
-use crate::ordering::engine::{Engine, Pending};
+use crate::ordering::engine::Engine;
 use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::ordering::published::EngineView;
 use crate::prelude::*;
 use crate::upstreams::Lifetime;
 
 /// How long freed memory is kept for the model that it was freed for: the unload waits for what runs.
-const INTENDED_MS: Millis = Millis(3_000);
-/// How long an engine rests after an answer that gives no hint what it will do next.
-const REST_MS: Millis = Millis(400);
+pub(super) const INTENDED_MS: Millis = Millis(3_000);
+/// What changed on the engines since it was asked for last.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EngineChanges {
+    /// What engines hold now that may hold other things than before.
+    pub views: Vec<EngineView>,
+    /// Starts that are over.
+    pub gone: Vec<Lifetime>,
+}
 
 /// The engines by lifetime.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     engines: IndexMap<Name, Engine>,
-    version: u64,
+    census: Census,
+    /// Engines that may hold other things than when [`Ledger::take_changes`] was called last.
+    changed: IndexSet<Name>,
+    gone: Vec<Lifetime>,
+    /// Engines that free memory for a model, or did.
+    intending: IndexSet<Name>,
+    lacks_engines: bool,
 }
 
 impl Ledger {
+    /// Changes an engine; what is counted of the engines stays true.
+    fn change<T>(&mut self, id: &str, with: impl FnOnce(&mut Engine) -> T) -> Option<T> {
+        let engine = self.engines.get_mut(id)?;
+        self.census.remove(engine);
+        let former = engine.born_at;
+        let result = with(engine);
+        self.census.add(engine);
+        if engine.born_at != former {
+            self.gone.push(Lifetime {
+                id: engine.id.clone(),
+                born_at: former,
+            });
+        }
+        match engine.intended.is_some() {
+            true => drop(self.intending.insert(engine.id.clone())),
+            false => drop(self.intending.swap_remove(id)),
+        }
+        self.changed.insert(engine.id.clone());
+        Some(result)
+    }
+
+    fn insert(&mut self, engine: Engine) {
+        self.census.add(&engine);
+        self.engines.insert(engine.id.clone(), engine);
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(engine) = self.engines.swap_remove(id) else {
+            return;
+        };
+        self.census.remove(&engine);
+        self.changed.swap_remove(id);
+        self.intending.swap_remove(id);
+        self.gone.push(Lifetime {
+            id: engine.id,
+            born_at: engine.born_at,
+        });
+    }
+
     /// Takes which engines there are; new ones are unknown until their report is read.
     pub fn take_engines(&mut self, now: Millis, engines: impl Iterator<Item = (Lifetime, Name)>) {
         let listed: IndexMap<Name, (Lifetime, Name)> = engines
             .map(|(lifetime, service)| (lifetime.id.clone(), (lifetime, service)))
             .collect();
-        let before = self.engines.len();
-        self.engines.retain(|id, _| listed.contains_key(id));
-        let mut changed = self.engines.len() != before;
+        let unlisted: Vec<Name> = self
+            .engines
+            .keys()
+            .filter(|id| !listed.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in &unlisted {
+            self.remove(id);
+        }
+        self.lacks_engines = false;
         for (id, (lifetime, service)) in listed {
-            match self.engines.get_mut(&id) {
+            match self.engines.get(&id).map(|engine| engine.born_at) {
                 // An engine's own report may tell of a new start before the list does.
-                Some(engine) if engine.born_at >= lifetime.born_at => continue,
-                Some(engine) => engine.begin_lifetime(now, lifetime.born_at),
-                None => drop(self.engines.insert(id, Engine::new(lifetime, service))),
+                Some(born_at) if born_at >= lifetime.born_at => {}
+                Some(_) => drop(self.change(&id, |engine| {
+                    engine.begin_lifetime(now, lifetime.born_at);
+                })),
+                None => self.insert(Engine::new(lifetime, service)),
             }
-            changed = true;
-        }
-        if changed {
-            self.version += 1;
         }
     }
 
+    /// Tells whether an engine was dropped that may be listed, so that [`Ledger::take_engines`] is to be called.
+    pub fn lacks_engines(&self) -> bool {
+        self.lacks_engines
+    }
+
     /// Takes unloads for done that should be.
     pub fn assume_unloaded(&mut self, now: Millis) {
-        for engine in self.engines.values_mut() {
-            self.version += u64::from(engine.assume_unloaded(now));
+        let engines = self.engines.values();
+        let due = engines.filter(|engine| engine.is_unload_due(now));
+        let due: Vec<Name> = due.map(|engine| engine.id.clone()).collect();
+        for id in &due {
+            self.change(id, Engine::assume_unloaded);
         }
     }
 
@@ -69,23 +134,28 @@
         self.engines.values()
     }
 
-    /// Returns the version of what the engines hold.
-    pub fn version(&self) -> u64 {
-        self.version
+    /// Returns how many engines of a service hold what; nothing when there are none.
+    pub fn census(&self, service: &str) -> Option<&ServiceCensus> {
+        self.census.of(service)
+    }
+
+    /// Returns the engines that free memory for a model, with the model.
+    pub fn intending(&self, now: Millis) -> impl Iterator<Item = (&Engine, &Name)> {
+        let engines = self.intending.iter().filter_map(|id| self.engines.get(id));
+        engines.filter_map(move |engine| Some((engine, engine.intended(now)?)))
     }
 
     /// Returns how many loads from the weight store are under way.
     pub fn store_loads(&self) -> usize {
-        let copies = self
-            .engines
-            .values()
-            .flat_map(|engine| engine.copies.values());
-        copies.filter(|copy| copy.is_from_store()).count()
+        self.census.store_loads()
     }
 
     /// Notes at each load under way how many run beside it.
     fn count_store_loads(&mut self) {
         let loads = self.store_loads();
+        if loads == 0 {
+            return;
+        }
         let copies = self
             .engines
             .values_mut()
@@ -112,28 +182,12 @@
         ask: ModelAsk,
         makes_way_for: Option<Name>,
     ) -> Option<Order> {
-        let engine = self.engines.get_mut(id)?;
-        let order = engine.order(action, ask);
-        engine.intended = makes_way_for.map(|model| (model, now + INTENDED_MS));
-        engine.reserve(&order);
-        // Hosts stop sending before the engine begins to drop what they ask for.
-        if action == Action::Unload {
-            match &order.ask.adapter {
-                Some(_) => drop(engine.adapters.shift_remove(&order.ask)),
-                None => drop(
-                    engine
-                        .copies
-                        .insert(order.ask.model.clone(), Copy::Unloading),
-                ),
-            }
-        }
-        engine.pending = Some(Pending {
-            order: order.clone(),
-            in_call: false,
-            is_uncertain: false,
-        });
-        self.version += 1;
-        Some(order)
+        self.change(id, |engine| {
+            let order = engine.order(action, ask);
+            engine.intended = makes_way_for.map(|model| (model, now + INTENDED_MS));
+            engine.begin(&order);
+            order
+        })
     }
 
     /// Returns the orders that are to be sent now, new ones and unanswered ones, and counts them as sent.
@@ -162,61 +216,23 @@
         answer: OrderAnswer,
         load: LoadTime,
     ) {
-        let Some(engine) = self.engines.get_mut(id) else {
-            return;
-        };
+        let engine = self.engines.get(id);
         let is_pending = engine
-            .pending
-            .as_ref()
+            .and_then(|engine| engine.pending.as_ref())
             .is_some_and(|pending| pending.order == *order);
         if !is_pending {
             return;
         }
-        self.version += 1;
-        match answer {
-            OrderAnswer::Accepted | OrderAnswer::AlreadyDone => {
-                engine.pending = None;
-                engine.order_count += u64::from(answer == OrderAnswer::Accepted);
-                // An adapter that nobody uses is dropped at once, which is answered as done but counted.
-                let is_quick_unload = order.action == Action::Unload && order.ask.adapter.is_some();
-                engine.order_count +=
-                    u64::from(answer == OrderAnswer::AlreadyDone && is_quick_unload);
-                engine.take_effect(now, order, answer, load);
-                self.count_store_loads();
-            }
-            OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Invalid => {
-                engine.pending = None;
-                engine.undo(order);
-                if order.action == Action::Load && order.ask.adapter.is_none() {
-                    // The unload before it is not done; the memory is still meant for this model.
-                    engine.intended = Some((order.ask.model.clone(), now + INTENDED_MS));
-                }
-                engine.is_doubtful = true;
-                engine.report_at = now;
-                engine.rests_until = now + Millis(100);
-            }
-            OrderAnswer::Silent => {
-                if let Some(pending) = &mut engine.pending {
-                    pending.in_call = false;
-                    pending.is_uncertain = true;
-                }
-                engine.report_at = now;
-                engine.rests_until = now + REST_MS;
-            }
-            OrderAnswer::NotSent => match &mut engine.pending {
-                Some(pending) if pending.is_uncertain => {
-                    pending.in_call = false;
-                    engine.rests_until = now + REST_MS;
-                }
-                _ => {
-                    engine.pending = None;
-                    engine.undo(order);
-                    engine.rests_until = now + REST_MS;
-                }
-            },
-            OrderAnswer::OtherLifetime => {
-                self.engines.shift_remove(id);
-            }
+        if answer == OrderAnswer::OtherLifetime {
+            self.remove(id);
+            self.lacks_engines = true;
+            return;
+        }
+        self.change(id, |engine| {
+            engine.take_answer(now, order, answer, load);
+        });
+        if matches!(answer, OrderAnswer::Accepted | OrderAnswer::AlreadyDone) {
+            self.count_store_loads();
         }
     }
 
@@ -227,25 +243,34 @@
         id: &str,
         report: Option<EngineReport>,
     ) -> Vec<Loaded> {
-        let Some(engine) = self.engines.get_mut(id) else {
-            return Vec::new();
-        };
         let Some(report) = report else {
-            engine.in_report = false;
-            engine.report_at = now + REST_MS;
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.note_unreported(now);
+            }
             return Vec::new();
         };
-        let before = (engine.born_at, engine.copies.clone(), engine.adapters.len());
-        let loaded = engine.take_report(now, report);
-        if before != (engine.born_at, engine.copies.clone(), engine.adapters.len()) {
-            self.version += 1;
-        }
-        loaded
+        let loaded = self.change(id, |engine| engine.take_report(now, report));
+        loaded.unwrap_or_default()
     }
 
-    /// Returns what the engines hold, for the hosts.
-    pub fn view(&self, now: Millis) -> Vec<EngineView> {
-        let known = self.engines.values().filter(|engine| engine.is_known);
-        known.map(|engine| engine.view(now)).collect()
+    /// Returns what changed on the engines since the last call.
+    pub fn take_changes(&mut self, now: Millis) -> EngineChanges {
+        let mut changes = EngineChanges {
+            views: Vec::new(),
+            gone: std::mem::take(&mut self.gone),
+        };
+        let Self {
+            engines, changed, ..
+        } = self;
+        changed.retain(|id| {
+            let Some(engine) = engines.get(id) else {
+                return false;
+            };
+            if engine.is_known {
+                changes.views.push(engine.view(now));
+            }
+            engine.will_change(now)
+        });
+        changes
     }
 }
--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -8,9 +8,11 @@
 pub mod adapters;
 pub mod book;
 pub mod ceiling;
+pub mod census;
 pub mod copy;
 pub mod demand;
 pub mod engine;
+mod engine_orders;
 pub mod estimates;
 pub mod gather;
 pub mod host_reports;
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -10,6 +10,7 @@
 use crate::entry::platform::ModelAsk;
 use crate::ordering::book::{Book, ModelDemand};
 use crate::ordering::ceiling::Ceiling;
+use crate::ordering::census::{ServiceCensus, Tally};
 use crate::ordering::copy::{Copy, LoadTime};
 use crate::ordering::engine::Engine;
 use crate::ordering::ledger::Ledger;
@@ -100,11 +101,21 @@
 impl Planner<'_> {
     /// Returns the next order, if there is one to make now.
     pub fn next(&self, ceiling: &mut Ceiling) -> Option<Planned> {
-        self.adapter_order()
-            .or_else(|| self.model_order(ceiling))
-            .or_else(|| self.spare_order(ceiling))
-            .or_else(|| self.spare_copy())
-            .or_else(|| self.adapter_ahead())
+        let census = self.ledger.census(self.service)?;
+        if let Some(order) = self.adapter_order(census) {
+            return Some(order);
+        }
+        let needs = self.needs(census);
+        self.model_order(&needs, ceiling)
+            .or_else(|| self.spare_order(&needs, ceiling))
+            .or_else(|| self.spare_copy(&needs))
+            .or_else(|| self.adapter_ahead(census))
+    }
+
+    /// Returns the engines that are not to be used, of those that [`Planner::engines`] passes over.
+    pub(super) fn unused_engines(&self) -> impl Iterator<Item = &Engine> {
+        let engines = self.unusable.iter().filter_map(|id| self.ledger.get(id));
+        engines.filter(|engine| &*engine.service == self.service)
     }
 
     pub(super) fn engines(&self) -> impl Iterator<Item = &Engine> {
@@ -127,9 +138,8 @@
     }
 
     /// Loads the model that is most wanted and not on enough engines.
-    fn model_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
-        let needs = self.needs();
-        if let Some(order) = self.intended_order(&needs, ceiling) {
+    fn model_order(&self, needs: &Needs<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
+        if let Some(order) = self.intended_order(needs, ceiling) {
             return Some(order);
         }
         let lacking = needs.values().filter(|need| need.copies < need.wanted);
@@ -141,52 +151,69 @@
         });
         lacking
             .into_iter()
-            .find_map(|need| self.place_model(&need, &needs, ceiling))
+            .find_map(|need| self.place_model(&need, needs, ceiling))
     }
 
     /// Goes on where memory was freed for a model: loads it, or frees more.
     fn intended_order(&self, needs: &Needs<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
-        self.free_engines().find_map(|engine| {
+        let is_usable = |engine: &Engine| {
+            &*engine.service == self.service
+                && !self.unusable.contains(&engine.id)
+                && engine.is_free(self.now)
+        };
+        let mut intending = self.ledger.intending(self.now);
+        intending.find_map(|(engine, model)| {
             let need = Need {
                 copies: 0,
-                ..*needs.get(engine.intended(self.now)?)?
+                ..*needs.get(model)?
             };
+            let engine = is_usable(engine).then_some(engine)?;
             self.place_on(&need, needs, std::iter::once(engine), ceiling)
         })
     }
 
-    fn needs(&self) -> Needs<'_> {
+    fn needs(&self, census: &ServiceCensus) -> Needs<'_> {
         let demands = self.book.models(self.now);
+        let unused: Vec<&Engine> = self.unused_engines().collect();
+        let most = ((census.engines() - unused.len()) as f64 * COPIES_PART) as usize;
+        let need = |(model, spec): (&'_ Name, &'_ ModelSpec)| {
+            let demand = demands.get(model).copied().unwrap_or_default();
+            let Tally { copies, held } = census.model(model);
+            (
+                demand,
+                copies,
+                held,
+                self.wanted(spec, &demand, most.max(1)),
+            )
+        };
         let mut needs: Needs<'_> = self
             .spec
             .models
             .iter()
             .map(|(model, spec)| {
-                let demand = demands.get(model).copied().unwrap_or_default();
+                let (demand, copies, held, wanted) = need((model, spec));
                 let need = Need {
                     model,
                     demand,
-                    copies: 0,
-                    held: 0,
-                    wanted: self.wanted(spec, &demand),
+                    copies,
+                    held,
+                    wanted,
                 };
                 (model, need)
             })
             .collect();
-        for engine in self.engines() {
+        for engine in unused {
             for (model, copy) in &engine.copies {
-                let Some(need) = needs.get_mut(model) else {
-                    continue;
-                };
-                need.copies += usize::from(*copy != Copy::Unloading);
-                need.held += usize::from(*copy == Copy::Held);
+                if let Some(need) = needs.get_mut(model) {
+                    need.copies -= usize::from(*copy != Copy::Unloading);
+                    need.held -= usize::from(*copy == Copy::Held);
+                }
             }
-            let intended = engine.intended(self.now);
-            let is_new = |model: &&Name| !engine.copies.contains_key(*model);
-            if let Some(need) = intended
-                .filter(is_new)
-                .and_then(|model| needs.get_mut(model))
-            {
+        }
+        for (engine, model) in self.ledger.intending(self.now) {
+            let is_new = !engine.copies.contains_key(model);
+            let is_used = &*engine.service == self.service && !self.unusable.contains(&engine.id);
+            if let Some(need) = needs.get_mut(model).filter(|_| is_new && is_used) {
                 need.copies += 1;
             }
         }
@@ -194,14 +221,13 @@
     }
 
     /// Returns how many engines are to hold a model.
-    fn wanted(&self, spec: &ModelSpec, demand: &ModelDemand) -> usize {
+    fn wanted(&self, spec: &ModelSpec, demand: &ModelDemand, most: usize) -> usize {
         let asked_of_late = demand
             .last_at
             .is_some_and(|at| self.now.since(at) < RECENT_MS);
         if demand.waiting == 0 && !asked_of_late {
             return 0;
         }
-        let most = ((self.engines().count() as f64 * COPIES_PART) as usize).max(1);
         let by_reading = (demand.tokens_per_s / prompt_speed(spec) / BUSY_SHARE).ceil() as usize;
         let is_separate = spec.weights_mb >= SEPARATE_MB && demand.has_both_kinds();
         let by_kind = 1 + usize::from(is_separate);
@@ -352,15 +378,14 @@
     }
 
     /// Fills free memory with models that no engine holds, before anyone asks for them.
-    fn spare_order(&self, ceiling: &mut Ceiling) -> Option<Planned> {
+    fn spare_order(&self, needs: &Needs<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
+        let is_missing = |model: &Name| needs.get(model).is_some_and(|need| need.copies == 0);
+        let models = self.spec.models.iter();
+        let mut missing = models.filter(|(model, _)| is_missing(model)).peekable();
+        missing.peek()?;
         let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
         let engines: Vec<&Engine> = self.free_engines().filter(unclaimed).collect();
         let asked = self.book.is_asked_of_late(self.now, RECENT_MS);
-        let missing = self.spec.models.iter().filter(|(model, _)| {
-            !self
-                .engines()
-                .any(|engine| engine.will_hold(self.now, model))
-        });
         for (model, spec) in missing {
             let place = engines
                 .iter()
@@ -395,8 +420,7 @@
 
     /// Gives a model in demand another copy where memory is free and its weights are at hand. It costs an order and is the
     /// first to make way; prompts that are spread over more engines meet less often.
-    fn spare_copy(&self) -> Option<Planned> {
-        let needs = self.needs();
+    fn spare_copy(&self, needs: &Needs<'_>) -> Option<Planned> {
         let pressed = needs.values().filter(|need| {
             let spec = self.spec.models.get(need.model);
             let share = spec.map_or(0.0, |spec| need.demand.tokens_per_s / prompt_speed(spec));
@@ -407,7 +431,7 @@
         pressed.sort_by(|a, b| by_copy(b).total_cmp(&by_copy(a)));
         pressed
             .into_iter()
-            .find_map(|need| self.place_spare(need, &needs))
+            .find_map(|need| self.place_spare(need, needs))
     }
 
     fn place_spare(&self, need: &Need<'_>, needs: &Needs<'_>) -> Option<Planned> {
--- a/src/ordering/published.rs
+++ b/src/ordering/published.rs
@@ -5,6 +5,7 @@
 //! filled a link of 20 Mbit/s at the orderer of 195 hosts; the changes take a few hundred bytes.
 
 use crate::entry::platform::ModelAsk;
+use crate::ordering::ledger::EngineChanges;
 use crate::prelude::*;
 use crate::upstreams::Lifetime;
 use std::collections::VecDeque;
@@ -44,6 +45,12 @@
     held: IndexSet<ModelAsk>,
 }
 
+impl Published {
+    fn is(&self, held: &[ModelAsk]) -> bool {
+        held.len() == self.held.len() && held.iter().all(|ask| self.held.contains(ask))
+    }
+}
+
 /// What the engines hold, with the version of each one's last change.
 #[derive(Clone, Debug, Default)]
 pub struct PublishedEngines {
@@ -65,8 +72,14 @@
         Some(&self.engines.get(engine)?.held)
     }
 
-    /// Takes what the engines hold now, at the orderer with this fence.
-    pub fn update(&mut self, fence: u64, engines: Vec<EngineView>) {
+    /// Takes what changed on the engines, at the orderer with this fence. An engine that its entry in the list of upstreams
+    /// describes is not told of, until it was told of once: every host has the entry.
+    pub fn update(
+        &mut self,
+        fence: u64,
+        changes: EngineChanges,
+        is_as_listed: impl Fn(&EngineView) -> bool,
+    ) {
         if fence != self.version.0 {
             *self = Self {
                 version: (fence, 0),
@@ -74,14 +87,24 @@
             };
         }
         let next = self.version.1 + 1;
-        let listed: IndexSet<Lifetime> = engines.iter().map(|view| view.engine.clone()).collect();
-        let mut is_changed = self.remove_unlisted(next, &listed);
-        for EngineView { engine, held } in engines {
-            let held: IndexSet<ModelAsk> = held.into_iter().collect();
-            let known = self.engines.get(&engine);
-            if known.is_none_or(|known| known.held != held) {
-                let changed_at = next;
-                self.engines.insert(engine, Published { changed_at, held });
+        let mut is_changed = false;
+        for engine in &changes.gone {
+            if self.engines.contains_key(engine) {
+                self.note_gone(next, engine);
+                is_changed = true;
+            }
+        }
+        for view in changes.views {
+            let is_new = match self.engines.get(&view.engine) {
+                Some(known) => !known.is(&view.held),
+                None => !is_as_listed(&view),
+            };
+            if is_new {
+                let published = Published {
+                    changed_at: next,
+                    held: view.held.into_iter().collect(),
+                };
+                self.engines.insert(view.engine, published);
                 is_changed = true;
             }
         }
@@ -90,21 +113,8 @@
         }
     }
 
-    fn remove_unlisted(&mut self, version: u64, listed: &IndexSet<Lifetime>) -> bool {
-        let gone: Vec<Lifetime> = self
-            .engines
-            .keys()
-            .filter(|engine| !listed.contains(*engine))
-            .cloned()
-            .collect();
-        for engine in &gone {
-            self.note_gone(version, engine);
-        }
-        !gone.is_empty()
-    }
-
     fn note_gone(&mut self, version: u64, engine: &Lifetime) {
-        self.engines.shift_remove(engine);
+        self.engines.swap_remove(engine);
         self.gone.push_back((version, engine.clone()));
         if self.gone.len() > MAX_GONE
             && let Some((version, _)) = self.gone.pop_front()
--- a/src/ordering/tests/ledger.rs
+++ b/src/ordering/tests/ledger.rs
@@ -4,6 +4,7 @@
 use crate::entry::platform::ModelAsk;
 use crate::ordering::book::Book;
 use crate::ordering::ceiling::Ceiling;
+use crate::ordering::census::Census;
 use crate::ordering::demand::AskCount;
 use crate::ordering::host_reports::HostReport;
 use crate::ordering::ledger::Ledger;
@@ -35,6 +36,8 @@
     ceiling: Ceiling,
     /// Orders that were sent and have not arrived; each may also have been given up by its sender.
     flights: Vec<(Name, Order, bool)>,
+    /// What hosts were told of the engines by changes alone.
+    told: IndexMap<Lifetime, IndexSet<ModelAsk>>,
 }
 
 impl World {
@@ -56,9 +59,34 @@
             book: Book::default(),
             ceiling: Ceiling::new(Millis(900_000), None),
             flights: Vec::new(),
+            told: IndexMap::new(),
         }
     }
 
+    /// Counts anew what the ledger keeps counted, and compares what hosts were told with what the engines hold.
+    fn check_kept_counts(&mut self) {
+        let mut census = Census::default();
+        for engine in self.ledger.iter() {
+            census.add(engine);
+        }
+        assert_eq!(self.ledger.census("s"), census.of("s"));
+        assert_eq!(self.ledger.store_loads(), census.store_loads());
+        let changes = self.ledger.take_changes(self.now);
+        for engine in &changes.gone {
+            self.told.swap_remove(engine);
+        }
+        for view in changes.views {
+            self.told
+                .insert(view.engine, view.held.into_iter().collect());
+        }
+        let known = self.ledger.iter().filter(|engine| engine.is_known);
+        let views = known.map(|engine| engine.view(self.now));
+        let held: IndexMap<Lifetime, IndexSet<ModelAsk>> = views
+            .map(|view| (view.engine, view.held.into_iter().collect()))
+            .collect();
+        assert_eq!(self.told, held);
+    }
+
     fn plan(&mut self) {
         let listed = self.listed.iter().map(|(id, born_at)| {
             let lifetime = Lifetime {
@@ -153,6 +181,7 @@
                 // A new holder of the lease knows nothing of its predecessor's orders.
                 if u.ratio(1, 10)? {
                     self.ledger = Ledger::default();
+                    self.told.clear();
                     self.flights.iter_mut().for_each(|flight| flight.2 = false);
                 }
             }
@@ -172,6 +201,7 @@
             }
             _ => self.now += Millis(u.int_in_range(1..=900u64)?),
         }
+        self.check_kept_counts();
         Ok(())
     }
 
--- a/src/ordering/tests/published.rs
+++ b/src/ordering/tests/published.rs
@@ -1,6 +1,7 @@
 //! What hosts know of the engines is always one state that the orderer had, whichever relays they heard it through.
 
 use crate::entry::platform::ModelAsk;
+use crate::ordering::ledger::EngineChanges;
 use crate::ordering::published::{EngineView, EnginesVersion, PublishedEngines};
 use crate::prelude::*;
 use crate::test_support::seeded;
@@ -43,6 +44,26 @@
     held.collect()
 }
 
+/// Tells an orderer all that the engines hold; none of it stands in a list that the hosts have.
+fn update(orderer: &mut PublishedEngines, fence: u64, views: Vec<EngineView>) {
+    update_listed(orderer, fence, views, |_| false);
+}
+
+fn update_listed(
+    orderer: &mut PublishedEngines,
+    fence: u64,
+    views: Vec<EngineView>,
+    is_as_listed: impl Fn(&EngineView) -> bool,
+) {
+    let is_listed = |engine: &Lifetime| views.iter().any(|view| view.engine == *engine);
+    let gone = (0..5).map(engine).filter(|engine| !is_listed(engine));
+    let changes = EngineChanges {
+        gone: gone.collect(),
+        views: views.clone(),
+    };
+    orderer.update(fence, changes, is_as_listed);
+}
+
 #[test]
 fn every_host_knows_a_state_that_the_orderer_had_under_its_version() {
     let taken = seeded(300, |u| {
@@ -57,7 +78,7 @@
         for _ in 0..150 {
             match u.int_in_range(0..=9u8)? {
                 0..=2 => {
-                    orderer.update(fence, views(u)?);
+                    update(&mut orderer, fence, views(u)?);
                     states.insert(orderer.version(), state(&orderer));
                 }
                 3 if u.int_in_range(0..=9u8)? == 0 => fence += 1,
@@ -95,15 +116,44 @@
             adapter: None,
         }],
     };
-    orderer.update(1, vec![view(0, "a"), view(1, "a"), view(2, "a")]);
+    update(
+        &mut orderer,
+        1,
+        vec![view(0, "a"), view(1, "a"), view(2, "a")],
+    );
     let known = orderer.version();
     assert!(orderer.since((0, 0)).is_whole);
-    orderer.update(1, vec![view(0, "a"), view(1, "b")]);
+    update(&mut orderer, 1, vec![view(0, "a"), view(1, "b")]);
     let news = orderer.since(known);
     assert_eq!(news.engines, [view(1, "b")]);
     assert_eq!(news.gone, [engine(2)]);
     assert!(!news.is_whole);
     let same = orderer.version();
-    orderer.update(1, vec![view(0, "a"), view(1, "b")]);
+    update(&mut orderer, 1, vec![view(0, "a"), view(1, "b")]);
     assert_eq!(orderer.version(), same, "nothing changed");
 }
+
+/// Every engine of a large site was told of, also those that no order had changed: two thousand hosts each got what the list
+/// of upstreams had told them before.
+#[test]
+fn an_engine_is_told_of_from_when_it_holds_other_things_than_its_entry_says() {
+    let mut orderer = PublishedEngines::default();
+    let view = |n: u8, model: &str| EngineView {
+        engine: engine(n),
+        held: vec![ModelAsk {
+            model: model.into(),
+            adapter: None,
+        }],
+    };
+    let is_as_listed = |view: &EngineView| &*view.held[0].model == "listed";
+    let listed = || (0..5).map(|n| view(n, "listed"));
+    update_listed(&mut orderer, 1, listed().collect(), is_as_listed);
+    assert_eq!(orderer.since((0, 0)).engines, []);
+    let known = orderer.version();
+    let changed = listed().skip(1).chain([view(0, "loaded")]);
+    update_listed(&mut orderer, 1, changed.collect(), is_as_listed);
+    assert_eq!(orderer.since(known).engines, [view(0, "loaded")]);
+    // Its entry catches up; a host may still have the former one.
+    update_listed(&mut orderer, 1, listed().collect(), is_as_listed);
+    assert_eq!(orderer.since((0, 0)).engines, [view(0, "listed")]);
+}
