A host that starts takes the list of upstreams from its relay

Cause, read in the code: every host reads the whole list from the store when it starts, some 20 pages and 4 MB in base64 for 10,000 upstreams. At 985 hosts that is 20,000 calls and 4 GB at once, where the store allows 16,000 calls a second; it grows with hosts times upstreams.

Now relays read the store; the others ask their relays, some 1,000 entries a message, in their own data centre, and follow the list from where the copy ends. What the relay keeps only for a while after an outage is left out. After a trim a copy counts only if it ends behind the gap. The first list is one line of the log (607) instead of one for each upstream.

Weighed: a record of the relays in the store, so that a host needs not read the group first (a topic more, and stale after a restart of all); the list with the usual exchange (messages of 1 MB in calls of 700 ms). Tests: entry::tests::list_copy.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -6,6 +6,7 @@
 use crate::entry::followed::Next;
 use crate::entry::host::Host;
 use crate::entry::lines;
+use crate::entry::list_copy::{self, Sources};
 use crate::entry::platform::{
     Platform, RowValue, StoreCall, StoreError, Table, TablePage, TableRow,
 };
@@ -14,6 +15,7 @@
 use crate::upstreams::UpstreamEntry;
 use crate::upstreams::registry::Change;
 use smol::Timer;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// For which part of the contact time a reader of the upstreams rests after a page of changes, so that changes in quick
@@ -38,10 +40,16 @@
 /// Most pages of one whole read; at 500 rows each, far above any site.
 const MAX_PAGES: usize = 1_000;
 
+/// How long a host whose place in the list's history is gone looks for a relay that has a newer list: it goes by its own,
+/// older one meanwhile.
+const LOOK_AGAIN_MS: Millis = Millis(1_000);
+
 /// Where in a table the reader is.
 struct Cursor {
     table: Table,
     next: Option<Offset>,
+    /// From where on the history was gone when it was read last.
+    lost_from: Option<Offset>,
     written_at: IndexMap<Name, Offset>,
     failures: usize,
     trims: usize,
@@ -64,6 +72,12 @@
     former: Option<u64>,
 }
 
+#[derive(Serialize)]
+struct ListLine {
+    upstreams: usize,
+    from: Option<SocketAddr>,
+}
+
 #[derive(Serialize)]
 struct UpstreamLine<'a> {
     upstream: &'a str,
@@ -73,11 +87,12 @@
     models: Vec<&'a str>,
 }
 
-/// Follows a table until the process ends.
-pub async fn follow<P: Platform>(host: Rc<Host<P>>, table: Table) {
+/// Follows a table until the process ends. `sources` are the hosts from which the list of upstreams may be taken at first.
+pub async fn follow<P: Platform>(host: Rc<Host<P>>, table: Table, sources: Option<Sources>) {
     let mut cursor = Cursor {
         table,
         next: None,
+        lost_from: None,
         written_at: IndexMap::new(),
         failures: 0,
         trims: 0,
@@ -86,7 +101,7 @@
     };
     loop {
         let read = match cursor.next {
-            None => read_all(&host, &mut cursor).await,
+            None => begin(&host, &mut cursor, sources.as_ref()).await,
             Some(from) => match wait_until_due(&host, &mut cursor).await {
                 true => read_changes(&host, &mut cursor, from).await,
                 false => continue,
@@ -108,7 +123,7 @@
                         error: "",
                     },
                 );
-                cursor.next = None;
+                cursor.lost_from = cursor.next.take();
                 cursor.trims += 1;
                 // A store that has dropped the history again and again is not asked without pause.
                 if cursor.trims > 1 {
@@ -127,6 +142,35 @@
     }
 }
 
+/// Takes the whole table: the list of upstreams from a relay where there is one, else from the store.
+async fn begin<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    sources: Option<&Sources>,
+) -> Result<bool, StoreError> {
+    let copy = match (cursor.table, sources) {
+        (Table::Upstreams, Some(sources)) => {
+            let look_ms = match cursor.lost_from {
+                Some(_) => LOOK_AGAIN_MS,
+                None => list_copy::LOOK_MS,
+            };
+            list_copy::fetch(host, sources, cursor.lost_from, look_ms).await
+        }
+        _ => None,
+    };
+    let Some(copy) = copy else {
+        return read_all(host, cursor).await;
+    };
+    cursor.written_at.clear();
+    cursor.next = Some(copy.end);
+    host.followed.note_read(cursor.table, copy.as_of, copy.end);
+    host.followed.drop_rows();
+    let count = copy.entries.len();
+    let changes = replace_upstreams(host, copy.as_of, copy.entries, Vec::new());
+    note_list(host, count, Some(copy.relay), &changes);
+    Ok(false)
+}
+
 /// Waits until the table is to be read by this host itself, which it returns; takes rows that the orderer sent before
 /// that.
 async fn wait_until_due<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> bool {
@@ -145,7 +189,7 @@
                 if let Some(from) = cursor.next.filter(|_| host.is_relay()) {
                     keep_told(host, from, &rows, end);
                 }
-                take_rows(host, cursor, rows);
+                take_rows(host, cursor, cursor.next, rows);
                 cursor.next = Some(end);
                 cursor.was_told = true;
                 host.followed.note_taken(cursor.table, end);
@@ -261,7 +305,7 @@
         Table::Desired => rows.into_iter().for_each(|row| take_desired(host, row)),
         Table::Upstreams => {
             host.followed.drop_rows();
-            replace_upstreams(host, rows);
+            take_list(host, rows);
         }
     }
     Ok(false)
@@ -289,12 +333,21 @@
         }
     }
     let changed = !rows.is_empty();
-    take_rows(host, cursor, rows);
+    take_rows(host, cursor, Some(from), rows);
     Ok(changed)
 }
 
-fn take_rows<P: Platform>(host: &Host<P>, cursor: &mut Cursor, rows: Vec<TableRow>) {
-    for row in rows {
+/// Takes rows in order. Those before `from`, and those that a page of the whole table showed already, change nothing.
+fn take_rows<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    from: Option<Offset>,
+    rows: Vec<TableRow>,
+) {
+    let new = rows
+        .into_iter()
+        .filter(|row| from.is_none_or(|from| row.offset >= from));
+    for row in new {
         let known = cursor.written_at.get(&row.key);
         if known.is_some_and(|known| *known >= row.offset) {
             continue;
@@ -343,7 +396,7 @@
     host.note_change();
 }
 
-fn replace_upstreams<P: Platform>(host: &Host<P>, rows: Vec<TableRow>) {
+fn take_list<P: Platform>(host: &Host<P>, rows: Vec<TableRow>) {
     let mut entries: Vec<UpstreamEntry> = Vec::new();
     let mut unreadable: Vec<Name> = Vec::new();
     for row in rows {
@@ -360,22 +413,43 @@
             RowValue::Desired(_) | RowValue::Removed => {}
         }
     }
-    let now = host.now();
-    let changes = {
-        let mut registry = host.upstreams.borrow_mut();
-        registry.note_heard(now);
-        let dropped = unreadable.into_iter().map(|id| {
-            let change = registry.drop_unreadable(&id);
-            (id, change)
-        });
-        let mut changes: Vec<(Name, Change)> = dropped.collect();
-        changes.extend(registry.replace(now, entries));
-        changes
-    };
-    for (id, change) in changes {
-        note_upstream(host, &id, &change, None);
+    let count = entries.len();
+    let changes = replace_upstreams(host, host.now(), entries, unreadable);
+    note_list(host, count, None, &changes);
+}
+
+/// Takes the whole list as it was at a time. Returns what it changed.
+fn replace_upstreams<P: Platform>(
+    host: &Host<P>,
+    as_of: Millis,
+    entries: Vec<UpstreamEntry>,
+    unreadable: Vec<Name>,
+) -> Vec<(Name, Change)> {
+    let mut registry = host.upstreams.borrow_mut();
+    registry.note_heard(as_of);
+    let dropped = unreadable.into_iter().map(|id| {
+        let change = registry.drop_unreadable(&id);
+        (id, change)
+    });
+    let mut changes: Vec<(Name, Change)> = dropped.collect();
+    changes.extend(registry.replace(host.now(), entries));
+    changes
+}
+
+/// Writes what a whole list changed: one line of all when it is this host's first.
+fn note_list<P: Platform>(
+    host: &Host<P>,
+    upstreams: usize,
+    from: Option<SocketAddr>,
+    changes: &[(Name, Change)],
+) {
+    if host.upstreams_known.replace(true) {
+        for (id, change) in changes {
+            note_upstream(host, id, change, None);
+        }
+    } else {
+        lines::write(LogEvent::ListTaken, &ListLine { upstreams, from });
     }
-    host.upstreams_known.set(true);
     host.note_change();
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,6 +20,7 @@
 pub mod lease_keeper;
 pub mod limits;
 pub mod lines;
+pub mod list_copy;
 pub mod members;
 pub mod metrics;
 pub mod orderer;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::entry::directory::{self, Questions};
 use crate::entry::host::Host;
+use crate::entry::list_copy::Sources;
 use crate::entry::members;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{self, Peers};
@@ -154,10 +155,18 @@
         fingerprint: peers.fingerprint.clone(),
         cpu_millicores: settings.cpu_millicores(),
     };
+    let sources = Sources {
+        peers: peers.clone(),
+        me: me.clone(),
+    };
     let tasks = [
         executor.spawn(caller::accept(host.clone(), executor.clone(), callers)),
-        executor.spawn(follow::follow(host.clone(), Table::Desired)),
-        executor.spawn(follow::follow(host.clone(), Table::Upstreams)),
+        executor.spawn(follow::follow(host.clone(), Table::Desired, None)),
+        executor.spawn(follow::follow(
+            host.clone(),
+            Table::Upstreams,
+            Some(sources),
+        )),
         executor.spawn(sweep(host.clone())),
         executor.spawn(orderer::plan(host.clone(), me.clone(), executor.clone())),
         executor.spawn(sync::sync(host.clone(), peers.clone(), me.clone())),
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod followed;
 mod lease_keeper;
+mod list_copy;
 mod organisations;
 mod peers;
 mod reload;
--- /dev/null
+++ b/src/entry/tests/list_copy.rs
@@ -0,0 +1,213 @@
+//! A host that starts takes the list of upstreams from its relay, and misses nothing of it.
+
+use super::fake_platform::{FakePlatform, FakeStore};
+use super::site::{Site, entry, on_site, settings};
+use crate::clock::Clock;
+use crate::entry::follow::follow;
+use crate::entry::followed::{TableEnd, TablesWord, UpstreamRow};
+use crate::entry::host::Host;
+use crate::entry::list_copy::{ListAsk, Sources, answer, fetch};
+use crate::entry::metrics::EntryMetrics;
+use crate::entry::peers::{self, Peers};
+use crate::entry::platform::Table;
+use crate::group::Member;
+use crate::prelude::*;
+use crate::test_support::member;
+use smol::Timer;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+const UPSTREAMS: usize = 2_500;
+
+fn nowhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+/// A relay with the list, and a host behind it whose store answers nothing.
+struct Pair {
+    shared: Arc<smol::Executor<'static>>,
+    asking: Rc<Host<FakePlatform>>,
+    peers: Rc<Peers>,
+    me: Member,
+}
+
+impl Pair {
+    async fn new(site: &Site) -> Self {
+        for n in 0..UPSTREAMS {
+            let id = format!("u{n}");
+            site.store.list(&id, Some(entry(&id, nowhere())));
+        }
+        site.until(|host| host.upstreams.borrow().iter().count() == UPSTREAMS)
+            .await;
+        let shared = Arc::new(smol::Executor::new());
+        let (own, other) = (bind(&shared), bind(&shared));
+        let store = Rc::new(FakeStore::default());
+        store.is_down.set(true);
+        let metrics = EntryMetrics::new().expect("metrics");
+        let asking = Host::new(
+            settings(site.address),
+            FakePlatform(store),
+            Clock::start(),
+            metrics,
+            other.known.clone(),
+        );
+        let (relay, me) = (
+            as_member(&site.host, &own, 500),
+            as_member(&asking, &other, 120),
+        );
+        let far = (100..164).map(|n| member(n, "there", 120));
+        let list: IndexSet<Member> = far.chain([relay, me.clone()]).collect();
+        for host in [&site.host, &asking] {
+            let now = host.now();
+            host.members.borrow_mut().replace(now, 1, list.clone());
+            host.accept_listed();
+        }
+        own.known.replace([me.fingerprint.clone()].into());
+        let serve = peers::serve(site.host.clone(), own, site.executor.clone());
+        site.executor.spawn(serve).detach();
+        Self {
+            shared,
+            asking,
+            peers: other,
+            me,
+        }
+    }
+
+    fn sources(&self) -> Sources {
+        Sources {
+            peers: self.peers.clone(),
+            me: self.me.clone(),
+        }
+    }
+}
+
+fn bind(executor: &Arc<smol::Executor<'static>>) -> Rc<Peers> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Peers::bind(any, executor.clone()).expect("a free port")
+}
+
+fn as_member(host: &Host<FakePlatform>, peers: &Peers, cpu_millicores: u32) -> Member {
+    let address = peers.address().expect("an address");
+    Member {
+        caller_address: address,
+        peer_address: address,
+        data_centre: "here".into(),
+        incarnation: host.incarnation,
+        fingerprint: peers.fingerprint.clone(),
+        cpu_millicores,
+    }
+}
+
+async fn until(holds: impl Fn() -> bool) {
+    while !holds() {
+        Timer::after(Millis(5).to_duration()).await;
+    }
+}
+
+/// Every one of a thousand hosts read the whole list from the store when it started.
+#[test]
+fn a_host_that_starts_takes_the_list_from_its_relay_and_not_from_the_store() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
+        site.executor.spawn(follow).detach();
+        let test = until(|| pair.asking.upstreams_known.get());
+        pair.shared.run(test).await;
+        assert_eq!(pair.asking.upstreams.borrow().iter().count(), UPSTREAMS);
+    });
+}
+
+/// Rows that a relay passes on may begin before the list that it gave: an old removal took out an upstream that was listed
+/// again.
+#[test]
+fn a_row_from_before_the_list_changes_nothing() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
+        site.executor.spawn(follow).detach();
+        let end = Offset(UPSTREAMS as u64);
+        let row = |key: &str, offset: u64, is_listed: bool| UpstreamRow {
+            key: key.into(),
+            offset: Offset(offset),
+            entry: is_listed.then(|| entry(key, nowhere())),
+        };
+        let test = async {
+            until(|| pair.asking.upstreams_known.get()).await;
+            let now = pair.asking.now();
+            let told = |end: Offset| {
+                let age_ms = Millis::ZERO;
+                Some(TableEnd { end, age_ms })
+            };
+            let word = TablesWord {
+                desired: None,
+                upstreams: told(Offset(end.0 + 1)),
+                rows: vec![row("u1", end.0 - 1, false), row("new", end.0, true)],
+            };
+            pair.asking.followed.take_word(now, word);
+            until(|| pair.asking.upstreams.borrow().get("new").is_some()).await;
+        };
+        pair.shared.run(test).await;
+        assert!(pair.asking.upstreams.borrow().get("u1").is_some());
+    });
+}
+
+#[test]
+fn a_list_that_ends_before_what_is_known_is_not_taken() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let sources = pair.sources();
+        let end = Offset(UPSTREAMS as u64);
+        let test = async {
+            let older = fetch(&pair.asking, &sources, Some(end), Millis(50)).await;
+            assert!(older.is_none());
+            let newer = fetch(
+                &pair.asking,
+                &sources,
+                Some(Offset(end.0 - 1)),
+                Millis(5_000),
+            )
+            .await;
+            assert_eq!(newer.map(|copy| copy.end), Some(end));
+        };
+        pair.shared.run(test).await;
+    });
+}
+
+#[test]
+fn a_relay_reads_the_store_and_a_host_that_is_none_gives_no_list() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let sources = Sources {
+            me: as_member(&site.host, &pair.peers, 500),
+            ..pair.sources()
+        };
+        let copy = fetch(&site.host, &sources, None, Millis(5_000)).await;
+        assert!(copy.is_none());
+        assert!(answer(&site.host, ListAsk::default()).is_some());
+        assert!(answer(&pair.asking, ListAsk::default()).is_none());
+        let too_many = ListAsk {
+            part: 0,
+            parts: u32::MAX,
+        };
+        assert!(answer(&site.host, too_many).is_none());
+    });
+}
+
+/// An upstream that vanished in an outage of the list is kept for a while where it was known; a host that got it with the
+/// list would keep it for good.
+#[test]
+fn an_upstream_that_is_kept_after_an_outage_is_not_passed_on() {
+    on_site(|site| async move {
+        let _pair = Pair::new(&site).await;
+        let now = site.host.now();
+        let mut upstreams = site.host.upstreams.borrow_mut();
+        upstreams.note_heard(now - Millis(5_000));
+        upstreams.note_unheard();
+        upstreams.note_heard(now);
+        upstreams.remove(now, "u1");
+        assert!(upstreams.get("u1").is_some());
+        drop(upstreams);
+        let part = answer(&site.host, ListAsk { part: 0, parts: 1 }).expect("it relays");
+        assert_eq!(part.entries.len(), UPSTREAMS - 1);
+    });
+}
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -72,10 +72,10 @@
             .spawn(caller::accept(host.clone(), executor.clone(), listener))
             .detach();
         executor
-            .spawn(follow(host.clone(), Table::Desired))
+            .spawn(follow(host.clone(), Table::Desired, None))
             .detach();
         executor
-            .spawn(follow(host.clone(), Table::Upstreams))
+            .spawn(follow(host.clone(), Table::Upstreams, None))
             .detach();
         Self {
             executor,
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -111,6 +111,8 @@
     UpstreamCrashed = 605,
     /// An upstream named another limit of requests a second than before, or none any more.
     UpstreamLimited = 606,
+    /// This host has the list of upstreams.
+    ListTaken = 607,
     /// A request was refused.
     RequestRefused = 700,
     /// An attempt failed.
@@ -187,6 +189,7 @@
         Self::UpstreamUpdated,
         Self::UpstreamCrashed,
         Self::UpstreamLimited,
+        Self::ListTaken,
         Self::RequestRefused,
         Self::AttemptFailed,
         Self::OutcomeUnknown,
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -1,6 +1,7 @@
 //! Orders to engines, their answers and reports, and the messages between a host and the orderer.
 
 use crate::entry::followed::TablesWord;
+use crate::entry::list_copy::{ListAsk, ListPart};
 use crate::entry::platform::{AppendOutcome, ModelAsk};
 use crate::group::Member;
 use crate::group::members::MembersNews;
@@ -164,6 +165,8 @@
         /// The record.
         record: Vec<u8>,
     },
+    /// Asking for a part of the list of upstreams.
+    List(ListAsk),
 }
 
 /// The answer to a call between hosts.
@@ -173,6 +176,8 @@
     Sync(SyncReply),
     /// To [`PeerCall::AppendLease`]: nothing when the store did not answer here either.
     AppendedLease(Option<AppendOutcome>),
+    /// To [`PeerCall::List`]: nothing when the host that was asked does not have it itself, or relays for no others.
+    List(Option<ListPart>),
 }
 
 /// What the orderer or a relay answers a host.
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -61,6 +61,11 @@
         self.entry.address
     }
 
+    /// Tells whether the list has it; else it vanished in an outage and is kept for a while.
+    pub fn is_listed(&self) -> bool {
+        self.vanished_at.is_none()
+    }
+
     /// Tells whether the engine holds a model and, where one is named, its adapter.
     pub fn holds(&self, model: &str, adapter: Option<&str>) -> bool {
         let held = self.entry.models.iter().find(|held| &*held.name == model);
