Choose among the engines that list a model; look at the lease as often as it is read

Cause, read in the code: each choice of an engine asked every engine of the list whether it holds the model; every host looked at the state of the lease ten times a second, and at each look ranked all hosts, though most read the lease each two seconds at most. Both grow with the fleet.

Now a choice looks at the engines whose entries list the model and those that the orderer told of, and hosts look five times between two of their reads (three candidates: as often as before). The choice itself is unchanged.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -8,7 +8,7 @@
 use crate::prelude::*;
 use crate::routing::pick::{self, ModelCopies, PromptShape};
 use crate::routing::prefix;
-use crate::upstreams::Upstream;
+use crate::upstreams::{Registry, Upstream};
 use rapidhash::v3::rapidhash_v3;
 use std::net::SocketAddr;
 
@@ -18,12 +18,12 @@
     let upstreams = host.upstreams.borrow();
     let view = host.view.borrow();
     let cap = connection_cap(host, ask);
-    let open = upstreams.usable(&ask.service).filter(|upstream| {
+    let is_open = |upstream: &&Upstream| {
         upstream.in_flight < cap && !tries.passed_over.contains(&upstream.entry.id)
-    });
+    };
     let chosen = match (&ask.facts.model, ask.at_engine) {
         (Some(model), true) => {
-            let holding = open.filter(|upstream| holds(&view, now, upstream, model));
+            let holding = holders(&upstreams, &view, now, ask, model).filter(is_open);
             let with_work = holding.map(|upstream| (upstream, view.work(&upstream.entry.id)));
             let copies = model_copies(&view, model, fetch_share(host, ask));
             pick::engine(
@@ -37,6 +37,7 @@
         }
         _ => {
             let data_centre = host.settings().data_centre.clone();
+            let open = upstreams.usable(&ask.service).filter(is_open);
             pick::service(now, open, &data_centre, fastrand::f64())
         }
     };
@@ -70,9 +71,8 @@
     let now = host.now();
     let upstreams = host.upstreams.borrow();
     let view = host.view.borrow();
-    let holding: Vec<&Upstream> = upstreams
-        .usable(&ask.service)
-        .filter(|other| holds(&view, now, other, model) && !other.health.is_resting(now))
+    let holding: Vec<&Upstream> = holders(&upstreams, &view, now, ask, model)
+        .filter(|other| !other.health.is_resting(now))
         .collect();
     let copies = model_copies(&view, model, Some(fetch_share));
     let shape = prompt_shape(&ask.facts);
@@ -80,6 +80,24 @@
     Some(source.address())
 }
 
+/// Returns the engines that hold a model, by the orderer's word or else by their entries.
+fn holders<'a>(
+    upstreams: &'a Registry,
+    view: &'a View,
+    now: Millis,
+    ask: &'a Ask,
+    model: &'a ModelAsk,
+) -> impl Iterator<Item = &'a Upstream> {
+    let listing = upstreams.listing(&model.model);
+    let told = view.holders(model);
+    let told = told.filter_map(|engine| upstreams.get_lifetime(engine));
+    let told_alone = told.filter(|upstream| !upstream.holds(&model.model, None));
+    let serving = listing
+        .chain(told_alone)
+        .filter(|upstream| upstream.entry.service == ask.service && !upstream.entry.leaving);
+    serving.filter(move |upstream| holds(view, now, upstream, model))
+}
+
 fn holds(view: &View, now: Millis, upstream: &Upstream, model: &ModelAsk) -> bool {
     let id = &upstream.entry.id;
     if view.is_lacking(now, id, model) {
--- a/src/entry/lease_keeper.rs
+++ b/src/entry/lease_keeper.rs
@@ -14,8 +14,11 @@
 use smol::Timer;
 use std::rc::Rc;
 
-/// How often the state of the lease is looked at.
+/// How often the holder looks at the state of its lease.
 const LEASE_TICK_MS: Millis = Millis(100);
+/// How many times the other hosts look at what they heard of the holder in the time between two reads: hundreds of them
+/// need no better timing than their reads have.
+const LOOKS_A_READ: u64 = 5;
 /// How often a host that hears nothing of an orderer reads the lease: the first candidates soon, relays to find the next
 /// orderer for their hosts, the others only in case that all of these are lost too. When a site of 195 hosts loses its
 /// orderer, the store gets some 25 reads a second; it was some 100 when all hosts looked each two seconds.
@@ -64,7 +67,11 @@
                 note_store_error(&error);
             }
         }
-        within(LEASE_TICK_MS, host.next_stop()).await;
+        let tick_ms = match host.is_orderer() {
+            true => LEASE_TICK_MS,
+            false => Millis(lease_read_ms(&host, &me).0 / LOOKS_A_READ),
+        };
+        within(tick_ms, host.next_stop()).await;
     }
 }
 
--- a/src/ordering/published.rs
+++ b/src/ordering/published.rs
@@ -72,6 +72,13 @@
         Some(&self.engines.get(engine)?.held)
     }
 
+    /// Returns the engines that hold a model or adapter, of those that are told of.
+    pub fn holders<'a>(&'a self, ask: &'a ModelAsk) -> impl Iterator<Item = &'a Lifetime> {
+        let holding = self.engines.iter();
+        let holding = holding.filter(|(_, published)| published.held.contains(ask));
+        holding.map(|(engine, _)| engine)
+    }
+
     /// Takes what changed on the engines, at the orderer with this fence. An engine that its entry in the list of upstreams
     /// describes is not told of, until it was told of once: every host has the entry.
     pub fn update(
--- a/src/ordering/view.rs
+++ b/src/ordering/view.rs
@@ -97,6 +97,11 @@
         Some(self.engines.held(upstream)?.contains(ask))
     }
 
+    /// Returns the engines that hold a model by the orderer's word.
+    pub fn holders<'a>(&'a self, ask: &'a ModelAsk) -> impl Iterator<Item = &'a Lifetime> {
+        self.engines.holders(ask)
+    }
+
     /// Tells whether an engine said that it lacks a model, a moment ago or since a word of the orderer that is old.
     pub fn is_lacking(&self, now: Millis, upstream: &Name, ask: &ModelAsk) -> bool {
         let key = (upstream.clone(), ask.clone());
