Tell hosts the whole group, and all rows of a release; read the group less while it is large

Causes, read in the code. A host that news of the group do not lead on reads it from the store: some 150 KB at 985 hosts, after each race between its own read and the orderer's. A host that starts reads it each 500 ms until it hears an orderer, whatever its size. Relays keep the last 64 rows of the list of upstreams, fewer than change in a second when some hundred are replaced at once: then each host reads them from the store.

Now a host that is not led on is told the whole by its relay; one that starts reads a group of hundreds each 1.8 s (as hosts do that hear no orderer); rows are kept for as many changes as half of the list.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -206,7 +206,8 @@
 /// Keeps rows that the orderer sent for the hosts of this relay. They may begin before what this host has.
 fn keep_told<P: Platform>(host: &Host<P>, from: Offset, rows: &[TableRow], end: Offset) {
     let known = rows.partition_point(|row| row.offset < from);
-    host.followed.keep_rows(from, &rows[known..], end);
+    host.followed
+        .keep_rows(from, &rows[known..], end, host.upstreams.borrow().count());
 }
 
 fn longest_wait_ms<P: Platform>(host: &Host<P>, table: Table, rested_ms: Millis) -> Millis {
@@ -328,7 +329,10 @@
     if cursor.table == Table::Upstreams {
         host.upstreams.borrow_mut().note_heard(host.now());
         match host.is_orderer() || host.is_relay() {
-            true => host.followed.keep_rows(from, &rows, end),
+            true => {
+                let listed = host.upstreams.borrow().count();
+                host.followed.keep_rows(from, &rows, end, listed);
+            }
             false => host.followed.drop_rows(),
         }
     }
--- a/src/entry/followed.rs
+++ b/src/entry/followed.rs
@@ -13,9 +13,12 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 
-/// Rows of the list of upstreams that the orderer keeps for the others: a host asks each second at the latest, and
-/// rows come a few a second.
-const MAX_KEPT: usize = 64;
+/// Rows of the list of upstreams that the orderer and relays keep for the others at least: a host asks each second at the
+/// latest, and rows come a few a second.
+const LEAST_KEPT: usize = 64;
+/// Which part of the list may change between two messages of a host so that its rows are still kept: when upstreams are
+/// replaced or come back after an outage, the rows in a second grow with the list.
+const KEPT_PART: usize = 2;
 
 /// A row of the list of upstreams; without an entry it was removed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -83,9 +86,9 @@
         }
     }
 
-    fn push(&mut self, row: UpstreamRow) {
+    fn push(&mut self, row: UpstreamRow, most: usize) {
         self.rows.push_back(row);
-        if self.rows.len() > MAX_KEPT
+        if self.rows.len() > most
             && let Some(dropped) = self.rows.pop_front()
         {
             self.from = Offset(dropped.offset.0 + 1);
@@ -130,14 +133,16 @@
         copy.confirmed_at = copy.confirmed_at.max(Some(asked_at));
     }
 
-    /// Keeps rows of the list of upstreams for the other hosts. Rows that do not follow those kept before replace them.
-    pub fn keep_rows(&self, from: Offset, rows: &[TableRow], next: Offset) {
+    /// Keeps rows of the list of upstreams for the other hosts; `listed` is how many upstreams it has. Rows that do not follow
+    /// those kept before replace them.
+    pub fn keep_rows(&self, from: Offset, rows: &[TableRow], next: Offset, listed: usize) {
+        let most = (listed / KEPT_PART).max(LEAST_KEPT);
         let mut state = self.state.borrow_mut();
         let former = state.kept.take().filter(|kept| kept.next == from);
         let mut kept = former.unwrap_or_else(|| KeptRows::new(from));
         for row in rows {
             match upstream_row(row) {
-                Some(row) => kept.push(row),
+                Some(row) => kept.push(row, most),
                 // The others read it by themselves, and each notes that it is unreadable.
                 None => kept = KeptRows::new(Offset(row.offset.0 + 1)),
             }
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -92,7 +92,7 @@
 }
 
 fn parts_of(upstreams: &Registry) -> u32 {
-    let parts = upstreams.iter().count().div_ceil(PART_ENTRIES).max(1) as u32;
+    let parts = upstreams.count().div_ceil(PART_ENTRIES).max(1) as u32;
     parts.min(MAX_PARTS)
 }
 
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -29,6 +29,9 @@
 const SOON_READ_MS: Millis = Millis(500);
 /// How long a host that starts and hears no orderer reads the group that often: the processes before have lapsed by then.
 const NEW_MS: Millis = Millis(5_000);
+/// For how many listed hosts one that starts reads the group again after [`SOON_READ_MS`]; with more it waits longer in
+/// proportion, up to the time after which processes before it have lapsed. Each of them reads the names of all.
+const SOON_READ_HOSTS: usize = 100;
 /// The pauses after failures in a row, the last one from then on: a refused call is paid too.
 const RETRY_MS: [Millis; 3] = [Millis(500), Millis(500), Millis(1_000)];
 
@@ -138,9 +141,12 @@
     let Some(known_ms) = known_at.map(|at| now.since(at)) else {
         return true;
     };
-    if host.is_orderer() || has_refused || is_new_and_alone(host, now) {
+    if host.is_orderer() || has_refused {
         return known_ms >= SOON_READ_MS;
     }
+    if is_new_and_alone(host, now) {
+        return known_ms >= alone_read_ms(host.members.borrow().count());
+    }
     match (host.hears_orderer(now), host.is_relay()) {
         (true, true) => now.since(behind_since) >= RELAY_TOLD_WITHIN_MS,
         (true, false) => now.since(behind_since) >= TOLD_WITHIN_MS,
@@ -148,6 +154,12 @@
     }
 }
 
+/// Returns how often a host that starts and hears no orderer reads a group of so many hosts.
+pub fn alone_read_ms(listed: usize) -> Millis {
+    let hundreds = listed.div_ceil(SOON_READ_HOSTS).max(1) as u64;
+    Millis(SOON_READ_MS.0 * hundreds).min(READ_MS)
+}
+
 /// Tells whether this host started a moment ago and hears no orderer. When all hosts restart at once the list has the
 /// processes before them for a second or two, and none finds a relay by it.
 fn is_new_and_alone<P: Platform>(host: &Host<P>, now: Millis) -> bool {
--- a/src/group/members.rs
+++ b/src/group/members.rs
@@ -11,9 +11,11 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// Most changes that are kept for hosts that know an older list; a host that knows a still older one reads the list
-/// itself. A host hears of changes each half second at the latest, and the list is read once a second.
+/// Most changes that are kept for hosts that know an older list; a host that knows a still older one is told the whole
+/// list. A host hears of changes each half second at the latest, and the list is read once a second.
 const MAX_CHANGES: usize = 32;
+/// The generation that a host names which wants the whole list.
+const WHOLE: u64 = 0;
 
 /// How the list changed between two reads.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -44,6 +46,8 @@
     pub digest: u64,
     /// The changes that lead there, oldest first.
     pub changes: Vec<MembersChange>,
+    /// The whole list, where no changes lead there from the one that the receiver knows.
+    pub whole: Option<Vec<Member>>,
 }
 
 /// The members of the group, as last read or told.
@@ -53,6 +57,8 @@
     list: IndexSet<Member>,
     changes: VecDeque<MembersChange>,
     known_at: Option<Millis>,
+    /// Whether the last news did not lead to the newest list.
+    wants_whole: bool,
     /// When the group on the store, or the orderer, was heard last.
     heard_at: Option<Millis>,
     /// Where the listed hosts take callers. Two processes of one host may be listed for a moment.
@@ -89,6 +95,14 @@
         self.generation
     }
 
+    /// Returns from which generation on this host wants to be told of changes.
+    pub fn wants_from(&self) -> u64 {
+        match self.wants_whole || self.known_at.is_none() {
+            true => WHOLE,
+            false => self.generation,
+        }
+    }
+
     /// Returns when the list was read or confirmed.
     pub fn known_at(&self) -> Option<Millis> {
         self.known_at
@@ -119,19 +133,29 @@
             return None;
         }
         let newer = self.changes.iter().filter(|change| change.to > generation);
+        let oldest = self.changes.front().map(|change| change.from);
+        let is_led = generation == self.generation || oldest.is_some_and(|from| from <= generation);
+        let is_whole = generation == WHOLE || !is_led;
         Some(MembersNews {
             generation: self.generation,
             digest: digest(&self.list),
-            changes: newer.cloned().collect(),
+            changes: newer.filter(|_| !is_whole).cloned().collect(),
+            whole: is_whole.then(|| self.list.iter().cloned().collect()),
         })
     }
 
     /// Takes another host's news. Returns what changed, or nothing when the news do not lead from this host's list to
-    /// the newest one, which is then to be read.
+    /// the newest one: then it wants the whole list.
     pub fn apply(&mut self, now: Millis, news: MembersNews) -> Option<MembersChange> {
-        if self.known_at.is_none() || news.generation < self.generation {
+        if news.generation < self.generation {
             return None;
         }
+        if let Some(whole) = news.whole {
+            let list: IndexSet<Member> = whole.into_iter().collect();
+            let is_sound = digest(&list) == news.digest;
+            return is_sound.then(|| self.replace(now, news.generation, list));
+        }
+        self.known_at?;
         let own = self.generation;
         // The usual case, some times a second: the list stands.
         if news.generation == own && news.changes.is_empty() {
@@ -147,6 +171,7 @@
         }
         // A list read between two of the teller's reads may hold hosts that came and went between them.
         if digest(&list) != news.digest {
+            self.wants_whole = true;
             return None;
         }
         Some(self.replace(now, news.generation, list))
@@ -154,6 +179,7 @@
 
     fn confirm(&mut self, now: Millis, newest: u64) -> Option<MembersChange> {
         if digest(&self.list) != newest {
+            self.wants_whole = true;
             return None;
         }
         self.known_at = Some(now);
@@ -165,6 +191,7 @@
     }
 
     fn keep(&mut self, now: Millis, change: MembersChange) {
+        self.wants_whole = false;
         self.known_at = Some(now);
         self.addresses = self.list.iter().map(|host| host.caller_address).collect();
         self.departed.note(now, &change);
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -350,6 +350,11 @@
         self.version
     }
 
+    /// Returns how many upstreams there are.
+    pub fn count(&self) -> usize {
+        self.upstreams.len()
+    }
+
     /// Returns every upstream.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
