A model of large sites without network: mangovale-bench fleet

It runs relays, messages, ledger and plan of a site of 250 to 2,000 hosts in one process and prints, by role, messages, bytes, engines looked at and the time until all hosts know news, each with the exponent of its growth; bench/tests/fleet.rs asserts at 60 and 480 hosts what must not grow.

The factor of intervals moves to the tree, where the model has it too.

--- /dev/null
+++ b/bench/src/fleet/plan.rs
@@ -0,0 +1,162 @@
+//! What the orderer's plan looks at, and how long it takes.
+
+use crate::fleet::world::{SERVICE, World, engine_id, model};
+use mangovale::entry::platform::ModelAsk;
+use mangovale::ordering::book::Book;
+use mangovale::ordering::ceiling::Ceiling;
+use mangovale::ordering::copy::LoadTime;
+use mangovale::ordering::demand::AskCount;
+use mangovale::ordering::host_reports::HostReport;
+use mangovale::ordering::ledger::Ledger;
+use mangovale::ordering::message::{EngineReport, OrderAnswer};
+use mangovale::ordering::planner::Planner;
+use mangovale::prelude::*;
+use serde::Serialize;
+use std::time::Instant;
+
+const NOW: Millis = Millis(1_000_000);
+/// Models that callers wait for at once.
+const WAITED_FOR: usize = 8;
+/// How often a question is repeated to be timed.
+const REPEATS: u32 = 20;
+
+/// The plan of a site in which every model is loaded, and then some that few engines hold are lost.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Plan {
+    /// Engines looked at by a question that finds nothing to order.
+    pub idle_looks: u64,
+    /// Its time in microseconds.
+    pub idle_us: f64,
+    /// Engines looked at for each order, when callers wait for models that no engine holds.
+    pub order_looks: f64,
+    /// Its time in microseconds.
+    pub order_us: f64,
+    /// How many orders were made.
+    pub orders: usize,
+}
+
+struct Site<'a> {
+    world: &'a World,
+    ledger: Ledger,
+    book: Book,
+    ceiling: Ceiling,
+}
+
+/// Measures the plan.
+pub fn measure(world: &World) -> Plan {
+    let mut site = Site::new(world);
+    let before = site.ledger.looked_at();
+    site.next();
+    let idle_looks = site.ledger.looked_at() - before;
+    let began = Instant::now();
+    (0..REPEATS).for_each(|_| drop(site.next()));
+    let idle_us = began.elapsed().as_secs_f64() * 1e6 / f64::from(REPEATS);
+    site.lose_models();
+    let before = site.ledger.looked_at();
+    let began = Instant::now();
+    let orders = site.order_all();
+    let took_us = began.elapsed().as_secs_f64() * 1e6;
+    let each = |sum: f64| sum / orders.max(1) as f64;
+    Plan {
+        idle_looks,
+        idle_us,
+        order_looks: each((site.ledger.looked_at() - before) as f64),
+        order_us: each(took_us),
+        orders,
+    }
+}
+
+impl<'a> Site<'a> {
+    fn new(world: &'a World) -> Self {
+        let mut ledger = Ledger::default();
+        ledger.take_engines(NOW, world.engines());
+        for engine in world.upstreams.iter() {
+            let report = EngineReport {
+                born_at: engine.entry.born_at,
+                models: engine.entry.models.clone(),
+                ..EngineReport::default()
+            };
+            ledger.take_report(NOW, &engine.entry.id, Some(report));
+        }
+        Self {
+            world,
+            ledger,
+            book: Book::default(),
+            ceiling: Ceiling::new(Millis::ZERO, Some(WAITED_FOR)),
+        }
+    }
+
+    fn next(&mut self) -> Option<mangovale::ordering::planner::Planned> {
+        let unusable = IndexSet::new();
+        let planner = Planner {
+            now: NOW,
+            service: SERVICE,
+            spec: &self.world.spec,
+            ledger: &self.ledger,
+            book: &self.book,
+            unusable: &unusable,
+        };
+        planner.next(&mut self.ceiling)
+    }
+
+    /// Lets the engines lose the models that one of them holds each, for which callers then wait.
+    fn lose_models(&mut self) {
+        let last = self.world.size.models;
+        for n in 0..WAITED_FOR {
+            let id = engine_id(n);
+            let Some(engine) = self.world.upstreams.get(&id) else {
+                continue;
+            };
+            let report = EngineReport {
+                born_at: engine.entry.born_at + Millis(1),
+                ..EngineReport::default()
+            };
+            self.ledger.take_report(NOW, &id, Some(report));
+        }
+        let waiting = AskCount {
+            asked: 1,
+            waiting: 1,
+            ..AskCount::default()
+        };
+        let lost = (0..last).map(model).filter(|model| {
+            let census = self.ledger.census(SERVICE);
+            census.is_none_or(|census| census.model(model).copies == 0)
+        });
+        let asks = lost.map(|model| ModelAsk {
+            model,
+            adapter: None,
+        });
+        let report = HostReport {
+            demand: asks.map(|ask| (ask, waiting)).collect(),
+            ..HostReport::default()
+        };
+        self.book.take(NOW, 1, report);
+    }
+
+    /// Makes orders until there is none, with engines that accept each.
+    fn order_all(&mut self) -> usize {
+        let mut orders = 0;
+        while let Some(planned) = self.next() {
+            let order = self.ledger.begin(
+                NOW,
+                &planned.engine,
+                planned.action,
+                planned.ask,
+                planned.makes_way_for,
+            );
+            let Some(order) = order else { break };
+            let load = LoadTime {
+                takes_ms: Millis(13_200),
+                from_store: true,
+            };
+            self.ledger.due(NOW);
+            self.ledger
+                .take_answer(NOW, &planned.engine, &order, OrderAnswer::Accepted, load);
+            orders += 1;
+            if orders >= WAITED_FOR {
+                break;
+            }
+        }
+        orders
+    }
+}
--- /dev/null
+++ b/bench/src/fleet/text.rs
@@ -0,0 +1,64 @@
+//! The figures of sites of several sizes as a table, with how fast each grows.
+
+use crate::fleet::{Measured, exponent};
+use std::fmt::Write;
+
+/// A line of the table: its name, and the figure of one size.
+type Line = (&'static str, fn(&Measured) -> f64);
+
+const LINES: [Line; 20] = [
+    ("hosts", |m| m.size.hosts as f64),
+    ("engines", |m| m.size.engines as f64),
+    ("relays", |m| m.exchange.relays as f64),
+    ("start: hosts that read the store's list", |m| {
+        m.start.store_readers as f64
+    }),
+    ("start: list, bytes", |m| m.start.list_bytes as f64),
+    ("start: list, messages", |m| m.start.list_messages as f64),
+    ("start: longest message, bytes", |m| {
+        m.start.longest_message_bytes as f64
+    }),
+    ("start: hosts of the busiest relay", |m| {
+        m.start.busiest_relay_hosts as f64
+    }),
+    ("orderer: messages/s", |m| m.exchange.orderer_messages_per_s),
+    ("orderer: bytes/s", |m| m.exchange.orderer_bytes_per_s),
+    ("busiest relay: messages/s", |m| {
+        m.exchange.relay_messages_per_s
+    }),
+    ("busiest relay: bytes/s", |m| m.exchange.relay_bytes_per_s),
+    ("other host: bytes/s", |m| m.exchange.host_bytes_per_s),
+    ("engines, told by a new orderer, bytes", |m| {
+        m.exchange.engines_bytes as f64
+    }),
+    ("whole list of hosts, bytes", |m| {
+        m.exchange.members_bytes as f64
+    }),
+    ("news at all hosts, ms", |m| m.exchange.news_ms.0 as f64),
+    ("the same, a relay lost, ms", |m| {
+        m.exchange.news_after_loss_ms.0 as f64
+    }),
+    ("plan: engines looked at, nothing to order", |m| {
+        m.plan.idle_looks as f64
+    }),
+    ("plan: engines looked at, an order", |m| m.plan.order_looks),
+    ("plan: an order, us", |m| m.plan.order_us),
+];
+
+/// Returns the figures, one line each, and the exponent of their growth between the last two sizes.
+pub fn text(measured: &[Measured]) -> String {
+    let mut text = String::new();
+    for (name, figure) in LINES {
+        // Writing to a string does not fail.
+        let _ = write!(text, "{name:44}");
+        for measured in measured {
+            let _ = write!(text, "{:>12.0}", figure(measured));
+        }
+        if let [.., small, large] = measured {
+            let at = |measured: &Measured| (measured.size.hosts, figure(measured));
+            let _ = write!(text, "{:>8.2}", exponent(at(small), at(large)));
+        }
+        text.push('\n');
+    }
+    text
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod experiment;
 pub mod faults;
 pub mod figures_text;
+pub mod fleet;
 pub mod history;
 pub mod idle;
 pub mod link;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use mangovale_bench::scenario::Scenario;
 use mangovale_bench::way::{WayOptions, WaySite};
-use mangovale_bench::{capacity, experiment, figures_text, history, idle, recovery, storm};
+use mangovale_bench::{capacity, experiment, figures_text, fleet, history, idle, recovery, storm};
 use serde::Serialize;
 use std::error::Error;
 use std::path::PathBuf;
@@ -27,6 +27,19 @@
     Way(WayArguments),
     Storm(StormOptions),
     Recovery(RecoveryOptions),
+    Fleet(FleetOptions),
+}
+
+/// Measure a large site without network: messages, bytes and work by role, and how they grow.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct FleetOptions {
+    /// how many hosts; may be given many times (default: 250, 500, 1000, 2000)
+    #[argh(option)]
+    hosts: Vec<usize>,
+    /// the seed of the moments at which hosts speak (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
 }
 
 /// Measure how long a kill, a log outage and the start of a new daemon are felt.
@@ -133,6 +146,7 @@
         Command::Way(arguments) => measure_way(arguments),
         Command::Storm(options) => run_storm(&options),
         Command::Recovery(options) => measure_recovery(&options),
+        Command::Fleet(options) => measure_fleet(&options),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -235,3 +249,19 @@
 fn print(result: &impl Serialize) {
     println!("{}", serde_json::to_string(result).unwrap_or_default());
 }
+
+fn measure_fleet(options: &FleetOptions) -> Ended {
+    let hosts = match options.hosts.as_slice() {
+        [] => &[250, 500, 1_000, 2_000],
+        hosts => hosts,
+    };
+    if hosts.contains(&0) {
+        return Err("a site has one host at least: give --hosts a larger number".into());
+    }
+    let sizes = hosts.iter().map(|hosts| fleet::Size::of_hosts(*hosts));
+    let measured: Vec<fleet::Measured> = sizes
+        .map(|size| fleet::measure(size, options.seed))
+        .collect();
+    print!("{}", fleet::text(&measured));
+    Ok(())
+}
--- /dev/null
+++ b/bench/tests/fleet.rs
@@ -0,0 +1,67 @@
+//! What must not grow with the fleet, or not as fast, at sizes that are measured in a moment.
+
+use mangovale_bench::fleet::{Measured, Size, exponent, measure};
+
+const SMALL: usize = 60;
+const LARGE: usize = 480;
+const SEED: u64 = 1;
+
+fn sites() -> (Measured, Measured) {
+    let at = |hosts| measure(Size::of_hosts(hosts), SEED);
+    (at(SMALL), at(LARGE))
+}
+
+fn growth(sites: &(Measured, Measured), figure: impl Fn(&Measured) -> f64) -> f64 {
+    exponent((SMALL, figure(&sites.0)), (LARGE, figure(&sites.1)))
+}
+
+/// Every host of a site read the whole list of upstreams from the store.
+#[test]
+fn few_hosts_read_the_list_from_the_store() {
+    let sites = sites();
+    let readers = growth(&sites, |site| site.start.store_readers as f64);
+    assert!(
+        readers < 0.7,
+        "grows with the hosts to the power of {readers}"
+    );
+    assert!(sites.1.start.longest_message_bytes < 250_000);
+}
+
+/// Hosts were told of every engine by each new orderer.
+#[test]
+fn hosts_are_told_of_engines_that_were_ordered_to_change_only() {
+    let (_, large) = sites();
+    let changed = large.size.engines / 100;
+    assert!(large.exchange.engines_bytes < changed * 100);
+}
+
+/// With the site the work of the orderer and of relays grew until links of small hosts were full.
+#[test]
+fn messages_at_the_orderer_and_at_relays_stay_as_many() {
+    let sites = sites();
+    let (_, large) = &sites;
+    assert!(large.exchange.orderer_messages_per_s <= 100.0);
+    assert!(large.exchange.relay_messages_per_s <= 150.0);
+    let bytes = growth(&sites, |site| site.exchange.orderer_bytes_per_s);
+    assert!(bytes < 0.6, "grows with the hosts to the power of {bytes}");
+}
+
+#[test]
+fn news_reach_all_hosts_within_two_intervals_of_the_tree() {
+    let (small, large) = sites();
+    assert!(small.exchange.news_ms.0 <= 600);
+    assert!(large.exchange.news_ms.0 <= 1_100);
+    assert!(large.exchange.news_after_loss_ms.0 <= 1_800);
+}
+
+/// A question for the next order counted anew what all engines hold, several times.
+#[test]
+fn a_plan_that_has_nothing_to_order_looks_at_no_engine() {
+    let (small, large) = sites();
+    assert_eq!((small.plan.idle_looks, large.plan.idle_looks), (0, 0));
+    assert!(
+        large.plan.orders > 0,
+        "it plans something when models are lost"
+    );
+    assert!(large.plan.order_looks <= 3.0 * large.size.engines as f64);
+}
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -91,12 +91,14 @@
     })
 }
 
-fn parts_of(upstreams: &Registry) -> u32 {
+/// Returns into how many parts a list is cut.
+pub fn parts_of(upstreams: &Registry) -> u32 {
     let parts = upstreams.count().div_ceil(PART_ENTRIES).max(1) as u32;
     parts.min(MAX_PARTS)
 }
 
-fn part(upstreams: &Registry, part: u32, parts: u32) -> Vec<UpstreamEntry> {
+/// Returns a part of a list.
+pub fn part(upstreams: &Registry, part: u32, parts: u32) -> Vec<UpstreamEntry> {
     let is_in_part = |id: &str| rapidhash_v3(id.as_bytes()) % u64::from(parts) == u64::from(part);
     let listed = upstreams.iter().filter(|upstream| upstream.is_listed());
     listed
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -23,12 +23,10 @@
 
 /// How often the plan is made without a new demand.
 const PLAN_MS: Millis = Millis(50);
-/// The least time between two plans, in a small site; in a large one more in proportion to the hosts. A message of a host
-/// whose callers wait asks for a plan, and some hundreds a second come from a large site; on the smallest hosts, an
-/// eighth of a core, plans at each of them left no time to read the tables.
+/// The least time between two plans where few hosts speak with the orderer; more in proportion to those that do, relays in a
+/// large site. A message of a host whose callers wait asks for a plan; on the smallest hosts, an eighth of a core, plans
+/// at each of hundreds of messages a second left no time to read the tables.
 const LEAST_PLAN_MS: Millis = Millis(10);
-/// Up to so many hosts plans are made without a longer pause.
-const PLAN_HOSTS: usize = 24;
 /// Most orders planned in one round.
 const MAX_PLANNED: usize = 32;
 
@@ -185,8 +183,7 @@
 }
 
 fn least_plan_ms<P: Platform>(host: &Host<P>) -> Millis {
-    let factor = host.members.borrow().count().div_ceil(PLAN_HOSTS) as u64;
-    Millis(LEAST_PLAN_MS.0 * factor)
+    Millis(LEAST_PLAN_MS.0 * host.tree.borrow().interval_factor(true))
 }
 
 /// Returns when what callers wait for will be ready. It is worked out once a plan, not for each message of a host.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -34,7 +34,7 @@
 /// The protocol's name and version.
 const ALPN: &[u8] = b"mangovale-order/2";
 /// How long a call may take: round trips are a few milliseconds.
-const CALL_MS: Millis = Millis(700);
+pub const CALL_MS: Millis = Millis(700);
 /// How long a connection lives without traffic; a silent one is found by its first call.
 const IDLE: Duration = Duration::from_secs(5);
 /// The longest message: what some hundred engines hold.
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -16,14 +16,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// How often a host speaks with the orderer or its relay, and how often while a request waits for a model, with up to
-/// [`SYNC_HOSTS`] hosts that speak with the same one; with more, less often in proportion, so that the work of the one
-/// that is asked stays the same.
-const SYNC_MS: Millis = Millis(250);
+/// How often a host speaks with the orderer or its relay, and how often while a request waits for a model, where few hosts
+/// speak with the same one; see [`Tree::interval_factor`](crate::group::Tree::interval_factor).
+pub const SYNC_MS: Millis = Millis(250);
 const WAITING_SYNC_MS: Millis = Millis(30);
 const LEAST_SYNC_MS: Millis = Millis(4);
-/// Up to so many hosts the work of the one that is asked is small; above, intervals grow with their number.
-const SYNC_HOSTS: usize = 24;
 
 /// Answers a host that tells its demand: as the orderer, or as a relay by what the orderer said last.
 pub fn answer<P: Platform>(host: &Host<P>, ask: SyncAsk) -> SyncReply {
@@ -258,12 +255,8 @@
 /// Returns an interval of a small site as long as it must be with the hosts that speak with the same one.
 fn stretched<P: Platform>(host: &Host<P>, interval_ms: Millis) -> Millis {
     let tree = host.tree.borrow();
-    let beside = match host.is_orderer() || tree.is_relay(host.incarnation) {
-        true => tree.direct_hosts(),
-        false => tree.hosts_a_relay().min(tree.direct_hosts()),
-    };
-    let factor = beside.div_ceil(SYNC_HOSTS).max(1) as u64;
-    Millis(interval_ms.0 * factor)
+    let is_direct = host.is_orderer() || tree.is_relay(host.incarnation);
+    Millis(interval_ms.0 * tree.interval_factor(is_direct))
 }
 
 /// Returns this host's own work at each upstream.
--- a/src/group/tree.rs
+++ b/src/group/tree.rs
@@ -16,6 +16,8 @@
 
 /// Up to so many hosts each speaks with the orderer itself: the orderer's work for each of them is small.
 pub const DIRECT_HOSTS: usize = 24;
+/// Up to so many hosts that speak with the same one its work for them is small; with more of them intervals grow.
+const EXCHANGING_HOSTS: usize = 24;
 /// Most hosts that may add up in turn: two of them may be lost with the orderer.
 const MAX_COLLECTORS: usize = 3;
 
@@ -91,6 +93,16 @@
         }
     }
 
+    /// Returns by which factor the intervals are longer at which a host speaks with its relay, or, where `is_direct`, with the
+    /// orderer: the work of the one that is asked stays the same.
+    pub fn interval_factor(&self, is_direct: bool) -> u64 {
+        let beside = match is_direct {
+            true => self.direct_hosts(),
+            false => self.hosts_a_relay().min(self.direct_hosts()),
+        };
+        beside.div_ceil(EXCHANGING_HOSTS).max(1) as u64
+    }
+
     /// Returns how many hosts a relay has on average.
     pub fn hosts_a_relay(&self) -> usize {
         self.hosts.div_ceil(self.direct_hosts().max(1))
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -12,6 +12,7 @@
 use crate::ordering::published::EngineView;
 use crate::prelude::*;
 use crate::upstreams::Lifetime;
+use std::cell::Cell;
 
 /// How long freed memory is kept for the model that it was freed for: the unload waits for what runs.
 pub(super) const INTENDED_MS: Millis = Millis(3_000);
@@ -35,6 +36,7 @@
     /// Engines that free memory for a model, or did.
     intending: IndexSet<Name>,
     lacks_engines: bool,
+    looked_at: Cell<u64>,
 }
 
 impl Ledger {
@@ -131,7 +133,13 @@
 
     /// Returns every engine.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
-        self.engines.values()
+        let engines = self.engines.values();
+        engines.inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
+    }
+
+    /// Returns how many engines [`Ledger::iter`] has given out, which is what plans cost beyond what is kept counted.
+    pub fn looked_at(&self) -> u64 {
+        self.looked_at.get()
     }
 
     /// Returns how many engines of a service hold what; nothing when there are none.
