Plans: look at engines that have the weights and at some hundred others, whatever the size of the fleet

Cause: each order weighed all engines of the site, and estimates and adapters searched them for each model that callers wait for. Now the census knows which engines hold each model or have its weights at hand, and which load from the weight store; a place is looked for among those with the weights and 512 others, other ones each time. Sites of up to 512 engines plan as before.

Weighed: an orderer for each data centre under one lease, which multiplies the bounds on loads and the work of taking over. The random histories of the ledger compare the kept counts with new ones; bench/tests/fleet.rs holds the engines looked at. The planner is split: candidates, spare.

--- a/bench/src/fleet/plan.rs
+++ b/bench/src/fleet/plan.rs
@@ -120,7 +120,8 @@
         };
         let lost = (0..last).map(model).filter(|model| {
             let census = self.ledger.census(SERVICE);
-            census.is_none_or(|census| census.model(model).copies == 0)
+            let holders = census.and_then(|census| census.model(model));
+            holders.is_none_or(|holders| holders.copies() == 0)
         });
         let asks = lost.map(|model| ModelAsk {
             model,
--- a/bench/tests/fleet.rs
+++ b/bench/tests/fleet.rs
@@ -54,14 +54,14 @@
     assert!(large.exchange.news_after_loss_ms.0 <= 1_800);
 }
 
-/// A question for the next order counted anew what all engines hold, several times.
+/// A question for the next order counted anew what all engines hold, several times, and an order weighed all of them.
 #[test]
-fn a_plan_that_has_nothing_to_order_looks_at_no_engine() {
+fn a_plan_looks_at_no_engine_for_nothing_and_at_some_hundred_for_an_order() {
     let (small, large) = sites();
     assert_eq!((small.plan.idle_looks, large.plan.idle_looks), (0, 0));
     assert!(
         large.plan.orders > 0,
         "it plans something when models are lost"
     );
-    assert!(large.plan.order_looks <= 3.0 * large.size.engines as f64);
+    assert!(large.plan.order_looks <= 600.0);
 }
--- a/src/ordering/adapters.rs
+++ b/src/ordering/adapters.rs
@@ -5,7 +5,6 @@
 
 use crate::entry::platform::ModelAsk;
 use crate::ordering::census::ServiceCensus;
-use crate::ordering::engine::Engine;
 use crate::ordering::message::Action;
 use crate::ordering::planner::{Planned, Planner};
 use crate::prelude::*;
@@ -34,7 +33,7 @@
         let separate = self.book.separate(self.now);
         waiting
             .into_iter()
-            .find_map(|(ask, _)| self.place_adapter(ask, &separate))
+            .find_map(|(ask, _)| self.place_adapter(census, ask, &separate))
     }
 
     /// Tells whether an engine that may be used has an adapter, or is bringing it.
@@ -46,18 +45,21 @@
     }
 
     /// Places one adapter; `separate` are the models whose copies are kept apart for long and for short prompts.
-    fn place_adapter(&self, ask: &ModelAsk, separate: &[Name]) -> Option<Planned> {
+    fn place_adapter(
+        &self,
+        census: &ServiceCensus,
+        ask: &ModelAsk,
+        separate: &[Name],
+    ) -> Option<Planned> {
         let spec = self.spec.models.get(&ask.model)?;
         let places = self.spec.adapter_slots as usize;
-        let holding = || {
-            self.free_engines()
+        let holders = || {
+            self.holders(census, &ask.model)
                 .filter(|engine| engine.holds_model(&ask.model))
         };
-        let ids = self
-            .engines()
-            .filter(|engine| engine.holds_model(&ask.model));
+        let holding = || holders().filter(|engine| engine.is_free(self.now));
         let for_short = match separate.contains(&ask.model) {
-            true => short_copies(&ask.model, ids.map(|engine| &engine.id)),
+            true => short_copies(&ask.model, holders().map(|engine| &engine.id)),
             false => Vec::new(),
         };
         let with_place = holding()
@@ -97,7 +99,6 @@
     /// Fills free places with adapters that no engine holds, before anyone asks for them, those asked for most first: an
     /// adapter that is there needs no orderer, which a site may lack for seconds.
     pub(super) fn adapter_ahead(&self, census: &ServiceCensus) -> Option<Planned> {
-        let places = (self.spec.adapter_slots as usize).saturating_sub(PLACES_KEPT_FREE);
         let models = self.spec.models.iter();
         let missing = models.flat_map(|(model, spec)| {
             spec.adapters.iter().map(|adapter| ModelAsk {
@@ -112,29 +113,26 @@
         if missing.is_empty() {
             return None;
         }
-        let adapters = self.engines().flat_map(|engine| engine.adapters.values());
+        let unsettled = self.ledger.unsettled();
+        let unsettled = unsettled.filter(|engine| self.is_used(engine));
+        let adapters = unsettled.flat_map(|engine| engine.adapters.values());
         let on_their_way = adapters.filter(|ready_at| **ready_at > self.now);
         if on_their_way.count() >= AHEAD_AT_ONCE {
             return None;
         }
-        let with_place: Vec<&Engine> = self
-            .free_engines()
-            .filter(|engine| engine.adapter_places(self.now) < places)
-            .collect();
-        if with_place.is_empty() {
-            return None;
-        }
         missing.sort_by(|(a, _), (b, _)| b.total_cmp(a));
         missing
             .into_iter()
-            .find_map(|(_, ask)| self.place_ahead(&with_place, ask))
+            .find_map(|(_, ask)| self.place_ahead(census, ask))
     }
 
-    fn place_ahead(&self, with_place: &[&Engine], ask: ModelAsk) -> Option<Planned> {
+    fn place_ahead(&self, census: &ServiceCensus, ask: ModelAsk) -> Option<Planned> {
         let adapter_mb = self.spec.models.get(&ask.model)?.adapter_mb;
-        let engine = with_place
-            .iter()
-            .filter(|engine| engine.holds_model(&ask.model))
+        let places = (self.spec.adapter_slots as usize).saturating_sub(PLACES_KEPT_FREE);
+        let engine = self
+            .holders(census, &ask.model)
+            .filter(|engine| engine.is_free(self.now) && engine.holds_model(&ask.model))
+            .filter(|engine| engine.adapter_places(self.now) < places)
             .filter(|engine| self.has_room(engine, adapter_mb))
             .min_by_key(|engine| engine.adapters.len())?;
         Some(Planned {
--- a/src/ordering/census.rs
+++ b/src/ordering/census.rs
@@ -8,13 +8,41 @@
 use crate::ordering::engine::Engine;
 use crate::prelude::*;
 
-/// How many engines hold a model.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
-    /// Engines that hold it, or will.
-    pub copies: usize,
-    /// Engines that hold it now.
-    pub held: usize,
+/// The engines that hold a model.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Holders {
+    /// Those that hold it, or will.
+    engines: IndexSet<Name>,
+    /// How many of them hold it now.
+    held: usize,
+    /// Engines that have its weights at hand.
+    at_hand: IndexSet<Name>,
+}
+
+impl Holders {
+    /// Returns how many engines hold it, or will.
+    pub fn copies(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Returns how many engines hold it now.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Returns the engines that hold it, or will.
+    pub fn engines(&self) -> impl Iterator<Item = &Name> {
+        self.engines.iter()
+    }
+
+    /// Returns the engines that have its weights at hand, in memory or on disk.
+    pub fn at_hand(&self) -> impl Iterator<Item = &Name> {
+        self.at_hand.iter()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.engines.is_empty() && self.at_hand.is_empty()
+    }
 }
 
 /// The counts of one service.
@@ -22,7 +50,7 @@
 pub struct ServiceCensus {
     engines: usize,
     unknown: usize,
-    models: IndexMap<Name, Tally>,
+    models: IndexMap<Name, Holders>,
     adapters: IndexMap<ModelAsk, usize>,
 }
 
@@ -37,9 +65,9 @@
         self.unknown
     }
 
-    /// Returns how many engines hold a model.
-    pub fn model(&self, model: &str) -> Tally {
-        self.models.get(model).copied().unwrap_or_default()
+    /// Returns the engines that hold a model or have its weights; nothing when there are none.
+    pub fn model(&self, model: &str) -> Option<&Holders> {
+        self.models.get(model)
     }
 
     /// Returns how many engines have an adapter, or are bringing it.
@@ -51,9 +79,13 @@
         self.engines += 1;
         self.unknown += usize::from(!engine.is_known);
         for (model, copy) in staying(engine) {
-            let tally = self.models.entry(model.clone()).or_default();
-            tally.copies += 1;
-            tally.held += usize::from(*copy == Copy::Held);
+            let holders = self.models.entry(model.clone()).or_default();
+            holders.engines.insert(engine.id.clone());
+            holders.held += usize::from(*copy == Copy::Held);
+        }
+        for model in &engine.at_hand {
+            let holders = self.models.entry(model.clone()).or_default();
+            holders.at_hand.insert(engine.id.clone());
         }
         for ask in engine.adapters.keys() {
             *self.adapters.entry(ask.clone()).or_default() += 1;
@@ -65,14 +97,15 @@
         self.engines -= 1;
         self.unknown -= usize::from(!engine.is_known);
         for (model, copy) in staying(engine) {
-            let Some(tally) = self.models.get_mut(model) else {
-                continue;
-            };
-            tally.copies -= 1;
-            tally.held -= usize::from(*copy == Copy::Held);
-            if *tally == Tally::default() {
-                self.models.swap_remove(model);
-            }
+            self.change_holders(model, |holders| {
+                holders.engines.swap_remove(&engine.id);
+                holders.held -= usize::from(*copy == Copy::Held);
+            });
+        }
+        for model in &engine.at_hand {
+            self.change_holders(model, |holders| {
+                holders.at_hand.swap_remove(&engine.id);
+            });
         }
         for ask in engine.adapters.keys() {
             if let Some(count) = self.adapters.get_mut(ask) {
@@ -83,6 +116,16 @@
             }
         }
     }
+
+    fn change_holders(&mut self, model: &Name, change: impl FnOnce(&mut Holders)) {
+        let Some(holders) = self.models.get_mut(model) else {
+            return;
+        };
+        change(holders);
+        if holders.is_empty() {
+            self.models.swap_remove(model);
+        }
+    }
 }
 
 /// The counts of all services.
@@ -90,6 +133,8 @@
 pub struct Census {
     services: IndexMap<Name, ServiceCensus>,
     store_loads: usize,
+    /// The engines with loads from the weight store.
+    loading: IndexSet<Name>,
 }
 
 impl Census {
@@ -103,9 +148,18 @@
         self.store_loads
     }
 
+    /// Returns the engines with loads from the weight store.
+    pub fn loading(&self) -> impl Iterator<Item = &Name> {
+        self.loading.iter()
+    }
+
     /// Counts an engine.
     pub fn add(&mut self, engine: &Engine) {
-        self.store_loads += store_loads(engine);
+        let loads = store_loads(engine);
+        self.store_loads += loads;
+        if loads > 0 {
+            self.loading.insert(engine.id.clone());
+        }
         let service = self.services.entry(engine.service.clone());
         service.or_default().add(engine);
     }
@@ -113,6 +167,7 @@
     /// Takes out an engine as it was counted.
     pub fn remove(&mut self, engine: &Engine) {
         self.store_loads -= store_loads(engine);
+        self.loading.swap_remove(&engine.id);
         let Some(service) = self.services.get_mut(&engine.service) else {
             return;
         };
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -123,9 +123,8 @@
     }
 
     /// Tells whether what hosts are told of the engine changes with time alone: a load from its own disk or an adapter is
-    /// about to be ready.
+    /// about to be ready, or may be.
     pub(super) fn will_change(&self, now: Millis) -> bool {
-        let is_due_later = |at: Millis| at != Millis::NEVER && at > now;
         let is_loading = |copy: &Copy| match copy {
             Copy::Loading {
                 ready_at,
@@ -134,7 +133,7 @@
             } => *ready_at != Millis::NEVER && !copy.should_run(now),
             Copy::Loading { .. } | Copy::Held | Copy::Unloading => false,
         };
-        self.adapters.values().any(|at| is_due_later(*at)) || self.copies.values().any(is_loading)
+        self.adapters.values().any(|at| *at > now) || self.copies.values().any(is_loading)
     }
 
     /// Tells whether a model on the engine can run.
--- a/src/ordering/estimates.rs
+++ b/src/ordering/estimates.rs
@@ -5,6 +5,7 @@
 //! other, and loads that take longer than stated.
 
 use crate::entry::platform::ModelAsk;
+use crate::ordering::census::ServiceCensus;
 use crate::ordering::copy::Copy;
 use crate::ordering::engine::Engine;
 use crate::ordering::planner::Planner;
@@ -35,6 +36,9 @@
 impl Planner<'_> {
     /// Returns how long until what callers wait for is ready, as far as that can be told.
     pub fn ready_in_ms(&self, pace: Pace) -> Vec<(ModelAsk, Millis)> {
+        let Some(census) = self.ledger.census(self.service) else {
+            return Vec::new();
+        };
         let waited_for = || {
             let waiting = self.book.iter().filter(|(_, asked)| asked.waiting > 0);
             waiting.filter(|(ask, _)| self.spec.models.contains_key(&ask.model))
@@ -43,17 +47,26 @@
         for (ask, asked) in waited_for() {
             *row.entry(&ask.model).or_default() += asked.waiting;
         }
-        row.retain(|model, _| {
-            !self
-                .engines()
-                .any(|engine| engine.will_hold(self.now, model))
-        });
+        row.retain(|model, _| !self.will_be_held(census, model));
         waited_for()
-            .filter_map(|(ask, _)| Some((ask.clone(), self.ready_in(ask, pace, &row)?)))
+            .filter_map(|(ask, _)| Some((ask.clone(), self.ready_in(census, ask, pace, &row)?)))
             .collect()
     }
 
-    fn ready_in(&self, ask: &ModelAsk, pace: Pace, row: &Row<'_>) -> Option<Millis> {
+    /// Tells whether a model is on an engine, on its way, or about to be.
+    fn will_be_held(&self, census: &ServiceCensus, model: &str) -> bool {
+        let mut intending = self.ledger.intending(self.now);
+        self.holders(census, model).next().is_some()
+            || intending.any(|(engine, intended)| self.is_used(engine) && &**intended == model)
+    }
+
+    fn ready_in(
+        &self,
+        census: &ServiceCensus,
+        ask: &ModelAsk,
+        pace: Pace,
+        row: &Row<'_>,
+    ) -> Option<Millis> {
         let at_once = pace.store_loads_at_once;
         let adapter_ms = match &ask.adapter {
             Some(_) => ADAPTER_IN_MS.max(pace.orders_in_ms),
@@ -66,16 +79,22 @@
             Copy::Held => Some(Millis::ZERO),
             copy => self.loaded_in(&ask.model, copy, at_once),
         };
-        let soonest = self.engines().filter_map(model_in).min();
+        let soonest = self.holders(census, &ask.model).filter_map(model_in).min();
         let model_ms = match soonest {
             Some(in_ms) => in_ms,
             // An engine of which no report was read may hold the model.
-            None if self.engines().any(|engine| !engine.is_known) => return None,
-            None => pace.orders_in_ms + self.load_in(&ask.model, at_once, row),
+            None if self.has_unknown(census) => return None,
+            None => pace.orders_in_ms + self.load_in(census, &ask.model, at_once, row),
         };
         Some(model_ms + adapter_ms)
     }
 
+    /// Tells whether there are engines of which no report was read.
+    fn has_unknown(&self, census: &ServiceCensus) -> bool {
+        let unused = self.unused_engines().filter(|engine| !engine.is_known);
+        census.unknown() > unused.count()
+    }
+
     /// Returns how long until a load under way is done; nothing when the copy is not being loaded, or its order may not
     /// have taken effect. Loads from the weight store beyond those at full speed slow each other in proportion. One
     /// that is overdue all the same is taken to need a quarter of its time so far in addition.
@@ -117,13 +136,19 @@
     }
 
     /// Returns how long a load that has not begun will take, with the wait for its turn at the weight store.
-    fn load_in(&self, model: &Name, store_loads_at_once: usize, row: &Row<'_>) -> Millis {
+    fn load_in(
+        &self,
+        census: &ServiceCensus,
+        model: &Name,
+        store_loads_at_once: usize,
+        row: &Row<'_>,
+    ) -> Millis {
         let Some(spec) = self.spec.models.get(model) else {
             return Millis::NEVER;
         };
         let is_at_hand = self
-            .engines()
-            .any(|engine| engine.at_hand.contains(model) && !engine.is_busy());
+            .having_at_hand(census, model)
+            .any(|engine| !engine.is_busy());
         match is_at_hand {
             true => spec.from_disk_ms + REPORT_LAG_MS + REPORT_LAG_MS,
             false => {
@@ -142,8 +167,9 @@
         store_loads_at_once: usize,
         row: &Row<'_>,
     ) -> Millis {
-        let mut ends: Vec<Millis> = self
-            .engines()
+        let loading = self.ledger.loading();
+        let mut ends: Vec<Millis> = loading
+            .filter(|engine| self.is_used(engine))
             .flat_map(|engine| engine.copies.iter())
             .filter(|(_, copy)| copy.is_from_store())
             .filter_map(|(other, copy)| self.loaded_in(other, copy, store_loads_at_once))
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -137,7 +137,7 @@
         engines.inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
     }
 
-    /// Returns how many engines [`Ledger::iter`] has given out, which is what plans cost beyond what is kept counted.
+    /// Returns how many engines were given out, which is what plans cost beyond what is kept counted.
     pub fn looked_at(&self) -> u64 {
         self.looked_at.get()
     }
@@ -147,6 +147,29 @@
         self.census.of(service)
     }
 
+    /// Returns some engines that follow each other, or all when there are no more than `most`; `from` chooses the first.
+    pub fn some(&self, from: u64, most: usize) -> impl Iterator<Item = &Engine> {
+        let count = self.engines.len();
+        let first = (from % count.max(1) as u64) as usize;
+        let places = (first..first + most.min(count)).map(move |at| at % count);
+        let engines = places.filter_map(|at| Some(self.engines.get_index(at)?.1));
+        engines.inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
+    }
+
+    /// Returns the engines of these names.
+    pub fn named<'a>(
+        &'a self,
+        ids: impl Iterator<Item = &'a Name>,
+    ) -> impl Iterator<Item = &'a Engine> {
+        let engines = ids.filter_map(|id| self.engines.get(id));
+        engines.inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
+    }
+
+    /// Returns the engines that have adapters which are not ready yet, and perhaps others.
+    pub fn unsettled(&self) -> impl Iterator<Item = &Engine> {
+        self.named(self.changed.iter())
+    }
+
     /// Returns the engines that free memory for a model, with the model.
     pub fn intending(&self, now: Millis) -> impl Iterator<Item = (&Engine, &Name)> {
         let engines = self.intending.iter().filter_map(|id| self.engines.get(id));
@@ -158,24 +181,20 @@
         self.census.store_loads()
     }
 
+    /// Returns the engines with loads from the weight store.
+    pub fn loading(&self) -> impl Iterator<Item = &Engine> {
+        self.named(self.census.loading())
+    }
+
     /// Notes at each load under way how many run beside it.
     fn count_store_loads(&mut self) {
         let loads = self.store_loads();
-        if loads == 0 {
-            return;
-        }
-        let copies = self
-            .engines
-            .values_mut()
-            .flat_map(|engine| engine.copies.values_mut());
-        for copy in copies {
-            if let Copy::Loading {
-                from_store: true,
-                beside,
-                ..
-            } = copy
-            {
-                *beside = loads.max(*beside);
+        for id in self.census.loading() {
+            let Some(engine) = self.engines.get_mut(id) else {
+                continue;
+            };
+            for copy in engine.copies.values_mut() {
+                note_beside(copy, loads);
             }
         }
     }
@@ -282,3 +301,14 @@
         changes
     }
 }
+
+fn note_beside(copy: &mut Copy, loads: usize) {
+    if let Copy::Loading {
+        from_store: true,
+        beside,
+        ..
+    } = copy
+    {
+        *beside = loads.max(*beside);
+    }
+}
--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod adapters;
 pub mod book;
+mod candidates;
 pub mod ceiling;
 pub mod census;
 pub mod copy;
@@ -21,6 +22,7 @@
 pub mod message;
 pub mod planner;
 pub mod published;
+mod spare;
 pub mod view;
 
 #[cfg(test)]
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -10,7 +10,7 @@
 use crate::entry::platform::ModelAsk;
 use crate::ordering::book::{Book, ModelDemand};
 use crate::ordering::ceiling::Ceiling;
-use crate::ordering::census::{ServiceCensus, Tally};
+use crate::ordering::census::{Holders, ServiceCensus};
 use crate::ordering::copy::{Copy, LoadTime};
 use crate::ordering::engine::Engine;
 use crate::ordering::ledger::Ledger;
@@ -32,7 +32,7 @@
 /// Most engines that hold the same model by demand, as a part of all.
 const COPIES_PART: f64 = 0.5;
 /// How long ago a model was asked for at most to be loaded, or to get another copy.
-const RECENT_MS: Millis = Millis(2_500);
+pub(super) const RECENT_MS: Millis = Millis(2_500);
 /// The weights in megabytes from which a model that is asked with long and with short prompts gets a copy for each: prompts
 /// of smaller ones are read so fast that streams are seldom late.
 const SEPARATE_MB: f64 = 20_000.0;
@@ -43,10 +43,6 @@
 /// What an engine is worse by, in prompt tokens a second, for each model with adapters in demand that it holds while a
 /// model is loaded there: it takes no adapters meanwhile.
 const BLOCKED_ADAPTERS: f64 = 2_000.0;
-/// The share of an engine's time that a model's prompts must take on each engine that holds it for another copy in memory
-/// that is free. Two prompts of some 9,000 tokens that are read in a row hold up the streams beside them for half a
-/// second; at a twentieth of the time one in fifty meets another.
-const SPARE_SHARE: f64 = 0.05;
 /// What a load from the weight store costs against one from the engine's disk, in prompt tokens a second of what
 /// makes way.
 const STORE_LOAD: f64 = 4_000.0;
@@ -84,19 +80,19 @@
 
 /// A model with its demand and its copies.
 #[derive(Clone, Copy)]
-struct Need<'a> {
-    model: &'a Name,
-    demand: ModelDemand,
+pub(super) struct Need<'a> {
+    pub(super) model: &'a Name,
+    pub(super) demand: ModelDemand,
     /// Engines that hold it, or will.
-    copies: usize,
+    pub(super) copies: usize,
     /// Engines that hold it now.
     held: usize,
     /// Engines that are to hold it.
-    wanted: usize,
+    pub(super) wanted: usize,
 }
 
 /// The needs of all models.
-type Needs<'a> = IndexMap<&'a Name, Need<'a>>;
+pub(super) type Needs<'a> = IndexMap<&'a Name, Need<'a>>;
 
 impl Planner<'_> {
     /// Returns the next order, if there is one to make now.
@@ -106,29 +102,13 @@
             return Some(order);
         }
         let needs = self.needs(census);
-        self.model_order(&needs, ceiling)
-            .or_else(|| self.spare_order(&needs, ceiling))
-            .or_else(|| self.spare_copy(&needs))
+        self.model_order(census, &needs, ceiling)
+            .or_else(|| self.spare_order(census, &needs, ceiling))
+            .or_else(|| self.spare_copy(census, &needs))
             .or_else(|| self.adapter_ahead(census))
     }
 
-    /// Returns the engines that are not to be used, of those that [`Planner::engines`] passes over.
-    pub(super) fn unused_engines(&self) -> impl Iterator<Item = &Engine> {
-        let engines = self.unusable.iter().filter_map(|id| self.ledger.get(id));
-        engines.filter(|engine| &*engine.service == self.service)
-    }
-
-    pub(super) fn engines(&self) -> impl Iterator<Item = &Engine> {
-        self.ledger.iter().filter(|engine| {
-            &*engine.service == self.service && !self.unusable.contains(&engine.id)
-        })
-    }
-
-    pub(super) fn free_engines(&self) -> impl Iterator<Item = &Engine> {
-        self.engines().filter(|engine| engine.is_free(self.now))
-    }
-
-    fn used_mb(&self, engine: &Engine) -> f64 {
+    pub(super) fn used_mb(&self, engine: &Engine) -> f64 {
         engine.used_mb(self.now, self.spec)
     }
 
@@ -138,7 +118,12 @@
     }
 
     /// Loads the model that is most wanted and not on enough engines.
-    fn model_order(&self, needs: &Needs<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
+    fn model_order(
+        &self,
+        census: &ServiceCensus,
+        needs: &Needs<'_>,
+        ceiling: &mut Ceiling,
+    ) -> Option<Planned> {
         if let Some(order) = self.intended_order(needs, ceiling) {
             return Some(order);
         }
@@ -151,16 +136,12 @@
         });
         lacking
             .into_iter()
-            .find_map(|need| self.place_model(&need, needs, ceiling))
+            .find_map(|need| self.place_model(census, &need, needs, ceiling))
     }
 
     /// Goes on where memory was freed for a model: loads it, or frees more.
     fn intended_order(&self, needs: &Needs<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
-        let is_usable = |engine: &Engine| {
-            &*engine.service == self.service
-                && !self.unusable.contains(&engine.id)
-                && engine.is_free(self.now)
-        };
+        let is_usable = |engine: &Engine| self.is_used(engine) && engine.is_free(self.now);
         let mut intending = self.ledger.intending(self.now);
         intending.find_map(|(engine, model)| {
             let need = Need {
@@ -176,32 +157,20 @@
         let demands = self.book.models(self.now);
         let unused: Vec<&Engine> = self.unused_engines().collect();
         let most = ((census.engines() - unused.len()) as f64 * COPIES_PART) as usize;
-        let need = |(model, spec): (&'_ Name, &'_ ModelSpec)| {
+        let models = self.spec.models.iter();
+        let need = models.map(|(model, spec)| {
             let demand = demands.get(model).copied().unwrap_or_default();
-            let Tally { copies, held } = census.model(model);
-            (
+            let holders = census.model(model);
+            let need = Need {
+                model,
                 demand,
-                copies,
-                held,
-                self.wanted(spec, &demand, most.max(1)),
-            )
-        };
-        let mut needs: Needs<'_> = self
-            .spec
-            .models
-            .iter()
-            .map(|(model, spec)| {
-                let (demand, copies, held, wanted) = need((model, spec));
-                let need = Need {
-                    model,
-                    demand,
-                    copies,
-                    held,
-                    wanted,
-                };
-                (model, need)
-            })
-            .collect();
+                copies: holders.map_or(0, Holders::copies),
+                held: holders.map_or(0, Holders::held),
+                wanted: self.wanted(spec, &demand, most.max(1)),
+            };
+            (model, need)
+        });
+        let mut needs: Needs<'_> = need.collect();
         for engine in unused {
             for (model, copy) in &engine.copies {
                 if let Some(need) = needs.get_mut(model) {
@@ -212,7 +181,7 @@
         }
         for (engine, model) in self.ledger.intending(self.now) {
             let is_new = !engine.copies.contains_key(model);
-            let is_used = &*engine.service == self.service && !self.unusable.contains(&engine.id);
+            let is_used = self.is_used(engine);
             if let Some(need) = needs.get_mut(model).filter(|_| is_new && is_used) {
                 need.copies += 1;
             }
@@ -247,14 +216,14 @@
     /// Chooses the engine for one more copy: the least that makes way, weights at hand before the weight store.
     fn place_model(
         &self,
+        census: &ServiceCensus,
         need: &Need<'_>,
         needs: &Needs<'_>,
         ceiling: &mut Ceiling,
     ) -> Option<Planned> {
-        let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
         // One more copy helps only where it finds slots.
         let has_slots = |engine: &&Engine| need.copies == 0 || self.used_slots(engine) < SLOT_SHARE;
-        let engines = self.free_engines().filter(unclaimed).filter(has_slots);
+        let engines = self.candidates(census, need.model).filter(has_slots);
         self.place_on(need, needs, engines, ceiling)
     }
 
@@ -368,7 +337,7 @@
         may_go.then(|| demand.tokens_per_s / copies as f64)
     }
 
-    fn blocked_adapters(&self, engine: &Engine) -> f64 {
+    pub(super) fn blocked_adapters(&self, engine: &Engine) -> f64 {
         let in_demand = engine.copies.keys().filter(|model| {
             let asks = self.book.iter();
             asks.filter(|(ask, _)| ask.adapter.is_some() && ask.model == **model)
@@ -377,93 +346,8 @@
         in_demand.count() as f64 * BLOCKED_ADAPTERS
     }
 
-    /// Fills free memory with models that no engine holds, before anyone asks for them.
-    fn spare_order(&self, needs: &Needs<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
-        let is_missing = |model: &Name| needs.get(model).is_some_and(|need| need.copies == 0);
-        let models = self.spec.models.iter();
-        let mut missing = models.filter(|(model, _)| is_missing(model)).peekable();
-        missing.peek()?;
-        let unclaimed = |engine: &&Engine| engine.intended(self.now).is_none();
-        let engines: Vec<&Engine> = self.free_engines().filter(unclaimed).collect();
-        let asked = self.book.is_asked_of_late(self.now, RECENT_MS);
-        for (model, spec) in missing {
-            let place = engines
-                .iter()
-                .filter(|engine| self.has_room(engine, spec.weights_mb))
-                // The tightest fit leaves room for the largest.
-                .max_by(|a, b| self.used_mb(a).total_cmp(&self.used_mb(b)));
-            let Some(engine) = place else { continue };
-            let is_at_hand = engine.at_hand.contains(model);
-            if !is_at_hand
-                && !ceiling.admits_spare(
-                    self.now,
-                    self.spec.loads_per_s,
-                    self.ledger.store_loads(),
-                    asked,
-                )
-            {
-                return None;
-            }
-            return Some(Planned {
-                engine: engine.id.clone(),
-                action: Action::Load,
-                ask: ModelAsk {
-                    model: model.clone(),
-                    adapter: None,
-                },
-                makes_way_for: None,
-                why: "its memory is free and no engine holds the model",
-            });
-        }
-        None
-    }
-
-    /// Gives a model in demand another copy where memory is free and its weights are at hand. It costs an order and is the
-    /// first to make way; prompts that are spread over more engines meet less often.
-    fn spare_copy(&self, needs: &Needs<'_>) -> Option<Planned> {
-        let pressed = needs.values().filter(|need| {
-            let spec = self.spec.models.get(need.model);
-            let share = spec.map_or(0.0, |spec| need.demand.tokens_per_s / prompt_speed(spec));
-            need.wanted > 0 && need.copies > 0 && share > SPARE_SHARE * need.copies as f64
-        });
-        let mut pressed: Vec<&Need<'_>> = pressed.collect();
-        let by_copy = |need: &Need<'_>| need.demand.tokens_per_s / need.copies as f64;
-        pressed.sort_by(|a, b| by_copy(b).total_cmp(&by_copy(a)));
-        pressed
-            .into_iter()
-            .find_map(|need| self.place_spare(need, needs))
-    }
-
-    fn place_spare(&self, need: &Need<'_>, needs: &Needs<'_>) -> Option<Planned> {
-        let spec = self.spec.models.get(need.model)?;
-        let per_copy = need.demand.tokens_per_s / need.copies as f64;
-        let places = self
-            .free_engines()
-            .filter(|engine| engine.intended(self.now).is_none())
-            .filter(|engine| engine.at_hand.contains(need.model))
-            .filter(|engine| !engine.copies.contains_key(need.model))
-            .filter(|engine| self.has_room(engine, spec.weights_mb))
-            .map(|engine| {
-                let beside = self.demand_at(engine, needs);
-                (beside + self.blocked_adapters(engine), engine)
-            })
-            // An engine that has as much to read already takes nothing off the others.
-            .filter(|(cost, _)| *cost < per_copy);
-        let (_, engine) = places.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
-        Some(Planned {
-            engine: engine.id.clone(),
-            action: Action::Load,
-            ask: ModelAsk {
-                model: need.model.clone(),
-                adapter: None,
-            },
-            makes_way_for: None,
-            why: "its memory is free and callers ask for the model",
-        })
-    }
-
     /// Returns the prompt tokens a second that an engine is expected to read for the models that it holds.
-    fn demand_at(&self, engine: &Engine, needs: &Needs<'_>) -> f64 {
+    pub(super) fn demand_at(&self, engine: &Engine, needs: &Needs<'_>) -> f64 {
         let needs = engine.copies.keys().filter_map(|model| needs.get(model));
         let shares = needs.map(|need| need.demand.tokens_per_s / need.copies.max(1) as f64);
         shares.sum()
@@ -476,7 +360,7 @@
 }
 
 /// Returns the prompt tokens that an engine reads in a second for a model.
-fn prompt_speed(spec: &ModelSpec) -> f64 {
+pub(super) fn prompt_speed(spec: &ModelSpec) -> f64 {
     PROMPT_TOKENS_PER_S * LARGE_MB / spec.weights_mb.max(1.0)
 }
 
--- /dev/null
+++ b/src/ordering/spare.rs
@@ -0,0 +1,109 @@
+//! What memory that is free is used for, before anyone asks.
+
+use crate::entry::platform::ModelAsk;
+use crate::ordering::ceiling::Ceiling;
+use crate::ordering::census::ServiceCensus;
+use crate::ordering::message::Action;
+use crate::ordering::planner::{Need, Needs, Planned, Planner, RECENT_MS, prompt_speed};
+use crate::prelude::*;
+
+/// The share of an engine's time that a model's prompts must take on each engine that holds it for another copy in memory
+/// that is free. Two prompts of some 9,000 tokens that are read in a row hold up the streams beside them for half a
+/// second; at a twentieth of the time one in fifty meets another.
+const SPARE_SHARE: f64 = 0.05;
+/// Most missing models for which a place in free memory is looked for in one question.
+const MOST_MISSING: usize = 64;
+
+impl Planner<'_> {
+    /// Fills free memory with models that no engine holds, before anyone asks for them.
+    pub(super) fn spare_order(
+        &self,
+        census: &ServiceCensus,
+        needs: &Needs<'_>,
+        ceiling: &mut Ceiling,
+    ) -> Option<Planned> {
+        let is_missing = |model: &Name| needs.get(model).is_some_and(|need| need.copies == 0);
+        let models = self.spec.models.iter();
+        let missing = models.filter(|(model, _)| is_missing(model));
+        let asked = self.book.is_asked_of_late(self.now, RECENT_MS);
+        for (model, spec) in missing.take(MOST_MISSING) {
+            let place = self
+                .candidates(census, model)
+                .filter(|engine| self.has_room(engine, spec.weights_mb))
+                // The tightest fit leaves room for the largest.
+                .max_by(|a, b| self.used_mb(a).total_cmp(&self.used_mb(b)));
+            let Some(engine) = place else { continue };
+            let is_at_hand = engine.at_hand.contains(model);
+            if !is_at_hand
+                && !ceiling.admits_spare(
+                    self.now,
+                    self.spec.loads_per_s,
+                    self.ledger.store_loads(),
+                    asked,
+                )
+            {
+                return None;
+            }
+            return Some(Planned {
+                engine: engine.id.clone(),
+                action: Action::Load,
+                ask: ModelAsk {
+                    model: model.clone(),
+                    adapter: None,
+                },
+                makes_way_for: None,
+                why: "its memory is free and no engine holds the model",
+            });
+        }
+        None
+    }
+
+    /// Gives a model in demand another copy where memory is free and its weights are at hand. It costs an order and is the
+    /// first to make way; prompts that are spread over more engines meet less often.
+    pub(super) fn spare_copy(&self, census: &ServiceCensus, needs: &Needs<'_>) -> Option<Planned> {
+        let pressed = needs.values().filter(|need| {
+            let spec = self.spec.models.get(need.model);
+            let share = spec.map_or(0.0, |spec| need.demand.tokens_per_s / prompt_speed(spec));
+            need.wanted > 0 && need.copies > 0 && share > SPARE_SHARE * need.copies as f64
+        });
+        let mut pressed: Vec<&Need<'_>> = pressed.collect();
+        let by_copy = |need: &Need<'_>| need.demand.tokens_per_s / need.copies as f64;
+        pressed.sort_by(|a, b| by_copy(b).total_cmp(&by_copy(a)));
+        pressed
+            .into_iter()
+            .find_map(|need| self.place_spare(census, need, needs))
+    }
+
+    fn place_spare(
+        &self,
+        census: &ServiceCensus,
+        need: &Need<'_>,
+        needs: &Needs<'_>,
+    ) -> Option<Planned> {
+        let spec = self.spec.models.get(need.model)?;
+        let per_copy = need.demand.tokens_per_s / need.copies as f64;
+        let places = self
+            .having_at_hand(census, need.model)
+            .filter(|engine| engine.is_free(self.now))
+            .filter(|engine| engine.intended(self.now).is_none())
+            .filter(|engine| !engine.copies.contains_key(need.model))
+            .filter(|engine| self.has_room(engine, spec.weights_mb))
+            .map(|engine| {
+                let beside = self.demand_at(engine, needs);
+                (beside + self.blocked_adapters(engine), engine)
+            })
+            // An engine that has as much to read already takes nothing off the others.
+            .filter(|(cost, _)| *cost < per_copy);
+        let (_, engine) = places.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        Some(Planned {
+            engine: engine.id.clone(),
+            action: Action::Load,
+            ask: ModelAsk {
+                model: need.model.clone(),
+                adapter: None,
+            },
+            makes_way_for: None,
+            why: "its memory is free and callers ask for the model",
+        })
+    }
+}
--- a/src/ordering/tests/ledger.rs
+++ b/src/ordering/tests/ledger.rs
@@ -71,6 +71,9 @@
         }
         assert_eq!(self.ledger.census("s"), census.of("s"));
         assert_eq!(self.ledger.store_loads(), census.store_loads());
+        let loading = self.ledger.loading().map(|engine| &engine.id);
+        let counted: IndexSet<&Name> = census.loading().collect();
+        assert_eq!(loading.collect::<IndexSet<_>>(), counted);
         let changes = self.ledger.take_changes(self.now);
         for engine in &changes.gone {
             self.told.swap_remove(engine);
