Read a whole table on from the page that was refused, and spread retries

With up to some hundred hosts the first second's reads fit.

Now a page that failed is asked for again, and pauses differ by host. The list from relays keeps the usual start below the bound; this holds where hosts must read by themselves.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -56,6 +56,18 @@
     rested_ms: Millis,
     /// Whether the last news came from the orderer.
     was_told: bool,
+    /// What was read of the whole table when a page of it failed.
+    partial: Option<PartialTable>,
+}
+
+/// The first pages of a whole table.
+struct PartialTable {
+    asked_at: Millis,
+    /// The end that the first page named.
+    end: Offset,
+    rows: Vec<TableRow>,
+    /// The key after which the next page begins; none when all were read.
+    after: Option<Name>,
 }
 
 #[derive(Serialize)]
@@ -98,6 +110,7 @@
         trims: 0,
         rested_ms: Millis::ZERO,
         was_told: false,
+        partial: None,
     };
     loop {
         let read = match cursor.next {
@@ -136,7 +149,7 @@
                     host.upstreams.borrow_mut().note_unheard();
                 }
                 let pause_ms = RETRY_MS[cursor.failures.min(RETRY_MS.len()) - 1];
-                Timer::after(pause_ms.to_duration()).await;
+                Timer::after(spread(pause_ms).to_duration()).await;
             }
         }
     }
@@ -161,6 +174,7 @@
     let Some(copy) = copy else {
         return read_all(host, cursor).await;
     };
+    cursor.partial = None;
     cursor.written_at.clear();
     cursor.next = Some(copy.end);
     host.followed.note_read(cursor.table, copy.as_of, copy.end);
@@ -272,30 +286,47 @@
     }
 }
 
+/// Returns a pause around the given one, so that hosts which were refused together do not come back together.
+fn spread(pause_ms: Millis) -> Millis {
+    Millis(pause_ms.0 / 2 + fastrand::u64(0..=pause_ms.0))
+}
+
 /// Reads the newest row of each key. The pages are no snapshot, so reading goes on at the end that the first
-/// page named; rows that come again are older than what is known and passed over. Returns whether a rest is due.
+/// page named; rows that come again are older than what is known and passed over. After a page that failed it goes on with
+/// that page: hundreds of hosts that all began anew would keep the store at its limit. Returns whether a rest is due.
 async fn read_all<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Result<bool, StoreError> {
-    let asked_at = host.now();
-    let first = host
-        .count_call(
-            StoreCall::ReadTable,
-            host.platform.read_table(cursor.table, None),
-        )
-        .await?;
-    let next = first.end;
-    let mut rows = first.rows;
-    let mut after = first.more_after;
+    let mut partial = match cursor.partial.take() {
+        Some(partial) => partial,
+        None => {
+            let asked_at = host.now();
+            let first = read_page(host, cursor.table, None).await?;
+            PartialTable {
+                asked_at,
+                end: first.end,
+                rows: first.rows,
+                after: first.more_after,
+            }
+        }
+    };
     for _ in 0..MAX_PAGES {
-        let Some(key) = after else { break };
-        let page = host
-            .count_call(
-                StoreCall::ReadTable,
-                host.platform.read_table(cursor.table, Some(&key)),
-            )
-            .await?;
-        rows.extend(page.rows);
-        after = page.more_after;
+        let Some(key) = &partial.after else { break };
+        match read_page(host, cursor.table, Some(key)).await {
+            Ok(page) => {
+                partial.rows.extend(page.rows);
+                partial.after = page.more_after;
+            }
+            Err(error) => {
+                cursor.partial = Some(partial);
+                return Err(error);
+            }
+        }
     }
+    let PartialTable {
+        asked_at,
+        end: next,
+        rows,
+        ..
+    } = partial;
     cursor.written_at = rows
         .iter()
         .map(|row| (row.key.clone(), row.offset))
@@ -312,6 +343,15 @@
     Ok(false)
 }
 
+async fn read_page<P: Platform>(
+    host: &Host<P>,
+    table: Table,
+    after: Option<&str>,
+) -> Result<TablePage, StoreError> {
+    let read = host.platform.read_table(table, after);
+    host.count_call(StoreCall::ReadTable, read).await
+}
+
 async fn read_changes<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -23,6 +23,12 @@
     pub is_down: Cell<bool>,
     /// The first upstream record that is still kept.
     pub kept_from: Cell<u64>,
+    /// Most rows of a page of a whole table; zero for all.
+    pub page_rows: Cell<usize>,
+    /// Pages of the list of upstreams that were read.
+    pub list_pages: Cell<usize>,
+    /// How many pages of the list are answered until one is refused.
+    pub pages_until_refusal: Cell<Option<usize>>,
     changed: Wakeup,
 }
 
@@ -59,6 +65,19 @@
         }
     }
 
+    fn count_page(&self) -> Result<(), StoreError> {
+        match self.pages_until_refusal.get() {
+            Some(0) => {
+                self.pages_until_refusal.set(None);
+                return Err(StoreError::Refused { status: 429 });
+            }
+            Some(left) => self.pages_until_refusal.set(Some(left - 1)),
+            None => {}
+        }
+        self.list_pages.set(self.list_pages.get() + 1);
+        Ok(())
+    }
+
     fn rows(&self, table: Table) -> Vec<TableRow> {
         let row = |(at, key, value): (usize, Name, RowValue)| TableRow {
             key,
@@ -154,23 +173,30 @@
         true
     }
 
-    async fn read_table(
-        &self,
-        table: Table,
-        _after: Option<&str>,
-    ) -> Result<TablePage, StoreError> {
+    async fn read_table(&self, table: Table, after: Option<&str>) -> Result<TablePage, StoreError> {
         self.0.check()?;
+        if table == Table::Upstreams {
+            self.0.count_page()?;
+        }
         let rows = self.0.rows(table);
         let end = Offset(rows.len() as u64);
         let newest: IndexMap<Name, TableRow> =
             rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        let first = after.map_or(0, |key| newest.get_index_of(key).map_or(0, |at| at + 1));
+        let most = match self.0.page_rows.get() {
+            0 => usize::MAX,
+            most => most,
+        };
+        let has_more = newest.len() - first > most;
+        let page = newest.into_values().skip(first).take(most);
+        let page: Vec<TableRow> = page.collect();
         Ok(TablePage {
-            rows: newest
-                .into_values()
+            more_after: page.last().filter(|_| has_more).map(|row| row.key.clone()),
+            rows: page
+                .into_iter()
                 .filter(|row| row.value != RowValue::Removed)
                 .collect(),
             end,
-            more_after: None,
         })
     }
 
--- a/src/entry/tests/follow.rs
+++ b/src/entry/tests/follow.rs
@@ -47,6 +47,23 @@
     });
 }
 
+/// Hosts of a large site that were refused a page of the list began with the first one again, all of them, and kept the store
+/// at its limit for as long as they ran.
+#[test]
+fn a_list_of_which_a_page_was_refused_is_read_on_from_there() {
+    on_site(|site| async move {
+        site.store.page_rows.set(10);
+        site.store.pages_until_refusal.set(Some(3));
+        for n in 0..50 {
+            let id = format!("u{n}");
+            site.store.list(&id, Some(entry(&id, nowhere())));
+        }
+        site.until(|host| host.upstreams.borrow().count() == 50)
+            .await;
+        assert_eq!(site.store.list_pages.get(), 5);
+    });
+}
+
 #[test]
 fn a_store_that_is_away_changes_nothing() {
     on_site(|site| async move {
