The orderer reads reports of idle engines at a steady rate, however many there are

Cause: each engine's report was read each five seconds, and all of them at once by a new orderer.

Now idle engines are asked 200 times a second together (each 48 s at 9,640; as before up to 1,000), 200 calls are under way at most, and engines that carry out orders go first. What a report shows of an idle engine changes by orders alone; a restart shows in the list. Test: reports_of_idle_engines_are_spread_and_do_not_hold_up_those_that_are_waited_for.

--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -27,6 +27,9 @@
 /// large site. A message of a host whose callers wait asks for a plan; on the smallest hosts, an eighth of a core, plans
 /// at each of hundreds of messages a second left no time to read the tables.
 const LEAST_PLAN_MS: Millis = Millis(10);
+/// Most calls for reports at once, beside those of engines that carry out orders: a new orderer has to read all engines, and
+/// thousands of calls at once would leave it no time for the hosts.
+const MAX_REPORTS: usize = 200;
 /// Most orders planned in one round.
 const MAX_PLANNED: usize = 32;
 
@@ -44,6 +47,7 @@
     /// What callers ask for.
     pub book: Book,
     told_holder: Option<Member>,
+    reports_under_way: usize,
     /// When what callers wait for will be ready, as the last plan had it.
     pub ready_at: Vec<(ModelAsk, Millis)>,
     /// The models whose copies are kept apart for long and for short prompts.
@@ -238,24 +242,20 @@
     executor: &Rc<LocalExecutor<'static>>,
     now: Millis,
 ) {
-    let due: Vec<Name> = {
+    let due = {
         let mut orders = host.orders.borrow_mut();
-        let due = orders
-            .ledger
-            .iter()
-            .filter(|engine| !engine.in_report && now >= engine.report_at);
-        let due: Vec<Name> = due.map(|engine| engine.id.clone()).collect();
-        for id in &due {
-            if let Some(engine) = orders.ledger.get_mut(id) {
-                engine.in_report = true;
-            }
-        }
+        let idle_most = MAX_REPORTS.saturating_sub(orders.reports_under_way);
+        let due = orders.ledger.due_reports(now, idle_most);
+        orders.reports_under_way += due.len();
         due
     };
     for id in due {
         let host = host.clone();
         executor
-            .spawn(async move { ask_report(&host, &id).await })
+            .spawn(async move {
+                ask_report(&host, &id).await;
+                host.orders.borrow_mut().reports_under_way -= 1;
+            })
             .detach();
     }
 }
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -8,10 +8,8 @@
 use crate::prelude::*;
 use crate::upstreams::{HeldModel, Lifetime};
 
-/// How often an engine's report is read while an order's outcome is waited for, and otherwise. A report costs about
-/// a sixth of an order.
+/// How often an engine's report is read while an order's outcome is waited for.
 pub(super) const BUSY_REPORT_MS: Millis = Millis(250);
-const REPORT_MS: Millis = Millis(5_000);
 /// How long an engine rests after an answer that gives no hint what it will do next.
 pub(super) const REST_MS: Millis = Millis(400);
 /// How long after a restart an unanswered order to the former start may still be carried out: the platform speaks of
@@ -221,6 +219,11 @@
         };
     }
 
+    /// Tells whether the outcome of an order is waited for.
+    pub fn is_waited_for(&self) -> bool {
+        self.was_busy || self.is_doubtful || self.pending.is_some()
+    }
+
     /// Takes note that the report could not be read.
     pub(super) fn note_unreported(&mut self, now: Millis) {
         self.in_report = false;
@@ -244,7 +247,13 @@
 
     /// Takes a report. An engine counts an order when it accepts it and reports both at once, so a report with the
     /// count that is known here shows the effect of every order so far, and one with a lower count is older.
-    pub(super) fn take_report(&mut self, now: Millis, report: EngineReport) -> Vec<Loaded> {
+    /// An engine of which no order is under way is asked again after `idle_ms`.
+    pub(super) fn take_report(
+        &mut self,
+        now: Millis,
+        report: EngineReport,
+        idle_ms: Millis,
+    ) -> Vec<Loaded> {
         self.in_report = false;
         if report.born_at > self.born_at {
             self.begin_lifetime(now, report.born_at);
@@ -272,12 +281,10 @@
         self.is_doubtful = false;
         self.unloaded_at = None;
         self.was_busy = report.busy;
-        let is_waited_for = report.busy || self.pending.is_some();
         self.report_at = now
-            + if is_waited_for {
-                BUSY_REPORT_MS
-            } else {
-                REPORT_MS
+            + match self.is_waited_for() {
+                true => BUSY_REPORT_MS,
+                false => idle_ms,
             };
         let under_way: Vec<(Name, Copy)> = self
             .copies
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -16,6 +16,11 @@
 
 /// How long freed memory is kept for the model that it was freed for: the unload waits for what runs.
 pub(super) const INTENDED_MS: Millis = Millis(3_000);
+/// How often the report of an engine is read of which no order is under way; a report costs about a sixth of an order.
+const IDLE_REPORT_MS: Millis = Millis(5_000);
+/// The least time between two such reports over all engines: where there are thousands, each is asked less often.
+const EACH_REPORT_MS: Millis = Millis(5);
+
 /// What changed on the engines since it was asked for last.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineChanges {
@@ -126,11 +131,6 @@
         self.engines.get(id)
     }
 
-    /// Returns an engine, for change of what does not show in the view.
-    pub fn get_mut(&mut self, id: &str) -> Option<&mut Engine> {
-        self.engines.get_mut(id)
-    }
-
     /// Returns every engine.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
         let engines = self.engines.values();
@@ -263,6 +263,29 @@
         }
     }
 
+    fn idle_report_ms(&self) -> Millis {
+        Millis(EACH_REPORT_MS.0 * self.engines.len() as u64).max(IDLE_REPORT_MS)
+    }
+
+    /// Returns the engines whose reports are to be read now: all that an order's outcome is waited for of, and `idle_most`
+    /// others.
+    pub fn due_reports(&mut self, now: Millis, idle_most: usize) -> Vec<Name> {
+        let is_due = |engine: &&Engine| !engine.in_report && now >= engine.report_at;
+        let due = self.engines.values().filter(is_due);
+        let (waited_for, idle): (Vec<&Engine>, Vec<&Engine>) =
+            due.partition(|engine| engine.is_waited_for());
+        let due = waited_for
+            .into_iter()
+            .chain(idle.into_iter().take(idle_most));
+        let due: Vec<Name> = due.map(|engine| engine.id.clone()).collect();
+        for id in &due {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.in_report = true;
+            }
+        }
+        due
+    }
+
     /// Takes an engine's report, or that there is none.
     pub fn take_report(
         &mut self,
@@ -276,7 +299,8 @@
             }
             return Vec::new();
         };
-        let loaded = self.change(id, |engine| engine.take_report(now, report));
+        let idle_ms = self.idle_report_ms();
+        let loaded = self.change(id, |engine| engine.take_report(now, report, idle_ms));
         loaded.unwrap_or_default()
     }
 
--- a/src/ordering/tests/ledger.rs
+++ b/src/ordering/tests/ledger.rs
@@ -5,10 +5,11 @@
 use crate::ordering::book::Book;
 use crate::ordering::ceiling::Ceiling;
 use crate::ordering::census::Census;
+use crate::ordering::copy::LoadTime;
 use crate::ordering::demand::AskCount;
 use crate::ordering::host_reports::HostReport;
 use crate::ordering::ledger::Ledger;
-use crate::ordering::message::{EngineReport, Order, OrderAnswer};
+use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::ordering::planner::{Planner, load_time};
 use crate::prelude::*;
 use crate::test_support::seeded;
@@ -288,3 +289,36 @@
     assert!(restarts.iter().sum::<usize>() > 1_000);
     assert!(loads.iter().sum::<usize>() > 1_000);
 }
+
+/// Each of ten thousand engines was asked for its report each five seconds, two thousand calls a second of one host.
+#[test]
+fn reports_of_idle_engines_are_spread_and_do_not_hold_up_those_that_are_waited_for() {
+    let engines = 2_000;
+    let now = Millis(1_000_000);
+    let id = |n: usize| Name::from(format!("e{n}"));
+    let start = |n: usize| Lifetime {
+        id: id(n),
+        born_at: Millis::ZERO,
+    };
+    let mut ledger = Ledger::default();
+    ledger.take_engines(now, (0..engines).map(|n| (start(n), Name::from("s"))));
+    assert_eq!(ledger.due_reports(now, 100).len(), 100, "so many at once");
+    assert_eq!(ledger.due_reports(now, engines).len(), engines - 100);
+    for n in 0..engines {
+        ledger.take_report(now, &id(n), Some(EngineReport::default()));
+    }
+    let later = now + Millis(5_000);
+    assert_eq!(ledger.due_reports(later, engines), [Name::from(""); 0]);
+    let ask = ModelAsk {
+        model: "m0".into(),
+        adapter: None,
+    };
+    let order = ledger.begin(later, &id(7), Action::Load, ask, None);
+    let order = order.expect("it is known");
+    ledger.due(later);
+    let load = LoadTime::default();
+    ledger.take_answer(later, &id(7), &order, OrderAnswer::Silent, load);
+    assert_eq!(ledger.due_reports(later, 0), [id(7)]);
+    let after = now + Millis(10_000);
+    assert_eq!(ledger.due_reports(after, engines).len(), engines - 1);
+}
