Where engines hold all models many times over, each is on two; begin with a part of a high stated rate

Pattern: in a fleet of thousands of engines most models are seldom asked for and on one engine each. A crash of one engine in seven, or a release, takes the only copy of every seventh of them, and the orderer loads two at once, four after 13 s: minutes in which sign-offs, the dearest work, are refused.

Now a model that nobody asks for is wanted on two engines where the engines' memory is 16 times that of all models; copies beyond the demand make way, after what callers ask for. An orderer that has learned nothing begins with a 32nd of the stated loads a second at once (87 at 2,800; two as before up to 64), and a late load lowers many by a quarter instead of by one.

Weighed: doubling from two (14 loads within 40 s at 13 s a load); the sheet's own number of loads at once, which no message states. Tests: where_engines_hold_all_models_many_times_over_each_is_on_two and its opposite, a_store_with_a_high_rate_gets_many_loads_at_once_from_the_start, a_store_that_serves_few_loads_in_spite_of_its_rate_soon_gets_few.

--- a/bench/src/fleet/plan.rs
+++ b/bench/src/fleet/plan.rs
@@ -99,7 +99,7 @@
         planner.next(&mut self.ceiling)
     }
 
-    /// Lets the engines lose the models that one of them holds each, for which callers then wait.
+    /// Lets the engines lose models that no others hold, for which callers then wait.
     fn lose_models(&mut self) {
         let last = self.world.size.models;
         for n in 0..WAITED_FOR {
--- a/bench/src/fleet/world.rs
+++ b/bench/src/fleet/world.rs
@@ -101,10 +101,11 @@
     }
 }
 
-/// Each engine holds as many models as fit: one that few hold where there is one left, else busy ones.
+/// Each engine holds as many models as fit: one that two hold where there is one left, else busy ones.
 fn engine(n: usize, size: Size) -> UpstreamEntry {
     let busy = size.models.min(BUSY_MODELS);
-    let seldom = (busy + n < size.models).then_some(busy + n);
+    let seldom = busy + n / 2;
+    let seldom = (seldom < size.models).then_some(seldom);
     let held = seldom
         .into_iter()
         .chain((0..).map(|at| (n + at * 7) % busy));
--- a/src/ordering/ceiling.rs
+++ b/src/ordering/ceiling.rs
@@ -4,7 +4,9 @@
 //! speed, and each further one slows all of them in proportion, so that ten loads at once are ready
 //! later than the same ten one after the other. How many are served at full speed is not stated anywhere: it is learned
 //! from loads that end, and sooner from loads that are overdue. Where one load at a time of 13 s is served, four at once
-//! were all ready after 53 s; one after the other the first is ready after 13 s.
+//! were all ready after 53 s; one after the other the first is ready after 13 s. A store that is stated to let thousands of
+//! loads begin each second serves a large site: it begins with a part of them at once, since loads of 13 s that double from two
+//! would need minutes to use it.
 
 use crate::prelude::*;
 
@@ -27,8 +29,13 @@
 const SLOWED_GROWTH: f64 = 0.1;
 /// Loads at once that are kept for models that are asked for: a load under way holds its place for seconds.
 const KEPT_FREE: usize = 2;
-/// Most loads at once.
+/// Most loads at once where the stated rate is low, and the part of a high rate up to which they may grow.
 const MOST_AT_ONCE: f64 = 64.0;
+const MOST_PART: f64 = 1.0 / 8.0;
+/// The part of the stated loads a second with which an orderer begins at once that has learned nothing.
+const FIRST_PART: f64 = 1.0 / 32.0;
+/// The part of the loads at once by which one late load lowers them at most, where they are many.
+const LOWERED_PART: f64 = 0.25;
 
 /// Admits loads from the weight store.
 ///
@@ -39,25 +46,39 @@
     saved: f64,
     filled_at: Millis,
     at_once: f64,
+    most: f64,
     was_slowed: bool,
     is_learned: bool,
+    knows_rate: bool,
 }
 
 impl Ceiling {
     /// Makes the ceiling of a host that begins to order. `learned_at_once` is what a former holder learned.
     pub fn new(now: Millis, learned_at_once: Option<usize>) -> Self {
-        let learned = learned_at_once.map(|at_once| (at_once as f64).clamp(1.0, MOST_AT_ONCE));
+        let learned = learned_at_once.map(|at_once| (at_once as f64).max(1.0));
         Self {
             saved: 0.0,
             filled_at: now,
             at_once: learned.unwrap_or(FIRST_AT_ONCE),
+            most: MOST_AT_ONCE,
             was_slowed: false,
             is_learned: learned.is_some(),
+            knows_rate: false,
         }
     }
 
+    /// Takes what the stated rate says of the loads at once.
+    fn take_rate(&mut self, loads_per_s: f64) {
+        self.most = (loads_per_s * MOST_PART).max(MOST_AT_ONCE);
+        if !std::mem::replace(&mut self.knows_rate, true) && !self.is_learned {
+            self.at_once = self.at_once.max(loads_per_s * FIRST_PART);
+        }
+        self.at_once = self.at_once.min(self.most);
+    }
+
     /// Tells whether a load may begin while `under_way` others run.
     pub fn admits(&mut self, now: Millis, loads_per_s: f64, under_way: usize) -> bool {
+        self.take_rate(loads_per_s);
         let passed_s = now.since(self.filled_at).0 as f64 / 1_000.0;
         self.saved = (self.saved + passed_s * loads_per_s * USED_PART).min(BURST);
         self.filled_at = now;
@@ -90,7 +111,7 @@
         if factor > FULL_SPEED_FACTOR {
             self.lower_to((beside / factor).round());
         } else if beside >= self.at_once.floor() {
-            self.at_once = (self.at_once + self.growth()).min(MOST_AT_ONCE);
+            self.at_once = (self.at_once + self.growth()).min(self.most);
         }
     }
 
@@ -102,10 +123,11 @@
         }
     }
 
-    /// Lowers the limit, by one at a time: a load may be late for a reason of its own, and a limit that is too low leaves
-    /// the store idle until it has grown again.
+    /// Lowers the limit, by one or a part at a time: a load may be late for a reason of its own, and a limit that is too low
+    /// leaves the store idle until it has grown again.
     fn lower_to(&mut self, at_once: f64) {
-        let lowest = (self.at_once.floor() - 1.0).max(1.0);
+        let step = (self.at_once * LOWERED_PART).floor().max(1.0);
+        let lowest = (self.at_once.floor() - step).max(1.0);
         self.at_once = at_once.max(lowest).min(self.at_once);
         self.was_slowed = true;
         self.is_learned = true;
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -47,6 +47,11 @@
 /// makes way.
 const STORE_LOAD: f64 = 4_000.0;
 
+/// How many times over the engines hold all models where no model is to be on one engine alone.
+const PLENTY: f64 = 16.0;
+/// Most models that nobody asks for of which a place is looked for in one question.
+const MOST_UNASKED: usize = 4;
+
 /// An order that the planner wants.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Planned {
@@ -91,6 +96,13 @@
     pub(super) wanted: usize,
 }
 
+impl Need<'_> {
+    /// Tells whether anyone asks for the model.
+    fn is_asked(&self) -> bool {
+        self.demand.waiting > 0 || self.demand.last_at.is_some()
+    }
+}
+
 /// The needs of all models.
 pub(super) type Needs<'a> = IndexMap<&'a Name, Need<'a>>;
 
@@ -134,9 +146,12 @@
             let by_waiting = key(b).cmp(&key(a));
             by_waiting.then(b.demand.tokens_per_s.total_cmp(&a.demand.tokens_per_s))
         });
-        lacking
-            .into_iter()
-            .find_map(|need| self.place_model(census, &need, needs, ceiling))
+        let mut unasked = 0;
+        let mut tried = lacking.into_iter().take_while(|need| {
+            unasked += usize::from(!need.is_asked());
+            unasked <= MOST_UNASKED
+        });
+        tried.find_map(|need| self.place_model(census, &need, needs, ceiling))
     }
 
     /// Goes on where memory was freed for a model: loads it, or frees more.
@@ -156,7 +171,9 @@
     fn needs(&self, census: &ServiceCensus) -> Needs<'_> {
         let demands = self.book.models(self.now);
         let unused: Vec<&Engine> = self.unused_engines().collect();
-        let most = ((census.engines() - unused.len()) as f64 * COPIES_PART) as usize;
+        let engines = census.engines() - unused.len();
+        let most = (engines as f64 * COPIES_PART) as usize;
+        let least = self.least_copies(engines);
         let models = self.spec.models.iter();
         let need = models.map(|(model, spec)| {
             let demand = demands.get(model).copied().unwrap_or_default();
@@ -166,7 +183,7 @@
                 demand,
                 copies: holders.map_or(0, Holders::copies),
                 held: holders.map_or(0, Holders::held),
-                wanted: self.wanted(spec, &demand, most.max(1)),
+                wanted: self.wanted(spec, &demand, most.max(1)).max(least),
             };
             (model, need)
         });
@@ -189,7 +206,17 @@
         needs
     }
 
-    /// Returns how many engines are to hold a model.
+    /// Returns how many engines are to hold a model of which nobody asks: one that is lost with its engine takes a load's time
+    /// to come back, so where the engines hold all models many times over each is on two of them.
+    fn least_copies(&self, engines: usize) -> usize {
+        let all_mb: f64 = self.spec.models.values().map(|spec| spec.weights_mb).sum();
+        match engines as f64 * self.spec.weights_mb >= all_mb * PLENTY {
+            true => 2,
+            false => 0,
+        }
+    }
+
+    /// Returns how many engines are to hold a model that is asked for.
     fn wanted(&self, spec: &ModelSpec, demand: &ModelDemand, most: usize) -> usize {
         let asked_of_late = demand
             .last_at
@@ -223,10 +250,28 @@
     ) -> Option<Planned> {
         // One more copy helps only where it finds slots.
         let has_slots = |engine: &&Engine| need.copies == 0 || self.used_slots(engine) < SLOT_SHARE;
-        let engines = self.candidates(census, need.model).filter(has_slots);
+        if self.may_use_store(need, ceiling) {
+            let engines = self.candidates(census, need.model).filter(has_slots);
+            return self.place_on(need, needs, engines, ceiling);
+        }
+        let engines = self
+            .having_at_hand(census, need.model)
+            .filter(|engine| engine.is_free(self.now) && engine.intended(self.now).is_none())
+            .filter(has_slots);
         self.place_on(need, needs, engines, ceiling)
     }
 
+    fn may_use_store(&self, need: &Need<'_>, ceiling: &mut Ceiling) -> bool {
+        let (rate, loads) = (self.spec.loads_per_s, self.ledger.store_loads());
+        match need.is_asked() {
+            true => ceiling.admits(self.now, rate, loads),
+            false => {
+                let asked = self.book.is_asked_of_late(self.now, RECENT_MS);
+                ceiling.admits_spare(self.now, rate, loads, asked)
+            }
+        }
+    }
+
     /// Returns the share of an engine's slots that are taken, by what hosts say.
     fn used_slots(&self, engine: &Engine) -> f64 {
         let running = f64::from(self.book.running_at(&engine.id));
@@ -241,8 +286,7 @@
         ceiling: &mut Ceiling,
     ) -> Option<Planned> {
         let spec = self.spec.models.get(need.model)?;
-        let may_use_store =
-            ceiling.admits(self.now, self.spec.loads_per_s, self.ledger.store_loads());
+        let may_use_store = self.may_use_store(need, ceiling);
         let places = engines
             .filter(|engine| !engine.copies.contains_key(need.model))
             .filter(|engine| may_use_store || engine.at_hand.contains(need.model))
--- a/src/ordering/tests/ceiling.rs
+++ b/src/ordering/tests/ceiling.rs
@@ -107,3 +107,30 @@
     }
     assert_eq!(ceiling.at_once(), 4);
 }
+
+/// A store for ten thousand engines got two loads at once, and four after thirteen seconds: models of which a crash took the
+/// only copy came back one after the other for the rest of the day.
+#[test]
+fn a_store_with_a_high_rate_gets_many_loads_at_once_from_the_start() {
+    let mut ceiling = Ceiling::new(Millis::ZERO, None);
+    assert!(ceiling.admits(Millis(10_000), 2_800.0, 80));
+    assert!(!ceiling.admits(Millis(10_000), 2_800.0, 90));
+    for _ in 0..100 {
+        ceiling.note_done(Millis(13_400), Millis(13_200), ceiling.at_once());
+    }
+    assert!(ceiling.at_once() > 100);
+}
+
+/// The stated rate says nothing of how many loads are served at full speed.
+#[test]
+fn a_store_that_serves_few_loads_in_spite_of_its_rate_soon_gets_few() {
+    let mut ceiling = Ceiling::new(Millis::ZERO, None);
+    assert!(ceiling.admits(Millis(10_000), 2_800.0, 80));
+    let served_at_once = 4;
+    for _ in 0..16 {
+        let at_once = ceiling.at_once();
+        let passed_ms = Millis(13_200 * (at_once as u64 / served_at_once));
+        ceiling.note_overdue(passed_ms, Millis(13_200), at_once);
+    }
+    assert!(ceiling.at_once() <= 8, "{} at once", ceiling.at_once());
+}
--- a/src/ordering/tests/planner/memory.rs
+++ b/src/ordering/tests/planner/memory.rs
@@ -94,3 +94,31 @@
     site.ledger.take_report(NOW, &e1, Some(report(2, &[])));
     assert!(load(&site).from_store);
 }
+
+/// A crash took the only copy of every seventh model that is seldom asked for, in a site whose engines hold all models many
+/// times over: the models came back after a load from the weight store each.
+#[test]
+fn where_engines_hold_all_models_many_times_over_each_is_on_two() {
+    let (busy, seldom): (&[&str], &[&str]) = (&["m0"], &["m1"]);
+    let held: Vec<&[&str]> = std::iter::repeat_n(busy, 31).chain([seldom]).collect();
+    let mut site = Site::new(spec(100.0, &[100.0, 100.0]), &held);
+    let planned = site.plan_all();
+    let unloaded: Vec<&ModelAsk> = planned
+        .iter()
+        .filter(|planned| planned.action == Action::Unload)
+        .map(|planned| &planned.ask)
+        .collect();
+    assert_eq!(
+        unloaded,
+        [&model("m0")],
+        "a spare copy makes way for a second one"
+    );
+    assert_eq!(planned[0].makes_way_for.as_deref(), Some("m1"));
+}
+
+#[test]
+fn where_engines_hold_few_more_than_all_models_nothing_makes_way_for_a_second_copy() {
+    let held: Vec<&[&str]> = vec![&["m0"], &["m0"], &["m0"], &["m1"]];
+    let mut site = Site::new(spec(100.0, &[100.0, 100.0]), &held);
+    assert_eq!(site.plan_all(), []);
+}
