--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -33,6 +33,11 @@
 
 impl Pair {
     async fn new(site: &Site) -> Self {
+        Self::beside(site, Vec::new()).await
+    }
+
+    /// Makes the pair in a data centre of more hosts.
+    async fn beside(site: &Site, near: Vec<Member>) -> Self {
         for n in 0..UPSTREAMS {
             let id = format!("u{n}");
             site.store.list(&id, Some(entry(&id, nowhere())));
@@ -56,7 +61,7 @@
             as_member(&asking, &other, 120),
         );
         let far = (100..164).map(|n| member(n, "there", 120));
-        let list: IndexSet<Member> = far.chain([relay, me.clone()]).collect();
+        let list: IndexSet<Member> = far.chain(near).chain([relay, me.clone()]).collect();
         for host in [&site.host, &asking] {
             let now = host.now();
             host.members.borrow_mut().replace(now, 1, list.clone());
@@ -117,6 +122,28 @@
     });
 }
 
+/// A relay that is lost is in the list of hosts for some seconds more.
+#[test]
+fn a_host_whose_first_relay_is_lost_takes_the_list_from_the_next() {
+    on_site(|site| async move {
+        let lost = member(1, "here", 500);
+        let small = (10..20).map(|n| member(n, "here", 120));
+        let pair = Pair::beside(&site, small.chain([lost.clone()]).collect()).await;
+        let relays = |host: &Host<FakePlatform>| {
+            let tree = host.tree.borrow();
+            let relays = tree.relays_of(&pair.me);
+            relays.into_iter().cloned().collect::<IndexSet<Member>>()
+        };
+        assert!(relays(&pair.asking).len() == 2 && relays(&pair.asking).contains(&lost));
+        let sources = pair.sources();
+        let copy = pair
+            .shared
+            .run(fetch(&pair.asking, &sources, None, Millis(5_000)))
+            .await;
+        assert_eq!(copy.map(|copy| copy.entries.len()), Some(UPSTREAMS));
+    });
+}
+
 /// Rows that a relay passes on may begin before the list that it gave: an old removal took out an upstream that was listed
 /// again.
 #[test]
--- a/src/ordering/candidates.rs
+++ b/src/ordering/candidates.rs
@@ -14,12 +14,13 @@
 const MOST_CANDIDATES: usize = 512;
 
 impl Planner<'_> {
-    /// Returns the engines that are not to be used, of those that [`Planner::engines`] passes over.
+    /// Returns the engines that are leaving or cannot be reached.
     pub(super) fn unused_engines(&self) -> impl Iterator<Item = &Engine> {
         let engines = self.unusable.iter().filter_map(|id| self.ledger.get(id));
         engines.filter(|engine| &*engine.service == self.service)
     }
 
+    /// Tells whether an engine may get orders.
     pub(super) fn is_used(&self, engine: &Engine) -> bool {
         &*engine.service == self.service && !self.unusable.contains(&engine.id)
     }
