A host looks for a relay's list only when the store's first page shows that there are more

A host that the store refuses its first page asks the relays once. Tests: a_list_of_several_pages_is_taken_from_the_relay_after_the_first, a_list_of_one_page_is_not_asked_of_a_relay.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -6,7 +6,7 @@
 use crate::entry::followed::Next;
 use crate::entry::host::Host;
 use crate::entry::lines;
-use crate::entry::list_copy::{self, Sources};
+use crate::entry::list_copy::{self, ListCopy, Sources};
 use crate::entry::platform::{
     Platform, RowValue, StoreCall, StoreError, Table, TablePage, TableRow,
 };
@@ -60,6 +60,14 @@
     partial: Option<PartialTable>,
 }
 
+impl Cursor {
+    /// Tells whether all pages of the whole table were read.
+    fn has_whole(&self) -> bool {
+        let partial = self.partial.as_ref();
+        partial.is_some_and(|partial| partial.after.is_none())
+    }
+}
+
 /// The first pages of a whole table.
 struct PartialTable {
     asked_at: Millis,
@@ -155,25 +163,31 @@
     }
 }
 
-/// Takes the whole table: the list of upstreams from a relay where there is one, else from the store.
+/// Takes the whole table from the store. When a list of upstreams has more than a page there, or the store refuses it, it is taken
+/// from a relay, where one has it.
 async fn begin<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
     sources: Option<&Sources>,
 ) -> Result<bool, StoreError> {
-    let copy = match (cursor.table, sources) {
-        (Table::Upstreams, Some(sources)) => {
-            let look_ms = match cursor.lost_from {
-                Some(_) => LOOK_AGAIN_MS,
-                None => list_copy::LOOK_MS,
-            };
-            list_copy::fetch(host, sources, cursor.lost_from, look_ms).await
-        }
-        _ => None,
-    };
-    let Some(copy) = copy else {
-        return read_all(host, cursor).await;
+    let first = read_first_page(host, cursor).await;
+    let look_ms = match &first {
+        Ok(()) if cursor.has_whole() => None,
+        Ok(()) if cursor.lost_from.is_some() => Some(LOOK_AGAIN_MS),
+        Ok(()) => Some(list_copy::LOOK_MS),
+        Err(_) => Some(Millis::ZERO),
     };
+    if let (Some(sources), Some(look_ms)) = (sources, look_ms)
+        && let Some(copy) = list_copy::fetch(host, sources, cursor.lost_from, look_ms).await
+    {
+        take_copy(host, cursor, copy);
+        return Ok(false);
+    }
+    first?;
+    read_rest(host, cursor).await
+}
+
+fn take_copy<P: Platform>(host: &Host<P>, cursor: &mut Cursor, copy: ListCopy) {
     cursor.partial = None;
     cursor.written_at.clear();
     cursor.next = Some(copy.end);
@@ -182,7 +196,6 @@
     let count = copy.entries.len();
     let changes = replace_upstreams(host, copy.as_of, copy.entries, Vec::new());
     note_list(host, count, Some(copy.relay), &changes);
-    Ok(false)
 }
 
 /// Waits until the table is to be read by this host itself, which it returns; takes rows that the orderer sent before
@@ -291,22 +304,31 @@
     Millis(pause_ms.0 / 2 + fastrand::u64(0..=pause_ms.0))
 }
 
-/// Reads the newest row of each key. The pages are no snapshot, so reading goes on at the end that the first
-/// page named; rows that come again are older than what is known and passed over. After a page that failed it goes on with
-/// that page: hundreds of hosts that all began anew would keep the store at its limit. Returns whether a rest is due.
-async fn read_all<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Result<bool, StoreError> {
-    let mut partial = match cursor.partial.take() {
-        Some(partial) => partial,
-        None => {
-            let asked_at = host.now();
-            let first = read_page(host, cursor.table, None).await?;
-            PartialTable {
-                asked_at,
-                end: first.end,
-                rows: first.rows,
-                after: first.more_after,
-            }
-        }
+/// Reads the first page of the newest rows, unless it was read before.
+async fn read_first_page<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+) -> Result<(), StoreError> {
+    if cursor.partial.is_some() {
+        return Ok(());
+    }
+    let asked_at = host.now();
+    let first = read_page(host, cursor.table, None).await?;
+    cursor.partial = Some(PartialTable {
+        asked_at,
+        end: first.end,
+        rows: first.rows,
+        after: first.more_after,
+    });
+    Ok(())
+}
+
+/// Reads the other pages. They are no snapshot, so reading goes on at the end that the first page named; rows that come
+/// again are older than what is known and passed over. After a page that failed it goes on with that page: hundreds of
+/// hosts that all began anew would keep the store at its limit. Returns whether a rest is due.
+async fn read_rest<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Result<bool, StoreError> {
+    let Some(mut partial) = cursor.partial.take() else {
+        return Ok(false);
     };
     for _ in 0..MAX_PAGES {
         let Some(key) = &partial.after else { break };
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -2,7 +2,8 @@
 //!
 //! Answers the pattern of hundreds of hosts that start at once before thousands of upstreams. Each read the whole list
 //! from the store, so the store's bytes grew with hosts times upstreams. Now relays read it, and the hosts behind them
-//! take it from these, inside their data centre. A host that finds no relay in time reads the store itself.
+//! take it from these, inside their data centre, when the store's first page shows that there are more. A host that finds no
+//! relay in time reads the store itself.
 
 use crate::entry::host::Host;
 use crate::entry::peers::Peers;
@@ -109,7 +110,7 @@
 }
 
 /// Takes the list from a relay, one that ends after `newer_than`. Returns nothing when this host is to read the store: it
-/// relays itself, the site has no relays, or none had the list within `look_ms`.
+/// relays itself, the site has no relays, or none had the list within `look_ms`; all are asked once at least.
 pub async fn fetch<P: Platform>(
     host: &Host<P>,
     sources: &Sources,
@@ -117,7 +118,7 @@
     look_ms: Millis,
 ) -> Option<ListCopy> {
     let until = host.now() + look_ms;
-    while host.now() < until {
+    loop {
         if host.members.borrow().known_at().is_some() {
             let relays = relays(host, &sources.me)?;
             for relay in relays {
@@ -128,9 +129,11 @@
                 }
             }
         }
+        if host.now() >= until {
+            return None;
+        }
         Timer::after(PAUSE_MS.to_duration()).await;
     }
-    None
 }
 
 /// Returns the relays that may have the list; nothing when this host reads the store itself.
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -122,6 +122,42 @@
     });
 }
 
+#[test]
+fn a_list_of_several_pages_is_taken_from_the_relay_after_the_first() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let store = &pair.asking.platform.0;
+        store.is_down.set(false);
+        store.page_rows.set(500);
+        for n in 0..UPSTREAMS {
+            let id = format!("u{n}");
+            store.list(&id, Some(entry(&id, nowhere())));
+        }
+        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
+        site.executor.spawn(follow).detach();
+        let test = until(|| pair.asking.upstreams_known.get());
+        pair.shared.run(test).await;
+        assert_eq!(store.list_pages.get(), 1);
+        assert_eq!(pair.asking.upstreams.borrow().count(), UPSTREAMS);
+    });
+}
+
+/// In a site of some hundred upstreams a host that waited for a relay after a restart of all would serve seconds later.
+#[test]
+fn a_list_of_one_page_is_not_asked_of_a_relay() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let store = &pair.asking.platform.0;
+        store.is_down.set(false);
+        store.list("own", Some(entry("own", nowhere())));
+        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
+        site.executor.spawn(follow).detach();
+        let test = until(|| pair.asking.upstreams_known.get());
+        pair.shared.run(test).await;
+        assert_eq!(pair.asking.upstreams.borrow().count(), 1);
+    });
+}
+
 /// A relay that is lost is in the list of hosts for some seconds more.
 #[test]
 fn a_host_whose_first_relay_is_lost_takes_the_list_from_the_next() {
