Tell hosts the rows of a list that is being written; a host that is behind takes the list from its relay

Upstreams write their entries for as long as 14 s (5,000; some 360 a second), and change them besides. Relays kept 64 rows, fewer than come between two messages; all hosts fell back to the store, which answered 503 from 4 s on (180 LogLost of 80 hosts: list, desired state, group), and a host that was behind could only catch up there.

Now relays keep 4,096 rows or as many as the list has, a message carries 4,096 (400 KB), and a host that knows that it is behind asks its relay for the list before the store. What holds at twice the size: rows a second in proportion to the list pass while they are less than the list in one exchange.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -124,8 +124,9 @@
         let read = match cursor.next {
             None => begin(&host, &mut cursor, sources.as_ref()).await,
             Some(from) => match wait_until_due(&host, &mut cursor).await {
-                true => read_changes(&host, &mut cursor, from).await,
-                false => continue,
+                Due::Read => read_changes(&host, &mut cursor, from).await,
+                Due::CatchUp => catch_up(&host, &mut cursor, from, sources.as_ref()).await,
+                Due::Nothing => continue,
             },
         };
         match read {
@@ -198,9 +199,35 @@
     note_list(host, count, Some(copy.relay), &changes);
 }
 
-/// Waits until the table is to be read by this host itself, which it returns; takes rows that the orderer sent before
-/// that.
-async fn wait_until_due<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> bool {
+/// Takes what the orderer knows of a table and this host does not: the list of upstreams as its relay has it, else the changes from
+/// the store. Hundreds of hosts that fell behind together would keep the store at its limit, and fall further behind.
+async fn catch_up<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    from: Offset,
+    sources: Option<&Sources>,
+) -> Result<bool, StoreError> {
+    if let (Table::Upstreams, Some(sources)) = (cursor.table, sources)
+        && let Some(copy) = list_copy::fetch(host, sources, Some(from), Millis::ZERO).await
+    {
+        take_copy(host, cursor, copy);
+        return Ok(false);
+    }
+    read_changes(host, cursor, from).await
+}
+
+/// What is to be done about a table.
+enum Due {
+    /// Nothing more: rows that the orderer sent were taken.
+    Nothing,
+    /// It is to be read by this host itself.
+    Read,
+    /// The orderer knows of rows that it did not send.
+    CatchUp,
+}
+
+/// Waits until something is to be done about the table; takes rows that the orderer sent before that.
+async fn wait_until_due<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Due {
     loop {
         let word = host.followed.next_word();
         let now = host.now();
@@ -211,7 +238,8 @@
             false => host.followed.next(now, cursor.table, within_ms),
         };
         match next {
-            Next::Read => return true,
+            Next::Read => return Due::Read,
+            Next::Behind => return Due::CatchUp,
             Next::Take(rows, end) => {
                 if let Some(from) = cursor.next.filter(|_| host.is_relay()) {
                     keep_told(host, from, &rows, end);
@@ -220,7 +248,7 @@
                 cursor.next = Some(end);
                 cursor.was_told = true;
                 host.followed.note_taken(cursor.table, end);
-                return false;
+                return Due::Nothing;
             }
             Next::WaitUntil(due_at) => {
                 cursor.was_told = true;
--- a/src/entry/followed.rs
+++ b/src/entry/followed.rs
@@ -13,12 +13,12 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 
-/// Rows of the list of upstreams that the orderer and relays keep for the others at least: a host asks each second at the
-/// latest, and rows come a few a second.
-const LEAST_KEPT: usize = 64;
-/// Which part of the list may change between two messages of a host so that its rows are still kept: when upstreams are
-/// replaced or come back after an outage, the rows in a second grow with the list.
-const KEPT_PART: usize = 2;
+/// Most rows of one message: some 400 KB. A host that is further behind takes the list itself from its relay.
+const MAX_TOLD: usize = 4_096;
+/// Rows of the list of upstreams that the orderer and relays keep for the others at least; as many as the list has where these
+/// are more. At the start of a large site the list grows by some hundred rows a second, for as long as it takes all upstreams to
+/// write their entries, and the rows in a second grow with the list when upstreams are replaced or come back after an outage.
+const LEAST_KEPT: usize = MAX_TOLD;
 
 /// A row of the list of upstreams; without an entry it was removed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -110,8 +110,10 @@
 pub enum Next {
     /// Rows came from the orderer, up to this offset.
     Take(Vec<TableRow>, Offset),
-    /// The table is to be read: it has more rows, or nobody says whether it has.
+    /// The table is to be read: nobody says whether it has more rows.
     Read,
+    /// It has more rows, which were not told.
+    Behind,
     /// The copy is as new as it must be until then.
     WaitUntil(Millis),
 }
@@ -136,7 +138,7 @@
     /// Keeps rows of the list of upstreams for the other hosts; `listed` is how many upstreams it has. Rows that do not follow
     /// those kept before replace them.
     pub fn keep_rows(&self, from: Offset, rows: &[TableRow], next: Offset, listed: usize) {
-        let most = (listed / KEPT_PART).max(LEAST_KEPT);
+        let most = listed.max(LEAST_KEPT);
         let mut state = self.state.borrow_mut();
         let former = state.kept.take().filter(|kept| kept.next == from);
         let mut kept = former.unwrap_or_else(|| KeptRows::new(from));
@@ -172,8 +174,11 @@
         };
         let rows = match (wants_from, &state.kept) {
             (Some(from), Some(kept)) if kept.from <= from => {
-                let wanted = kept.rows.iter().filter(|row| row.offset >= from);
-                wanted.cloned().collect()
+                let first = kept.rows.partition_point(|row| row.offset < from);
+                match kept.rows.len() - first <= MAX_TOLD {
+                    true => kept.rows.range(first..).cloned().collect(),
+                    false => Vec::new(),
+                }
             }
             _ => Vec::new(),
         };
@@ -252,7 +257,7 @@
             let leads_on = rows.first().is_some_and(|row| row.offset <= next);
             return match leads_on {
                 true => Next::Take(rows, told_end),
-                false => Next::Read,
+                false => Next::Behind,
             };
         }
         let due_at = confirmed_at + within_ms;
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -214,6 +214,30 @@
     });
 }
 
+/// Hosts that fell behind what their relay was told read the store, which was at its limit.
+#[test]
+fn a_host_that_is_behind_its_relay_takes_the_list_from_it() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let store = pair.asking.platform.0.clone();
+        store.is_down.set(false);
+        store.list("u0", Some(entry("u0", nowhere())));
+        let end = TableEnd {
+            end: Offset(UPSTREAMS as u64),
+            age_ms: Millis::ZERO,
+        };
+        let word = TablesWord {
+            upstreams: Some(end),
+            ..TablesWord::default()
+        };
+        pair.asking.followed.take_word(pair.asking.now(), word);
+        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
+        site.executor.spawn(follow).detach();
+        let test = until(|| pair.asking.upstreams.borrow().count() == UPSTREAMS);
+        pair.shared.run(test).await;
+    });
+}
+
 #[test]
 fn a_list_that_ends_before_what_is_known_is_not_taken() {
     on_site(|site| async move {
