--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -205,7 +205,7 @@
         let told_from = known_at[&relay.incarnation];
         let mut asks_at = ask_at;
         while asks_at + WAY_MS < told_from {
-            asks_at = asks_at + to_host;
+            asks_at += to_host;
         }
         last = last.max(asks_at + WAY_MS + WAY_MS);
     }
--- a/src/ordering/tests/ledger.rs
+++ b/src/ordering/tests/ledger.rs
@@ -308,7 +308,7 @@
         ledger.take_report(now, &id(n), Some(EngineReport::default()));
     }
     let later = now + Millis(5_000);
-    assert_eq!(ledger.due_reports(later, engines), [Name::from(""); 0]);
+    assert!(ledger.due_reports(later, engines).is_empty());
     let ask = ModelAsk {
         model: "m0".into(),
         adapter: None,
