--- a/src/entry/tests/lease_keeper.rs
+++ b/src/entry/tests/lease_keeper.rs
@@ -1,57 +1,29 @@
 //! Holding the lease while the store does not answer the holder.
 
-use super::fake_platform::{FakePlatform, FakeStore};
-use super::site::{Site, on_site, settings};
-use crate::clock::Clock;
+use super::fake_platform::FakePlatform;
+use super::site::{another_host, as_member, bind_peers, on_site};
 use crate::entry::host::Host;
 use crate::entry::lease_keeper::{append_for_peer, keep_lease};
-use crate::entry::metrics::EntryMetrics;
-use crate::entry::peers::{self, Peers};
+use crate::entry::peers;
 use crate::group::Member;
 use crate::prelude::*;
 use crate::retry::RequestDigest;
 use crate::upstreams::Lifetime;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
-fn bind(executor: &Arc<smol::Executor<'static>>) -> Rc<Peers> {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    Peers::bind(any, executor.clone()).expect("a free port")
-}
-
-fn member(host: &Host<FakePlatform>, peers: &Peers) -> Member {
-    let address = peers.address().expect("an address");
-    Member {
-        caller_address: address,
-        peer_address: address,
-        data_centre: "here".into(),
-        incarnation: host.incarnation,
-        fingerprint: peers.fingerprint.clone(),
-        cpu_millicores: 0,
-    }
-}
-
-fn another_host(site: &Site, store: Rc<FakeStore>, peers: &Peers) -> Rc<Host<FakePlatform>> {
-    let metrics = EntryMetrics::new().expect("metrics");
-    Host::new(
-        settings(site.address),
-        FakePlatform(store),
-        Clock::start(),
-        metrics,
-        peers.known.clone(),
-    )
-}
-
 /// Answers the pattern of an orderer that is cut off from the store alone: without another host's help it lost the lease,
 /// and nobody ordered loads for the engines' lease time.
 #[test]
 fn a_holder_that_the_store_refuses_renews_through_another_host() {
     on_site(|site| async move {
         let shared = Arc::new(smol::Executor::new());
-        let (own, other) = (bind(&shared), bind(&shared));
+        let (own, other) = (bind_peers(&shared), bind_peers(&shared));
         let store = Rc::new(site.store.as_reached_by_another_host());
-        let other_host = another_host(&site, store.clone(), &other);
-        let (me, helper) = (member(&site.host, &own), member(&other_host, &other));
+        let other_host = another_host(site.address, store.clone(), &other);
+        let (me, helper) = (
+            as_member(&site.host, &own, 0),
+            as_member(&other_host, &other, 0),
+        );
         let both: IndexSet<Member> = [me.clone(), helper].into_iter().collect();
         let fingerprints: IndexSet<Name> = both
             .iter()
@@ -111,10 +83,13 @@
 fn a_host_that_starts_reads_from_the_lease_which_requests_are_held_back() {
     on_site(|site| async move {
         let shared = Arc::new(smol::Executor::new());
-        let (own, other) = (bind(&shared), bind(&shared));
+        let (own, other) = (bind_peers(&shared), bind_peers(&shared));
         let store = Rc::new(site.store.as_reached_by_another_host());
-        let other_host = another_host(&site, store.clone(), &other);
-        let (me, next) = (member(&site.host, &own), member(&other_host, &other));
+        let other_host = another_host(site.address, store.clone(), &other);
+        let (me, next) = (
+            as_member(&site.host, &own, 0),
+            as_member(&other_host, &other, 0),
+        );
         let digest = RequestDigest::of(None, "POST", "x", "/a/1", b"crash");
         let keep = keep_lease(site.host.clone(), own, me);
         site.executor.spawn(keep).detach();
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -1,13 +1,11 @@
 //! A host that starts takes the list of upstreams from its relay, and misses nothing of it.
 
 use super::fake_platform::{FakePlatform, FakeStore};
-use super::site::{Site, entry, on_site, settings};
-use crate::clock::Clock;
+use super::site::{Site, another_host, as_member, bind_peers, entry, on_site};
 use crate::entry::follow::follow;
 use crate::entry::followed::{TableEnd, TablesWord, UpstreamRow};
 use crate::entry::host::Host;
 use crate::entry::list_copy::{ListAsk, Sources, answer, fetch};
-use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{self, Peers};
 use crate::entry::platform::Table;
 use crate::group::Member;
@@ -45,17 +43,10 @@
         site.until(|host| host.upstreams.borrow().iter().count() == UPSTREAMS)
             .await;
         let shared = Arc::new(smol::Executor::new());
-        let (own, other) = (bind(&shared), bind(&shared));
+        let (own, other) = (bind_peers(&shared), bind_peers(&shared));
         let store = Rc::new(FakeStore::default());
         store.is_down.set(true);
-        let metrics = EntryMetrics::new().expect("metrics");
-        let asking = Host::new(
-            settings(site.address),
-            FakePlatform(store),
-            Clock::start(),
-            metrics,
-            other.known.clone(),
-        );
+        let asking = another_host(site.address, store, &other);
         let (relay, me) = (
             as_member(&site.host, &own, 500),
             as_member(&asking, &other, 120),
@@ -86,23 +77,6 @@
     }
 }
 
-fn bind(executor: &Arc<smol::Executor<'static>>) -> Rc<Peers> {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    Peers::bind(any, executor.clone()).expect("a free port")
-}
-
-fn as_member(host: &Host<FakePlatform>, peers: &Peers, cpu_millicores: u32) -> Member {
-    let address = peers.address().expect("an address");
-    Member {
-        caller_address: address,
-        peer_address: address,
-        data_centre: "here".into(),
-        incarnation: host.incarnation,
-        fingerprint: peers.fingerprint.clone(),
-        cpu_millicores,
-    }
-}
-
 async fn until(holds: impl Fn() -> bool) {
     while !holds() {
         Timer::after(Millis(5).to_duration()).await;
--- a/src/entry/tests/peers.rs
+++ b/src/entry/tests/peers.rs
@@ -1,16 +1,9 @@
 //! Only hosts that the group lists are answered.
 
-use super::site::{on_site, sync_ask};
-use crate::entry::peers::{self, Peers};
+use super::site::{bind_peers, on_site, sync_ask};
+use crate::entry::peers;
 use crate::ordering::message::{PeerCall, PeerReply, SyncAsk, SyncReply};
 use crate::prelude::*;
-use std::net::SocketAddr;
-use std::rc::Rc;
-
-fn bind(executor: &Arc<smol::Executor<'static>>) -> Rc<Peers> {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    Peers::bind(any, executor.clone()).expect("a free port")
-}
 
 fn ask() -> PeerCall {
     PeerCall::Sync(SyncAsk {
@@ -23,7 +16,7 @@
 fn a_host_that_the_group_does_not_list_gets_no_answer() {
     on_site(|site| async move {
         let shared = Arc::new(smol::Executor::new());
-        let (answering, asking) = (bind(&shared), bind(&shared));
+        let (answering, asking) = (bind_peers(&shared), bind_peers(&shared));
         let serve = peers::serve(site.host.clone(), answering.clone(), site.executor.clone());
         site.executor.spawn(serve).detach();
         let address = answering.address().expect("an address");
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -8,9 +8,10 @@
 use crate::entry::follow::follow;
 use crate::entry::host::Host;
 use crate::entry::metrics::EntryMetrics;
-use crate::entry::peers::Known;
+use crate::entry::peers::{Known, Peers};
 use crate::entry::platform::Table;
 use crate::entry::settings::{EntrySettings, PlatformBounds};
+use crate::group::Member;
 use crate::http1::{BodyReader, Connection, ReadError, ResponseHead};
 use crate::ordering::message::SyncAsk;
 use crate::prelude::*;
@@ -289,3 +290,38 @@
         upstream_limits: UpstreamLimitsReport::default(),
     }
 }
+
+/// Binds the calls between hosts to a free port.
+pub fn bind_peers(executor: &Arc<smol::Executor<'static>>) -> Rc<Peers> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Peers::bind(any, executor.clone()).expect("a free port")
+}
+
+/// Returns a host as the group lists it.
+pub fn as_member(host: &Host<FakePlatform>, peers: &Peers, cpu_millicores: u32) -> Member {
+    let address = peers.address().expect("an address");
+    Member {
+        caller_address: address,
+        peer_address: address,
+        data_centre: "here".into(),
+        incarnation: host.incarnation,
+        fingerprint: peers.fingerprint.clone(),
+        cpu_millicores,
+    }
+}
+
+/// Makes another host, which reaches a store of its own.
+pub fn another_host(
+    address: SocketAddr,
+    store: Rc<FakeStore>,
+    peers: &Peers,
+) -> Rc<Host<FakePlatform>> {
+    let metrics = EntryMetrics::new().expect("metrics");
+    Host::new(
+        settings(address),
+        FakePlatform(store),
+        Clock::start(),
+        metrics,
+        peers.known.clone(),
+    )
+}
--- a/src/ordering/tests/published.rs
+++ b/src/ordering/tests/published.rs
@@ -17,20 +17,23 @@
     }
 }
 
+fn view(n: u8, model: &str) -> EngineView {
+    EngineView {
+        engine: engine(n),
+        held: vec![ModelAsk {
+            model: model.into(),
+            adapter: None,
+        }],
+    }
+}
+
 fn views(u: &mut Unstructured<'_>) -> Result<Vec<EngineView>> {
     let mut views = Vec::new();
     for n in 0..5 {
         if u.int_in_range(0..=4u8)? == 0 {
             continue;
         }
-        let model = ModelAsk {
-            model: format!("m{}", u.int_in_range(0..=2u8)?).into(),
-            adapter: None,
-        };
-        views.push(EngineView {
-            engine: engine(n),
-            held: vec![model],
-        });
+        views.push(view(n, &format!("m{}", u.int_in_range(0..=2u8)?)));
     }
     Ok(views)
 }
@@ -109,13 +112,6 @@
 #[test]
 fn only_what_changed_is_told() {
     let mut orderer = PublishedEngines::default();
-    let view = |n: u8, model: &str| EngineView {
-        engine: engine(n),
-        held: vec![ModelAsk {
-            model: model.into(),
-            adapter: None,
-        }],
-    };
     update(
         &mut orderer,
         1,
@@ -138,13 +134,6 @@
 #[test]
 fn an_engine_is_told_of_from_when_it_holds_other_things_than_its_entry_says() {
     let mut orderer = PublishedEngines::default();
-    let view = |n: u8, model: &str| EngineView {
-        engine: engine(n),
-        held: vec![ModelAsk {
-            model: model.into(),
-            adapter: None,
-        }],
-    };
     let is_as_listed = |view: &EngineView| &*view.held[0].model == "listed";
     let listed = || (0..5).map(|n| view(n, "listed"));
     update_listed(&mut orderer, 1, listed().collect(), is_as_listed);
