--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -1,8 +1,8 @@
 //! Which engine holds which model: one host at a time orders loads and unloads, the others tell it what callers ask.
 //!
 //! Everything here decides without network: [`lease`] who may order, [`ledger`] what engines hold and what is on
-//! its way, [`ceiling`] how many loads the weight store gets, [`planner`] what to order next,
-//! [`adapters`] also of adapters, [`estimates`] when what callers wait for is ready, [`gather`] and [`published`] what
+//! its way, [`census`] how many of them hold what, [`ceiling`] how many loads the weight store gets, [`planner`] what to
+//! order next, [`adapters`] also of adapters, [`estimates`] when what callers wait for is ready, [`gather`] and [`published`] what
 //! goes up to the orderer and down from it.
 
 pub mod adapters;
