Models that nobody asks for do not keep back those that callers ask for

Found when the diff was read: of the models that lack copies the plan tried four that nobody asks for and then no other, so that in a site whose engines hold all models many times over a model in demand waited for its further copies while four others found no place. Now only the further ones that nobody asks for are passed over. Test: models_that_nobody_asks_for_do_not_hold_up_those_that_are_asked_for (fails without).

--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -147,9 +147,9 @@
             by_waiting.then(b.demand.tokens_per_s.total_cmp(&a.demand.tokens_per_s))
         });
         let mut unasked = 0;
-        let mut tried = lacking.into_iter().take_while(|need| {
+        let mut tried = lacking.into_iter().filter(|need| {
             unasked += usize::from(!need.is_asked());
-            unasked <= MOST_UNASKED
+            need.is_asked() || unasked <= MOST_UNASKED
         });
         tried.find_map(|need| self.place_model(census, &need, needs, ceiling))
     }
--- a/src/ordering/tests/planner/memory.rs
+++ b/src/ordering/tests/planner/memory.rs
@@ -122,3 +122,23 @@
     let mut site = Site::new(spec(100.0, &[100.0, 100.0]), &held);
     assert_eq!(site.plan_all(), []);
 }
+
+/// Models that nobody asks for and that found no place kept those from a copy that callers ask for.
+#[test]
+fn models_that_nobody_asks_for_do_not_hold_up_those_that_are_asked_for() {
+    let (busy, seldom, none): (&[&str], &[&str], &[&str]) = (&["m0"], &["m1"], &[]);
+    let held = std::iter::repeat_n(busy, 130).chain([seldom, none]);
+    let held: Vec<&[&str]> = held.collect();
+    let mut site = Site::new(spec(100.0, &[100.0; 8]), &held);
+    site.has_at_hand(131, "m1");
+    // The weight store takes no load now, so the six models on no engine cannot come.
+    site.ceiling = Ceiling::new(NOW, None);
+    let asked = AskCount {
+        asked: 100,
+        tokens: 900_000,
+        ..AskCount::default()
+    };
+    site.ask(1, NOW, &[(model("m1"), asked)]);
+    let planned = site.next(NOW).expect("its weights are at hand");
+    assert_eq!((planned.ask, &*planned.engine), (model("m1"), "e131"));
+}
