Plans: adapters on unused engines are counted once a question, places and the store's room asked once

Found when the change was read again. For each of hundreds of adapters the plan walked all engines that leave or rest, some hundred thousand looks a question in a release of a large site; now they are counted once. Whether the weight store takes a load was asked twice for each place, whether an engine takes any order was written in three places, the count of engines looked at in three, a lifetime of an engine by hand in two.

--- a/src/ordering/adapters.rs
+++ b/src/ordering/adapters.rs
@@ -16,6 +16,18 @@
 /// Places of each engine that are kept for adapters that callers wait for.
 const PLACES_KEPT_FREE: usize = 1;
 
+/// On how many engines that are not to be used each adapter is.
+#[derive(Default)]
+struct UnusedAdapters<'a>(IndexMap<&'a ModelAsk, usize>);
+
+impl UnusedAdapters<'_> {
+    /// Tells whether an engine that is to be used has an adapter, or is bringing it.
+    fn is_held_elsewhere(&self, census: &ServiceCensus, ask: &ModelAsk) -> bool {
+        let unused = self.0.get(ask).copied().unwrap_or_default();
+        census.adapter(ask) > unused
+    }
+}
+
 impl Planner<'_> {
     /// Brings an adapter that callers wait for to an engine with its model; when the engine's places are taken, the one
     /// that was asked for longest ago makes way.
@@ -24,24 +36,28 @@
             .book
             .iter()
             .filter(|(ask, asked)| ask.adapter.is_some() && asked.waiting > 0)
-            .filter(|(ask, _)| !self.is_on_engine(census, ask))
             .collect();
-        waiting.sort_by_key(|(_, asked)| std::cmp::Reverse(asked.waiting));
         if waiting.is_empty() {
             return None;
         }
+        let unused = self.unused_adapters();
+        waiting.retain(|(ask, _)| !unused.is_held_elsewhere(census, ask));
+        waiting.sort_by_key(|(_, asked)| std::cmp::Reverse(asked.waiting));
         let separate = self.book.separate(self.now);
         waiting
             .into_iter()
             .find_map(|(ask, _)| self.place_adapter(census, ask, &separate))
     }
 
-    /// Tells whether an engine that may be used has an adapter, or is bringing it.
-    fn is_on_engine(&self, census: &ServiceCensus, ask: &ModelAsk) -> bool {
-        let unused = self
+    fn unused_adapters(&self) -> UnusedAdapters<'_> {
+        let mut unused = UnusedAdapters::default();
+        for ask in self
             .unused_engines()
-            .filter(|engine| engine.adapters.contains_key(ask));
-        census.adapter(ask) > 0 && census.adapter(ask) > unused.count()
+            .flat_map(|engine| engine.adapters.keys())
+        {
+            *unused.0.entry(ask).or_default() += 1;
+        }
+        unused
     }
 
     /// Places one adapter; `separate` are the models whose copies are kept apart for long and for short prompts.
@@ -106,8 +122,9 @@
                 adapter: Some(adapter.clone()),
             })
         });
+        let unused = self.unused_adapters();
         let mut missing: Vec<(f64, ModelAsk)> = missing
-            .filter(|ask| !self.is_on_engine(census, ask))
+            .filter(|ask| !unused.is_held_elsewhere(census, ask))
             .map(|ask| (self.book.asked(&ask).per_s(self.now), ask))
             .collect();
         if missing.is_empty() {
--- a/src/ordering/candidates.rs
+++ b/src/ordering/candidates.rs
@@ -25,6 +25,11 @@
         &*engine.service == self.service && !self.unusable.contains(&engine.id)
     }
 
+    /// Tells whether an engine takes an order now for whatever model is best there.
+    pub(super) fn is_open(&self, engine: &Engine) -> bool {
+        engine.is_free(self.now) && engine.intended(self.now).is_none()
+    }
+
     /// Returns the engines that hold a model, or will.
     pub(super) fn holders<'b>(
         &'b self,
@@ -32,8 +37,7 @@
         model: &str,
     ) -> impl Iterator<Item = &'b Engine> {
         let holders = census.model(model).into_iter();
-        let engines = self.ledger.named(holders.flat_map(Holders::engines));
-        engines.filter(|engine| self.is_used(engine))
+        self.used(holders.flat_map(Holders::engines))
     }
 
     /// Returns the engines that have a model's weights at hand.
@@ -43,11 +47,15 @@
         model: &str,
     ) -> impl Iterator<Item = &'b Engine> {
         let holders = census.model(model).into_iter();
-        let engines = self.ledger.named(holders.flat_map(Holders::at_hand));
+        self.used(holders.flat_map(Holders::at_hand))
+    }
+
+    fn used<'b>(&'b self, ids: impl Iterator<Item = &'b Name>) -> impl Iterator<Item = &'b Engine> {
+        let engines = self.ledger.named(ids);
         engines.filter(|engine| self.is_used(engine))
     }
 
-    /// Returns the engines among which a place for a model is looked for: all in a small site, in a large one those that
+    /// Returns the open engines among which a place for a model is looked for: all in a small site, in a large one those that
     /// have its weights at hand and some others, other ones each time.
     pub(super) fn candidates<'b>(
         &'b self,
@@ -60,6 +68,6 @@
         let from = rendezvous::score(model.as_bytes(), self.now.0);
         let some = self.ledger.some(from, MOST_CANDIDATES);
         let all = at_hand.chain(some.filter(|engine| self.is_used(engine)));
-        all.filter(|engine| engine.is_free(self.now) && engine.intended(self.now).is_none())
+        all.filter(|engine| self.is_open(engine))
     }
 }
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -198,17 +198,21 @@
         from_store.filter_map(move |(model, copy)| copy.as_load(now, model))
     }
 
-    fn lifetime(&self, born_at: Millis) -> Lifetime {
+    /// Returns the start that all else is known of.
+    pub(super) fn lifetime(&self) -> Lifetime {
         Lifetime {
             id: self.id.clone(),
-            born_at,
+            born_at: self.born_at,
         }
     }
 
     /// Begins anew with another start of the engine: it holds nothing, its count of orders begins at zero, and orders
     /// to the former start are void.
     pub(super) fn begin_lifetime(&mut self, now: Millis, born_at: Millis) {
-        let lifetime = self.lifetime(born_at);
+        let lifetime = Lifetime {
+            born_at,
+            ..self.lifetime()
+        };
         let pending = self.pending.take().map(|pending| pending.order);
         let void = pending
             .map(|order| (order, now + VOID_ORDER_MS))
@@ -347,7 +351,7 @@
             .filter(|(ask, ready_at)| **ready_at <= now && self.holds_model(&ask.model))
             .map(|(ask, _)| ask.clone());
         EngineView {
-            engine: self.lifetime(self.born_at),
+            engine: self.lifetime(),
             held: models.chain(adapters).collect(),
         }
     }
--- a/src/ordering/ledger.rs
+++ b/src/ordering/ledger.rs
@@ -49,14 +49,11 @@
     fn change<T>(&mut self, id: &str, with: impl FnOnce(&mut Engine) -> T) -> Option<T> {
         let engine = self.engines.get_mut(id)?;
         self.census.remove(engine);
-        let former = engine.born_at;
+        let former = engine.lifetime();
         let result = with(engine);
         self.census.add(engine);
-        if engine.born_at != former {
-            self.gone.push(Lifetime {
-                id: engine.id.clone(),
-                born_at: former,
-            });
+        if engine.born_at != former.born_at {
+            self.gone.push(former);
         }
         match engine.intended.is_some() {
             true => drop(self.intending.insert(engine.id.clone())),
@@ -78,10 +75,7 @@
         self.census.remove(&engine);
         self.changed.swap_remove(id);
         self.intending.swap_remove(id);
-        self.gone.push(Lifetime {
-            id: engine.id,
-            born_at: engine.born_at,
-        });
+        self.gone.push(engine.lifetime());
     }
 
     /// Takes which engines there are; new ones are unknown until their report is read.
@@ -133,7 +127,13 @@
 
     /// Returns every engine.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
-        let engines = self.engines.values();
+        self.counted(self.engines.values())
+    }
+
+    fn counted<'a>(
+        &'a self,
+        engines: impl Iterator<Item = &'a Engine>,
+    ) -> impl Iterator<Item = &'a Engine> {
         engines.inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
     }
 
@@ -152,8 +152,7 @@
         let count = self.engines.len();
         let first = (from % count.max(1) as u64) as usize;
         let places = (first..first + most.min(count)).map(move |at| at % count);
-        let engines = places.filter_map(|at| Some(self.engines.get_index(at)?.1));
-        engines.inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
+        self.counted(places.filter_map(|at| Some(self.engines.get_index(at)?.1)))
     }
 
     /// Returns the engines of these names.
@@ -161,8 +160,7 @@
         &'a self,
         ids: impl Iterator<Item = &'a Name>,
     ) -> impl Iterator<Item = &'a Engine> {
-        let engines = ids.filter_map(|id| self.engines.get(id));
-        engines.inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
+        self.counted(ids.filter_map(|id| self.engines.get(id)))
     }
 
     /// Returns the engines that have adapters which are not ready yet, and perhaps others.
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -156,15 +156,17 @@
 
     /// Goes on where memory was freed for a model: loads it, or frees more.
     fn intended_order(&self, needs: &Needs<'_>, ceiling: &mut Ceiling) -> Option<Planned> {
-        let is_usable = |engine: &Engine| self.is_used(engine) && engine.is_free(self.now);
         let mut intending = self.ledger.intending(self.now);
         intending.find_map(|(engine, model)| {
             let need = Need {
                 copies: 0,
                 ..*needs.get(model)?
             };
-            let engine = is_usable(engine).then_some(engine)?;
-            self.place_on(&need, needs, std::iter::once(engine), ceiling)
+            if !self.is_used(engine) || !engine.is_free(self.now) {
+                return None;
+            }
+            let may_use_store = self.may_use_store(&need, ceiling);
+            self.place_on(&need, needs, std::iter::once(engine), may_use_store)
         })
     }
 
@@ -250,15 +252,16 @@
     ) -> Option<Planned> {
         // One more copy helps only where it finds slots.
         let has_slots = |engine: &&Engine| need.copies == 0 || self.used_slots(engine) < SLOT_SHARE;
-        if self.may_use_store(need, ceiling) {
+        let may_use_store = self.may_use_store(need, ceiling);
+        if may_use_store {
             let engines = self.candidates(census, need.model).filter(has_slots);
-            return self.place_on(need, needs, engines, ceiling);
+            return self.place_on(need, needs, engines, may_use_store);
         }
         let engines = self
             .having_at_hand(census, need.model)
-            .filter(|engine| engine.is_free(self.now) && engine.intended(self.now).is_none())
+            .filter(|engine| self.is_open(engine))
             .filter(has_slots);
-        self.place_on(need, needs, engines, ceiling)
+        self.place_on(need, needs, engines, may_use_store)
     }
 
     fn may_use_store(&self, need: &Need<'_>, ceiling: &mut Ceiling) -> bool {
@@ -283,10 +286,9 @@
         need: &Need<'_>,
         needs: &Needs<'_>,
         engines: impl Iterator<Item = &'b Engine>,
-        ceiling: &mut Ceiling,
+        may_use_store: bool,
     ) -> Option<Planned> {
         let spec = self.spec.models.get(need.model)?;
-        let may_use_store = self.may_use_store(need, ceiling);
         let places = engines
             .filter(|engine| !engine.copies.contains_key(need.model))
             .filter(|engine| may_use_store || engine.at_hand.contains(need.model))
--- a/src/ordering/spare.rs
+++ b/src/ordering/spare.rs
@@ -84,8 +84,7 @@
         let per_copy = need.demand.tokens_per_s / need.copies as f64;
         let places = self
             .having_at_hand(census, need.model)
-            .filter(|engine| engine.is_free(self.now))
-            .filter(|engine| engine.intended(self.now).is_none())
+            .filter(|engine| self.is_open(engine))
             .filter(|engine| !engine.copies.contains_key(need.model))
             .filter(|engine| self.has_room(engine, spec.weights_mb))
             .map(|engine| {
