--- a/src/entry/lease_keeper.rs
+++ b/src/entry/lease_keeper.rs
@@ -59,18 +59,21 @@
             return;
         }
         let now = host.now();
+        let mut tick_ms = LEASE_TICK_MS;
         if host.is_orderer() {
             hold(&host, &peers, now).await;
-        } else if must_look(&host, &me, now, read_at) {
-            read_at = now;
-            if let Err(error) = look_for_lease(&host, &me).await {
-                note_store_error(&error);
+        } else {
+            let read_ms = lease_read_ms(&host, &me);
+            if now.since(read_at) >= read_ms && must_look(&host, now) {
+                read_at = now;
+                if let Err(error) = look_for_lease(&host, &me).await {
+                    note_store_error(&error);
+                }
+            }
+            if !host.is_orderer() {
+                tick_ms = Millis(read_ms.0 / LOOKS_A_READ);
             }
         }
-        let tick_ms = match host.is_orderer() {
-            true => LEASE_TICK_MS,
-            false => Millis(lease_read_ms(&host, &me).0 / LOOKS_A_READ),
-        };
         within(tick_ms, host.next_stop()).await;
     }
 }
@@ -92,10 +95,8 @@
 
 /// Tells whether this host is to look for an orderer: it hears of none, no relay looks in its place, and a read may show
 /// something new.
-fn must_look<P: Platform>(host: &Host<P>, me: &Member, now: Millis, read_at: Millis) -> bool {
-    let is_due = now.since(read_at) >= lease_read_ms(host, me);
-    is_due
-        && !host.hears_orderer(now)
+fn must_look<P: Platform>(host: &Host<P>, now: Millis) -> bool {
+    !host.hears_orderer(now)
         && !host.parents.borrow().has_answered(now)
         && host.orders.borrow().lease.is_worth_reading(now)
 }
