The number of relays that a host asks stands once; the model measures a start once

list_copy and the model had the number of parents.rs again, and the exchange measured the parts of the list anew to know the busiest relay.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -56,10 +56,11 @@
 /// Measures a site; `seed` draws when hosts speak.
 pub fn measure(size: Size, seed: u64) -> Measured {
     let world = World::new(size);
+    let start = start::measure(&world);
     Measured {
         size,
-        start: start::measure(&world),
-        exchange: exchange::measure(&world, seed),
+        exchange: exchange::measure(&world, &start, seed),
+        start,
         plan: plan::measure(&world),
     }
 }
--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -1,5 +1,6 @@
 //! The messages between hosts, their bytes by role, and how long news take to all hosts.
 
+use crate::fleet::start::Start;
 use crate::fleet::world::{World, model};
 use mangovale::entry::followed::{TableEnd, TablesWord};
 use mangovale::entry::peers;
@@ -51,12 +52,11 @@
     postcard::to_stdvec(message).map_or(0, |bytes| bytes.len())
 }
 
-/// Measures the messages of a site.
-pub fn measure(world: &World, seed: u64) -> Exchange {
+/// Measures the messages of a site; `start` has how its hosts are spread over relays.
+pub fn measure(world: &World, start: &Start, seed: u64) -> Exchange {
     let exchange_bytes = (bytes(&ask(&world.hosts[0])) + bytes(&reply(world))) as f64;
     let per_s = |is_direct: bool| 1_000.0 / interval_ms(world, is_direct).0 as f64;
     let relays = world.relays().count();
-    let start = crate::fleet::start::measure(world);
     let orderer_messages_per_s = relays.max(1) as f64 * per_s(true);
     let relay_messages_per_s = start.busiest_relay_hosts as f64 * per_s(false);
     let own_of_relay = per_s(true);
--- a/bench/src/fleet/world.rs
+++ b/bench/src/fleet/world.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::Size;
 use mangovale::desired::{EngineSpec, ModelSpec};
+use mangovale::group::parents::MAX_RELAYS;
 use mangovale::group::{Member, Tree};
 use mangovale::prelude::*;
 use mangovale::upstreams::{HeldModel, Lifetime, Registry, UpstreamEntry};
@@ -57,9 +58,10 @@
         self.hosts.iter().filter(is_relay)
     }
 
-    /// Returns the relay that a host asks first, and the next one.
+    /// Returns the relays that a host asks, the first one at the front.
     pub fn relays_of(&self, host: &Member) -> Vec<&Member> {
-        self.tree.relays_of(host).into_iter().take(2).collect()
+        let relays = self.tree.relays_of(host).into_iter();
+        relays.take(MAX_RELAYS).collect()
     }
 
     /// Returns the starts of the engines, with their service.
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -1,7 +1,7 @@
-//! The list of upstreams for a host that starts: from a relay instead of the platform's store.
+//! The list of upstreams for a host that starts or is behind: from a relay instead of the platform's store.
 //!
-//! Answers the pattern of hundreds of hosts that start at once before thousands of upstreams. Each read the whole list
-//! from the store, so the store's bytes grew with hosts times upstreams. Now relays read it, and the hosts behind them
+//! Answers the pattern of hundreds of hosts that start at once, or fall behind at once, before thousands of upstreams: were each
+//! to read the list from the store, its bytes would grow with hosts times upstreams. Relays read it, and the hosts behind them
 //! take it from these, inside their data centre, when the store's first page shows that there are more. A host that finds no
 //! relay in time reads the store itself.
 
@@ -9,6 +9,7 @@
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
 use crate::group::Member;
+use crate::group::parents::MAX_RELAYS;
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
 use crate::upstreams::{Registry, UpstreamEntry};
@@ -26,9 +27,6 @@
 pub const LOOK_MS: Millis = Millis(5_000);
 /// The pause after all relays were asked in vain.
 const PAUSE_MS: Millis = Millis(250);
-/// Most relays that are asked in turn.
-const RELAYS: usize = 2;
-
 /// Which part of the list a host asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListAsk {
@@ -142,7 +140,7 @@
         return None;
     }
     let tree = host.tree.borrow();
-    let relays = tree.relays_of(me).into_iter().take(RELAYS);
+    let relays = tree.relays_of(me).into_iter().take(MAX_RELAYS);
     let relays: Vec<Member> = relays.cloned().collect();
     (!relays.is_empty()).then_some(relays)
 }
--- a/src/group/parents.rs
+++ b/src/group/parents.rs
@@ -4,7 +4,7 @@
 use crate::prelude::*;
 
 /// Most relays that a host tries before it asks the orderer itself.
-const MAX_RELAYS: usize = 2;
+pub const MAX_RELAYS: usize = 2;
 /// How long a relay that did not answer is passed over: the group drops a host that is gone within that time.
 const FAILED_MS: Millis = Millis(3_000);
 /// How old the orderer's word may be at a relay before another one is asked: several of the intervals at which relays
