Following a table and what its rows change are two modules

What rows change, with the lines of the log, stands in table_rows.rs; a row that cannot be read is noted in one place instead of three, and a whole list is taken in one place whether it came from the store or a relay.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -2,20 +2,15 @@
 //!
 //! The orderer reads often; the other hosts read while they do not hear from it how new the tables are.
 
-use crate::desired::{DesiredState, RouteTable};
 use crate::entry::followed::Next;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::list_copy::{self, ListCopy, Sources};
-use crate::entry::platform::{
-    Platform, RowValue, StoreCall, StoreError, Table, TablePage, TableRow,
-};
+use crate::entry::platform::{Platform, StoreCall, StoreError, Table, TablePage, TableRow};
+use crate::entry::table_rows::{TableLine, WholeList, take_list, take_row, take_table};
 use crate::http1::client::within;
 use crate::prelude::*;
-use crate::upstreams::UpstreamEntry;
-use crate::upstreams::registry::Change;
 use smol::Timer;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// For which part of the contact time a reader of the upstreams rests after a page of changes, so that changes in quick
@@ -78,36 +73,8 @@
     after: Option<Name>,
 }
 
-#[derive(Serialize)]
-struct TableLine<'a> {
-    table: &'static str,
-    error: &'a str,
-}
-
-#[derive(Serialize)]
-struct DesiredLine {
-    version: u64,
-    routes: usize,
-    services: usize,
-    former: Option<u64>,
-}
-
-#[derive(Serialize)]
-struct ListLine {
-    upstreams: usize,
-    from: Option<SocketAddr>,
-}
-
-#[derive(Serialize)]
-struct UpstreamLine<'a> {
-    upstream: &'a str,
-    change: &'static str,
-    offset: Option<u64>,
-    service: Option<&'a str>,
-    models: Vec<&'a str>,
-}
-
-/// Follows a table until the process ends. `sources` are the hosts from which the list of upstreams may be taken at first.
+/// Follows a table until the process ends. `sources` are the hosts from which the list of upstreams may be taken, at first and
+/// when this one is behind.
 pub async fn follow<P: Platform>(host: Rc<Host<P>>, table: Table, sources: Option<Sources>) {
     let mut cursor = Cursor {
         table,
@@ -194,9 +161,13 @@
     cursor.next = Some(copy.end);
     host.followed.note_read(cursor.table, copy.as_of, copy.end);
     host.followed.drop_rows();
-    let count = copy.entries.len();
-    let changes = replace_upstreams(host, copy.as_of, copy.entries, Vec::new());
-    note_list(host, count, Some(copy.relay), &changes);
+    let list = WholeList {
+        as_of: copy.as_of,
+        from: Some(copy.relay),
+        entries: copy.entries,
+        unreadable: Vec::new(),
+    };
+    take_list(host, list);
 }
 
 /// Takes what the orderer knows of a table and this host does not: the list of upstreams as its relay has it, else the changes from
@@ -383,13 +354,10 @@
         .collect();
     cursor.next = Some(next);
     host.followed.note_read(cursor.table, asked_at, next);
-    match cursor.table {
-        Table::Desired => rows.into_iter().for_each(|row| take_desired(host, row)),
-        Table::Upstreams => {
-            host.followed.drop_rows();
-            take_list(host, rows);
-        }
+    if cursor.table == Table::Upstreams {
+        host.followed.drop_rows();
     }
+    take_table(host, cursor.table, rows);
     Ok(false)
 }
 
@@ -447,166 +415,6 @@
             continue;
         }
         cursor.written_at.insert(row.key.clone(), row.offset);
-        match cursor.table {
-            Table::Desired => take_desired(host, row),
-            Table::Upstreams => take_upstream(host, row),
-        }
-    }
-}
-
-fn take_desired<P: Platform>(host: &Host<P>, row: TableRow) {
-    match row.value {
-        RowValue::Desired(state) => put_in_force(host, state),
-        RowValue::Unreadable(why) => {
-            let line = TableLine {
-                table: Table::Desired.name(),
-                error: &why,
-            };
-            lines::write(LogEvent::RecordUndecodable, &line);
-        }
-        RowValue::Upstream(_) | RowValue::Removed => {}
-    }
-}
-
-/// Takes a desired state with a higher version; within one life of a process no version is replaced by a lower.
-fn put_in_force<P: Platform>(host: &Host<P>, state: DesiredState) {
-    let former = host.routes.borrow().as_ref().map(|table| table.version);
-    if former.is_some_and(|former| former >= state.version) {
-        return;
-    }
-    let table = RouteTable::new(state);
-    let line = DesiredLine {
-        version: table.version,
-        routes: table.route_count(),
-        services: table.services.len(),
-        former,
-    };
-    host.limits
-        .borrow_mut()
-        .organisations
-        .keep_known(&table.rate_limits);
-    *host.routes.borrow_mut() = Some(Rc::new(table));
-    lines::write(LogEvent::DesiredTaken, &line);
-    host.note_change();
-}
-
-fn take_list<P: Platform>(host: &Host<P>, rows: Vec<TableRow>) {
-    let mut entries: Vec<UpstreamEntry> = Vec::new();
-    let mut unreadable: Vec<Name> = Vec::new();
-    for row in rows {
-        match row.value {
-            RowValue::Upstream(entry) => entries.push(entry),
-            RowValue::Unreadable(why) => {
-                let line = TableLine {
-                    table: Table::Upstreams.name(),
-                    error: &why,
-                };
-                lines::write(LogEvent::RecordUndecodable, &line);
-                unreadable.push(row.key);
-            }
-            RowValue::Desired(_) | RowValue::Removed => {}
-        }
+        take_row(host, cursor.table, row);
     }
-    let count = entries.len();
-    let changes = replace_upstreams(host, host.now(), entries, unreadable);
-    note_list(host, count, None, &changes);
-}
-
-/// Takes the whole list as it was at a time. Returns what it changed.
-fn replace_upstreams<P: Platform>(
-    host: &Host<P>,
-    as_of: Millis,
-    entries: Vec<UpstreamEntry>,
-    unreadable: Vec<Name>,
-) -> Vec<(Name, Change)> {
-    let mut registry = host.upstreams.borrow_mut();
-    registry.note_heard(as_of);
-    let dropped = unreadable.into_iter().map(|id| {
-        let change = registry.drop_unreadable(&id);
-        (id, change)
-    });
-    let mut changes: Vec<(Name, Change)> = dropped.collect();
-    changes.extend(registry.replace(host.now(), entries));
-    changes
-}
-
-/// Writes what a whole list changed: one line of all when it is this host's first.
-fn note_list<P: Platform>(
-    host: &Host<P>,
-    upstreams: usize,
-    from: Option<SocketAddr>,
-    changes: &[(Name, Change)],
-) {
-    if host.upstreams_known.replace(true) {
-        for (id, change) in changes {
-            note_upstream(host, id, change, None);
-        }
-    } else {
-        lines::write(LogEvent::ListTaken, &ListLine { upstreams, from });
-    }
-    host.note_change();
-}
-
-fn take_upstream<P: Platform>(host: &Host<P>, row: TableRow) {
-    let change = match row.value {
-        RowValue::Upstream(entry) => host.upstreams.borrow_mut().put(entry),
-        RowValue::Removed => host.upstreams.borrow_mut().remove(host.now(), &row.key),
-        RowValue::Unreadable(why) => {
-            let line = TableLine {
-                table: Table::Upstreams.name(),
-                error: &why,
-            };
-            lines::write(LogEvent::RecordUndecodable, &line);
-            // The newest entry under the name is no upstream's, so the name stands for none until one writes again.
-            host.upstreams.borrow_mut().drop_unreadable(&row.key)
-        }
-        RowValue::Desired(_) => return,
-    };
-    note_upstream(host, &row.key, &change, Some(row.offset));
-    host.note_change();
-}
-
-/// Writes the line about a change of an upstream, and forgets what was known of a start that is over.
-pub fn note_upstream<P: Platform>(
-    host: &Host<P>,
-    id: &str,
-    change: &Change,
-    offset: Option<Offset>,
-) {
-    if matches!(change, Change::Gone | Change::Restarted) {
-        host.pool.forget(id);
-        host.view.borrow_mut().forget_lacking(id);
-    }
-    let (event, change) = match change {
-        Change::Added => (LogEvent::UpstreamRegistered, "added"),
-        Change::Restarted => (LogEvent::UpstreamRegistered, "started again under its name"),
-        Change::Leaving => (LogEvent::UpstreamLeaving, "leaving"),
-        Change::Gone => (LogEvent::UpstreamGone, "gone"),
-        Change::Held => (LogEvent::UpstreamSilent, "entry lapsed in an outage"),
-        Change::Updated => (LogEvent::UpstreamUpdated, "updated"),
-        Change::None => return,
-    };
-    let upstreams = host.upstreams.borrow();
-    let entry = upstreams.get(id).map(|upstream| &upstream.entry);
-    let models = entry.map(|entry| entry.models.iter().map(|held| &*held.name).collect());
-    let line = UpstreamLine {
-        upstream: id,
-        change,
-        offset: offset.map(|offset| offset.0),
-        service: entry.map(|entry| &*entry.service),
-        models: models.unwrap_or_default(),
-    };
-    lines::write(event, &line);
-}
-
-/// Writes the line about an upstream that is used no longer.
-pub fn note_gone(id: &str, change: &'static str) {
-    let line = UpstreamLine {
-        upstream: id,
-        change,
-        offset: None,
-        service: None,
-        models: Vec::new(),
-    };
-    lines::write(LogEvent::UpstreamGone, &line);
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -33,6 +33,7 @@
 pub mod settings;
 pub mod stop;
 pub mod sync;
+pub mod table_rows;
 pub mod tries;
 pub mod upstream_limits;
 pub mod waiting;
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -1,10 +1,10 @@
 //! Ordering loads while this host holds the lease: reading engines, planning, sending orders.
 
 use crate::desired::{EngineSpec, RouteTable};
-use crate::entry::follow;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{ModelAsk, Platform};
+use crate::entry::table_rows;
 use crate::group::Member;
 use crate::http1::client::within;
 use crate::ordering::book::Book;
@@ -329,7 +329,7 @@
         born_at,
     };
     let change = host.upstreams.borrow_mut().note_restarted(&lifetime);
-    follow::note_upstream(host, id, &change, None);
+    table_rows::note_upstream(host, id, &change, None);
 }
 
 /// Lowers the number of loads at once when an engine says that it still carries out one that is overdue.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -37,7 +37,7 @@
 pub const CALL_MS: Millis = Millis(700);
 /// How long a connection lives without traffic; a silent one is found by its first call.
 const IDLE: Duration = Duration::from_secs(5);
-/// The longest message: what some hundred engines hold.
+/// The longest message: the changes of a large list of upstreams, or a whole group of hosts.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 /// Most calls of one peer at once.
 const MAX_STREAMS: u32 = 16;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -9,7 +9,9 @@
 use crate::entry::peers::{self, Peers};
 use crate::entry::platform::{Platform, Table};
 use crate::entry::settings::EntrySettings;
-use crate::entry::{budgeted_log, caller, follow, lease_keeper, lines, orderer, stop, sync};
+use crate::entry::{
+    budgeted_log, caller, follow, lease_keeper, lines, orderer, stop, sync, table_rows,
+};
 use crate::group::Member;
 use crate::prelude::*;
 use async_signal::{Signal, Signals};
@@ -198,7 +200,7 @@
         let gone = host.upstreams.borrow_mut().expire(now);
         for id in &gone {
             host.pool.forget(id);
-            follow::note_gone(id, "its entry did not come back after an outage");
+            table_rows::note_gone(id, "its entry did not come back after an outage");
         }
     }
 }
