--- a/bench/tests/fleet.rs
+++ b/bench/tests/fleet.rs
@@ -15,7 +15,7 @@
     exponent((SMALL, figure(&sites.0)), (LARGE, figure(&sites.1)))
 }
 
-/// Every host of a site read the whole list of upstreams from the store.
+/// Guards against reads of the whole list that grow with the hosts.
 #[test]
 fn few_hosts_read_the_list_from_the_store() {
     let sites = sites();
@@ -27,7 +27,7 @@
     assert!(sites.1.start.longest_message_bytes < 250_000);
 }
 
-/// Hosts were told of every engine by each new orderer.
+/// Guards against a new orderer that tells every host of every engine.
 #[test]
 fn hosts_are_told_of_engines_that_were_ordered_to_change_only() {
     let (_, large) = sites();
@@ -35,7 +35,7 @@
     assert!(large.exchange.engines_bytes < changed * 100);
 }
 
-/// With the site the work of the orderer and of relays grew until links of small hosts were full.
+/// Guards against messages that grow with the site at one host.
 #[test]
 fn messages_at_the_orderer_and_at_relays_stay_as_many() {
     let sites = sites();
@@ -54,7 +54,7 @@
     assert!(large.exchange.news_after_loss_ms.0 <= 1_800);
 }
 
-/// A question for the next order counted anew what all engines hold, several times, and an order weighed all of them.
+/// Guards against plans that count or weigh all engines.
 #[test]
 fn a_plan_looks_at_no_engine_for_nothing_and_at_some_hundred_for_an_order() {
     let (small, large) = sites();
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -9,6 +9,7 @@
 mod followed;
 mod lease_keeper;
 mod list_copy;
+mod members;
 mod organisations;
 mod peers;
 mod reload;
--- a/src/entry/tests/follow.rs
+++ b/src/entry/tests/follow.rs
@@ -47,8 +47,7 @@
     });
 }
 
-/// Hosts of a large site that were refused a page of the list began with the first one again, all of them, and kept the store
-/// at its limit for as long as they ran.
+/// Guards against hosts that begin with the first page again after a refusal, which keeps the store at its limit.
 #[test]
 fn a_list_of_which_a_page_was_refused_is_read_on_from_there() {
     on_site(|site| async move {
--- a/src/entry/tests/followed.rs
+++ b/src/entry/tests/followed.rs
@@ -204,8 +204,7 @@
     assert_eq!(next, Next::WaitUntil(Millis(9_890) + WITHIN_MS));
 }
 
-/// At the start of a large site the list is empty and grows by some hundred rows a second: where more than 64 came between two
-/// messages, every one of a thousand hosts read them from the store, which refused most.
+/// Guards against relays that keep fewer rows than come between two messages while upstreams write their first entries.
 #[test]
 fn the_rows_of_a_list_that_is_being_written_are_passed_on() {
     let relay = Followed::default();
@@ -232,7 +231,7 @@
     assert_eq!(taken, 7_000);
 }
 
-/// Where more than 64 upstreams changed between two messages, every host of a site of a thousand read the list itself.
+/// Guards against relays that keep fewer rows than come between two messages in a release.
 #[test]
 fn the_rows_of_a_release_of_a_large_site_are_passed_on() {
     let listed = 10_000;
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -83,7 +83,7 @@
     }
 }
 
-/// Every one of a thousand hosts read the whole list from the store when it started.
+/// Guards against a read of the whole list from the store by every host that starts.
 #[test]
 fn a_host_that_starts_takes_the_list_from_its_relay_and_not_from_the_store() {
     on_site(|site| async move {
@@ -116,7 +116,7 @@
     });
 }
 
-/// In a site of some hundred upstreams a host that waited for a relay after a restart of all would serve seconds later.
+/// Guards against a wait for relays where the store gives the list with one call.
 #[test]
 fn a_list_of_one_page_is_not_asked_of_a_relay() {
     on_site(|site| async move {
@@ -132,7 +132,7 @@
     });
 }
 
-/// A relay that is lost is in the list of hosts for some seconds more.
+/// Guards against a host without a list because its relay is lost and still in the list of hosts.
 #[test]
 fn a_host_whose_first_relay_is_lost_takes_the_list_from_the_next() {
     on_site(|site| async move {
@@ -154,8 +154,7 @@
     });
 }
 
-/// Rows that a relay passes on may begin before the list that it gave: an old removal took out an upstream that was listed
-/// again.
+/// Guards against an old removal, passed on with newer rows, that takes out an upstream which is listed again.
 #[test]
 fn a_row_from_before_the_list_changes_nothing() {
     on_site(|site| async move {
@@ -188,7 +187,7 @@
     });
 }
 
-/// Hosts that fell behind what their relay was told read the store, which was at its limit.
+/// Guards against hosts that can catch up with their relay only at the store.
 #[test]
 fn a_host_that_is_behind_its_relay_takes_the_list_from_it() {
     on_site(|site| async move {
@@ -254,8 +253,7 @@
     });
 }
 
-/// An upstream that vanished in an outage of the list is kept for a while where it was known; a host that got it with the
-/// list would keep it for good.
+/// Guards against an upstream that a relay keeps for a while, and the host that gets it with the list for good.
 #[test]
 fn an_upstream_that_is_kept_after_an_outage_is_not_passed_on() {
     on_site(|site| async move {
--- a/src/group/tests/members.rs
+++ b/src/group/tests/members.rs
@@ -101,8 +101,7 @@
     assert!(same(&host, &group.list));
 }
 
-/// A host whose list differs from the one that changes are told of never got there by further changes; hundreds of them each
-/// read the group from the store.
+/// Guards against a host whose list differs from the one that changes are told of, and that no change leads on.
 #[test]
 fn a_host_that_news_do_not_lead_on_is_told_the_whole_list() {
     let mut group = Group::default();
@@ -126,7 +125,7 @@
     assert_eq!(news.whole, None, "it is told the whole once");
 }
 
-/// Before a host had read the group it took nothing that others told it.
+/// Guards against a host that takes nothing from others before it has read the group itself.
 #[test]
 fn a_host_that_knows_no_list_yet_takes_the_whole() {
     let mut group = Group::default();
--- a/src/ordering/tests/ceiling.rs
+++ b/src/ordering/tests/ceiling.rs
@@ -108,8 +108,7 @@
     assert_eq!(ceiling.at_once(), 4);
 }
 
-/// A store for ten thousand engines got two loads at once, and four after thirteen seconds: models of which a crash took the
-/// only copy came back one after the other for the rest of the day.
+/// Guards against loads two by two before a store that serves thousands of engines.
 #[test]
 fn a_store_with_a_high_rate_gets_many_loads_at_once_from_the_start() {
     let mut ceiling = Ceiling::new(Millis::ZERO, None);
@@ -121,7 +120,7 @@
     assert!(ceiling.at_once() > 100);
 }
 
-/// The stated rate says nothing of how many loads are served at full speed.
+/// Guards against a stated rate that is taken for the number of loads at full speed.
 #[test]
 fn a_store_that_serves_few_loads_in_spite_of_its_rate_soon_gets_few() {
     let mut ceiling = Ceiling::new(Millis::ZERO, None);
--- a/src/ordering/tests/ledger.rs
+++ b/src/ordering/tests/ledger.rs
@@ -290,7 +290,7 @@
     assert!(loads.iter().sum::<usize>() > 1_000);
 }
 
-/// Each of ten thousand engines was asked for its report each five seconds, two thousand calls a second of one host.
+/// Guards against calls for reports that grow with the engines.
 #[test]
 fn reports_of_idle_engines_are_spread_and_do_not_hold_up_those_that_are_waited_for() {
     let engines = 2_000;
--- a/src/ordering/tests/planner/memory.rs
+++ b/src/ordering/tests/planner/memory.rs
@@ -95,8 +95,7 @@
     assert!(load(&site).from_store);
 }
 
-/// A crash took the only copy of every seventh model that is seldom asked for, in a site whose engines hold all models many
-/// times over: the models came back after a load from the weight store each.
+/// Guards against a crash that takes the only copy of a model although there is room for many.
 #[test]
 fn where_engines_hold_all_models_many_times_over_each_is_on_two() {
     let (busy, seldom): (&[&str], &[&str]) = (&["m0"], &["m1"]);
@@ -123,7 +122,7 @@
     assert_eq!(site.plan_all(), []);
 }
 
-/// Models that nobody asks for and that found no place kept those from a copy that callers ask for.
+/// Guards against models that nobody asks for, find no place, and keep a copy from one that callers ask for.
 #[test]
 fn models_that_nobody_asks_for_do_not_hold_up_those_that_are_asked_for() {
     let (busy, seldom, none): (&[&str], &[&str], &[&str]) = (&["m0"], &["m1"], &[]);
--- a/src/ordering/tests/published.rs
+++ b/src/ordering/tests/published.rs
@@ -129,8 +129,7 @@
     assert_eq!(orderer.version(), same, "nothing changed");
 }
 
-/// Every engine of a large site was told of, also those that no order had changed: two thousand hosts each got what the list
-/// of upstreams had told them before.
+/// Guards against telling hosts of every engine what the list of upstreams tells them too.
 #[test]
 fn an_engine_is_told_of_from_when_it_holds_other_things_than_its_entry_says() {
     let mut orderer = PublishedEngines::default();
--- a/src/retry/tests/budget.rs
+++ b/src/retry/tests/budget.rs
@@ -56,7 +56,7 @@
     assert!(budget.take(Millis(20_002), 1));
 }
 
-/// Shares below one repeated send were rounded down: at twice the hosts of the whole fleet no request was ever sent again.
+/// Guards against shares below one repeated send that are rounded down to none.
 #[test]
 fn hosts_of_a_large_site_use_most_of_the_budget_and_no_more() {
     let rule = BudgetRule {
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -206,7 +206,7 @@
     .size_max(4_096);
 }
 
-/// Where more upstreams were replaced than names were remembered, late copies of the first ones' entries brought them back.
+/// Guards against late copies of entries where more upstreams are replaced than names are remembered.
 #[test]
 fn late_copies_after_a_release_of_ten_thousand_upstreams_bring_none_back() {
     let mut registry = Registry::default();
@@ -225,8 +225,7 @@
     assert_eq!(registry.iter().count(), 10_000);
 }
 
-/// Whatever the list and this host's requests do, what is looked up by service, by model and by use is what a walk over all
-/// upstreams finds.
+/// Holds over random histories of the list and of this host's requests.
 #[test]
 fn what_is_looked_up_is_what_a_walk_over_all_upstreams_finds() {
     arbtest::arbtest(|u| {
