Test: engines that are found by their entries and the orderer's word are those of a walk over all

The choice among indexed engines had no test of its own; the new one fails when the orderer's word is left out, which no other test noticed.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -23,7 +23,7 @@
     };
     let chosen = match (&ask.facts.model, ask.at_engine) {
         (Some(model), true) => {
-            let holding = holders(&upstreams, &view, now, ask, model).filter(is_open);
+            let holding = holders(&upstreams, &view, now, &ask.service, model).filter(is_open);
             let with_work = holding.map(|upstream| (upstream, view.work(&upstream.entry.id)));
             let copies = model_copies(&view, model, fetch_share(host, ask));
             pick::engine(
@@ -71,7 +71,7 @@
     let now = host.now();
     let upstreams = host.upstreams.borrow();
     let view = host.view.borrow();
-    let holding: Vec<&Upstream> = holders(&upstreams, &view, now, ask, model)
+    let holding: Vec<&Upstream> = holders(&upstreams, &view, now, &ask.service, model)
         .filter(|other| !other.health.is_resting(now))
         .collect();
     let copies = model_copies(&view, model, Some(fetch_share));
@@ -80,12 +80,12 @@
     Some(source.address())
 }
 
-/// Returns the engines that hold a model, by the orderer's word or else by their entries.
-fn holders<'a>(
+/// Returns the engines of a service that may get new work and hold a model, by the orderer's word or else by their entries.
+pub fn holders<'a>(
     upstreams: &'a Registry,
     view: &'a View,
     now: Millis,
-    ask: &'a Ask,
+    service: &'a str,
     model: &'a ModelAsk,
 ) -> impl Iterator<Item = &'a Upstream> {
     let listing = upstreams.listing(&model.model);
@@ -94,11 +94,12 @@
     let told_alone = told.filter(|upstream| !upstream.holds(&model.model, None));
     let serving = listing
         .chain(told_alone)
-        .filter(|upstream| upstream.entry.service == ask.service && !upstream.entry.leaving);
+        .filter(move |upstream| &*upstream.entry.service == service && !upstream.entry.leaving);
     serving.filter(move |upstream| holds(view, now, upstream, model))
 }
 
-fn holds(view: &View, now: Millis, upstream: &Upstream, model: &ModelAsk) -> bool {
+/// Tells whether an engine holds a model, as far as this host knows.
+pub fn holds(view: &View, now: Millis, upstream: &Upstream, model: &ModelAsk) -> bool {
     let id = &upstream.entry.id;
     if view.is_lacking(now, id, model) {
         return false;
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod choice;
 mod crashes;
 mod fake_platform;
 mod fake_upstream;
