--- a/src/ordering/tests/planner/adapters.rs
+++ b/src/ordering/tests/planner/adapters.rs
@@ -69,3 +69,22 @@
         assert!(engine.adapters.len() <= 2);
     }
 }
+
+/// Guards against an adapter that counts as brought because an engine which leaves has it.
+#[test]
+fn an_adapter_on_a_leaving_engine_alone_is_brought_to_another() {
+    let mut site = Site::new(spec(200.0, &[50.0]), &[&["m0"], &["m0"]]);
+    let asked = adapter("m0", "a0");
+    let order = site
+        .ledger
+        .begin(NOW, "e0", Action::Load, asked.clone(), None);
+    let order = order.expect("a known engine");
+    let (answer, load) = (OrderAnswer::Accepted, LoadTime::default());
+    site.ledger.take_answer(NOW, "e0", &order, answer, load);
+    site.ask(1, NOW, &[(asked.clone(), waiting(1))]);
+    assert_eq!(site.next(NOW), None, "it is there");
+    let leaving = IndexSet::from([Name::from("e0")]);
+    let planner = planner(NOW, &site.spec, &site.ledger, &site.book, &leaving);
+    let planned = planner.next(&mut site.ceiling).expect("callers wait");
+    assert_eq!((planned.ask, &*planned.engine), (asked, "e1"));
+}
--- a/src/ordering/tests/planner/memory.rs
+++ b/src/ordering/tests/planner/memory.rs
@@ -141,3 +141,16 @@
     let planned = site.next(NOW).expect("its weights are at hand");
     assert_eq!((planned.ask, &*planned.engine), (model("m1"), "e131"));
 }
+
+/// Guards against a load from the weight store because the engine with the weights is not among those that are weighed.
+#[test]
+fn in_a_large_site_a_model_goes_where_its_weights_are_at_hand() {
+    let none: &[&str] = &[];
+    let mut site = Site::new(spec(100.0, &[100.0, 100.0]), &[none; 1_500]);
+    site.has_at_hand(900, "m1");
+    site.ask(1, NOW, &[(model("m1"), waiting(1))]);
+    for later in 0..20 {
+        let planned = site.next(NOW + Millis(later)).expect("callers wait");
+        assert_eq!((planned.ask, &*planned.engine), (model("m1"), "e900"));
+    }
+}
