A relay's older copy of the list does not set back when the list was heard

Found when the change was read again: a copy of the list counts as heard when its relay heard it, which may be before what this host heard last. After a refused read the next answer then looked like the end of an outage, and upstreams that are removed would be kept for two seconds.

--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -206,6 +206,18 @@
     .size_max(4_096);
 }
 
+/// Guards against an outage that is inferred from a relay's copy which is older than what was heard last.
+#[test]
+fn an_older_copy_of_the_list_makes_no_outage() {
+    let mut registry = Registry::default();
+    registry.put(entry("a"));
+    registry.note_heard(Millis(10_000));
+    registry.note_heard(Millis(7_000));
+    registry.note_unheard();
+    registry.note_heard(Millis(10_100));
+    assert_eq!(registry.remove(Millis(10_100), "a"), Change::Gone);
+}
+
 /// Guards against late copies of entries where more upstreams are replaced than names are remembered.
 #[test]
 fn late_copies_after_a_release_of_ten_thousand_upstreams_bring_none_back() {
