--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -131,8 +131,9 @@
 }
 
 impl Registry {
-    /// Takes note that the list answered, or was said to be as known then; what was said earlier may come later. A long time without either is an outage only when
-    /// the list was asked in vain: a host that relies on another one's word may hear it late.
+    /// Takes note that the list answered, or was said to be as known, at a moment; one before the last changes nothing.
+    /// A long time without either is an outage only when the list was asked in vain: a host that relies on another one's
+    /// word may hear it late.
     pub fn note_heard(&mut self, now: Millis) {
         let gap = self.last_heard_at.map_or(Millis::ZERO, |at| now.since(at));
         if std::mem::take(&mut self.was_unheard) && gap >= OUTAGE_MS {
