Model of a large site: a list of upstreams that is written after all hosts started

It now runs that with the parts that hosts run, and counts reads of the store, whole lists from relays, bytes by role and the time of the last row to all hosts.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -4,6 +4,7 @@
 //! replaced by a time.
 
 pub mod exchange;
+pub mod filling;
 pub mod plan;
 pub mod start;
 mod text;
@@ -49,6 +50,8 @@
     pub start: start::Start,
     /// The messages between hosts at rest, and how long news take.
     pub exchange: exchange::Exchange,
+    /// The list of upstreams, written after all hosts started.
+    pub filling: filling::Filling,
     /// The plan of the orderer.
     pub plan: plan::Plan,
 }
@@ -61,6 +64,7 @@
         size,
         exchange: exchange::measure(&world, &start, seed),
         start,
+        filling: filling::measure(&world, seed),
         plan: plan::measure(&world),
     }
 }
--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -74,7 +74,8 @@
     }
 }
 
-fn interval_ms(world: &World, is_direct: bool) -> Millis {
+/// Returns how often a host speaks with the orderer, or with its relay.
+pub fn interval_ms(world: &World, is_direct: bool) -> Millis {
     Millis(SYNC_MS.0 * world.tree.interval_factor(is_direct))
 }
 
--- /dev/null
+++ b/bench/src/fleet/filling.rs
@@ -0,0 +1,240 @@
+//! A list of upstreams that is empty when all hosts start, and written by some hundred rows a second: what passes through relays, what
+//! hosts ask for beyond it, and how long the last row takes to all of them.
+//!
+//! Answers the pattern of a site whose upstreams all write their first entry after the hosts started: rows then come for longer, and
+//! more of them between two messages, the larger the site is.
+
+use crate::fleet::exchange::{bytes, interval_ms};
+use crate::fleet::world::World;
+use mangovale::entry::followed::{Followed, Next, TablesWord};
+use mangovale::entry::platform::{RowValue, Table, TableRow};
+use mangovale::group::Member;
+use mangovale::prelude::*;
+use mangovale::upstreams::Upstream;
+use serde::Serialize;
+
+/// How many rows the platform takes a second, whatever the size.
+const ROWS_PER_S: u64 = 400;
+/// The pause between two reads of the orderer.
+const READ_EACH_MS: Millis = Millis(100);
+const TICK_MS: Millis = Millis(10);
+/// For how long a host goes by what the orderer said.
+const WITHIN_MS: Millis = Millis(3_000);
+/// How long after the last row was written hosts that do not know it are given up.
+const GIVE_UP_MS: Millis = Millis(20_000);
+
+/// What it takes until all hosts know such a list.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Filling {
+    /// Reads of the store by other hosts than the orderer.
+    pub store_reads: usize,
+    /// How often a host that was behind took the whole list from its relay.
+    pub whole_lists: usize,
+    /// Rows of the longest message.
+    pub longest_message_rows: usize,
+    /// Bytes a second that the busiest relay sends.
+    pub relay_bytes_per_s: f64,
+    /// Bytes a second that any other host gets.
+    pub host_bytes_per_s: f64,
+    /// How long after it was written the last row was known to all hosts.
+    pub last_row_ms: Millis,
+}
+
+/// Measures the writing of a list; `seed` draws when hosts speak.
+pub fn measure(world: &World, seed: u64) -> Filling {
+    let mut site = Site::new(world, seed);
+    let written_at = Millis(site.rows.len() as u64 * 1_000 / ROWS_PER_S);
+    let mut now = Millis::ZERO;
+    while !site.is_known() && now < written_at + GIVE_UP_MS {
+        now += TICK_MS;
+        site.step(now);
+    }
+    let per_s = |bytes: usize| bytes as f64 * 1_000.0 / now.0 as f64;
+    let busiest = site.relays.iter().map(|relay| relay.sent_bytes).max();
+    Filling {
+        store_reads: site.count(|host| host.store_reads),
+        whole_lists: site.count(|host| host.whole_lists),
+        longest_message_rows: site.longest_message_rows,
+        relay_bytes_per_s: per_s(busiest.unwrap_or(0)),
+        host_bytes_per_s: per_s(site.sent_to_hosts_bytes) / site.others.len().max(1) as f64,
+        last_row_ms: now.since(written_at),
+    }
+}
+
+/// A host other than the orderer.
+struct Asking {
+    followed: Followed,
+    /// Which relay it asks; nothing when it asks the orderer.
+    relay: Option<usize>,
+    asks_at: Millis,
+    interval_ms: Millis,
+    store_reads: usize,
+    whole_lists: usize,
+    sent_bytes: usize,
+}
+
+impl Asking {
+    fn new(world: &World, relay: Option<usize>, random: &mut fastrand::Rng) -> Self {
+        let interval_ms = interval_ms(world, relay.is_none());
+        Self {
+            followed: empty_list(),
+            relay,
+            asks_at: Millis(random.u64(0..interval_ms.0)),
+            interval_ms,
+            store_reads: 0,
+            whole_lists: 0,
+            sent_bytes: 0,
+        }
+    }
+
+    fn is_due(&mut self, now: Millis) -> bool {
+        let is_due = now >= self.asks_at;
+        if is_due {
+            self.asks_at += self.interval_ms;
+        }
+        is_due
+    }
+
+    /// Takes what it is told, and whatever else it needs to know as much as the one that told it.
+    fn take(&mut self, now: Millis, told: TablesWord) {
+        let end = told.upstreams.map(|list| list.end);
+        let from = self.followed.wants_from();
+        self.followed.take_word(now, told);
+        match self.followed.next(now, Table::Upstreams, WITHIN_MS) {
+            Next::WaitUntil(_) => {}
+            Next::Take(rows, end) => {
+                self.followed.note_taken(Table::Upstreams, end);
+                self.keep(from, &rows, end);
+            }
+            Next::Behind => {
+                self.whole_lists += 1;
+                self.jump(now, end);
+            }
+            Next::Read => {
+                self.store_reads += 1;
+                self.jump(now, end);
+            }
+        }
+    }
+
+    fn keep(&self, from: Option<Offset>, rows: &[TableRow], end: Offset) {
+        let Some(from) = from else { return };
+        let known = rows.partition_point(|row| row.offset < from);
+        let listed = end.0 as usize;
+        self.followed.keep_rows(from, &rows[known..], end, listed);
+    }
+
+    fn jump(&self, now: Millis, end: Option<Offset>) {
+        if let Some(end) = end {
+            self.followed.note_read(Table::Upstreams, now, end);
+            self.followed.drop_rows();
+        }
+    }
+}
+
+/// The hosts, and the list as it will be.
+struct Site {
+    rows: Vec<TableRow>,
+    orderer: Followed,
+    read_rows: usize,
+    relays: Vec<Asking>,
+    others: Vec<Asking>,
+    sent_to_hosts_bytes: usize,
+    longest_message_rows: usize,
+}
+
+impl Site {
+    fn new(world: &World, seed: u64) -> Self {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let relays: Vec<u64> = world.relays().map(|relay| relay.incarnation).collect();
+        let place = |host: &Member| {
+            let first = world.relays_of(host).first()?.incarnation;
+            relays.iter().position(|relay| *relay == first)
+        };
+        let is_other = |host: &&Member| !world.tree.is_relay(host.incarnation);
+        let others = world.hosts.iter().filter(is_other);
+        Self {
+            rows: rows(world),
+            orderer: empty_list(),
+            read_rows: 0,
+            others: others
+                .map(|host| Asking::new(world, place(host), &mut random))
+                .collect(),
+            relays: relays
+                .iter()
+                .map(|_| Asking::new(world, None, &mut random))
+                .collect(),
+            sent_to_hosts_bytes: 0,
+            longest_message_rows: 0,
+        }
+    }
+
+    fn hosts(&self) -> impl Iterator<Item = &Asking> {
+        self.relays.iter().chain(&self.others)
+    }
+
+    fn count(&self, figure: impl Fn(&Asking) -> usize) -> usize {
+        self.hosts().map(figure).sum()
+    }
+
+    fn is_known(&self) -> bool {
+        let end = Some(Offset(self.rows.len() as u64));
+        self.hosts().all(|host| host.followed.wants_from() == end)
+    }
+
+    fn step(&mut self, now: Millis) {
+        if now.0.is_multiple_of(READ_EACH_MS.0) {
+            self.read(now);
+        }
+        for relay in &mut self.relays {
+            if relay.is_due(now) {
+                let told = self.orderer.word(now, relay.followed.wants_from());
+                relay.take(now, told);
+            }
+        }
+        for host in &mut self.others {
+            if !host.is_due(now) {
+                continue;
+            }
+            let wants_from = host.followed.wants_from();
+            let told = match host.relay {
+                Some(relay) => self.relays[relay].followed.word(now, wants_from),
+                None => self.orderer.word(now, wants_from),
+            };
+            let told_bytes = bytes(&told);
+            if let Some(relay) = host.relay {
+                self.relays[relay].sent_bytes += told_bytes;
+            }
+            self.sent_to_hosts_bytes += told_bytes;
+            self.longest_message_rows = self.longest_message_rows.max(told.rows.len());
+            host.take(now, told);
+        }
+    }
+
+    /// The orderer reads what was written since its last read.
+    fn read(&mut self, now: Millis) {
+        let written = (now.0 * ROWS_PER_S / 1_000) as usize;
+        let end = written.min(self.rows.len());
+        let (from, to) = (Offset(self.read_rows as u64), Offset(end as u64));
+        self.orderer.note_read(Table::Upstreams, now, to);
+        self.orderer
+            .keep_rows(from, &self.rows[self.read_rows..end], to, end);
+        self.read_rows = end;
+    }
+}
+
+fn empty_list() -> Followed {
+    let followed = Followed::default();
+    followed.note_read(Table::Upstreams, Millis::ZERO, Offset(0));
+    followed
+}
+
+fn rows(world: &World) -> Vec<TableRow> {
+    let upstreams = world.upstreams.iter().enumerate();
+    let row = |(n, upstream): (usize, &Upstream)| TableRow {
+        key: upstream.entry.id.clone(),
+        offset: Offset(n as u64),
+        value: RowValue::Upstream(upstream.entry.clone()),
+    };
+    upstreams.map(row).collect()
+}
--- a/bench/src/fleet/text.rs
+++ b/bench/src/fleet/text.rs
@@ -6,7 +6,7 @@
 /// A line of the table: its name, and the figure of one size.
 type Line = (&'static str, fn(&Measured) -> f64);
 
-const LINES: [Line; 20] = [
+const LINES: [Line; 26] = [
     ("hosts", |m| m.size.hosts as f64),
     ("engines", |m| m.size.engines as f64),
     ("relays", |m| m.exchange.relays as f64),
@@ -38,6 +38,24 @@
     ("the same, a relay lost, ms", |m| {
         m.exchange.news_after_loss_ms.0 as f64
     }),
+    ("filling: reads of the store", |m| {
+        m.filling.store_reads as f64
+    }),
+    ("filling: whole lists from relays", |m| {
+        m.filling.whole_lists as f64
+    }),
+    ("filling: rows of the longest message", |m| {
+        m.filling.longest_message_rows as f64
+    }),
+    ("filling: busiest relay, bytes/s", |m| {
+        m.filling.relay_bytes_per_s
+    }),
+    ("filling: other host, bytes/s", |m| {
+        m.filling.host_bytes_per_s
+    }),
+    ("filling: last row at all hosts, ms", |m| {
+        m.filling.last_row_ms.0 as f64
+    }),
     ("plan: engines looked at, nothing to order", |m| {
         m.plan.idle_looks as f64
     }),
--- a/bench/tests/fleet.rs
+++ b/bench/tests/fleet.rs
@@ -27,6 +27,17 @@
     assert!(sites.1.start.longest_message_bytes < 250_000);
 }
 
+/// Guards against hosts that fall behind, and all read the store, while upstreams write their first entries.
+#[test]
+fn a_list_that_is_being_written_passes_through_relays_alone() {
+    let (small, large) = sites();
+    for site in [small, large] {
+        assert_eq!(site.filling.store_reads, 0);
+        assert_eq!(site.filling.whole_lists, 0);
+        assert!(site.filling.last_row_ms.0 <= 1_500);
+    }
+}
+
 /// Guards against a new orderer that tells every host of every engine.
 #[test]
 fn hosts_are_told_of_engines_that_were_ordered_to_change_only() {
