Desired states pass from relays to the hosts behind them

What callers would see: with each version 985 hosts read it from the store (hosts x versions), some 1,000 calls and as many times the state's bytes; a host that the store turns away goes by an old version until it is let in again. Cause: only the list of upstreams passed through relays. A host that hears from its relay that the table of desired states has more now takes the newest state from the relay; relays and the orderer read the store. A relay that has none, or no relay, means a read of the store as before. Why it holds at twice the size: readers are the relays, some square root of the hosts.

The other way, the state within each message, was ruled out: it would come again with each message that crosses it.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -2,12 +2,16 @@
 //!
 //! The orderer reads often; the other hosts read while they do not hear from it how new the tables are.
 
+use crate::entry::desired_copy::{self, DesiredCopy};
 use crate::entry::followed::Next;
 use crate::entry::host::Host;
 use crate::entry::lines;
-use crate::entry::list_copy::{self, ListCopy, Sources};
+use crate::entry::list_copy::{self, ListCopy};
 use crate::entry::platform::{Platform, StoreCall, StoreError, Table, TablePage, TableRow};
-use crate::entry::table_rows::{TableLine, WholeList, take_list, take_row, take_table};
+use crate::entry::sources::Sources;
+use crate::entry::table_rows::{
+    TableLine, WholeList, put_in_force, take_list, take_row, take_table,
+};
 use crate::http1::client::within;
 use crate::prelude::*;
 use smol::Timer;
@@ -73,8 +77,8 @@
     after: Option<Name>,
 }
 
-/// Follows a table until the process ends. `sources` are the hosts from which the list of upstreams may be taken, at first and
-/// when this one is behind.
+/// Follows a table until the process ends. `sources` are the hosts from which it may be taken when this one is behind, the list of
+/// upstreams also at first.
 pub async fn follow<P: Platform>(host: Rc<Host<P>>, table: Table, sources: Option<Sources>) {
     let mut cursor = Cursor {
         table,
@@ -145,7 +149,7 @@
         Ok(()) => Some(list_copy::LOOK_MS),
         Err(_) => Some(Millis::ZERO),
     };
-    if let (Some(sources), Some(look_ms)) = (sources, look_ms)
+    if let (Table::Upstreams, Some(sources), Some(look_ms)) = (cursor.table, sources, look_ms)
         && let Some(copy) = list_copy::fetch(host, sources, cursor.lost_from, look_ms).await
     {
         take_copy(host, cursor, copy);
@@ -170,23 +174,57 @@
     take_list(host, list);
 }
 
-/// Takes what the orderer knows of a table and this host does not: the list of upstreams as its relay has it, else the changes from
-/// the store. Hundreds of hosts that fell behind together would keep the store at its limit, and fall further behind.
+fn take_desired_copy<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    asked_at: Millis,
+    copy: DesiredCopy,
+) {
+    cursor.next = Some(copy.end);
+    host.followed
+        .note_read(cursor.table, asked_at - copy.age_ms, copy.end);
+    put_in_force(host, copy.state);
+}
+
+/// Takes what the orderer knows of a table and this host does not: the table as its relay has it, else the changes from the store.
+/// Hundreds of hosts that fell behind together would keep the store at its limit, and fall further behind.
 async fn catch_up<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
     from: Offset,
     sources: Option<&Sources>,
 ) -> Result<bool, StoreError> {
-    if let (Table::Upstreams, Some(sources)) = (cursor.table, sources)
-        && let Some(copy) = list_copy::fetch(host, sources, Some(from), Millis::ZERO).await
+    if let Some(sources) = sources
+        && take_from_relay(host, cursor, from, sources).await
     {
-        take_copy(host, cursor, copy);
         return Ok(false);
     }
     read_changes(host, cursor, from).await
 }
 
+/// Returns whether a relay had what is newer than `from`.
+async fn take_from_relay<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    from: Offset,
+    sources: &Sources,
+) -> bool {
+    let asked_at = host.now();
+    match cursor.table {
+        Table::Upstreams => {
+            let copy = list_copy::fetch(host, sources, Some(from), Millis::ZERO).await;
+            let Some(copy) = copy else { return false };
+            take_copy(host, cursor, copy);
+        }
+        Table::Desired => {
+            let copy = desired_copy::fetch(host, sources, from).await;
+            let Some(copy) = copy else { return false };
+            take_desired_copy(host, cursor, asked_at, copy);
+        }
+    }
+    true
+}
+
 /// What is to be done about a table.
 enum Due {
     /// Nothing more: rows that the orderer sent were taken.
--- a/src/entry/followed.rs
+++ b/src/entry/followed.rs
@@ -6,6 +6,7 @@
 //! by itself while this word is missing or old, so a lost orderer costs calls, not time. In a site of 83 hosts the store
 //! gets some 20 calls a second instead of 150.
 
+use crate::desired::DesiredState;
 use crate::entry::platform::{RowValue, Table, TableRow};
 use crate::prelude::*;
 use crate::upstreams::UpstreamEntry;
@@ -60,6 +61,15 @@
     told: Option<(Offset, Millis)>,
 }
 
+impl Copy {
+    fn end(&self, now: Millis) -> Option<TableEnd> {
+        Some(TableEnd {
+            end: self.next?,
+            age_ms: now.since(self.confirmed_at?),
+        })
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     word_at: Option<Millis>,
@@ -67,6 +77,7 @@
     upstreams: Copy,
     told_rows: Vec<UpstreamRow>,
     kept: Option<KeptRows>,
+    kept_desired: Option<Arc<DesiredState>>,
 }
 
 /// Rows without a gap that the orderer keeps for the others.
@@ -158,6 +169,21 @@
         self.state.borrow_mut().kept = None;
     }
 
+    /// Keeps the newest desired state for the other hosts, or drops an older one when this host relays for none.
+    pub fn keep_desired(&self, state: Option<Arc<DesiredState>>) {
+        self.state.borrow_mut().kept_desired = state;
+    }
+
+    /// Returns the newest desired state, if it was kept for the other hosts.
+    pub fn kept_desired(&self) -> Option<Arc<DesiredState>> {
+        self.state.borrow().kept_desired.clone()
+    }
+
+    /// Returns where this host's copy of a table ends.
+    pub fn end(&self, now: Millis, table: Table) -> Option<TableEnd> {
+        self.state.borrow_mut().copy(table).end(now)
+    }
+
     /// Returns from where this host wants rows of the list of upstreams.
     pub fn wants_from(&self) -> Option<Offset> {
         self.state.borrow().upstreams.next
@@ -166,12 +192,6 @@
     /// Returns what an orderer tells a host that wants rows from an offset on.
     pub fn word(&self, now: Millis, wants_from: Option<Offset>) -> TablesWord {
         let state = self.state.borrow();
-        let end = |copy: &Copy| {
-            Some(TableEnd {
-                end: copy.next?,
-                age_ms: now.since(copy.confirmed_at?),
-            })
-        };
         let rows = match (wants_from, &state.kept) {
             (Some(from), Some(kept)) if kept.from <= from => {
                 let first = kept.rows.partition_point(|row| row.offset < from);
@@ -183,8 +203,8 @@
             _ => Vec::new(),
         };
         TablesWord {
-            desired: end(&state.desired),
-            upstreams: end(&state.upstreams),
+            desired: state.desired.end(now),
+            upstreams: state.upstreams.end(now),
             rows,
         }
     }
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -7,16 +7,15 @@
 
 use crate::entry::host::Host;
 use crate::entry::peers::Peers;
-use crate::entry::platform::Platform;
+use crate::entry::platform::{Platform, Table};
+use crate::entry::sources::{Sources, is_source};
 use crate::group::Member;
-use crate::group::parents::MAX_RELAYS;
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
 use crate::upstreams::{Registry, UpstreamEntry};
 use rapidhash::v3::rapidhash_v3;
 use smol::Timer;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 /// About how many entries one message has: some 100 KB, which a link of 20 Mbit/s takes in a twentieth of a second.
 const PART_ENTRIES: usize = 1_000;
@@ -27,6 +26,7 @@
 pub const LOOK_MS: Millis = Millis(5_000);
 /// The pause after all relays were asked in vain.
 const PAUSE_MS: Millis = Millis(250);
+
 /// Which part of the list a host asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListAsk {
@@ -62,21 +62,12 @@
     pub as_of: Millis,
 }
 
-/// The hosts that this one may ask.
-pub struct Sources {
-    /// Calls of other hosts.
-    pub peers: Rc<Peers>,
-    /// This host.
-    pub me: Member,
-}
-
 /// Answers a host that starts; nothing when this host does not have the list itself, or relays for no others.
 pub fn answer<P: Platform>(host: &Host<P>, ask: ListAsk) -> Option<ListPart> {
-    let serves_others = host.is_relay() || host.is_orderer();
-    if !serves_others || !host.upstreams_known.get() || ask.parts > MAX_PARTS {
+    if !is_source(host) || !host.upstreams_known.get() || ask.parts > MAX_PARTS {
         return None;
     }
-    let list = host.followed.word(host.now(), None).upstreams?;
+    let list = host.followed.end(host.now(), Table::Upstreams)?;
     let upstreams = host.upstreams.borrow();
     let parts = match ask.parts {
         0 => parts_of(&upstreams),
@@ -118,8 +109,7 @@
     let until = host.now() + look_ms;
     loop {
         if host.members.borrow().known_at().is_some() {
-            let relays = relays(host, &sources.me)?;
-            for relay in relays {
+            for relay in sources.relays(host)? {
                 let copy = fetch_from(host, &sources.peers, &relay).await;
                 let copy = copy.filter(|copy| newer_than.is_none_or(|known| copy.end > known));
                 if copy.is_some() {
@@ -134,17 +124,6 @@
     }
 }
 
-/// Returns the relays that may have the list; nothing when this host reads the store itself.
-fn relays<P: Platform>(host: &Host<P>, me: &Member) -> Option<Vec<Member>> {
-    if host.is_orderer() || host.is_relay() {
-        return None;
-    }
-    let tree = host.tree.borrow();
-    let relays = tree.relays_of(me).into_iter().take(MAX_RELAYS);
-    let relays: Vec<Member> = relays.cloned().collect();
-    (!relays.is_empty()).then_some(relays)
-}
-
 async fn fetch_from<P: Platform>(
     host: &Host<P>,
     peers: &Peers,
@@ -170,6 +149,6 @@
 async fn ask_part(peers: &Peers, relay: &Member, ask: ListAsk) -> Option<ListPart> {
     match peers.call(relay.peer_address, &PeerCall::List(ask)).await? {
         PeerReply::List(part) => part,
-        PeerReply::Sync(_) | PeerReply::AppendedLease(_) => None,
+        PeerReply::Sync(_) | PeerReply::AppendedLease(_) | PeerReply::Desired(_) => None,
     }
 }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,7 +8,7 @@
 use crate::entry::orderer;
 use crate::entry::platform::Platform;
 use crate::entry::run::EntryError;
-use crate::entry::{lease_keeper, list_copy, sync};
+use crate::entry::{desired_copy, lease_keeper, list_copy, sync};
 use crate::http1::client::within;
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
@@ -206,6 +206,7 @@
 async fn answer<P: Platform>(host: &Host<P>, call: PeerCall) -> PeerReply {
     match call {
         PeerCall::Sync(ask) => PeerReply::Sync(sync::answer(host, ask)),
+        PeerCall::Desired => PeerReply::Desired(desired_copy::answer(host)),
         PeerCall::List(ask) => PeerReply::List(list_copy::answer(host, ask)),
         PeerCall::AppendLease { end, record } => {
             PeerReply::AppendedLease(lease_keeper::append_for_peer(host, end, &record).await)
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -3,12 +3,12 @@
 use crate::clock::Clock;
 use crate::entry::directory::{self, Questions};
 use crate::entry::host::Host;
-use crate::entry::list_copy::Sources;
 use crate::entry::members;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{self, Peers};
 use crate::entry::platform::{Platform, Table};
 use crate::entry::settings::EntrySettings;
+use crate::entry::sources::Sources;
 use crate::entry::{
     budgeted_log, caller, follow, lease_keeper, lines, orderer, stop, sync, table_rows,
 };
@@ -163,7 +163,11 @@
     };
     let tasks = [
         executor.spawn(caller::accept(host.clone(), executor.clone(), callers)),
-        executor.spawn(follow::follow(host.clone(), Table::Desired, None)),
+        executor.spawn(follow::follow(
+            host.clone(),
+            Table::Desired,
+            Some(sources.clone()),
+        )),
         executor.spawn(follow::follow(
             host.clone(),
             Table::Upstreams,
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -225,7 +225,7 @@
 async fn ask_peer(peers: &Peers, address: SocketAddr, ask: SyncAsk) -> Option<SyncReply> {
     match peers.call(address, &PeerCall::Sync(ask)).await? {
         PeerReply::Sync(reply) => Some(reply),
-        PeerReply::AppendedLease(_) | PeerReply::List(_) => None,
+        PeerReply::AppendedLease(_) | PeerReply::List(_) | PeerReply::Desired(_) => None,
     }
 }
 
--- a/src/entry/table_rows.rs
+++ b/src/entry/table_rows.rs
@@ -4,6 +4,7 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{Platform, RowValue, Table, TableRow};
+use crate::entry::sources::is_source;
 use crate::prelude::*;
 use crate::upstreams::UpstreamEntry;
 use crate::upstreams::registry::Change;
@@ -72,7 +73,7 @@
 
 fn take_desired<P: Platform>(host: &Host<P>, row: TableRow) {
     match row.value {
-        RowValue::Desired(state) => put_in_force(host, state),
+        RowValue::Desired(state) => put_in_force(host, Arc::new(state)),
         RowValue::Unreadable(why) => note_unreadable(Table::Desired, &why),
         RowValue::Upstream(_) | RowValue::Removed => {}
     }
@@ -87,12 +88,14 @@
 }
 
 /// Takes a desired state with a higher version; within one life of a process no version is replaced by a lower.
-fn put_in_force<P: Platform>(host: &Host<P>, state: DesiredState) {
+pub fn put_in_force<P: Platform>(host: &Host<P>, state: Arc<DesiredState>) {
     let former = host.routes.borrow().as_ref().map(|table| table.version);
     if former.is_some_and(|former| former >= state.version) {
         return;
     }
-    let table = RouteTable::new(state);
+    host.followed
+        .keep_desired(is_source(host).then(|| state.clone()));
+    let table = RouteTable::new(Arc::unwrap_or_clone(state));
     let line = DesiredLine {
         version: table.version,
         routes: table.route_count(),
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -1,87 +1,17 @@
 //! A host that starts takes the list of upstreams from its relay, and misses nothing of it.
 
-use super::fake_platform::{FakePlatform, FakeStore};
-use super::site::{Site, another_host, as_member, bind_peers, entry, on_site};
+use super::fake_platform::FakePlatform;
+use super::relay_pair::{Pair, UPSTREAMS, nowhere, until};
+use super::site::{as_member, entry, on_site};
 use crate::entry::follow::follow;
 use crate::entry::followed::{TableEnd, TablesWord, UpstreamRow};
 use crate::entry::host::Host;
-use crate::entry::list_copy::{ListAsk, Sources, answer, fetch};
-use crate::entry::peers::{self, Peers};
+use crate::entry::list_copy::{ListAsk, answer, fetch};
 use crate::entry::platform::Table;
+use crate::entry::sources::Sources;
 use crate::group::Member;
 use crate::prelude::*;
 use crate::test_support::member;
-use smol::Timer;
-use std::net::SocketAddr;
-use std::rc::Rc;
-
-const UPSTREAMS: usize = 2_500;
-
-fn nowhere() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 9))
-}
-
-/// A relay with the list, and a host behind it whose store answers nothing.
-struct Pair {
-    shared: Arc<smol::Executor<'static>>,
-    asking: Rc<Host<FakePlatform>>,
-    peers: Rc<Peers>,
-    me: Member,
-}
-
-impl Pair {
-    async fn new(site: &Site) -> Self {
-        Self::beside(site, Vec::new()).await
-    }
-
-    /// Makes the pair in a data centre of more hosts.
-    async fn beside(site: &Site, near: Vec<Member>) -> Self {
-        for n in 0..UPSTREAMS {
-            let id = format!("u{n}");
-            site.store.list(&id, Some(entry(&id, nowhere())));
-        }
-        site.until(|host| host.upstreams.borrow().iter().count() == UPSTREAMS)
-            .await;
-        let shared = Arc::new(smol::Executor::new());
-        let (own, other) = (bind_peers(&shared), bind_peers(&shared));
-        let store = Rc::new(FakeStore::default());
-        store.is_down.set(true);
-        let asking = another_host(site.address, store, &other);
-        let (relay, me) = (
-            as_member(&site.host, &own, 500),
-            as_member(&asking, &other, 120),
-        );
-        let far = (100..164).map(|n| member(n, "there", 120));
-        let list: IndexSet<Member> = far.chain(near).chain([relay, me.clone()]).collect();
-        for host in [&site.host, &asking] {
-            let now = host.now();
-            host.members.borrow_mut().replace(now, 1, list.clone());
-            host.accept_listed();
-        }
-        own.known.replace([me.fingerprint.clone()].into());
-        let serve = peers::serve(site.host.clone(), own, site.executor.clone());
-        site.executor.spawn(serve).detach();
-        Self {
-            shared,
-            asking,
-            peers: other,
-            me,
-        }
-    }
-
-    fn sources(&self) -> Sources {
-        Sources {
-            peers: self.peers.clone(),
-            me: self.me.clone(),
-        }
-    }
-}
-
-async fn until(holds: impl Fn() -> bool) {
-    while !holds() {
-        Timer::after(Millis(5).to_duration()).await;
-    }
-}
 
 /// Guards against a read of the whole list from the store by every host that starts.
 #[test]
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -1,5 +1,6 @@
 //! Orders to engines, their answers and reports, and the messages between a host and the orderer.
 
+use crate::entry::desired_copy::DesiredCopy;
 use crate::entry::followed::TablesWord;
 use crate::entry::list_copy::{ListAsk, ListPart};
 use crate::entry::platform::{AppendOutcome, ModelAsk};
@@ -167,6 +168,8 @@
     },
     /// Asking for a part of the list of upstreams.
     List(ListAsk),
+    /// Asking for the newest desired state.
+    Desired,
 }
 
 /// The answer to a call between hosts.
@@ -178,6 +181,8 @@
     AppendedLease(Option<AppendOutcome>),
     /// To [`PeerCall::List`]: nothing when the host that was asked does not have it itself, or relays for no others.
     List(Option<ListPart>),
+    /// To [`PeerCall::Desired`]: nothing when the host that was asked relays for no others, or has read no state since it does.
+    Desired(Option<DesiredCopy>),
 }
 
 /// What the orderer or a relay answers a host.
