Model of a large site: a new desired state, its readers, bytes and time to all hosts

Counts who reads a version from the store, what the busiest relay sends and how long it takes to all hosts, from the copy that relays send.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -3,6 +3,7 @@
 //! It runs the parts that `mangovale-entry` runs (relays, messages, ledger, plan) in one process; only the way between two hosts is
 //! replaced by a time.
 
+pub mod desired;
 pub mod exchange;
 pub mod filling;
 pub mod plan;
@@ -50,6 +51,8 @@
     pub start: start::Start,
     /// The messages between hosts at rest, and how long news take.
     pub exchange: exchange::Exchange,
+    /// A new desired state.
+    pub desired: desired::Desired,
     /// The list of upstreams, written after all hosts started.
     pub filling: filling::Filling,
     /// The plan of the orderer.
@@ -60,9 +63,11 @@
 pub fn measure(size: Size, seed: u64) -> Measured {
     let world = World::new(size);
     let start = start::measure(&world);
+    let exchange = exchange::measure(&world, &start, seed);
     Measured {
         size,
-        exchange: exchange::measure(&world, &start, seed),
+        desired: desired::measure(&world, &start, exchange.news_ms),
+        exchange,
         start,
         filling: filling::measure(&world, seed),
         plan: plan::measure(&world),
--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 
 /// One way between two hosts, with the work at both ends.
-const WAY_MS: Millis = Millis(4);
+pub const WAY_MS: Millis = Millis(4);
 /// The part of the engines that hold other things than their entries say, because they were ordered to: one of so many.
 const CHANGED_EACH: usize = 100;
 /// At how many moments news begin.
--- a/bench/src/fleet/text.rs
+++ b/bench/src/fleet/text.rs
@@ -6,7 +6,7 @@
 /// A line of the table: its name, and the figure of one size.
 type Line = (&'static str, fn(&Measured) -> f64);
 
-const LINES: [Line; 26] = [
+const LINES: [Line; 30] = [
     ("hosts", |m| m.size.hosts as f64),
     ("engines", |m| m.size.engines as f64),
     ("relays", |m| m.exchange.relays as f64),
@@ -38,6 +38,16 @@
     ("the same, a relay lost, ms", |m| {
         m.exchange.news_after_loss_ms.0 as f64
     }),
+    ("desired state: hosts that read it in the store", |m| {
+        m.desired.store_readers as f64
+    }),
+    ("desired state: bytes", |m| m.desired.bytes as f64),
+    ("desired state: busiest relay, bytes", |m| {
+        m.desired.relay_bytes as f64
+    }),
+    ("desired state: at all hosts, ms", |m| {
+        m.desired.known_ms.0 as f64
+    }),
     ("filling: reads of the store", |m| {
         m.filling.store_reads as f64
     }),
@@ -68,7 +78,7 @@
     let mut text = String::new();
     for (name, figure) in LINES {
         // Writing to a string does not fail.
-        let _ = write!(text, "{name:44}");
+        let _ = write!(text, "{name:48}");
         for measured in measured {
             let _ = write!(text, "{:>12.0}", figure(measured));
         }
--- a/bench/tests/fleet.rs
+++ b/bench/tests/fleet.rs
@@ -27,6 +27,18 @@
     assert!(sites.1.start.longest_message_bytes < 250_000);
 }
 
+/// Guards against reads of each desired state that grow with the hosts.
+#[test]
+fn a_desired_state_is_read_by_relays_and_reaches_all_hosts_in_time() {
+    let sites = sites();
+    let readers = growth(&sites, |site| site.desired.store_readers as f64);
+    assert!(
+        readers < 0.7,
+        "grows with the hosts to the power of {readers}"
+    );
+    assert!(sites.1.desired.known_ms.0 <= 2_000);
+}
+
 /// Guards against hosts that fall behind, and all read the store, while upstreams write their first entries.
 #[test]
 fn a_list_that_is_being_written_passes_through_relays_alone() {
