Hosts that may take the list from a relay read short pages of its changes

Cause: all reads of the store share the bytes that it gives a second, 80 MB here, whatever the size of the site; each host read all rows itself, hosts x rows: 985 x 10,000 x some 200 B are 2 GB. The reads of relays and the orderer waited behind those.

A host that is neither now reads 64 KB of changes; is there more, it looks for a relay, for a second, or until five seconds after its start as for the first list, and reads on in full pages only then. A page that is cut off no longer confirms the table's end (an orderer would have told others that it ends there). Ruled out: longer rests alone, since a later read brings all rows since. Why it holds at twice the size: a short page is constant, the rest comes from relays.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -7,8 +7,10 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::list_copy::{self, ListCopy};
-use crate::entry::platform::{Platform, StoreCall, StoreError, Table, TablePage, TableRow};
-use crate::entry::sources::Sources;
+use crate::entry::platform::{
+    ChangesAsk, PageSize, Platform, StoreCall, StoreError, Table, TablePage, TableRow,
+};
+use crate::entry::sources::{Sources, is_source};
 use crate::entry::table_rows::{
     TableLine, WholeList, put_in_force, take_list, take_row, take_table,
 };
@@ -57,6 +59,8 @@
     was_told: bool,
     /// What was read of the whole table when a page of it failed.
     partial: Option<PartialTable>,
+    /// Whether the last page of changes was cut off before the end of the table.
+    is_cut: bool,
 }
 
 impl Cursor {
@@ -90,12 +94,17 @@
         rested_ms: Millis::ZERO,
         was_told: false,
         partial: None,
+        is_cut: false,
     };
     loop {
         let read = match cursor.next {
             None => begin(&host, &mut cursor, sources.as_ref()).await,
+            Some(from) if cursor.is_cut => go_on(&host, &mut cursor, from, sources.as_ref()).await,
             Some(from) => match wait_until_due(&host, &mut cursor).await {
-                Due::Read => read_changes(&host, &mut cursor, from).await,
+                Due::Read => {
+                    let size = page_size(&host, table, sources.as_ref());
+                    read_changes(&host, &mut cursor, from, size).await
+                }
                 Due::CatchUp => catch_up(&host, &mut cursor, from, sources.as_ref()).await,
                 Due::Nothing => continue,
             },
@@ -103,7 +112,8 @@
         match read {
             Ok(changed) => {
                 note_answer(&mut cursor);
-                if changed && table == Table::Upstreams && !host.is_orderer() {
+                let rests = changed && !cursor.is_cut && !host.is_orderer();
+                if rests && table == Table::Upstreams {
                     cursor.rested_ms = rest_ms(host.settings().bounds.contact_ms);
                     Timer::after(cursor.rested_ms.to_duration()).await;
                 }
@@ -116,6 +126,7 @@
                         error: "",
                     },
                 );
+                cursor.is_cut = false;
                 cursor.lost_from = cursor.next.take();
                 cursor.trims += 1;
                 // A store that has dropped the history again and again is not asked without pause.
@@ -195,11 +206,40 @@
     sources: Option<&Sources>,
 ) -> Result<bool, StoreError> {
     if let Some(sources) = sources
-        && take_from_relay(host, cursor, from, sources).await
+        && take_from_relay(host, cursor, from, sources, Millis::ZERO).await
     {
         return Ok(false);
     }
-    read_changes(host, cursor, from).await
+    let size = page_size(host, cursor.table, sources);
+    read_changes(host, cursor, from, size).await
+}
+
+/// Goes on after a page that was cut off: with the table as a relay has it, else with full pages. All reads share the bytes that
+/// the store gives a second; were hundreds of hosts to read a list that is being written, relays and the orderer would
+/// wait behind them.
+async fn go_on<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    from: Offset,
+    sources: Option<&Sources>,
+) -> Result<bool, StoreError> {
+    if let Some(sources) = sources {
+        let new_for_ms = list_copy::LOOK_MS - host.age_ms(host.now());
+        let look_ms = new_for_ms.max(LOOK_AGAIN_MS);
+        if take_from_relay(host, cursor, from, sources, look_ms).await {
+            return Ok(false);
+        }
+    }
+    read_changes(host, cursor, from, PageSize::Full).await
+}
+
+/// Returns how much a host reads at once that may take the rest from another one.
+fn page_size<P: Platform>(host: &Host<P>, table: Table, sources: Option<&Sources>) -> PageSize {
+    let may_ask = sources.is_some() && !is_source(host);
+    match (table, may_ask) {
+        (Table::Upstreams, true) => PageSize::Short,
+        (Table::Upstreams, false) | (Table::Desired, _) => PageSize::Full,
+    }
 }
 
 /// Returns whether a relay had what is newer than `from`.
@@ -208,12 +248,14 @@
     cursor: &mut Cursor,
     from: Offset,
     sources: &Sources,
+    look_ms: Millis,
 ) -> bool {
     let asked_at = host.now();
     match cursor.table {
         Table::Upstreams => {
-            let copy = list_copy::fetch(host, sources, Some(from), Millis::ZERO).await;
+            let copy = list_copy::fetch(host, sources, Some(from), look_ms).await;
             let Some(copy) = copy else { return false };
+            cursor.is_cut = false;
             take_copy(host, cursor, copy);
         }
         Table::Desired => {
@@ -412,19 +454,28 @@
     host: &Host<P>,
     cursor: &mut Cursor,
     from: Offset,
+    size: PageSize,
 ) -> Result<bool, StoreError> {
     let asked_at = host.now();
-    let wait_ms = next_wait_ms(host, cursor);
-    let read = host
-        .platform
-        .follow_table(cursor.table, from, wait_ms, ANSWER_MS);
-    let TablePage { rows, end, .. } = host.count_call(StoreCall::FollowTable, read).await?;
+    let ask = ChangesAsk {
+        from,
+        wait_ms: next_wait_ms(host, cursor),
+        answer_ms: ANSWER_MS,
+        size,
+    };
+    let read = host.platform.follow_table(cursor.table, ask);
+    let page = host.count_call(StoreCall::FollowTable, read).await?;
+    let TablePage { rows, end, .. } = page;
     cursor.next = Some(end);
+    cursor.is_cut = page.is_cut;
     cursor.trims = 0;
-    host.followed.note_read(cursor.table, asked_at, end);
+    match page.is_cut {
+        true => host.followed.note_part_read(cursor.table, end),
+        false => host.followed.note_read(cursor.table, asked_at, end),
+    }
     if cursor.table == Table::Upstreams {
         host.upstreams.borrow_mut().note_heard(host.now());
-        match host.is_orderer() || host.is_relay() {
+        match is_source(host) {
             true => {
                 let listed = host.upstreams.borrow().count();
                 host.followed.keep_rows(from, &rows, end, listed);
--- a/src/entry/followed.rs
+++ b/src/entry/followed.rs
@@ -146,6 +146,11 @@
         copy.confirmed_at = copy.confirmed_at.max(Some(asked_at));
     }
 
+    /// Takes note of a read that did not reach the end of the table: it goes on at `next`, and what is known is no newer.
+    pub fn note_part_read(&self, table: Table, next: Offset) {
+        self.state.borrow_mut().copy(table).next = Some(next);
+    }
+
     /// Keeps rows of the list of upstreams for the other hosts; `listed` is how many upstreams it has. Rows that do not follow
     /// those kept before replace them.
     pub fn keep_rows(&self, from: Offset, rows: &[TableRow], next: Offset, listed: usize) {
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -137,6 +137,30 @@
     pub end: Offset,
     /// The key to go on after, when there is more.
     pub more_after: Option<Name>,
+    /// Whether the table had more changes than a page of them.
+    pub is_cut: bool,
+}
+
+/// A read of a table's changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangesAsk {
+    /// The first offset.
+    pub from: Offset,
+    /// How long to wait for a change.
+    pub wait_ms: Millis,
+    /// How much longer the answer may take.
+    pub answer_ms: Millis,
+    /// How much of them to return.
+    pub size: PageSize,
+}
+
+/// How many changes a read returns at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageSize {
+    /// As many as the store gives in one answer.
+    Full,
+    /// Some hundred, for a host that takes more than these from another one.
+    Short,
 }
 
 /// Why a call of the store failed.
@@ -248,13 +272,11 @@
         after: Option<&str>,
     ) -> impl Future<Output = Result<TablePage, StoreError>>;
 
-    /// Reads the changes of a table from an offset on, waiting at its end; the answer may take `answer_ms` more.
+    /// Reads the changes of a table from an offset on, waiting at its end.
     fn follow_table(
         &self,
         table: Table,
-        from: Offset,
-        wait_ms: Millis,
-        answer_ms: Millis,
+        ask: ChangesAsk,
     ) -> impl Future<Output = Result<TablePage, StoreError>>;
 
     /// Joins the group of hosts or keeps this one in it. Returns the group's generation.
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -12,6 +12,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Changes in a short page.
+const SHORT_PAGE_ROWS: usize = 50;
+
 /// What the hosts of a test share.
 #[derive(Default)]
 pub struct FakeStore {
@@ -29,6 +32,8 @@
     pub list_pages: Cell<usize>,
     /// How many pages of the list are answered until one is refused.
     pub pages_until_refusal: Cell<Option<usize>>,
+    /// Changes of tables that were read.
+    pub changes_read: Cell<usize>,
     changed: Wakeup,
 }
 
@@ -197,16 +202,16 @@
                 .filter(|row| row.value != RowValue::Removed)
                 .collect(),
             end,
+            is_cut: false,
         })
     }
 
-    async fn follow_table(
-        &self,
-        table: Table,
-        from: Offset,
-        _wait_ms: Millis,
-        _answer_ms: Millis,
-    ) -> Result<TablePage, StoreError> {
+    async fn follow_table(&self, table: Table, ask: ChangesAsk) -> Result<TablePage, StoreError> {
+        let from = ask.from;
+        let most = match ask.size {
+            PageSize::Full => usize::MAX,
+            PageSize::Short => SHORT_PAGE_ROWS,
+        };
         loop {
             let changed = self.0.changed.listen();
             self.0.check()?;
@@ -216,11 +221,16 @@
             let rows = self.0.rows(table);
             let end = Offset(rows.len() as u64);
             if end > from {
-                let rows = rows.into_iter().skip(from.0 as usize).collect();
+                let rows = rows.into_iter().skip(from.0 as usize).take(most);
+                let rows: Vec<TableRow> = rows.collect();
+                let next = Offset(from.0 + rows.len() as u64);
+                let read = self.0.changes_read.get() + rows.len();
+                self.0.changes_read.set(read);
                 return Ok(TablePage {
                     rows,
-                    end,
+                    end: next,
                     more_after: None,
+                    is_cut: next < end,
                 });
             }
             changed.await;
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -141,6 +141,51 @@
     });
 }
 
+/// Guards against hundreds of hosts that each read from the store a list which is being written, before they hear of relays.
+#[test]
+fn a_host_that_nobody_tells_of_a_long_list_reads_a_short_page_and_takes_the_rest_from_its_relay() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let store = pair.asking.platform.0.clone();
+        store.is_down.set(false);
+        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
+        site.executor.spawn(follow).detach();
+        let test = async {
+            until(|| pair.asking.upstreams_known.get()).await;
+            for n in 0..UPSTREAMS {
+                let id = format!("u{n}");
+                store.list(&id, Some(entry(&id, nowhere())));
+            }
+            until(|| pair.asking.upstreams.borrow().count() == UPSTREAMS).await;
+        };
+        pair.shared.run(test).await;
+        assert!(store.changes_read.get() < UPSTREAMS / 10);
+    });
+}
+
+/// Guards against a host that waits for relays which do not have the list.
+#[test]
+fn a_host_whose_relays_have_no_list_reads_on_in_the_store_after_a_short_page() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let store = pair.asking.platform.0.clone();
+        store.is_down.set(false);
+        site.host.upstreams_known.set(false);
+        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
+        site.executor.spawn(follow).detach();
+        let test = async {
+            until(|| pair.asking.upstreams_known.get()).await;
+            for n in 0..UPSTREAMS {
+                let id = format!("u{n}");
+                store.list(&id, Some(entry(&id, nowhere())));
+            }
+            until(|| pair.asking.upstreams.borrow().count() == UPSTREAMS).await;
+        };
+        pair.shared.run(test).await;
+        assert_eq!(store.changes_read.get(), UPSTREAMS);
+    });
+}
+
 #[test]
 fn a_list_that_ends_before_what_is_known_is_not_taken() {
     on_site(|site| async move {
