--- a/bench/src/fleet/filling.rs
+++ b/bench/src/fleet/filling.rs
@@ -13,8 +13,8 @@
 use mangovale::upstreams::Upstream;
 use serde::Serialize;
 
-/// How many rows the platform takes a second, whatever the size.
-const ROWS_PER_S: u64 = 400;
+/// How many rows upstreams write in a second while all of them do, whatever their number.
+const ROWS_PER_S: u64 = 1_300;
 /// The pause between two reads of the orderer.
 const READ_EACH_MS: Millis = Millis(100);
 const TICK_MS: Millis = Millis(10);
