--- a/src/entry/tests/followed.rs
+++ b/src/entry/tests/followed.rs
@@ -1,6 +1,6 @@
 //! What a host may believe of its copies of the tables, whatever is lost, late or out of order.
 
-use crate::entry::followed::{Followed, Next, TablesWord};
+use crate::entry::followed::{Followed, Next, TableEnd, TablesWord};
 use crate::entry::platform::{RowValue, Table, TableRow};
 use crate::prelude::*;
 
@@ -204,6 +204,19 @@
     assert_eq!(next, Next::WaitUntil(Millis(9_890) + WITHIN_MS));
 }
 
+/// Guards against an orderer that says of the middle of a long list that it is the end.
+#[test]
+fn a_page_that_was_cut_off_says_nothing_of_how_new_the_list_is() {
+    let orderer = orderer(Millis(1_000), 0, 5);
+    orderer.note_part_read(Table::Upstreams, Offset(3_000));
+    let end = orderer.end(Millis(4_000), Table::Upstreams);
+    let expected = TableEnd {
+        end: Offset(3_000),
+        age_ms: Millis(3_000),
+    };
+    assert_eq!(end, Some(expected));
+}
+
 /// Guards against relays that keep fewer rows than come between two messages while upstreams write their first entries.
 #[test]
 fn the_rows_of_a_list_that_is_being_written_are_passed_on() {
