--- a/bench/src/fleet/filling.rs
+++ b/bench/src/fleet/filling.rs
@@ -7,6 +7,7 @@
 use crate::fleet::exchange::{bytes, interval_ms};
 use crate::fleet::world::World;
 use mangovale::entry::followed::{Followed, Next, TablesWord};
+use mangovale::entry::peers::CALL_MS;
 use mangovale::entry::platform::{RowValue, Table, TableRow};
 use mangovale::group::Member;
 use mangovale::prelude::*;
@@ -38,34 +39,36 @@
     pub host_bytes_per_s: f64,
     /// How long after it was written the last row was known to all hosts.
     pub last_row_ms: Millis,
+    /// What hosts asked for beyond their relays when the busiest of these was lost while the list was written.
+    pub beyond_after_loss: usize,
 }
 
 /// Measures the writing of a list; `seed` draws when hosts speak.
 pub fn measure(world: &World, seed: u64) -> Filling {
     let mut site = Site::new(world, seed);
-    let written_at = Millis(site.rows.len() as u64 * 1_000 / ROWS_PER_S);
-    let mut now = Millis::ZERO;
-    while !site.is_known() && now < written_at + GIVE_UP_MS {
-        now += TICK_MS;
-        site.step(now);
-    }
+    let now = site.run(None);
+    let mut disturbed = Site::new(world, seed);
+    disturbed.run(site.busiest_relay());
     let per_s = |bytes: usize| bytes as f64 * 1_000.0 / now.0 as f64;
-    let busiest = site.relays.iter().map(|relay| relay.sent_bytes).max();
     Filling {
         store_reads: site.count(|host| host.store_reads),
         whole_lists: site.count(|host| host.whole_lists),
         longest_message_rows: site.longest_message_rows,
-        relay_bytes_per_s: per_s(busiest.unwrap_or(0)),
+        relay_bytes_per_s: per_s(
+            site.busiest_relay()
+                .map_or(0, |at| site.relays[at].sent_bytes),
+        ),
         host_bytes_per_s: per_s(site.sent_to_hosts_bytes) / site.others.len().max(1) as f64,
-        last_row_ms: now.since(written_at),
+        last_row_ms: now.since(site.written_at()),
+        beyond_after_loss: disturbed.count(|host| host.store_reads + host.whole_lists),
     }
 }
 
 /// A host other than the orderer.
 struct Asking {
     followed: Followed,
-    /// Which relay it asks; nothing when it asks the orderer.
-    relay: Option<usize>,
+    /// The relays that it asks in turn; none when it asks the orderer.
+    relays: Vec<usize>,
     asks_at: Millis,
     interval_ms: Millis,
     store_reads: usize,
@@ -74,11 +77,11 @@
 }
 
 impl Asking {
-    fn new(world: &World, relay: Option<usize>, random: &mut fastrand::Rng) -> Self {
-        let interval_ms = interval_ms(world, relay.is_none());
+    fn new(world: &World, relays: Vec<usize>, random: &mut fastrand::Rng) -> Self {
+        let interval_ms = interval_ms(world, relays.is_empty());
         Self {
             followed: empty_list(),
-            relay,
+            relays,
             asks_at: Millis(random.u64(0..interval_ms.0)),
             interval_ms,
             store_reads: 0,
@@ -147,9 +150,11 @@
     fn new(world: &World, seed: u64) -> Self {
         let mut random = fastrand::Rng::with_seed(seed);
         let relays: Vec<u64> = world.relays().map(|relay| relay.incarnation).collect();
-        let place = |host: &Member| {
-            let first = world.relays_of(host).first()?.incarnation;
-            relays.iter().position(|relay| *relay == first)
+        let places = |host: &Member| -> Vec<usize> {
+            let asked = world.relays_of(host).into_iter();
+            asked
+                .filter_map(|relay| relays.iter().position(|own| *own == relay.incarnation))
+                .collect()
         };
         let is_other = |host: &&Member| !world.tree.is_relay(host.incarnation);
         let others = world.hosts.iter().filter(is_other);
@@ -158,17 +163,55 @@
             orderer: empty_list(),
             read_rows: 0,
             others: others
-                .map(|host| Asking::new(world, place(host), &mut random))
+                .map(|host| Asking::new(world, places(host), &mut random))
                 .collect(),
             relays: relays
                 .iter()
-                .map(|_| Asking::new(world, None, &mut random))
+                .map(|_| Asking::new(world, Vec::new(), &mut random))
                 .collect(),
             sent_to_hosts_bytes: 0,
             longest_message_rows: 0,
         }
     }
 
+    /// Runs until all hosts know the list. A relay is lost when half of it is written. Returns when it ended.
+    fn run(&mut self, lost: Option<usize>) -> Millis {
+        let written_at = self.written_at();
+        let lost_at = Millis(written_at.0 / 2);
+        let mut now = Millis::ZERO;
+        while !self.is_known() && now < written_at + GIVE_UP_MS {
+            now += TICK_MS;
+            let lost = lost.filter(|_| now >= lost_at);
+            if let Some(lost) = lost {
+                self.lose(lost);
+            }
+            self.step(now);
+        }
+        now
+    }
+
+    fn written_at(&self) -> Millis {
+        Millis(self.rows.len() as u64 * 1_000 / ROWS_PER_S)
+    }
+
+    fn busiest_relay(&self) -> Option<usize> {
+        (0..self.relays.len()).max_by_key(|at| self.relays[*at].sent_bytes)
+    }
+
+    /// Hosts find that a relay is lost when a call of it ends without an answer, and go on to the next.
+    fn lose(&mut self, lost: usize) {
+        for host in &mut self.others {
+            if host.relays.first() == Some(&lost) {
+                host.relays.remove(0);
+                host.asks_at += CALL_MS;
+            }
+        }
+        // Nobody waits for the lost relay itself.
+        let end = Offset(self.rows.len() as u64);
+        let followed = &self.relays[lost].followed;
+        followed.note_read(Table::Upstreams, Millis::ZERO, end);
+    }
+
     fn hosts(&self) -> impl Iterator<Item = &Asking> {
         self.relays.iter().chain(&self.others)
     }
@@ -197,13 +240,13 @@
                 continue;
             }
             let wants_from = host.followed.wants_from();
-            let told = match host.relay {
-                Some(relay) => self.relays[relay].followed.word(now, wants_from),
+            let told = match host.relays.first() {
+                Some(relay) => self.relays[*relay].followed.word(now, wants_from),
                 None => self.orderer.word(now, wants_from),
             };
             let told_bytes = bytes(&told);
-            if let Some(relay) = host.relay {
-                self.relays[relay].sent_bytes += told_bytes;
+            if let Some(relay) = host.relays.first() {
+                self.relays[*relay].sent_bytes += told_bytes;
             }
             self.sent_to_hosts_bytes += told_bytes;
             self.longest_message_rows = self.longest_message_rows.max(told.rows.len());
--- a/bench/src/fleet/text.rs
+++ b/bench/src/fleet/text.rs
@@ -6,7 +6,7 @@
 /// A line of the table: its name, and the figure of one size.
 type Line = (&'static str, fn(&Measured) -> f64);
 
-const LINES: [Line; 30] = [
+const LINES: [Line; 31] = [
     ("hosts", |m| m.size.hosts as f64),
     ("engines", |m| m.size.engines as f64),
     ("relays", |m| m.exchange.relays as f64),
@@ -66,6 +66,9 @@
     ("filling: last row at all hosts, ms", |m| {
         m.filling.last_row_ms.0 as f64
     }),
+    ("filling: lists and reads after a relay's loss", |m| {
+        m.filling.beyond_after_loss as f64
+    }),
     ("plan: engines looked at, nothing to order", |m| {
         m.plan.idle_looks as f64
     }),
--- a/bench/tests/fleet.rs
+++ b/bench/tests/fleet.rs
@@ -1,14 +1,17 @@
 //! What must not grow with the fleet, or not as fast, at sizes that are measured in a moment.
 
 use mangovale_bench::fleet::{Measured, Size, exponent, measure};
+use std::sync::OnceLock;
 
 const SMALL: usize = 60;
 const LARGE: usize = 480;
 const SEED: u64 = 1;
 
-fn sites() -> (Measured, Measured) {
+/// Both sizes, measured once for all tests.
+fn sites() -> &'static (Measured, Measured) {
+    static SITES: OnceLock<(Measured, Measured)> = OnceLock::new();
     let at = |hosts| measure(Size::of_hosts(hosts), SEED);
-    (at(SMALL), at(LARGE))
+    SITES.get_or_init(|| (at(SMALL), at(LARGE)))
 }
 
 fn growth(sites: &(Measured, Measured), figure: impl Fn(&Measured) -> f64) -> f64 {
@@ -19,7 +22,7 @@
 #[test]
 fn few_hosts_read_the_list_from_the_store() {
     let sites = sites();
-    let readers = growth(&sites, |site| site.start.store_readers as f64);
+    let readers = growth(sites, |site| site.start.store_readers as f64);
     assert!(
         readers < 0.7,
         "grows with the hosts to the power of {readers}"
@@ -31,7 +34,7 @@
 #[test]
 fn a_desired_state_is_read_by_relays_and_reaches_all_hosts_in_time() {
     let sites = sites();
-    let readers = growth(&sites, |site| site.desired.store_readers as f64);
+    let readers = growth(sites, |site| site.desired.store_readers as f64);
     assert!(
         readers < 0.7,
         "grows with the hosts to the power of {readers}"
@@ -46,6 +49,7 @@
     for site in [small, large] {
         assert_eq!(site.filling.store_reads, 0);
         assert_eq!(site.filling.whole_lists, 0);
+        assert_eq!(site.filling.beyond_after_loss, 0);
         assert!(site.filling.last_row_ms.0 <= 1_500);
     }
 }
@@ -62,10 +66,10 @@
 #[test]
 fn messages_at_the_orderer_and_at_relays_stay_as_many() {
     let sites = sites();
-    let (_, large) = &sites;
+    let (_, large) = sites;
     assert!(large.exchange.orderer_messages_per_s <= 100.0);
     assert!(large.exchange.relay_messages_per_s <= 150.0);
-    let bytes = growth(&sites, |site| site.exchange.orderer_bytes_per_s);
+    let bytes = growth(sites, |site| site.exchange.orderer_bytes_per_s);
     assert!(bytes < 0.6, "grows with the hosts to the power of {bytes}");
 }
 
