mangovale logs: questions to the log lines of many hosts

The story of a request, who ordered when and for how long nobody did, refusals by cause over time, what organisations asked, and how long a desired state takes to all hosts. Input is bounded; what is no event is passed over and counted.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 pub mod edit;
 pub mod exit;
 pub mod keys;
+pub mod logs;
 pub mod options;
 pub mod render;
 pub mod replay;
@@ -40,6 +41,7 @@
         Command::Trace(options) => wait(view::trace(&options)),
         Command::Replay(options) => replay::replay(&options),
         Command::Errors(options) => view::errors(&options),
+        Command::Logs(options) => logs::logs(&options),
     }
 }
 
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -42,6 +42,8 @@
     Replay(ReplayOptions),
     /// Prints the error kinds.
     Errors(ErrorsOptions),
+    /// Answers questions from log lines.
+    Logs(LogsOptions),
 }
 
 /// Make the fleet's key, certificates for hosts, tokens for operators, and API keys for brands.
@@ -335,3 +337,100 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Answer a question from the log lines of many entry hosts.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "logs",
+    example = "{command_name} refusals entry-1.log entry-2.log",
+    note = "A line's host is what stands before its JSON object, else the name of its file. Without files it reads standard input."
+)]
+pub struct LogsOptions {
+    /// print one JSON object a line
+    #[argh(switch)]
+    pub json: bool,
+    /// the question
+    #[argh(subcommand)]
+    pub question: LogsQuestion,
+}
+
+impl LogsOptions {
+    /// Returns the files to read.
+    pub fn files(&self) -> Vec<PathBuf> {
+        match &self.question {
+            LogsQuestion::Request(question) => question.files.clone(),
+            LogsQuestion::Leases(question) => question.files.clone(),
+            LogsQuestion::Refusals(question) => question.files.clone(),
+            LogsQuestion::Organisations(question) => question.files.clone(),
+            LogsQuestion::Spread(question) => question.files.clone(),
+        }
+    }
+}
+
+/// The questions.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum LogsQuestion {
+    /// The story of a request.
+    Request(RequestQuestion),
+    /// Who ordered when.
+    Leases(LeasesQuestion),
+    /// Refusals by cause.
+    Refusals(RefusalsQuestion),
+    /// What organisations asked.
+    Organisations(OrganisationsQuestion),
+    /// The way of desired states.
+    Spread(SpreadQuestion),
+}
+
+/// Print all lines about a request, in the order of their times.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "request")]
+pub struct RequestQuestion {
+    /// the request's id
+    #[argh(positional)]
+    pub id: String,
+    /// the files
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Print which hosts ordered loads, from when to when.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "leases")]
+pub struct LeasesQuestion {
+    /// the files
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Print requests that were not answered, by cause over time.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "refusals")]
+pub struct RefusalsQuestion {
+    /// the seconds of one row, 1 by default
+    #[argh(option, default = "1")]
+    pub seconds: u32,
+    /// the files
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Print what each organisation asked, and what became of it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "organisations")]
+pub struct OrganisationsQuestion {
+    /// the files
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Print how long each desired state took to all hosts.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "spread")]
+pub struct SpreadQuestion {
+    /// the files
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http1;
 pub mod idempotency;
 pub mod identity;
+pub mod logs;
 pub mod membership;
 pub mod ordering;
 mod pairs;
--- /dev/null
+++ b/src/logs/tests.rs
@@ -0,0 +1,183 @@
+//! Questions that are answered from log lines.
+
+use crate::logs::leases::holdings;
+use crate::logs::organisations::asked;
+use crate::logs::refusals::spans;
+use crate::logs::spread::spreads;
+use crate::logs::{Lines, LogLine};
+use crate::prelude::*;
+use crate::test_support::seeded;
+
+fn read(text: &str) -> Lines {
+    let mut lines = Lines::default();
+    let source = Name::from("entry");
+    lines
+        .read(&mut text.as_bytes(), &source, |_| true)
+        .expect("memory is read");
+    lines.sort();
+    lines
+}
+
+fn line(host: &str, at: u64, event: LogEvent, more: &str) -> String {
+    let number = event as u16;
+    let name = format!("{event:?}");
+    let more = match more.is_empty() {
+        true => String::new(),
+        false => format!(",{more}"),
+    };
+    format!(
+        "{host} {{\"at_unix_ms\":{at},\"level\":\"INFO\",\"event\":{number},\"name\":\"{name}\"{more}}}\n"
+    )
+}
+
+#[test]
+fn a_line_names_its_host_or_comes_from_its_file() {
+    let own = line("", 5, LogEvent::Started, "");
+    let lines = read(&format!(
+        "{}{own}",
+        line("day 1.5 host-7", 9, LogEvent::Started, "")
+    ));
+    let hosts: Vec<&str> = lines.lines.iter().map(|line| &*line.host).collect();
+    assert_eq!(hosts, ["entry", "host-7"]);
+}
+
+/// Guards against a log that cannot be read for one line that was cut off, is too long or is another program's.
+#[test]
+fn what_is_no_event_is_passed_over_and_counted() {
+    let whole = line("h", 1, LogEvent::Started, "");
+    let long = format!("{{\"event\":\"{}\"}}\n", "x".repeat(2 << 20));
+    let lines = read(&format!("{}\nwarning: disk\n\n{long}{whole}", &whole[..30]));
+    assert_eq!((lines.lines.len(), lines.passed_over), (1, 3));
+}
+
+#[test]
+fn any_bytes_are_read_without_a_panic() {
+    let outcomes = seeded(200, |random| {
+        let bytes: Vec<u8> = random.arbitrary()?;
+        let mut lines = Lines::default();
+        let read = lines.read(&mut bytes.as_slice(), &Name::from("x"), |_| true);
+        Ok(read.is_ok())
+    });
+    assert!(outcomes.into_iter().all(|is_read| is_read));
+}
+
+#[test]
+fn holdings_have_their_ends_and_the_time_without_one() {
+    let text = [
+        line("a", 1_000, LogEvent::LeaseTaken, ""),
+        line("c", 1_400, LogEvent::OrdererChanged, "\"orderer\":\"a\""),
+        line("c", 1_500, LogEvent::OrdererChanged, "\"orderer\":\"a\""),
+        line("a", 4_000, LogEvent::LeaseEnded, "\"why\":\"stop\""),
+        line("b", 4_300, LogEvent::LeaseTaken, ""),
+    ];
+    let holdings = holdings(&read(&text.concat()).lines);
+    let [first, second] = holdings.as_slice() else {
+        panic!("{holdings:?}");
+    };
+    let end = first.until.as_ref().expect("it ended");
+    assert_eq!((end.at_unix_ms, &*end.why), (Millis(4_000), "stop"));
+    assert_eq!((first.gap_ms, first.heard_by), (None, 1));
+    assert_eq!((&*second.host, second.gap_ms), ("b", Some(Millis(300))));
+    assert!(second.until.is_none());
+}
+
+#[test]
+fn refusals_are_counted_by_cause_and_second() {
+    let refused = |at, why: &str| {
+        let more = format!("\"request\":\"r\",\"status\":503,\"why\":\"{why}\"");
+        line("a", at, LogEvent::RequestRefused, &more)
+    };
+    let text = [
+        refused(1_100, "starting"),
+        refused(1_200, "overloaded"),
+        refused(1_900, "overloaded"),
+        line("b", 1_950, LogEvent::RequestAnswered, "\"request\":\"s\""),
+        line("b", 3_000, LogEvent::CallerGone, "\"request\":\"t\""),
+    ];
+    let spans = spans(&read(&text.concat()).lines, Millis(1_000));
+    let causes = |n: usize| -> Vec<(String, usize)> {
+        let causes = spans[n].causes.iter();
+        causes
+            .map(|(cause, count)| (cause.to_string(), *count))
+            .collect()
+    };
+    assert_eq!(spans.len(), 2);
+    assert_eq!(
+        (spans[0].from_unix_ms, spans[0].answered),
+        (Millis(1_000), 1)
+    );
+    let expected = [
+        ("503 overloaded".to_string(), 2),
+        ("503 starting".to_string(), 1),
+    ];
+    assert_eq!(causes(0), expected);
+    assert_eq!(causes(1), [("0 caller gone".to_string(), 1)]);
+}
+
+#[test]
+fn organisations_are_told_apart_by_what_became_of_their_requests() {
+    let of = |host: &str, event, name: &str, why: &str| {
+        let more = format!(
+            "\"organisation\":\"{name}\",\"prompt_tokens\":10,\"status\":429,\"why\":\"{why}\""
+        );
+        line(host, 1, event, &more)
+    };
+    let text = [
+        of("a", LogEvent::RequestAnswered, "north", ""),
+        of("b", LogEvent::RequestAnswered, "north", ""),
+        of("b", LogEvent::RequestRefused, "north", "rate_limited"),
+        of("b", LogEvent::RequestRefused, "south", "starting"),
+        line("b", 1, LogEvent::RequestAnswered, "\"request\":\"r\""),
+    ];
+    let asked = asked(&read(&text.concat()).lines);
+    let names: Vec<&str> = asked.keys().map(|name| &**name).collect();
+    assert_eq!(names, ["north", "south"]);
+    let north = &asked["north"];
+    assert_eq!((north.answered, north.prompt_tokens), (2, 20));
+    assert_eq!((north.limited, north.others, north.hosts), (1, 0, 2));
+    assert_eq!(asked["south"].others, 1);
+}
+
+/// Guards against a host that started late, or skipped a version, and counts as one that got it late.
+#[test]
+fn the_way_of_a_version_ends_with_the_last_host_that_had_it_or_a_newer_one() {
+    let taken = |host: &str, at, version: u64| {
+        line(
+            host,
+            at,
+            LogEvent::DesiredTaken,
+            &format!("\"version\":{version}"),
+        )
+    };
+    let text = [
+        line("a", 0, LogEvent::Started, ""),
+        taken("a", 1_000, 4),
+        taken("b", 1_100, 4),
+        line("silent", 1_200, LogEvent::Started, ""),
+        taken("a", 2_000, 5),
+        taken("a", 2_500, 6),
+        taken("b", 2_900, 6),
+        line("late", 9_000, LogEvent::Started, ""),
+        taken("late", 9_200, 6),
+    ];
+    let ways = spreads(&read(&text.concat()).lines);
+    let versions: Vec<u64> = ways.iter().map(|way| way.version).collect();
+    assert_eq!(versions, [4, 5, 6]);
+    let fifth = &ways[1];
+    assert_eq!((fifth.half_ms, fifth.last_ms), (Millis(200), Millis(900)));
+    assert_eq!((&*fifth.last_host, fifth.hosts, fifth.lacking), ("b", 3, 1));
+}
+
+#[test]
+fn an_end_line_of_a_request_is_read_with_all_that_questions_need() {
+    let more = "\"request\":\"r1\",\"organisation\":null,\"status\":404,\"why\":\"not_found\",\"sends\":[]";
+    let lines = read(&line("a", 7, LogEvent::RequestRefused, more));
+    let [line]: &[LogLine] = lines.lines.as_slice() else {
+        panic!("{lines:?}");
+    };
+    assert!(line.is_end());
+    assert_eq!(
+        (line.request.as_deref(), line.status),
+        (Some("r1"), Some(404))
+    );
+}
