--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -255,7 +255,6 @@
         Table::Upstreams => {
             let copy = list_copy::fetch(host, sources, Some(from), look_ms).await;
             let Some(copy) = copy else { return false };
-            cursor.is_cut = false;
             take_copy(host, cursor, copy);
         }
         Table::Desired => {
@@ -264,6 +263,7 @@
             take_desired_copy(host, cursor, asked_at, copy);
         }
     }
+    cursor.is_cut = false;
     true
 }
 
