--- a/bench/src/fleet/filling.rs
+++ b/bench/src/fleet/filling.rs
@@ -1,8 +1,8 @@
-//! A list of upstreams that is empty when all hosts start, and written by some hundred rows a second: what passes through relays, what
-//! hosts ask for beyond it, and how long the last row takes to all of them.
+//! A list of upstreams that is empty when all hosts start, and written by some thousand rows a second: what passes
+//! through relays, what hosts ask for beyond it, and how long the last row takes to all of them.
 //!
-//! Answers the pattern of a site whose upstreams all write their first entry after the hosts started: rows then come for longer, and
-//! more of them between two messages, the larger the site is.
+//! Answers the pattern of a site whose upstreams all write their first entry after the hosts started: the larger the
+//! site is, the longer rows come.
 
 use crate::fleet::exchange::{bytes, interval_ms};
 use crate::fleet::world::World;
--- a/src/entry/sources.rs
+++ b/src/entry/sources.rs
@@ -17,8 +17,8 @@
 }
 
 impl Sources {
-    /// Returns the relays that may have what this host lacks, none while they would refuse it; nothing when it reads the store itself, since it orders or relays,
-    /// or the site has no relays.
+    /// Returns the relays that may have what this host lacks, none while they would refuse it; nothing when it reads the
+    /// store itself, since it orders or relays, or the site has no relays.
     pub fn relays<P: Platform>(&self, host: &Host<P>) -> Option<Vec<Member>> {
         if host.is_orderer() || host.is_relay() {
             return None;
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -2,7 +2,7 @@
 
 use super::fake_platform::FakePlatform;
 use super::relay_pair::{Pair, UPSTREAMS, nowhere, until};
-use super::site::{as_member, entry, on_site};
+use super::site::{Site, as_member, entry, on_site};
 use crate::entry::follow::follow;
 use crate::entry::followed::{TableEnd, TablesWord, UpstreamRow};
 use crate::entry::host::Host;
@@ -13,6 +13,25 @@
 use crate::prelude::*;
 use crate::test_support::member;
 
+/// Follows a list that is written after the host took it as empty, until the host has it whole. Returns how many changes
+/// were read from the store.
+async fn follow_a_list_that_is_written(site: &Site, pair: &Pair) -> usize {
+    let store = pair.asking.platform.0.clone();
+    store.is_down.set(false);
+    let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
+    site.executor.spawn(follow).detach();
+    let test = async {
+        until(|| pair.asking.upstreams_known.get()).await;
+        for n in 0..UPSTREAMS {
+            let id = format!("u{n}");
+            store.list(&id, Some(entry(&id, nowhere())));
+        }
+        until(|| pair.asking.upstreams.borrow().count() == UPSTREAMS).await;
+    };
+    pair.shared.run(test).await;
+    store.changes_read.get()
+}
+
 /// Guards against a read of the whole list from the store by every host that starts.
 #[test]
 fn a_host_that_starts_takes_the_list_from_its_relay_and_not_from_the_store() {
@@ -146,20 +165,8 @@
 fn a_host_that_nobody_tells_of_a_long_list_reads_a_short_page_and_takes_the_rest_from_its_relay() {
     on_site(|site| async move {
         let pair = Pair::new(&site).await;
-        let store = pair.asking.platform.0.clone();
-        store.is_down.set(false);
-        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
-        site.executor.spawn(follow).detach();
-        let test = async {
-            until(|| pair.asking.upstreams_known.get()).await;
-            for n in 0..UPSTREAMS {
-                let id = format!("u{n}");
-                store.list(&id, Some(entry(&id, nowhere())));
-            }
-            until(|| pair.asking.upstreams.borrow().count() == UPSTREAMS).await;
-        };
-        pair.shared.run(test).await;
-        assert!(store.changes_read.get() < UPSTREAMS / 10);
+        let changes_read = follow_a_list_that_is_written(&site, &pair).await;
+        assert!(changes_read < UPSTREAMS / 10);
     });
 }
 
@@ -168,21 +175,9 @@
 fn a_host_whose_relays_have_no_list_reads_on_in_the_store_after_a_short_page() {
     on_site(|site| async move {
         let pair = Pair::new(&site).await;
-        let store = pair.asking.platform.0.clone();
-        store.is_down.set(false);
         site.host.upstreams_known.set(false);
-        let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
-        site.executor.spawn(follow).detach();
-        let test = async {
-            until(|| pair.asking.upstreams_known.get()).await;
-            for n in 0..UPSTREAMS {
-                let id = format!("u{n}");
-                store.list(&id, Some(entry(&id, nowhere())));
-            }
-            until(|| pair.asking.upstreams.borrow().count() == UPSTREAMS).await;
-        };
-        pair.shared.run(test).await;
-        assert_eq!(store.changes_read.get(), UPSTREAMS);
+        let changes_read = follow_a_list_that_is_written(&site, &pair).await;
+        assert_eq!(changes_read, UPSTREAMS);
     });
 }
 
