A host that the group does not list yet neither leads the search for the lease nor claims it

Cause by reading, not by trace: every unlisted host was a first candidate for the lease, so 985 hosts read it twice a second and would claim it at once, 4 ms an append in turn; and one that takes it is refused by the others. That rule was made for the first hosts of a site; it holds now only while nobody is listed.

--- a/src/entry/lease_keeper.rs
+++ b/src/entry/lease_keeper.rs
@@ -287,7 +287,8 @@
         orders.lease.note_read(asked_at, read.end, newest);
         orders.note_lease_known();
         note_orderer(host, &mut orders);
-        let yields = asked_at < orders.yields_until;
+        // The others would refuse a holder that is not listed.
+        let yields = asked_at < orders.yields_until || host.is_unknown_to_others(me);
         orders.lease.may_claim(asked_at).filter(|_| !yields)
     };
     let Some(end) = claim_end else { return Ok(()) };
--- a/src/ordering/lease.rs
+++ b/src/ordering/lease.rs
@@ -26,14 +26,14 @@
 const CANDIDATES: usize = 3;
 
 /// Tells whether a host is one of the first candidates for the lease among the members: those with the most processor,
-/// since planning for a hundred engines keeps an eighth of a core busy. A host that is not listed yet is one too, so that
-/// the first hosts of a site need not wait for a list.
+/// since planning for a hundred engines keeps an eighth of a core busy. A host that is not listed yet is none, since hundreds of
+/// them may start at once, unless nobody is listed.
 pub fn is_candidate<'a>(own: &Member, members: impl Iterator<Item = &'a Member> + Clone) -> bool {
-    let is_listed = members
-        .clone()
-        .any(|other| other.incarnation == own.incarnation);
+    let mut all = members.clone().peekable();
+    let is_first = all.peek().is_none();
+    let is_listed = all.any(|other| other.incarnation == own.incarnation);
     let before = members.filter(|other| other.rank() < own.rank()).count();
-    !is_listed || before < CANDIDATES
+    is_first || (is_listed && before < CANDIDATES)
 }
 
 /// A record of the stream.
