Hosts that are not listed hold back only where hundreds may be: in a group that begins or is large

Cause from the logs: after the closing kill of all 73 hosts half of them read the group half a second later (36.25 s instead of 35.75 s), went by their own share of the limits meanwhile, and refused 238 instead of 41 requests in that second. A group of 2 to 200 names is read and asked by them as before; the fleet's start, with one name and then 301, is decided as before. Ruled out: renewals twice as often, which cost the store calls.

--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -11,6 +11,7 @@
 use crate::entry::settings::EntrySettings;
 use crate::entry::stop::ACCEPT_ON_MS;
 use crate::group::parents::{Parents, STALE_MS};
+use crate::group::reading::is_begun_or_large;
 use crate::group::{Member, Members, Tree};
 use crate::http1::client::within;
 use crate::ordering::gather::Gather;
@@ -199,12 +200,13 @@
         answered_at.is_some_and(|at| now.since(at) < STALE_MS)
     }
 
-    /// Tells whether the others would refuse this host's calls: the group does not list it yet. A host that was listed once is
-    /// heard on the connections that it has, also after the group dropped it.
+    /// Tells whether the others would refuse this host's calls, and those of hundreds like it: the group does not list it yet. A
+    /// host that was listed once is heard on the connections that it has, also after the group dropped it.
     pub fn is_unknown_to_others(&self, me: &Member) -> bool {
         let members = self.members.borrow();
         let was_heard = self.view.borrow().answered_at.is_some();
-        members.known_at().is_some() && !members.lists(me) && !was_heard
+        let may_be_many = is_begun_or_large(members.count());
+        members.known_at().is_some() && may_be_many && !members.lists(me) && !was_heard
     }
 
     /// Tells whether callers do well to come here.
--- a/src/group/reading.rs
+++ b/src/group/reading.rs
@@ -20,6 +20,8 @@
 /// For how many listed hosts a read may come after [`SOON_READ_MS`]; with more it waits longer in proportion, up to the time
 /// after which processes before the listed ones have lapsed.
 const SOON_READ_HOSTS: usize = 100;
+/// Up to so many listed hosts, those that are not listed do no harm when all of them ask others and read the group.
+const FEW_HOSTS: usize = 200;
 
 /// What decides about a read of a group that has changed.
 #[derive(Clone, Copy, Debug)]
@@ -71,14 +73,20 @@
     }
 
     fn alone_read_ms(&self) -> Millis {
-        match (self.is_listed, self.is_new) {
-            (false, _) => UNLISTED_READ_MS,
-            (true, true) => soon_read_ms(self.listed),
-            (true, false) => READ_MS,
+        let holds_back = !self.is_listed && is_begun_or_large(self.listed);
+        match (holds_back, self.is_new) {
+            (true, _) => UNLISTED_READ_MS,
+            (false, true) => soon_read_ms(self.listed),
+            (false, false) => READ_MS,
         }
     }
 }
 
+/// Tells whether hundreds of hosts may not be listed yet beside these: the group has just its first host, or is large.
+pub fn is_begun_or_large(listed: usize) -> bool {
+    listed <= 1 || listed > FEW_HOSTS
+}
+
 /// Returns how soon after its last read a host reads a group of so many hosts that it wants soon.
 pub fn soon_read_ms(listed: usize) -> Millis {
     let hundreds = listed.div_ceil(SOON_READ_HOSTS).max(1) as u64;
--- a/src/group/tests/reading.rs
+++ b/src/group/tests/reading.rs
@@ -44,6 +44,19 @@
     assert!(first.is_due() && later.is_due());
 }
 
+/// Guards against a site of some dozen hosts that takes half a second longer to serve after all were killed.
+#[test]
+fn a_host_that_a_small_group_does_not_list_reads_it_as_soon_as_one_that_it_lists() {
+    let restarted = |listed| ReadCase {
+        known_ms: Some(Millis(1_000)),
+        listed,
+        is_listed: false,
+        ..starting()
+    };
+    let are_due = [1, 2, 73, 146, 201, 985].map(|listed| restarted(listed).is_due());
+    assert_eq!(are_due, [false, true, true, true, false, false]);
+}
+
 /// Guards against reads of the whole group by relays that refuse hosts which the orderer will tell them of.
 #[test]
 fn a_relay_that_is_told_of_changes_does_not_read_for_each_host_that_it_refused() {
