Log when an upstream says in an answer that it leaves

The platform's header Server-Leaving is read on every answer, also one to an earlier request and one whose body breaks off, and recorded for the upstream's lifetime; the first one is event 601. Nothing uses the record yet: it tells a host that was told nothing from one that was told and did not act.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -3,11 +3,13 @@
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::host::Host;
 use crate::entry::in_flight::InFlight;
+use crate::entry::notices;
 use crate::entry::platform::Platform;
 use crate::entry::pool::UpstreamConnection;
 use crate::http1::client::MAX_HEAD_BYTES;
 use crate::http1::{BodyReader, Framing, Headers, ReadError, ResponseHead};
 use crate::routing::roles::is_long;
+use crate::upstreams::Lifetime;
 
 /// Answers up to this length are read completely before the caller gets their first byte, so that
 /// one that breaks off can be replaced by another attempt.
@@ -36,13 +38,14 @@
 pub async fn exchange<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
+    upstream: &Lifetime,
     connection: &mut UpstreamConnection,
     headers: Headers,
     in_flight: &mut InFlight,
 ) -> Result<Exchanged, ReadError> {
     let bytes = request_bytes(request, &headers);
     write_request(connection, &bytes).await?;
-    let head = read_matching_head(host, request, connection).await?;
+    let head = read_matching_head(host, request, upstream, connection).await?;
     let mut reader = BodyReader::new(head.framing);
     let mut body_start = Vec::new();
     if let Some(piece) = reader.next(&mut connection.io).await? {
@@ -123,10 +126,12 @@
 }
 
 /// Reads answers until the head of the one that carries this request's id. Late or extra answers to
-/// earlier requests on the connection are read and discarded.
+/// earlier requests on the connection are read and discarded. What any of them states about the
+/// upstream is recorded.
 async fn read_matching_head<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
+    upstream: &Lifetime,
     connection: &mut UpstreamConnection,
 ) -> Result<ResponseHead, ReadError> {
     let is_head_request = &*request.head.method == "HEAD";
@@ -135,10 +140,11 @@
             .io
             .read_response_head(MAX_HEAD_BYTES, is_head_request)
             .await?;
+        let facts = host.platform.read_answer(&head, &upstream.id);
+        notices::note_answer(host, upstream, facts.notice);
         if (100..200).contains(&head.status) {
             continue;
         }
-        let facts = host.platform.read_answer(&head, "");
         let is_own = facts.request_id.is_none() || facts.request_id == request.facts.id;
         if is_own {
             return Ok(head);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 pub mod list_copy;
 pub mod members;
 pub mod metrics;
+pub mod notices;
 pub mod orderer;
 pub mod peers;
 pub mod platform;
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -6,7 +6,7 @@
 use crate::identity::{Credential, Identity};
 use crate::ordering::message::{EngineReport, Order, OrderAnswer};
 use crate::prelude::*;
-use crate::upstreams::UpstreamEntry;
+use crate::upstreams::{Notice, UpstreamEntry};
 use snafu::Snafu;
 use std::net::SocketAddr;
 
@@ -79,6 +79,8 @@
     pub lacks_model: bool,
     /// How many requests a second the upstream accepts from all hosts together, if it states that.
     pub limit_per_s: Option<f64>,
+    /// What the expected lifetime states about further requests.
+    pub notice: Notice,
 }
 
 /// A query for the addresses of hosts that a caller should use.
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -133,7 +133,14 @@
     if is_long(request.facts.prompt_tokens) {
         host.request_sync();
     }
-    let exchange = exchange(host, request, &mut connection, headers, &mut in_flight);
+    let exchange = exchange(
+        host,
+        request,
+        upstream,
+        &mut connection,
+        headers,
+        &mut in_flight,
+    );
     let left_ms = answer_by.since(host.now());
     let answer = with_timeout(left_ms, exchange).await;
     if let Some(Err(ReadError::Ended | ReadError::Broken { .. })) = &answer {
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -6,7 +6,7 @@
 use crate::identity::{Credential, KeyDigest};
 use crate::ordering::message::{EngineReport, Order, OrderAnswer};
 use crate::prelude::*;
-use crate::upstreams::UpstreamEntry;
+use crate::upstreams::{Notice, UpstreamEntry};
 use event_listener::Event as Wakeup;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -159,6 +159,9 @@
                 .headers
                 .text("Limit")
                 .and_then(|text| text.parse().ok()),
+            notice: Notice {
+                is_leaving: head.headers.bytes("Leaving").is_some(),
+            },
         }
     }
 
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -101,7 +101,7 @@
     ReportFailed = 515,
     /// An upstream was registered.
     UpstreamRegistered = 600,
-    /// An upstream announced that it is leaving.
+    /// An upstream announced that it is leaving, in its list entry or in an answer.
     UpstreamLeaving = 601,
     /// An upstream does not answer or cannot be reached.
     UpstreamSilent = 602,
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod health;
 pub mod index;
+pub mod notice;
 pub mod registry;
 
 #[cfg(test)]
@@ -10,6 +11,7 @@
 
 use crate::prelude::*;
 pub use health::Health;
+pub use notice::{Notice, NoticeChange, Notices};
 pub use registry::{Registry, Upstream};
 use std::net::SocketAddr;
 
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 use crate::upstreams::index::ListIndex;
-use crate::upstreams::{Health, Lifetime, UpstreamEntry};
+use crate::upstreams::{Health, Lifetime, Notices, UpstreamEntry};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -27,6 +27,8 @@
     pub entry: UpstreamEntry,
     /// The results of this host's requests to it.
     pub health: Health,
+    /// What it stated in its answers to this host.
+    pub notices: Notices,
     /// Number of this host's requests in progress there.
     pub in_flight: u32,
     /// Prompt tokens of this host's requests there that are waiting for their first event.
@@ -44,6 +46,7 @@
         Self {
             entry,
             health: Health::default(),
+            notices: Notices::default(),
             in_flight: 0,
             prompt_tokens: 0,
             long_prompts: 0,
