--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod lease_manager;
 mod list_copy;
+mod notices;
 mod organisations;
 mod peers;
 mod relay_pair;
