Send nothing more to an upstream that says in an answer that it leaves

Callers saw requests reach an upstream seconds after its answers had said that it leaves (DRAIN): some were broken off when it ended.

Class: a statement of an upstream is dropped on one of the ways to it. So one record per lifetime decides everywhere: choice, second attempts, resumed streams, requests that wait, the sources of prefixes, the crash check, orders (whose answers, like reports, are read for it too). A request looks once more when its connection is open. A connection goes back to the pool only for the lifetime that it belongs to, so that an upstream that starts again under its name is not taken for the former one.

--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -90,7 +90,7 @@
     };
     note_first_byte(host, request, log);
     let written = out.write_complete(&head, form, &body_start).await;
-    return_to_pool(host, &upstream.id, connection, &head, reader);
+    return_to_pool(host, &upstream, connection, &head, reader);
     match written {
         Ok(()) => RelayOutcome::Complete,
         Err(_) => RelayOutcome::Truncated("the caller's connection broke"),
@@ -138,7 +138,7 @@
                     connection,
                     ..
                 } = *answer;
-                return_to_pool(host, &upstream.id, connection, &head, reader);
+                return_to_pool(host, &upstream, connection, &head, reader);
                 return match ended {
                     Ok(()) => RelayOutcome::Complete,
                     Err(_) => RelayOutcome::Truncated("the caller's connection broke"),
@@ -313,7 +313,7 @@
             connection,
             ..
         } = *answer;
-        return_to_pool(self.host, &upstream.id, connection, &head, reader);
+        return_to_pool(self.host, &upstream, connection, &head, reader);
         match written {
             Ok(()) => RelayOutcome::Complete,
             Err(_) => RelayOutcome::Truncated("the caller's connection broke"),
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -112,7 +112,7 @@
     let published_only = published.filter(|upstream| !upstream.holds(&model.model, None));
     let serving = listing
         .chain(published_only)
-        .filter(move |upstream| &*upstream.entry.service == service && !upstream.entry.leaving);
+        .filter(move |upstream| &*upstream.entry.service == service && !upstream.is_leaving());
     serving.filter(move |upstream| holds(orderer_state, now, upstream, model))
 }
 
--- a/src/entry/crashes.rs
+++ b/src/entry/crashes.rs
@@ -64,7 +64,10 @@
         return;
     }
     match with_timeout(CRASH_CHECK_TIMEOUT_MS, host.pool.open(address)).await {
-        Some(Ok(connection)) => host.pool.keep(host.now(), &upstream.id, connection, None),
+        Some(Ok(connection)) if address_if_staying(host, upstream).is_some() => {
+            host.pool.keep(host.now(), &upstream.id, connection, None);
+        }
+        Some(Ok(_)) => {}
         Some(Err(error)) => note_unreachable(host, upstream, &error),
         None => {}
     }
@@ -74,7 +77,7 @@
 fn address_if_staying<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> Option<SocketAddr> {
     let upstreams = host.upstreams.borrow();
     let known = upstreams.get_lifetime(upstream)?;
-    (!known.entry.leaving).then(|| known.address())
+    (!known.is_leaving()).then(|| known.address())
 }
 
 /// Records that no connection to an upstream can be opened. If the connection is refused, so that
--- a/src/entry/notices.rs
+++ b/src/entry/notices.rs
@@ -14,7 +14,16 @@
     listed: bool,
 }
 
-/// Records what an answer of an upstream states. Changes are logged.
+/// Tells whether an upstream may get new requests: the lifetime is the known one and is not leaving.
+pub fn accepts_requests<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> bool {
+    let registry = host.upstreams.borrow();
+    registry
+        .get_lifetime(upstream)
+        .is_some_and(|known| !known.is_leaving())
+}
+
+/// Records what an answer of an upstream states. An upstream that leaves gets no new requests from
+/// now on, and its idle connections are closed. Changes are logged.
 pub fn note_answer<P: Platform>(host: &Host<P>, upstream: &Lifetime, notice: Notice) {
     let mut registry = host.upstreams.borrow_mut();
     let Some(known) = registry.get_lifetime_mut(upstream) else {
@@ -29,4 +38,6 @@
         listed: known.entry.leaving,
     };
     lines::write(LogEvent::UpstreamLeaving, &line);
+    host.pool.close_idle(&upstream.id);
+    host.note_change();
 }
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -4,7 +4,8 @@
 use crate::desired::{EngineSpec, RouteTable};
 use crate::entry::host::Host;
 use crate::entry::lines;
-use crate::entry::platform::{ModelRef, Platform};
+use crate::entry::notices;
+use crate::entry::platform::{EngineReply, ModelRef, Platform};
 use crate::entry::table_rows;
 use crate::group::Member;
 use crate::http1::client::with_timeout;
@@ -13,13 +14,14 @@
 use crate::ordering::engine_inventory::EngineInventory;
 use crate::ordering::estimates::OrderTiming;
 use crate::ordering::lease::Lease;
-use crate::ordering::message::{Action, Order, OrderAnswer};
+use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::ordering::planner::{PlannedOrder, Planner, load_time};
 use crate::ordering::published::{EngineView, PublishedEngines};
 use crate::ordering::store_load_limiter::StoreLoadLimiter;
 use crate::prelude::*;
 use crate::upstreams::{Lifetime, Registry};
 use smol::{LocalExecutor, Timer};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// How long the orderer waits for new demand before it plans anyway.
@@ -284,13 +286,16 @@
 }
 
 async fn request_report<P: Platform>(host: &Host<P>, id: &Name) {
-    let address = host
-        .upstreams
-        .borrow()
-        .get(id)
-        .map(|upstream| upstream.address());
-    let report = match address {
-        Some(address) => host.platform.report(address, id).await,
+    let known = lifetime_and_address(host, id);
+    let report = match known {
+        Some((lifetime, address)) => {
+            let reply = host.platform.report(address, id).await;
+            if let Ok(report) = &reply.outcome {
+                note_engine_start(host, id, report.born_at);
+            }
+            note_report_notice(host, lifetime, &reply);
+            reply.outcome
+        }
         None => Err("the engine is no longer listed".to_string()),
     };
     if let Err(error) = &report {
@@ -301,9 +306,6 @@
         lines::write(LogEvent::ReportFailed, &line);
     }
     let report = report.ok();
-    if let Some(report) = &report {
-        note_engine_start(host, id, report.born_at);
-    }
     let now = host.now();
     let mut orders = host.orders.borrow_mut();
     let was_known = orders
@@ -351,6 +353,27 @@
     }
 }
 
+fn lifetime_and_address<P: Platform>(host: &Host<P>, id: &str) -> Option<(Lifetime, SocketAddr)> {
+    let upstreams = host.upstreams.borrow();
+    let upstream = upstreams.get(id)?;
+    Some((upstream.lifetime(), upstream.address()))
+}
+
+/// Records what the answer to a read of a report states, for the lifetime that the report names: it
+/// may have started since the read.
+fn note_report_notice<P: Platform>(
+    host: &Host<P>,
+    asked: Lifetime,
+    reply: &EngineReply<Result<EngineReport, String>>,
+) {
+    let reported_at = reply.outcome.as_ref().map(|report| report.born_at);
+    let lifetime = Lifetime {
+        born_at: asked.born_at.max(reported_at.unwrap_or_default()),
+        ..asked
+    };
+    notices::note_answer(host, &lifetime, reply.notice);
+}
+
 /// Records the start time that an engine's report names, since a report may show a restart before
 /// the list of upstreams does.
 fn note_engine_start<P: Platform>(host: &Host<P>, id: &Name, born_at: Millis) {
@@ -467,7 +490,7 @@
     let upstreams = host.upstreams.borrow();
     let excluded = upstreams
         .iter()
-        .filter(|upstream| upstream.entry.leaving || upstream.health.is_backing_off(now));
+        .filter(|upstream| upstream.is_leaving() || upstream.health.is_backing_off(now));
     excluded.map(|upstream| upstream.entry.id.clone()).collect()
 }
 
@@ -497,14 +520,13 @@
             .filter(|_| orders.lease.may_order(sent_at))
             .map(|holding| holding.fence)
     };
-    let address = host
-        .upstreams
-        .borrow()
-        .get(id)
-        .map(|upstream| upstream.address());
-    let answer = match (fence, address) {
-        (Some(fence), Some(address)) => {
-            host.platform.order(address, id, holder, fence, order).await
+    let engine = lifetime_and_address(host, id)
+        .filter(|(lifetime, _)| notices::accepts_requests(host, lifetime));
+    let answer = match (fence, engine) {
+        (Some(fence), Some((lifetime, address))) => {
+            let reply = host.platform.order(address, id, holder, fence, order).await;
+            notices::note_answer(host, &lifetime, reply.notice);
+            reply.outcome
         }
         _ => OrderAnswer::NotSent,
     };
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -83,6 +83,15 @@
     pub notice: Notice,
 }
 
+/// The outcome of a call to an engine, with what the engine's answer states about itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineReply<T> {
+    /// The outcome of the call.
+    pub outcome: T,
+    /// What the called lifetime states about further requests; nothing if there is no answer.
+    pub notice: Notice,
+}
+
 /// A query for the addresses of hosts that a caller should use.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DirectoryQuery {
@@ -330,12 +339,12 @@
         holder: &str,
         fence: u64,
         order: &Order,
-    ) -> impl Future<Output = OrderAnswer>;
+    ) -> impl Future<Output = EngineReply<OrderAnswer>>;
 
     /// Reads the report of the engine `upstream` at an address, or returns why there is none.
     fn report(
         &self,
         address: SocketAddr,
         upstream: &str,
-    ) -> impl Future<Output = Result<EngineReport, String>>;
+    ) -> impl Future<Output = EngineReply<Result<EngineReport, String>>>;
 }
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -7,6 +7,7 @@
 use crate::entry::host::Host;
 use crate::entry::in_flight::InFlight;
 use crate::entry::lines;
+use crate::entry::notices;
 use crate::entry::platform::Platform;
 use crate::entry::pool::UpstreamConnection;
 use crate::entry::upstream_limits;
@@ -124,6 +125,11 @@
         attempt.log("not_sent", None, Some("cannot connect"));
         return SendOutcome::NotSent;
     };
+    // Another request's answer may have changed this since the upstream was chosen.
+    if !notices::accepts_requests(host, upstream) {
+        attempt.log("not_sent", None, Some("it takes no more requests"));
+        return SendOutcome::NotSent;
+    }
     attempt.reused = connection.is_reused;
     let mut in_flight = InFlight::new(
         host.upstreams.clone(),
@@ -178,7 +184,7 @@
                 return SendOutcome::NotRun { lacks_model: false };
             }
             if facts.not_run {
-                return_to_pool(host, &upstream.id, connection, &head, reader);
+                return_to_pool(host, upstream, connection, &head, reader);
                 attempt.log("not_run", status, None);
                 if request.at_engine && !facts.lacks_model {
                     note_full(host, request, upstream, now);
@@ -271,10 +277,11 @@
 }
 
 /// Returns the connection of an answer to the pool if the answer was read to its end and the
-/// connection stays open for further requests; otherwise closes it.
+/// connection stays open for further requests; otherwise closes it. So does one to an upstream that
+/// takes no more requests, or was started again since.
 pub fn return_to_pool<P: Platform>(
     host: &Host<P>,
-    upstream: &Name,
+    upstream: &Lifetime,
     connection: UpstreamConnection,
     head: &ResponseHead,
     reader: BodyReader,
@@ -283,8 +290,12 @@
     if !is_whole || !head.keep_alive || connection.ends_after_answer {
         return;
     }
+    if !notices::accepts_requests(host, upstream) {
+        return;
+    }
     let keep_ms = head.headers.text("keep-alive").and_then(keep_alive_ms);
-    host.pool.keep(host.now(), upstream, connection, keep_ms);
+    host.pool
+        .keep(host.now(), &upstream.id, connection, keep_ms);
 }
 
 /// Returns the idle timeout that a `Keep-Alive` header announces.
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -160,7 +160,7 @@
                 .text("Limit")
                 .and_then(|text| text.parse().ok()),
             notice: Notice {
-                is_leaving: head.headers.bytes("Leaving").is_some(),
+                is_leaving: lifetime.is_none() && head.headers.bytes("Leaving").is_some(),
             },
         }
     }
@@ -290,11 +290,24 @@
         })
     }
 
-    async fn order(&self, _: SocketAddr, _: &str, _: &str, _: u64, _: &Order) -> OrderAnswer {
-        OrderAnswer::Invalid
+    async fn order(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        _: &str,
+        _: u64,
+        _: &Order,
+    ) -> EngineReply<OrderAnswer> {
+        EngineReply {
+            outcome: OrderAnswer::Invalid,
+            notice: Notice::default(),
+        }
     }
 
-    async fn report(&self, _: SocketAddr, _: &str) -> Result<EngineReport, String> {
-        Err("there are no engines".to_string())
+    async fn report(&self, _: SocketAddr, _: &str) -> EngineReply<Result<EngineReport, String>> {
+        EngineReply {
+            outcome: Err("there are no engines".to_string()),
+            notice: Notice::default(),
+        }
     }
 }
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -11,6 +11,7 @@
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use crate::routing::roles::is_long;
+use crate::upstreams::Upstream;
 
 /// How long a request waits for an upstream when no model load is announced: long enough for an
 /// upstream's restart and for the delay of the list of upstreams.
@@ -43,6 +44,9 @@
     attempts: &mut Attempts,
     log: &mut RequestLog<'_, P>,
 ) -> Result<(), Refusal> {
+    if let Some(refusal) = unavailable(host, request) {
+        return Err(refusal);
+    }
     let began_at = host.now();
     let has_failed = !attempts.excluded.is_empty();
     if has_failed && attempts.waited {
@@ -69,6 +73,9 @@
         if choose(host, request, attempts).is_some() {
             return Ok(());
         }
+        if let Some(refusal) = unavailable(host, request) {
+            return Err(refusal);
+        }
         let now = host.now();
         if host.is_stopping() {
             let why = "this host stops, and no upstream could take the request at once";
@@ -216,6 +223,18 @@
     (silent_ms >= timeout_ms).then_some(silent_ms)
 }
 
+/// Returns the refusal for a request whose service has upstreams, none of which takes new requests.
+/// Waiting is then in vain, and no engine can load the model either.
+fn unavailable<P: Platform>(host: &Host<P>, request: &ActiveRequest) -> Option<Refusal> {
+    let upstreams = host.upstreams.borrow();
+    let mut serving = upstreams.serving(&request.service).peekable();
+    serving.peek()?;
+    let why = "every upstream of the service is leaving";
+    serving
+        .all(Upstream::is_leaving)
+        .then(|| Refusal::new(ErrorKind::NoCapacity, why).with_retry_after(RETRY_AFTER_MS))
+}
+
 /// Returns the refusal for a request that waited in vain for an upstream.
 fn no_upstream<P: Platform>(host: &Host<P>, request: &ActiveRequest, now: Millis) -> Refusal {
     let upstreams = host.upstreams.borrow();
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -68,6 +68,12 @@
         self.entry.address
     }
 
+    /// Returns whether the upstream is shutting down and takes no new requests, as its entry or one
+    /// of its answers states.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.leaving || self.notices.is_leaving()
+    }
+
     /// Returns whether the list has the upstream; otherwise its entry vanished in an outage and it
     /// is kept for [`OUTAGE_GRACE_MS`].
     pub fn is_listed(&self) -> bool {
@@ -257,7 +263,7 @@
         let after_outage = self
             .outage_ended_at
             .is_some_and(|at| now.since(at) < OUTAGE_GRACE_MS);
-        if after_outage && !upstream.entry.leaving {
+        if after_outage && !upstream.is_leaving() {
             upstream.vanished_at = Some(now);
             return Change::Retained;
         }
@@ -385,12 +391,16 @@
         self.upstreams.values()
     }
 
+    /// Returns the upstreams of a service, leaving ones included.
+    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        let serving = self.index.serving(service);
+        serving.filter_map(|id| self.upstreams.get(id))
+    }
+
     /// Returns the upstreams of a service that may get new requests: all that are not leaving.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
-        let serving = self.index.serving(service);
-        serving
-            .filter_map(|id| self.upstreams.get(id))
-            .filter(|upstream| !upstream.entry.leaving)
+        self.serving(service)
+            .filter(|upstream| !upstream.is_leaving())
     }
 
     /// Returns the upstreams whose entries list a model, leaving ones included.
@@ -408,7 +418,7 @@
         self.index.remove(&upstream.entry);
         let past = PastLifetime {
             born_at: upstream.entry.born_at,
-            is_over: is_over || upstream.entry.leaving,
+            is_over: is_over || upstream.is_leaving(),
             sequence: self.next_sequence,
         };
         let name = upstream.entry.id;
