--- a/src/entry/notices.rs
+++ b/src/entry/notices.rs
@@ -14,30 +14,31 @@
     listed: bool,
 }
 
-/// Tells whether an upstream may get new requests: the lifetime is the known one and is not leaving.
+/// Tells whether an upstream may get new requests now.
 pub fn accepts_requests<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> bool {
-    let registry = host.upstreams.borrow();
-    registry
-        .get_lifetime(upstream)
-        .is_some_and(|known| !known.is_leaving())
+    host.upstreams.borrow().accepts_requests(upstream)
 }
 
 /// Records what an answer of an upstream states. An upstream that leaves gets no new requests from
 /// now on, and its idle connections are closed. Changes are logged.
 pub fn note_answer<P: Platform>(host: &Host<P>, upstream: &Lifetime, notice: Notice) {
-    let mut registry = host.upstreams.borrow_mut();
-    let Some(known) = registry.get_lifetime_mut(upstream) else {
-        return;
-    };
-    let Some(NoticeChange::Leaving) = known.notices.record(notice) else {
-        return;
-    };
+    let change = host.upstreams.borrow_mut().record_notice(upstream, notice);
+    match change {
+        Some(NoticeChange::Leaving) => {
+            host.pool.close_idle(&upstream.id);
+            log_leaving(host, &upstream.id);
+            host.note_change();
+        }
+        None => {}
+    }
+}
+
+fn log_leaving<P: Platform>(host: &Host<P>, id: &str) {
+    let registry = host.upstreams.borrow();
     let line = LeavingLine {
-        upstream: &upstream.id,
+        upstream: id,
         change: "says in an answer that it leaves",
-        listed: known.entry.leaving,
+        listed: registry.get(id).is_some_and(|known| known.entry.leaving),
     };
     lines::write(LogEvent::UpstreamLeaving, &line);
-    host.pool.close_idle(&upstream.id);
-    host.note_change();
 }
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 use crate::upstreams::index::ListIndex;
-use crate::upstreams::{Health, Lifetime, Notices, UpstreamEntry};
+use crate::upstreams::{Health, Lifetime, Notice, NoticeChange, Notices, UpstreamEntry};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -340,6 +340,19 @@
         (upstream.entry.born_at == lifetime.born_at).then_some(upstream)
     }
 
+    /// Tells whether an upstream may get new requests: the given lifetime is the known one and is
+    /// not leaving.
+    pub fn accepts_requests(&self, lifetime: &Lifetime) -> bool {
+        self.get_lifetime(lifetime)
+            .is_some_and(|upstream| !upstream.is_leaving())
+    }
+
+    /// Records what an answer of an upstream states, if the given lifetime is the known one.
+    /// Returns what changed.
+    pub fn record_notice(&mut self, lifetime: &Lifetime, notice: Notice) -> Option<NoticeChange> {
+        self.get_lifetime_mut(lifetime)?.notices.record(notice)
+    }
+
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
     pub fn begin_request(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
         let Some(upstream) = self.get_lifetime_mut(lifetime) else {
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -4,6 +4,8 @@
 use super::registry::Change;
 use super::*;
 
+mod notices;
+
 fn entry(id: &str) -> UpstreamEntry {
     UpstreamEntry {
         id: id.into(),
--- /dev/null
+++ b/src/upstreams/tests/notices.rs
@@ -0,0 +1,268 @@
+//! A model of hosts that hear statements of upstreams: without network, in steps, with random
+//! faults. Each host has a registry of its own, which gets the rows of the list late or not at all
+//! and the answers of upstreams after some steps.
+
+use super::*;
+use fastrand::Rng;
+
+/// The length of a step.
+const STEP_MS: u64 = 20;
+/// How many steps a run has with faults, and then without.
+const STEPS: u64 = 1_000;
+const CALM_STEPS: u64 = 200;
+/// The most steps that a row, a connection, a request or an answer takes.
+const MAX_DELAY_STEPS: u64 = 12;
+const HOSTS: usize = 3;
+const UPSTREAMS: usize = 4;
+
+/// An upstream under its name: its present lifetime.
+#[derive(Clone)]
+struct FakeUpstream {
+    lifetime: Lifetime,
+    says_leaving: bool,
+}
+
+/// What reaches a host in a later step.
+#[derive(Clone)]
+enum Event {
+    /// The newest entry of an upstream's list entry, written at this time.
+    Row(UpstreamEntry),
+    /// A connection for a request is open.
+    Connected(Lifetime),
+    /// An answer.
+    Answer(Lifetime, Notice),
+}
+
+/// A host, with what a process that hears every answer must know.
+#[derive(Default)]
+struct FakeHost {
+    registry: Registry,
+    /// Events by the step in which they arrive.
+    events: Vec<(u64, Event)>,
+    /// The lifetimes that told this process that they leave.
+    told: IndexSet<Lifetime>,
+    frozen_until: u64,
+    cut_until: u64,
+}
+
+/// A site, and what its upstreams wrote into the list.
+struct Model {
+    rng: Rng,
+    step: u64,
+    hosts: Vec<FakeHost>,
+    upstreams: Vec<FakeUpstream>,
+    /// The newest row of each upstream that the store has.
+    rows: Vec<UpstreamEntry>,
+    store_away_until: u64,
+    /// Until when no orderer passes rows on, so that hosts read them by themselves, later.
+    orderer_lost_until: u64,
+    sends: u64,
+}
+
+impl Model {
+    fn new(seed: u64) -> Self {
+        let upstreams: Vec<FakeUpstream> = (0..UPSTREAMS)
+            .map(|n| FakeUpstream {
+                lifetime: lifetime(&format!("u{n}"), 1),
+                says_leaving: false,
+            })
+            .collect();
+        let rows = upstreams.iter().map(row_of).collect();
+        let mut model = Self {
+            rng: Rng::with_seed(seed),
+            step: 0,
+            hosts: (0..HOSTS).map(|_| FakeHost::default()).collect(),
+            upstreams,
+            rows,
+            store_away_until: 0,
+            orderer_lost_until: 0,
+            sends: 0,
+        };
+        for host in 0..HOSTS {
+            model.start_host(host);
+        }
+        model
+    }
+
+    fn now(&self) -> Millis {
+        Millis(self.step * STEP_MS)
+    }
+
+    /// Starts a process, which reads the whole list.
+    fn start_host(&mut self, host: usize) {
+        self.hosts[host] = FakeHost::default();
+        for row in &self.rows {
+            self.hosts[host].registry.put(row.clone());
+        }
+    }
+
+    fn delay(&mut self) -> u64 {
+        self.step + 1 + self.rng.u64(0..MAX_DELAY_STEPS)
+    }
+
+    /// Sends the newest row of an upstream to all hosts, also repeatedly and late.
+    fn publish(&mut self, upstream: usize) {
+        if self.step < self.store_away_until {
+            return;
+        }
+        self.rows[upstream] = row_of(&self.upstreams[upstream]);
+        for host in 0..HOSTS {
+            let lost_steps = self.orderer_lost_until.saturating_sub(self.step);
+            let at = self.delay() + lost_steps;
+            let row = self.rows[upstream].clone();
+            self.hosts[host].events.push((at, Event::Row(row)));
+        }
+    }
+
+    fn inject_fault(&mut self) {
+        let until = self.step + self.rng.u64(10..150);
+        let host = self.rng.usize(0..HOSTS);
+        let upstream = self.rng.usize(0..UPSTREAMS);
+        match self.rng.u8(0..8) {
+            0 => self.start_host(host),
+            1 => self.hosts[host].frozen_until = until,
+            2 => self.hosts[host].cut_until = until,
+            3 => self.store_away_until = until,
+            4 => self.orderer_lost_until = until,
+            5 | 6 => self.upstreams[upstream].says_leaving = true,
+            _ => {
+                let known = &mut self.upstreams[upstream];
+                known.lifetime.born_at += Millis(1);
+                known.says_leaving = false;
+            }
+        }
+    }
+
+    fn step(&mut self, with_faults: bool) {
+        self.step += 1;
+        if with_faults && self.rng.u8(0..20) == 0 {
+            self.inject_fault();
+        }
+        let upstream = self.rng.usize(0..UPSTREAMS);
+        self.publish(upstream);
+        for host in 0..HOSTS {
+            self.run_host(host);
+        }
+    }
+
+    fn run_host(&mut self, host: usize) {
+        if self.step < self.hosts[host].frozen_until {
+            return;
+        }
+        let now = self.now();
+        self.hosts[host].registry.note_list_reached(now);
+        let (due, later) = std::mem::take(&mut self.hosts[host].events)
+            .into_iter()
+            .partition(|(at, _)| *at <= self.step);
+        self.hosts[host].events = later;
+        let is_cut = self.step < self.hosts[host].cut_until;
+        for (_, event) in due {
+            match event {
+                Event::Row(_) | Event::Answer(..) if is_cut => {}
+                Event::Row(row) => drop(self.hosts[host].registry.put(row)),
+                Event::Answer(lifetime, notice) => self.hear(host, &lifetime, notice),
+                Event::Connected(lifetime) => self.send(host, lifetime),
+            }
+        }
+        let usable: Vec<Lifetime> = {
+            let usable = self.hosts[host].registry.usable("service");
+            usable.map(Upstream::lifetime).collect()
+        };
+        if let Some(chosen) = self.rng.choice(usable) {
+            let at = self.delay();
+            self.hosts[host].events.push((at, Event::Connected(chosen)));
+        }
+    }
+
+    fn hear(&mut self, host: usize, lifetime: &Lifetime, notice: Notice) {
+        let host = &mut self.hosts[host];
+        host.registry.record_notice(lifetime, notice);
+        if notice.is_leaving {
+            host.told.insert(lifetime.clone());
+        }
+    }
+
+    /// Sends a request if the upstream still accepts one, and lets the answer follow.
+    fn send(&mut self, host: usize, lifetime: Lifetime) {
+        if !self.hosts[host].registry.accepts_requests(&lifetime) {
+            return;
+        }
+        assert!(
+            !self.hosts[host].told.contains(&lifetime),
+            "step {}: host {host} sends to {lifetime:?}, which told it that it leaves",
+            self.step
+        );
+        self.sends += 1;
+        let answering = self
+            .upstreams
+            .iter()
+            .find(|upstream| upstream.lifetime == lifetime);
+        let Some(is_leaving) = answering.map(|upstream| upstream.says_leaving) else {
+            return;
+        };
+        let at = self.delay();
+        let answer = Event::Answer(lifetime, Notice { is_leaving });
+        self.hosts[host].events.push((at, answer));
+    }
+
+    /// Checks that every host uses the upstreams that are there and told nobody that they leave.
+    fn check_usable(&self) {
+        for (number, host) in self.hosts.iter().enumerate() {
+            for upstream in self.upstreams.iter().filter(|one| !one.says_leaving) {
+                assert!(
+                    host.registry.accepts_requests(&upstream.lifetime),
+                    "host {number} does not use {:?}",
+                    upstream.lifetime
+                );
+            }
+        }
+    }
+}
+
+fn row_of(upstream: &FakeUpstream) -> UpstreamEntry {
+    UpstreamEntry {
+        born_at: upstream.lifetime.born_at,
+        leaving: upstream.says_leaving,
+        ..entry(&upstream.lifetime.id)
+    }
+}
+
+// Guards against requests to an upstream after it told the host in an answer that it leaves, in any
+// order of answers, rows, connections and faults; and against not using its next lifetime.
+#[test]
+fn no_host_sends_to_a_lifetime_that_told_it_that_it_leaves() {
+    for seed in 0..200 {
+        let mut model = Model::new(seed);
+        for _ in 0..STEPS {
+            model.step(true);
+        }
+        model.store_away_until = 0;
+        model.orderer_lost_until = 0;
+        for _ in 0..CALM_STEPS {
+            model.step(false);
+        }
+        model.check_usable();
+        assert!(model.sends > 100, "seed {seed}: {} sends", model.sends);
+    }
+}
+
+#[test]
+fn a_statement_outlives_the_entry_of_its_lifetime_but_not_the_lifetime() {
+    let mut registry = Registry::default();
+    registry.put(entry("a"));
+    let first = lifetime("a", 0);
+    let notice = Notice { is_leaving: true };
+    let change = registry.record_notice(&first, notice);
+    assert_eq!(change, Some(NoticeChange::Leaving));
+    assert_eq!(registry.record_notice(&first, notice), None);
+    registry.remove(Millis(0), "a");
+    registry.put(entry("a"));
+    assert_eq!(usable(&registry), [""; 0]);
+    let next = UpstreamEntry {
+        born_at: Millis(1),
+        ..entry("a")
+    };
+    registry.put(next);
+    assert_eq!(registry.record_notice(&first, notice), None);
+    assert_eq!(usable(&registry), ["a"]);
+}
