Log when an upstream turns a request away and asks for rest

Nothing uses the record yet: it tells a host that was not asked from one that was asked and went on.

--- a/src/entry/notices.rs
+++ b/src/entry/notices.rs
@@ -14,6 +14,14 @@
     listed: bool,
 }
 
+#[derive(Serialize)]
+struct RestingLine<'a> {
+    upstream: &'a str,
+    /// The rest that the answer asked for.
+    rest_ms: Option<Millis>,
+    rests_until_unix_ms: Millis,
+}
+
 /// Tells whether an upstream may get new requests now.
 pub fn accepts_requests<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> bool {
     host.upstreams.borrow().accepts_requests(upstream)
@@ -22,13 +30,25 @@
 /// Records what an answer of an upstream states. An upstream that leaves gets no new requests from
 /// now on, and its idle connections are closed. Changes are logged.
 pub fn note_answer<P: Platform>(host: &Host<P>, upstream: &Lifetime, notice: Notice) {
-    let change = host.upstreams.borrow_mut().record_notice(upstream, notice);
+    let now = host.now();
+    let change = host
+        .upstreams
+        .borrow_mut()
+        .record_notice(now, upstream, notice);
     match change {
         Some(NoticeChange::Leaving) => {
             host.pool.close_idle(&upstream.id);
             log_leaving(host, &upstream.id);
             host.note_change();
         }
+        Some(NoticeChange::Resting(until)) => {
+            let line = RestingLine {
+                upstream: &upstream.id,
+                rest_ms: notice.rest_ms,
+                rests_until_unix_ms: until,
+            };
+            lines::write(LogEvent::UpstreamResting, &line);
+        }
         None => {}
     }
 }
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -161,6 +161,7 @@
                 .and_then(|text| text.parse().ok()),
             notice: Notice {
                 is_leaving: lifetime.is_none() && head.headers.bytes("Leaving").is_some(),
+                rest_ms: head.headers.number("Rest-Ms").map(Millis),
             },
         }
     }
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -115,6 +115,8 @@
     UpstreamLimited = 606,
     /// This host received the list of upstreams.
     ListTaken = 607,
+    /// An upstream turned a request away and wants no further ones of this host for some time.
+    UpstreamResting = 608,
     /// A request of a caller was refused.
     RequestRefused = 700,
     /// An attempt of a request at an upstream failed.
@@ -192,6 +194,7 @@
         Self::UpstreamCrashed,
         Self::UpstreamLimited,
         Self::ListTaken,
+        Self::UpstreamResting,
         Self::RequestRefused,
         Self::AttemptFailed,
         Self::OutcomeUnknown,
--- a/src/upstreams/notice.rs
+++ b/src/upstreams/notice.rs
@@ -2,17 +2,25 @@
 //!
 //! A statement holds for one lifetime of an upstream, and is kept as long as the upstream's entry.
 
+use crate::prelude::*;
+
+/// The longest rest that is kept.
+const MAX_REST_MS: Millis = Millis(24 * 3_600 * 1_000);
+
 /// What one answer of an upstream states.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Notice {
     /// Whether the upstream is shutting down and takes no new requests.
     pub is_leaving: bool,
+    /// For how long the upstream wants no requests of this host.
+    pub rest_ms: Option<Millis>,
 }
 
 /// What an upstream has stated in its answers to this host since it started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Notices {
     is_leaving: bool,
+    rests_until: Millis,
 }
 
 /// What a notice changed.
@@ -20,14 +28,26 @@
 pub enum NoticeChange {
     /// The upstream states for the first time that it is leaving.
     Leaving,
+    /// The upstream rests until this time.
+    Resting(Millis),
 }
 
 impl Notices {
-    /// Records what an answer states. Returns what changed, if anything did.
-    pub fn record(&mut self, notice: Notice) -> Option<NoticeChange> {
+    /// Records what an answer states. Returns what changed, if anything did. A rest ends when the
+    /// longest that was asked for ends.
+    pub fn record(&mut self, now: Millis, notice: Notice) -> Option<NoticeChange> {
         let starts_leaving = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
-        starts_leaving.then_some(NoticeChange::Leaving)
+        let rest_ms = notice.rest_ms.unwrap_or_default().min(MAX_REST_MS);
+        let extends_rest = rest_ms > Millis::ZERO && now + rest_ms > self.rests_until;
+        if extends_rest {
+            self.rests_until = now + rest_ms;
+        }
+        match (starts_leaving, extends_rest) {
+            (true, _) => Some(NoticeChange::Leaving),
+            (false, true) => Some(NoticeChange::Resting(self.rests_until)),
+            (false, false) => None,
+        }
     }
 
     /// Returns whether the upstream stated that it is leaving.
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -349,8 +349,14 @@
 
     /// Records what an answer of an upstream states, if the given lifetime is the known one.
     /// Returns what changed.
-    pub fn record_notice(&mut self, lifetime: &Lifetime, notice: Notice) -> Option<NoticeChange> {
-        self.get_lifetime_mut(lifetime)?.notices.record(notice)
+    pub fn record_notice(
+        &mut self,
+        now: Millis,
+        lifetime: &Lifetime,
+        notice: Notice,
+    ) -> Option<NoticeChange> {
+        let upstream = self.get_lifetime_mut(lifetime)?;
+        upstream.notices.record(now, notice)
     }
 
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
--- a/src/upstreams/tests/notices.rs
+++ b/src/upstreams/tests/notices.rs
@@ -175,8 +175,9 @@
     }
 
     fn hear(&mut self, host: usize, lifetime: &Lifetime, notice: Notice) {
+        let now = self.now();
         let host = &mut self.hosts[host];
-        host.registry.record_notice(lifetime, notice);
+        host.registry.record_notice(now, lifetime, notice);
         if notice.is_leaving {
             host.told.insert(lifetime.clone());
         }
@@ -201,7 +202,11 @@
             return;
         };
         let at = self.delay();
-        let answer = Event::Answer(lifetime, Notice { is_leaving });
+        let notice = Notice {
+            is_leaving,
+            rest_ms: None,
+        };
+        let answer = Event::Answer(lifetime, notice);
         self.hosts[host].events.push((at, answer));
     }
 
@@ -251,10 +256,13 @@
     let mut registry = Registry::default();
     registry.put(entry("a"));
     let first = lifetime("a", 0);
-    let notice = Notice { is_leaving: true };
-    let change = registry.record_notice(&first, notice);
+    let notice = Notice {
+        is_leaving: true,
+        rest_ms: None,
+    };
+    let change = registry.record_notice(Millis(0), &first, notice);
     assert_eq!(change, Some(NoticeChange::Leaving));
-    assert_eq!(registry.record_notice(&first, notice), None);
+    assert_eq!(registry.record_notice(Millis(0), &first, notice), None);
     registry.remove(Millis(0), "a");
     registry.put(entry("a"));
     assert_eq!(usable(&registry), [""; 0]);
@@ -263,6 +271,6 @@
         ..entry("a")
     };
     registry.put(next);
-    assert_eq!(registry.record_notice(&first, notice), None);
+    assert_eq!(registry.record_notice(Millis(0), &first, notice), None);
     assert_eq!(usable(&registry), ["a"]);
 }
