--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -16,6 +16,7 @@
 mod relay_pair;
 mod reload;
 mod replication;
+mod rests;
 mod site;
 mod stop;
 mod sync;
