Send nothing to an upstream in the time of rest that it asked for

The engine, which had asked for 3 s, got up to five in them from a host.

The orderer holds back orders, and reads of reports that it does not await; models there count as held.

A request that no other upstream can serve is refused at once, with the time until the first rest ends. That time is not cut to a part of the request's time, as estimates are: earlier the upstream would turn it away again.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -89,7 +89,7 @@
     let upstreams = host.upstreams.borrow();
     let orderer_state = host.orderer_state.borrow();
     let holding: Vec<&Upstream> = holders(&upstreams, &orderer_state, now, &request.service, model)
-        .filter(|other| !other.health.is_backing_off(now))
+        .filter(|other| pick::is_available(now, other))
         .collect();
     let copies = model_copies(&orderer_state, model, Some(fetch_share));
     let shape = prompt_shape(&request.facts);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -17,7 +17,9 @@
 use crate::entry::request_log::{AnswerEnd, RequestLog};
 use crate::entry::send::{self, SendOutcome, StartedAnswer};
 use crate::entry::upstream_limits;
-use crate::entry::waiting::{late_start_refusal, wait_for_turn, wait_for_upstream};
+use crate::entry::waiting::{
+    Unavailable, late_start_refusal, unavailable, wait_for_turn, wait_for_upstream,
+};
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 
@@ -162,7 +164,8 @@
     }
 }
 
-/// Refuses a request, with a retry time that fits into the request's remaining time.
+/// Refuses a request, with a retry time that fits into the request's remaining time. Only the time
+/// until upstreams that rest accept requests again is stated as it is, since it is no estimate.
 async fn refuse<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
@@ -170,11 +173,20 @@
     log: &mut RequestLog<'_, P>,
     refusal: Refusal,
 ) -> AnswerEnd {
-    let left_ms = request.deadline_at.since(host.now());
-    let max_ms = Millis(left_ms.0 / RETRY_AFTER_DIVISOR);
-    let refusal = Refusal {
-        retry_after_ms: refusal.retry_after_ms.map(|after| after.min(max_ms)),
-        ..refusal
+    let is_for_capacity = matches!(refusal.kind, ErrorKind::Overloaded | ErrorKind::NoCapacity);
+    let unavailable = is_for_capacity
+        .then(|| unavailable(host, request))
+        .flatten();
+    let refusal = match unavailable {
+        Some(resting @ Unavailable::Resting { .. }) => resting.refusal(),
+        Some(Unavailable::Leaving) | None => {
+            let left_ms = request.deadline_at.since(host.now());
+            let max_ms = Millis(left_ms.0 / RETRY_AFTER_DIVISOR);
+            Refusal {
+                retry_after_ms: refusal.retry_after_ms.map(|after| after.min(max_ms)),
+                ..refusal
+            }
+        }
     };
     answer_refusal(host, request.facts.id.as_deref(), out, log, &refusal).await
 }
--- a/src/entry/notices.rs
+++ b/src/entry/notices.rs
@@ -24,11 +24,13 @@
 
 /// Tells whether an upstream may get new requests now.
 pub fn accepts_requests<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> bool {
-    host.upstreams.borrow().accepts_requests(upstream)
+    let now = host.now();
+    host.upstreams.borrow().accepts_requests(now, upstream)
 }
 
 /// Records what an answer of an upstream states. An upstream that leaves gets no new requests from
-/// now on, and its idle connections are closed. Changes are logged.
+/// now on, and its idle connections are closed; one that asks for rest gets none until that ends.
+/// Changes are logged.
 pub fn note_answer<P: Platform>(host: &Host<P>, upstream: &Lifetime, notice: Notice) {
     let now = host.now();
     let change = host
@@ -48,6 +50,7 @@
                 rests_until_unix_ms: until,
             };
             lines::write(LogEvent::UpstreamResting, &line);
+            host.note_change();
         }
         None => {}
     }
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -190,6 +190,7 @@
             continue;
         };
         update_engines(&host, &table, now);
+        hold_calls_to_resting(&host, now);
         request_due_reports(&host, &executor, now);
         let excluded = excluded_engines(&host, now);
         if host.orders.borrow().lease.may_order(now) {
@@ -484,6 +485,17 @@
     services.filter_map(|(name, service)| Some((&**name, service.engine.as_ref()?)))
 }
 
+/// Holds back calls to engines that have asked this host for rest. Their models still count as held.
+fn hold_calls_to_resting<P: Platform>(host: &Host<P>, now: Millis) {
+    let upstreams = host.upstreams.borrow();
+    let mut orders = host.orders.borrow_mut();
+    for upstream in upstreams.iter() {
+        if let Some(until) = upstream.notices.rests_until(now) {
+            orders.inventory.hold_calls(&upstream.entry.id, until);
+        }
+    }
+}
+
 /// Returns the engines that get no orders: those that are leaving, and those that are not called
 /// for a while after failures.
 fn excluded_engines<P: Platform>(host: &Host<P>, now: Millis) -> IndexSet<Name> {
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -127,7 +127,7 @@
     };
     // Another request's answer may have changed this since the upstream was chosen.
     if !notices::accepts_requests(host, upstream) {
-        attempt.log("not_sent", None, Some("it takes no more requests"));
+        attempt.log("not_sent", None, Some("it leaves or rests"));
         return SendOutcome::NotSent;
     }
     attempt.reused = connection.is_reused;
@@ -277,8 +277,8 @@
 }
 
 /// Returns the connection of an answer to the pool if the answer was read to its end and the
-/// connection stays open for further requests; otherwise closes it. So does one to an upstream that
-/// takes no more requests, or was started again since.
+/// connection stays open for further requests, and the upstream has neither begun to leave nor
+/// started again since; otherwise closes it.
 pub fn return_to_pool<P: Platform>(
     host: &Host<P>,
     upstream: &Lifetime,
@@ -290,7 +290,7 @@
     if !is_whole || !head.keep_alive || connection.ends_after_answer {
         return;
     }
-    if !notices::accepts_requests(host, upstream) {
+    if !host.upstreams.borrow().is_staying(upstream) {
         return;
     }
     let keep_ms = head.headers.text("keep-alive").and_then(keep_alive_ms);
--- a/src/ordering/engine_inventory.rs
+++ b/src/ordering/engine_inventory.rs
@@ -229,6 +229,13 @@
         })
     }
 
+    /// Sends an engine no order before `until`, and reads its report only if that is awaited.
+    pub fn hold_calls(&mut self, id: &str, until: Millis) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.hold_calls(until);
+        }
+    }
+
     /// Returns the orders to send now, which are new ones and unanswered ones, and marks them as
     /// being sent.
     pub fn take_due_orders(&mut self, now: Millis) -> Vec<(Name, Order)> {
--- a/src/ordering/engine_orders.rs
+++ b/src/ordering/engine_orders.rs
@@ -47,6 +47,15 @@
         });
     }
 
+    /// Postpones the next order, new or repeated, until `until`, and the next read of the report
+    /// unless its content is awaited.
+    pub(super) fn hold_calls(&mut self, until: Millis) {
+        self.backoff_until = self.backoff_until.max(until);
+        if self.is_known && !self.awaits_outcome() {
+            self.next_report_at = self.next_report_at.max(until);
+        }
+    }
+
     /// Updates the engine from the answer to its pending order.
     pub(super) fn record_answer(
         &mut self,
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -118,8 +118,8 @@
         .max_by_key(|upstream| affinity(&upstream.entry.id, prompt.prefix_digest))
 }
 
-/// Chooses the engine with the lowest predicted wait among those that hold the model and are
-/// neither full nor in back-off; `None` if there is none. Waits are compared in prompt tokens.
+/// Chooses the engine with the lowest predicted wait among those that hold the model, are available
+/// and are not full; `None` if there is none. Waits are compared in prompt tokens.
 pub fn engine<'a>(
     now: Millis,
     model: &ModelCopies<'_>,
@@ -167,7 +167,7 @@
 }
 
 /// Chooses an upstream of a plain service: the one with the lowest fraction of its slots in use
-/// among those that are not in back-off; upstreams in `data_centre` win ties. `random_unit` is a
+/// among those that are available; upstreams in `data_centre` win ties. `random_unit` is a
 /// uniform random number between 0 and 1.
 pub fn service<'a>(
     now: Millis,
@@ -195,8 +195,9 @@
     lowest_cost(candidates, cost)
 }
 
-fn is_available(now: Millis, upstream: &Upstream) -> bool {
-    !upstream.health.is_backing_off(now)
+/// Tells whether an upstream may get a request: it accepts them and is not in back-off.
+pub fn is_available(now: Millis, upstream: &Upstream) -> bool {
+    upstream.accepts_requests(now) && !upstream.health.is_backing_off(now)
 }
 
 fn lowest_cost<'a>(
--- a/src/upstreams/notice.rs
+++ b/src/upstreams/notice.rs
@@ -54,4 +54,9 @@
     pub fn is_leaving(&self) -> bool {
         self.is_leaving
     }
+
+    /// Returns when the rest ends that the upstream asked for, if it lasts at `now`.
+    pub fn rests_until(&self, now: Millis) -> Option<Millis> {
+        (now < self.rests_until).then_some(self.rests_until)
+    }
 }
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -74,6 +74,12 @@
         self.entry.leaving || self.notices.is_leaving()
     }
 
+    /// Tells whether the upstream may get requests of this host now: it is not leaving, and does not
+    /// rest.
+    pub fn accepts_requests(&self, now: Millis) -> bool {
+        !self.is_leaving() && self.notices.rests_until(now).is_none()
+    }
+
     /// Returns whether the list has the upstream; otherwise its entry vanished in an outage and it
     /// is kept for [`OUTAGE_GRACE_MS`].
     pub fn is_listed(&self) -> bool {
@@ -340,9 +346,15 @@
         (upstream.entry.born_at == lifetime.born_at).then_some(upstream)
     }
 
-    /// Tells whether an upstream may get new requests: the given lifetime is the known one and is
-    /// not leaving.
-    pub fn accepts_requests(&self, lifetime: &Lifetime) -> bool {
+    /// Tells whether an upstream may get requests of this host now, and the given lifetime is the
+    /// known one.
+    pub fn accepts_requests(&self, now: Millis, lifetime: &Lifetime) -> bool {
+        self.get_lifetime(lifetime)
+            .is_some_and(|upstream| upstream.accepts_requests(now))
+    }
+
+    /// Tells whether the given lifetime is the known one and is not leaving.
+    pub fn is_staying(&self, lifetime: &Lifetime) -> bool {
         self.get_lifetime(lifetime)
             .is_some_and(|upstream| !upstream.is_leaving())
     }
--- a/src/upstreams/tests/notices.rs
+++ b/src/upstreams/tests/notices.rs
@@ -1,4 +1,4 @@
-//! A model of hosts that hear statements of upstreams: without network, in steps, with random
+//! A model of hosts that hear from upstreams that they leave or want rest: without network, in steps, with random
 //! faults. Each host has a registry of its own, which gets the rows of the list late or not at all
 //! and the answers of upstreams after some steps.
 
@@ -12,6 +12,8 @@
 const CALM_STEPS: u64 = 200;
 /// The most steps that a row, a connection, a request or an answer takes.
 const MAX_DELAY_STEPS: u64 = 12;
+/// The longest rest that an upstream asks for.
+const MAX_REST_MS: u64 = 2_000;
 const HOSTS: usize = 3;
 const UPSTREAMS: usize = 4;
 
@@ -20,6 +22,8 @@
 struct FakeUpstream {
     lifetime: Lifetime,
     says_leaving: bool,
+    /// Whether it turns requests away and asks for rest.
+    is_overloaded: bool,
 }
 
 /// What reaches a host in a later step.
@@ -41,6 +45,8 @@
     events: Vec<(u64, Event)>,
     /// The lifetimes that told this process that they leave.
     told: IndexSet<Lifetime>,
+    /// Until when lifetimes that asked this process for rest get nothing.
+    rests: IndexMap<Lifetime, Millis>,
     frozen_until: u64,
     cut_until: u64,
 }
@@ -65,6 +71,7 @@
             .map(|n| FakeUpstream {
                 lifetime: lifetime(&format!("u{n}"), 1),
                 says_leaving: false,
+                is_overloaded: false,
             })
             .collect();
         let rows = upstreams.iter().map(row_of).collect();
@@ -118,17 +125,20 @@
         let until = self.step + self.rng.u64(10..150);
         let host = self.rng.usize(0..HOSTS);
         let upstream = self.rng.usize(0..UPSTREAMS);
-        match self.rng.u8(0..8) {
+        match self.rng.u8(0..10) {
             0 => self.start_host(host),
             1 => self.hosts[host].frozen_until = until,
             2 => self.hosts[host].cut_until = until,
             3 => self.store_away_until = until,
             4 => self.orderer_lost_until = until,
             5 | 6 => self.upstreams[upstream].says_leaving = true,
+            7 => self.upstreams[upstream].is_overloaded = true,
+            8 => self.upstreams[upstream].is_overloaded = false,
             _ => {
                 let known = &mut self.upstreams[upstream];
                 known.lifetime.born_at += Millis(1);
                 known.says_leaving = false;
+                known.is_overloaded = false;
             }
         }
     }
@@ -166,7 +176,8 @@
         }
         let usable: Vec<Lifetime> = {
             let usable = self.hosts[host].registry.usable("service");
-            usable.map(Upstream::lifetime).collect()
+            let available = usable.filter(|upstream| upstream.accepts_requests(now));
+            available.map(Upstream::lifetime).collect()
         };
         if let Some(chosen) = self.rng.choice(usable) {
             let at = self.delay();
@@ -181,13 +192,24 @@
         if notice.is_leaving {
             host.told.insert(lifetime.clone());
         }
+        if let Some(rest_ms) = notice.rest_ms {
+            let until = host.rests.entry(lifetime.clone()).or_default();
+            *until = (*until).max(now + rest_ms);
+        }
     }
 
     /// Sends a request if the upstream still accepts one, and lets the answer follow.
     fn send(&mut self, host: usize, lifetime: Lifetime) {
-        if !self.hosts[host].registry.accepts_requests(&lifetime) {
+        let now = self.now();
+        if !self.hosts[host].registry.accepts_requests(now, &lifetime) {
             return;
         }
+        let rests_until = self.hosts[host].rests.get(&lifetime);
+        assert!(
+            rests_until.is_none_or(|until| now >= *until),
+            "step {}: host {host} sends to {lifetime:?}, which asked it for rest",
+            self.step
+        );
         assert!(
             !self.hosts[host].told.contains(&lifetime),
             "step {}: host {host} sends to {lifetime:?}, which told it that it leaves",
@@ -198,14 +220,15 @@
             .upstreams
             .iter()
             .find(|upstream| upstream.lifetime == lifetime);
-        let Some(is_leaving) = answering.map(|upstream| upstream.says_leaving) else {
+        let Some(answering) = answering.cloned() else {
             return;
         };
-        let at = self.delay();
+        let rest_ms = Millis(self.rng.u64(1..MAX_REST_MS));
         let notice = Notice {
-            is_leaving,
-            rest_ms: None,
+            is_leaving: answering.says_leaving,
+            rest_ms: answering.is_overloaded.then_some(rest_ms),
         };
+        let at = self.delay();
         let answer = Event::Answer(lifetime, notice);
         self.hosts[host].events.push((at, answer));
     }
@@ -215,7 +238,8 @@
         for (number, host) in self.hosts.iter().enumerate() {
             for upstream in self.upstreams.iter().filter(|one| !one.says_leaving) {
                 assert!(
-                    host.registry.accepts_requests(&upstream.lifetime),
+                    host.registry
+                        .accepts_requests(self.now(), &upstream.lifetime),
                     "host {number} does not use {:?}",
                     upstream.lifetime
                 );
@@ -232,15 +256,19 @@
     }
 }
 
-// Guards against requests to an upstream after it told the host in an answer that it leaves, in any
-// order of answers, rows, connections and faults; and against not using its next lifetime.
+// Guards against requests to an upstream after it told the host in an answer that it leaves, or
+// within the rest that it asked for, in any order of answers, rows, connections and faults; and
+// against not using it after its rest, or not using its next lifetime.
 #[test]
-fn no_host_sends_to_a_lifetime_that_told_it_that_it_leaves() {
+fn no_host_sends_to_a_lifetime_that_told_it_that_it_leaves_or_rests() {
     for seed in 0..200 {
         let mut model = Model::new(seed);
         for _ in 0..STEPS {
             model.step(true);
         }
+        for upstream in &mut model.upstreams {
+            upstream.is_overloaded = false;
+        }
         model.store_away_until = 0;
         model.orderer_lost_until = 0;
         for _ in 0..CALM_STEPS {
@@ -274,3 +302,31 @@
     assert_eq!(registry.record_notice(Millis(0), &first, notice), None);
     assert_eq!(usable(&registry), ["a"]);
 }
+
+#[test]
+fn a_rest_lasts_for_the_longest_time_asked_for_and_ends_with_the_lifetime() {
+    let mut registry = Registry::default();
+    registry.put(entry("a"));
+    let first = lifetime("a", 0);
+    let rest = |rest_ms| Notice {
+        is_leaving: false,
+        rest_ms: Some(Millis(rest_ms)),
+    };
+    let change = registry.record_notice(Millis(1_000), &first, rest(3_000));
+    assert_eq!(change, Some(NoticeChange::Resting(Millis(4_000))));
+    assert_eq!(
+        registry.record_notice(Millis(1_500), &first, rest(500)),
+        None
+    );
+    assert_eq!(registry.record_notice(Millis(1_500), &first, rest(0)), None);
+    assert!(!registry.accepts_requests(Millis(3_999), &first));
+    assert!(registry.accepts_requests(Millis(4_000), &first));
+    registry.record_notice(Millis(5_000), &first, rest(u64::MAX));
+    assert!(!registry.accepts_requests(Millis(6_000), &first));
+    assert!(registry.accepts_requests(Millis(5_000 + 24 * 3_600 * 1_000), &first));
+    registry.put(UpstreamEntry {
+        born_at: Millis(1),
+        ..entry("a")
+    });
+    assert!(registry.accepts_requests(Millis(6_000), &lifetime("a", 1)));
+}
