mangovaled: heed an answer that says that its upstream leaves

A test without network, with the list away for 30 s, shows the upstream in use again when marks expire by the clock.

Upstreams say it in the header x-mangovale-leaving of every answer, also successes; the stand-ins do. The event UpstreamStated marks the upstream, which hosts tell each other as before. A mark expires when a list that was read later no longer shows it, not while the list is away. A service whose upstreams all leave refuses its requests at once.

--- a/src/daemon/dispatch_flow.rs
+++ b/src/daemon/dispatch_flow.rs
@@ -40,6 +40,10 @@
             self.load_or_refuse(now, target, fx);
             return;
         }
+        if let Some(refusal) = self.unavailable(&candidates, is_model) {
+            self.refuse_waiting(now, target, &refusal, fx);
+            return;
+        }
         loop {
             let slots = candidates
                 .iter()
@@ -65,12 +69,30 @@
             self.ensure_loading(now, model);
             return;
         }
-        while let Some(waiting) = self.queues.pop(now, model) {
-            let message = format!("{model} has no copy, and the log is out of reach");
-            let refusal =
-                Refusal::new(ErrorKind::LogUnavailable, message).with_retry_after(RETRY_AFTER_MS);
-            self.refuse(now, waiting.request, refusal, fx);
+        let message = format!("{model} has no copy, and the log is out of reach");
+        let refusal =
+            Refusal::new(ErrorKind::LogUnavailable, message).with_retry_after(RETRY_AFTER_MS);
+        self.refuse_waiting(now, model, &refusal, fx);
+    }
+
+    fn refuse_waiting(&mut self, now: Millis, target: &Name, refusal: &Refusal, fx: &mut Effects) {
+        while let Some(waiting) = self.queues.pop(now, target) {
+            self.refuse(now, waiting.request, refusal.clone(), fx);
+        }
+    }
+
+    /// Returns the refusal for the requests of a service whose upstreams are all leaving. A model
+    /// can be loaded elsewhere.
+    fn unavailable(&self, candidates: &[Candidate], is_model: bool) -> Option<Refusal> {
+        let is_leaving = |candidate: &Candidate| {
+            let view = self.routing.get(&candidate.name);
+            view.is_some_and(|view| view.leaving)
+        };
+        if is_model || candidates.is_empty() || !candidates.iter().all(is_leaving) {
+            return None;
         }
+        let why = "every upstream of the service is leaving";
+        Some(Refusal::new(ErrorKind::NoCapacity, why).with_retry_after(RETRY_AFTER_MS))
     }
 
     fn candidates(&self, target: &str) -> Vec<Candidate> {
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -7,6 +7,8 @@
 use crate::shared_log::driver::{LogCallError, LogPage};
 use crate::table::message::Edit;
 use crate::table::pending_edits::CallId;
+use crate::upstreams::Notice;
+use std::net::SocketAddr;
 
 /// An event for [`crate::daemon::node::Node::handle`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -112,6 +114,15 @@
         /// How long the upstream took to its first byte.
         first_byte_ms: Millis,
     },
+    /// An answer of an upstream states something about further requests.
+    UpstreamStated {
+        /// The name of the upstream.
+        upstream: Name,
+        /// The address that answered.
+        address: SocketAddr,
+        /// What the answer states.
+        notice: Notice,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// The request.
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -58,6 +58,11 @@
         self.list.as_ref()
     }
 
+    /// Returns when the list was last read.
+    pub fn listed_at(&self) -> Option<Millis> {
+        self.listed_at
+    }
+
     /// Returns whether the list has an upstream for which `matches` is true, or was not read yet.
     pub fn may_list_upstream(&self, matches: impl Fn(&UpstreamEntry) -> bool) -> bool {
         let list = self.list.as_ref();
@@ -102,7 +107,7 @@
         let probe = self.own_probe(now);
         self.probes.on_tick(now, &self.shared.members, &probe, fx);
         self.freshness.retain_members(&self.shared.members);
-        self.tick_leaving(now);
+        self.tick_leaving();
         self.probe_voters(now, fx);
         let able = self.life == Life::Serving && self.is_fresh(now);
         // Records queued while the log is unreachable would be outdated when it accepts them.
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -216,6 +216,13 @@
             } => {
                 self.on_attempt_started(request, number, first_byte_ms);
             }
+            Event::UpstreamStated {
+                upstream,
+                address,
+                notice,
+            } => {
+                self.on_upstream_stated(&upstream, address, notice);
+            }
             Event::AttemptEnded {
                 request,
                 number,
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the refusal of requests for models that are not loaded.
 
+mod statements;
+
 use crate::membership::message::{PlatformList, UpstreamEntry, UpstreamRole};
 use crate::membership::tests::cluster::Cluster;
 use crate::prelude::*;
--- a/src/daemon/upstream_flow.rs
+++ b/src/daemon/upstream_flow.rs
@@ -5,6 +5,8 @@
 use crate::membership::leaving::{LEAVING_MARK_MS, MAX_HINTS};
 use crate::membership::message::{Probe, UpstreamEntry};
 use crate::prelude::*;
+use crate::upstreams::Notice;
+use std::net::SocketAddr;
 
 impl Node {
     /// Marks an upstream as leaving, after a report of the upstream itself or of the platform's
@@ -13,6 +15,18 @@
         self.mark_leaving_at(upstream, self.freshness.now());
     }
 
+    /// Records what an answer of an upstream states. The answer of another process than the one at
+    /// the upstream's present address has no effect.
+    pub fn on_upstream_stated(&mut self, upstream: &Name, address: SocketAddr, notice: Notice) {
+        let known = self.shared.placement.upstreams.get(upstream);
+        if known.is_none_or(|known| known.address != address) {
+            return;
+        }
+        if notice.is_leaving {
+            self.mark_leaving(upstream);
+        }
+    }
+
     fn mark_leaving_at(&mut self, upstream: &Name, reported_at: Millis) {
         if self.leaving.mark(upstream, reported_at) {
             LogEvent::UpstreamLeaving.write(&format!("upstream={upstream}"));
@@ -31,9 +45,13 @@
         }
     }
 
-    /// Removes the marks of leaving upstreams that have expired.
-    pub fn tick_leaving(&mut self, now: Millis) {
-        for upstream in self.leaving.expire(now) {
+    /// Removes the marks of leaving upstreams that have expired. While the platform's list cannot be
+    /// read, nothing shows that an upstream stays after all, and no mark expires.
+    pub fn tick_leaving(&mut self) {
+        let Some(listed_at) = self.platform.listed_at() else {
+            return;
+        };
+        for upstream in self.leaving.expire(listed_at) {
             self.routing.view_mut(&upstream).leaving = false;
         }
     }
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -213,6 +213,7 @@
                 attempt,
                 outgoing: outgoing.clone(),
                 connections: self.connections.clone(),
+                event_loop: self.event_loop.clone(),
                 clock: self.clock,
             };
             let outcome = match self.run_attempt(&mut conn, &open, &arrival, &call).await {
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -3,16 +3,21 @@
 use crate::attempt::message::{Attempt, AttemptOutcome, ConnectionChoice, Repeatable, TargetKind};
 use crate::attempt::stream_validator::is_complete_own_answer;
 use crate::clock::Clock;
+use crate::daemon::event::Event;
 use crate::edge::connections::UpstreamConnections;
+use crate::edge::event_loop_handle::EventLoopHandle;
 use crate::edge::http::{CallError, classify_error, with_timeout};
 use crate::prelude::*;
+use crate::upstreams::Notice;
 use std::time::Duration;
-use trillium_client::{Conn, Method, ResponseBody};
+use trillium_client::{Conn, Headers, Method, ResponseBody};
 
 /// The answer header by which an upstream says that it ran nothing of the request.
 pub const RUN_HEADER: &str = "x-mangovale-run";
 /// The value of [`RUN_HEADER`] for a request of which nothing was run.
 pub const NOT_RUN: &str = "not_run";
+/// The answer header by which an upstream says that it is leaving, with the value `1`.
+pub const LEAVING_HEADER: &str = "x-mangovale-leaving";
 /// The request header with the id of the attempt.
 pub const ATTEMPT_ID_HEADER: &str = "x-request-id";
 /// The request header with the id of an operation that runs at most once, for plain services.
@@ -88,6 +93,8 @@
     pub outgoing: OutgoingRequest,
     /// The connections to upstreams.
     pub connections: Arc<UpstreamConnections>,
+    /// The event loop, which learns what answers state.
+    pub event_loop: Arc<EventLoopHandle>,
     /// The clock by which deadlines are measured.
     pub clock: Clock,
 }
@@ -154,10 +161,27 @@
                 Err(AttemptOutcome::Silent(why))
             }
             Some(Err(error)) => Err(outcome_of_error(&classify_error(&error))),
-            Some(Ok(conn)) => self.check_answer_start(conn, self.clock.now().since(sent_at)),
+            Some(Ok(conn)) => {
+                self.report_notice(read_notice(conn.response_headers()))
+                    .await;
+                self.check_answer_start(conn, self.clock.now().since(sent_at))
+            }
         }
     }
 
+    /// Tells the event loop what an answer states about further requests, if anything.
+    async fn report_notice(&self, notice: Notice) {
+        if notice == Notice::default() {
+            return;
+        }
+        let stated = Event::UpstreamStated {
+            upstream: self.attempt.upstream.clone(),
+            address: self.attempt.address,
+            notice,
+        };
+        self.event_loop.send(stated).await;
+    }
+
     fn build_request(&self, connection: ConnectionChoice, resume: Option<ResumePoint>) -> Conn {
         let outgoing = &self.outgoing;
         let url = format!("http://{}{}", self.attempt.address, outgoing.path);
@@ -245,6 +269,13 @@
     }
 }
 
+fn read_notice(headers: &Headers) -> Notice {
+    Notice {
+        is_leaving: headers.get_str(LEAVING_HEADER) == Some("1"),
+        rest_ms: None,
+    }
+}
+
 fn outcome_of_error(error: &CallError) -> AttemptOutcome {
     match error {
         CallError::NotConnected { .. } => AttemptOutcome::NotRun(error.to_string()),
--- a/src/membership/leaving.rs
+++ b/src/membership/leaving.rs
@@ -1,8 +1,8 @@
-//! Marks of upstreams that are leaving, as reported by the upstream itself, by the platform's list
-//! or by a hint of another host.
+//! Marks of upstreams that are leaving, as reported by the upstream itself (in a report or any answer), by
+//! the platform's list or by a hint of another host.
 //!
-//! A mark expires some time after the last first-hand report, which the upstream and the list
-//! repeat many times within that time. A hint carries the age of that report, so that hosts that
+//! A mark expires some time after the last first-hand report, which the list repeats many times
+//! within that time. A hint carries the age of that report, so that hosts that
 //! pass hints to each other do not extend a mark.
 
 use crate::prelude::*;
@@ -67,7 +67,8 @@
         self.live_at.insert(upstream.clone(), now);
     }
 
-    /// Removes the expired marks and returns their upstreams.
+    /// Removes the marks whose last first-hand report is older than [`LEAVING_MARK_MS`] at `now`, up
+    /// to which reports were received. Returns their upstreams.
     pub fn expire(&mut self, now: Millis) -> Vec<Name> {
         let is_expired = |at: &Millis| now.since(*at) > LEAVING_MARK_MS;
         self.live_at.retain(|_, at| !is_expired(at));
--- a/src/membership/tests/cluster.rs
+++ b/src/membership/tests/cluster.rs
@@ -42,6 +42,8 @@
     /// The table versions that answers to edits reported as in force.
     pub in_force: Vec<Offset>,
     pub upstreams: Vec<UpstreamEntry>,
+    /// Whether the platform's list cannot be read.
+    pub list_away: bool,
     /// Effects that the simulation does not carry out, with the indexes of their hosts.
     pub outputs: Vec<(usize, Effect)>,
     calls: Vec<PeerCall>,
@@ -65,6 +67,7 @@
             edits: IndexMap::new(),
             in_force: Vec::new(),
             upstreams: Vec::new(),
+            list_away: false,
             outputs: Vec::new(),
             calls: Vec::new(),
             next_call: 0,
@@ -253,6 +256,10 @@
     }
 
     fn list_hosts(&mut self, index: usize) {
+        if self.list_away {
+            self.hosts[index].inbox.push(Event::HostsFailed);
+            return;
+        }
         let listed = |host: &Host| ListedHost {
             name: host.node.config.entry.name.clone(),
             incarnation: host.registered,
--- a/src/upstreams/notice.rs
+++ b/src/upstreams/notice.rs
@@ -8,7 +8,7 @@
 const MAX_REST_MS: Millis = Millis(24 * 3_600 * 1_000);
 
 /// What one answer of an upstream states.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
     /// Whether the upstream is shutting down and takes no new requests.
     pub is_leaving: bool,
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -192,4 +192,8 @@
     fn stops_on_disconnect(&self, request: &Request) -> bool {
         request.method == Method::Get || request.path == CHAT_PATH
     }
+
+    fn is_leaving(&self) -> bool {
+        self.0.is_leaving()
+    }
 }
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -14,6 +14,8 @@
 pub const RUN_HEADER: &str = "x-mangovale-run";
 /// The value of [`RUN_HEADER`].
 pub const NOT_RUN: &str = "not_run";
+/// The answer header by which an upstream says that it is leaving, with the value `1`.
+pub const LEAVING_HEADER: &str = "x-mangovale-leaving";
 /// Paths below this prefix steer the stand-in itself and suffer no faults.
 pub const ADMIN_PREFIX: &str = "/admin/";
 /// The largest request body that is read.
@@ -178,4 +180,9 @@
     fn stops_on_disconnect(&self, request: &Request) -> bool {
         request.method == Method::Get
     }
+
+    /// Reports whether the stand-in is leaving, which every answer says then.
+    fn is_leaving(&self) -> bool {
+        false
+    }
 }
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -18,7 +18,8 @@
 use crate::counters::Counters;
 use crate::error::{ListenSnafu, Refusal, StandInError};
 use crate::faults::{Faults, Loss};
-use crate::http::{Answer, AnswerBody, Chunks, MAX_BODY_BYTES, NOT_RUN, RUN_HEADER};
+use crate::http::{Answer, AnswerBody, Chunks, LEAVING_HEADER};
+use crate::http::{MAX_BODY_BYTES, NOT_RUN, RUN_HEADER};
 use crate::http::{Request, StandIn};
 use crate::transport::{ConnectionSwitch, SwitchAcceptor, SwitchedTransport};
 
@@ -121,7 +122,12 @@
             return conn;
         }
         match self.answer_with_faults(&mut conn, &request, switch).await {
-            Some(answer) => write_answer(conn, answer),
+            Some(answer) => {
+                if self.stand_in.is_leaving() {
+                    conn.insert_response_header(LEAVING_HEADER, "1");
+                }
+                write_answer(conn, answer)
+            }
             None => conn,
         }
     }
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -201,4 +201,8 @@
     fn stops_on_disconnect(&self, _request: &Request) -> bool {
         false
     }
+
+    fn is_leaving(&self) -> bool {
+        Self::is_leaving(self)
+    }
 }
