mangovaled: keep the rest that an upstream asks for

The event UpstreamStated carries the time. Choice of an upstream, reads of reports and calls about orders leave the upstream out until it ends or another process takes its name. Requests of which every upstream that stays rests are refused at once, with the time until the first rest ends. Stand-ins play it with the fault rest_s.

--- a/src/daemon/dispatch_flow.rs
+++ b/src/daemon/dispatch_flow.rs
@@ -40,7 +40,7 @@
             self.load_or_refuse(now, target, fx);
             return;
         }
-        if let Some(refusal) = self.unavailable(&candidates, is_model) {
+        if let Some(refusal) = self.unavailable(now, &candidates, is_model) {
             self.refuse_waiting(now, target, &refusal, fx);
             return;
         }
@@ -81,18 +81,33 @@
         }
     }
 
-    /// Returns the refusal for the requests of a service whose upstreams are all leaving. A model
-    /// can be loaded elsewhere.
-    fn unavailable(&self, candidates: &[Candidate], is_model: bool) -> Option<Refusal> {
-        let is_leaving = |candidate: &Candidate| {
+    /// Returns the refusal for the requests of a target whose upstreams are all leaving, or, those
+    /// that stay, have all asked for rest. A model whose copies are all on engines that leave can be
+    /// loaded elsewhere.
+    fn unavailable(
+        &self,
+        now: Millis,
+        candidates: &[Candidate],
+        is_model: bool,
+    ) -> Option<Refusal> {
+        let is_leaving = |candidate: &&Candidate| {
             let view = self.routing.get(&candidate.name);
             view.is_some_and(|view| view.leaving)
         };
-        if is_model || candidates.is_empty() || !candidates.iter().all(is_leaving) {
-            return None;
+        let mut staying = candidates.iter().filter(|one| !is_leaving(one)).peekable();
+        if staying.peek().is_none() {
+            let why = "every upstream of the service is leaving";
+            let refusal = Refusal::new(ErrorKind::NoCapacity, why);
+            let is_refused = !is_model && !candidates.is_empty();
+            return is_refused.then(|| refusal.with_retry_after(RETRY_AFTER_MS));
         }
-        let why = "every upstream of the service is leaving";
-        Some(Refusal::new(ErrorKind::NoCapacity, why).with_retry_after(RETRY_AFTER_MS))
+        let mut rest_ms = Millis::NEVER;
+        for candidate in staying {
+            let until = self.routing.asked_rest_until(now, &candidate.name)?;
+            rest_ms = rest_ms.min(until.since(now));
+        }
+        let why = "every upstream that could serve the request has asked for rest";
+        Some(Refusal::new(ErrorKind::Overloaded, why).with_retry_after(rest_ms))
     }
 
     fn candidates(&self, target: &str) -> Vec<Candidate> {
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -326,7 +326,7 @@
                 if !entry.leaving {
                     self.leaving.clear(&entry.name, now);
                 }
-                self.routing.view_mut(&entry.name).leaving = entry.leaving;
+                self.note_listed_entry(entry);
             }
             _ => {}
         }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -221,7 +221,7 @@
                 address,
                 notice,
             } => {
-                self.on_upstream_stated(&upstream, address, notice);
+                self.on_upstream_stated(now, &upstream, address, notice);
             }
             Event::AttemptEnded {
                 request,
--- a/src/daemon/placement_flow.rs
+++ b/src/daemon/placement_flow.rs
@@ -22,8 +22,10 @@
         if !self.is_fresh(now) {
             return;
         }
+        let routing = &self.routing;
+        let may_call = |engine: &str| routing.asked_rest_until(now, engine).is_none();
         self.executor
-            .on_tick(now, self.config.me, &self.shared.placement, fx);
+            .on_tick(now, self.config.me, &self.shared.placement, may_call, fx);
         self.propose_takeovers(now);
         if self.life == Life::Serving {
             self.propose_unloads(now);
--- a/src/daemon/tests/statements.rs
+++ b/src/daemon/tests/statements.rs
@@ -97,3 +97,45 @@
     cluster.run_for(Millis(100));
     assert!(is_usable(&cluster, 0));
 }
+
+// Guards against new requests to an upstream within the rest that it asked for, and against a time
+// to retry at which it still rests.
+#[test]
+fn an_upstream_that_asks_for_rest_gets_no_request_until_the_rest_ends() {
+    let mut cluster = cluster_with_service();
+    let notice = Notice {
+        is_leaving: false,
+        rest_ms: Some(Millis(30_000)),
+    };
+    state(&mut cluster, &service_entry(), notice);
+    cluster.run_for(Millis(10_000));
+    assert!(!is_usable(&cluster, 0));
+    // The rest is asked of the first host alone.
+    assert!(is_usable(&cluster, 1));
+    let refusal = refusal_of_a_request(&mut cluster).expect("a refusal");
+    assert_eq!(refusal.kind, ErrorKind::Overloaded);
+    let after = refusal.retry_after_ms.expect("a time to retry");
+    assert!(
+        after >= Millis(18_000) && after <= Millis(20_000),
+        "{after}"
+    );
+    cluster.run_for(Millis(20_000));
+    assert!(is_usable(&cluster, 0));
+    assert_eq!(refusal_of_a_request(&mut cluster), None);
+}
+
+// Guards against taking the rest of one process for the next one's under the same name.
+#[test]
+fn an_upstream_that_starts_again_under_its_name_does_not_rest() {
+    let mut cluster = cluster_with_service();
+    let notice = Notice {
+        is_leaving: false,
+        rest_ms: Some(Millis(30_000)),
+    };
+    state(&mut cluster, &service_entry(), notice);
+    cluster.run_for(Millis(100));
+    assert!(!is_usable(&cluster, 0));
+    cluster.upstreams[0].address = ([127, 0, 0, 1], 10).into();
+    cluster.run_for(Millis(5_000));
+    assert!(is_usable(&cluster, 0));
+}
--- a/src/daemon/upstream_flow.rs
+++ b/src/daemon/upstream_flow.rs
@@ -17,7 +17,13 @@
 
     /// Records what an answer of an upstream states. The answer of another process than the one at
     /// the upstream's present address has no effect.
-    pub fn on_upstream_stated(&mut self, upstream: &Name, address: SocketAddr, notice: Notice) {
+    pub fn on_upstream_stated(
+        &mut self,
+        now: Millis,
+        upstream: &Name,
+        address: SocketAddr,
+        notice: Notice,
+    ) {
         let known = self.shared.placement.upstreams.get(upstream);
         if known.is_none_or(|known| known.address != address) {
             return;
@@ -25,6 +31,11 @@
         if notice.is_leaving {
             self.mark_leaving(upstream);
         }
+        if let Some(until) = notice.rest_until(now) {
+            let view = self.routing.view_mut(upstream);
+            view.asked_rest_until = view.asked_rest_until.max(until);
+            LogEvent::UpstreamResting.write(&format!("upstream={upstream} until={until}"));
+        }
     }
 
     fn mark_leaving_at(&mut self, upstream: &Name, reported_at: Millis) {
@@ -34,6 +45,17 @@
         self.routing.view_mut(upstream).leaving = true;
     }
 
+    /// Applies the entry of an upstream that was put on the log. A process at another address than
+    /// before has stated nothing yet.
+    pub fn note_listed_entry(&mut self, entry: &UpstreamEntry) {
+        let view = self.routing.view_mut(&entry.name);
+        view.leaving = entry.leaving;
+        if view.address != Some(entry.address) {
+            view.address = Some(entry.address);
+            view.asked_rest_until = Millis::ZERO;
+        }
+    }
+
     /// Marks the upstreams that a peer's probe names as leaving, as of the time at which each was
     /// reported to be leaving.
     pub fn merge_leaving_hints(&mut self, now: Millis, probe: &Probe) {
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -10,7 +10,7 @@
 use crate::prelude::*;
 use crate::upstreams::Notice;
 use std::time::Duration;
-use trillium_client::{Conn, Headers, Method, ResponseBody};
+use trillium_client::{Conn, KnownHeaderName, Method, ResponseBody};
 
 /// The answer header by which an upstream says that it ran nothing of the request.
 pub const RUN_HEADER: &str = "x-mangovale-run";
@@ -28,6 +28,7 @@
 pub const RESUME_FROM_HEADER: &str = "x-resume-from";
 
 const TOO_MANY_REQUESTS: u16 = 429;
+const UNAVAILABLE: u16 = 503;
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Statuses of faults in the request itself, for which another upstream would answer the same.
 const REQUEST_FAULTS: [u16; 3] = [400, 413, 422];
@@ -162,8 +163,7 @@
             }
             Some(Err(error)) => Err(outcome_of_error(&classify_error(&error))),
             Some(Ok(conn)) => {
-                self.report_notice(read_notice(conn.response_headers()))
-                    .await;
+                self.report_notice(read_notice(&conn)).await;
                 self.check_answer_start(conn, self.clock.now().since(sent_at))
             }
         }
@@ -269,13 +269,25 @@
     }
 }
 
-fn read_notice(headers: &Headers) -> Notice {
+/// Reads what an upstream's answer states about further requests.
+fn read_notice(conn: &Conn) -> Notice {
+    let headers = conn.response_headers();
+    let status = conn.status().map_or(0, |status| status as u16);
+    let rest_s = headers
+        .get_str(KnownHeaderName::RetryAfter)
+        .filter(|_| status == UNAVAILABLE);
     Notice {
         is_leaving: headers.get_str(LEAVING_HEADER) == Some("1"),
-        rest_ms: None,
+        rest_ms: rest_s.and_then(read_seconds),
     }
 }
 
+/// Reads a whole number of seconds.
+fn read_seconds(text: &str) -> Option<Millis> {
+    let seconds: u64 = text.trim().parse().ok()?;
+    Some(Millis(seconds.saturating_mul(1_000)))
+}
+
 fn outcome_of_error(error: &CallError) -> AttemptOutcome {
     match error {
         CallError::NotConnected { .. } => AttemptOutcome::NotRun(error.to_string()),
--- a/src/placement/executor.rs
+++ b/src/placement/executor.rs
@@ -110,19 +110,20 @@
 }
 
 impl Executor {
-    /// Sends, or asks about, every order of this host whose next call is due. Call only while this
-    /// host is fresh.
+    /// Sends, or asks about, every order of this host whose next call is due, unless `may_call` says
+    /// that its engine gets no calls now. Call only while this host is fresh.
     pub fn on_tick(
         &mut self,
         now: Millis,
         me: Incarnation,
         placement: &Placement,
+        may_call: impl Fn(&str) -> bool,
         fx: &mut Effects,
     ) {
         self.orders
             .retain(|id, _| placement.copies.contains_key(id));
         for (id, copy) in placement.unsettled() {
-            if copy.executor == me {
+            if copy.executor == me && may_call(&copy.load.upstream) {
                 self.call_engine(now, *id, copy, placement, fx);
             }
         }
--- a/src/placement/interleaving_tests.rs
+++ b/src/placement/interleaving_tests.rs
@@ -203,7 +203,7 @@
         }
         let mut fx = Effects::new();
         let placement = &host.shared.placement;
-        host.executor.on_tick(now, id, placement, &mut fx);
+        host.executor.on_tick(now, id, placement, |_| true, &mut fx);
         let relinquished = host.executor.newly_relinquished(now, id, placement);
         for effect in fx {
             self.start_call(id, effect);
--- a/src/routing/upstreams.rs
+++ b/src/routing/upstreams.rs
@@ -4,6 +4,7 @@
 use crate::placement::message::EngineReport;
 use crate::prelude::*;
 use crate::routing::first_byte::{FirstByteTimes, MAX_TIMEOUT_MS};
+use std::net::SocketAddr;
 
 /// How long an upstream gets no requests after a failure.
 pub const FAILURE_BACKOFF_MS: Millis = Millis(500);
@@ -18,10 +19,16 @@
 /// State of one upstream.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct UpstreamView {
+    /// The address of the process that the rest of this state is about.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
     /// Requests of this host in flight there.
     pub in_flight: u32,
     /// End of the back-off: until then the upstream gets no requests.
     pub resting_until: Millis,
+    /// End of the rest that the upstream asked this host for in an answer.
+    #[serde(default)]
+    pub asked_rest_until: Millis,
     /// Whether the upstream is known to be leaving, from itself or from another host.
     pub leaving: bool,
     /// Times to the first byte of streamed answers.
@@ -62,8 +69,8 @@
     }
 
     /// Chooses the engines to ask for their reports now: at most [`MAX_REPORT_REQUESTS`] in each
-    /// interval, half of them reserved for engines without requests from this host. Within each
-    /// group, the engines asked longest ago come first.
+    /// interval, half of them reserved for engines without requests from this host, and none that
+    /// has asked for rest. Within each group, the engines asked longest ago come first.
     pub fn due_reports<'a>(
         &mut self,
         now: Millis,
@@ -79,7 +86,7 @@
             let view = self.get(&engine.name);
             let asked_at = view.map_or(Millis::ZERO, |view| view.report_asked_at);
             match view {
-                Some(view) if view.report_under_way => {}
+                Some(view) if view.report_under_way || now < view.asked_rest_until => {}
                 Some(view) if view.in_flight > 0 => in_use.push((asked_at, engine)),
                 _ => idle.push((asked_at, engine)),
             }
@@ -127,10 +134,18 @@
             .map(|(name, _)| name)
     }
 
-    /// Returns whether an upstream may get new requests: it is not leaving and not in back-off.
+    /// Returns whether an upstream may get new requests: it is not leaving, has not asked for rest,
+    /// and is not in back-off.
     pub fn is_usable(&self, now: Millis, upstream: &str) -> bool {
-        self.get(upstream)
-            .is_none_or(|view| !view.leaving && view.resting_until <= now)
+        self.get(upstream).is_none_or(|view| {
+            !view.leaving && view.asked_rest_until <= now && view.resting_until <= now
+        })
+    }
+
+    /// Returns when the rest ends that an upstream asked this host for, if it lasts at `now`.
+    pub fn asked_rest_until(&self, now: Millis, upstream: &str) -> Option<Millis> {
+        let until = self.get(upstream)?.asked_rest_until;
+        (now < until).then_some(until)
     }
 
     fn in_flight(&self, upstream: &str) -> u32 {
--- a/src/upstreams/notice.rs
+++ b/src/upstreams/notice.rs
@@ -32,21 +32,27 @@
     Resting(Millis),
 }
 
+impl Notice {
+    /// Returns when the rest ends that the answer asks for; none if it asks for none.
+    pub fn rest_until(self, now: Millis) -> Option<Millis> {
+        let rest_ms = self.rest_ms?.min(MAX_REST_MS);
+        (rest_ms > Millis::ZERO).then(|| now + rest_ms)
+    }
+}
+
 impl Notices {
     /// Records what an answer states. Returns what changed, if anything did. A rest ends when the
     /// longest that was asked for ends.
     pub fn record(&mut self, now: Millis, notice: Notice) -> Option<NoticeChange> {
         let starts_leaving = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
-        let rest_ms = notice.rest_ms.unwrap_or_default().min(MAX_REST_MS);
-        let extends_rest = rest_ms > Millis::ZERO && now + rest_ms > self.rests_until;
-        if extends_rest {
-            self.rests_until = now + rest_ms;
-        }
-        match (starts_leaving, extends_rest) {
+        let rest_until = notice.rest_until(now);
+        let longer_rest = rest_until.filter(|until| *until > self.rests_until);
+        self.rests_until = longer_rest.unwrap_or(self.rests_until);
+        match (starts_leaving, longer_rest) {
             (true, _) => Some(NoticeChange::Leaving),
-            (false, true) => Some(NoticeChange::Resting(self.rests_until)),
-            (false, false) => None,
+            (false, Some(until)) => Some(NoticeChange::Resting(until)),
+            (false, None) => None,
         }
     }
 
--- a/standins/src/error.rs
+++ b/standins/src/error.rs
@@ -82,6 +82,12 @@
     /// The stand-in plays an outage.
     #[snafu(display("outage"))]
     Outage,
+    /// The stand-in turns requests away for a time.
+    #[snafu(display("resting"))]
+    Resting {
+        /// For how long the caller should send nothing.
+        retry_after_s: u64,
+    },
 }
 
 /// The JSON body of a refusal.
@@ -114,7 +120,7 @@
             Self::TooLarge => 413,
             Self::BaseNotLoaded => 422,
             Self::Rate | Self::Busy => 429,
-            Self::Leaving | Self::Outage => 503,
+            Self::Leaving | Self::Outage | Self::Resting { .. } => 503,
             Self::Memory => 507,
         }
     }
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -24,6 +24,8 @@
     delay_ms: u64,
     /// Every request is refused at once.
     outage: bool,
+    /// Every request is turned away, and its caller asked for this many seconds of rest.
+    rest_s: Option<u64>,
     /// The probability that an answer is lost after its effect.
     lose_answers: f64,
     /// How long a connection whose answer is lost hangs before it is closed.
@@ -128,6 +130,15 @@
         state.settings.outage && state.settings.applies_to(path)
     }
 
+    /// Returns the rest that requests to the path are turned away with, if they are.
+    pub fn rest_s(&self, path: &str) -> Option<u64> {
+        let state = self.lock();
+        state
+            .settings
+            .rest_s
+            .filter(|_| state.settings.applies_to(path))
+    }
+
     /// Waits while requests to the path are frozen.
     pub async fn until_thawed(&self, path: &str) {
         loop {
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -118,6 +118,8 @@
     pub body: AnswerBody,
     /// Whether the answer says that nothing was run.
     pub not_run: bool,
+    /// The seconds for `Retry-After`.
+    pub retry_after_s: Option<u64>,
 }
 
 impl Answer {
@@ -129,6 +131,7 @@
             status,
             body: AnswerBody::Json(body),
             not_run: false,
+            retry_after_s: (status == 429).then_some(RETRY_AFTER_S),
         }
     }
 
@@ -143,21 +146,19 @@
             status: 200,
             body: AnswerBody::Events(chunks),
             not_run: false,
+            retry_after_s: None,
         }
     }
-
-    /// Returns the seconds for `Retry-After`, where the status calls for it.
-    pub fn retry_after_s(&self) -> Option<u64> {
-        (self.status == 429).then_some(RETRY_AFTER_S)
-    }
 }
 
 impl From<Refusal> for Answer {
     fn from(refusal: Refusal) -> Self {
-        Self {
-            not_run: refusal.not_run(),
-            ..Self::json(refusal.status(), &refusal.body())
+        let mut answer = Self::json(refusal.status(), &refusal.body());
+        answer.not_run = refusal.not_run();
+        if let Refusal::Resting { retry_after_s } = refusal {
+            answer.retry_after_s = Some(retry_after_s);
         }
+        answer
     }
 }
 
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -157,6 +157,10 @@
             self.counters.count_outage();
             return Some(Refusal::Outage.into());
         }
+        if let Some(retry_after_s) = self.faults.rest_s(&request.path) {
+            self.counters.count_outage();
+            return Some(Refusal::Resting { retry_after_s }.into());
+        }
         let answering = self.stand_in.answer(request);
         let answer = match self.stand_in.stops_on_disconnect(request) {
             true => conn.cancel_on_disconnect(answering).await?,
@@ -246,7 +250,7 @@
     if answer.not_run {
         conn.insert_response_header(RUN_HEADER, NOT_RUN);
     }
-    if let Some(retry_after_s) = answer.retry_after_s() {
+    if let Some(retry_after_s) = answer.retry_after_s {
         conn.insert_response_header(KnownHeaderName::RetryAfter, retry_after_s.to_string());
     }
     let (content_type, body) = match answer.body {
