--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -115,7 +115,7 @@
     UpstreamLimited = 606,
     /// This host received the list of upstreams.
     ListTaken = 607,
-    /// An upstream turned a request away and wants no further ones of this host for some time.
+    /// An upstream turned a request away and wants no further ones from this host for some time.
     UpstreamResting = 608,
     /// A request of a caller was refused.
     RequestRefused = 700,
