Put the refusal of requests that no upstream can take into a module of its own

entry/waiting.rs held two jobs; unavailable.rs has the second. Tests share Site::apply_route; note_upstream_entry is named for what it is told.

--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -326,7 +326,7 @@
                 if !entry.leaving {
                     self.leaving.clear(&entry.name, now);
                 }
-                self.note_listed_entry(entry);
+                self.note_upstream_entry(entry);
             }
             _ => {}
         }
--- a/src/daemon/upstream_flow.rs
+++ b/src/daemon/upstream_flow.rs
@@ -47,7 +47,7 @@
 
     /// Applies the entry of an upstream that was put on the log. A process at another address than
     /// before has stated nothing yet.
-    pub fn note_listed_entry(&mut self, entry: &UpstreamEntry) {
+    pub fn note_upstream_entry(&mut self, entry: &UpstreamEntry) {
         let view = self.routing.view_mut(&entry.name);
         view.leaving = entry.leaving;
         if view.address != Some(entry.address) {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -16,10 +16,9 @@
 use crate::entry::platform::{Platform, SendFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
 use crate::entry::send::{self, SendOutcome, StartedAnswer};
+use crate::entry::unavailable::{Unavailable, unavailable};
 use crate::entry::upstream_limits;
-use crate::entry::waiting::{
-    Unavailable, late_start_refusal, unavailable, wait_for_turn, wait_for_upstream,
-};
+use crate::entry::waiting::{late_start_refusal, wait_for_turn, wait_for_upstream};
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -39,6 +39,7 @@
 pub mod sync;
 pub mod table_rows;
 pub mod table_sources;
+pub mod unavailable;
 pub mod upstream_limits;
 pub mod waiting;
 
--- a/src/entry/tests/notices.rs
+++ b/src/entry/tests/notices.rs
@@ -39,11 +39,6 @@
     (near, far)
 }
 
-async fn apply(site: &Site, route: Route) {
-    site.publish_desired(1, vec![route]);
-    site.until_version(1).await;
-}
-
 fn stream_route(repeat: Repeat) -> Route {
     Route {
         streams: true,
@@ -57,7 +52,7 @@
     let arrivals = Rc::new(Cell::new(0));
     let counted = arrivals.clone();
     on_site(|site| async move {
-        apply(&site, route).await;
+        site.apply_route(route).await;
         let (near, _far) = start_pair(&site, vec![answer, vec![Write(WHOLE)]]).await;
         site.store.is_down.set(true);
         site.call(REQUEST).await;
@@ -99,7 +94,7 @@
 #[test]
 fn an_upstream_that_says_so_at_the_start_of_a_stream_gets_no_request_while_the_stream_goes_on() {
     on_site(|site| async move {
-        apply(&site, stream_route(Repeat::Once)).await;
+        site.apply_route(stream_route(Repeat::Once)).await;
         let may_end = Rc::new(Cell::new(false));
         let stream = vec![
             Write(LEAVING_STREAM),
@@ -123,7 +118,7 @@
 #[test]
 fn a_broken_stream_is_not_resumed_at_an_upstream_that_leaves() {
     on_site(|site| async move {
-        apply(&site, stream_route(Repeat::Resumable)).await;
+        site.apply_route(stream_route(Repeat::Resumable)).await;
         let leaving = vec![Write(LEAVING)];
         let near = site.start_upstream("near", vec![leaving]).await;
         site.call(REQUEST).await;
@@ -146,7 +141,7 @@
 #[test]
 fn a_failed_request_is_not_repeated_at_an_upstream_that_leaves() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Idempotent)).await;
+        site.apply_route(route(Repeat::Idempotent)).await;
         let leaving = vec![Write(LEAVING)];
         let near = site.start_upstream("near", vec![leaving]).await;
         site.call(REQUEST).await;
@@ -163,7 +158,7 @@
 #[test]
 fn a_request_is_refused_at_once_when_every_upstream_leaves() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let leaving = vec![Write(LEAVING)];
         let near = site.start_upstream("near", vec![leaving]).await;
         site.call(REQUEST).await;
@@ -180,7 +175,7 @@
 #[test]
 fn an_upstream_that_starts_again_under_its_name_gets_requests_again() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let leaving = vec![Write(LEAVING)];
         let former = site.start_upstream("near", vec![leaving]).await;
         site.call(REQUEST).await;
@@ -200,7 +195,7 @@
 #[test]
 fn a_connection_to_an_ended_lifetime_is_not_used_for_the_next_one() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let may_answer = Rc::new(Cell::new(false));
         let late = vec![Wait(may_answer.clone()), Write(LEAVING)];
         let former = site.start_upstream("near", vec![late]).await;
@@ -226,7 +221,7 @@
 #[test]
 fn the_statement_of_another_lifetime_at_the_address_is_not_the_upstreams() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let other = vec![Write(OTHER_LIFETIME_LEAVING)];
         let hang = vec![Hang];
         let near = site.start_upstream("near", vec![other, hang]).await;
--- a/src/entry/tests/rests.rs
+++ b/src/entry/tests/rests.rs
@@ -2,7 +2,7 @@
 
 use super::fake_platform::FakePlatform;
 use super::fake_upstream::Step::{Close, Wait, Write};
-use super::site::{Answer, Site, entry, on_site, route};
+use super::site::{Answer, entry, on_site, route};
 use crate::desired::{Repeat, Route};
 use crate::entry::host::Host;
 use crate::entry::notices;
@@ -22,11 +22,6 @@
     "HTTP/1.1 503 Busy\r\nId: {id}\r\nRest-Ms: 60000\r\nContent-Length: 0\r\n\r\n";
 const STREAM_START: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid:1\ndata:a\n\n\r\n";
 
-async fn apply(site: &Site, route: Route) {
-    site.publish_desired(1, vec![route]);
-    site.until_version(1).await;
-}
-
 fn retry_after_s(answer: &Answer) -> f64 {
     let text = answer.head.headers.text("Retry-After").expect("a time");
     text.parse().expect("a number")
@@ -42,7 +37,7 @@
 #[test]
 fn an_upstream_that_asks_for_rest_gets_no_request_in_that_time() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let upstream = site
             .start_upstream("u1", vec![vec![Write(RESTS_FOR_A_MINUTE)]])
             .await;
@@ -58,7 +53,7 @@
 #[test]
 fn a_request_is_refused_at_once_with_the_time_until_the_first_rest_ends() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let upstream = site
             .start_upstream("u1", vec![vec![Write(RESTS_FOR_A_MINUTE)]])
             .await;
@@ -84,7 +79,7 @@
 #[test]
 fn an_upstream_gets_requests_again_after_its_rest() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let scripts = vec![vec![Write(RESTS_SHORTLY)], vec![Write(WHOLE)]];
         let upstream = site.start_upstream("u1", scripts).await;
         assert_eq!(site.call(REQUEST).await.head.status, 503);
@@ -98,7 +93,7 @@
 #[test]
 fn a_rest_is_kept_after_a_refusal_that_does_not_say_that_the_request_did_not_run() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let upstream = site
             .start_upstream("u1", vec![vec![Write(RESTS_PERHAPS_RUN)]])
             .await;
@@ -116,7 +111,7 @@
             streams: true,
             ..route(Repeat::Resumable)
         };
-        apply(&site, streams).await;
+        site.apply_route(streams).await;
         let resting = site
             .start_upstream("u1", vec![vec![Write(RESTS_FOR_A_MINUTE)]])
             .await;
@@ -138,7 +133,7 @@
 #[test]
 fn a_request_that_waits_hears_at_once_that_every_upstream_rests() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let upstream = site.start_upstream("u1", vec![vec![Write(WHOLE)]]).await;
         let lifetime = {
             let upstreams = site.host.upstreams.borrow();
@@ -169,7 +164,7 @@
 #[test]
 fn an_upstream_that_starts_again_under_its_name_does_not_rest() {
     on_site(|site| async move {
-        apply(&site, route(Repeat::Once)).await;
+        site.apply_route(route(Repeat::Once)).await;
         let scripts = vec![vec![Write(RESTS_FOR_A_MINUTE)], vec![Write(WHOLE)]];
         let upstream = site.start_upstream("u1", scripts).await;
         assert_eq!(site.call(REQUEST).await.head.status, 503);
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -111,6 +111,12 @@
         });
     }
 
+    /// Puts a desired state with one service and this route into force.
+    pub async fn apply_route(&self, route: Route) {
+        self.publish_desired(1, vec![route]);
+        self.until_version(1).await;
+    }
+
     /// Starts an upstream of the service and lists it.
     pub async fn start_upstream(&self, id: &str, scripts: Vec<Vec<Step>>) -> FakeUpstream {
         let upstream = FakeUpstream::start(&self.executor, scripts).await;
--- a/src/routing/upstreams.rs
+++ b/src/routing/upstreams.rs
@@ -19,7 +19,7 @@
 /// State of one upstream.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct UpstreamView {
-    /// The address of the process that the rest of this state is about.
+    /// The address of the process that this state describes.
     #[serde(default)]
     pub address: Option<SocketAddr>,
     /// Requests of this host in flight there.
