Heed a lifetime that says that it leaves while its entry has lapsed

The model of late answers, with entries that lapse and come back, sent to a lifetime that had told the host: the answer came while the list lacked the entry, so nothing recorded it. It is now recorded for the last lifetime of a removed upstream, too; the test failed before.

--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -359,16 +359,22 @@
             .is_some_and(|upstream| !upstream.is_leaving())
     }
 
-    /// Records what an answer of an upstream states, if the given lifetime is the known one.
-    /// Returns what changed.
+    /// Records what an answer of an upstream states, if the given lifetime is the known one or the
+    /// last one of a removed upstream, whose entry may come back. Returns what changed.
     pub fn record_notice(
         &mut self,
         now: Millis,
         lifetime: &Lifetime,
         notice: Notice,
     ) -> Option<NoticeChange> {
-        let upstream = self.get_lifetime_mut(lifetime)?;
-        upstream.notices.record(now, notice)
+        if let Some(upstream) = self.get_lifetime_mut(lifetime) {
+            return upstream.notices.record(now, notice);
+        }
+        let past = self.past.get_mut(&lifetime.id)?;
+        if past.born_at == lifetime.born_at {
+            past.is_over |= notice.is_leaving;
+        }
+        None
     }
 
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
--- a/src/upstreams/tests/notices.rs
+++ b/src/upstreams/tests/notices.rs
@@ -9,7 +9,7 @@
 const STEP_MS: u64 = 20;
 /// How many steps a run has with faults, and then without.
 const STEPS: u64 = 1_000;
-const CALM_STEPS: u64 = 200;
+const CALM_STEPS: u64 = 400;
 /// The most steps that a row, a connection, a request or an answer takes.
 const MAX_DELAY_STEPS: u64 = 12;
 /// The longest rest that an upstream asks for.
@@ -279,6 +279,21 @@
     }
 }
 
+// Guards against using a lifetime again that stated that it leaves while its entry had lapsed.
+#[test]
+fn a_lifetime_that_says_that_it_leaves_while_its_entry_has_lapsed_is_not_used_again() {
+    let mut registry = Registry::default();
+    registry.put(entry("a"));
+    registry.remove(Millis(0), "a");
+    let notice = Notice {
+        is_leaving: true,
+        rest_ms: None,
+    };
+    registry.record_notice(Millis(1), &lifetime("a", 0), notice);
+    registry.put(entry("a"));
+    assert_eq!(usable(&registry), [""; 0]);
+}
+
 #[test]
 fn a_statement_outlives_the_entry_of_its_lifetime_but_not_the_lifetime() {
     let mut registry = Registry::default();
