--- a/src/upstreams/notice.rs
+++ b/src/upstreams/notice.rs
@@ -1,6 +1,6 @@
 //! What upstreams state in their answers about whether they take further requests.
 //!
-//! A statement holds for one lifetime of an upstream, and is kept as long as the upstream's entry.
+//! A statement holds for one lifetime of an upstream, also if its entry lapses and comes back.
 
 use crate::prelude::*;
 
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -130,6 +130,8 @@
     /// Whether it left, or a process at its address answered that this lifetime ended. Otherwise
     /// its entry may merely have lapsed.
     is_over: bool,
+    /// What it stated in its answers to this host, in case its entry comes back.
+    notices: Notices,
     /// Its sequence number among all remembered lifetimes.
     sequence: u64,
 }
@@ -214,11 +216,15 @@
                 }
             }
             None => {
-                self.past.swap_remove(&entry.id);
+                let past = self.past.swap_remove(&entry.id);
+                let same = past.filter(|past| past.born_at == entry.born_at);
                 self.index.add(&entry);
                 self.version += 1;
-                self.upstreams
-                    .insert(entry.id.clone(), Upstream::new(entry));
+                let upstream = Upstream {
+                    notices: same.map_or_else(Notices::default, |past| past.notices),
+                    ..Upstream::new(entry)
+                };
+                self.upstreams.insert(upstream.entry.id.clone(), upstream);
                 Change::Added
             }
         }
@@ -371,10 +377,11 @@
             return upstream.notices.record(now, notice);
         }
         let past = self.past.get_mut(&lifetime.id)?;
-        if past.born_at == lifetime.born_at {
-            past.is_over |= notice.is_leaving;
+        if past.born_at != lifetime.born_at {
+            return None;
         }
-        None
+        past.is_over |= notice.is_leaving;
+        past.notices.record(now, notice)
     }
 
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
@@ -456,6 +463,7 @@
         let past = PastLifetime {
             born_at: upstream.entry.born_at,
             is_over: is_over || upstream.is_leaving(),
+            notices: upstream.notices,
             sequence: self.next_sequence,
         };
         let name = upstream.entry.id;
