--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -278,16 +278,10 @@
         .filter(|_| status == UNAVAILABLE);
     Notice {
         is_leaving: headers.get_str(LEAVING_HEADER) == Some("1"),
-        rest_ms: rest_s.and_then(read_seconds),
+        rest_ms: rest_s.and_then(Notice::parse_rest),
     }
 }
 
-/// Reads a whole number of seconds.
-fn read_seconds(text: &str) -> Option<Millis> {
-    let seconds: u64 = text.trim().parse().ok()?;
-    Some(Millis(seconds.saturating_mul(1_000)))
-}
-
 fn outcome_of_error(error: &CallError) -> AttemptOutcome {
     match error {
         CallError::NotConnected { .. } => AttemptOutcome::NotRun(error.to_string()),
--- /dev/null
+++ b/src/entry/engine_calls.rs
@@ -0,0 +1,290 @@
+//! Calls of the orderer to engines: reads their reports and sends the planned orders.
+
+use crate::entry::host::Host;
+use crate::entry::lines;
+use crate::entry::notices;
+use crate::entry::orderer::OrderingState;
+use crate::entry::platform::{EngineReply, Platform};
+use crate::entry::table_rows;
+use crate::group::Member;
+use crate::ordering::copy::LoadProgress;
+use crate::ordering::message::{EngineReport, Order, OrderAnswer};
+use crate::ordering::planner::load_time;
+use crate::ordering::store_load_limiter::StoreLoadLimiter;
+use crate::prelude::*;
+use crate::upstreams::Lifetime;
+use smol::LocalExecutor;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// The most report requests in flight, not counting engines that are carrying out orders. A new
+/// orderer has to read all engines, and thousands of concurrent requests would leave it no time for
+/// the hosts.
+const MAX_REPORTS_IN_FLIGHT: usize = 200;
+
+#[derive(Serialize)]
+struct OrderAnswerLine<'a> {
+    upstream: &'a str,
+    order: &'a Order,
+    answer: OrderAnswer,
+    took_ms: Millis,
+}
+
+#[derive(Serialize)]
+struct LoadedLine<'a> {
+    upstream: &'a str,
+    model: &'a str,
+    took_ms: Option<Millis>,
+    from_store: bool,
+    store_loads_at_once: usize,
+}
+
+#[derive(Serialize)]
+struct ReportLine<'a> {
+    upstream: &'a str,
+    error: &'a str,
+}
+
+#[derive(Serialize)]
+struct EngineLine<'a> {
+    upstream: &'a str,
+    models: Vec<&'a Name>,
+    adapters: usize,
+}
+
+/// Holds back calls to engines that have asked this host for rest. Their models still count as held.
+pub fn hold_calls_to_resting<P: Platform>(host: &Host<P>, now: Millis) {
+    let upstreams = host.upstreams.borrow();
+    let mut orders = host.orders.borrow_mut();
+    for upstream in upstreams.iter() {
+        if let Some(until) = upstream.notices.rests_until(now) {
+            orders.inventory.hold_calls(&upstream.entry.id, until);
+        }
+    }
+}
+
+/// Reads the reports that are due, each in a task of its own.
+pub fn request_due_reports<P: Platform + 'static>(
+    host: &Rc<Host<P>>,
+    executor: &Rc<LocalExecutor<'static>>,
+    now: Millis,
+) {
+    let due = {
+        let mut orders = host.orders.borrow_mut();
+        let max_idle = MAX_REPORTS_IN_FLIGHT.saturating_sub(orders.reports_in_flight);
+        let due = orders.inventory.due_reports(now, max_idle);
+        orders.reports_in_flight += due.len();
+        due
+    };
+    for id in due {
+        let host = host.clone();
+        executor
+            .spawn(async move {
+                request_report(&host, &id).await;
+                host.orders.borrow_mut().reports_in_flight -= 1;
+            })
+            .detach();
+    }
+}
+
+async fn request_report<P: Platform>(host: &Host<P>, id: &Name) {
+    let known = lifetime_and_address(host, id);
+    let report = match known {
+        Some((lifetime, address)) => {
+            let reply = host.platform.report(address, id).await;
+            if let Ok(report) = &reply.outcome {
+                note_engine_start(host, id, report.born_at);
+            }
+            note_report_notice(host, lifetime, &reply);
+            reply.outcome
+        }
+        None => Err("the engine is no longer listed".to_string()),
+    };
+    if let Err(error) = &report {
+        let line = ReportLine {
+            upstream: id,
+            error,
+        };
+        lines::write(LogEvent::ReportFailed, &line);
+    }
+    let report = report.ok();
+    let now = host.now();
+    let mut orders = host.orders.borrow_mut();
+    let was_known = orders
+        .inventory
+        .get(id)
+        .is_some_and(|engine| engine.is_known);
+    let has_report = report.is_some();
+    let loaded = orders.inventory.record_report(now, id, report);
+    if has_report {
+        learn_from_overdue(host, &mut orders, id, now);
+    }
+    if !was_known && let Some(engine) = orders.inventory.get(id).filter(|engine| engine.is_known) {
+        let line = EngineLine {
+            upstream: id,
+            models: engine.copies.keys().collect(),
+            adapters: engine.adapters.len(),
+        };
+        lines::write(LogEvent::EngineRead, &line);
+    }
+    for LoadProgress {
+        model,
+        took_ms,
+        from_store,
+        concurrent_loads,
+    } in loaded
+    {
+        if from_store
+            && let Some(took_ms) = took_ms
+            && let Some(stated_ms) = stated_load_ms(host, id, &model)
+            && let Some(store_load_limiter) = &mut orders.store_load_limiter
+        {
+            store_load_limiter.record_finish(took_ms, stated_ms, concurrent_loads);
+        }
+        let line = LoadedLine {
+            upstream: id,
+            model: &model,
+            took_ms,
+            from_store,
+            store_loads_at_once: orders
+                .store_load_limiter
+                .as_ref()
+                .map_or(0, StoreLoadLimiter::max_concurrent),
+        };
+        lines::write(LogEvent::CopyReady, &line);
+    }
+}
+
+fn lifetime_and_address<P: Platform>(host: &Host<P>, id: &str) -> Option<(Lifetime, SocketAddr)> {
+    let upstreams = host.upstreams.borrow();
+    let upstream = upstreams.get(id)?;
+    Some((upstream.lifetime(), upstream.address()))
+}
+
+/// Records what the answer to a read of a report states, for the lifetime that the report names: it
+/// may have started since the read.
+fn note_report_notice<P: Platform>(
+    host: &Host<P>,
+    asked: Lifetime,
+    reply: &EngineReply<Result<EngineReport, String>>,
+) {
+    let reported_at = reply.outcome.as_ref().map(|report| report.born_at);
+    let lifetime = Lifetime {
+        born_at: asked.born_at.max(reported_at.unwrap_or_default()),
+        ..asked
+    };
+    notices::note_answer(host, &lifetime, reply.notice);
+}
+
+/// Records the start time that an engine's report names, since a report may show a restart before
+/// the list of upstreams does.
+fn note_engine_start<P: Platform>(host: &Host<P>, id: &Name, born_at: Millis) {
+    let lifetime = Lifetime {
+        id: id.clone(),
+        born_at,
+    };
+    let change = host.upstreams.borrow_mut().note_restarted(&lifetime);
+    table_rows::note_upstream_change(host, id, &change, None);
+}
+
+/// Lowers the limit of concurrent loads when an engine reports that an overdue load is still
+/// running.
+fn learn_from_overdue<P: Platform>(
+    host: &Host<P>,
+    orders: &mut OrderingState,
+    id: &str,
+    now: Millis,
+) {
+    let engine = orders.inventory.get(id);
+    let under_way: Vec<LoadProgress> = engine
+        .into_iter()
+        .flat_map(|engine| engine.loads_under_way(now))
+        .collect();
+    for LoadProgress {
+        model,
+        took_ms,
+        concurrent_loads,
+        ..
+    } in under_way
+    {
+        if let Some(took_ms) = took_ms
+            && let Some(stated_ms) = stated_load_ms(host, id, &model)
+            && let Some(store_load_limiter) = &mut orders.store_load_limiter
+        {
+            store_load_limiter.record_overdue(took_ms, stated_ms, concurrent_loads);
+        }
+    }
+}
+
+fn stated_load_ms<P: Platform>(host: &Host<P>, id: &str, model: &Name) -> Option<Millis> {
+    let routes = host.routes.borrow();
+    let upstreams = host.upstreams.borrow();
+    let service = &upstreams.get(id)?.entry.service;
+    let spec = routes.as_ref()?.services.get(service)?.engine.as_ref()?;
+    Some(spec.models.get(model)?.load_ms)
+}
+
+/// Sends the orders that are due, each in a task of its own.
+pub fn send_due_orders<P: Platform + 'static>(
+    host: &Rc<Host<P>>,
+    executor: &Rc<LocalExecutor<'static>>,
+    me: &Member,
+    now: Millis,
+) {
+    let due = host.orders.borrow_mut().inventory.take_due_orders(now);
+    for (id, order) in due {
+        let host = host.clone();
+        let holder: Name = format!("{}-{:x}", host.settings().name, me.incarnation).into();
+        executor
+            .spawn(async move { send_order(&host, &holder, &id, &order).await })
+            .detach();
+    }
+}
+
+/// Sends an order, unless the lease has ended since it was planned.
+async fn send_order<P: Platform>(host: &Host<P>, holder: &str, id: &Name, order: &Order) {
+    let sent_at = host.now();
+    let fence = {
+        let orders = host.orders.borrow();
+        let holding = orders.lease.holding();
+        holding
+            .filter(|_| orders.lease.may_order(sent_at))
+            .map(|holding| holding.fence)
+    };
+    let engine = lifetime_and_address(host, id)
+        .filter(|(lifetime, _)| notices::accepts_requests(host, lifetime));
+    let answer = match (fence, engine) {
+        (Some(fence), Some((lifetime, address))) => {
+            let reply = host.platform.order(address, id, holder, fence, order).await;
+            notices::note_answer(host, &lifetime, reply.notice);
+            reply.outcome
+        }
+        _ => OrderAnswer::NotSent,
+    };
+    let now = host.now();
+    let expected_load = {
+        let routes = host.routes.borrow();
+        let orders = host.orders.borrow();
+        let service = orders
+            .inventory
+            .get(id)
+            .map(|engine| engine.service.clone());
+        let spec = service.and_then(|service| {
+            let table = routes.as_ref()?;
+            table.services.get(&service)?.engine.as_ref()
+        });
+        spec.map(|spec| load_time(spec, &orders.inventory, id, &order.ask))
+    };
+    let load = expected_load.unwrap_or_default();
+    host.orders
+        .borrow_mut()
+        .inventory
+        .record_answer(now, id, order, answer, load);
+    let line = OrderAnswerLine {
+        upstream: id,
+        order,
+        answer,
+        took_ms: now.since(sent_at),
+    };
+    lines::write(LogEvent::OrderEnded, &line);
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,7 @@
 pub mod crashes;
 pub mod desired_copy;
 pub mod directory;
+pub mod engine_calls;
 pub mod exchange;
 pub mod follow;
 pub mod forward;
--- a/src/membership/leaving.rs
+++ b/src/membership/leaving.rs
@@ -1,9 +1,9 @@
-//! Marks of upstreams that are leaving, as reported by the upstream itself (in a report or any answer), by
-//! the platform's list or by a hint of another host.
+//! Marks of upstreams that are leaving, as reported by the upstream itself (in a report or in any
+//! answer), by the platform's list or by a hint of another host.
 //!
 //! A mark expires some time after the last first-hand report, which the list repeats many times
-//! within that time. A hint carries the age of that report, so that hosts that
-//! pass hints to each other do not extend a mark.
+//! within that time. A hint carries the age of that report, so that hosts that pass hints to each
+//! other do not extend a mark.
 
 use crate::prelude::*;
 
--- a/src/upstreams/notice.rs
+++ b/src/upstreams/notice.rs
@@ -33,6 +33,14 @@
 }
 
 impl Notice {
+    /// Reads a number of seconds, possibly with a fraction, as a rest. Returns `None` unless it is a
+    /// finite number of at least zero.
+    pub fn parse_rest(text: &str) -> Option<Millis> {
+        let seconds: f64 = text.trim().parse().ok()?;
+        let is_valid = seconds.is_finite() && seconds >= 0.0;
+        is_valid.then(|| Millis((seconds * 1_000.0).ceil() as u64))
+    }
+
     /// Returns when the rest ends that the answer asks for; none if it asks for none.
     pub fn rest_until(self, now: Millis) -> Option<Millis> {
         let rest_ms = self.rest_ms?.min(MAX_REST_MS);
