--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -21,6 +21,7 @@
 use crate::process::{POLL, Process, WAIT_LIMIT, wait_for};
 use mangovale::edge::digest::sha256;
 use mangovale::edge::http::client;
+use mangovale::event_log::LogEvent;
 use mangovale::shared_log::record::Offset;
 use mangovale::table::message::{Change, Edit, Service};
 use serde_json::Value;
@@ -97,13 +98,13 @@
         self.health().is_success()
     }
 
-    /// Waits until it answers callers, serving or not; tells whether it did not end instead.
+    /// Waits until its log says that it has bound its ports; tells whether it did not end instead.
+    /// An answer at its address would not show that: it may come from another process.
     fn is_listening(&mut self) -> bool {
+        let started = format!("{:?}", LogEvent::Started);
         wait_for(&format!("{} to listen or end", self.name), || {
-            !self.process.is_running() || self.health() != Outcome::NotConnected
+            !self.process.is_running() || self.process.log().contains(&started)
         });
-        // Where another process has the port, that one answered, and the daemon is about to end.
-        sleep(POLL);
         self.process.is_running()
     }
 
