--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -4,6 +4,7 @@
 use crate::entry::host::Host;
 use crate::entry::in_flight::InFlight;
 use crate::entry::notices;
+use crate::entry::paths;
 use crate::entry::platform::Platform;
 use crate::entry::pool::UpstreamConnection;
 use crate::http1::client::MAX_HEAD_BYTES;
@@ -141,6 +142,7 @@
             .read_response_head(MAX_HEAD_BYTES, is_head_request)
             .await?;
         let facts = host.platform.read_answer(&head, &upstream.id);
+        paths::note_answered(host);
         notices::note_answer(host, upstream, facts.notice);
         if (100..200).contains(&head.status) {
             continue;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -28,6 +28,7 @@
 pub mod metrics;
 pub mod notices;
 pub mod orderer;
+pub mod paths;
 pub mod peers;
 pub mod platform;
 pub mod pool;
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -8,6 +8,7 @@
 use crate::entry::in_flight::InFlight;
 use crate::entry::lines;
 use crate::entry::notices;
+use crate::entry::paths;
 use crate::entry::platform::Platform;
 use crate::entry::pool::UpstreamConnection;
 use crate::entry::upstream_limits;
@@ -268,8 +269,12 @@
         crashes::note_unreachable(host, upstream, error);
     }
     match opened {
-        Some(Ok(connection)) => Some(connection),
+        Some(Ok(connection)) => {
+            paths::note_connected(host, upstream);
+            Some(connection)
+        }
         Some(Err(_)) | None => {
+            paths::note_connect_failed(host, upstream, now);
             note_failure(host, upstream, host.now(), true);
             None
         }
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -117,6 +117,10 @@
     ListTaken = 607,
     /// An upstream turned a request away and wants no further ones from this host for some time.
     UpstreamResting = 608,
+    /// This host reaches no upstream of a service any more.
+    PathsLost = 609,
+    /// This host reaches an upstream of a service again.
+    PathsRegained = 610,
     /// A request of a caller was refused.
     RequestRefused = 700,
     /// An attempt of a request at an upstream failed.
@@ -195,6 +199,8 @@
         Self::UpstreamLimited,
         Self::ListTaken,
         Self::UpstreamResting,
+        Self::PathsLost,
+        Self::PathsRegained,
         Self::RequestRefused,
         Self::AttemptFailed,
         Self::OutcomeUnknown,
@@ -229,6 +235,7 @@
             | Self::LoadFailed
             | Self::UpstreamSilent
             | Self::UpstreamCrashed
+            | Self::PathsLost
             | Self::RequestQuarantined
             | Self::OutcomeUnknown
             | Self::SettingsRejected
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -4,6 +4,7 @@
 pub mod health;
 pub mod index;
 pub mod notice;
+pub mod path;
 pub mod registry;
 
 #[cfg(test)]
@@ -12,6 +13,7 @@
 use crate::prelude::*;
 pub use health::Health;
 pub use notice::{Notice, NoticeChange, Notices};
+pub use path::{Path, PathSigns};
 pub use registry::{Registry, Upstream};
 use std::net::SocketAddr;
 
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -5,7 +5,9 @@
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 use crate::upstreams::index::ListIndex;
-use crate::upstreams::{Health, Lifetime, Notice, NoticeChange, Notices, UpstreamEntry};
+use crate::upstreams::{
+    Health, Lifetime, Notice, NoticeChange, Notices, Path, PathSigns, UpstreamEntry,
+};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -29,6 +31,8 @@
     pub health: Health,
     /// What it stated in its answers to this host.
     pub notices: Notices,
+    /// Whether this host reaches it.
+    pub path: Path,
     /// Number of this host's requests in progress there.
     pub in_flight: u32,
     /// Prompt tokens of this host's requests there that are waiting for their first event.
@@ -47,6 +51,7 @@
             entry,
             health: Health::default(),
             notices: Notices::default(),
+            path: Path::default(),
             in_flight: 0,
             prompt_tokens: 0,
             long_prompts: 0,
@@ -157,6 +162,10 @@
     poll_failed: bool,
     /// When the last outage of the list ended.
     outage_ended_at: Option<Millis>,
+    /// Signs of all upstreams together.
+    signs: PathSigns,
+    /// The services of which this host reaches no upstream, and since when.
+    lost_services: IndexMap<Name, Millis>,
 }
 
 impl Registry {
@@ -384,6 +393,54 @@
         past.notices.record(now, notice)
     }
 
+    /// Records that an upstream answered.
+    pub fn note_sign(&mut self, now: Millis) {
+        self.signs.note_sign(now);
+    }
+
+    /// Records that a connection to an upstream was opened. Returns since when no upstream of its
+    /// service was in reach, if that was so until now.
+    pub fn note_connected(&mut self, lifetime: &Lifetime, now: Millis) -> Option<Millis> {
+        self.signs.note_sign(now);
+        let upstream = self.get_lifetime_mut(lifetime)?;
+        upstream.path.note_connected(now);
+        let service = upstream.entry.service.clone();
+        self.lost_services.swap_remove(&service)
+    }
+
+    /// Records that a connection to an upstream that was begun at `began_at` could not be opened.
+    /// Returns true if no upstream of its service is in reach any more.
+    pub fn note_connect_failed(
+        &mut self,
+        lifetime: &Lifetime,
+        began_at: Millis,
+        now: Millis,
+    ) -> bool {
+        self.signs.note_failed(&lifetime.id, began_at, now);
+        let Some(upstream) = self.get_lifetime_mut(lifetime) else {
+            return false;
+        };
+        upstream.path.note_failed(began_at, now);
+        let service = upstream.entry.service.clone();
+        let has_path = self
+            .usable(&service)
+            .any(|other| !self.is_out_of_reach(now, other));
+        if has_path || self.lost_services.contains_key(&service) {
+            return false;
+        }
+        let mut lost = std::mem::take(&mut self.lost_services);
+        lost.retain(|service, _| self.serving(service).next().is_some());
+        lost.insert(service, now);
+        self.lost_services = lost;
+        true
+    }
+
+    /// Tells whether this host does not reach an upstream, as far as its own connections show:
+    /// the last attempt to connect failed, or all paths count as lost.
+    pub fn is_out_of_reach(&self, now: Millis, upstream: &Upstream) -> bool {
+        upstream.path.is_lost(now) || self.signs.are_all_lost(now)
+    }
+
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
     pub fn begin_request(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
         let Some(upstream) = self.get_lifetime_mut(lifetime) else {
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 
 mod notices;
+mod paths;
 
 fn entry(id: &str) -> UpstreamEntry {
     UpstreamEntry {
