Failing test: a host that reaches no upstream turns callers away

Two hosts in one process, their own platform in memory, an upstream list whose addresses refuse or never open a connection for one of them.

--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -8,6 +8,8 @@
 mod fake_platform;
 mod fake_upstream;
 mod follow;
+mod handoff;
+mod hosts;
 mod lease_manager;
 mod list_copy;
 mod notices;
--- /dev/null
+++ b/src/entry/tests/hosts.rs
@@ -0,0 +1,251 @@
+//! Several entry hosts that call each other, and upstreams that some of them do not reach.
+
+use super::fake_platform::{FakePlatform, FakeStore};
+use super::fake_upstream::{FakeUpstream, Step};
+use super::site::{Answer, Caller, as_member, bind_peers, entry, settings};
+use crate::clock::Clock;
+use crate::desired::{CallerLimits, DesiredState, Route, Service};
+use crate::entry::caller;
+use crate::entry::follow::follow;
+use crate::entry::host::Host;
+use crate::entry::metrics::EntryMetrics;
+use crate::entry::peers::{self, Peers};
+use crate::entry::platform::Table;
+use crate::group::Member;
+use crate::http1::Connection;
+use crate::http1::client::with_timeout;
+use crate::prelude::*;
+use crate::upstreams::UpstreamEntry;
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// The time limit of a test, longer than any test needs.
+const TEST_MS: Millis = Millis(20_000);
+
+/// How a host is cut off from an upstream.
+#[derive(Clone, Copy, Debug)]
+pub enum Cut {
+    /// New connections are refused.
+    Refuses,
+    /// New connections are never opened.
+    Hangs,
+}
+
+/// One host of a [`Hosts`].
+pub struct OneHost {
+    /// The host.
+    pub host: Rc<Host<FakePlatform>>,
+    /// Its endpoint for calls to other hosts.
+    pub peers: Rc<Peers>,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    store: Rc<FakeStore>,
+}
+
+/// Hosts that list each other, with a copy of the platform's store each.
+pub struct Hosts {
+    /// Runs the tasks.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// The hosts.
+    pub hosts: Vec<OneHost>,
+    unreachable: Unreachable,
+}
+
+/// Runs a test on hosts that follow the tables, accept callers and call each other.
+pub fn on_hosts<F: Future<Output = ()>>(count: usize, test: impl FnOnce(Hosts) -> F) {
+    let executor = Rc::new(LocalExecutor::new());
+    let shared = Arc::new(smol::Executor::new());
+    let tasks = executor.clone();
+    let quic = shared.clone();
+    let run = executor.run(async move {
+        let hosts = Hosts::start(tasks, &quic, count).await;
+        let done = with_timeout(TEST_MS, test(hosts)).await;
+        assert!(done.is_some(), "the test did not end within its time limit");
+    });
+    smol::block_on(shared.run(run));
+}
+
+impl Hosts {
+    async fn start(
+        executor: Rc<LocalExecutor<'static>>,
+        shared: &Arc<smol::Executor<'static>>,
+        count: usize,
+    ) -> Self {
+        let mut hosts = Vec::new();
+        let mut listeners = Vec::new();
+        for _ in 0..count {
+            let listener = TcpListener::bind(("127.0.0.1", 0))
+                .await
+                .expect("a free port");
+            let address = listener.local_addr().expect("an address");
+            let store = Rc::new(FakeStore::default());
+            let peers = bind_peers(shared);
+            let host = Host::new(
+                settings(address),
+                FakePlatform(store.clone()),
+                Clock::start(),
+                EntryMetrics::new().expect("metrics"),
+                peers.accepted.clone(),
+            );
+            hosts.push(OneHost {
+                host,
+                peers,
+                address,
+                store,
+            });
+            listeners.push(listener);
+        }
+        let hosts = Self {
+            executor,
+            hosts,
+            unreachable: Unreachable::new(),
+        };
+        let list: IndexSet<Member> = hosts.hosts.iter().map(OneHost::member).collect();
+        for (one, listener) in hosts.hosts.iter().zip(listeners) {
+            let now = one.host.now();
+            one.host.members.borrow_mut().replace(now, 1, list.clone());
+            one.host.apply_member_list();
+            hosts.run(one, listener);
+        }
+        hosts
+    }
+
+    fn run(&self, one: &OneHost, listener: TcpListener) {
+        let (host, tasks) = (one.host.clone(), &self.executor);
+        let accept = caller::accept(host.clone(), tasks.clone(), listener);
+        tasks.spawn(accept).detach();
+        for table in [Table::Desired, Table::Upstreams] {
+            tasks.spawn(follow(host.clone(), table, None)).detach();
+        }
+        let serve = peers::serve(host, one.peers.clone(), tasks.clone());
+        tasks.spawn(serve).detach();
+    }
+
+    /// Puts a desired state with one service and this route into force at every host.
+    pub async fn apply_route(&self, route: Route) {
+        for one in &self.hosts {
+            one.apply_route(1, route.clone()).await;
+        }
+    }
+
+    /// Starts an upstream of the service and lists it at every host.
+    pub async fn start_upstream(&self, id: &str, scripts: Vec<Vec<Step>>) -> FakeUpstream {
+        let upstream = FakeUpstream::start(&self.executor, scripts).await;
+        for one in &self.hosts {
+            one.list(entry(id, upstream.address)).await;
+        }
+        upstream
+    }
+
+    /// Cuts the path of a host to an upstream. Its open connections stay.
+    pub async fn cut(&self, host: usize, id: &str, cut: Cut) {
+        let address = match cut {
+            Cut::Refuses => self.unreachable.refuses,
+            Cut::Hangs => self.unreachable.hangs,
+        };
+        self.hosts[host].list(entry(id, address)).await;
+    }
+
+    /// Gives a host the path to an upstream again.
+    pub async fn heal(&self, host: usize, id: &str, upstream: &FakeUpstream) {
+        self.hosts[host].list(entry(id, upstream.address)).await;
+    }
+
+    /// Sends one request to a host on a new connection and returns the answer.
+    pub async fn call(&self, host: usize, request: &str) -> Answer {
+        let mut caller = self.connect(host).await;
+        caller.send(request).await;
+        caller.answer().await
+    }
+
+    /// Connects to a host as a caller.
+    pub async fn connect(&self, host: usize) -> Caller {
+        let stream = TcpStream::connect(self.hosts[host].address).await;
+        Caller(Connection::new(stream.expect("the host listens")))
+    }
+}
+
+impl OneHost {
+    fn member(&self) -> Member {
+        Member {
+            caller_address: self.address,
+            ..as_member(&self.host, &self.peers, 0)
+        }
+    }
+
+    /// Puts a desired state with one service and this route into force.
+    pub async fn apply_route(&self, version: u64, route: Route) {
+        let service = Service {
+            max_connections: 100,
+            engine: None,
+        };
+        self.store.write_desired(DesiredState {
+            version,
+            routes: vec![route],
+            services: [(Name::from("s"), service)].into_iter().collect(),
+            limits: CallerLimits::default(),
+            organisations: None,
+        });
+        let is_in_force = || {
+            let table = self.host.routes.borrow();
+            table.as_ref().is_some_and(|table| table.version == version)
+        };
+        until(is_in_force).await;
+    }
+
+    async fn list(&self, entry: UpstreamEntry) {
+        self.store.write_upstream(&entry.id, Some(entry.clone()));
+        let is_listed = || {
+            let upstreams = self.host.upstreams.borrow();
+            let known = upstreams.get(&entry.id);
+            known.is_some_and(|known| known.address() == entry.address)
+        };
+        until(is_listed).await;
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(holds: impl Fn() -> bool) {
+    while !holds() {
+        Timer::after(Millis(1).to_duration()).await;
+    }
+}
+
+/// Addresses at which no connection can be opened.
+struct Unreachable {
+    refuses: SocketAddr,
+    hangs: SocketAddr,
+    /// Keeps the listener of `hangs`, and the connections that fill its queue.
+    _queue: (std::net::TcpListener, Vec<smol::Async<std::net::TcpStream>>),
+}
+
+impl Unreachable {
+    fn new() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let closed = std::net::TcpListener::bind(any).expect("a free port");
+        let refuses = closed.local_addr().expect("an address");
+        drop(closed);
+        let full = std::net::TcpListener::bind(any).expect("a free port");
+        rustix::net::listen(&full, 0).expect("a shorter queue");
+        let hangs = full.local_addr().expect("an address");
+        // The kernel drops the first packet of a connection while the queue is full.
+        let waiting = (0..4).map(|_| begin_connection(hangs)).collect();
+        Self {
+            refuses,
+            hangs,
+            _queue: (full, waiting),
+        }
+    }
+}
+
+fn begin_connection(address: SocketAddr) -> smol::Async<std::net::TcpStream> {
+    use rustix::net::{AddressFamily, SocketType};
+    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
+    let stream = std::net::TcpStream::from(socket.expect("a socket"));
+    let stream = smol::Async::new(stream).expect("a stream");
+    // It does not block, so it is pending.
+    let _is_pending = rustix::net::connect(&stream, &address);
+    stream
+}
