--- a/src/edge/peer.rs
+++ b/src/edge/peer.rs
@@ -199,7 +199,7 @@
                 .build()
                 .map_err(keys_error)?;
         let identity = (self.chain.clone(), self.key.clone_key());
-        quic::server_config(provider, verifier, identity, ALPN, transport()).map_err(keys_error)
+        quic::server_config(provider, verifier, identity, &[ALPN], transport()).map_err(keys_error)
     }
 
     fn client_config(&self) -> Result<ClientConfig, PeerError> {
--- a/src/edge/quic.rs
+++ b/src/edge/quic.rs
@@ -13,8 +13,8 @@
 /// A certificate with its chain, and its private key.
 pub type Identity = (Vec<CertificateDer<'static>>, PrivateKeyDer<'static>);
 
-/// Creates the configuration of the side that accepts connections; `protocol` is the ALPN
-/// identifier.
+/// Creates the configuration of the side that accepts connections; `protocols` are the accepted
+/// ALPN identifiers.
 ///
 /// # Errors
 ///
@@ -23,14 +23,14 @@
     provider: Arc<CryptoProvider>,
     verifier: Arc<dyn ClientCertVerifier>,
     (chain, key): Identity,
-    protocol: &[u8],
+    protocols: &[&[u8]],
     transport: TransportConfig,
 ) -> Result<ServerConfig, Box<dyn Error>> {
     let mut tls = rustls::ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain, key)?;
-    tls.alpn_protocols = vec![protocol.to_vec()];
+    tls.alpn_protocols = protocols.iter().map(|one| one.to_vec()).collect();
     let mut config = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
     config.transport_config(Arc::new(transport));
     Ok(config)
--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -2,6 +2,7 @@
 
 use crate::desired::{Route, RouteTable};
 use crate::entry::attempts::RETRY_AFTER_MS;
+use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::platform::{Platform, RequestFacts};
 use crate::http1::RequestHead;
@@ -16,6 +17,17 @@
 const FIRST_EVENT_TIMEOUT_GOALS: u64 = 4;
 const FIRST_EVENT_TIMEOUT_GAPS: u64 = 8;
 
+/// From where a request came to this host.
+pub enum Origin {
+    /// From its caller; with what this host needs to hand it to another one.
+    Caller(Option<Rc<Handoffs>>),
+    /// From another host, which does not reach the upstreams. It is not handed on once more.
+    Host {
+        /// The id of the last event that the caller has, where an interrupted stream is resumed.
+        resume_after: Option<String>,
+    },
+}
+
 /// A caller's request that is being served.
 pub struct ActiveRequest {
     /// The head, as the caller sent it.
@@ -34,6 +46,8 @@
     pub service: Name,
     /// Whether the service's upstreams are engines.
     pub at_engine: bool,
+    /// From where it came.
+    pub origin: Origin,
     /// When its head was read.
     pub arrived_at: Millis,
     /// The time by which the final answer must be complete.
@@ -51,6 +65,30 @@
             .organisation()
             .map(|organisation| &organisation.name)
     }
+
+    /// Returns the id of the last event that the caller has, if the request came from another host
+    /// and resumes a stream.
+    pub fn resume_after(&self) -> Option<&str> {
+        match &self.origin {
+            Origin::Caller(_) => None,
+            Origin::Host { resume_after } => resume_after.as_deref(),
+        }
+    }
+
+    /// Tells whether upstreams that this host does not seem to reach are left to other hosts, which
+    /// is so unless there are none.
+    pub fn leaves_lost_paths<P: Platform>(&self, host: &Host<P>) -> bool {
+        match &self.origin {
+            Origin::Caller(handoffs) => handoffs.is_some() && host.members.borrow().count() > 1,
+            Origin::Host { .. } => true,
+        }
+    }
+
+    /// Shortens the deadlines to these times.
+    pub fn limit_time(&mut self, deadline_at: Millis, first_byte_deadline_at: Millis) {
+        self.deadline_at = self.deadline_at.min(deadline_at);
+        self.first_byte_deadline_at = self.first_byte_deadline_at.min(first_byte_deadline_at);
+    }
 }
 
 /// Looks up the route, caller and service of a request that was read, and sets its deadlines.
@@ -63,6 +101,7 @@
     head: RequestHead,
     body: Vec<u8>,
     arrived_at: Millis,
+    origin: Origin,
 ) -> Result<ActiveRequest, Box<(Refusal, RequestFacts)>> {
     let facts = host.platform.read_request(&head.headers);
     let table = host.routes.borrow().clone();
@@ -100,6 +139,7 @@
         head,
         body,
         facts,
+        origin,
         arrived_at,
         version: table.version,
     })
--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -2,18 +2,19 @@
 //! cut short never looks complete.
 
 use crate::desired::Repeat;
-use crate::entry::active_request::ActiveRequest;
+use crate::entry::active_request::{ActiveRequest, Origin};
 use crate::entry::attempts::Attempts;
 use crate::entry::caller::{BodyFraming, CallerWriter};
-use crate::entry::choice::choose;
+use crate::entry::choice::{choose, out_of_reach};
 use crate::entry::crashes;
 use crate::entry::forward::try_upstream;
+use crate::entry::handoff::{HandedOff, hand_off};
 use crate::entry::host::Host;
 use crate::entry::limits;
 use crate::entry::lines;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::RequestLog;
-use crate::entry::send::{SendOutcome, StartedAnswer, note_failure, return_to_pool};
+use crate::entry::send::{SendOutcome, StartedAnswer, return_to_pool};
 use crate::entry::upstream_limits;
 use crate::http1::client::with_timeout;
 use crate::http1::{Framing, ReadError};
@@ -116,12 +117,10 @@
     }
     loop {
         let left_ms = (request.deadline_at + GRACE_MS).since(host.now());
-        let read = answer.reader.next(&mut answer.connection.io);
-        match with_timeout(left_ms, read).await {
+        match with_timeout(left_ms, answer.next_piece()).await {
             None => return RelayOutcome::Truncated("the time limit was reached"),
             Some(Err(_)) => {
-                crashes::note_broken_run(host, request, &answer.upstream).await;
-                note_failure(host, &answer.upstream, host.now(), false);
+                answer.note_broken(host, request).await;
                 return RelayOutcome::Truncated("the upstream broke off");
             }
             Some(Ok(Some(piece))) => {
@@ -207,8 +206,7 @@
                 Piece::End => return self.finish(out, log, answer).await,
                 Piece::DeadlineReached => return self.broken("the time limit was reached"),
                 Piece::Failed(why) => {
-                    crashes::note_broken_run(self.host, self.request, &answer.upstream).await;
-                    note_failure(self.host, &answer.upstream, self.host.now(), false);
+                    answer.note_broken(self.host, self.request).await;
                     if !self.has_begun {
                         return RelayOutcome::NotStarted(why);
                     }
@@ -230,8 +228,7 @@
     async fn next_piece(&self, answer: &mut StartedAnswer) -> Piece {
         let ends_at = self.request.deadline_at + GRACE_MS;
         let left_ms = ends_at.since(self.host.now());
-        let read = answer.reader.next(&mut answer.connection.io);
-        match with_timeout(left_ms, read).await {
+        match with_timeout(left_ms, answer.next_piece()).await {
             None => Piece::DeadlineReached,
             Some(Ok(Some(_))) if self.buffer.len() > MAX_EVENT_BYTES => {
                 Piece::Failed("an event is too long")
@@ -345,11 +342,13 @@
         if crashes::quarantine(self.host, self.request).is_some() {
             return None;
         }
-        let after = self.last_event_id.clone()?;
+        let resumed_before = || self.request.resume_after().map(str::to_string);
+        let after = self.last_event_id.clone().or_else(resumed_before)?;
         self.attempts.note_may_have_run(from.clone());
         let mut resumed = None;
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let Some(upstream) = choose(self.host, self.request, self.attempts) else {
+                resumed = self.resume_over_another_host(&after, log).await;
                 break;
             };
             if let Err(refused) = upstream_limits::take(self.host, &upstream).await {
@@ -370,6 +369,9 @@
                     self.attempts.note_may_have_run(upstream);
                     break;
                 }
+                SendOutcome::Unreached { began_at } => {
+                    self.attempts.note_unreached(upstream, began_at);
+                }
                 SendOutcome::NotRun { .. } | SendOutcome::NotSent => {
                     self.attempts.note_not_run(upstream)
                 }
@@ -387,6 +389,35 @@
     }
 }
 
+impl<P: Platform> EventRelay<'_, P> {
+    /// Resumes an interrupted stream over another host, if this one does not reach the upstreams
+    /// that could go on with it.
+    async fn resume_over_another_host(
+        &mut self,
+        after: &str,
+        log: &mut RequestLog<'_, P>,
+    ) -> Option<Box<StartedAnswer>> {
+        let wanted = out_of_reach(self.host, self.request, self.attempts)?;
+        let Origin::Caller(Some(handoffs)) = &self.request.origin else {
+            return None;
+        };
+        let (host, request, after) = (self.host, self.request, Some(after));
+        limits::note_extra_run(host, request);
+        let handed = hand_off(
+            host,
+            request,
+            (handoffs, &wanted),
+            self.attempts,
+            log,
+            after,
+        );
+        match handed.await {
+            HandedOff::Answered(answer) if answer.head.status == 200 => Some(answer),
+            _ => None,
+        }
+    }
+}
+
 /// Returns the length of the complete events at the beginning of `bytes`; nothing when no event is
 /// complete.
 pub fn end_of_events(bytes: &[u8]) -> Option<usize> {
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -6,14 +6,24 @@
 use crate::entry::platform::Platform;
 use crate::entry::send::StartedAnswer;
 use crate::prelude::*;
+use crate::upstreams::Registry;
 
 /// The retry time that a refusal names when there is no better estimate.
 pub const RETRY_AFTER_MS: Millis = Millis(500);
 /// The retry time that a refusal names when upstreams, or this host, were full.
 pub const BUSY_RETRY_AFTER_MS: Millis = Millis(300);
+/// How recent a sign of any upstream must be for a further one to be tried after one could not be
+/// reached.
+const RECENT_SIGN_MS: Millis = Millis(1_000);
 /// Most sends of one request, also where every upstream says that it did not run it.
 const MAX_SENDS: u32 = 4;
 
+/// Returns the refusal of a request for which no host in reach has a path to an upstream.
+pub fn unreachable() -> Refusal {
+    let why = "no host in reach has a path to an upstream that could serve the request";
+    Refusal::new(ErrorKind::Unreachable, why).with_retry_after(RETRY_AFTER_MS)
+}
+
 /// The attempts of one request so far.
 #[derive(Default)]
 pub struct Attempts {
@@ -23,6 +33,12 @@
     pub runs: u32,
     /// The upstreams that are not tried again; cleared when the request waits for an upstream.
     pub excluded: Vec<Name>,
+    /// The excluded upstreams that could not be reached.
+    pub unreached: Vec<Name>,
+    /// When the first attempt to reach an upstream began that failed.
+    pub unreached_since: Option<Millis>,
+    /// Whether no other host takes the request.
+    pub is_handoff_declined: bool,
     /// Whether the request has waited for an upstream.
     pub waited: bool,
     /// The shortest time after which an upstream with a rate limit accepts a request again.
@@ -37,6 +53,32 @@
         self.excluded.push(upstream);
     }
 
+    /// Excludes an upstream that could not be reached in an attempt that began at `began_at`.
+    pub fn note_unreached(&mut self, upstream: Name, began_at: Millis) {
+        self.unreached_since.get_or_insert(began_at);
+        self.unreached.push(upstream.clone());
+        self.exclude(upstream);
+    }
+
+    /// Makes the excluded upstreams eligible again.
+    pub fn clear_excluded(&mut self) {
+        self.excluded.clear();
+        self.unreached.clear();
+        self.unreached_since = None;
+    }
+
+    /// Tells whether a further upstream may be tried after some could not be reached: it is not as
+    /// long as no upstream has given a sign lately, since this host may be cut off from all.
+    pub fn may_reach_more(&self, upstreams: &Registry) -> bool {
+        self.unreached_since.is_none_or(|since| {
+            let from = match self.unreached.len() {
+                0 | 1 => since - RECENT_SIGN_MS,
+                _ => since,
+            };
+            upstreams.has_sign_since(from)
+        })
+    }
+
     /// Records that the rate limit of an upstream allows no request for `retry_after_ms`.
     pub fn note_limited(&mut self, upstream: Name, retry_after_ms: Millis) {
         let soonest = self.limit_retry_after_ms.unwrap_or(retry_after_ms);
@@ -89,6 +131,7 @@
     /// Returns the refusal for a request that may not be tried again.
     pub fn last_refusal(&self) -> Refusal {
         match self.runs {
+            0 if self.sends == 0 && !self.unreached.is_empty() => unreachable(),
             0 => Refusal::new(ErrorKind::Overloaded, "every upstream refused the request")
                 .with_retry_after(self.limit_retry_after_ms.unwrap_or(BUSY_RETRY_AFTER_MS)),
             _ => Refusal::new(ErrorKind::OutcomeUnknown, "the upstream's answer is lost"),
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -1,18 +1,22 @@
 //! Connections of callers: reads requests, writes answers, and detects callers that disconnect.
 
 use crate::desired::CallerLimits;
-use crate::entry::active_request;
+use crate::entry::active_request::{self, ActiveRequest, Origin};
 use crate::entry::attempts::BUSY_RETRY_AFTER_MS;
 use crate::entry::forward;
+use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
-use crate::entry::platform::Platform;
+use crate::entry::platform::{Platform, RequestFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
+use crate::handoff::AnswerStart;
+use crate::handoff::message::to_frame;
 use crate::http1::client::{set_socket_options, with_timeout};
 use crate::http1::{
     BodyReader, Connection, HeadError, Headers, ReadError, RequestHead, ResponseHead,
 };
 use crate::prelude::*;
 use futures_lite::AsyncWriteExt;
+use quinn::SendStream;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
@@ -45,6 +49,7 @@
     host: Rc<Host<P>>,
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
+    handoffs: Option<Rc<Handoffs>>,
 ) {
     while host.accepts_requests() {
         let Some(accepted) = with_timeout(ACCEPT_POLL_MS, listener.accept()).await else {
@@ -52,8 +57,8 @@
         };
         match accepted {
             Ok((stream, _)) if has_room(&host) => {
-                let host = host.clone();
-                executor.spawn(serve_connection(host, stream)).detach();
+                let serve = serve_connection(host.clone(), stream, handoffs.clone());
+                executor.spawn(serve).detach();
             }
             // There is no room: closing at once makes the caller use another host.
             Ok((stream, _)) => drop(stream),
@@ -81,7 +86,11 @@
     }
 }
 
-async fn serve_connection<P: Platform>(host: Rc<Host<P>>, stream: TcpStream) {
+async fn serve_connection<P: Platform>(
+    host: Rc<Host<P>>,
+    stream: TcpStream,
+    handoffs: Option<Rc<Handoffs>>,
+) {
     host.caller_connections
         .set(host.caller_connections.get() + 1);
     let _open = OpenConnection(&host);
@@ -89,12 +98,12 @@
         return;
     }
     let mut writer = CallerWriter {
-        stream: stream.clone(),
+        output: Output::Caller(stream.clone()),
         closes: false,
         form: BodyFraming::HeadOnly,
     };
     let mut connection = Connection::new(stream);
-    while serve_request(&host, &mut connection, &mut writer).await {}
+    while serve_request(&host, &mut connection, &mut writer, &handoffs).await {}
 }
 
 /// Reads and serves one request. Returns whether the connection can be used for another one.
@@ -102,6 +111,7 @@
     host: &Host<P>,
     connection: &mut Connection<TcpStream>,
     writer: &mut CallerWriter,
+    handoffs: &Option<Rc<Handoffs>>,
 ) -> bool {
     let limits = limits(host);
     let Some(read) = read_head(host, connection, limits).await else {
@@ -126,7 +136,14 @@
         }
     };
     writer.closes = !head.keep_alive || host.is_stopping();
-    let answered = async { Some(answer(host, head, body, arrived_at, writer, &mut log).await) };
+    let prepared = active_request::prepare(
+        host,
+        head,
+        body,
+        arrived_at,
+        Origin::Caller(handoffs.clone()),
+    );
+    let answered = async { Some(answer(host, prepared, writer, &mut log).await) };
     let disconnected = async {
         wait_for_disconnect(connection).await;
         None
@@ -138,13 +155,11 @@
 
 async fn answer<P: Platform>(
     host: &Host<P>,
-    head: RequestHead,
-    body: Vec<u8>,
-    arrived_at: Millis,
+    prepared: Result<ActiveRequest, Box<(Refusal, RequestFacts)>>,
     writer: &mut CallerWriter,
     log: &mut RequestLog<'_, P>,
 ) -> AnswerEnd {
-    match active_request::prepare(host, head, body, arrived_at) {
+    match prepared {
         Ok(request) if !host.accepts_requests() => {
             log.summary.request = request.facts.id.clone();
             let refusal = Refusal::new(ErrorKind::Stopping, "this host is about to end")
@@ -152,14 +167,7 @@
             forward::answer_refusal(host, request.facts.id.as_deref(), writer, log, &refusal).await
         }
         Ok(request) => {
-            log.summary.request = request.facts.id.clone();
-            log.summary.digest = Some(request.digest);
-            log.summary.organisation = request.organisation().cloned();
-            log.summary.route = Some(request.route.name.clone());
-            log.summary.version = request.version;
-            log.summary.model = request.facts.model.clone();
-            log.summary.prompt_tokens = request.facts.prompt_tokens;
-            log.summary.wait_ms = request.facts.wait_ms;
+            log.note_request(&request);
             forward::serve(host, &request, writer, log).await
         }
         Err(refused) => {
@@ -237,7 +245,7 @@
     }
     if head.expects_continue && !reader.is_done() {
         let permission = b"HTTP/1.1 100 Continue\r\n\r\n";
-        if writer.stream.write_all(permission).await.is_err() {
+        if writer.output.write_all(permission).await.is_err() {
             return Err(incomplete());
         }
     }
@@ -259,18 +267,23 @@
 }
 
 /// Counts the bytes of a request's body in [`Host::held_body_bytes`] until it is dropped.
-struct HeldBody<'a, P: Platform> {
+pub struct HeldBody<'a, P: Platform> {
     host: &'a Host<P>,
     bytes: u64,
 }
 
 impl<'a, P: Platform> HeldBody<'a, P> {
-    fn new(host: &'a Host<P>) -> Self {
+    /// Counts no bytes yet.
+    pub fn new(host: &'a Host<P>) -> Self {
         Self { host, bytes: 0 }
     }
 
-    /// Counts the body as `bytes` long, or returns a refusal when the host has no room for it.
-    fn grow_to(&mut self, bytes: u64) -> Result<(), Refusal> {
+    /// Counts the body as `bytes` long.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the host has no room for it.
+    pub fn grow_to(&mut self, bytes: u64) -> Result<(), Refusal> {
         let added = bytes.saturating_sub(self.bytes);
         let total = self.host.held_body_bytes.get() + added;
         if total > MAX_HELD_BODY_BYTES {
@@ -350,14 +363,74 @@
     Chunked,
 }
 
-/// The writing half of a caller's connection.
+/// Where the bytes of an answer go.
+enum Output {
+    /// To the caller.
+    Caller(TcpStream),
+    /// To the host that handed the request to this one, after an [`AnswerStart`].
+    Host(SendStream),
+}
+
+impl Output {
+    async fn write_all(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        match self {
+            Self::Caller(stream) => stream.write_all(bytes).await,
+            Self::Host(stream) => AsyncWriteExt::write_all(stream, bytes).await,
+        }
+    }
+
+    /// Returns what is sent before the head of an upstream's answer.
+    fn answer_start(&self) -> std::io::Result<Vec<u8>> {
+        match self {
+            Self::Caller(_) => Ok(Vec::new()),
+            Self::Host(_) => to_frame(&AnswerStart::Answered).map_err(std::io::Error::other),
+        }
+    }
+}
+
+/// Writes answers to a caller's connection, or to the host that handed the request to this one.
 pub struct CallerWriter {
-    stream: TcpStream,
+    output: Output,
     closes: bool,
     form: BodyFraming,
 }
 
 impl CallerWriter {
+    /// Creates the writer for a request that another host handed to this one.
+    pub fn for_host(stream: SendStream) -> Self {
+        Self {
+            output: Output::Host(stream),
+            closes: false,
+            form: BodyFraming::HeadOnly,
+        }
+    }
+
+    /// Ends the answer to another host after its last byte.
+    pub fn finish(self) {
+        if let Output::Host(mut stream) = self.output {
+            // It fails only if the stream has ended before.
+            let _is_open = stream.finish();
+        }
+    }
+
+    /// Breaks the answer to another host off, so that it cannot look complete.
+    pub fn reset(self) {
+        if let Output::Host(mut stream) = self.output {
+            // It fails only if the stream has ended before.
+            let _is_open = stream.reset(0u32.into());
+        }
+    }
+
+    /// Gives a request back to the host that handed it to this one: no upstream is in reach.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the connection broke.
+    pub async fn give_back(&mut self) -> std::io::Result<()> {
+        let start = to_frame(&AnswerStart::OutOfReach).map_err(std::io::Error::other)?;
+        self.output.write_all(&start).await
+    }
+
     /// Writes the head and the body of an answer that was read to its end.
     ///
     /// # Errors
@@ -369,11 +442,12 @@
         form: BodyFraming,
         body: &[u8],
     ) -> std::io::Result<()> {
-        let mut bytes = self.head_bytes(head, form);
+        let mut bytes = self.output.answer_start()?;
+        bytes.extend(self.head_bytes(head, form));
         if form != BodyFraming::HeadOnly {
             bytes.extend_from_slice(body);
         }
-        self.stream.write_all(&bytes).await
+        self.output.write_all(&bytes).await
     }
 
     /// Writes the head of an answer whose body follows with [`Self::piece`] and [`Self::end`].
@@ -383,8 +457,9 @@
     /// Returns why the connection broke.
     pub async fn begin(&mut self, head: &ResponseHead, form: BodyFraming) -> std::io::Result<()> {
         self.form = form;
-        let bytes = self.head_bytes(head, form);
-        self.stream.write_all(&bytes).await
+        let mut bytes = self.output.answer_start()?;
+        bytes.extend(self.head_bytes(head, form));
+        self.output.write_all(&bytes).await
     }
 
     /// Writes a piece of the body, as a chunk where the answer is chunked.
@@ -401,9 +476,9 @@
                 let mut bytes = format!("{:x}\r\n", piece.len()).into_bytes();
                 bytes.extend_from_slice(piece);
                 bytes.extend_from_slice(b"\r\n");
-                self.stream.write_all(&bytes).await
+                self.output.write_all(&bytes).await
             }
-            BodyFraming::Length(_) | BodyFraming::HeadOnly => self.stream.write_all(piece).await,
+            BodyFraming::Length(_) | BodyFraming::HeadOnly => self.output.write_all(piece).await,
         }
     }
 
@@ -414,7 +489,7 @@
     /// Returns why the connection broke.
     pub async fn end(&mut self) -> std::io::Result<()> {
         match self.form {
-            BodyFraming::Chunked => self.stream.write_all(b"0\r\n\r\n").await,
+            BodyFraming::Chunked => self.output.write_all(b"0\r\n\r\n").await,
             BodyFraming::Length(_) | BodyFraming::HeadOnly => Ok(()),
         }
     }
@@ -430,6 +505,11 @@
         refusal: &Refusal,
         mut headers: Headers,
     ) -> std::io::Result<()> {
+        if let Output::Host(_) = self.output {
+            let start = AnswerStart::Refused(refusal.clone());
+            let start = to_frame(&start).map_err(std::io::Error::other)?;
+            return self.output.write_all(&start).await;
+        }
         let body = refusal_body(refusal);
         headers.push("Content-Type", "application/json");
         if let Some(after_ms) = refusal.retry_after_ms {
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -23,8 +23,14 @@
     let upstreams = host.upstreams.borrow();
     let orderer_state = host.orderer_state.borrow();
     let cap = connection_cap(host, request);
+    let leaves_lost_paths = request.leaves_lost_paths(host);
+    if leaves_lost_paths && !attempts.may_reach_more(&upstreams) {
+        return None;
+    }
     let is_candidate = |upstream: &&Upstream| {
-        upstream.in_flight < cap && !attempts.excluded.contains(&upstream.entry.id)
+        upstream.in_flight < cap
+            && !attempts.excluded.contains(&upstream.entry.id)
+            && !(leaves_lost_paths && upstreams.is_out_of_reach(now, upstream))
     };
     let chosen = match (&request.facts.model, request.at_engine) {
         (Some(model), true) => {
@@ -51,6 +57,63 @@
     chosen.map(|upstream| upstream.entry.id.clone())
 }
 
+/// Returns an upstream that could serve a request and that this host does not seem to reach, so
+/// that another host may be asked. None if there is none, or if no other host takes the request.
+pub fn out_of_reach<P: Platform>(
+    host: &Host<P>,
+    request: &ActiveRequest,
+    attempts: &Attempts,
+) -> Option<Name> {
+    if attempts.is_handoff_declined || !request.leaves_lost_paths(host) {
+        return None;
+    }
+    let now = host.now();
+    let upstreams = host.upstreams.borrow();
+    let orderer_state = host.orderer_state.borrow();
+    let model = request.facts.model.as_ref().filter(|_| request.at_engine);
+    let may_be_cut_off = !attempts.may_reach_more(&upstreams);
+    let is_lost = |upstream: &&Upstream| {
+        let id = &upstream.entry.id;
+        let is_unreached = attempts.unreached.contains(id);
+        upstream.accepts_requests(now)
+            && (is_unreached || !attempts.excluded.contains(id))
+            && (is_unreached || may_be_cut_off || !is_in_reach(&upstreams, now, upstream))
+    };
+    let serving = could_serve(&upstreams, &orderer_state, now, &request.service, model);
+    let lost: Vec<&Upstream> = serving.into_iter().filter(is_lost).collect();
+    fastrand::choice(lost).map(|upstream| upstream.entry.id.clone())
+}
+
+/// Tells whether this host reaches an upstream that could serve a request for a service, and for
+/// a model where the service's upstreams are engines.
+pub fn reaches<P: Platform>(host: &Host<P>, service: &Name, model: Option<&ModelRef>) -> bool {
+    let now = host.now();
+    let upstreams = host.upstreams.borrow();
+    let orderer_state = host.orderer_state.borrow();
+    could_serve(&upstreams, &orderer_state, now, service, model)
+        .into_iter()
+        .any(|upstream| upstream.accepts_requests(now) && is_in_reach(&upstreams, now, upstream))
+}
+
+fn is_in_reach(upstreams: &Registry, now: Millis, upstream: &Upstream) -> bool {
+    !upstreams.is_out_of_reach(now, upstream) && !upstream.health.is_backing_off(now)
+}
+
+/// Returns the upstreams that could serve a request if they are reached: the engines that hold its
+/// model, or all of a plain service.
+fn could_serve<'a>(
+    upstreams: &'a Registry,
+    orderer_state: &'a CachedOrdererState,
+    now: Millis,
+    service: &'a str,
+    model: Option<&'a ModelRef>,
+) -> Vec<&'a Upstream> {
+    match model {
+        Some(model) => holders(upstreams, orderer_state, now, service, model).collect(),
+        None => upstreams.usable(service).collect(),
+    }
+}
+
 fn model_copies<'a>(
     orderer_state: &CachedOrdererState,
     model: &'a ModelRef,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -8,9 +8,10 @@
 use crate::entry::platform::Platform;
 use crate::entry::pool::UpstreamConnection;
 use crate::http1::client::MAX_HEAD_BYTES;
-use crate::http1::{BodyReader, Framing, Headers, ReadError, ResponseHead};
+use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
 use crate::routing::roles::is_long;
 use crate::upstreams::Lifetime;
+use futures_lite::{AsyncRead, AsyncWrite};
 
 /// Answers up to this length are read completely before the caller gets their first byte, so that
 /// one that breaks off can be replaced by another attempt.
@@ -47,35 +48,55 @@
     let bytes = request_bytes(request, &headers);
     write_request(connection, &bytes).await?;
     let head = read_matching_head(host, request, upstream, connection).await?;
+    let note_first_byte = || {
+        in_flight.note_first_byte();
+        if is_long(request.facts.prompt_tokens) {
+            host.request_sync();
+        }
+    };
+    let (reader, body_start) =
+        read_start(request, &head, &mut connection.io, note_first_byte).await?;
+    Ok(Exchanged {
+        head,
+        body_start,
+        reader,
+    })
+}
+
+/// Reads the first piece of an answer's body, calls `note_first_byte`, and reads a short answer on
+/// as [`exchange`] says.
+///
+/// # Errors
+///
+/// Returns why the connection broke.
+pub async fn read_start<S: AsyncRead + AsyncWrite + Unpin>(
+    request: &ActiveRequest,
+    head: &ResponseHead,
+    connection: &mut Connection<S>,
+    note_first_byte: impl FnOnce(),
+) -> Result<(BodyReader, Vec<u8>), ReadError> {
     let mut reader = BodyReader::new(head.framing);
     let mut body_start = Vec::new();
-    if let Some(piece) = reader.next(&mut connection.io).await? {
+    if let Some(piece) = reader.next(connection).await? {
         body_start.extend_from_slice(&piece);
     }
-    in_flight.note_first_byte();
-    if is_long(request.facts.prompt_tokens) {
-        host.request_sync();
-    }
+    note_first_byte();
     let is_short =
         matches!(head.framing, Framing::Length(length) if length <= BUFFERED_ANSWER_BYTES);
     if !request.route.streams || is_short || head.status != 200 {
         read_buffered(&mut reader, connection, &mut body_start).await?;
     }
-    Ok(Exchanged {
-        head,
-        body_start,
-        reader,
-    })
+    Ok((reader, body_start))
 }
 
 /// Reads the body on into `body_start`, to its end or until enough of it is buffered.
-async fn read_buffered(
+async fn read_buffered<S: AsyncRead + AsyncWrite + Unpin>(
     reader: &mut BodyReader,
-    connection: &mut UpstreamConnection,
+    connection: &mut Connection<S>,
     body_start: &mut Vec<u8>,
 ) -> Result<(), ReadError> {
     while (body_start.len() as u64) < BUFFERED_ANSWER_BYTES {
-        match reader.next(&mut connection.io).await? {
+        match reader.next(connection).await? {
             Some(piece) => body_start.extend_from_slice(&piece),
             None => return Ok(()),
         }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -5,12 +5,13 @@
 //! not run twice is not sent again after an attempt that may have run it.
 
 use crate::desired::Repeat;
-use crate::entry::active_request::ActiveRequest;
+use crate::entry::active_request::{ActiveRequest, Origin};
 use crate::entry::answer_relay::{self, RelayOutcome};
-use crate::entry::attempts::Attempts;
+use crate::entry::attempts::{Attempts, unreachable};
 use crate::entry::caller::CallerWriter;
-use crate::entry::choice::{choose, prefix_source};
+use crate::entry::choice::{choose, out_of_reach, prefix_source};
 use crate::entry::crashes;
+use crate::entry::handoff::{HandedOff, hand_off};
 use crate::entry::host::Host;
 use crate::entry::limits::Charge;
 use crate::entry::platform::{Platform, SendFacts};
@@ -19,6 +20,7 @@
 use crate::entry::unavailable::{Unavailable, unavailable};
 use crate::entry::upstream_limits;
 use crate::entry::waiting::{late_start_refusal, wait_for_turn, wait_for_upstream};
+use crate::error::Ran;
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 
@@ -36,13 +38,41 @@
     out: &mut CallerWriter,
     log: &mut RequestLog<'_, P>,
 ) -> AnswerEnd {
-    let mut charge = match Charge::take(host, request).await {
+    let charge = match Charge::take(host, request).await {
         Ok(charge) => charge,
         Err(refusal) => return refuse(host, request, out, log, refusal).await,
     };
     host.note_request(&request.service);
     let _in_demand = DemandCount::new(host, request);
-    let mut attempts = Attempts::default();
+    try_until_answered(host, request, out, log, charge, Attempts::default()).await
+}
+
+/// Serves a request that another host handed to this one, which has counted it in limits, retry
+/// budget and demand. `sends` and `runs` are the attempts that it made before.
+pub async fn serve_handed<P: Platform>(
+    host: &Host<P>,
+    request: &ActiveRequest,
+    (sends, runs): (u32, u32),
+    out: &mut CallerWriter,
+    log: &mut RequestLog<'_, P>,
+) -> AnswerEnd {
+    let charge = Charge::taken_elsewhere(host, request);
+    let attempts = Attempts {
+        sends,
+        runs,
+        ..Attempts::default()
+    };
+    try_until_answered(host, request, out, log, charge, attempts).await
+}
+
+async fn try_until_answered<P: Platform>(
+    host: &Host<P>,
+    request: &ActiveRequest,
+    out: &mut CallerWriter,
+    log: &mut RequestLog<'_, P>,
+    mut charge: Charge<'_, P>,
+    mut attempts: Attempts,
+) -> AnswerEnd {
     loop {
         let now = host.now();
         if now + ANSWER_MARGIN_MS >= request.deadline_at {
@@ -58,6 +88,30 @@
             };
         }
         let Some(upstream) = choose(host, request, &attempts) else {
+            if let Some(wanted) = out_of_reach(host, request, &attempts) {
+                charge.note_send();
+                let left = leave_to_another_host(host, request, out, log, &mut attempts, &wanted);
+                match left.await {
+                    LeftToAnother::Ended(ended) => return ended,
+                    LeftToAnother::MayHaveRun if is_last_run(request, &attempts) => {
+                        return end(host, request, out, log, attempts).await;
+                    }
+                    LeftToAnother::MayHaveRun => {}
+                    LeftToAnother::NotRun(refusal) => {
+                        charge.note_not_run();
+                        match refusal {
+                            None => {}
+                            Some(_) if attempts.runs > 0 => {
+                                return end(host, request, out, log, attempts).await;
+                            }
+                            Some(refusal) => {
+                                return refuse(host, request, out, log, refusal).await;
+                            }
+                        }
+                    }
+                }
+                continue;
+            }
             match wait_for_upstream(host, request, &mut attempts, log).await {
                 Ok(()) => continue,
                 Err(_) if attempts.runs > 0 => return end(host, request, out, log, attempts).await,
@@ -81,8 +135,9 @@
             return end(host, request, out, log, attempts).await;
         }
         charge.note_send();
-        let sent = try_upstream(host, request, &upstream, &attempts, log, None).await;
-        if matches!(sent, SendOutcome::NotSent | SendOutcome::NotRun { .. }) {
+        let resume_after = request.resume_after();
+        let sent = try_upstream(host, request, &upstream, &attempts, log, resume_after).await;
+        if sent.is_not_run() {
             charge.note_not_run();
         }
         match sent {
@@ -96,6 +151,7 @@
                 attempts.note_may_have_run(upstream);
             }
             SendOutcome::NotSent => attempts.exclude(upstream),
+            SendOutcome::Unreached { began_at } => attempts.note_unreached(upstream, began_at),
             SendOutcome::NotRun { lacks_model, .. } => {
                 if let (true, Some(model)) = (lacks_model, &request.facts.model) {
                     let mut orderer_state = host.orderer_state.borrow_mut();
@@ -107,13 +163,94 @@
                 attempts.note_may_have_run(upstream);
             }
         }
-        let may_not_run_again = request.route.repeat == Repeat::Once && attempts.runs > 0;
-        if may_not_run_again || attempts.runs >= request.route.attempts.max(1) {
+        if is_last_run(request, &attempts) {
             return end(host, request, out, log, attempts).await;
         }
     }
 }
 
+/// Tells whether a request may not be run once more.
+fn is_last_run(request: &ActiveRequest, attempts: &Attempts) -> bool {
+    let may_not_run_again = request.route.repeat == Repeat::Once && attempts.runs > 0;
+    may_not_run_again || attempts.runs >= request.route.attempts.max(1)
+}
+
+/// How leaving a request to another host ended.
+enum LeftToAnother {
+    /// The caller, or the host that handed the request to this one, has its answer.
+    Ended(AnswerEnd),
+    /// The request may have run, and has no answer.
+    MayHaveRun,
+    /// The request has not run; with the refusal unless this host goes on with it.
+    NotRun(Option<Refusal>),
+}
+
+/// Hands a request on that no upstream in reach could serve, or gives it back to the host that
+/// handed it to this one.
+async fn leave_to_another_host<P: Platform>(
+    host: &Host<P>,
+    request: &ActiveRequest,
+    out: &mut CallerWriter,
+    log: &mut RequestLog<'_, P>,
+    attempts: &mut Attempts,
+    wanted: &Name,
+) -> LeftToAnother {
+    let Origin::Caller(Some(handoffs)) = &request.origin else {
+        return give_back(out, log, attempts).await;
+    };
+    match hand_off(host, request, (handoffs, wanted), attempts, log, None).await {
+        HandedOff::Answered(answer) => {
+            let from = answer.upstream.id.clone();
+            match finish(host, request, out, log, attempts, answer).await {
+                Some(ended) => LeftToAnother::Ended(ended),
+                None => {
+                    attempts.note_may_have_run(from);
+                    LeftToAnother::MayHaveRun
+                }
+            }
+        }
+        HandedOff::Refused(refusal) => match refusal.ran {
+            Ran::NotRun => LeftToAnother::NotRun(Some(refusal)),
+            Ran::Unknown => LeftToAnother::Ended(refuse(host, request, out, log, refusal).await),
+        },
+        HandedOff::MayHaveRun(to) => {
+            attempts.note_may_have_run(to);
+            LeftToAnother::MayHaveRun
+        }
+        HandedOff::Reached => {
+            attempts.clear_excluded();
+            LeftToAnother::NotRun(None)
+        }
+        HandedOff::Declined => {
+            attempts.is_handoff_declined = true;
+            let is_load_announced = request
+                .facts
+                .model
+                .as_ref()
+                .is_some_and(|model| host.orderer_state.borrow().ready_at(model).is_some());
+            LeftToAnother::NotRun((!is_load_announced).then(unreachable))
+        }
+    }
+}
+
+/// Tells the host that handed a request to this one that no upstream is in reach here either.
+async fn give_back<P: Platform>(
+    out: &mut CallerWriter,
+    log: &mut RequestLog<'_, P>,
+    attempts: &mut Attempts,
+) -> LeftToAnother {
+    attempts.is_handoff_declined = true;
+    if attempts.runs > 0 {
+        return LeftToAnother::MayHaveRun;
+    }
+    log.outcome = Some("refused");
+    log.summary.why = Some(ErrorKind::Unreachable.name());
+    LeftToAnother::Ended(match out.give_back().await {
+        Ok(()) => AnswerEnd::Complete,
+        Err(_) => AnswerEnd::Broken,
+    })
+}
+
 /// Ends a request that may not be tried again: with the failure that an upstream answered, where
 /// there is one, else with a refusal of the host's own.
 async fn end<P: Platform>(
@@ -203,8 +340,8 @@
     log.summary.why = Some(refusal.kind.name());
     log.summary.come_back_ms = refusal.retry_after_ms;
     log.outcome = Some(match refusal.ran {
-        crate::error::Ran::NotRun => "refused",
-        crate::error::Ran::Unknown => "failed",
+        Ran::NotRun => "refused",
+        Ran::Unknown => "failed",
     });
     let headers = host.platform.host_answer_headers(request_id);
     match out.write_refusal(refusal, headers).await {
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -19,6 +19,8 @@
     host: &'a Host<P>,
     request: &'a ActiveRequest,
     runs: u32,
+    /// Whether the cost of the first run was taken here and is refunded if there is none.
+    is_taken: bool,
 }
 
 impl<'a, P: Platform> Charge<'a, P> {
@@ -53,9 +55,20 @@
             host,
             request,
             runs: 0,
+            is_taken: true,
         })
     }
 
+    /// Charges only further runs of a request whose first run another host has charged.
+    pub fn taken_elsewhere(host: &'a Host<P>, request: &'a ActiveRequest) -> Self {
+        Self {
+            host,
+            request,
+            runs: 0,
+            is_taken: false,
+        }
+    }
+
     /// Records that the request is being sent, so that it may run. Each further run costs as much
     /// as the first.
     pub fn note_send(&mut self) {
@@ -76,7 +89,7 @@
 
 impl<P: Platform> Drop for Charge<'_, P> {
     fn drop(&mut self) {
-        if self.runs == 0 {
+        if self.runs == 0 && self.is_taken {
             refund(self.host, self.request);
         }
     }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -6,14 +6,17 @@
 //! listed fingerprints only.
 
 use crate::edge::quic;
+use crate::entry::handoff_server::{self, Served};
 use crate::entry::host::Host;
 use crate::entry::orderer;
 use crate::entry::platform::Platform;
 use crate::entry::run::EntryError;
 use crate::entry::{desired_copy, lease_manager, list_copy, sync};
+use crate::handoff::MAX_OPEN_PER_PEER;
 use crate::http1::client::with_timeout;
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
+use quinn::crypto::rustls::HandshakeData;
 use quinn::{
     AsyncTimer, AsyncUdpSocket, ClientConfig, Connection, Endpoint, EndpointConfig, Runtime,
     ServerConfig, SmolRuntime, TransportConfig,
@@ -35,6 +38,9 @@
 const SERVER_NAME: &str = "host.mangovale";
 /// The name and version of the protocol, as negotiated by ALPN in the TLS handshake.
 const ALPN: &[u8] = b"mangovale-order/3";
+/// The name and version of the protocol of handed requests. They have connections of their own, so
+/// that a slow answer never holds up the calls.
+const HANDOFF_ALPN: &[u8] = b"mangovale-handoff/1";
 /// The time-out of a call; a round trip takes a few milliseconds.
 pub const CALL_TIMEOUT_MS: Millis = Millis(700);
 /// How long a connection stays open without traffic. A dead one is detected by the first call that
@@ -47,6 +53,14 @@
 /// The flow-control window of one stream and of one connection.
 const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
+/// After how long without a packet the host at the other end of a handed request counts as lost.
+const HANDOFF_LOST: Duration = Duration::from_millis(1_500);
+/// How often a connection with handed requests shows that it is alive.
+const HANDOFF_KEEP_ALIVE: Duration = Duration::from_millis(400);
+/// The flow-control window of one answer to a handed request. That of the connection has room for
+/// all of them, so that an answer that its caller reads slowly does not stop the others.
+const HANDOFF_WINDOW_BYTES: u32 = 64 << 10;
+
 /// The fingerprints of the certificates that are accepted from other hosts.
 #[derive(Debug, Default)]
 pub struct AcceptedFingerprints(Mutex<IndexSet<Name>>);
@@ -82,6 +96,7 @@
     /// changes.
     pub accepted: Arc<AcceptedFingerprints>,
     connections: RefCell<IndexMap<SocketAddr, Connection>>,
+    handoff_config: ClientConfig,
 }
 
 impl Peers {
@@ -109,12 +124,15 @@
             address,
             source,
         })?;
-        endpoint.set_default_client_config(identity.client_config(verifier)?);
+        let calls = identity.client_config(verifier.clone(), ALPN, transport())?;
+        endpoint.set_default_client_config(calls);
+        let handoff_config = identity.client_config(verifier, HANDOFF_ALPN, handoff_transport())?;
         Ok(Rc::new(Self {
             endpoint,
             fingerprint: fingerprint(&identity.certificate),
             accepted,
             connections: RefCell::default(),
+            handoff_config,
         }))
     }
 
@@ -145,6 +163,19 @@
         postcard::from_bytes(&bytes).ok()
     }
 
+    /// Closes all connections, so that the other hosts need not find out that this process ends.
+    pub fn close(&self) {
+        self.endpoint.close(0u32.into(), b"");
+    }
+
+    /// Opens a connection to another host for requests that are handed to it. Returns nothing when
+    /// the host cannot be reached, or does not take handed requests.
+    pub async fn connect_for_handoffs(&self, address: SocketAddr) -> Option<Connection> {
+        let config = self.handoff_config.clone();
+        let connecting = self.endpoint.connect_with(config, address, SERVER_NAME);
+        connecting.ok()?.await.ok()
+    }
+
     async fn connection(&self, address: SocketAddr) -> Option<Connection> {
         let open = self.connections.borrow().get(&address).cloned();
         if let Some(open) = open.filter(|open| open.close_reason().is_none()) {
@@ -165,11 +196,15 @@
     peers: Rc<Peers>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
+    let served = Served::default();
     while let Some(incoming) = peers.endpoint.accept().await {
-        let host = host.clone();
+        let (host, served) = (host.clone(), served.clone());
         let tasks = executor.clone();
         let serve = async move {
             match incoming.await {
+                Ok(connection) if is_for_handoffs(&connection) => {
+                    handoff_server::serve_connection(host, connection, tasks, served).await
+                }
                 Ok(connection) => serve_connection(host, connection, tasks).await,
                 Err(error) => {
                     orderer::log_peer_refused(&error.to_string());
@@ -181,6 +216,12 @@
     }
 }
 
+fn is_for_handoffs(connection: &Connection) -> bool {
+    let data = connection.handshake_data();
+    let data = data.and_then(|data| data.downcast::<HandshakeData>().ok());
+    data.is_some_and(|data| data.protocol.as_deref() == Some(HANDOFF_ALPN))
+}
+
 async fn serve_connection<P: Platform + 'static>(
     host: Rc<Host<P>>,
     connection: Connection,
@@ -242,15 +283,20 @@
         verifier: Arc<FingerprintVerifier>,
     ) -> Result<ServerConfig, EntryError> {
         let provider = verifier.provider.clone();
-        quic::server_config(provider, verifier, self.pair(), ALPN, transport()).map_err(setup_error)
+        let protocols = [ALPN, HANDOFF_ALPN];
+        quic::server_config(provider, verifier, self.pair(), &protocols, transport())
+            .map_err(setup_error)
     }
 
     fn client_config(
         &self,
         verifier: Arc<FingerprintVerifier>,
+        protocol: &[u8],
+        transport: TransportConfig,
     ) -> Result<ClientConfig, EntryError> {
         let provider = verifier.provider.clone();
-        quic::client_config(provider, verifier, self.pair(), ALPN, transport()).map_err(setup_error)
+        quic::client_config(provider, verifier, self.pair(), protocol, transport)
+            .map_err(setup_error)
     }
 }
 
@@ -267,6 +313,18 @@
     transport
 }
 
+fn handoff_transport() -> TransportConfig {
+    let mut transport = transport();
+    transport.max_concurrent_bidi_streams(0u32.into());
+    transport.stream_receive_window(HANDOFF_WINDOW_BYTES.into());
+    transport.receive_window((HANDOFF_WINDOW_BYTES * MAX_OPEN_PER_PEER).into());
+    transport.keep_alive_interval(Some(HANDOFF_KEEP_ALIVE));
+    if let Ok(lost) = HANDOFF_LOST.try_into() {
+        transport.max_idle_timeout(Some(lost));
+    }
+    transport
+}
+
 fn setup_error(error: impl std::fmt::Display) -> EntryError {
     EntryError::Setup {
         what: "the calls between hosts",
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -1,5 +1,6 @@
 //! Collects what happens to a request, for its log line and the metrics.
 
+use crate::entry::active_request::{ActiveRequest, Origin};
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{ModelRef, Platform};
@@ -32,7 +33,8 @@
     pub model: Option<ModelRef>,
     /// The tokens of the prompt.
     pub prompt_tokens: u64,
-    /// The upstreams that the request was sent to, with the outcome of each send. The outcome is
+    /// The upstreams that the request was sent to, and the addresses of hosts that it was offered
+    /// to, with the outcome of each. The outcome is
     /// `under_way` if the caller disconnected before it was known.
     pub sends: Vec<(Name, &'static str)>,
     /// How long the request waited for an upstream that could take it.
@@ -55,6 +57,13 @@
     pub whole_ms: Millis,
     /// How long the caller is willing to wait, as its request says.
     pub wait_ms: Option<Millis>,
+    /// Whether another host handed the request to this one.
+    #[serde(skip_serializing_if = "is_false")]
+    pub handed: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Writes a request's log line and counts it in the metrics when it is dropped, however the request
@@ -79,6 +88,20 @@
             outcome: None,
         }
     }
+
+    /// Sets the fields that are known once the request's route is.
+    pub fn note_request(&mut self, request: &ActiveRequest) {
+        let summary = &mut self.summary;
+        summary.request = request.facts.id.clone();
+        summary.digest = Some(request.digest);
+        summary.organisation = request.organisation().cloned();
+        summary.route = Some(request.route.name.clone());
+        summary.version = request.version;
+        summary.model = request.facts.model.clone();
+        summary.prompt_tokens = request.facts.prompt_tokens;
+        summary.wait_ms = request.facts.wait_ms;
+        summary.handed = matches!(request.origin, Origin::Host { .. });
+    }
 }
 
 impl RequestSummary {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::entry::directory::{self, Endpoint};
+use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::members;
 use crate::entry::metrics::EntryMetrics;
@@ -160,8 +161,14 @@
         peers: peers.clone(),
         me: me.clone(),
     };
+    let handoffs = Rc::new(Handoffs::new(peers.clone(), me.clone()));
     let tasks = [
-        executor.spawn(caller::accept(host.clone(), executor.clone(), callers)),
+        executor.spawn(caller::accept(
+            host.clone(),
+            executor.clone(),
+            callers,
+            Some(handoffs.clone()),
+        )),
         executor.spawn(follow::follow(
             host.clone(),
             Table::Desired,
@@ -172,7 +179,7 @@
             Table::Upstreams,
             Some(sources),
         )),
-        executor.spawn(sweep(host.clone())),
+        executor.spawn(sweep(host.clone(), handoffs)),
         executor.spawn(orderer::plan(host.clone(), me.clone(), executor.clone())),
         executor.spawn(sync::sync(host.clone(), peers.clone(), me.clone())),
         executor.spawn(peers::serve(host.clone(), peers.clone(), executor.clone())),
@@ -183,6 +190,7 @@
     stop::wait(&host).await;
     drop((members, lease));
     drop(tasks);
+    peers.close();
     log::logger().flush();
     // Gives the thread that writes the log time for the last lines.
     Timer::after(Millis(20).to_duration()).await;
@@ -195,11 +203,12 @@
         .context(ListenSnafu { key, address })
 }
 
-async fn sweep<P: Platform>(host: Rc<Host<P>>) {
+async fn sweep<P: Platform>(host: Rc<Host<P>>, handoffs: Rc<Handoffs>) {
     loop {
         Timer::after(SWEEP_MS.to_duration()).await;
         let now = host.now();
         host.pool.expire(now);
+        handoffs.expire(now);
         let expired = host.upstreams.borrow_mut().expire(now);
         for id in &expired {
             host.pool.close_idle(id);
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -4,16 +4,18 @@
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::crashes;
 use crate::entry::exchange::{Exchanged, exchange};
+use crate::entry::handoff::OpenRequest;
 use crate::entry::host::Host;
 use crate::entry::in_flight::InFlight;
 use crate::entry::lines;
 use crate::entry::notices;
 use crate::entry::paths;
+use crate::entry::peer_stream::PeerStream;
 use crate::entry::platform::Platform;
 use crate::entry::pool::UpstreamConnection;
 use crate::entry::upstream_limits;
 use crate::http1::client::with_timeout;
-use crate::http1::{BodyReader, Framing, Headers, ReadError, ResponseHead};
+use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
 use crate::prelude::*;
 use crate::retry::RequestDigest;
 use crate::routing::roles::is_long;
@@ -21,7 +23,7 @@
 
 /// The timeout for opening a connection. A round trip takes a few milliseconds; an upstream that is
 /// gone or behind a partition never answers.
-const CONNECT_TIMEOUT_MS: Millis = Millis(400);
+pub const CONNECT_TIMEOUT_MS: Millis = Millis(150);
 /// How long a connection may have been idle to be reused for a request that must not run twice. If
 /// the upstream has just closed or forgotten the connection, it stays unknown whether the request
 /// ran.
@@ -41,6 +43,11 @@
 pub enum SendOutcome {
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent, because no connection could be opened.
+    Unreached {
+        /// When the attempt began.
+        began_at: Millis,
+    },
     /// The upstream says that it did not run the request.
     NotRun {
         /// Whether the reason is that the engine does not hold the request's model.
@@ -53,10 +60,18 @@
 }
 
 impl SendOutcome {
+    /// Tells whether the request has certainly not run.
+    pub fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent | Self::Unreached { .. } | Self::NotRun { .. }
+        )
+    }
+
     /// Returns the outcome's name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
-            Self::NotSent => "not_sent",
+            Self::NotSent | Self::Unreached { .. } => "not_sent",
             Self::NotRun { lacks_model: true } => "lacks_model",
             Self::NotRun { lacks_model: false } => "not_run",
             Self::MayHaveRun => "perhaps_run",
@@ -68,7 +83,8 @@
 
 /// An answer of which the head was read and, where there is a body, at least its first piece.
 pub struct StartedAnswer {
-    /// The lifetime of the upstream that answers.
+    /// The lifetime of the upstream that answers. If another host passes the answer on, its address
+    /// stands for the upstream's name.
     pub upstream: Lifetime,
     /// The head of the answer.
     pub head: ResponseHead,
@@ -76,10 +92,52 @@
     pub body_start: Vec<u8>,
     /// Reads the rest of the body.
     pub reader: BodyReader,
-    /// The connection; it can be reused only after the whole answer was read.
-    pub connection: UpstreamConnection,
-    /// Counts the request as in flight at the upstream until it is dropped.
-    pub in_flight: InFlight,
+    /// The connection that the rest of the body comes from.
+    pub connection: AnswerConnection,
+    /// Counts the request as in flight at the upstream until it is dropped; none for an answer of
+    /// another host, which counts it.
+    pub in_flight: Option<InFlight>,
+}
+
+/// Where an answer comes from.
+pub enum AnswerConnection {
+    /// An upstream. The connection can be reused after the whole answer was read.
+    Upstream(UpstreamConnection),
+    /// Another host that this one handed the request to.
+    Host {
+        /// The stream between the hosts.
+        connection: Connection<PeerStream>,
+        /// Counts the request as open there.
+        _open: OpenRequest,
+    },
+}
+
+impl StartedAnswer {
+    /// Reads the next piece of the body; none at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the connection broke.
+    pub async fn next_piece(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
+        match &mut self.connection {
+            AnswerConnection::Upstream(connection) => self.reader.next(&mut connection.io).await,
+            AnswerConnection::Host { connection, .. } => self.reader.next(connection).await,
+        }
+    }
+
+    /// Tells whether an upstream answered this host itself.
+    pub fn is_from_upstream(&self) -> bool {
+        matches!(self.connection, AnswerConnection::Upstream(_))
+    }
+
+    /// Records that the answer broke off. If another host passed it on, that host records what
+    /// happened at the upstream.
+    pub async fn note_broken<P: Platform>(&self, host: &Host<P>, request: &ActiveRequest) {
+        if self.is_from_upstream() {
+            crashes::note_broken_run(host, request, &self.upstream).await;
+            note_failure(host, &self.upstream, host.now(), false);
+        }
+    }
 }
 
 #[derive(Serialize)]
@@ -124,7 +182,9 @@
     };
     let Some(mut connection) = connect(host, request, upstream, answer_by).await else {
         attempt.log("not_sent", None, Some("cannot connect"));
-        return SendOutcome::NotSent;
+        return SendOutcome::Unreached {
+            began_at: attempt.began_at,
+        };
     };
     // Another request's answer may have changed this since the upstream was chosen.
     if !notices::accepts_requests(host, upstream) {
@@ -185,7 +245,13 @@
                 return SendOutcome::NotRun { lacks_model: false };
             }
             if facts.not_run {
-                return_to_pool(host, upstream, connection, &head, reader);
+                return_to_pool(
+                    host,
+                    upstream,
+                    AnswerConnection::Upstream(connection),
+                    &head,
+                    reader,
+                );
                 attempt.log("not_run", status, None);
                 if request.at_engine && !facts.lacks_model {
                     note_full(host, request, upstream, now);
@@ -209,8 +275,8 @@
                 head,
                 body_start,
                 reader,
-                connection,
-                in_flight,
+                connection: AnswerConnection::Upstream(connection),
+                in_flight: Some(in_flight),
             }))
         }
     }
@@ -287,10 +353,13 @@
 pub fn return_to_pool<P: Platform>(
     host: &Host<P>,
     upstream: &Lifetime,
-    connection: UpstreamConnection,
+    connection: AnswerConnection,
     head: &ResponseHead,
     reader: BodyReader,
 ) {
+    let AnswerConnection::Upstream(connection) = connection else {
+        return;
+    };
     let is_whole = reader.is_done() && head.framing != Framing::UntilClose;
     if !is_whole || !head.keep_alive || connection.ends_after_answer {
         return;
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -4,9 +4,12 @@
 use super::fake_upstream::{FakeUpstream, Step};
 use super::site::{Answer, Caller, as_member, bind_peers, entry, settings};
 use crate::clock::Clock;
-use crate::desired::{CallerLimits, DesiredState, Route, Service};
+use crate::desired::{
+    CallerLimits, DesiredState, LimitUnit, Organisation, RateLimit, Route, Service,
+};
 use crate::entry::caller;
 use crate::entry::follow::follow;
+use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{self, Peers};
@@ -14,11 +17,13 @@
 use crate::group::Member;
 use crate::http1::Connection;
 use crate::http1::client::with_timeout;
+use crate::identity::KeyDigest;
 use crate::prelude::*;
 use crate::upstreams::UpstreamEntry;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 
 /// The time limit of a test, longer than any test needs.
@@ -114,7 +119,8 @@
 
     fn run(&self, one: &OneHost, listener: TcpListener) {
         let (host, tasks) = (one.host.clone(), &self.executor);
-        let accept = caller::accept(host.clone(), tasks.clone(), listener);
+        let handoffs = Rc::new(Handoffs::new(one.peers.clone(), one.member()));
+        let accept = caller::accept(host.clone(), tasks.clone(), listener, Some(handoffs));
         tasks.spawn(accept).detach();
         for table in [Table::Desired, Table::Upstreams] {
             tasks.spawn(follow(host.clone(), table, None)).detach();
@@ -130,6 +136,26 @@
         }
     }
 
+    /// Puts a desired state with one service, this route and an organisation that has the key
+    /// `key-1` and a limit into force at every host.
+    pub async fn apply_limited_route(&self, route: Route) {
+        let limit = RateLimit {
+            unit: LimitUnit::Requests,
+            per_s: 1_000.0,
+            burst: 1_000.0,
+        };
+        let organisation = Arc::new(Organisation {
+            name: "o".into(),
+            keys: [KeyDigest::of(b"key-1")].into_iter().collect(),
+            rank: None,
+            rate_limit: Some(limit),
+        });
+        for one in &self.hosts {
+            let organisations = Some(vec![organisation.clone()]);
+            one.apply(1, route.clone(), organisations).await;
+        }
+    }
+
     /// Starts an upstream of the service and lists it at every host.
     pub async fn start_upstream(&self, id: &str, scripts: Vec<Vec<Step>>) -> FakeUpstream {
         let upstream = FakeUpstream::start(&self.executor, scripts).await;
@@ -177,6 +203,15 @@
 
     /// Puts a desired state with one service and this route into force.
     pub async fn apply_route(&self, version: u64, route: Route) {
+        self.apply(version, route, None).await;
+    }
+
+    async fn apply(
+        &self,
+        version: u64,
+        route: Route,
+        organisations: Option<Vec<Arc<Organisation>>>,
+    ) {
         let service = Service {
             max_connections: 100,
             engine: None,
@@ -186,7 +221,7 @@
             routes: vec![route],
             services: [(Name::from("s"), service)].into_iter().collect(),
             limits: CallerLimits::default(),
-            organisations: None,
+            organisations,
         });
         let is_in_force = || {
             let table = self.host.routes.borrow();
@@ -217,6 +252,8 @@
 struct Unreachable {
     refuses: SocketAddr,
     hangs: SocketAddr,
+    /// Keeps the port of `refuses`.
+    _bound: OwnedFd,
     /// Keeps the listener of `hangs`, and the connections that fill its queue.
     _queue: (std::net::TcpListener, Vec<smol::Async<std::net::TcpStream>>),
 }
@@ -224,9 +261,7 @@
 impl Unreachable {
     fn new() -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let closed = std::net::TcpListener::bind(any).expect("a free port");
-        let refuses = closed.local_addr().expect("an address");
-        drop(closed);
+        let (bound, refuses) = bound_socket();
         let full = std::net::TcpListener::bind(any).expect("a free port");
         rustix::net::listen(&full, 0).expect("a shorter queue");
         let hangs = full.local_addr().expect("an address");
@@ -235,11 +270,24 @@
         Self {
             refuses,
             hangs,
+            _bound: bound,
             _queue: (full, waiting),
         }
     }
 }
 
+/// Binds a socket that does not listen, so that nothing else listens at its address.
+fn bound_socket() -> (OwnedFd, SocketAddr) {
+    use rustix::net::{AddressFamily, SocketType};
+    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
+    let socket = socket.expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    rustix::net::bind(&socket, &any).expect("a free port");
+    let address = rustix::net::getsockname(&socket).expect("an address");
+    let address = SocketAddr::try_from(address).expect("an IP address");
+    (socket, address)
+}
+
 fn begin_connection(address: SocketAddr) -> smol::Async<std::net::TcpStream> {
     use rustix::net::{AddressFamily, SocketType};
     let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -70,7 +70,12 @@
             Arc::new(AcceptedFingerprints::default()),
         );
         executor
-            .spawn(caller::accept(host.clone(), executor.clone(), listener))
+            .spawn(caller::accept(
+                host.clone(),
+                executor.clone(),
+                listener,
+                None,
+            ))
             .detach();
         executor
             .spawn(follow(host.clone(), Table::Desired, None))
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -3,7 +3,7 @@
 
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::attempts::{Attempts, BUSY_RETRY_AFTER_MS, RETRY_AFTER_MS};
-use crate::entry::choice::choose;
+use crate::entry::choice::{choose, out_of_reach};
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::RequestLog;
@@ -69,8 +69,10 @@
     loop {
         let change = host.next_change();
         // The upstreams that were excluded may be able to take the request by now.
-        attempts.excluded.clear();
-        if choose(host, request, attempts).is_some() {
+        attempts.clear_excluded();
+        if choose(host, request, attempts).is_some()
+            || out_of_reach(host, request, attempts).is_some()
+        {
             return Ok(());
         }
         if let Some(unavailable) = unavailable(host, request) {
--- a/src/error.rs
+++ b/src/error.rs
@@ -35,6 +35,8 @@
     ColdStartTooLong,
     /// No upstream can load the model now.
     NoCapacity,
+    /// No host in reach has a path to an upstream that could serve the request.
+    Unreachable,
     /// The deadline passed while the request waited.
     DeadlinePassed,
     /// This host cannot verify that its state is up to date.
@@ -90,7 +92,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order in which the documentation lists them.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::BadRequest,
         Self::BadCredential,
         Self::Forbidden,
@@ -105,6 +107,7 @@
         Self::Overloaded,
         Self::ColdStartTooLong,
         Self::NoCapacity,
+        Self::Unreachable,
         Self::DeadlinePassed,
         Self::CutOff,
         Self::Starting,
@@ -138,6 +141,7 @@
             Self::Overloaded => "overloaded",
             Self::ColdStartTooLong => "cold_start_too_long",
             Self::NoCapacity => "no_capacity",
+            Self::Unreachable => "unreachable",
             Self::DeadlinePassed => "deadline_passed",
             Self::CutOff => "cut_off",
             Self::Starting => "starting",
@@ -185,6 +189,7 @@
                 line(503, NotRun, true, "come back once the model can be ready")
             }
             Self::NoCapacity => line(503, NotRun, true, "come back after the given time"),
+            Self::Unreachable => line(503, NotRun, true, "come back after the given time"),
             Self::DeadlinePassed => line(504, NotRun, true, "come back after the given time"),
             Self::CutOff => line(503, NotRun, true, "try another address"),
             Self::Starting => line(503, NotRun, true, "try another address"),
--- /dev/null
+++ b/src/handoff/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions about handing requests to other hosts.
+
+mod peer_memory;
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -139,6 +139,14 @@
 }
 
 impl RequestHead {
+    /// Serialises the head as it was received, with the blank line after it.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut bytes = format!("{} {} HTTP/1.1\r\n", self.method, self.target).into_bytes();
+        self.headers.write(&mut bytes);
+        bytes.extend_from_slice(b"\r\n");
+        bytes
+    }
+
     /// Parses a head. Returns it with its length in bytes, or `None` while it is incomplete.
     ///
     /// # Errors
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod event_log;
 pub mod group;
+pub mod handoff;
 pub mod http1;
 pub mod idempotency;
 pub mod identity;
--- a/src/upstreams/health.rs
+++ b/src/upstreams/health.rs
@@ -32,8 +32,7 @@
     /// Records an answer that is not a failure; ends a backoff.
     pub fn note_success(&mut self, now: Millis) {
         self.note(now, 0.0);
-        self.consecutive_unreachable = 0;
-        self.backoff_until = Millis::ZERO;
+        self.end_backoff();
     }
 
     /// Records an answer that is a failure, or one that broke off.
@@ -51,6 +50,12 @@
         self.backoff_until
     }
 
+    /// Ends a backoff after the upstream could be reached again.
+    pub fn end_backoff(&mut self) {
+        self.consecutive_unreachable = 0;
+        self.backoff_until = Millis::ZERO;
+    }
+
     /// Returns whether the upstream is in backoff, during which it gets no requests.
     pub fn is_backing_off(&self, now: Millis) -> bool {
         now < self.backoff_until
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -401,9 +401,16 @@
     /// Records that a connection to an upstream was opened. Returns since when no upstream of its
     /// service was in reach, if that was so until now.
     pub fn note_connected(&mut self, lifetime: &Lifetime, now: Millis) -> Option<Millis> {
+        if self.signs.are_all_lost(now) {
+            for upstream in self.upstreams.values_mut() {
+                upstream.path.forget_failure();
+                upstream.health.end_backoff();
+            }
+        }
         self.signs.note_sign(now);
         let upstream = self.get_lifetime_mut(lifetime)?;
         upstream.path.note_connected(now);
+        upstream.health.end_backoff();
         let service = upstream.entry.service.clone();
         self.lost_services.swap_remove(&service)
     }
@@ -441,6 +448,18 @@
         upstream.path.is_lost(now) || self.signs.are_all_lost(now)
     }
 
+    /// Tells whether any upstream gave a sign at or after `since`.
+    pub fn has_sign_since(&self, since: Millis) -> bool {
+        self.signs.has_sign_since(since)
+    }
+
+    /// Tells whether the path to an upstream may be tried in the background now, and records that
+    /// it is.
+    pub fn begin_probe(&mut self, now: Millis, lifetime: &Lifetime) -> bool {
+        self.get_lifetime_mut(lifetime)
+            .is_some_and(|upstream| upstream.path.begin_probe(now))
+    }
+
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
     pub fn begin_request(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
         let Some(upstream) = self.get_lifetime_mut(lifetime) else {
