Release the orderer lease when only other hosts reach engines

What callers saw: with the orderer cut off, models that no engine held were not loaded until the cut ended. It is the same class as the turned-away callers: the holder can't do its work and keeps it, though hosts that can are in reach. The holder now releases the lease after 0.8 s in which it has reached no upstream while other hosts served requests that it handed on. Without the second condition the lease would go round while no host reaches an engine; a test guards against that. A report that an engine answers counts as a sign of it, so an orderer whose open connections live on goes on ordering.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -413,14 +413,6 @@
         }
     }
 
-    /// Breaks the answer to another host off, so that it cannot look complete.
-    pub fn reset(self) {
-        if let Output::Host(mut stream) = self.output {
-            // It fails only if the stream has ended before.
-            let _is_open = stream.reset(0u32.into());
-        }
-    }
-
     /// Gives a request back to the host that handed it to this one: no upstream is in reach.
     ///
     /// # Errors
--- a/src/entry/engine_calls.rs
+++ b/src/entry/engine_calls.rs
@@ -4,6 +4,7 @@
 use crate::entry::lines;
 use crate::entry::notices;
 use crate::entry::orderer::OrderingState;
+use crate::entry::paths;
 use crate::entry::platform::{EngineReply, Platform};
 use crate::entry::table_rows;
 use crate::group::Member;
@@ -93,6 +94,7 @@
         Some((lifetime, address)) => {
             let reply = host.platform.report(address, id).await;
             if let Ok(report) = &reply.outcome {
+                paths::note_answered(host);
                 note_engine_start(host, id, report.born_at);
             }
             note_report_notice(host, lifetime, &reply);
--- a/src/entry/handoff.rs
+++ b/src/entry/handoff.rs
@@ -102,6 +102,11 @@
             .retain(|_, open| open.open_requests.get() > 0 || now.since(open.used_at) < UNUSED_MS);
     }
 
+    /// Tells whether another host served a request lately that was handed to it.
+    pub fn are_served(&self, now: Millis) -> bool {
+        self.memory.borrow().has_recent_service(now)
+    }
+
     fn choose<P: Platform>(&self, host: &Host<P>, wanted: &Name) -> Vec<Member> {
         let members = host.members.borrow();
         let others = members
--- a/src/entry/handoff_server.rs
+++ b/src/entry/handoff_server.rs
@@ -129,9 +129,9 @@
     };
     let ended = futures_lite::future::or(answered, withdrawn).await;
     drop(log);
-    match ended {
-        Some(AnswerEnd::Complete) => writer.finish(),
-        Some(AnswerEnd::Broken) | None => writer.reset(),
+    // An answer that broke off does not look complete, since its body has a length or chunks.
+    if ended.is_some() {
+        writer.finish();
     }
 }
 
--- a/src/entry/lease_manager.rs
+++ b/src/entry/lease_manager.rs
@@ -2,6 +2,7 @@
 //! releasing it.
 
 use crate::entry::crashes;
+use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::orderer::{ErrorLine, OrderingState};
@@ -39,8 +40,10 @@
 /// How long a holder to which no other host reports keeps the lease. After that it counts as cut
 /// off from them, and releases the lease so that another host can claim it.
 const ISOLATED_MS: Millis = Millis(3_000);
-/// How long a host does not claim the lease after it gave it up because it could not renew it or
-/// received no report of another host.
+/// How long a holder that reaches no upstream keeps the lease while other hosts reach some.
+const CUT_OFF_MS: Millis = Millis(800);
+/// How long a host does not claim the lease after it gave it up because it could not renew it,
+/// received no report of another host, or reached no engine.
 const NO_CLAIM_MS: Millis = Millis(6_000);
 
 #[derive(Serialize)]
@@ -57,7 +60,12 @@
 
 /// Runs the lease task: claims the lease when it is free, renews it, and returns after releasing it
 /// at a planned stop.
-pub async fn manage_lease<P: Platform>(host: Rc<Host<P>>, peers: Rc<Peers>, me: Member) {
+pub async fn manage_lease<P: Platform>(
+    host: Rc<Host<P>>,
+    peers: Rc<Peers>,
+    me: Member,
+    handoffs: Rc<Handoffs>,
+) {
     let mut read_at = Millis::ZERO;
     loop {
         if host.is_stopping() {
@@ -67,7 +75,7 @@
         let now = host.now();
         let mut tick_ms = LEASE_TICK_MS;
         if host.is_orderer() {
-            renew_or_give_up(&host, &peers, now).await;
+            renew_or_give_up(&host, &peers, &handoffs, now).await;
         } else {
             let read_ms = lease_read_ms(&host, &me);
             if now.since(read_at) >= read_ms && should_read(&host, now) {
@@ -110,7 +118,12 @@
 
 /// Renews the lease when that is due. Gives it up when it can no longer be renewed, or when no
 /// other host reports to it.
-async fn renew_or_give_up<P: Platform>(host: &Host<P>, peers: &Peers, now: Millis) {
+async fn renew_or_give_up<P: Platform>(
+    host: &Host<P>,
+    peers: &Peers,
+    handoffs: &Handoffs,
+    now: Millis,
+) {
     if host.orders.borrow().lease.is_failing(now) {
         let mut orders = host.orders.borrow_mut();
         log_lease(
@@ -128,6 +141,11 @@
         release(host, "no other host is heard of").await;
         return;
     }
+    if is_cut_off(host, handoffs, now) {
+        host.orders.borrow_mut().no_claim_until = now + NO_CLAIM_MS;
+        release(host, "no engine is in reach, but other hosts reach some").await;
+        return;
+    }
     let due = {
         let orders = host.orders.borrow();
         let holding = orders.lease.holding().cloned();
@@ -243,6 +261,18 @@
     now.since(since) >= ISOLATED_MS
 }
 
+/// Tells whether this holder has reached no upstream for [`CUT_OFF_MS`] while other hosts serve
+/// requests that it hands to them.
+fn is_cut_off<P: Platform>(host: &Host<P>, handoffs: &Handoffs, now: Millis) -> bool {
+    let mut orders = host.orders.borrow_mut();
+    if !host.upstreams.borrow().are_all_lost(now) || !handoffs.are_served(now) {
+        orders.cut_off_since = None;
+        return false;
+    }
+    let since = *orders.cut_off_since.get_or_insert(now);
+    now.since(since) >= CUT_OFF_MS
+}
+
 /// Reads which host appended after this holder's last record, and drops the lease when it was
 /// another host.
 async fn read_after_conflict<P: Platform>(host: &Host<P>) -> Result<(), StoreError> {
@@ -335,6 +365,7 @@
     orders.forget_engines();
     orders.store_load_limiter = None;
     orders.isolated_since = None;
+    orders.cut_off_since = None;
     log_lease(LogEvent::LeaseTaken, &orders.lease, "it was free");
     update_orderer(host, &mut orders);
     Ok(())
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -61,6 +61,8 @@
     pub store_load_limiter: Option<StoreLoadLimiter>,
     /// Since when the orderer has received no report of another host; none while it receives some.
     pub isolated_since: Option<Millis>,
+    /// Since when the orderer has reached no upstream while other hosts reach some.
+    pub cut_off_since: Option<Millis>,
     /// Until when this host does not claim the lease, so that another host can.
     pub no_claim_until: Millis,
     /// The incarnation of the orderer that was last written to the log.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -179,14 +179,19 @@
             Table::Upstreams,
             Some(sources),
         )),
-        executor.spawn(sweep(host.clone(), handoffs)),
+        executor.spawn(sweep(host.clone(), handoffs.clone())),
         executor.spawn(orderer::plan(host.clone(), me.clone(), executor.clone())),
         executor.spawn(sync::sync(host.clone(), peers.clone(), me.clone())),
         executor.spawn(peers::serve(host.clone(), peers.clone(), executor.clone())),
         executor.spawn(watch_signals(host.clone(), signals, path, reconnect)),
     ];
     let members = executor.spawn(members::maintain_membership(host.clone(), me.clone()));
-    let lease = executor.spawn(lease_manager::manage_lease(host.clone(), peers.clone(), me));
+    let lease = executor.spawn(lease_manager::manage_lease(
+        host.clone(),
+        peers.clone(),
+        me,
+        handoffs.clone(),
+    ));
     stop::wait(&host).await;
     drop((members, lease));
     drop(tasks);
--- a/src/entry/tests/handoff.rs
+++ b/src/entry/tests/handoff.rs
@@ -8,6 +8,7 @@
 use crate::entry::caller::MAX_HELD_BODY_BYTES;
 use crate::entry::limits;
 use crate::http1::BodyReader;
+use crate::prelude::*;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -310,6 +311,51 @@
     });
 }
 
+// Guards against an orderer that keeps the lease while it reaches no engine, although another host
+// reaches them.
+#[test]
+fn an_orderer_that_is_cut_off_leaves_the_lease_to_another_host() {
+    on_hosts(2, |hosts| async move {
+        hosts.apply_route(route(Repeat::Once)).await;
+        for id in ["u1", "u2"] {
+            hosts.start_upstream(id, vec![vec![Write(WHOLE)]]).await;
+        }
+        hosts.manage_lease(0);
+        let orderer = &hosts.hosts[0].host;
+        until(|| orderer.is_orderer()).await;
+        for id in ["u1", "u2"] {
+            hosts.cut(0, id, Cut::Refuses).await;
+        }
+        while orderer.is_orderer() {
+            assert_eq!(hosts.call(0, REQUEST).await.head.status, 200);
+        }
+    });
+}
+
+// Guards against a lease that goes from host to host while no host reaches an engine.
+#[test]
+fn an_orderer_keeps_the_lease_while_no_host_reaches_an_engine() {
+    on_hosts(2, |hosts| async move {
+        hosts.apply_route(route(Repeat::Once)).await;
+        for id in ["u1", "u2"] {
+            hosts.start_upstream(id, vec![vec![Write(WHOLE)]]).await;
+        }
+        hosts.manage_lease(0);
+        let orderer = &hosts.hosts[0].host;
+        until(|| orderer.is_orderer()).await;
+        for host in 0..2 {
+            for id in ["u1", "u2"] {
+                hosts.cut(host, id, Cut::Refuses).await;
+            }
+        }
+        let since = orderer.now();
+        while orderer.now().since(since) < Millis(2_500) {
+            assert_eq!(hosts.call(0, REQUEST).await.head.status, 503);
+            assert!(orderer.is_orderer());
+        }
+    });
+}
+
 // Guards against a host that shows its readiness or its address no more while it is cut off.
 #[test]
 fn a_host_that_is_cut_off_stays_ready() {
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -11,6 +11,7 @@
 use crate::entry::follow::follow;
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
+use crate::entry::lease_manager;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{self, Peers};
 use crate::entry::platform::Table;
@@ -18,6 +19,7 @@
 use crate::http1::Connection;
 use crate::http1::client::with_timeout;
 use crate::identity::KeyDigest;
+use crate::ordering::host_reports::HostReport;
 use crate::prelude::*;
 use crate::upstreams::UpstreamEntry;
 use smol::net::{TcpListener, TcpStream};
@@ -46,6 +48,7 @@
     pub peers: Rc<Peers>,
     /// Where callers connect.
     pub address: SocketAddr,
+    handoffs: Rc<Handoffs>,
     store: Rc<FakeStore>,
 }
 
@@ -94,8 +97,13 @@
                 EntryMetrics::new().expect("metrics"),
                 peers.accepted.clone(),
             );
+            let me = Member {
+                caller_address: address,
+                ..as_member(&host, &peers, 0)
+            };
             hosts.push(OneHost {
                 host,
+                handoffs: Rc::new(Handoffs::new(peers.clone(), me)),
                 peers,
                 address,
                 store,
@@ -119,8 +127,8 @@
 
     fn run(&self, one: &OneHost, listener: TcpListener) {
         let (host, tasks) = (one.host.clone(), &self.executor);
-        let handoffs = Rc::new(Handoffs::new(one.peers.clone(), one.member()));
-        let accept = caller::accept(host.clone(), tasks.clone(), listener, Some(handoffs));
+        let handoffs = Some(one.handoffs.clone());
+        let accept = caller::accept(host.clone(), tasks.clone(), listener, handoffs);
         tasks.spawn(accept).detach();
         for table in [Table::Desired, Table::Upstreams] {
             tasks.spawn(follow(host.clone(), table, None)).detach();
@@ -156,6 +164,31 @@
         }
     }
 
+    /// Lets a host claim and keep the lease. The other hosts report to it.
+    pub fn manage_lease(&self, host: usize) {
+        let one = &self.hosts[host];
+        let manage = lease_manager::manage_lease(
+            one.host.clone(),
+            one.peers.clone(),
+            one.member(),
+            one.handoffs.clone(),
+        );
+        self.executor.spawn(manage).detach();
+        let incarnations: Vec<u64> = self.hosts.iter().map(|one| one.host.incarnation).collect();
+        let orderer = one.host.clone();
+        let report = async move {
+            loop {
+                for incarnation in &incarnations {
+                    let mut orders = orderer.orders.borrow_mut();
+                    let report = HostReport::default();
+                    orders.demand.record(orderer.now(), *incarnation, report);
+                }
+                Timer::after(Millis(50).to_duration()).await;
+            }
+        };
+        self.executor.spawn(report).detach();
+    }
+
     /// Starts an upstream of the service and lists it at every host.
     pub async fn start_upstream(&self, id: &str, scripts: Vec<Vec<Step>>) -> FakeUpstream {
         let upstream = FakeUpstream::start(&self.executor, scripts).await;
--- a/src/entry/tests/lease_manager.rs
+++ b/src/entry/tests/lease_manager.rs
@@ -2,15 +2,26 @@
 
 use super::fake_platform::FakePlatform;
 use super::site::{another_host, as_member, bind_peers, on_site};
+use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::lease_manager::{append_for_peer, manage_lease};
-use crate::entry::peers;
+use crate::entry::peers::{self, Peers};
 use crate::group::Member;
 use crate::prelude::*;
 use crate::retry::RequestDigest;
 use crate::upstreams::Lifetime;
 use std::rc::Rc;
 
+/// Returns the lease task of a host.
+fn manage(
+    host: &Rc<Host<FakePlatform>>,
+    peers: Rc<Peers>,
+    me: Member,
+) -> impl Future<Output = ()> + 'static {
+    let handoffs = Rc::new(Handoffs::new(peers.clone(), me.clone()));
+    manage_lease(host.clone(), peers, me, handoffs)
+}
+
 /// Guards against an orderer that loses the lease because it alone is cut off from the store:
 /// without another host's help nobody could order loads for the engines' lease time.
 #[test]
@@ -35,7 +46,7 @@
         site.host.members.borrow_mut().replace(now, 1, both);
         let serve = peers::serve(other_host, other, site.executor.clone());
         site.executor.spawn(serve).detach();
-        let keep = manage_lease(site.host.clone(), own, me);
+        let keep = manage(&site.host, own, me);
         site.executor.spawn(keep).detach();
         let test = async {
             site.until(|host| host.is_orderer()).await;
@@ -91,14 +102,14 @@
             as_member(&other_host, &other, 0),
         );
         let digest = RequestDigest::of(None, "POST", "x", "/a/1", b"crash");
-        let keep = manage_lease(site.host.clone(), own, me);
+        let keep = manage(&site.host, own, me);
         site.executor.spawn(keep).detach();
         let test = async {
             site.until(|host| host.is_orderer()).await;
             record_crashes(&site.host, digest);
             let before = store.lease_records();
             site.until(|_| store.lease_records() > before).await;
-            let keep = manage_lease(other_host.clone(), other, next);
+            let keep = manage(&other_host, other, next);
             site.executor.spawn(keep).detach();
             site.until(|_| is_quarantined(&other_host, &digest)).await;
         };
--- a/src/handoff/peer_memory.rs
+++ b/src/handoff/peer_memory.rs
@@ -68,6 +68,12 @@
         remember(&mut self.served_at, now, SERVED_MS, incarnation, now);
     }
 
+    /// Tells whether any host served a request lately.
+    pub fn has_recent_service(&self, now: Millis) -> bool {
+        let mut served = self.served_at.values();
+        served.any(|at| now.since(*at) < SERVED_MS)
+    }
+
     /// Records that a host did not answer, or that the connection to it was lost.
     pub fn note_silent(&mut self, now: Millis, incarnation: u64) {
         self.pause(now, incarnation, SILENT_MS);
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -448,6 +448,11 @@
         upstream.path.is_lost(now) || self.signs.are_all_lost(now)
     }
 
+    /// Tells whether this host seems to be cut off from all upstreams.
+    pub fn are_all_lost(&self, now: Millis) -> bool {
+        self.signs.are_all_lost(now)
+    }
+
     /// Tells whether any upstream gave a sign at or after `since`.
     pub fn has_sign_since(&self, since: Millis) -> bool {
         self.signs.has_sign_since(since)
