Outlast a peer that is silent for two seconds on a kept connection

Each socket had a user time-out of 2 s. Once set, it also decides when keep-alive probes give up, whatever their count, and counts from the last packet: a connection that was idle for a second ended after one second of silence, with one probe sent.

The time-out has room for the idle second, two seconds of silence and one interval: 4 s. The test reads the options back from a socket and failed before (2 s). Both programs use it where the hosts' own HTTP client and server are: mangovale-entry for callers, upstreams and the store; mangovaled sets no user time-out on its connections.

--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -17,8 +17,10 @@
 /// Most idle connections to one address; usually no more than three calls run at the same time.
 const MAX_IDLE: usize = 4;
 /// Time for which sent data may be unacknowledged before the kernel closes a connection. A peer
-/// that lost power or is behind a network partition sends no reset.
-const TCP_USER_TIMEOUT_MS: u32 = 2_000;
+/// that lost power or is behind a network partition sends no reset. It also decides when keep-alive
+/// probes give up, whatever their count, and counts from the last packet of the peer; so it has room
+/// for [`KEEP_ALIVE_IDLE`], a silence of two seconds and one [`KEEP_ALIVE_INTERVAL`].
+const TCP_USER_TIMEOUT_MS: u32 = 4_000;
 
 /// Time without data after which the kernel sends the first keep-alive probe; the kernel takes
 /// whole seconds. An unreachable peer is detected within about [`TCP_USER_TIMEOUT_MS`], while a
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of parsing, framing, truncated bodies and bytes after a complete message.
 
+use super::client::set_socket_options;
 use super::*;
+use crate::prelude::*;
 use futures_lite::io::Cursor;
 use smol::block_on;
 
@@ -135,3 +137,29 @@
         Ok(())
     });
 }
+
+// Guards against connections that the kernel closes while their peer is silent for a short time: a
+// user time-out decides when keep-alive probes give up, whatever their count.
+#[test]
+fn a_connection_outlasts_a_peer_that_is_silent_for_two_seconds() {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let stream = block_on(smol::net::TcpStream::connect(address)).expect("a connection");
+    set_socket_options(&stream).expect("the options are supported");
+    let seconds = |duration: std::time::Duration| Millis(duration.as_millis() as u64);
+    let idle_ms = seconds(rustix::net::sockopt::tcp_keepidle(&stream).expect("a time"));
+    let interval_ms = seconds(rustix::net::sockopt::tcp_keepintvl(&stream).expect("a time"));
+    let probes = rustix::net::sockopt::tcp_keepcnt(&stream).expect("a count");
+    let timeout_ms = rustix::net::sockopt::tcp_user_timeout(&stream).expect("a time");
+    // The peer may fall silent when the first probe is due, and the kernel checks once an interval.
+    let silence_ms = Millis(2_000);
+    let gives_up_ms = match timeout_ms {
+        0 => idle_ms + Millis(interval_ms.0 * u64::from(probes)),
+        _ => Millis(u64::from(timeout_ms)),
+    };
+    assert!(
+        gives_up_ms >= idle_ms + silence_ms + interval_ms,
+        "{gives_up_ms:?}"
+    );
+    assert!(gives_up_ms <= Millis(5_000), "{gives_up_ms:?}");
+}
