Pass a refusal of the other host on as it is

A refusal that another host gave to a handed request came to the caller as 502, outcome unknown: the message is not self-describing, and the type of refusals leaves a field out when it is empty, so the first host could not read it. Refusals between hosts have a type of their own now.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -498,7 +498,7 @@
         mut headers: Headers,
     ) -> std::io::Result<()> {
         if let Output::Host(_) = self.output {
-            let start = AnswerStart::Refused(refusal.clone());
+            let start = AnswerStart::Refused(refusal.into());
             let start = to_frame(&start).map_err(std::io::Error::other)?;
             return self.output.write_all(&start).await;
         }
--- a/src/entry/handoff.rs
+++ b/src/entry/handoff.rs
@@ -343,7 +343,7 @@
         None | Some(Err(_)) => return lost(),
         Some(Ok((AnswerStart::OutOfReach, _))) => return Passed::GivenBack,
         Some(Ok((AnswerStart::Refused(refusal), _))) => {
-            return Passed::Ended(HandedOff::Refused(refusal));
+            return Passed::Ended(HandedOff::Refused(refusal.into()));
         }
         Some(Ok((AnswerStart::Answered, stream))) => stream,
     };
--- a/src/entry/tests/handoff.rs
+++ b/src/entry/tests/handoff.rs
@@ -17,6 +17,7 @@
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
 
 const FAILS: &str = "HTTP/1.1 500 No\r\nId: {id}\r\nSeal: s\r\nContent-Length: 0\r\n\r\n";
+const BUSY: &str = "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const STREAM_START: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid:1\ndata:a\n\n\r\n";
 const STREAM_END: &str = "d\r\nid:2\ndata:b\n\n\r\n0\r\n\r\n";
 const STREAM_REST: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid:2\ndata:b\n\n\r\n0\r\n\r\n";
@@ -367,3 +368,18 @@
         assert!(hosts.hosts[0].host.is_ready());
     });
 }
+
+// Guards against a refusal of the other host that the caller gets as an unknown outcome.
+#[test]
+fn a_refusal_of_the_other_host_reaches_the_caller_as_it_is() {
+    on_hosts(2, |hosts| async move {
+        hosts.apply_route(route(Repeat::Once)).await;
+        let upstream = hosts.start_upstream("u1", vec![vec![Write(BUSY)]]).await;
+        hosts.cut(0, "u1", Cut::Refuses).await;
+        let refused = hosts.call(0, REQUEST).await;
+        assert_eq!(refused.head.status, 503);
+        assert!(refused.body.contains("no_capacity") || refused.body.contains("overloaded"));
+        assert!(refused.head.headers.text("Retry-After").is_some());
+        assert!(!upstream.arrivals.borrow().is_empty());
+    });
+}
--- a/src/handoff/message.rs
+++ b/src/handoff/message.rs
@@ -2,6 +2,7 @@
 //! Each is preceded by its length as four bytes, big-endian.
 
 use crate::entry::platform::ModelRef;
+use crate::error::Ran;
 use crate::prelude::*;
 
 /// The longest offer and the longest reply to one.
@@ -78,13 +79,60 @@
     pub resume_after: Option<String>,
 }
 
+/// A refusal in a form that needs no field names. It names no other hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedRefusal {
+    /// The kind of the error.
+    pub kind: ErrorKind,
+    /// What happened, as a short text for people.
+    pub message: String,
+    /// How long the caller should wait before a retry.
+    pub retry_after_ms: Option<Millis>,
+    /// Whether anything was run.
+    pub ran: Ran,
+}
+
+impl From<&Refusal> for HandedRefusal {
+    fn from(refusal: &Refusal) -> Self {
+        let Refusal {
+            kind,
+            message,
+            retry_after_ms,
+            ran,
+            try_hosts: _,
+        } = refusal.clone();
+        Self {
+            kind,
+            message,
+            retry_after_ms,
+            ran,
+        }
+    }
+}
+
+impl From<HandedRefusal> for Refusal {
+    fn from(refusal: HandedRefusal) -> Self {
+        let HandedRefusal {
+            kind,
+            message,
+            retry_after_ms,
+            ran,
+        } = refusal;
+        Self {
+            retry_after_ms,
+            ran,
+            ..Self::new(kind, message)
+        }
+    }
+}
+
 /// What the answer to a handed request begins with.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum AnswerStart {
     /// An upstream's answer follows in the form of HTTP/1.1.
     Answered,
     /// The request is refused; nothing follows.
-    Refused(Refusal),
+    Refused(HandedRefusal),
     /// The host found out that it reaches no upstream either; the request has not run.
     OutOfReach,
 }
--- a/src/handoff/tests.rs
+++ b/src/handoff/tests.rs
@@ -1,3 +1,4 @@
 //! Tests of the decisions about handing requests to other hosts.
 
+mod message;
 mod peer_memory;
