Send an upstream no more than it can turn away in a second

Upstreams may state how many requests in a second they can turn away for want of room, from all hosts together, and fail beyond that. No host read the statement: with 12 requests at once, a full upstream that stated 2 turned 24 away.

Each such upstream is assigned by rendezvous hashing to as many hosts as it may turn requests away in a second, or fewer; they share that number as the most unanswered requests, and a host whose request was turned away pauses for 1.1 s. A host that the upstream is not assigned to hands the request to one that it is. The statement counts for the service, for 10 s, and ends with the first answer that does not repeat it.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -8,7 +8,7 @@
 use crate::prelude::*;
 use crate::routing::pick::{self, ModelCopies, PromptShape};
 use crate::routing::prefix;
-use crate::upstreams::{Registry, Upstream};
+use crate::upstreams::{Registry, RejectionLimit, Upstream};
 use rapidhash::v3::rapidhash_v3;
 use std::net::SocketAddr;
 
@@ -31,6 +31,7 @@
         upstream.in_flight < cap
             && !attempts.excluded.contains(&upstream.entry.id)
             && !(leaves_lost_paths && upstreams.is_out_of_reach(now, upstream))
+            && rejection_room(host, &upstreams, now, upstream) == Room::Free
     };
     let chosen = match (&request.facts.model, request.at_engine) {
         (Some(model), true) => {
@@ -77,7 +78,10 @@
         let is_unreached = attempts.unreached.contains(id);
         upstream.accepts_requests(now)
             && (is_unreached || !attempts.excluded.contains(id))
-            && (is_unreached || may_be_cut_off || !is_in_reach(&upstreams, now, upstream))
+            && (is_unreached
+                || may_be_cut_off
+                || !is_in_reach(&upstreams, now, upstream)
+                || rejection_room(host, &upstreams, now, upstream) == Room::NotAssigned)
     };
     let serving = could_serve(&upstreams, &orderer_state, now, &request.service, model);
     let lost: Vec<&Upstream> = serving.into_iter().filter(is_lost).collect();
@@ -92,7 +96,60 @@
     let orderer_state = host.orderer_state.borrow();
     could_serve(&upstreams, &orderer_state, now, service, model)
         .into_iter()
-        .any(|upstream| upstream.accepts_requests(now) && is_in_reach(&upstreams, now, upstream))
+        .any(|upstream| {
+            upstream.accepts_requests(now)
+                && is_in_reach(&upstreams, now, upstream)
+                && rejection_room(host, &upstreams, now, upstream) != Room::NotAssigned
+        })
+}
+
+/// Returns how many unanswered requests a host may have at an upstream that limits how many it can
+/// turn away.
+fn max_unanswered<P: Platform>(
+    host: &Host<P>,
+    limit: RejectionLimit,
+    upstream: &Upstream,
+    incarnation: u64,
+) -> u32 {
+    let members = host.members.borrow();
+    let hosts = members.iter().map(|member| member.incarnation);
+    limit.max_unanswered(&upstream.entry.id, upstream.entry.slots, hosts, incarnation)
+}
+
+/// Tells whether another host may send requests to an upstream, as far as the upstream limits how
+/// many it can turn away.
+pub fn is_assigned<P: Platform>(host: &Host<P>, upstream: &str, incarnation: u64) -> bool {
+    let upstreams = host.upstreams.borrow();
+    upstreams.get(upstream).is_none_or(|known| {
+        let limit = upstreams.rejection_limit(host.now(), known);
+        limit.is_none_or(|limit| max_unanswered(host, limit, known, incarnation) > 0)
+    })
+}
+
+/// Whether a host may send a further request to an upstream that can turn only so many away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Room {
+    Free,
+    /// Too many requests of this host are unanswered there, or one was turned away lately.
+    Taken,
+    /// The upstream is left to other hosts.
+    NotAssigned,
+}
+
+fn rejection_room<P: Platform>(
+    host: &Host<P>,
+    upstreams: &Registry,
+    now: Millis,
+    upstream: &Upstream,
+) -> Room {
+    let Some(limit) = upstreams.rejection_limit(now, upstream) else {
+        return Room::Free;
+    };
+    match max_unanswered(host, limit, upstream, host.incarnation) {
+        0 => Room::NotAssigned,
+        most if upstream.unanswered < most && now >= upstream.paused_until => Room::Free,
+        _ => Room::Taken,
+    }
 }
 
 fn is_in_reach(upstreams: &Registry, now: Millis, upstream: &Upstream) -> bool {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -164,6 +164,11 @@
             .await?;
         let facts = host.platform.read_answer(&head, &upstream.id);
         paths::note_answered(host);
+        host.upstreams.borrow_mut().note_rejection_limit(
+            host.now(),
+            upstream,
+            facts.max_rejections_per_s,
+        );
         notices::note_answer(host, upstream, facts.notice);
         if (100..200).contains(&head.status) {
             continue;
--- a/src/entry/handoff.rs
+++ b/src/entry/handoff.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::attempts::Attempts;
+use crate::entry::choice::is_assigned;
 use crate::entry::exchange::read_start;
 use crate::entry::forward::ANSWER_MARGIN_MS;
 use crate::entry::host::Host;
@@ -20,7 +21,7 @@
 use crate::http1::client::{MAX_HEAD_BYTES, with_timeout};
 use crate::http1::{Connection, ReadError};
 use crate::prelude::*;
-use crate::upstreams::Lifetime;
+use crate::upstreams::{Lifetime, Upstream};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -111,7 +112,8 @@
         let members = host.members.borrow();
         let others = members
             .iter()
-            .filter(|member| member.incarnation != self.me.incarnation);
+            .filter(|member| member.incarnation != self.me.incarnation)
+            .filter(|member| is_assigned(host, wanted, member.incarnation));
         let memory = self.memory.borrow();
         memory.choose(host.now(), others, wanted, &mut fastrand::Rng::new())
     }
@@ -208,9 +210,13 @@
     let began_at = host.now();
     let known = {
         let upstreams = host.upstreams.borrow();
-        upstreams
-            .get(wanted)
-            .map(|known| (known.lifetime(), known.address()))
+        // An upstream that is left to other hosts gets no connection without need.
+        let may_try = |known: &&Upstream| {
+            upstreams.rejection_limit(began_at, known).is_none()
+                || upstreams.is_out_of_reach(began_at, known)
+        };
+        let known = upstreams.get(wanted).filter(may_try);
+        known.map(|known| (known.lifetime(), known.address()))
     };
     let Some((lifetime, address)) = known else {
         return false;
--- a/src/entry/in_flight.rs
+++ b/src/entry/in_flight.rs
@@ -10,6 +10,7 @@
     registry: Rc<RefCell<Registry>>,
     upstream: Lifetime,
     prompt_tokens: u64,
+    is_answered: bool,
 }
 
 impl InFlight {
@@ -20,15 +21,16 @@
             registry,
             upstream: upstream.clone(),
             prompt_tokens,
+            is_answered: false,
         }
     }
 
     /// Records the first byte of the answer, which shows that the engine has read the prompt.
     pub fn note_first_byte(&mut self) {
-        let prompt_tokens = std::mem::take(&mut self.prompt_tokens);
-        self.registry
-            .borrow_mut()
-            .note_prefill_done(&self.upstream, prompt_tokens);
+        if !std::mem::replace(&mut self.is_answered, true) {
+            let mut registry = self.registry.borrow_mut();
+            registry.note_first_byte(&self.upstream, self.prompt_tokens);
+        }
     }
 }
 
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -79,6 +79,9 @@
     pub lacks_model: bool,
     /// How many requests a second the upstream accepts from all hosts together, if it states that.
     pub limit_per_s: Option<f64>,
+    /// How many requests in a second the upstream can turn away, from all hosts together, if it
+    /// states that.
+    pub max_rejections_per_s: Option<u32>,
     /// What the expected lifetime states about further requests.
     pub notice: Notice,
 }
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -245,6 +245,7 @@
                 return SendOutcome::NotRun { lacks_model: false };
             }
             if facts.not_run {
+                host.upstreams.borrow_mut().note_rejected(now, upstream);
                 return_to_pool(
                     host,
                     upstream,
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -15,6 +15,7 @@
 mod notices;
 mod organisations;
 mod peers;
+mod rejections;
 mod relay_pair;
 mod reload;
 mod replication;
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -159,6 +159,10 @@
                 .headers
                 .text("Limit")
                 .and_then(|text| text.parse().ok()),
+            max_rejections_per_s: head
+                .headers
+                .number("Max-Rejections")
+                .and_then(|number| number.try_into().ok()),
             notice: Notice {
                 is_leaving: lifetime.is_none() && head.headers.bytes("Leaving").is_some(),
                 rest_ms: head.headers.number("Rest-Ms").map(Millis),
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -6,6 +6,7 @@
 pub mod notice;
 pub mod path;
 pub mod registry;
+pub mod rejections;
 
 #[cfg(test)]
 mod tests;
@@ -15,6 +16,7 @@
 pub use notice::{Notice, NoticeChange, Notices};
 pub use path::{Path, PathSigns};
 pub use registry::{Registry, Upstream};
+pub use rejections::RejectionLimit;
 use std::net::SocketAddr;
 
 /// The entry in the platform's list for one lifetime of an upstream.
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -5,8 +5,9 @@
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 use crate::upstreams::index::ListIndex;
+use crate::upstreams::rejections::PAUSE_MS;
 use crate::upstreams::{
-    Health, Lifetime, Notice, NoticeChange, Notices, Path, PathSigns, UpstreamEntry,
+    Health, Lifetime, Notice, NoticeChange, Notices, Path, PathSigns, RejectionLimit, UpstreamEntry,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -35,6 +36,11 @@
     pub path: Path,
     /// Number of this host's requests in progress there.
     pub in_flight: u32,
+    /// Number of these requests whose answers have not begun.
+    pub unanswered: u32,
+    /// Until when this host sends nothing there after a request of its was turned away, if the
+    /// upstream limits how many it can turn away.
+    pub paused_until: Millis,
     /// Prompt tokens of this host's requests there that are waiting for their first event.
     pub prompt_tokens: u64,
     /// Number of these waiting requests that have long prompts.
@@ -53,6 +59,8 @@
             notices: Notices::default(),
             path: Path::default(),
             in_flight: 0,
+            unanswered: 0,
+            paused_until: Millis::ZERO,
             prompt_tokens: 0,
             long_prompts: 0,
             full_until: Millis::ZERO,
@@ -166,6 +174,8 @@
     signs: PathSigns,
     /// The services of which this host reaches no upstream, and since when.
     lost_services: IndexMap<Name, Millis>,
+    /// How many requests the upstreams of a service can turn away, where their answers state it.
+    rejection_limits: IndexMap<Name, RejectionLimit>,
 }
 
 impl Registry {
@@ -465,20 +475,61 @@
             .is_some_and(|upstream| upstream.path.begin_probe(now))
     }
 
+    /// Records how many requests in a second the upstreams of a service can turn away, as the latest
+    /// answer of one states; none if it states nothing.
+    pub fn note_rejection_limit(&mut self, now: Millis, lifetime: &Lifetime, per_s: Option<u32>) {
+        if per_s.is_none() && self.rejection_limits.is_empty() {
+            return;
+        }
+        let Some(upstream) = self.get_lifetime(lifetime) else {
+            return;
+        };
+        let service = upstream.entry.service.clone();
+        match per_s {
+            Some(per_s) => {
+                self.rejection_limits
+                    .retain(|_, limit| limit.is_current(now));
+                let limit = RejectionLimit::new(per_s, now);
+                self.rejection_limits.insert(service, limit);
+            }
+            None => {
+                self.rejection_limits.swap_remove(&service);
+            }
+        }
+    }
+
+    /// Returns how many requests in a second an upstream can turn away, if that is limited.
+    pub fn rejection_limit(&self, now: Millis, upstream: &Upstream) -> Option<RejectionLimit> {
+        let limit = self.rejection_limits.get(&upstream.entry.service).copied();
+        limit.filter(|limit| limit.is_current(now))
+    }
+
+    /// Records that an upstream turned a request of this host away. If it limits how many it can
+    /// turn away, it gets no further one for a while.
+    pub fn note_rejected(&mut self, now: Millis, lifetime: &Lifetime) {
+        let known = self.get_lifetime(lifetime);
+        let is_limited = known.is_some_and(|known| self.rejection_limit(now, known).is_some());
+        if let Some(upstream) = self.get_lifetime_mut(lifetime).filter(|_| is_limited) {
+            upstream.paused_until = now + PAUSE_MS;
+        }
+    }
+
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
     pub fn begin_request(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
         let Some(upstream) = self.get_lifetime_mut(lifetime) else {
             return;
         };
         upstream.in_flight += 1;
+        upstream.unanswered += 1;
         upstream.prompt_tokens += prompt_tokens;
         upstream.long_prompts += u32::from(is_long(prompt_tokens));
         self.busy.insert(lifetime.id.clone());
     }
 
-    /// Records that the engine has processed the prompt of a request.
-    pub fn note_prefill_done(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
+    /// Records that the answer to a request has begun, so that the engine has processed its prompt.
+    pub fn note_first_byte(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
         if let Some(upstream) = self.get_lifetime_mut(lifetime) {
+            upstream.unanswered = upstream.unanswered.saturating_sub(1);
             upstream.prompt_tokens = upstream.prompt_tokens.saturating_sub(prompt_tokens);
             let long_prompts = u32::from(is_long(prompt_tokens));
             upstream.long_prompts = upstream.long_prompts.saturating_sub(long_prompts);
--- /dev/null
+++ b/src/upstreams/rejections.rs
@@ -0,0 +1,66 @@
+//! Upstreams that fail if they turn too many requests away in a second, and how hosts keep that
+//! from happening together.
+//!
+//! A request can be turned away from when it is sent until its answer begins. Each upstream is
+//! assigned to as many hosts as it may turn requests away in a second, or fewer, and these share the
+//! number of requests that may be unanswered there. A host whose request was turned away pauses for
+//! a second. So no more requests can be turned away in any second than the upstream withstands,
+//! without a message between hosts.
+
+use crate::prelude::*;
+use crate::rendezvous;
+
+/// How long a statement counts after the last answer that repeated it.
+const STATED_MS: Millis = Millis(10_000);
+/// How long a host sends nothing after a request of its was turned away: the second that an upstream
+/// counts over, and the time of a request on its way.
+pub const PAUSE_MS: Millis = Millis(1_100);
+
+/// How many requests in a second the upstreams of a service can turn away, as their answers state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RejectionLimit {
+    /// The number in a second, for one upstream and all hosts together.
+    pub per_s: u32,
+    stated_at: Millis,
+}
+
+impl RejectionLimit {
+    /// Creates the limit that an answer states at `now`.
+    pub fn new(per_s: u32, now: Millis) -> Self {
+        Self {
+            per_s,
+            stated_at: now,
+        }
+    }
+
+    /// Tells whether the statement still counts.
+    pub fn is_current(&self, now: Millis) -> bool {
+        now.since(self.stated_at) < STATED_MS
+    }
+
+    /// Returns how many unanswered requests a host may have at an upstream with this many slots;
+    /// zero if the upstream is not assigned to the host. `hosts` are the incarnations of all hosts
+    /// and `own` is this host's.
+    pub fn max_unanswered(
+        &self,
+        upstream: &str,
+        slots: u32,
+        hosts: impl Iterator<Item = u64>,
+        own: u64,
+    ) -> u32 {
+        let own_score = rendezvous::score(upstream.as_bytes(), own);
+        let (mut count, mut better) = (0u32, 0u32);
+        for host in hosts {
+            count += 1;
+            let score = rendezvous::score(upstream.as_bytes(), host);
+            better += u32::from((score, host) > (own_score, own));
+        }
+        let allowed = self.per_s.min(slots).max(1);
+        let assigned = count.clamp(1, allowed);
+        if better < assigned {
+            allowed / assigned
+        } else {
+            0
+        }
+    }
+}
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -6,6 +6,7 @@
 
 mod notices;
 mod paths;
+mod rejections;
 
 fn entry(id: &str) -> UpstreamEntry {
     UpstreamEntry {
