mangovaled: name other hosts in the refusal of a request that could not be sent

Its callers read the names and go on there; the mangovale command does. The test failed before (none named).

--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -312,12 +312,12 @@
         } else {
             ErrorKind::DeadlinePassed
         };
-        self.refuse(
-            now,
-            id,
-            Refusal::new(kind, why).with_retry_after(RETRY_AFTER_MS),
-            fx,
-        );
+        let mut refusal = Refusal::new(kind, why).with_retry_after(RETRY_AFTER_MS);
+        // Other hosts may reach upstreams that this one does not.
+        if kind == ErrorKind::UpstreamFailed && !request.may_have_run {
+            refusal.try_hosts = self.other_hosts();
+        }
+        self.refuse(now, id, refusal, fx);
     }
 
     /// Drops a request whose task has ended, if it has no final answer yet.
--- a/src/daemon/tests/statements.rs
+++ b/src/daemon/tests/statements.rs
@@ -1,8 +1,9 @@
 //! What hosts do after an answer of an upstream stated something about further requests, without
 //! network: with the platform's list away, the log cut, and peers that were not told.
 
-use crate::attempt::message::RequestId;
+use crate::attempt::message::{AttemptOutcome, RequestHead, RequestId};
 use crate::daemon::event::Event;
+use crate::error::Ran;
 use crate::idempotency::tests::operations::{head, service_entry, table_edit};
 use crate::membership::message::UpstreamEntry;
 use crate::membership::tests::cluster::Cluster;
@@ -139,3 +140,39 @@
     cluster.run_for(Millis(5_000));
     assert!(is_usable(&cluster, 0));
 }
+
+// Guards against a host that turns a caller away because it reaches no upstream, and does not name
+// the hosts that may.
+#[test]
+fn a_request_that_could_not_be_sent_is_refused_with_the_names_of_other_hosts() {
+    let mut cluster = cluster_with_service();
+    cluster.outputs.clear();
+    let head = RequestHead {
+        idempotency_key: None,
+        ..head(RequestId(7), 7)
+    };
+    cluster.send(0, Event::RequestArrived { head });
+    cluster.run_for(Millis(100));
+    let outcome = AttemptOutcome::NotRun("cannot connect".into());
+    cluster.send(
+        0,
+        Event::AttemptEnded {
+            request: RequestId(7),
+            number: 1,
+            outcome,
+        },
+    );
+    cluster.run_for(Millis(100));
+    let refusals = cluster
+        .outputs
+        .iter()
+        .filter_map(|(_, effect)| match effect {
+            Effect::Refuse { refusal, .. } => Some(refusal),
+            _ => None,
+        });
+    let refusals: Vec<&Refusal> = refusals.collect();
+    assert_eq!(refusals.len(), 1);
+    assert_eq!(refusals[0].kind, ErrorKind::UpstreamFailed);
+    assert_eq!(refusals[0].ran, Ran::NotRun);
+    assert_eq!(refusals[0].try_hosts.len(), 1);
+}
