--- a/src/handoff/tests.rs
+++ b/src/handoff/tests.rs
@@ -2,3 +2,4 @@
 
 mod message;
 mod peer_memory;
+mod site;
