Put the ways of a request to other hosts, and the writer of answers, into modules of their own

Moves functions between files: entry/other_host, entry/rejections and entry/caller_writer. Bounds what a connection between hosts holds unsent to 4 MiB.

--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -4,7 +4,7 @@
 use crate::desired::Repeat;
 use crate::entry::active_request::{ActiveRequest, Origin};
 use crate::entry::attempts::Attempts;
-use crate::entry::caller::{BodyFraming, CallerWriter};
+use crate::entry::caller_writer::{BodyFraming, CallerWriter};
 use crate::entry::choice::{choose, out_of_reach};
 use crate::entry::crashes;
 use crate::entry::forward::try_upstream;
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -3,20 +3,15 @@
 use crate::desired::CallerLimits;
 use crate::entry::active_request::{self, ActiveRequest, Origin};
 use crate::entry::attempts::BUSY_RETRY_AFTER_MS;
+use crate::entry::caller_writer::CallerWriter;
 use crate::entry::forward;
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::platform::{Platform, RequestFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
-use crate::handoff::AnswerStart;
-use crate::handoff::message::to_frame;
 use crate::http1::client::{set_socket_options, with_timeout};
-use crate::http1::{
-    BodyReader, Connection, HeadError, Headers, ReadError, RequestHead, ResponseHead,
-};
+use crate::http1::{BodyReader, Connection, HeadError, ReadError, RequestHead};
 use crate::prelude::*;
-use futures_lite::AsyncWriteExt;
-use quinn::SendStream;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
@@ -97,11 +92,7 @@
     if set_socket_options(&stream).is_err() {
         return;
     }
-    let mut writer = CallerWriter {
-        output: Output::Caller(stream.clone()),
-        closes: false,
-        form: BodyFraming::HeadOnly,
-    };
+    let mut writer = CallerWriter::for_caller(stream.clone());
     let mut connection = Connection::new(stream);
     while serve_request(&host, &mut connection, &mut writer, &handoffs).await {}
 }
@@ -244,8 +235,7 @@
         held.grow_to(length)?;
     }
     if head.expects_continue && !reader.is_done() {
-        let permission = b"HTTP/1.1 100 Continue\r\n\r\n";
-        if writer.output.write_all(permission).await.is_err() {
+        if writer.permit_body().await.is_err() {
             return Err(incomplete());
         }
     }
@@ -351,213 +341,3 @@
     }
     std::future::pending::<()>().await;
 }
-
-/// How the end of an answer's body is marked for the caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyFraming {
-    /// The answer has no body.
-    HeadOnly,
-    /// By a `Content-Length` header with this number of bytes.
-    Length(u64),
-    /// By the chunked transfer coding.
-    Chunked,
-}
-
-/// Where the bytes of an answer go.
-enum Output {
-    /// To the caller.
-    Caller(TcpStream),
-    /// To the host that handed the request to this one, after an [`AnswerStart`].
-    Host(SendStream),
-}
-
-impl Output {
-    async fn write_all(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        match self {
-            Self::Caller(stream) => stream.write_all(bytes).await,
-            Self::Host(stream) => AsyncWriteExt::write_all(stream, bytes).await,
-        }
-    }
-
-    /// Returns what is sent before the head of an upstream's answer.
-    fn answer_start(&self) -> std::io::Result<Vec<u8>> {
-        match self {
-            Self::Caller(_) => Ok(Vec::new()),
-            Self::Host(_) => to_frame(&AnswerStart::Answered).map_err(std::io::Error::other),
-        }
-    }
-}
-
-/// Writes answers to a caller's connection, or to the host that handed the request to this one.
-pub struct CallerWriter {
-    output: Output,
-    closes: bool,
-    form: BodyFraming,
-}
-
-impl CallerWriter {
-    /// Creates the writer for a request that another host handed to this one.
-    pub fn for_host(stream: SendStream) -> Self {
-        Self {
-            output: Output::Host(stream),
-            closes: false,
-            form: BodyFraming::HeadOnly,
-        }
-    }
-
-    /// Ends the answer to another host after its last byte.
-    pub fn finish(self) {
-        if let Output::Host(mut stream) = self.output {
-            // It fails only if the stream has ended before.
-            let _is_open = stream.finish();
-        }
-    }
-
-    /// Gives a request back to the host that handed it to this one: no upstream is in reach.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the connection broke.
-    pub async fn give_back(&mut self) -> std::io::Result<()> {
-        let start = to_frame(&AnswerStart::OutOfReach).map_err(std::io::Error::other)?;
-        self.output.write_all(&start).await
-    }
-
-    /// Writes the head and the body of an answer that was read to its end.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the connection broke.
-    pub async fn write_complete(
-        &mut self,
-        head: &ResponseHead,
-        form: BodyFraming,
-        body: &[u8],
-    ) -> std::io::Result<()> {
-        let mut bytes = self.output.answer_start()?;
-        bytes.extend(self.head_bytes(head, form));
-        if form != BodyFraming::HeadOnly {
-            bytes.extend_from_slice(body);
-        }
-        self.output.write_all(&bytes).await
-    }
-
-    /// Writes the head of an answer whose body follows with [`Self::piece`] and [`Self::end`].
-    ///
-    /// # Errors
-    ///
-    /// Returns why the connection broke.
-    pub async fn begin(&mut self, head: &ResponseHead, form: BodyFraming) -> std::io::Result<()> {
-        self.form = form;
-        let mut bytes = self.output.answer_start()?;
-        bytes.extend(self.head_bytes(head, form));
-        self.output.write_all(&bytes).await
-    }
-
-    /// Writes a piece of the body, as a chunk where the answer is chunked.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the connection broke.
-    pub async fn piece(&mut self, piece: &[u8]) -> std::io::Result<()> {
-        if piece.is_empty() {
-            return Ok(());
-        }
-        match self.form {
-            BodyFraming::Chunked => {
-                let mut bytes = format!("{:x}\r\n", piece.len()).into_bytes();
-                bytes.extend_from_slice(piece);
-                bytes.extend_from_slice(b"\r\n");
-                self.output.write_all(&bytes).await
-            }
-            BodyFraming::Length(_) | BodyFraming::HeadOnly => self.output.write_all(piece).await,
-        }
-    }
-
-    /// Writes the last chunk where the answer is chunked; otherwise does nothing.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the connection broke.
-    pub async fn end(&mut self) -> std::io::Result<()> {
-        match self.form {
-            BodyFraming::Chunked => self.output.write_all(b"0\r\n\r\n").await,
-            BodyFraming::Length(_) | BodyFraming::HeadOnly => Ok(()),
-        }
-    }
-
-    /// Writes a refusal as a complete answer with a JSON body. `headers` are the platform's; the
-    /// body's type and, where the refusal has one, a `Retry-After` time are added.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the connection broke.
-    pub async fn write_refusal(
-        &mut self,
-        refusal: &Refusal,
-        mut headers: Headers,
-    ) -> std::io::Result<()> {
-        if let Output::Host(_) = self.output {
-            let start = AnswerStart::Refused(refusal.into());
-            let start = to_frame(&start).map_err(std::io::Error::other)?;
-            return self.output.write_all(&start).await;
-        }
-        let body = refusal_body(refusal);
-        headers.push("Content-Type", "application/json");
-        if let Some(after_ms) = refusal.retry_after_ms {
-            headers.push(
-                "Retry-After",
-                &format!("{:.3}", after_ms.0 as f64 / 1_000.0),
-            );
-        }
-        let head = ResponseHead {
-            status: refusal.kind.answer().status,
-            reason: refusal.kind.name().into(),
-            headers,
-            framing: crate::http1::Framing::Empty,
-            keep_alive: true,
-        };
-        self.write_complete(&head, BodyFraming::Length(body.len() as u64), &body)
-            .await
-    }
-
-    fn head_bytes(&self, head: &ResponseHead, form: BodyFraming) -> Vec<u8> {
-        let mut headers = head.headers.clone();
-        headers.remove_hop_by_hop();
-        match form {
-            BodyFraming::HeadOnly => {}
-            BodyFraming::Length(length) => {
-                headers.remove("content-length");
-                headers.push("Content-Length", &length.to_string());
-            }
-            BodyFraming::Chunked => {
-                headers.remove("content-length");
-                headers.push("Transfer-Encoding", "chunked");
-            }
-        }
-        if self.closes {
-            headers.push("Connection", "close");
-        }
-        let mut bytes = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
-        headers.write(&mut bytes);
-        bytes.extend_from_slice(b"\r\n");
-        bytes
-    }
-}
-
-#[derive(Serialize)]
-struct RefusalBody<'a> {
-    error: &'a str,
-    message: &'a str,
-    advice: &'a str,
-}
-
-fn refusal_body(refusal: &Refusal) -> Vec<u8> {
-    let body = RefusalBody {
-        error: refusal.kind.name(),
-        message: &refusal.message,
-        advice: refusal.kind.answer().advice,
-    };
-    // Serialising a struct of three strings cannot fail.
-    serde_json::to_vec(&body).unwrap_or_default()
-}
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -4,11 +4,12 @@
 use crate::entry::attempts::Attempts;
 use crate::entry::host::Host;
 use crate::entry::platform::{ModelRef, Platform, RequestFacts};
+use crate::entry::rejections::{Room, rejection_room};
 use crate::ordering::cached_orderer_state::CachedOrdererState;
 use crate::prelude::*;
 use crate::routing::pick::{self, ModelCopies, PromptShape};
 use crate::routing::prefix;
-use crate::upstreams::{Registry, RejectionLimit, Upstream};
+use crate::upstreams::{Registry, Upstream};
 use rapidhash::v3::rapidhash_v3;
 use std::net::SocketAddr;
 
@@ -103,55 +104,6 @@
         })
 }
 
-/// Returns how many unanswered requests a host may have at an upstream that limits how many it can
-/// turn away.
-fn max_unanswered<P: Platform>(
-    host: &Host<P>,
-    limit: RejectionLimit,
-    upstream: &Upstream,
-    incarnation: u64,
-) -> u32 {
-    let members = host.members.borrow();
-    let hosts = members.iter().map(|member| member.incarnation);
-    limit.max_unanswered(&upstream.entry.id, upstream.entry.slots, hosts, incarnation)
-}
-
-/// Tells whether another host may send requests to an upstream, as far as the upstream limits how
-/// many it can turn away.
-pub fn is_assigned<P: Platform>(host: &Host<P>, upstream: &str, incarnation: u64) -> bool {
-    let upstreams = host.upstreams.borrow();
-    upstreams.get(upstream).is_none_or(|known| {
-        let limit = upstreams.rejection_limit(host.now(), known);
-        limit.is_none_or(|limit| max_unanswered(host, limit, known, incarnation) > 0)
-    })
-}
-
-/// Whether a host may send a further request to an upstream that can turn only so many away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Room {
-    Free,
-    /// Too many requests of this host are unanswered there, or one was turned away lately.
-    Taken,
-    /// The upstream is left to other hosts.
-    NotAssigned,
-}
-
-fn rejection_room<P: Platform>(
-    host: &Host<P>,
-    upstreams: &Registry,
-    now: Millis,
-    upstream: &Upstream,
-) -> Room {
-    let Some(limit) = upstreams.rejection_limit(now, upstream) else {
-        return Room::Free;
-    };
-    match max_unanswered(host, limit, upstream, host.incarnation) {
-        0 => Room::NotAssigned,
-        most if upstream.unanswered < most && now >= upstream.paused_until => Room::Free,
-        _ => Room::Taken,
-    }
-}
-
 fn is_in_reach(upstreams: &Registry, now: Millis, upstream: &Upstream) -> bool {
     !upstreams.is_out_of_reach(now, upstream) && !upstream.health.is_backing_off(now)
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -5,15 +5,15 @@
 //! not run twice is not sent again after an attempt that may have run it.
 
 use crate::desired::Repeat;
-use crate::entry::active_request::{ActiveRequest, Origin};
+use crate::entry::active_request::ActiveRequest;
 use crate::entry::answer_relay::{self, RelayOutcome};
-use crate::entry::attempts::{Attempts, unreachable};
-use crate::entry::caller::CallerWriter;
+use crate::entry::attempts::Attempts;
+use crate::entry::caller_writer::CallerWriter;
 use crate::entry::choice::{choose, out_of_reach, prefix_source};
 use crate::entry::crashes;
-use crate::entry::handoff::{HandedOff, hand_off};
 use crate::entry::host::Host;
 use crate::entry::limits::Charge;
+use crate::entry::other_host::{LeftToAnother, leave_to_another_host};
 use crate::entry::platform::{Platform, SendFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
 use crate::entry::send::{self, SendOutcome, StartedAnswer};
@@ -175,82 +175,6 @@
     may_not_run_again || attempts.runs >= request.route.attempts.max(1)
 }
 
-/// How leaving a request to another host ended.
-enum LeftToAnother {
-    /// The caller, or the host that handed the request to this one, has its answer.
-    Ended(AnswerEnd),
-    /// The request may have run, and has no answer.
-    MayHaveRun,
-    /// The request has not run; with the refusal unless this host goes on with it.
-    NotRun(Option<Refusal>),
-}
-
-/// Hands a request on that no upstream in reach could serve, or gives it back to the host that
-/// handed it to this one.
-async fn leave_to_another_host<P: Platform>(
-    host: &Host<P>,
-    request: &ActiveRequest,
-    out: &mut CallerWriter,
-    log: &mut RequestLog<'_, P>,
-    attempts: &mut Attempts,
-    wanted: &Name,
-) -> LeftToAnother {
-    let Origin::Caller(Some(handoffs)) = &request.origin else {
-        return give_back(out, log, attempts).await;
-    };
-    match hand_off(host, request, (handoffs, wanted), attempts, log, None).await {
-        HandedOff::Answered(answer) => {
-            let from = answer.upstream.id.clone();
-            match finish(host, request, out, log, attempts, answer).await {
-                Some(ended) => LeftToAnother::Ended(ended),
-                None => {
-                    attempts.note_may_have_run(from);
-                    LeftToAnother::MayHaveRun
-                }
-            }
-        }
-        HandedOff::Refused(refusal) => match refusal.ran {
-            Ran::NotRun => LeftToAnother::NotRun(Some(refusal)),
-            Ran::Unknown => LeftToAnother::Ended(refuse(host, request, out, log, refusal).await),
-        },
-        HandedOff::MayHaveRun(to) => {
-            attempts.note_may_have_run(to);
-            LeftToAnother::MayHaveRun
-        }
-        HandedOff::Reached => {
-            attempts.clear_excluded();
-            LeftToAnother::NotRun(None)
-        }
-        HandedOff::Declined => {
-            attempts.is_handoff_declined = true;
-            let is_load_announced = request
-                .facts
-                .model
-                .as_ref()
-                .is_some_and(|model| host.orderer_state.borrow().ready_at(model).is_some());
-            LeftToAnother::NotRun((!is_load_announced).then(unreachable))
-        }
-    }
-}
-
-/// Tells the host that handed a request to this one that no upstream is in reach here either.
-async fn give_back<P: Platform>(
-    out: &mut CallerWriter,
-    log: &mut RequestLog<'_, P>,
-    attempts: &mut Attempts,
-) -> LeftToAnother {
-    attempts.is_handoff_declined = true;
-    if attempts.runs > 0 {
-        return LeftToAnother::MayHaveRun;
-    }
-    log.outcome = Some("refused");
-    log.summary.why = Some(ErrorKind::Unreachable.name());
-    LeftToAnother::Ended(match out.give_back().await {
-        Ok(()) => AnswerEnd::Complete,
-        Err(_) => AnswerEnd::Broken,
-    })
-}
-
 /// Ends a request that may not be tried again: with the failure that an upstream answered, where
 /// there is one, else with a refusal of the host's own.
 async fn end<P: Platform>(
@@ -270,7 +194,7 @@
 
 /// Passes an upstream's answer on to the caller. Returns none when the answer broke off before the
 /// caller got any of it; then another attempt is possible.
-async fn finish<P: Platform>(
+pub async fn finish<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     out: &mut CallerWriter,
@@ -302,7 +226,7 @@
 
 /// Refuses a request, with a retry time that fits into the request's remaining time. Only the time
 /// until upstreams that rest accept requests again is stated as it is, since it is no estimate.
-async fn refuse<P: Platform>(
+pub async fn refuse<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     out: &mut CallerWriter,
--- a/src/entry/handoff.rs
+++ b/src/entry/handoff.rs
@@ -2,7 +2,6 @@
 
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::attempts::Attempts;
-use crate::entry::choice::is_assigned;
 use crate::entry::exchange::read_start;
 use crate::entry::forward::ANSWER_MARGIN_MS;
 use crate::entry::host::Host;
@@ -10,6 +9,7 @@
 use crate::entry::peer_stream::PeerStream;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
+use crate::entry::rejections::is_assigned;
 use crate::entry::request_log::RequestLog;
 use crate::entry::send::{AnswerConnection, CONNECT_TIMEOUT_MS, StartedAnswer};
 use crate::group::Member;
--- a/src/entry/handoff_server.rs
+++ b/src/entry/handoff_server.rs
@@ -2,7 +2,8 @@
 //! request that was not accepted never runs here.
 
 use crate::entry::active_request::{self, Origin};
-use crate::entry::caller::{CallerWriter, HeldBody};
+use crate::entry::caller::HeldBody;
+use crate::entry::caller_writer::CallerWriter;
 use crate::entry::choice::reaches;
 use crate::entry::forward;
 use crate::entry::host::Host;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -61,6 +61,9 @@
 /// all of them, so that an answer that its caller reads slowly does not stop the others.
 const HANDOFF_WINDOW_BYTES: u32 = 64 << 10;
 
+/// Most bytes that one connection holds until the other host has them.
+const SEND_WINDOW_BYTES: u64 = 4 << 20;
+
 /// The fingerprints of the certificates that are accepted from other hosts.
 #[derive(Debug, Default)]
 pub struct AcceptedFingerprints(Mutex<IndexSet<Name>>);
@@ -306,6 +309,7 @@
     transport.max_concurrent_uni_streams(0u32.into());
     transport.stream_receive_window(STREAM_WINDOW_BYTES.into());
     transport.receive_window(STREAM_WINDOW_BYTES.into());
+    transport.send_window(SEND_WINDOW_BYTES);
     transport.mtu_discovery_config(None);
     if let Ok(idle) = IDLE_TIMEOUT.try_into() {
         transport.max_idle_timeout(Some(idle));
--- a/src/entry/tests/handoff.rs
+++ b/src/entry/tests/handoff.rs
@@ -1,11 +1,13 @@
 //! Requests of callers at a host that reaches no upstream, while other hosts reach some.
 
+use super::fake_platform::FakePlatform;
 use super::fake_upstream::FakeUpstream;
 use super::fake_upstream::Step::{Close, Hang, Wait, Write};
 use super::hosts::{Cut, Hosts, on_hosts, until};
 use super::site::route;
 use crate::desired::{Repeat, Route};
 use crate::entry::caller::MAX_HELD_BODY_BYTES;
+use crate::entry::host::Host;
 use crate::entry::limits;
 use crate::http1::BodyReader;
 use crate::prelude::*;
@@ -312,18 +314,24 @@
     });
 }
 
+/// Starts two upstreams, and makes the first host the orderer.
+async fn start_orderer(hosts: &Hosts) -> &Host<FakePlatform> {
+    hosts.apply_route(route(Repeat::Once)).await;
+    for id in ["u1", "u2"] {
+        hosts.start_upstream(id, vec![vec![Write(WHOLE)]]).await;
+    }
+    hosts.manage_lease(0);
+    let orderer = &hosts.hosts[0].host;
+    until(|| orderer.is_orderer()).await;
+    orderer
+}
+
 // Guards against an orderer that keeps the lease while it reaches no engine, although another host
 // reaches them.
 #[test]
 fn an_orderer_that_is_cut_off_leaves_the_lease_to_another_host() {
     on_hosts(2, |hosts| async move {
-        hosts.apply_route(route(Repeat::Once)).await;
-        for id in ["u1", "u2"] {
-            hosts.start_upstream(id, vec![vec![Write(WHOLE)]]).await;
-        }
-        hosts.manage_lease(0);
-        let orderer = &hosts.hosts[0].host;
-        until(|| orderer.is_orderer()).await;
+        let orderer = start_orderer(&hosts).await;
         for id in ["u1", "u2"] {
             hosts.cut(0, id, Cut::Refuses).await;
         }
@@ -337,13 +345,7 @@
 #[test]
 fn an_orderer_keeps_the_lease_while_no_host_reaches_an_engine() {
     on_hosts(2, |hosts| async move {
-        hosts.apply_route(route(Repeat::Once)).await;
-        for id in ["u1", "u2"] {
-            hosts.start_upstream(id, vec![vec![Write(WHOLE)]]).await;
-        }
-        hosts.manage_lease(0);
-        let orderer = &hosts.hosts[0].host;
-        until(|| orderer.is_orderer()).await;
+        let orderer = start_orderer(&hosts).await;
         for host in 0..2 {
             for id in ["u1", "u2"] {
                 hosts.cut(host, id, Cut::Refuses).await;
