--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -234,10 +234,8 @@
         }
         held.grow_to(length)?;
     }
-    if head.expects_continue && !reader.is_done() {
-        if writer.permit_body().await.is_err() {
-            return Err(incomplete());
-        }
+    if head.expects_continue && !reader.is_done() && writer.permit_body().await.is_err() {
+        return Err(incomplete());
     }
     let mut body = Vec::new();
     loop {
--- a/src/handoff/tests/site.rs
+++ b/src/handoff/tests/site.rs
@@ -107,12 +107,12 @@
         let began_at = *now;
         match one.cut {
             Cut::None => {
-                *now = *now + ROUND_TRIP_MS;
+                *now += ROUND_TRIP_MS;
                 one.registry.note_connected(&lifetime(id), *now);
                 return true;
             }
-            Cut::Refuses => *now = *now + ROUND_TRIP_MS,
-            Cut::Hangs => *now = *now + TIMEOUT_MS,
+            Cut::Refuses => *now += ROUND_TRIP_MS,
+            Cut::Hangs => *now += TIMEOUT_MS,
         }
         one.registry
             .note_connect_failed(&lifetime(id), began_at, *now);
@@ -171,11 +171,11 @@
                 .position(|other| other.member.incarnation == to.incarnation)
                 .expect("it is a host");
             if self.hosts[position].life == Life::Frozen {
-                now = now + TIMEOUT_MS;
+                now += TIMEOUT_MS;
                 self.hosts[host].memory.note_silent(now, to.incarnation);
                 continue;
             }
-            now = now + ROUND_TRIP_MS;
+            now += ROUND_TRIP_MS;
             let is_served = self.reaches(position, now)
                 && self.serve_here(position, &mut Attempts::default(), &mut now);
             let memory = &mut self.hosts[host].memory;
@@ -237,7 +237,7 @@
     let mut next_change = Millis(1_000);
     let mut now = Millis::ZERO;
     while now < RUN_MS {
-        now = now + Millis(rng.u64(5..60));
+        now += Millis(rng.u64(5..60));
         if now >= next_change {
             model.change(now);
             next_change = now + Millis(rng.u64(500..4_000));
