Offer a request that waits to other hosts again

A request that no host could take while a load of its model was announced waited for the load to its end, although another host came to reach an engine meanwhile. It is offered again after half a second.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -15,6 +15,8 @@
 /// How recent a sign of any upstream must be for a further one to be tried after one could not be
 /// reached.
 const RECENT_SIGN_MS: Millis = Millis(1_000);
+/// How long a request that waits is not offered again after no other host took it.
+const OFFER_AGAIN_MS: Millis = Millis(500);
 /// Most sends of one request, also where every upstream says that it did not run it.
 const MAX_SENDS: u32 = 4;
 
@@ -37,8 +39,8 @@
     pub unreached: Vec<Name>,
     /// When the first attempt to reach an upstream began that failed.
     pub unreached_since: Option<Millis>,
-    /// Whether no other host takes the request.
-    pub is_handoff_declined: bool,
+    /// When no other host took the request.
+    pub handoff_declined_at: Option<Millis>,
     /// Whether the request has waited for an upstream.
     pub waited: bool,
     /// The shortest time after which an upstream with a rate limit accepts a request again.
@@ -60,6 +62,12 @@
         self.exclude(upstream);
     }
 
+    /// Tells whether the request may be offered to other hosts now.
+    pub fn may_offer(&self, now: Millis) -> bool {
+        self.handoff_declined_at
+            .is_none_or(|at| now.since(at) >= OFFER_AGAIN_MS)
+    }
+
     /// Makes the excluded upstreams eligible again.
     pub fn clear_excluded(&mut self) {
         self.excluded.clear();
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -60,16 +60,17 @@
 }
 
 /// Returns an upstream that could serve a request and that this host does not seem to reach, so
-/// that another host may be asked. None if there is none, or if no other host takes the request.
+/// that another host may be asked. None if there is none, or if no other host took the request just
+/// now.
 pub fn out_of_reach<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     attempts: &Attempts,
 ) -> Option<Name> {
-    if attempts.is_handoff_declined || !request.leaves_lost_paths(host) {
+    let now = host.now();
+    if !attempts.may_offer(now) || !request.leaves_lost_paths(host) {
         return None;
     }
-    let now = host.now();
     let upstreams = host.upstreams.borrow();
     let orderer_state = host.orderer_state.borrow();
     let model = request.facts.model.as_ref().filter(|_| request.at_engine);
--- a/src/entry/other_host.rs
+++ b/src/entry/other_host.rs
@@ -33,7 +33,7 @@
     wanted: &Name,
 ) -> LeftToAnother {
     let Origin::Caller(Some(handoffs)) = &request.origin else {
-        return give_back(out, log, attempts).await;
+        return give_back(host.now(), out, log, attempts).await;
     };
     match hand_off(host, request, (handoffs, wanted), attempts, log, None).await {
         HandedOff::Answered(answer) => {
@@ -61,7 +61,7 @@
             LeftToAnother::NotRun(None)
         }
         HandedOff::Declined => {
-            attempts.is_handoff_declined = true;
+            attempts.handoff_declined_at = Some(host.now());
             let is_load_announced = request
                 .facts
                 .model
@@ -74,11 +74,12 @@
 
 /// Tells the host that handed a request to this one that no upstream is in reach here either.
 async fn give_back<P: Platform>(
+    now: Millis,
     out: &mut CallerWriter,
     log: &mut RequestLog<'_, P>,
     attempts: &mut Attempts,
 ) -> LeftToAnother {
-    attempts.is_handoff_declined = true;
+    attempts.handoff_declined_at = Some(now);
     if attempts.runs > 0 {
         return LeftToAnother::MayHaveRun;
     }
--- a/src/entry/tests/handoff.rs
+++ b/src/entry/tests/handoff.rs
@@ -9,6 +9,7 @@
 use crate::entry::caller::MAX_HELD_BODY_BYTES;
 use crate::entry::host::Host;
 use crate::entry::limits;
+use crate::entry::platform::ModelRef;
 use crate::http1::BodyReader;
 use crate::prelude::*;
 use std::cell::Cell;
@@ -385,3 +386,35 @@
         assert!(!upstream.arrivals.borrow().is_empty());
     });
 }
+
+// Guards against a request that waits for a load to its end although another host has come to reach
+// an upstream.
+#[test]
+fn a_request_that_waits_is_offered_again() {
+    on_hosts(2, |hosts| async move {
+        hosts.apply_route(route(Repeat::Once)).await;
+        let upstream = hosts.start_upstream("u1", vec![vec![Write(WHOLE)]]).await;
+        for host in 0..2 {
+            hosts.cut(host, "u1", Cut::Refuses).await;
+        }
+        let first = &hosts.hosts[0].host;
+        let model = ModelRef {
+            model: "m".into(),
+            adapter: None,
+        };
+        let ready_in_ms = vec![(model, Millis(4_000))];
+        let now = first.now();
+        first
+            .orderer_state
+            .borrow_mut()
+            .replace_ready(now, ready_in_ms);
+        let request = REQUEST.replace("Wait-Ms: 1000", "Wait-Ms: 9000\r\nModel: m");
+        let mut caller = hosts.connect(0).await;
+        caller.send(&request).await;
+        until(|| first.active_requests.get() == 1).await;
+        hosts.heal(1, "u1", &upstream).await;
+        while hosts.call(1, REQUEST).await.head.status != 200 {}
+        assert_eq!(caller.answer().await.head.status, 200);
+        assert!(first.now().since(now) < Millis(4_000));
+    });
+}
