Count requests at an upstream that limits its rejections before they are sent together

A host looked whether an upstream could turn a further request away when it chose it, and counted the request only when the connection was open. Requests that arrived at the same moment were all chosen: with 12 of them and a stated 2, all were sent. The host looks once more when the connection is open, as it does for upstreams that leave or rest, and keeps the connection. The test failed before (more than three arrivals); found by reading.

--- a/src/entry/rejections.rs
+++ b/src/entry/rejections.rs
@@ -3,7 +3,7 @@
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::prelude::*;
-use crate::upstreams::{Registry, RejectionLimit, Upstream};
+use crate::upstreams::{Lifetime, Registry, RejectionLimit, Upstream};
 
 /// Returns how many unanswered requests a host may have at an upstream that limits how many it can
 /// turn away.
@@ -39,6 +39,14 @@
     NotAssigned,
 }
 
+/// Tells whether this host may still send a request to an upstream once its connection is open.
+pub fn has_room<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> bool {
+    let upstreams = host.upstreams.borrow();
+    upstreams
+        .get_lifetime(upstream)
+        .is_some_and(|known| rejection_room(host, &upstreams, host.now(), known) == Room::Free)
+}
+
 /// Tells whether this host may send a further request to an upstream, as far as the upstream limits
 /// how many it can turn away.
 pub fn rejection_room<P: Platform>(
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -13,6 +13,7 @@
 use crate::entry::peer_stream::PeerStream;
 use crate::entry::platform::Platform;
 use crate::entry::pool::UpstreamConnection;
+use crate::entry::rejections;
 use crate::entry::upstream_limits;
 use crate::http1::client::with_timeout;
 use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
@@ -191,6 +192,12 @@
         attempt.log("not_sent", None, Some("it leaves or rests"));
         return SendOutcome::NotSent;
     }
+    // Requests that were chosen for it at the same moment may have been sent meanwhile.
+    if !rejections::has_room(host, upstream) {
+        host.pool.keep(host.now(), &upstream.id, connection, None);
+        attempt.log("not_sent", None, Some("it can turn no more requests away"));
+        return SendOutcome::NotSent;
+    }
     attempt.reused = connection.is_reused;
     let mut in_flight = InFlight::new(
         host.upstreams.clone(),
--- a/src/entry/tests/rejections.rs
+++ b/src/entry/tests/rejections.rs
@@ -4,6 +4,7 @@
 use super::hosts::{on_hosts, until};
 use super::site::{on_site, route};
 use crate::desired::Repeat;
+use futures_lite::future::poll_once;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -36,6 +37,33 @@
     });
 }
 
+// Guards against requests that are counted only once their connections are open.
+#[test]
+fn requests_that_arrive_at_the_same_moment_keep_to_the_limit() {
+    on_site(|site| async move {
+        site.apply_route(route(Repeat::Once)).await;
+        let may_answer = Rc::new(Cell::new(false));
+        let held = vec![Wait(may_answer.clone()), Write(BUSY)];
+        let scripts = vec![vec![Write(WHOLE)], held];
+        let upstream = site.start_upstream("u1", scripts).await;
+        assert_eq!(site.call(REQUEST).await.head.status, 200);
+        let mut callers = Vec::new();
+        for _ in 0..12 {
+            callers.push(site.connect().await);
+        }
+        for caller in &mut callers {
+            // The host gets no turn between two of them.
+            poll_once(caller.send(REQUEST)).await.expect("room to send");
+        }
+        until(|| upstream.arrivals.borrow().len() == 3).await;
+        may_answer.set(true);
+        for mut caller in callers {
+            assert_eq!(caller.answer().await.head.status, 503);
+        }
+        assert_eq!(upstream.arrivals.borrow().len(), 3);
+    });
+}
+
 // Guards against a limit that each host applies for itself: three hosts, and two requests in a
 // second.
 #[test]
