Resume a stream at an upstream that its host reaches again

Of the two ways that hand a request on, only that of new requests went on here when the path to an upstream was back and no other host took the request; an interrupted stream ended. Both go on now, and only the upstreams that could not be reached become eligible again: one that broke off or turned the request away stays excluded. An organisation's limit is charged only for a resumption that may have run. The test failed on the code before (the stream ended after its first event); found by reading.

--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -348,7 +348,16 @@
         let mut resumed = None;
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let Some(upstream) = choose(self.host, self.request, self.attempts) else {
-                resumed = self.resume_over_another_host(&after, log).await;
+                match self.hand_off(&after, log).await {
+                    Some(HandedOff::Reached) => {
+                        self.attempts.clear_unreached();
+                        continue;
+                    }
+                    Some(HandedOff::Answered(answer)) if answer.head.status == 200 => {
+                        resumed = Some(answer);
+                    }
+                    Some(_) | None => {}
+                }
                 break;
             };
             if let Err(refused) = upstream_limits::take(self.host, &upstream).await {
@@ -387,22 +396,15 @@
         lines::write(LogEvent::StreamResumed, &line);
         resumed
     }
-}
 
-impl<P: Platform> EventRelay<'_, P> {
-    /// Resumes an interrupted stream over another host, if this one does not reach the upstreams
-    /// that could go on with it.
-    async fn resume_over_another_host(
-        &mut self,
-        after: &str,
-        log: &mut RequestLog<'_, P>,
-    ) -> Option<Box<StartedAnswer>> {
+    /// Hands an interrupted stream to another host that is to go on with it, if this one does not
+    /// reach the upstreams that could.
+    async fn hand_off(&self, after: &str, log: &mut RequestLog<'_, P>) -> Option<HandedOff> {
         let wanted = out_of_reach(self.host, self.request, self.attempts)?;
         let Origin::Caller(Some(handoffs)) = &self.request.origin else {
             return None;
         };
         let (host, request, after) = (self.host, self.request, Some(after));
-        limits::note_extra_run(host, request);
         let handed = hand_off(
             host,
             request,
@@ -411,10 +413,11 @@
             log,
             after,
         );
-        match handed.await {
-            HandedOff::Answered(answer) if answer.head.status == 200 => Some(answer),
-            _ => None,
+        let ended = handed.await;
+        if !ended.is_not_run() {
+            limits::note_extra_run(host, request);
         }
+        Some(ended)
     }
 }
 
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -75,6 +75,13 @@
         self.unreached_since = None;
     }
 
+    /// Makes the upstreams eligible again that could not be reached.
+    pub fn clear_unreached(&mut self) {
+        let unreached = std::mem::take(&mut self.unreached);
+        self.excluded.retain(|id| !unreached.contains(id));
+        self.unreached_since = None;
+    }
+
     /// Tells whether a further upstream may be tried after some could not be reached: it is not as
     /// long as no upstream has given a sign lately, since this host may be cut off from all.
     pub fn may_reach_more(&self, upstreams: &Registry) -> bool {
--- a/src/entry/handoff.rs
+++ b/src/entry/handoff.rs
@@ -12,6 +12,7 @@
 use crate::entry::rejections::is_assigned;
 use crate::entry::request_log::RequestLog;
 use crate::entry::send::{AnswerConnection, CONNECT_TIMEOUT_MS, StartedAnswer};
+use crate::error::Ran;
 use crate::group::Member;
 use crate::handoff::message::{MAX_ANSWER_START_BYTES, MAX_OFFER_BYTES};
 use crate::handoff::{
@@ -292,6 +293,15 @@
 }
 
 impl HandedOff {
+    /// Tells whether the request has certainly not run.
+    pub fn is_not_run(&self) -> bool {
+        match self {
+            Self::Declined | Self::Reached => true,
+            Self::Refused(refusal) => refusal.ran == Ran::NotRun,
+            Self::Answered(_) | Self::MayHaveRun(_) => false,
+        }
+    }
+
     fn name(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
--- a/src/entry/other_host.rs
+++ b/src/entry/other_host.rs
@@ -57,7 +57,7 @@
             LeftToAnother::MayHaveRun
         }
         HandedOff::Reached => {
-            attempts.clear_excluded();
+            attempts.clear_unreached();
             LeftToAnother::NotRun(None)
         }
         HandedOff::Declined => {
--- a/src/entry/tests/handoff.rs
+++ b/src/entry/tests/handoff.rs
@@ -9,9 +9,11 @@
 use crate::entry::caller::MAX_HELD_BODY_BYTES;
 use crate::entry::host::Host;
 use crate::entry::limits;
+use crate::entry::paths;
 use crate::entry::platform::ModelRef;
 use crate::http1::BodyReader;
 use crate::prelude::*;
+use crate::upstreams::Lifetime;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -267,6 +269,40 @@
     });
 }
 
+// Guards against a stream that ends although its host reaches another upstream again.
+#[test]
+fn a_resumable_stream_goes_on_at_an_upstream_that_is_reached_again() {
+    on_hosts(2, |hosts| async move {
+        let resumable = Route {
+            repeat: Repeat::Resumable,
+            ..streams()
+        };
+        hosts.apply_route(resumable).await;
+        let may_break = Rc::new(Cell::new(false));
+        let breaks = vec![Write(STREAM_START), Wait(may_break.clone()), Close];
+        let broken = hosts.start_upstream("u1", vec![breaks]).await;
+        let next = hosts
+            .start_upstream("u2", vec![vec![Write(STREAM_REST)]])
+            .await;
+        for (host, id) in [(0, "u2"), (1, "u1"), (1, "u2")] {
+            let host = &hosts.hosts[host].host;
+            let lifetime = Lifetime {
+                id: id.into(),
+                born_at: Millis::ZERO,
+            };
+            paths::note_connect_failed(host, &lifetime, host.now());
+        }
+        let mut caller = hosts.connect(0).await;
+        caller.send(REQUEST).await;
+        until(|| broken.arrivals.borrow().len() == 1).await;
+        may_break.set(true);
+        let answer = caller.answer().await;
+        assert!(answer.is_whole, "{}", answer.body);
+        assert_eq!(answer.body, "id:1\ndata:a\n\nid:2\ndata:b\n\n");
+        assert_eq!(next.arrivals.borrow().len(), 1);
+    });
+}
+
 // Guards against a host that takes more bytes than it has room for.
 #[test]
 fn a_host_without_room_declines_and_another_one_serves() {
