Name a request that is handed on, the contact with upstreams and what is in reach

No behaviour changes. A request that is handed on is one value instead of the same four parameters in three functions; what is read of an answer's start has one type on both ways; 'contact' replaces 'sign'; the parts of the registry about reach and rejections stand in modules of their own.

--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -8,7 +8,7 @@
 use crate::entry::choice::{choose, out_of_reach};
 use crate::entry::crashes;
 use crate::entry::forward::try_upstream;
-use crate::entry::handoff::{HandedOff, hand_off};
+use crate::entry::handoff::{HandedOff, Outgoing, hand_off};
 use crate::entry::host::Host;
 use crate::entry::limits;
 use crate::entry::lines;
@@ -404,18 +404,16 @@
         let Origin::Caller(Some(handoffs)) = &self.request.origin else {
             return None;
         };
-        let (host, request, after) = (self.host, self.request, Some(after));
-        let handed = hand_off(
-            host,
-            request,
-            (handoffs, &wanted),
-            self.attempts,
-            log,
-            after,
-        );
-        let ended = handed.await;
+        let outgoing = Outgoing {
+            request: self.request,
+            handoffs,
+            wanted: &wanted,
+            attempts: self.attempts,
+            resume_after: Some(after),
+        };
+        let ended = hand_off(self.host, &outgoing, log).await;
         if !ended.is_not_run() {
-            limits::note_extra_run(host, request);
+            limits::note_extra_run(self.host, self.request);
         }
         Some(ended)
     }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -12,9 +12,9 @@
 pub const RETRY_AFTER_MS: Millis = Millis(500);
 /// The retry time that a refusal names when upstreams, or this host, were full.
 pub const BUSY_RETRY_AFTER_MS: Millis = Millis(300);
-/// How recent a sign of any upstream must be for a further one to be tried after one could not be
-/// reached.
-const RECENT_SIGN_MS: Millis = Millis(1_000);
+/// How recent the last contact with any upstream must be for a further one to be tried after one
+/// could not be reached.
+const RECENT_CONTACT_MS: Millis = Millis(1_000);
 /// How long a request that waits is not offered again after no other host took it.
 const OFFER_AGAIN_MS: Millis = Millis(500);
 /// Most sends of one request, also where every upstream says that it did not run it.
@@ -82,15 +82,15 @@
         self.unreached_since = None;
     }
 
-    /// Tells whether a further upstream may be tried after some could not be reached: it is not as
-    /// long as no upstream has given a sign lately, since this host may be cut off from all.
+    /// Tells whether a further upstream may be tried after some could not be reached: not without
+    /// recent contact with any upstream, since this host may be cut off from all.
     pub fn may_reach_more(&self, upstreams: &Registry) -> bool {
         self.unreached_since.is_none_or(|since| {
             let from = match self.unreached.len() {
-                0 | 1 => since - RECENT_SIGN_MS,
+                0 | 1 => since - RECENT_CONTACT_MS,
                 _ => since,
             };
-            upstreams.has_sign_since(from)
+            upstreams.has_contact_since(from)
         })
     }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -54,13 +54,7 @@
             host.request_sync();
         }
     };
-    let (reader, body_start) =
-        read_start(request, &head, &mut connection.io, note_first_byte).await?;
-    Ok(Exchanged {
-        head,
-        body_start,
-        reader,
-    })
+    read_start(request, head, &mut connection.io, note_first_byte).await
 }
 
 /// Reads the first piece of an answer's body, calls `note_first_byte`, and reads a short answer on
@@ -71,10 +65,10 @@
 /// Returns why the connection broke.
 pub async fn read_start<S: AsyncRead + AsyncWrite + Unpin>(
     request: &ActiveRequest,
-    head: &ResponseHead,
+    head: ResponseHead,
     connection: &mut Connection<S>,
     note_first_byte: impl FnOnce(),
-) -> Result<(BodyReader, Vec<u8>), ReadError> {
+) -> Result<Exchanged, ReadError> {
     let mut reader = BodyReader::new(head.framing);
     let mut body_start = Vec::new();
     if let Some(piece) = reader.next(connection).await? {
@@ -86,7 +80,11 @@
     if !request.route.streams || is_short || head.status != 200 {
         read_buffered(&mut reader, connection, &mut body_start).await?;
     }
-    Ok((reader, body_start))
+    Ok(Exchanged {
+        head,
+        body_start,
+        reader,
+    })
 }
 
 /// Reads the body on into `body_start`, to its end or until enough of it is buffered.
--- a/src/entry/handoff.rs
+++ b/src/entry/handoff.rs
@@ -2,7 +2,7 @@
 
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::attempts::Attempts;
-use crate::entry::exchange::read_start;
+use crate::entry::exchange::{Exchanged, read_start};
 use crate::entry::forward::ANSWER_MARGIN_MS;
 use crate::entry::host::Host;
 use crate::entry::paths;
@@ -79,9 +79,29 @@
     Reached,
 }
 
+/// A request that is to be handed to another host.
+pub struct Outgoing<'a> {
+    /// The request.
+    pub request: &'a ActiveRequest,
+    /// What this host needs for it.
+    pub handoffs: &'a Handoffs,
+    /// An upstream that could serve the request and that this host does not reach.
+    pub wanted: &'a Name,
+    /// The attempts so far.
+    pub attempts: &'a Attempts,
+    /// The id of the last event that the caller has, where an interrupted stream is resumed.
+    pub resume_after: Option<&'a str>,
+}
+
+/// The stream of an accepted offer.
+struct AcceptedOffer {
+    stream: PeerStream,
+    open: OpenRequest,
+}
+
 /// How one host answered an offer.
 enum Offered {
-    Accepted(PeerStream, OpenRequest),
+    Accepted(AcceptedOffer),
     Declined(DeclineReason),
     Silent,
 }
@@ -152,7 +172,7 @@
             let mut stream = PeerStream { send, receive };
             stream.write_message(offer).await.ok()?;
             Some(match stream.read_message(MAX_OFFER_BYTES).await.ok()? {
-                OfferReply::Accepted => Offered::Accepted(stream, open),
+                OfferReply::Accepted => Offered::Accepted(AcceptedOffer { stream, open }),
                 OfferReply::Declined(reason) => Offered::Declined(reason),
             })
         };
@@ -167,26 +187,15 @@
     }
 }
 
-/// Hands a request to another host. `wanted` is an upstream that could serve it and that this host
-/// does not reach; its path is tried again meanwhile.
+/// Hands a request to another host, and meanwhile tries the path to the wanted upstream again.
 pub async fn hand_off<P: Platform>(
     host: &Host<P>,
-    request: &ActiveRequest,
-    (handoffs, wanted): (&Handoffs, &Name),
-    attempts: &Attempts,
+    outgoing: &Outgoing<'_>,
     log: &mut RequestLog<'_, P>,
-    resume_after: Option<&str>,
 ) -> HandedOff {
-    let mut probing = pin!(probe(host, wanted));
+    let mut probing = pin!(probe(host, outgoing.wanted));
     let reached = Cell::new(None);
-    let offers = offer_in_turn(
-        host,
-        request,
-        (handoffs, wanted),
-        attempts,
-        log,
-        resume_after,
-    );
+    let offers = offer_in_turn(host, outgoing, log);
     let probed = async {
         reached.set(Some(probing.as_mut().await));
         std::future::pending().await
@@ -242,12 +251,15 @@
 
 async fn offer_in_turn<P: Platform>(
     host: &Host<P>,
-    request: &ActiveRequest,
-    (handoffs, wanted): (&Handoffs, &Name),
-    attempts: &Attempts,
+    outgoing: &Outgoing<'_>,
     log: &mut RequestLog<'_, P>,
-    resume_after: Option<&str>,
 ) -> HandedOff {
+    let Outgoing {
+        request,
+        handoffs,
+        wanted,
+        ..
+    } = *outgoing;
     let offer = Offer {
         service: request.service.clone(),
         model: request.facts.model.clone().filter(|_| request.at_engine),
@@ -259,9 +271,9 @@
         log.summary.note_send(&name);
         let now = host.now();
         let declined = match handoffs.offer(now, &to, &offer).await {
-            Offered::Accepted(stream, open) => {
-                let handed = handed_request(host, request, attempts, resume_after);
-                let served = pass(host, request, &name, (stream, open), &handed).await;
+            Offered::Accepted(accepted) => {
+                let handed = handed_request(host, outgoing);
+                let served = pass(host, request, &name, accepted, &handed).await;
                 match served {
                     Passed::Ended(ended) => {
                         let mut memory = handoffs.memory.borrow_mut();
@@ -313,12 +325,13 @@
     }
 }
 
-fn handed_request<P: Platform>(
-    host: &Host<P>,
-    request: &ActiveRequest,
-    attempts: &Attempts,
-    resume_after: Option<&str>,
-) -> HandedRequest {
+fn handed_request<P: Platform>(host: &Host<P>, outgoing: &Outgoing<'_>) -> HandedRequest {
+    let Outgoing {
+        request,
+        attempts,
+        resume_after,
+        ..
+    } = *outgoing;
     let now = host.now();
     let left_ms = request.deadline_at.since(now) - TRANSIT_MS;
     HandedRequest {
@@ -344,7 +357,7 @@
     host: &Host<P>,
     request: &ActiveRequest,
     name: &Name,
-    (mut stream, open): (PeerStream, OpenRequest),
+    AcceptedOffer { mut stream, open }: AcceptedOffer,
     handed: &HandedRequest,
 ) -> Passed {
     let exchange = async {
@@ -366,7 +379,12 @@
     let mut connection = Connection::new(stream);
     let read = read_answer(request, &mut connection);
     let left_ms = answer_by.since(host.now());
-    let Some(Ok((head, reader, body_start))) = with_timeout(left_ms, read).await else {
+    let Some(Ok(Exchanged {
+        head,
+        body_start,
+        reader,
+    })) = with_timeout(left_ms, read).await
+    else {
         return lost();
     };
     Passed::Ended(HandedOff::Answered(Box::new(StartedAnswer {
@@ -388,18 +406,10 @@
 async fn read_answer(
     request: &ActiveRequest,
     connection: &mut Connection<PeerStream>,
-) -> Result<
-    (
-        crate::http1::ResponseHead,
-        crate::http1::BodyReader,
-        Vec<u8>,
-    ),
-    ReadError,
-> {
+) -> Result<Exchanged, ReadError> {
     let is_head_request = &*request.head.method == "HEAD";
     let head = connection
         .read_response_head(MAX_HEAD_BYTES, is_head_request)
         .await?;
-    let (reader, body_start) = read_start(request, &head, connection, || {}).await?;
-    Ok((head, reader, body_start))
+    read_start(request, head, connection, || {}).await
 }
--- a/src/entry/other_host.rs
+++ b/src/entry/other_host.rs
@@ -5,7 +5,7 @@
 use crate::entry::attempts::{Attempts, unreachable};
 use crate::entry::caller_writer::CallerWriter;
 use crate::entry::forward;
-use crate::entry::handoff::{HandedOff, hand_off};
+use crate::entry::handoff::{HandedOff, Outgoing, hand_off};
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{AnswerEnd, RequestLog};
@@ -35,7 +35,14 @@
     let Origin::Caller(Some(handoffs)) = &request.origin else {
         return give_back(host.now(), out, log, attempts).await;
     };
-    match hand_off(host, request, (handoffs, wanted), attempts, log, None).await {
+    let outgoing = Outgoing {
+        request,
+        handoffs,
+        wanted,
+        attempts,
+        resume_after: None,
+    };
+    match hand_off(host, &outgoing, log).await {
         HandedOff::Answered(answer) => {
             let from = answer.upstream.id.clone();
             match forward::finish(host, request, out, log, attempts, answer).await {
--- a/src/entry/paths.rs
+++ b/src/entry/paths.rs
@@ -25,7 +25,7 @@
 
 /// Records that an upstream answered.
 pub fn note_answered<P: Platform>(host: &Host<P>) {
-    host.upstreams.borrow_mut().note_sign(host.now());
+    host.upstreams.borrow_mut().note_contact(host.now());
 }
 
 /// Records that a connection to an upstream was opened.
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -5,6 +5,7 @@
 pub mod index;
 pub mod notice;
 pub mod path;
+pub mod reach;
 pub mod registry;
 pub mod rejections;
 
@@ -14,7 +15,7 @@
 use crate::prelude::*;
 pub use health::Health;
 pub use notice::{Notice, NoticeChange, Notices};
-pub use path::{Path, PathSigns};
+pub use path::{Path, UpstreamContact};
 pub use registry::{Registry, Upstream};
 pub use rejections::RejectionLimit;
 use std::net::SocketAddr;
--- a/src/upstreams/path.rs
+++ b/src/upstreams/path.rs
@@ -8,8 +8,8 @@
 /// How long a failure to connect counts without a further one. Requests that another host serves
 /// meanwhile try the path again in the background.
 pub const PATH_MEMORY_MS: Millis = Millis(5_000);
-/// The number of upstreams that must have failed since the last sign of any upstream for all paths
-/// to count as lost.
+/// The number of upstreams that must have failed since the last contact with any for all paths to
+/// count as lost.
 const PRESUMED_LOST_COUNT: usize = 2;
 /// The minimum pause between two attempts to connect over a lost path in the background.
 const PROBE_INTERVAL_MS: Millis = Millis(400);
@@ -59,34 +59,34 @@
         }
     }
 
-    /// Forgets a failure, after a sign that the host is connected again.
+    /// Forgets a failure, since the host is connected again.
     pub fn forget_failure(&mut self) {
         self.failed_at = None;
     }
 }
 
-/// Signs that concern the paths to all upstreams together: a host that is cut off from all of them
-/// has met only some since then.
+/// When this host was last in contact with any upstream, and which ones failed since. A host that is
+/// cut off has tried only some of them, so the failures of a few count for all.
 #[derive(Clone, Debug, Default)]
-pub struct PathSigns {
+pub struct UpstreamContact {
     /// When a connection to any upstream was opened, or an answer of one was read, for the last
     /// time.
-    last_sign_at: Option<Millis>,
-    /// The upstreams that failed since the last sign, and when. At most
+    last_contact_at: Option<Millis>,
+    /// The upstreams that failed since the last contact, and when. At most
     /// [`PRESUMED_LOST_COUNT`] are kept.
     failed: IndexMap<Name, Millis>,
 }
 
-impl PathSigns {
-    /// Records a sign of any upstream.
-    pub fn note_sign(&mut self, now: Millis) {
-        self.last_sign_at = Some(now);
+impl UpstreamContact {
+    /// Records an opened connection to any upstream, or an answer of one.
+    pub fn note_contact(&mut self, now: Millis) {
+        self.last_contact_at = Some(now);
         self.failed.clear();
     }
 
     /// Records that a connection to an upstream that was begun at `began_at` could not be opened.
     pub fn note_failed(&mut self, id: &Name, began_at: Millis, now: Millis) {
-        if self.last_sign_at.is_some_and(|at| at >= began_at) {
+        if self.last_contact_at.is_some_and(|at| at >= began_at) {
             return;
         }
         if self.failed.contains_key(id) || self.failed.len() < PRESUMED_LOST_COUNT {
@@ -94,15 +94,15 @@
         }
     }
 
-    /// Tells whether all paths count as lost: several upstreams failed and none gave a sign since.
+    /// Tells whether all paths count as lost: several upstreams failed, and there was no contact since.
     pub fn are_all_lost(&self, now: Millis) -> bool {
         let recent = self.failed.values();
         let recent = recent.filter(|at| now.since(**at) < PATH_MEMORY_MS);
         recent.count() >= PRESUMED_LOST_COUNT
     }
 
-    /// Tells whether any upstream gave a sign at or after `since`.
-    pub fn has_sign_since(&self, since: Millis) -> bool {
-        self.last_sign_at.is_some_and(|at| at >= since)
+    /// Tells whether there was contact with any upstream at or after `since`.
+    pub fn has_contact_since(&self, since: Millis) -> bool {
+        self.last_contact_at.is_some_and(|at| at >= since)
     }
 }
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -5,9 +5,9 @@
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 use crate::upstreams::index::ListIndex;
-use crate::upstreams::rejections::PAUSE_MS;
 use crate::upstreams::{
-    Health, Lifetime, Notice, NoticeChange, Notices, Path, PathSigns, RejectionLimit, UpstreamEntry,
+    Health, Lifetime, Notice, NoticeChange, Notices, Path, RejectionLimit, UpstreamContact,
+    UpstreamEntry,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -152,7 +152,7 @@
 /// The upstreams by name, each in its newest lifetime.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
-    upstreams: IndexMap<Name, Upstream>,
+    pub(super) upstreams: IndexMap<Name, Upstream>,
     index: ListIndex,
     /// The names of the upstreams with requests of this host in progress.
     busy: IndexSet<Name>,
@@ -170,12 +170,12 @@
     poll_failed: bool,
     /// When the last outage of the list ended.
     outage_ended_at: Option<Millis>,
-    /// Signs of all upstreams together.
-    signs: PathSigns,
+    /// The last contact with any upstream.
+    pub(super) contact: UpstreamContact,
     /// The services of which this host reaches no upstream, and since when.
-    lost_services: IndexMap<Name, Millis>,
+    pub(super) lost_services: IndexMap<Name, Millis>,
     /// How many requests the upstreams of a service can turn away, where their answers state it.
-    rejection_limits: IndexMap<Name, RejectionLimit>,
+    pub(super) rejection_limits: IndexMap<Name, RejectionLimit>,
 }
 
 impl Registry {
@@ -403,117 +403,6 @@
         past.notices.record(now, notice)
     }
 
-    /// Records that an upstream answered.
-    pub fn note_sign(&mut self, now: Millis) {
-        self.signs.note_sign(now);
-    }
-
-    /// Records that a connection to an upstream was opened. Returns since when no upstream of its
-    /// service was in reach, if that was so until now.
-    pub fn note_connected(&mut self, lifetime: &Lifetime, now: Millis) -> Option<Millis> {
-        if self.signs.are_all_lost(now) {
-            for upstream in self.upstreams.values_mut() {
-                upstream.path.forget_failure();
-                upstream.health.end_backoff();
-            }
-        }
-        self.signs.note_sign(now);
-        let upstream = self.get_lifetime_mut(lifetime)?;
-        upstream.path.note_connected(now);
-        upstream.health.end_backoff();
-        let service = upstream.entry.service.clone();
-        self.lost_services.swap_remove(&service)
-    }
-
-    /// Records that a connection to an upstream that was begun at `began_at` could not be opened.
-    /// Returns true if no upstream of its service is in reach any more.
-    pub fn note_connect_failed(
-        &mut self,
-        lifetime: &Lifetime,
-        began_at: Millis,
-        now: Millis,
-    ) -> bool {
-        self.signs.note_failed(&lifetime.id, began_at, now);
-        let Some(upstream) = self.get_lifetime_mut(lifetime) else {
-            return false;
-        };
-        upstream.path.note_failed(began_at, now);
-        let service = upstream.entry.service.clone();
-        let has_path = self
-            .usable(&service)
-            .any(|other| !self.is_out_of_reach(now, other));
-        if has_path || self.lost_services.contains_key(&service) {
-            return false;
-        }
-        let mut lost = std::mem::take(&mut self.lost_services);
-        lost.retain(|service, _| self.serving(service).next().is_some());
-        lost.insert(service, now);
-        self.lost_services = lost;
-        true
-    }
-
-    /// Tells whether this host does not reach an upstream, as far as its own connections show:
-    /// the last attempt to connect failed, or all paths count as lost.
-    pub fn is_out_of_reach(&self, now: Millis, upstream: &Upstream) -> bool {
-        upstream.path.is_lost(now) || self.signs.are_all_lost(now)
-    }
-
-    /// Tells whether this host seems to be cut off from all upstreams.
-    pub fn are_all_lost(&self, now: Millis) -> bool {
-        self.signs.are_all_lost(now)
-    }
-
-    /// Tells whether any upstream gave a sign at or after `since`.
-    pub fn has_sign_since(&self, since: Millis) -> bool {
-        self.signs.has_sign_since(since)
-    }
-
-    /// Tells whether the path to an upstream may be tried in the background now, and records that
-    /// it is.
-    pub fn begin_probe(&mut self, now: Millis, lifetime: &Lifetime) -> bool {
-        self.get_lifetime_mut(lifetime)
-            .is_some_and(|upstream| upstream.path.begin_probe(now))
-    }
-
-    /// Records how many requests in a second the upstreams of a service can turn away, as the latest
-    /// answer of one states; none if it states nothing.
-    pub fn note_rejection_limit(&mut self, now: Millis, lifetime: &Lifetime, per_s: Option<u32>) {
-        if per_s.is_none() && self.rejection_limits.is_empty() {
-            return;
-        }
-        let Some(upstream) = self.get_lifetime(lifetime) else {
-            return;
-        };
-        let service = upstream.entry.service.clone();
-        match per_s {
-            Some(per_s) => {
-                self.rejection_limits
-                    .retain(|_, limit| limit.is_current(now));
-                let limit = RejectionLimit::new(per_s, now);
-                self.rejection_limits.insert(service, limit);
-            }
-            None => {
-                self.rejection_limits.swap_remove(&service);
-            }
-        }
-    }
-
-    /// Returns how many requests in a second an upstream can turn away, if that is limited.
-    pub fn rejection_limit(&self, now: Millis, upstream: &Upstream) -> Option<RejectionLimit> {
-        let limit = self.rejection_limits.get(&upstream.entry.service).copied();
-        limit.filter(|limit| limit.is_current(now))
-    }
-
-    /// Records that an upstream turned a request of this host away. If it limits how many it can
-    /// turn away, it gets no further one for a while.
-    pub fn note_rejected(&mut self, now: Millis, lifetime: &Lifetime) {
-        let known = self.get_lifetime(lifetime);
-        let is_limited = known.is_some_and(|known| self.rejection_limit(now, known).is_some());
-        if let Some(upstream) = self.get_lifetime_mut(lifetime).filter(|_| is_limited) {
-            upstream.paused_until = now + PAUSE_MS;
-        }
-    }
-
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
     pub fn begin_request(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
         let Some(upstream) = self.get_lifetime_mut(lifetime) else {
--- a/src/upstreams/rejections.rs
+++ b/src/upstreams/rejections.rs
@@ -9,6 +9,7 @@
 
 use crate::prelude::*;
 use crate::rendezvous;
+use crate::upstreams::{Lifetime, Registry, Upstream};
 
 /// How long a statement counts after the last answer that repeated it.
 const STATED_MS: Millis = Millis(10_000);
@@ -64,3 +65,44 @@
         }
     }
 }
+
+impl Registry {
+    /// Records how many requests in a second the upstreams of a service can turn away, as the latest
+    /// answer of one states; none if it states nothing.
+    pub fn note_rejection_limit(&mut self, now: Millis, lifetime: &Lifetime, per_s: Option<u32>) {
+        if per_s.is_none() && self.rejection_limits.is_empty() {
+            return;
+        }
+        let Some(upstream) = self.get_lifetime(lifetime) else {
+            return;
+        };
+        let service = upstream.entry.service.clone();
+        match per_s {
+            Some(per_s) => {
+                self.rejection_limits
+                    .retain(|_, limit| limit.is_current(now));
+                let limit = RejectionLimit::new(per_s, now);
+                self.rejection_limits.insert(service, limit);
+            }
+            None => {
+                self.rejection_limits.swap_remove(&service);
+            }
+        }
+    }
+
+    /// Returns how many requests in a second an upstream can turn away, if that is limited.
+    pub fn rejection_limit(&self, now: Millis, upstream: &Upstream) -> Option<RejectionLimit> {
+        let limit = self.rejection_limits.get(&upstream.entry.service).copied();
+        limit.filter(|limit| limit.is_current(now))
+    }
+
+    /// Records that an upstream turned a request of this host away. If it limits how many it can
+    /// turn away, it gets no further one for a while.
+    pub fn note_rejected(&mut self, now: Millis, lifetime: &Lifetime) {
+        let known = self.get_lifetime(lifetime);
+        let is_limited = known.is_some_and(|known| self.rejection_limit(now, known).is_some());
+        if let Some(upstream) = self.get_lifetime_mut(lifetime).filter(|_| is_limited) {
+            upstream.paused_until = now + PAUSE_MS;
+        }
+    }
+}
--- a/src/upstreams/tests/paths.rs
+++ b/src/upstreams/tests/paths.rs
@@ -47,13 +47,13 @@
 #[test]
 fn all_paths_count_as_lost_when_two_upstreams_fail_and_none_gives_a_sign() {
     let mut registry = registry(&["u1", "u2", "u3"]);
-    registry.note_sign(Millis(50));
+    registry.note_contact(Millis(50));
     registry.note_connect_failed(&lifetime("u1", 0), Millis(100), Millis(200));
     registry.note_connect_failed(&lifetime("u1", 0), Millis(210), Millis(300));
     assert!(!is_out_of_reach(&registry, "u3", Millis(300)));
     registry.note_connect_failed(&lifetime("u2", 0), Millis(150), Millis(310));
     assert!(is_out_of_reach(&registry, "u3", Millis(310)));
-    registry.note_sign(Millis(320));
+    registry.note_contact(Millis(320));
     assert!(!is_out_of_reach(&registry, "u3", Millis(320)));
 }
 
@@ -62,7 +62,7 @@
 fn failures_that_began_before_the_last_sign_do_not_count_for_all_paths() {
     let mut registry = registry(&["u1", "u2", "u3"]);
     registry.note_connect_failed(&lifetime("u1", 0), Millis(100), Millis(200));
-    registry.note_sign(Millis(205));
+    registry.note_contact(Millis(205));
     registry.note_connect_failed(&lifetime("u2", 0), Millis(150), Millis(310));
     assert!(!is_out_of_reach(&registry, "u3", Millis(310)));
 }
