Say in a request's line how the end of the upstream's answer was told

The end line now has body_end (length, last chunk, connection closed or broken) and, where a stream ended inside an event, how many bytes of it there were. Nothing that callers get changes.

--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -13,7 +13,7 @@
 use crate::entry::limits;
 use crate::entry::lines;
 use crate::entry::platform::Platform;
-use crate::entry::request_log::RequestLog;
+use crate::entry::request_log::{BodyEnd, RequestLog};
 use crate::entry::send::{SendOutcome, StartedAnswer, return_to_pool};
 use crate::entry::upstream_limits;
 use crate::http1::client::with_timeout;
@@ -90,6 +90,8 @@
         _ => BodyFraming::Length(body_start.len() as u64),
     };
     note_first_byte(host, request, log);
+    log.summary
+        .note_body_end(BodyEnd::of_whole(head.framing), 0);
     let written = out.write_complete(&head, form, &body_start).await;
     return_to_pool(host, &upstream, connection, &head, reader);
     match written {
@@ -119,7 +121,8 @@
         let left_ms = (request.deadline_at + GRACE_MS).since(host.now());
         match with_timeout(left_ms, answer.next_piece()).await {
             None => return RelayOutcome::Truncated("the time limit was reached"),
-            Some(Err(_)) => {
+            Some(Err(error)) => {
+                log.summary.note_body_end(BodyEnd::of_error(&error), 0);
                 answer.note_broken(host, request).await;
                 return RelayOutcome::Truncated("the upstream broke off");
             }
@@ -129,6 +132,8 @@
                 }
             }
             Some(Ok(None)) => {
+                let end = BodyEnd::of_whole(answer.head.framing);
+                log.summary.note_body_end(end, 0);
                 let ended = out.end().await;
                 let StartedAnswer {
                     upstream,
@@ -201,7 +206,7 @@
             if self.write_events(out, log, &answer).await.is_err() {
                 return RelayOutcome::Truncated("the caller's connection broke");
             }
-            match self.next_piece(&mut answer).await {
+            match self.next_piece(&mut answer, log).await {
                 Piece::Bytes(bytes) => self.buffer.extend_from_slice(&bytes),
                 Piece::End => return self.finish(out, log, answer).await,
                 Piece::DeadlineReached => return self.broken("the time limit was reached"),
@@ -225,10 +230,19 @@
     /// Waits for more of the stream. Silence alone does not end it: an engine that runs out of
     /// memory preempts a stream and continues it seconds later. An upstream that is gone resets the
     /// connection or leaves its keep-alive probes unanswered.
-    async fn next_piece(&self, answer: &mut StartedAnswer) -> Piece {
+    async fn next_piece(&self, answer: &mut StartedAnswer, log: &mut RequestLog<'_, P>) -> Piece {
         let ends_at = self.request.deadline_at + GRACE_MS;
         let left_ms = ends_at.since(self.host.now());
-        match with_timeout(left_ms, answer.next_piece()).await {
+        let next = with_timeout(left_ms, answer.next_piece()).await;
+        let end = match &next {
+            Some(Ok(None)) => Some(BodyEnd::of_whole(answer.head.framing)),
+            Some(Err(error)) => Some(BodyEnd::of_error(error)),
+            Some(Ok(Some(_))) | None => None,
+        };
+        if let Some(end) = end {
+            log.summary.note_body_end(end, self.buffer.len());
+        }
+        match next {
             None => Piece::DeadlineReached,
             Some(Ok(Some(_))) if self.buffer.len() > MAX_EVENT_BYTES => {
                 Piece::Failed("an event is too long")
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -4,6 +4,7 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{ModelRef, Platform};
+use crate::http1::{Framing, ReadError};
 use crate::prelude::*;
 use crate::retry::RequestDigest;
 
@@ -16,6 +17,45 @@
     Broken,
 }
 
+/// What told a host that the body of an upstream's answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BodyEnd {
+    /// The answer has no body.
+    Empty,
+    /// All bytes of its length were read.
+    Length,
+    /// Its last chunk was read.
+    LastChunk,
+    /// The connection was closed, before the end if the body has a length or chunks.
+    ConnectionClosed,
+    /// The connection broke.
+    ConnectionBroken,
+    /// A chunk was malformed.
+    Malformed,
+}
+
+impl BodyEnd {
+    /// Returns what ends a body with this framing that was read to its end.
+    pub fn of_whole(framing: Framing) -> Self {
+        match framing {
+            Framing::Empty => Self::Empty,
+            Framing::Length(_) => Self::Length,
+            Framing::Chunked => Self::LastChunk,
+            Framing::UntilClose => Self::ConnectionClosed,
+        }
+    }
+
+    /// Returns what ended a body that could not be read on.
+    pub fn of_error(error: &ReadError) -> Self {
+        match error {
+            ReadError::Ended => Self::ConnectionClosed,
+            ReadError::Broken { .. } => Self::ConnectionBroken,
+            ReadError::Head { .. } | ReadError::Malformed => Self::Malformed,
+        }
+    }
+}
+
 /// The fields of a request's log line, filled in while the request is served.
 #[derive(Debug, Default, Serialize)]
 pub struct RequestSummary {
@@ -53,6 +93,11 @@
     pub longest_gap_ms: Millis,
     /// The number of events of a stream that were passed on.
     pub events: u32,
+    /// What told that the last upstream's answer ended; none if the host ended it.
+    pub body_end: Option<BodyEnd>,
+    /// The bytes of an incomplete event that the body of a stream ended with.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub partial_event_bytes: usize,
     /// The time from the request's arrival to the end of the answer.
     pub whole_ms: Millis,
     /// How long the caller is willing to wait, as its request says.
@@ -66,6 +111,10 @@
     !value
 }
 
+fn is_zero(count: &usize) -> bool {
+    *count == 0
+}
+
 /// Writes a request's log line and counts it in the metrics when it is dropped, however the request
 /// ended.
 pub struct RequestLog<'a, P: Platform> {
@@ -110,6 +159,13 @@
         self.sends.push((upstream.clone(), "under_way"));
     }
 
+    /// Records how the body of an upstream's answer ended, and how many bytes of an incomplete event
+    /// came before.
+    pub fn note_body_end(&mut self, end: BodyEnd, partial_event_bytes: usize) {
+        self.body_end = Some(end);
+        self.partial_event_bytes = partial_event_bytes;
+    }
+
     /// Sets the outcome of the send that began last.
     pub fn note_result(&mut self, result: &'static str) {
         if let Some((_, last)) = self.sends.last_mut() {
