--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of an entry host over loopback sockets, with a platform in memory and scripted upstreams.
 
+mod answer_ends;
 mod answers;
 mod callers;
 mod choice;
--- a/src/entry/tests/fake_upstream.rs
+++ b/src/entry/tests/fake_upstream.rs
@@ -21,6 +21,8 @@
     Wait(Rc<Cell<bool>>),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
     /// Ends the upstream: it closes every connection and accepts no more.
     Crash,
     /// Writes nothing until the host closes the connection.
@@ -130,6 +132,13 @@
                         }
                     }
                     Step::Close => return,
+                    Step::Reset => {
+                        let no_linger = Some(Duration::ZERO);
+                        let reset =
+                            rustix::net::sockopt::set_socket_linger(connection.stream(), no_linger);
+                        reset.expect("the option is supported");
+                        return;
+                    }
                     Step::Crash => {
                         crash.notify(usize::MAX);
                         return;
