--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -1,10 +1,10 @@
 //! A caller's request that is being served: its route, its service and its deadlines.
 
 use crate::desired::{Route, RouteTable};
-use crate::entry::attempts::RETRY_AFTER_MS;
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::platform::{Platform, RequestFacts};
+use crate::entry::sending::attempts::RETRY_AFTER_MS;
 use crate::http1::RequestHead;
 use crate::identity::Identity;
 use crate::prelude::*;
--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer/relay.rs
@@ -3,9 +3,7 @@
 
 use crate::desired::Repeat;
 use crate::entry::active_request::{ActiveRequest, Origin};
-use crate::entry::attempts::Attempts;
-use crate::entry::caller_writer::{BodyFraming, CallerWriter};
-use crate::entry::choice::{choose, out_of_reach};
+use crate::entry::answer::caller_writer::{BodyFraming, CallerWriter};
 use crate::entry::crashes;
 use crate::entry::forward::try_upstream;
 use crate::entry::handoff::{HandedOff, Outgoing, hand_off};
@@ -14,7 +12,9 @@
 use crate::entry::lines;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{BodyEnd, RequestLog};
-use crate::entry::send::{SendOutcome, StartedAnswer, return_to_pool};
+use crate::entry::sending::attempts::Attempts;
+use crate::entry::sending::choice::{choose, out_of_reach};
+use crate::entry::sending::send::{SendOutcome, StartedAnswer, return_to_pool};
 use crate::entry::upstream_limits;
 use crate::http1::client::with_timeout;
 use crate::http1::{Framing, ReadError};
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -2,13 +2,13 @@
 
 use crate::desired::CallerLimits;
 use crate::entry::active_request::{self, ActiveRequest, Origin};
-use crate::entry::attempts::BUSY_RETRY_AFTER_MS;
-use crate::entry::caller_writer::CallerWriter;
+use crate::entry::answer::caller_writer::CallerWriter;
 use crate::entry::forward;
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::platform::{Platform, RequestFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
+use crate::entry::sending::attempts::BUSY_RETRY_AFTER_MS;
 use crate::http1::client::{set_socket_options, with_timeout};
 use crate::http1::{BodyReader, Connection, HeadError, ReadError, RequestHead};
 use crate::prelude::*;
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -6,20 +6,20 @@
 
 use crate::desired::Repeat;
 use crate::entry::active_request::ActiveRequest;
-use crate::entry::answer_relay::{self, RelayOutcome};
-use crate::entry::attempts::Attempts;
-use crate::entry::caller_writer::CallerWriter;
-use crate::entry::choice::{choose, out_of_reach, prefix_source};
+use crate::entry::answer::caller_writer::CallerWriter;
+use crate::entry::answer::relay::{RelayOutcome, relay_answer};
 use crate::entry::crashes;
+use crate::entry::handoff::other_host::{LeftToAnother, leave_to_another_host};
 use crate::entry::host::Host;
 use crate::entry::limits::Charge;
-use crate::entry::other_host::{LeftToAnother, leave_to_another_host};
 use crate::entry::platform::{Platform, SendFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
-use crate::entry::send::{self, SendOutcome, StartedAnswer};
-use crate::entry::unavailable::{Unavailable, unavailable};
+use crate::entry::sending::attempts::Attempts;
+use crate::entry::sending::choice::{choose, out_of_reach, prefix_source};
+use crate::entry::sending::send::{self, SendOutcome, StartedAnswer};
+use crate::entry::sending::unavailable::{Unavailable, unavailable};
+use crate::entry::sending::waiting::{late_start_refusal, wait_for_turn, wait_for_upstream};
 use crate::entry::upstream_limits;
-use crate::entry::waiting::{late_start_refusal, wait_for_turn, wait_for_upstream};
 use crate::error::Ran;
 use crate::prelude::*;
 use crate::routing::roles::is_long;
@@ -203,7 +203,7 @@
     answer: Box<StartedAnswer>,
 ) -> Option<AnswerEnd> {
     log.summary.status = answer.head.status;
-    let relayed = answer_relay::relay_answer(host, request, out, log, attempts, answer).await;
+    let relayed = relay_answer(host, request, out, log, attempts, answer).await;
     match relayed {
         RelayOutcome::Complete => {
             if log.summary.status < 500 {
--- a/src/entry/handoff.rs
+++ b/src/entry/handoff/mod.rs
@@ -1,17 +1,25 @@
 //! Hands requests to other hosts while this host reaches no upstream that could serve them.
+//!
+//! - [`server`]: the other host's side.
+//! - [`other_host`]: leaving a request that is served here to another host.
+//! - [`peer_stream`]: the stream between the two.
+
+pub mod other_host;
+pub mod peer_stream;
+pub mod server;
 
 use crate::entry::active_request::ActiveRequest;
-use crate::entry::attempts::Attempts;
-use crate::entry::exchange::{Exchanged, read_start};
 use crate::entry::forward::ANSWER_MARGIN_MS;
+use crate::entry::handoff::peer_stream::PeerStream;
 use crate::entry::host::Host;
 use crate::entry::paths;
-use crate::entry::peer_stream::PeerStream;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
 use crate::entry::rejections::is_assigned;
 use crate::entry::request_log::RequestLog;
-use crate::entry::send::{AnswerConnection, CONNECT_TIMEOUT_MS, StartedAnswer};
+use crate::entry::sending::attempts::Attempts;
+use crate::entry::sending::exchange::{Exchanged, read_start};
+use crate::entry::sending::send::{AnswerConnection, CONNECT_TIMEOUT_MS, StartedAnswer};
 use crate::error::Ran;
 use crate::group::Member;
 use crate::handoff::message::{MAX_ANSWER_START_BYTES, MAX_OFFER_BYTES};
--- a/src/entry/other_host.rs
+++ b/src/entry/handoff/other_host.rs
@@ -2,13 +2,13 @@
 //! host that handed it to this one.
 
 use crate::entry::active_request::{ActiveRequest, Origin};
-use crate::entry::attempts::{Attempts, unreachable};
-use crate::entry::caller_writer::CallerWriter;
+use crate::entry::answer::caller_writer::CallerWriter;
 use crate::entry::forward;
 use crate::entry::handoff::{HandedOff, Outgoing, hand_off};
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{AnswerEnd, RequestLog};
+use crate::entry::sending::attempts::{Attempts, unreachable};
 use crate::error::Ran;
 use crate::prelude::*;
 
--- a/src/entry/handoff_server.rs
+++ b/src/entry/handoff/server.rs
@@ -2,14 +2,14 @@
 //! request that was not accepted never runs here.
 
 use crate::entry::active_request::{self, Origin};
+use crate::entry::answer::caller_writer::CallerWriter;
 use crate::entry::caller::HeldBody;
-use crate::entry::caller_writer::CallerWriter;
-use crate::entry::choice::reaches;
 use crate::entry::forward;
+use crate::entry::handoff::peer_stream::PeerStream;
 use crate::entry::host::Host;
-use crate::entry::peer_stream::PeerStream;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{AnswerEnd, RequestLog};
+use crate::entry::sending::choice::reaches;
 use crate::handoff::message::{MAX_HEAD_BYTES, MAX_OFFER_BYTES};
 use crate::handoff::{
     DeclineReason, HandedRequest, MAX_OPEN_PER_PEER, MAX_SERVED, Offer, OfferReply,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,23 +6,17 @@
 //! [`platform::Platform`].
 
 pub mod active_request;
-pub mod answer_relay;
-pub mod attempts;
+pub mod answer;
 pub mod budgeted_log;
 pub mod caller;
-pub mod caller_writer;
-pub mod choice;
 pub mod crashes;
 pub mod desired_copy;
 pub mod directory;
 pub mod engine_calls;
-pub mod exchange;
 pub mod follow;
 pub mod forward;
 pub mod handoff;
-pub mod handoff_server;
 pub mod host;
-pub mod in_flight;
 pub mod lease_manager;
 pub mod limits;
 pub mod lines;
@@ -31,25 +25,20 @@
 pub mod metrics;
 pub mod notices;
 pub mod orderer;
-pub mod other_host;
 pub mod paths;
-pub mod peer_stream;
 pub mod peers;
 pub mod platform;
-pub mod pool;
 pub mod rejections;
 pub mod replication;
 pub mod request_log;
 pub mod run;
-pub mod send;
+pub mod sending;
 pub mod settings;
 pub mod stop;
 pub mod sync;
 pub mod table_rows;
 pub mod table_sources;
-pub mod unavailable;
 pub mod upstream_limits;
-pub mod waiting;
 
 #[cfg(test)]
 mod tests;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -6,7 +6,7 @@
 //! listed fingerprints only.
 
 use crate::edge::quic;
-use crate::entry::handoff_server::{self, Served};
+use crate::entry::handoff::server::{self, Served};
 use crate::entry::host::Host;
 use crate::entry::orderer;
 use crate::entry::platform::Platform;
@@ -206,7 +206,7 @@
         let serve = async move {
             match incoming.await {
                 Ok(connection) if is_for_handoffs(&connection) => {
-                    handoff_server::serve_connection(host, connection, tasks, served).await
+                    server::serve_connection(host, connection, tasks, served).await
                 }
                 Ok(connection) => serve_connection(host, connection, tasks).await,
                 Err(error) => {
--- a/src/entry/attempts.rs
+++ b/src/entry/sending/attempts.rs
@@ -4,7 +4,7 @@
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
-use crate::entry::send::StartedAnswer;
+use crate::entry::sending::send::StartedAnswer;
 use crate::prelude::*;
 use crate::upstreams::Registry;
 
--- a/src/entry/choice.rs
+++ b/src/entry/sending/choice.rs
@@ -1,10 +1,10 @@
 //! Chooses the upstream for a request's next attempt, from this host's view of the upstreams.
 
 use crate::entry::active_request::ActiveRequest;
-use crate::entry::attempts::Attempts;
 use crate::entry::host::Host;
 use crate::entry::platform::{ModelRef, Platform, RequestFacts};
 use crate::entry::rejections::{Room, rejection_room};
+use crate::entry::sending::attempts::Attempts;
 use crate::ordering::cached_orderer_state::CachedOrdererState;
 use crate::prelude::*;
 use crate::routing::pick::{self, ModelCopies, PromptShape};
--- a/src/entry/exchange.rs
+++ b/src/entry/sending/exchange.rs
@@ -2,11 +2,11 @@
 
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::host::Host;
-use crate::entry::in_flight::InFlight;
 use crate::entry::notices;
 use crate::entry::paths;
 use crate::entry::platform::Platform;
-use crate::entry::pool::UpstreamConnection;
+use crate::entry::sending::in_flight::InFlight;
+use crate::entry::sending::pool::UpstreamConnection;
 use crate::http1::client::MAX_HEAD_BYTES;
 use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
 use crate::routing::roles::is_long;
--- /dev/null
+++ b/src/entry/sending/mod.rs
@@ -0,0 +1,15 @@
+//! The attempts of a request at upstreams: which one, when, and over which connection.
+//!
+//! - [`attempts`]: what was tried, and whether another attempt is allowed.
+//! - [`choice`]: the upstream of the next attempt; [`unavailable`]: why there is none.
+//! - [`waiting`]: waiting for one.
+//! - [`send`], [`exchange`], [`pool`], [`in_flight`]: one send over a connection.
+
+pub mod attempts;
+pub mod choice;
+pub mod exchange;
+pub mod in_flight;
+pub mod pool;
+pub mod send;
+pub mod unavailable;
+pub mod waiting;
--- a/src/entry/unavailable.rs
+++ b/src/entry/sending/unavailable.rs
@@ -2,10 +2,10 @@
 //! serve them is leaving or has asked this host for rest.
 
 use crate::entry::active_request::ActiveRequest;
-use crate::entry::attempts::RETRY_AFTER_MS;
-use crate::entry::choice::holders;
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
+use crate::entry::sending::attempts::RETRY_AFTER_MS;
+use crate::entry::sending::choice::holders;
 use crate::prelude::*;
 use crate::upstreams::Upstream;
 
--- a/src/entry/waiting.rs
+++ b/src/entry/sending/waiting.rs
@@ -2,13 +2,13 @@
 //! reads no other long prompt.
 
 use crate::entry::active_request::ActiveRequest;
-use crate::entry::attempts::{Attempts, BUSY_RETRY_AFTER_MS, RETRY_AFTER_MS};
-use crate::entry::choice::{choose, out_of_reach};
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::RequestLog;
+use crate::entry::sending::attempts::{Attempts, BUSY_RETRY_AFTER_MS, RETRY_AFTER_MS};
+use crate::entry::sending::choice::{choose, out_of_reach};
+use crate::entry::sending::unavailable::unavailable;
 use crate::entry::sync;
-use crate::entry::unavailable::unavailable;
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use crate::routing::roles::is_long;
--- a/src/entry/tests/choice.rs
+++ b/src/entry/tests/choice.rs
@@ -1,8 +1,8 @@
 //! Which engines are candidates for a request.
 
 use super::site::entry;
-use crate::entry::choice::{holders, holds};
 use crate::entry::platform::ModelRef;
+use crate::entry::sending::choice::{holders, holds};
 use crate::ordering::cached_orderer_state::CachedOrdererState;
 use crate::ordering::published::{EngineView, EnginesUpdate};
 use crate::prelude::*;
--- a/src/handoff/tests/site.rs
+++ b/src/handoff/tests/site.rs
@@ -1,7 +1,7 @@
 //! A model of a site without network: hosts that are cut off from all upstreams, stop, freeze and
 //! restart while callers send requests.
 
-use crate::entry::attempts::Attempts;
+use crate::entry::sending::attempts::Attempts;
 use crate::group::Member;
 use crate::handoff::{DeclineReason, MAX_OFFERS, PeerMemory};
 use crate::prelude::*;
