Take a stream that ends inside an event for a broken one

Cause: an answer without length or chunks ends with its connection, and the host took any orderly end for the answer's end: it passed on what it had of the last event and wrote its own last chunk.

An end now has to be proved. A stream that ends inside an event is broken off in any framing; one that ends with its connection must have had an event; the last chunk or all bytes of a length prove the end of a body that does not say that it is an event stream. This holds event by event, for answers that are read whole first, before the first event, for resumed parts and over the hop. A broken one goes on elsewhere where it may, else its caller's body is left without an end.

Relaying events has a module of its own.

--- a/src/entry/answer/relay.rs
+++ b/src/entry/answer/relay.rs
@@ -1,32 +1,22 @@
 //! Relays an upstream's answer to the caller piece by piece, in such a way that an answer which is
 //! cut short never looks complete.
 
-use crate::desired::Repeat;
-use crate::entry::active_request::{ActiveRequest, Origin};
+use crate::entry::active_request::ActiveRequest;
 use crate::entry::answer::caller_writer::{BodyFraming, CallerWriter};
-use crate::entry::crashes;
-use crate::entry::forward::try_upstream;
-use crate::entry::handoff::{HandedOff, Outgoing, hand_off};
+use crate::entry::answer::event_relay::EventRelay;
+use crate::entry::answer::events::{early_end, end_of_events, is_event_stream};
 use crate::entry::host::Host;
-use crate::entry::limits;
-use crate::entry::lines;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{BodyEnd, RequestLog};
 use crate::entry::sending::attempts::Attempts;
-use crate::entry::sending::choice::{choose, out_of_reach};
-use crate::entry::sending::send::{SendOutcome, StartedAnswer, return_to_pool};
-use crate::entry::upstream_limits;
+use crate::entry::sending::send::{StartedAnswer, return_to_pool};
+use crate::http1::Framing;
 use crate::http1::client::with_timeout;
-use crate::http1::{Framing, ReadError};
 use crate::prelude::*;
 
 /// How long after the request's deadline an answer is still relayed, since its last piece may be on
 /// its way.
-const GRACE_MS: Millis = Millis(100);
-/// The most bytes that are buffered of an event which is not complete yet.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-/// The most upstreams that are tried to resume one interrupted stream.
-const MAX_RESUME_ATTEMPTS: usize = 3;
+pub const GRACE_MS: Millis = Millis(100);
 
 /// How relaying an answer ended.
 pub enum RelayOutcome {
@@ -38,6 +28,16 @@
     NotStarted(&'static str),
 }
 
+impl RelayOutcome {
+    /// Returns the outcome after a piece could not be written to the caller.
+    pub fn not_written(error: &std::io::Error) -> Self {
+        Self::Truncated(match error.kind() {
+            std::io::ErrorKind::InvalidData => "the answer does not have its announced length",
+            _ => "the caller's connection broke",
+        })
+    }
+}
+
 /// Relays an answer to the caller: at once when the host has all of it, event by event when it is
 /// an event stream, piece by piece otherwise.
 pub async fn relay_answer<P: Platform>(
@@ -48,27 +48,31 @@
     attempts: &mut Attempts,
     answer: Box<StartedAnswer>,
 ) -> RelayOutcome {
+    let is_stream =
+        request.route.streams && answer.head.status == 200 && is_event_stream(&answer.head);
     if answer.reader.is_done() {
+        if is_stream && let Some(why) = early_end_of_whole(&answer) {
+            answer.note_broken(host, request).await;
+            return RelayOutcome::NotStarted(why);
+        }
         return relay_complete(host, request, out, log, answer).await;
     }
-    match request.route.streams && answer.head.status == 200 {
+    match is_stream {
         true => {
-            let stream = EventRelay {
-                host,
-                request,
-                attempts,
-                buffer: Vec::new(),
-                last_event_id: None,
-                has_begun: false,
-                started_at: host.now(),
-                last_write_at: host.now(),
-            };
+            let stream = EventRelay::new(host, request, attempts);
             stream.run(out, log, answer).await
         }
         false => relay_pieces(host, request, out, log, answer).await,
     }
 }
 
+/// Returns why a stream that was read to its end ended early, if it did.
+fn early_end_of_whole(answer: &StartedAnswer) -> Option<&'static str> {
+    let body = &answer.body_start;
+    let end = end_of_events(body);
+    early_end(&answer.head, end.is_some(), &body[end.unwrap_or(0)..])
+}
+
 async fn relay_complete<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
@@ -96,7 +100,7 @@
     return_to_pool(host, &upstream, connection, &head, reader);
     match written {
         Ok(()) => RelayOutcome::Complete,
-        Err(_) => RelayOutcome::Truncated("the caller's connection broke"),
+        Err(error) => RelayOutcome::not_written(&error),
     }
 }
 
@@ -114,8 +118,11 @@
     };
     note_first_byte(host, request, log);
     let begun = std::mem::take(&mut answer.body_start);
-    if out.begin(&answer.head, form).await.is_err() || out.piece(&begun).await.is_err() {
-        return RelayOutcome::Truncated("the caller's connection broke");
+    if let Err(error) = out.begin(&answer.head, form).await {
+        return RelayOutcome::not_written(&error);
+    }
+    if let Err(error) = out.piece(&begun).await {
+        return RelayOutcome::not_written(&error);
     }
     loop {
         let left_ms = (request.deadline_at + GRACE_MS).since(host.now());
@@ -127,8 +134,8 @@
                 return RelayOutcome::Truncated("the upstream broke off");
             }
             Some(Ok(Some(piece))) => {
-                if out.piece(&piece).await.is_err() {
-                    return RelayOutcome::Truncated("the caller's connection broke");
+                if let Err(error) = out.piece(&piece).await {
+                    return RelayOutcome::not_written(&error);
                 }
             }
             Some(Ok(None)) => {
@@ -145,14 +152,15 @@
                 return_to_pool(host, &upstream, connection, &head, reader);
                 return match ended {
                     Ok(()) => RelayOutcome::Complete,
-                    Err(_) => RelayOutcome::Truncated("the caller's connection broke"),
+                    Err(error) => RelayOutcome::not_written(&error),
                 };
             }
         }
     }
 }
 
-fn note_first_byte<P: Platform>(
+/// Records when the caller is sent the first byte of its answer.
+pub fn note_first_byte<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     log: &mut RequestLog<'_, P>,
@@ -160,306 +168,3 @@
     let took_ms = host.now().since(request.arrived_at);
     log.summary.first_byte_ms.get_or_insert(took_ms);
 }
-
-/// Relays an event stream. Only complete events are written, so that a resumed stream can continue
-/// after the last one.
-struct EventRelay<'a, P: Platform> {
-    host: &'a Host<P>,
-    request: &'a ActiveRequest,
-    attempts: &'a mut Attempts,
-    /// Bytes that were read and not yet written: an incomplete event after each write.
-    buffer: Vec<u8>,
-    last_event_id: Option<String>,
-    /// Whether the caller was sent the head of the answer.
-    has_begun: bool,
-    /// When the head was sent.
-    started_at: Millis,
-    last_write_at: Millis,
-}
-
-/// What came next of a stream.
-enum Piece {
-    Bytes(Vec<u8>),
-    End,
-    Failed(&'static str),
-    DeadlineReached,
-}
-
-#[derive(Serialize)]
-struct ResumeLine<'a> {
-    request: Option<&'a str>,
-    from: &'a str,
-    why: &'static str,
-    after_event: Option<&'a str>,
-    to: Option<&'a str>,
-}
-
-impl<P: Platform> EventRelay<'_, P> {
-    async fn run(
-        mut self,
-        out: &mut CallerWriter,
-        log: &mut RequestLog<'_, P>,
-        mut answer: Box<StartedAnswer>,
-    ) -> RelayOutcome {
-        self.buffer = std::mem::take(&mut answer.body_start);
-        loop {
-            if self.write_events(out, log, &answer).await.is_err() {
-                return RelayOutcome::Truncated("the caller's connection broke");
-            }
-            match self.next_piece(&mut answer, log).await {
-                Piece::Bytes(bytes) => self.buffer.extend_from_slice(&bytes),
-                Piece::End => return self.finish(out, log, answer).await,
-                Piece::DeadlineReached => return self.broken("the time limit was reached"),
-                Piece::Failed(why) => {
-                    answer.note_broken(self.host, self.request).await;
-                    if !self.has_begun {
-                        return RelayOutcome::NotStarted(why);
-                    }
-                    match self.resume(&answer.upstream.id, why, log).await {
-                        Some(next) => {
-                            answer = next;
-                            self.buffer = std::mem::take(&mut answer.body_start);
-                        }
-                        None => return self.broken(why),
-                    }
-                }
-            }
-        }
-    }
-
-    /// Waits for more of the stream. Silence alone does not end it: an engine that runs out of
-    /// memory preempts a stream and continues it seconds later. An upstream that is gone resets the
-    /// connection or leaves its keep-alive probes unanswered.
-    async fn next_piece(&self, answer: &mut StartedAnswer, log: &mut RequestLog<'_, P>) -> Piece {
-        let ends_at = self.request.deadline_at + GRACE_MS;
-        let left_ms = ends_at.since(self.host.now());
-        let next = with_timeout(left_ms, answer.next_piece()).await;
-        let end = match &next {
-            Some(Ok(None)) => Some(BodyEnd::of_whole(answer.head.framing)),
-            Some(Err(error)) => Some(BodyEnd::of_error(error)),
-            Some(Ok(Some(_))) | None => None,
-        };
-        if let Some(end) = end {
-            log.summary.note_body_end(end, self.buffer.len());
-        }
-        match next {
-            None => Piece::DeadlineReached,
-            Some(Ok(Some(_))) if self.buffer.len() > MAX_EVENT_BYTES => {
-                Piece::Failed("an event is too long")
-            }
-            Some(Ok(Some(bytes))) => Piece::Bytes(bytes),
-            Some(Ok(None)) => Piece::End,
-            Some(Err(ReadError::Ended)) => Piece::Failed("the upstream closed before the end"),
-            Some(Err(_)) => Piece::Failed("the upstream broke off"),
-        }
-    }
-
-    /// Writes the complete events in the buffer to the caller.
-    async fn write_events(
-        &mut self,
-        out: &mut CallerWriter,
-        log: &mut RequestLog<'_, P>,
-        answer: &StartedAnswer,
-    ) -> std::io::Result<()> {
-        let Some(end) = end_of_events(&self.buffer) else {
-            return Ok(());
-        };
-        let rest = self.buffer.split_off(end);
-        let events = std::mem::replace(&mut self.buffer, rest);
-        if let Some(id) = last_event_id(&events) {
-            self.last_event_id = Some(id);
-        }
-        self.begin(out, log, answer).await?;
-        log.summary.events += count_events(&events);
-        let now = self.host.now();
-        let gap_ms = now.since(self.last_write_at);
-        log.summary.longest_gap_ms = log.summary.longest_gap_ms.max(gap_ms);
-        self.last_write_at = now;
-        out.piece(&events).await
-    }
-
-    async fn begin(
-        &mut self,
-        out: &mut CallerWriter,
-        log: &mut RequestLog<'_, P>,
-        answer: &StartedAnswer,
-    ) -> std::io::Result<()> {
-        if std::mem::replace(&mut self.has_begun, true) {
-            return Ok(());
-        }
-        self.started_at = self.host.now();
-        self.last_write_at = self.started_at;
-        note_first_byte(self.host, self.request, log);
-        let form = match answer.head.framing {
-            Framing::Length(length) => BodyFraming::Length(length),
-            _ => BodyFraming::Chunked,
-        };
-        out.begin(&answer.head, form).await
-    }
-
-    async fn finish(
-        mut self,
-        out: &mut CallerWriter,
-        log: &mut RequestLog<'_, P>,
-        answer: Box<StartedAnswer>,
-    ) -> RelayOutcome {
-        let rest = std::mem::take(&mut self.buffer);
-        let begun = self.begin(out, log, &answer).await;
-        if self.request.at_engine {
-            let took_ms = self.host.now().since(self.started_at);
-            self.host.note_occupied(&self.request.service, took_ms);
-        }
-        let written = match begun {
-            Ok(()) if rest.is_empty() => out.end().await,
-            Ok(()) => match out.piece(&rest).await {
-                Ok(()) => out.end().await,
-                Err(error) => Err(error),
-            },
-            Err(error) => Err(error),
-        };
-        let StartedAnswer {
-            upstream,
-            head,
-            reader,
-            connection,
-            ..
-        } = *answer;
-        return_to_pool(self.host, &upstream, connection, &head, reader);
-        match written {
-            Ok(()) => RelayOutcome::Complete,
-            Err(_) => RelayOutcome::Truncated("the caller's connection broke"),
-        }
-    }
-
-    fn broken(&self, why: &'static str) -> RelayOutcome {
-        match self.has_begun {
-            true => RelayOutcome::Truncated(why),
-            false => RelayOutcome::NotStarted(why),
-        }
-    }
-
-    fn may_resume(&self) -> bool {
-        let route = &self.request.route;
-        route.repeat == Repeat::Resumable && self.attempts.runs + 1 < route.attempts
-    }
-
-    /// Resumes an interrupted stream at another upstream, after the last event that the caller has.
-    async fn resume(
-        &mut self,
-        from: &Name,
-        why: &'static str,
-        log: &mut RequestLog<'_, P>,
-    ) -> Option<Box<StartedAnswer>> {
-        if !self.may_resume() {
-            return None;
-        }
-        if crashes::quarantine(self.host, self.request).is_some() {
-            return None;
-        }
-        let resumed_before = || self.request.resume_after().map(str::to_string);
-        let after = self.last_event_id.clone().or_else(resumed_before)?;
-        self.attempts.note_may_have_run(from.clone());
-        let mut resumed = None;
-        for _ in 0..MAX_RESUME_ATTEMPTS {
-            let Some(upstream) = choose(self.host, self.request, self.attempts) else {
-                match self.hand_off(&after, log).await {
-                    Some(HandedOff::Reached) => {
-                        self.attempts.clear_unreached();
-                        continue;
-                    }
-                    Some(HandedOff::Answered(answer)) if answer.head.status == 200 => {
-                        resumed = Some(answer);
-                    }
-                    Some(_) | None => {}
-                }
-                break;
-            };
-            if let Err(refused) = upstream_limits::take(self.host, &upstream).await {
-                self.attempts.note_limited(upstream, refused.retry_after_ms);
-                continue;
-            }
-            if !self.attempts.may_repeat(self.host, self.request) {
-                break;
-            }
-            let (host, request, after) = (self.host, self.request, Some(&*after));
-            limits::note_extra_run(host, request);
-            match try_upstream(host, request, &upstream, self.attempts, log, after).await {
-                SendOutcome::Answered(answer) if answer.head.status == 200 => {
-                    resumed = Some(answer);
-                    break;
-                }
-                SendOutcome::Answered(_) | SendOutcome::MayHaveRun => {
-                    self.attempts.note_may_have_run(upstream);
-                    break;
-                }
-                SendOutcome::Unreached { began_at } => {
-                    self.attempts.note_unreached(upstream, began_at);
-                }
-                SendOutcome::NotRun { .. } | SendOutcome::NotSent => {
-                    self.attempts.note_not_run(upstream)
-                }
-            }
-        }
-        let line = ResumeLine {
-            request: self.request.facts.id.as_deref(),
-            from,
-            why,
-            after_event: Some(&after),
-            to: resumed.as_ref().map(|answer| &*answer.upstream.id),
-        };
-        lines::write(LogEvent::StreamResumed, &line);
-        resumed
-    }
-
-    /// Hands an interrupted stream to another host that is to go on with it, if this one does not
-    /// reach the upstreams that could.
-    async fn hand_off(&self, after: &str, log: &mut RequestLog<'_, P>) -> Option<HandedOff> {
-        let wanted = out_of_reach(self.host, self.request, self.attempts)?;
-        let Origin::Caller(Some(handoffs)) = &self.request.origin else {
-            return None;
-        };
-        let outgoing = Outgoing {
-            request: self.request,
-            handoffs,
-            wanted: &wanted,
-            attempts: self.attempts,
-            resume_after: Some(after),
-        };
-        let ended = hand_off(self.host, &outgoing, log).await;
-        if !ended.is_not_run() {
-            limits::note_extra_run(self.host, self.request);
-        }
-        Some(ended)
-    }
-}
-
-/// Returns the length of the complete events at the beginning of `bytes`; nothing when no event is
-/// complete.
-pub fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let end = |separator: &[u8]| {
-        bytes
-            .windows(separator.len())
-            .rposition(|window| window == separator)
-            .map(|at| at + separator.len())
-    };
-    end(b"\n\n").max(end(b"\r\n\r\n"))
-}
-
-fn count_events(events: &[u8]) -> u32 {
-    let ends = |separator: &[u8]| {
-        events
-            .windows(separator.len())
-            .filter(|window| *window == separator)
-            .count()
-    };
-    ends(b"\n\n").max(ends(b"\r\n\r\n")) as u32
-}
-
-/// Returns the id of the last event in `events` that has one.
-pub fn last_event_id(events: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(events).ok()?;
-    text.lines()
-        .rev()
-        .find_map(|line| line.strip_prefix("id:"))
-        .map(|id| id.trim().to_string())
-}
--- a/src/entry/tests/answer_ends.rs
+++ b/src/entry/tests/answer_ends.rs
@@ -2,6 +2,7 @@
 
 use super::fake_upstream::FakeUpstream;
 use super::fake_upstream::Step::{Close, Reset, Wait, Write};
+use super::hosts::{Cut, on_hosts};
 use super::site::{Answer, Site, on_site, route};
 use crate::desired::{Repeat, Route};
 use std::cell::Cell;
@@ -13,7 +14,13 @@
 const CUT_IN_EVENT: &str =
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\nid: 1\ndata: a\n\nid: 2\nda";
 /// A stream with a last chunk that comes in the middle of its second event.
-const CUT_IN_CHUNKED_EVENT: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n17\r\nid: 1\ndata: a\n\nid: 2\nda\r\n0\r\n\r\n";
+const CUT_IN_CHUNKED_EVENT: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n17\r\nid: 1\ndata: a\n\nid: 2\nda\r\n0\r\n\r\n";
+/// A short stream of known length that ends in the middle of its second event.
+const CUT_IN_SHORT_EVENT: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 23\r\n\r\nid: 1\ndata: a\n\nid: 2\nda";
+/// A stream that ends in the middle of its first event.
+const CUT_IN_FIRST_EVENT: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\nid: 1\nda";
+/// A stream that ends before its first event.
+const CUT_BEFORE_EVENTS: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\n";
 /// A whole stream that ends with its connection.
 const WHOLE: &str =
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
@@ -79,6 +86,26 @@
     }
 }
 
+// Guards against a stream without any event, or with half of one, that is passed on as a whole one.
+#[test]
+fn a_stream_that_ends_before_its_first_event_is_not_passed_on() {
+    for cut in [CUT_IN_FIRST_EVENT, CUT_BEFORE_EVENTS] {
+        on_site(|site| async move {
+            let (answer, _) = call_while_first_breaks(&site, Repeat::Once, cut).await;
+            assert_eq!(answer.head.status, 502, "{cut}");
+        });
+    }
+}
+
+// Guards against a short stream that is read whole first, and whose last event is cut.
+#[test]
+fn a_short_stream_that_ends_inside_an_event_is_not_passed_on() {
+    on_site(|site| async move {
+        let (answer, _) = call_while_first_breaks(&site, Repeat::Once, CUT_IN_SHORT_EVENT).await;
+        assert_eq!(answer.head.status, 502);
+    });
+}
+
 // Guards against taking every stream that ends with its connection for a broken one.
 #[test]
 fn a_stream_that_ends_with_its_connection_after_an_event_is_complete() {
@@ -129,3 +156,18 @@
         });
     }
 }
+
+// Guards against the same fault at the host that passes on what another host got.
+#[test]
+fn a_stream_that_ends_inside_an_event_at_another_host_does_not_look_complete() {
+    on_hosts(2, |hosts| async move {
+        hosts.apply_route(streams(Repeat::Once)).await;
+        hosts
+            .start_upstream("u1", vec![vec![Write(CUT_IN_EVENT), Close]])
+            .await;
+        hosts.cut(0, "u1", Cut::Refuses).await;
+        let answer = hosts.call(0, REQUEST).await;
+        assert!(!answer.is_whole);
+        assert_eq!(answer.body, FIRST);
+    });
+}
