Keep the framing that the caller of a resumed stream was told

A stream with a Content-Length that broke off and was resumed elsewhere kept the first upstream's length, whatever the rest had: the caller waited for bytes that never came, or read the next answer on its connection as the rest of this one.

A stream that may be resumed is sent in chunks, and the writer counts a length down: it writes no more, and an end with bytes missing closes the connection.

--- a/src/entry/answer/caller_writer.rs
+++ b/src/entry/answer/caller_writer.rs
@@ -50,6 +50,8 @@
     /// Whether the connection closes after the answer.
     pub closes: bool,
     form: BodyFraming,
+    /// The bytes of the announced length that were not written yet.
+    left_bytes: u64,
 }
 
 impl CallerWriter {
@@ -59,6 +61,7 @@
             output: Output::Caller(stream),
             closes: false,
             form: BodyFraming::HeadOnly,
+            left_bytes: 0,
         }
     }
 
@@ -79,6 +82,7 @@
             output: Output::Host(stream),
             closes: false,
             form: BodyFraming::HeadOnly,
+            left_bytes: 0,
         }
     }
 
@@ -126,6 +130,10 @@
     /// Returns why the connection broke.
     pub async fn begin(&mut self, head: &ResponseHead, form: BodyFraming) -> std::io::Result<()> {
         self.form = form;
+        self.left_bytes = match form {
+            BodyFraming::Length(length) => length,
+            BodyFraming::HeadOnly | BodyFraming::Chunked => 0,
+        };
         let mut bytes = self.output.answer_start()?;
         bytes.extend(self.head_bytes(head, form));
         self.output.write_all(&bytes).await
@@ -135,7 +143,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why the connection broke.
+    /// Returns why the connection broke, or [`std::io::ErrorKind::InvalidData`] for more bytes than
+    /// the announced length.
     pub async fn piece(&mut self, piece: &[u8]) -> std::io::Result<()> {
         if piece.is_empty() {
             return Ok(());
@@ -147,18 +156,26 @@
                 bytes.extend_from_slice(b"\r\n");
                 self.output.write_all(&bytes).await
             }
-            BodyFraming::Length(_) | BodyFraming::HeadOnly => self.output.write_all(piece).await,
+            BodyFraming::Length(_) | BodyFraming::HeadOnly => {
+                let left_bytes = self.left_bytes.checked_sub(piece.len() as u64);
+                self.left_bytes = left_bytes.ok_or_else(not_announced_length)?;
+                self.output.write_all(piece).await
+            }
         }
     }
 
-    /// Writes the last chunk where the answer is chunked; otherwise does nothing.
+    /// Ends the body: writes the last chunk where the answer is chunked.
     ///
     /// # Errors
     ///
-    /// Returns why the connection broke.
+    /// Returns why the connection broke, or [`std::io::ErrorKind::InvalidData`] if bytes of the
+    /// announced length are missing.
     pub async fn end(&mut self) -> std::io::Result<()> {
         match self.form {
             BodyFraming::Chunked => self.output.write_all(b"0\r\n\r\n").await,
+            BodyFraming::Length(_) | BodyFraming::HeadOnly if self.left_bytes > 0 => {
+                Err(not_announced_length())
+            }
             BodyFraming::Length(_) | BodyFraming::HeadOnly => Ok(()),
         }
     }
@@ -222,6 +239,11 @@
     }
 }
 
+fn not_announced_length() -> std::io::Error {
+    let why = "the body does not have its announced length";
+    std::io::Error::new(std::io::ErrorKind::InvalidData, why)
+}
+
 #[derive(Serialize)]
 struct RefusalBody<'a> {
     error: &'a str,
--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -175,8 +175,11 @@
         self.started_at = self.host.now();
         self.last_write_at = self.started_at;
         note_first_byte(self.host, self.request, log);
+        // The part of another upstream need not have the bytes that are missing of this one's length.
         let form = match answer.head.framing {
-            Framing::Length(length) => BodyFraming::Length(length),
+            Framing::Length(length) if self.request.route.repeat != Repeat::Resumable => {
+                BodyFraming::Length(length)
+            }
             _ => BodyFraming::Chunked,
         };
         out.begin(&answer.head, form).await
