mangovaled: do not end the stream of a service that breaks off as a whole one

Only complete events are written now, and an end inside an event, or with the connection before any event, is a failure; also for streams that are read whole. Event boundaries are in one module for both programs.

--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -2,10 +2,11 @@
 //! fails.
 
 use crate::attempt::message::{AttemptOutcome, TargetKind};
-use crate::attempt::stream_validator::{StreamStep, StreamValidator};
+use crate::attempt::stream_validator::{MAX_EVENT_BYTES, StreamStep, StreamValidator};
 use crate::edge::http::with_timeout;
 use crate::edge::pipe::{ChunkWriter, ReaderGone};
 use crate::edge::upstream::{AnswerStart, UpstreamCall};
+use crate::event_stream::end_of_events;
 use smol::io::AsyncReadExt;
 use std::time::Duration;
 use trillium_client::ResponseBody;
@@ -27,14 +28,15 @@
 
 /// Relays an answer until its end, and cancels the attempt if it does not end completely.
 ///
-/// The answer of a model is validated and resumed; that of a plain service is relayed unchanged.
+/// The answer of a model is validated and resumed; the events of a plain service are relayed
+/// unchanged.
 pub async fn relay_stream(
     call: &UpstreamCall,
     started: AnswerStart,
     caller: &ChunkWriter,
 ) -> AttemptOutcome {
     let end = match call.outgoing.target {
-        TargetKind::Service => relay_unchanged(call, started.body, caller).await,
+        TargetKind::Service => relay_events(call, started, caller).await,
         TargetKind::Model => relay_with_resumption(call, started.body, caller).await,
     };
     let outcome = match end {
@@ -101,22 +103,38 @@
     }
 }
 
-async fn relay_unchanged(
-    call: &UpstreamCall,
-    mut body: ResponseBody<'static>,
-    caller: &ChunkWriter,
-) -> RelayEnd {
+/// Relays the events of a plain service unchanged. Only complete events are written, so that an
+/// error event after a stream that breaks off stands for itself.
+async fn relay_events(call: &UpstreamCall, started: AnswerStart, caller: &ChunkWriter) -> RelayEnd {
+    let AnswerStart { kind, mut body, .. } = started;
     let mut buffer = vec![0; READ_BUFFER_BYTES];
+    let mut unwritten = Vec::new();
+    let mut has_events = false;
     loop {
         let count = match read(call, &mut body, &mut buffer).await {
-            Ok(0) => return RelayEnd::Complete,
+            Ok(0) => break,
             Ok(count) => count,
             Err(end) => return end,
         };
-        if let Err(end) = write(call, caller, buffer[..count].to_vec()).await {
-            return end;
+        unwritten.extend_from_slice(&buffer[..count]);
+        if let Some(end) = end_of_events(&unwritten) {
+            let rest = unwritten.split_off(end);
+            let events = std::mem::replace(&mut unwritten, rest);
+            has_events = true;
+            if let Err(end) = write(call, caller, events).await {
+                return end;
+            }
+        } else if unwritten.len() > MAX_EVENT_BYTES {
+            return RelayEnd::Failed("an event is too long".into());
         }
     }
+    if let Some(why) = kind.early_end(has_events, &unwritten) {
+        return RelayEnd::Failed(why.into());
+    }
+    match write(call, caller, unwritten).await {
+        Ok(()) => RelayEnd::Complete,
+        Err(end) => end,
+    }
 }
 
 async fn read(
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -7,10 +7,12 @@
 use crate::edge::connections::UpstreamConnections;
 use crate::edge::event_loop_handle::EventLoopHandle;
 use crate::edge::http::{CallError, classify_error, with_timeout};
+use crate::event_stream::BodyKind;
+use crate::http1::Framing;
 use crate::prelude::*;
 use crate::upstreams::Notice;
 use std::time::Duration;
-use trillium_client::{Conn, KnownHeaderName, Method, ResponseBody};
+use trillium_client::{Conn, Headers, KnownHeaderName, Method, ResponseBody};
 
 /// The answer header by which an upstream says that it ran nothing of the request.
 pub const RUN_HEADER: &str = "x-mangovale-run";
@@ -70,6 +72,8 @@
     pub status: u16,
     /// The content type of the answer's body.
     pub content_type: Option<String>,
+    /// What the head says about the body.
+    pub kind: BodyKind,
     /// The time from sending the request to the head of the answer.
     pub first_byte_ms: Millis,
     /// The body, still to be read.
@@ -79,9 +83,7 @@
 impl AnswerStart {
     /// Returns whether the answer is a stream of server-sent events.
     pub fn is_event_stream(&self) -> bool {
-        self.content_type
-            .as_deref()
-            .is_some_and(|kind| kind.starts_with("text/event-stream"))
+        self.kind.is_event_stream == Some(true)
     }
 }
 
@@ -217,12 +219,14 @@
             });
         }
         let content_type = headers.get_str("content-type").map(str::to_owned);
+        let kind = BodyKind::new(content_type.as_deref(), framing(headers));
         let Some(body) = conn.take_response_body() else {
             return Err(AttemptOutcome::Unknown("the answer has no body".into()));
         };
         Ok(AnswerStart {
             status,
             content_type,
+            kind,
             first_byte_ms,
             body,
         })
@@ -239,13 +243,19 @@
         started: AnswerStart,
         max_bytes: u64,
     ) -> Result<Vec<u8>, AttemptOutcome> {
-        let body = started.body.with_max_len(max_bytes);
+        let AnswerStart { kind, body, .. } = started;
+        let body = body.with_max_len(max_bytes);
         let unknown = |why: String| Err(AttemptOutcome::Unknown(why));
         let bytes = match with_timeout(self.time_to_deadline(), body.read_bytes()).await {
             None => return unknown("the answer stopped half-way".into()),
             Some(Err(error)) => return unknown(error.to_string()),
             Some(Ok(bytes)) => bytes,
         };
+        if kind.is_event_stream == Some(true)
+            && let Some(why) = kind.early_end_of_whole(&bytes)
+        {
+            return unknown(why.into());
+        }
         let is_chat = self.outgoing.target == TargetKind::Model;
         if is_chat && !is_complete_own_answer(&self.attempt_id(), &bytes) {
             return unknown("the answer is not whole, or another request's".into());
@@ -269,6 +279,16 @@
     }
 }
 
+/// Returns how the end of a body is told.
+fn framing(headers: &Headers) -> Framing {
+    let length = headers.get_str(KnownHeaderName::ContentLength);
+    match length.and_then(|length| length.parse().ok()) {
+        _ if headers.has_header(KnownHeaderName::TransferEncoding) => Framing::Chunked,
+        Some(length) => Framing::Length(length),
+        None => Framing::UntilClose,
+    }
+}
+
 /// Reads what an upstream's answer states about further requests.
 fn read_notice(conn: &Conn) -> Notice {
     let headers = conn.response_headers();
--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -3,7 +3,6 @@
 use crate::desired::Repeat;
 use crate::entry::active_request::{ActiveRequest, Origin};
 use crate::entry::answer::caller_writer::{BodyFraming, CallerWriter};
-use crate::entry::answer::events::{count_events, early_end, end_of_events, last_event_id};
 use crate::entry::answer::relay::{GRACE_MS, RelayOutcome, note_first_byte};
 use crate::entry::crashes;
 use crate::entry::forward::try_upstream;
@@ -17,6 +16,7 @@
 use crate::entry::sending::choice::{choose, out_of_reach};
 use crate::entry::sending::send::{SendOutcome, StartedAnswer, return_to_pool};
 use crate::entry::upstream_limits;
+use crate::event_stream::{count_events, end_of_events, last_event_id};
 use crate::http1::client::with_timeout;
 use crate::http1::{Framing, ReadError};
 use crate::prelude::*;
@@ -93,7 +93,7 @@
                 }
                 Piece::DeadlineReached => return self.broken("the time limit was reached"),
                 Piece::Failed(why) => why,
-                Piece::End => match early_end(&answer.head, self.has_begun, &self.buffer) {
+                Piece::End => match answer.body_kind().early_end(self.has_begun, &self.buffer) {
                     Some(why) => why,
                     None => return self.finish(out, log, answer).await,
                 },
--- a/src/entry/answer/mod.rs
+++ b/src/entry/answer/mod.rs
@@ -2,10 +2,8 @@
 //!
 //! - [`relay`]: passes an answer on in the form that fits it; [`event_relay`]: a stream, event by
 //!   event.
-//! - [`events`]: the events in a stream's bytes, and whether a stream ended before its end.
 //! - [`caller_writer`]: writes answers, and keeps what their framing promises.
 
 pub mod caller_writer;
 pub mod event_relay;
-pub mod events;
 pub mod relay;
--- a/src/entry/answer/relay.rs
+++ b/src/entry/answer/relay.rs
@@ -4,7 +4,6 @@
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::answer::caller_writer::{BodyFraming, CallerWriter};
 use crate::entry::answer::event_relay::EventRelay;
-use crate::entry::answer::events::{early_end, end_of_events, is_event_stream};
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{BodyEnd, RequestLog};
@@ -48,10 +47,12 @@
     attempts: &mut Attempts,
     answer: Box<StartedAnswer>,
 ) -> RelayOutcome {
+    let kind = answer.body_kind();
+    // A stream of the route that does not state its content type is one.
     let is_stream =
-        request.route.streams && answer.head.status == 200 && is_event_stream(&answer.head);
+        request.route.streams && answer.head.status == 200 && kind.is_event_stream != Some(false);
     if answer.reader.is_done() {
-        if is_stream && let Some(why) = early_end_of_whole(&answer) {
+        if is_stream && let Some(why) = kind.early_end_of_whole(&answer.body_start) {
             answer.note_broken(host, request).await;
             return RelayOutcome::NotStarted(why);
         }
@@ -66,13 +67,6 @@
     }
 }
 
-/// Returns why a stream that was read to its end ended early, if it did.
-fn early_end_of_whole(answer: &StartedAnswer) -> Option<&'static str> {
-    let body = &answer.body_start;
-    let end = end_of_events(body);
-    early_end(&answer.head, end.is_some(), &body[end.unwrap_or(0)..])
-}
-
 async fn relay_complete<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -15,6 +15,7 @@
 use crate::entry::sending::in_flight::InFlight;
 use crate::entry::sending::pool::UpstreamConnection;
 use crate::entry::upstream_limits;
+use crate::event_stream::BodyKind;
 use crate::http1::client::with_timeout;
 use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
 use crate::prelude::*;
@@ -126,6 +127,11 @@
         }
     }
 
+    /// Returns what the head says about the body.
+    pub fn body_kind(&self) -> BodyKind {
+        BodyKind::new(self.head.headers.text("content-type"), self.head.framing)
+    }
+
     /// Tells whether an upstream answered this host itself.
     pub fn is_from_upstream(&self) -> bool {
         matches!(self.connection, AnswerConnection::Upstream(_))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod error;
 pub mod event_log;
+pub mod event_stream;
 pub mod group;
 pub mod handoff;
 pub mod http1;
