Read the software version of upstreams and what a caller takes up

An entry's version names the software of that start of an upstream; a request with Last-Event-Id takes a stream up, and Resumes names the request that brought its first event. Nothing acts on either yet.

--- a/bench/src/fleet/world.rs
+++ b/bench/src/fleet/world.rs
@@ -118,6 +118,7 @@
         service: SERVICE.into(),
         address: address(n, 9_000),
         data_centre: format!("data-centre-{}", n % DATA_CENTRES).into(),
+        software_version: None,
         slots: 96,
         leaving: false,
         order_count: 0,
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -26,10 +26,21 @@
     pub counted_tokens: Option<u64>,
     /// The API key of the caller, as a digest.
     pub credential: Credential,
+    /// Where the caller takes an interrupted stream up; none for a request of its own.
+    pub taken_up: Option<TakenUp>,
     /// The parts of the prompt in order. Only the last one is never shared with other requests.
     pub parts: Vec<PromptPart>,
 }
 
+/// Where a caller takes up a stream that was interrupted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenUp {
+    /// The id of the last event that the caller has.
+    pub after_event: Name,
+    /// The id of the request that brought the first event; none if the caller does not name it.
+    pub first_request: Option<Name>,
+}
+
 /// A model, with an adapter where one is named.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ModelRef {
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -124,6 +124,10 @@
                 model: model.into(),
                 adapter: None,
             }),
+            taken_up: headers.text("Last-Event-Id").map(|after_event| TakenUp {
+                after_event: after_event.into(),
+                first_request: headers.text("Resumes").map(Name::from),
+            }),
             credential: headers.text("Key").map_or(Credential::Missing, |key| {
                 Credential::Key(KeyDigest::of(key.as_bytes()))
             }),
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -248,6 +248,7 @@
         service: "s".into(),
         address,
         data_centre: "here".into(),
+        software_version: None,
         slots: 4,
         leaving: false,
         order_count: 0,
--- a/src/handoff/tests/site.rs
+++ b/src/handoff/tests/site.rs
@@ -76,6 +76,7 @@
             service: "s".into(),
             address: ([127, 0, 0, 1], 80).into(),
             data_centre: "here".into(),
+            software_version: None,
             slots: 4,
             leaving: false,
             order_count: 0,
--- a/src/routing/tests/pick.rs
+++ b/src/routing/tests/pick.rs
@@ -18,6 +18,7 @@
             service: "s".into(),
             address: ([127, 0, 0, 1], 80).into(),
             data_centre: "here".into(),
+            software_version: None,
             slots: SLOTS,
             leaving: false,
             order_count: 0,
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -34,6 +34,9 @@
     pub address: SocketAddr,
     /// The name of its data centre.
     pub data_centre: Name,
+    /// The version of its software, which is no version of models or of a desired state; none if
+    /// the entry does not state it.
+    pub software_version: Option<Name>,
     /// Most requests that it runs at once.
     pub slots: u32,
     /// Whether it is shutting down and takes no new requests.
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -93,6 +93,13 @@
         !self.is_leaving() && self.notices.rests_until(now).is_none()
     }
 
+    /// Returns the version of the upstream's software; none if its entry has vanished or does not
+    /// state it.
+    pub fn software_version(&self) -> Option<&Name> {
+        let version = self.entry.software_version.as_ref();
+        version.filter(|_| self.is_listed())
+    }
+
     /// Returns whether the list has the upstream; otherwise its entry vanished in an outage and it
     /// is kept for [`OUTAGE_GRACE_MS`].
     pub fn is_listed(&self) -> bool {
@@ -263,6 +270,8 @@
             leaving: false,
             order_count: 0,
             models: Vec::new(),
+            // It may have started again in another version.
+            software_version: None,
             ..upstream.entry.clone()
         };
         self.put(entry)
@@ -371,6 +380,11 @@
         (upstream.entry.born_at == lifetime.born_at).then_some(upstream)
     }
 
+    /// Returns the start of the last lifetime of a removed upstream.
+    pub fn last_start(&self, id: &str) -> Option<Millis> {
+        self.past.get(id).map(|past| past.born_at)
+    }
+
     /// Tells whether an upstream may get requests of this host now, and the given lifetime is the
     /// known one.
     pub fn accepts_requests(&self, now: Millis, lifetime: &Lifetime) -> bool {
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -15,6 +15,7 @@
         service: "service".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         data_centre: "here".into(),
+        software_version: None,
         slots: 4,
         leaving: false,
         order_count: 0,
