Tests of streams at upstreams of several software versions, failing

Within one answer, over another host, and taken up by the caller at any host: each goes on at an upstream of another version today. The upstreams of the tests state a version.

--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -25,4 +25,5 @@
 mod stop;
 mod sync;
 mod upstream_limits;
+mod versions;
 mod waiting;
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -191,9 +191,23 @@
 
     /// Starts an upstream of the service and lists it at every host.
     pub async fn start_upstream(&self, id: &str, scripts: Vec<Vec<Step>>) -> FakeUpstream {
+        self.start_upstream_of(id, "v1", scripts).await
+    }
+
+    /// Starts an upstream with this software version and lists it at every host.
+    pub async fn start_upstream_of(
+        &self,
+        id: &str,
+        version: &str,
+        scripts: Vec<Vec<Step>>,
+    ) -> FakeUpstream {
         let upstream = FakeUpstream::start(&self.executor, scripts).await;
         for one in &self.hosts {
-            one.list(entry(id, upstream.address)).await;
+            let listed = UpstreamEntry {
+                software_version: Some(version.into()),
+                ..entry(id, upstream.address)
+            };
+            one.list(listed).await;
         }
         upstream
     }
@@ -263,6 +277,12 @@
         until(is_in_force).await;
     }
 
+    /// Removes an upstream from the host's list.
+    pub async fn unlist(&self, id: &str) {
+        self.store.write_upstream(id, None);
+        until(|| self.host.upstreams.borrow().get(id).is_none()).await;
+    }
+
     async fn list(&self, entry: UpstreamEntry) {
         self.store.write_upstream(&entry.id, Some(entry.clone()));
         let is_listed = || {
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -132,6 +132,24 @@
         upstream
     }
 
+    /// Starts an upstream of the service with this software version and lists it.
+    pub async fn start_upstream_of(
+        &self,
+        id: &str,
+        version: &str,
+        scripts: Vec<Vec<Step>>,
+    ) -> FakeUpstream {
+        let upstream = FakeUpstream::start(&self.executor, scripts).await;
+        let listed = UpstreamEntry {
+            software_version: Some(version.into()),
+            ..entry(id, upstream.address)
+        };
+        self.store.write_upstream(id, Some(listed));
+        self.until(|host| host.upstreams.borrow().get(id).is_some())
+            .await;
+        upstream
+    }
+
     /// Waits until a condition holds for the host.
     pub async fn until(&self, holds: impl Fn(&Host<FakePlatform>) -> bool) {
         while !holds(&self.host) {
@@ -248,7 +266,7 @@
         service: "s".into(),
         address,
         data_centre: "here".into(),
-        software_version: None,
+        software_version: Some("v1".into()),
         slots: 4,
         leaving: false,
         order_count: 0,
