--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -1,9 +1,10 @@
 //! A caller's request that is being served: its route, its service and its deadlines.
 
-use crate::desired::{Route, RouteTable};
+use crate::desired::{Repeat, Route, RouteTable};
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::platform::{Platform, RequestFacts};
+use crate::entry::resumption::streams::Streams;
 use crate::entry::sending::attempts::RETRY_AFTER_MS;
 use crate::http1::RequestHead;
 use crate::identity::Identity;
@@ -19,8 +20,8 @@
 
 /// From where a request came to this host.
 pub enum Origin {
-    /// From its caller; with what this host needs to hand it to another one.
-    Caller(Option<Rc<Handoffs>>),
+    /// From its caller.
+    Caller(CallerSide),
     /// From another host, which does not reach the upstreams. It is not handed on once more.
     Host {
         /// The id of the last event that the caller has, where an interrupted stream is resumed.
@@ -28,6 +29,15 @@
     },
 }
 
+/// What a host needs beside its shared state for the requests of its callers.
+#[derive(Clone)]
+pub struct CallerSide {
+    /// For handing a request to another host; none for a host without others.
+    pub handoffs: Option<Rc<Handoffs>>,
+    /// Which software versions began streams.
+    pub streams: Rc<Streams>,
+}
+
 /// A caller's request that is being served.
 pub struct ActiveRequest {
     /// The head, as the caller sent it.
@@ -79,11 +89,26 @@
     /// is so unless there are none.
     pub fn leaves_lost_paths<P: Platform>(&self, host: &Host<P>) -> bool {
         match &self.origin {
-            Origin::Caller(handoffs) => handoffs.is_some() && host.members.borrow().count() > 1,
+            Origin::Caller(caller) => {
+                caller.handoffs.is_some() && host.members.borrow().count() > 1
+            }
             Origin::Host { .. } => true,
         }
     }
 
+    /// Returns what this host needs to hand the request to another one; none if it came from one.
+    pub fn handoffs(&self) -> Option<&Handoffs> {
+        match &self.origin {
+            Origin::Caller(caller) => caller.handoffs.as_deref(),
+            Origin::Host { .. } => None,
+        }
+    }
+
+    /// Tells whether the caller may take the answer up again after it was interrupted.
+    pub fn may_be_taken_up(&self) -> bool {
+        self.route.streams && self.route.repeat == Repeat::Resumable
+    }
+
     /// Shortens the deadlines to these times.
     pub fn limit_time(&mut self, deadline_at: Millis, first_byte_deadline_at: Millis) {
         self.deadline_at = self.deadline_at.min(deadline_at);
--- a/src/entry/answer/caller_writer.rs
+++ b/src/entry/answer/caller_writer.rs
@@ -4,6 +4,8 @@
 use crate::handoff::message::to_frame;
 use crate::http1::{Headers, ResponseHead};
 use crate::prelude::*;
+use crate::resumption::StreamVersion;
+use crate::resumption::message::SentVersion;
 use futures_lite::AsyncWriteExt;
 use quinn::SendStream;
 use smol::net::TcpStream;
@@ -35,11 +37,13 @@
         }
     }
 
-    /// Returns what is sent before the head of an upstream's answer.
-    fn answer_start(&self) -> std::io::Result<Vec<u8>> {
+    /// Returns what is sent before the head of an answer of an upstream of this software version.
+    fn answer_start(&self, version: Option<SentVersion>) -> std::io::Result<Vec<u8>> {
         match self {
             Self::Caller(_) => Ok(Vec::new()),
-            Self::Host(_) => to_frame(&AnswerStart::Answered).map_err(std::io::Error::other),
+            Self::Host(_) => {
+                to_frame(&AnswerStart::Answered { version }).map_err(std::io::Error::other)
+            }
         }
     }
 }
@@ -52,6 +56,8 @@
     form: BodyFraming,
     /// The bytes of the announced length that were not written yet.
     left_bytes: u64,
+    /// The software version of the upstream that answers, for another host.
+    version: Option<SentVersion>,
 }
 
 impl CallerWriter {
@@ -62,9 +68,15 @@
             closes: false,
             form: BodyFraming::HeadOnly,
             left_bytes: 0,
+            version: None,
         }
     }
 
+    /// Sets the software version of the upstream whose answer is written next.
+    pub fn note_version(&mut self, now: Millis, version: Option<&StreamVersion>) {
+        self.version = version.map(|version| SentVersion::new(version, now));
+    }
+
     /// Tells a caller that waits for it that it may send the body of its request.
     ///
     /// # Errors
@@ -83,6 +95,7 @@
             closes: false,
             form: BodyFraming::HeadOnly,
             left_bytes: 0,
+            version: None,
         }
     }
 
@@ -115,7 +128,7 @@
         form: BodyFraming,
         body: &[u8],
     ) -> std::io::Result<()> {
-        let mut bytes = self.output.answer_start()?;
+        let mut bytes = self.output.answer_start(self.version.take())?;
         bytes.extend(self.head_bytes(head, form));
         if form != BodyFraming::HeadOnly {
             bytes.extend_from_slice(body);
@@ -134,7 +147,7 @@
             BodyFraming::Length(length) => length,
             BodyFraming::HeadOnly | BodyFraming::Chunked => 0,
         };
-        let mut bytes = self.output.answer_start()?;
+        let mut bytes = self.output.answer_start(self.version.take())?;
         bytes.extend(self.head_bytes(head, form));
         self.output.write_all(&bytes).await
     }
--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -1,7 +1,7 @@
 //! Relays an event stream event by event, and resumes it elsewhere when its upstream breaks off.
 
 use crate::desired::Repeat;
-use crate::entry::active_request::{ActiveRequest, Origin};
+use crate::entry::active_request::ActiveRequest;
 use crate::entry::answer::caller_writer::{BodyFraming, CallerWriter};
 use crate::entry::answer::relay::{GRACE_MS, RelayOutcome, note_first_byte};
 use crate::entry::crashes;
@@ -12,6 +12,8 @@
 use crate::entry::lines;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{BodyEnd, RequestLog};
+use crate::entry::resumption::proof::{has_version, is_proven};
+use crate::entry::resumption::streams;
 use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::choice::{choose, out_of_reach};
 use crate::entry::sending::send::{SendOutcome, StartedAnswer, return_to_pool};
@@ -20,6 +22,7 @@
 use crate::http1::client::with_timeout;
 use crate::http1::{Framing, ReadError};
 use crate::prelude::*;
+use crate::resumption::StreamVersion;
 
 /// The most bytes that are buffered of an event which is not complete yet.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -35,6 +38,8 @@
     /// Bytes that were read and not yet written: an incomplete event after each write.
     buffer: Vec<u8>,
     last_event_id: Option<String>,
+    /// The software version that sent the first event, as far as this host knows.
+    version: Option<StreamVersion>,
     /// Whether the caller was sent the head of the answer.
     has_begun: bool,
     /// When the head was sent.
@@ -56,6 +61,7 @@
     from: &'a str,
     why: &'static str,
     after_event: Option<&'a str>,
+    version: &'a str,
     to: Option<&'a str>,
 }
 
@@ -68,6 +74,7 @@
             attempts,
             buffer: Vec::new(),
             last_event_id: None,
+            version: None,
             has_begun: false,
             started_at: host.now(),
             last_write_at: host.now(),
@@ -174,6 +181,9 @@
         }
         self.started_at = self.host.now();
         self.last_write_at = self.started_at;
+        self.version = answer.version.clone();
+        streams::note_begun(self.host, self.request, answer.version.as_ref());
+        out.note_version(self.host.now(), answer.version.as_ref());
         note_first_byte(self.host, self.request, log);
         // The part of another upstream need not have the bytes that are missing of this one's length.
         let form = match answer.head.framing {
@@ -247,6 +257,8 @@
         let resumed_before = || self.request.resume_after().map(str::to_string);
         let after = self.last_event_id.clone().or_else(resumed_before)?;
         self.attempts.note_may_have_run(from.clone());
+        let version = self.needed_version().await?;
+        self.attempts.version = Some(version.clone());
         let mut resumed = None;
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let Some(upstream) = choose(self.host, self.request, self.attempts) else {
@@ -255,7 +267,7 @@
                         self.attempts.clear_unreached();
                         continue;
                     }
-                    Some(HandedOff::Answered(answer)) if answer.head.status == 200 => {
+                    Some(HandedOff::Answered(answer)) if self.goes_on(&answer, &version).await => {
                         resumed = Some(answer);
                     }
                     Some(_) | None => {}
@@ -272,7 +284,7 @@
             let (host, request, after) = (self.host, self.request, Some(&*after));
             limits::note_extra_run(host, request);
             match try_upstream(host, request, &upstream, self.attempts, log, after).await {
-                SendOutcome::Answered(answer) if answer.head.status == 200 => {
+                SendOutcome::Answered(answer) if self.goes_on(&answer, &version).await => {
                     resumed = Some(answer);
                     break;
                 }
@@ -293,19 +305,33 @@
             from,
             why,
             after_event: Some(&after),
+            version: &version,
             to: resumed.as_ref().map(|answer| &*answer.upstream.id),
         };
         lines::write(LogEvent::StreamResumed, &line);
         resumed
     }
 
+    /// Returns the software version at which the stream must go on; none if it is not proven.
+    async fn needed_version(&self) -> Option<Name> {
+        if let Some(version) = &self.attempts.version {
+            return Some(version.clone());
+        }
+        let version = self.version.as_ref()?;
+        let is_proven = is_proven(self.host, version).await;
+        is_proven.then(|| version.version.clone())
+    }
+
+    /// Tells whether the stream goes on with an answer.
+    async fn goes_on(&self, answer: &StartedAnswer, version: &Name) -> bool {
+        answer.head.status == 200 && has_version(self.host, answer.version.as_ref(), version).await
+    }
+
     /// Hands an interrupted stream to another host that is to go on with it, if this one does not
     /// reach the upstreams that could.
     async fn hand_off(&self, after: &str, log: &mut RequestLog<'_, P>) -> Option<HandedOff> {
         let wanted = out_of_reach(self.host, self.request, self.attempts)?;
-        let Origin::Caller(Some(handoffs)) = &self.request.origin else {
-            return None;
-        };
+        let handoffs = self.request.handoffs()?;
         let outgoing = Outgoing {
             request: self.request,
             handoffs,
--- a/src/entry/answer/relay.rs
+++ b/src/entry/answer/relay.rs
@@ -7,6 +7,8 @@
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{BodyEnd, RequestLog};
+use crate::entry::resumption::proof::has_version;
+use crate::entry::resumption::streams;
 use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::send::{StartedAnswer, return_to_pool};
 use crate::http1::Framing;
@@ -51,11 +53,20 @@
     // A stream of the route that does not state its content type is one.
     let is_stream =
         request.route.streams && answer.head.status == 200 && kind.is_event_stream != Some(false);
+    if is_stream
+        && let Some(version) = &attempts.version
+        && !has_version(host, answer.version.as_ref(), version).await
+    {
+        return RelayOutcome::NotStarted("the upstream has another software version");
+    }
     if answer.reader.is_done() {
         if is_stream && let Some(why) = kind.early_end_of_whole(&answer.body_start) {
             answer.note_broken(host, request).await;
             return RelayOutcome::NotStarted(why);
         }
+        if is_stream {
+            streams::note_begun(host, request, answer.version.as_ref());
+        }
         return relay_complete(host, request, out, log, answer).await;
     }
     match is_stream {
@@ -80,9 +91,11 @@
         body_start,
         reader,
         connection,
+        version,
         in_flight,
     } = *answer;
     drop(in_flight);
+    out.note_version(host.now(), version.as_ref());
     let form = match &*request.head.method {
         "HEAD" => BodyFraming::HeadOnly,
         _ => BodyFraming::Length(body_start.len() as u64),
--- a/src/entry/crashes.rs
+++ b/src/entry/crashes.rs
@@ -63,7 +63,7 @@
         host.request_sync();
         return;
     }
-    match with_timeout(CRASH_CHECK_TIMEOUT_MS, host.pool.open(address)).await {
+    match with_timeout(CRASH_CHECK_TIMEOUT_MS, host.pool.open(host.clock, address)).await {
         Some(Ok(connection)) if address_if_staying(host, upstream).is_some() => {
             host.pool.keep(host.now(), &upstream.id, connection, None);
         }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -14,6 +14,7 @@
 use crate::entry::limits::Charge;
 use crate::entry::platform::{Platform, SendFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
+use crate::entry::resumption::take_up::{needed_version, version_gone};
 use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::choice::{choose, out_of_reach, prefix_source};
 use crate::entry::sending::send::{self, SendOutcome, StartedAnswer};
@@ -38,30 +39,33 @@
     out: &mut CallerWriter,
     log: &mut RequestLog<'_, P>,
 ) -> AnswerEnd {
+    let version = match needed_version(host, request).await {
+        Ok(version) => version,
+        Err(refusal) => return refuse(host, request, out, log, refusal).await,
+    };
+    let attempts = Attempts {
+        version,
+        ..Attempts::default()
+    };
     let charge = match Charge::take(host, request).await {
         Ok(charge) => charge,
         Err(refusal) => return refuse(host, request, out, log, refusal).await,
     };
     host.note_request(&request.service);
     let _in_demand = DemandCount::new(host, request);
-    try_until_answered(host, request, out, log, charge, Attempts::default()).await
+    try_until_answered(host, request, out, log, charge, attempts).await
 }
 
 /// Serves a request that another host handed to this one, which has counted it in limits, retry
-/// budget and demand. `sends` and `runs` are the attempts that it made before.
+/// budget and demand. `attempts` are those that it made before.
 pub async fn serve_handed<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
-    (sends, runs): (u32, u32),
+    attempts: Attempts,
     out: &mut CallerWriter,
     log: &mut RequestLog<'_, P>,
 ) -> AnswerEnd {
     let charge = Charge::taken_elsewhere(host, request);
-    let attempts = Attempts {
-        sends,
-        runs,
-        ..Attempts::default()
-    };
     try_until_answered(host, request, out, log, charge, attempts).await
 }
 
@@ -87,6 +91,12 @@
                 _ => end(host, request, out, log, attempts).await,
             };
         }
+        if let Some(refusal) = version_gone(host, request, &attempts) {
+            return match attempts.runs {
+                0 => refuse(host, request, out, log, refusal).await,
+                _ => end(host, request, out, log, attempts).await,
+            };
+        }
         let Some(upstream) = choose(host, request, &attempts) else {
             if let Some(wanted) = out_of_reach(host, request, &attempts) {
                 charge.note_send();
--- a/src/entry/handoff/mod.rs
+++ b/src/entry/handoff/mod.rs
@@ -243,7 +243,7 @@
     if !is_due {
         return false;
     }
-    match with_timeout(CONNECT_TIMEOUT_MS, host.pool.open(address)).await {
+    match with_timeout(CONNECT_TIMEOUT_MS, host.pool.open(host.clock, address)).await {
         Some(Ok(connection)) => {
             paths::note_connected(host, &lifetime);
             host.pool.keep(host.now(), wanted, connection, None);
@@ -271,6 +271,7 @@
     let offer = Offer {
         service: request.service.clone(),
         model: request.facts.model.clone().filter(|_| request.at_engine),
+        software_version: outgoing.attempts.version.clone(),
         version: request.version,
         body_bytes: request.body.len() as u64,
     };
@@ -350,6 +351,7 @@
         sends: attempts.sends,
         runs: attempts.runs,
         resume_after: resume_after.map(str::to_string),
+        software_version: attempts.version.clone(),
     }
 }
 
@@ -376,13 +378,16 @@
     let answer_by = request.deadline_at - ANSWER_MARGIN_MS;
     let lost = || Passed::Ended(HandedOff::MayHaveRun(name.clone()));
     let left_ms = answer_by.since(host.now());
-    let stream = match with_timeout(left_ms, exchange).await {
+    let (version, stream) = match with_timeout(left_ms, exchange).await {
         None | Some(Err(_)) => return lost(),
         Some(Ok((AnswerStart::OutOfReach, _))) => return Passed::GivenBack,
         Some(Ok((AnswerStart::Refused(refusal), _))) => {
             return Passed::Ended(HandedOff::Refused(refusal.into()));
         }
-        Some(Ok((AnswerStart::Answered, stream))) => stream,
+        Some(Ok((AnswerStart::Answered { version }, stream))) => {
+            let received = version.map(|version| version.received(host.now()));
+            (received, stream)
+        }
     };
     let mut connection = Connection::new(stream);
     let read = read_answer(request, &mut connection);
@@ -400,6 +405,7 @@
             id: name.clone(),
             born_at: Millis::ZERO,
         },
+        version,
         head,
         body_start,
         reader,
--- a/src/entry/handoff/other_host.rs
+++ b/src/entry/handoff/other_host.rs
@@ -1,7 +1,7 @@
 //! Leaves a request that no upstream in reach could serve to another host, or gives it back to the
 //! host that handed it to this one.
 
-use crate::entry::active_request::{ActiveRequest, Origin};
+use crate::entry::active_request::ActiveRequest;
 use crate::entry::answer::caller_writer::CallerWriter;
 use crate::entry::forward;
 use crate::entry::handoff::{HandedOff, Outgoing, hand_off};
@@ -32,7 +32,7 @@
     attempts: &mut Attempts,
     wanted: &Name,
 ) -> LeftToAnother {
-    let Origin::Caller(Some(handoffs)) = &request.origin else {
+    let Some(handoffs) = request.handoffs() else {
         return give_back(host.now(), out, log, attempts).await;
     };
     let outgoing = Outgoing {
--- a/src/entry/handoff/server.rs
+++ b/src/entry/handoff/server.rs
@@ -9,6 +9,7 @@
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::entry::request_log::{AnswerEnd, RequestLog};
+use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::choice::reaches;
 use crate::handoff::message::{MAX_HEAD_BYTES, MAX_OFFER_BYTES};
 use crate::handoff::{
@@ -103,7 +104,7 @@
     if version.is_none_or(|version| version < offer.version) {
         return Err(DeclineReason::Behind);
     }
-    if !reaches(host, &offer.service, offer.model.as_ref()) {
+    if !reaches(host, offer) {
         return Err(DeclineReason::OutOfReach);
     }
     if held.grow_to(offer.body_bytes).is_err() {
@@ -151,7 +152,14 @@
         sends,
         runs,
         resume_after,
+        software_version,
     } = handed;
+    let attempts = Attempts {
+        sends,
+        runs,
+        version: software_version,
+        ..Attempts::default()
+    };
     let Ok(Some((head, _))) = RequestHead::parse(&head, MAX_HEAD_BYTES) else {
         let refusal = Refusal::new(ErrorKind::BadRequest, "the handed request is malformed");
         return forward::answer_refusal(host, None, writer, log, &refusal).await;
@@ -160,7 +168,7 @@
         Ok(mut request) => {
             request.limit_time(arrived_at + left_ms, arrived_at + first_byte_left_ms);
             log.note_request(&request);
-            forward::serve_handed(host, &request, (sends, runs), writer, log).await
+            forward::serve_handed(host, &request, attempts, writer, log).await
         }
         Err(refused) => {
             let (refusal, facts) = *refused;
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -157,6 +157,6 @@
         .await?
     {
         PeerReply::List(part) => part,
-        PeerReply::Sync(_) | PeerReply::AppendedLease(_) | PeerReply::Desired(_) => None,
+        _ => None,
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,6 +31,7 @@
 pub mod rejections;
 pub mod replication;
 pub mod request_log;
+pub mod resumption;
 pub mod run;
 pub mod sending;
 pub mod settings;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -10,6 +10,7 @@
 use crate::entry::host::Host;
 use crate::entry::orderer;
 use crate::entry::platform::Platform;
+use crate::entry::resumption::streams::Streams;
 use crate::entry::run::EntryError;
 use crate::entry::{desired_copy, lease_manager, list_copy, sync};
 use crate::handoff::MAX_OPEN_PER_PEER;
@@ -40,7 +41,7 @@
 const ALPN: &[u8] = b"mangovale-order/4";
 /// The name and version of the protocol of handed requests. They have connections of their own, so
 /// that a slow answer never holds up the calls.
-const HANDOFF_ALPN: &[u8] = b"mangovale-handoff/1";
+const HANDOFF_ALPN: &[u8] = b"mangovale-handoff/2";
 /// The time-out of a call; a round trip takes a few milliseconds.
 pub const CALL_TIMEOUT_MS: Millis = Millis(700);
 /// How long a connection stays open without traffic. A dead one is detected by the first call that
@@ -197,18 +198,19 @@
 pub async fn serve<P: Platform + 'static>(
     host: Rc<Host<P>>,
     peers: Rc<Peers>,
+    streams: Rc<Streams>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
     let served = Served::default();
     while let Some(incoming) = peers.endpoint.accept().await {
-        let (host, served) = (host.clone(), served.clone());
+        let (host, served, streams) = (host.clone(), served.clone(), streams.clone());
         let tasks = executor.clone();
         let serve = async move {
             match incoming.await {
                 Ok(connection) if is_for_handoffs(&connection) => {
                     server::serve_connection(host, connection, tasks, served).await
                 }
-                Ok(connection) => serve_connection(host, connection, tasks).await,
+                Ok(connection) => serve_connection(host, streams, connection, tasks).await,
                 Err(error) => {
                     orderer::log_peer_refused(&error.to_string());
                     host.note_unknown_peer();
@@ -227,14 +229,15 @@
 
 async fn serve_connection<P: Platform + 'static>(
     host: Rc<Host<P>>,
+    streams: Rc<Streams>,
     connection: Connection,
     executor: Rc<LocalExecutor<'static>>,
 ) {
     while let Ok((mut send, mut receive)) = connection.accept_bi().await {
-        let host = host.clone();
+        let (host, streams) = (host.clone(), streams.clone());
         let answer = async move {
             let bytes = receive.read_to_end(MAX_MESSAGE_BYTES).await.ok()?;
-            let reply = answer(&host, postcard::from_bytes(&bytes).ok()?).await;
+            let reply = answer(&host, &streams, postcard::from_bytes(&bytes).ok()?).await;
             let bytes = postcard::to_stdvec(&reply).ok()?;
             send.write_all(&bytes).await.ok()?;
             send.finish().ok()
@@ -243,7 +246,7 @@
     }
 }
 
-async fn answer<P: Platform>(host: &Host<P>, call: PeerCall) -> PeerReply {
+async fn answer<P: Platform>(host: &Host<P>, streams: &Streams, call: PeerCall) -> PeerReply {
     match call {
         PeerCall::Sync(request) => PeerReply::Sync(sync::answer(host, request)),
         PeerCall::Desired => PeerReply::Desired(desired_copy::answer(host)),
@@ -251,6 +254,11 @@
         PeerCall::AppendLease { end, record } => {
             PeerReply::AppendedLease(lease_manager::append_for_peer(host, end, &record).await)
         }
+        PeerCall::KeepStreams(records) => {
+            streams.keep(host, records);
+            PeerReply::KeptStreams
+        }
+        PeerCall::FindStream(key) => PeerReply::Stream(streams.record(host, key)),
     }
 }
 
--- /dev/null
+++ b/src/entry/resumption/streams.rs
@@ -0,0 +1,254 @@
+//! The records of which software version began a stream: this host's own, and those that it keeps
+//! for others.
+
+use crate::entry::active_request::{ActiveRequest, Origin};
+use crate::entry::host::Host;
+use crate::entry::lines;
+use crate::entry::peers::Peers;
+use crate::entry::platform::Platform;
+use crate::group::Member;
+use crate::http1::client::with_timeout;
+use crate::ordering::message::{PeerCall, PeerReply};
+use crate::prelude::*;
+use crate::resumption::message::{MAX_BATCH_RECORDS, SentVersion};
+use crate::resumption::records::Known;
+use crate::resumption::{
+    StreamKey, StreamRecord, StreamRecords, StreamVersion, TAKE_UP_MS, keepers,
+};
+use event_listener::Event as Wakeup;
+use smol::LocalExecutor;
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+
+/// The most records that wait to be sent; further ones are kept here only.
+const MAX_QUEUED: usize = 4_096;
+/// How long other hosts may take to say what they know of a stream.
+const FIND_TIMEOUT_MS: Millis = Millis(150);
+
+/// The records of a host, and those that it has yet to send to the hosts that keep them.
+pub struct Streams {
+    records: RefCell<StreamRecords>,
+    queue: RefCell<Queue>,
+    queued: Wakeup,
+    /// The calls to other hosts and this host as the group lists it; none for a host without others.
+    network: Option<(Rc<Peers>, Member)>,
+}
+
+#[derive(Default)]
+struct Queue {
+    /// The records for each host.
+    records: IndexMap<SocketAddr, Vec<StreamRecord>>,
+    /// The hosts to which a message is under way.
+    sending: IndexSet<SocketAddr>,
+    len: usize,
+}
+
+#[derive(Serialize)]
+struct UnsentLine {
+    to: Option<SocketAddr>,
+    records: usize,
+}
+
+impl Streams {
+    /// Creates the state of a host without records.
+    pub fn new(network: Option<(Rc<Peers>, Member)>) -> Self {
+        Self {
+            records: RefCell::default(),
+            queue: RefCell::default(),
+            queued: Wakeup::new(),
+            network,
+        }
+    }
+
+    /// Records the version that begins a request's stream, here and at the hosts that keep it.
+    pub fn note_begun<P: Platform>(
+        &self,
+        host: &Host<P>,
+        request: &ActiveRequest,
+        version: Option<&StreamVersion>,
+    ) {
+        let Some(id) = &request.facts.id else { return };
+        let now = host.now();
+        let key = StreamKey::of(id);
+        let lasts_ms = request.deadline_at.since(now) + TAKE_UP_MS;
+        let mut records = self.records.borrow_mut();
+        records.insert(now, key, version.cloned(), lasts_ms);
+        drop(records);
+        let Some((_, me)) = &self.network else { return };
+        let record = StreamRecord {
+            key,
+            version: version.map(|version| SentVersion::new(version, now)),
+            lasts_ms,
+        };
+        let members = host.members.borrow();
+        for keeper in keepers(members.iter(), key) {
+            if keeper.incarnation != me.incarnation {
+                self.queue(keeper.peer_address, record.clone());
+            }
+        }
+        self.queued.notify(usize::MAX);
+    }
+
+    fn queue(&self, to: SocketAddr, record: StreamRecord) {
+        let mut queue = self.queue.borrow_mut();
+        if queue.len >= MAX_QUEUED {
+            let line = UnsentLine {
+                to: None,
+                records: 1,
+            };
+            lines::write(LogEvent::StreamRecordsUnsent, &line);
+            return;
+        }
+        queue.len += 1;
+        queue.records.entry(to).or_default().push(record);
+    }
+
+    /// Returns what this host or the hosts that keep the record know of a stream.
+    pub async fn find<P: Platform>(&self, host: &Host<P>, key: StreamKey) -> Known {
+        let own = self.records.borrow().find(host.now(), key);
+        if own != Known::Nothing {
+            return own;
+        }
+        let Some((peers, me)) = &self.network else {
+            return own;
+        };
+        let asked: Vec<SocketAddr> = {
+            let members = host.members.borrow();
+            keepers(members.iter(), key)
+                .filter(|keeper| keeper.incarnation != me.incarnation)
+                .map(|keeper| keeper.peer_address)
+                .collect()
+        };
+        let ask = |address| async move {
+            match peers.call(address, &PeerCall::FindStream(key)).await? {
+                PeerReply::Stream(record) => record,
+                _ => None,
+            }
+        };
+        let found = first_some(asked.into_iter().map(ask));
+        match with_timeout(FIND_TIMEOUT_MS, found).await.flatten() {
+            Some(record) => {
+                self.keep(host, vec![record]);
+                self.records.borrow().find(host.now(), key)
+            }
+            None => Known::Nothing,
+        }
+    }
+
+    /// Keeps records that another host sent.
+    pub fn keep<P: Platform>(&self, host: &Host<P>, received: Vec<StreamRecord>) {
+        let now = host.now();
+        let mut records = self.records.borrow_mut();
+        for StreamRecord {
+            key,
+            version,
+            lasts_ms,
+        } in received
+        {
+            let version = version.map(|version| version.received(now));
+            records.insert(now, key, version, lasts_ms);
+        }
+    }
+
+    /// Returns the record of a stream for another host.
+    pub fn record<P: Platform>(&self, host: &Host<P>, key: StreamKey) -> Option<StreamRecord> {
+        self.records.borrow().record(host.now(), key)
+    }
+
+    /// Drops records whose time is over.
+    pub fn expire(&self, now: Millis) {
+        self.records.borrow_mut().expire(now);
+    }
+
+    /// Returns whether this host has no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.borrow().is_empty()
+    }
+
+    /// Takes the records for one host to which no message is under way.
+    fn take_batch(&self) -> Option<(SocketAddr, Vec<StreamRecord>)> {
+        let mut queue = self.queue.borrow_mut();
+        let waiting = queue.records.keys();
+        let to = *waiting
+            .into_iter()
+            .find(|to| !queue.sending.contains(*to))?;
+        let mut batch = queue.records.swap_remove(&to)?;
+        if batch.len() > MAX_BATCH_RECORDS {
+            let rest = batch.split_off(MAX_BATCH_RECORDS);
+            queue.records.insert(to, rest);
+        }
+        queue.len -= batch.len();
+        queue.sending.insert(to);
+        Some((to, batch))
+    }
+
+    async fn send(&self, to: SocketAddr, batch: Vec<StreamRecord>) {
+        let Some((peers, _)) = &self.network else {
+            return;
+        };
+        let records = batch.len();
+        let reply = peers.call(to, &PeerCall::KeepStreams(batch)).await;
+        if !matches!(reply, Some(PeerReply::KeptStreams)) {
+            let to = Some(to);
+            lines::write(LogEvent::StreamRecordsUnsent, &UnsentLine { to, records });
+        }
+        self.queue.borrow_mut().sending.swap_remove(&to);
+        self.queued.notify(usize::MAX);
+    }
+}
+
+/// Records the version of a stream whose first event is passed on, unless its caller took it up or
+/// cannot take it up.
+pub fn note_begun<P: Platform>(
+    host: &Host<P>,
+    request: &ActiveRequest,
+    version: Option<&StreamVersion>,
+) {
+    if let Origin::Caller(caller) = &request.origin
+        && request.may_be_taken_up()
+        && request.facts.taken_up.is_none()
+    {
+        caller.streams.note_begun(host, request, version);
+    }
+}
+
+/// Sends records to the hosts that keep them, to each one message at a time, until the process ends.
+pub async fn send_records(streams: Rc<Streams>, executor: Rc<LocalExecutor<'static>>) {
+    loop {
+        let queued = streams.queued.listen();
+        match streams.take_batch() {
+            Some((to, batch)) => {
+                let streams = streams.clone();
+                let send = async move { streams.send(to, batch).await };
+                executor.spawn(send).detach();
+            }
+            None => queued.await,
+        }
+    }
+}
+
+/// Runs futures together until one returns something; nothing if none does.
+async fn first_some<T>(
+    futures: impl Iterator<Item = impl Future<Output = Option<T>>>,
+) -> Option<T> {
+    let mut pending: Vec<Pin<Box<_>>> = futures.map(Box::pin).collect();
+    poll_fn(|context| {
+        let mut found = None;
+        pending.retain_mut(|future| match future.as_mut().poll(context) {
+            Poll::Pending => true,
+            Poll::Ready(output) => {
+                found = found.take().or(output);
+                false
+            }
+        });
+        match found.is_some() || pending.is_empty() {
+            true => Poll::Ready(found.take()),
+            false => Poll::Pending,
+        }
+    })
+    .await
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,6 +1,7 @@
 //! Starts an entry host and its tasks, handles signals, and applies changed settings.
 
 use crate::clock::Clock;
+use crate::entry::active_request::CallerSide;
 use crate::entry::directory::{self, Endpoint};
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
@@ -8,6 +9,7 @@
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{self, Peers};
 use crate::entry::platform::{Platform, Table};
+use crate::entry::resumption::streams::{Streams, send_records};
 use crate::entry::settings::EntrySettings;
 use crate::entry::table_sources::TableSources;
 use crate::entry::{
@@ -162,12 +164,17 @@
         me: me.clone(),
     };
     let handoffs = Rc::new(Handoffs::new(peers.clone(), me.clone()));
+    let streams = Rc::new(Streams::new(Some((peers.clone(), me.clone()))));
+    let side = CallerSide {
+        handoffs: Some(handoffs.clone()),
+        streams: streams.clone(),
+    };
     let tasks = [
         executor.spawn(caller::accept(
             host.clone(),
             executor.clone(),
             callers,
-            Some(handoffs.clone()),
+            side,
         )),
         executor.spawn(follow::follow(
             host.clone(),
@@ -179,10 +186,16 @@
             Table::Upstreams,
             Some(sources),
         )),
-        executor.spawn(sweep(host.clone(), handoffs.clone())),
+        executor.spawn(sweep(host.clone(), handoffs.clone(), streams.clone())),
         executor.spawn(orderer::plan(host.clone(), me.clone(), executor.clone())),
         executor.spawn(sync::sync(host.clone(), peers.clone(), me.clone())),
-        executor.spawn(peers::serve(host.clone(), peers.clone(), executor.clone())),
+        executor.spawn(peers::serve(
+            host.clone(),
+            peers.clone(),
+            streams.clone(),
+            executor.clone(),
+        )),
+        executor.spawn(send_records(streams, executor.clone())),
         executor.spawn(watch_signals(host.clone(), signals, path, reconnect)),
     ];
     let members = executor.spawn(members::maintain_membership(host.clone(), me.clone()));
@@ -208,12 +221,13 @@
         .context(ListenSnafu { key, address })
 }
 
-async fn sweep<P: Platform>(host: Rc<Host<P>>, handoffs: Rc<Handoffs>) {
+async fn sweep<P: Platform>(host: Rc<Host<P>>, handoffs: Rc<Handoffs>, streams: Rc<Streams>) {
     loop {
         Timer::after(SWEEP_MS.to_duration()).await;
         let now = host.now();
         host.pool.expire(now);
         handoffs.expire(now);
+        streams.expire(now);
         let expired = host.upstreams.borrow_mut().expire(now);
         for id in &expired {
             host.pool.close_idle(id);
--- a/src/entry/sending/choice.rs
+++ b/src/entry/sending/choice.rs
@@ -5,6 +5,7 @@
 use crate::entry::platform::{ModelRef, Platform, RequestFacts};
 use crate::entry::rejections::{Room, rejection_room};
 use crate::entry::sending::attempts::Attempts;
+use crate::handoff::Offer;
 use crate::ordering::cached_orderer_state::CachedOrdererState;
 use crate::prelude::*;
 use crate::routing::pick::{self, ModelCopies, PromptShape};
@@ -31,6 +32,7 @@
     let is_candidate = |upstream: &&Upstream| {
         upstream.in_flight < cap
             && !attempts.excluded.contains(&upstream.entry.id)
+            && attempts.allow_version_of(upstream)
             && !(leaves_lost_paths && upstreams.is_out_of_reach(now, upstream))
             && rejection_room(host, &upstreams, now, upstream) == Room::Free
     };
@@ -79,6 +81,7 @@
         let id = &upstream.entry.id;
         let is_unreached = attempts.unreached.contains(id);
         upstream.accepts_requests(now)
+            && attempts.allow_version_of(upstream)
             && (is_unreached || !attempts.excluded.contains(id))
             && (is_unreached
                 || may_be_cut_off
@@ -90,16 +93,26 @@
     fastrand::choice(lost).map(|upstream| upstream.entry.id.clone())
 }
 
-/// Tells whether this host reaches an upstream that could serve a request for a service, and for
-/// a model where the service's upstreams are engines.
-pub fn reaches<P: Platform>(host: &Host<P>, service: &Name, model: Option<&ModelRef>) -> bool {
+/// Tells whether this host reaches an upstream that could serve an offered request.
+pub fn reaches<P: Platform>(host: &Host<P>, offer: &Offer) -> bool {
+    let Offer {
+        service,
+        model,
+        software_version,
+        ..
+    } = offer;
+    let has_version = |upstream: &Upstream| {
+        let version = software_version.as_ref();
+        version.is_none_or(|version| upstream.software_version() == Some(version))
+    };
     let now = host.now();
     let upstreams = host.upstreams.borrow();
     let orderer_state = host.orderer_state.borrow();
-    could_serve(&upstreams, &orderer_state, now, service, model)
+    could_serve(&upstreams, &orderer_state, now, service, model.as_ref())
         .into_iter()
         .any(|upstream| {
             upstream.accepts_requests(now)
+                && has_version(upstream)
                 && is_in_reach(&upstreams, now, upstream)
                 && rejection_room(host, &upstreams, now, upstream) != Room::NotAssigned
         })
@@ -161,8 +174,10 @@
     let now = host.now();
     let upstreams = host.upstreams.borrow();
     let orderer_state = host.orderer_state.borrow();
+    // What two software versions keep of a prompt does not fit together.
+    let version = upstreams.get(upstream)?.software_version();
     let holding: Vec<&Upstream> = holders(&upstreams, &orderer_state, now, &request.service, model)
-        .filter(|other| pick::is_available(now, other))
+        .filter(|other| pick::is_available(now, other) && other.software_version() == version)
         .collect();
     let copies = model_copies(&orderer_state, model, Some(fetch_share));
     let shape = prompt_shape(&request.facts);
--- a/src/entry/sending/pool.rs
+++ b/src/entry/sending/pool.rs
@@ -1,5 +1,6 @@
 //! A pool of idle connections to upstreams.
 
+use crate::clock::Clock;
 use crate::http1::Connection;
 use crate::http1::client::connect;
 use crate::prelude::*;
@@ -27,11 +28,14 @@
     /// Whether it must not be reused, because a request on it is incomplete or further answers may
     /// arrive on it.
     pub ends_after_answer: bool,
+    /// When it was open.
+    pub opened_at: Millis,
 }
 
 #[derive(Debug)]
 struct Idle {
     io: Connection<TcpStream>,
+    opened_at: Millis,
     since: Millis,
     until: Millis,
 }
@@ -62,6 +66,7 @@
                     io: idle.io,
                     is_reused: true,
                     ends_after_answer: false,
+                    opened_at: idle.opened_at,
                 });
             }
         }
@@ -72,11 +77,16 @@
     /// # Errors
     ///
     /// Returns why it cannot be opened.
-    pub async fn open(&self, address: SocketAddr) -> std::io::Result<UpstreamConnection> {
+    pub async fn open(
+        &self,
+        clock: Clock,
+        address: SocketAddr,
+    ) -> std::io::Result<UpstreamConnection> {
         Ok(UpstreamConnection {
             io: connect(address).await?,
             is_reused: false,
             ends_after_answer: false,
+            opened_at: clock.now(),
         })
     }
 
@@ -98,6 +108,7 @@
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(Idle {
                 io: connection.io,
+                opened_at: connection.opened_at,
                 since: now,
                 until: now + keep_ms,
             });
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -19,6 +19,7 @@
 use crate::http1::client::with_timeout;
 use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
 use crate::prelude::*;
+use crate::resumption::StreamVersion;
 use crate::retry::RequestDigest;
 use crate::routing::roles::is_long;
 use crate::upstreams::{Lifetime, Upstream};
@@ -96,6 +97,8 @@
     pub reader: BodyReader,
     /// The connection that the rest of the body comes from.
     pub connection: AnswerConnection,
+    /// The software version of the upstream; none if the list does not state it.
+    pub version: Option<StreamVersion>,
     /// Counts the request as in flight at the upstream until it is dropped; none for an answer of
     /// another host, which counts it.
     pub in_flight: Option<InFlight>,
@@ -284,8 +287,11 @@
                 true => note_failure(host, upstream, now, false),
                 false => note_success(host, upstream, now),
             }
+            let version =
+                StreamVersion::of(&host.upstreams.borrow(), upstream, connection.opened_at);
             SendOutcome::Answered(Box::new(StartedAnswer {
                 upstream: upstream.clone(),
+                version,
                 head,
                 body_start,
                 reader,
@@ -344,7 +350,7 @@
     }
     let address = host.upstreams.borrow().get(&upstream.id)?.address();
     let timeout_ms = CONNECT_TIMEOUT_MS.min(answer_by.since(now));
-    let opened = with_timeout(timeout_ms, host.pool.open(address)).await;
+    let opened = with_timeout(timeout_ms, host.pool.open(host.clock, address)).await;
     if let Some(Err(error)) = &opened {
         crashes::note_unreachable(host, upstream, error);
     }
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -252,7 +252,7 @@
 async fn call_peer(peers: &Peers, address: SocketAddr, request: SyncRequest) -> Option<SyncReply> {
     match peers.call(address, &PeerCall::Sync(request)).await? {
         PeerReply::Sync(reply) => Some(reply),
-        PeerReply::AppendedLease(_) | PeerReply::List(_) | PeerReply::Desired(_) => None,
+        _ => None,
     }
 }
 
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -2,11 +2,12 @@
 
 use super::fake_platform::{FakePlatform, FakeStore};
 use super::fake_upstream::{FakeUpstream, Step};
-use super::site::{Answer, Caller, as_member, bind_peers, entry, settings};
+use super::site::{Answer, Caller, as_member, bind_peers, entry, entry_of, settings};
 use crate::clock::Clock;
 use crate::desired::{
     CallerLimits, DesiredState, LimitUnit, Organisation, RateLimit, Route, Service,
 };
+use crate::entry::active_request::CallerSide;
 use crate::entry::caller;
 use crate::entry::follow::follow;
 use crate::entry::handoff::Handoffs;
@@ -15,6 +16,7 @@
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{self, Peers};
 use crate::entry::platform::Table;
+use crate::entry::resumption::streams::{Streams, send_records};
 use crate::group::Member;
 use crate::http1::Connection;
 use crate::http1::client::with_timeout;
@@ -49,6 +51,8 @@
     /// Where callers connect.
     pub address: SocketAddr,
     handoffs: Rc<Handoffs>,
+    /// The versions of streams that it knows.
+    pub streams: Rc<Streams>,
     store: Rc<FakeStore>,
 }
 
@@ -103,7 +107,8 @@
             };
             hosts.push(OneHost {
                 host,
-                handoffs: Rc::new(Handoffs::new(peers.clone(), me)),
+                handoffs: Rc::new(Handoffs::new(peers.clone(), me.clone())),
+                streams: Rc::new(Streams::new(Some((peers.clone(), me)))),
                 peers,
                 address,
                 store,
@@ -127,13 +132,20 @@
 
     fn run(&self, one: &OneHost, listener: TcpListener) {
         let (host, tasks) = (one.host.clone(), &self.executor);
-        let handoffs = Some(one.handoffs.clone());
-        let accept = caller::accept(host.clone(), tasks.clone(), listener, handoffs);
+        let side = CallerSide {
+            handoffs: Some(one.handoffs.clone()),
+            streams: one.streams.clone(),
+        };
+        let accept = caller::accept(host.clone(), tasks.clone(), listener, side);
         tasks.spawn(accept).detach();
         for table in [Table::Desired, Table::Upstreams] {
             tasks.spawn(follow(host.clone(), table, None)).detach();
         }
-        let serve = peers::serve(host, one.peers.clone(), tasks.clone());
+        let streams = one.streams.clone();
+        tasks
+            .spawn(send_records(streams.clone(), tasks.clone()))
+            .detach();
+        let serve = peers::serve(host, one.peers.clone(), streams, tasks.clone());
         tasks.spawn(serve).detach();
     }
 
@@ -203,15 +215,33 @@
     ) -> FakeUpstream {
         let upstream = FakeUpstream::start(&self.executor, scripts).await;
         for one in &self.hosts {
-            let listed = UpstreamEntry {
-                software_version: Some(version.into()),
-                ..entry(id, upstream.address)
-            };
-            one.list(listed).await;
+            one.list(entry_of(id, version, upstream.address)).await;
         }
         upstream
     }
 
+    /// Starts upstreams with these software versions and lists them at the same moment.
+    pub async fn start_upstreams_of(
+        &self,
+        versions: &[&str],
+        scripts: Vec<Vec<Step>>,
+    ) -> Vec<FakeUpstream> {
+        let mut upstreams = Vec::new();
+        for (n, version) in versions.iter().enumerate() {
+            let upstream = FakeUpstream::start(&self.executor, scripts.clone()).await;
+            for one in &self.hosts {
+                let listed = entry_of(&format!("next-{n}"), version, upstream.address);
+                one.store.write_upstream(&listed.id.clone(), Some(listed));
+            }
+            upstreams.push(upstream);
+        }
+        let last = format!("next-{}", versions.len() - 1);
+        for one in &self.hosts {
+            until(|| one.host.upstreams.borrow().get(&last).is_some()).await;
+        }
+        upstreams
+    }
+
     /// Cuts the path of a host to an upstream. Its open connections stay.
     pub async fn cut(&self, host: usize, id: &str, cut: Cut) {
         let address = match cut {
--- a/src/entry/tests/lease_manager.rs
+++ b/src/entry/tests/lease_manager.rs
@@ -6,6 +6,7 @@
 use crate::entry::host::Host;
 use crate::entry::lease_manager::{append_for_peer, manage_lease};
 use crate::entry::peers::{self, Peers};
+use crate::entry::resumption::streams::Streams;
 use crate::group::Member;
 use crate::prelude::*;
 use crate::retry::RequestDigest;
@@ -44,7 +45,12 @@
         other.accepted.replace(fingerprints);
         let now = site.host.now();
         site.host.members.borrow_mut().replace(now, 1, both);
-        let serve = peers::serve(other_host, other, site.executor.clone());
+        let serve = peers::serve(
+            other_host,
+            other,
+            Rc::new(Streams::new(None)),
+            site.executor.clone(),
+        );
         site.executor.spawn(serve).detach();
         let keep = manage(&site.host, own, me);
         site.executor.spawn(keep).detach();
--- a/src/entry/tests/peers.rs
+++ b/src/entry/tests/peers.rs
@@ -2,8 +2,10 @@
 
 use super::site::{bind_peers, on_site, sync_request_from};
 use crate::entry::peers;
+use crate::entry::resumption::streams::Streams;
 use crate::ordering::message::{PeerCall, PeerReply, SyncReply, SyncRequest};
 use crate::prelude::*;
+use std::rc::Rc;
 
 fn sync_call() -> PeerCall {
     PeerCall::Sync(SyncRequest {
@@ -17,7 +19,12 @@
     on_site(|site| async move {
         let shared = Arc::new(smol::Executor::new());
         let (answering, asking) = (bind_peers(&shared), bind_peers(&shared));
-        let serve = peers::serve(site.host.clone(), answering.clone(), site.executor.clone());
+        let serve = peers::serve(
+            site.host.clone(),
+            answering.clone(),
+            Rc::new(Streams::new(None)),
+            site.executor.clone(),
+        );
         site.executor.spawn(serve).detach();
         let address = answering.address().expect("an address");
         let test = async {
--- a/src/entry/tests/relay_pair.rs
+++ b/src/entry/tests/relay_pair.rs
@@ -4,6 +4,7 @@
 use super::site::{Site, another_host, as_member, bind_peers, entry};
 use crate::entry::host::Host;
 use crate::entry::peers::{self, Peers};
+use crate::entry::resumption::streams::Streams;
 use crate::entry::table_sources::TableSources;
 use crate::group::Member;
 use crate::prelude::*;
@@ -64,7 +65,12 @@
             host.apply_member_list();
         }
         own.accepted.replace([me.fingerprint.clone()].into());
-        let serve = peers::serve(site.host.clone(), own, site.executor.clone());
+        let serve = peers::serve(
+            site.host.clone(),
+            own,
+            Rc::new(Streams::new(None)),
+            site.executor.clone(),
+        );
         site.executor.spawn(serve).detach();
         Self {
             shared,
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -4,12 +4,14 @@
 use super::fake_upstream::{FakeUpstream, Step};
 use crate::clock::Clock;
 use crate::desired::{CallerLimits, DesiredState, Organisation, Repeat, Route, Service};
+use crate::entry::active_request::CallerSide;
 use crate::entry::caller;
 use crate::entry::follow::follow;
 use crate::entry::host::Host;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{AcceptedFingerprints, Peers};
 use crate::entry::platform::Table;
+use crate::entry::resumption::streams::Streams;
 use crate::entry::settings::{EntrySettings, PlatformBounds};
 use crate::group::Member;
 use crate::http1::{BodyReader, Connection, ReadError, ResponseHead};
@@ -74,7 +76,10 @@
                 host.clone(),
                 executor.clone(),
                 listener,
-                None,
+                CallerSide {
+                    handoffs: None,
+                    streams: Rc::new(Streams::new(None)),
+                },
             ))
             .detach();
         executor
@@ -140,16 +145,32 @@
         scripts: Vec<Vec<Step>>,
     ) -> FakeUpstream {
         let upstream = FakeUpstream::start(&self.executor, scripts).await;
-        let listed = UpstreamEntry {
-            software_version: Some(version.into()),
-            ..entry(id, upstream.address)
-        };
+        let listed = entry_of(id, version, upstream.address);
         self.store.write_upstream(id, Some(listed));
         self.until(|host| host.upstreams.borrow().get(id).is_some())
             .await;
         upstream
     }
 
+    /// Starts upstreams with these software versions and lists them at the same moment.
+    pub async fn start_upstreams_of(
+        &self,
+        versions: &[&str],
+        scripts: Vec<Vec<Step>>,
+    ) -> Vec<FakeUpstream> {
+        let mut upstreams = Vec::new();
+        for (n, version) in versions.iter().enumerate() {
+            let upstream = FakeUpstream::start(&self.executor, scripts.clone()).await;
+            let listed = entry_of(&format!("next-{n}"), version, upstream.address);
+            self.store.write_upstream(&listed.id.clone(), Some(listed));
+            upstreams.push(upstream);
+        }
+        let last = format!("next-{}", versions.len() - 1);
+        self.until(|host| host.upstreams.borrow().get(&last).is_some())
+            .await;
+        upstreams
+    }
+
     /// Waits until a condition holds for the host.
     pub async fn until(&self, holds: impl Fn(&Host<FakePlatform>) -> bool) {
         while !holds(&self.host) {
@@ -274,6 +295,14 @@
     }
 }
 
+/// Returns the entry of a ready upstream of the service with this software version.
+pub fn entry_of(id: &str, version: &str, address: SocketAddr) -> UpstreamEntry {
+    UpstreamEntry {
+        software_version: Some(version.into()),
+        ..entry(id, address)
+    }
+}
+
 /// Returns the settings of a host that uses this one address for everything.
 pub fn settings(address: SocketAddr) -> EntrySettings {
     EntrySettings {
--- a/src/entry/tests/versions.rs
+++ b/src/entry/tests/versions.rs
@@ -42,6 +42,30 @@
     upstream.arrivals.borrow().len()
 }
 
+// Guards against one answer with events of two versions.
+#[test]
+fn a_stream_goes_on_only_at_the_version_that_began_it() {
+    on_site(|site| async move {
+        site.apply_route(resumable()).await;
+        let may_break = Rc::new(Cell::new(false));
+        let began = site
+            .start_upstream_of("u1", "v1", breaking(&may_break))
+            .await;
+        let mut caller = site.connect().await;
+        caller.send(REQUEST).await;
+        site.until(|_| arrivals(&began) == 1).await;
+        let versions = ["v2", "v2", "v2", "v2", "v1"];
+        let mut others = site.start_upstreams_of(&versions, rest()).await;
+        let same = others.pop().expect("it was started");
+        may_break.set(true);
+        let answer = caller.answer().await;
+        assert!(answer.is_whole, "{}", answer.body);
+        assert_eq!(answer.body, format!("{FIRST}{SECOND}"));
+        assert_eq!(arrivals(&same), 1);
+        assert!(others.iter().all(|other| arrivals(other) == 0));
+    });
+}
+
 // Guards against the same where no other upstream of the version serves.
 #[test]
 fn a_stream_whose_version_is_gone_does_not_look_complete() {
@@ -76,11 +100,9 @@
         let mut caller = hosts.connect(0).await;
         caller.send(REQUEST).await;
         until(|| arrivals(&began) == 1).await;
-        let mut others = Vec::new();
-        for id in ["u2", "u3", "u4"] {
-            others.push(hosts.start_upstream_of(id, "v2", rest()).await);
-        }
-        let same = hosts.start_upstream_of("u5", "v1", rest()).await;
+        let versions = ["v2", "v2", "v2", "v1"];
+        let mut others = hosts.start_upstreams_of(&versions, rest()).await;
+        let same = others.pop().expect("it was started");
         may_break.set(true);
         let answer = caller.answer().await;
         assert!(answer.is_whole, "{}", answer.body);
@@ -140,3 +162,66 @@
         assert_eq!(taken_up.head.headers.text("Last-Event-Id"), Some("1"));
     });
 }
+
+// Guards against a stream that goes on in another version when all of its own are gone.
+#[test]
+fn a_stream_that_is_taken_up_when_its_version_is_gone_is_refused_as_not_run() {
+    on_hosts(3, |hosts| async move {
+        begin_and_leave(&hosts).await;
+        let other = hosts.start_upstream_of("u2", "v2", rest()).await;
+        for host in 0..3 {
+            let answer = take_up(&hosts, host).await;
+            assert_eq!(answer.head.status, 503, "{}", answer.body);
+            assert!(
+                answer.body.contains("stream_version_gone"),
+                "{}",
+                answer.body
+            );
+        }
+        assert_eq!(arrivals(&other), 0);
+    });
+}
+
+// Guards against a host that guesses after the host that began the stream was lost.
+#[test]
+fn a_stream_whose_first_host_is_lost_goes_on_at_its_version() {
+    on_hosts(5, |hosts| async move {
+        begin_and_leave(&hosts).await;
+        // Its callers see the first event only after the record was sent; it need not have arrived.
+        while hosts.hosts[1..].iter().all(|one| one.streams.is_empty()) {
+            smol::future::yield_now().await;
+        }
+        hosts.hosts[0].peers.close();
+        let other = hosts.start_upstream_of("u2", "v2", rest()).await;
+        let same = hosts.start_upstream_of("u3", "v1", rest()).await;
+        for host in 1..5 {
+            let answer = take_up(&hosts, host).await;
+            assert_eq!(answer.head.status, 200, "{}", answer.body);
+        }
+        assert_eq!(arrivals(&same), 4);
+        assert_eq!(arrivals(&other), 0);
+    });
+}
+
+// Guards against a host that guesses when nobody knows which version began a stream.
+#[test]
+fn a_stream_of_an_unknown_version_is_refused_as_not_run_with_a_time_to_come_back() {
+    on_hosts(3, |hosts| async move {
+        hosts.apply_route(resumable()).await;
+        let mut upstreams = Vec::new();
+        for (id, version) in [("u1", "v1"), ("u2", "v2")] {
+            upstreams.push(hosts.start_upstream_of(id, version, rest()).await);
+        }
+        for host in 0..3 {
+            let answer = hosts.call(host, TAKE_UP).await;
+            assert_eq!(answer.head.status, 503, "{}", answer.body);
+            assert!(
+                answer.body.contains("stream_version_unknown"),
+                "{}",
+                answer.body
+            );
+            assert!(answer.head.headers.text("Retry-After").is_some());
+        }
+        assert!(upstreams.iter().all(|one| arrivals(one) == 0));
+    });
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -65,6 +65,10 @@
     EditPending,
     /// This process has a defect.
     Internal,
+    /// No host in reach knows which software version began the stream that is taken up.
+    StreamVersionUnknown,
+    /// No upstream of the software version that began the stream serves any more.
+    StreamVersionGone,
 }
 
 /// Whether any part of a request was run, as told to the caller, who decides by it about a retry.
@@ -92,7 +96,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order in which the documentation lists them.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 31] = [
         Self::BadRequest,
         Self::BadCredential,
         Self::Forbidden,
@@ -122,6 +126,8 @@
         Self::EditInvalid,
         Self::EditPending,
         Self::Internal,
+        Self::StreamVersionUnknown,
+        Self::StreamVersionGone,
     ];
 
     /// Returns the kind's name as it is written in answers, metrics and logs.
@@ -156,6 +162,8 @@
             Self::EditInvalid => "edit_invalid",
             Self::EditPending => "edit_pending",
             Self::Internal => "internal",
+            Self::StreamVersionUnknown => "stream_version_unknown",
+            Self::StreamVersionGone => "stream_version_gone",
         }
     }
 
@@ -215,6 +223,13 @@
                 "repeat the command with the same edit id",
             ),
             Self::Internal => line(500, Unknown, false, "report this with the request id"),
+            Self::StreamVersionUnknown => line(
+                503,
+                NotRun,
+                true,
+                "take the stream up again after the given time, or begin anew",
+            ),
+            Self::StreamVersionGone => line(503, NotRun, false, "begin the stream anew"),
         }
     }
 }
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -137,6 +137,10 @@
     StreamResumed = 706,
     /// A request was not sent, because upstreams that run it crash.
     RequestQuarantined = 707,
+    /// A caller took an interrupted stream up.
+    StreamTakenUp = 708,
+    /// Records of which software version began a stream were not sent to a host that keeps them.
+    StreamRecordsUnsent = 709,
     /// This host claimed an operation, so that no other host runs it.
     ClaimMade = 800,
     /// The claim of an operation ended.
@@ -209,6 +213,8 @@
         Self::CallerGone,
         Self::StreamResumed,
         Self::RequestQuarantined,
+        Self::StreamTakenUp,
+        Self::StreamRecordsUnsent,
         Self::ClaimMade,
         Self::ClaimEnded,
     ];
--- a/src/handoff/message.rs
+++ b/src/handoff/message.rs
@@ -4,6 +4,7 @@
 use crate::entry::platform::ModelRef;
 use crate::error::Ran;
 use crate::prelude::*;
+use crate::resumption::message::SentVersion;
 
 /// The longest offer and the longest reply to one.
 pub const MAX_OFFER_BYTES: usize = 4 << 10;
@@ -19,6 +20,8 @@
     pub service: Name,
     /// The model that the request asks for, if the service's upstreams are engines.
     pub model: Option<ModelRef>,
+    /// The software version that the upstream must have, where an interrupted stream goes on.
+    pub software_version: Option<Name>,
     /// The version of the desired state that the request was routed by. A host that has an older
     /// one must not serve it.
     pub version: u64,
@@ -77,6 +80,8 @@
     pub runs: u32,
     /// The id of the last event that the caller has, where an interrupted stream is resumed.
     pub resume_after: Option<String>,
+    /// The software version that the upstream must have, where an interrupted stream goes on.
+    pub software_version: Option<Name>,
 }
 
 /// A refusal in a form that needs no field names. It names no other hosts.
@@ -130,7 +135,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum AnswerStart {
     /// An upstream's answer follows in the form of HTTP/1.1.
-    Answered,
+    Answered {
+        /// The software version of the upstream; none if the host does not know it.
+        version: Option<SentVersion>,
+    },
     /// The request is refused; nothing follows.
     Refused(HandedRefusal),
     /// The host found out that it reaches no upstream either; the request has not run.
--- a/src/handoff/tests/message.rs
+++ b/src/handoff/tests/message.rs
@@ -5,6 +5,8 @@
 use crate::handoff::{AnswerStart, HandedRequest, Offer, OfferReply};
 use crate::handoff::{DeclineReason, message::HandedRefusal};
 use crate::prelude::*;
+use crate::resumption::message::SentVersion;
+use crate::upstreams::Lifetime;
 use std::fmt::Debug;
 
 fn assert_returns<T>(message: T)
@@ -26,6 +28,7 @@
     assert_returns(Offer {
         service: "s".into(),
         model: None,
+        software_version: Some("v1".into()),
         version: 7,
         body_bytes: 3,
     });
@@ -39,8 +42,20 @@
         sends: 1,
         runs: 0,
         resume_after: Some("4".to_string()),
+        software_version: None,
+    });
+    assert_returns(AnswerStart::Answered { version: None });
+    let lifetime = Lifetime {
+        id: "u1".into(),
+        born_at: Millis(7),
+    };
+    let version = SentVersion {
+        version: "v1".into(),
+        start: Some((lifetime, Millis(30))),
+    };
+    assert_returns(AnswerStart::Answered {
+        version: Some(version),
     });
-    assert_returns(AnswerStart::Answered);
     assert_returns(AnswerStart::OutOfReach);
     for kind in ErrorKind::ALL {
         let refusal = Refusal::new(kind, "why").with_retry_after(Millis(300));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prelude;
 pub mod rate_limit;
 mod rendezvous;
+pub mod resumption;
 pub mod retry;
 pub mod routing;
 pub mod settings;
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -12,6 +12,7 @@
 use crate::ordering::published::{EnginesUpdate, EnginesVersion};
 use crate::prelude::*;
 use crate::rate_limit::{LimitsUpdate, UpstreamLimitsReport, UpstreamLimitsUpdate, Usage};
+use crate::resumption::{StreamKey, StreamRecord};
 use crate::retry::{CrashReport, CrashUpdate};
 use crate::routing::pick::UpstreamLoad;
 use crate::upstreams::HeldModel;
@@ -176,6 +177,12 @@
     List(ListRequest),
     /// Requests the newest desired state.
     Desired,
+    /// Keeps records of streams; at most [`MAX_BATCH_RECORDS`] of them.
+    ///
+    /// [`MAX_BATCH_RECORDS`]: crate::resumption::message::MAX_BATCH_RECORDS
+    KeepStreams(Vec<StreamRecord>),
+    /// Asks for the record of a stream.
+    FindStream(StreamKey),
 }
 
 /// The answer to a call between hosts.
@@ -192,6 +199,10 @@
     /// The answer to [`PeerCall::Desired`]; `None` if the called host is no relay, or has read no
     /// desired state since it became one.
     Desired(Option<DesiredCopy>),
+    /// The answer to [`PeerCall::KeepStreams`].
+    KeptStreams,
+    /// The answer to [`PeerCall::FindStream`]; `None` if the called host has no record.
+    Stream(Option<StreamRecord>),
 }
 
 /// The orderer's or a relay's answer to a host.
--- /dev/null
+++ b/src/resumption/version.rs
@@ -0,0 +1,84 @@
+//! The software version of the upstream that sent a part of a stream, and what proves it.
+
+use crate::prelude::*;
+use crate::upstreams::{Lifetime, Registry};
+
+/// How long after its start an upstream may take to write its entry.
+const ENTRY_DELAY_MS: Millis = Millis(300);
+
+/// The software version of the upstream that sent a part of a stream, as the list stated it when the
+/// request was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamVersion {
+    /// The version.
+    pub version: Name,
+    /// The start of the upstream that the version rests on; none where an upstream's name stands for
+    /// a single start, since no other one runs a request that names it.
+    pub start: Option<UpstreamStart>,
+}
+
+/// The start of an upstream that may start again under its name, in another version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamStart {
+    /// The lifetime that the list had.
+    pub lifetime: Lifetime,
+    /// When the connection to it was opened. It ends when the upstream does.
+    pub connected_at: Millis,
+}
+
+/// Whether the list of upstreams proves the version of a part of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// The upstream had this version.
+    Proven,
+    /// A newer copy of the list is needed: the upstream may have started again before the connection
+    /// was opened.
+    Pending,
+    /// The upstream has started again in another version, before or after the connection was opened.
+    Refuted,
+}
+
+impl StreamVersion {
+    /// Returns the version of the lifetime in a registry, for an answer that came over a connection
+    /// opened at `connected_at`. None if the list has no such lifetime or names no version.
+    pub fn of(upstreams: &Registry, lifetime: &Lifetime, connected_at: Millis) -> Option<Self> {
+        let upstream = upstreams.get_lifetime(lifetime)?;
+        let start = UpstreamStart {
+            lifetime: lifetime.clone(),
+            connected_at,
+        };
+        Some(Self {
+            version: upstream.software_version()?.clone(),
+            start: (lifetime.born_at > Millis::ZERO).then_some(start),
+        })
+    }
+
+    /// Tells whether a copy of the list that is as new as the store's at `list_as_of` proves the
+    /// version.
+    pub fn prove(&self, upstreams: &Registry, list_as_of: Option<Millis>) -> Proof {
+        let Some(start) = &self.start else {
+            return Proof::Proven;
+        };
+        if has_other_version(upstreams, &start.lifetime, &self.version) {
+            return Proof::Refuted;
+        }
+        let needed_at = start.connected_at + ENTRY_DELAY_MS;
+        match list_as_of.is_some_and(|as_of| as_of >= needed_at) {
+            true => Proof::Proven,
+            false => Proof::Pending,
+        }
+    }
+}
+
+/// Tells whether an upstream has started again since a lifetime, in another or in an unknown version.
+fn has_other_version(upstreams: &Registry, lifetime: &Lifetime, version: &Name) -> bool {
+    match upstreams.get(&lifetime.id) {
+        Some(known) if known.entry.born_at != lifetime.born_at => {
+            known.entry.software_version.as_ref() != Some(version)
+        }
+        Some(_) => false,
+        None => upstreams
+            .last_start(&lifetime.id)
+            .is_some_and(|born_at| born_at > lifetime.born_at),
+    }
+}
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -8,6 +8,7 @@
 pub mod reach;
 pub mod registry;
 pub mod rejections;
+pub mod versions;
 
 #[cfg(test)]
 mod tests;
@@ -19,6 +20,7 @@
 pub use registry::{Registry, Upstream};
 pub use rejections::RejectionLimit;
 use std::net::SocketAddr;
+pub use versions::VersionHistory;
 
 /// The entry in the platform's list for one lifetime of an upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -7,7 +7,7 @@
 use crate::upstreams::index::ListIndex;
 use crate::upstreams::{
     Health, Lifetime, Notice, NoticeChange, Notices, Path, RejectionLimit, UpstreamContact,
-    UpstreamEntry,
+    UpstreamEntry, VersionHistory,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -161,6 +161,8 @@
 pub struct Registry {
     pub(super) upstreams: IndexMap<Name, Upstream>,
     index: ListIndex,
+    /// The software versions that the services' upstreams have had.
+    versions: VersionHistory,
     /// The names of the upstreams with requests of this host in progress.
     busy: IndexSet<Name>,
     /// The last lifetimes of removed upstreams, by name.
@@ -212,12 +214,15 @@
         if self.is_past(&entry) {
             return Change::Unchanged;
         }
+        let list_as_of = self.list_as_of();
         match self.upstreams.get_mut(&entry.id) {
             Some(upstream) if entry.born_at < upstream.entry.born_at => Change::Unchanged,
             Some(upstream) if entry.born_at > upstream.entry.born_at => {
                 self.busy.swap_remove(&entry.id);
                 self.index.remove(&upstream.entry);
                 self.index.add(&entry);
+                self.versions.remove(&upstream.entry, list_as_of);
+                self.versions.add(&entry);
                 self.version += 1;
                 *upstream = Upstream::new(entry);
                 Change::Restarted
@@ -234,6 +239,12 @@
                     self.index.remove(&upstream.entry);
                     self.index.add(&entry);
                 }
+                let version_unchanged = upstream.entry.service == entry.service
+                    && upstream.entry.software_version == entry.software_version;
+                if !version_unchanged {
+                    self.versions.remove(&upstream.entry, list_as_of);
+                    self.versions.add(&entry);
+                }
                 upstream.entry = UpstreamEntry { leaving, ..entry };
                 match (starts_leaving, is_unchanged) {
                     (true, _) => Change::Leaving,
@@ -245,6 +256,7 @@
                 let past = self.past.swap_remove(&entry.id);
                 let same = past.filter(|past| past.born_at == entry.born_at);
                 self.index.add(&entry);
+                self.versions.add(&entry);
                 self.version += 1;
                 let upstream = Upstream {
                     notices: same.map_or_else(Notices::default, |past| past.notices),
@@ -314,6 +326,7 @@
     /// Replaces the list by a full one; entries that it lacks are removed. Returns the changes by
     /// name.
     pub fn replace(&mut self, now: Millis, entries: Vec<UpstreamEntry>) -> Vec<(Name, Change)> {
+        self.versions.restart(now);
         let listed: IndexSet<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
         let missing: Vec<Name> = self
             .upstreams
@@ -380,6 +393,23 @@
         (upstream.entry.born_at == lifetime.born_at).then_some(upstream)
     }
 
+    /// Returns the only software version that a service has had for `lasts_ms`, if there is one; see
+    /// [`VersionHistory::sole_version`].
+    pub fn sole_version(&self, now: Millis, service: &str, lasts_ms: Millis) -> Option<&Name> {
+        self.versions.sole_version(now, service, lasts_ms)
+    }
+
+    /// Tells whether an upstream of a service that is not leaving has a software version.
+    pub fn serves_version(&self, service: &str, version: &Name) -> bool {
+        let mut serving = self.serving(service);
+        serving
+            .any(|upstream| !upstream.is_leaving() && upstream.software_version() == Some(version))
+    }
+
+    fn list_as_of(&self) -> Millis {
+        self.last_reached_at.unwrap_or(Millis::ZERO)
+    }
+
     /// Returns the start of the last lifetime of a removed upstream.
     pub fn last_start(&self, id: &str) -> Option<Millis> {
         self.past.get(id).map(|past| past.born_at)
@@ -495,6 +525,7 @@
         self.version += 1;
         self.busy.swap_remove(id);
         self.index.remove(&upstream.entry);
+        self.versions.remove(&upstream.entry, self.list_as_of());
         let past = PastLifetime {
             born_at: upstream.entry.born_at,
             is_over: is_over || upstream.is_leaving(),
