A model of streams over versions, hosts and cuts; versions settle once proven

A model without network (upstreams of two and three versions, releases back and forth, starts under a kept name; hosts killed, still, cut off from the list or from each other, lists that lag; callers that come at once and late, to any host) mixed streams on the code before: an upstream that started twice, the second time in the first one's version, seemed to prove it. A later start now refutes a version, and hosts settle the records they keep as soon as their list proves them, so that later starts do not matter.

--- a/src/entry/resumption/proof.rs
+++ b/src/entry/resumption/proof.rs
@@ -55,7 +55,7 @@
 }
 
 /// Returns the time as of which this host's copy of the list is as new as the store's.
-fn list_as_of<P: Platform>(host: &Host<P>) -> Option<Millis> {
+pub fn list_as_of<P: Platform>(host: &Host<P>) -> Option<Millis> {
     let now = host.now();
     let end = host.replication.end(now, Table::Upstreams)?;
     Some(now - end.age_ms)
--- a/src/entry/resumption/streams.rs
+++ b/src/entry/resumption/streams.rs
@@ -6,6 +6,7 @@
 use crate::entry::lines;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
+use crate::entry::resumption::proof::list_as_of;
 use crate::group::Member;
 use crate::http1::client::with_timeout;
 use crate::ordering::message::{PeerCall, PeerReply};
@@ -75,13 +76,19 @@
         let now = host.now();
         let key = StreamKey::of(id);
         let lasts_ms = request.deadline_at.since(now) + TAKE_UP_MS;
+        let mut version = version.cloned();
+        if let Some(version) = &mut version {
+            version.settle(&host.upstreams.borrow(), list_as_of(host));
+        }
         let mut records = self.records.borrow_mut();
-        records.insert(now, key, version.cloned(), lasts_ms);
+        records.insert(now, key, version.clone(), lasts_ms);
         drop(records);
         let Some((_, me)) = &self.network else { return };
         let record = StreamRecord {
             key,
-            version: version.map(|version| SentVersion::new(version, now)),
+            version: version
+                .as_ref()
+                .map(|version| SentVersion::new(version, now)),
             lasts_ms,
         };
         let members = host.members.borrow();
@@ -159,9 +166,12 @@
         self.records.borrow().record(host.now(), key)
     }
 
-    /// Drops records whose time is over.
-    pub fn expire(&self, now: Millis) {
-        self.records.borrow_mut().expire(now);
+    /// Settles the versions of records by this host's copy of the list, and drops records whose time
+    /// is over.
+    pub fn sweep<P: Platform>(&self, host: &Host<P>) {
+        let mut records = self.records.borrow_mut();
+        records.settle(&host.upstreams.borrow(), list_as_of(host));
+        records.expire(host.now());
     }
 
     /// Returns whether this host has no records.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -227,7 +227,7 @@
         let now = host.now();
         host.pool.expire(now);
         handoffs.expire(now);
-        streams.expire(now);
+        streams.sweep(&host);
         let expired = host.upstreams.borrow_mut().expire(now);
         for id in &expired {
             host.pool.close_idle(id);
--- a/src/resumption/mod.rs
+++ b/src/resumption/mod.rs
@@ -16,6 +16,9 @@
 pub mod records;
 pub mod version;
 
+#[cfg(test)]
+mod tests;
+
 pub use keepers::keepers;
 pub use message::{StreamKey, StreamRecord};
 pub use records::StreamRecords;
--- a/src/resumption/records.rs
+++ b/src/resumption/records.rs
@@ -2,7 +2,8 @@
 
 use crate::prelude::*;
 use crate::resumption::message::SentVersion;
-use crate::resumption::{StreamKey, StreamRecord, StreamVersion};
+use crate::resumption::{Proof, StreamKey, StreamRecord, StreamVersion};
+use crate::upstreams::Registry;
 
 /// The most records of a host: some 10 MB.
 pub const MAX_RECORDS: usize = 65_536;
@@ -86,6 +87,19 @@
         })
     }
 
+    /// Settles the versions that a copy of the list proves or refutes.
+    pub fn settle(&mut self, upstreams: &Registry, list_as_of: Option<Millis>) {
+        for kept in self.records.values_mut() {
+            let proof = match &mut kept.version {
+                Some(version) => version.settle(upstreams, list_as_of),
+                None => continue,
+            };
+            if proof == Proof::Refuted {
+                kept.version = None;
+            }
+        }
+    }
+
     /// Drops the records whose time is over.
     pub fn expire(&mut self, now: Millis) {
         self.records.retain(|_, kept| now < kept.until);
--- a/src/resumption/version.rs
+++ b/src/resumption/version.rs
@@ -34,7 +34,7 @@
     /// A newer copy of the list is needed: the upstream may have started again before the connection
     /// was opened.
     Pending,
-    /// The upstream has started again in another version, before or after the connection was opened.
+    /// The upstream has started again, before or after the connection was opened.
     Refuted,
 }
 
@@ -59,7 +59,8 @@
         let Some(start) = &self.start else {
             return Proof::Proven;
         };
-        if has_other_version(upstreams, &start.lifetime, &self.version) {
+        // Between two starts in one version there may have been one in another.
+        if has_later_start(upstreams, &start.lifetime) {
             return Proof::Refuted;
         }
         let needed_at = start.connected_at + ENTRY_DELAY_MS;
@@ -68,17 +69,24 @@
             false => Proof::Pending,
         }
     }
-}
 
-/// Tells whether an upstream has started again since a lifetime, in another or in an unknown version.
-fn has_other_version(upstreams: &Registry, lifetime: &Lifetime, version: &Name) -> bool {
-    match upstreams.get(&lifetime.id) {
-        Some(known) if known.entry.born_at != lifetime.born_at => {
-            known.entry.software_version.as_ref() != Some(version)
+    /// Drops what the version rests on once it is proven, so that later starts of the upstream say
+    /// nothing about it.
+    pub fn settle(&mut self, upstreams: &Registry, list_as_of: Option<Millis>) -> Proof {
+        let proof = self.prove(upstreams, list_as_of);
+        if proof == Proof::Proven {
+            self.start = None;
         }
-        Some(_) => false,
-        None => upstreams
-            .last_start(&lifetime.id)
-            .is_some_and(|born_at| born_at > lifetime.born_at),
+        proof
     }
 }
+
+/// Tells whether an upstream has started again since a lifetime, as far as a registry knows.
+fn has_later_start(upstreams: &Registry, lifetime: &Lifetime) -> bool {
+    let known = upstreams.get(&lifetime.id);
+    let last = match known {
+        Some(known) => Some(known.entry.born_at),
+        None => upstreams.last_start(&lifetime.id),
+    };
+    last.is_some_and(|born_at| born_at > lifetime.born_at)
+}
