Tell other hosts how many requests upstreams can turn away

The number goes with the reports to the orderer or a relay and back, with its age; it ends 10 s after the last answer that stated it, wherever it was told, and not at a host to which a later answer said nothing. Test: entry::tests::sync (there was no such message before).

--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -7,6 +7,7 @@
 use crate::entry::limits;
 use crate::entry::platform::ModelRef;
 use crate::entry::sync::answer;
+use crate::entry::upstream_limits;
 use crate::group::Member;
 use crate::ordering::demand::RequestCounts;
 use crate::ordering::message::{OrdererUpdate, SyncReply, SyncRequest};
@@ -20,6 +21,7 @@
 use crate::routing::pick::UpstreamLoad;
 use crate::test_support::member;
 use crate::upstreams::Lifetime;
+use crate::upstreams::rejections::ToldRejectionLimit;
 
 const ASKER: u64 = 7;
 
@@ -325,7 +327,7 @@
         };
         let upstream_limits = UpstreamLimitsReport {
             stated: vec![limit],
-            usage: Vec::new(),
+            ..UpstreamLimitsReport::default()
         };
         let report = SyncRequest {
             crashes,
@@ -351,3 +353,44 @@
         );
     });
 }
+
+// Guards against a host that sends an upstream more than it can turn away because only other hosts
+// have had an answer of it.
+#[test]
+fn hosts_tell_each_other_how_many_requests_upstreams_can_turn_away() {
+    on_site(|site| async move {
+        make_relay(&site.host);
+        site.start_upstream("u1", vec![vec![]]).await;
+        let told = ToldRejectionLimit {
+            service: "s".into(),
+            per_s: 2,
+            age_ms: Millis(9_900),
+        };
+        let upstream_limits = UpstreamLimitsReport {
+            rejections: vec![told],
+            ..UpstreamLimitsReport::default()
+        };
+        let request = SyncRequest {
+            upstream_limits,
+            ..sync_request()
+        };
+        let SyncReply::NoNews { totals } = answer(&site.host, request) else {
+            panic!("a relay without an orderer has no news");
+        };
+        let passed_on = &totals.upstream_limits.rejections;
+        assert_eq!((&*passed_on[0].service, passed_on[0].per_s), ("s", 2));
+        let limit = |host: &Host<FakePlatform>| {
+            let upstreams = host.upstreams.borrow();
+            let upstream = upstreams.get("u1").expect("it is listed");
+            upstreams.rejection_limit(host.now(), upstream)
+        };
+        assert_eq!(limit(&site.host).map(|limit| limit.per_s), Some(2));
+        // It ends with the statement itself, not with its last message.
+        site.until(|host| limit(host).is_none()).await;
+        assert!(limits_reported(&site.host).is_empty());
+    });
+}
+
+fn limits_reported(host: &Host<FakePlatform>) -> Vec<ToldRejectionLimit> {
+    upstream_limits::report(host).rejections
+}
--- a/src/entry/upstream_limits.rs
+++ b/src/entry/upstream_limits.rs
@@ -10,6 +10,7 @@
     Refused, StatedLimit, UpstreamLimits, UpstreamLimitsReport, UpstreamLimitsUpdate,
 };
 use crate::upstreams::Lifetime;
+use crate::upstreams::rejections::ToldRejectionLimit;
 
 #[derive(Serialize)]
 struct LimitLine<'a> {
@@ -57,23 +58,31 @@
 
 /// Returns the use and the stated limits for this host's next message to a relay or the orderer.
 pub fn report<P: Platform>(host: &Host<P>) -> UpstreamLimitsReport {
-    with_limits(host, |limits, now| limits.report(now))
+    UpstreamLimitsReport {
+        rejections: host.upstreams.borrow().told_rejection_limits(host.now()),
+        ..with_limits(host, |limits, now| limits.report(now))
+    }
 }
 
 /// Adds what another host reports.
 pub fn merge_report<P: Platform>(host: &Host<P>, report: &UpstreamLimitsReport) {
     merge_stated(host, &report.stated);
+    merge_rejections(host, &report.rejections);
     with_limits(host, |limits, now| limits.record_usage(now, &report.usage));
 }
 
 /// Returns the stated limits and current levels, for this host's reply to hosts that report to it.
 pub fn build_update<P: Platform>(host: &Host<P>) -> UpstreamLimitsUpdate {
-    with_limits(host, |limits, now| limits.build_update(now))
+    UpstreamLimitsUpdate {
+        rejections: host.upstreams.borrow().told_rejection_limits(host.now()),
+        ..with_limits(host, |limits, now| limits.build_update(now))
+    }
 }
 
 /// Applies the reply to a message, sent at `asked_at`, that carried this host's report.
 pub fn apply_update<P: Platform>(host: &Host<P>, asked_at: Millis, update: UpstreamLimitsUpdate) {
     merge_stated(host, &update.stated);
+    merge_rejections(host, &update.rejections);
     with_limits(host, |limits, _| {
         limits.apply_reply(asked_at, update.levels)
     });
@@ -88,6 +97,13 @@
     }
 }
 
+fn merge_rejections<P: Platform>(host: &Host<P>, told: &[ToldRejectionLimit]) {
+    let now = host.now();
+    host.upstreams
+        .borrow_mut()
+        .merge_rejection_limits(now, told);
+}
+
 fn with_limits<P: Platform, T>(
     host: &Host<P>,
     with: impl FnOnce(&mut UpstreamLimits, Millis) -> T,
--- a/src/rate_limit/upstream_limits.rs
+++ b/src/rate_limit/upstream_limits.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 use crate::rate_limit::limiter::{Coverage, Limiter};
 use crate::rate_limit::{Decision, LimitsUpdate, Usage};
+use crate::upstreams::rejections::ToldRejectionLimit;
 
 /// Burst of such a limit, in requests: small, because an upstream that states a limit is
 /// overloaded.
@@ -39,6 +40,8 @@
     pub stated: Vec<StatedLimit>,
     /// Requests sent to upstreams with a limit that have not been reported yet.
     pub usage: Vec<Usage>,
+    /// How many requests upstreams can turn away.
+    pub rejections: Vec<ToldRejectionLimit>,
 }
 
 /// Answer of a parent to an [`UpstreamLimitsReport`].
@@ -48,6 +51,8 @@
     pub stated: Vec<StatedLimit>,
     /// What is left of the limits.
     pub levels: Option<LimitsUpdate>,
+    /// How many requests upstreams can turn away.
+    pub rejections: Vec<ToldRejectionLimit>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -177,6 +182,7 @@
         UpstreamLimitsReport {
             stated: self.stated(now),
             usage: self.limiter.report(now),
+            rejections: Vec::new(),
         }
     }
 
@@ -190,6 +196,7 @@
         UpstreamLimitsUpdate {
             stated: self.stated(now),
             levels: Some(self.limiter.build_update(now, &self.limits)),
+            rejections: Vec::new(),
         }
     }
 
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -185,6 +185,8 @@
     pub(super) lost_services: IndexMap<Name, Millis>,
     /// How many requests the upstreams of a service can turn away, where their answers state it.
     pub(super) rejection_limits: IndexMap<Name, RejectionLimit>,
+    /// When an answer last said that the upstreams of a service state no such number any more.
+    pub(super) rejections_unlimited_at: IndexMap<Name, Millis>,
 }
 
 impl Registry {
--- a/src/upstreams/rejections.rs
+++ b/src/upstreams/rejections.rs
@@ -4,8 +4,8 @@
 //! A request can be turned away from when it is sent until its answer begins. Each upstream is
 //! assigned to as many hosts as it may turn requests away in a second, or fewer, and these share the
 //! number of requests that may be unanswered there. A host whose request was turned away pauses for
-//! a second. So no more requests can be turned away in any second than the upstream withstands,
-//! without a message between hosts.
+//! a second. So no more requests can be turned away in any second than the upstream withstands.
+//! Hosts tell each other the number, so that one which has had no answer yet knows it.
 
 use crate::prelude::*;
 use crate::rendezvous;
@@ -17,6 +17,21 @@
 /// counts over, and the time of a request on its way.
 pub const PAUSE_MS: Millis = Millis(1_100);
 
+/// The most services of which a host tells another one.
+const MAX_TOLD: usize = 256;
+
+/// How many requests in a second the upstreams of a service can turn away, as one host tells
+/// another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldRejectionLimit {
+    /// The name of the service.
+    pub service: Name,
+    /// The number in a second, for one upstream and all hosts together.
+    pub per_s: u32,
+    /// How long ago an answer stated it.
+    pub age_ms: Millis,
+}
+
 /// How many requests in a second the upstreams of a service can turn away, as their answers state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RejectionLimit {
@@ -85,7 +100,38 @@
                 self.rejection_limits.insert(service, limit);
             }
             None => {
-                self.rejection_limits.swap_remove(&service);
+                if self.rejection_limits.swap_remove(&service).is_some() {
+                    self.rejections_unlimited_at.insert(service, now);
+                }
+            }
+        }
+    }
+
+    /// Returns the limits that answers state at present, for other hosts.
+    pub fn told_rejection_limits(&self, now: Millis) -> Vec<ToldRejectionLimit> {
+        let limits = self.rejection_limits.iter();
+        let current = limits.filter(|(_, limit)| limit.is_current(now));
+        let told = current.map(|(service, limit)| ToldRejectionLimit {
+            service: service.clone(),
+            per_s: limit.per_s,
+            age_ms: now.since(limit.stated_at),
+        });
+        told.take(MAX_TOLD).collect()
+    }
+
+    /// Adds the limits that answers stated to other hosts, unless a later answer to this host says
+    /// something else.
+    pub fn merge_rejection_limits(&mut self, now: Millis, told: &[ToldRejectionLimit]) {
+        for told in told.iter().take(MAX_TOLD) {
+            let limit = RejectionLimit::new(told.per_s, now - told.age_ms);
+            let known = self.rejection_limits.get(&told.service);
+            let is_newer = known.is_none_or(|known| known.stated_at < limit.stated_at)
+                && self
+                    .rejections_unlimited_at
+                    .get(&told.service)
+                    .is_none_or(|at| *at < limit.stated_at);
+            if is_newer && limit.is_current(now) {
+                self.rejection_limits.insert(told.service.clone(), limit);
             }
         }
     }
