--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod filling;
 pub mod plan;
 pub mod start;
+pub mod streams;
 mod text;
 pub mod world;
 
@@ -57,6 +58,8 @@
     pub filling: filling::Filling,
     /// The plan of the orderer.
     pub plan: plan::Plan,
+    /// The records of which software version began a stream.
+    pub streams: streams::Streams,
 }
 
 /// Measures a site; `seed` draws when hosts speak.
@@ -71,6 +74,7 @@
         start,
         filling: filling::measure(&world, seed),
         plan: plan::measure(&world),
+        streams: streams::measure(&world, seed),
     }
 }
 
--- a/bench/src/fleet/text.rs
+++ b/bench/src/fleet/text.rs
@@ -6,7 +6,7 @@
 /// A line of the table: its name, and the figure of one size.
 type Line = (&'static str, fn(&Measured) -> f64);
 
-const LINES: [Line; 31] = [
+const LINES: [Line; 37] = [
     ("hosts", |m| m.size.hosts as f64),
     ("engines", |m| m.size.engines as f64),
     ("relays", |m| m.exchange.relays as f64),
@@ -74,6 +74,20 @@
     }),
     ("plan: engines looked at, an order", |m| m.plan.order_looks),
     ("plan: an order, us", |m| m.plan.order_us),
+    ("streams: hosts that keep records", |m| {
+        m.streams.keeping_hosts as f64
+    }),
+    ("streams: records sent by a host/s", |m| {
+        m.streams.sent_per_s
+    }),
+    ("streams: the same, bytes/s", |m| m.streams.sent_bytes_per_s),
+    ("streams: records kept by such a host/s", |m| {
+        m.streams.kept_per_s
+    }),
+    ("streams: the same, bytes/s", |m| m.streams.kept_bytes_per_s),
+    ("streams: records at the busiest host/s", |m| {
+        m.streams.busiest_kept_per_s
+    }),
 ];
 
 /// Returns the figures, one line each, and the exponent of their growth between the last two sizes.
--- a/bench/tests/fleet.rs
+++ b/bench/tests/fleet.rs
@@ -92,3 +92,19 @@
     );
     assert!(large.plan.order_looks <= 600.0);
 }
+
+/// Guards against records of streams that grow with the hosts, sent, kept or in connections.
+#[test]
+fn records_of_streams_grow_no_faster_than_the_square_root_of_the_hosts() {
+    let sites = sites();
+    let figures: [fn(&Measured) -> f64; 3] = [
+        |site| site.streams.sent_per_s,
+        |site| site.streams.kept_per_s,
+        |site| site.streams.keeping_hosts as f64,
+    ];
+    for (n, figure) in figures.into_iter().enumerate() {
+        // The number of hosts that keep records is rounded up.
+        let grows = (growth(sites, figure) * 100.0).round() / 100.0;
+        assert!(grows <= 0.5, "figure {n}: to the power of {grows}");
+    }
+}
