Load a lost model at an engine of the version that held it

A model whose engine crashed or was replaced was loaded at the cheapest engine of any software version; interrupted streams of it can go on at its own version only. The first new copy now costs as much more at another version as a load from the weight store does. With one version nothing changes. Test: the lost model went to the first engine whatever its version before.

--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -228,6 +228,11 @@
         .filter(|upstream| is_engine(&upstream.entry.service))
         .map(|upstream| (upstream.lifetime(), upstream.entry.service.clone()));
     orders.inventory.set_engines(now, engines);
+    let versions = upstreams.iter().filter_map(|upstream| {
+        let version = upstream.software_version()?;
+        Some((upstream.entry.id.clone(), version.clone()))
+    });
+    orders.inventory.set_versions(versions);
 }
 
 fn plan_orders<P: Platform>(
--- a/src/ordering/engine_inventory.rs
+++ b/src/ordering/engine_inventory.rs
@@ -27,6 +27,8 @@
 /// With thousands of engines, each engine's report is therefore read less often than every
 /// [`IDLE_REPORT_INTERVAL_MS`].
 const MIN_REPORT_SPACING_MS: Millis = Millis(5);
+/// The most models whose last engine's software version is remembered.
+const MAX_LAST_VERSIONS: usize = 4_096;
 
 /// The changes of engines since the last call of [`EngineInventory::take_changes`].
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -49,6 +51,10 @@
     /// Engines that have, or had, memory reserved for a model.
     reserving: IndexSet<Name>,
     needs_engine_list: bool,
+    /// The software versions of the engines whose entries state one.
+    versions: IndexMap<Name, Name>,
+    /// The software version of the engine that held a model and was removed last.
+    last_versions: IndexMap<Name, Name>,
     engines_visited: Cell<u64>,
 }
 
@@ -81,6 +87,7 @@
             return;
         };
         self.index.remove(&engine);
+        self.note_lost_models(&engine);
         self.changed.swap_remove(id);
         self.reserving.swap_remove(id);
         self.gone.push(engine.lifetime());
@@ -114,6 +121,34 @@
         }
     }
 
+    /// Sets the software versions of the engines.
+    pub fn set_versions(&mut self, versions: impl Iterator<Item = (Name, Name)>) {
+        self.versions = versions.collect();
+    }
+
+    /// Returns the software version of an engine, if its entry states it.
+    pub fn version(&self, id: &str) -> Option<&Name> {
+        self.versions.get(id)
+    }
+
+    /// Returns the software version of the engine that held a model and was removed last.
+    pub fn last_version(&self, model: &str) -> Option<&Name> {
+        self.last_versions.get(model)
+    }
+
+    fn note_lost_models(&mut self, engine: &Engine) {
+        let Some(version) = self.versions.get(&engine.id).cloned() else {
+            return;
+        };
+        let held = engine.copies.iter();
+        for (model, _) in held.filter(|(_, copy)| **copy == ModelCopy::Held) {
+            if self.last_versions.len() >= MAX_LAST_VERSIONS {
+                self.last_versions.swap_remove_index(0);
+            }
+            self.last_versions.insert(model.clone(), version.clone());
+        }
+    }
+
     /// Returns whether an engine was dropped that may still be listed, so that
     /// [`EngineInventory::set_engines`] must be called.
     pub fn needs_engine_list(&self) -> bool {
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -50,6 +50,10 @@
 /// tokens per second of the models that are unloaded.
 const STORE_LOAD_COST: f64 = 4_000.0;
 
+/// The additional cost of a model's first copy on an engine of another software version than the one
+/// that held it last, where interrupted streams of it cannot go on.
+const OTHER_VERSION_COST: f64 = 4_000.0;
+
 /// If the engines' memory is at least this many times the weights of all models, each model is
 /// loaded on at least two engines.
 const AMPLE_MEMORY_FACTOR: f64 = 16.0;
@@ -309,6 +313,10 @@
         may_use_store: bool,
     ) -> Option<PlannedOrder> {
         let spec = self.spec.models.get(need.model)?;
+        let lost_version = match need.copies {
+            0 => self.lost_version(need.model),
+            _ => None,
+        };
         let candidates = engines
             .filter(|engine| !engine.copies.contains_key(need.model))
             .filter(|engine| may_use_store || engine.cached_models.contains(need.model))
@@ -321,8 +329,17 @@
                     false => STORE_LOAD_COST,
                 };
                 let prompt_demand = self.prompt_demand_at(engine, needs);
-                let cost =
-                    lost_demand + store_cost + prompt_demand + self.blocked_adapters_cost(engine);
+                let version_cost = match lost_version {
+                    Some(lost) if self.inventory.version(&engine.id) != Some(lost) => {
+                        OTHER_VERSION_COST
+                    }
+                    Some(_) | None => 0.0,
+                };
+                let cost = lost_demand
+                    + store_cost
+                    + prompt_demand
+                    + version_cost
+                    + self.blocked_adapters_cost(engine);
                 Some((cost, engine, victims))
             });
         let (_, engine, victims) = candidates.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
@@ -349,6 +366,17 @@
         })
     }
 
+    /// Returns the software version of the engine that held a model last and serves no more.
+    fn lost_version(&self, model: &Name) -> Option<&Name> {
+        let mut lost = self
+            .excluded_engines()
+            .filter(|engine| engine.copies.get(model) == Some(&ModelCopy::Held));
+        match lost.next() {
+            Some(engine) => self.inventory.version(&engine.id),
+            None => self.inventory.last_version(model),
+        }
+    }
+
     /// Chooses the models to unload from an engine, those of the least value first. Models without
     /// a [`Planner::value`] stay. Returns the models and the lost demand in prompt tokens per
     /// second; `None` if they do not free enough memory.
--- a/src/ordering/tests/planner/copies.rs
+++ b/src/ordering/tests/planner/copies.rs
@@ -204,3 +204,30 @@
     let planned = later.next(NOW).expect("an order");
     assert_eq!(&*planned.engine, "e1");
 }
+
+// Guards against a model that is loaded where interrupted streams of it cannot go on, although an
+// engine of their software version could take it.
+#[test]
+fn a_lost_model_is_loaded_at_an_engine_of_the_version_that_held_it() {
+    for is_removed in [false, true] {
+        for (versions, expected) in [(["v1", "v2", "v1"], "e2"), (["v2", "v2", "v1"], "e1")] {
+            let mut site = Site::new(spec(60.0, &[50.0]), &[&["m0"], &[], &[]]);
+            let entries = versions.iter().enumerate();
+            let entry = |(n, version): (usize, &&str)| (format!("e{n}").into(), (*version).into());
+            site.inventory.set_versions(entries.map(entry));
+            for engine in [1, 2] {
+                site.set_cached(engine, "m0");
+            }
+            site.request(1, NOW, &[(model("m0"), waiting(2))]);
+            let mut excluded: IndexSet<Name> = ["e0".into()].into();
+            if is_removed {
+                let left = ["e1", "e2"].map(|id| (unknown_start(id.into()), Name::from("s")));
+                site.inventory.set_engines(NOW, left.into_iter());
+                excluded.clear();
+            }
+            let planner = planner(NOW, &site.spec, &site.inventory, &site.demand, &excluded);
+            let planned = planner.next(&mut site.limiter).expect("a plan");
+            assert_eq!((planned.action, &*planned.engine), (Action::Load, expected));
+        }
+    }
+}
