--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -61,7 +61,7 @@
     from: &'a str,
     why: &'static str,
     after_event: Option<&'a str>,
-    version: &'a str,
+    version: Option<&'a str>,
     to: Option<&'a str>,
 }
 
@@ -241,7 +241,8 @@
         route.repeat == Repeat::Resumable && self.attempts.runs + 1 < route.attempts
     }
 
-    /// Resumes an interrupted stream at another upstream, after the last event that the caller has.
+    /// Resumes an interrupted stream at another upstream of its software version, after the last
+    /// event that the caller has.
     async fn resume(
         &mut self,
         from: &Name,
@@ -257,40 +258,60 @@
         let resumed_before = || self.request.resume_after().map(str::to_string);
         let after = self.last_event_id.clone().or_else(resumed_before)?;
         self.attempts.note_may_have_run(from.clone());
-        let version = self.needed_version().await?;
+        let version = self.needed_version().await;
+        let resumed = match &version {
+            Some(version) => self.go_on_elsewhere(&after, version, log).await,
+            None => None,
+        };
+        let line = ResumeLine {
+            request: self.request.facts.id.as_deref(),
+            from,
+            why,
+            after_event: Some(&after),
+            version: version.as_deref(),
+            to: resumed.as_ref().map(|answer| &*answer.upstream.id),
+        };
+        lines::write(LogEvent::StreamResumed, &line);
+        resumed
+    }
+
+    /// Sends the request on to upstreams of a software version until one goes on with the stream.
+    async fn go_on_elsewhere(
+        &mut self,
+        after: &str,
+        version: &Name,
+        log: &mut RequestLog<'_, P>,
+    ) -> Option<Box<StartedAnswer>> {
         self.attempts.version = Some(version.clone());
-        let mut resumed = None;
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let Some(upstream) = choose(self.host, self.request, self.attempts) else {
-                match self.hand_off(&after, log).await {
+                match self.hand_off(after, log).await {
                     Some(HandedOff::Reached) => {
                         self.attempts.clear_unreached();
                         continue;
                     }
-                    Some(HandedOff::Answered(answer)) if self.goes_on(&answer, &version).await => {
-                        resumed = Some(answer);
+                    Some(HandedOff::Answered(answer)) if self.goes_on(&answer, version).await => {
+                        return Some(answer);
                     }
-                    Some(_) | None => {}
+                    Some(_) | None => return None,
                 }
-                break;
             };
             if let Err(refused) = upstream_limits::take(self.host, &upstream).await {
                 self.attempts.note_limited(upstream, refused.retry_after_ms);
                 continue;
             }
             if !self.attempts.may_repeat(self.host, self.request) {
-                break;
+                return None;
             }
-            let (host, request, after) = (self.host, self.request, Some(&*after));
+            let (host, request, after) = (self.host, self.request, Some(after));
             limits::note_extra_run(host, request);
             match try_upstream(host, request, &upstream, self.attempts, log, after).await {
-                SendOutcome::Answered(answer) if self.goes_on(&answer, &version).await => {
-                    resumed = Some(answer);
-                    break;
+                SendOutcome::Answered(answer) if self.goes_on(&answer, version).await => {
+                    return Some(answer);
                 }
                 SendOutcome::Answered(_) | SendOutcome::MayHaveRun => {
                     self.attempts.note_may_have_run(upstream);
-                    break;
+                    return None;
                 }
                 SendOutcome::Unreached { began_at } => {
                     self.attempts.note_unreached(upstream, began_at);
@@ -300,16 +321,7 @@
                 }
             }
         }
-        let line = ResumeLine {
-            request: self.request.facts.id.as_deref(),
-            from,
-            why,
-            after_event: Some(&after),
-            version: &version,
-            to: resumed.as_ref().map(|answer| &*answer.upstream.id),
-        };
-        lines::write(LogEvent::StreamResumed, &line);
-        resumed
+        None
     }
 
     /// Returns the software version at which the stream must go on; none if it is not proven.
