--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -78,6 +78,11 @@
     }
 }
 
+/// Measures only the records of streams of a site.
+pub fn measure_streams(size: Size, seed: u64) -> streams::Streams {
+    streams::measure(&World::new(size), seed)
+}
+
 /// How fast a figure grows with the hosts between two sizes: 0 when it stays, 1 when it doubles with them.
 pub fn exponent(small: (usize, f64), large: (usize, f64)) -> f64 {
     let ratio = |a: f64, b: f64| (b.max(f64::MIN_POSITIVE) / a.max(f64::MIN_POSITIVE)).ln();
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -40,6 +40,9 @@
     /// the seed of the moments at which hosts speak (default: 1)
     #[argh(option, default = "1")]
     seed: u64,
+    /// measure only the records of streams, a line of JSON for each size
+    #[argh(switch)]
+    streams: bool,
 }
 
 /// Measure how long a kill, a log outage and the start of a new daemon are felt.
@@ -259,6 +262,10 @@
         return Err("a site has one host at least: give --hosts a larger number".into());
     }
     let sizes = hosts.iter().map(|hosts| fleet::Size::of_hosts(*hosts));
+    if options.streams {
+        sizes.for_each(|size| print(&fleet::measure_streams(size, options.seed)));
+        return Ok(());
+    }
     let measured: Vec<fleet::Measured> = sizes
         .map(|size| fleet::measure(size, options.seed))
         .collect();
