--- a/src/entry/resumption/streams.rs
+++ b/src/entry/resumption/streams.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Keeps records that another host sent.
+    /// Keeps records that another host sent, of one message at most.
     pub fn keep<P: Platform>(&self, host: &Host<P>, received: Vec<StreamRecord>) {
         let now = host.now();
         let mut records = self.records.borrow_mut();
@@ -154,7 +154,7 @@
             key,
             version,
             lasts_ms,
-        } in received
+        } in received.into_iter().take(MAX_BATCH_RECORDS)
         {
             let version = version.map(|version| version.received(now));
             records.insert(now, key, version, lasts_ms);
