Let streams without a record go on sooner where there is one version

The time that the list must have named one version only is now the route's time limit and 5 s, which a stream and its retries take; records are kept for 15 s more as before.

--- a/src/entry/resumption/take_up.rs
+++ b/src/entry/resumption/take_up.rs
@@ -9,7 +9,7 @@
 use crate::entry::sending::attempts::{Attempts, RETRY_AFTER_MS};
 use crate::prelude::*;
 use crate::resumption::records::Known;
-use crate::resumption::{StreamKey, TAKE_UP_MS};
+use crate::resumption::{RETRIES_MS, StreamKey};
 
 /// What the version of a stream that is taken up rests on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -92,7 +92,7 @@
 /// Returns the only version that can have begun a stream of the request's service. The stream began
 /// before the request arrived, at an upstream that was in the list by then.
 async fn sole_version<P: Platform>(host: &Host<P>, request: &ActiveRequest) -> Option<Name> {
-    let lasts_ms = request.route.time_limit_ms + TAKE_UP_MS;
+    let lasts_ms = request.route.time_limit_ms + RETRIES_MS;
     let sole = || {
         let upstreams = host.upstreams.borrow();
         let sole = upstreams.sole_version(host.now(), &request.service, lasts_ms);
--- a/src/resumption/mod.rs
+++ b/src/resumption/mod.rs
@@ -26,5 +26,8 @@
 
 use crate::prelude::*;
 
-/// How long after a stream's time limit its caller may still take it up.
+/// How long after a stream's time limit its record is kept.
 pub const TAKE_UP_MS: Millis = Millis(15_000);
+/// How much longer than the time limit of its route a caller takes for a stream and its retries, at
+/// most.
+pub const RETRIES_MS: Millis = Millis(5_000);
