Call what the project had instead of second copies; name the software version

No caller sees a difference: behaviour, checks, bounds and log fields are as they were.

Found by reading the change as a whole: - The rank of the hosts that keep a record hashed the same bytes by hand that rendezvous::score hashes; it calls it, so the hosts are the same ones. - "Has the upstream the version that is needed" stood twice; it is a method of Upstream. - The wait for a newer copy of the list stood twice in the proof of a version; it is one function. - Three relays took an answer apart to return its connection; the answer returns it itself. - The longest event was stated twice; it is one constant. - Replies of hosts are matched variant by variant again, so that a new one cannot be overlooked. - Fields named "version" beside the version of the desired state are "software_version"; CallerSide is CallerContext.

--- a/src/attempt/stream_validator.rs
+++ b/src/attempt/stream_validator.rs
@@ -1,11 +1,9 @@
 //! Validation of an engine's streamed answer, event by event: each must belong to this attempt,
 //! none may be missing, and the stream must have its end mark.
 
+use crate::event_stream::MAX_EVENT_BYTES;
 use crate::prelude::*;
 
-/// Longest event of a stream.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
-
 const END_MARK: &str = "[DONE]";
 const DATA_FIELD: &str = "data:";
 
--- a/src/attempt/tests.rs
+++ b/src/attempt/tests.rs
@@ -1,8 +1,7 @@
 //! Tests of the validation of answers: only complete answers of the attempt, in order, are valid.
 
-use crate::attempt::stream_validator::{
-    MAX_EVENT_BYTES, StreamStep, StreamValidator, is_complete_own_answer,
-};
+use crate::attempt::stream_validator::{StreamStep, StreamValidator, is_complete_own_answer};
+use crate::event_stream::MAX_EVENT_BYTES;
 use arbtest::arbtest;
 
 const DONE: &[u8] = b"data: [DONE]\n\n";
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -2,11 +2,11 @@
 //! fails.
 
 use crate::attempt::message::{AttemptOutcome, TargetKind};
-use crate::attempt::stream_validator::{MAX_EVENT_BYTES, StreamStep, StreamValidator};
+use crate::attempt::stream_validator::{StreamStep, StreamValidator};
 use crate::edge::http::with_timeout;
 use crate::edge::pipe::{ChunkWriter, ReaderGone};
 use crate::edge::upstream::{AnswerStart, UpstreamCall};
-use crate::event_stream::end_of_events;
+use crate::event_stream::{MAX_EVENT_BYTES, end_of_events};
 use smol::io::AsyncReadExt;
 use std::time::Duration;
 use trillium_client::ResponseBody;
--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -21,7 +21,7 @@
 /// From where a request came to this host.
 pub enum Origin {
     /// From its caller.
-    Caller(CallerSide),
+    Caller(CallerContext),
     /// From another host, which does not reach the upstreams. It is not handed on once more.
     Host {
         /// The id of the last event that the caller has, where an interrupted stream is resumed.
@@ -31,7 +31,7 @@
 
 /// What a host needs beside its shared state for the requests of its callers.
 #[derive(Clone)]
-pub struct CallerSide {
+pub struct CallerContext {
     /// For handing a request to another host; none for a host without others.
     pub handoffs: Option<Rc<Handoffs>>,
     /// Which software versions began streams.
--- a/src/entry/answer/caller_writer.rs
+++ b/src/entry/answer/caller_writer.rs
@@ -57,7 +57,7 @@
     /// The bytes of the announced length that were not written yet.
     left_bytes: u64,
     /// The software version of the upstream that answers, for another host.
-    version: Option<SentVersion>,
+    software_version: Option<SentVersion>,
 }
 
 impl CallerWriter {
@@ -68,13 +68,13 @@
             closes: false,
             form: BodyFraming::HeadOnly,
             left_bytes: 0,
-            version: None,
+            software_version: None,
         }
     }
 
     /// Sets the software version of the upstream whose answer is written next.
     pub fn note_version(&mut self, now: Millis, version: Option<&StreamVersion>) {
-        self.version = version.map(|version| SentVersion::new(version, now));
+        self.software_version = version.map(|version| SentVersion::new(version, now));
     }
 
     /// Tells a caller that waits for it that it may send the body of its request.
@@ -95,7 +95,7 @@
             closes: false,
             form: BodyFraming::HeadOnly,
             left_bytes: 0,
-            version: None,
+            software_version: None,
         }
     }
 
@@ -128,7 +128,7 @@
         form: BodyFraming,
         body: &[u8],
     ) -> std::io::Result<()> {
-        let mut bytes = self.output.answer_start(self.version.take())?;
+        let mut bytes = self.output.answer_start(self.software_version.take())?;
         bytes.extend(self.head_bytes(head, form));
         if form != BodyFraming::HeadOnly {
             bytes.extend_from_slice(body);
@@ -147,7 +147,7 @@
             BodyFraming::Length(length) => length,
             BodyFraming::HeadOnly | BodyFraming::Chunked => 0,
         };
-        let mut bytes = self.output.answer_start(self.version.take())?;
+        let mut bytes = self.output.answer_start(self.software_version.take())?;
         bytes.extend(self.head_bytes(head, form));
         self.output.write_all(&bytes).await
     }
--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -16,16 +16,14 @@
 use crate::entry::resumption::streams;
 use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::choice::{choose, out_of_reach};
-use crate::entry::sending::send::{SendOutcome, StartedAnswer, return_to_pool};
+use crate::entry::sending::send::{SendOutcome, StartedAnswer};
 use crate::entry::upstream_limits;
-use crate::event_stream::{count_events, end_of_events, last_event_id};
+use crate::event_stream::{MAX_EVENT_BYTES, count_events, end_of_events, last_event_id};
 use crate::http1::client::with_timeout;
 use crate::http1::{Framing, ReadError};
 use crate::prelude::*;
 use crate::resumption::StreamVersion;
 
-/// The most bytes that are buffered of an event which is not complete yet.
-const MAX_EVENT_BYTES: usize = 1 << 20;
 /// The most upstreams that are tried to resume one interrupted stream.
 const MAX_RESUME_ATTEMPTS: usize = 3;
 
@@ -39,7 +37,7 @@
     buffer: Vec<u8>,
     last_event_id: Option<String>,
     /// The software version that sent the first event, as far as this host knows.
-    version: Option<StreamVersion>,
+    software_version: Option<StreamVersion>,
     /// Whether the caller was sent the head of the answer.
     has_begun: bool,
     /// When the head was sent.
@@ -74,7 +72,7 @@
             attempts,
             buffer: Vec::new(),
             last_event_id: None,
-            version: None,
+            software_version: None,
             has_begun: false,
             started_at: host.now(),
             last_write_at: host.now(),
@@ -181,9 +179,9 @@
         }
         self.started_at = self.host.now();
         self.last_write_at = self.started_at;
-        self.version = answer.version.clone();
-        streams::note_begun(self.host, self.request, answer.version.as_ref());
-        out.note_version(self.host.now(), answer.version.as_ref());
+        self.software_version = answer.software_version.clone();
+        streams::note_begun(self.host, self.request, answer.software_version.as_ref());
+        out.note_version(self.host.now(), answer.software_version.as_ref());
         note_first_byte(self.host, self.request, log);
         // The part of another upstream need not have the bytes that are missing of this one's length.
         let form = match answer.head.framing {
@@ -215,14 +213,7 @@
             },
             Err(error) => Err(error),
         };
-        let StartedAnswer {
-            upstream,
-            head,
-            reader,
-            connection,
-            ..
-        } = *answer;
-        return_to_pool(self.host, &upstream, connection, &head, reader);
+        answer.return_connection(self.host);
         match written {
             Ok(()) => RelayOutcome::Complete,
             Err(error) => RelayOutcome::not_written(&error),
@@ -282,7 +273,7 @@
         version: &Name,
         log: &mut RequestLog<'_, P>,
     ) -> Option<Box<StartedAnswer>> {
-        self.attempts.version = Some(version.clone());
+        self.attempts.software_version = Some(version.clone());
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let Some(upstream) = choose(self.host, self.request, self.attempts) else {
                 match self.hand_off(after, log).await {
@@ -326,17 +317,18 @@
 
     /// Returns the software version at which the stream must go on; none if it is not proven.
     async fn needed_version(&self) -> Option<Name> {
-        if let Some(version) = &self.attempts.version {
+        if let Some(version) = &self.attempts.software_version {
             return Some(version.clone());
         }
-        let version = self.version.as_ref()?;
+        let version = self.software_version.as_ref()?;
         let is_proven = is_proven(self.host, version).await;
         is_proven.then(|| version.version.clone())
     }
 
     /// Tells whether the stream goes on with an answer.
     async fn goes_on(&self, answer: &StartedAnswer, version: &Name) -> bool {
-        answer.head.status == 200 && has_version(self.host, answer.version.as_ref(), version).await
+        answer.head.status == 200
+            && has_version(self.host, answer.software_version.as_ref(), version).await
     }
 
     /// Hands an interrupted stream to another host that is to go on with it, if this one does not
--- a/src/entry/answer/relay.rs
+++ b/src/entry/answer/relay.rs
@@ -10,7 +10,7 @@
 use crate::entry::resumption::proof::has_version;
 use crate::entry::resumption::streams;
 use crate::entry::sending::attempts::Attempts;
-use crate::entry::sending::send::{StartedAnswer, return_to_pool};
+use crate::entry::sending::send::StartedAnswer;
 use crate::http1::Framing;
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
@@ -50,12 +50,12 @@
     answer: Box<StartedAnswer>,
 ) -> RelayOutcome {
     let kind = answer.body_kind();
-    // A stream of the route that does not state its content type is one.
+    // An answer without a content type is a stream where its route has streams.
     let is_stream =
         request.route.streams && answer.head.status == 200 && kind.is_event_stream != Some(false);
     if is_stream
-        && let Some(version) = &attempts.version
-        && !has_version(host, answer.version.as_ref(), version).await
+        && let Some(version) = &attempts.software_version
+        && !has_version(host, answer.software_version.as_ref(), version).await
     {
         return RelayOutcome::NotStarted("the upstream has another software version");
     }
@@ -65,7 +65,7 @@
             return RelayOutcome::NotStarted(why);
         }
         if is_stream {
-            streams::note_begun(host, request, answer.version.as_ref());
+            streams::note_begun(host, request, answer.software_version.as_ref());
         }
         return relay_complete(host, request, out, log, answer).await;
     }
@@ -83,28 +83,20 @@
     request: &ActiveRequest,
     out: &mut CallerWriter,
     log: &mut RequestLog<'_, P>,
-    answer: Box<StartedAnswer>,
+    mut answer: Box<StartedAnswer>,
 ) -> RelayOutcome {
-    let StartedAnswer {
-        upstream,
-        head,
-        body_start,
-        reader,
-        connection,
-        version,
-        in_flight,
-    } = *answer;
-    drop(in_flight);
-    out.note_version(host.now(), version.as_ref());
+    answer.in_flight = None;
+    out.note_version(host.now(), answer.software_version.as_ref());
+    let body = std::mem::take(&mut answer.body_start);
     let form = match &*request.head.method {
         "HEAD" => BodyFraming::HeadOnly,
-        _ => BodyFraming::Length(body_start.len() as u64),
+        _ => BodyFraming::Length(body.len() as u64),
     };
     note_first_byte(host, request, log);
     log.summary
-        .note_body_end(BodyEnd::of_whole(head.framing), 0);
-    let written = out.write_complete(&head, form, &body_start).await;
-    return_to_pool(host, &upstream, connection, &head, reader);
+        .note_body_end(BodyEnd::of_whole(answer.head.framing), 0);
+    let written = out.write_complete(&answer.head, form, &body).await;
+    answer.return_connection(host);
     match written {
         Ok(()) => RelayOutcome::Complete,
         Err(error) => RelayOutcome::not_written(&error),
@@ -149,14 +141,7 @@
                 let end = BodyEnd::of_whole(answer.head.framing);
                 log.summary.note_body_end(end, 0);
                 let ended = out.end().await;
-                let StartedAnswer {
-                    upstream,
-                    head,
-                    reader,
-                    connection,
-                    ..
-                } = *answer;
-                return_to_pool(host, &upstream, connection, &head, reader);
+                answer.return_connection(host);
                 return match ended {
                     Ok(()) => RelayOutcome::Complete,
                     Err(error) => RelayOutcome::not_written(&error),
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -1,7 +1,7 @@
 //! Connections of callers: reads requests, writes answers, and detects callers that disconnect.
 
 use crate::desired::CallerLimits;
-use crate::entry::active_request::{self, ActiveRequest, CallerSide, Origin};
+use crate::entry::active_request::{self, ActiveRequest, CallerContext, Origin};
 use crate::entry::answer::caller_writer::CallerWriter;
 use crate::entry::forward;
 use crate::entry::host::Host;
@@ -43,7 +43,7 @@
     host: Rc<Host<P>>,
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
-    side: CallerSide,
+    context: CallerContext,
 ) {
     while host.accepts_requests() {
         let Some(accepted) = with_timeout(ACCEPT_POLL_MS, listener.accept()).await else {
@@ -51,7 +51,7 @@
         };
         match accepted {
             Ok((stream, _)) if has_room(&host) => {
-                let serve = serve_connection(host.clone(), stream, side.clone());
+                let serve = serve_connection(host.clone(), stream, context.clone());
                 executor.spawn(serve).detach();
             }
             // There is no room: closing at once makes the caller use another host.
@@ -80,7 +80,11 @@
     }
 }
 
-async fn serve_connection<P: Platform>(host: Rc<Host<P>>, stream: TcpStream, side: CallerSide) {
+async fn serve_connection<P: Platform>(
+    host: Rc<Host<P>>,
+    stream: TcpStream,
+    context: CallerContext,
+) {
     host.caller_connections
         .set(host.caller_connections.get() + 1);
     let _open = OpenConnection(&host);
@@ -89,7 +93,7 @@
     }
     let mut writer = CallerWriter::for_caller(stream.clone());
     let mut connection = Connection::new(stream);
-    while serve_request(&host, &mut connection, &mut writer, &side).await {}
+    while serve_request(&host, &mut connection, &mut writer, &context).await {}
 }
 
 /// Reads and serves one request. Returns whether the connection can be used for another one.
@@ -97,7 +101,7 @@
     host: &Host<P>,
     connection: &mut Connection<TcpStream>,
     writer: &mut CallerWriter,
-    side: &CallerSide,
+    context: &CallerContext,
 ) -> bool {
     let limits = limits(host);
     let Some(read) = read_head(host, connection, limits).await else {
@@ -122,8 +126,13 @@
         }
     };
     writer.closes = !head.keep_alive || host.is_stopping();
-    let prepared =
-        active_request::prepare(host, head, body, arrived_at, Origin::Caller(side.clone()));
+    let prepared = active_request::prepare(
+        host,
+        head,
+        body,
+        arrived_at,
+        Origin::Caller(context.clone()),
+    );
     let answered = async { Some(answer(host, prepared, writer, &mut log).await) };
     let disconnected = async {
         wait_for_disconnect(connection).await;
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -39,12 +39,12 @@
     out: &mut CallerWriter,
     log: &mut RequestLog<'_, P>,
 ) -> AnswerEnd {
-    let version = match needed_version(host, request).await {
+    let software_version = match needed_version(host, request).await {
         Ok(version) => version,
         Err(refusal) => return refuse(host, request, out, log, refusal).await,
     };
     let attempts = Attempts {
-        version,
+        software_version,
         ..Attempts::default()
     };
     let charge = match Charge::take(host, request).await {
--- a/src/entry/handoff/mod.rs
+++ b/src/entry/handoff/mod.rs
@@ -271,7 +271,7 @@
     let offer = Offer {
         service: request.service.clone(),
         model: request.facts.model.clone().filter(|_| request.at_engine),
-        software_version: outgoing.attempts.version.clone(),
+        software_version: outgoing.attempts.software_version.clone(),
         version: request.version,
         body_bytes: request.body.len() as u64,
     };
@@ -351,7 +351,7 @@
         sends: attempts.sends,
         runs: attempts.runs,
         resume_after: resume_after.map(str::to_string),
-        software_version: attempts.version.clone(),
+        software_version: attempts.software_version.clone(),
     }
 }
 
@@ -405,7 +405,7 @@
             id: name.clone(),
             born_at: Millis::ZERO,
         },
-        version,
+        software_version: version,
         head,
         body_start,
         reader,
--- a/src/entry/handoff/server.rs
+++ b/src/entry/handoff/server.rs
@@ -157,7 +157,7 @@
     let attempts = Attempts {
         sends,
         runs,
-        version: software_version,
+        software_version,
         ..Attempts::default()
     };
     let Ok(Some((head, _))) = RequestHead::parse(&head, MAX_HEAD_BYTES) else {
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -157,6 +157,10 @@
         .await?
     {
         PeerReply::List(part) => part,
-        _ => None,
+        PeerReply::Sync(_)
+        | PeerReply::AppendedLease(_)
+        | PeerReply::Desired(_)
+        | PeerReply::KeptStreams
+        | PeerReply::Stream(_) => None,
     }
 }
--- a/src/entry/resumption/proof.rs
+++ b/src/entry/resumption/proof.rs
@@ -14,17 +14,7 @@
 
 /// Tells whether the list proves a version, if need be after a wait.
 pub async fn is_proven<P: Platform>(host: &Host<P>, version: &StreamVersion) -> bool {
-    let until = host.now() + PROOF_WAIT_MS;
-    loop {
-        let updated = host.replication.next_update();
-        match version.prove(&host.upstreams.borrow(), list_as_of(host)) {
-            Proof::Proven => return true,
-            Proof::Refuted => return false,
-            Proof::Pending if host.now() >= until => return false,
-            Proof::Pending => {}
-        }
-        with_timeout(POLL_MS, updated).await;
-    }
+    wait_for_list(host, |as_of| version.prove(&host.upstreams.borrow(), as_of)).await
 }
 
 /// Tells whether an answer came from an upstream of the software version `wanted`.
@@ -41,14 +31,27 @@
 
 /// Waits until this host's copy of the list is as new as the store's at `at`. Returns whether it is.
 pub async fn has_list_since<P: Platform>(host: &Host<P>, at: Millis) -> bool {
+    let reached = |as_of: Option<Millis>| match as_of.is_some_and(|as_of| as_of >= at) {
+        true => Proof::Proven,
+        false => Proof::Pending,
+    };
+    wait_for_list(host, reached).await
+}
+
+/// Looks at this host's copy of the list until it decides. Returns whether it proved what `look`
+/// looks for in time; `look` is given the time as of which the copy is as new as the store's.
+async fn wait_for_list<P: Platform>(
+    host: &Host<P>,
+    look: impl Fn(Option<Millis>) -> Proof,
+) -> bool {
     let until = host.now() + PROOF_WAIT_MS;
     loop {
         let updated = host.replication.next_update();
-        if list_as_of(host).is_some_and(|as_of| as_of >= at) {
-            return true;
-        }
-        if host.now() >= until {
-            return false;
+        match look(list_as_of(host)) {
+            Proof::Proven => return true,
+            Proof::Refuted => return false,
+            Proof::Pending if host.now() >= until => return false,
+            Proof::Pending => {}
         }
         with_timeout(POLL_MS, updated).await;
     }
--- a/src/entry/resumption/streams.rs
+++ b/src/entry/resumption/streams.rs
@@ -133,7 +133,11 @@
         let ask = |address| async move {
             match peers.call(address, &PeerCall::FindStream(key)).await? {
                 PeerReply::Stream(record) => record,
-                _ => None,
+                PeerReply::Sync(_)
+                | PeerReply::AppendedLease(_)
+                | PeerReply::List(_)
+                | PeerReply::Desired(_)
+                | PeerReply::KeptStreams => None,
             }
         };
         let found = first_some(asked.into_iter().map(ask));
--- a/src/entry/resumption/take_up.rs
+++ b/src/entry/resumption/take_up.rs
@@ -1,7 +1,7 @@
 //! Finds out which software version a request needs that takes an interrupted stream up, and refuses
 //! it if nobody knows or no upstream of that version serves.
 
-use crate::entry::active_request::{ActiveRequest, CallerSide, Origin};
+use crate::entry::active_request::{ActiveRequest, CallerContext, Origin};
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{Platform, TakenUp};
@@ -70,7 +70,7 @@
 async fn find_version<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
-    caller: &CallerSide,
+    caller: &CallerContext,
     taken_up: &TakenUp,
 ) -> (Option<Name>, Basis) {
     let known = match &taken_up.first_request {
@@ -116,7 +116,7 @@
     request: &ActiveRequest,
     attempts: &Attempts,
 ) -> Option<Refusal> {
-    let version = attempts.version.as_ref()?;
+    let version = attempts.software_version.as_ref()?;
     let serves = |service| host.upstreams.borrow().serves_version(service, version);
     (!serves(&request.service)).then(|| {
         let why = "no upstream of the software version that began the stream serves any more";
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,7 +1,7 @@
 //! Starts an entry host and its tasks, handles signals, and applies changed settings.
 
 use crate::clock::Clock;
-use crate::entry::active_request::CallerSide;
+use crate::entry::active_request::CallerContext;
 use crate::entry::directory::{self, Endpoint};
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
@@ -165,7 +165,7 @@
     };
     let handoffs = Rc::new(Handoffs::new(peers.clone(), me.clone()));
     let streams = Rc::new(Streams::new(Some((peers.clone(), me.clone()))));
-    let side = CallerSide {
+    let context = CallerContext {
         handoffs: Some(handoffs.clone()),
         streams: streams.clone(),
     };
@@ -174,7 +174,7 @@
             host.clone(),
             executor.clone(),
             callers,
-            side,
+            context,
         )),
         executor.spawn(follow::follow(
             host.clone(),
--- a/src/entry/sending/attempts.rs
+++ b/src/entry/sending/attempts.rs
@@ -6,7 +6,7 @@
 use crate::entry::platform::Platform;
 use crate::entry::sending::send::StartedAnswer;
 use crate::prelude::*;
-use crate::upstreams::{Registry, Upstream};
+use crate::upstreams::Registry;
 
 /// The retry time that a refusal names when there is no better estimate.
 pub const RETRY_AFTER_MS: Millis = Millis(500);
@@ -47,7 +47,7 @@
     pub limit_retry_after_ms: Option<Millis>,
     /// The software version that the upstreams must have: that of the stream's first event, where an
     /// interrupted stream goes on.
-    pub version: Option<Name>,
+    pub software_version: Option<Name>,
     /// A failure that an upstream answered, kept while another upstream is tried.
     pub failure: Option<Box<StartedAnswer>>,
 }
@@ -71,12 +71,6 @@
             .is_none_or(|at| now.since(at) >= OFFER_AGAIN_MS)
     }
 
-    /// Tells whether an upstream has the software version that the request needs.
-    pub fn allow_version_of(&self, upstream: &Upstream) -> bool {
-        let version = self.version.as_ref();
-        version.is_none_or(|version| upstream.software_version() == Some(version))
-    }
-
     /// Makes the excluded upstreams eligible again.
     pub fn clear_excluded(&mut self) {
         self.excluded.clear();
--- a/src/entry/sending/choice.rs
+++ b/src/entry/sending/choice.rs
@@ -32,7 +32,7 @@
     let is_candidate = |upstream: &&Upstream| {
         upstream.in_flight < cap
             && !attempts.excluded.contains(&upstream.entry.id)
-            && attempts.allow_version_of(upstream)
+            && upstream.has_software_version(attempts.software_version.as_ref())
             && !(leaves_lost_paths && upstreams.is_out_of_reach(now, upstream))
             && rejection_room(host, &upstreams, now, upstream) == Room::Free
     };
@@ -81,7 +81,7 @@
         let id = &upstream.entry.id;
         let is_unreached = attempts.unreached.contains(id);
         upstream.accepts_requests(now)
-            && attempts.allow_version_of(upstream)
+            && upstream.has_software_version(attempts.software_version.as_ref())
             && (is_unreached || !attempts.excluded.contains(id))
             && (is_unreached
                 || may_be_cut_off
@@ -101,10 +101,6 @@
         software_version,
         ..
     } = offer;
-    let has_version = |upstream: &Upstream| {
-        let version = software_version.as_ref();
-        version.is_none_or(|version| upstream.software_version() == Some(version))
-    };
     let now = host.now();
     let upstreams = host.upstreams.borrow();
     let orderer_state = host.orderer_state.borrow();
@@ -112,7 +108,7 @@
         .into_iter()
         .any(|upstream| {
             upstream.accepts_requests(now)
-                && has_version(upstream)
+                && upstream.has_software_version(software_version.as_ref())
                 && is_in_reach(&upstreams, now, upstream)
                 && rejection_room(host, &upstreams, now, upstream) != Room::NotAssigned
         })
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -98,7 +98,7 @@
     /// The connection that the rest of the body comes from.
     pub connection: AnswerConnection,
     /// The software version of the upstream; none if the list does not state it.
-    pub version: Option<StreamVersion>,
+    pub software_version: Option<StreamVersion>,
     /// Counts the request as in flight at the upstream until it is dropped; none for an answer of
     /// another host, which counts it.
     pub in_flight: Option<InFlight>,
@@ -135,6 +135,17 @@
         BodyKind::new(self.head.headers.text("content-type"), self.head.framing)
     }
 
+    /// Returns the connection to the pool after the answer, if it may be used again.
+    pub fn return_connection<P: Platform>(self, host: &Host<P>) {
+        return_to_pool(
+            host,
+            &self.upstream,
+            self.connection,
+            &self.head,
+            self.reader,
+        );
+    }
+
     /// Tells whether an upstream answered this host itself.
     pub fn is_from_upstream(&self) -> bool {
         matches!(self.connection, AnswerConnection::Upstream(_))
@@ -287,11 +298,11 @@
                 true => note_failure(host, upstream, now, false),
                 false => note_success(host, upstream, now),
             }
-            let version =
+            let software_version =
                 StreamVersion::of(&host.upstreams.borrow(), upstream, connection.opened_at);
             SendOutcome::Answered(Box::new(StartedAnswer {
                 upstream: upstream.clone(),
-                version,
+                software_version,
                 head,
                 body_start,
                 reader,
@@ -370,7 +381,7 @@
 /// Returns the connection of an answer to the pool if the answer was read to its end and the
 /// connection stays open for further requests, and the upstream has neither begun to leave nor
 /// started again since; otherwise closes it.
-pub fn return_to_pool<P: Platform>(
+fn return_to_pool<P: Platform>(
     host: &Host<P>,
     upstream: &Lifetime,
     connection: AnswerConnection,
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -252,7 +252,11 @@
 async fn call_peer(peers: &Peers, address: SocketAddr, request: SyncRequest) -> Option<SyncReply> {
     match peers.call(address, &PeerCall::Sync(request)).await? {
         PeerReply::Sync(reply) => Some(reply),
-        _ => None,
+        PeerReply::AppendedLease(_)
+        | PeerReply::List(_)
+        | PeerReply::Desired(_)
+        | PeerReply::KeptStreams
+        | PeerReply::Stream(_) => None,
     }
 }
 
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -7,7 +7,7 @@
 use crate::desired::{
     CallerLimits, DesiredState, LimitUnit, Organisation, RateLimit, Route, Service,
 };
-use crate::entry::active_request::CallerSide;
+use crate::entry::active_request::CallerContext;
 use crate::entry::caller;
 use crate::entry::follow::follow;
 use crate::entry::handoff::Handoffs;
@@ -132,11 +132,11 @@
 
     fn run(&self, one: &OneHost, listener: TcpListener) {
         let (host, tasks) = (one.host.clone(), &self.executor);
-        let side = CallerSide {
+        let context = CallerContext {
             handoffs: Some(one.handoffs.clone()),
             streams: one.streams.clone(),
         };
-        let accept = caller::accept(host.clone(), tasks.clone(), listener, side);
+        let accept = caller::accept(host.clone(), tasks.clone(), listener, context);
         tasks.spawn(accept).detach();
         for table in [Table::Desired, Table::Upstreams] {
             tasks.spawn(follow(host.clone(), table, None)).detach();
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -4,7 +4,7 @@
 use super::fake_upstream::{FakeUpstream, Step};
 use crate::clock::Clock;
 use crate::desired::{CallerLimits, DesiredState, Organisation, Repeat, Route, Service};
-use crate::entry::active_request::CallerSide;
+use crate::entry::active_request::CallerContext;
 use crate::entry::caller;
 use crate::entry::follow::follow;
 use crate::entry::host::Host;
@@ -76,7 +76,7 @@
                 host.clone(),
                 executor.clone(),
                 listener,
-                CallerSide {
+                CallerContext {
                     handoffs: None,
                     streams: Rc::new(Streams::new(None)),
                 },
--- a/src/event_stream.rs
+++ b/src/event_stream.rs
@@ -2,6 +2,8 @@
 
 use crate::http1::Framing;
 
+/// The length of the longest event of a stream.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 /// The content type of a stream of events.
 const CONTENT_TYPE: &str = "text/event-stream";
 
--- a/src/resumption/keepers.rs
+++ b/src/resumption/keepers.rs
@@ -2,8 +2,8 @@
 //! list of hosts.
 
 use crate::group::Member;
+use crate::rendezvous;
 use crate::resumption::StreamKey;
-use rapidhash::v3::rapidhash_v3;
 
 /// How many hosts keep the record of a stream.
 pub const KEEPERS: usize = 3;
@@ -34,8 +34,7 @@
 }
 
 fn rank(host: &Member, digest: u64) -> (u64, u64) {
-    let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&host.incarnation.to_le_bytes());
-    bytes[8..].copy_from_slice(&digest.to_le_bytes());
-    (rapidhash_v3(&bytes), host.incarnation)
+    let incarnation = host.incarnation;
+    let score = rendezvous::score(&incarnation.to_le_bytes(), digest);
+    (score, incarnation)
 }
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -100,6 +100,11 @@
         version.filter(|_| self.is_listed())
     }
 
+    /// Tells whether the upstream has the software version that a request needs, if it needs one.
+    pub fn has_software_version(&self, needed: Option<&Name>) -> bool {
+        needed.is_none_or(|needed| self.software_version() == Some(needed))
+    }
+
     /// Returns whether the list has the upstream; otherwise its entry vanished in an outage and it
     /// is kept for [`OUTAGE_GRACE_MS`].
     pub fn is_listed(&self) -> bool {
