Say which prompt parts and models ran at a crash, and how far their answers were

RunInterrupted (710) names parts, model, the progress of the answer and the id of the crash; UpstreamCrashed names the same id. No change of what callers get.

--- a/src/entry/crashes.rs
+++ b/src/entry/crashes.rs
@@ -3,9 +3,10 @@
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::host::Host;
 use crate::entry::lines;
-use crate::entry::platform::Platform;
+use crate::entry::platform::{ModelRef, Platform};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
+use crate::retry::crash_ledger::CrashId;
 use crate::retry::message::Evidence;
 use crate::retry::{CrashReport, CrashUpdate, Quarantine, RequestDigest};
 use crate::upstreams::Lifetime;
@@ -18,10 +19,26 @@
 #[derive(Serialize)]
 struct CrashLine<'a> {
     upstream: &'a str,
+    /// The id of the crash, which is equal at all hosts.
+    crash: CrashId,
     /// The digests of the requests that the upstream was running when it crashed.
     requests: &'a [RequestDigest],
 }
 
+#[derive(Serialize)]
+struct InterruptedLine<'a> {
+    request: Option<&'a str>,
+    digest: RequestDigest,
+    upstream: &'a str,
+    /// The id of the crash that the end of the connection may be due to.
+    crash: CrashId,
+    model: Option<&'a ModelRef>,
+    /// The shared parts of the prompt, as hexadecimal numbers.
+    parts: Vec<String>,
+    /// For how long the answer had been coming; none if it had not begun.
+    answered_ms: Option<Millis>,
+}
+
 #[derive(Serialize)]
 struct QuarantineLine<'a> {
     request: Option<&'a str>,
@@ -46,16 +63,29 @@
     Some(Refusal::new(ErrorKind::Quarantined, why).with_retry_after(left_ms))
 }
 
-/// Records that the connection to an upstream ended while it ran a request. Checks whether the
-/// upstream crashed, unless that is known already or the upstream was leaving.
+/// Records that the connection to an upstream ended while it ran a request, of which the answer had
+/// been coming for `answered_ms`. Checks whether the upstream crashed, unless that is known already
+/// or the upstream was leaving.
 pub async fn note_broken_run<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     upstream: &Lifetime,
+    answered_ms: Option<Millis>,
 ) {
     let Some(address) = address_if_staying(host, upstream) else {
         return;
     };
+    let shared_parts = request.facts.shared_parts().iter();
+    let line = InterruptedLine {
+        request: request.facts.id.as_deref(),
+        digest: request.digest,
+        upstream: &upstream.id,
+        crash: CrashId::of(upstream),
+        model: request.facts.model.as_ref(),
+        parts: shared_parts.map(|part| format!("{:x}", part.id)).collect(),
+        answered_ms,
+    };
+    lines::write(LogEvent::RunInterrupted, &line);
     let is_known_crash = with_quarantine(host, |quarantine, now| {
         quarantine.note_connection_lost(now, upstream, request.digest)
     });
@@ -102,6 +132,7 @@
     }
     let line = CrashLine {
         upstream: &upstream.id,
+        crash: CrashId::of(upstream),
         requests: &requests,
     };
     lines::write(LogEvent::UpstreamCrashed, &line);
--- a/src/entry/handoff/mod.rs
+++ b/src/entry/handoff/mod.rs
@@ -407,6 +407,7 @@
         },
         software_version: version,
         head,
+        began_at: host.now(),
         body_start,
         reader,
         connection: AnswerConnection::Host {
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -32,6 +32,16 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl RequestFacts {
+    /// Returns the parts of the prompt that other requests may have too: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        match &*self.parts {
+            [shared @ .., _last] => shared,
+            [] => &[],
+        }
+    }
+}
+
 /// Where a caller takes up a stream that was interrupted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TakenUp {
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -91,6 +91,8 @@
     pub upstream: Lifetime,
     /// The head of the answer.
     pub head: ResponseHead,
+    /// When it began: when its first bytes were read.
+    pub began_at: Millis,
     /// The bytes of the body that were read so far.
     pub body_start: Vec<u8>,
     /// Reads the rest of the body.
@@ -155,7 +157,8 @@
     /// happened at the upstream.
     pub async fn note_broken<P: Platform>(&self, host: &Host<P>, request: &ActiveRequest) {
         if self.is_from_upstream() {
-            crashes::note_broken_run(host, request, &self.upstream).await;
+            let answered_ms = host.now().since(self.began_at);
+            crashes::note_broken_run(host, request, &self.upstream, Some(answered_ms)).await;
             note_failure(host, &self.upstream, host.now(), false);
         }
     }
@@ -238,7 +241,7 @@
     let left_ms = answer_by.since(host.now());
     let answer = with_timeout(left_ms, exchange).await;
     if let Some(Err(ReadError::Ended | ReadError::Broken { .. })) = &answer {
-        crashes::note_broken_run(host, request, upstream).await;
+        crashes::note_broken_run(host, request, upstream, None).await;
     }
     let now = host.now();
     let fail = |why: &str, unreachable: bool| {
@@ -304,6 +307,7 @@
                 upstream: upstream.clone(),
                 software_version,
                 head,
+                began_at: now,
                 body_start,
                 reader,
                 connection: AnswerConnection::Upstream(connection),
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -141,6 +141,8 @@
     StreamTakenUp = 708,
     /// Records of which software version began a stream were not sent to a host that keeps them.
     StreamRecordsUnsent = 709,
+    /// The connection to an upstream ended while it ran a request.
+    RunInterrupted = 710,
     /// This host claimed an operation, so that no other host runs it.
     ClaimMade = 800,
     /// The claim of an operation ended.
@@ -215,6 +217,7 @@
         Self::RequestQuarantined,
         Self::StreamTakenUp,
         Self::StreamRecordsUnsent,
+        Self::RunInterrupted,
         Self::ClaimMade,
         Self::ClaimEnded,
     ];
