--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -21,6 +21,7 @@
 mod reload;
 mod replication;
 mod rests;
+mod shared_parts;
 mod site;
 mod stop;
 mod sync;
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -112,6 +112,23 @@
     }
 }
 
+/// Reads the parts of a prompt from the `Parts` header of a request: pairs of a hexadecimal number and
+/// a length.
+pub fn read_parts(headers: &Headers) -> Vec<PromptPart> {
+    let pairs = headers
+        .text("Parts")
+        .into_iter()
+        .flat_map(|text| text.split(','));
+    let parts = pairs.filter_map(|pair| {
+        let (id, tokens) = pair.split_once(':')?;
+        Some(PromptPart {
+            id: u64::from_str_radix(id, 16).ok()?,
+            tokens: tokens.parse().ok()?,
+        })
+    });
+    parts.collect()
+}
+
 /// One host's access to the platform.
 pub struct FakePlatform(pub Rc<FakeStore>);
 
@@ -131,6 +148,7 @@
             credential: headers.text("Key").map_or(Credential::Missing, |key| {
                 Credential::Key(KeyDigest::of(key.as_bytes()))
             }),
+            parts: read_parts(headers),
             ..RequestFacts::default()
         }
     }
--- a/src/entry/tests/fake_upstream.rs
+++ b/src/entry/tests/fake_upstream.rs
@@ -1,5 +1,6 @@
 //! Fake upstreams that answer each request by a script and record the requests that reach them.
 
+use super::fake_platform::read_parts;
 use crate::clock::Clock;
 use crate::http1::{BodyReader, Connection, RequestHead};
 use crate::prelude::*;
@@ -25,6 +26,8 @@
     Reset,
     /// Ends the upstream: it closes every connection and accepts no more.
     Crash,
+    /// Ends the upstream in the same way if the prompt of the request has this part.
+    CrashOnPart(u64),
     /// Writes nothing until the host closes the connection.
     Hang,
 }
@@ -48,6 +51,8 @@
     pub arrivals: Rc<RefCell<Vec<Arrival>>>,
     /// The number of connections that the host closed during a [`Step::Hang`].
     pub disconnects: Rc<RefCell<usize>>,
+    /// Whether a step ended it.
+    pub has_crashed: Rc<Cell<bool>>,
 }
 
 impl FakeUpstream {
@@ -61,10 +66,12 @@
             address: listener.local_addr().expect("an address"),
             arrivals: Rc::default(),
             disconnects: Rc::default(),
+            has_crashed: Rc::default(),
         };
         let run = Run {
             arrivals: upstream.arrivals.clone(),
             disconnects: upstream.disconnects.clone(),
+            has_crashed: upstream.has_crashed.clone(),
             scripts,
             crash: Rc::new(Event::new()),
             clock: Clock::start(),
@@ -87,6 +94,7 @@
 struct Run {
     arrivals: Rc<RefCell<Vec<Arrival>>>,
     disconnects: Rc<RefCell<usize>>,
+    has_crashed: Rc<Cell<bool>>,
     scripts: Vec<Vec<Step>>,
     crash: Rc<Event>,
     clock: Clock,
@@ -102,6 +110,7 @@
         let Self {
             arrivals,
             disconnects,
+            has_crashed,
             scripts,
             crash,
             clock,
@@ -114,6 +123,7 @@
                 body.extend(piece);
             }
             let id = head.headers.text("Id").unwrap_or_default().to_string();
+            let parts = read_parts(&head.headers);
             let nth = arrivals.borrow().len().min(scripts.len() - 1);
             let at = clock.now();
             arrivals.borrow_mut().push(Arrival { head, body, at });
@@ -139,7 +149,9 @@
                         reset.expect("the option is supported");
                         return;
                     }
-                    Step::Crash => {
+                    Step::CrashOnPart(part) if !parts.iter().any(|one| one.id == *part) => {}
+                    Step::Crash | Step::CrashOnPart(_) => {
+                        has_crashed.set(true);
                         crash.notify(usize::MAX);
                         return;
                     }
