Hold back what requests share if it crashes upstreams

Evidence is now kept on what requests share too: each part of the prompt but the last, the model, the adapter, by service. A cause is held back after four crashes of three requests, not all sent before the first crash was known, if no upstream of the version has answered on it. What nothing tells apart is held back only together, so that requests with a part of it decide. A request with a suspect is not sent a second time. Shortly after the decision, and at a new software version, the orderer lets a request through as a trial. Merged between hosts and kept in the lease record like that on requests.

Why innocent parts stay free: an answer past its beginning (250 ms) or completed clears all that the request holds at all hosts; a storm of crashes without an answer in between is the one thing that can hold a common part, and the trials end that.

--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -9,7 +9,7 @@
 use crate::http1::RequestHead;
 use crate::identity::Identity;
 use crate::prelude::*;
-use crate::retry::RequestDigest;
+use crate::retry::{RequestCauses, RequestDigest, SharedCause};
 use std::rc::Rc;
 
 /// How long callers wait for the first event of a stream: the longest of two seconds, four times
@@ -18,6 +18,9 @@
 const FIRST_EVENT_TIMEOUT_GOALS: u64 = 4;
 const FIRST_EVENT_TIMEOUT_GAPS: u64 = 8;
 
+/// The most parts of a prompt that are looked at as causes of crashes, from the first one on.
+const MAX_SHARED_PARTS: usize = 64;
+
 /// From where a request came to this host.
 pub enum Origin {
     /// From its caller.
@@ -46,8 +49,9 @@
     pub body: Vec<u8>,
     /// The values of the headers that the platform defines.
     pub facts: RequestFacts,
-    /// A digest of the organisation, method, host, target and body: equal for repeats of a request.
-    pub digest: RequestDigest,
+    /// What in the request may crash upstreams: the digest of the whole, which is equal for its
+    /// repeats, and what it shares with others.
+    pub causes: Arc<RequestCauses>,
     /// The caller, as its credential shows.
     pub identity: Identity,
     /// The route that matches the request's host and path.
@@ -157,7 +161,10 @@
             .is_some_and(|service| service.engine.is_some()),
         first_byte_deadline_at: deadline_at.min(arrived_at + first_byte_timeout_ms(&route)),
         deadline_at,
-        digest,
+        causes: Arc::new(RequestCauses {
+            digest,
+            shared: shared_causes(&service, &facts),
+        }),
         identity,
         route,
         service,
@@ -170,6 +177,19 @@
     })
 }
 
+/// Returns what a request to a service shares with others.
+fn shared_causes(service: &str, facts: &RequestFacts) -> Vec<SharedCause> {
+    let parts = facts.shared_parts().iter().take(MAX_SHARED_PARTS);
+    let parts = parts.map(|part| SharedCause::part(service, part.id));
+    let of_model = facts.model.iter().flat_map(|wanted| {
+        let model = SharedCause::model(service, &wanted.model);
+        let adapter = wanted.adapter.as_ref();
+        let adapter = adapter.map(|name| SharedCause::adapter(service, &wanted.model, name));
+        [Some(model), adapter].into_iter().flatten()
+    });
+    parts.chain(of_model).collect()
+}
+
 /// Returns how long a caller of a route waits for an answer to begin.
 fn first_byte_timeout_ms(route: &Route) -> Millis {
     if !route.streams {
--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -4,7 +4,7 @@
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::answer::caller_writer::{BodyFraming, CallerWriter};
 use crate::entry::answer::relay::{GRACE_MS, RelayOutcome, note_first_byte};
-use crate::entry::crashes;
+use crate::entry::crashes::holding;
 use crate::entry::forward::try_upstream;
 use crate::entry::handoff::{HandedOff, Outgoing, hand_off};
 use crate::entry::host::Host;
@@ -93,6 +93,7 @@
             }
             let why = match self.next_piece(&mut answer, log).await {
                 Piece::Bytes(bytes) => {
+                    answer.note_goes_on(self.host, self.request);
                     self.buffer.extend_from_slice(&bytes);
                     continue;
                 }
@@ -243,7 +244,7 @@
         if !self.may_resume() {
             return None;
         }
-        if crashes::quarantine(self.host, self.request).is_some() {
+        if holding::quarantine(self.host, self.request, self.attempts).is_some() {
             return None;
         }
         let resumed_before = || self.request.resume_after().map(str::to_string);
--- a/src/entry/crashes.rs
+++ b/src/entry/crashes/detection.rs
@@ -1,15 +1,17 @@
-//! Detects requests that crash upstreams, refuses them, and exchanges the evidence between hosts.
+//! Detects crashes of upstreams and which requests were running there.
 
+use super::with_quarantine;
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{ModelRef, Platform};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
+use crate::resumption::StreamVersion;
 use crate::retry::crash_ledger::CrashId;
-use crate::retry::message::Evidence;
-use crate::retry::{CrashReport, CrashUpdate, Quarantine, RequestDigest};
-use crate::upstreams::Lifetime;
+use crate::retry::interrupted_requests::InterruptedRun;
+use crate::retry::{RequestDigest, VersionTag};
+use crate::upstreams::{Lifetime, Upstream};
 use std::net::SocketAddr;
 
 /// How long an upstream may take to accept the connection that checks whether it crashed; a request
@@ -20,9 +22,9 @@
 struct CrashLine<'a> {
     upstream: &'a str,
     /// The id of the crash, which is equal at all hosts.
-    crash: CrashId,
+    crash: String,
     /// The digests of the requests that the upstream was running when it crashed.
-    requests: &'a [RequestDigest],
+    requests: Vec<RequestDigest>,
 }
 
 #[derive(Serialize)]
@@ -31,45 +33,24 @@
     digest: RequestDigest,
     upstream: &'a str,
     /// The id of the crash that the end of the connection may be due to.
-    crash: CrashId,
+    crash: String,
     model: Option<&'a ModelRef>,
     /// The shared parts of the prompt, as hexadecimal numbers.
     parts: Vec<String>,
+    /// The parts, the model and the adapter as evidence names them, in this order.
+    causes: Vec<String>,
     /// For how long the answer had been coming; none if it had not begun.
     answered_ms: Option<Millis>,
 }
 
-#[derive(Serialize)]
-struct QuarantineLine<'a> {
-    request: Option<&'a str>,
-    digest: RequestDigest,
-    /// How long the quarantine still lasts.
-    left_ms: Millis,
-}
-
-/// Returns a refusal, and logs it, if a request is quarantined because it crashes the upstreams
-/// that run it. The refusal states that the request has not run.
-pub fn quarantine<P: Platform>(host: &Host<P>, request: &ActiveRequest) -> Option<Refusal> {
-    let left_ms = with_quarantine(host, |quarantine, now| {
-        quarantine.quarantined_ms(now, &request.digest)
-    })?;
-    let line = QuarantineLine {
-        request: request.facts.id.as_deref(),
-        digest: request.digest,
-        left_ms,
-    };
-    lines::write(LogEvent::RequestQuarantined, &line);
-    let why = "upstreams crashed each time they ran this request";
-    Some(Refusal::new(ErrorKind::Quarantined, why).with_retry_after(left_ms))
-}
-
 /// Records that the connection to an upstream ended while it ran a request, of which the answer had
-/// been coming for `answered_ms`. Checks whether the upstream crashed, unless that is known already
+/// been coming for `answered_ms`; none if it had not begun. Checks whether the upstream crashed, unless that is known already
 /// or the upstream was leaving.
 pub async fn note_broken_run<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     upstream: &Lifetime,
+    sent_at: Millis,
     answered_ms: Option<Millis>,
 ) {
     let Some(address) = address_if_staying(host, upstream) else {
@@ -78,16 +59,23 @@
     let shared_parts = request.facts.shared_parts().iter();
     let line = InterruptedLine {
         request: request.facts.id.as_deref(),
-        digest: request.digest,
+        digest: request.causes.digest,
         upstream: &upstream.id,
-        crash: CrashId::of(upstream),
+        crash: CrashId::of(upstream).to_string(),
         model: request.facts.model.as_ref(),
         parts: shared_parts.map(|part| format!("{:x}", part.id)).collect(),
+        causes: shared_names(request),
         answered_ms,
     };
     lines::write(LogEvent::RunInterrupted, &line);
+    let run = InterruptedRun {
+        causes: request.causes.clone(),
+        version: version_of(host, upstream),
+        sent_at,
+        answered_ms,
+    };
     let is_known_crash = with_quarantine(host, |quarantine, now| {
-        quarantine.note_connection_lost(now, upstream, request.digest)
+        quarantine.note_connection_lost(now, upstream, &run)
     });
     if is_known_crash {
         host.request_sync();
@@ -110,6 +98,14 @@
     (!known.is_leaving()).then(|| known.address())
 }
 
+fn version_of<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> VersionTag {
+    let upstreams = host.upstreams.borrow();
+    let version = upstreams
+        .get_lifetime(upstream)
+        .and_then(Upstream::software_version);
+    VersionTag::of(version.map(|version| &**version))
+}
+
 /// Records that no connection to an upstream can be opened. If the connection is refused, so that
 /// nothing listens at the address any more, the upstream's lifetime has ended.
 pub fn note_unreachable<P: Platform>(host: &Host<P>, upstream: &Lifetime, error: &std::io::Error) {
@@ -132,8 +128,8 @@
     }
     let line = CrashLine {
         upstream: &upstream.id,
-        crash: CrashId::of(upstream),
-        requests: &requests,
+        crash: CrashId::of(upstream).to_string(),
+        requests: requests.iter().map(|run| run.causes.digest).collect(),
     };
     lines::write(LogEvent::UpstreamCrashed, &line);
     host.request_sync();
@@ -143,46 +139,25 @@
 /// not crash upstreams.
 pub fn note_completed<P: Platform>(host: &Host<P>, request: &ActiveRequest) {
     with_quarantine(host, |quarantine, now| {
-        quarantine.note_completed(now, request.digest);
+        quarantine.note_completed(now, request.causes.digest);
     });
 }
 
-/// Returns the crash evidence for this host's next message to a relay or the orderer.
-pub fn report<P: Platform>(host: &Host<P>) -> CrashReport {
-    with_quarantine(host, Quarantine::report)
-}
-
-/// Adds the crash evidence that another host reports.
-pub fn merge_report<P: Platform>(host: &Host<P>, report: &CrashReport) {
-    with_quarantine(host, |quarantine, now| quarantine.merge_report(now, report));
-}
-
-/// Returns the evidence that a reporting host lacks, for the reply to it. `known` is the state of
-/// that host's evidence, as it stated it.
-pub fn build_update<P: Platform>(host: &Host<P>, known: u64) -> CrashUpdate {
-    with_quarantine(host, |quarantine, now| quarantine.build_update(now, known))
-}
-
-/// Applies the reply to a message that carried this host's report.
-pub fn apply_update<P: Platform>(host: &Host<P>, update: &CrashUpdate) {
-    with_quarantine(host, |quarantine, now| quarantine.apply_update(now, update));
-}
-
-/// Adds the evidence that an orderer stored with its lease for all hosts.
-pub fn restore_evidence<P: Platform>(host: &Host<P>, evidence: &[Evidence]) {
+/// Records that an upstream of a software version goes on with its answer to a request after the
+/// beginning, or has completed it. Nothing that the request shares with others crashes upstreams.
+pub fn note_answered<P: Platform>(
+    host: &Host<P>,
+    request: &ActiveRequest,
+    version: Option<&StreamVersion>,
+) {
+    let version = VersionTag::of(version.map(|version| &*version.version));
     with_quarantine(host, |quarantine, now| {
-        quarantine.merge_evidence(now, evidence)
+        quarantine.note_answered(now, &request.causes, version);
     });
 }
 
-/// Returns the evidence that must survive a restart of all processes.
-pub fn persistent_evidence<P: Platform>(host: &Host<P>) -> Vec<Evidence> {
-    with_quarantine(host, |quarantine, now| quarantine.persistent_evidence(now))
-}
-
-fn with_quarantine<P: Platform, T>(
-    host: &Host<P>,
-    with: impl FnOnce(&mut Quarantine, Millis) -> T,
-) -> T {
-    with(&mut host.retries.borrow_mut().quarantine, host.now())
+/// What a request that ran at a crash shares with others, for the log.
+fn shared_names(request: &ActiveRequest) -> Vec<String> {
+    let shared = request.causes.shared.iter();
+    shared.map(ToString::to_string).collect()
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -8,7 +8,7 @@
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::answer::caller_writer::CallerWriter;
 use crate::entry::answer::relay::{RelayOutcome, relay_answer};
-use crate::entry::crashes;
+use crate::entry::crashes::{detection, holding};
 use crate::entry::handoff::other_host::{LeftToAnother, leave_to_another_host};
 use crate::entry::host::Host;
 use crate::entry::limits::Charge;
@@ -85,7 +85,7 @@
                 None => refuse(host, request, out, log, attempts.deadline_refusal()).await,
             };
         }
-        if let Some(refusal) = crashes::quarantine(host, request) {
+        if let Some(refusal) = holding::quarantine(host, request, &mut attempts) {
             return match attempts.runs {
                 0 => answer_refusal(host, request.facts.id.as_deref(), out, log, &refusal).await,
                 _ => end(host, request, out, log, attempts).await,
@@ -213,11 +213,15 @@
     answer: Box<StartedAnswer>,
 ) -> Option<AnswerEnd> {
     log.summary.status = answer.head.status;
+    let version = answer.software_version.clone();
     let relayed = relay_answer(host, request, out, log, attempts, answer).await;
     match relayed {
         RelayOutcome::Complete => {
             if log.summary.status < 500 {
-                crashes::note_completed(host, request);
+                detection::note_completed(host, request);
+            }
+            if (200..300).contains(&log.summary.status) {
+                detection::note_answered(host, request, version.as_ref());
             }
             log.outcome = Some("answered");
             Some(AnswerEnd::Complete)
--- a/src/entry/handoff/mod.rs
+++ b/src/entry/handoff/mod.rs
@@ -407,7 +407,9 @@
         },
         software_version: version,
         head,
+        sent_at: host.now(),
         began_at: host.now(),
+        goes_on: false,
         body_start,
         reader,
         connection: AnswerConnection::Host {
--- a/src/entry/lease_manager.rs
+++ b/src/entry/lease_manager.rs
@@ -1,7 +1,7 @@
 //! The lease to order loads: claiming it when it is free, renewing it while this host holds it, and
 //! releasing it.
 
-use crate::entry::crashes;
+use crate::entry::crashes::exchange;
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::lines;
@@ -340,12 +340,12 @@
     };
     let Some(end) = claim_end else { return Ok(()) };
     let sent_at = host.now();
-    let crashes = crashes::persistent_evidence(host);
+    let evidence = exchange::persistent_evidence(host);
     let record = host
         .orders
         .borrow_mut()
         .lease
-        .claim_record(me.clone(), crashes);
+        .claim_record(me.clone(), evidence);
     let bytes = encode_record(&record);
     let AppendOutcome::Appended(offset) = host
         .count_call(
@@ -396,14 +396,14 @@
 /// hosts.
 fn decode_newest<P: Platform>(host: &Host<P>, bytes: Option<Vec<u8>>) -> Option<LeaseRecord> {
     let record = decode_record(&bytes?)?;
-    crashes::restore_evidence(host, &record.learned.crashes);
+    exchange::restore_evidence(host, &record.learned.evidence);
     Some(record)
 }
 
 fn learned<P: Platform>(host: &Host<P>, orders: &OrderingState) -> Learned {
     Learned {
         store_loads_at_once: orders.store_loads_at_once(),
-        crashes: crashes::persistent_evidence(host),
+        evidence: exchange::persistent_evidence(host),
     }
 }
 
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -4,7 +4,7 @@
 use crate::entry::platform::StoreCall;
 use crate::prelude::*;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -21,6 +21,9 @@
     requests: Counter<u64>,
     sends: Counter<u64>,
     store_calls: Counter<u64>,
+    held_causes: Gauge<u64>,
+    refused_for_shared_cause: Counter<u64>,
+    refused_in_vain: Counter<u64>,
     first_byte_ms: Histogram<f64>,
     whole_ms: Histogram<f64>,
 }
@@ -50,6 +53,11 @@
             requests: meter.u64_counter("mangovale_entry_requests").build(),
             sends: meter.u64_counter("mangovale_entry_sends").build(),
             store_calls: meter.u64_counter("mangovale_entry_store_calls").build(),
+            held_causes: meter.u64_gauge("mangovale_entry_held_causes").build(),
+            refused_for_shared_cause: meter
+                .u64_counter("mangovale_entry_refused_for_shared_cause")
+                .build(),
+            refused_in_vain: meter.u64_counter("mangovale_entry_refused_in_vain").build(),
             first_byte_ms: latency("mangovale_entry_first_byte_ms"),
             whole_ms: latency("mangovale_entry_whole_ms"),
             registry,
@@ -87,6 +95,21 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Records how many causes that requests share are held back.
+    pub fn set_held_causes(&self, count: usize) {
+        self.held_causes.record(count as u64, &[]);
+    }
+
+    /// Counts a request that was refused for what it shares with others.
+    pub fn count_refused_for_shared_cause(&self) {
+        self.refused_for_shared_cause.add(1, &[]);
+    }
+
+    /// Counts requests that were refused for a cause on which upstreams have answered since.
+    pub fn count_refused_in_vain(&self, requests: u64) {
+        self.refused_in_vain.add(requests, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = TextEncoder::new()
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -142,7 +142,7 @@
     pub fn note_request(&mut self, request: &ActiveRequest) {
         let summary = &mut self.summary;
         summary.request = request.facts.id.clone();
-        summary.digest = Some(request.digest);
+        summary.digest = Some(request.causes.digest);
         summary.organisation = request.organisation().cloned();
         summary.route = Some(request.route.name.clone());
         summary.version = request.version;
--- a/src/entry/sending/attempts.rs
+++ b/src/entry/sending/attempts.rs
@@ -2,6 +2,7 @@
 
 use crate::desired::Repeat;
 use crate::entry::active_request::ActiveRequest;
+use crate::entry::crashes::holding;
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
 use crate::entry::sending::send::StartedAnswer;
@@ -48,6 +49,8 @@
     /// The software version that the upstreams must have: that of the stream's first event, where an
     /// interrupted stream goes on.
     pub software_version: Option<Name>,
+    /// Whether the request is the trial of a cause that is held back otherwise.
+    pub is_trial: bool,
     /// A failure that an upstream answered, kept while another upstream is tried.
     pub failure: Option<Box<StartedAnswer>>,
 }
@@ -124,10 +127,12 @@
     }
 
     /// Takes a further send from the service's retry budget. Returns false when the budget, the
-    /// route's attempts or `MAX_SENDS` allow none.
+    /// route's attempts or `MAX_SENDS` allow none, or when the request may carry the cause of a crash
+    /// on.
     pub fn may_repeat<P: Platform>(&self, host: &Host<P>, request: &ActiveRequest) -> bool {
         self.sends < MAX_SENDS
             && self.runs < request.route.attempts.max(1)
+            && (self.runs == 0 || !holding::is_suspected(host, request))
             && host.take_retry(&request.service)
     }
 
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -2,7 +2,7 @@
 
 use crate::desired::Repeat;
 use crate::entry::active_request::ActiveRequest;
-use crate::entry::crashes;
+use crate::entry::crashes::detection;
 use crate::entry::handoff::OpenRequest;
 use crate::entry::handoff::peer_stream::PeerStream;
 use crate::entry::host::Host;
@@ -21,6 +21,7 @@
 use crate::prelude::*;
 use crate::resumption::StreamVersion;
 use crate::retry::RequestDigest;
+use crate::retry::interrupted_requests::BEGINNING_MS;
 use crate::routing::roles::is_long;
 use crate::upstreams::{Lifetime, Upstream};
 
@@ -91,8 +92,12 @@
     pub upstream: Lifetime,
     /// The head of the answer.
     pub head: ResponseHead,
-    /// When it began: when its first bytes were read.
+    /// When the request was sent.
+    pub sent_at: Millis,
+    /// When the answer began: when its first bytes were read.
     pub began_at: Millis,
+    /// Whether it is known to go on after its beginning.
+    pub goes_on: bool,
     /// The bytes of the body that were read so far.
     pub body_start: Vec<u8>,
     /// Reads the rest of the body.
@@ -132,6 +137,14 @@
         }
     }
 
+    /// Records that the answer goes on, once it has been coming for longer than its beginning lasts.
+    pub fn note_goes_on<P: Platform>(&mut self, host: &Host<P>, request: &ActiveRequest) {
+        let is_past_beginning = host.now().since(self.began_at) >= BEGINNING_MS;
+        if is_past_beginning && !std::mem::replace(&mut self.goes_on, true) {
+            detection::note_answered(host, request, self.software_version.as_ref());
+        }
+    }
+
     /// Returns what the head says about the body.
     pub fn body_kind(&self) -> BodyKind {
         BodyKind::new(self.head.headers.text("content-type"), self.head.framing)
@@ -158,7 +171,8 @@
     pub async fn note_broken<P: Platform>(&self, host: &Host<P>, request: &ActiveRequest) {
         if self.is_from_upstream() {
             let answered_ms = host.now().since(self.began_at);
-            crashes::note_broken_run(host, request, &self.upstream, Some(answered_ms)).await;
+            let (upstream, sent_at) = (&self.upstream, self.sent_at);
+            detection::note_broken_run(host, request, upstream, sent_at, Some(answered_ms)).await;
             note_failure(host, &self.upstream, host.now(), false);
         }
     }
@@ -241,7 +255,7 @@
     let left_ms = answer_by.since(host.now());
     let answer = with_timeout(left_ms, exchange).await;
     if let Some(Err(ReadError::Ended | ReadError::Broken { .. })) = &answer {
-        crashes::note_broken_run(host, request, upstream, None).await;
+        detection::note_broken_run(host, request, upstream, attempt.began_at, None).await;
     }
     let now = host.now();
     let fail = |why: &str, unreachable: bool| {
@@ -307,7 +321,9 @@
                 upstream: upstream.clone(),
                 software_version,
                 head,
+                sent_at: attempt.began_at,
                 began_at: now,
+                goes_on: false,
                 body_start,
                 reader,
                 connection: AnswerConnection::Upstream(connection),
@@ -333,7 +349,7 @@
         let registry = self.host.upstreams.borrow();
         let line = AttemptLine {
             request: self.request.facts.id.as_deref(),
-            digest: self.request.digest,
+            digest: self.request.causes.digest,
             upstream: &self.upstream.id,
             reused: self.reused,
             result,
@@ -367,7 +383,7 @@
     let timeout_ms = CONNECT_TIMEOUT_MS.min(answer_by.since(now));
     let opened = with_timeout(timeout_ms, host.pool.open(host.clock, address)).await;
     if let Some(Err(error)) = &opened {
-        crashes::note_unreachable(host, upstream, error);
+        detection::note_unreachable(host, upstream, error);
     }
     match opened {
         Some(Ok(connection)) => {
@@ -428,7 +444,7 @@
 
 /// Removes an upstream whose address now belongs to another lifetime.
 fn end_lifetime<P: Platform>(host: &Host<P>, upstream: &Lifetime, other: &str) {
-    crashes::note_lifetime_ended(host, upstream);
+    detection::note_lifetime_ended(host, upstream);
     if host.upstreams.borrow_mut().end_lifetime(upstream) {
         host.pool.close_idle(&upstream.id);
         let line = UpstreamLine {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -1,7 +1,7 @@
 //! The exchange of state between hosts and the orderer, in large sites through relays. Hosts report
 //! demand and work; the orderer replies with the state of the engines.
 
-use crate::entry::crashes;
+use crate::entry::crashes::exchange;
 use crate::entry::host::Host;
 use crate::entry::limits;
 use crate::entry::peers::Peers;
@@ -36,12 +36,12 @@
         (true, _) => answer_as_orderer(host, request),
         (false, true) => answer_as_relay(host, request),
         (false, false) => {
-            crashes::merge_report(host, &request.crashes);
+            exchange::merge_report(host, &request.crashes);
             let orders = host.orders.borrow();
             SyncReply::NotOrderer {
                 holder: orders.holder().cloned(),
                 resignation: orders.lease.resignation(host.now()),
-                crashes: crashes::build_update(host, request.crashes.known),
+                crashes: exchange::build_update(host, request.crashes.known),
             }
         }
     }
@@ -123,14 +123,14 @@
 fn add_counts<P: Platform>(host: &Host<P>, request: &SyncRequest) {
     limits::merge_usage(host, &request.usage);
     upstream_limits::merge_report(host, &request.upstream_limits);
-    crashes::merge_report(host, &request.crashes);
+    exchange::merge_report(host, &request.crashes);
 }
 
 /// Returns the totals for a host that reported its counts to this one.
 fn totals<P: Platform>(host: &Host<P>, request: &SyncRequest) -> Totals {
     Totals {
         limits: limits::build_update(host),
-        crashes: crashes::build_update(host, request.crashes.known),
+        crashes: exchange::build_update(host, request.crashes.known),
         upstream_limits: upstream_limits::build_update(host),
     }
 }
@@ -235,7 +235,7 @@
         // In a small site the collector is no relay, and returns only the requests that crash
         // upstreams.
         Some(SyncReply::NotOrderer { crashes, .. }) => {
-            crashes::apply_update(host, &crashes);
+            exchange::apply_update(host, &crashes);
             request.crashes.evidence.clear();
             return;
         }
@@ -330,7 +330,7 @@
         upstreams_from: host.replication.next_offset(),
         through,
         usage: limits::report(host),
-        crashes: crashes::report(host),
+        crashes: exchange::report(host),
         upstream_limits: upstream_limits::report(host),
     }
 }
@@ -343,7 +343,7 @@
             crashes,
             ..
         } => {
-            crashes::apply_update(host, &crashes);
+            exchange::apply_update(host, &crashes);
             let mut orders = host.orders.borrow_mut();
             match resignation {
                 Some(resignation) => orders.lease.note_resigned(host.now(), resignation),
@@ -357,7 +357,7 @@
 
 fn apply_totals<P: Platform>(host: &Host<P>, asked_at: Millis, totals: Totals) {
     limits::apply_reply(host, asked_at, totals.limits);
-    crashes::apply_update(host, &totals.crashes);
+    exchange::apply_update(host, &totals.crashes);
     upstream_limits::apply_update(host, asked_at, totals.upstream_limits);
 }
 
--- a/src/entry/tests/lease_manager.rs
+++ b/src/entry/tests/lease_manager.rs
@@ -9,7 +9,8 @@
 use crate::entry::resumption::streams::Streams;
 use crate::group::Member;
 use crate::prelude::*;
-use crate::retry::RequestDigest;
+use crate::retry::interrupted_requests::InterruptedRun;
+use crate::retry::{RequestCauses, RequestDigest, VersionTag};
 use crate::upstreams::Lifetime;
 use std::rc::Rc;
 
@@ -85,7 +86,13 @@
             id: format!("u{n}").into(),
             born_at: Millis::ZERO,
         };
-        quarantine.note_connection_lost(now, &upstream, digest);
+        let run = InterruptedRun {
+            causes: Arc::new(RequestCauses::of_digest(digest)),
+            version: VersionTag::of(None),
+            sent_at: now,
+            answered_ms: None,
+        };
+        quarantine.note_connection_lost(now, &upstream, &run);
         quarantine.note_crashed(now, &upstream);
     }
 }
--- a/src/entry/tests/shared_parts.rs
+++ b/src/entry/tests/shared_parts.rs
@@ -38,12 +38,8 @@
 /// Starts upstreams that crash with the part and answer all other requests.
 async fn upstreams(site: &Site, count: usize) -> Vec<FakeUpstream> {
     let script: Vec<Step> = vec![CrashOnPart(CRASHING), Write(STREAM)];
-    let mut upstreams = Vec::new();
-    for n in 0..count {
-        let scripts = vec![script.clone()];
-        upstreams.push(site.start_upstream(&format!("u{n}"), scripts).await);
-    }
-    upstreams
+    let versions = vec!["v1"; count];
+    site.start_upstreams_of(&versions, vec![script]).await
 }
 
 fn crashes(upstreams: &[FakeUpstream]) -> usize {
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -289,7 +289,7 @@
     };
     let report = CrashReport {
         evidence: vec![evidence],
-        known: 0,
+        ..CrashReport::default()
     };
     (digest, report)
 }
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -143,6 +143,10 @@
     StreamRecordsUnsent = 709,
     /// The connection to an upstream ended while it ran a request.
     RunInterrupted = 710,
+    /// Requests that share this are no longer sent, because upstreams that run them crash.
+    CauseHeld = 711,
+    /// Requests that share this are sent again.
+    CauseReleased = 712,
     /// This host claimed an operation, so that no other host runs it.
     ClaimMade = 800,
     /// The claim of an operation ended.
@@ -218,6 +222,8 @@
         Self::StreamTakenUp,
         Self::StreamRecordsUnsent,
         Self::RunInterrupted,
+        Self::CauseHeld,
+        Self::CauseReleased,
         Self::ClaimMade,
         Self::ClaimEnded,
     ];
@@ -246,6 +252,7 @@
             | Self::UpstreamCrashed
             | Self::PathsLost
             | Self::RequestQuarantined
+            | Self::CauseHeld
             | Self::OutcomeUnknown
             | Self::SettingsRejected
             | Self::RequestFailed => Level::Warn,
--- a/src/ordering/lease.rs
+++ b/src/ordering/lease.rs
@@ -7,7 +7,7 @@
 
 use crate::group::Member;
 use crate::prelude::*;
-use crate::retry::message::Evidence;
+use crate::retry::message::{Evidence, SharedEvidence};
 
 /// How long after it sent its last acknowledged renewal a holder may send orders.
 pub const VALIDITY_MS: Millis = Millis(2_000);
@@ -65,9 +65,20 @@
     /// cost the next holder the time of several loads.
     #[serde(default)]
     pub store_loads_at_once: Option<usize>,
-    /// The requests that are known to crash upstreams.
+    /// What is known to crash upstreams.
+    #[serde(flatten)]
+    pub evidence: CrashEvidence,
+}
+
+/// Evidence on crashes of upstreams in a lease record.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEvidence {
+    /// That on requests.
     #[serde(default)]
     pub crashes: Vec<Evidence>,
+    /// That on what requests share.
+    #[serde(default)]
+    pub shared_crashes: Vec<SharedEvidence>,
 }
 
 /// A lease as its holder sees it.
@@ -258,7 +269,7 @@
     }
 
     /// Returns the record for a new claim.
-    pub fn claim_record(&mut self, me: Member, crashes: Vec<Evidence>) -> LeaseRecord {
+    pub fn claim_record(&mut self, me: Member, evidence: CrashEvidence) -> LeaseRecord {
         self.claims += 1;
         LeaseRecord {
             holder: me,
@@ -266,7 +277,7 @@
             released: false,
             learned: Learned {
                 store_loads_at_once: self.store_loads_at_once(),
-                crashes,
+                evidence,
             },
         }
     }
--- a/src/ordering/tests/lease.rs
+++ b/src/ordering/tests/lease.rs
@@ -2,7 +2,7 @@
 //! lost or late and whichever host is paused.
 
 use crate::group::Member;
-use crate::ordering::lease::{Learned, Lease, LeaseRecord, is_candidate};
+use crate::ordering::lease::{CrashEvidence, Learned, Lease, LeaseRecord, is_candidate};
 use crate::prelude::*;
 use crate::test_support;
 use crate::test_support::run_seeded;
@@ -71,7 +71,7 @@
     fn claim(&mut self, host: usize) {
         if let Some(end) = self.leases[host].may_claim(self.now) {
             let me = self.me(host);
-            let record = self.leases[host].claim_record(me, Vec::new());
+            let record = self.leases[host].claim_record(me, CrashEvidence::default());
             self.send(host, end, record, true);
         }
     }
--- a/src/retry/crash_ledger.rs
+++ b/src/retry/crash_ledger.rs
@@ -11,6 +11,7 @@
 use crate::retry::message::{Crash, Evidence};
 use crate::upstreams::Lifetime;
 use std::cmp::Reverse;
+use std::fmt;
 
 /// Crashes after which a request is the cause if no other request was running at any of them.
 const MIN_CRASHES_ALONE: usize = 3;
@@ -45,6 +46,17 @@
             upstream.born_at.0,
         ))
     }
+
+    /// Returns a hash of the id and `number`.
+    pub fn hash_with(self, number: u64) -> u64 {
+        rendezvous::score(&self.0.to_le_bytes(), number)
+    }
+}
+
+impl fmt::Display for CrashId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
 }
 
 /// Evidence on one request.
--- a/src/retry/interrupted_requests.rs
+++ b/src/retry/interrupted_requests.rs
@@ -2,7 +2,7 @@
 //! the upstream crashed.
 
 use crate::prelude::*;
-use crate::retry::RequestDigest;
+use crate::retry::shared_cause::{RequestCauses, VersionTag};
 use crate::upstreams::Lifetime;
 use std::collections::VecDeque;
 
@@ -13,12 +13,34 @@
 const MAX_REQUESTS: usize = 512;
 /// Maximum number of crashed upstreams kept.
 const MAX_CRASHED: usize = 64;
+/// For how long after its first bytes an answer counts as beginning.
+pub const BEGINNING_MS: Millis = Millis(250);
+
+/// A request whose connection to an upstream ended while it ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InterruptedRun {
+    /// What in the request may be the cause, if the upstream crashed.
+    pub causes: Arc<RequestCauses>,
+    /// The software version of the upstream.
+    pub version: VersionTag,
+    /// When the request was sent.
+    pub sent_at: Millis,
+    /// For how long the answer had been coming; none if it had not begun.
+    pub answered_ms: Option<Millis>,
+}
+
+impl InterruptedRun {
+    /// Tells whether the upstream was at most beginning to answer.
+    pub fn is_beginning(&self) -> bool {
+        self.answered_ms.is_none_or(|for_ms| for_ms < BEGINNING_MS)
+    }
+}
 
 #[derive(Clone, Debug)]
 struct InterruptedRequest {
     at: Millis,
     upstream: Lifetime,
-    digest: RequestDigest,
+    run: InterruptedRun,
 }
 
 /// Requests and crashed upstreams that one host lost within the last `RETENTION_MS`.
@@ -31,7 +53,7 @@
 impl InterruptedRequests {
     /// Records that a request's connection ended. Returns whether its upstream is known to have
     /// crashed.
-    pub fn note(&mut self, now: Millis, upstream: &Lifetime, digest: RequestDigest) -> bool {
+    pub fn note(&mut self, now: Millis, upstream: &Lifetime, run: &InterruptedRun) -> bool {
         self.expire(now);
         if self.has_crashed(upstream) {
             return true;
@@ -42,13 +64,13 @@
         self.requests.push_back(InterruptedRequest {
             at: now,
             upstream: upstream.clone(),
-            digest,
+            run: run.clone(),
         });
         false
     }
 
     /// Records that an upstream crashed. Returns the requests that were running there.
-    pub fn note_crashed(&mut self, now: Millis, upstream: &Lifetime) -> Vec<RequestDigest> {
+    pub fn note_crashed(&mut self, now: Millis, upstream: &Lifetime) -> Vec<InterruptedRun> {
         self.expire(now);
         let (here, others) = std::mem::take(&mut self.requests)
             .into_iter()
@@ -60,7 +82,7 @@
             }
             self.crashed.push_back((now, upstream.clone()));
         }
-        here.into_iter().map(|request| request.digest).collect()
+        here.into_iter().map(|request| request.run).collect()
     }
 
     fn has_crashed(&self, upstream: &Lifetime) -> bool {
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,12 +1,16 @@
 //! Retries of requests: a budget that all hosts of a site share limits their number, and requests
-//! that crash the upstreams that run them are quarantined, which means that they are no longer
-//! sent.
+//! that crash the upstreams that run them, or share with others what does, are quarantined, which
+//! means that they are no longer sent.
 //!
 //! - [`budget`]: one host's share of a service's retry budget.
 //! - [`digest`]: how a repeated request is recognised.
 //! - [`interrupted_requests`]: requests whose connection to an upstream ended, until it is known
 //!   whether the upstream crashed.
 //! - [`crash_ledger`]: the decision which requests cause crashes.
+//! - [`shared_cause`]: what requests share and may be the cause of crashes.
+//! - [`shared_ledger`]: the decision which shared causes are held back.
+//! - [`sound_causes`]: on which causes upstreams have answered.
+//! - [`shared_evidence`]: one host's evidence on shared causes.
 //! - [`quarantine`]: one host's state, and its exchange of evidence with other hosts.
 //! - [`message`]: the messages of that exchange.
 
@@ -16,6 +20,10 @@
 pub mod interrupted_requests;
 pub mod message;
 pub mod quarantine;
+pub mod shared_cause;
+pub mod shared_evidence;
+pub mod shared_ledger;
+pub mod sound_causes;
 
 #[cfg(test)]
 mod tests;
@@ -24,6 +32,7 @@
 pub use digest::RequestDigest;
 pub use message::{CrashReport, CrashUpdate};
 pub use quarantine::Quarantine;
+pub use shared_cause::{RequestCauses, SharedCause, VersionTag};
 
 use crate::prelude::*;
 
--- a/src/retry/quarantine.rs
+++ b/src/retry/quarantine.rs
@@ -1,4 +1,5 @@
-//! One host's evidence on requests that crash upstreams, and its exchange with other hosts.
+//! One host's evidence on requests that crash upstreams and on what such requests share, and its
+//! exchange with other hosts.
 //!
 //! Hosts form a tree: each reports new evidence to its parent (a relay, or the orderer at the root)
 //! and gets merged evidence in the answer.
@@ -8,8 +9,12 @@
 use crate::retry::crash_ledger::{
     CrashId, CrashLedger, MAX_REQUESTS_PER_MESSAGE, MIN_CRASHES_CERTAIN,
 };
-use crate::retry::interrupted_requests::InterruptedRequests;
-use crate::retry::message::{Crash, CrashReport, CrashUpdate, Evidence};
+use crate::retry::interrupted_requests::{InterruptedRequests, InterruptedRun};
+use crate::retry::message::{
+    Crash, CrashReport, CrashUpdate, Evidence, EvidenceChecksums, SharedEvidence,
+};
+use crate::retry::shared_cause::{RequestCauses, SharedCause, VersionTag};
+use crate::retry::shared_evidence::{HeldChange, SharedCauses};
 use crate::upstreams::Lifetime;
 use std::collections::VecDeque;
 
@@ -21,10 +26,31 @@
 /// lease record.
 const MAX_PERSISTED: usize = 6;
 
+/// Why a request must not be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// How long this lasts.
+    pub left_ms: Millis,
+    /// What the request shares with others that crashed upstreams; none if this very request did.
+    pub shared: Option<SharedHold>,
+}
+
+/// What a request that is held back shares with others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SharedHold {
+    /// The cause.
+    pub cause: SharedCause,
+    /// Other causes in the request that nothing has told apart from it.
+    pub together: Vec<SharedCause>,
+    /// The crashes that decided.
+    pub crashes: Vec<CrashId>,
+}
+
 /// One host's evidence on requests that crash upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     ledger: CrashLedger,
+    shared: SharedCauses,
     interrupted: InterruptedRequests,
     completed: VecDeque<RequestDigest>,
     unreported: IndexSet<RequestDigest>,
@@ -40,36 +66,39 @@
         &mut self,
         now: Millis,
         upstream: &Lifetime,
-        digest: RequestDigest,
+        run: &InterruptedRun,
     ) -> bool {
-        let has_crashed = self.interrupted.note(now, upstream, digest);
+        let has_crashed = self.interrupted.note(now, upstream, run);
         if has_crashed {
-            self.note_crash(now, upstream, digest);
+            self.note_crash(now, upstream, std::slice::from_ref(run));
         }
         has_crashed
     }
 
     /// Records that an upstream crashed. Returns the requests of this host that were running there.
-    pub fn note_crashed(&mut self, now: Millis, upstream: &Lifetime) -> Vec<RequestDigest> {
-        let digests = self.interrupted.note_crashed(now, upstream);
-        for digest in &digests {
-            self.note_crash(now, upstream, *digest);
-        }
-        digests
+    pub fn note_crashed(&mut self, now: Millis, upstream: &Lifetime) -> Vec<InterruptedRun> {
+        let runs = self.interrupted.note_crashed(now, upstream);
+        self.note_crash(now, upstream, &runs);
+        runs
     }
 
-    fn note_crash(&mut self, now: Millis, upstream: &Lifetime, digest: RequestDigest) {
-        let evidence = Evidence {
-            digest,
-            crashes: vec![Crash {
-                id: CrashId::of(upstream),
-                is_shared: false,
-            }],
-            is_cleared: false,
-            age_ms: Millis::ZERO,
-        };
-        self.merge_unreported(now, &evidence);
-        self.clear_if_completed(now, digest);
+    fn note_crash(&mut self, now: Millis, upstream: &Lifetime, runs: &[InterruptedRun]) {
+        let id = CrashId::of(upstream);
+        for run in runs {
+            let digest = run.causes.digest;
+            let evidence = Evidence {
+                digest,
+                crashes: vec![Crash {
+                    id,
+                    is_shared: false,
+                }],
+                is_cleared: false,
+                age_ms: Millis::ZERO,
+            };
+            self.merge_unreported(now, &evidence);
+            self.clear_if_completed(now, digest);
+        }
+        self.shared.note_crash(now, id, runs);
     }
 
     /// Records that an upstream completed a request.
@@ -81,6 +110,12 @@
         self.clear(now, digest);
     }
 
+    /// Records that an upstream of a version completed a request, or goes on with its answer after
+    /// the beginning.
+    pub fn note_answered(&mut self, now: Millis, causes: &RequestCauses, version: VersionTag) {
+        self.shared.note_answered(now, &causes.shared, version);
+    }
+
     fn clear(&mut self, now: Millis, digest: RequestDigest) {
         if let Some(known) = self.ledger.evidence(now, &digest)
             && !known.is_cleared
@@ -100,13 +135,71 @@
         }
     }
 
-    /// Returns for how long a request must not be sent, because it crashes the upstreams that run
-    /// it; `None` if it may be sent.
+    /// Returns for how long a request with this digest must not be sent, because it crashes the
+    /// upstreams that run it; `None` if it may be sent.
     pub fn quarantined_ms(&self, now: Millis, digest: &RequestDigest) -> Option<Millis> {
         let until = self.ledger.quarantined_until(digest)?;
         (now < until).then(|| until - now)
     }
 
+    /// Returns why a request must not be sent; `None` if it may be sent. `sole_version` is the
+    /// version of all upstreams that could run it, if they have the same.
+    pub fn hold(
+        &self,
+        now: Millis,
+        causes: &RequestCauses,
+        sole_version: Option<VersionTag>,
+    ) -> Option<Hold> {
+        if let Some(left_ms) = self.quarantined_ms(now, &causes.digest) {
+            return Some(Hold {
+                left_ms,
+                shared: None,
+            });
+        }
+        let (cause, held) = self.shared.hold(now, &causes.shared, sole_version)?;
+        Some(Hold {
+            left_ms: held.until - now,
+            shared: Some(SharedHold {
+                cause,
+                together: held.together.clone(),
+                crashes: held.crashes.clone(),
+            }),
+        })
+    }
+
+    /// Takes one of the trials of a cause that follow the decision to hold it back. Returns whether a
+    /// request with it may be sent.
+    pub fn take_early_trial(&mut self, now: Millis, cause: SharedCause) -> bool {
+        self.shared.take_early_trial(now, cause)
+    }
+
+    /// Takes the only trial of a cause at a software version at which no upstream has crashed with
+    /// it yet. Returns whether a request with it may be sent.
+    pub fn take_trial(&mut self, now: Millis, cause: SharedCause, version: VersionTag) -> bool {
+        self.shared.take_trial(now, cause, version)
+    }
+
+    /// Tells whether a request may carry the cause of a crash to a further upstream, so that it must
+    /// not be sent a second time.
+    pub fn is_suspected(&self, causes: &RequestCauses) -> bool {
+        self.shared.is_suspected(&causes.shared)
+    }
+
+    /// Counts a request that was refused for a shared cause.
+    pub fn note_refused(&mut self, cause: SharedCause) {
+        self.shared.note_refused(cause);
+    }
+
+    /// Returns which shared causes are held back, or no longer, since the last call.
+    pub fn take_held_changes(&mut self, now: Millis) -> Vec<HeldChange> {
+        self.shared.take_held_changes(now)
+    }
+
+    /// Returns how many shared causes are held back.
+    pub fn held_count(&self) -> usize {
+        self.shared.held_count()
+    }
+
     /// Returns the report for the parent. Its evidence counts as unreported until
     /// [`Self::confirm_report`] is called.
     pub fn report(&mut self, now: Millis) -> CrashReport {
@@ -119,7 +212,15 @@
             .collect();
         CrashReport {
             evidence: self.sent.clone(),
-            known: ledger.checksum(),
+            shared: self.shared.report(now),
+            known: self.checksums(),
+        }
+    }
+
+    fn checksums(&self) -> EvidenceChecksums {
+        EvidenceChecksums {
+            requests: self.ledger.checksum(),
+            shared: self.shared.checksum(),
         }
     }
 
@@ -135,6 +236,7 @@
                 self.unreported.swap_remove(&sent.digest);
             }
         }
+        self.shared.confirm_report(now);
     }
 
     /// Merges the report of a child.
@@ -143,17 +245,22 @@
             self.merge_unreported(now, evidence);
             self.clear_if_completed(now, evidence.digest);
         }
+        self.shared.merge_report(now, &report.shared);
     }
 
-    /// Returns the answer to a child whose checksum is `known`.
-    pub fn build_update(&self, now: Millis, known: u64) -> CrashUpdate {
-        let checksum = self.ledger.checksum();
+    /// Returns the answer to a child whose checksums are `known`.
+    pub fn build_update(&self, now: Millis, known: EvidenceChecksums) -> CrashUpdate {
+        let checksums = self.checksums();
         CrashUpdate {
-            evidence: match known == checksum {
+            evidence: match known.requests == checksums.requests {
                 true => Vec::new(),
                 false => self.ledger.published(now),
             },
-            known: checksum,
+            shared: match known.shared == checksums.shared {
+                true => Vec::new(),
+                false => self.shared.published(now),
+            },
+            known: checksums,
         }
     }
 
@@ -162,12 +269,14 @@
     pub fn apply_update(&mut self, now: Millis, update: &CrashUpdate) {
         self.confirm_report(now);
         self.merge_evidence(now, &update.evidence);
+        self.merge_shared_evidence(now, &update.shared);
         let is_due = self.resent_at.is_none_or(|at| now.since(at) >= RESEND_MS);
-        if update.known != self.ledger.checksum() && is_due {
+        if update.known != self.checksums() && is_due {
             self.resent_at = Some(now);
             let published = self.ledger.published(now).into_iter();
             self.unreported
                 .extend(published.map(|evidence| evidence.digest));
+            self.shared.report_all_again();
         }
     }
 
@@ -180,6 +289,11 @@
         }
     }
 
+    /// Does the same with evidence on what requests share.
+    pub fn merge_shared_evidence(&mut self, now: Millis, evidence: &[SharedEvidence]) {
+        self.shared.merge_evidence(now, evidence);
+    }
+
     fn clear_if_completed(&mut self, now: Millis, digest: RequestDigest) {
         if self.completed.contains(&digest) {
             self.clear(now, digest);
@@ -197,4 +311,9 @@
         }
         persistent_evidence
     }
+
+    /// Returns the evidence on what requests share to store in the lease record.
+    pub fn persistent_shared_evidence(&self, now: Millis) -> Vec<SharedEvidence> {
+        self.shared.persistent_evidence(now)
+    }
 }
--- a/src/retry/tests/mod.rs
+++ b/src/retry/tests/mod.rs
@@ -4,11 +4,16 @@
 mod crash_ledger;
 mod digest;
 mod model;
+mod network;
 mod quarantine;
+mod shared_causes;
+mod shared_model;
+mod shared_site;
 mod site;
 
 use crate::prelude::*;
-use crate::retry::RequestDigest;
+use crate::retry::interrupted_requests::InterruptedRun;
+use crate::retry::{RequestCauses, RequestDigest, VersionTag};
 use crate::upstreams::Lifetime;
 
 /// Returns the digest of a request with this body; all else is equal.
@@ -22,3 +27,13 @@
         born_at: Millis::ZERO,
     }
 }
+
+/// Returns a run, of which the answer had not begun, of a request that shares nothing with others.
+fn run(body: &str) -> InterruptedRun {
+    InterruptedRun {
+        causes: Arc::new(RequestCauses::of_digest(digest(body))),
+        version: VersionTag::of(None),
+        sent_at: Millis::ZERO,
+        answered_ms: None,
+    }
+}
--- a/src/retry/tests/quarantine.rs
+++ b/src/retry/tests/quarantine.rs
@@ -1,16 +1,17 @@
 //! Tests of what one host detects, reports and merges.
 
-use super::{digest, engine};
+use super::{digest, engine, run};
 use crate::prelude::*;
 use crate::retry::Quarantine;
+use crate::retry::message::EvidenceChecksums;
 
 const NOW: Millis = Millis(10_000_000);
 
 /// Crashes each of these engines while the request with this body runs there.
 fn crash(host: &mut Quarantine, body: &str, engines: std::ops::Range<usize>) {
     for n in engines {
-        assert!(!host.note_connection_lost(NOW, &engine(n), digest(body)));
-        assert_eq!(host.note_crashed(NOW, &engine(n)), [digest(body)]);
+        assert!(!host.note_connection_lost(NOW, &engine(n), &run(body)));
+        assert_eq!(host.note_crashed(NOW, &engine(n)), [run(body)]);
     }
 }
 
@@ -28,7 +29,7 @@
 fn lost_connections_alone_are_not_crashes() {
     let mut host = Quarantine::default();
     for n in 0..10 {
-        host.note_connection_lost(NOW, &engine(n), digest("a"));
+        host.note_connection_lost(NOW, &engine(n), &run("a"));
     }
     assert!(!is_quarantined(&host, "a"));
     assert!(
@@ -40,9 +41,9 @@
 #[test]
 fn connections_lost_after_the_crash_was_detected_count() {
     let mut host = Quarantine::default();
-    host.note_connection_lost(NOW, &engine(0), digest("a"));
+    host.note_connection_lost(NOW, &engine(0), &run("a"));
     host.note_crashed(NOW, &engine(0));
-    assert!(host.note_connection_lost(NOW, &engine(0), digest("b")));
+    assert!(host.note_connection_lost(NOW, &engine(0), &run("b")));
     assert_eq!(host.report(NOW).evidence.len(), 2);
 }
 
@@ -152,14 +153,15 @@
     for n in 0..1_000 {
         let body = format!("{n}");
         for upstream in 0..8 {
-            host.note_connection_lost(NOW, &engine(upstream), digest(&body));
+            host.note_connection_lost(NOW, &engine(upstream), &run(&body));
         }
     }
     for upstream in 0..8 {
         host.note_crashed(NOW, &engine(upstream));
     }
     let report = postcard::to_stdvec(&host.report(NOW)).expect("the message serialises");
-    let update = postcard::to_stdvec(&host.build_update(NOW, 0)).expect("the message serialises");
+    let update = postcard::to_stdvec(&host.build_update(NOW, EvidenceChecksums::default()))
+        .expect("the message serialises");
     println!("report {} B, update {} B", report.len(), update.len());
     assert!(report.len() <= 4_000 && update.len() <= 4_000);
 }
--- a/src/retry/tests/site.rs
+++ b/src/retry/tests/site.rs
@@ -69,9 +69,9 @@
 #[test]
 fn crashing_request_is_quarantined_without_an_orderer() {
     check(|model| {
-        model.orderer = None;
+        model.network.orderer = None;
         model.run(8_000, true);
-        model.orderer = Some(1);
+        model.network.orderer = Some(1);
         model.run(8_000, true);
     });
 }
@@ -81,9 +81,9 @@
     check(|model| {
         for host in 0..8 {
             model.run(1_000, true);
-            model.kill(model.orderer.unwrap_or(host));
+            model.kill(model.network.orderer.unwrap_or(host));
             model.run(500, true);
-            model.orderer = Some(host);
+            model.network.orderer = Some(host);
         }
     });
 }
@@ -94,7 +94,7 @@
         model.run(8_000, true);
         model.kill_all();
         model.run(4_000, true);
-        model.orderer = Some(2);
+        model.network.orderer = Some(2);
         model.run(8_000, true);
     });
 }
@@ -108,13 +108,13 @@
             for _ in 0..10 {
                 let host = random.usize(0..hosts);
                 match random.u32(0..8) {
-                    0 => model.disconnect(host),
-                    1 => model.reconnect(),
-                    2 => model.orderer = None,
+                    0 => model.network.disconnect(host),
+                    1 => model.network.reconnect(),
+                    2 => model.network.orderer = None,
                     3 => model.kill(host),
-                    4 => model.freeze(host, random.u64(500..5_000)),
+                    4 => model.network.freeze(host, random.u64(500..5_000)),
                     5 => model.crash_engine(random.usize(0..5)),
-                    _ => model.orderer = Some(host),
+                    _ => model.network.orderer = Some(host),
                 }
                 model.run(random.u64(300..4_000), true);
             }
