mangovaled: refuse requests that crash its upstreams, or share what does

Callers of mangovaled had no protection: a request, or requests with the same beginning, that crash each engine ended one after the other, with second attempts up to four. What requests share are the leading blocks of their bodies (256 bytes each, 16 at most) and the model. The copy of the model stands for the start of an engine; for services, hosts count the crashes they saw.

Left: evidence does not survive a stop of all daemons, no trials, and old daemons do not understand the new call (they drop it; probes go on).

--- a/src/attempt/requests.rs
+++ b/src/attempt/requests.rs
@@ -65,6 +65,9 @@
     pub may_have_run: bool,
     /// The operation, if the request may run at most once and has an idempotency key.
     pub operation: Option<OperationKey>,
+    /// When the answer to its running attempt began; none before.
+    #[serde(default)]
+    pub answer_began_at: Option<Millis>,
     /// The time at which it entered its phase.
     pub phase_since: Millis,
     /// The state of the request.
--- a/src/daemon/dispatch_flow.rs
+++ b/src/daemon/dispatch_flow.rs
@@ -153,6 +153,11 @@
             );
             return;
         }
+        let checked = self.check_quarantine(now, &request.head, &request.row.brand);
+        if let Err(refusal) = checked {
+            self.refuse(now, id, refusal, fx);
+            return;
+        }
         let first_byte_ms = self.first_byte_bound(request, &chosen.name);
         let Some(request) = self.requests.get_mut(id) else {
             return;
@@ -163,6 +168,7 @@
             Repeatable::Yes | Repeatable::No => ConnectionChoice::New,
         };
         request.attempts += 1;
+        request.answer_began_at = None;
         let upstream = chosen.name.clone();
         request.enter(now, Phase::Running { upstream });
         let attempt = Attempt {
@@ -181,14 +187,21 @@
     }
 
     /// Records the time to the first byte of an attempt's answer for its upstream.
-    pub fn on_attempt_started(&mut self, id: RequestId, number: u32, first_byte_ms: Millis) {
-        let Some(request) = self.requests.get(id) else {
+    pub fn on_attempt_started(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        number: u32,
+        first_byte_ms: Millis,
+    ) {
+        let Some(request) = self.requests.get_mut(id) else {
             return;
         };
         let Phase::Running { upstream } = &request.phase else {
             return;
         };
         if request.attempts == number {
+            request.answer_began_at = Some(now);
             let streamed = request.head.streamed;
             self.routing
                 .view_mut(upstream)
--- a/src/daemon/effect.rs
+++ b/src/daemon/effect.rs
@@ -7,6 +7,7 @@
 use crate::placement::message::EngineOrder;
 use crate::prelude::*;
 use crate::table::pending_edits::{CallId, EditResult};
+use crate::upstreams::Lifetime;
 use std::net::SocketAddr;
 
 /// The effects of one event, in the order in which they are started.
@@ -83,6 +84,13 @@
         /// The attempt, with the upstream and its limits of time.
         attempt: Attempt,
     },
+    /// Checks whether an upstream still accepts connections.
+    CheckUpstream {
+        /// The start of the upstream that requests ran at.
+        lifetime: Lifetime,
+        /// The upstream's address.
+        address: SocketAddr,
+    },
     /// Answers a request with a refusal.
     Refuse {
         /// The request.
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -6,6 +6,7 @@
 use crate::edge::engine::HttpEngines;
 use crate::edge::event_loop_handle::{EventLoopHandle, Instruction};
 use crate::edge::hosts::HttpHostList;
+use crate::edge::http::with_timeout;
 use crate::edge::log_service::HttpLog;
 use crate::edge::peer::PeerEndpoint;
 use crate::edge::store::HttpStore;
@@ -14,6 +15,10 @@
 use crate::placement::message::OrderAnswer;
 use crate::prelude::*;
 use crate::settings::Settings;
+use std::time::Duration;
+
+/// How long an upstream may take to accept the connection that checks whether it crashed.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The clients of the platform's services: shared log, host list, engines and weight store.
 pub struct PlatformClients {
@@ -172,6 +177,15 @@
                 self.gate
                     .send_instruction(request, Instruction::Begin(attempt));
             }
+            Effect::CheckUpstream { lifetime, address } => spawn(async move {
+                let connect = smol::net::TcpStream::connect(address);
+                let connected = with_timeout(CHECK_TIMEOUT, connect).await;
+                let is_refused =
+                    |error: &std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+                if connected.is_some_and(|result| result.as_ref().is_err_and(is_refused)) {
+                    gate.send(Event::UpstreamRefused { lifetime }).await;
+                }
+            }),
             Effect::Refuse { request, refusal } => {
                 self.gate
                     .send_instruction(request, Instruction::Refuse(refusal));
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -7,7 +7,7 @@
 use crate::shared_log::driver::{LogCallError, LogPage};
 use crate::table::message::Edit;
 use crate::table::pending_edits::CallId;
-use crate::upstreams::Notice;
+use crate::upstreams::{Lifetime, Notice};
 use std::net::SocketAddr;
 
 /// An event for [`crate::daemon::node::Node::handle`].
@@ -132,6 +132,11 @@
         /// How the attempt ended.
         outcome: AttemptOutcome,
     },
+    /// Nothing accepts connections at the address of an upstream that was to be checked.
+    UpstreamRefused {
+        /// The start of the upstream that requests ran at.
+        lifetime: Lifetime,
+    },
     /// An operator sent an edit of the table.
     EditAsked {
         /// The id under which the answer is returned.
--- a/src/daemon/membership_flow.rs
+++ b/src/daemon/membership_flow.rs
@@ -344,6 +344,7 @@
         match reply {
             PeerReply::Probe(probe) => self.on_probe_answer(now, peer, asked_at, &probe, fx),
             PeerReply::Noted => {}
+            PeerReply::Crashes(update) => self.on_crash_update(now, &update),
             PeerReply::Records { records, .. } => {
                 self.freshness.relay_answered();
                 self.apply_relayed(now, &records, fx);
@@ -414,6 +415,7 @@
                 self.merge_leaving_hints(now, &probe);
                 PeerReply::Probe(self.own_probe(now))
             }
+            PeerRequest::Crashes(report) => PeerReply::Crashes(self.on_crash_report(now, &report)),
             PeerRequest::Demand(hints) => {
                 self.on_demand(now, &hints);
                 PeerReply::Noted
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod claim_flow;
 pub mod cold_start;
+pub mod crash_flow;
 pub mod demand_flow;
 pub mod dispatch_flow;
 pub mod dump;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -4,6 +4,7 @@
 use crate::admission::queue::Queues;
 use crate::admission::quota::{QuotaGranter, QuotaRequester};
 use crate::attempt::requests::Requests;
+use crate::daemon::crash_flow::CrashExchange;
 use crate::daemon::event::Event;
 use crate::idempotency::finished::FinishedOperations;
 use crate::idempotency::pending::PendingClaims;
@@ -14,6 +15,7 @@
 use crate::placement::executor::Executor;
 use crate::placement::policy::keep_warm::KeepWarmRule;
 use crate::prelude::*;
+use crate::retry::Quarantine;
 use crate::routing::upstreams::Routing;
 use crate::shared_log::checkpoint::CheckpointScan;
 use crate::shared_log::driver::Driver;
@@ -111,6 +113,12 @@
     pub pending_claims: PendingClaims,
     /// The operations that this host finished, with their answers.
     pub finished: FinishedOperations,
+    /// The evidence on requests that crash upstreams.
+    #[serde(default)]
+    pub quarantine: Quarantine,
+    /// When it is exchanged next.
+    #[serde(default)]
+    pub crash_exchange: CrashExchange,
     /// The demand for models as known to this host.
     pub demand: crate::daemon::demand_flow::Demand,
     /// The last list of the platform, and recent proposals of this host.
@@ -144,6 +152,8 @@
             requests: Requests::default(),
             pending_claims: PendingClaims::default(),
             finished: FinishedOperations::default(),
+            quarantine: Quarantine::default(),
+            crash_exchange: CrashExchange::default(),
             demand: Default::default(),
             platform: Default::default(),
             config,
@@ -214,7 +224,7 @@
                 number,
                 first_byte_ms,
             } => {
-                self.on_attempt_started(request, number, first_byte_ms);
+                self.on_attempt_started(now, request, number, first_byte_ms);
             }
             Event::UpstreamStated {
                 upstream,
@@ -230,6 +240,7 @@
             } => {
                 self.on_attempt_ended(now, request, number, outcome, fx);
             }
+            Event::UpstreamRefused { lifetime } => self.on_upstream_refused(now, &lifetime),
             Event::EditAsked { call, edit } => self.on_edit_asked(now, call, edit, fx),
             Event::StopAsked => self.on_stop_asked(now),
         }
@@ -241,6 +252,7 @@
         self.tick_checkpoint(now);
         self.tick_placement(now, fx);
         self.tick_requests(now, fx);
+        self.tick_crashes(now, fx);
         self.tick_lifecycle(now, fx);
     }
 
--- a/src/daemon/request_flow.rs
+++ b/src/daemon/request_flow.rs
@@ -62,6 +62,7 @@
         let deadline_ms = head
             .deadline_ms
             .map_or(row.deadline_ms, |requested| requested.min(row.deadline_ms));
+        self.check_quarantine(now, &head, &key.brand)?;
         self.check_cold_start(now, &head.name, deadline_ms)?;
         if let Err(retry_after_ms) = self.limits.admit(&key, &row) {
             let message = format!(
@@ -82,6 +83,7 @@
             failed_upstreams: Vec::new(),
             may_have_run: false,
             operation,
+            answer_began_at: None,
             phase_since: now,
             phase: Phase::Arrived,
             head,
@@ -237,6 +239,7 @@
         }
         self.end_in_flight(id);
         self.note_failure(id, &outcome);
+        self.note_crash_evidence(now, id, &upstream, &outcome, fx);
         match outcome {
             AttemptOutcome::Answered => {
                 self.keep_answer(now, id, None);
@@ -283,6 +286,29 @@
         }
     }
 
+    /// Records what the end of an attempt tells about crashes of its upstream.
+    fn note_crash_evidence(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        upstream: &Name,
+        outcome: &AttemptOutcome,
+        fx: &mut Effects,
+    ) {
+        match outcome {
+            AttemptOutcome::Answered | AttemptOutcome::OperationAnswered(_) => {
+                self.note_answered(now, id);
+            }
+            AttemptOutcome::Unknown(_) | AttemptOutcome::Broken(_) => {
+                self.note_interrupted(now, id, upstream, fx);
+            }
+            AttemptOutcome::NotRun(_)
+            | AttemptOutcome::Busy(_)
+            | AttemptOutcome::Silent(_)
+            | AttemptOutcome::CallerGone => {}
+        }
+    }
+
     fn note_may_have_run(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(id) {
             request.may_have_run = true;
@@ -302,7 +328,8 @@
             self.refuse(now, id, Refusal::new(ErrorKind::OutcomeUnknown, why), fx);
             return;
         }
-        let may_retry = repeatable || request.operation.is_some();
+        let carries_crash = request.may_have_run && self.is_suspected(request);
+        let may_retry = (repeatable || request.operation.is_some()) && !carries_crash;
         if may_retry && request.failures < MAX_FAILURES && now < request.deadline_at {
             self.enqueue(now, id, fx);
             return;
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the refusal of requests for models that are not loaded.
 
+mod crashes;
 mod statements;
 
 use crate::membership::message::{PlatformList, UpstreamEntry, UpstreamRole};
--- a/src/edge/request_reader.rs
+++ b/src/edge/request_reader.rs
@@ -4,6 +4,7 @@
 use crate::edge::digest::{sha256, sha256_of_parts};
 use crate::edge::http::with_timeout;
 use crate::prelude::*;
+use crate::rendezvous;
 use std::time::Duration;
 use trillium::{Conn, Method};
 
@@ -14,6 +15,10 @@
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
 /// The longest time for a caller to send a body.
 const READ_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The length of a block of a body that requests are compared by.
+const PREFIX_BLOCK_BYTES: usize = 256;
+/// The most leading blocks that are compared.
+const MAX_PREFIX_BLOCKS: usize = 16;
 
 /// A caller's request for an upstream, as read from its HTTP request.
 pub(super) struct CallerRequest {
@@ -74,10 +79,26 @@
         request_sha256,
         streamed: request.streamed,
         body_bytes: request.body.len() as u64,
-        prefix_hashes: Vec::new(),
+        prefix_hashes: match target {
+            TargetKind::Model => prefix_hashes(&request.body),
+            TargetKind::Service => Vec::new(),
+        },
     })
 }
 
+/// Returns the hashes of the leading whole blocks of a body, each with all blocks before it, shortest
+/// first. Requests with the same beginning share them.
+pub fn prefix_hashes(body: &[u8]) -> Vec<u64> {
+    let blocks = body
+        .chunks_exact(PREFIX_BLOCK_BYTES)
+        .take(MAX_PREFIX_BLOCKS);
+    let hashes = blocks.scan(0, |before, block| {
+        *before = rendezvous::score(block, *before);
+        Some(*before)
+    });
+    hashes.collect()
+}
+
 /// Returns SHA-256 of the bearer token of a request.
 ///
 /// # Errors
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -6,6 +6,7 @@
 use crate::idempotency::message::{OperationKey, OperationState};
 use crate::membership::leaving::LeavingHint;
 use crate::placement::policy::demand::DemandHints;
+use crate::retry::{CrashReport, CrashUpdate};
 use crate::shared_log::record::{Incarnation, LoggedRecord, Offset};
 use crate::table::message::RowKey;
 use serde::{Deserialize, Serialize};
@@ -102,6 +103,8 @@
         /// The key of the operation.
         operation: OperationKey,
     },
+    /// The sender's evidence on requests that crash upstreams.
+    Crashes(CrashReport),
 }
 
 /// The reply to a [`PeerRequest`].
@@ -134,6 +137,8 @@
         /// The state of the operation.
         state: OperationState,
     },
+    /// The evidence on requests that crash upstreams which the asking host lacks.
+    Crashes(CrashUpdate),
 }
 
 /// The content of a probe and of its answer.
--- a/src/retry/crash_ledger.rs
+++ b/src/retry/crash_ledger.rs
@@ -60,7 +60,7 @@
 }
 
 /// Evidence on one request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Suspect {
     /// The crashes at which the request was running, each with whether other requests were running
     /// too. If there are more than [`MAX_CRASHES`], those with the lowest ids are kept, so that the
@@ -118,7 +118,7 @@
 }
 
 /// The requests that were running at crashes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct CrashLedger {
     suspects: IndexMap<RequestDigest, Suspect>,
     /// Requests on which evidence is sent to other hosts, those with the most crashes first.
--- a/src/retry/interrupted_requests.rs
+++ b/src/retry/interrupted_requests.rs
@@ -17,7 +17,7 @@
 pub const BEGINNING_MS: Millis = Millis(250);
 
 /// A request whose connection to an upstream ended while it ran.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InterruptedRun {
     /// What in the request may be the cause, if the upstream crashed.
     pub causes: Arc<RequestCauses>,
@@ -36,7 +36,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct InterruptedRequest {
     at: Millis,
     upstream: Lifetime,
@@ -44,7 +44,7 @@
 }
 
 /// Requests and crashed upstreams that one host lost within the last `RETENTION_MS`.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct InterruptedRequests {
     requests: VecDeque<InterruptedRequest>,
     crashed: VecDeque<(Millis, Lifetime)>,
--- a/src/retry/quarantine.rs
+++ b/src/retry/quarantine.rs
@@ -47,7 +47,7 @@
 }
 
 /// One host's evidence on requests that crash upstreams.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Quarantine {
     ledger: CrashLedger,
     shared: SharedCauses,
@@ -217,6 +217,11 @@
         }
     }
 
+    /// Tells whether there is evidence that no report has brought to another host.
+    pub fn has_unreported(&self) -> bool {
+        !self.unreported.is_empty() || self.shared.has_unreported()
+    }
+
     fn checksums(&self) -> EvidenceChecksums {
         EvidenceChecksums {
             requests: self.ledger.checksum(),
--- a/src/retry/shared_cause.rs
+++ b/src/retry/shared_cause.rs
@@ -77,7 +77,7 @@
 }
 
 /// Everything in a request that may be the cause of a crash.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestCauses {
     /// The digest, which is equal for repeats of the request.
     pub digest: RequestDigest,
--- a/src/retry/shared_evidence.rs
+++ b/src/retry/shared_evidence.rs
@@ -61,7 +61,7 @@
 }
 
 /// One host's evidence on what requests share.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct SharedCauses {
     ledger: SharedLedger,
     sound: SoundCauses,
@@ -73,7 +73,7 @@
 }
 
 /// What a host did since it holds a cause back.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Announced {
     /// Since when the cause, or one that was not told apart from it, is held back.
     since: Millis,
@@ -243,6 +243,11 @@
         self.ledger.held().len()
     }
 
+    /// Tells whether there is evidence for the parent.
+    pub fn has_unreported(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
     /// Returns the evidence for the parent that counts as unreported until it is confirmed.
     pub fn report(&mut self, now: Millis) -> Vec<SharedEvidence> {
         self.ledger.expire(now);
--- a/src/retry/shared_ledger.rs
+++ b/src/retry/shared_ledger.rs
@@ -32,7 +32,7 @@
 const MAX_TOGETHER: usize = 8;
 
 /// What is known of a crash, as evidence on one cause.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct CrashFacts {
     version: VersionTag,
     request: u16,
@@ -40,7 +40,7 @@
 }
 
 /// Evidence on one cause.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Suspect {
     crashes: IndexMap<CrashId, CrashFacts>,
     /// The versions at which upstreams have answered on the cause.
@@ -161,7 +161,7 @@
 }
 
 /// A cause that is held back.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldCause {
     /// The causes that nothing has told apart from it: a request is held back only if it has all of
     /// them too.
@@ -173,7 +173,7 @@
 }
 
 /// The shared causes that were at crashes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct SharedLedger {
     suspects: IndexMap<SharedCause, Suspect>,
     held: IndexMap<SharedCause, HeldCause>,
--- a/src/retry/sound_causes.rs
+++ b/src/retry/sound_causes.rs
@@ -8,7 +8,7 @@
 const MAX_GENERATION: usize = 2_048;
 
 /// The causes on which upstreams of a software version have answered lately.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct SoundCauses {
     recent: IndexSet<(SharedCause, VersionTag)>,
     earlier: IndexSet<(SharedCause, VersionTag)>,
