Records of streams, usage of models: drop the oldest at the bound

At its bound each insert walked all records of streams and dropped the first by swap_remove_index(0), which puts the newest in its place, so that the next insert dropped that one: a host with 65,536 records forgot the streams that had just begun, and refused callers that took them up. Records now leave in the order in which they were added, without a walk. The usage of models and the last versions of lost models used the same call; there the order matters too.

The last versions of lost models (4,096) have no test of their own.

--- a/src/ordering/engine_inventory.rs
+++ b/src/ordering/engine_inventory.rs
@@ -143,7 +143,7 @@
         let held = engine.copies.iter();
         for (model, _) in held.filter(|(_, copy)| **copy == ModelCopy::Held) {
             if self.last_versions.len() >= MAX_LAST_VERSIONS {
-                self.last_versions.swap_remove_index(0);
+                self.last_versions.shift_remove_index(0);
             }
             self.last_versions.insert(model.clone(), version.clone());
         }
--- a/src/placement/policy/demand.rs
+++ b/src/placement/policy/demand.rs
@@ -137,11 +137,11 @@
             .filter(move |(_, used)| used.own_use_at >= since && used.own_use_at > Millis::ZERO)
     }
 
-    /// Returns a model's entry, which is added if missing; if there are too many, another is
-    /// removed.
+    /// Returns a model's entry, which is added if missing; if there are too many, the one that
+    /// was added first is removed.
     fn entry(&mut self, model: &Name) -> &mut ModelUsage {
         if self.models.len() >= MAX_MODELS && !self.models.contains_key(model) {
-            self.models.swap_remove_index(0);
+            self.models.shift_remove_index(0);
         }
         self.models.entry(model.clone()).or_default()
     }
--- a/src/placement/policy/tests.rs
+++ b/src/placement/policy/tests.rs
@@ -5,7 +5,7 @@
 use crate::placement::policy::choice::{
     Choice, LoadContext, UpstreamStatus, choose, store_wait_ms,
 };
-use crate::placement::policy::demand::{UsageHint, UsageTracker};
+use crate::placement::policy::demand::{MAX_MODELS, UsageHint, UsageTracker};
 use crate::placement::policy::gap_histogram::GapHistogram;
 use crate::placement::policy::keep_warm::{IdleCopy, KeepWarmRule};
 use crate::placement::test_site::{A, TestLog};
@@ -231,3 +231,15 @@
     assert!(costs[2] < costs[0], "{costs:?}");
     assert!(costs[2] < costs[1], "{costs:?}");
 }
+
+// Guards against forgetting the newest model for the next one once there are as many as may be.
+#[test]
+fn beyond_the_bound_the_models_that_were_added_first_are_forgotten() {
+    let mut used = UsageTracker::default();
+    let name = |n: usize| -> Name { format!("m{n}").into() };
+    for n in 0..MAX_MODELS + 4 {
+        used.note_own_request(Millis(1), &name(n));
+    }
+    assert!((0..4).all(|n| used.get(&name(n)).is_none()));
+    assert!((4..MAX_MODELS + 4).all(|n| used.get(&name(n)).is_some()));
+}
--- a/src/resumption/records.rs
+++ b/src/resumption/records.rs
@@ -4,6 +4,7 @@
 use crate::resumption::message::SentVersion;
 use crate::resumption::{Proof, StreamKey, StreamRecord, StreamVersion};
 use crate::upstreams::Registry;
+use std::collections::VecDeque;
 
 /// The most records of a host: some 10 MB.
 pub const MAX_RECORDS: usize = 65_536;
@@ -31,6 +32,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StreamRecords {
     records: IndexMap<StreamKey, Kept>,
+    /// The streams in the order in which they were added; some records may have been dropped since.
+    added: VecDeque<StreamKey>,
 }
 
 impl StreamRecords {
@@ -55,13 +58,21 @@
             kept.until = kept.until.max(until);
             return;
         }
-        if self.records.len() >= MAX_RECORDS {
-            self.expire(now);
+        let is_new = self.records.insert(key, Kept { version, until }).is_none();
+        if is_new {
+            self.added.push_back(key);
         }
-        if self.records.len() >= MAX_RECORDS {
-            self.records.swap_remove_index(0);
+        if self.records.len() > MAX_RECORDS {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        while let Some(oldest) = self.added.pop_front() {
+            if self.records.swap_remove(&oldest).is_some() {
+                return;
+            }
         }
-        self.records.insert(key, Kept { version, until });
     }
 
     /// Returns what is known of a stream.
@@ -103,6 +114,8 @@
     /// Drops the records whose time is over.
     pub fn expire(&mut self, now: Millis) {
         self.records.retain(|_, kept| now < kept.until);
+        let records = &self.records;
+        self.added.retain(|key| records.contains_key(key));
     }
 
     /// Returns the number of records.
--- a/src/resumption/tests/records.rs
+++ b/src/resumption/tests/records.rs
@@ -50,6 +50,31 @@
     assert_eq!(newest, Known::Version(version("v1")));
 }
 
+// Guards against dropping the newest record for the next one once there are as many as may be.
+#[test]
+fn beyond_the_bound_the_oldest_records_are_dropped_first() {
+    let mut records = StreamRecords::default();
+    for n in 0..MAX_RECORDS + 10 {
+        records.insert(Millis(0), key(n), Some(version("v1")), Millis(1_000));
+    }
+    let is_known = |n: usize| records.find(Millis(1), key(n)) != Known::Nothing;
+    assert!((0..10).all(|n| !is_known(n)));
+    assert!((10..MAX_RECORDS + 10).all(is_known));
+}
+
+#[test]
+fn a_record_that_ended_and_came_again_is_kept_like_others() {
+    let mut records = StreamRecords::default();
+    records.insert(Millis(0), key(0), Some(version("v1")), Millis(10));
+    records.insert(Millis(20), key(0), Some(version("v2")), Millis(1_000));
+    assert_eq!(
+        records.find(Millis(21), key(0)),
+        Known::Version(version("v2"))
+    );
+    records.expire(Millis(21));
+    assert_eq!(records.len(), 1);
+}
+
 #[test]
 fn a_record_for_another_host_carries_the_rest_of_its_time() {
     let mut records = StreamRecords::default();
