--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -39,14 +39,15 @@
     out: &mut CallerWriter,
     log: &mut RequestLog<'_, P>,
 ) -> AnswerEnd {
-    let software_version = match needed_version(host, request).await {
+    let mut attempts = Attempts::default();
+    // It counts neither in limits nor as demand, for which models are loaded.
+    if let Some(refusal) = holding::quarantine(host, request, &mut attempts) {
+        return answer_refusal(host, request.facts.id.as_deref(), out, log, &refusal).await;
+    }
+    attempts.software_version = match needed_version(host, request).await {
         Ok(version) => version,
         Err(refusal) => return refuse(host, request, out, log, refusal).await,
     };
-    let attempts = Attempts {
-        software_version,
-        ..Attempts::default()
-    };
     let charge = match Charge::take(host, request).await {
         Ok(charge) => charge,
         Err(refusal) => return refuse(host, request, out, log, refusal).await,
