Take up streams whose caller does not name the first request, by its content

A stream now also has a record under the digest of its request, which the request that takes it up has too. Its keepers are asked even where this host has a record, since equal requests may have begun streams of two versions; then it is refused as before. Two records a stream, not one.

--- a/src/entry/resumption/streams.rs
+++ b/src/entry/resumption/streams.rs
@@ -16,6 +16,7 @@
 use crate::resumption::{
     StreamKey, StreamRecord, StreamRecords, StreamVersion, TAKE_UP_MS, keepers,
 };
+use crate::retry::RequestDigest;
 use event_listener::Event as Wakeup;
 use smol::LocalExecutor;
 use std::cell::RefCell;
@@ -72,27 +73,32 @@
         request: &ActiveRequest,
         version: Option<&StreamVersion>,
     ) {
-        let Some(id) = &request.facts.id else { return };
         let now = host.now();
-        let key = StreamKey::of(id);
+        let by_id = request.facts.id.as_ref().map(|id| StreamKey::of(id));
+        let by_content = StreamKey::of_equal_requests(&request.causes.digest);
         let lasts_ms = request.deadline_at.since(now) + TAKE_UP_MS;
         let mut version = version.cloned();
         if let Some(version) = &mut version {
             version.settle(&host.upstreams.borrow(), list_as_of(host));
         }
-        let mut records = self.records.borrow_mut();
-        records.insert(now, key, version.clone(), lasts_ms);
-        drop(records);
+        for key in by_id.into_iter().chain([by_content]) {
+            let mut records = self.records.borrow_mut();
+            records.insert(now, key, version.clone(), lasts_ms);
+            drop(records);
+            let version = version.as_ref();
+            let record = StreamRecord {
+                key,
+                version: version.map(|version| SentVersion::new(version, now)),
+                lasts_ms,
+            };
+            self.send_to_keepers(host, &record);
+        }
+    }
+
+    fn send_to_keepers<P: Platform>(&self, host: &Host<P>, record: &StreamRecord) {
         let Some((_, me)) = &self.network else { return };
-        let record = StreamRecord {
-            key,
-            version: version
-                .as_ref()
-                .map(|version| SentVersion::new(version, now)),
-            lasts_ms,
-        };
         let members = host.members.borrow();
-        for keeper in keepers(members.iter(), key) {
+        for keeper in keepers(members.iter(), record.key) {
             if keeper.incarnation != me.incarnation {
                 self.queue(keeper.peer_address, record.clone());
             }
@@ -116,12 +122,26 @@
 
     /// Returns what this host or the hosts that keep the record know of a stream.
     pub async fn find<P: Platform>(&self, host: &Host<P>, key: StreamKey) -> Known {
-        let own = self.records.borrow().find(host.now(), key);
-        if own != Known::Nothing {
-            return own;
+        match self.records.borrow().find(host.now(), key) {
+            Known::Nothing => {}
+            known => return known,
+        }
+        self.ask_keepers(host, key).await
+    }
+
+    /// Returns the same of the streams that equal requests began. The hosts that keep their records
+    /// are asked first, since this host may have begun only some of them.
+    pub async fn find_equal<P: Platform>(&self, host: &Host<P>, digest: &RequestDigest) -> Known {
+        let key = StreamKey::of_equal_requests(digest);
+        match self.ask_keepers(host, key).await {
+            Known::Nothing => self.records.borrow().find(host.now(), key),
+            known => known,
         }
+    }
+
+    async fn ask_keepers<P: Platform>(&self, host: &Host<P>, key: StreamKey) -> Known {
         let Some((peers, me)) = &self.network else {
-            return own;
+            return Known::Nothing;
         };
         let asked: Vec<SocketAddr> = {
             let members = host.members.borrow();
--- a/src/entry/resumption/take_up.rs
+++ b/src/entry/resumption/take_up.rs
@@ -75,7 +75,10 @@
 ) -> (Option<Name>, Basis) {
     let known = match &taken_up.first_request {
         Some(first) => caller.streams.find(host, StreamKey::of(first)).await,
-        None => Known::Nothing,
+        None => {
+            let digest = &request.causes.digest;
+            caller.streams.find_equal(host, digest).await
+        }
     };
     match known {
         Known::Version(version) if is_proven(host, &version).await => {
--- a/src/entry/tests/versions.rs
+++ b/src/entry/tests/versions.rs
@@ -163,6 +163,47 @@
     });
 }
 
+// Guards against refusing callers that do not name their first request while the list cannot prove
+// that there was one version alone.
+#[test]
+fn a_stream_that_is_taken_up_without_the_name_of_its_request_goes_on_at_its_version() {
+    on_hosts(4, |hosts| async move {
+        begin_and_leave(&hosts).await;
+        let other = hosts.start_upstream_of("u2", "v2", rest()).await;
+        let same = hosts.start_upstream_of("u3", "v1", rest()).await;
+        for host in 0..4 {
+            let unnamed = TAKE_UP.replace("Resumes: i1\r\n", "");
+            let answer = loop {
+                let answer = hosts.call(host, &unnamed).await;
+                if !answer.body.contains("stream_version_unknown") {
+                    break answer;
+                }
+            };
+            assert_eq!(answer.head.status, 200, "{}", answer.body);
+            assert_eq!(answer.body, SECOND);
+        }
+        assert_eq!(arrivals(&same), 4);
+        assert_eq!(arrivals(&other), 0);
+    });
+}
+
+// Guards against an answer with events of two versions where equal requests began streams in both.
+#[test]
+fn a_stream_of_equal_requests_in_two_versions_is_not_taken_up_without_its_name() {
+    on_hosts(3, |hosts| async move {
+        begin_and_leave(&hosts).await;
+        let other = hosts.start_upstream_of("u2", "v2", rest()).await;
+        let again = hosts.call(1, &REQUEST.replace("Id: i1", "Id: i9")).await;
+        assert_eq!(again.head.status, 200, "{}", again.body);
+        for host in 0..3 {
+            let unnamed = TAKE_UP.replace("Resumes: i1\r\n", "");
+            let answer = hosts.call(host, &unnamed).await;
+            assert_eq!(answer.head.status, 503, "{}", answer.body);
+        }
+        assert_eq!(arrivals(&other), 1);
+    });
+}
+
 // Guards against a stream that goes on in another version when all of its own are gone.
 #[test]
 fn a_stream_that_is_taken_up_when_its_version_is_gone_is_refused_as_not_run() {
