--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -215,6 +215,13 @@
         from_store.filter_map(move |(model, copy)| copy.progress(now, model))
     }
 
+    /// Returns the models that the engine is loading, from wherever.
+    pub fn loading_models(&self) -> impl Iterator<Item = &Name> {
+        let copies = self.copies.iter();
+        copies
+            .filter_map(|(model, copy)| matches!(copy, ModelCopy::Loading { .. }).then_some(model))
+    }
+
     /// Returns the engine's name and the start that its state belongs to.
     pub(super) fn lifetime(&self) -> Lifetime {
         Lifetime {
--- a/src/ordering/engine_inventory.rs
+++ b/src/ordering/engine_inventory.rs
@@ -11,6 +11,7 @@
 use crate::ordering::copy::{LoadProgress, LoadTime, ModelCopy};
 use crate::ordering::engine::Engine;
 use crate::ordering::engine_index::{EngineIndex, ServiceIndex};
+use crate::ordering::failed_loads::FailedLoads;
 use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
 use crate::ordering::published::EngineView;
 use crate::prelude::*;
@@ -55,6 +56,8 @@
     versions: IndexMap<Name, Name>,
     /// The software version of the engine that held a model and was removed last.
     last_versions: IndexMap<Name, Name>,
+    /// Loads whose engines ended before they were done.
+    failed_loads: FailedLoads,
     engines_visited: Cell<u64>,
 }
 
@@ -93,6 +96,22 @@
         self.gone.push(engine.lifetime());
     }
 
+    /// Records the loads that end because their engine does.
+    fn note_lost_loads(&mut self, now: Millis, id: &str) {
+        let Some(engine) = self.engines.get(id) else {
+            return;
+        };
+        for model in engine.loading_models() {
+            self.failed_loads.note_crash(now, model);
+        }
+    }
+
+    /// Returns whether a model may be loaded now, since not too many engines have crashed while they
+    /// loaded it.
+    pub fn may_load(&self, now: Millis, model: &str) -> bool {
+        self.failed_loads.may_load(now, model)
+    }
+
     /// Sets the engines to those that are listed. The state of a new one is unknown until its
     /// report is read.
     pub fn set_engines(&mut self, now: Millis, engines: impl Iterator<Item = (Lifetime, Name)>) {
@@ -106,6 +125,7 @@
             .cloned()
             .collect();
         for id in &unlisted {
+            self.note_lost_loads(now, id);
             self.remove(id);
         }
         self.needs_engine_list = false;
@@ -113,9 +133,12 @@
             match self.engines.get(&id).map(|engine| engine.born_at) {
                 // An engine's own report may show a new start before the list does.
                 Some(born_at) if born_at >= lifetime.born_at => {}
-                Some(_) => drop(self.update(&id, |engine| {
-                    engine.begin_lifetime(now, lifetime.born_at);
-                })),
+                Some(_) => {
+                    self.note_lost_loads(now, &id);
+                    self.update(&id, |engine| {
+                        engine.begin_lifetime(now, lifetime.born_at);
+                    });
+                }
                 None => self.insert(Engine::new(lifetime, service)),
             }
         }
@@ -307,6 +330,7 @@
             return;
         }
         if answer == OrderAnswer::OtherLifetime {
+            self.note_lost_loads(now, id);
             self.remove(id);
             self.needs_engine_list = true;
             return;
@@ -357,7 +381,11 @@
         };
         let idle_ms = self.idle_report_interval();
         let loaded = self.update(id, |engine| engine.record_report(now, report, idle_ms));
-        loaded.unwrap_or_default()
+        let loaded = loaded.unwrap_or_default();
+        for load in &loaded {
+            self.failed_loads.note_loaded(&load.model);
+        }
+        loaded
     }
 
     /// Returns the changes since the last call.
--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -24,6 +24,7 @@
 pub mod engine_inventory;
 mod engine_orders;
 pub mod estimates;
+pub mod failed_loads;
 mod free_memory;
 pub mod host_reports;
 pub mod lease;
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -312,6 +312,9 @@
         engines: impl Iterator<Item = &'b Engine>,
         may_use_store: bool,
     ) -> Option<PlannedOrder> {
+        if !self.inventory.may_load(self.now, need.model) {
+            return None;
+        }
         let spec = self.spec.models.get(need.model)?;
         let lost_version = match need.copies {
             0 => self.lost_version(need.model),
--- a/src/ordering/tests/planner/mod.rs
+++ b/src/ordering/tests/planner/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod copies;
+mod failed_loads;
 mod memory;
 mod waits;
 
