--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -3,6 +3,7 @@
 //! It runs the parts that `mangovale-entry` runs (relays, messages, ledger, plan) in one process; only the way between two hosts is
 //! replaced by a time.
 
+pub mod crashes;
 pub mod desired;
 pub mod exchange;
 pub mod filling;
@@ -60,6 +61,8 @@
     pub plan: plan::Plan,
     /// The records of which software version began a stream.
     pub streams: streams::Streams,
+    /// The evidence on crashes of upstreams.
+    pub crashes: crashes::Crashes,
 }
 
 /// Measures a site; `seed` draws when hosts speak.
@@ -75,6 +78,7 @@
         filling: filling::measure(&world, seed),
         plan: plan::measure(&world),
         streams: streams::measure(&world, seed),
+        crashes: crashes::measure(&world),
     }
 }
 
@@ -83,6 +87,11 @@
     streams::measure(&World::new(size), seed)
 }
 
+/// Measures only the evidence on crashes of a site.
+pub fn measure_crashes(size: Size) -> crashes::Crashes {
+    crashes::measure(&World::new(size))
+}
+
 /// How fast a figure grows with the hosts between two sizes: 0 when it stays, 1 when it doubles with them.
 pub fn exponent(small: (usize, f64), large: (usize, f64)) -> f64 {
     let ratio = |a: f64, b: f64| (b.max(f64::MIN_POSITIVE) / a.max(f64::MIN_POSITIVE)).ln();
--- a/bench/src/fleet/text.rs
+++ b/bench/src/fleet/text.rs
@@ -6,7 +6,7 @@
 /// A line of the table: its name, and the figure of one size.
 type Line = (&'static str, fn(&Measured) -> f64);
 
-const LINES: [Line; 37] = [
+const LINES: [Line; 40] = [
     ("hosts", |m| m.size.hosts as f64),
     ("engines", |m| m.size.engines as f64),
     ("relays", |m| m.exchange.relays as f64),
@@ -88,6 +88,15 @@
     ("streams: records at the busiest host/s", |m| {
         m.streams.busiest_kept_per_s
     }),
+    ("crashes all the time: orderer, bytes/s", |m| {
+        m.crashes.orderer_bytes_per_s
+    }),
+    ("crashes all the time: relay, bytes/s", |m| {
+        m.crashes.relay_bytes_per_s
+    }),
+    ("crashes all the time: other host, bytes/s", |m| {
+        m.crashes.host_bytes_per_s
+    }),
 ];
 
 /// Returns the figures, one line each, and the exponent of their growth between the last two sizes.
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -43,6 +43,9 @@
     /// measure only the records of streams, a line of JSON for each size
     #[argh(switch)]
     streams: bool,
+    /// measure only the evidence on crashes, a line of JSON for each size
+    #[argh(switch)]
+    crashes: bool,
 }
 
 /// Measure how long a kill, a log outage and the start of a new daemon are felt.
@@ -266,6 +269,10 @@
         sizes.for_each(|size| print(&fleet::measure_streams(size, options.seed)));
         return Ok(());
     }
+    if options.crashes {
+        sizes.for_each(|size| print(&fleet::measure_crashes(size)));
+        return Ok(());
+    }
     let measured: Vec<fleet::Measured> = sizes
         .map(|size| fleet::measure(size, options.seed))
         .collect();
