Hold back by each cause of a request; versions by entry; only the orderer's look-up for held ones

Found in a reading: where a request's first held cause is sound at the only version, a second held cause did not hold it back; crashes of upstreams that the list lacks in an outage counted for no version while answers before did; the only version was looked up for each request. Tests: resumed streams over sockets, shared causes over the lease.

--- a/src/daemon/crash_flow.rs
+++ b/src/daemon/crash_flow.rs
@@ -88,7 +88,7 @@
 
     /// Tells whether a request may carry the cause of a crash to a further upstream.
     pub fn is_suspected(&self, request: &TrackedRequest) -> bool {
-        self.quarantine.is_suspected(&self.causes(request))
+        self.quarantine.is_suspected(&self.causes(request), None)
     }
 
     /// Records that the connection to an upstream ended while it ran a request, and has it checked
--- a/src/entry/crashes/detection.rs
+++ b/src/entry/crashes/detection.rs
@@ -7,11 +7,10 @@
 use crate::entry::platform::{ModelRef, Platform};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
-use crate::resumption::StreamVersion;
 use crate::retry::crash_ledger::CrashId;
 use crate::retry::interrupted_requests::InterruptedRun;
 use crate::retry::{RequestDigest, VersionTag};
-use crate::upstreams::{Lifetime, Upstream};
+use crate::upstreams::Lifetime;
 use std::net::SocketAddr;
 
 /// How long an upstream may take to accept the connection that checks whether it crashed; a request
@@ -98,12 +97,13 @@
     (!known.is_leaving()).then(|| known.address())
 }
 
-fn version_of<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> VersionTag {
+/// Returns the software version of an upstream by its entry, also while the list lacks the entry in an
+/// outage.
+pub fn version_of<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> VersionTag {
     let upstreams = host.upstreams.borrow();
-    let version = upstreams
-        .get_lifetime(upstream)
-        .and_then(Upstream::software_version);
-    VersionTag::of(version.map(|version| &**version))
+    let known = upstreams.get_lifetime(upstream);
+    let version = known.and_then(|known| known.entry.software_version.as_deref());
+    VersionTag::of(version)
 }
 
 /// Records that no connection to an upstream can be opened. If the connection is refused, so that
@@ -145,12 +145,7 @@
 
 /// Records that an upstream of a software version goes on with its answer to a request after the
 /// beginning, or has completed it. Nothing that the request shares with others crashes upstreams.
-pub fn note_answered<P: Platform>(
-    host: &Host<P>,
-    request: &ActiveRequest,
-    version: Option<&StreamVersion>,
-) {
-    let version = VersionTag::of(version.map(|version| &*version.version));
+pub fn note_answered<P: Platform>(host: &Host<P>, request: &ActiveRequest, version: VersionTag) {
     with_quarantine(host, |quarantine, now| {
         quarantine.note_answered(now, &request.causes, version);
     });
--- a/src/entry/crashes/holding.rs
+++ b/src/entry/crashes/holding.rs
@@ -33,12 +33,14 @@
     request: &ActiveRequest,
     attempts: &mut Attempts,
 ) -> Option<Refusal> {
+    let held_at = |version| {
+        let quarantine = &host.retries.borrow().quarantine;
+        quarantine.hold(host.now(), &request.causes, version)
+    };
+    // Few requests are held back at any version, so the only one is looked up for these alone.
+    held_at(None)?;
     let version = sole_version(host, request);
-    let hold = host
-        .retries
-        .borrow()
-        .quarantine
-        .hold(host.now(), &request.causes, version)?;
+    let hold = held_at(version)?;
     if let Some(shared) = &hold.shared {
         attempts.is_trial = attempts.is_trial || takes_trial(host, shared, version);
         if attempts.is_trial {
@@ -53,8 +55,9 @@
 /// Tells whether a request may carry the cause of a crash on, so that it must not be sent again after
 /// an attempt that may have run it.
 pub fn is_suspected<P: Platform>(host: &Host<P>, request: &ActiveRequest) -> bool {
+    let version = sole_version(host, request);
     let quarantine = &host.retries.borrow().quarantine;
-    quarantine.is_suspected(&request.causes)
+    quarantine.is_suspected(&request.causes, version)
 }
 
 /// Returns the only software version that upstreams of the request's service have had for as long as
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -214,7 +214,7 @@
     answer: Box<StartedAnswer>,
 ) -> Option<AnswerEnd> {
     log.summary.status = answer.head.status;
-    let version = answer.software_version.clone();
+    let version = answer.version_tag;
     let relayed = relay_answer(host, request, out, log, attempts, answer).await;
     match relayed {
         RelayOutcome::Complete => {
@@ -222,7 +222,7 @@
                 detection::note_completed(host, request);
             }
             if (200..300).contains(&log.summary.status) {
-                detection::note_answered(host, request, version.as_ref());
+                detection::note_answered(host, request, version);
             }
             log.outcome = Some("answered");
             Some(AnswerEnd::Complete)
--- a/src/entry/handoff/mod.rs
+++ b/src/entry/handoff/mod.rs
@@ -30,6 +30,7 @@
 use crate::http1::client::{MAX_HEAD_BYTES, with_timeout};
 use crate::http1::{Connection, ReadError};
 use crate::prelude::*;
+use crate::retry::VersionTag;
 use crate::upstreams::{Lifetime, Upstream};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -405,6 +406,7 @@
             id: name.clone(),
             born_at: Millis::ZERO,
         },
+        version_tag: VersionTag::of(version.as_ref().map(|version| &*version.version)),
         software_version: version,
         head,
         sent_at: host.now(),
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -20,8 +20,8 @@
 use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
 use crate::prelude::*;
 use crate::resumption::StreamVersion;
-use crate::retry::RequestDigest;
 use crate::retry::interrupted_requests::BEGINNING_MS;
+use crate::retry::{RequestDigest, VersionTag};
 use crate::routing::roles::is_long;
 use crate::upstreams::{Lifetime, Upstream};
 
@@ -106,6 +106,8 @@
     pub connection: AnswerConnection,
     /// The software version of the upstream; none if the list does not state it.
     pub software_version: Option<StreamVersion>,
+    /// The version that the answer is evidence for, whether or not it is proven.
+    pub version_tag: VersionTag,
     /// Counts the request as in flight at the upstream until it is dropped; none for an answer of
     /// another host, which counts it.
     pub in_flight: Option<InFlight>,
@@ -141,7 +143,7 @@
     pub fn note_goes_on<P: Platform>(&mut self, host: &Host<P>, request: &ActiveRequest) {
         let is_past_beginning = host.now().since(self.began_at) >= BEGINNING_MS;
         if is_past_beginning && !std::mem::replace(&mut self.goes_on, true) {
-            detection::note_answered(host, request, self.software_version.as_ref());
+            detection::note_answered(host, request, self.version_tag);
         }
     }
 
@@ -320,6 +322,7 @@
             SendOutcome::Answered(Box::new(StartedAnswer {
                 upstream: upstream.clone(),
                 software_version,
+                version_tag: detection::version_of(host, upstream),
                 head,
                 sent_at: attempt.began_at,
                 began_at: now,
--- a/src/entry/tests/lease_manager.rs
+++ b/src/entry/tests/lease_manager.rs
@@ -10,7 +10,7 @@
 use crate::group::Member;
 use crate::prelude::*;
 use crate::retry::interrupted_requests::InterruptedRun;
-use crate::retry::{RequestCauses, RequestDigest, VersionTag};
+use crate::retry::{RequestCauses, RequestDigest, SharedCause, VersionTag};
 use crate::upstreams::Lifetime;
 use std::rc::Rc;
 
@@ -77,6 +77,38 @@
     });
 }
 
+/// Records four crashes at a host, each with another request in flight that shares a cause.
+fn record_shared_crashes(host: &Host<FakePlatform>, cause: SharedCause) {
+    let quarantine = &mut host.retries.borrow_mut().quarantine;
+    for n in 0..4 {
+        let now = host.now() + Millis(n);
+        let upstream = Lifetime {
+            id: format!("s{n}").into(),
+            born_at: Millis::ZERO,
+        };
+        let run = InterruptedRun {
+            causes: Arc::new(RequestCauses {
+                digest: RequestDigest::of(None, "POST", "x", "/a/1", &n.to_le_bytes()),
+                shared: vec![cause],
+            }),
+            version: VersionTag::of(Some("v1")),
+            sent_at: now,
+            answered_ms: None,
+        };
+        quarantine.note_connection_lost(now, &upstream, &run);
+        quarantine.note_crashed(now, &upstream);
+    }
+}
+
+fn is_held_back(host: &Host<FakePlatform>, cause: SharedCause) -> bool {
+    let request = RequestCauses {
+        digest: RequestDigest::of(None, "POST", "x", "/a/1", b"another"),
+        shared: vec![cause],
+    };
+    let quarantine = &host.retries.borrow().quarantine;
+    quarantine.hold(host.now(), &request, None).is_some()
+}
+
 /// Records a request at a host as the only one in flight at three crashes.
 fn record_crashes(host: &Host<FakePlatform>, digest: RequestDigest) {
     let now = host.now();
@@ -104,7 +136,7 @@
 
 /// Guards against a request that crashes upstreams being sent again after all hosts restart.
 #[test]
-fn starting_host_restores_quarantined_requests_from_the_lease() {
+fn starting_host_restores_what_is_quarantined_from_the_lease() {
     on_site(|site| async move {
         let shared = Arc::new(smol::Executor::new());
         let (own, other) = (bind_peers(&shared), bind_peers(&shared));
@@ -115,16 +147,19 @@
             as_member(&other_host, &other, 0),
         );
         let digest = RequestDigest::of(None, "POST", "x", "/a/1", b"crash");
+        let cause = SharedCause::part("s", 0xbad);
         let keep = manage(&site.host, own, me);
         site.executor.spawn(keep).detach();
         let test = async {
             site.until(|host| host.is_orderer()).await;
             record_crashes(&site.host, digest);
+            record_shared_crashes(&site.host, cause);
             let before = store.lease_records();
             site.until(|_| store.lease_records() > before).await;
             let keep = manage(&other_host, other, next);
             site.executor.spawn(keep).detach();
             site.until(|_| is_quarantined(&other_host, &digest)).await;
+            assert!(is_held_back(&other_host, cause));
         };
         shared.run(test).await;
     });
--- a/src/entry/tests/shared_parts.rs
+++ b/src/entry/tests/shared_parts.rs
@@ -8,6 +8,10 @@
 
 const STREAM: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid:1\ndata:a\n\n\r\n0\r\n\r\n";
 
+/// The beginning of a stream, and its end.
+const BEGUN: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid:1\ndata:a\n\n\r\n";
+const REST: &str = "d\r\nid:2\ndata:b\n\n\r\n0\r\n\r\n";
+
 /// The first part of all prompts of the route.
 const COMMON: u64 = 0xc0;
 /// A part that crashes upstreams.
@@ -90,6 +94,24 @@
     });
 }
 
+/// Guards against resumed streams that carry such a part to the next upstream.
+#[test]
+fn streams_with_a_suspected_part_are_not_resumed() {
+    on_site(|site| async move {
+        site.apply_route(streams(Repeat::Resumable)).await;
+        let script = vec![Write(BEGUN), CrashOnPart(CRASHING), Write(REST)];
+        let upstreams = site.start_upstreams_of(&["v1"; 30], vec![script]).await;
+        for n in 0..20 {
+            site.call(&request(2 * n, &[COMMON, CRASHING])).await;
+            let sound = site.call(&request(2 * n + 1, &[COMMON, SOUND])).await;
+            assert_eq!(sound.head.status, 200, "{}", sound.body);
+            assert!(sound.is_whole);
+        }
+        let crashes = crashes(&upstreams);
+        assert!(crashes <= FIFTH_CRASH, "{crashes} upstreams crashed");
+    });
+}
+
 /// Guards against holding back the first part of a route because at first only requests with a
 /// crashing part use it.
 #[test]
--- a/src/retry/quarantine.rs
+++ b/src/retry/quarantine.rs
@@ -181,8 +181,8 @@
 
     /// Tells whether a request may carry the cause of a crash to a further upstream, so that it must
     /// not be sent a second time.
-    pub fn is_suspected(&self, causes: &RequestCauses) -> bool {
-        self.shared.is_suspected(&causes.shared)
+    pub fn is_suspected(&self, causes: &RequestCauses, sole_version: Option<VersionTag>) -> bool {
+        self.shared.is_suspected(&causes.shared, sole_version)
     }
 
     /// Counts a request that was refused for a shared cause.
--- a/src/retry/shared_evidence.rs
+++ b/src/retry/shared_evidence.rs
@@ -145,17 +145,15 @@
         }
     }
 
-    /// Returns for which cause a request with these must not be sent.
+    /// Returns for which cause a request with these must not be sent; see
+    /// [`SharedLedger::holds_back`].
     pub fn hold(
         &self,
         now: Millis,
         causes: &[SharedCause],
         sole_version: Option<VersionTag>,
     ) -> Option<(SharedCause, &HeldCause)> {
-        let (cause, held) = self.ledger.holds_back(causes)?;
-        let is_sound_now = |version| self.ledger.is_cleared(cause, version);
-        let is_held = now < held.until && !sole_version.is_some_and(is_sound_now);
-        is_held.then_some((cause, held))
+        self.ledger.holds_back(now, causes, sole_version)
     }
 
     /// Takes one of the trials of a cause that follow the decision to hold it back.
@@ -191,8 +189,8 @@
     }
 
     /// Tells whether a request with these causes may carry the cause of a crash on.
-    pub fn is_suspected(&self, causes: &[SharedCause]) -> bool {
-        self.ledger.is_suspected(causes)
+    pub fn is_suspected(&self, causes: &[SharedCause], sole_version: Option<VersionTag>) -> bool {
+        self.ledger.is_suspected(causes, sole_version)
     }
 
     /// Counts a request that was refused for a cause.
--- a/src/retry/shared_ledger.rs
+++ b/src/retry/shared_ledger.rs
@@ -284,24 +284,30 @@
     }
 
     /// Returns the first cause for which a request that has all these causes is held back.
-    pub fn holds_back(&self, causes: &[SharedCause]) -> Option<(SharedCause, &HeldCause)> {
-        if self.held.is_empty() {
-            return None;
-        }
+    /// `sole_version` is the version of all upstreams that could run it, if they have the same.
+    pub fn holds_back(
+        &self,
+        now: Millis,
+        causes: &[SharedCause],
+        sole_version: Option<VersionTag>,
+    ) -> Option<(SharedCause, &HeldCause)> {
         causes.iter().find_map(|cause| {
             let held = self.held.get(cause)?;
             let has_all = held.together.iter().all(|other| causes.contains(other));
-            has_all.then_some((*cause, held))
+            let is_sound_now = sole_version.is_some_and(|only| self.is_cleared(*cause, only));
+            (has_all && now < held.until && !is_sound_now).then_some((*cause, held))
         })
     }
 
     /// Tells whether a request with these causes may carry the cause of a crash to a further
     /// upstream.
-    pub fn is_suspected(&self, causes: &[SharedCause]) -> bool {
-        let suspects = causes.iter().filter_map(|cause| self.suspects.get(cause));
-        suspects
-            .map(Suspect::open_count)
-            .any(|count| count >= MIN_CRASHES_SUSPECTED)
+    pub fn is_suspected(&self, causes: &[SharedCause], sole_version: Option<VersionTag>) -> bool {
+        causes.iter().any(|cause| {
+            let suspect = self.suspects.get(cause);
+            let is_suspect =
+                suspect.is_some_and(|suspect| suspect.open_count() >= MIN_CRASHES_SUSPECTED);
+            is_suspect && !sole_version.is_some_and(|only| self.is_cleared(*cause, only))
+        })
     }
 
     /// Returns a checksum over what [`Self::published`] returns. It is equal on hosts with the same
--- a/src/retry/tests/shared_causes.rs
+++ b/src/retry/tests/shared_causes.rs
@@ -176,11 +176,11 @@
 fn requests_with_a_suspected_part_are_not_sent_on() {
     let mut host = Quarantine::default();
     crash_each(&mut host, 0..1, &[COMMON, CRASHING]);
-    assert!(!host.is_suspected(&request(7, &[CRASHING])));
+    assert!(!host.is_suspected(&request(7, &[CRASHING]), None));
     crash_each(&mut host, 1..2, &[COMMON, CRASHING]);
-    assert!(host.is_suspected(&request(7, &[CRASHING])));
+    assert!(host.is_suspected(&request(7, &[CRASHING]), None));
     answer(&mut host, &[COMMON]);
-    assert!(!host.is_suspected(&request(7, &[COMMON])));
+    assert!(!host.is_suspected(&request(7, &[COMMON]), None));
 }
 
 /// Guards against crashes that each host knows alone.
--- a/src/retry/tests/shared_model.rs
+++ b/src/retry/tests/shared_model.rs
@@ -241,7 +241,10 @@
 
     /// Sends a request of a crashed engine once more, or lets its caller repeat it at another host.
     fn send_on(&mut self, run: Run) {
-        let is_suspected = self.network.quarantine(run.host).is_suspected(&run.causes);
+        let is_suspected = self
+            .network
+            .quarantine(run.host)
+            .is_suspected(&run.causes, None);
         let may_resend = self.traffic.resend_suspected || !is_suspected;
         let (host, attempt) = match run.attempt < MAX_ATTEMPTS && may_resend {
             true => (run.host, run.attempt + 1),
