Leave an engine out for a second after another process answered for it

While its store was away the orderer kept an engine in its list that had gone; another process had the address, answered each order with 421 and each read of a report with 200.

--- a/src/ordering/engine_inventory.rs
+++ b/src/ordering/engine_inventory.rs
@@ -28,6 +28,9 @@
 /// With thousands of engines, each engine's report is therefore read less often than every
 /// [`IDLE_REPORT_INTERVAL_MS`].
 const MIN_REPORT_SPACING_MS: Millis = Millis(5);
+/// For how long an engine is left out after another process answered an order for it, while the list
+/// still has it.
+const OTHER_LIFETIME_MS: Millis = Millis(1_000);
 /// The most models whose last engine's software version is remembered.
 const MAX_LAST_VERSIONS: usize = 4_096;
 
@@ -58,6 +61,8 @@
     last_versions: IndexMap<Name, Name>,
     /// Loads whose engines ended before they were done.
     failed_loads: FailedLoads,
+    /// Lifetimes of engines at whose address another process answered an order, with when it did.
+    misdirected: IndexMap<Lifetime, Millis>,
     engines_visited: Cell<u64>,
 }
 
@@ -128,8 +133,13 @@
             self.note_lost_loads(now, id);
             self.remove(id);
         }
-        self.needs_engine_list = false;
+        self.misdirected
+            .retain(|_, at| now.since(*at) < OTHER_LIFETIME_MS);
+        self.needs_engine_list = !self.misdirected.is_empty();
         for (id, (lifetime, service)) in listed {
+            if self.misdirected.contains_key(&lifetime) {
+                continue;
+            }
             match self.engines.get(&id).map(|engine| engine.born_at) {
                 // An engine's own report may show a new start before the list does.
                 Some(born_at) if born_at >= lifetime.born_at => {}
@@ -331,6 +341,9 @@
         }
         if answer == OrderAnswer::OtherLifetime {
             self.note_lost_loads(now, id);
+            if let Some(engine) = self.engines.get(id) {
+                self.misdirected.insert(engine.lifetime(), now);
+            }
             self.remove(id);
             self.needs_engine_list = true;
             return;
--- a/src/ordering/tests/planner/failed_loads.rs
+++ b/src/ordering/tests/planner/failed_loads.rs
@@ -55,3 +55,36 @@
 fn a_model_whose_load_ended_with_one_crash_is_loaded_again_at_once() {
     assert_eq!(loads_in_a_minute(|load| load < 3), 3);
 }
+
+// Guards against one order after the other to a process that has an engine's address, while the list
+// is not read any more, instead of loads elsewhere.
+#[test]
+fn a_model_is_loaded_elsewhere_while_another_process_answers_for_an_engine() {
+    let mut site = Site::new(spec(60.0, &[50.0]), &[&[], &[]]);
+    let listed = || ["e0", "e1"].map(|id| (unknown_start(id.into()), Name::from("s")));
+    let mut ordered: Vec<Name> = Vec::new();
+    for step in 0..20 {
+        let now = NOW + Millis(20 * step);
+        site.request(1, now, &[(model("m0"), waiting(1))]);
+        site.inventory.set_engines(now, listed().into_iter());
+        for id in ["e0", "e1"] {
+            let report = EngineReport::default();
+            site.inventory.record_report(now, &Name::from(id), Some(report));
+        }
+        let Some(planned) = site.next(now) else {
+            continue;
+        };
+        let engine = planned.engine.clone();
+        let order = site
+            .inventory
+            .begin(now, &engine, planned.action, planned.model_ref, None);
+        let order = order.expect("a known engine");
+        site.inventory.take_due_orders(now);
+        let answer = OrderAnswer::OtherLifetime;
+        site.inventory
+            .record_answer(now, &engine, &order, answer, LoadTime::default());
+        ordered.push(engine);
+    }
+    ordered.sort();
+    assert_eq!(ordered, ["e0".into(), "e1".into()] as [Name; 2]);
+}
