--- a/src/daemon/crash_flow.rs
+++ b/src/daemon/crash_flow.rs
@@ -29,7 +29,7 @@
 
 /// What this host saw of crashes of services, and when it exchanges evidence next.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct CrashExchange {
+pub struct CrashState {
     /// The crashes of upstreams that hold no copies.
     seen: IndexMap<Name, SeenCrashes>,
     next_report_at: Millis,
@@ -66,7 +66,7 @@
     ///
     /// Returns the refusal, which states that the request has not run.
     pub fn check_quarantine(
-        &self,
+        &mut self,
         now: Millis,
         head: &RequestHead,
         brand: &str,
@@ -75,12 +75,15 @@
         let Some(hold) = self.quarantine.hold(now, &causes, None) else {
             return Ok(());
         };
-        let cause = hold.shared.as_ref().map(|shared| shared.cause.to_string());
+        let cause = hold.shared.as_ref().map(|shared| shared.cause);
+        if let Some(cause) = cause {
+            self.quarantine.note_refused(cause);
+        }
         let (digest, left_ms) = (causes.digest, hold.left_ms);
         let id = head.id;
         LogEvent::RequestQuarantined.write(&format!(
             "request={id} digest={digest} cause={} left_ms={left_ms}",
-            cause.as_deref().unwrap_or("none")
+            cause.map_or("none".to_string(), |cause| cause.to_string())
         ));
         let why = "upstreams crashed each time they ran this request or ones that share a part";
         Err(Refusal::new(ErrorKind::Quarantined, why).with_retry_after(left_ms))
@@ -130,7 +133,7 @@
     fn lifetime(&self, upstream: &Name, request: &TrackedRequest) -> Lifetime {
         let mut copies = self.shared.placement.copies_of(&request.head.name);
         let copy = copies.find(|(_, copy)| copy.load.upstream == *upstream);
-        let number = match (copy, self.crash_exchange.seen.get(upstream)) {
+        let number = match (copy, self.crash_state.seen.get(upstream)) {
             (Some((offset, _)), _) => offset.0,
             (None, None) => 0,
             (None, Some(seen)) => seen.count - u64::from(request.phase_since < seen.last_at),
@@ -156,7 +159,7 @@
 
     fn count_crash(&mut self, now: Millis, upstream: &Name) {
         let known = &self.shared.placement.upstreams;
-        let seen = &mut self.crash_exchange.seen;
+        let seen = &mut self.crash_state.seen;
         seen.retain(|name, _| known.contains_key(name));
         if known.contains_key(upstream) {
             let seen = seen.entry(upstream.clone()).or_default();
@@ -195,7 +198,7 @@
             asked_at: now,
             request: PeerRequest::Crashes(report.clone()),
         };
-        let exchange = &mut self.crash_exchange;
+        let exchange = &mut self.crash_state;
         if now >= exchange.next_report_at && self.quarantine.has_unreported() {
             exchange.next_report_at = now + REPORT_INTERVAL_MS;
             let report = self.quarantine.report(now);
--- a/src/daemon/dispatch_flow.rs
+++ b/src/daemon/dispatch_flow.rs
@@ -153,11 +153,14 @@
             );
             return;
         }
-        let checked = self.check_quarantine(now, &request.head, &request.row.brand);
-        if let Err(refusal) = checked {
+        let (head, brand) = (request.head.clone(), request.row.brand.clone());
+        if let Err(refusal) = self.check_quarantine(now, &head, &brand) {
             self.refuse(now, id, refusal, fx);
             return;
         }
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
         let first_byte_ms = self.first_byte_bound(request, &chosen.name);
         let Some(request) = self.requests.get_mut(id) else {
             return;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -4,7 +4,7 @@
 use crate::admission::queue::Queues;
 use crate::admission::quota::{QuotaGranter, QuotaRequester};
 use crate::attempt::requests::Requests;
-use crate::daemon::crash_flow::CrashExchange;
+use crate::daemon::crash_flow::CrashState;
 use crate::daemon::event::Event;
 use crate::idempotency::finished::FinishedOperations;
 use crate::idempotency::pending::PendingClaims;
@@ -116,9 +116,9 @@
     /// The evidence on requests that crash upstreams.
     #[serde(default)]
     pub quarantine: Quarantine,
-    /// When it is exchanged next.
+    /// What this host saw of crashes of services, and when evidence is exchanged next.
     #[serde(default)]
-    pub crash_exchange: CrashExchange,
+    pub crash_state: CrashState,
     /// The demand for models as known to this host.
     pub demand: crate::daemon::demand_flow::Demand,
     /// The last list of the platform, and recent proposals of this host.
@@ -153,7 +153,7 @@
             pending_claims: PendingClaims::default(),
             finished: FinishedOperations::default(),
             quarantine: Quarantine::default(),
-            crash_exchange: CrashExchange::default(),
+            crash_state: CrashState::default(),
             demand: Default::default(),
             platform: Default::default(),
             config,
--- a/src/entry/crashes/detection.rs
+++ b/src/entry/crashes/detection.rs
@@ -43,8 +43,8 @@
 }
 
 /// Records that the connection to an upstream ended while it ran a request, of which the answer had
-/// been coming for `answered_ms`; none if it had not begun. Checks whether the upstream crashed, unless that is known already
-/// or the upstream was leaving.
+/// been coming for `answered_ms`; none if it had not begun. Checks whether the upstream crashed,
+/// unless that is known already or the upstream was leaving.
 pub async fn note_broken_run<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
@@ -151,7 +151,7 @@
     });
 }
 
-/// What a request that ran at a crash shares with others, for the log.
+/// Returns what a request shares with others, as lines of the log name it.
 fn shared_names(request: &ActiveRequest) -> Vec<String> {
     let shared = request.causes.shared.iter();
     shared.map(ToString::to_string).collect()
--- a/src/ordering/tests/planner/failed_loads.rs
+++ b/src/ordering/tests/planner/failed_loads.rs
@@ -69,7 +69,8 @@
         site.inventory.set_engines(now, listed().into_iter());
         for id in ["e0", "e1"] {
             let report = EngineReport::default();
-            site.inventory.record_report(now, &Name::from(id), Some(report));
+            site.inventory
+                .record_report(now, &Name::from(id), Some(report));
         }
         let Some(planned) = site.next(now) else {
             continue;
