--- a/src/ordering/engine_inventory.rs
+++ b/src/ordering/engine_inventory.rs
@@ -340,7 +340,6 @@
             return;
         }
         if answer == OrderAnswer::OtherLifetime {
-            self.note_lost_loads(now, id);
             if let Some(engine) = self.engines.get(id) {
                 self.misdirected.insert(engine.lifetime(), now);
             }
--- a/src/ordering/tests/planner/failed_loads.rs
+++ b/src/ordering/tests/planner/failed_loads.rs
@@ -56,6 +56,31 @@
     assert_eq!(loads_in_a_minute(|load| load < 3), 3);
 }
 
+// Guards against taking an order that no engine got for a load that crashed one.
+#[test]
+fn orders_that_another_process_answered_are_no_failed_loads() {
+    let mut site = Site::new(spec(60.0, &[50.0]), &[&[], &[], &[], &[], &[]]);
+    for step in 0..4 {
+        let now = NOW + Millis(20 * step);
+        site.request(1, now, &[(model("m0"), waiting(1))]);
+        let planned = site.next(now).expect("the model is still loaded");
+        let order = site.inventory.begin(
+            now,
+            &planned.engine,
+            planned.action,
+            planned.model_ref,
+            None,
+        );
+        let order = order.expect("a known engine");
+        site.inventory.take_due_orders(now);
+        let (answer, load) = (OrderAnswer::OtherLifetime, LoadTime::default());
+        site.inventory
+            .record_answer(now, &planned.engine, &order, answer, load);
+    }
+    let now = NOW + Millis(100);
+    assert!(site.next(now).is_some());
+}
+
 // Guards against one order after the other to a process that has an engine's address, while the list
 // is not read any more, instead of loads elsewhere.
 #[test]
