--- a/src/daemon/crash_flow.rs
+++ b/src/daemon/crash_flow.rs
@@ -129,7 +129,7 @@
 
     /// Returns what stands for the start of an upstream that runs a request. That of an engine is the
     /// copy of the model, which ends with it, at all hosts. That of a service is the number of its
-    /// crashes that this host saw before it sent the request; hosts may count the same crash as two.
+    /// crashes that this host saw before it sent the request, so hosts that saw other crashes differ.
     fn lifetime(&self, upstream: &Name, request: &TrackedRequest) -> Lifetime {
         let mut copies = self.shared.placement.copies_of(&request.head.name);
         let copy = copies.find(|(_, copy)| copy.load.upstream == *upstream);
--- a/src/retry/shared_evidence.rs
+++ b/src/retry/shared_evidence.rs
@@ -15,23 +15,6 @@
 /// Maximum number of crashes that do for a cause which is held back.
 const MAX_PERSISTED_CRASHES: usize = 5;
 
-impl Announced {
-    fn new(
-        now: Millis,
-        cause: SharedCause,
-        held: &HeldCause,
-        before: &IndexMap<SharedCause, Self>,
-    ) -> Self {
-        let parted = before.values().filter(|one| one.together.contains(&cause));
-        Self {
-            since: parted.map(|one| one.since).min().unwrap_or(now),
-            together: held.together.clone(),
-            refused: 0,
-            tried_at: None,
-        }
-    }
-}
-
 /// For how long after a cause was first held back requests are let through as trials, in case that it
 /// was held back because nothing could be answered amid many crashes. A cause that is common in sound
 /// requests is cleared by these at once; of one that is not, trials are few.
@@ -84,6 +67,23 @@
     tried_at: Option<Millis>,
 }
 
+impl Announced {
+    fn new(
+        now: Millis,
+        cause: SharedCause,
+        held: &HeldCause,
+        before: &IndexMap<SharedCause, Self>,
+    ) -> Self {
+        let parted = before.values().filter(|one| one.together.contains(&cause));
+        Self {
+            since: parted.map(|one| one.since).min().unwrap_or(now),
+            together: held.together.clone(),
+            refused: 0,
+            tried_at: None,
+        }
+    }
+}
+
 impl SharedCauses {
     /// Records that an upstream crashed while it ran these requests of this host. What upstreams of
     /// its version have answered on is no evidence.
