--- a/src/entry/desired_copy.rs
+++ b/src/entry/desired_copy.rs
@@ -11,6 +11,7 @@
 use crate::entry::table_sources::{TableSources, serves_tables};
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
+use std::net::SocketAddr;
 
 /// A desired state, and where the table is to be followed after it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -39,18 +40,18 @@
 }
 
 /// Fetches the newest desired state from a relay whose table ends after `newer_than`. Returns
-/// nothing when this host is to read the store instead.
+/// nothing when this host is to read the store instead, else also the address of the relay.
 pub async fn fetch<P: Platform>(
     host: &Host<P>,
     sources: &TableSources,
     newer_than: Offset,
-) -> Option<DesiredCopy> {
+) -> Option<(SocketAddr, DesiredCopy)> {
     for relay in sources.relays(host)? {
         let reply = sources.peers.call(relay.peer_address, &PeerCall::Desired);
         if let Some(PeerReply::Desired(Some(copy))) = reply.await
             && copy.end > newer_than
         {
-            return Some(copy);
+            return Some((relay.peer_address, copy));
         }
     }
     None
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -12,12 +12,14 @@
 };
 use crate::entry::replication::NextStep;
 use crate::entry::table_rows::{
-    TableLine, UpstreamList, activate_desired_state, apply_list, apply_row, apply_table,
+    DesiredOrigin, TableLine, UpstreamList, activate_desired_state, apply_list, apply_row,
+    apply_table,
 };
 use crate::entry::table_sources::{TableSources, serves_tables};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use smol::Timer;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// The fraction of the contact time for which a host pauses after a page of changes of the list of
@@ -203,12 +205,19 @@
     host: &Host<P>,
     cursor: &mut Cursor,
     asked_at: Millis,
-    copy: DesiredCopy,
+    (from, copy): (SocketAddr, DesiredCopy),
 ) {
-    cursor.next = Some(copy.end);
+    let DesiredCopy {
+        state, end, age_ms, ..
+    } = copy;
+    let origin = DesiredOrigin {
+        from: Some(from),
+        offset: end,
+    };
+    activate_desired_state(host, state, origin);
+    cursor.next = Some(end);
     host.replication
-        .note_read(cursor.table, asked_at - copy.age_ms, copy.end);
-    activate_desired_state(host, copy.state);
+        .note_read(cursor.table, asked_at - age_ms, end);
 }
 
 /// Catches up with a table that has rows which the orderer did not send: fetches the table from a
@@ -470,11 +479,11 @@
         .map(|row| (row.key.clone(), row.offset))
         .collect();
     cursor.next = Some(next);
-    host.replication.note_read(cursor.table, asked_at, next);
     if cursor.table == Table::Upstreams {
         host.replication.clear_buffered_rows();
     }
     apply_table(host, cursor.table, rows);
+    host.replication.note_read(cursor.table, asked_at, next);
     Ok(false)
 }
 
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -323,7 +323,9 @@
     pub fn take_retry(&self, service: &Name) -> bool {
         let now = self.now();
         let members = self.members.borrow().count();
-        self.with_budget(service, |budget| budget.try_take(now, members))
+        let is_allowed = self.with_budget(service, |budget| budget.try_take(now, members));
+        self.metrics.count_repeat(is_allowed, members);
+        is_allowed
     }
 
     fn with_budget<T>(&self, service: &Name, with: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -20,6 +20,8 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     sends: Counter<u64>,
+    repeats: Counter<u64>,
+    repeat_share_hosts: Gauge<u64>,
     store_calls: Counter<u64>,
     held_causes: Gauge<u64>,
     refused_for_shared_cause: Counter<u64>,
@@ -52,6 +54,10 @@
         Ok(Self {
             requests: meter.u64_counter("mangovale_entry_requests").build(),
             sends: meter.u64_counter("mangovale_entry_sends").build(),
+            repeats: meter.u64_counter("mangovale_entry_repeats").build(),
+            repeat_share_hosts: meter
+                .u64_gauge("mangovale_entry_repeat_share_hosts")
+                .build(),
             store_calls: meter.u64_counter("mangovale_entry_store_calls").build(),
             held_causes: meter.u64_gauge("mangovale_entry_held_causes").build(),
             refused_for_shared_cause: meter
@@ -86,6 +92,14 @@
         self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a repeated send that the retry budget allowed or not. `hosts` is the number of hosts
+    /// among which the budget's slack was divided.
+    pub fn count_repeat(&self, is_allowed: bool, hosts: usize) {
+        let outcome = if is_allowed { "allowed" } else { "refused" };
+        self.repeats.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.repeat_share_hosts.record(hosts as u64, &[]);
+    }
+
     /// Counts one call to the platform's store.
     pub fn count_store_call(&self, call: StoreCall, outcome: &'static str) {
         let labels = [
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -36,6 +36,7 @@
 pub mod sending;
 pub mod settings;
 pub mod stop;
+pub mod store_era;
 pub mod sync;
 pub mod table_rows;
 pub mod table_sources;
--- a/src/entry/replication.rs
+++ b/src/entry/replication.rs
@@ -66,6 +66,8 @@
     confirmed_at: Option<Millis>,
     /// The end of the table by the last update, and as of when.
     announced: Option<(Offset, Millis)>,
+    /// Since when updates name a later end than this copy has.
+    behind_since: Option<Millis>,
 }
 
 impl TableCopy {
@@ -157,6 +159,7 @@
         let mut state = self.state.borrow_mut();
         let copy = state.copy(table);
         copy.next = Some(next);
+        copy.behind_since = None;
         copy.confirmed_at = copy.confirmed_at.max(Some(asked_at));
     }
 
@@ -211,6 +214,13 @@
         self.state.borrow_mut().copy(table).end(now)
     }
 
+    /// Returns for how long this host has known that a table has newer rows than its copy; nothing if
+    /// it knows of none.
+    pub fn behind_ms(&self, now: Millis, table: Table) -> Option<Millis> {
+        let since = self.state.borrow_mut().copy(table).behind_since?;
+        Some(now.since(since))
+    }
+
     /// Returns the offset from which this host needs rows of the list of upstreams; nothing before
     /// its first read.
     pub fn next_offset(&self) -> Option<Offset> {
@@ -264,6 +274,10 @@
             // The update was made after the call was sent, so this is not after the true time.
             let at = asked_at - age_ms;
             copy.announced = Some((end, at));
+            copy.behind_since = match copy.next < Some(end) {
+                true => copy.behind_since.or(Some(asked_at)),
+                false => None,
+            };
             if copy.next == Some(end) {
                 is_confirmed |= table == Table::Upstreams && copy.confirmed_at < Some(at);
                 copy.confirmed_at = copy.confirmed_at.max(Some(at));
@@ -288,6 +302,7 @@
             next,
             confirmed_at,
             announced,
+            ..
         } = *state.copy(table);
         let (Some(next), Some(confirmed_at), Some((announced_end, _)), Some(updated_at)) =
             (next, confirmed_at, announced, updated_at)
--- a/src/entry/table_rows.rs
+++ b/src/entry/table_rows.rs
@@ -26,6 +26,22 @@
     routes: usize,
     services: usize,
     former: Option<u64>,
+    /// The host that passed the state on; none when it was read from the store.
+    from: Option<SocketAddr>,
+    /// The offset of its record, or of the end of the table at the host that passed it on.
+    offset: Offset,
+    /// For how long this host had known that the table has newer records than its copy; none if the
+    /// state itself was the first sign.
+    known_behind_ms: Option<Millis>,
+}
+
+/// By which way a desired state came to this host.
+#[derive(Clone, Copy, Debug)]
+pub struct DesiredOrigin {
+    /// The host that passed it on; none when it was read from the store.
+    pub from: Option<SocketAddr>,
+    /// The offset of its record, or of the end of the table at the host that passed it on.
+    pub offset: Offset,
 }
 
 #[derive(Serialize)]
@@ -75,7 +91,13 @@
 
 fn apply_desired_row<P: Platform>(host: &Host<P>, row: TableRow) {
     match row.value {
-        RowValue::Desired(state) => activate_desired_state(host, Arc::new(state)),
+        RowValue::Desired(state) => {
+            let origin = DesiredOrigin {
+                from: None,
+                offset: row.offset,
+            };
+            activate_desired_state(host, Arc::new(state), origin);
+        }
         RowValue::Unreadable(why) => log_unreadable(Table::Desired, &why),
         RowValue::Upstream(_) | RowValue::Removed => {}
     }
@@ -91,7 +113,11 @@
 
 /// Puts a desired state in force if its version is higher than the present one. Within the life of
 /// a process no version is replaced by a lower one.
-pub fn activate_desired_state<P: Platform>(host: &Host<P>, state: Arc<DesiredState>) {
+pub fn activate_desired_state<P: Platform>(
+    host: &Host<P>,
+    state: Arc<DesiredState>,
+    origin: DesiredOrigin,
+) {
     let former = host.routes.borrow().as_ref().map(|table| table.version);
     if former.is_some_and(|former| former >= state.version) {
         return;
@@ -104,6 +130,9 @@
         routes: table.route_count(),
         services: table.services.len(),
         former,
+        from: origin.from,
+        offset: origin.offset,
+        known_behind_ms: host.replication.behind_ms(host.now(), Table::Desired),
     };
     host.limits
         .borrow_mut()
--- a/src/entry/tests/desired_copy.rs
+++ b/src/entry/tests/desired_copy.rs
@@ -108,7 +108,7 @@
             assert!(fetch(&pair.asking, &sources, end).await.is_none());
             let older = Offset(end.0 - 1);
             let copy = fetch(&pair.asking, &sources, older).await;
-            assert_eq!(copy.map(|copy| copy.state.version), Some(7));
+            assert_eq!(copy.map(|(_, copy)| copy.state.version), Some(7));
             assert!(answer(&pair.asking).is_none());
         };
         pair.shared.run(test).await;
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -42,6 +42,8 @@
     LogShorter = 207,
     /// A newer release wrote a record that this host cannot apply, so it stops serving.
     RecordNewer = 208,
+    /// An answer of the store shows that it was restored from an older copy.
+    StoreRestored = 209,
     /// This host no longer knows whether its state is up to date.
     BecameStale = 300,
     /// This host knows again that its state is up to date.
@@ -172,6 +174,7 @@
         Self::CheckpointRead,
         Self::LogShorter,
         Self::RecordNewer,
+        Self::StoreRestored,
         Self::BecameStale,
         Self::BecameFresh,
         Self::Paused,
@@ -243,6 +246,7 @@
             | Self::AppendUnknown
             | Self::LogShorter
             | Self::RecordNewer
+            | Self::StoreRestored
             | Self::BecameStale
             | Self::Paused
             | Self::PeerSuspected
