Notice a crash of an upstream whose listener closes a moment after its connections

Cause, traced: after a run broke off, the check whether the upstream crashed opens a connection. The kernel accepts it while the process is ending, so the crash was not counted; the next upstream got the request. Traced lines of a failing run: i0 at next-16 and next-23 and i2 at next-17 'connected', all three had crashed.

Now the new connection must stay open for 30 ms; if it closes, another one is opened, which is refused. Only requests that share parts or a model wait for it; others are checked as before.

--- a/src/entry/crashes/detection.rs
+++ b/src/entry/crashes/detection.rs
@@ -5,6 +5,7 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{ModelRef, Platform};
+use crate::entry::sending::pool::UpstreamConnection;
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use crate::retry::crash_ledger::CrashId;
@@ -13,9 +14,11 @@
 use crate::upstreams::Lifetime;
 use std::net::SocketAddr;
 
-/// How long an upstream may take to accept the connection that checks whether it crashed; a request
-/// waits for the result.
+/// How long the check whether an upstream crashed may take; a request waits for the result.
 const CRASH_CHECK_TIMEOUT_MS: Millis = Millis(100);
+/// How long a new connection must stay open to show that the upstream runs. The kernel accepts
+/// connections to a process that is ending, and closes them together with its listener.
+const STAYS_OPEN_MS: Millis = Millis(30);
 
 #[derive(Serialize)]
 struct CrashLine<'a> {
@@ -80,7 +83,8 @@
         host.request_sync();
         return;
     }
-    match with_timeout(CRASH_CHECK_TIMEOUT_MS, host.pool.open(host.clock, address)).await {
+    let is_watched = !request.causes.shared.is_empty();
+    match with_timeout(CRASH_CHECK_TIMEOUT_MS, reach(host, address, is_watched)).await {
         Some(Ok(connection)) if address_if_staying(host, upstream).is_some() => {
             host.pool.keep(host.now(), &upstream.id, connection, None);
         }
@@ -90,6 +94,25 @@
     }
 }
 
+/// Opens a connection to an upstream. If it is watched, it must stay open for [`STAYS_OPEN_MS`], and
+/// another one is opened if it does not.
+async fn reach<P: Platform>(
+    host: &Host<P>,
+    address: SocketAddr,
+    is_watched: bool,
+) -> std::io::Result<UpstreamConnection> {
+    loop {
+        let mut connection = host.pool.open(host.clock, address).await?;
+        let stays_open = !is_watched
+            || with_timeout(STAYS_OPEN_MS, connection.io.read_more())
+                .await
+                .is_none();
+        if stays_open {
+            return Ok(connection);
+        }
+    }
+}
+
 /// Returns the address of an upstream, unless it is leaving or no longer listed.
 fn address_if_staying<P: Platform>(host: &Host<P>, upstream: &Lifetime) -> Option<SocketAddr> {
     let upstreams = host.upstreams.borrow();
--- a/src/entry/tests/fake_upstream.rs
+++ b/src/entry/tests/fake_upstream.rs
@@ -13,6 +13,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// For how long an upstream that crashes slowly still accepts connections.
+const SLOW_CRASH: Duration = Duration::from_millis(15);
+
 /// What an upstream does with a request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -28,6 +31,9 @@
     Crash,
     /// Ends the upstream in the same way if the prompt of the request has this part.
     CrashOnPart(u64),
+    /// As [`Self::CrashOnPart`], but the upstream goes on to accept connections for a moment, as the
+    /// kernel does for a process that is ending.
+    CrashSlowlyOnPart(u64),
     /// Writes nothing until the host closes the connection.
     Hang,
 }
@@ -74,16 +80,27 @@
             has_crashed: upstream.has_crashed.clone(),
             scripts,
             crash: Rc::new(Event::new()),
+            crashes_slowly: Rc::default(),
             clock: Clock::start(),
         };
         let tasks = executor.clone();
-        let crashed = run.crash.listen();
+        let (crashed, crashes_slowly) = (run.crash.listen(), run.crashes_slowly.clone());
+        let ended = async move {
+            crashed.await;
+            if crashes_slowly.get() {
+                Timer::after(SLOW_CRASH).await;
+            }
+        };
         let accept = async move {
+            let mut unserved = Vec::new();
             while let Ok((stream, _)) = listener.accept().await {
-                tasks.spawn(run.clone().serve_until_crash(stream)).detach();
+                match run.has_crashed.get() {
+                    true => unserved.push(stream),
+                    false => tasks.spawn(run.clone().serve_until_crash(stream)).detach(),
+                }
             }
         };
-        let accept = futures_lite::future::or(accept, crashed);
+        let accept = futures_lite::future::or(accept, ended);
         executor.spawn(accept).detach();
         upstream
     }
@@ -97,6 +114,7 @@
     has_crashed: Rc<Cell<bool>>,
     scripts: Vec<Vec<Step>>,
     crash: Rc<Event>,
+    crashes_slowly: Rc<Cell<bool>>,
     clock: Clock,
 }
 
@@ -113,6 +131,7 @@
             has_crashed,
             scripts,
             crash,
+            crashes_slowly,
             clock,
         } = self;
         let mut connection = Connection::new(stream);
@@ -149,8 +168,10 @@
                         reset.expect("the option is supported");
                         return;
                     }
-                    Step::CrashOnPart(part) if !parts.iter().any(|one| one.id == *part) => {}
-                    Step::Crash | Step::CrashOnPart(_) => {
+                    Step::CrashOnPart(part) | Step::CrashSlowlyOnPart(part)
+                        if !parts.iter().any(|one| one.id == *part) => {}
+                    Step::Crash | Step::CrashOnPart(_) | Step::CrashSlowlyOnPart(_) => {
+                        crashes_slowly.set(matches!(step, Step::CrashSlowlyOnPart(_)));
                         has_crashed.set(true);
                         crash.notify(usize::MAX);
                         return;
--- a/src/entry/tests/shared_parts.rs
+++ b/src/entry/tests/shared_parts.rs
@@ -1,7 +1,7 @@
 //! Parts of prompts that crash each upstream which begins to answer on them, in requests of which no
 //! two are alike, and sound requests that share the other parts.
 
-use super::fake_upstream::Step::{CrashOnPart, Write};
+use super::fake_upstream::Step::{CrashOnPart, CrashSlowlyOnPart, Write};
 use super::fake_upstream::{FakeUpstream, Step};
 use super::site::{Answer, Site, on_site, route};
 use crate::desired::{Repeat, Route};
@@ -112,6 +112,24 @@
     });
 }
 
+/// Guards against a crash that counts late because the check whether the upstream crashed connects to
+/// its listener, which closes a moment after the connections.
+#[test]
+fn crash_of_an_upstream_that_accepts_connections_for_a_moment_is_noticed() {
+    on_site(|site| async move {
+        site.apply_route(streams(Repeat::Resumable)).await;
+        let script = vec![Write(BEGUN), CrashSlowlyOnPart(CRASHING), Write(REST)];
+        let upstreams = site.start_upstreams_of(&["v1"; 30], vec![script]).await;
+        for n in 0..20 {
+            site.call(&request(2 * n, &[COMMON, CRASHING])).await;
+            let sound = site.call(&request(2 * n + 1, &[COMMON, SOUND])).await;
+            assert_eq!(sound.head.status, 200, "{}", sound.body);
+        }
+        let crashes = crashes(&upstreams);
+        assert!(crashes <= FIFTH_CRASH, "{crashes} upstreams crashed");
+    });
+}
+
 /// Guards against holding back the first part of a route because at first only requests with a
 /// crashing part use it.
 #[test]
