--- a/src/ordering/tests/lease.rs
+++ b/src/ordering/tests/lease.rs
@@ -122,17 +122,19 @@
             (true, false) => lease.note_renewed(append.sent_at, offset),
             (false, true) => {}
             (false, false) => {
-                let newest = self
-                    .log
-                    .last()
-                    .cloned()
-                    .expect("a stream whose end has moved");
                 let end = Offset(self.log.len() as u64);
-                lease.note_moved(self.now, end, newest);
+                match self.log.last().cloned() {
+                    Some(newest) => lease.note_moved(self.now, end, newest),
+                    None => lease.drop_holding(),
+                }
             }
         }
     }
 
+    fn restore(&mut self, copy: Vec<LeaseRecord>) {
+        self.log = copy;
+    }
+
     fn resign(&mut self, host: usize) {
         if self.leases[host].is_failing(self.now) {
             self.leases[host].resign(self.now);
@@ -212,6 +214,34 @@
     Ok((world.orders, world.takeovers))
 }
 
+/// As [`drive`], with a store that is restored from copies of the stream. Appends on their way arrive
+/// in the restored stream.
+fn drive_with_restorations(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<(usize, usize)> {
+    let mut world = World::new();
+    let mut copy = Vec::new();
+    for _ in 0..u.int_in_range(0..=600u16)? {
+        match u.int_in_range(0..=39u8)? {
+            0 => copy = world.log.clone(),
+            1 => world.restore(copy.clone()),
+            _ => step(&mut world, u)?,
+        }
+    }
+    Ok((world.orders, world.takeovers))
+}
+
+/// Guards against two holders, or a fencing token that goes back, after the store lost the newest
+/// records of the stream.
+#[test]
+fn no_two_hosts_order_within_the_engines_lease_time_when_the_store_is_restored() {
+    let (orders, takeovers): (Vec<_>, Vec<_>) = run_seeded(4_000, drive_with_restorations)
+        .into_iter()
+        .unzip();
+    assert!(orders.iter().sum::<usize>() > 1_000);
+    assert!(takeovers.iter().sum::<usize>() > 30);
+}
+
 /// As [`drive`], with additional statements of holders about the end of the stream, which arrive
 /// late or never.
 fn drive_with_statements(
--- a/src/retry/tests/mod.rs
+++ b/src/retry/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of retry budgets and of the quarantine of requests that crash upstreams.
 
 mod budget;
+mod budget_site;
 mod crash_ledger;
 mod digest;
 mod model;
