--- a/bench/src/fleet/desired.rs
+++ b/bench/src/fleet/desired.rs
@@ -31,7 +31,7 @@
 pub fn measure(world: &World, start: &Start, news_ms: Millis) -> Desired {
     let copy = DesiredCopy {
         state: Arc::new(state(world)),
-        end: Offset(u64::from(u32::MAX)),
+        end: Position::new(Era::default(), u64::from(u32::MAX)),
         age_ms: Millis(200),
     };
     let bytes = bytes(&copy);
--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -6,7 +6,7 @@
 use mangovale::entry::platform::ModelRef;
 use mangovale::entry::replication::{TableEnd, TablesUpdate};
 use mangovale::entry::sync::SYNC_INTERVAL_MS;
-use mangovale::group::{Member, Members};
+use mangovale::group::{Generation, Member, Members};
 use mangovale::ordering::engine_inventory::EngineChanges;
 use mangovale::ordering::message::{OrdererUpdate, SyncReply, SyncRequest, Totals};
 use mangovale::ordering::published::{EngineView, PublishedEngines};
@@ -85,10 +85,10 @@
         is_for_orderer: false,
         is_urgent: false,
         view_version: (u64::MAX, u64::MAX),
-        members_generation: 1,
+        members_generation: Generation::new(Era::default(), 1),
         demand: Vec::new(),
         work: Vec::new(),
-        upstreams_from: Some(Offset(u64::from(u32::MAX))),
+        upstreams_from: Some(Position::new(Era::default(), u64::from(u32::MAX))),
         through: 0,
         usage: Vec::new(),
         crashes: CrashReport::default(),
@@ -100,7 +100,7 @@
 fn reply(world: &World) -> SyncReply {
     let members = listed(world);
     let end = TableEnd {
-        end: Offset(u64::from(u32::MAX)),
+        end: Position::new(Era::default(), u64::from(u32::MAX)),
         age_ms: Millis(200),
     };
     SyncReply::News(Box::new(OrdererUpdate {
@@ -123,13 +123,19 @@
 
 fn listed(world: &World) -> Members {
     let mut members = Members::default();
-    members.replace(Millis(1), 1, world.hosts.iter().cloned().collect());
+    members.replace(
+        Millis(1),
+        Generation::new(Era::default(), 1),
+        world.hosts.iter().cloned().collect(),
+    );
     members
 }
 
 fn members_bytes(world: &World) -> usize {
     let members = listed(world);
-    members.update_since(0).map_or(0, |news| bytes(&news))
+    members
+        .update_since(Generation::default())
+        .map_or(0, |news| bytes(&news))
 }
 
 /// Returns what an orderer publishes that has read all engines and ordered some.
--- a/bench/src/fleet/filling.rs
+++ b/bench/src/fleet/filling.rs
@@ -101,7 +101,7 @@
     /// Takes what it is told, and whatever else it needs to know as much as the one that told it.
     fn take(&mut self, now: Millis, told: TablesUpdate) {
         let end = told.upstreams.map(|list| list.end);
-        let from = self.followed.next_offset();
+        let from = self.followed.next_position();
         self.followed.apply_update(now, told);
         match self.followed.next(now, Table::Upstreams, WITHIN_MS) {
             NextStep::WaitUntil(_) => {}
@@ -120,14 +120,14 @@
         }
     }
 
-    fn keep(&self, from: Option<Offset>, rows: &[TableRow], end: Offset) {
+    fn keep(&self, from: Option<Position>, rows: &[TableRow], end: Position) {
         let Some(from) = from else { return };
-        let known = rows.partition_point(|row| row.offset < from);
-        let listed = end.0 as usize;
+        let known = rows.partition_point(|row| row.position < from);
+        let listed = end.offset.0 as usize;
         self.followed.buffer_rows(from, &rows[known..], end, listed);
     }
 
-    fn jump(&self, now: Millis, end: Option<Offset>) {
+    fn jump(&self, now: Millis, end: Option<Position>) {
         if let Some(end) = end {
             self.followed.note_read(Table::Upstreams, now, end);
             self.followed.clear_buffered_rows();
@@ -207,7 +207,7 @@
             }
         }
         // Nobody waits for the lost relay itself.
-        let end = Offset(self.rows.len() as u64);
+        let end = at(self.rows.len() as u64);
         let followed = &self.relays[lost].followed;
         followed.note_read(Table::Upstreams, Millis::ZERO, end);
     }
@@ -221,8 +221,9 @@
     }
 
     fn is_known(&self) -> bool {
-        let end = Some(Offset(self.rows.len() as u64));
-        self.hosts().all(|host| host.followed.next_offset() == end)
+        let end = Some(at(self.rows.len() as u64));
+        self.hosts()
+            .all(|host| host.followed.next_position() == end)
     }
 
     fn step(&mut self, now: Millis) {
@@ -231,7 +232,7 @@
         }
         for relay in &mut self.relays {
             if relay.is_due(now) {
-                let told = self.orderer.update_for(now, relay.followed.next_offset());
+                let told = self.orderer.update_for(now, relay.followed.next_position());
                 relay.take(now, told);
             }
         }
@@ -239,7 +240,7 @@
             if !host.is_due(now) {
                 continue;
             }
-            let wants_from = host.followed.next_offset();
+            let wants_from = host.followed.next_position();
             let told = match host.relays.first() {
                 Some(relay) => self.relays[*relay].followed.update_for(now, wants_from),
                 None => self.orderer.update_for(now, wants_from),
@@ -258,7 +259,7 @@
     fn read(&mut self, now: Millis) {
         let written = (now.0 * ROWS_PER_S / 1_000) as usize;
         let end = written.min(self.rows.len());
-        let (from, to) = (Offset(self.read_rows as u64), Offset(end as u64));
+        let (from, to) = (at(self.read_rows as u64), at(end as u64));
         self.orderer.note_read(Table::Upstreams, now, to);
         self.orderer
             .buffer_rows(from, &self.rows[self.read_rows..end], to, end);
@@ -266,9 +267,13 @@
     }
 }
 
+fn at(offset: u64) -> Position {
+    Position::new(Era::default(), offset)
+}
+
 fn empty_list() -> ReplicationState {
     let followed = ReplicationState::default();
-    followed.note_read(Table::Upstreams, Millis::ZERO, Offset(0));
+    followed.note_read(Table::Upstreams, Millis::ZERO, at(0));
     followed
 }
 
@@ -276,7 +281,7 @@
     let upstreams = world.upstreams.iter().enumerate();
     let row = |(n, upstream): (usize, &Upstream)| TableRow {
         key: upstream.entry.id.clone(),
-        offset: Offset(n as u64),
+        position: at(n as u64),
         value: RowValue::Upstream(upstream.entry.clone()),
     };
     upstreams.map(row).collect()
--- a/bench/src/fleet/start.rs
+++ b/bench/src/fleet/start.rs
@@ -29,7 +29,7 @@
             super::exchange::bytes(&list_copy::ListPart {
                 parts,
                 entries,
-                end: Offset(0),
+                end: Position::default(),
                 age_ms: Millis::ZERO,
             })
         })
--- a/src/entry/desired_copy.rs
+++ b/src/entry/desired_copy.rs
@@ -8,9 +8,11 @@
 use crate::desired::DesiredState;
 use crate::entry::host::Host;
 use crate::entry::platform::{Platform, Table};
-use crate::entry::table_sources::{TableSources, serves_tables};
+use crate::entry::table_sources::{RELAY_RETRY_PAUSE_MS, TableSources, serves_tables};
+use crate::group::Member;
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
+use smol::Timer;
 use std::net::SocketAddr;
 
 /// A desired state, and where the table is to be followed after it.
@@ -18,8 +20,8 @@
 pub struct DesiredCopy {
     /// The newest desired state that the relay has.
     pub state: Arc<DesiredState>,
-    /// The offset after the last record that the relay had read.
-    pub end: Offset,
+    /// The position after the last record that the relay had read.
+    pub end: Position,
     /// How old the relay's knowledge of the end is at most.
     pub age_ms: Millis,
 }
@@ -40,19 +42,38 @@
 }
 
 /// Fetches the newest desired state from a relay whose table ends after `newer_than`. Returns
-/// nothing when this host is to read the store instead, else also the address of the relay.
+/// nothing when this host is to read the store instead: it relays or orders itself, the site has no
+/// relays, or none had a newer table within `search_ms`. Otherwise also returns the address of the
+/// relay. All relays are asked at least once.
 pub async fn fetch<P: Platform>(
     host: &Host<P>,
     sources: &TableSources,
-    newer_than: Offset,
+    newer_than: Position,
+    search_ms: Millis,
 ) -> Option<(SocketAddr, DesiredCopy)> {
-    for relay in sources.relays(host)? {
-        let reply = sources.peers.call(relay.peer_address, &PeerCall::Desired);
-        if let Some(PeerReply::Desired(Some(copy))) = reply.await
-            && copy.end > newer_than
-        {
-            return Some((relay.peer_address, copy));
+    let until = host.now() + search_ms;
+    loop {
+        for relay in sources.relays(host)? {
+            let copy = fetch_from(sources, &relay).await;
+            if let Some(copy) = copy.filter(|copy| copy.end > newer_than) {
+                return Some((relay.peer_address, copy));
+            }
         }
+        if host.now() >= until {
+            return None;
+        }
+        Timer::after(RELAY_RETRY_PAUSE_MS.to_duration()).await;
+    }
+}
+
+async fn fetch_from(sources: &TableSources, other: &Member) -> Option<DesiredCopy> {
+    let reply = sources.peers.call(other.peer_address, &PeerCall::Desired);
+    match reply.await? {
+        PeerReply::Desired(copy) => copy,
+        PeerReply::Sync(_)
+        | PeerReply::AppendedLease(_)
+        | PeerReply::List(_)
+        | PeerReply::KeptStreams
+        | PeerReply::Stream(_) => None,
     }
-    None
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -52,16 +52,24 @@
 /// the host's copy. Meanwhile the host uses its copy.
 const RELAY_SEARCH_AGAIN_MS: Millis = Millis(1_000);
 
+#[derive(Serialize)]
+struct OutdatedLine {
+    table: &'static str,
+    era: Era,
+    /// Where this host's copy of the table ended, in the former era.
+    copy_end: Option<Position>,
+}
+
 /// The progress of following one table.
 struct Cursor {
     table: Table,
-    /// The offset from which the table is followed; none before the whole table was read, or after
-    /// its history was trimmed.
-    next: Option<Offset>,
+    /// The position from which the table is followed; none before the whole table was read, after
+    /// its history was trimmed, and after the store was restored from a copy.
+    next: Option<Position>,
     /// Where this host's copy ended when the store no longer had the changes after it.
-    trimmed_at: Option<Offset>,
-    /// The offset of the newest applied row of each key.
-    newest_offsets: IndexMap<Name, Offset>,
+    outdated_at: Option<Position>,
+    /// The position of the newest applied row of each key.
+    newest_rows: IndexMap<Name, Position>,
     /// Failed reads in a row.
     failures: usize,
     /// How often in a row the history was trimmed.
@@ -83,13 +91,20 @@
         let partial = self.partial.as_ref();
         partial.is_some_and(|partial| partial.after.is_none())
     }
+
+    /// Lets the next read begin anew with the whole table.
+    fn read_anew(&mut self) {
+        self.is_cut = false;
+        self.partial = None;
+        self.outdated_at = self.next.take().or(self.outdated_at);
+    }
 }
 
 /// The first pages of a whole table.
 struct PartialTable {
     asked_at: Millis,
     /// The end of the table as the first page gave it.
-    end: Offset,
+    end: Position,
     rows: Vec<TableRow>,
     /// The key after which the next page begins; none when all pages were read.
     after: Option<Name>,
@@ -102,8 +117,8 @@
     let mut cursor = Cursor {
         table,
         next: None,
-        trimmed_at: None,
-        newest_offsets: IndexMap::new(),
+        outdated_at: None,
+        newest_rows: IndexMap::new(),
         failures: 0,
         trims: 0,
         paused_ms: Millis::ZERO,
@@ -141,14 +156,14 @@
                         error: "",
                     },
                 );
-                cursor.is_cut = false;
-                cursor.trimmed_at = cursor.next.take();
+                cursor.read_anew();
                 cursor.trims += 1;
                 // A store that trims the history repeatedly is not asked again without a pause.
                 if cursor.trims > 1 {
                     Timer::after(RETRY_PAUSES_MS[0].to_duration()).await;
                 }
             }
+            Err(StoreError::Restored { era }) => note_restored(&host, &mut cursor, era),
             Err(error) => {
                 note_failure(&mut cursor, &error);
                 if table == Table::Upstreams {
@@ -162,21 +177,27 @@
 }
 
 /// Reads the whole table from the store. A list of upstreams that has more than one page there, or
-/// that the store refuses, is fetched from a relay if one has it.
+/// that the store refuses, is fetched from a relay if one has it. A host whose copy is outdated asks
+/// its relays first, since all hosts find that at the same time.
 async fn load_table<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
     sources: Option<&TableSources>,
 ) -> Result<bool, StoreError> {
+    if let (Some(outdated_at), Some(sources)) = (cursor.outdated_at, sources)
+        && fetch_from_relay(host, cursor, outdated_at, sources, RELAY_SEARCH_AGAIN_MS).await
+    {
+        return Ok(false);
+    }
     let first = read_first_page(host, cursor).await;
     let search_ms = match &first {
         Ok(()) if cursor.has_all_pages() => None,
-        Ok(()) if cursor.trimmed_at.is_some() => Some(RELAY_SEARCH_AGAIN_MS),
+        Ok(()) if cursor.outdated_at.is_some() => Some(Millis::ZERO),
         Ok(()) => Some(list_copy::RELAY_SEARCH_MS),
         Err(_) => Some(Millis::ZERO),
     };
     if let (Table::Upstreams, Some(sources), Some(search_ms)) = (cursor.table, sources, search_ms)
-        && let Some(copy) = list_copy::fetch(host, sources, cursor.trimmed_at, search_ms).await
+        && let Some(copy) = list_copy::fetch(host, sources, cursor.outdated_at, search_ms).await
     {
         apply_list_copy(host, cursor, copy);
         return Ok(false);
@@ -186,8 +207,12 @@
 }
 
 fn apply_list_copy<P: Platform>(host: &Host<P>, cursor: &mut Cursor, copy: ListCopy) {
+    let former = cursor.next.or(cursor.outdated_at);
+    if former.is_some_and(|former| former.era < copy.end.era) {
+        host.upstreams.borrow_mut().note_list_restored(host.now());
+    }
     cursor.partial = None;
-    cursor.newest_offsets.clear();
+    cursor.newest_rows.clear();
     cursor.next = Some(copy.end);
     host.replication
         .note_read(cursor.table, copy.as_of, copy.end);
@@ -212,7 +237,7 @@
     } = copy;
     let origin = DesiredOrigin {
         from: Some(from),
-        offset: end,
+        position: end,
     };
     activate_desired_state(host, state, origin);
     cursor.next = Some(end);
@@ -226,7 +251,7 @@
 async fn catch_up<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
-    from: Offset,
+    from: Position,
     sources: Option<&TableSources>,
 ) -> Result<bool, StoreError> {
     if let Some(sources) = sources
@@ -245,7 +270,7 @@
 async fn read_more<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
-    from: Offset,
+    from: Position,
     sources: Option<&TableSources>,
 ) -> Result<bool, StoreError> {
     if let Some(sources) = sources {
@@ -276,7 +301,7 @@
 async fn fetch_from_relay<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
-    from: Offset,
+    from: Position,
     sources: &TableSources,
     search_ms: Millis,
 ) -> bool {
@@ -288,7 +313,7 @@
             apply_list_copy(host, cursor, copy);
         }
         Table::Desired => {
-            let copy = desired_copy::fetch(host, sources, from).await;
+            let copy = desired_copy::fetch(host, sources, from, search_ms).await;
             let Some(copy) = copy else { return false };
             apply_desired_copy(host, cursor, asked_at, copy);
         }
@@ -343,8 +368,13 @@
 
 /// Buffers rows that the orderer sent, for the hosts behind this relay. The rows may begin
 /// before the end of this host's copy.
-fn buffer_for_followers<P: Platform>(host: &Host<P>, from: Offset, rows: &[TableRow], end: Offset) {
-    let known = rows.partition_point(|row| row.offset < from);
+fn buffer_for_followers<P: Platform>(
+    host: &Host<P>,
+    from: Position,
+    rows: &[TableRow],
+    end: Position,
+) {
+    let known = rows.partition_point(|row| row.position < from);
     host.replication
         .buffer_rows(from, &rows[known..], end, host.upstreams.borrow().count());
 }
@@ -398,6 +428,20 @@
         .max(MIN_WAIT_MS)
 }
 
+/// Prepares to read the table anew after the store was restored from a copy.
+fn note_restored<P: Platform>(host: &Host<P>, cursor: &mut Cursor, era: Era) {
+    let line = OutdatedLine {
+        table: cursor.table.name(),
+        era,
+        copy_end: cursor.next,
+    };
+    lines::write(LogEvent::TableOutdated, &line);
+    cursor.read_anew();
+    if cursor.table == Table::Upstreams {
+        host.upstreams.borrow_mut().note_list_restored(host.now());
+    }
+}
+
 fn note_success(cursor: &mut Cursor) {
     if cursor.failures > 1 {
         let table = cursor.table.name();
@@ -458,6 +502,10 @@
     for _ in 0..MAX_PAGES {
         let Some(key) = &partial.after else { break };
         match read_page(host, cursor.table, Some(key)).await {
+            Ok(page) if page.end.era != partial.end.era => {
+                let era = page.end.era;
+                return Err(StoreError::Restored { era });
+            }
             Ok(page) => {
                 partial.rows.extend(page.rows);
                 partial.after = page.more_after;
@@ -474,9 +522,9 @@
         rows,
         ..
     } = partial;
-    cursor.newest_offsets = rows
+    cursor.newest_rows = rows
         .iter()
-        .map(|row| (row.key.clone(), row.offset))
+        .map(|row| (row.key.clone(), row.position))
         .collect();
     cursor.next = Some(next);
     if cursor.table == Table::Upstreams {
@@ -499,7 +547,7 @@
 async fn read_changes<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
-    from: Offset,
+    from: Position,
     size: PageSize,
 ) -> Result<bool, StoreError> {
     let asked_at = host.now();
@@ -539,18 +587,18 @@
 fn apply_rows<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
-    from: Option<Offset>,
+    from: Option<Position>,
     rows: Vec<TableRow>,
 ) {
     let new = rows
         .into_iter()
-        .filter(|row| from.is_none_or(|from| row.offset >= from));
+        .filter(|row| from.is_none_or(|from| row.position >= from));
     for row in new {
-        let known = cursor.newest_offsets.get(&row.key);
-        if known.is_some_and(|known| *known >= row.offset) {
+        let known = cursor.newest_rows.get(&row.key);
+        if known.is_some_and(|known| *known >= row.position) {
             continue;
         }
-        cursor.newest_offsets.insert(row.key.clone(), row.offset);
+        cursor.newest_rows.insert(row.key.clone(), row.position);
         apply_row(host, cursor.table, row);
     }
 }
--- a/src/entry/lease_manager.rs
+++ b/src/entry/lease_manager.rs
@@ -157,8 +157,10 @@
     };
     let record = encode_record(&holding.record(false, learned));
     match renew(host, peers, &holding, record).await {
-        Ok(AppendOutcome::Appended(offset)) => {
-            host.orders.borrow_mut().lease.note_renewed(now, offset);
+        Ok(AppendOutcome::Appended(position)) => {
+            let answered_at = host.now();
+            let lease = &mut host.orders.borrow_mut().lease;
+            lease.note_renewed(now, answered_at, position);
         }
         Ok(AppendOutcome::EndMoved(_)) => {
             if let Err(error) = read_after_conflict(host).await {
@@ -239,7 +241,7 @@
 /// either.
 pub async fn append_for_peer<P: Platform>(
     host: &Host<P>,
-    end: Offset,
+    end: Position,
     record: &[u8],
 ) -> Option<AppendOutcome> {
     decode_record(record).filter(|_| record.len() <= MAX_RECORD_BYTES)?;
@@ -277,16 +279,13 @@
 /// another host.
 async fn read_after_conflict<P: Platform>(host: &Host<P>) -> Result<(), StoreError> {
     let asked_at = host.now();
-    let from = host.orders.borrow().lease.end().unwrap_or(Offset(0));
+    let from = host.orders.borrow().lease.end().unwrap_or_default();
     let read = host
         .count_call(StoreCall::ReadLeases, host.platform.read_leases(from))
         .await?;
     let newest = decode_newest(host, read.newest);
     let mut orders = host.orders.borrow_mut();
-    match newest {
-        Some(newest) => orders.lease.note_moved(asked_at, read.end, newest),
-        None => orders.lease.drop_holding(),
-    }
+    orders.lease.note_moved(asked_at, read.end, newest);
     if orders.lease.holding().is_none() {
         log_lease(
             LogEvent::LeaseEnded,
@@ -324,7 +323,7 @@
 /// Reads the lease, and claims it when it is free.
 async fn read_and_claim<P: Platform>(host: &Host<P>, me: &Member) -> Result<(), StoreError> {
     let asked_at = host.now();
-    let from = host.orders.borrow().lease.end().unwrap_or(Offset(0));
+    let from = host.orders.borrow().lease.end().unwrap_or_default();
     let read = host
         .count_call(StoreCall::ReadLeases, host.platform.read_leases(from))
         .await?;
@@ -347,7 +346,7 @@
         .lease
         .claim_record(me.clone(), evidence);
     let bytes = encode_record(&record);
-    let AppendOutcome::Appended(offset) = host
+    let AppendOutcome::Appended(position) = host
         .count_call(
             StoreCall::AppendLease,
             host.platform.append_lease(end, &bytes),
@@ -360,7 +359,7 @@
     let engine_lease_ms = host.settings().bounds.order_lease_ms;
     orders
         .lease
-        .note_claimed(sent_at, offset, record, engine_lease_ms);
+        .note_claimed(sent_at, position, record, engine_lease_ms);
     orders.note_lease_read();
     orders.forget_engines();
     orders.store_load_limiter = None;
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -9,7 +9,7 @@
 use crate::entry::host::Host;
 use crate::entry::peers::Peers;
 use crate::entry::platform::{Platform, Table};
-use crate::entry::table_sources::{TableSources, serves_tables};
+use crate::entry::table_sources::{RELAY_RETRY_PAUSE_MS, TableSources, serves_tables};
 use crate::group::Member;
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
@@ -27,8 +27,6 @@
 /// group lists the previous processes for about two seconds more, and a relay accepts a host only
 /// once the group lists it.
 pub const RELAY_SEARCH_MS: Millis = Millis(5_000);
-/// The pause before the relays are asked again when none of them had the list.
-const RETRY_PAUSE_MS: Millis = Millis(250);
 
 /// A request for a part of the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,8 +44,8 @@
     pub parts: u32,
     /// The entries of the part.
     pub entries: Vec<UpstreamEntry>,
-    /// The offset after the last record that the entries reflect.
-    pub end: Offset,
+    /// The position after the last record that the entries reflect.
+    pub end: Position,
     /// How old the entries are at most.
     pub age_ms: Millis,
 }
@@ -59,8 +57,8 @@
     pub relay: SocketAddr,
     /// The entries. Some may be newer than `end`.
     pub entries: Vec<UpstreamEntry>,
-    /// The offset from which the list is to be followed.
-    pub end: Offset,
+    /// The position from which the list is to be followed.
+    pub end: Position,
     /// The time as of which the entries are at least as new as the store's, by this host's clock.
     pub as_of: Millis,
 }
@@ -108,7 +106,7 @@
 pub async fn fetch<P: Platform>(
     host: &Host<P>,
     sources: &TableSources,
-    newer_than: Option<Offset>,
+    newer_than: Option<Position>,
     search_ms: Millis,
 ) -> Option<ListCopy> {
     let until = host.now() + search_ms;
@@ -125,7 +123,7 @@
         if host.now() >= until {
             return None;
         }
-        Timer::after(RETRY_PAUSE_MS.to_duration()).await;
+        Timer::after(RELAY_RETRY_PAUSE_MS.to_duration()).await;
     }
 }
 
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -4,9 +4,9 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{Joined, Platform, StoreCall, StoreError};
-use crate::group::Member;
 use crate::group::members::{MembersChange, MembersUpdate};
 use crate::group::read_policy::{MIN_READ_INTERVAL_MS, ReadConditions, Role};
+use crate::group::{Generation, Member};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use smol::Timer;
@@ -28,7 +28,7 @@
 
 #[derive(Serialize)]
 struct MembersLine {
-    generation: u64,
+    generation: Generation,
     members: usize,
     joined: Vec<SocketAddr>,
     left: Vec<SocketAddr>,
@@ -57,7 +57,7 @@
     let mut failures = 0;
     let mut renewal = Renewal {
         joined: Joined {
-            generation: 0,
+            generation: Generation::default(),
             is_listed: false,
         },
         behind_since: None,
@@ -164,7 +164,12 @@
     host.age_ms(now) < STARTUP_MS && !host.has_recent_orderer_answer(now)
 }
 
-fn apply_names<P: Platform>(host: &Host<P>, now: Millis, generation: u64, names: &IndexSet<Name>) {
+fn apply_names<P: Platform>(
+    host: &Host<P>,
+    now: Millis,
+    generation: Generation,
+    names: &IndexSet<Name>,
+) {
     let list = names
         .iter()
         .filter_map(|name| Member::from_text(name))
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -2,6 +2,7 @@
 //! platform's store, and the protocol of engines.
 
 use crate::desired::DesiredState;
+use crate::group::Generation;
 use crate::http1::{Headers, RequestHead, ResponseHead};
 use crate::identity::{Credential, Identity};
 use crate::ordering::message::{EngineReport, Order, OrderAnswer};
@@ -147,8 +148,8 @@
 pub struct TableRow {
     /// The key of the row, unique in the table.
     pub key: Name,
-    /// The offset of the record that wrote the row.
-    pub offset: Offset,
+    /// The position of the record that wrote the row.
+    pub position: Position,
     /// The decoded content of the row.
     pub value: RowValue,
 }
@@ -171,8 +172,8 @@
 pub struct TablePage {
     /// The rows of the page.
     pub rows: Vec<TableRow>,
-    /// The offset from which to read further changes of the table.
-    pub end: Offset,
+    /// The position from which to read further changes of the table.
+    pub end: Position,
     /// The key after which to read the next page of rows; none on the last page.
     pub more_after: Option<Name>,
     /// Whether the table had more changes than fit into the page.
@@ -183,7 +184,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Joined {
     /// The group's generation, which the host passes with its next renewal.
-    pub generation: u64,
+    pub generation: Generation,
     /// Whether the group lists this host as a member.
     pub is_listed: bool,
 }
@@ -191,8 +192,8 @@
 /// The parameters of one read of a table's changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ChangesQuery {
-    /// The offset of the first change to return.
-    pub from: Offset,
+    /// The position of the first change to return.
+    pub from: Position,
     /// How long the store waits for a change at the table's end.
     pub wait_ms: Millis,
     /// How much longer than `wait_ms` the answer may take before the read fails.
@@ -228,6 +229,19 @@
     /// The requested records are no longer stored.
     #[snafu(display("the records are no longer kept"))]
     Trimmed,
+    /// The store was restored from an older copy since the requested position was given out.
+    #[snafu(display("the store was restored from a copy, era {}", era.0))]
+    Restored {
+        /// The era of the answer.
+        era: Era,
+    },
+    /// The answer was given before the store was restored from an older copy, which other answers
+    /// showed meanwhile.
+    #[snafu(display("the answer is from before the store was restored, era {}", era.0))]
+    Outdated {
+        /// The era of the answer.
+        era: Era,
+    },
     /// The answer cannot be decoded.
     #[snafu(display("the store's answer cannot be read: {why}"))]
     Unreadable {
@@ -239,17 +253,17 @@
 /// The outcome of a conditional append to a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AppendOutcome {
-    /// The record was appended at this offset.
-    Appended(Offset),
-    /// The stream ends at this offset instead of the expected one; nothing was appended.
-    EndMoved(Offset),
+    /// The record was appended at this position.
+    Appended(Position),
+    /// The stream ends at this position instead of the expected one; nothing was appended.
+    EndMoved(Position),
 }
 
 /// The end of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEnd {
-    /// The offset after the last record of the stream.
-    pub end: Offset,
+    /// The position after the last record of the stream.
+    pub end: Position,
     /// The newest record; none if no record is stored any more.
     pub newest: Option<Vec<u8>>,
 }
@@ -322,7 +336,9 @@
         after: Option<&str>,
     ) -> impl Future<Output = Result<TablePage, StoreError>>;
 
-    /// Reads the changes of a table from an offset on; at the table's end, waits for a change.
+    /// Reads the changes of a table from a position on; at the table's end, waits for a change.
+    /// Fails with [`StoreError::Restored`] if the store was restored since the position was given
+    /// out.
     fn follow_table(
         &self,
         table: Table,
@@ -334,7 +350,7 @@
     fn join(
         &self,
         member: &str,
-        generation: u64,
+        generation: Generation,
         lapse_ms: Millis,
     ) -> impl Future<Output = Result<Joined, StoreError>>;
 
@@ -344,15 +360,17 @@
     /// Reads the members of the group of hosts.
     fn members(&self) -> impl Future<Output = Result<IndexSet<Name>, StoreError>>;
 
-    /// Appends a record to the stream of leases if the stream ends at `end`.
+    /// Appends a record to the stream of leases if the stream ends at the offset of `end`. The
+    /// outcome may be of a later era than `end`.
     fn append_lease(
         &self,
-        end: Offset,
+        end: Position,
         record: &[u8],
     ) -> impl Future<Output = Result<AppendOutcome, StoreError>>;
 
-    /// Reads the end of the stream of leases. `from` is an offset that the end has already reached.
-    fn read_leases(&self, from: Offset) -> impl Future<Output = Result<StreamEnd, StoreError>>;
+    /// Reads the end of the stream of leases. `from` is a position that the end has already reached;
+    /// the end may be of a later era.
+    fn read_leases(&self, from: Position) -> impl Future<Output = Result<StreamEnd, StoreError>>;
 
     /// Sends an order to the engine `upstream` at an address. `holder` is the orderer that sends
     /// it, `fence` its fencing token.
--- a/src/entry/replication.rs
+++ b/src/entry/replication.rs
@@ -30,8 +30,8 @@
 pub struct UpstreamRow {
     /// The key in the table: the id of the upstream's lifetime.
     pub key: Name,
-    /// The offset of the record that wrote the row.
-    pub offset: Offset,
+    /// The position of the record that wrote the row.
+    pub position: Position,
     /// The upstream's entry; none when it was removed.
     pub entry: Option<UpstreamEntry>,
 }
@@ -39,8 +39,8 @@
 /// Where a table ended when it was last read or confirmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableEnd {
-    /// The offset after the table's last row.
-    pub end: Offset,
+    /// The position after the table's last row.
+    pub end: Position,
     /// How long ago the end was read, counted from when the read was sent.
     pub age_ms: Millis,
 }
@@ -52,7 +52,7 @@
     pub desired: Option<TableEnd>,
     /// The end of the list of upstreams; none when the sender has not read it.
     pub upstreams: Option<TableEnd>,
-    /// The rows of the list from the offset that the host asked for; empty when the sender does not
+    /// The rows of the list from the position that the host asked for; empty when the sender does not
     /// have all of them or they are too many.
     pub rows: Vec<UpstreamRow>,
 }
@@ -60,12 +60,12 @@
 /// This host's copy of one table: where it ends, and how fresh it is.
 #[derive(Debug, Default)]
 struct TableCopy {
-    /// The offset after the last row that this host has.
-    next: Option<Offset>,
+    /// The position after the last row that this host has.
+    next: Option<Position>,
     /// When this copy was last known to reach the end of the table.
     confirmed_at: Option<Millis>,
     /// The end of the table by the last update, and as of when.
-    announced: Option<(Offset, Millis)>,
+    announced: Option<(Position, Millis)>,
     /// Since when updates name a later end than this copy has.
     behind_since: Option<Millis>,
 }
@@ -96,15 +96,15 @@
 /// Consecutive rows of the list that this host buffers for other hosts.
 #[derive(Debug)]
 struct BufferedRows {
-    /// The offset from which no row is missing.
-    from: Offset,
+    /// The position from which no row is missing.
+    from: Position,
     rows: VecDeque<UpstreamRow>,
-    /// The offset after the last row.
-    next: Offset,
+    /// The position after the last row.
+    next: Position,
 }
 
 impl BufferedRows {
-    fn new(from: Offset) -> Self {
+    fn new(from: Position) -> Self {
         Self {
             from,
             rows: VecDeque::new(),
@@ -117,7 +117,7 @@
         if self.rows.len() > max_rows
             && let Some(dropped) = self.rows.pop_front()
         {
-            self.from = Offset(dropped.offset.0 + 1);
+            self.from = dropped.position.next();
         }
     }
 }
@@ -134,8 +134,8 @@
 /// What to do next about a table.
 #[derive(Clone, Debug, PartialEq)]
 pub enum NextStep {
-    /// Apply these rows from the orderer; the copy then reaches this offset.
-    Apply(Vec<TableRow>, Offset),
+    /// Apply these rows from the orderer; the copy then reaches this position.
+    Apply(Vec<TableRow>, Position),
     /// Read the table: nobody says whether it has more rows.
     Read,
     /// Catch up: the table has more rows, and the update did not bring them.
@@ -155,7 +155,7 @@
     /// Records a read by this host that was sent at `asked_at` and reached the end of the table;
     /// the table is followed from `next`. A later confirmation by the orderer stands, since a read
     /// can wait for seconds.
-    pub fn note_read(&self, table: Table, asked_at: Millis, next: Offset) {
+    pub fn note_read(&self, table: Table, asked_at: Millis, next: Position) {
         let mut state = self.state.borrow_mut();
         let copy = state.copy(table);
         copy.next = Some(next);
@@ -165,14 +165,14 @@
 
     /// Records a read that did not reach the end of the table. It continues at `next`; the copy
     /// becomes no fresher by it.
-    pub fn note_partial_read(&self, table: Table, next: Offset) {
+    pub fn note_partial_read(&self, table: Table, next: Position) {
         self.state.borrow_mut().copy(table).next = Some(next);
     }
 
     /// Buffers rows of the list of upstreams, which were read from `from` up to `next`, for other
     /// hosts. `listed` is the number of upstreams in the list. Rows that do not follow the buffered
     /// ones replace them.
-    pub fn buffer_rows(&self, from: Offset, rows: &[TableRow], next: Offset, listed: usize) {
+    pub fn buffer_rows(&self, from: Position, rows: &[TableRow], next: Position, listed: usize) {
         let max_rows = listed.max(MIN_BUFFERED_ROWS);
         let mut state = self.state.borrow_mut();
         let former = state
@@ -185,7 +185,7 @@
                 Some(row) => buffered.push(row, max_rows),
                 // Other hosts read this row from the store themselves, and each logs that it is
                 // unreadable.
-                None => buffered = BufferedRows::new(Offset(row.offset.0 + 1)),
+                None => buffered = BufferedRows::new(row.position.next()),
             }
         }
         buffered.next = next;
@@ -221,18 +221,18 @@
         Some(now.since(since))
     }
 
-    /// Returns the offset from which this host needs rows of the list of upstreams; nothing before
+    /// Returns the position from which this host needs rows of the list of upstreams; nothing before
     /// its first read.
-    pub fn next_offset(&self) -> Option<Offset> {
+    pub fn next_position(&self) -> Option<Position> {
         self.state.borrow().upstreams.next
     }
 
-    /// Returns the update for a host that needs rows of the list from an offset.
-    pub fn update_for(&self, now: Millis, next_offset: Option<Offset>) -> TablesUpdate {
+    /// Returns the update for a host that needs rows of the list from a position.
+    pub fn update_for(&self, now: Millis, next_position: Option<Position>) -> TablesUpdate {
         let state = self.state.borrow();
-        let rows = match (next_offset, &state.buffered) {
+        let rows = match (next_position, &state.buffered) {
             (Some(from), Some(buffered)) if buffered.from <= from => {
-                let first = buffered.rows.partition_point(|row| row.offset < from);
+                let first = buffered.rows.partition_point(|row| row.position < from);
                 match buffered.rows.len() - first <= MAX_UPDATE_ROWS {
                     true => buffered.rows.range(first..).cloned().collect(),
                     false => Vec::new(),
@@ -251,12 +251,11 @@
     /// copy of the list of upstreams.
     pub fn apply_update(&self, asked_at: Millis, update: TablesUpdate) -> bool {
         let mut state = self.state.borrow_mut();
-        let newest_row = update.rows.last().map(|row| row.offset);
+        let newest_row = update.rows.last().map(|row| row.position);
         let end_of_list = update.upstreams.map(|upstreams| upstreams.end);
         // The rows are used only when they lead up to the end in the same update; those of an
         // earlier update lead to another end.
-        let leads_to_end =
-            newest_row.is_some_and(|offset| Some(Offset(offset.0 + 1)) == end_of_list);
+        let leads_to_end = newest_row.is_some_and(|position| Some(position.next()) == end_of_list);
         state.update_rows = match leads_to_end {
             true => update.rows,
             false => Vec::new(),
@@ -318,9 +317,9 @@
                 Table::Desired => Vec::new(),
             };
             let rows: Vec<TableRow> = rows.into_iter().map(table_row).collect();
-            // Offsets have no gaps, so rows that begin at or before the end of this copy continue
-            // it.
-            let continues_copy = rows.first().is_some_and(|row| row.offset <= next);
+            // Positions of one era have no gaps, so rows that begin at or before the end of this copy
+            // continue it. Rows of a later era than the copy do not.
+            let continues_copy = rows.first().is_some_and(|row| row.position <= next);
             return match continues_copy {
                 true => NextStep::Apply(rows, announced_end),
                 false => NextStep::CatchUp,
@@ -333,8 +332,8 @@
         }
     }
 
-    /// Records that rows from the orderer were applied up to an offset.
-    pub fn note_applied(&self, table: Table, next: Offset) {
+    /// Records that rows from the orderer were applied up to a position.
+    pub fn note_applied(&self, table: Table, next: Position) {
         let mut state = self.state.borrow_mut();
         let copy = state.copy(table);
         copy.next = Some(next);
@@ -356,7 +355,7 @@
     };
     Some(UpstreamRow {
         key: row.key.clone(),
-        offset: row.offset,
+        position: row.position,
         entry,
     })
 }
@@ -364,7 +363,7 @@
 fn table_row(row: UpstreamRow) -> TableRow {
     TableRow {
         key: row.key,
-        offset: row.offset,
+        position: row.position,
         value: row.entry.map_or(RowValue::Removed, RowValue::Upstream),
     }
 }
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -327,7 +327,7 @@
         members_generation: host.members.borrow().update_base_generation(),
         work: work.into_iter().collect(),
         demand,
-        upstreams_from: host.replication.next_offset(),
+        upstreams_from: host.replication.next_position(),
         through,
         usage: limits::report(host),
         crashes: exchange::report(host),
--- a/src/entry/table_rows.rs
+++ b/src/entry/table_rows.rs
@@ -28,8 +28,8 @@
     former: Option<u64>,
     /// The host that passed the state on; none when it was read from the store.
     from: Option<SocketAddr>,
-    /// The offset of its record, or of the end of the table at the host that passed it on.
-    offset: Offset,
+    /// The position of its record, or of the end of the table at the host that passed it on.
+    position: Position,
     /// For how long this host had known that the table has newer records than its copy; none if the
     /// state itself was the first sign.
     known_behind_ms: Option<Millis>,
@@ -40,8 +40,8 @@
 pub struct DesiredOrigin {
     /// The host that passed it on; none when it was read from the store.
     pub from: Option<SocketAddr>,
-    /// The offset of its record, or of the end of the table at the host that passed it on.
-    pub offset: Offset,
+    /// The position of its record, or of the end of the table at the host that passed it on.
+    pub position: Position,
 }
 
 #[derive(Serialize)]
@@ -54,7 +54,7 @@
 struct UpstreamLine<'a> {
     upstream: &'a str,
     change: &'static str,
-    offset: Option<u64>,
+    position: Option<Position>,
     service: Option<&'a str>,
     models: Vec<&'a str>,
 }
@@ -94,7 +94,7 @@
         RowValue::Desired(state) => {
             let origin = DesiredOrigin {
                 from: None,
-                offset: row.offset,
+                position: row.position,
             };
             activate_desired_state(host, Arc::new(state), origin);
         }
@@ -131,7 +131,7 @@
         services: table.services.len(),
         former,
         from: origin.from,
-        offset: origin.offset,
+        position: origin.position,
         known_behind_ms: host.replication.behind_ms(host.now(), Table::Desired),
     };
     host.limits
@@ -205,7 +205,7 @@
         }
         RowValue::Desired(_) => return,
     };
-    note_upstream_change(host, &row.key, &change, Some(row.offset));
+    note_upstream_change(host, &row.key, &change, Some(row.position));
     host.note_change();
 }
 
@@ -215,7 +215,7 @@
     host: &Host<P>,
     id: &str,
     change: &Change,
-    offset: Option<Offset>,
+    position: Option<Position>,
 ) {
     if matches!(change, Change::Gone | Change::Restarted) {
         host.pool.close_idle(id);
@@ -236,7 +236,7 @@
     let line = UpstreamLine {
         upstream: id,
         change,
-        offset: offset.map(|offset| offset.0),
+        position,
         service: entry.map(|entry| &*entry.service),
         models: models.unwrap_or_default(),
     };
@@ -248,7 +248,7 @@
     let line = UpstreamLine {
         upstream: id,
         change,
-        offset: None,
+        position: None,
         service: None,
         models: Vec::new(),
     };
--- a/src/entry/table_sources.rs
+++ b/src/entry/table_sources.rs
@@ -5,8 +5,12 @@
 use crate::entry::platform::Platform;
 use crate::group::Member;
 use crate::group::parents::MAX_RELAYS;
+use crate::prelude::*;
 use std::rc::Rc;
 
+/// The pause before the relays are asked again when none of them had a newer table.
+pub const RELAY_RETRY_PAUSE_MS: Millis = Millis(250);
+
 /// What a host needs to fetch tables from its relays.
 #[derive(Clone)]
 pub struct TableSources {
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -2,6 +2,7 @@
 
 use crate::desired::DesiredState;
 use crate::entry::platform::*;
+use crate::group::Generation;
 use crate::http1::{Headers, RequestHead, ResponseHead};
 use crate::identity::{Credential, KeyDigest};
 use crate::ordering::message::{EngineReport, Order, OrderAnswer};
@@ -22,6 +23,8 @@
     upstreams: RefCell<Vec<(Name, Option<UpstreamEntry>)>>,
     members: RefCell<IndexSet<Name>>,
     leases: Rc<RefCell<Vec<Vec<u8>>>>,
+    /// How often the store was restored from a copy.
+    pub era: Cell<Era>,
     /// Whether every call is refused.
     pub is_down: Cell<bool>,
     /// The offset of the oldest upstream record that is not trimmed.
@@ -47,6 +50,18 @@
         }
     }
 
+    /// Restores the desired states and the list from a copy with their first rows, under the next era.
+    pub fn restore(&self, desired_rows: usize, upstream_rows: usize) {
+        self.desired.borrow_mut().truncate(desired_rows);
+        self.upstreams.borrow_mut().truncate(upstream_rows);
+        self.era.set(Era(self.era.get().0 + 1));
+        self.changed.notify(usize::MAX);
+    }
+
+    fn position(&self, offset: usize) -> Position {
+        Position::new(self.era.get(), offset as u64)
+    }
+
     /// Returns how many records the stream of leases has.
     pub fn lease_records(&self) -> usize {
         self.leases.borrow().len()
@@ -87,7 +102,7 @@
     fn rows(&self, table: Table) -> Vec<TableRow> {
         let row = |(at, key, value): (usize, Name, RowValue)| TableRow {
             key,
-            offset: Offset(at as u64),
+            position: self.position(at),
             value,
         };
         match table {
@@ -216,7 +231,7 @@
             self.0.count_page()?;
         }
         let rows = self.0.rows(table);
-        let end = Offset(rows.len() as u64);
+        let end = self.0.position(rows.len());
         let newest: IndexMap<Name, TableRow> =
             rows.into_iter().map(|row| (row.key.clone(), row)).collect();
         let first = after.map_or(0, |key| newest.get_index_of(key).map_or(0, |at| at + 1));
@@ -251,15 +266,18 @@
         loop {
             let changed = self.0.changed.listen();
             self.0.check()?;
-            if table == Table::Upstreams && from.0 < self.0.kept_from.get() {
+            if table == Table::Upstreams && from.offset.0 < self.0.kept_from.get() {
                 return Err(StoreError::Trimmed);
             }
             let rows = self.0.rows(table);
-            let end = Offset(rows.len() as u64);
+            let end = self.0.position(rows.len());
+            if end.era > from.era {
+                return Err(StoreError::Restored { era: end.era });
+            }
             if end > from {
-                let rows = rows.into_iter().skip(from.0 as usize).take(max_rows);
+                let rows = rows.into_iter().skip(from.offset.0 as usize).take(max_rows);
                 let rows: Vec<TableRow> = rows.collect();
-                let next = Offset(from.0 + rows.len() as u64);
+                let next = from.plus(rows.len() as u64);
                 let read = self.0.changes_read.get() + rows.len();
                 self.0.changes_read.set(read);
                 return Ok(TablePage {
@@ -276,14 +294,14 @@
     async fn join(
         &self,
         member: &str,
-        _generation: u64,
+        _generation: Generation,
         _lapse_ms: Millis,
     ) -> Result<Joined, StoreError> {
         self.0.check()?;
         let mut members = self.0.members.borrow_mut();
         members.insert(member.into());
         Ok(Joined {
-            generation: members.len() as u64,
+            generation: Generation::new(self.0.era.get(), members.len() as u64),
             is_listed: true,
         })
     }
@@ -297,22 +315,26 @@
         Ok(self.0.members.borrow().clone())
     }
 
-    async fn append_lease(&self, end: Offset, record: &[u8]) -> Result<AppendOutcome, StoreError> {
+    async fn append_lease(
+        &self,
+        end: Position,
+        record: &[u8],
+    ) -> Result<AppendOutcome, StoreError> {
         self.0.check()?;
         let mut leases = self.0.leases.borrow_mut();
-        let present = Offset(leases.len() as u64);
-        if end != present {
+        let present = self.0.position(leases.len());
+        if end.offset != present.offset {
             return Ok(AppendOutcome::EndMoved(present));
         }
         leases.push(record.to_vec());
         Ok(AppendOutcome::Appended(present))
     }
 
-    async fn read_leases(&self, _from: Offset) -> Result<StreamEnd, StoreError> {
+    async fn read_leases(&self, _from: Position) -> Result<StreamEnd, StoreError> {
         self.0.check()?;
         let leases = self.0.leases.borrow();
         Ok(StreamEnd {
-            end: Offset(leases.len() as u64),
+            end: self.0.position(leases.len()),
             newest: leases.last().cloned(),
         })
     }
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -23,6 +23,7 @@
 use crate::identity::KeyDigest;
 use crate::ordering::host_reports::HostReport;
 use crate::prelude::*;
+use crate::test_support::generation;
 use crate::upstreams::UpstreamEntry;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
@@ -123,7 +124,10 @@
         let list: IndexSet<Member> = hosts.hosts.iter().map(OneHost::member).collect();
         for (one, listener) in hosts.hosts.iter().zip(listeners) {
             let now = one.host.now();
-            one.host.members.borrow_mut().replace(now, 1, list.clone());
+            one.host
+                .members
+                .borrow_mut()
+                .replace(now, generation(1), list.clone());
             one.host.apply_member_list();
             hosts.run(one, listener);
         }
--- a/src/entry/tests/lease_manager.rs
+++ b/src/entry/tests/lease_manager.rs
@@ -11,6 +11,7 @@
 use crate::prelude::*;
 use crate::retry::interrupted_requests::InterruptedRun;
 use crate::retry::{RequestCauses, RequestDigest, SharedCause, VersionTag};
+use crate::test_support::generation;
 use crate::upstreams::Lifetime;
 use std::rc::Rc;
 
@@ -45,7 +46,10 @@
         own.accepted.replace(fingerprints.clone());
         other.accepted.replace(fingerprints);
         let now = site.host.now();
-        site.host.members.borrow_mut().replace(now, 1, both);
+        site.host
+            .members
+            .borrow_mut()
+            .replace(now, generation(1), both);
         let serve = peers::serve(
             other_host,
             other,
@@ -70,7 +74,7 @@
 fn only_lease_records_are_appended_for_another_host() {
     on_site(|site| async move {
         for invalid in [&b"{}"[..], b"", &[0; 8_192]] {
-            let appended = append_for_peer(&site.host, Offset(0), invalid).await;
+            let appended = append_for_peer(&site.host, Position::default(), invalid).await;
             assert_eq!(appended, None);
         }
         assert_eq!(site.store.lease_records(), 0);
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -12,7 +12,7 @@
 use crate::entry::table_sources::TableSources;
 use crate::group::Member;
 use crate::prelude::*;
-use crate::test_support::member;
+use crate::test_support::{generation, member};
 
 /// Lets the host behind the relay take the list as empty, then writes the list to its store, and
 /// waits until the host has all of it. Returns how many changes the host read from the store.
@@ -113,23 +113,26 @@
         let pair = Pair::new(&site).await;
         let follow = follow(pair.asking.clone(), Table::Upstreams, Some(pair.sources()));
         site.executor.spawn(follow).detach();
-        let end = Offset(UPSTREAMS as u64);
+        let end = Position::new(Era(0), UPSTREAMS as u64);
         let row = |key: &str, offset: u64, is_listed: bool| UpstreamRow {
             key: key.into(),
-            offset: Offset(offset),
+            position: Position::new(Era(0), offset),
             entry: is_listed.then(|| entry(key, unused_address())),
         };
         let test = async {
             until(|| pair.asking.upstreams_known.get()).await;
             let now = pair.asking.now();
-            let table_end = |end: Offset| {
+            let table_end = |end: Position| {
                 let age_ms = Millis::ZERO;
                 Some(TableEnd { end, age_ms })
             };
             let update = TablesUpdate {
                 desired: None,
-                upstreams: table_end(Offset(end.0 + 1)),
-                rows: vec![row("u1", end.0 - 1, false), row("new", end.0, true)],
+                upstreams: table_end(end.next()),
+                rows: vec![
+                    row("u1", end.offset.0 - 1, false),
+                    row("new", end.offset.0, true),
+                ],
             };
             pair.asking.replication.apply_update(now, update);
             until(|| pair.asking.upstreams.borrow().get("new").is_some()).await;
@@ -148,7 +151,7 @@
         store.is_down.set(false);
         store.write_upstream("u0", Some(entry("u0", unused_address())));
         let end = TableEnd {
-            end: Offset(UPSTREAMS as u64),
+            end: Position::new(Era(0), UPSTREAMS as u64),
             age_ms: Millis::ZERO,
         };
         let update = TablesUpdate {
@@ -196,7 +199,9 @@
         let relays = || pair.sources().relays(host).map(|relays| relays.len());
         let list = |others: std::ops::Range<u64>| {
             let listed = others.map(|n| member(n, "here", 120)).collect();
-            host.members.borrow_mut().replace(host.now(), 2, listed);
+            host.members
+                .borrow_mut()
+                .replace(host.now(), generation(2), listed);
             host.apply_member_list();
         };
         assert_eq!(relays(), Some(1), "the group lists it");
@@ -217,14 +222,14 @@
     on_site(|site| async move {
         let pair = Pair::new(&site).await;
         let sources = pair.sources();
-        let end = Offset(UPSTREAMS as u64);
+        let end = Position::new(Era(0), UPSTREAMS as u64);
         let test = async {
             let older = fetch(&pair.asking, &sources, Some(end), Millis(50)).await;
             assert!(older.is_none());
             let newer = fetch(
                 &pair.asking,
                 &sources,
-                Some(Offset(end.0 - 1)),
+                Some(Position::new(end.era, end.offset.0 - 1)),
                 Millis(5_000),
             )
             .await;
--- a/src/entry/tests/organisations.rs
+++ b/src/entry/tests/organisations.rs
@@ -5,7 +5,7 @@
 use crate::desired::{LimitUnit, Organisation, RateLimit, Repeat};
 use crate::identity::KeyDigest;
 use crate::prelude::*;
-use crate::test_support::member;
+use crate::test_support::{generation, member};
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 4\r\n\r\n{id}";
 /// A limit that does not refill noticeably during a test.
@@ -38,7 +38,7 @@
     let me = member(host.incarnation, "here", 120);
     let list = IndexSet::from([me]);
     let mut members = host.members.borrow_mut();
-    members.replace(host.now(), 1, list);
+    members.replace(host.now(), generation(1), list);
     members.note_contact(host.now());
 }
 
--- a/src/entry/tests/relay_pair.rs
+++ b/src/entry/tests/relay_pair.rs
@@ -8,7 +8,7 @@
 use crate::entry::table_sources::TableSources;
 use crate::group::Member;
 use crate::prelude::*;
-use crate::test_support::member;
+use crate::test_support::{generation, member};
 use smol::Timer;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,7 +61,9 @@
         let list: IndexSet<Member> = far.chain(near).chain([relay, me.clone()]).collect();
         for host in [&site.host, &asking] {
             let now = host.now();
-            host.members.borrow_mut().replace(now, 1, list.clone());
+            host.members
+                .borrow_mut()
+                .replace(now, generation(1), list.clone());
             host.apply_member_list();
         }
         own.accepted.replace([me.fingerprint.clone()].into());
--- a/src/entry/tests/replication.rs
+++ b/src/entry/tests/replication.rs
@@ -8,10 +8,14 @@
 const WITHIN_MS: Millis = Millis(1_500);
 const LISTED: usize = 100;
 
+fn at(offset: u64) -> Position {
+    Position::new(Era(1), offset)
+}
+
 fn rows(offsets: std::ops::Range<u64>) -> Vec<TableRow> {
     let row = |offset| TableRow {
         key: format!("u{offset}").into(),
-        offset: Offset(offset),
+        position: at(offset),
         value: RowValue::Removed,
     };
     offsets.map(row).collect()
@@ -20,11 +24,11 @@
 /// Returns an orderer that has read up to `end`, and has buffered the rows from `buffered_from` on.
 fn orderer(asked_at: Millis, buffered_from: u64, end: u64) -> ReplicationState {
     let orderer = ReplicationState::default();
-    orderer.note_read(Table::Upstreams, asked_at, Offset(end));
+    orderer.note_read(Table::Upstreams, asked_at, at(end));
     orderer.buffer_rows(
-        Offset(buffered_from),
+        at(buffered_from),
         &rows(buffered_from..end),
-        Offset(end),
+        at(end),
         LISTED,
     );
     orderer
@@ -33,8 +37,8 @@
 #[test]
 fn host_waits_while_the_orderer_confirms_its_copy() {
     let host = ReplicationState::default();
-    host.note_read(Table::Upstreams, Millis(1_000), Offset(5));
-    let update = orderer(Millis(9_800), 0, 5).update_for(Millis(10_000), host.next_offset());
+    host.note_read(Table::Upstreams, Millis(1_000), at(5));
+    let update = orderer(Millis(9_800), 0, 5).update_for(Millis(10_000), host.next_position());
     assert!(host.apply_update(Millis(9_990), update));
     let next = host.next(Millis(10_010), Table::Upstreams, WITHIN_MS);
     assert_eq!(next, NextStep::WaitUntil(Millis(9_790) + WITHIN_MS));
@@ -45,16 +49,16 @@
 #[test]
 fn rows_that_continue_the_copy_are_applied_and_a_gap_needs_a_catch_up() {
     let host = ReplicationState::default();
-    host.note_read(Table::Upstreams, Millis(9_000), Offset(5));
-    let update = orderer(Millis(9_900), 3, 8).update_for(Millis(10_000), host.next_offset());
+    host.note_read(Table::Upstreams, Millis(9_000), at(5));
+    let update = orderer(Millis(9_900), 3, 8).update_for(Millis(10_000), host.next_position());
     host.apply_update(Millis(9_990), update);
     let next = host.next(Millis(10_010), Table::Upstreams, WITHIN_MS);
-    assert_eq!(next, NextStep::Apply(rows(5..8), Offset(8)));
-    host.note_applied(Table::Upstreams, Offset(8));
+    assert_eq!(next, NextStep::Apply(rows(5..8), at(8)));
+    host.note_applied(Table::Upstreams, at(8));
     let next = host.next(Millis(10_010), Table::Upstreams, WITHIN_MS);
     assert_eq!(next, NextStep::WaitUntil(Millis(9_890) + WITHIN_MS));
 
-    let update = orderer(Millis(10_100), 10, 12).update_for(Millis(10_200), host.next_offset());
+    let update = orderer(Millis(10_100), 10, 12).update_for(Millis(10_200), host.next_position());
     host.apply_update(Millis(10_190), update);
     let next = host.next(Millis(10_210), Table::Upstreams, WITHIN_MS);
     assert_eq!(next, NextStep::CatchUp);
@@ -63,7 +67,7 @@
 #[test]
 fn host_without_an_update_reads_the_store() {
     let host = ReplicationState::default();
-    host.note_read(Table::Desired, Millis(10_000), Offset(5));
+    host.note_read(Table::Desired, Millis(10_000), at(5));
     let next = host.next(Millis(10_001), Table::Desired, WITHIN_MS);
     assert_eq!(next, NextStep::Read);
 }
@@ -86,35 +90,34 @@
         let end = self.written.len() as u64;
         // Rows that are written while the answer is in flight are not in it.
         self.now += Millis(takes_ms);
-        let from = Offset(self.orderer_next);
+        let from = at(self.orderer_next);
         let read = rows(self.orderer_next..end);
-        self.orderer
-            .note_read(Table::Upstreams, asked_at, Offset(end));
-        self.orderer.buffer_rows(from, &read, Offset(end), LISTED);
+        self.orderer.note_read(Table::Upstreams, asked_at, at(end));
+        self.orderer.buffer_rows(from, &read, at(end), LISTED);
         self.orderer_next = end;
     }
 
     fn host_asks(&mut self, takes_ms: u64) {
         let asked_at = self.now;
-        let next_offset = self.host.next_offset();
+        let next_position = self.host.next_position();
         self.now += Millis(takes_ms);
-        let update = self.orderer.update_for(self.now, next_offset);
+        let update = self.orderer.update_for(self.now, next_position);
         self.in_flight.push((asked_at, update));
     }
 
     fn host_acts(&mut self) {
         match self.host.next(self.now, Table::Upstreams, WITHIN_MS) {
             NextStep::Apply(rows, end) => {
-                let offsets: Vec<u64> = rows.iter().map(|row| row.offset.0).collect();
-                let expected: Vec<u64> = (offsets[0]..end.0).collect();
+                let offsets: Vec<u64> = rows.iter().map(|row| row.position.offset.0).collect();
+                let expected: Vec<u64> = (offsets[0]..end.offset.0).collect();
                 assert!(offsets[0] <= self.host_next, "rows are missing");
                 assert_eq!(offsets, expected);
                 self.host.note_applied(Table::Upstreams, end);
-                self.host_next = self.host_next.max(end.0);
+                self.host_next = self.host_next.max(end.offset.0);
             }
             NextStep::Read | NextStep::CatchUp => {
                 let end = self.written.len() as u64;
-                self.host.note_read(Table::Upstreams, self.now, Offset(end));
+                self.host.note_read(Table::Upstreams, self.now, at(end));
                 self.host_next = end;
             }
             NextStep::WaitUntil(due_at) => {
@@ -160,8 +163,7 @@
                 // It reads rows without buffering them, as it does while another host orders.
                 8 if u.int_in_range(0..=5u8)? == 0 => {
                     let end = site.written.len() as u64;
-                    site.orderer
-                        .note_read(Table::Upstreams, site.now, Offset(end));
+                    site.orderer.note_read(Table::Upstreams, site.now, at(end));
                     site.orderer_next = end;
                 }
                 _ => site.host_acts(),
@@ -175,10 +177,10 @@
 fn rows_with_a_gap_are_not_sent() {
     let orderer = orderer(Millis(9_900), 0, 3);
     // It read rows 3 and 4 while another host ordered, and buffered neither.
-    orderer.note_read(Table::Upstreams, Millis(9_950), Offset(5));
-    orderer.buffer_rows(Offset(5), &rows(5..7), Offset(7), LISTED);
-    assert_eq!(orderer.update_for(Millis(10_000), Some(Offset(1))).rows, []);
-    let sent = orderer.update_for(Millis(10_000), Some(Offset(5))).rows;
+    orderer.note_read(Table::Upstreams, Millis(9_950), at(5));
+    orderer.buffer_rows(at(5), &rows(5..7), at(7), LISTED);
+    assert_eq!(orderer.update_for(Millis(10_000), Some(at(1))).rows, []);
+    let sent = orderer.update_for(Millis(10_000), Some(at(5))).rows;
     assert_eq!(sent.len(), 2);
 }
 
@@ -188,8 +190,8 @@
 fn rows_buffered_after_others_were_dropped_are_sent() {
     let orderer = orderer(Millis(9_900), 0, 3);
     orderer.clear_buffered_rows();
-    orderer.buffer_rows(Offset(3), &rows(3..5), Offset(5), LISTED);
-    let sent = orderer.update_for(Millis(10_000), Some(Offset(3))).rows;
+    orderer.buffer_rows(at(3), &rows(3..5), at(5), LISTED);
+    let sent = orderer.update_for(Millis(10_000), Some(at(3))).rows;
     assert_eq!(sent.len(), 2);
 }
 
@@ -199,10 +201,10 @@
 #[test]
 fn end_of_a_poll_does_not_undo_a_later_confirmation() {
     let host = ReplicationState::default();
-    host.note_read(Table::Upstreams, Millis(9_000), Offset(5));
-    let update = orderer(Millis(9_900), 0, 5).update_for(Millis(10_000), host.next_offset());
+    host.note_read(Table::Upstreams, Millis(9_000), at(5));
+    let update = orderer(Millis(9_900), 0, 5).update_for(Millis(10_000), host.next_position());
     host.apply_update(Millis(9_990), update);
-    host.note_read(Table::Upstreams, Millis(9_000), Offset(5));
+    host.note_read(Table::Upstreams, Millis(9_000), at(5));
     let next = host.next(Millis(10_600), Table::Upstreams, WITHIN_MS);
     assert_eq!(next, NextStep::WaitUntil(Millis(9_890) + WITHIN_MS));
 }
@@ -211,10 +213,10 @@
 #[test]
 fn truncated_page_does_not_make_the_list_fresher() {
     let orderer = orderer(Millis(1_000), 0, 5);
-    orderer.note_partial_read(Table::Upstreams, Offset(3_000));
+    orderer.note_partial_read(Table::Upstreams, at(3_000));
     let end = orderer.end(Millis(4_000), Table::Upstreams);
     let expected = TableEnd {
-        end: Offset(3_000),
+        end: at(3_000),
         age_ms: Millis(3_000),
     };
     assert_eq!(end, Some(expected));
@@ -227,16 +229,16 @@
     let relay = ReplicationState::default();
     let host = ReplicationState::default();
     let (mut from, mut taken) = (0, 0);
-    host.note_read(Table::Upstreams, Millis(0), Offset(0));
+    host.note_read(Table::Upstreams, Millis(0), at(0));
     for second in 1..=10 {
         let now = Millis(second * 1_000);
         let end = second * 700;
-        relay.note_read(Table::Upstreams, now, Offset(end));
-        relay.buffer_rows(Offset(from), &rows(from..end), Offset(end), from as usize);
+        relay.note_read(Table::Upstreams, now, at(end));
+        relay.buffer_rows(at(from), &rows(from..end), at(end), from as usize);
         from = end;
         // The host calls its relay every two seconds only.
         if second % 2 == 0 {
-            host.apply_update(now, relay.update_for(now, host.next_offset()));
+            host.apply_update(now, relay.update_for(now, host.next_position()));
             let next = host.next(now, Table::Upstreams, WITHIN_MS);
             let NextStep::Apply(rows, end) = next else {
                 panic!("rows expected: {next:?}");
@@ -253,16 +255,14 @@
 fn relay_sends_all_rows_of_a_release_in_a_large_site() {
     let listed = 10_000;
     let relay = ReplicationState::default();
-    relay.note_read(Table::Upstreams, Millis(1_000), Offset(3_000));
-    relay.buffer_rows(Offset(0), &rows(0..3_000), Offset(3_000), listed);
+    relay.note_read(Table::Upstreams, Millis(1_000), at(3_000));
+    relay.buffer_rows(at(0), &rows(0..3_000), at(3_000), listed);
     let host = ReplicationState::default();
-    host.note_read(Table::Upstreams, Millis(500), Offset(0));
+    host.note_read(Table::Upstreams, Millis(500), at(0));
     host.apply_update(
         Millis(1_010),
-        relay.update_for(Millis(1_020), host.next_offset()),
+        relay.update_for(Millis(1_020), host.next_position()),
     );
     let next = host.next(Millis(1_030), Table::Upstreams, WITHIN_MS);
-    assert!(
-        matches!(next, NextStep::Apply(rows, end) if rows.len() == 3_000 && end == Offset(3_000))
-    );
+    assert!(matches!(next, NextStep::Apply(rows, end) if rows.len() == 3_000 && end == at(3_000)));
 }
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -13,7 +13,7 @@
 use crate::entry::platform::Table;
 use crate::entry::resumption::streams::Streams;
 use crate::entry::settings::{EntrySettings, PlatformBounds};
-use crate::group::Member;
+use crate::group::{Generation, Member};
 use crate::http1::{BodyReader, Connection, ReadError, ResponseHead};
 use crate::ordering::message::SyncRequest;
 use crate::prelude::*;
@@ -340,7 +340,7 @@
         is_for_orderer: false,
         is_urgent: false,
         view_version: (0, 0),
-        members_generation: 0,
+        members_generation: Generation::default(),
         demand: Vec::new(),
         work: Vec::new(),
         upstreams_from: None,
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -19,7 +19,7 @@
 use crate::retry::message::{Crash, Evidence};
 use crate::retry::{CrashReport, RequestDigest};
 use crate::routing::pick::UpstreamLoad;
-use crate::test_support::member;
+use crate::test_support::{generation, member};
 use crate::upstreams::Lifetime;
 use crate::upstreams::rejections::ToldRejectionLimit;
 
@@ -42,7 +42,9 @@
     let others = (100..164).map(|n| member(n, "here", 120));
     let me = member(host.incarnation, "here", 500);
     let list: IndexSet<Member> = others.chain([me]).collect();
-    host.members.borrow_mut().replace(host.now(), 1, list);
+    host.members
+        .borrow_mut()
+        .replace(host.now(), generation(1), list);
     host.members.borrow_mut().note_contact(host.now());
     host.apply_member_list();
     assert!(host.is_relay());
@@ -143,7 +145,10 @@
             "the asking host's own work must be left out"
         );
         assert!(first.engines.is_whole);
-        assert_eq!(first.members.map(|members| members.generation), Some(1));
+        assert_eq!(
+            first.members.map(|members| members.generation),
+            Some(generation(1))
+        );
         let again = SyncRequest {
             view_version: first.engines.version,
             ..sync_request()
--- a/src/entry/tests/upstream_limits.rs
+++ b/src/entry/tests/upstream_limits.rs
@@ -5,7 +5,7 @@
 use super::site::{Site, on_site, route};
 use crate::desired::Repeat;
 use crate::prelude::*;
-use crate::test_support::member;
+use crate::test_support::{generation, member};
 
 const LIMITED: &str =
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nLimit: 2\r\nContent-Length: 2\r\n\r\nok";
@@ -41,7 +41,7 @@
     let me = member(site.host.incarnation, "here", 250);
     let now = site.host.now();
     let mut members = site.host.members.borrow_mut();
-    members.replace(now, 1, [me].into_iter().collect());
+    members.replace(now, generation(1), [me].into_iter().collect());
     members.note_contact(now);
 }
 
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -44,6 +44,8 @@
     RecordNewer = 208,
     /// An answer of the store shows that it was restored from an older copy.
     StoreRestored = 209,
+    /// This host's copy of a table is of an earlier era of the store, and the table is read anew.
+    TableOutdated = 210,
     /// This host no longer knows whether its state is up to date.
     BecameStale = 300,
     /// This host knows again that its state is up to date.
@@ -175,6 +177,7 @@
         Self::LogShorter,
         Self::RecordNewer,
         Self::StoreRestored,
+        Self::TableOutdated,
         Self::BecameStale,
         Self::BecameFresh,
         Self::Paused,
--- a/src/group/members.rs
+++ b/src/group/members.rs
@@ -6,8 +6,8 @@
 //! the changes with the sync messages that they receive anyway. In a site of 195 hosts a restart
 //! costs two reads of the list instead of 195.
 
-use crate::group::Member;
 use crate::group::departed::{Departed, ISOLATED_ADMIT_MS};
+use crate::group::{Generation, Member};
 use crate::prelude::*;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -15,16 +15,13 @@
 /// Most changes kept for hosts with an older list; a host with a list older than these gets the
 /// full list. Hosts get updates at least every 0.5 s, and the list is read once a second.
 const MAX_CHANGES: usize = 32;
-/// The generation that a host sends to request the full list.
-const FULL_LIST_GENERATION: u64 = 0;
-
 /// The difference between two successive reads of the list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MembersChange {
     /// The generation of the earlier list.
-    pub from: u64,
+    pub from: Generation,
     /// The generation of the later list.
-    pub to: u64,
+    pub to: Generation,
     /// Hosts that only the later list has.
     pub joined: Vec<Member>,
     /// Hosts that only the earlier list has.
@@ -42,7 +39,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MembersUpdate {
     /// The generation of the sender's list.
-    pub generation: u64,
+    pub generation: Generation,
     /// The digest of the sender's list, with which the receiver verifies its list after the update.
     pub digest: u64,
     /// The changes since the receiver's generation, oldest first; empty with a full list.
@@ -55,7 +52,7 @@
 /// The member list as last read from the store or received from another host.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
-    generation: u64,
+    generation: Generation,
     list: IndexSet<Member>,
     changes: VecDeque<MembersChange>,
     confirmed_at: Option<Millis>,
@@ -100,15 +97,16 @@
         self.contact_at = Some(now);
     }
 
-    /// Returns the generation of the list; zero before it is known.
-    pub fn generation(&self) -> u64 {
+    /// Returns the generation of the list; the default before it is known.
+    pub fn generation(&self) -> Generation {
         self.generation
     }
 
-    /// Returns the generation after which this host requests changes; zero requests the full list.
-    pub fn update_base_generation(&self) -> u64 {
+    /// Returns the generation after which this host requests changes; the default requests the full
+    /// list.
+    pub fn update_base_generation(&self) -> Generation {
         match self.needs_full_list || self.confirmed_at.is_none() {
-            true => FULL_LIST_GENERATION,
+            true => Generation::default(),
             false => self.generation,
         }
     }
@@ -122,7 +120,7 @@
     pub fn replace(
         &mut self,
         now: Millis,
-        generation: u64,
+        generation: Generation,
         list: IndexSet<Member>,
     ) -> MembersChange {
         let change = MembersChange {
@@ -138,7 +136,7 @@
 
     /// Returns the update for a host that has the list of `generation`, also if nothing changed
     /// since. Returns `None` if this host's own list is unknown or older.
-    pub fn update_since(&self, generation: u64) -> Option<MembersUpdate> {
+    pub fn update_since(&self, generation: Generation) -> Option<MembersUpdate> {
         if self.confirmed_at.is_none() || generation > self.generation {
             return None;
         }
@@ -146,7 +144,7 @@
         let oldest = self.changes.front().map(|change| change.from);
         let changes_suffice =
             generation == self.generation || oldest.is_some_and(|from| from <= generation);
-        let is_full = generation == FULL_LIST_GENERATION || !changes_suffice;
+        let is_full = generation == Generation::default() || !changes_suffice;
         Some(MembersUpdate {
             generation: self.generation,
             digest: digest(&self.list),
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -14,6 +14,7 @@
 //! - [`parents`]: which relay, or the orderer, a host syncs with.
 
 pub mod departed;
+pub mod generation;
 pub mod member;
 pub mod members;
 pub mod parents;
@@ -23,6 +24,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use generation::Generation;
 pub use member::Member;
 pub use members::Members;
 pub use tree::RelayTree;
--- a/src/group/tests/members.rs
+++ b/src/group/tests/members.rs
@@ -2,14 +2,14 @@
 //! updates are lost, late or overtaken by the receiver's own reads.
 
 use crate::group::members::MembersUpdate;
-use crate::group::{Member, Members};
+use crate::group::{Generation, Member, Members};
 use crate::prelude::*;
-use crate::test_support::{member, run_seeded};
+use crate::test_support::{generation, member, run_seeded};
 
 /// The member list on the platform's store.
 #[derive(Default)]
 struct Group {
-    generation: u64,
+    generation: Generation,
     list: IndexSet<Member>,
     next: u64,
 }
@@ -20,12 +20,12 @@
         // Stands for a random incarnation; no two are equal.
         let incarnation = self.next.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         self.list.insert(member(incarnation, "here", 120));
-        self.generation += 1;
+        self.generation.number += 1;
     }
 
     fn leave(&mut self, nth: usize) {
         self.list.swap_remove_index(nth % self.list.len());
-        self.generation += 1;
+        self.generation.number += 1;
     }
 
     fn read(&self, now: Millis, reader: &mut Members) {
@@ -99,7 +99,7 @@
         .expect("the sender's list is newer");
     let later = MembersUpdate {
         changes: sender
-            .update_since(90)
+            .update_since(generation(90))
             .expect("the sender's list is newer")
             .changes,
         whole: None,
@@ -185,9 +185,9 @@
     let start = Millis(1_000_000);
     members.note_contact(start);
     assert_eq!(members.count_serving(start), None);
-    members.replace(start, 1, listed(&[1, 2, 3]));
+    members.replace(start, generation(1), listed(&[1, 2, 3]));
     assert_eq!(members.count_serving(start), Some(3));
-    members.replace(start + Millis(2_000), 2, listed(&[1]));
+    members.replace(start + Millis(2_000), generation(2), listed(&[1]));
     members.note_contact(start + Millis(20_000));
     assert_eq!(members.count_serving(start + Millis(20_000)), Some(3));
     members.note_contact(start + Millis(31_000));
@@ -202,14 +202,14 @@
     // The port of a test host is the low 16 bits of its incarnation, so this one has host 1's
     // address.
     let restarted = 1 + (1 << 16);
-    members.replace(start, 1, listed(&[1, 2]));
-    members.replace(start, 2, listed(&[1, 2, restarted]));
+    members.replace(start, generation(1), listed(&[1, 2]));
+    members.replace(start, generation(2), listed(&[1, 2, restarted]));
     assert_eq!(members.count_serving(start), Some(2));
-    members.replace(start, 3, listed(&[2, restarted]));
+    members.replace(start, generation(3), listed(&[2, restarted]));
     assert_eq!(members.count_serving(start), Some(2));
-    members.replace(start, 4, listed(&[2]));
+    members.replace(start, generation(4), listed(&[2]));
     assert_eq!(members.count_serving(start), Some(2));
-    members.replace(start, 5, listed(&[2, restarted]));
+    members.replace(start, generation(5), listed(&[2, restarted]));
     assert_eq!(members.count_serving(start), Some(2));
 }
 
@@ -219,10 +219,10 @@
     let mut other = Members::default();
     let start = Millis(1_000_000);
     for members in [&mut cut_off, &mut other] {
-        members.replace(start, 1, listed(&[1, 2]));
+        members.replace(start, generation(1), listed(&[1, 2]));
         members.note_contact(start);
     }
-    other.replace(start + Millis(2_000), 2, listed(&[2]));
+    other.replace(start + Millis(2_000), generation(2), listed(&[2]));
     for ms in (0..60_000).step_by(500) {
         let now = start + Millis(ms);
         other.note_contact(now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ordering;
 mod pairs;
 pub mod placement;
+pub mod position;
 pub mod prelude;
 pub mod rate_limit;
 mod rendezvous;
--- a/src/ordering/lease.rs
+++ b/src/ordering/lease.rs
@@ -26,6 +26,10 @@
 /// a call may still be running for a moment.
 const HANDOVER_MARGIN_MS: Millis = Millis(300);
 
+/// The last era in which an empty stream shows that no host has held the lease; a new store may
+/// count its eras from zero or from one.
+const FIRST_ERA: Era = Era(1);
+
 /// How many members are the first to claim a free lease.
 const FIRST_CLAIMANTS: usize = 3;
 
@@ -53,6 +57,10 @@
     pub claim: u64,
     /// Whether the holder gives up the lease with this record.
     pub released: bool,
+    /// The era of the store for which the record was written. A record may be appended in a later
+    /// one, if the store was restored from a copy meanwhile.
+    #[serde(default)]
+    pub era: Era,
     /// What this holder and earlier ones have learned.
     #[serde(flatten)]
     pub learned: Learned,
@@ -88,13 +96,15 @@
     pub me: Member,
     /// The number of the claim by which it got the lease.
     pub claim: u64,
-    /// The fencing token: the offset of the claim plus one, which is higher than every earlier
-    /// holder's.
+    /// The fencing token, which is higher than every earlier holder's.
     pub fence: u64,
-    /// The end of the stream after the holder's newest record.
-    pub end: Offset,
+    /// Where the next record is to be appended: the end of the stream after the holder's newest
+    /// record, or, after the store was restored from a copy, the end that this holder found.
+    pub end: Position,
     /// When the holder's newest acknowledged record was sent.
     pub renewed_at: Millis,
+    /// The era in which that record was appended.
+    pub renewed_era: Era,
     /// The time before which the previous holder may still send orders.
     pub orders_from: Millis,
 }
@@ -123,12 +133,17 @@
         (self.me.incarnation, self.claim)
     }
 
+    fn valid_until(&self) -> Millis {
+        self.renewed_at + VALIDITY_MS
+    }
+
     /// Returns the record that renews the lease, or releases it.
     pub fn record(&self, released: bool, learned: Learned) -> LeaseRecord {
         LeaseRecord {
             holder: self.me.clone(),
             claim: self.claim,
             released,
+            era: self.end.era,
             learned,
         }
     }
@@ -145,7 +160,9 @@
     own_resignation: Option<(HoldingId, Millis)>,
     /// Whether the presumed holder has denied being the holder since the last read.
     holder_denied: bool,
-    end: Option<Offset>,
+    end: Option<Position>,
+    /// Whether the store was restored from a copy while this host knew the stream.
+    saw_restoration: bool,
     /// The record before `end`, if it was read or written by this host.
     newest: Option<LeaseRecord>,
     /// Since when the stream is known to end at `end`.
@@ -156,9 +173,13 @@
 
 impl Lease {
     /// Records a read of the stream, sent at `asked_at`: its end, and its newest record if one was
-    /// read.
-    pub fn note_read(&mut self, asked_at: Millis, end: Offset, newest: Option<LeaseRecord>) {
+    /// read. A read of an earlier era than the known one changes nothing.
+    pub fn note_read(&mut self, asked_at: Millis, end: Position, newest: Option<LeaseRecord>) {
+        if self.end.is_some_and(|known| end.era < known.era) {
+            return;
+        }
         self.holder_denied = false;
+        self.note_era(end.era);
         if self.end != Some(end) {
             self.end = Some(end);
             self.unchanged_since = Some(asked_at);
@@ -166,17 +187,53 @@
         if newest.is_some() {
             self.newest = newest;
         }
-        if !self.is_own_newest() {
+        if !self.keeps_holding(asked_at) {
             self.holding = None;
         }
     }
 
+    /// Tells whether a read of the stream leaves this holder its lease.
+    ///
+    /// After the store was restored from a copy, it does while the holder's last acknowledged record is
+    /// valid and no host has written to the restored stream: no other host claims the lease within that
+    /// time, neither in the part of the stream that was lost nor in the restored one.
+    fn keeps_holding(&self, now: Millis) -> bool {
+        let (Some(holding), Some(end)) = (&self.holding, self.end) else {
+            return false;
+        };
+        match holding.renewed_era < end.era {
+            true => {
+                let is_unwritten = !self.is_newest_of_era() || self.is_own_newest();
+                now < holding.valid_until() && is_unwritten
+            }
+            false => self.is_own_newest(),
+        }
+    }
+
+    /// Forgets the newest record if the store was restored from a copy since it was read.
+    fn note_era(&mut self, era: Era) {
+        if self.end.is_some_and(|known| known.era < era) {
+            self.saw_restoration = true;
+            self.newest = None;
+        }
+    }
+
+    /// Tells whether the newest record was written in the era of the stream's end. Otherwise later
+    /// records may have been lost when the store was restored from a copy, so the newest one does
+    /// not show that the lease is free.
+    fn is_newest_of_era(&self) -> bool {
+        let newest = self.newest.as_ref();
+        self.end
+            .is_some_and(|end| newest.is_some_and(|newest| newest.era == end.era))
+    }
+
     /// Records the holder's statement, received at `now`, that the stream ends at `end` after its
     /// own record. The record was sent before the statement, so the holder's validity counts from
     /// `now` at the latest. A host that the holder answers regularly therefore knows the stream
     /// as unchanged since the holder's last statement, and not only since its own next read.
-    pub fn note_reported_end(&mut self, now: Millis, end: Offset) {
+    pub fn note_reported_end(&mut self, now: Millis, end: Position) {
         if self.holding.is_none() && self.end.is_none_or(|known| known < end) {
+            self.note_era(end.era);
             self.end = Some(end);
             self.newest = None;
             self.unchanged_since = Some(now);
@@ -191,8 +248,8 @@
         }
     }
 
-    /// Returns the offset from which to read the newest record.
-    pub fn end(&self) -> Option<Offset> {
+    /// Returns the position from which to read the newest record.
+    pub fn end(&self) -> Option<Position> {
         self.end
     }
 
@@ -204,22 +261,36 @@
 
     /// Returns the end of the stream at which a claim must be appended, if the lease may be claimed
     /// now.
-    pub fn may_claim(&self, now: Millis) -> Option<Offset> {
+    pub fn may_claim(&self, now: Millis) -> Option<Position> {
         let end = self.end?;
         let unchanged_ms = now.since(self.unchanged_since?);
-        let was_released = self.newest.as_ref().is_some_and(|record| record.released);
         let has_resigned = self.resigned_at().is_some();
         // A stream that has an end but whose newest record is unknown was written by a host that
         // may still send orders.
-        let is_free =
-            end == Offset(0) || was_released || has_resigned || unchanged_ms >= CLAIM_AFTER_MS;
+        let is_free = self.was_never_held()
+            || self.was_released()
+            || has_resigned
+            || unchanged_ms >= CLAIM_AFTER_MS;
         (is_free && self.holding.is_none()).then_some(end)
     }
 
+    /// Tells whether no host has held the lease before. An empty stream does not show it after the
+    /// store was restored from a copy.
+    fn was_never_held(&self) -> bool {
+        let is_empty = |end: Position| end.offset == Offset(0) && end.era <= FIRST_ERA;
+        self.end.is_some_and(is_empty) && !self.saw_restoration
+    }
+
+    /// Tells whether the last holder released the lease.
+    fn was_released(&self) -> bool {
+        let newest = self.newest.as_ref();
+        newest.is_some_and(|newest| newest.released) && self.is_newest_of_era()
+    }
+
     /// Returns whether a read of the stream may show that the lease is free, or who holds it now. A
     /// stream that changed a moment ago is not read, because the lease cannot be claimed yet.
     pub fn should_read(&self, now: Millis) -> bool {
-        let is_free = self.newest.as_ref().is_some_and(|newest| newest.released);
+        let is_free = self.was_released();
         let unchanged_since = self.unchanged_since.unwrap_or(Millis::ZERO);
         let is_known = !self.holder_denied && !is_free && self.resigned_at().is_none();
         !is_known || now.since(unchanged_since) >= READ_AFTER_MS
@@ -259,7 +330,8 @@
     /// Returns when the writer of the newest record last had the right to send orders, if it has
     /// resigned.
     fn resigned_at(&self) -> Option<Millis> {
-        let newest = self.newest.as_ref()?.holding();
+        let newest = self.newest.as_ref().filter(|_| self.is_newest_of_era())?;
+        let newest = newest.holding();
         let known = [self.other_resignation, self.own_resignation];
         let resignation = known
             .into_iter()
@@ -275,6 +347,7 @@
             holder: me,
             claim: self.claims,
             released: false,
+            era: self.end.map_or(Era::default(), |end| end.era),
             learned: Learned {
                 store_loads_at_once: self.store_loads_at_once(),
                 evidence,
@@ -288,8 +361,10 @@
         self.newest.as_ref()?.learned.store_loads_at_once
     }
 
-    /// Records a claim that was sent at `sent_at` and acknowledged at `offset`. `engine_lease_ms`
-    /// is the time that engines require between one host's last order and another host's first.
+    /// Records a claim that was sent at `sent_at` and acknowledged at `position`. `engine_lease_ms`
+    /// is the time that engines require between one host's last order and another host's first. A
+    /// claim that was appended after the store was restored from a copy gives no lease: what showed
+    /// that the lease was free may have been lost, as may later claims.
     ///
     /// The previous holder's last record was on the stream when its end was first read, at
     /// `unchanged_since`. So the previous holder sends orders until then plus its validity at the
@@ -297,27 +372,35 @@
     pub fn note_claimed(
         &mut self,
         sent_at: Millis,
-        offset: Offset,
+        position: Position,
         record: LeaseRecord,
         engine_lease_ms: Millis,
     ) {
+        if position.era != record.era {
+            self.note_read(sent_at, position.next(), Some(record));
+            return;
+        }
         let unchanged_since = self.unchanged_since.unwrap_or(sent_at);
-        let was_released = self.newest.as_ref().is_some_and(|record| record.released);
-        let former_ends = match (offset, was_released, self.resigned_at()) {
-            (Offset(0), ..) => None,
+        let former_ends = match (
+            self.was_never_held(),
+            self.was_released(),
+            self.resigned_at(),
+        ) {
+            (true, ..) => None,
             (_, true, _) => Some(unchanged_since),
             (_, false, Some(ordered_at)) => Some(ordered_at),
             (_, false, None) => Some(unchanged_since + VALIDITY_MS),
         };
         let orders_from =
             former_ends.map_or(sent_at, |ends| ends + engine_lease_ms + HANDOVER_MARGIN_MS);
-        let end = Offset(offset.0 + 1);
+        let end = position.next();
         self.holding = Some(Holding {
             me: record.holder.clone(),
             claim: record.claim,
-            fence: end.0,
+            fence: position.fencing_token(),
             end,
             renewed_at: sent_at,
+            renewed_era: position.era,
             orders_from,
         });
         self.newest = Some(record);
@@ -325,22 +408,35 @@
         self.unchanged_since = Some(sent_at);
     }
 
-    /// Records an acknowledged renewal that was sent at `sent_at`.
-    pub fn note_renewed(&mut self, sent_at: Millis, offset: Offset) {
-        let end = Offset(offset.0 + 1);
+    /// Records a renewal that was sent at `sent_at`, appended at `position` and acknowledged at
+    /// `answered_at`. The first one after the store was restored from a copy counts only if the
+    /// lease was still valid when it was acknowledged.
+    pub fn note_renewed(&mut self, sent_at: Millis, answered_at: Millis, position: Position) {
+        let end = position.next();
+        let is_first_of_era = |holding: &Holding| holding.renewed_era < position.era;
+        let has_ended = |holding: &Holding| answered_at >= holding.valid_until();
+        self.holding
+            .take_if(|holding| is_first_of_era(holding) && has_ended(holding));
+        self.note_era(end.era);
         if let Some(holding) = &mut self.holding {
             holding.end = end;
             holding.renewed_at = holding.renewed_at.max(sent_at);
+            holding.renewed_era = position.era;
         }
         self.end = Some(end);
         self.unchanged_since = Some(sent_at);
     }
 
-    /// Records that the stream ends at another offset than this holder assumed. `newest` is the
+    /// Records that the stream ends at another position than this holder assumed. `newest` is the
     /// record before the end. If it is this host's own, an earlier renewal took effect without an
-    /// answer, and the lease is kept; its validity still counts from the acknowledged renewals.
-    pub fn note_moved(&mut self, asked_at: Millis, end: Offset, newest: LeaseRecord) {
-        self.note_read(asked_at, end, Some(newest));
+    /// answer, and the lease is kept; its validity still counts from the acknowledged renewals. The
+    /// lease is also kept if the store was restored from a copy and no host claimed it since.
+    pub fn note_moved(&mut self, asked_at: Millis, end: Position, newest: Option<LeaseRecord>) {
+        let is_restored = self.end.is_some_and(|known| known.era < end.era);
+        if newest.is_none() && !is_restored {
+            self.holding = None;
+        }
+        self.note_read(asked_at, end, newest);
         if let Some(holding) = &mut self.holding {
             holding.end = end;
         }
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -4,8 +4,8 @@
 use crate::entry::list_copy::{ListPart, ListRequest};
 use crate::entry::platform::{AppendOutcome, ModelRef};
 use crate::entry::replication::TablesUpdate;
-use crate::group::Member;
 use crate::group::members::MembersUpdate;
+use crate::group::{Generation, Member};
 use crate::ordering::demand::RequestCounts;
 use crate::ordering::host_reports::HostReport;
 use crate::ordering::lease::Resignation;
@@ -96,13 +96,13 @@
     /// The version of the engines' state that the sender has.
     pub view_version: EnginesVersion,
     /// The generation of the member list that the sender has.
-    pub members_generation: u64,
+    pub members_generation: Generation,
     /// The requests of the sender's callers since its last message.
     pub demand: Vec<(ModelRef, RequestCounts)>,
     /// The sender's own request load on each engine.
     pub work: Vec<(Name, UpstreamLoad)>,
     /// The offset from which the sender needs rows of the list of upstreams.
-    pub upstreams_from: Option<Offset>,
+    pub upstreams_from: Option<Position>,
     /// How many other hosts report through the sender, if it is a relay.
     pub through: u32,
     /// What organisations used at these hosts and was not reported before.
@@ -131,7 +131,7 @@
     pub age_ms: Millis,
     /// The end of the lease stream after the orderer's newest record; only in a message from the
     /// orderer itself.
-    pub lease_end: Option<Offset>,
+    pub lease_end: Option<Position>,
     /// The current orderer.
     pub orderer: Member,
     /// What the engines hold: the changes since the version that the receiver has.
@@ -169,7 +169,7 @@
     /// Appends a record to the lease stream for a host that cannot reach the store.
     AppendLease {
         /// The offset at which the stream must end for the append to succeed.
-        end: Offset,
+        end: Position,
         /// The encoded record.
         record: Vec<u8>,
     },
--- a/src/ordering/tests/lease.rs
+++ b/src/ordering/tests/lease.rs
@@ -28,7 +28,7 @@
     host: usize,
     restarts: u64,
     sent_at: Millis,
-    end: Offset,
+    end: Position,
     record: LeaseRecord,
     is_claim: bool,
 }
@@ -36,6 +36,7 @@
 #[derive(Default)]
 struct World {
     now: Millis,
+    era: Era,
     log: Vec<LeaseRecord>,
     leases: Vec<Lease>,
     restarts: Vec<u64>,
@@ -49,6 +50,7 @@
     fn new() -> Self {
         Self {
             now: Millis(1_000_000),
+            era: Era(1),
             leases: (0..HOSTS).map(|_| Lease::default()).collect(),
             restarts: vec![0; HOSTS],
             ..Self::default()
@@ -59,8 +61,8 @@
         member(host, self.restarts[host])
     }
 
-    fn end(&self) -> Offset {
-        Offset(self.log.len() as u64)
+    fn end(&self) -> Position {
+        Position::new(self.era, self.log.len() as u64)
     }
 
     fn read(&mut self, host: usize) {
@@ -91,7 +93,7 @@
         }
     }
 
-    fn send(&mut self, host: usize, end: Offset, record: LeaseRecord, is_claim: bool) {
+    fn send(&mut self, host: usize, end: Position, record: LeaseRecord, is_claim: bool) {
         self.in_flight.push(PendingAppend {
             host,
             restarts: self.restarts[host],
@@ -105,8 +107,8 @@
     /// Delivers an append. `is_answered` is whether the sender receives the answer.
     fn deliver(&mut self, append: usize, is_answered: bool) {
         let append = self.in_flight.remove(append);
-        let fits = append.end == self.end();
-        let offset = self.end();
+        let position = self.end();
+        let fits = append.end.offset == position.offset;
         if fits {
             self.log.push(append.record.clone());
         }
@@ -117,22 +119,19 @@
         let lease = &mut self.leases[append.host];
         match (fits, append.is_claim) {
             (true, true) => {
-                lease.note_claimed(append.sent_at, offset, append.record, ENGINE_LEASE_MS);
+                lease.note_claimed(append.sent_at, position, append.record, ENGINE_LEASE_MS);
             }
-            (true, false) => lease.note_renewed(append.sent_at, offset),
+            (true, false) => lease.note_renewed(append.sent_at, self.now, position),
             (false, true) => {}
             (false, false) => {
-                let end = Offset(self.log.len() as u64);
-                match self.log.last().cloned() {
-                    Some(newest) => lease.note_moved(self.now, end, newest),
-                    None => lease.drop_holding(),
-                }
+                lease.note_moved(self.now, position, self.log.last().cloned());
             }
         }
     }
 
     fn restore(&mut self, copy: Vec<LeaseRecord>) {
         self.log = copy;
+        self.era.0 += 1;
     }
 
     fn resign(&mut self, host: usize) {
@@ -248,7 +247,7 @@
     u: &mut arbtest::arbitrary::Unstructured<'_>,
 ) -> arbtest::arbitrary::Result<(usize, usize)> {
     let mut world = World::new();
-    let mut statements: Vec<Offset> = Vec::new();
+    let mut statements: Vec<Position> = Vec::new();
     for _ in 0..u.int_in_range(0..=400u16)? {
         let host = u.choose_index(HOSTS)?;
         match u.int_in_range(0..=7u8)? {
--- a/src/retry/tests/budget_site.rs
+++ b/src/retry/tests/budget_site.rs
@@ -4,7 +4,7 @@
 use crate::group::{Member, Members};
 use crate::prelude::*;
 use crate::retry::{BudgetRule, RetryBudget};
-use crate::test_support::{member, run_seeded};
+use crate::test_support::{generation, member, run_seeded};
 use arbtest::arbitrary::{Result, Unstructured};
 
 const RULE: BudgetRule = BudgetRule {
@@ -64,7 +64,7 @@
         let list = self.listed.keys().cloned().collect();
         let members = &mut self.processes[host].members;
         members.note_contact(now);
-        members.replace(now, self.generation, list);
+        members.replace(now, generation(self.generation), list);
     }
 
     fn restart(&mut self, host: usize) {
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -1,7 +1,7 @@
 //! Helpers for the tests of several modules.
 
 use crate::desired::{Repeat, Route, Target};
-use crate::group::Member;
+use crate::group::{Generation, Member};
 use crate::prelude::*;
 use std::net::SocketAddr;
 
@@ -19,6 +19,11 @@
     (0..runs).map(run).collect()
 }
 
+/// Returns a generation of the group in the first era.
+pub fn generation(number: u64) -> Generation {
+    Generation::new(Era::default(), number)
+}
+
 /// Creates a member of the group whose port and fingerprint are made from its incarnation.
 pub fn member(incarnation: u64, data_centre: &str, cpu_millicores: u32) -> Member {
     let address = SocketAddr::from(([127, 0, 0, 1], incarnation as u16));
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -210,6 +210,12 @@
         self.last_reached_at = self.last_reached_at.max(Some(now));
     }
 
+    /// Records that the list comes from a store that was restored from an older copy. Entries that
+    /// the copy lacks are written again; until then their upstreams are kept, as after an outage.
+    pub fn note_list_restored(&mut self, now: Millis) {
+        self.outage_ended_at = self.outage_ended_at.max(Some(now));
+    }
+
     /// Records that a poll of the list failed.
     pub fn note_list_unreachable(&mut self) {
         self.poll_failed = true;
