Divide the slack of retries among all hosts that may serve, and never count a past burst in full

After memberships lapsed, or before a process knew the list (one host), all hosts together took the slack several times. Each repeat also counted the requests of the last window in full, while the rule counts those of a window that may begin later: 61 repeats where 60.8 were allowed, at 2 hosts.

Now the slack is divided among the hosts that may serve, as rate limits are: also those that left within 28 s; none is used while these are not known, nor in the first half window after. The budget holds in each window that begins with an own repeat, with the requests of that window and of the one before in equal parts, which is never more than the fuller of the two.

Changed tests: those over sockets give their host a list of hosts that it has known for a minute, as a host in service has; two that need an unknown list forget it. The unused budget of a fresh process is no longer 10 at once, but 5 after three quarters of the first window.

--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -322,9 +322,10 @@
     /// Takes one retry from the retry budget of a service. Returns false when it is used up.
     pub fn take_retry(&self, service: &Name) -> bool {
         let now = self.now();
-        let members = self.members.borrow().count();
-        let is_allowed = self.with_budget(service, |budget| budget.try_take(now, members));
-        self.metrics.count_repeat(is_allowed, members);
+        let share = self.members.borrow().slack_share(now);
+        let is_allowed = self.with_budget(service, |budget| budget.try_take(now, share));
+        let hosts = share.map_or(0, |share| share.hosts);
+        self.metrics.count_repeat(is_allowed, hosts);
         is_allowed
     }
 
@@ -334,7 +335,7 @@
         let budget = retries
             .budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(rule, self.started_at, fastrand::f64()));
+            .or_insert_with(|| RetryBudget::new(rule, fastrand::f64()));
         with(budget)
     }
 }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -93,7 +93,7 @@
     }
 
     /// Counts a repeated send that the retry budget allowed or not. `hosts` is the number of hosts
-    /// among which the budget's slack was divided.
+    /// among which the budget's slack was divided; zero if this host had no share of it.
     pub fn count_repeat(&self, is_allowed: bool, hosts: usize) {
         let outcome = if is_allowed { "allowed" } else { "refused" };
         self.repeats.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/src/entry/tests/lease_manager.rs
+++ b/src/entry/tests/lease_manager.rs
@@ -142,6 +142,7 @@
 #[test]
 fn starting_host_restores_what_is_quarantined_from_the_lease() {
     on_site(|site| async move {
+        site.forget_members();
         let shared = Arc::new(smol::Executor::new());
         let (own, other) = (bind_peers(&shared), bind_peers(&shared));
         let store = Rc::new(site.store.as_reached_by_another_host());
--- a/src/entry/tests/organisations.rs
+++ b/src/entry/tests/organisations.rs
@@ -130,6 +130,7 @@
 #[test]
 fn a_host_that_does_not_know_the_members_of_its_group_admits_no_limited_request() {
     on_site(|site| async move {
+        site.forget_members();
         apply(&site, 1, organisation(&["k1"], Some(LIMIT))).await;
         let upstream = site.start_upstream("u1", vec![vec![Write(WHOLE)]]).await;
         let answer = site.call(&request("Key: k1\r\n")).await;
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -13,7 +13,7 @@
 use crate::entry::platform::Table;
 use crate::entry::resumption::streams::Streams;
 use crate::entry::settings::{EntrySettings, PlatformBounds};
-use crate::group::{Generation, Member};
+use crate::group::{Generation, Member, Members};
 use crate::http1::{BodyReader, Connection, ReadError, ResponseHead};
 use crate::ordering::message::SyncRequest;
 use crate::prelude::*;
@@ -31,6 +31,10 @@
 /// The time limit of a test, longer than any test needs.
 const TEST_MS: Millis = Millis(20_000);
 
+/// For how long hosts have known the list of hosts when a test begins, so that they use their share of
+/// the retry budget.
+pub const LIST_KNOWN_MS: Millis = Millis(60_000);
+
 /// A host, its platform and its upstreams.
 pub struct Site {
     /// Runs the tasks.
@@ -71,6 +75,11 @@
             metrics,
             Arc::new(AcceptedFingerprints::default()),
         );
+        let now = host.now();
+        let mut members = host.members.borrow_mut();
+        members.replace(now - LIST_KNOWN_MS, Generation::default(), IndexSet::new());
+        members.note_contact(now);
+        drop(members);
         executor
             .spawn(caller::accept(
                 host.clone(),
@@ -96,6 +105,11 @@
         }
     }
 
+    /// Lets the host forget the list of hosts, as at its start.
+    pub fn forget_members(&self) {
+        *self.host.members.borrow_mut() = Members::default();
+    }
+
     /// Publishes a desired state with one service and these routes.
     pub fn publish_desired(&self, version: u64, routes: Vec<Route>) {
         self.publish_desired_for(version, routes, None);
--- a/src/group/members.rs
+++ b/src/group/members.rs
@@ -9,6 +9,7 @@
 use crate::group::departed::{Departed, ISOLATED_ADMIT_MS};
 use crate::group::{Generation, Member};
 use crate::prelude::*;
+use crate::retry::budget::SlackShare;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -56,6 +57,8 @@
     list: IndexSet<Member>,
     changes: VecDeque<MembersChange>,
     confirmed_at: Option<Millis>,
+    /// Since when a list is known.
+    known_since: Option<Millis>,
     /// Whether the last update failed verification, so that the full list is needed.
     needs_full_list: bool,
     /// When the store or the orderer last answered.
@@ -91,6 +94,16 @@
         is_counted.then(|| self.addresses.len() + self.departed.count(now, &self.addresses))
     }
 
+    /// Returns how this host divides the slack of a retry budget: among the hosts that may serve, also
+    /// while the list lacks some of them because their memberships lapsed. Returns `None` if these
+    /// are not known, as in [`Self::count_serving`].
+    pub fn slack_share(&self, now: Millis) -> Option<SlackShare> {
+        Some(SlackShare {
+            hosts: self.count_serving(now)?,
+            known_ms: now.since(self.known_since?),
+        })
+    }
+
     /// Records that the store or the orderer answered this host. For [`ISOLATED_ADMIT_MS`] after
     /// that, the other hosts still count this host among those that admit requests.
     pub fn note_contact(&mut self, now: Millis) {
@@ -208,6 +221,7 @@
     fn record_change(&mut self, now: Millis, change: MembersChange) {
         self.needs_full_list = false;
         self.confirmed_at = Some(now);
+        self.known_since.get_or_insert(now);
         self.addresses = self.list.iter().map(|host| host.caller_address).collect();
         self.departed.note(now, &change);
         self.generation = change.to;
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -12,9 +12,10 @@
 /// members.
 const USABLE_FRACTION: f64 = 0.8;
 
-/// Fraction of its share of the slack that a process uses in the first window after its start: what
-/// the previous process of its host is sure to have left. Each further restart of a host within a
-/// window may exceed the host's share by this fraction.
+/// Fraction of its share of the slack that a process may have used at the end of the first window
+/// after its start: what the previous process of its host is sure to have left. Nothing is used in
+/// the first half of that window, and then in proportion to the time, so that several restarts
+/// within a window together use no more.
 const STARTUP_FRACTION: f64 = 1.0 - USABLE_FRACTION;
 
 /// Safety margin for the sum of the randomly rounded shares, in standard deviations.
@@ -32,16 +33,30 @@
     pub window_ms: Millis,
 }
 
+/// How a host divides the slack of the rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlackShare {
+    /// The number of hosts that may use the budget; 0 counts as 1.
+    pub hosts: usize,
+    /// For how long this process has known the list of hosts.
+    pub known_ms: Millis,
+}
+
 /// Counts the requests and retries of one service on one host.
 ///
 /// The hosts together keep the rule without exchanging messages: a host's requests earn retries for
-/// that host only, and the slack is divided by the number of known members. A process that started
-/// less than a window ago uses a small fraction of its share, because the previous process of its
-/// host may have used the rest. Otherwise a restart of all hosts would grant the slack twice.
+/// that host only, and the slack is divided by the number of hosts that may serve. A process that
+/// has known these for less than a window uses a small fraction of its share, because the previous
+/// process of its host may have used the rest. Otherwise a restart of all hosts would grant the slack
+/// twice.
+///
+/// The rule holds in every window, and hosts do not know which one has the most retries of all of
+/// them. So the budget holds in each window that begins with a retry of this host, and counts the
+/// requests of that window and of the one before it in equal parts: however requests are spread,
+/// no more than the hosts together had in the fuller one of the two.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     rule: BudgetRule,
-    full_share_from: Millis,
     /// Added to the share before it is rounded down, in [0, 1).
     rounding: f64,
     requests: VecDeque<Millis>,
@@ -49,13 +64,11 @@
 }
 
 impl RetryBudget {
-    /// Creates the unused budget of a process that started at `started_at`. `rounding` is a random
-    /// number in [0, 1), drawn once, so that the rounded shares of all hosts add up to the sum of
-    /// their shares.
-    pub fn new(rule: BudgetRule, started_at: Millis, rounding: f64) -> Self {
+    /// Creates the unused budget of a process. `rounding` is a random number in [0, 1), drawn once,
+    /// so that the rounded shares of all hosts add up to the sum of their shares.
+    pub fn new(rule: BudgetRule, rounding: f64) -> Self {
         Self {
             rule,
-            full_share_from: started_at + rule.window_ms,
             rounding,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
@@ -68,28 +81,53 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry from the budget; returns false when the share is used up. `members` is the
-    /// number of hosts that use the budget; 0 counts as 1.
-    pub fn try_take(&mut self, now: Millis, members: usize) -> bool {
+    /// Takes one retry from the budget; returns false when it is used up. Without a share, only
+    /// requests earn retries.
+    pub fn try_take(&mut self, now: Millis, share: Option<SlackShare>) -> bool {
         self.remove_expired(now);
-        let share = self.rule.slack / members.max(1) as f64;
-        let slack_fraction = match now >= self.full_share_from {
-            true => USABLE_FRACTION,
-            false => STARTUP_FRACTION,
-        };
-        let earned = self.rule.ratio * self.requests.len() as f64;
-        let allowed = share * slack_fraction + earned * USABLE_FRACTION;
-        let rounding = match now >= self.full_share_from && self.rounds_randomly(members) {
-            true => self.rounding,
-            false => 0.0,
-        };
-        let is_allowed = ((self.retries.len() + 1) as f64) <= allowed + rounding;
+        let slack = share.map_or(0.0, |share| self.usable_slack(share));
+        let window_starts = self.retries.iter().chain([&now]).enumerate();
+        let is_allowed = window_starts.into_iter().all(|(nth, start)| {
+            let taken = (self.retries.len() + 1 - nth) as f64;
+            taken <= slack + USABLE_FRACTION * self.earned(*start, now)
+        });
         if is_allowed {
             self.retries.push_back(now);
         }
         is_allowed
     }
 
+    /// Returns the retries that requests have earned by now in the window from `start`.
+    fn earned(&self, start: Millis, now: Millis) -> f64 {
+        let in_window = self.requests_until(now) - self.requests_before(start);
+        let before =
+            self.requests_before(start) - self.requests_before(start - self.rule.window_ms);
+        self.rule.ratio * (in_window + before) as f64 / 2.0
+    }
+
+    fn requests_before(&self, end: Millis) -> usize {
+        self.requests.partition_point(|at| *at < end)
+    }
+
+    fn requests_until(&self, end: Millis) -> usize {
+        self.requests.partition_point(|at| *at <= end)
+    }
+
+    /// Returns how much of the slack this host may use in a window.
+    fn usable_slack(&self, share: SlackShare) -> f64 {
+        let SlackShare { hosts, known_ms } = share;
+        let full = self.rule.slack / hosts.max(1) as f64;
+        let half_window_ms = Millis(self.rule.window_ms.0 / 2);
+        match known_ms >= self.rule.window_ms {
+            true if self.rounds_randomly(hosts) => full * USABLE_FRACTION + self.rounding,
+            true => full * USABLE_FRACTION,
+            false => {
+                let elapsed_ms = known_ms - half_window_ms;
+                full * STARTUP_FRACTION * elapsed_ms.0 as f64 / half_window_ms.0.max(1) as f64
+            }
+        }
+    }
+
     /// Returns whether shares are rounded at random: they must be small, and the sum of the rounded
     /// shares must exceed the sum of the shares by less than what is left unused, with a margin of
     /// [`MARGIN_DEVIATIONS`].
@@ -103,8 +141,12 @@
     }
 
     fn remove_expired(&mut self, now: Millis) {
-        let oldest = now - self.rule.window_ms;
-        for times in [&mut self.requests, &mut self.retries] {
+        let oldest_retry = now - self.rule.window_ms;
+        let oldest_request = oldest_retry - self.rule.window_ms;
+        for (times, oldest) in [
+            (&mut self.requests, oldest_request),
+            (&mut self.retries, oldest_retry),
+        ] {
             while times.front().is_some_and(|at| *at < oldest) {
                 times.pop_front();
             }
