Offer the desired state's version to hosts, so that one that starts after a restoration takes the newest

What callers saw: a host that starts just after the store came back from an older copy served by the copy's version, while all others had a newer one that the store had acknowledged, until the operator had written it again.

Now an update names the version that its sender passes on; a host that has all rows of its table and an older version fetches it from its relay, or from the orderer where there are no relays. Within a process no version is replaced by a lower one, as before. Left: an orderer that took over without a new version since passes none on, and one that started itself with the older one.

Tests of a restored store: offsets that were given out twice, rows below the former end, upstreams that the copy lacks or that were leaving, updates, buffered rows and lists of hosts of another era (entry::tests::restored_store, replication, desired_copy; group::tests::members).

--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -112,6 +112,7 @@
         ready_in_ms: Vec::new(),
         separate: Vec::new(),
         tables: TablesUpdate {
+            desired_version: Some(1),
             desired: Some(end),
             upstreams: Some(end),
             rows: Vec::new(),
--- a/src/entry/desired_copy.rs
+++ b/src/entry/desired_copy.rs
@@ -66,7 +66,9 @@
     }
 }
 
-async fn fetch_from(sources: &TableSources, other: &Member) -> Option<DesiredCopy> {
+/// Fetches the desired state that another host passes on; nothing if it does not answer or passes on
+/// none.
+pub async fn fetch_from(sources: &TableSources, other: &Member) -> Option<DesiredCopy> {
     let reply = sources.peers.call(other.peer_address, &PeerCall::Desired);
     match reply.await? {
         PeerReply::Desired(copy) => copy,
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -12,10 +12,10 @@
 };
 use crate::entry::replication::NextStep;
 use crate::entry::table_rows::{
-    DesiredOrigin, TableLine, UpstreamList, activate_desired_state, apply_list, apply_row,
-    apply_table,
+    DesiredOrigin, TableLine, UpstreamList, activate_desired_state, active_version, apply_list,
+    apply_row, apply_table,
 };
-use crate::entry::table_sources::{TableSources, serves_tables};
+use crate::entry::table_sources::{RELAY_RETRY_PAUSE_MS, TableSources, serves_tables};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use smol::Timer;
@@ -136,6 +136,10 @@
                     read_changes(&host, &mut cursor, from, size).await
                 }
                 Due::CatchUp => catch_up(&host, &mut cursor, from, sources.as_ref()).await,
+                Due::NewerVersion => {
+                    take_newer_version(&host, sources.as_ref()).await;
+                    continue;
+                }
                 Due::Nothing => continue,
             },
         };
@@ -330,6 +334,9 @@
     Read,
     /// Catch up: the orderer knows of rows that it did not send.
     CatchUp,
+    /// Take a newer desired state from the host that offers it, although this host has all that the
+    /// table has: the store lost the state when it was restored from a copy.
+    NewerVersion,
 }
 
 /// Waits until something has to be done about the table. Applies rows that the orderer sent
@@ -358,6 +365,9 @@
                 host.replication.note_applied(cursor.table, end);
                 return Due::Nothing;
             }
+            NextStep::WaitUntil(_) if cursor.table == Table::Desired && is_newer_offered(host) => {
+                return Due::NewerVersion;
+            }
             NextStep::WaitUntil(due_at) => {
                 cursor.is_confirmed_by_orderer = true;
                 with_timeout(due_at.since(now), update).await;
@@ -366,6 +376,29 @@
     }
 }
 
+/// Tells whether the orderer or the relay passes on a newer desired state than this host has.
+fn is_newer_offered<P: Platform>(host: &Host<P>) -> bool {
+    host.replication.offered_version() > active_version(host)
+}
+
+/// Takes a newer desired state from a host that offers one, or pauses if none could be fetched. A
+/// version that the store acknowledged is in force, also while a restored store does not have it.
+async fn take_newer_version<P: Platform>(host: &Host<P>, sources: Option<&TableSources>) {
+    let asked = sources.map_or_else(Vec::new, |sources| sources.desired_sources(host));
+    for other in asked {
+        let Some(sources) = sources else { break };
+        let copy = desired_copy::fetch_from(sources, &other).await;
+        if let Some(copy) = copy.filter(|copy| Some(copy.state.version) > active_version(host)) {
+            let origin = DesiredOrigin {
+                from: Some(other.peer_address),
+                position: copy.end,
+            };
+            return activate_desired_state(host, copy.state, origin);
+        }
+    }
+    Timer::after(RELAY_RETRY_PAUSE_MS.to_duration()).await;
+}
+
 /// Buffers rows that the orderer sent, for the hosts behind this relay. The rows may begin
 /// before the end of this host's copy.
 fn buffer_for_followers<P: Platform>(
--- a/src/entry/replication.rs
+++ b/src/entry/replication.rs
@@ -50,6 +50,8 @@
 pub struct TablesUpdate {
     /// The end of the table of desired states; none when the sender has not read it.
     pub desired: Option<TableEnd>,
+    /// The version of the desired state that the sender passes on; none when it keeps none for others.
+    pub desired_version: Option<u64>,
     /// The end of the list of upstreams; none when the sender has not read it.
     pub upstreams: Option<TableEnd>,
     /// The rows of the list from the position that the host asked for; empty when the sender does not
@@ -85,6 +87,8 @@
     updated_at: Option<Millis>,
     desired: TableCopy,
     upstreams: TableCopy,
+    /// The version of the desired state that the sender of the newest update passes on.
+    offered_version: Option<u64>,
     /// The rows of the newest update, until they are applied.
     update_rows: Vec<UpstreamRow>,
     /// The rows for other hosts, at the orderer and at relays.
@@ -209,6 +213,12 @@
         self.state.borrow().shared_desired.clone()
     }
 
+    /// Returns the version of the desired state that the orderer or the relay passes on, if it passes
+    /// one on.
+    pub fn offered_version(&self) -> Option<u64> {
+        self.state.borrow().offered_version
+    }
+
     /// Returns where this host's copy of a table ends, and how old that information is.
     pub fn end(&self, now: Millis, table: Table) -> Option<TableEnd> {
         self.state.borrow_mut().copy(table).end(now)
@@ -242,6 +252,7 @@
         };
         TablesUpdate {
             desired: state.desired.end(now),
+            desired_version: state.shared_desired.as_ref().map(|desired| desired.version),
             upstreams: state.upstreams.end(now),
             rows,
         }
@@ -261,6 +272,7 @@
             false => Vec::new(),
         };
         state.updated_at = state.updated_at.max(Some(asked_at));
+        state.offered_version = update.desired_version;
         let mut is_confirmed = false;
         for (table, said) in [
             (Table::Desired, update.desired),
--- a/src/entry/table_rows.rs
+++ b/src/entry/table_rows.rs
@@ -118,7 +118,7 @@
     state: Arc<DesiredState>,
     origin: DesiredOrigin,
 ) {
-    let former = host.routes.borrow().as_ref().map(|table| table.version);
+    let former = active_version(host);
     if former.is_some_and(|former| former >= state.version) {
         return;
     }
@@ -143,6 +143,11 @@
     host.note_change();
 }
 
+/// Returns the version of the desired state that is in force at this host.
+pub fn active_version<P: Platform>(host: &Host<P>) -> Option<u64> {
+    host.routes.borrow().as_ref().map(|table| table.version)
+}
+
 fn list_from_rows(as_of: Millis, rows: Vec<TableRow>) -> UpstreamList {
     let mut list = UpstreamList {
         as_of,
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -20,6 +20,7 @@
 mod relay_pair;
 mod reload;
 mod replication;
+mod restored_store;
 mod rests;
 mod shared_parts;
 mod site;
--- a/src/entry/tests/desired_copy.rs
+++ b/src/entry/tests/desired_copy.rs
@@ -96,6 +96,32 @@
     });
 }
 
+/// Guards against a host that starts after the store was restored from a copy, and serves by an older
+/// version than all others until the operator has written the newer one again.
+#[test]
+fn host_takes_the_newer_desired_state_of_its_relay_although_the_table_has_no_more_rows() {
+    on_site(|site| async move {
+        let pair = Pair::new(&site).await;
+        let test = async {
+            site.publish_desired(7, Vec::new());
+            site.until_version(7).await;
+            read_first(&site, &pair).await;
+            let lost = TablesUpdate {
+                desired: pair
+                    .asking
+                    .replication
+                    .end(pair.asking.now(), Table::Desired),
+                desired_version: Some(7),
+                ..TablesUpdate::default()
+            };
+            let now = pair.asking.now();
+            pair.asking.replication.apply_update(now, lost);
+            until(|| version(&pair.asking) == Some(7)).await;
+        };
+        pair.shared.run(test).await;
+    });
+}
+
 #[test]
 fn desired_state_is_fetched_only_if_newer_and_served_only_by_relays() {
     on_site(|site| async move {
--- a/src/entry/tests/list_copy.rs
+++ b/src/entry/tests/list_copy.rs
@@ -127,6 +127,7 @@
                 Some(TableEnd { end, age_ms })
             };
             let update = TablesUpdate {
+                desired_version: None,
                 desired: None,
                 upstreams: table_end(end.next()),
                 rows: vec![
--- a/src/entry/tests/replication.rs
+++ b/src/entry/tests/replication.rs
@@ -209,6 +209,43 @@
     assert_eq!(next, NextStep::WaitUntil(Millis(9_890) + WITHIN_MS));
 }
 
+/// Guards against taking an equal offset of another timeline as a confirmation.
+#[test]
+fn end_of_another_era_confirms_no_copy_although_the_offset_is_equal() {
+    let host = ReplicationState::default();
+    host.note_read(Table::Upstreams, Millis(9_000), at(5));
+    for (era, expected) in [(0, NextStep::Read), (2, NextStep::CatchUp)] {
+        let end = TableEnd {
+            end: Position::new(Era(era), 5),
+            age_ms: Millis::ZERO,
+        };
+        let update = TablesUpdate {
+            upstreams: Some(end),
+            ..TablesUpdate::default()
+        };
+        assert!(!host.apply_update(Millis(10_000), update));
+        let next = host.next(Millis(10_600), Table::Upstreams, WITHIN_MS);
+        assert_eq!(next, expected, "an update of era {era}");
+    }
+}
+
+/// Guards against rows of the restored list that are applied on top of the former one, and against
+/// buffered rows of a former list.
+#[test]
+fn rows_are_passed_on_within_one_era_only() {
+    let relay = orderer(Millis(9_000), 0, 8);
+    let in_later_era = Position::new(Era(2), 3);
+    assert_eq!(relay.update_for(Millis(9_500), Some(in_later_era)).rows, []);
+    relay.note_read(Table::Upstreams, Millis(9_900), Position::new(Era(2), 4));
+    relay.buffer_rows(in_later_era, &[], Position::new(Era(2), 4), LISTED);
+    assert_eq!(relay.update_for(Millis(10_000), Some(at(2))).rows, []);
+    let host = ReplicationState::default();
+    host.note_read(Table::Upstreams, Millis(9_000), at(8));
+    host.apply_update(Millis(9_990), relay.update_for(Millis(10_000), Some(at(8))));
+    let next = host.next(Millis(10_010), Table::Upstreams, WITHIN_MS);
+    assert_eq!(next, NextStep::CatchUp);
+}
+
 /// Guards against an orderer that reports the middle of a long list as its end.
 #[test]
 fn truncated_page_does_not_make_the_list_fresher() {
--- a/src/group/tests/members.rs
+++ b/src/group/tests/members.rs
@@ -231,3 +231,26 @@
         assert!(counts_it || !is_admitting, "after {ms} ms");
     }
 }
+
+/// Guards against a list of the former timeline that counts as current, since a restored store counts
+/// its generations on from an older number.
+#[test]
+fn list_of_a_later_era_replaces_one_with_a_higher_number() {
+    let now = Millis(1_000_000);
+    let (mut sender, mut host) = (Members::default(), Members::default());
+    host.replace(now, Generation::new(Era(1), 90), listed(&[1, 2, 3]));
+    sender.replace(now, Generation::new(Era(1), 90), listed(&[1, 2, 3]));
+    sender.replace(now, Generation::new(Era(2), 40), listed(&[1, 2]));
+    let update = sender
+        .update_since(host.update_base_generation())
+        .expect("it is newer");
+    assert!(host.apply(now, update).is_some());
+    assert_eq!(host.count(), 2);
+    let late = Generation::new(Era(1), 91);
+    assert!(sender.update_since(late).is_some());
+    let mut behind = Members::default();
+    behind.replace(now, late, listed(&[1, 2, 3, 4]));
+    let outdated = behind.update_since(Generation::default());
+    assert!(host.apply(now, outdated.expect("a full list")).is_none());
+    assert_eq!(host.count(), 2);
+}
