Model of a restored store at 9, 68 and 985 hosts, in two ways

mangovale-bench fleet and bench/tests/fleet.rs: calls, bytes and time until all hosts follow the restored tables. The test holds the built way to 2,000 ms and to 2,000 calls, what a store answers in a second.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod exchange;
 pub mod filling;
 pub mod plan;
+pub mod restoring;
 pub mod start;
 pub mod streams;
 mod text;
@@ -57,6 +58,8 @@
     pub desired: desired::Desired,
     /// The list of upstreams, written after all hosts started.
     pub filling: filling::Filling,
+    /// A store that is restored from an older copy.
+    pub restoring: restoring::Restoring,
     /// The plan of the orderer.
     pub plan: plan::Plan,
     /// The records of which software version began a stream.
@@ -76,6 +79,7 @@
         exchange,
         start,
         filling: filling::measure(&world, seed),
+        restoring: restoring::measure(&world, seed),
         plan: plan::measure(&world),
         streams: streams::measure(&world, seed),
         crashes: crashes::measure(&world),
@@ -87,6 +91,11 @@
     streams::measure(&World::new(size), seed)
 }
 
+/// Measures only a restoration of the store.
+pub fn measure_restoring(size: Size, seed: u64) -> restoring::Restoring {
+    restoring::measure(&World::new(size), seed)
+}
+
 /// Measures only the evidence on crashes of a site.
 pub fn measure_crashes(size: Size) -> crashes::Crashes {
     crashes::measure(&World::new(size))
--- a/bench/src/fleet/text.rs
+++ b/bench/src/fleet/text.rs
@@ -6,7 +6,7 @@
 /// A line of the table: its name, and the figure of one size.
 type Line = (&'static str, fn(&Measured) -> f64);
 
-const LINES: [Line; 40] = [
+const LINES: [Line; 50] = [
     ("hosts", |m| m.size.hosts as f64),
     ("engines", |m| m.size.engines as f64),
     ("relays", |m| m.exchange.relays as f64),
@@ -69,6 +69,39 @@
     ("filling: lists and reads after a relay's loss", |m| {
         m.filling.beyond_after_loss as f64
     }),
+    ("restored store, over relays: calls", |m| {
+        m.restoring.over_relays.calls as f64
+    }),
+    ("restored store, over relays: most calls in 100 ms", |m| {
+        m.restoring.over_relays.most_calls_in_100_ms as f64
+    }),
+    ("restored store, over relays: MB of the store", |m| {
+        m.restoring.over_relays.store_bytes as f64 / 1e6
+    }),
+    (
+        "restored store, over relays: MB of the busiest relay",
+        |m| m.restoring.over_relays.relay_bytes as f64 / 1e6,
+    ),
+    ("restored store, over relays: in force, ms", |m| {
+        m.restoring.over_relays.in_force_ms.0 as f64
+    }),
+    ("restored store, each by itself: calls", |m| {
+        m.restoring.each_by_itself.calls as f64
+    }),
+    (
+        "restored store, each by itself: most calls in 100 ms",
+        |m| m.restoring.each_by_itself.most_calls_in_100_ms as f64,
+    ),
+    ("restored store, each by itself: MB of the store", |m| {
+        m.restoring.each_by_itself.store_bytes as f64 / 1e6
+    }),
+    (
+        "restored store, each by itself: MB of the busiest relay",
+        |m| m.restoring.each_by_itself.relay_bytes as f64 / 1e6,
+    ),
+    ("restored store, each by itself: in force, ms", |m| {
+        m.restoring.each_by_itself.in_force_ms.0 as f64
+    }),
     ("plan: engines looked at, nothing to order", |m| {
         m.plan.idle_looks as f64
     }),
--- a/bench/tests/fleet.rs
+++ b/bench/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! What must not grow with the fleet, or not as fast, at sizes that are measured in a moment.
 
-use mangovale_bench::fleet::{Measured, Size, exponent, measure};
+use mangovale_bench::fleet::{Measured, Size, exponent, measure, measure_restoring};
 use std::sync::OnceLock;
 
 const SMALL: usize = 60;
@@ -108,3 +108,14 @@
         assert!(grows <= 0.5, "figure {n}: to the power of {grows}");
     }
 }
+
+/// Guards against hosts that all read the store when it was restored from a copy, and against a change
+/// at its return that is not in force in time.
+#[test]
+fn restored_tables_reach_all_hosts_in_time_without_a_read_by_each() {
+    for hosts in [9, 68, 985] {
+        let built = measure_restoring(Size::of_hosts(hosts), 7).over_relays;
+        assert!(built.in_force_ms.0 <= 2_000, "{hosts} hosts: {built:?}");
+        assert!(built.calls <= 2_000, "{hosts} hosts: {built:?}");
+    }
+}
