Count and log each copy of a table that is of an earlier era, also where another host passes the newer one on

A metric and a line for each rise at each table: mangovale_entry_outdated_tables{table}, TableOutdated. Store calls are counted as restored or outdated instead of no_answer.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -211,10 +211,7 @@
 }
 
 fn apply_list_copy<P: Platform>(host: &Host<P>, cursor: &mut Cursor, copy: ListCopy) {
-    let former = cursor.next.or(cursor.outdated_at);
-    if former.is_some_and(|former| former.era < copy.end.era) {
-        host.upstreams.borrow_mut().note_list_restored(host.now());
-    }
+    note_era_of_copy(host, cursor, copy.end);
     cursor.partial = None;
     cursor.newest_rows.clear();
     cursor.next = Some(copy.end);
@@ -244,6 +241,7 @@
         position: end,
     };
     activate_desired_state(host, state, origin);
+    note_era_of_copy(host, cursor, end);
     cursor.next = Some(end);
     host.replication
         .note_read(cursor.table, asked_at - age_ms, end);
@@ -463,18 +461,31 @@
 
 /// Prepares to read the table anew after the store was restored from a copy.
 fn note_restored<P: Platform>(host: &Host<P>, cursor: &mut Cursor, era: Era) {
+    note_outdated(host, cursor, era);
+    cursor.read_anew();
+}
+
+/// Records that this host's copy of the table is of an earlier era than the store.
+fn note_outdated<P: Platform>(host: &Host<P>, cursor: &Cursor, era: Era) {
     let line = OutdatedLine {
         table: cursor.table.name(),
         era,
         copy_end: cursor.next,
     };
     lines::write(LogEvent::TableOutdated, &line);
-    cursor.read_anew();
+    host.metrics.count_outdated(cursor.table);
     if cursor.table == Table::Upstreams {
         host.upstreams.borrow_mut().note_list_restored(host.now());
     }
 }
 
+/// Records a copy from another host that is of a later era than this host's own.
+fn note_era_of_copy<P: Platform>(host: &Host<P>, cursor: &Cursor, end: Position) {
+    if cursor.next.is_some_and(|next| next.era < end.era) {
+        note_outdated(host, cursor, end.era);
+    }
+}
+
 fn note_success(cursor: &mut Cursor) {
     if cursor.failures > 1 {
         let table = cursor.table.name();
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -181,6 +181,8 @@
             Ok(_) => "answered",
             Err(StoreError::Refused { .. }) => "refused",
             Err(StoreError::Trimmed) => "trimmed",
+            Err(StoreError::Restored { .. }) => "restored",
+            Err(StoreError::Outdated { .. }) => "outdated",
             Err(_) => "no_answer",
         };
         self.metrics.count_store_call(kind, outcome);
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of an entry host, in the Prometheus text format.
 
 use crate::entry::budgeted_log;
-use crate::entry::platform::StoreCall;
+use crate::entry::platform::{StoreCall, Table};
 use crate::prelude::*;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -23,6 +23,7 @@
     repeats: Counter<u64>,
     repeat_share_hosts: Gauge<u64>,
     store_calls: Counter<u64>,
+    outdated_tables: Counter<u64>,
     held_causes: Gauge<u64>,
     refused_for_shared_cause: Counter<u64>,
     refused_in_vain: Counter<u64>,
@@ -59,6 +60,7 @@
                 .u64_gauge("mangovale_entry_repeat_share_hosts")
                 .build(),
             store_calls: meter.u64_counter("mangovale_entry_store_calls").build(),
+            outdated_tables: meter.u64_counter("mangovale_entry_outdated_tables").build(),
             held_causes: meter.u64_gauge("mangovale_entry_held_causes").build(),
             refused_for_shared_cause: meter
                 .u64_counter("mangovale_entry_refused_for_shared_cause")
@@ -109,6 +111,12 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Counts a copy of a table that is of an earlier era than the store.
+    pub fn count_outdated(&self, table: Table) {
+        self.outdated_tables
+            .add(1, &[KeyValue::new("table", table.name())]);
+    }
+
     /// Records how many causes that requests share are held back.
     pub fn set_held_causes(&self, count: usize) {
         self.held_causes.record(count as u64, &[]);
