Use nine tenths of the retries that requests earned

The rule leaves room for it: the requests that a budget counts are never more than the fuller of two windows has, so the fifth that is kept back for hosts which count the others differently is needed for the slack only. The tenth allows for retries that reach their upstream later than they were counted. Its effect on worth was not measured by itself.

--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -8,9 +8,12 @@
 use crate::prelude::*;
 use std::collections::VecDeque;
 
-/// Fraction of its share that a host uses: for a second, two hosts may count different numbers of
-/// members.
+/// Fraction of its share of the slack that a host uses: for a second, two hosts may count different
+/// numbers of members.
 const USABLE_FRACTION: f64 = 0.8;
+/// Fraction of what its own requests earn that a host uses. The rest allows for retries that reach
+/// their upstream later than they were counted.
+const EARNED_FRACTION: f64 = 0.9;
 
 /// Fraction of its share of the slack that a process may have used at the end of the first window
 /// after its start: what the previous process of its host is sure to have left. Nothing is used in
@@ -89,7 +92,7 @@
         let window_starts = self.retries.iter().chain([&now]).enumerate();
         let is_allowed = window_starts.into_iter().all(|(nth, start)| {
             let taken = (self.retries.len() + 1 - nth) as f64;
-            taken <= slack + USABLE_FRACTION * self.earned(*start, now)
+            taken <= slack + EARNED_FRACTION * self.earned(*start, now)
         });
         if is_allowed {
             self.retries.push_back(now);
