--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -603,14 +603,15 @@
     };
     let read = host.platform.follow_table(cursor.table, query);
     let page = host.count_call(StoreCall::FollowTable, read).await?;
-    let TablePage { rows, end, .. } = page;
+    let TablePage {
+        rows,
+        end,
+        is_truncated,
+        ..
+    } = page;
     cursor.next = Some(end);
-    cursor.is_cut = page.is_truncated;
+    cursor.is_cut = is_truncated;
     cursor.trims = 0;
-    match page.is_truncated {
-        true => host.replication.note_partial_read(cursor.table, end),
-        false => host.replication.note_read(cursor.table, asked_at, end),
-    }
     if cursor.table == Table::Upstreams {
         host.upstreams.borrow_mut().note_list_reached(host.now());
         match serves_tables(host) {
@@ -623,6 +624,11 @@
     }
     let has_changes = !rows.is_empty();
     apply_rows(host, cursor, Some(from), rows);
+    // The log lines of applied rows say for how long this host was behind.
+    match is_truncated {
+        true => host.replication.note_partial_read(cursor.table, end),
+        false => host.replication.note_read(cursor.table, asked_at, end),
+    }
     Ok(has_changes)
 }
 
