--- a/src/entry/tests/shared_parts.rs
+++ b/src/entry/tests/shared_parts.rs
@@ -94,20 +94,26 @@
     });
 }
 
+/// Calls a resumable route with the crashing part, and with a sound one after each call, at upstreams
+/// with this script. Returns how many of them crashed.
+async fn crashes_of_resumable_streams(site: &Site, script: Vec<Step>) -> usize {
+    site.apply_route(streams(Repeat::Resumable)).await;
+    let upstreams = site.start_upstreams_of(&["v1"; 30], vec![script]).await;
+    for n in 0..20 {
+        site.call(&request(2 * n, &[COMMON, CRASHING])).await;
+        let sound = site.call(&request(2 * n + 1, &[COMMON, SOUND])).await;
+        assert_eq!(sound.head.status, 200, "{}", sound.body);
+        assert!(sound.is_whole);
+    }
+    crashes(&upstreams)
+}
+
 /// Guards against resumed streams that carry such a part to the next upstream.
 #[test]
 fn streams_with_a_suspected_part_are_not_resumed() {
     on_site(|site| async move {
-        site.apply_route(streams(Repeat::Resumable)).await;
         let script = vec![Write(BEGUN), CrashOnPart(CRASHING), Write(REST)];
-        let upstreams = site.start_upstreams_of(&["v1"; 30], vec![script]).await;
-        for n in 0..20 {
-            site.call(&request(2 * n, &[COMMON, CRASHING])).await;
-            let sound = site.call(&request(2 * n + 1, &[COMMON, SOUND])).await;
-            assert_eq!(sound.head.status, 200, "{}", sound.body);
-            assert!(sound.is_whole);
-        }
-        let crashes = crashes(&upstreams);
+        let crashes = crashes_of_resumable_streams(&site, script).await;
         assert!(crashes <= FIFTH_CRASH, "{crashes} upstreams crashed");
     });
 }
@@ -117,15 +123,8 @@
 #[test]
 fn crash_of_an_upstream_that_accepts_connections_for_a_moment_is_noticed() {
     on_site(|site| async move {
-        site.apply_route(streams(Repeat::Resumable)).await;
         let script = vec![Write(BEGUN), CrashSlowlyOnPart(CRASHING), Write(REST)];
-        let upstreams = site.start_upstreams_of(&["v1"; 30], vec![script]).await;
-        for n in 0..20 {
-            site.call(&request(2 * n, &[COMMON, CRASHING])).await;
-            let sound = site.call(&request(2 * n + 1, &[COMMON, SOUND])).await;
-            assert_eq!(sound.head.status, 200, "{}", sound.body);
-        }
-        let crashes = crashes(&upstreams);
+        let crashes = crashes_of_resumable_streams(&site, script).await;
         assert!(crashes <= FIFTH_CRASH, "{crashes} upstreams crashed");
     });
 }
