A holder that renews in a restored store goes on to know itself as the holder

Its next renewal in the new era forgot the newest record, so it named no orderer and its resignation to other hosts, until it read the stream. Test: a valid holder keeps the lease over a restoration, whether the offset happens to be the same or not.

--- a/src/ordering/lease.rs
+++ b/src/ordering/lease.rs
@@ -417,7 +417,7 @@
         let has_ended = |holding: &Holding| answered_at >= holding.valid_until();
         self.holding
             .take_if(|holding| is_first_of_era(holding) && has_ended(holding));
-        self.note_era(end.era);
+        self.saw_restoration |= self.end.is_some_and(|known| known.era < end.era);
         if let Some(holding) = &mut self.holding {
             holding.end = end;
             holding.renewed_at = holding.renewed_at.max(sent_at);
--- a/src/ordering/tests/lease.rs
+++ b/src/ordering/tests/lease.rs
@@ -241,6 +241,40 @@
     assert!(takeovers.iter().sum::<usize>() > 30);
 }
 
+/// Guards against a pause without orders after each restoration, and against a holder that no longer
+/// knows itself as the holder.
+#[test]
+fn a_valid_holder_keeps_the_lease_when_the_store_is_restored() {
+    for is_end_equal in [true, false] {
+        let mut world = World::new();
+        world.read(0);
+        world.claim(0);
+        world.deliver(0, true);
+        let copy = world.log.clone();
+        if !is_end_equal {
+            world.now += Millis(900);
+            world.renew(0);
+            world.deliver(0, true);
+        }
+        world.restore(copy);
+        let mut renewals = 0;
+        while world.leases[0]
+            .holding()
+            .is_some_and(|holding| holding.renewed_era < world.era)
+        {
+            world.now += Millis(900);
+            world.renew(0);
+            world.deliver(0, true);
+            renewals += 1;
+            assert!(renewals <= 2);
+        }
+        assert!(world.leases[0].may_order(world.now));
+        assert_eq!(world.leases[0].holder(), Some(&world.me(0)));
+        world.read(1);
+        assert_eq!(world.leases[1].may_claim(world.now), None);
+    }
+}
+
 /// As [`drive`], with additional statements of holders about the end of the stream, which arrive
 /// late or never.
 fn drive_with_statements(
