Ask relays for an outdated desired state once, then read the store

After the history was trimmed or the store restored, a host behind relays looked for a newer desired state there for up to a second, and for 0.7 s more at each relay that does not answer, before it read the store: a change could come later than within 2 s. Found by reading; the lists of upstreams are looked for as before.

--- a/src/entry/desired_copy.rs
+++ b/src/entry/desired_copy.rs
@@ -8,11 +8,10 @@
 use crate::desired::DesiredState;
 use crate::entry::host::Host;
 use crate::entry::platform::{Platform, Table};
-use crate::entry::table_sources::{RELAY_RETRY_PAUSE_MS, TableSources, serves_tables};
+use crate::entry::table_sources::{TableSources, serves_tables};
 use crate::group::Member;
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
-use smol::Timer;
 use std::net::SocketAddr;
 
 /// A desired state, and where the table is to be followed after it.
@@ -43,27 +42,19 @@
 
 /// Fetches the newest desired state from a relay whose table ends after `newer_than`. Returns
 /// nothing when this host is to read the store instead: it relays or orders itself, the site has no
-/// relays, or none had a newer table within `search_ms`. Otherwise also returns the address of the
-/// relay. All relays are asked at least once.
+/// relays, or none has a newer table. Otherwise also returns the address of the relay.
 pub async fn fetch<P: Platform>(
     host: &Host<P>,
     sources: &TableSources,
     newer_than: Position,
-    search_ms: Millis,
 ) -> Option<(SocketAddr, DesiredCopy)> {
-    let until = host.now() + search_ms;
-    loop {
-        for relay in sources.relays(host)? {
-            let copy = fetch_from(sources, &relay).await;
-            if let Some(copy) = copy.filter(|copy| copy.end > newer_than) {
-                return Some((relay.peer_address, copy));
-            }
+    for relay in sources.relays(host)? {
+        let copy = fetch_from(sources, &relay).await;
+        if let Some(copy) = copy.filter(|copy| copy.end > newer_than) {
+            return Some((relay.peer_address, copy));
         }
-        if host.now() >= until {
-            return None;
-        }
-        Timer::after(RELAY_RETRY_PAUSE_MS.to_duration()).await;
     }
+    None
 }
 
 /// Fetches the desired state that another host passes on; nothing if it does not answer or passes on
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -182,14 +182,19 @@
 
 /// Reads the whole table from the store. A list of upstreams that has more than one page there, or
 /// that the store refuses, is fetched from a relay if one has it. A host whose copy is outdated asks
-/// its relays first, since all hosts find that at the same time.
+/// its relays first, since all hosts find that at the same time; for a desired state, which must be
+/// in force soon, it asks them once only.
 async fn load_table<P: Platform>(
     host: &Host<P>,
     cursor: &mut Cursor,
     sources: Option<&TableSources>,
 ) -> Result<bool, StoreError> {
+    let search_ms = match cursor.table {
+        Table::Desired => Millis::ZERO,
+        Table::Upstreams => RELAY_SEARCH_AGAIN_MS,
+    };
     if let (Some(outdated_at), Some(sources)) = (cursor.outdated_at, sources)
-        && fetch_from_relay(host, cursor, outdated_at, sources, RELAY_SEARCH_AGAIN_MS).await
+        && fetch_from_relay(host, cursor, outdated_at, sources, search_ms).await
     {
         return Ok(false);
     }
@@ -315,7 +320,7 @@
             apply_list_copy(host, cursor, copy);
         }
         Table::Desired => {
-            let copy = desired_copy::fetch(host, sources, from, search_ms).await;
+            let copy = desired_copy::fetch(host, sources, from).await;
             let Some(copy) = copy else { return false };
             apply_desired_copy(host, cursor, asked_at, copy);
         }
--- a/src/entry/tests/desired_copy.rs
+++ b/src/entry/tests/desired_copy.rs
@@ -131,13 +131,9 @@
             site.until_version(7).await;
             let end = relay_update(&site).desired.expect("it was read").end;
             let sources = pair.sources();
-            assert!(
-                fetch(&pair.asking, &sources, end, Millis::ZERO)
-                    .await
-                    .is_none()
-            );
+            assert!(fetch(&pair.asking, &sources, end).await.is_none());
             let older = Position::new(end.era, end.offset.0 - 1);
-            let copy = fetch(&pair.asking, &sources, older, Millis::ZERO).await;
+            let copy = fetch(&pair.asking, &sources, older).await;
             assert_eq!(copy.map(|(_, copy)| copy.state.version), Some(7));
             assert!(answer(&pair.asking).is_none());
         };
