Engines begin urgent streams before others where goals are far apart

Chat streams with a goal of 400 ms waited at engines behind long prompts whose callers have 800 ms to 6 s. A rank of the organisation goes before the route's.

--- a/src/desired/mod.rs
+++ b/src/desired/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod rate_limit_table;
 pub mod routes;
+pub mod urgency;
 
 #[cfg(test)]
 mod tests;
@@ -11,6 +12,7 @@
 use crate::prelude::*;
 pub use rate_limit_table::RateLimitTable;
 pub use routes::RouteTable;
+pub use urgency::UrgentRanks;
 
 /// A complete desired state.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/src/desired/routes.rs
+++ b/src/desired/routes.rs
@@ -1,6 +1,6 @@
 //! Lookup of the route of a request, and the choice of a service among its targets.
 
-use crate::desired::{CallerLimits, DesiredState, RateLimitTable, Route, Service};
+use crate::desired::{CallerLimits, DesiredState, RateLimitTable, Route, Service, UrgentRanks};
 use crate::identity::{Credential, Identity, Keys};
 use crate::prelude::*;
 
@@ -15,6 +15,8 @@
     pub limits: CallerLimits,
     /// The rate limits by the name of the organisation.
     pub rate_limits: RateLimitTable,
+    /// The ranks whose requests engines should begin first.
+    pub urgent_ranks: UrgentRanks,
     /// The organisations by key; absent if callers need no key.
     keys: Option<Keys>,
     /// The routes by host name, those with the longest path prefix first.
@@ -24,6 +26,7 @@
 impl RouteTable {
     /// Builds the indexes of a desired state.
     pub fn new(state: DesiredState) -> Self {
+        let urgent_ranks = UrgentRanks::new(state.routes.iter());
         let mut by_host: IndexMap<Name, Vec<Arc<Route>>> = IndexMap::new();
         for route in state.routes {
             let routes = by_host.entry(route.host.clone()).or_default();
@@ -43,6 +46,7 @@
             version: state.version,
             services: state.services,
             limits: state.limits,
+            urgent_ranks,
             by_host,
         }
     }
--- a/src/desired/tests.rs
+++ b/src/desired/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the choice of a route by the longest prefix, and of a service by the targets' weights.
 
+mod urgency;
+
 use super::*;
 use crate::test_support;
 
--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -80,6 +80,14 @@
             .map(|organisation| &organisation.name)
     }
 
+    /// Returns the request's priority, 0 being the most urgent: that of its organisation if it has
+    /// one, else that of its route.
+    pub fn rank(&self) -> u8 {
+        let organisation = self.identity.organisation();
+        let own = organisation.and_then(|organisation| organisation.rank);
+        own.unwrap_or(self.route.rank)
+    }
+
     /// Returns the id of the last event that the caller has, if the request came from another host
     /// and resumes a stream.
     pub fn resume_after(&self) -> Option<&str> {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -319,6 +319,16 @@
     }
 }
 
+/// Returns whether engines should begin a request before others.
+fn is_urgent<P: Platform>(host: &Host<P>, request: &ActiveRequest) -> bool {
+    let routes = host.routes.borrow();
+    let table = routes.as_ref().filter(|_| request.at_engine);
+    table.is_some_and(|table| {
+        let ranks = &table.urgent_ranks;
+        ranks.is_urgent(&request.service, request.rank())
+    })
+}
+
 /// Makes one attempt at an upstream: sends the request, waits for the start of its answer, and
 /// records the outcome in the log line and the metrics. `resume_after` is the id of the last event
 /// that the caller got, where an interrupted stream is resumed.
@@ -339,6 +349,7 @@
         left_ms,
         upstream,
         identity: &request.identity,
+        is_urgent: is_urgent(host, request),
         fetch_prefix_from: prefix_source(host, request, upstream),
         resume_after,
     };
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -79,6 +79,8 @@
     pub upstream: &'a str,
     /// The caller that sent the request.
     pub identity: &'a Identity,
+    /// Whether the upstream should begin the request before those that are not urgent.
+    pub is_urgent: bool,
     /// The address of an engine that has computed the prefix of the prompt, from which the upstream
     /// should fetch it.
     pub fetch_prefix_from: Option<SocketAddr>,
