Load that upstreams state decides at plain services; figures by route, rank and organisation

Cause: many hosts that send short calls to few upstreams each see only their own requests, and machines change their pace; nothing said which routes, ranks and organisations are served late or refused. Change: the header X-Server-Load is read, kept for each lifetime and exchanged between hosts; pick::service predicts by it where an upstream states its pace. Counters, wait histogram and end-line fields by route and rank, command `mangovale load`. Stand-ins state their load on request.

--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -18,12 +18,7 @@
 pub fn logs(options: &LogsOptions) -> Result<Exit, CliError> {
     let question = &options.question;
     let lines = read_inputs(&options.files(), |line| is_relevant(question, line))?;
-    if lines.skipped > 0 {
-        eprintln!(
-            "mangovale: {} lines skipped: too long, or not a log event of an entry host",
-            lines.skipped
-        );
-    }
+    warn_of_skipped(&lines);
     match question {
         LogsQuestion::Request(_) => print(&request_lines(&lines.lines))?,
         LogsQuestion::Leases(_) => print_results(
@@ -58,6 +53,16 @@
     Ok(Exit::Done)
 }
 
+/// Says on standard error how many lines could not be read, if any.
+pub fn warn_of_skipped(lines: &LogLines) {
+    if lines.skipped > 0 {
+        eprintln!(
+            "mangovale: {} lines skipped: too long, or not a log event of an entry host",
+            lines.skipped
+        );
+    }
+}
+
 fn is_relevant(question: &LogsQuestion, line: &LogLine) -> bool {
     match question {
         LogsQuestion::Request(question) => line.request.as_deref() == Some(&*question.id),
@@ -85,7 +90,12 @@
     Ok(lines)
 }
 
-fn read_input(
+/// Adds the relevant lines of one input; its file name names the host.
+///
+/// # Errors
+///
+/// Returns why the input cannot be read, or that it has too many lines.
+pub fn read_input(
     lines: &mut LogLines,
     input: &mut impl BufRead,
     path: &Path,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 pub mod edit;
 pub mod exit;
 pub mod keys;
+pub mod load;
 pub mod logs;
 pub mod options;
 pub mod render;
@@ -43,6 +44,7 @@
         Command::Replay(options) => replay::replay(&options),
         Command::Errors(options) => view::errors(&options),
         Command::Logs(options) => logs::logs(&options),
+        Command::Load(options) => load::load(&options),
     }
 }
 
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -45,6 +45,8 @@
     Errors(ErrorsOptions),
     /// Answers a question from the log lines of many hosts.
     Logs(LogsOptions),
+    /// Prints how requests were served, by route, rank and organisation.
+    Load(LoadOptions),
 }
 
 /// Create the fleet's key, certificates for hosts, tokens for operators, and API keys for brands.
@@ -436,3 +438,22 @@
     #[argh(positional)]
     pub files: Vec<PathBuf>,
 }
+
+/// Print how requests were served, by route and rank and by organisation, and name services of which
+/// a more urgent rank is served in time less often than a less urgent one.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "load",
+    example = "{command_name} entry-1.log entry-2.log",
+    example = "{command_name} entry-1.metrics entry-2.metrics",
+    note = "A file has log lines or the text of the metrics endpoint. Metrics name no service, no wait, and not who was refused again."
+)]
+pub struct LoadOptions {
+    /// print one JSON object per line
+    #[argh(switch)]
+    pub json: bool,
+    /// the files, of one host each
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -80,6 +80,13 @@
             .map(|organisation| &organisation.name)
     }
 
+    /// Returns the priority of the request: that of its organisation if it has one, else that of its
+    /// route. 0 is the most urgent.
+    pub fn rank(&self) -> u8 {
+        let own = self.identity.organisation().and_then(|own| own.rank);
+        own.unwrap_or(self.route.rank)
+    }
+
     /// Returns the id of the last event that the caller has, if the request came from another host
     /// and resumes a stream.
     pub fn resume_after(&self) -> Option<&str> {
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::budgeted_log;
 use crate::entry::platform::{StoreCall, Table};
+use crate::entry::served_metrics::ServedMetrics;
 use crate::prelude::*;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -29,6 +30,8 @@
     refused_in_vain: Counter<u64>,
     first_byte_ms: Histogram<f64>,
     whole_ms: Histogram<f64>,
+    /// How requests were served, by route, rank and organisation.
+    pub served: ServedMetrics,
 }
 
 impl EntryMetrics {
@@ -68,6 +71,7 @@
             refused_in_vain: meter.u64_counter("mangovale_entry_refused_in_vain").build(),
             first_byte_ms: latency("mangovale_entry_first_byte_ms"),
             whole_ms: latency("mangovale_entry_whole_ms"),
+            served: ServedMetrics::new(&meter),
             registry,
             _provider: provider,
         })
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -7,7 +7,7 @@
 use crate::identity::{Credential, Identity};
 use crate::ordering::message::{EngineReport, Order, OrderAnswer};
 use crate::prelude::*;
-use crate::upstreams::{Notice, UpstreamEntry};
+use crate::upstreams::{Notice, StatedLoad, UpstreamEntry};
 use snafu::Snafu;
 use std::net::SocketAddr;
 
@@ -104,6 +104,8 @@
     /// How many requests in a second the upstream can turn away, from all hosts together, if it
     /// states that.
     pub max_rejections_per_s: Option<u32>,
+    /// The load that the expected lifetime states, if it states a plausible one.
+    pub load: Option<StatedLoad>,
     /// What the expected lifetime states about further requests.
     pub notice: Notice,
 }
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -4,6 +4,8 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{ModelRef, Platform};
+use crate::entry::served::Goals;
+use crate::entry::served_metrics::WaitCause;
 use crate::http1::{Framing, ReadError};
 use crate::prelude::*;
 use crate::retry::RequestDigest;
@@ -67,6 +69,14 @@
     pub organisation: Option<Name>,
     /// The name of the request's route.
     pub route: Option<Name>,
+    /// The service that was drawn from the route.
+    pub service: Option<Name>,
+    /// The priority of the request; 0 is the most urgent.
+    pub rank: Option<u8>,
+    /// The longest time to the answer or, for a stream, to its first event that is in time.
+    pub goal_ms: Option<Millis>,
+    /// Whether the whole answer met the goals of the route; none if there is no whole answer.
+    pub in_time: Option<bool>,
     /// The version of the desired state that the request was served under.
     pub version: u64,
     /// The model and adapter that the request asks for.
@@ -81,6 +91,8 @@
     pub waited_ms: Millis,
     /// How long a long prompt waited until its engine read no other one.
     pub turn_ms: Millis,
+    /// How long the request waited because its organisation's rate limit was reached.
+    pub limit_wait_ms: Millis,
     /// The status of the final answer.
     pub status: u16,
     /// Why the request was refused or failed.
@@ -124,6 +136,8 @@
     pub summary: RequestSummary,
     /// How the request ended; none if the caller disconnected before.
     pub outcome: Option<&'static str>,
+    /// The goals of the request's route, once that is known.
+    goals: Option<Goals>,
 }
 
 impl<'a, P: Platform> RequestLog<'a, P> {
@@ -135,12 +149,17 @@
             arrived_at,
             summary: RequestSummary::default(),
             outcome: None,
+            goals: None,
         }
     }
 
     /// Sets the fields that are known once the request's route is.
     pub fn note_request(&mut self, request: &ActiveRequest) {
+        self.goals = Some(Goals::of(&request.route));
         let summary = &mut self.summary;
+        summary.service = Some(request.service.clone());
+        summary.rank = Some(request.rank());
+        summary.goal_ms = Some(request.route.goal_ms);
         summary.request = request.facts.id.clone();
         summary.digest = Some(request.causes.digest);
         summary.organisation = request.organisation().cloned();
@@ -153,6 +172,34 @@
     }
 }
 
+impl<P: Platform> RequestLog<'_, P> {
+    /// Counts the request by its route, rank and organisation. Another host that handed the request
+    /// to this one counts it itself.
+    fn count_served(&mut self, outcome: &str) {
+        let summary = &mut self.summary;
+        let (Some(goals), Some(route), Some(rank)) = (self.goals, &summary.route, summary.rank)
+        else {
+            return;
+        };
+        let (first_byte_ms, gap_ms) = (summary.first_byte_ms, summary.longest_gap_ms);
+        let served = goals.served(outcome, summary.status, first_byte_ms, gap_ms);
+        summary.in_time = served.in_time();
+        if summary.handed {
+            return;
+        }
+        let metrics = &self.host.metrics.served;
+        metrics.count(route, rank, summary.organisation.as_ref(), served);
+        let waits = [
+            (WaitCause::Limit, summary.limit_wait_ms),
+            (WaitCause::Model, summary.waited_ms),
+            (WaitCause::Turn, summary.turn_ms),
+        ];
+        for (cause, wait_ms) in waits {
+            metrics.record_wait(rank, cause, wait_ms);
+        }
+    }
+}
+
 impl RequestSummary {
     /// Adds a send to an upstream that begins, with the outcome `under_way`.
     pub fn note_send(&mut self, upstream: &Name) {
@@ -180,6 +227,7 @@
         host.active_requests.set(host.active_requests.get() - 1);
         self.summary.whole_ms = host.now().since(self.arrived_at);
         let outcome = self.outcome.unwrap_or("caller_gone");
+        self.count_served(outcome);
         let RequestSummary {
             first_byte_ms,
             whole_ms,
--- a/src/entry/sending/choice.rs
+++ b/src/entry/sending/choice.rs
@@ -55,7 +55,8 @@
         _ => {
             let data_centre = host.settings().data_centre.clone();
             let candidates = upstreams.usable(&request.service).filter(is_candidate);
-            pick::service(now, candidates, &data_centre, fastrand::f64())
+            let mut random = fastrand::Rng::new();
+            pick::service(now, candidates, &data_centre, &mut random)
         }
     };
     chosen.map(|upstream| upstream.entry.id.clone())
--- a/src/entry/sending/exchange.rs
+++ b/src/entry/sending/exchange.rs
@@ -167,6 +167,10 @@
             upstream,
             facts.max_rejections_per_s,
         );
+        if let Some(load) = facts.load {
+            let mut upstreams = host.upstreams.borrow_mut();
+            upstreams.note_stated_load(host.now(), upstream, load);
+        }
         notices::note_answer(host, upstream, facts.notice);
         if (100..200).contains(&head.status) {
             continue;
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -6,6 +6,7 @@
 use crate::entry::limits;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
+use crate::entry::stated_loads;
 use crate::entry::upstream_limits;
 use crate::group::Member;
 use crate::group::parents::{ORDERER_STALE_MS, Parent};
@@ -123,6 +124,7 @@
 fn add_counts<P: Platform>(host: &Host<P>, request: &SyncRequest) {
     limits::merge_usage(host, &request.usage);
     upstream_limits::merge_report(host, &request.upstream_limits);
+    stated_loads::merge_report(host, &request.loads);
     exchange::merge_report(host, &request.crashes);
 }
 
@@ -132,6 +134,7 @@
         limits: limits::build_update(host),
         crashes: exchange::build_update(host, request.crashes.known),
         upstream_limits: upstream_limits::build_update(host),
+        loads: stated_loads::build_update(host, &request.loads),
     }
 }
 
@@ -332,6 +335,7 @@
         usage: limits::report(host),
         crashes: exchange::report(host),
         upstream_limits: upstream_limits::report(host),
+        loads: stated_loads::report(host),
     }
 }
 
@@ -359,6 +363,7 @@
     limits::apply_reply(host, asked_at, totals.limits);
     exchange::apply_update(host, &totals.crashes);
     upstream_limits::apply_update(host, asked_at, totals.upstream_limits);
+    stated_loads::apply_update(host, &totals.loads);
 }
 
 fn apply_orderer_update<P: Platform>(host: &Host<P>, asked_at: Millis, update: OrdererUpdate) {
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -7,7 +7,7 @@
 use crate::identity::{Credential, KeyDigest};
 use crate::ordering::message::{EngineReport, Order, OrderAnswer};
 use crate::prelude::*;
-use crate::upstreams::{Notice, UpstreamEntry};
+use crate::upstreams::{Notice, StatedLoad, UpstreamEntry};
 use event_listener::Event as Wakeup;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -200,6 +200,12 @@
                 .headers
                 .number("Max-Rejections")
                 .and_then(|number| number.try_into().ok()),
+            load: head.headers.number("Running").map(|running| StatedLoad {
+                running: running as u32,
+                waiting: 0,
+                slots: 4,
+                pace_percent: Some(100),
+            }),
             notice: Notice {
                 is_leaving: lifetime.is_none() && head.headers.bytes("Leaving").is_some(),
                 rest_ms: head.headers.number("Rest-Ms").map(Millis),
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -362,6 +362,7 @@
         usage: Vec::new(),
         crashes: CrashReport::default(),
         upstream_limits: UpstreamLimitsReport::default(),
+        loads: Vec::new(),
     }
 }
 
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -38,7 +38,7 @@
 }
 
 /// Makes a host one of the relays of a large site.
-fn make_relay(host: &Host<FakePlatform>) {
+pub fn make_relay(host: &Host<FakePlatform>) {
     let others = (100..164).map(|n| member(n, "here", 120));
     let me = member(host.incarnation, "here", 500);
     let list: IndexSet<Member> = others.chain([me]).collect();
--- a/src/logs/line.rs
+++ b/src/logs/line.rs
@@ -33,6 +33,33 @@
     /// The organisation that sent the request.
     #[serde(default)]
     pub organisation: Option<Name>,
+    /// The digest that is equal for repeats of the request.
+    #[serde(default)]
+    pub digest: Option<Name>,
+    /// The name of the request's route.
+    #[serde(default)]
+    pub route: Option<Name>,
+    /// The service that was drawn from the route.
+    #[serde(default)]
+    pub service: Option<Name>,
+    /// The priority of the request; 0 is the most urgent.
+    #[serde(default)]
+    pub rank: Option<u8>,
+    /// Whether the whole answer met the goals of the route.
+    #[serde(default)]
+    pub in_time: Option<bool>,
+    /// Whether another host handed the request to the one that wrote the line.
+    #[serde(default)]
+    pub handed: bool,
+    /// How long the request waited for an upstream that could take it.
+    #[serde(default)]
+    pub waited_ms: Millis,
+    /// How long its long prompt waited until its engine read no other one.
+    #[serde(default)]
+    pub turn_ms: Millis,
+    /// How long it waited because its organisation's rate limit was reached.
+    #[serde(default)]
+    pub limit_wait_ms: Millis,
     /// The HTTP status of the answer to the caller.
     #[serde(default)]
     pub status: Option<u16>,
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -16,6 +16,7 @@
 use crate::retry::{CrashReport, CrashUpdate};
 use crate::routing::pick::UpstreamLoad;
 use crate::upstreams::HeldModel;
+use crate::upstreams::stated_load::ToldLoad;
 
 /// An operation that the orderer requests from an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -111,6 +112,8 @@
     pub crashes: CrashReport,
     /// The rate limits that upstreams announced, and what was sent to these upstreams.
     pub upstream_limits: UpstreamLimitsReport,
+    /// The newest loads that upstreams of plain services stated and the receiver may not know.
+    pub loads: Vec<ToldLoad>,
 }
 
 impl SyncRequest {
@@ -159,6 +162,8 @@
     pub crashes: CrashUpdate,
     /// The rate limits that upstreams announced, and what is left of them.
     pub upstream_limits: UpstreamLimitsUpdate,
+    /// The newest loads that upstreams of plain services stated.
+    pub loads: Vec<ToldLoad>,
 }
 
 /// A call from one host to another.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,5 +7,6 @@
 pub mod pick;
 pub mod prefix;
 pub mod roles;
+pub mod service_wait;
 #[cfg(test)]
 mod tests;
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -11,6 +11,7 @@
 use crate::rendezvous;
 use crate::routing::occupancy::Occupancy;
 use crate::routing::roles::{is_long, short_prompt_copies};
+use crate::routing::service_wait::{self, Candidate, Draw, ServiceLoad, Statement};
 use crate::upstreams::Upstream;
 
 /// Delay that one running request causes to another, in prompt tokens: each step of an engine
@@ -166,35 +167,99 @@
     lowest_cost(candidates, cost)
 }
 
-/// Chooses an upstream of a plain service: the one with the lowest fraction of its slots in use
-/// among those that are available; upstreams in `data_centre` win ties. `random_unit` is a
-/// uniform random number between 0 and 1.
+/// Chooses an upstream of a plain service among those that are available; upstreams in
+/// `data_centre` win ties. Where an upstream of the service recently stated its load with its pace,
+/// the choice is by the time that [`service_wait`] predicts, otherwise by the lowest fraction of
+/// slots in use by this host.
 pub fn service<'a>(
     now: Millis,
     candidates: impl Iterator<Item = &'a Upstream>,
     data_centre: &str,
-    random_unit: f64,
+    random: &mut fastrand::Rng,
 ) -> Option<&'a Upstream> {
-    let candidates: Vec<_> = candidates
+    let candidates: Vec<_> = candidates.collect();
+    let states_pace = candidates.iter().any(|upstream| {
+        upstream.known_load.is_some_and(|known| {
+            known.load.pace_percent.is_some()
+                && now.since(known.stated_at) < service_wait::PACED_SERVICE_MS
+        })
+    });
+    let candidates = candidates.into_iter();
+    let available: Vec<_> = candidates
         .filter(|upstream| is_available(now, upstream))
+        .collect();
+    match states_pace {
+        true => service_by_time(now, &available, data_centre, random),
+        false => service_by_own_requests(now, available, data_centre, random.f64()),
+    }
+}
+
+fn service_by_own_requests<'a>(
+    now: Millis,
+    candidates: Vec<&'a Upstream>,
+    data_centre: &str,
+    random_unit: f64,
+) -> Option<&'a Upstream> {
+    let candidates = candidates.into_iter();
+    let candidates = candidates
         .map(|upstream| (upstream, UpstreamLoad::default()))
         .collect();
     let mut index = 0;
     let cost = |(upstream, _): &(&Upstream, UpstreamLoad)| {
         index += 1;
         let used = f64::from(upstream.in_flight) / f64::from(upstream.entry.slots.max(1));
-        let remote_cost = match &*upstream.entry.data_centre == data_centre {
-            true => 0.0,
-            false => REMOTE_COST_SLOTS,
-        };
         // Spreads the requests of hosts whose data centre has no upstream over the upstreams
         // elsewhere.
         let spread = (random_unit + f64::from(index) * 0.618).fract() * REMOTE_COST_SLOTS / 2.0;
-        used + remote_cost + spread + upstream.health.failure_share(now) * FAILURE_COST_SLOTS
+        used + remote_cost(upstream, data_centre)
+            + spread
+            + upstream.health.failure_share(now) * FAILURE_COST_SLOTS
     };
     lowest_cost(candidates, cost)
 }
 
+fn service_by_time<'a>(
+    now: Millis,
+    candidates: &[&'a Upstream],
+    data_centre: &str,
+    random: &mut fastrand::Rng,
+) -> Option<&'a Upstream> {
+    let statement = |upstream: &Upstream| {
+        let known = upstream.known_load?;
+        Some(Statement {
+            load: known.load,
+            age_ms: now.since(known.stated_at),
+            begun_since: known.begun_since(upstream.in_flight),
+        })
+    };
+    let costs: Vec<Candidate> = candidates
+        .iter()
+        .map(|upstream| {
+            let load = ServiceLoad {
+                slots: upstream.entry.slots,
+                own: upstream.in_flight,
+                statement: statement(upstream),
+            };
+            Candidate {
+                slots: upstream.entry.slots,
+                cost: load.predicted_time()
+                    + remote_cost(upstream, data_centre)
+                    + upstream.health.failure_share(now) * FAILURE_COST_SLOTS,
+            }
+        })
+        .collect();
+    let draw = Draw::suited_to(candidates.iter().map(|upstream| statement(upstream)));
+    let chosen = service_wait::choose(&costs, draw, random)?;
+    candidates.get(chosen).copied()
+}
+
+fn remote_cost(upstream: &Upstream, data_centre: &str) -> f64 {
+    match &*upstream.entry.data_centre == data_centre {
+        true => 0.0,
+        false => REMOTE_COST_SLOTS,
+    }
+}
+
 /// Tells whether an upstream may get a request: it accepts them and is not in back-off.
 pub fn is_available(now: Millis, upstream: &Upstream) -> bool {
     upstream.accepts_requests(now) && !upstream.health.is_backing_off(now)
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -8,6 +8,7 @@
 pub mod reach;
 pub mod registry;
 pub mod rejections;
+pub mod stated_load;
 pub mod versions;
 
 #[cfg(test)]
@@ -19,6 +20,7 @@
 pub use path::{Path, UpstreamContact};
 pub use registry::{Registry, Upstream};
 pub use rejections::RejectionLimit;
+pub use stated_load::StatedLoad;
 use std::net::SocketAddr;
 pub use versions::VersionHistory;
 
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -5,6 +5,7 @@
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 use crate::upstreams::index::ListIndex;
+use crate::upstreams::stated_load::KnownLoad;
 use crate::upstreams::{
     Health, Lifetime, Notice, NoticeChange, Notices, Path, RejectionLimit, UpstreamContact,
     UpstreamEntry, VersionHistory,
@@ -47,6 +48,8 @@
     pub long_prompts: u32,
     /// Until when the upstream counts as full after it answered that it is.
     pub full_until: Millis,
+    /// The newest load that it stated in an answer, to this host or to another one.
+    pub known_load: Option<KnownLoad>,
     /// When the entry vanished in an outage, if the upstream is kept during the grace period.
     vanished_at: Option<Millis>,
 }
@@ -64,6 +67,7 @@
             prompt_tokens: 0,
             long_prompts: 0,
             full_until: Millis::ZERO,
+            known_load: None,
             vanished_at: None,
         }
     }
@@ -192,6 +196,8 @@
     pub(super) rejection_limits: IndexMap<Name, RejectionLimit>,
     /// When an answer last said that the upstreams of a service state no such number any more.
     pub(super) rejections_unlimited_at: IndexMap<Name, Millis>,
+    /// The names of upstreams that stated their load, some of which may have been removed since.
+    pub(super) stating: IndexSet<Name>,
 }
 
 impl Registry {
--- a/src/upstreams/tests.rs
+++ b/src/upstreams/tests.rs
@@ -7,6 +7,7 @@
 mod notices;
 mod paths;
 mod rejections;
+mod stated_loads;
 
 fn entry(id: &str) -> UpstreamEntry {
     UpstreamEntry {
--- /dev/null
+++ b/src/upstreams/tests/stated_loads.rs
@@ -0,0 +1,104 @@
+//! Tests of the loads that upstreams state, and of what hosts tell each other of them.
+
+use super::*;
+use crate::upstreams::stated_load::{MAX_TOLD, ToldLoad};
+
+fn load(running: u32) -> StatedLoad {
+    StatedLoad {
+        running,
+        waiting: 0,
+        slots: 4,
+        pace_percent: Some(100),
+    }
+}
+
+fn told(id: &str, running: u32, age_ms: u64) -> ToldLoad {
+    ToldLoad {
+        upstream: lifetime(id, 0),
+        load: load(running),
+        age_ms: Millis(age_ms),
+    }
+}
+
+fn registry(ids: impl Iterator<Item = String>) -> Registry {
+    let mut registry = Registry::default();
+    ids.for_each(|id| {
+        registry.put(entry(&id));
+    });
+    registry
+}
+
+fn running(registry: &Registry, id: &str) -> Option<u32> {
+    let known = registry.get(id).and_then(|upstream| upstream.known_load);
+    known.map(|known| known.load.running)
+}
+
+/// Guards against a statement of a former process that steers requests to its successor.
+#[test]
+fn a_new_lifetime_has_stated_nothing() {
+    let mut registry = registry(["a".to_string()].into_iter());
+    registry.note_stated_load(Millis(10), &lifetime("a", 0), load(3));
+    assert_eq!(running(&registry, "a"), Some(3));
+    registry.note_restarted(&lifetime("a", 5));
+    assert_eq!(running(&registry, "a"), None);
+    registry.note_stated_load(Millis(20), &lifetime("a", 0), load(3));
+    assert_eq!(running(&registry, "a"), None);
+}
+
+/// Guards against a statement of another host that replaces a newer one, and against absurd values
+/// in a message.
+#[test]
+fn only_newer_and_plausible_statements_are_taken_from_others() {
+    let mut registry = registry(["a".to_string()].into_iter());
+    registry.note_stated_load(Millis(1_000), &lifetime("a", 0), load(1));
+    registry.merge_told_loads(Millis(1_200), &[told("a", 2, 300)], true);
+    assert_eq!(running(&registry, "a"), Some(1));
+    let absurd = ToldLoad {
+        load: StatedLoad {
+            slots: 0,
+            ..load(9)
+        },
+        ..told("a", 9, 10)
+    };
+    registry.merge_told_loads(Millis(1_200), &[absurd, told("b", 2, 0)], true);
+    assert_eq!(running(&registry, "a"), Some(1));
+    registry.merge_told_loads(Millis(1_200), &[told("a", 2, 100)], true);
+    assert_eq!(running(&registry, "a"), Some(2));
+    registry.merge_told_loads(Millis(9_000), &[told("a", 3, 1_000)], true);
+    assert_eq!(running(&registry, "a"), Some(2));
+}
+
+/// Guards against messages that grow with the number of upstreams, repeat statements, or carry
+/// those of engines and old ones.
+#[test]
+fn messages_have_the_newest_statements_once() {
+    let ids = || (0..40).map(|number| format!("u{number}"));
+    let mut registry = registry(ids());
+    for (number, id) in ids().enumerate() {
+        registry.note_stated_load(Millis(number as u64), &lifetime(&id, 0), load(1));
+    }
+    let now = Millis(100);
+    assert!(registry.loads_to_report(now, |_| false).is_empty());
+    let reported = registry.loads_to_report(now, |_| true);
+    assert_eq!(reported.len(), MAX_TOLD);
+    assert_eq!(
+        reported[0],
+        ToldLoad {
+            age_ms: Millis(61),
+            ..told("u39", 1, 0)
+        }
+    );
+    let next = registry.loads_to_report(now, |_| true);
+    assert!(next.iter().all(|load| !reported.contains(load)));
+    assert_eq!(registry.loads_to_tell(now, &[], |_| true), reported);
+    let others = registry.loads_to_tell(now, &reported[..4], |_| true);
+    assert!(others.iter().all(|load| !reported[..4].contains(load)));
+    registry.merge_told_loads(now, &[told("u0", 2, 0)], true);
+    let next = registry.loads_to_report(now, |_| true);
+    assert!(next.iter().all(|load| &*load.upstream.id != "u0"));
+    assert!(
+        registry
+            .loads_to_tell(Millis(1_100), &[], |_| true)
+            .is_empty()
+    );
+}
--- a/standins/src/engine/args.rs
+++ b/standins/src/engine/args.rs
@@ -105,6 +105,9 @@
     /// lag of load reports
     #[argh(option, default = "0")]
     report_lag_ms: u64,
+    /// whether every answer states the load
+    #[argh(switch)]
+    states_load: bool,
     /// seed of random draws
     #[argh(option, default = "0")]
     seed: u64,
@@ -142,6 +145,8 @@
     pub slots: u32,
     /// How many requests wait for a slot.
     pub queue_limit: usize,
+    /// Whether every answer states the load.
+    pub states_load: bool,
     /// The pace of decoding and prefill.
     pub pace: Pace,
     /// What a prompt has that ends the engine.
@@ -223,6 +228,7 @@
                 batch_slowdown_percent: self.batch_slowdown_percent,
             },
             crash_on: self.crash_on,
+            states_load: self.states_load,
             hold_ms: self.hold_ms,
             load_ms: self.load_ms,
             unload_ms: self.unload_ms,
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -33,7 +33,7 @@
 use crate::engine::runs::HeldRuns;
 use crate::error::{Refusal, StandInError};
 use crate::hosts::Role;
-use crate::http::{Answer, Request, StandIn};
+use crate::http::{Answer, Load, Request, StandIn};
 use crate::notifier::Notifier;
 use crate::registration::{HostDescription, registered};
 use crate::server::Server;
@@ -196,4 +196,15 @@
     fn is_leaving(&self) -> bool {
         self.0.is_leaving()
     }
+
+    fn stated_load(&self) -> Option<Load> {
+        let engine = &self.0;
+        let batch = engine.batch();
+        engine.settings.states_load.then(|| Load {
+            running: batch.running() as usize,
+            waiting: batch.queued(),
+            slots: engine.settings.slots as usize,
+            pace_percent: 100,
+        })
+    }
 }
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -16,6 +16,8 @@
 pub const NOT_RUN: &str = "not_run";
 /// The answer header by which an upstream says that it is leaving, with the value `1`.
 pub const LEAVING_HEADER: &str = "x-mangovale-leaving";
+/// The answer header in which an upstream states its load, as [`Load`] formats it.
+pub const LOAD_HEADER: &str = "x-server-load";
 /// Paths below this prefix steer the stand-in itself and suffer no faults.
 pub const ADMIN_PREFIX: &str = "/admin/";
 /// The largest request body that is read.
@@ -168,6 +170,31 @@
     }
 }
 
+/// The load of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// How many requests run.
+    pub running: usize,
+    /// How many requests wait.
+    pub waiting: usize,
+    /// How many requests run at once at most.
+    pub slots: usize,
+    /// How long work takes now, in percent of the usual time.
+    pub pace_percent: u32,
+}
+
+impl std::fmt::Display for Load {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            running,
+            waiting,
+            slots,
+            pace_percent,
+        } = self;
+        write!(f, "{running},{waiting},{slots},{pace_percent}")
+    }
+}
+
 /// Part of the platform that answers requests.
 pub trait StandIn: Send + Sync + 'static {
     /// Answers one request.
@@ -186,4 +213,9 @@
     fn is_leaving(&self) -> bool {
         false
     }
+
+    /// Returns the load that every answer states; none if it is not stated.
+    fn stated_load(&self) -> Option<Load> {
+        None
+    }
 }
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -18,7 +18,7 @@
 use crate::counters::Counters;
 use crate::error::{ListenSnafu, Refusal, StandInError};
 use crate::faults::{Faults, Loss};
-use crate::http::{Answer, AnswerBody, Chunks, LEAVING_HEADER};
+use crate::http::{Answer, AnswerBody, Chunks, LEAVING_HEADER, LOAD_HEADER};
 use crate::http::{MAX_BODY_BYTES, NOT_RUN, RUN_HEADER};
 use crate::http::{Request, StandIn};
 use crate::transport::{ConnectionSwitch, SwitchAcceptor, SwitchedTransport};
@@ -126,6 +126,9 @@
                 if self.stand_in.is_leaving() {
                     conn.insert_response_header(LEAVING_HEADER, "1");
                 }
+                if let Some(load) = self.stand_in.stated_load() {
+                    conn.insert_response_header(LOAD_HEADER, load.to_string());
+                }
                 write_answer(conn, answer)
             }
             None => conn,
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -12,7 +12,7 @@
 use crate::clock::sleep_ms;
 use crate::error::{Refusal, StandInError};
 use crate::hosts::Role;
-use crate::http::{Answer, Request, StandIn};
+use crate::http::{Answer, Load, Request, StandIn};
 use crate::registration::{HostDescription, registered};
 use crate::server::Server;
 
@@ -45,6 +45,12 @@
     /// how many calls run at once; more are refused
     #[argh(option, default = "1024")]
     max_running: usize,
+    /// whether every answer states the load
+    #[argh(switch)]
+    states_load: bool,
+    /// how long calls take, in percent of the usual time
+    #[argh(option, default = "100")]
+    pace_percent: u32,
 }
 
 /// Asks a stand-in to leave, or to stay.
@@ -81,6 +87,8 @@
 struct PlainService {
     work_ms: u64,
     max_running: usize,
+    states_load: bool,
+    pace_percent: u32,
     running: AtomicUsize,
     leaving: AtomicBool,
     counts: Mutex<RunCounts>,
@@ -96,6 +104,8 @@
     let service = Arc::new(PlainService {
         work_ms: args.work_ms,
         max_running: args.max_running,
+        states_load: args.states_load,
+        pace_percent: args.pace_percent,
         running: AtomicUsize::new(0),
         leaving: AtomicBool::new(false),
         counts: Mutex::default(),
@@ -161,8 +171,9 @@
         let _running = self.start()?;
         let operation_id = request.header(OPERATION_HEADER);
         let run = operation_id.map(|id| self.count_run(id)).transpose()?;
-        if self.work_ms > 0 {
-            sleep_ms(self.work_ms).await;
+        let work_ms = self.work_ms.saturating_mul(self.pace_percent.into()) / 100;
+        if work_ms > 0 {
+            sleep_ms(work_ms).await;
         }
         Ok(Answer::ok(&Echo {
             method: request.method.as_str(),
@@ -205,4 +216,13 @@
     fn is_leaving(&self) -> bool {
         Self::is_leaving(self)
     }
+
+    fn stated_load(&self) -> Option<Load> {
+        self.states_load.then(|| Load {
+            running: self.running.load(Ordering::SeqCst).min(self.max_running),
+            waiting: 0,
+            slots: self.max_running,
+            pace_percent: self.pace_percent,
+        })
+    }
 }
--- a/standins/tests/standins/service.rs
+++ b/standins/tests/standins/service.rs
@@ -68,3 +68,18 @@
     let service = Process::start("service", &format!("{ARGS} --max-running 0"));
     service.get("/placements").assert_refused(429, "busy");
 }
+
+/// Guards against a load that is stated unasked, or not on refusals.
+#[test]
+fn answers_state_the_load_if_asked_to() {
+    let options = "--states-load --max-running 6 --pace-percent 250";
+    let service = Process::start("service", &format!("{ARGS} {options}"));
+    let load = Some("0,0,6,250");
+    assert_eq!(service.get("/slots").load.as_deref(), load);
+    service.post("/admin/leaving", &json!({"leaving": true}));
+    assert_eq!(service.get("/slots").load.as_deref(), load);
+    let silent = Process::start("service", ARGS);
+    assert_eq!(silent.get("/slots").load, None);
+    let engine = Process::start_engine("--slots 8 --states-load");
+    assert_eq!(engine.get("/state").load.as_deref(), Some("0,0,8,100"));
+}
--- a/standins/tests/standins/support.rs
+++ b/standins/tests/standins/support.rs
@@ -113,6 +113,7 @@
     pub status: u16,
     pub not_run: bool,
     pub retry_after: Option<String>,
+    pub load: Option<String>,
     pub body: String,
 }
 
@@ -205,6 +206,7 @@
             let headers = conn.response_headers();
             let not_run = headers.get_str("x-mangovale-run") == Some("not_run");
             let retry_after = headers.get_str("retry-after").map(str::to_owned);
+            let load = headers.get_str("x-server-load").map(str::to_owned);
             let status = conn.status()? as u16;
             let mut received = Vec::new();
             let read = conn.response_body().read_to_end(&mut received).await;
@@ -212,6 +214,7 @@
                 status,
                 not_run,
                 retry_after,
+                load,
                 body: String::from_utf8(received).ok()?,
             };
             conn.recycle().await;
