--- a/src/routing/service_wait.rs
+++ b/src/routing/service_wait.rs
@@ -13,6 +13,9 @@
 /// The age at which a stated number of requests no longer counts: some times as long as a short
 /// request takes, as the requests that were stated have ended by then.
 const LOAD_VALIDITY_MS: Millis = Millis(300);
+/// The weight of a stated running request, where that of a waiting one is 1: requests that run end
+/// soon, and delay no other one while slots are free.
+const RUNNING_WEIGHT: f64 = 0.3;
 /// The age at which a stated pace no longer counts. The pace changes less often than the number of
 /// requests.
 const PACE_VALIDITY_MS: Millis = Millis(1_000);
@@ -62,7 +65,9 @@
         let Some(statement) = self.statement else {
             return own;
         };
-        let stated = f64::from(statement.load.requests()) + f64::from(statement.begun_since);
+        let stated = f64::from(statement.load.running) * RUNNING_WEIGHT
+            + f64::from(statement.load.waiting)
+            + f64::from(statement.begun_since);
         own + (stated - own).max(0.0) * statement.weight(LOAD_VALIDITY_MS)
     }
 
--- a/src/routing/tests/pick.rs
+++ b/src/routing/tests/pick.rs
@@ -9,7 +9,7 @@
 
 const SLOTS: u32 = 24;
 
-fn engines(count: usize) -> Registry {
+pub fn engines(count: usize) -> Registry {
     let mut registry = Registry::default();
     for number in 0..count {
         registry.put(UpstreamEntry {
--- a/src/routing/tests/service_wait.rs
+++ b/src/routing/tests/service_wait.rs
@@ -3,7 +3,9 @@
 mod model;
 
 use self::model::{Choice, Conditions, run_all};
+use super::pick::engines;
 use crate::prelude::*;
+use crate::routing::pick;
 use crate::routing::service_wait::{Candidate, Draw, ServiceLoad, Statement, choose};
 use crate::upstreams::StatedLoad;
 
@@ -140,3 +142,38 @@
         }
     }
 }
+
+/// Returns which of three upstreams is chosen in 60 draws: this host has a request at `u0`, and
+/// `u1` has stated a long queue with this pace, `age_ms` ago.
+fn chosen_ids(pace_percent: Option<u32>, age_ms: u64) -> IndexSet<Name> {
+    let now = Millis(20_000);
+    let mut registry = engines(3);
+    let lifetime = |id: &str| registry.get(id).expect("it is listed").lifetime();
+    let (busy, queued) = (lifetime("e0"), lifetime("e1"));
+    registry.begin_request(&busy, 0);
+    let load = StatedLoad {
+        running: 24,
+        waiting: 90,
+        slots: 24,
+        pace_percent,
+    };
+    registry.note_stated_load(now - Millis(age_ms), &queued, load);
+    let mut random = fastrand::Rng::with_seed(3);
+    let chosen = (0..60).map(|_| {
+        let upstream = pick::service(now, registry.iter(), "here", &mut random);
+        upstream.expect("one is chosen").entry.id.clone()
+    });
+    chosen.collect()
+}
+
+/// Guards against another choice than before where no upstream states its pace, or stated it long
+/// ago, and against requests to an upstream with a stated queue.
+#[test]
+fn statements_decide_only_where_a_pace_was_stated_recently() {
+    let names =
+        |names: &[&str]| -> IndexSet<Name> { names.iter().map(|name| (*name).into()).collect() };
+    assert_eq!(chosen_ids(None, 10), names(&["e1", "e2"]));
+    assert_eq!(chosen_ids(Some(100), 10_000), names(&["e1", "e2"]));
+    assert_eq!(chosen_ids(Some(100), 10), names(&["e2", "e0"]));
+    assert_eq!(chosen_ids(Some(100), 0), names(&["e2"]));
+}
--- a/src/upstreams/stated_load.rs
+++ b/src/upstreams/stated_load.rs
@@ -42,11 +42,6 @@
             .is_none_or(|pace| (1..=MAX_PACE_PERCENT).contains(&pace));
         (has_plausible_counts && has_plausible_pace && self.slots > 0).then_some(self)
     }
-
-    /// Returns the number of requests at the upstream.
-    pub fn requests(&self) -> u32 {
-        self.running.saturating_add(self.waiting)
-    }
 }
 
 /// The newest statement of an upstream's load that this host knows.
--- a/src/upstreams/tests/stated_loads.rs
+++ b/src/upstreams/tests/stated_loads.rs
@@ -102,3 +102,16 @@
             .is_empty()
     );
 }
+
+/// Guards against messages that take more than the 2 KB a second that a host may send and get more.
+#[test]
+fn a_full_message_stays_small() {
+    let loads: Vec<ToldLoad> = (0..MAX_TOLD)
+        .map(|number| ToldLoad {
+            upstream: lifetime(&format!("i-db72d263{number:02}"), 1_790_000_000_000),
+            ..told("", 1_000, 999)
+        })
+        .collect();
+    let bytes = postcard::to_stdvec(&loads).expect("loads are encoded");
+    assert!(bytes.len() <= 500, "{}", bytes.len());
+}
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -199,8 +199,11 @@
 
     fn stated_load(&self) -> Option<Load> {
         let engine = &self.0;
+        if !engine.settings.states_load {
+            return None;
+        }
         let batch = engine.batch();
-        engine.settings.states_load.then(|| Load {
+        Some(Load {
             running: batch.running() as usize,
             waiting: batch.queued(),
             slots: engine.settings.slots as usize,
