--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -80,11 +80,10 @@
             .map(|organisation| &organisation.name)
     }
 
-    /// Returns the request's priority, 0 being the most urgent: that of its organisation if it has
-    /// one, else that of its route.
+    /// Returns the priority of the request: that of its organisation if it has one, else that of its
+    /// route. 0 is the most urgent.
     pub fn rank(&self) -> u8 {
-        let organisation = self.identity.organisation();
-        let own = organisation.and_then(|organisation| organisation.rank);
+        let own = self.identity.organisation().and_then(|own| own.rank);
         own.unwrap_or(self.route.rank)
     }
 
