Streams wait for a living engine

A resumable stream was given up after two fifths of its time and sent to the next, equally overloaded engine, so the load doubled. Now it leaves an engine only if that gives no sign of life within the predicted time to the first event plus one second, or if another engine is predicted to take at most half of what is left. Plain services keep their rule.

--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -94,6 +94,10 @@
             let why = match self.next_piece(&mut answer, log).await {
                 Piece::Bytes(bytes) => {
                     answer.note_goes_on(self.host, self.request);
+                    let now = self.host.now();
+                    let mut upstreams = self.host.upstreams.borrow_mut();
+                    upstreams.note_heard(now, &answer.upstream);
+                    drop(upstreams);
                     self.buffer.extend_from_slice(&bytes);
                     continue;
                 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -15,6 +15,7 @@
 use crate::entry::platform::{Platform, SendFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
 use crate::entry::resumption::take_up::{needed_version, version_gone};
+use crate::entry::sending::answer_wait::AnswerLimit;
 use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::choice::{choose, out_of_reach, prefix_source};
 use crate::entry::sending::send::{self, SendOutcome, StartedAnswer};
@@ -343,14 +344,8 @@
         resume_after,
     };
     host.platform.set_upstream_headers(&mut headers, &facts);
-    let answer_by = match request.route.repeat {
-        // If this upstream does not answer, there must be time left for another one.
-        Repeat::Idempotent | Repeat::Resumable if attempts.runs + 1 < request.route.attempts => {
-            now + Millis(left_ms.0 * 2 / 5)
-        }
-        _ => request.deadline_at - ANSWER_MARGIN_MS,
-    };
-    let sent = send::send(host, request, upstream, headers, answer_by).await;
+    let limit = AnswerLimit::of(host, request, upstream, attempts);
+    let sent = send::send(host, request, upstream, headers, &limit).await;
     log.summary.note_result(sent.name());
     host.metrics.count_send(sent.name());
     sent
--- a/src/entry/sending/attempts.rs
+++ b/src/entry/sending/attempts.rs
@@ -61,6 +61,16 @@
         self.excluded.push(upstream);
     }
 
+    /// Returns attempts by which an upstream is chosen that may follow `upstream`.
+    pub fn excluding(&self, upstream: &Name) -> Self {
+        let excluded = self.excluded.iter().chain([upstream]);
+        Self {
+            excluded: excluded.cloned().collect(),
+            software_version: self.software_version.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Excludes an upstream that could not be reached in an attempt that began at `began_at`.
     pub fn note_unreached(&mut self, upstream: Name, began_at: Millis) {
         self.unreached_since.get_or_insert(began_at);
--- a/src/entry/sending/choice.rs
+++ b/src/entry/sending/choice.rs
@@ -181,6 +181,22 @@
     Some(source.address())
 }
 
+/// Returns how many tokens of a request's prompt an engine would read.
+pub fn unread_tokens<P: Platform>(host: &Host<P>, request: &ActiveRequest, engine: &Name) -> f64 {
+    let shape = prompt_shape(&request.facts);
+    let Some(model) = &request.facts.model else {
+        return shape.tokens as f64;
+    };
+    let now = host.now();
+    let upstreams = host.upstreams.borrow();
+    let orderer_state = host.orderer_state.borrow();
+    let copies = model_copies(&orderer_state, model, fetch_share(host, request));
+    let holding: Vec<&Upstream> = holders(&upstreams, &orderer_state, now, &request.service, model)
+        .filter(|other| pick::is_available(now, other))
+        .collect();
+    pick::unread_tokens(&copies, holding.into_iter(), shape, engine)
+}
+
 /// Returns the engines of a service that hold a model and are not leaving. What the orderer
 /// published about an engine takes precedence over the engine's own entry in the list of upstreams.
 pub fn holders<'a>(
--- a/src/entry/sending/exchange.rs
+++ b/src/entry/sending/exchange.rs
@@ -162,6 +162,7 @@
             .await?;
         let facts = host.platform.read_answer(&head, &upstream.id);
         paths::note_answered(host);
+        host.upstreams.borrow_mut().note_heard(host.now(), upstream);
         host.upstreams.borrow_mut().note_rejection_limit(
             host.now(),
             upstream,
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -11,6 +11,7 @@
 use crate::entry::paths;
 use crate::entry::platform::Platform;
 use crate::entry::rejections;
+use crate::entry::sending::answer_wait::{AnswerLimit, Unanswered, wait_for_answer};
 use crate::entry::sending::exchange::{Exchanged, exchange};
 use crate::entry::sending::in_flight::InFlight;
 use crate::entry::sending::pool::UpstreamConnection;
@@ -37,8 +38,6 @@
 /// After how long without an answer a plain service counts as unreachable. It may be silent for a
 /// second or so and go on.
 const UNREACHABLE_MS: Millis = Millis(2_000);
-/// The `why` in the log line of a send that got no answer before its deadline.
-const NO_ANSWER: &str = "no answer in time";
 /// The statuses that tell a caller that its request has not run. Such a status from an upstream is
 /// passed on only if the upstream also says explicitly that it did not run the request.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -195,14 +194,14 @@
     failure_share: f64,
 }
 
-/// Sends a request to an upstream and waits for the start of its answer until `answer_by`. Updates
-/// the upstream's health and limits, and logs an attempt that got no answer.
+/// Sends a request to an upstream and waits for the start of its answer as long as `limit` says.
+/// Updates the upstream's health and limits, and logs an attempt that got no answer.
 pub async fn send<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     upstream: &Name,
     headers: Headers,
-    answer_by: Millis,
+    limit: &AnswerLimit,
 ) -> SendOutcome {
     let known = host
         .upstreams
@@ -220,7 +219,7 @@
         reused: false,
         began_at: host.now(),
     };
-    let Some(mut connection) = connect(host, request, upstream, answer_by).await else {
+    let Some(mut connection) = connect(host, request, upstream, limit.at_latest).await else {
         attempt.log("not_sent", None, Some("cannot connect"));
         return SendOutcome::Unreached {
             began_at: attempt.began_at,
@@ -254,30 +253,31 @@
         headers,
         &mut in_flight,
     );
-    let left_ms = answer_by.since(host.now());
-    let answer = with_timeout(left_ms, exchange).await;
-    if let Some(Err(ReadError::Ended | ReadError::Broken { .. })) = &answer {
+    let answer = wait_for_answer(host, request, upstream, limit, exchange).await;
+    if let Ok(Err(ReadError::Ended | ReadError::Broken { .. })) = &answer {
         detection::note_broken_run(host, request, upstream, attempt.began_at, None).await;
     }
     let now = host.now();
-    let fail = |why: &str, unreachable: bool| {
-        if unreachable || why != NO_ANSWER {
-            note_failure(host, upstream, now, unreachable);
-        }
+    let fail = |why: &str| {
+        note_failure(host, upstream, now, false);
         attempt.log("perhaps_run", None, Some(why));
         SendOutcome::MayHaveRun
     };
     match answer {
-        None => {
+        Err(unanswered) => {
             // A request with a short timeout of its own says nothing about the upstream's health,
             // but the other connections to it may be dead as well.
-            host.pool.close_idle(&upstream.id);
-            let is_unreachable =
-                now.since(attempt.began_at) >= UNREACHABLE_MS && !request.at_engine;
-            fail(NO_ANSWER, is_unreachable)
+            if unanswered != Unanswered::FasterElsewhere {
+                host.pool.close_idle(&upstream.id);
+            }
+            if now.since(attempt.began_at) >= UNREACHABLE_MS && !request.at_engine {
+                note_failure(host, upstream, now, true);
+            }
+            attempt.log("perhaps_run", None, Some(unanswered.why()));
+            SendOutcome::MayHaveRun
         }
-        Some(Err(error)) => fail(&error.to_string(), false),
-        Some(Ok(Exchanged {
+        Ok(Err(error)) => fail(&error.to_string()),
+        Ok(Ok(Exchanged {
             head,
             body_start,
             reader,
@@ -308,10 +308,10 @@
                 };
             }
             if NOT_RUN_STATUSES.contains(&head.status) {
-                return fail("a refusal that does not say that it did not run", false);
+                return fail("a refusal that does not say that it did not run");
             }
             if !facts.is_sealed && head.status < 500 {
-                return fail("an answer without a seal", false);
+                return fail("an answer without a seal");
             }
             match head.status >= 500 {
                 true => note_failure(host, upstream, now, false),
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -118,6 +118,24 @@
         .max_by_key(|upstream| affinity(&upstream.entry.id, prompt.prefix_digest))
 }
 
+/// Returns how many tokens of a prompt an engine reads: its preferred engine has the shared prefix,
+/// and others read it again or fetch it.
+pub fn unread_tokens<'a>(
+    model: &ModelCopies<'_>,
+    holders: impl Iterator<Item = &'a Upstream> + Clone,
+    prompt: PromptShape,
+    engine: &str,
+) -> f64 {
+    const NO_RECEIVER: &str = "";
+    let preferred = prefix_source(model, holders, prompt, NO_RECEIVER);
+    let shared_tokens = prompt.shared_tokens.min(prompt.tokens);
+    let prefix_tokens = match preferred {
+        Some(preferred) if &*preferred.entry.id == engine => 0.0,
+        _ => shared_tokens as f64 * model.prefix_miss_cost,
+    };
+    (prompt.tokens - shared_tokens) as f64 + prefix_tokens
+}
+
 /// Chooses the engine with the lowest predicted wait among those that hold the model, are available
 /// and are not full; `None` if there is none. Waits are compared in prompt tokens.
 pub fn engine<'a>(
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of first-byte timeouts and of the schedule of engine reports.
 
+mod first_event;
 mod pick;
 
 use crate::membership::message::{UpstreamEntry, UpstreamRole};
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -47,6 +47,8 @@
     pub long_prompts: u32,
     /// Until when the upstream counts as full after it answered that it is.
     pub full_until: Millis,
+    /// When this host last got an answer's head or an event from the upstream.
+    pub heard_at: Option<Millis>,
     /// When the entry vanished in an outage, if the upstream is kept during the grace period.
     vanished_at: Option<Millis>,
 }
@@ -64,6 +66,7 @@
             prompt_tokens: 0,
             long_prompts: 0,
             full_until: Millis::ZERO,
+            heard_at: None,
             vanished_at: None,
         }
     }
@@ -460,6 +463,13 @@
         past.notices.record(now, notice)
     }
 
+    /// Records that an answer's head or an event came from an upstream.
+    pub fn note_heard(&mut self, now: Millis, lifetime: &Lifetime) {
+        if let Some(upstream) = self.get_lifetime_mut(lifetime) {
+            upstream.heard_at = Some(now);
+        }
+    }
+
     /// Counts a request of this host at an upstream, if the given lifetime is the known one.
     pub fn begin_request(&mut self, lifetime: &Lifetime, prompt_tokens: u64) {
         let Some(upstream) = self.get_lifetime_mut(lifetime) else {
