Refuse at once what an engine cannot begin in time

Only the wait for a slot was predicted, so requests went to engines that read other prompts until their callers left. The first event is now predicted from the waiting prompts of all hosts, the slots and the part of the prompt that is not cached, corrected by the ratio of observed to predicted times that a host learns for each service. A refusal names the excess as its retry time.

--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -19,6 +19,7 @@
 use crate::prelude::*;
 use crate::rate_limit::{Limiter, SharedLimits, UpstreamLimits};
 use crate::retry::{RetryBudget, RetryState};
+use crate::routing::first_event::ReadingRatio;
 use crate::routing::occupancy::Occupancy;
 use crate::upstreams::Registry;
 use event_listener::{Event as Wakeup, EventListener};
@@ -71,6 +72,9 @@
     pub limits: RefCell<SharedLimits>,
     /// How long requests of each service occupy an engine slot, averaged over this host's answers.
     pub occupancy: RefCell<IndexMap<Name, Occupancy>>,
+    /// How long first events of each service take, as a multiple of the predicted time, learned from
+    /// this host's answers.
+    pub reading_ratios: RefCell<IndexMap<Name, ReadingRatio>>,
     /// When a planned stop was requested.
     pub stop_requested_at: Cell<Option<Millis>>,
     /// The number of requests of which the head was read and the answer has not ended.
@@ -126,6 +130,7 @@
             demand: RefCell::default(),
             retries: RefCell::default(),
             occupancy: RefCell::default(),
+            reading_ratios: RefCell::default(),
             stop_requested_at: Cell::new(None),
             active_requests: Cell::new(0),
             held_body_bytes: Cell::new(0),
@@ -205,6 +210,11 @@
         answered_at.is_some_and(|at| now.since(at) < ORDERER_STALE_MS)
     }
 
+    /// Tells whether this host knows the load that other hosts place on engines, or has no others.
+    pub fn knows_load_of_others(&self, now: Millis) -> bool {
+        self.members.borrow().count() <= 1 || self.has_recent_orderer_answer(now)
+    }
+
     /// Tells whether other hosts would refuse this host's connections, because the group does not
     /// list it yet. Hundreds of hosts may be in this state at once. A host that was listed before
     /// can go on using its open connections, also after the group dropped it.
--- a/src/entry/sending/answer_wait.rs
+++ b/src/entry/sending/answer_wait.rs
@@ -7,7 +7,9 @@
 use crate::entry::platform::Platform;
 use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::choice::choose;
-use crate::entry::sending::prediction::predict;
+use crate::entry::sending::exchange::Exchanged;
+use crate::entry::sending::prediction::{Observation, Prediction, heard_at, predict};
+use crate::http1::ReadError;
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use crate::routing::answer_wait::AwaitedAnswer;
@@ -21,15 +23,11 @@
 pub struct AnswerLimit {
     /// When the wait ends in any case.
     pub at_latest: Millis,
-    /// What ends the wait sooner; none if nothing does.
-    engine: Option<EngineWait>,
-}
-
-/// The wait for an engine that is left when it is silent or another one is clearly faster.
-struct EngineWait {
-    predicted_ms: Millis,
-    /// The engines that are not tried again, this one included.
-    other_attempts: Attempts,
+    /// What is predicted for the first event, at an engine.
+    prediction: Option<Prediction>,
+    /// By which another engine is chosen, if the engine is left when it is silent or another one is
+    /// clearly faster.
+    other_attempts: Option<Attempts>,
 }
 
 /// Why a send ended without an answer.
@@ -68,24 +66,17 @@
             Repeat::Idempotent | Repeat::Resumable => attempts.runs + 1 < request.route.attempts,
             Repeat::Once => false,
         };
-        let at_deadline = |engine| Self {
-            at_latest: request.deadline_at - ANSWER_MARGIN_MS,
-            engine,
+        let prediction = predict(host, request, upstream);
+        let is_engine_stream = prediction.is_some() && request.may_be_taken_up();
+        let at_latest = match may_run_again && !is_engine_stream {
+            true => now + Millis(request.deadline_at.since(now).0 * 2 / 5),
+            false => request.deadline_at - ANSWER_MARGIN_MS,
         };
-        if !may_run_again {
-            return at_deadline(None);
-        }
-        let may_wait = request.at_engine && request.may_be_taken_up();
-        let prediction = may_wait.then(|| predict(host, request, upstream)).flatten();
-        match prediction {
-            Some(prediction) => at_deadline(Some(EngineWait {
-                predicted_ms: prediction.first_event_ms,
-                other_attempts: attempts.excluding(upstream),
-            })),
-            None => Self {
-                at_latest: now + Millis(request.deadline_at.since(now).0 * 2 / 5),
-                engine: None,
-            },
+        let may_leave = may_run_again && is_engine_stream;
+        Self {
+            at_latest,
+            prediction,
+            other_attempts: may_leave.then(|| attempts.excluding(upstream)),
         }
     }
 }
@@ -95,58 +86,58 @@
 /// # Errors
 ///
 /// Returns why the wait ended without one.
-pub async fn wait_for_answer<P: Platform, T>(
+pub async fn wait_for_answer<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     upstream: &Lifetime,
     limit: &AnswerLimit,
-    answer: impl Future<Output = T>,
-) -> Result<T, Unanswered> {
+    answer: impl Future<Output = Result<Exchanged, ReadError>>,
+) -> Result<Result<Exchanged, ReadError>, Unanswered> {
     let mut answer = pin!(answer);
+    let mut observation = Observation::new(host, request, upstream, limit.prediction);
     let sent_at = host.now();
     loop {
-        let now = host.now();
-        let left_ms = limit.at_latest.since(now);
-        let wait_ms = match &limit.engine {
+        let left_ms = limit.at_latest.since(host.now());
+        let wait_ms = match &limit.other_attempts {
             Some(_) => left_ms.min(CHECK_MS),
             None => left_ms,
         };
         if let Some(answer) = with_timeout(wait_ms, &mut answer).await {
+            let status = answer.as_ref().ok().map(|answer| answer.head.status);
+            observation.end(status);
             return Ok(answer);
         }
-        let now = host.now();
-        if now >= limit.at_latest {
+        if host.now() >= limit.at_latest {
             return Err(Unanswered::TimedOut);
         }
-        if let Some(engine) = &limit.engine {
+        if let (Some(attempts), Some(prediction)) = (&limit.other_attempts, limit.prediction) {
             let awaited = AwaitedAnswer {
                 sent_at,
-                predicted_ms: engine.predicted_ms,
+                predicted_ms: prediction.first_event_ms,
                 caller_leaves_at: request.first_byte_deadline_at,
             };
-            check(host, request, upstream, engine, awaited)?;
+            check(host, request, upstream, attempts, awaited)?;
         }
     }
 }
 
-/// Checks whether a request waits on for its engine's answer.
+/// Checks whether a request waits on for its engine's answer. Another engine is compared only while
+/// this host knows its load.
 fn check<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     upstream: &Lifetime,
-    engine: &EngineWait,
+    other_attempts: &Attempts,
     awaited: AwaitedAnswer,
 ) -> Result<(), Unanswered> {
     let now = host.now();
-    let heard_at = host
-        .upstreams
-        .borrow()
-        .get_lifetime(upstream)
-        .and_then(|known| known.heard_at);
-    if awaited.is_silent(now, heard_at) {
+    if awaited.is_silent(now, heard_at(host, upstream)) {
         return Err(Unanswered::Silent);
     }
-    let other = choose(host, request, &engine.other_attempts);
+    if !host.knows_load_of_others(now) {
+        return Ok(());
+    }
+    let other = choose(host, request, other_attempts);
     let other = other.and_then(|other| predict(host, request, &other));
     match other {
         Some(other) if awaited.is_clearly_faster(now, other.first_event_ms) => {
--- a/src/entry/sending/prediction.rs
+++ b/src/entry/sending/prediction.rs
@@ -6,6 +6,8 @@
 use crate::entry::sending::choice::unread_tokens;
 use crate::prelude::*;
 use crate::routing::first_event::EngineBacklog;
+use crate::routing::pick::UpstreamLoad;
+use crate::upstreams::Lifetime;
 
 /// The prediction for a request that is sent to an engine now.
 #[derive(Clone, Copy, Debug)]
@@ -14,6 +16,8 @@
     pub wait_ms: Millis,
     /// The time until the first event.
     pub first_event_ms: Millis,
+    /// The same without what this host has learned from its answers.
+    pub unlearned_ms: Millis,
 }
 
 /// Predicts the first event of a request at an engine; none for upstreams that are no engines or
@@ -28,12 +32,16 @@
     }
     let backlog = backlog(host, request, engine)?;
     let unread_tokens = unread_tokens(host, request, engine);
+    let factor = learned_factor(host, request);
     Some(Prediction {
-        wait_ms: backlog.wait_ms(),
-        first_event_ms: backlog.first_event_ms(unread_tokens),
+        wait_ms: backlog.wait_ms(factor),
+        first_event_ms: backlog.first_event_ms(unread_tokens, factor),
+        unlearned_ms: backlog.first_event_ms(unread_tokens, 1.0),
     })
 }
 
+/// Returns what is ahead of a request at an engine: the requests of all hosts, or those of this
+/// host alone while it does not know of the others.
 fn backlog<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
@@ -41,7 +49,10 @@
 ) -> Option<EngineBacklog> {
     let upstreams = host.upstreams.borrow();
     let known = upstreams.get(engine)?;
-    let of_others = host.orderer_state.borrow().work(engine);
+    let of_others = match host.knows_load_of_others(host.now()) {
+        true => host.orderer_state.borrow().work(engine),
+        false => UpstreamLoad::default(),
+    };
     let occupancy = host.occupancy(&request.service);
     Some(EngineBacklog {
         slot_wait_ms: occupancy.wait_ms(known.entry.slots, of_others.under_way(known)),
@@ -49,3 +60,75 @@
         ..EngineBacklog::default()
     })
 }
+
+fn learned_factor<P: Platform>(host: &Host<P>, request: &ActiveRequest) -> f64 {
+    let ratios = host.reading_ratios.borrow();
+    let ratio = ratios.get(&request.service).copied().unwrap_or_default();
+    ratio.factor(host.now())
+}
+
+/// Learns from a send how long the first event takes. A send that ends without an answer counts
+/// with the time until then, if that is longer than was predicted and the engine is alive.
+pub struct Observation<'a, P: Platform> {
+    host: &'a Host<P>,
+    request: &'a ActiveRequest,
+    engine: &'a Lifetime,
+    prediction: Option<Prediction>,
+    sent_at: Millis,
+}
+
+impl<'a, P: Platform> Observation<'a, P> {
+    /// Begins when the request is sent.
+    pub fn new(
+        host: &'a Host<P>,
+        request: &'a ActiveRequest,
+        engine: &'a Lifetime,
+        prediction: Option<Prediction>,
+    ) -> Self {
+        Self {
+            host,
+            request,
+            engine,
+            prediction,
+            sent_at: host.now(),
+        }
+    }
+
+    /// Records that the exchange ended, with this status if it gave an answer.
+    pub fn end(&mut self, status: Option<u16>) {
+        let prediction = self.prediction.take();
+        if status == Some(200)
+            && self.request.route.streams
+            && let Some(prediction) = prediction
+        {
+            self.note(prediction);
+        }
+    }
+
+    fn note(&self, prediction: Prediction) {
+        let now = self.host.now();
+        let mut ratios = self.host.reading_ratios.borrow_mut();
+        let ratio = ratios.entry(self.request.service.clone()).or_default();
+        ratio.note(now, prediction.unlearned_ms, now.since(self.sent_at));
+    }
+}
+
+impl<P: Platform> Drop for Observation<'_, P> {
+    fn drop(&mut self) {
+        let Some(prediction) = self.prediction.take() else {
+            return;
+        };
+        let heard_at = heard_at(self.host, self.engine);
+        let is_alive = heard_at.is_some_and(|at| at >= self.sent_at);
+        let took_ms = self.host.now().since(self.sent_at);
+        if is_alive && took_ms > prediction.first_event_ms {
+            self.note(prediction);
+        }
+    }
+}
+
+/// Returns when this host last got anything from an engine.
+pub fn heard_at<P: Platform>(host: &Host<P>, engine: &Lifetime) -> Option<Millis> {
+    let upstreams = host.upstreams.borrow();
+    upstreams.get_lifetime(engine)?.heard_at
+}
--- a/src/entry/sending/waiting.rs
+++ b/src/entry/sending/waiting.rs
@@ -7,6 +7,7 @@
 use crate::entry::request_log::RequestLog;
 use crate::entry::sending::attempts::{Attempts, BUSY_RETRY_AFTER_MS, RETRY_AFTER_MS};
 use crate::entry::sending::choice::{choose, out_of_reach};
+use crate::entry::sending::prediction::predict;
 use crate::entry::sending::unavailable::unavailable;
 use crate::entry::sync;
 use crate::http1::client::with_timeout;
@@ -143,42 +144,22 @@
     own + host.orderer_state.borrow().work(upstream).long_prompts == 0
 }
 
-/// Returns a refusal if the request's first event would come after its caller has given up, as
-/// estimated from the occupied slots of the best engine and the time that answers occupy one.
+/// Returns a refusal if the request's first event is predicted to come after its caller has given
+/// up. The caller is told to retry when it would come in time.
 pub fn late_start_refusal<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     upstream: &Name,
 ) -> Option<Refusal> {
-    if !request.at_engine {
-        return None;
-    }
-    let now = host.now();
-    let wait_ms = slot_wait_ms(host, request, upstream)?;
-    let left_ms = request.first_byte_deadline_at.since(now + FIRST_EVENT_MS);
-    if wait_ms <= left_ms {
+    let prediction = predict(host, request, upstream)?;
+    let left_ms = request.first_byte_deadline_at.since(host.now());
+    let excess_ms = prediction.first_event_ms.since(left_ms);
+    if excess_ms == Millis::ZERO {
         return None;
     }
     let why = "the first event would come after the caller has left";
-    Some(
-        Refusal::new(ErrorKind::Overloaded, why)
-            .with_retry_after((wait_ms - left_ms).max(BUSY_RETRY_AFTER_MS)),
-    )
-}
-
-/// Returns how long a further request would wait for a slot of an engine.
-fn slot_wait_ms<P: Platform>(
-    host: &Host<P>,
-    request: &ActiveRequest,
-    upstream: &Name,
-) -> Option<Millis> {
-    let upstreams = host.upstreams.borrow();
-    let engine = upstreams.get(upstream)?;
-    let under_way = host.orderer_state.borrow().work(upstream).under_way(engine);
-    let occupancy = host.occupancy(&request.service);
-    Some(Millis(
-        occupancy.wait_ms(engine.entry.slots, under_way) as u64
-    ))
+    let refusal = Refusal::new(ErrorKind::Overloaded, why);
+    Some(refusal.with_retry_after(excess_ms.max(BUSY_RETRY_AFTER_MS)))
 }
 
 /// Returns until when a request should wait for an upstream, or the refusal when no upstream can
--- a/src/entry/tests/engine_wait.rs
+++ b/src/entry/tests/engine_wait.rs
@@ -10,19 +10,23 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-const START: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid:1\ndata:a\n\n\r\n";
+/// The start of a stream, with its first event.
+pub const START: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid:1\ndata:a\n\n\r\n";
 const EVENT: &str = "d\r\nid:2\ndata:b\n\n\r\n";
-const END: &str = "0\r\n\r\n";
+/// The end of a stream.
+pub const END: &str = "0\r\n\r\n";
 /// Prompt tokens of other hosts that take an engine longer to read than any request waits here.
 const OVERLOAD_TOKENS: u64 = 2_000_000;
 
-fn request(id: &str, wait_ms: u64) -> String {
+/// Returns a request for the model of the engines whose caller waits for `wait_ms`.
+pub fn request(id: &str, wait_ms: u64) -> String {
     format!(
         "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: {id}\r\nModel: m\r\nWait-Ms: {wait_ms}\r\nContent-Length: 3\r\n\r\nabc"
     )
 }
 
-async fn publish_engines(site: &Site) {
+/// Publishes one service of engines and a route with streams.
+pub async fn publish_engines(site: &Site) {
     let service = Service {
         max_connections: 100,
         engine: Some(EngineSpec::default()),
@@ -41,7 +45,8 @@
     site.until_version(1).await;
 }
 
-async fn start_engine(site: &Site, id: &str, scripts: Vec<Vec<Step>>) -> FakeUpstream {
+/// Starts an engine that holds the model, and lists it.
+pub async fn start_engine(site: &Site, id: &str, scripts: Vec<Vec<Step>>) -> FakeUpstream {
     let engine = FakeUpstream::start(&site.executor, scripts).await;
     let listed = UpstreamEntry {
         models: vec![HeldModel {
@@ -56,7 +61,8 @@
     engine
 }
 
-fn overload(site: &Site, engine: &str) {
+/// Lets other hosts have more prompts at an engine than it reads before any caller leaves.
+pub fn overload(site: &Site, engine: &str) {
     let load = UpstreamLoad {
         prompt_tokens: OVERLOAD_TOKENS,
         ..UpstreamLoad::default()
--- a/src/routing/first_event.rs
+++ b/src/routing/first_event.rs
@@ -1,4 +1,5 @@
-//! Predicts when the first event of a request comes at an engine.
+//! Predicts when the first event of a request comes at an engine, and learns how far such
+//! predictions are off.
 //!
 //! Handles engines that get more prompts than they read: a request that is sent to one, or held
 //! back from it, needs to know how long the prompts ahead of it take.
@@ -15,6 +16,48 @@
 const MIN_SLOWNESS: f64 = 0.2;
 const MAX_SLOWNESS: f64 = 5.0;
 
+/// Bounds of the learned ratio, and of each sample.
+const MIN_RATIO: f64 = 0.25;
+const MAX_RATIO: f64 = 8.0;
+/// Weight of the newest answer in the moving average: after 25 answers, 4% of an earlier error is
+/// left.
+const NEWEST_WEIGHT: f64 = 0.12;
+/// The time without answers after which the ratio returns to 1. Otherwise a service whose requests
+/// are all refused because of a high ratio would have no answers that lower it.
+const MAX_IDLE_MS: Millis = Millis(5_000);
+/// The time in which the logarithm of the ratio halves from then on.
+const HALVING_MS: f64 = 10_000.0;
+
+/// How long first events take at the engines of a service, as a multiple of the predicted time: the
+/// geometric moving average over one host's answers, 1 before the first one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReadingRatio {
+    log_ratio: f64,
+    noted_at: Option<Millis>,
+}
+
+impl ReadingRatio {
+    /// Records the time to an answer's first event, and what was predicted for it with a ratio of 1.
+    pub fn note(&mut self, now: Millis, predicted_ms: Millis, observed_ms: Millis) {
+        let sample = observed_ms.0 as f64 / predicted_ms.0.max(1) as f64;
+        let log_sample = sample.clamp(MIN_RATIO, MAX_RATIO).ln();
+        let log_ratio = self.log_ratio_at(now);
+        self.log_ratio = log_ratio + (log_sample - log_ratio) * NEWEST_WEIGHT;
+        self.noted_at = Some(now);
+    }
+
+    /// Returns by how much a prediction is to be multiplied.
+    pub fn factor(&self, now: Millis) -> f64 {
+        self.log_ratio_at(now).exp().clamp(MIN_RATIO, MAX_RATIO)
+    }
+
+    fn log_ratio_at(&self, now: Millis) -> f64 {
+        let idle_ms = self.noted_at.map_or(Millis::ZERO, |at| now.since(at));
+        let expired_ms = idle_ms - MAX_IDLE_MS;
+        self.log_ratio * 0.5_f64.powf(expired_ms.0 as f64 / HALVING_MS)
+    }
+}
+
 /// What a further request at an engine has to wait for.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineBacklog {
@@ -40,25 +83,27 @@
 }
 
 impl EngineBacklog {
-    /// Returns how long the engine takes until it begins to read a further prompt.
-    pub fn wait_ms(&self) -> Millis {
-        self.bounded_ms(0.0)
+    /// Returns how long the engine takes until it begins to read a further prompt, by the learned
+    /// `factor`.
+    pub fn wait_ms(&self, factor: f64) -> Millis {
+        self.bounded_ms(0.0, factor)
     }
 
     /// Returns the time until the first event of a request of whose prompt the engine has to read
-    /// `unread_tokens`.
-    pub fn first_event_ms(&self, unread_tokens: f64) -> Millis {
-        self.bounded_ms(IDLE_MS + at_least_zero(unread_tokens) / PREFILL_TOKENS_PER_MS)
+    /// `unread_tokens`, by the learned `factor`.
+    pub fn first_event_ms(&self, unread_tokens: f64, factor: f64) -> Millis {
+        let own_ms = IDLE_MS + at_least_zero(unread_tokens) / PREFILL_TOKENS_PER_MS;
+        self.bounded_ms(own_ms, factor)
     }
 
-    fn bounded_ms(&self, own_ms: f64) -> Millis {
+    fn bounded_ms(&self, own_ms: f64, factor: f64) -> Millis {
         let read_ms = self.waiting_tokens as f64 / PREFILL_TOKENS_PER_MS;
         let waits_ms = at_least_zero(self.slot_wait_ms) + at_least_zero(self.memory_wait_ms);
         let slowness = match self.slowness.is_finite() {
             true => self.slowness.clamp(MIN_SLOWNESS, MAX_SLOWNESS),
             false => 1.0,
         };
-        let predicted_ms = (waits_ms + read_ms + own_ms) * slowness;
+        let predicted_ms = (waits_ms + read_ms + own_ms) * slowness * factor;
         Millis(predicted_ms.min(MAX_PREDICTED_MS).round() as u64)
     }
 }
--- a/src/routing/tests/first_event.rs
+++ b/src/routing/tests/first_event.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use crate::routing::answer_wait::AwaitedAnswer;
-use crate::routing::first_event::EngineBacklog;
+use crate::routing::first_event::{EngineBacklog, ReadingRatio};
 
 const SENT_AT: Millis = Millis(10_000);
 
@@ -52,11 +52,11 @@
         waiting_tokens: 38_000,
         slowness: 2.0,
     };
-    assert_eq!(backlog.wait_ms(), Millis(2 * 1_150));
-    assert_eq!(backlog.first_event_ms(3_800.0), Millis(2 * 1_270));
+    assert_eq!(backlog.wait_ms(1.0), Millis(2 * 1_150));
+    assert_eq!(backlog.first_event_ms(3_800.0, 1.0), Millis(2 * 1_270));
     let unknown = EngineBacklog::default();
-    assert_eq!(unknown.wait_ms(), Millis::ZERO);
-    assert_eq!(unknown.first_event_ms(0.0), Millis(20));
+    assert_eq!(unknown.wait_ms(1.0), Millis::ZERO);
+    assert_eq!(unknown.first_event_ms(0.0, 1.0), Millis(20));
 }
 
 /// Guards against a prediction that overflows, is negative or no number after absurd reports.
@@ -70,8 +70,46 @@
                 waiting_tokens,
                 slowness: absurd,
             };
-            assert!(backlog.wait_ms() <= Millis(600_000));
-            assert!(backlog.first_event_ms(absurd) <= Millis(600_000));
+            assert!(backlog.wait_ms(1.0) <= Millis(600_000));
+            assert!(backlog.first_event_ms(absurd, 8.0) <= Millis(600_000));
         }
     }
 }
+
+/// Returns the factor after 25 answers of engines that take `ratio` times the predicted time, at a
+/// host that has learned `learned` before.
+fn factor_after_25(learned: f64, ratio: f64) -> f64 {
+    let mut rate = ReadingRatio::default();
+    let observed_ms = |ratio: f64| Millis((1_000.0 * ratio) as u64);
+    let mut now = Millis(1_000);
+    for (count, ratio) in [(200, learned), (25, ratio)] {
+        for _ in 0..count {
+            now += Millis(200);
+            rate.note(now, Millis(1_000), observed_ms(ratio));
+        }
+    }
+    rate.factor(now)
+}
+
+/// Guards against a learned rate that stays wrong after the engines' speed has changed.
+#[test]
+fn wrong_reading_rate_recovers_within_25_answers() {
+    for (learned, ratio) in [(1.0, 4.0), (1.0, 0.3), (8.0, 1.0), (0.25, 1.0), (0.25, 8.0)] {
+        let factor = factor_after_25(learned, ratio);
+        let error = factor / ratio;
+        assert!((0.8..=1.25).contains(&error), "{learned} {ratio}: {factor}");
+    }
+}
+
+/// Guards against a host that refuses every request for ever, after slow answers, because it gets no
+/// further answers to learn from.
+#[test]
+fn reading_rate_returns_to_the_prior_without_answers() {
+    let mut rate = ReadingRatio::default();
+    let now = Millis(1_000);
+    (0..100).for_each(|_| rate.note(now, Millis(10), Millis::NEVER));
+    assert!(rate.factor(now) > 7.9);
+    assert!(rate.factor(now + Millis(60_000)) < 1.1);
+    (0..100).for_each(|_| rate.note(now, Millis::ZERO, Millis::ZERO));
+    assert!((0.25..0.26).contains(&rate.factor(now)));
+}
