--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -18,9 +18,10 @@
 use crate::entry::sending::answer_wait::AnswerLimit;
 use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::choice::{choose, out_of_reach, prefix_source};
+use crate::entry::sending::engine_admission::wait_for_admission;
 use crate::entry::sending::send::{self, SendOutcome, StartedAnswer};
 use crate::entry::sending::unavailable::{Unavailable, unavailable};
-use crate::entry::sending::waiting::{late_start_refusal, wait_for_turn, wait_for_upstream};
+use crate::entry::sending::waiting::{wait_for_turn, wait_for_upstream};
 use crate::entry::upstream_limits;
 use crate::error::Ran;
 use crate::prelude::*;
@@ -130,11 +131,14 @@
                 Err(refusal) => return refuse(host, request, out, log, refusal).await,
             }
         };
-        if attempts.runs == 0
-            && let Some(refusal) = late_start_refusal(host, request, &upstream)
-        {
-            return refuse(host, request, out, log, refusal).await;
-        }
+        let upstream = match attempts.runs {
+            0 => match wait_for_admission(host, request, &attempts, upstream, log).await {
+                Ok(Some(upstream)) => upstream,
+                Ok(None) => continue,
+                Err(refusal) => return refuse(host, request, out, log, refusal).await,
+            },
+            _ => upstream,
+        };
         let upstream = match wait_for_turn(host, request, &attempts, log).await {
             Some(upstream) => upstream,
             None => upstream,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -19,6 +19,8 @@
 use crate::prelude::*;
 use crate::rate_limit::{Limiter, SharedLimits, UpstreamLimits};
 use crate::retry::{RetryBudget, RetryState};
+use crate::routing::engine_admission::UrgentDemand;
+use crate::routing::engine_line::EngineLine;
 use crate::routing::first_event::ReadingRatio;
 use crate::routing::occupancy::Occupancy;
 use crate::upstreams::Registry;
@@ -75,6 +77,10 @@
     /// How long first events of each service take, as a multiple of the predicted time, learned from
     /// this host's answers.
     pub reading_ratios: RefCell<IndexMap<Name, ReadingRatio>>,
+    /// The requests that wait here until engines have less to read.
+    pub engine_line: RefCell<EngineLine>,
+    /// Which models get requests of the most urgent rank.
+    pub urgent_demand: RefCell<UrgentDemand>,
     /// When a planned stop was requested.
     pub stop_requested_at: Cell<Option<Millis>>,
     /// The number of requests of which the head was read and the answer has not ended.
@@ -131,6 +137,8 @@
             retries: RefCell::default(),
             occupancy: RefCell::default(),
             reading_ratios: RefCell::default(),
+            engine_line: RefCell::default(),
+            urgent_demand: RefCell::default(),
             stop_requested_at: Cell::new(None),
             active_requests: Cell::new(0),
             held_body_bytes: Cell::new(0),
--- a/src/entry/sending/mod.rs
+++ b/src/entry/sending/mod.rs
@@ -3,12 +3,14 @@
 //! - [`attempts`]: what was tried, and whether another attempt is allowed.
 //! - [`choice`]: the upstream of the next attempt; [`unavailable`]: why there is none.
 //! - [`waiting`]: waiting for one; [`prediction`]: when its first event would come.
+//! - [`engine_admission`]: waiting until an engine has little enough to read.
 //! - [`answer_wait`]: waiting for the answer.
 //! - [`send`], [`exchange`], [`pool`], [`in_flight`]: one send over a connection.
 
 pub mod answer_wait;
 pub mod attempts;
 pub mod choice;
+pub mod engine_admission;
 pub mod exchange;
 pub mod in_flight;
 pub mod pool;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,6 +1,8 @@
 //! Selection of the upstream that serves a request.
 
 pub mod answer_wait;
+pub mod engine_admission;
+pub mod engine_line;
 pub mod first_byte;
 pub mod first_event;
 pub mod occupancy;
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of first-byte timeouts and of the schedule of engine reports.
 
+mod admission;
+mod admission_model;
 mod first_event;
 mod pick;
 
