Admit requests to engines by rank

Less urgent prompts with late goals filled the queues of overloaded engines, so the urgent ones were late or refused. Where the routes of a service differ in rank, less urgent requests now go only to engines with little to read and else wait at their host, in the order of rank, time left and arrival, until their goal at most.

--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod crashes;
 mod desired_copy;
+mod engine_ranks;
 mod engine_refusals;
 mod engine_wait;
 mod fake_platform;
--- a/src/entry/tests/engine_wait.rs
+++ b/src/entry/tests/engine_wait.rs
@@ -25,19 +25,30 @@
     )
 }
 
-/// Publishes one service of engines and a route with streams.
+/// Publishes one service of engines and routes with streams.
 pub async fn publish_engines(site: &Site) {
+    publish_ranks(site, [0, 0]).await;
+}
+
+/// Publishes one service of engines and routes with streams of these ranks, at `/a/` and `/b/`.
+pub async fn publish_ranks(site: &Site, ranks: [u8; 2]) {
     let service = Service {
         max_connections: 100,
         engine: Some(EngineSpec::default()),
     };
     site.store.write_desired(DesiredState {
         version: 1,
-        routes: vec![Route {
-            streams: true,
-            goal_ms: Millis(2_500),
-            ..route(Repeat::Resumable)
-        }],
+        routes: ["/a/", "/b/"]
+            .into_iter()
+            .zip(ranks)
+            .map(|(path, rank)| Route {
+                path_prefix: path.into(),
+                rank,
+                streams: true,
+                goal_ms: Millis(6_000),
+                ..route(Repeat::Resumable)
+            })
+            .collect(),
         services: [(Name::from("s"), service)].into_iter().collect(),
         limits: CallerLimits::default(),
         organisations: None,
--- a/src/routing/engine_admission.rs
+++ b/src/routing/engine_admission.rs
@@ -20,7 +20,7 @@
 pub const CHECK_MS: Millis = Millis(50);
 /// The expected time until a waiting request begins at an engine that became free, as a multiple of
 /// the time that it has left. It spreads the requests of hosts that learn of this at once.
-const SPREAD_FACTOR: u64 = 2;
+const SPREAD_FACTOR: u64 = 8;
 /// The time without urgent requests for a model after which none are expected, if enough others
 /// came meanwhile.
 const URGENT_MEMORY_MS: Millis = Millis(30_000);
--- a/src/routing/tests/admission.rs
+++ b/src/routing/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Tests of the admission to engines by rank.
 
-use super::admission_model::{Kind, Model, Outcome};
+use super::admission_model::{Kind, Model, Outcome, Rules};
 use crate::desired::routes::UrgentRank;
 use crate::prelude::*;
 use crate::routing::engine_admission::{Candidate, UrgentDemand};
@@ -26,12 +26,18 @@
 }
 
 /// Runs the model without and with admission by rank.
-fn compare(hosts: usize, kinds: [Kind; 2]) -> ([Outcome; 2], [Outcome; 2]) {
-    let without = Model::run(hosts, kinds, false, 1);
-    let with = Model::run(hosts, kinds, true, 1);
-    eprintln!(
-        "{hosts} hosts, goal {} ms, load {:.2} and {:.2}: without {without:?}, with {with:?}",
-        kinds[1].goal_ms, kinds[0].load, kinds[1].load
+fn compare(hosts: usize, drawn: usize, kinds: [Kind; 2]) -> ([Outcome; 2], [Outcome; 2]) {
+    let run = |admits| Model::run(hosts, kinds, Rules { admits, drawn }, 1);
+    let (without, with) = (run(false), run(true));
+    let shares =
+        |outcomes: [Outcome; 2]| outcomes.map(|outcome| (outcome.share_in_time() * 100.0).round());
+    println!(
+        "{hosts} hosts, {drawn} drawn, goal {} ms, load {:.2} and {:.2}: {:?} of 100 in time, before {:?}",
+        kinds[1].goal_ms,
+        kinds[0].load,
+        kinds[1].load,
+        shares(with),
+        shares(without)
     );
     (without, with)
 }
@@ -40,30 +46,44 @@
     outcomes.iter().map(|outcome| outcome.in_time).sum()
 }
 
-/// Guards against engines whose queues are full of less urgent prompts, which makes the urgent ones
-/// late, and against admission that serves fewer requests, starves a rank or holds without bound.
-#[test]
-fn urgent_requests_are_on_time_at_overloaded_engines() {
+/// Compares at overloaded engines, and returns the smallest share of urgent requests in time.
+fn overload(drawn: usize) -> f64 {
+    let mut smallest: f64 = 1.0;
     for hosts in HOSTS {
         for (urgent_share, goal_ms) in [(0.1, 800), (0.4, 800), (0.1, 6_000), (0.4, 6_000)] {
             let kinds = kinds(1.5, urgent_share, goal_ms);
-            let (without, with) = compare(hosts, kinds);
+            let (without, with) = compare(hosts, drawn, kinds);
             let [urgent, other] = with;
             assert!(urgent.share_in_time() > without[0].share_in_time() * 4.0);
-            assert!(urgent.share_in_time() > 0.25);
             assert!(sum_in_time(&with) >= sum_in_time(&without));
             assert!(other.share_in_time() > 0.1, "a rank starves");
             assert!(other.longest_held_ms <= goal_ms);
+            smallest = smallest.min(urgent.share_in_time());
         }
     }
+    smallest
+}
+
+/// Guards against engines whose queues are full of less urgent prompts, which makes the urgent ones
+/// late, and against admission that serves fewer requests, starves a rank or holds without bound.
+#[test]
+fn urgent_requests_are_on_time_at_overloaded_engines() {
+    assert!(overload(2) > 0.5);
+}
+
+/// Guards against the same where all hosts choose the engine that was the best when they last heard
+/// of each other. Then many choose the same one, and its queue grows until they hear again.
+#[test]
+fn urgent_requests_gain_where_hosts_choose_the_same_engine() {
+    assert!(overload(4) > 0.2);
 }
 
 /// Guards against admission that refuses less urgent requests while engines can read all of them.
 #[test]
 fn admission_costs_little_where_engines_keep_up() {
-    for hosts in HOSTS {
+    for (hosts, drawn) in HOSTS.into_iter().flat_map(|hosts| [(hosts, 2), (hosts, 4)]) {
         for goal_ms in [800, 6_000] {
-            let (without, with) = compare(hosts, kinds(0.4, 0.4, goal_ms));
+            let (without, with) = compare(hosts, drawn, kinds(0.4, 0.4, goal_ms));
             assert!(with[1].share_in_time() > without[1].share_in_time() - 0.1);
             assert!(with[0].share_in_time() > 0.9);
         }
--- a/src/routing/tests/admission_model.rs
+++ b/src/routing/tests/admission_model.rs
@@ -57,11 +57,20 @@
     id: u64,
 }
 
-/// The model; `admits` tells whether hosts admit by rank or only refuse what comes too late.
+/// What the hosts do.
+#[derive(Clone, Copy)]
+pub struct Rules {
+    /// Whether they admit by rank; otherwise they only refuse what comes too late.
+    pub admits: bool,
+    /// Among how many engines, drawn at random, they choose the best.
+    pub drawn: usize,
+}
+
+/// The model of a site.
 pub struct Model {
     pub outcomes: [Outcome; 2],
     now: u64,
-    admits: bool,
+    rules: Rules,
     kinds: [Kind; 2],
     engines: Vec<VecDeque<Request>>,
     own: Vec<[u64; ENGINES]>,
@@ -75,11 +84,11 @@
 }
 
 impl Model {
-    pub fn run(hosts: usize, kinds: [Kind; 2], admits: bool, seed: u64) -> [Outcome; 2] {
+    pub fn run(hosts: usize, kinds: [Kind; 2], rules: Rules, seed: u64) -> [Outcome; 2] {
         let mut model = Self {
             outcomes: Default::default(),
             now: 0,
-            admits,
+            rules,
             kinds,
             engines: vec![VecDeque::new(); ENGINES],
             own: vec![[0; ENGINES]; hosts],
@@ -166,8 +175,9 @@
 
     /// Returns the engine that a host would choose, its wait and the time to the first event.
     fn predict(&mut self, host: usize, rank: usize) -> (usize, Millis, Millis) {
-        let first = self.random.usize(..ENGINES);
-        let engines = (0..ENGINES).map(|n| (first + n) % ENGINES);
+        let mut engines: [usize; ENGINES] = std::array::from_fn(|engine| engine);
+        self.random.shuffle(&mut engines);
+        let engines = engines.into_iter().take(self.rules.drawn);
         let waiting = |engine: &usize| self.backlog(host, *engine).waiting_tokens;
         let engine = engines.min_by_key(waiting).expect("there are engines");
         let backlog = self.backlog(host, engine);
@@ -199,7 +209,7 @@
         let (engine, wait_ms, first_event_ms) = self.predict(host, rank);
         if now + first_event_ms > request.candidate.caller_leaves_at {
             self.outcomes[rank].refused += 1;
-        } else if rank == 0 || !self.admits || !self.demands[host].is_expected(now, "m") {
+        } else if rank == 0 || !self.rules.admits || !self.demands[host].is_expected(now, "m") {
             self.send(engine, request);
         } else {
             let id = self.lines[host].join(&self.model, request.candidate);
