--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -15,11 +15,13 @@
 use crate::entry::platform::{Platform, SendFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
 use crate::entry::resumption::take_up::{needed_version, version_gone};
+use crate::entry::sending::answer_wait::AnswerLimit;
 use crate::entry::sending::attempts::Attempts;
 use crate::entry::sending::choice::{choose, out_of_reach, prefix_source};
+use crate::entry::sending::engine_admission::wait_for_admission;
 use crate::entry::sending::send::{self, SendOutcome, StartedAnswer};
 use crate::entry::sending::unavailable::{Unavailable, unavailable};
-use crate::entry::sending::waiting::{late_start_refusal, wait_for_turn, wait_for_upstream};
+use crate::entry::sending::waiting::{wait_for_turn, wait_for_upstream};
 use crate::entry::upstream_limits;
 use crate::error::Ran;
 use crate::prelude::*;
@@ -129,11 +131,14 @@
                 Err(refusal) => return refuse(host, request, out, log, refusal).await,
             }
         };
-        if attempts.runs == 0
-            && let Some(refusal) = late_start_refusal(host, request, &upstream)
-        {
-            return refuse(host, request, out, log, refusal).await;
-        }
+        let upstream = match attempts.runs {
+            0 => match wait_for_admission(host, request, &attempts, upstream, log).await {
+                Ok(Some(upstream)) => upstream,
+                Ok(None) => continue,
+                Err(refusal) => return refuse(host, request, out, log, refusal).await,
+            },
+            _ => upstream,
+        };
         let upstream = match wait_for_turn(host, request, &attempts, log).await {
             Some(upstream) => upstream,
             None => upstream,
@@ -354,14 +359,8 @@
         resume_after,
     };
     host.platform.set_upstream_headers(&mut headers, &facts);
-    let answer_by = match request.route.repeat {
-        // If this upstream does not answer, there must be time left for another one.
-        Repeat::Idempotent | Repeat::Resumable if attempts.runs + 1 < request.route.attempts => {
-            now + Millis(left_ms.0 * 2 / 5)
-        }
-        _ => request.deadline_at - ANSWER_MARGIN_MS,
-    };
-    let sent = send::send(host, request, upstream, headers, answer_by).await;
+    let limit = AnswerLimit::of(host, request, upstream, attempts);
+    let sent = send::send(host, request, upstream, headers, &limit).await;
     log.summary.note_result(sent.name());
     host.metrics.count_send(sent.name());
     sent
