One rule for the ranks that go before others at engines

Holding back less urgent requests took effect wherever ranks differ. It now uses the same condition as the order at engines: the goals of the other ranks are at least twice as long.

--- a/src/desired/mod.rs
+++ b/src/desired/mod.rs
@@ -12,7 +12,7 @@
 use crate::prelude::*;
 pub use rate_limit_table::RateLimitTable;
 pub use routes::RouteTable;
-pub use urgency::UrgentRanks;
+pub use urgency::{UrgentRank, UrgentRanks};
 
 /// A complete desired state.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/src/desired/routes.rs
+++ b/src/desired/routes.rs
@@ -4,15 +4,6 @@
 use crate::identity::{Credential, Identity, Keys};
 use crate::prelude::*;
 
-/// The most urgent rank among the routes of a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UrgentRank {
-    /// The priority; 0 is the most urgent.
-    pub rank: u8,
-    /// The shortest latency objective of its routes.
-    pub goal_ms: Millis,
-}
-
 /// A desired state, indexed for lookups by the host name and path of requests.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
@@ -22,8 +13,6 @@
     pub services: IndexMap<Name, Service>,
     /// Bounds on callers' requests and connections.
     pub limits: CallerLimits,
-    /// The most urgent rank of each service whose routes differ in rank.
-    most_urgent: IndexMap<Name, UrgentRank>,
     /// The rate limits by the name of the organisation.
     pub rate_limits: RateLimitTable,
     /// The ranks whose requests engines should begin first.
@@ -38,7 +27,6 @@
     /// Builds the indexes of a desired state.
     pub fn new(state: DesiredState) -> Self {
         let urgent_ranks = UrgentRanks::new(state.routes.iter());
-        let most_urgent = most_urgent(&state.routes);
         let mut by_host: IndexMap<Name, Vec<Arc<Route>>> = IndexMap::new();
         for route in state.routes {
             let routes = by_host.entry(route.host.clone()).or_default();
@@ -55,7 +43,6 @@
                 .iter()
                 .filter_map(|own| Some((own.name.clone(), own.rate_limit?)))
                 .collect(),
-            most_urgent,
             version: state.version,
             services: state.services,
             limits: state.limits,
@@ -72,11 +59,6 @@
             .find(|route| path.starts_with(&*route.path_prefix))
     }
 
-    /// Returns the most urgent rank of a service, if its routes differ in rank.
-    pub fn most_urgent(&self, service: &str) -> Option<UrgentRank> {
-        self.most_urgent.get(service).copied()
-    }
-
     /// Identifies the sender of a request on a route by its API key.
     ///
     /// # Errors
@@ -95,22 +77,6 @@
     }
 }
 
-fn most_urgent(routes: &[Route]) -> IndexMap<Name, UrgentRank> {
-    let mut ranks: IndexMap<Name, Vec<(u8, Millis)>> = IndexMap::new();
-    for route in routes {
-        for target in &route.targets {
-            let of_service = ranks.entry(target.service.clone()).or_default();
-            of_service.push((route.rank, route.goal_ms));
-        }
-    }
-    let urgent = ranks.into_iter().filter_map(|(service, ranks)| {
-        let (rank, goal_ms) = ranks.iter().copied().min()?;
-        let differ = ranks.iter().any(|(other, _)| *other != rank);
-        differ.then_some((service, UrgentRank { rank, goal_ms }))
-    });
-    urgent.collect()
-}
-
 impl Route {
     /// Chooses the service of a request by the weights of the targets. `point` is drawn uniformly
     /// from 0 to 1. Returns `None` only if there are no targets.
--- a/src/desired/urgency.rs
+++ b/src/desired/urgency.rs
@@ -19,10 +19,19 @@
     longest_ms: Millis,
 }
 
+/// The urgent rank of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UrgentRank {
+    /// The priority; 0 is the most urgent.
+    pub rank: u8,
+    /// The shortest latency objective of its streams.
+    pub goal_ms: Millis,
+}
+
 /// The urgent rank of each service that has one.
 #[derive(Clone, Debug, Default)]
 pub struct UrgentRanks {
-    by_service: IndexMap<Name, u8>,
+    by_service: IndexMap<Name, UrgentRank>,
 }
 
 impl UrgentRanks {
@@ -49,18 +58,24 @@
 
     /// Returns whether requests of a rank are urgent at the engines of a service.
     pub fn is_urgent(&self, service: &str, rank: u8) -> bool {
-        self.by_service
-            .get(service)
-            .is_some_and(|urgent| rank <= *urgent)
+        self.of(service).is_some_and(|urgent| rank <= urgent.rank)
+    }
+
+    /// Returns the urgent rank of a service, if it has one.
+    pub fn of(&self, service: &str) -> Option<UrgentRank> {
+        self.by_service.get(service).copied()
     }
 }
 
-fn urgent_rank(ranks: &IndexMap<u8, Goals>) -> Option<u8> {
+fn urgent_rank(ranks: &IndexMap<u8, Goals>) -> Option<UrgentRank> {
     let (first, goals) = ranks.iter().min_by_key(|(rank, _)| **rank)?;
     let mut others = ranks.iter().filter(|(rank, _)| *rank != first).peekable();
     others.peek()?;
     let least_ms = Millis(goals.longest_ms.0.saturating_mul(MIN_GOAL_RATIO));
     others
         .all(|(_, other)| other.shortest_ms >= least_ms)
-        .then_some(*first)
+        .then_some(UrgentRank {
+            rank: *first,
+            goal_ms: goals.shortest_ms,
+        })
 }
--- a/src/entry/sending/engine_admission.rs
+++ b/src/entry/sending/engine_admission.rs
@@ -1,7 +1,7 @@
 //! Holds back requests for engines that have too much to read, by rank, where the routes of a
 //! service differ in rank.
 
-use crate::desired::routes::UrgentRank;
+use crate::desired::UrgentRank;
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::host::Host;
 use crate::entry::platform::Platform;
@@ -54,21 +54,15 @@
         .routes
         .borrow()
         .as_ref()?
-        .most_urgent(&request.service)?;
-    let is_urgent = rank(request) <= urgent.rank;
+        .urgent_ranks
+        .of(&request.service)?;
+    let is_urgent = request.rank() <= urgent.rank;
     let now = host.now();
     let mut demand = host.urgent_demand.borrow_mut();
     demand.note(now, model, is_urgent);
     (!is_urgent && demand.is_expected(now, model)).then_some((model, urgent))
 }
 
-/// Returns the priority of a request: its organisation's own, else that of its route.
-fn rank(request: &ActiveRequest) -> u8 {
-    let organisation = request.identity.organisation();
-    let own = organisation.and_then(|organisation| organisation.rank);
-    own.unwrap_or(request.route.rank)
-}
-
 async fn hold<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
@@ -78,7 +72,7 @@
     urgent: UrgentRank,
 ) -> Result<Option<Name>, Refusal> {
     let candidate = Candidate {
-        rank: rank(request),
+        rank: request.rank(),
         arrived_at: request.arrived_at,
         goal_at: request.arrived_at + request.route.goal_ms,
         caller_leaves_at: request.first_byte_deadline_at,
--- a/src/routing/engine_admission.rs
+++ b/src/routing/engine_admission.rs
@@ -5,7 +5,7 @@
 //! queue that makes the urgent ones late. Requests of the most urgent rank are sent at once. Others
 //! are sent only while little waits at their engine, else they wait at their host.
 
-use crate::desired::routes::UrgentRank;
+use crate::desired::UrgentRank;
 use crate::prelude::*;
 
 /// The wait at an engine above which requests one rank less urgent than the most urgent one are
--- a/src/routing/tests/admission.rs
+++ b/src/routing/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Tests of the admission to engines by rank.
 
 use super::admission_model::{Kind, Model, Outcome, Rules};
-use crate::desired::routes::UrgentRank;
+use crate::desired::UrgentRank;
 use crate::prelude::*;
 use crate::routing::engine_admission::{Candidate, UrgentDemand};
 use crate::routing::engine_line::{EngineLine, MAX_WAITING, MAX_WAITING_PER_MODEL};
--- a/src/routing/tests/admission_model.rs
+++ b/src/routing/tests/admission_model.rs
@@ -1,7 +1,7 @@
 //! Model of hosts and of the engines of one overloaded model, which read prompts in the order of
 //! their arrival. Hosts know each other's prompts with a delay.
 
-use crate::desired::routes::UrgentRank;
+use crate::desired::UrgentRank;
 use crate::prelude::*;
 use crate::routing::engine_admission::{CHECK_MS, Candidate, UrgentDemand};
 use crate::routing::engine_line::EngineLine;
