--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -87,6 +87,7 @@
         view_version: (u64::MAX, u64::MAX),
         members_generation: Generation::new(Era::default(), 1),
         demand: Vec::new(),
+        event_gaps: Vec::new(),
         work: Vec::new(),
         upstreams_from: Some(Position::new(Era::default(), u64::from(u32::MAX))),
         through: 0,
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -96,6 +96,11 @@
 }
 
 fn boot_ms() -> u64 {
+    boot_us() / 1_000
+}
+
+/// Returns the reading of the boot-time clock in microseconds, to measure times below a millisecond.
+pub fn boot_us() -> u64 {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
 }
--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -1,5 +1,6 @@
 //! Relays an event stream event by event, and resumes it elsewhere when its upstream breaks off.
 
+use crate::clock::boot_us;
 use crate::desired::Repeat;
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::answer::caller_writer::{BodyFraming, CallerWriter};
@@ -21,6 +22,7 @@
 use crate::event_stream::{MAX_EVENT_BYTES, count_events, end_of_events, last_event_id};
 use crate::http1::client::with_timeout;
 use crate::http1::{Framing, ReadError};
+use crate::ordering::event_gaps::{EventGaps, GapSample, MAX_HOST_SAMPLES};
 use crate::prelude::*;
 use crate::resumption::StreamVersion;
 
@@ -43,6 +45,8 @@
     /// When the head was sent.
     started_at: Millis,
     last_write_at: Millis,
+    /// The times between the events of the upstream that sends them now.
+    gaps: EventGaps,
 }
 
 /// What came next of a stream.
@@ -76,6 +80,7 @@
             has_begun: false,
             started_at: host.now(),
             last_write_at: host.now(),
+            gaps: EventGaps::default(),
         }
     }
 
@@ -89,6 +94,7 @@
         self.buffer = std::mem::take(&mut answer.body_start);
         loop {
             if let Err(error) = self.write_events(out, log, &answer).await {
+                self.note_gaps(&answer);
                 return RelayOutcome::not_written(&error);
             }
             let why = match self.next_piece(&mut answer, log).await {
@@ -97,13 +103,17 @@
                     self.buffer.extend_from_slice(&bytes);
                     continue;
                 }
-                Piece::DeadlineReached => return self.broken("the time limit was reached"),
+                Piece::DeadlineReached => {
+                    self.note_gaps(&answer);
+                    return self.broken("the time limit was reached");
+                }
                 Piece::Failed(why) => why,
                 Piece::End => match answer.body_kind().early_end(self.has_begun, &self.buffer) {
                     Some(why) => why,
                     None => return self.finish(out, log, answer).await,
                 },
             };
+            self.note_gaps(&answer);
             answer.note_broken(self.host, self.request).await;
             if !self.has_begun {
                 return RelayOutcome::NotStarted(why);
@@ -161,7 +171,9 @@
             self.last_event_id = Some(id);
         }
         self.begin(out, log, answer).await?;
-        log.summary.events += count_events(&events);
+        let count = count_events(&events);
+        self.gaps.note(boot_us(), count);
+        log.summary.events += count;
         let now = self.host.now();
         let gap_ms = now.since(self.last_write_at);
         log.summary.longest_gap_ms = log.summary.longest_gap_ms.max(gap_ms);
@@ -200,6 +212,7 @@
         log: &mut RequestLog<'_, P>,
         answer: Box<StartedAnswer>,
     ) -> RelayOutcome {
+        self.note_gaps(&answer);
         let rest = std::mem::take(&mut self.buffer);
         let begun = self.begin(out, log, &answer).await;
         if self.request.at_engine {
@@ -221,6 +234,24 @@
         }
     }
 
+    /// Keeps a sample of the time between the events of an engine, for the orderer. Another host that
+    /// passes an answer on does so itself.
+    fn note_gaps(&mut self, answer: &StartedAnswer) {
+        let gap_us = self.gaps.take_lower_quartile_us();
+        let is_from_engine = self.request.at_engine && answer.in_flight.is_some();
+        if let (Some(gap_us), Some(model), true) =
+            (gap_us, &self.request.facts.model, is_from_engine)
+        {
+            let sample = GapSample {
+                engine: answer.upstream.clone(),
+                model: model.model.clone(),
+                gap_us,
+            };
+            let mut samples = self.host.event_gaps.borrow_mut();
+            samples.add([sample], MAX_HOST_SAMPLES);
+        }
+    }
+
     fn broken(&self, why: &'static str) -> RelayOutcome {
         match self.has_begun {
             true => RelayOutcome::Truncated(why),
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -15,6 +15,7 @@
 use crate::group::{Member, Members, RelayTree};
 use crate::http1::client::with_timeout;
 use crate::ordering::cached_orderer_state::CachedOrdererState;
+use crate::ordering::event_gaps::GapSamples;
 use crate::ordering::relay_aggregate::RelayAggregate;
 use crate::prelude::*;
 use crate::rate_limit::{Limiter, SharedLimits, UpstreamLimits};
@@ -65,6 +66,8 @@
     pub known_hosts: Arc<AcceptedFingerprints>,
     /// The demand for each model since this host's last report to the orderer.
     pub demand: RefCell<crate::ordering::demand::Demand>,
+    /// The time between events of streams that ended since this host's last report to the orderer.
+    pub event_gaps: RefCell<GapSamples>,
     /// The retry budgets, and the quarantine of requests that crash upstreams.
     pub retries: RefCell<RetryState>,
     /// What is left of the rate limits that all hosts enforce together.
@@ -124,6 +127,7 @@
             orders: RefCell::default(),
             known_hosts,
             demand: RefCell::default(),
+            event_gaps: RefCell::default(),
             retries: RefCell::default(),
             occupancy: RefCell::default(),
             stop_requested_at: Cell::new(None),
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -9,9 +9,12 @@
 use crate::entry::platform::{ModelRef, Platform};
 use crate::group::Member;
 use crate::http1::client::with_timeout;
+use crate::ordering::cached_orderer_state::CachedOrdererState;
 use crate::ordering::demand_totals::DemandTotals;
 use crate::ordering::engine_inventory::EngineInventory;
+use crate::ordering::engine_speeds::{EngineSpeeds, ListedEngine};
 use crate::ordering::estimates::OrderTiming;
+use crate::ordering::event_gaps::{GapSample, MAX_RELAY_SAMPLES};
 use crate::ordering::lease::Lease;
 use crate::ordering::message::{Action, Order};
 use crate::ordering::planner::{PlannedOrder, Planner};
@@ -45,6 +48,10 @@
     /// The versions of the list of upstreams and of the desired state at the last update of the
     /// engines in the inventory.
     engine_versions: Option<(u64, u64)>,
+    /// How slow each engine is, as this orderer learns it.
+    pub speeds: EngineSpeeds,
+    /// The fencing token of the holding in which `speeds` was begun.
+    speeds_fence: Option<u64>,
     /// The demand and the work that the hosts report.
     pub demand: DemandTotals,
     /// The orderer that another host named since this one last read or took the lease.
@@ -106,17 +113,67 @@
     /// Adds the changes in the inventory to the state that is sent to the hosts. Does nothing
     /// without the lease. An engine is left out as long as its entry in the list of upstreams says
     /// the same, since every host has the list.
-    pub fn publish(&mut self, now: Millis, upstreams: &Registry) {
+    pub fn publish(&mut self, now: Millis, upstreams: &Registry, known: &CachedOrdererState) {
         let Some(fence) = self.lease.holding().map(|holding| holding.fence) else {
             return;
         };
+        self.begin_speeds(fence, upstreams, known);
         let changes = self.inventory.take_changes(now);
+        for engine in &changes.gone {
+            self.speeds.note_unpublished(engine);
+        }
         let is_as_listed = |view: &EngineView| {
             let upstream = upstreams.get_lifetime(&view.engine);
             upstream.is_some_and(|upstream| upstream.holds_exactly(&view.held))
         };
         self.published.update(fence, changes, is_as_listed);
     }
+
+    /// Goes on, in a new holding of the lease, with the slowness of engines that this host knows.
+    fn begin_speeds(&mut self, fence: u64, upstreams: &Registry, known: &CachedOrdererState) {
+        if self.speeds_fence == Some(fence) {
+            return;
+        }
+        self.speeds_fence = Some(fence);
+        // The listed engines and the models are set anew.
+        self.engine_versions = None;
+        let known = known.uneven_engines();
+        let known: Vec<_> = known
+            .filter(|(engine, _)| upstreams.get_lifetime(engine).is_some())
+            .map(|(engine, slowness)| (engine.clone(), slowness))
+            .collect();
+        self.speeds = EngineSpeeds::continued_from(known.iter().cloned());
+        self.published.update_slowness(fence, known);
+    }
+
+    /// Learns from samples of the time between events. A message has a bounded number of them.
+    pub fn note_event_gaps(&mut self, now: Millis, upstreams: &Registry, samples: Vec<GapSample>) {
+        for sample in samples.into_iter().take(MAX_RELAY_SAMPLES) {
+            let upstream = upstreams.get_lifetime(&sample.engine);
+            let slots = upstream.map_or(0, |upstream| upstream.entry.slots);
+            let load = self.demand.work_at(&sample.engine.id);
+            self.speeds.record(now, &sample, load.is_full(slots));
+        }
+    }
+
+    /// Computes and publishes the slowness of the engines from time to time.
+    fn refresh_speeds(&mut self, now: Millis, upstreams: &Registry, known: &CachedOrdererState) {
+        let Some(fence) = self.lease.holding().map(|holding| holding.fence) else {
+            return;
+        };
+        self.begin_speeds(fence, upstreams, known);
+        let changes = self.speeds.refresh(now);
+        if !changes.is_empty() {
+            self.published.update_slowness(fence, changes);
+            self.update_inventory_slowness();
+        }
+    }
+
+    fn update_inventory_slowness(&mut self) {
+        let uneven = self.speeds.uneven();
+        let uneven = uneven.map(|(engine, slowness)| (engine.id.clone(), slowness.ratio()));
+        self.inventory.set_slowness(uneven);
+    }
 }
 
 #[derive(Serialize)]
@@ -156,6 +213,7 @@
         let Some(table) = host.routes.borrow().clone() else {
             continue;
         };
+        refresh_speeds(&host, now);
         update_engines(&host, &table, now);
         hold_calls_to_resting(&host, now);
         request_due_reports(&host, &executor, now);
@@ -171,6 +229,12 @@
     }
 }
 
+fn refresh_speeds<P: Platform>(host: &Host<P>, now: Millis) {
+    let (upstreams, known) = (host.upstreams.borrow(), host.orderer_state.borrow());
+    let mut orders = host.orders.borrow_mut();
+    orders.refresh_speeds(now, &upstreams, &known);
+}
+
 fn min_plan_interval_ms<P: Platform>(host: &Host<P>) -> Millis {
     Millis(MIN_PLAN_INTERVAL_MS.0 * host.tree.borrow().interval_factor(true))
 }
@@ -233,6 +297,20 @@
         Some((upstream.entry.id.clone(), version.clone()))
     });
     orders.inventory.set_versions(versions);
+    let engines = upstreams
+        .iter()
+        .filter(|upstream| is_engine(&upstream.entry.service))
+        .map(|upstream| ListedEngine {
+            lifetime: upstream.lifetime(),
+            service: upstream.entry.service.clone(),
+        });
+    orders.speeds.set_engines(now, engines);
+    let models = engine_specs(table).map(|(service, spec)| {
+        let models = spec.models.keys().cloned();
+        (Name::from(service), models.collect())
+    });
+    orders.speeds.set_models(models.collect());
+    orders.update_inventory_slowness();
 }
 
 fn plan_orders<P: Platform>(
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -34,6 +34,12 @@
 }
 
 impl RequestFacts {
+    /// Returns the tokens that the request may take of an engine's KV cache: those of its prompt and
+    /// the most that its answer may have, as far as it states them.
+    pub fn held_tokens(&self) -> u64 {
+        self.counted_tokens.unwrap_or(self.prompt_tokens)
+    }
+
     /// Returns the parts of the prompt that other requests may have too: all but the last one.
     pub fn shared_parts(&self) -> &[PromptPart] {
         match &*self.parts {
--- a/src/entry/sending/choice.rs
+++ b/src/entry/sending/choice.rs
@@ -5,6 +5,7 @@
 use crate::entry::platform::{ModelRef, Platform, RequestFacts};
 use crate::entry::rejections::{Room, rejection_room};
 use crate::entry::sending::attempts::Attempts;
+use crate::entry::sending::engine_wait::KvNeed;
 use crate::handoff::Offer;
 use crate::ordering::cached_orderer_state::CachedOrdererState;
 use crate::prelude::*;
@@ -40,8 +41,8 @@
         (Some(model), true) => {
             let holding = holders(&upstreams, &orderer_state, now, &request.service, model)
                 .filter(is_candidate);
-            let with_work =
-                holding.map(|upstream| (upstream, orderer_state.work(&upstream.entry.id)));
+            let kv_need = KvNeed::new(host, request);
+            let with_work = holding.map(|upstream| kv_need.candidate(&orderer_state, upstream));
             let copies = model_copies(&orderer_state, model, fetch_share(host, request));
             pick::engine(
                 now,
--- a/src/entry/sending/in_flight.rs
+++ b/src/entry/sending/in_flight.rs
@@ -1,26 +1,37 @@
-//! Counts the requests in flight at each upstream.
+//! Counts the requests in flight at each upstream, and what they may take of its KV cache.
 
 use crate::upstreams::{Lifetime, Registry};
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// Counts a request, and until its prompt was read also the prompt's tokens, as in flight at an
-/// upstream; uncounts them when it is dropped.
+/// Counts a request with its tokens in the KV cache, and until its prompt was read also the prompt's
+/// tokens, as in flight at an upstream; uncounts them when it is dropped.
 pub struct InFlight {
     registry: Rc<RefCell<Registry>>,
     upstream: Lifetime,
     prompt_tokens: u64,
+    held_tokens: u64,
     is_answered: bool,
 }
 
 impl InFlight {
-    /// Counts a request with a prompt of `prompt_tokens` at this lifetime of an upstream.
-    pub fn new(registry: Rc<RefCell<Registry>>, upstream: &Lifetime, prompt_tokens: u64) -> Self {
-        registry.borrow_mut().begin_request(upstream, prompt_tokens);
+    /// Counts a request with a prompt of `prompt_tokens` that may take `held_tokens` of the KV cache
+    /// at this lifetime of an upstream.
+    pub fn new(
+        registry: Rc<RefCell<Registry>>,
+        upstream: &Lifetime,
+        prompt_tokens: u64,
+        held_tokens: u64,
+    ) -> Self {
+        let mut upstreams = registry.borrow_mut();
+        upstreams.begin_request(upstream, prompt_tokens);
+        upstreams.hold_tokens(upstream, held_tokens);
+        drop(upstreams);
         Self {
             registry,
             upstream: upstream.clone(),
             prompt_tokens,
+            held_tokens,
             is_answered: false,
         }
     }
@@ -37,6 +48,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.note_first_byte();
-        self.registry.borrow_mut().end_request(&self.upstream);
+        let mut upstreams = self.registry.borrow_mut();
+        upstreams.release_tokens(&self.upstream, self.held_tokens);
+        upstreams.end_request(&self.upstream);
     }
 }
--- a/src/entry/sending/mod.rs
+++ b/src/entry/sending/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod attempts;
 pub mod choice;
+pub mod engine_wait;
 pub mod exchange;
 pub mod in_flight;
 pub mod pool;
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -11,6 +11,7 @@
 use crate::entry::paths;
 use crate::entry::platform::Platform;
 use crate::entry::rejections;
+use crate::entry::sending::engine_wait::kv_tokens_of;
 use crate::entry::sending::exchange::{Exchanged, exchange};
 use crate::entry::sending::in_flight::InFlight;
 use crate::entry::sending::pool::UpstreamConnection;
@@ -242,6 +243,7 @@
         host.upstreams.clone(),
         upstream,
         request.facts.prompt_tokens,
+        kv_tokens_of(host, request),
     );
     if is_long(request.facts.prompt_tokens) {
         host.request_sync();
--- a/src/entry/sending/waiting.rs
+++ b/src/entry/sending/waiting.rs
@@ -7,6 +7,7 @@
 use crate::entry::request_log::RequestLog;
 use crate::entry::sending::attempts::{Attempts, BUSY_RETRY_AFTER_MS, RETRY_AFTER_MS};
 use crate::entry::sending::choice::{choose, out_of_reach};
+use crate::entry::sending::engine_wait::start_wait_ms;
 use crate::entry::sending::unavailable::unavailable;
 use crate::entry::sync;
 use crate::http1::client::with_timeout;
@@ -144,7 +145,7 @@
 }
 
 /// Returns a refusal if the request's first event would come after its caller has given up, as
-/// estimated from the occupied slots of the best engine and the time that answers occupy one.
+/// estimated from the best engine's slots and KV cache and the time that answers occupy them.
 pub fn late_start_refusal<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
@@ -154,7 +155,7 @@
         return None;
     }
     let now = host.now();
-    let wait_ms = slot_wait_ms(host, request, upstream)?;
+    let wait_ms = start_wait_ms(host, request, upstream)?;
     let left_ms = request.first_byte_deadline_at.since(now + FIRST_EVENT_MS);
     if wait_ms <= left_ms {
         return None;
@@ -166,21 +167,6 @@
     )
 }
 
-/// Returns how long a further request would wait for a slot of an engine.
-fn slot_wait_ms<P: Platform>(
-    host: &Host<P>,
-    request: &ActiveRequest,
-    upstream: &Name,
-) -> Option<Millis> {
-    let upstreams = host.upstreams.borrow();
-    let engine = upstreams.get(upstream)?;
-    let under_way = host.orderer_state.borrow().work(upstream).under_way(engine);
-    let occupancy = host.occupancy(&request.service);
-    Some(Millis(
-        occupancy.wait_ms(engine.entry.slots, under_way) as u64
-    ))
-}
-
 /// Returns until when a request should wait for an upstream, or the refusal when no upstream can
 /// answer it in time.
 fn wait_deadline<P: Platform>(
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -58,13 +58,14 @@
         return SyncReply::NoNews { totals };
     };
     let has_waiting = request.demand.iter().any(|(_, count)| count.waiting > 0);
-    orders
-        .demand
-        .record(now, request.incarnation, request.take_report());
+    let mut report = request.take_report();
+    let event_gaps = std::mem::take(&mut report.event_gaps);
+    orders.demand.record(now, request.incarnation, report);
+    orders.note_event_gaps(now, &host.upstreams.borrow(), event_gaps);
     if has_waiting {
         host.request_sync();
     }
-    orders.publish(now, &host.upstreams.borrow());
+    orders.publish(now, &host.upstreams.borrow(), &host.orderer_state.borrow());
     let ready_at = orders.ready_at.iter();
     SyncReply::News(Box::new(OrdererUpdate {
         age_ms: Millis::ZERO,
@@ -227,6 +228,7 @@
         is_for_orderer: false,
         demand: Vec::new(),
         work: Vec::new(),
+        event_gaps: Vec::new(),
         ..request.clone()
     };
     match call_peer(peers, collector.peer_address, counts_only).await {
@@ -304,6 +306,7 @@
             prompt_tokens: upstream.prompt_tokens,
             long_prompts: upstream.long_prompts,
             running: upstream.in_flight,
+            held_tokens: upstream.held_tokens,
         };
         (upstream.entry.id.clone(), work)
     });
@@ -317,6 +320,7 @@
     let mut aggregate = host.relay_aggregate.borrow_mut();
     let demand = aggregate.take_demand(host.now(), host.demand.borrow_mut().take());
     aggregate.add_work(None, &mut work);
+    let event_gaps = aggregate.take_event_gaps(host.event_gaps.borrow_mut().take());
     let through = aggregate.relayed_hosts() as u32;
     drop(aggregate);
     SyncRequest {
@@ -327,6 +331,7 @@
         members_generation: host.members.borrow().update_base_generation(),
         work: work.into_iter().collect(),
         demand,
+        event_gaps,
         upstreams_from: host.replication.next_position(),
         through,
         usage: limits::report(host),
--- a/src/entry/tests/choice.rs
+++ b/src/entry/tests/choice.rs
@@ -52,6 +52,7 @@
             is_whole: true,
             engines: published,
             gone: Vec::new(),
+            slowness: Vec::new(),
         });
         let now = Millis(10_000);
         let requested = model_ref(u.int_in_range(0..=2u8)?, u.arbitrary()?);
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -356,6 +356,7 @@
         view_version: (0, 0),
         members_generation: Generation::default(),
         demand: Vec::new(),
+        event_gaps: Vec::new(),
         work: Vec::new(),
         upstreams_from: None,
         through: 0,
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -70,6 +70,7 @@
         is_whole: true,
         engines: vec![engine],
         gone: Vec::new(),
+        slowness: Vec::new(),
     });
     state.replace_work(work(10));
     host.orders
--- a/src/ordering/cached_orderer_state.rs
+++ b/src/ordering/cached_orderer_state.rs
@@ -2,9 +2,10 @@
 
 use crate::entry::platform::ModelRef;
 use crate::ordering::published::{EnginesUpdate, EnginesVersion, PublishedEngines};
+use crate::ordering::slowness::Slowness;
 use crate::prelude::*;
 use crate::routing::pick::UpstreamLoad;
-use crate::upstreams::Lifetime;
+use crate::upstreams::{Lifetime, LifetimeKey};
 
 /// How long an engine is avoided for a model after it refused a request because it lacks the model.
 /// This is about the age of what hosts know.
@@ -105,6 +106,16 @@
         self.engines.holders(model_ref)
     }
 
+    /// Returns how long an engine takes for its work, relative to the mean of its service, which is 1.
+    pub fn slowness(&self, upstream: LifetimeKey<'_>) -> f64 {
+        self.engines.slowness(upstream).ratio()
+    }
+
+    /// Returns the engines that are not of mean speed.
+    pub fn uneven_engines(&self) -> impl Iterator<Item = (&Lifetime, Slowness)> {
+        self.engines.uneven()
+    }
+
     /// Returns whether an engine recently refused a request because it lacks the model. While the
     /// orderer's state is stale and has not changed since, the refusal counts for longer.
     pub fn is_lacking(&self, now: Millis, upstream: &Name, model_ref: &ModelRef) -> bool {
--- a/src/ordering/demand_totals.rs
+++ b/src/ordering/demand_totals.rs
@@ -144,6 +144,11 @@
         all.into_iter().collect()
     }
 
+    /// Returns the request load on an engine from all hosts.
+    pub fn work_at(&self, engine: &str) -> UpstreamLoad {
+        self.hosts.work_at(engine)
+    }
+
     /// Returns how many requests of all hosts are running on an engine.
     pub fn running_at(&self, engine: &str) -> u32 {
         self.hosts.running_at(engine)
--- a/src/ordering/engine_inventory.rs
+++ b/src/ordering/engine_inventory.rs
@@ -59,6 +59,8 @@
     versions: IndexMap<Name, Name>,
     /// The software version of the engine that held a model and was removed last.
     last_versions: IndexMap<Name, Name>,
+    /// The slowness of the engines that are not of mean speed.
+    slowness: IndexMap<Name, f64>,
     /// Loads whose engines ended before they were done.
     failed_loads: FailedLoads,
     /// Lifetimes of engines at whose address another process answered an order, with when it did.
@@ -164,6 +166,21 @@
         self.versions.get(id)
     }
 
+    /// Sets the slowness of the engines that are not of mean speed.
+    pub fn set_slowness(&mut self, slowness: impl Iterator<Item = (Name, f64)>) {
+        self.slowness = slowness.collect();
+    }
+
+    /// Returns how long an engine takes for its work, relative to the mean of its service, which is 1.
+    pub fn slowness(&self, id: &str) -> f64 {
+        self.slowness.get(id).copied().unwrap_or(1.0)
+    }
+
+    /// Returns whether all engines are of mean speed.
+    pub fn is_even(&self) -> bool {
+        self.slowness.is_empty()
+    }
+
     /// Returns the software version of the engine that held a model and was removed last.
     pub fn last_version(&self, model: &str) -> Option<&Name> {
         self.last_versions.get(model)
--- a/src/ordering/free_memory.rs
+++ b/src/ordering/free_memory.rs
@@ -100,10 +100,16 @@
             .filter(|engine| self.has_room(engine, spec.weights_mb))
             .map(|engine| {
                 let prompt_demand = self.prompt_demand_at(engine, needs);
-                (prompt_demand + self.blocked_adapters_cost(engine), engine)
+                let cost = prompt_demand + self.blocked_adapters_cost(engine);
+                (
+                    cost,
+                    self.slowness_cost(engine, need, prompt_demand),
+                    engine,
+                )
             })
             // An engine that already reads as many prompt tokens takes no work off the others.
-            .filter(|(cost, _)| *cost < tokens_per_copy);
+            .filter(|(cost, ..)| *cost < tokens_per_copy)
+            .map(|(cost, slowness_cost, engine)| (cost + slowness_cost, engine));
         let (_, engine) = candidates.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         Some(PlannedOrder {
             engine: engine.id.clone(),
--- a/src/ordering/host_reports.rs
+++ b/src/ordering/host_reports.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::platform::ModelRef;
 use crate::ordering::demand::RequestCounts;
+use crate::ordering::event_gaps::GapSample;
 use crate::prelude::*;
 use crate::routing::pick::UpstreamLoad;
 
@@ -21,6 +22,8 @@
     pub demand: Vec<(ModelRef, RequestCounts)>,
     /// The host's own request load on each engine.
     pub work: Vec<(Name, UpstreamLoad)>,
+    /// The time between events of streams that ended since the host's last report.
+    pub event_gaps: Vec<GapSample>,
 }
 
 /// The parts of a host's last report that are kept.
@@ -87,6 +90,16 @@
         }
     }
 
+    /// Returns the request load on an engine from all hosts.
+    pub fn work_at(&self, engine: &str) -> UpstreamLoad {
+        let mut sum = UpstreamLoad::default();
+        let reports = self.hosts.values();
+        for work in reports.filter_map(|report| report.work.get(engine)) {
+            sum += *work;
+        }
+        sum
+    }
+
     /// Returns how many requests of all hosts are running on an engine.
     pub fn running_at(&self, engine: &str) -> u32 {
         let reports = self.hosts.values();
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -7,6 +7,7 @@
 use crate::group::members::MembersUpdate;
 use crate::group::{Generation, Member};
 use crate::ordering::demand::RequestCounts;
+use crate::ordering::event_gaps::GapSample;
 use crate::ordering::host_reports::HostReport;
 use crate::ordering::lease::Resignation;
 use crate::ordering::published::{EnginesUpdate, EnginesVersion};
@@ -101,6 +102,8 @@
     pub demand: Vec<(ModelRef, RequestCounts)>,
     /// The sender's own request load on each engine.
     pub work: Vec<(Name, UpstreamLoad)>,
+    /// The time between events of streams that ended since the sender's last message.
+    pub event_gaps: Vec<GapSample>,
     /// The offset from which the sender needs rows of the list of upstreams.
     pub upstreams_from: Option<Position>,
     /// How many other hosts report through the sender, if it is a relay.
@@ -120,6 +123,7 @@
             relayed_hosts: self.through,
             demand: std::mem::take(&mut self.demand),
             work: std::mem::take(&mut self.work),
+            event_gaps: std::mem::take(&mut self.event_gaps),
         }
     }
 }
--- a/src/ordering/mod.rs
+++ b/src/ordering/mod.rs
@@ -11,7 +11,8 @@
 //! chooses the next order for a model, [`adapters`] for an adapter. [`estimates`] predicts when a
 //! model that callers wait for is ready. [`demand`], [`host_reports`], [`relay_aggregate`] and
 //! [`demand_totals`] add up what hosts report to the orderer; [`published`] and
-//! [`cached_orderer_state`] carry the state of the engines back to the hosts.
+//! [`cached_orderer_state`] carry the state of the engines back to the hosts. [`event_gaps`] samples
+//! how fast engines answer, and [`engine_speeds`] learns their [`slowness`] from the samples.
 
 pub mod adapters;
 pub mod cached_orderer_state;
@@ -23,7 +24,9 @@
 pub mod engine_index;
 pub mod engine_inventory;
 mod engine_orders;
+pub mod engine_speeds;
 pub mod estimates;
+pub mod event_gaps;
 pub mod failed_loads;
 mod free_memory;
 pub mod host_reports;
@@ -32,6 +35,8 @@
 pub mod planner;
 pub mod published;
 pub mod relay_aggregate;
+mod slow_copies;
+pub mod slowness;
 pub mod store_load_limiter;
 
 #[cfg(test)]
--- a/src/ordering/published.rs
+++ b/src/ordering/published.rs
@@ -8,8 +8,9 @@
 
 use crate::entry::platform::ModelRef;
 use crate::ordering::engine_inventory::EngineChanges;
+use crate::ordering::slowness::Slowness;
 use crate::prelude::*;
-use crate::upstreams::Lifetime;
+use crate::upstreams::{Lifetime, LifetimeKey};
 use std::collections::VecDeque;
 
 /// The most removed engines that are remembered, so that hosts which still list them drop them. A
@@ -39,6 +40,14 @@
     pub engines: Vec<EngineView>,
     /// The engines that were removed.
     pub gone: Vec<Lifetime>,
+    /// The engines whose slowness changed; in the full state, those that are not of mean speed.
+    pub slowness: Vec<(Lifetime, Slowness)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PublishedSlowness {
+    changed_at: u64,
+    slowness: Slowness,
 }
 
 #[derive(Clone, Debug)]
@@ -59,6 +68,8 @@
 pub struct PublishedEngines {
     version: EnginesVersion,
     engines: IndexMap<Lifetime, PublishedEngine>,
+    /// The slowness of engines that are, or were, not of mean speed.
+    slowness: IndexMap<Lifetime, PublishedSlowness>,
     /// The engines that were removed, with the version of the removal, oldest first.
     removed: VecDeque<(u64, Lifetime)>,
     /// From this version on, all changes are known.
@@ -83,6 +94,50 @@
         holding.map(|(engine, _)| engine)
     }
 
+    /// Returns the slowness of an engine; the mean if none was published for this start of it.
+    pub fn slowness(&self, engine: LifetimeKey<'_>) -> Slowness {
+        let published = self.slowness.get(&engine);
+        published.map_or(Slowness::MEAN, |published| published.slowness)
+    }
+
+    /// Returns the engines that are not of mean speed.
+    pub fn uneven(&self) -> impl Iterator<Item = (&Lifetime, Slowness)> {
+        let published = self.slowness.iter();
+        published
+            .map(|(engine, published)| (engine, published.slowness))
+            .filter(|(_, slowness)| *slowness != Slowness::MEAN)
+    }
+
+    /// Starts from an empty state if `fence` is the fencing token of a new orderer.
+    fn begin(&mut self, fence: u64) {
+        if fence != self.version.0 {
+            *self = Self {
+                version: (fence, 0),
+                ..Self::default()
+            };
+        }
+    }
+
+    /// Adds changes of slowness to the published state of the orderer with this fencing token.
+    pub fn update_slowness(&mut self, fence: u64, changes: Vec<(Lifetime, Slowness)>) {
+        self.begin(fence);
+        if changes.is_empty() {
+            return;
+        }
+        self.version.1 += 1;
+        for (engine, slowness) in changes {
+            self.put_slowness(self.version.1, engine, slowness);
+        }
+    }
+
+    fn put_slowness(&mut self, changed_at: u64, engine: Lifetime, slowness: Slowness) {
+        let published = PublishedSlowness {
+            changed_at,
+            slowness,
+        };
+        self.slowness.insert(engine, published);
+    }
+
     /// Adds the orderer's changes to the published state. `fence` is the fencing token of the
     /// orderer; a new one starts from an empty state. An engine whose state is as in its entry in
     /// the list of upstreams is left out until it was published once, because every host has the
@@ -93,16 +148,11 @@
         changes: EngineChanges,
         is_as_listed: impl Fn(&EngineView) -> bool,
     ) {
-        if fence != self.version.0 {
-            *self = Self {
-                version: (fence, 0),
-                ..Self::default()
-            };
-        }
+        self.begin(fence);
         let next = self.version.1 + 1;
         let mut is_changed = false;
         for engine in &changes.gone {
-            if self.engines.contains_key(engine) {
+            if self.engines.contains_key(engine) || self.slowness.contains_key(engine) {
                 self.record_removed(next, engine);
                 is_changed = true;
             }
@@ -128,6 +178,7 @@
 
     fn record_removed(&mut self, version: u64, engine: &Lifetime) {
         self.engines.swap_remove(engine);
+        self.slowness.swap_remove(engine);
         self.removed.push_back((version, engine.clone()));
         if self.removed.len() > MAX_REMOVED
             && let Some((version, _)) = self.removed.pop_front()
@@ -155,6 +206,10 @@
             .removed
             .iter()
             .filter(|(at, _)| !is_whole && is_newer(*at));
+        let slowness = self.slowness.iter().filter(|(_, published)| {
+            let is_uneven = published.slowness != Slowness::MEAN;
+            is_newer(published.changed_at) && (is_uneven || !is_whole)
+        });
         EnginesUpdate {
             version: self.version,
             is_whole,
@@ -165,6 +220,9 @@
                 })
                 .collect(),
             gone: removed.map(|(_, engine)| engine.clone()).collect(),
+            slowness: slowness
+                .map(|(engine, published)| (engine.clone(), published.slowness))
+                .collect(),
         }
     }
 
@@ -194,6 +252,9 @@
             };
             self.engines.insert(engine, published);
         }
+        for (engine, slowness) in update.slowness {
+            self.put_slowness(version, engine, slowness);
+        }
         self.version = update.version;
     }
 }
--- a/src/ordering/relay_aggregate.rs
+++ b/src/ordering/relay_aggregate.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::platform::ModelRef;
 use crate::ordering::demand::{MAX_COUNTED_MODELS, RequestCounts};
+use crate::ordering::event_gaps::{GapSample, GapSamples, MAX_RELAY_SAMPLES};
 use crate::ordering::host_reports::{HostReport, HostReports};
 use crate::prelude::*;
 use crate::routing::pick::UpstreamLoad;
@@ -11,12 +12,16 @@
 pub struct RelayAggregate {
     /// Requests since the relay's last message to the orderer.
     counts: IndexMap<ModelRef, RequestCounts>,
+    /// The time between events of streams that ended since then.
+    event_gaps: GapSamples,
     hosts: HostReports,
 }
 
 impl RelayAggregate {
     /// Adds one host's report. `host` is the incarnation of its process.
-    pub fn record(&mut self, now: Millis, host: u64, report: HostReport) {
+    pub fn record(&mut self, now: Millis, host: u64, mut report: HostReport) {
+        let event_gaps = std::mem::take(&mut report.event_gaps);
+        self.event_gaps.add(event_gaps, MAX_RELAY_SAMPLES);
         for (model_ref, count) in &report.demand {
             if self.counts.len() < MAX_COUNTED_MODELS || self.counts.contains_key(model_ref) {
                 let sum = self.counts.entry(model_ref.clone()).or_default();
@@ -45,6 +50,12 @@
         sum.into_iter().collect()
     }
 
+    /// Returns the samples of the hosts together with the relay's own, and starts the next interval.
+    pub fn take_event_gaps(&mut self, own: Vec<GapSample>) -> Vec<GapSample> {
+        self.event_gaps.add(own, MAX_RELAY_SAMPLES);
+        self.event_gaps.take()
+    }
+
     /// Returns how many hosts reported recently through this relay.
     pub fn relayed_hosts(&self) -> usize {
         self.hosts.live_hosts()
--- a/src/ordering/tests.rs
+++ b/src/ordering/tests.rs
@@ -2,6 +2,7 @@
 
 mod cached_orderer_state;
 mod engine_inventory;
+mod engine_speeds;
 mod fake_engine;
 mod lease;
 mod planner;
--- a/src/ordering/tests/cached_orderer_state.rs
+++ b/src/ordering/tests/cached_orderer_state.rs
@@ -23,6 +23,7 @@
         is_whole: true,
         engines: vec![engine],
         gone: Vec::new(),
+        slowness: Vec::new(),
     }
 }
 
--- a/src/ordering/tests/planner/mod.rs
+++ b/src/ordering/tests/planner/mod.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod failed_loads;
 mod memory;
+mod slowness;
 mod waits;
 
 use super::fake_engine::{spec, unknown_start};
--- a/src/ordering/tests/published.rs
+++ b/src/ordering/tests/published.rs
@@ -4,9 +4,10 @@
 use crate::entry::platform::ModelRef;
 use crate::ordering::engine_inventory::EngineChanges;
 use crate::ordering::published::{EngineView, EnginesVersion, PublishedEngines};
+use crate::ordering::slowness::Slowness;
 use crate::prelude::*;
 use crate::test_support::run_seeded;
-use crate::upstreams::Lifetime;
+use crate::upstreams::{Lifetime, LifetimeKey};
 use arbtest::arbitrary::{Result, Unstructured};
 
 type State = Vec<(Lifetime, Vec<ModelRef>)>;
@@ -131,6 +132,44 @@
     assert_eq!(orderer.version(), same, "no engine changed");
 }
 
+/// Guards against messages that grow with the number of engines instead of the changes, and against a
+/// host that misses a change of slowness, its end, or the removal of its engine.
+#[test]
+fn slowness_is_sent_to_hosts_once_it_changes_and_to_new_hosts_as_a_whole() {
+    let slow = Slowness::from_ratio(1.6);
+    let lifetime = |n: usize| Lifetime {
+        id: format!("e{n}").into(),
+        born_at: Millis(1_790_000_000_000),
+    };
+    let slowness = |host: &PublishedEngines, n: usize| {
+        let Lifetime { id, born_at } = lifetime(n);
+        host.slowness(LifetimeKey { id: &id, born_at })
+    };
+    let mut orderer = PublishedEngines::default();
+    orderer.update_slowness(1, (0..10_000).map(|n| (lifetime(n), slow)).collect());
+    let mut host = PublishedEngines::default();
+    host.apply(orderer.since(host.version()));
+    assert_eq!(host.uneven().count(), 10_000);
+    orderer.update_slowness(1, vec![(lifetime(7), Slowness::MEAN)]);
+    let update = orderer.since(host.version());
+    let bytes = postcard::to_stdvec(&update).expect("it can be encoded");
+    assert!(bytes.len() < 64, "{} bytes for one change", bytes.len());
+    host.apply(update);
+    assert_eq!(slowness(&host, 7), Slowness::MEAN);
+    assert_eq!(slowness(&host, 8), slow);
+    let changes = EngineChanges {
+        gone: vec![lifetime(8)],
+        views: Vec::new(),
+    };
+    orderer.update(1, changes, |_| true);
+    host.apply(orderer.since(host.version()));
+    assert_eq!(slowness(&host, 8), Slowness::MEAN);
+    let mut new_host = PublishedEngines::default();
+    new_host.apply(orderer.since(new_host.version()));
+    assert!(new_host.uneven().eq(host.uneven()));
+    assert_eq!(new_host.uneven().count(), 9_998);
+}
+
 /// Regression test: hosts were sent the state of every engine although the list of upstreams
 /// already contains it.
 #[test]
--- a/src/ordering/tests/relay_aggregate.rs
+++ b/src/ordering/tests/relay_aggregate.rs
@@ -3,11 +3,13 @@
 
 use crate::entry::platform::ModelRef;
 use crate::ordering::demand::RequestCounts;
+use crate::ordering::event_gaps::{GapSample, MAX_RELAY_SAMPLES};
 use crate::ordering::host_reports::HostReport;
 use crate::ordering::relay_aggregate::RelayAggregate;
 use crate::prelude::*;
 use crate::routing::pick::UpstreamLoad;
 use crate::test_support::run_seeded;
+use crate::upstreams::Lifetime;
 use arbtest::arbitrary::{Result, Unstructured};
 
 fn demand(u: &mut Unstructured<'_>) -> Result<Vec<(ModelRef, RequestCounts)>> {
@@ -105,3 +107,30 @@
     relay.record(Millis(2_600), 2, work(4));
     assert_eq!(running(&relay, None), 4);
 }
+
+/// Guards against samples of event gaps that are lost at a relay, passed on twice or unbounded.
+#[test]
+fn a_relay_passes_on_the_newest_event_gaps_once() {
+    let samples = |count: u32| {
+        let sample = |gap_us| GapSample {
+            engine: Lifetime {
+                id: "e".into(),
+                born_at: Millis::ZERO,
+            },
+            model: "m".into(),
+            gap_us,
+        };
+        (0..count).map(sample).collect::<Vec<_>>()
+    };
+    let mut relay = RelayAggregate::default();
+    let report = |count| HostReport {
+        event_gaps: samples(count),
+        ..HostReport::default()
+    };
+    relay.record(Millis(1_000), 1, report(3));
+    relay.record(Millis(1_000), 2, report(2));
+    assert_eq!(relay.take_event_gaps(samples(1)).len(), 6);
+    assert_eq!(relay.take_event_gaps(Vec::new()), []);
+    relay.record(Millis(1_000), 1, report(100_000));
+    assert_eq!(relay.take_event_gaps(samples(4)).len(), MAX_RELAY_SAMPLES);
+}
--- a/src/routing/occupancy.rs
+++ b/src/routing/occupancy.rs
@@ -2,7 +2,8 @@
 //!
 //! Handles long answers on engines with few slots: when all slots of an engine are taken, one more
 //! request waits until one is free, which takes the mean time that a request occupies a slot,
-//! divided by the number of slots.
+//! divided by the number of slots. Likewise a request whose tokens do not fit into the engine's KV
+//! cache waits until running requests have released as many.
 
 use crate::prelude::*;
 
@@ -58,4 +59,18 @@
         let ahead = f64::from((under_way + 1).saturating_sub(slots));
         ahead * self.mean_ms / f64::from(slots)
     }
+
+    /// Returns how long a request that needs `needed_tokens` of an engine's KV cache waits for them,
+    /// in milliseconds, where requests in flight need `held_tokens`; 0 where the size of the cache
+    /// is unknown (`kv_tokens` is 0). In the mean time of a request, the running ones release as
+    /// much as the cache holds.
+    pub fn kv_wait_ms(&self, kv_tokens: u64, held_tokens: u64, needed_tokens: u64) -> f64 {
+        let wanted_tokens = held_tokens.saturating_add(needed_tokens.min(kv_tokens));
+        let missing_tokens = wanted_tokens.saturating_sub(kv_tokens);
+        if kv_tokens == 0 || missing_tokens == 0 {
+            return 0.0;
+        }
+        let running_tokens = held_tokens.min(kv_tokens);
+        missing_tokens as f64 * self.mean_ms / running_tokens as f64
+    }
 }
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -6,6 +6,10 @@
 //! with one prefix went to one engine, they would queue there. So rendezvous hashing gives each
 //! prefix a preferred engine among those that hold the model, and a request goes elsewhere when the
 //! wait at the preferred engine costs more than reading the prefix again.
+//!
+//! Handles engines that work at different speeds, or whose KV cache is full before their slots are:
+//! the costs of an engine's work are multiplied by its slowness, and the wait for its KV cache
+//! counts like the wait for a slot.
 
 use crate::prelude::*;
 use crate::rendezvous;
@@ -25,6 +29,9 @@
 /// Cost of an upstream that fails every request, in prompt tokens: more than any queue that is
 /// worth waiting in.
 const FAILURE_COST_TOKENS: f64 = 60_000.0;
+/// How long an engine takes to read its waiting prompts from which it counts as full. Its streams
+/// wait for the reading meanwhile.
+const FULL_PREFILL_MS: f64 = 300.0;
 /// Cost of an upstream of a plain service that fails every request, as a multiple of its slots.
 const FAILURE_COST_SLOTS: f64 = 4.0;
 /// Cost of an upstream in another data centre, as a fraction of its slots. It only breaks ties,
@@ -41,6 +48,9 @@
     pub long_prompts: u32,
     /// Number of requests in flight.
     pub running: u32,
+    /// Tokens that requests in flight may take of the KV cache: those of their prompts and the most
+    /// that their answers may have.
+    pub held_tokens: u64,
 }
 
 impl std::ops::AddAssign for UpstreamLoad {
@@ -48,6 +58,7 @@
         self.prompt_tokens += other.prompt_tokens;
         self.long_prompts += other.long_prompts;
         self.running += other.running;
+        self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
     }
 }
 
@@ -57,6 +68,48 @@
     pub fn under_way(&self, upstream: &Upstream) -> u32 {
         upstream.in_flight + self.running
     }
+
+    /// Returns whether an engine with this load from all hosts has as much work as it can take, so
+    /// that its streams may be slower than usual.
+    pub fn is_full(&self, slots: u32) -> bool {
+        let has_no_slot = slots > 0 && self.running >= slots;
+        has_no_slot || self.prompt_tokens as f64 >= FULL_PREFILL_MS * PREFILL_TOKENS_PER_MS
+    }
+}
+
+/// An engine that may be chosen for a request, and what is known of it beside its entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The engine.
+    pub upstream: &'a Upstream,
+    /// The load that other hosts have placed on it.
+    pub load: UpstreamLoad,
+    /// How long it takes for its work, relative to the mean of its service.
+    pub slowness: f64,
+    /// How long the request would wait for space in its KV cache, at mean speed.
+    pub kv_wait_ms: f64,
+}
+
+impl Candidate<'_> {
+    /// Returns how long a further request would wait for a slot and for space in the KV cache, in
+    /// milliseconds. A request that ends releases both at once.
+    pub fn start_wait_ms(&self, occupancy: Occupancy) -> f64 {
+        let under_way = self.load.under_way(self.upstream);
+        let slot_wait_ms = occupancy.wait_ms(self.upstream.entry.slots, under_way);
+        slot_wait_ms.max(self.kv_wait_ms) * self.slowness
+    }
+}
+
+impl<'a> From<(&'a Upstream, UpstreamLoad)> for Candidate<'a> {
+    /// Returns an engine of mean speed whose KV cache has space.
+    fn from((upstream, load): (&'a Upstream, UpstreamLoad)) -> Self {
+        Self {
+            upstream,
+            load,
+            slowness: 1.0,
+            kv_wait_ms: 0.0,
+        }
+    }
 }
 
 /// Properties of a request's prompt that the choice of an engine depends on.
@@ -120,50 +173,89 @@
 
 /// Chooses the engine with the lowest predicted wait among those that hold the model, are available
 /// and are not full; `None` if there is none. Waits are compared in prompt tokens.
-pub fn engine<'a>(
+pub fn engine<'a, C: Into<Candidate<'a>>>(
     now: Millis,
     model: &ModelCopies<'_>,
-    candidates: impl Iterator<Item = (&'a Upstream, UpstreamLoad)>,
+    candidates: impl Iterator<Item = C>,
     prompt: PromptShape,
     occupancy: Occupancy,
     random: &mut fastrand::Rng,
 ) -> Option<&'a Upstream> {
-    let holders: Vec<_> = candidates.collect();
-    let all = holders.iter().map(|(upstream, _)| *upstream);
+    let holders: Vec<Candidate<'a>> = candidates.map(Into::into).collect();
+    let all = holders.iter().map(|holder| holder.upstream);
     let reserved_for_other_kind = model.reserved_for_other_kind(all, prompt);
-    let mut candidates: Vec<_> = holders
-        .iter()
-        .copied()
-        .filter(|(upstream, _)| is_available(now, upstream) && now >= upstream.full_until)
+    let is_usable = |upstream: &Upstream| is_available(now, upstream) && now >= upstream.full_until;
+    let mut candidates: Vec<Candidate<'a>> = holders
+        .into_iter()
+        .filter(|candidate| is_usable(candidate.upstream))
         .collect();
     let preferred = candidates
         .iter()
-        .filter(|(upstream, _)| !reserved_for_other_kind.contains(&upstream.entry.id))
-        .max_by_key(|(upstream, _)| affinity(&upstream.entry.id, prompt.prefix_digest))
-        .map(|(upstream, _)| upstream.entry.id.clone());
+        .map(|candidate| &candidate.upstream.entry.id)
+        .filter(|id| !reserved_for_other_kind.contains(id))
+        .max_by_key(|id| affinity(id, prompt.prefix_digest));
+    let preferred = preferred.cloned();
     // The first of several engines with equal cost is chosen. With the same order on all hosts, all
     // of them would send to the same engine.
     random.shuffle(&mut candidates);
-    let cost = |(upstream, other_load): &(&Upstream, UpstreamLoad)| {
-        let prompt_tokens = upstream.prompt_tokens + other_load.prompt_tokens;
-        let under_way = other_load.under_way(upstream);
-        let slot_wait_ms = occupancy.wait_ms(upstream.entry.slots, under_way);
-        let prefix_cost = match Some(&upstream.entry.id) == preferred.as_ref() {
+    let cost = |candidate: &Candidate<'a>| {
+        let id = &candidate.upstream.entry.id;
+        let prefix_cost = match Some(id) == preferred.as_ref() {
             true => 0.0,
             false => prompt.shared_tokens as f64 * model.prefix_miss_cost,
         };
-        let wrong_copy_cost = match reserved_for_other_kind.contains(&upstream.entry.id) {
+        let wrong_copy_cost = match reserved_for_other_kind.contains(id) {
             true => WRONG_COPY_COST_TOKENS,
             false => 0.0,
         };
-        prompt_tokens as f64
-            + prefix_cost
-            + wrong_copy_cost
-            + f64::from(under_way) * RUNNING_COST_TOKENS
-            + slot_wait_ms * PREFILL_TOKENS_PER_MS
-            + upstream.health.failure_share(now) * FAILURE_COST_TOKENS
+        let prefix = PrefixCosts {
+            prefix_cost,
+            wrong_copy_cost,
+        };
+        engine_cost(now, candidate, prompt, prefix, occupancy)
     };
-    lowest_cost(candidates, cost)
+    let costs = candidates
+        .iter()
+        .map(|candidate| (cost(candidate), candidate.upstream));
+    let lowest = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    lowest.map(|(_, upstream)| upstream)
+}
+
+/// Costs of an engine for a prompt because another engine is meant for it, in prompt tokens.
+#[derive(Clone, Copy)]
+struct PrefixCosts {
+    /// What the engine has to read again of the shared prefix.
+    prefix_cost: f64,
+    wrong_copy_cost: f64,
+}
+
+/// Returns the predicted wait of a request at an engine, in prompt tokens that an engine of mean
+/// speed reads meanwhile.
+fn engine_cost(
+    now: Millis,
+    candidate: &Candidate<'_>,
+    prompt: PromptShape,
+    prefix: PrefixCosts,
+    occupancy: Occupancy,
+) -> f64 {
+    let Candidate {
+        upstream,
+        load,
+        slowness,
+        ..
+    } = *candidate;
+    let prompt_tokens = upstream.prompt_tokens + load.prompt_tokens;
+    let under_way = load.under_way(upstream);
+    let running_cost = f64::from(under_way) * RUNNING_COST_TOKENS;
+    // Reading the rest of the prompt and running takes the same everywhere but for the slowness.
+    let own_tokens = prompt.tokens.saturating_sub(prompt.shared_tokens) as f64;
+    let own_cost = (own_tokens + RUNNING_COST_TOKENS) * (slowness - 1.0);
+    (prompt_tokens as f64 + prefix.prefix_cost) * slowness
+        + prefix.wrong_copy_cost
+        + running_cost * slowness
+        + candidate.start_wait_ms(occupancy) * PREFILL_TOKENS_PER_MS
+        + own_cost
+        + upstream.health.failure_share(now) * FAILURE_COST_TOKENS
 }
 
 /// Chooses an upstream of a plain service: the one with the lowest fraction of its slots in use
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of first-byte timeouts and of the schedule of engine reports.
 
 mod pick;
+mod pick_slowness;
 
 use crate::membership::message::{UpstreamEntry, UpstreamRole};
 use crate::prelude::*;
--- a/src/routing/tests/pick.rs
+++ b/src/routing/tests/pick.rs
@@ -9,7 +9,7 @@
 
 const SLOTS: u32 = 24;
 
-fn engines(count: usize) -> Registry {
+pub fn engines(count: usize) -> Registry {
     let mut registry = Registry::default();
     for number in 0..count {
         registry.put(UpstreamEntry {
@@ -28,7 +28,7 @@
     registry
 }
 
-fn short_prompt(prefix_digest: u64) -> PromptShape {
+pub fn short_prompt(prefix_digest: u64) -> PromptShape {
     PromptShape {
         prefix_digest,
         shared_tokens: 170,
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::prelude::*;
 pub use health::Health;
+use indexmap::Equivalent;
 pub use notice::{Notice, NoticeChange, Notices};
 pub use path::{Path, UpstreamContact};
 pub use registry::{Registry, Upstream};
@@ -59,6 +60,21 @@
     pub born_at: Millis,
 }
 
+/// A borrowed [`Lifetime`], as the key of a look-up.
+#[derive(Hash)]
+pub struct LifetimeKey<'a> {
+    /// The name of the upstream.
+    pub id: &'a str,
+    /// The Unix time at which it started.
+    pub born_at: Millis,
+}
+
+impl Equivalent<Lifetime> for LifetimeKey<'_> {
+    fn equivalent(&self, lifetime: &Lifetime) -> bool {
+        self.id == &*lifetime.id && self.born_at == lifetime.born_at
+    }
+}
+
 /// A model in the memory of an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldModel {
--- a/src/upstreams/registry.rs
+++ b/src/upstreams/registry.rs
@@ -6,8 +6,8 @@
 use crate::routing::roles::is_long;
 use crate::upstreams::index::ListIndex;
 use crate::upstreams::{
-    Health, Lifetime, Notice, NoticeChange, Notices, Path, RejectionLimit, UpstreamContact,
-    UpstreamEntry, VersionHistory,
+    Health, Lifetime, LifetimeKey, Notice, NoticeChange, Notices, Path, RejectionLimit,
+    UpstreamContact, UpstreamEntry, VersionHistory,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -45,6 +45,8 @@
     pub prompt_tokens: u64,
     /// Number of these waiting requests that have long prompts.
     pub long_prompts: u32,
+    /// Tokens that this host's requests in progress there may take of its KV cache.
+    pub held_tokens: u64,
     /// Until when the upstream counts as full after it answered that it is.
     pub full_until: Millis,
     /// When the entry vanished in an outage, if the upstream is kept during the grace period.
@@ -63,6 +65,7 @@
             paused_until: Millis::ZERO,
             prompt_tokens: 0,
             long_prompts: 0,
+            held_tokens: 0,
             full_until: Millis::ZERO,
             vanished_at: None,
         }
@@ -76,6 +79,14 @@
         }
     }
 
+    /// Returns the lifetime of the upstream as the key of a look-up.
+    pub fn lifetime_key(&self) -> LifetimeKey<'_> {
+        LifetimeKey {
+            id: &self.entry.id,
+            born_at: self.entry.born_at,
+        }
+    }
+
     /// Returns the address at which the upstream takes requests.
     pub fn address(&self) -> SocketAddr {
         self.entry.address
@@ -482,6 +493,20 @@
         }
     }
 
+    /// Adds what a request of this host may take of an engine's KV cache.
+    pub fn hold_tokens(&mut self, lifetime: &Lifetime, tokens: u64) {
+        if let Some(upstream) = self.get_lifetime_mut(lifetime) {
+            upstream.held_tokens = upstream.held_tokens.saturating_add(tokens);
+        }
+    }
+
+    /// Takes off what a request of this host that ended had taken of an engine's KV cache.
+    pub fn release_tokens(&mut self, lifetime: &Lifetime, tokens: u64) {
+        if let Some(upstream) = self.get_lifetime_mut(lifetime) {
+            upstream.held_tokens = upstream.held_tokens.saturating_sub(tokens);
+        }
+    }
+
     /// Records that a request of this host ended.
     pub fn end_request(&mut self, lifetime: &Lifetime) {
         let Some(upstream) = self.get_lifetime_mut(lifetime) else {
