--- a/src/entry/sending/mod.rs
+++ b/src/entry/sending/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`attempts`]: what was tried, and whether another attempt is allowed.
 //! - [`choice`]: the upstream of the next attempt; [`unavailable`]: why there is none.
-//! - [`waiting`]: waiting for one.
+//! - [`waiting`]: waiting for one; [`engine_wait`]: how long a request waits at an engine.
 //! - [`send`], [`exchange`], [`pool`], [`in_flight`]: one send over a connection.
 
 pub mod attempts;
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod crashes;
 mod desired_copy;
+mod engine_speed;
 mod fake_platform;
 mod fake_upstream;
 mod follow;
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -163,6 +163,7 @@
             credential: headers.text("Key").map_or(Credential::Missing, |key| {
                 Credential::Key(KeyDigest::of(key.as_bytes()))
             }),
+            prompt_tokens: headers.number("Tokens").unwrap_or(0),
             parts: read_parts(headers),
             ..RequestFacts::default()
         }
--- a/src/ordering/tests/engine_speeds.rs
+++ b/src/ordering/tests/engine_speeds.rs
@@ -112,7 +112,7 @@
                 self.samples[engine] += 1;
             }
             for (lifetime, slowness) in self.speeds.refresh(self.now) {
-                let engine = (0..ENGINES).find(|n| &*lifetime.id == format!("e{n}"));
+                let engine = (0..ENGINES).find(|n| *lifetime.id == format!("e{n}"));
                 self.published[engine.expect("a known engine")] = slowness;
             }
         }
