--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -12,6 +12,7 @@
 use crate::entry::platform::Platform;
 use crate::entry::rejections;
 use crate::entry::sending::answer_wait::{AnswerLimit, Unanswered, wait_for_answer};
+use crate::entry::sending::engine_wait::kv_tokens_of;
 use crate::entry::sending::exchange::{Exchanged, exchange};
 use crate::entry::sending::in_flight::InFlight;
 use crate::entry::sending::pool::UpstreamConnection;
@@ -241,6 +242,7 @@
         host.upstreams.clone(),
         upstream,
         request.facts.prompt_tokens,
+        kv_tokens_of(host, request),
     );
     if is_long(request.facts.prompt_tokens) {
         host.request_sync();
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -9,6 +9,7 @@
 mod engine_ranks;
 mod engine_refusals;
 mod engine_wait;
+mod engine_speed;
 mod fake_platform;
 mod fake_upstream;
 mod follow;
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -5,6 +5,7 @@
 mod first_event;
 mod pick;
 mod service_wait;
+mod pick_slowness;
 
 use crate::membership::message::{UpstreamEntry, UpstreamRole};
 use crate::prelude::*;
--- a/src/routing/tests/pick.rs
+++ b/src/routing/tests/pick.rs
@@ -28,7 +28,7 @@
     registry
 }
 
-fn short_prompt(prefix_digest: u64) -> PromptShape {
+pub fn short_prompt(prefix_digest: u64) -> PromptShape {
     PromptShape {
         prefix_digest,
         shared_tokens: 170,
