Reservations for callers that were told to retry: book, messages, keepers

Cause: of the callers that were told when to retry after a refusal for a rate limit, 60% were refused once more. Change: PlaceBook and its schedules, the calls KeepPlaces and ClaimPlace, and keep and claim for the request path; the outbox of stream records is shared.

--- a/src/entry/desired_copy.rs
+++ b/src/entry/desired_copy.rs
@@ -67,6 +67,8 @@
         | PeerReply::AppendedLease(_)
         | PeerReply::List(_)
         | PeerReply::KeptStreams
-        | PeerReply::Stream(_) => None,
+        | PeerReply::Stream(_)
+        | PeerReply::KeptPlaces(_)
+        | PeerReply::Place { .. } => None,
     }
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -255,8 +255,7 @@
     let refusal = match unavailable {
         Some(resting @ Unavailable::Resting { .. }) => resting.refusal(),
         Some(Unavailable::Leaving) | None => {
-            let left_ms = request.deadline_at.since(host.now());
-            let max_ms = Millis(left_ms.0 / RETRY_AFTER_DIVISOR);
+            let max_ms = max_retry_after_ms(host.now(), request);
             Refusal {
                 retry_after_ms: refusal.retry_after_ms.map(|after| after.min(max_ms)),
                 ..refusal
@@ -266,6 +265,11 @@
     answer_refusal(host, request.facts.id.as_deref(), out, log, &refusal).await
 }
 
+/// Returns the longest retry time that a refusal of a request names.
+pub fn max_retry_after_ms(now: Millis, request: &ActiveRequest) -> Millis {
+    Millis(request.deadline_at.since(now).0 / RETRY_AFTER_DIVISOR)
+}
+
 /// Writes a refusal to the caller and records it in the request's log line.
 pub async fn answer_refusal<P: Platform>(
     host: &Host<P>,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -5,6 +5,7 @@
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::orderer::OrderingState;
 use crate::entry::peers::AcceptedFingerprints;
+use crate::entry::places::Places;
 use crate::entry::platform::{Platform, StoreCall, StoreError};
 use crate::entry::replication::ReplicationState;
 use crate::entry::sending::pool::Pool;
@@ -69,6 +70,8 @@
     pub retries: RefCell<RetryState>,
     /// What is left of the rate limits that all hosts enforce together.
     pub limits: RefCell<SharedLimits>,
+    /// The reservations for callers that were told to retry.
+    pub places: Places,
     /// How long requests of each service occupy an engine slot, averaged over this host's answers.
     pub occupancy: RefCell<IndexMap<Name, Occupancy>>,
     /// When a planned stop was requested.
@@ -103,13 +106,15 @@
             organisations: Limiter::new(clock.now(), settings.bounds.limit_tolerance),
             upstreams: UpstreamLimits::new(clock.now()),
         };
+        let incarnation = fastrand::u64(..);
         Rc::new(Self {
             limits: RefCell::new(limits),
+            places: Places::new(incarnation),
             settings: RefCell::new(Rc::new(settings)),
             platform,
             started_at: clock.now(),
             clock,
-            incarnation: fastrand::u64(..),
+            incarnation,
             metrics,
             pool: Pool::default(),
             routes: RefCell::default(),
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -159,6 +159,8 @@
         | PeerReply::AppendedLease(_)
         | PeerReply::Desired(_)
         | PeerReply::KeptStreams
-        | PeerReply::Stream(_) => None,
+        | PeerReply::Stream(_)
+        | PeerReply::KeptPlaces(_)
+        | PeerReply::Place { .. } => None,
     }
 }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -27,6 +27,8 @@
     held_causes: Gauge<u64>,
     refused_for_shared_cause: Counter<u64>,
     refused_in_vain: Counter<u64>,
+    reservations: Counter<u64>,
+    refused_again: Counter<u64>,
     first_byte_ms: Histogram<f64>,
     whole_ms: Histogram<f64>,
 }
@@ -66,6 +68,8 @@
                 .u64_counter("mangovale_entry_refused_for_shared_cause")
                 .build(),
             refused_in_vain: meter.u64_counter("mangovale_entry_refused_in_vain").build(),
+            reservations: meter.u64_counter("mangovale_entry_reservations").build(),
+            refused_again: meter.u64_counter("mangovale_entry_refused_again").build(),
             first_byte_ms: latency("mangovale_entry_first_byte_ms"),
             whole_ms: latency("mangovale_entry_whole_ms"),
             registry,
@@ -132,6 +136,17 @@
         self.refused_in_vain.add(requests, &[]);
     }
 
+    /// Counts reservations for callers that were told to retry, by what became of them.
+    pub fn count_reservations(&self, outcome: &'static str, count: u64) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.reservations.add(count, &labels);
+    }
+
+    /// Counts a request that was refused for a rate limit once more.
+    pub fn count_refused_again(&self) {
+        self.refused_again.add(1, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = TextEncoder::new()
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -12,7 +12,7 @@
 use crate::entry::platform::Platform;
 use crate::entry::resumption::streams::Streams;
 use crate::entry::run::EntryError;
-use crate::entry::{desired_copy, lease_manager, list_copy, sync};
+use crate::entry::{desired_copy, lease_manager, list_copy, places, sync};
 use crate::handoff::MAX_OPEN_PER_PEER;
 use crate::http1::client::with_timeout;
 use crate::ordering::message::{PeerCall, PeerReply};
@@ -167,6 +167,17 @@
         postcard::from_bytes(&bytes).ok()
     }
 
+    /// Returns the bytes of all packets that were sent and received on open connections that this
+    /// process made.
+    #[cfg(test)]
+    pub fn transferred_bytes(&self) -> u64 {
+        let connections = self.connections.borrow();
+        let stats = connections.values().map(Connection::stats);
+        stats
+            .map(|stats| stats.udp_tx.bytes + stats.udp_rx.bytes)
+            .sum()
+    }
+
     /// Closes all connections, so that the other hosts need not find out that this process ends.
     pub fn close(&self) {
         self.endpoint.close(0u32.into(), b"");
@@ -259,6 +270,10 @@
             PeerReply::KeptStreams
         }
         PeerCall::FindStream(key) => PeerReply::Stream(streams.record(host, key)),
+        PeerCall::KeepPlaces { from, updates } => {
+            PeerReply::KeptPlaces(places::receive(host, from, updates))
+        }
+        PeerCall::ClaimPlace { from, key } => places::claim_for_peer(host, from, key),
     }
 }
 
--- a/src/entry/resumption/streams.rs
+++ b/src/entry/resumption/streams.rs
@@ -4,6 +4,7 @@
 use crate::entry::active_request::{ActiveRequest, Origin};
 use crate::entry::host::Host;
 use crate::entry::lines;
+use crate::entry::outbox::Outbox;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
 use crate::entry::resumption::proof::list_as_of;
@@ -17,7 +18,6 @@
     StreamKey, StreamRecord, StreamRecords, StreamVersion, TAKE_UP_MS, keepers,
 };
 use crate::retry::RequestDigest;
-use event_listener::Event as Wakeup;
 use smol::LocalExecutor;
 use std::cell::RefCell;
 use std::future::poll_fn;
@@ -34,21 +34,11 @@
 /// The records of a host, and those that it has yet to send to the hosts that keep them.
 pub struct Streams {
     records: RefCell<StreamRecords>,
-    queue: RefCell<Queue>,
-    queued: Wakeup,
+    outbox: Outbox<StreamRecord>,
     /// The calls to other hosts and this host as the group lists it; none for a host without others.
     network: Option<(Rc<Peers>, Member)>,
 }
 
-#[derive(Default)]
-struct Queue {
-    /// The records for each host.
-    records: IndexMap<SocketAddr, Vec<StreamRecord>>,
-    /// The hosts to which a message is under way.
-    sending: IndexSet<SocketAddr>,
-    len: usize,
-}
-
 #[derive(Serialize)]
 struct UnsentLine {
     to: Option<SocketAddr>,
@@ -60,8 +50,7 @@
     pub fn new(network: Option<(Rc<Peers>, Member)>) -> Self {
         Self {
             records: RefCell::default(),
-            queue: RefCell::default(),
-            queued: Wakeup::new(),
+            outbox: Outbox::new(MAX_QUEUED, MAX_BATCH_RECORDS),
             network,
         }
     }
@@ -103,21 +92,16 @@
                 self.queue(keeper.peer_address, record.clone());
             }
         }
-        self.queued.notify(usize::MAX);
     }
 
     fn queue(&self, to: SocketAddr, record: StreamRecord) {
-        let mut queue = self.queue.borrow_mut();
-        if queue.len >= MAX_QUEUED {
+        if !self.outbox.push(to, record) {
             let line = UnsentLine {
                 to: None,
                 records: 1,
             };
             lines::write(LogEvent::StreamRecordsUnsent, &line);
-            return;
         }
-        queue.len += 1;
-        queue.records.entry(to).or_default().push(record);
     }
 
     /// Returns what this host or the hosts that keep the record know of a stream.
@@ -157,7 +141,9 @@
                 | PeerReply::AppendedLease(_)
                 | PeerReply::List(_)
                 | PeerReply::Desired(_)
-                | PeerReply::KeptStreams => None,
+                | PeerReply::KeptStreams
+                | PeerReply::KeptPlaces(_)
+                | PeerReply::Place { .. } => None,
             }
         };
         let found = first_some(asked.into_iter().map(ask));
@@ -203,23 +189,6 @@
         self.records.borrow().is_empty()
     }
 
-    /// Takes the records for one host to which no message is under way.
-    fn take_batch(&self) -> Option<(SocketAddr, Vec<StreamRecord>)> {
-        let mut queue = self.queue.borrow_mut();
-        let waiting = queue.records.keys();
-        let to = *waiting
-            .into_iter()
-            .find(|to| !queue.sending.contains(*to))?;
-        let mut batch = queue.records.swap_remove(&to)?;
-        if batch.len() > MAX_BATCH_RECORDS {
-            let rest = batch.split_off(MAX_BATCH_RECORDS);
-            queue.records.insert(to, rest);
-        }
-        queue.len -= batch.len();
-        queue.sending.insert(to);
-        Some((to, batch))
-    }
-
     async fn send(&self, to: SocketAddr, batch: Vec<StreamRecord>) {
         let Some((peers, _)) = &self.network else {
             return;
@@ -230,8 +199,7 @@
             let to = Some(to);
             lines::write(LogEvent::StreamRecordsUnsent, &UnsentLine { to, records });
         }
-        self.queue.borrow_mut().sending.swap_remove(&to);
-        self.queued.notify(usize::MAX);
+        self.outbox.note_sent(to);
     }
 }
 
@@ -253,15 +221,10 @@
 /// Sends records to the hosts that keep them, to each one message at a time, until the process ends.
 pub async fn send_records(streams: Rc<Streams>, executor: Rc<LocalExecutor<'static>>) {
     loop {
-        let queued = streams.queued.listen();
-        match streams.take_batch() {
-            Some((to, batch)) => {
-                let streams = streams.clone();
-                let send = async move { streams.send(to, batch).await };
-                executor.spawn(send).detach();
-            }
-            None => queued.await,
-        }
+        let (to, batch) = streams.outbox.next_batch().await;
+        let streams = streams.clone();
+        let send = async move { streams.send(to, batch).await };
+        executor.spawn(send).detach();
     }
 }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -13,7 +13,7 @@
 use crate::entry::settings::EntrySettings;
 use crate::entry::table_sources::TableSources;
 use crate::entry::{
-    budgeted_log, caller, follow, lease_manager, lines, orderer, stop, sync, table_rows,
+    budgeted_log, caller, follow, lease_manager, lines, orderer, places, stop, sync, table_rows,
 };
 use crate::group::Member;
 use crate::prelude::*;
@@ -164,6 +164,7 @@
         me: me.clone(),
     };
     let handoffs = Rc::new(Handoffs::new(peers.clone(), me.clone()));
+    host.places.connect(peers.clone());
     let streams = Rc::new(Streams::new(Some((peers.clone(), me.clone()))));
     let context = CallerContext {
         handoffs: Some(handoffs.clone()),
@@ -196,6 +197,7 @@
             executor.clone(),
         )),
         executor.spawn(send_records(streams, executor.clone())),
+        executor.spawn(places::send_updates(host.clone(), executor.clone())),
         executor.spawn(watch_signals(host.clone(), signals, path, reconnect)),
     ];
     let members = executor.spawn(members::maintain_membership(host.clone(), me.clone()));
@@ -228,6 +230,7 @@
         host.pool.expire(now);
         handoffs.expire(now);
         streams.sweep(&host);
+        places::sweep(&host);
         let expired = host.upstreams.borrow_mut().expire(now);
         for id in &expired {
             host.pool.close_idle(id);
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -256,7 +256,9 @@
         | PeerReply::List(_)
         | PeerReply::Desired(_)
         | PeerReply::KeptStreams
-        | PeerReply::Stream(_) => None,
+        | PeerReply::Stream(_)
+        | PeerReply::KeptPlaces(_)
+        | PeerReply::Place { .. } => None,
     }
 }
 
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -17,6 +17,7 @@
 use crate::entry::lease_manager;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::peers::{self, Peers};
+use crate::entry::places;
 use crate::entry::platform::Table;
 use crate::entry::resumption::streams::{Streams, send_records};
 use crate::group::Member;
@@ -108,6 +109,7 @@
                 caller_address: address,
                 ..as_member(&host, &peers, 0)
             };
+            host.places.connect(peers.clone());
             hosts.push(OneHost {
                 host,
                 handoffs: Rc::new(Handoffs::new(peers.clone(), me.clone())),
@@ -151,6 +153,9 @@
         tasks
             .spawn(send_records(streams.clone(), tasks.clone()))
             .detach();
+        tasks
+            .spawn(places::send_updates(host.clone(), tasks.clone()))
+            .detach();
         let serve = peers::serve(host, one.peers.clone(), streams, tasks.clone());
         tasks.spawn(serve).detach();
     }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -11,10 +11,12 @@
 //! - [`departed`]: hosts that left the list and may still serve callers.
 //! - [`read_policy`]: when a host reads the list from the store itself.
 //! - [`tree`]: which hosts relay for others.
+//! - [`keepers`]: which hosts keep state for a key.
 //! - [`parents`]: which relay, or the orderer, a host syncs with.
 
 pub mod departed;
 pub mod generation;
+pub mod keepers;
 pub mod member;
 pub mod members;
 pub mod parents;
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -11,7 +11,9 @@
 use crate::ordering::lease::Resignation;
 use crate::ordering::published::{EnginesUpdate, EnginesVersion};
 use crate::prelude::*;
-use crate::rate_limit::{LimitsUpdate, UpstreamLimitsReport, UpstreamLimitsUpdate, Usage};
+use crate::rate_limit::{
+    LimitsUpdate, PlaceUpdate, SentPlace, UpstreamLimitsReport, UpstreamLimitsUpdate, Usage,
+};
 use crate::resumption::{StreamKey, StreamRecord};
 use crate::retry::{CrashReport, CrashUpdate};
 use crate::routing::pick::UpstreamLoad;
@@ -183,6 +185,22 @@
     KeepStreams(Vec<StreamRecord>),
     /// Asks for the record of a stream.
     FindStream(StreamKey),
+    /// Keeps and removes reservations.
+    KeepPlaces {
+        /// The incarnation of the sender.
+        from: u64,
+        /// At most [`MAX_BATCH_PLACES`] updates.
+        ///
+        /// [`MAX_BATCH_PLACES`]: crate::rate_limit::place::MAX_BATCH_PLACES
+        updates: Vec<PlaceUpdate>,
+    },
+    /// Takes a reservation.
+    ClaimPlace {
+        /// The incarnation of the sender.
+        from: u64,
+        /// The key of the reservation.
+        key: u64,
+    },
 }
 
 /// The answer to a call between hosts.
@@ -203,6 +221,18 @@
     KeptStreams,
     /// The answer to [`PeerCall::FindStream`]; `None` if the called host has no record.
     Stream(Option<StreamRecord>),
+    /// The answer to [`PeerCall::KeepPlaces`]: the keys of reservations of requests that the sender
+    /// refused which were claimed since its last call; at most [`MAX_BATCH_PLACES`].
+    ///
+    /// [`MAX_BATCH_PLACES`]: crate::rate_limit::place::MAX_BATCH_PLACES
+    KeptPlaces(Vec<u64>),
+    /// The answer to [`PeerCall::ClaimPlace`].
+    Place {
+        /// The reservation; `None` if the called host has none that is valid now.
+        place: Option<SentPlace>,
+        /// As in [`Self::KeptPlaces`].
+        claimed: Vec<u64>,
+    },
 }
 
 /// The orderer's or a relay's answer to a host.
--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -11,10 +11,20 @@
 //! - [`usage`]: use that has not been reported yet.
 //! - [`levels`]: bucket levels in messages between hosts.
 //! - [`limiter`]: the decision on one host.
+//! - [`claimed_keys`]: reservations that were claimed at another host than the one that refused.
+//! - [`place`]: a reservation for a caller that was told to retry.
+//! - [`places`]: the reservations of one host.
+//! - [`schedules`]: the times for which reservations are made.
+//! - [`timed`]: entries that end at known times.
 //! - [`upstream_limits`]: the limits that upstreams state in their answers.
 
+pub mod claimed_keys;
 pub mod levels;
 pub mod limiter;
+pub mod place;
+pub mod places;
+pub mod schedules;
+pub mod timed;
 pub mod token_bucket;
 pub mod upstream_limits;
 pub mod usage;
@@ -24,6 +34,8 @@
 
 pub use levels::LimitsUpdate;
 pub use limiter::{Decision, Limiter, Refused, Scope};
+pub use place::{Place, PlaceUpdate, SentPlace};
+pub use places::PlaceBook;
 pub use upstream_limits::{
     StatedLimit, UpstreamLimits, UpstreamLimitsReport, UpstreamLimitsUpdate,
 };
--- a/src/resumption/keepers.rs
+++ b/src/resumption/keepers.rs
@@ -2,7 +2,7 @@
 //! list of hosts.
 
 use crate::group::Member;
-use crate::rendezvous;
+use crate::group::keepers::keepers_in_order;
 use crate::resumption::StreamKey;
 
 /// How many hosts keep the record of a stream.
@@ -17,14 +17,7 @@
     members: impl Iterator<Item = &'a Member>,
     key: StreamKey,
 ) -> impl Iterator<Item = &'a Member> {
-    let mut hosts: Vec<&Member> = members.collect();
-    let keeping = keeping_hosts(hosts.len());
-    if keeping < hosts.len() {
-        hosts.select_nth_unstable_by_key(keeping, |host| rank(host, 0));
-        hosts.truncate(keeping);
-    }
-    hosts.sort_unstable_by_key(|host| rank(host, key.digest()));
-    hosts.into_iter().take(KEEPERS)
+    keepers_in_order(members, keeping_hosts, key.digest()).take(KEEPERS)
 }
 
 /// Returns how many of `hosts` hosts keep records.
@@ -32,9 +25,3 @@
     let keeping = (HOSTS_PER_ROOT * (hosts as f64).sqrt()).ceil() as usize;
     keeping.min(hosts)
 }
-
-fn rank(host: &Member, digest: u64) -> (u64, u64) {
-    let incarnation = host.incarnation;
-    let score = rendezvous::score(&incarnation.to_le_bytes(), digest);
-    (score, incarnation)
-}
