--- a/src/entry/tests/places.rs
+++ b/src/entry/tests/places.rs
@@ -22,7 +22,7 @@
     let host = &hosts.hosts[host].host;
     let origin = Origin::Host { resume_after: None };
     let prepared = prepare(host, head, body.into(), host.now(), origin);
-    prepared.ok().expect("a request that can be served")
+    prepared.expect("a request that can be served")
 }
 
 /// Refuses a request at a host and waits until its caller comes back. Returns the index of the second
--- a/src/rate_limit/tests/places.rs
+++ b/src/rate_limit/tests/places.rs
@@ -83,7 +83,9 @@
         book.receive(NOW, sent(1_000 + key, &format!("o{}", key / 100), 5_000));
     }
     assert_eq!(book.len(), MAX_PLACES);
-    assert!(MAX_REFUSED <= MAX_PLACES);
+    let newest = 1_000 + 2 * MAX_PLACES as u64 - 1;
+    assert!(reserve(&mut book, NOW, newest).is_repeat);
+    assert!(!reserve(&mut book, NOW, newest - MAX_REFUSED as u64).is_repeat);
     let mut book = PlaceBook::new(1);
     for n in 0..2 * MAX_SCHEDULES as u64 {
         let organisation: Name = format!("s{n}").into();
@@ -181,6 +183,37 @@
     }
 }
 
+// Guards against hosts that refuse most requests of an organisation and may promise only a part of the
+// refill that is divided among all hosts.
+#[test]
+fn a_part_that_was_told_lets_few_hosts_promise_the_whole_refill() {
+    let reserved = |part: Option<f64>| {
+        let mut books: Vec<PlaceBook> = (0..5).map(PlaceBook::new).collect();
+        let refill = Refill {
+            default_part: 1.0 / 73.0,
+            ..WHOLE
+        };
+        let organisation: Name = "o".into();
+        let mut random = fastrand::Rng::with_seed(1);
+        let mut tokens = 0;
+        for key in 0..2_000 {
+            let book = &mut books[key as usize % 5];
+            if let Some(part) = part {
+                book.set_part(NOW, &organisation, part);
+            }
+            let wanted = wanted(key, &organisation);
+            let reserved = book.reserve(NOW, &wanted, refill, random.f64());
+            tokens += reserved.place.map_or(0, |place| place.cost);
+        }
+        tokens as f64 / (WHOLE.per_s * 9.8)
+    };
+    let (divided, told) = (reserved(None), reserved(Some(0.2)));
+    println!(
+        "5 of 73 hosts reserve {divided:.2} of the refill by an even division, {told:.2} by the told part"
+    );
+    assert!(divided < 0.1 && (0.95..1.05).contains(&told));
+}
+
 // Guards against a promise that the caller cannot use, and against a limit whose refill changes.
 #[test]
 fn a_reservation_is_made_only_if_the_caller_comes_back_that_late() {
