--- a/src/desired/routes.rs
+++ b/src/desired/routes.rs
@@ -13,6 +13,8 @@
     pub services: IndexMap<Name, Service>,
     /// Bounds on callers' requests and connections.
     pub limits: CallerLimits,
+    /// Whether routes differ in rank, so that requests have an order.
+    pub has_ranks: bool,
     /// The rate limits by the name of the organisation.
     pub rate_limits: RateLimitTable,
     /// The organisations by key; absent if callers need no key.
@@ -24,6 +26,7 @@
 impl RouteTable {
     /// Builds the indexes of a desired state.
     pub fn new(state: DesiredState) -> Self {
+        let ranks: IndexSet<u8> = state.routes.iter().map(|route| route.rank).collect();
         let mut by_host: IndexMap<Name, Vec<Arc<Route>>> = IndexMap::new();
         for route in state.routes {
             let routes = by_host.entry(route.host.clone()).or_default();
@@ -40,6 +43,7 @@
                 .iter()
                 .filter_map(|own| Some((own.name.clone(), own.rate_limit?)))
                 .collect(),
+            has_ranks: ranks.len() > 1,
             version: state.version,
             services: state.services,
             limits: state.limits,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -17,7 +17,7 @@
 use crate::ordering::cached_orderer_state::CachedOrdererState;
 use crate::ordering::relay_aggregate::RelayAggregate;
 use crate::prelude::*;
-use crate::rate_limit::{Limiter, SharedLimits, UpstreamLimits};
+use crate::rate_limit::{Limiter, Lines, SharedLimits, UpstreamLimits};
 use crate::retry::{RetryBudget, RetryState};
 use crate::routing::occupancy::Occupancy;
 use crate::upstreams::Registry;
@@ -85,6 +85,7 @@
     pub has_unknown_peer: Cell<bool>,
     is_sync_requested: Cell<bool>,
     changed: Wakeup,
+    limit_queue_changed: Wakeup,
     sync_requested: Wakeup,
     peer_refused: Wakeup,
     stopping: Wakeup,
@@ -101,6 +102,7 @@
     ) -> Rc<Self> {
         let limits = SharedLimits {
             organisations: Limiter::new(clock.now(), settings.bounds.limit_tolerance),
+            lines: Lines::default(),
             upstreams: UpstreamLimits::new(clock.now()),
         };
         Rc::new(Self {
@@ -133,6 +135,7 @@
             has_unknown_peer: Cell::new(false),
             is_sync_requested: Cell::new(false),
             changed: Wakeup::new(),
+            limit_queue_changed: Wakeup::new(),
             sync_requested: Wakeup::new(),
             peer_refused: Wakeup::new(),
             stopping: Wakeup::new(),
@@ -234,6 +237,17 @@
         self.changed.listen()
     }
 
+    /// Wakes the requests that wait for a rate limit.
+    pub fn note_limit_queue_change(&self) {
+        self.limit_queue_changed.notify(usize::MAX);
+    }
+
+    /// Returns a listener for the next decision on requests that wait for a rate limit, or for news
+    /// that they are decided by.
+    pub fn next_limit_queue_change(&self) -> EventListener {
+        self.limit_queue_changed.listen()
+    }
+
     /// Wakes the task that exchanges messages with the orderer, for news that cannot wait for its
     /// next interval.
     pub fn request_sync(&self) {
@@ -292,6 +306,7 @@
             self.stop_requested_at.set(Some(self.now()));
             self.stopping.notify(usize::MAX);
             self.note_change();
+            self.note_limit_queue_change();
         }
     }
 
--- /dev/null
+++ b/src/entry/limit_queue.rs
@@ -0,0 +1,348 @@
+//! Requests that wait for the rate limit of their organisation, where routes differ in rank.
+
+use crate::desired::{RateLimit, RateLimitTable, Route};
+use crate::entry::active_request::ActiveRequest;
+use crate::entry::host::Host;
+use crate::entry::limits;
+use crate::entry::lines;
+use crate::entry::platform::Platform;
+use crate::http1::client::with_timeout;
+use crate::prelude::*;
+use crate::rate_limit::line::{Entered, Outcome, Turn, WaitingRequest};
+use crate::rate_limit::{Limiter, LineReport, Lines, LinesUpdate, Refused};
+
+/// The usual time to the first event of a stream.
+const FIRST_EVENT_MS: Millis = Millis(300);
+/// The part of a plain call's goal that its answer usually takes.
+const PLAIN_CALL_GOAL_DIVISOR: u64 = 2;
+/// A request waits for at most this part of the time until its caller gives up.
+const WAIT_DIVISOR: u64 = 3;
+/// The shortest time between two requests for newer levels while requests wait.
+const REFRESH_INTERVAL_MS: Millis = Millis(100);
+/// Most requests that begin or are refused by one look at a queue.
+const MAX_DECISIONS: usize = 32;
+
+/// The precedence of a request that was told to retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Precedence {
+    /// When the request arrived first.
+    pub first_arrived_at: Millis,
+    /// Whether it counts as one rank more urgent when the reserve is applied.
+    pub is_promoted: bool,
+}
+
+/// A request under the rate limit of its organisation.
+#[derive(Clone, Copy)]
+pub struct LimitedRequest<'a> {
+    /// The request.
+    pub request: &'a ActiveRequest,
+    /// The name of its organisation.
+    pub organisation: &'a Name,
+    /// The organisation's limit.
+    pub limit: &'a RateLimit,
+    /// The request's cost.
+    pub cost: u64,
+}
+
+impl LimitedRequest<'_> {
+    /// Returns the request's place in the order. With a precedence it goes by its first arrival.
+    pub fn waiting_request(&self, precedence: Option<Precedence>) -> WaitingRequest {
+        let ActiveRequest {
+            route,
+            arrived_at,
+            first_byte_deadline_at,
+            ..
+        } = self.request;
+        let first_arrived_at = precedence.map_or(*arrived_at, |own| own.first_arrived_at);
+        let time_ms = first_byte_deadline_at.since(*arrived_at);
+        let leave_by = *arrived_at + Millis(time_ms.0 / WAIT_DIVISOR);
+        let leave_by = leave_by.max(*arrived_at + start_within_ms(route));
+        WaitingRequest {
+            rank: rank(self.request),
+            arrived_at: first_arrived_at,
+            on_time_until: first_arrived_at + start_within_ms(route),
+            leave_by: leave_by.min(*first_byte_deadline_at),
+            cost: self.cost,
+            is_promoted: precedence.is_some_and(|own| own.is_promoted),
+        }
+    }
+}
+
+/// Returns the rank of a request: that of its organisation if it has one, else that of its route.
+pub fn rank(request: &ActiveRequest) -> u8 {
+    let organisation = request.identity.organisation();
+    let own = organisation.and_then(|organisation| organisation.rank);
+    own.unwrap_or(request.route.rank)
+}
+
+/// Returns how long after its arrival a request of a route can begin and still be on time.
+fn start_within_ms(route: &Route) -> Millis {
+    match route.streams {
+        true => route.goal_ms - FIRST_EVENT_MS,
+        false => Millis(route.goal_ms.0 / PLAIN_CALL_GOAL_DIVISOR),
+    }
+}
+
+/// Tells whether requests wait for rate limits at this host: its routes differ in rank.
+pub fn is_enabled<P: Platform>(host: &Host<P>) -> bool {
+    let table = host.routes.borrow();
+    table.as_ref().is_some_and(|table| table.has_ranks)
+}
+
+/// Charges a request to the limit of its organisation, now or after it waited for its turn.
+///
+/// # Errors
+///
+/// Returns the refusal when the request cannot begin in time.
+pub async fn take<P: Platform>(
+    host: &Host<P>,
+    limited: &LimitedRequest<'_>,
+) -> Result<(), Refusal> {
+    let LimitedRequest {
+        organisation,
+        limit,
+        ..
+    } = *limited;
+    let wants_newer_levels = || limits::wants_newer_levels(host, organisation, limit);
+    limits::wait_for_newer_levels(host, wants_newer_levels).await;
+    let asked = limited.waiting_request(None);
+    let begun = with_lines(host, limited, |lines, limiter, turn| {
+        lines.try_begin(turn, limiter, &asked)
+    });
+    let drawn = match begun {
+        None => return Ok(()),
+        Some(Ok(())) => {
+            host.metrics.count_limit_queue(asked.rank, "began_at_once");
+            request_sync_if_scarce(host, limited);
+            return Ok(());
+        }
+        Some(Err(drawn)) => drawn,
+    };
+    if host.is_stopping() {
+        return Err(stopping());
+    }
+    let precedence = precedence(host, limited.request).await;
+    let asked = limited.waiting_request(precedence);
+    let entered = with_lines(host, limited, |lines, limiter, turn| {
+        lines.enter(turn, limiter, &asked, drawn)
+    });
+    request_sync_if_scarce(host, limited);
+    let outcome = match entered {
+        None => Outcome::Began,
+        Some(Entered::Decided(outcome)) => outcome,
+        Some(Entered::Waits(id)) => {
+            host.metrics.count_limit_queue(asked.rank, "waited");
+            host.note_limit_queue_change();
+            host.request_sync();
+            let waiting = Waiting { host, limited, id };
+            waiting.wait().await?
+        }
+    };
+    match outcome {
+        Outcome::Began => {
+            host.metrics.count_limit_queue(asked.rank, "began");
+            Ok(())
+        }
+        Outcome::Refused(refused) => {
+            host.metrics.count_limit_queue(asked.rank, "refused");
+            Err(note_refused(host, limited, &asked, refused))
+        }
+    }
+}
+
+/// Returns the precedence of a request that does not begin at once, if it was told to retry. Called
+/// once per request, before it enters the queue. Reservations are not implemented, so there is none.
+async fn precedence<P: Platform>(_host: &Host<P>, _request: &ActiveRequest) -> Option<Precedence> {
+    None
+}
+
+/// Returns the answer to a request that is refused for a rate limit. Its retry time is known here.
+fn note_refused<P: Platform>(
+    _host: &Host<P>,
+    _limited: &LimitedRequest<'_>,
+    _asked: &WaitingRequest,
+    refused: Refused,
+) -> Refusal {
+    limits::refusal(refused)
+}
+
+fn stopping() -> Refusal {
+    Refusal::new(ErrorKind::Stopping, "this host is about to end").with_retry_after(Millis::ZERO)
+}
+
+/// A request in the queue. Dropped without a decision, it leaves the queue.
+struct Waiting<'a, P: Platform> {
+    host: &'a Host<P>,
+    limited: &'a LimitedRequest<'a>,
+    id: u64,
+}
+
+impl<P: Platform> Waiting<'_, P> {
+    /// Waits for the decision on the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when this host stops.
+    async fn wait(self) -> Result<Outcome, Refusal> {
+        let Self { host, limited, id } = self;
+        let mut refreshed_at = Millis::ZERO;
+        loop {
+            let changed = host.next_limit_queue_change();
+            if host.is_stopping() {
+                return Err(stopping());
+            }
+            self.step();
+            let with = |lines: &mut Lines, _: &mut Limiter, turn: &Turn<'_>| {
+                let is_first = lines.is_first(turn.now, turn.name, id);
+                let next_check_ms = lines.next_check_ms(turn.now, turn.name, id);
+                (lines.take_outcome(id), is_first, next_check_ms)
+            };
+            let Some((outcome, is_first, next_check_ms)) = with_lines(host, limited, with) else {
+                return Ok(Outcome::Began);
+            };
+            if let Some(outcome) = outcome {
+                log_changes(host);
+                return Ok(outcome);
+            }
+            let now = host.now();
+            let is_refresh_due = is_first && now.since(refreshed_at) >= REFRESH_INTERVAL_MS;
+            if is_refresh_due
+                && limits::wants_newer_levels(host, limited.organisation, limited.limit)
+            {
+                refreshed_at = now;
+                host.request_sync();
+            }
+            with_timeout(next_check_ms, changed).await;
+        }
+    }
+
+    /// Looks at the queue if this request is to do so, and wakes those that were decided on.
+    fn step(&self) {
+        let is_due = with_lines(self.host, self.limited, |lines, _, turn| {
+            lines.is_due(turn.now, turn.name, self.id)
+        });
+        if is_due != Some(true) {
+            return;
+        }
+        let step = |lines: &mut Lines, limiter: &mut Limiter, turn: &Turn<'_>| {
+            lines.step(turn, limiter)
+        };
+        let decided = (0..MAX_DECISIONS)
+            .map_while(|_| with_lines(self.host, self.limited, step).filter(|decided| *decided > 0))
+            .sum::<usize>();
+        if decided > 0 {
+            self.host.note_limit_queue_change();
+            request_sync_if_scarce(self.host, self.limited);
+        }
+    }
+}
+
+impl<P: Platform> Drop for Waiting<'_, P> {
+    fn drop(&mut self) {
+        let left = with_lines(self.host, self.limited, |lines, limiter, turn| {
+            let outcome = lines.leave(turn.name, self.id);
+            if outcome == Some(Outcome::Began) {
+                limiter.refund(turn.now, turn.name, turn.limit, self.limited.cost);
+            }
+        });
+        if left.is_some() {
+            self.host.note_limit_queue_change();
+            log_changes(self.host);
+        }
+    }
+}
+
+fn request_sync_if_scarce<P: Platform>(host: &Host<P>, limited: &LimitedRequest<'_>) {
+    let is_scarce = with_lines(host, limited, |_, limiter, turn| {
+        limiter.is_scarce(turn.now, turn.name, turn.limit)
+    });
+    if is_scarce == Some(true) {
+        host.request_sync();
+    }
+}
+
+/// Adds what waits at another host.
+pub fn merge_sums<P: Platform>(host: &Host<P>, incarnation: u64, sums: &[LineReport]) {
+    with_all_lines(host, |lines, _, now, _| {
+        lines.record(now, incarnation, sums.to_vec());
+    });
+}
+
+/// Returns what waits at this host and at those that report to it, for the next message to a relay
+/// or the orderer.
+pub fn report<P: Platform>(host: &Host<P>) -> Vec<LineReport> {
+    log_changes(host);
+    with_all_lines(host, |lines, limiter, now, _| lines.report(now, limiter)).unwrap_or_default()
+}
+
+/// Returns what waits at all hosts, for this host's reply to hosts that report to it.
+pub fn build_update<P: Platform>(host: &Host<P>) -> LinesUpdate {
+    let build = |lines: &mut Lines, limiter: &mut Limiter, now, _: &_| {
+        lines.build_update(now, limiter)
+    };
+    with_all_lines(host, build).unwrap_or_default()
+}
+
+/// Applies the reply to a message that was sent at `asked_at`.
+pub fn apply_update<P: Platform>(host: &Host<P>, asked_at: Millis, update: &LinesUpdate) {
+    let has_waiting = with_all_lines(host, |lines, _, _, _| {
+        lines.apply_update(asked_at, update);
+        lines.has_waiting()
+    });
+    if has_waiting == Some(true) {
+        host.note_limit_queue_change();
+    }
+}
+
+#[derive(Serialize)]
+struct QueueLine<'a> {
+    organisation: &'a str,
+    requests: usize,
+    tokens: u64,
+}
+
+/// Logs the queues that became empty or non-empty, and records how much waits.
+fn log_changes<P: Platform>(host: &Host<P>) {
+    let changed = with_all_lines(host, |lines, _, now, _| {
+        (lines.take_changes(now), lines.waiting(now))
+    });
+    let Some((changes, (requests, tokens))) = changed else {
+        return;
+    };
+    host.metrics.record_limit_queue(requests as u64, tokens);
+    for change in changes {
+        let line = QueueLine {
+            organisation: &change.organisation,
+            requests: change.requests,
+            tokens: change.tokens,
+        };
+        lines::write(LogEvent::LimitQueueChanged, &line);
+    }
+}
+
+/// Calls `with` on the queues and the limiter for a request, with a new random number. Returns none
+/// before there is a desired state.
+fn with_lines<P: Platform, T>(
+    host: &Host<P>,
+    limited: &LimitedRequest<'_>,
+    with: impl FnOnce(&mut Lines, &mut Limiter, &Turn<'_>) -> T,
+) -> Option<T> {
+    with_all_lines(host, |lines, limiter, now, _| {
+        let turn = Turn {
+            now,
+            name: limited.organisation,
+            limit: limited.limit,
+            random_unit: fastrand::f64(),
+        };
+        with(lines, limiter, &turn)
+    })
+}
+
+fn with_all_lines<P: Platform, T>(
+    host: &Host<P>,
+    with: impl FnOnce(&mut Lines, &mut Limiter, Millis, &RateLimitTable) -> T,
+) -> Option<T> {
+    limits::with_limits(host, |shared, now, table| {
+        with(&mut shared.lines, &mut shared.organisations, now, table)
+    })
+}
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -3,11 +3,14 @@
 use crate::desired::{RateLimit, RateLimitTable};
 use crate::entry::active_request::ActiveRequest;
 use crate::entry::host::Host;
+use crate::entry::limit_queue::{self, LimitedRequest};
 use crate::entry::platform::Platform;
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use crate::rate_limit::limiter::Coverage;
-use crate::rate_limit::{Decision, Limiter, LimitsUpdate, Refused, Scope, Usage};
+use crate::rate_limit::{
+    Decision, Limiter, LimitsUpdate, Refused, Scope, SharedLimits, Usage,
+};
 
 /// How long a request waits for newer limit levels from other hosts: the time of a few message
 /// exchanges with a relay and the orderer.
@@ -24,31 +27,24 @@
 }
 
 impl<'a, P: Platform> Charge<'a, P> {
-    /// Takes a request's cost from the limit of its organisation, if that has one.
+    /// Takes a request's cost from the limit of its organisation, if that has one. Where routes
+    /// differ in rank, the request may wait for its turn.
     ///
     /// # Errors
     ///
     /// Returns the refusal when the limit is reached.
     pub async fn take(host: &'a Host<P>, request: &'a ActiveRequest) -> Result<Self, Refusal> {
         if let Some((organisation, limit, cost)) = cost(request) {
-            let wants_newer_levels = || {
-                let wants = with_limiter(host, |limiter, now, _| {
-                    limiter.wants_newer_levels(now, organisation, limit)
-                });
-                wants == Some(true)
-            };
-            let decide = |point| {
-                with_limiter(host, |limiter, now, _| {
-                    limiter.decide(now, organisation, limit, cost, point)
-                })
-            };
-            if let Err(refused) = admit(host, wants_newer_levels, decide).await {
-                let why = match refused.scope {
-                    Scope::Site => "the rate limit of the organisation is reached",
-                    Scope::Group => "this host's share of the organisation's rate limit is used up",
+            if limit_queue::is_enabled(host) {
+                let limited = LimitedRequest {
+                    request,
+                    organisation,
+                    limit,
+                    cost,
                 };
-                return Err(Refusal::new(ErrorKind::RateLimited, why)
-                    .with_retry_after(refused.retry_after_ms));
+                limit_queue::take(host, &limited).await?;
+            } else {
+                take_at_once(host, organisation, limit, cost).await?;
             }
         }
         Ok(Self {
@@ -95,6 +91,45 @@
     }
 }
 
+/// Takes the cost of a request from a limit without waiting for a turn.
+async fn take_at_once<P: Platform>(
+    host: &Host<P>,
+    organisation: &Name,
+    limit: &RateLimit,
+    cost: u64,
+) -> Result<(), Refusal> {
+    let wants_newer_levels = || wants_newer_levels(host, organisation, limit);
+    let decide = |point| {
+        with_limiter(host, |limiter, now, _| {
+            limiter.decide(now, organisation, limit, cost, point)
+        })
+    };
+    admit(host, wants_newer_levels, decide)
+        .await
+        .map_err(refusal)
+}
+
+/// Returns the answer to a request that is refused for the limit of its organisation.
+pub fn refusal(refused: Refused) -> Refusal {
+    let why = match refused.scope {
+        Scope::Site => "the rate limit of the organisation is reached",
+        Scope::Group => "this host's share of the organisation's rate limit is used up",
+    };
+    Refusal::new(ErrorKind::RateLimited, why).with_retry_after(refused.retry_after_ms)
+}
+
+/// Tells whether a decision on a request of an organisation should wait for newer levels.
+pub fn wants_newer_levels<P: Platform>(
+    host: &Host<P>,
+    organisation: &Name,
+    limit: &RateLimit,
+) -> bool {
+    let wants = with_limiter(host, |limiter, now, _| {
+        limiter.wants_newer_levels(now, organisation, limit)
+    });
+    wants == Some(true)
+}
+
 /// Takes the cost of one more run of a request from the limit, without deciding on it.
 pub fn note_extra_run<P: Platform>(host: &Host<P>, request: &ActiveRequest) {
     if let Some((organisation, limit, cost)) = cost(request) {
@@ -148,7 +183,10 @@
 
 /// Waits shortly for newer levels when the limit is nearly reached: a decision by old levels would
 /// refuse requests that are allowed, or admit what other hosts have used up.
-async fn wait_for_newer_levels<P: Platform>(host: &Host<P>, wants_newer_levels: impl Fn() -> bool) {
+pub async fn wait_for_newer_levels<P: Platform>(
+    host: &Host<P>,
+    wants_newer_levels: impl Fn() -> bool,
+) {
     let until = host.now() + NEWER_LEVELS_TIMEOUT_MS;
     loop {
         let change = host.next_change();
@@ -185,18 +223,29 @@
     with_limiter(host, |limiter, _, _| limiter.apply_reply(asked_at, update));
 }
 
-/// Calls `with` on the limiter after setting which hosts this host covers at present. Returns none
-/// before there is a desired state.
 fn with_limiter<P: Platform, T>(
     host: &Host<P>,
     with: impl FnOnce(&mut Limiter, Millis, &RateLimitTable) -> T,
+) -> Option<T> {
+    with_limits(host, |limits, now, table| {
+        with(&mut limits.organisations, now, table)
+    })
+}
+
+/// Calls `with` on the limits of organisations after setting which hosts this host covers at
+/// present. Returns none before there is a desired state.
+pub fn with_limits<P: Platform, T>(
+    host: &Host<P>,
+    with: impl FnOnce(&mut SharedLimits, Millis, &RateLimitTable) -> T,
 ) -> Option<T> {
     let table = host.routes.borrow().clone()?;
     let now = host.now();
     let coverage = coverage(host);
-    let limiter = &mut host.limits.borrow_mut().organisations;
-    limiter.set_coverage(now, coverage, &table.rate_limits);
-    Some(with(limiter, now, &table.rate_limits))
+    let limits = &mut *host.limits.borrow_mut();
+    limits
+        .organisations
+        .set_coverage(now, coverage, &table.rate_limits);
+    Some(with(limits, now, &table.rate_limits))
 }
 
 /// Returns the part of the site that this host decides for and how many hosts report to it: the
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -3,6 +3,7 @@
 use crate::entry::budgeted_log;
 use crate::entry::platform::{StoreCall, Table};
 use crate::prelude::*;
+use crate::rate_limit::line::sums::MAX_RANK;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -27,6 +28,9 @@
     held_causes: Gauge<u64>,
     refused_for_shared_cause: Counter<u64>,
     refused_in_vain: Counter<u64>,
+    limit_queue: Counter<u64>,
+    limit_queue_requests: Gauge<u64>,
+    limit_queue_tokens: Gauge<u64>,
     first_byte_ms: Histogram<f64>,
     whole_ms: Histogram<f64>,
 }
@@ -66,6 +70,13 @@
                 .u64_counter("mangovale_entry_refused_for_shared_cause")
                 .build(),
             refused_in_vain: meter.u64_counter("mangovale_entry_refused_in_vain").build(),
+            limit_queue: meter.u64_counter("mangovale_entry_limit_queue").build(),
+            limit_queue_requests: meter
+                .u64_gauge("mangovale_entry_limit_queue_requests")
+                .build(),
+            limit_queue_tokens: meter
+                .u64_gauge("mangovale_entry_limit_queue_tokens")
+                .build(),
             first_byte_ms: latency("mangovale_entry_first_byte_ms"),
             whole_ms: latency("mangovale_entry_whole_ms"),
             registry,
@@ -132,6 +143,21 @@
         self.refused_in_vain.add(requests, &[]);
     }
 
+    /// Counts a request under a rate limit that began, waited or was refused, by its rank.
+    pub fn count_limit_queue(&self, rank: u8, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("rank", i64::from(rank.min(MAX_RANK))),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.limit_queue.add(1, &labels);
+    }
+
+    /// Records how many requests wait for rate limits, and their cost.
+    pub fn record_limit_queue(&self, requests: u64, tokens: u64) {
+        self.limit_queue_requests.record(requests, &[]);
+        self.limit_queue_tokens.record(tokens, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = TextEncoder::new()
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 pub mod handoff;
 pub mod host;
 pub mod lease_manager;
+pub mod limit_queue;
 pub mod limits;
 pub mod lines;
 pub mod list_copy;
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -3,6 +3,7 @@
 
 use crate::entry::crashes::exchange;
 use crate::entry::host::Host;
+use crate::entry::limit_queue;
 use crate::entry::limits;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
@@ -122,6 +123,7 @@
 /// Adds the counts that a host reports to this host's totals.
 fn add_counts<P: Platform>(host: &Host<P>, request: &SyncRequest) {
     limits::merge_usage(host, &request.usage);
+    limit_queue::merge_sums(host, request.incarnation, &request.lines);
     upstream_limits::merge_report(host, &request.upstream_limits);
     exchange::merge_report(host, &request.crashes);
 }
@@ -130,6 +132,7 @@
 fn totals<P: Platform>(host: &Host<P>, request: &SyncRequest) -> Totals {
     Totals {
         limits: limits::build_update(host),
+        lines: limit_queue::build_update(host),
         crashes: exchange::build_update(host, request.crashes.known),
         upstream_limits: upstream_limits::build_update(host),
     }
@@ -330,6 +333,7 @@
         upstreams_from: host.replication.next_position(),
         through,
         usage: limits::report(host),
+        lines: limit_queue::report(host),
         crashes: exchange::report(host),
         upstream_limits: upstream_limits::report(host),
     }
@@ -357,6 +361,7 @@
 
 fn apply_totals<P: Platform>(host: &Host<P>, asked_at: Millis, totals: Totals) {
     limits::apply_reply(host, asked_at, totals.limits);
+    limit_queue::apply_update(host, asked_at, &totals.lines);
     exchange::apply_update(host, &totals.crashes);
     upstream_limits::apply_update(host, asked_at, totals.upstream_limits);
 }
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -360,6 +360,7 @@
         upstreams_from: None,
         through: 0,
         usage: Vec::new(),
+        lines: Vec::new(),
         crashes: CrashReport::default(),
         upstream_limits: UpstreamLimitsReport::default(),
     }
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -125,6 +125,8 @@
     PathsLost = 609,
     /// This host reaches an upstream of a service again.
     PathsRegained = 610,
+    /// Requests of an organisation wait for its rate limit, or none waits any more.
+    LimitQueueChanged = 611,
     /// A request of a caller was refused.
     RequestRefused = 700,
     /// An attempt of a request at an upstream failed.
@@ -217,6 +219,7 @@
         Self::UpstreamResting,
         Self::PathsLost,
         Self::PathsRegained,
+        Self::LimitQueueChanged,
         Self::RequestRefused,
         Self::AttemptFailed,
         Self::OutcomeUnknown,
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -11,7 +11,9 @@
 use crate::ordering::lease::Resignation;
 use crate::ordering::published::{EnginesUpdate, EnginesVersion};
 use crate::prelude::*;
-use crate::rate_limit::{LimitsUpdate, UpstreamLimitsReport, UpstreamLimitsUpdate, Usage};
+use crate::rate_limit::{
+    LimitsUpdate, LineReport, LinesUpdate, UpstreamLimitsReport, UpstreamLimitsUpdate, Usage,
+};
 use crate::resumption::{StreamKey, StreamRecord};
 use crate::retry::{CrashReport, CrashUpdate};
 use crate::routing::pick::UpstreamLoad;
@@ -107,6 +109,8 @@
     pub through: u32,
     /// What organisations used at these hosts and was not reported before.
     pub usage: Vec<Usage>,
+    /// What waits for the rate limits of organisations at these hosts.
+    pub lines: Vec<LineReport>,
     /// Requests that were running when an upstream crashed.
     pub crashes: CrashReport,
     /// The rate limits that upstreams announced, and what was sent to these upstreams.
@@ -155,6 +159,8 @@
 pub struct Totals {
     /// What is left of the rate limits of organisations.
     pub limits: Option<LimitsUpdate>,
+    /// What waits for the rate limits of organisations.
+    pub lines: LinesUpdate,
     /// The requests that are known to crash upstreams.
     pub crashes: CrashUpdate,
     /// The rate limits that upstreams announced, and what is left of them.
--- a/src/rate_limit/limiter.rs
+++ b/src/rate_limit/limiter.rs
@@ -62,6 +62,17 @@
     pub scope: Scope,
 }
 
+impl Refused {
+    /// Returns a refusal with this time to retry, within bounds.
+    pub fn after(wait_ms: f64, scope: Scope) -> Self {
+        let wait_ms = wait_ms.min(MAX_RETRY_AFTER_MS.0 as f64);
+        Self {
+            retry_after_ms: MIN_RETRY_AFTER_MS.max(Millis(wait_ms as u64)),
+            scope,
+        }
+    }
+}
+
 /// The decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Decision {
@@ -71,6 +82,21 @@
     pub is_scarce: bool,
 }
 
+/// What is left of a limit, for requests that may wait for it.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// Tokens or requests left; negative when more was used than allowed.
+    pub left: f64,
+    /// Refill and capacity of the bucket.
+    pub refill: Refill,
+    /// Which hosts the bucket covers.
+    pub scope: Scope,
+    /// Whether the level comes from this host's own bucket, not from another host.
+    pub is_own: bool,
+    /// Whether the level is recent enough for requests to begin by it.
+    pub is_recent: bool,
+}
+
 /// What is left of a limit for the hosts in `scope`.
 struct Balance {
     left: f64,
@@ -199,11 +225,10 @@
             Scope::Group => (self.covered_since + RESTART_SETTLE_MS).since(now).0 as f64,
         };
         // Spreads the retries of callers that are refused at the same time.
-        let wait_ms = (wait_ms * (1.0 + random_unit)).min(MAX_RETRY_AFTER_MS.0 as f64);
-        Err(Refused {
-            retry_after_ms: MIN_RETRY_AFTER_MS.max(Millis(wait_ms as u64)),
-            scope: balance.scope,
-        })
+        Err(Refused::after(
+            wait_ms * (1.0 + random_unit),
+            balance.scope,
+        ))
     }
 
     /// Decides on a request, as [`Self::admit`] does, and returns whether little is left.
@@ -222,6 +247,31 @@
         }
     }
 
+    /// Returns what is left of a limit. Levels of all hosts that are too old to admit a request
+    /// where little is left are returned too, marked as not recent: a request that waits does not
+    /// fall back to this host's share because of one late message.
+    pub fn standing(&self, now: Millis, name: &Name, limit: &RateLimit) -> Standing {
+        let site = self
+            .fresh_levels(now)
+            .filter(|known| known.scope == Scope::Site);
+        let (balance, is_recent) = match site {
+            Some(known) => {
+                let balance = self.reported_balance(now, known, name, limit);
+                let is_recent =
+                    !balance.is_scarce() || now.since(known.as_of) < MAX_SCARCE_LEVEL_AGE_MS;
+                (balance, is_recent)
+            }
+            None => (self.balance(now, name, limit), true),
+        };
+        Standing {
+            left: balance.left,
+            refill: balance.refill,
+            scope: balance.scope,
+            is_own: balance.is_own,
+            is_recent,
+        }
+    }
+
     /// Counts one more run of a request that has been admitted.
     pub fn charge_rerun(&mut self, now: Millis, name: &Name, limit: &RateLimit, cost: u64) {
         self.note_use(now, name, limit, cost as i64);
--- /dev/null
+++ b/src/rate_limit/line/mod.rs
@@ -0,0 +1,422 @@
+//! The requests of organisations that wait for a rate limit, on one host.
+//!
+//! Load that it addresses: an organisation whose callers ask for several times its limit for some
+//! seconds, and all organisations in the seconds after all hosts were restarted, when the levels of
+//! the limits are not known. Without an order among the requests, chat with hundreds of tokens is
+//! refused like batches with thousands, and requests that have seconds to spare are refused as well.
+//!
+//! - [`queue`]: the order of the requests that wait at one host.
+//! - `exchange`: the sums that this host sends to others and gets from them.
+//! - [`prediction`]: when a request can begin.
+//! - [`recent_use`]: what the ranks used in the last second.
+//! - [`sums`]: what waits and was used at all hosts, in messages.
+//! - [`release`]: which request of a queue begins or is refused.
+
+mod exchange;
+pub mod prediction;
+pub mod queue;
+pub mod recent_use;
+pub mod release;
+pub mod sums;
+
+#[cfg(test)]
+mod tests;
+
+use crate::desired::RateLimit;
+use crate::prelude::*;
+use crate::rate_limit::limiter::{Limiter, Refused, Scope};
+use crate::rate_limit::line::prediction::View;
+use crate::rate_limit::line::queue::{Entry, Queue};
+use crate::rate_limit::line::recent_use::RecentUse;
+use crate::rate_limit::line::sums::{ByRank, ChildSums, MAX_ORGANISATIONS, RankSum, Sums};
+
+pub use queue::WaitingRequest;
+pub use sums::{LineReport, LinesUpdate};
+
+/// Most requests of one organisation that wait at a host.
+pub const MAX_WAITING_PER_ORGANISATION: usize = 256;
+/// Most requests that wait at a host.
+pub const MAX_WAITING: usize = 2_048;
+/// Maximum age of sums from another host, as that of levels.
+const MAX_SUMS_AGE_MS: Millis = Millis(1_200);
+/// How long a request waits at the longest while the levels of all hosts are not known.
+const MAX_UNKNOWN_WAIT_MS: Millis = Millis(3_000);
+/// Refused callers retry after the predicted wait and up to this part of it, not all at once.
+const RETRY_SPREAD_FRACTION: f64 = 0.25;
+/// The shortest time between two reports that a queue became empty or non-empty.
+const CHANGE_INTERVAL_MS: Millis = Millis(1_000);
+
+/// The time of a decision, and the limit that it is about.
+#[derive(Clone, Copy, Debug)]
+pub struct Turn<'a> {
+    /// The present time.
+    pub now: Millis,
+    /// The name of the organisation.
+    pub name: &'a Name,
+    /// Its limit.
+    pub limit: &'a RateLimit,
+    /// A uniform random number between 0 and 1.
+    pub random_unit: f64,
+}
+
+/// The decision on a request that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It begins; its cost is charged.
+    Began,
+    /// It is refused.
+    Refused(Refused),
+}
+
+/// The decision on a request that does not begin at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entered {
+    /// It waits under this id.
+    Waits(u64),
+    /// It was decided on at once.
+    Decided(Outcome),
+}
+
+/// That a queue became empty or non-empty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueueChange {
+    /// The organisation.
+    pub organisation: Name,
+    /// The requests that wait; zero if the queue became empty.
+    pub requests: usize,
+    /// Their cost.
+    pub tokens: u64,
+}
+
+/// One organisation at this host.
+#[derive(Clone, Debug)]
+struct Line {
+    limit: RateLimit,
+    queue: Queue,
+    /// When the queue became non-empty.
+    waiting_since: Millis,
+    /// This host's part of the refill that was not used yet; `None` until it is known how much
+    /// waits at other hosts.
+    credit: Option<f64>,
+    credit_at: Millis,
+    /// When the queue was last looked at.
+    stepped_at: Millis,
+    recent_use: RecentUse,
+    /// Whether the queue was last reported as non-empty, and when.
+    reported: (bool, Millis),
+}
+
+impl Line {
+    fn new(limit: RateLimit) -> Self {
+        Self {
+            limit,
+            queue: Queue::default(),
+            waiting_since: Millis::ZERO,
+            credit: None,
+            credit_at: Millis::ZERO,
+            stepped_at: Millis::ZERO,
+            recent_use: RecentUse::default(),
+            reported: (false, Millis::ZERO),
+        }
+    }
+
+    fn add_waiting(&self, now: Millis, total: &mut ByRank) {
+        for (rank, waiting_tokens) in self.queue.costs(now) {
+            total.add(RankSum {
+                rank,
+                waiting_tokens,
+                used_tokens: 0,
+            });
+        }
+    }
+
+    fn own_use(&self, now: Millis) -> ByRank {
+        let mut total = ByRank::default();
+        for (rank, used_tokens) in self.recent_use.per_second(now) {
+            total.add(RankSum {
+                rank,
+                waiting_tokens: 0,
+                used_tokens,
+            });
+        }
+        total
+    }
+}
+
+/// The sums of hosts that report to the same parent or beyond it, without those of this host and of
+/// the hosts that report to it.
+#[derive(Clone, Debug, Default)]
+struct BeyondSums {
+    as_of: Millis,
+    sums: Sums,
+}
+
+/// The requests that wait at one host, and what is known of those that wait at other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Lines {
+    by_organisation: IndexMap<Name, Line>,
+    /// Decisions on requests that waited, until the requests learn of them.
+    decided: IndexMap<u64, Outcome>,
+    last_id: u64,
+    waiting: usize,
+    beyond: Option<BeyondSums>,
+    children: ChildSums,
+    /// The last report to the parent.
+    sent: Vec<LineReport>,
+}
+
+impl Lines {
+    /// Lets a request begin at once if nobody of its rank or of a more urgent one waits anywhere
+    /// and the limit has room for its rank.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal by this host's share of the limit, if that decided.
+    pub fn try_begin(
+        &mut self,
+        turn: &Turn<'_>,
+        limiter: &mut Limiter,
+        request: &WaitingRequest,
+    ) -> Result<(), Option<Refused>> {
+        let Turn { now, name, limit, random_unit } = *turn;
+        let view = self.view(now, limiter, name, limit);
+        if self.has_waiting_before(now, name, request, &view) {
+            return Err(None);
+        }
+        if view.covers_all_hosts() && view.standing.is_recent {
+            if view.surplus(request.reserve_rank_at(now)) <= 0.0 {
+                return Err(None);
+            }
+            limiter.charge_rerun(now, name, limit, request.cost);
+        } else {
+            limiter
+                .admit(now, name, limit, request.cost, random_unit)
+                .map_err(Some)?;
+        }
+        self.note_use(turn, request);
+        Ok(())
+    }
+
+    fn has_waiting_before(
+        &self,
+        now: Millis,
+        name: &Name,
+        request: &WaitingRequest,
+        view: &View,
+    ) -> bool {
+        let rank = request.rank_at(now);
+        let line = self.by_organisation.get(name);
+        let is_before = |entry: Entry| entry.request.rank_at(now) <= rank;
+        line.and_then(|line| line.queue.first(now))
+            .is_some_and(is_before)
+            || view.others.waiting_before(rank) + view.others.waiting_at(rank) > 0.0
+    }
+
+    /// Queues a request that did not begin at once, or refuses it if it cannot begin in time.
+    /// `drawn` is the refusal by [`Self::try_begin`], if that decided by this host's share.
+    pub fn enter(
+        &mut self,
+        turn: &Turn<'_>,
+        limiter: &mut Limiter,
+        request: &WaitingRequest,
+        drawn: Option<Refused>,
+    ) -> Entered {
+        let Turn { now, name, limit, random_unit } = *turn;
+        let view = self.view(now, limiter, name, limit);
+        let line = self.by_organisation.get(name);
+        if view.covers_all_hosts() {
+            let queue = line.map(|line| &line.queue);
+            let place = queue.map(|queue| queue.place_of(now, u64::MAX, request));
+            let wait_ms = view.wait_ms(now, request, &place.unwrap_or_default());
+            if now + wait_ms > request.leave_by {
+                return refused_after(wait_ms, Scope::Site, random_unit);
+            }
+        } else if now >= unknown_until(request) {
+            if let Some(refused) = drawn {
+                return Entered::Decided(Outcome::Refused(refused));
+            }
+            return Entered::Decided(self.draw(turn, limiter, request));
+        }
+        if line.is_none() && self.by_organisation.len() >= MAX_ORGANISATIONS {
+            return refused_after(Millis::ZERO, view.standing.scope, random_unit);
+        }
+        let id = self.push(turn, request);
+        self.evict_excess(now, limiter, name, random_unit);
+        match self.decided.swap_remove(&id) {
+            Some(outcome) => Entered::Decided(outcome),
+            None => Entered::Waits(id),
+        }
+    }
+
+    /// Decides on a request by the current rule for this host's share.
+    fn draw(
+        &mut self,
+        turn: &Turn<'_>,
+        limiter: &mut Limiter,
+        request: &WaitingRequest,
+    ) -> Outcome {
+        let Turn { now, name, limit, random_unit } = *turn;
+        match limiter.admit(now, name, limit, request.cost, random_unit) {
+            Ok(()) => {
+                self.note_use(turn, request);
+                Outcome::Began
+            }
+            Err(refused) => Outcome::Refused(refused),
+        }
+    }
+
+    /// Adds a request to the queue of its organisation and returns its id.
+    fn push(&mut self, turn: &Turn<'_>, request: &WaitingRequest) -> u64 {
+        let Turn { now, name, limit, .. } = *turn;
+        self.last_id += 1;
+        self.waiting += 1;
+        let line = self
+            .by_organisation
+            .entry(name.clone())
+            .or_insert_with(|| Line::new(*limit));
+        line.limit = *limit;
+        if line.queue.is_empty() {
+            line.waiting_since = now;
+            line.credit = None;
+        }
+        line.queue.push(Entry {
+            id: self.last_id,
+            request: *request,
+        });
+        self.last_id
+    }
+
+    /// Refuses the last request of an organisation or host that has more than may wait.
+    fn evict_excess(&mut self, now: Millis, limiter: &Limiter, name: &Name, random_unit: f64) {
+        let has_excess = |line: &Line| line.queue.len() > MAX_WAITING_PER_ORGANISATION;
+        if self.by_organisation.get(name).is_some_and(has_excess) {
+            self.evict_last(now, limiter, &name.clone(), random_unit);
+        }
+        if self.waiting > MAX_WAITING {
+            let lines = self.by_organisation.iter();
+            let longest = lines.max_by_key(|(_, line)| line.queue.len());
+            if let Some(name) = longest.map(|(name, _)| name.clone()) {
+                self.evict_last(now, limiter, &name, random_unit);
+            }
+        }
+    }
+
+    fn evict_last(&mut self, now: Millis, limiter: &Limiter, name: &Name, random_unit: f64) {
+        let Some(line) = self.by_organisation.get(name) else {
+            return;
+        };
+        let Some(last) = line.queue.last(now) else {
+            return;
+        };
+        let view = self.view(now, limiter, name, &line.limit);
+        let place = line.queue.place_of(now, last.id, &last.request);
+        let wait_ms = view.wait_ms(now, &last.request, &place);
+        let refused = refused(wait_ms, view.standing.scope, random_unit);
+        self.decide(name, last.id, Outcome::Refused(refused));
+    }
+
+    /// Removes a request from its queue and keeps the decision until the request learns of it.
+    fn decide(&mut self, name: &Name, id: u64, outcome: Outcome) {
+        let line = self.by_organisation.get_mut(name);
+        if line.and_then(|line| line.queue.remove(id)).is_some() {
+            self.waiting -= 1;
+            self.decided.insert(id, outcome);
+        }
+    }
+
+    /// Returns the decision on a request that waited, once.
+    pub fn take_outcome(&mut self, id: u64) -> Option<Outcome> {
+        self.decided.swap_remove(&id)
+    }
+
+    /// Removes a request that no longer waits because its caller left. Returns the decision on it
+    /// if there was one: a request that had begun is to be refunded.
+    pub fn leave(&mut self, name: &Name, id: u64) -> Option<Outcome> {
+        let line = self.by_organisation.get_mut(name);
+        if line.and_then(|line| line.queue.remove(id)).is_some() {
+            self.waiting -= 1;
+        }
+        self.decided.swap_remove(&id)
+    }
+
+    fn note_use(&mut self, turn: &Turn<'_>, request: &WaitingRequest) {
+        let Turn { now, name, limit, .. } = *turn;
+        if !self.by_organisation.contains_key(name)
+            && self.by_organisation.len() >= MAX_ORGANISATIONS
+        {
+            return;
+        }
+        let line = self
+            .by_organisation
+            .entry(name.clone())
+            .or_insert_with(|| Line::new(*limit));
+        line.limit = *limit;
+        line.recent_use.note(now, request.rank, request.cost);
+    }
+
+    /// Returns what is known of an organisation's limit and of the requests at other hosts.
+    fn view(&self, now: Millis, limiter: &Limiter, name: &Name, limit: &RateLimit) -> View {
+        let standing = limiter.standing(now, name, limit);
+        let mut others = ByRank::default();
+        self.children.add_of(now, name, &mut others);
+        let beyond = self.fresh_beyond(now).filter(|_| !standing.is_own);
+        if let Some(sums) = beyond.and_then(|beyond| beyond.sums.of(name)) {
+            sums.iter().for_each(|sum| others.add(*sum));
+        }
+        let line = self.by_organisation.get(name);
+        View {
+            standing,
+            others,
+            own_use: line.map(|line| line.own_use(now)).unwrap_or_default(),
+        }
+    }
+
+    /// Tells whether any request waits here.
+    pub fn has_waiting(&self) -> bool {
+        self.waiting > 0
+    }
+
+    /// Returns the number of requests that wait and their cost.
+    pub fn waiting(&self, now: Millis) -> (usize, u64) {
+        let queues = self.by_organisation.values().map(|line| &line.queue);
+        let costs = queues.flat_map(|queue| queue.costs(now));
+        let tokens = costs.fold(0, |sum: u64, (_, cost)| sum.saturating_add(cost));
+        (self.waiting, tokens)
+    }
+
+    /// Returns the queues that became empty or non-empty, each at most once per second.
+    pub fn take_changes(&mut self, now: Millis) -> Vec<QueueChange> {
+        let mut changes = Vec::new();
+        for (name, line) in &mut self.by_organisation {
+            let is_waiting = !line.queue.is_empty();
+            let (was_waiting, at) = line.reported;
+            if is_waiting != was_waiting && now.since(at) >= CHANGE_INTERVAL_MS {
+                line.reported = (is_waiting, now);
+                changes.push(QueueChange {
+                    organisation: name.clone(),
+                    requests: line.queue.len(),
+                    tokens: line
+                        .queue
+                        .costs(now)
+                        .fold(0, |sum, (_, cost)| sum.saturating_add(cost)),
+                });
+            }
+        }
+        changes
+    }
+}
+
+/// Returns until when a request waits for the levels of all hosts.
+fn unknown_until(request: &WaitingRequest) -> Millis {
+    let at_most = request.arrived_at + MAX_UNKNOWN_WAIT_MS;
+    request.on_time_until.min(at_most)
+}
+
+fn refused(wait_ms: Millis, scope: Scope, random_unit: f64) -> Refused {
+    let spread = 1.0 + random_unit * RETRY_SPREAD_FRACTION;
+    Refused::after(wait_ms.0 as f64 * spread, scope)
+}
+
+fn refused_after(wait_ms: Millis, scope: Scope, random_unit: f64) -> Entered {
+    Entered::Decided(Outcome::Refused(refused(wait_ms, scope, random_unit)))
+}
--- /dev/null
+++ b/src/rate_limit/line/prediction.rs
@@ -0,0 +1,72 @@
+//! Predicts when a request that waits under a rate limit can begin.
+
+use crate::prelude::*;
+use crate::rate_limit::limiter::{Scope, Standing};
+use crate::rate_limit::line::queue::{Place, WaitingRequest};
+use crate::rate_limit::line::sums::ByRank;
+
+/// The part of the burst that is at most reserved for more urgent ranks.
+const MAX_RESERVE_FRACTION: f64 = 0.25;
+/// The part of the refill that is at least left to a rank when the recent use of more urgent ranks
+/// is subtracted.
+const MIN_REFILL_FRACTION: f64 = 0.125;
+
+/// What a host knows about the limit of one organisation and about the requests that wait for it.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The level of the limit.
+    pub standing: Standing,
+    /// Waiting and recently used tokens at other hosts.
+    pub others: ByRank,
+    /// Recently used tokens at this host.
+    pub own_use: ByRank,
+}
+
+impl View {
+    /// Tells whether the level is that of the limit of all hosts.
+    pub fn covers_all_hosts(&self) -> bool {
+        self.standing.scope == Scope::Site
+    }
+
+    /// Returns the level that is kept for ranks more urgent than `rank`: what they used in the last
+    /// second, within bounds.
+    pub fn reserve(&self, rank: u8) -> f64 {
+        self.used_before(rank)
+            .min(self.standing.refill.burst * MAX_RESERVE_FRACTION)
+    }
+
+    fn used_before(&self, rank: u8) -> f64 {
+        self.others.used_before(rank) + self.own_use.used_before(rank)
+    }
+
+    /// Returns what a rank may use of the level.
+    pub fn surplus(&self, reserve_rank: u8) -> f64 {
+        self.standing.left - self.reserve(reserve_rank)
+    }
+
+    /// Returns the predicted time until a request begins. Other hosts serve the requests of its
+    /// rank at the same pace, so what is ahead of it here stands for the same part of what waits
+    /// there.
+    pub fn wait_ms(&self, now: Millis, request: &WaitingRequest, place: &Place) -> Millis {
+        let rank = request.rank_at(now);
+        let cost = request.cost as f64;
+        let own = place.others_in_rank + cost;
+        let all = own + self.others.waiting_at(rank);
+        let in_rank = match own > 0.0 {
+            true => (place.ahead_in_rank + cost) * all / own - cost,
+            false => 0.0,
+        };
+        let before = place.before_rank + self.others.waiting_before(rank);
+        let missing = before + in_rank - self.surplus(request.reserve_rank_at(now));
+        let refill_per_s = self.standing.refill.per_s;
+        let left_per_s = refill_per_s - self.used_before(rank);
+        let per_s = left_per_s.max(refill_per_s * MIN_REFILL_FRACTION);
+        if missing <= 0.0 {
+            Millis::ZERO
+        } else if per_s > 0.0 {
+            Millis((missing * 1_000.0 / per_s) as u64)
+        } else {
+            Millis::NEVER
+        }
+    }
+}
--- /dev/null
+++ b/src/rate_limit/line/tests/decisions.rs
@@ -0,0 +1,1 @@
+//! Decisions of one host.
--- /dev/null
+++ b/src/rate_limit/line/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Tests of the requests that wait for a rate limit: the order of one queue, the decisions of one
+//! host, and simulated sites.
+
+mod decisions;
+mod model;
+mod site;
--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -11,10 +11,12 @@
 //! - [`usage`]: use that has not been reported yet.
 //! - [`levels`]: bucket levels in messages between hosts.
 //! - [`limiter`]: the decision on one host.
+//! - [`line`]: the requests that wait for a limit, by urgency.
 //! - [`upstream_limits`]: the limits that upstreams state in their answers.
 
 pub mod levels;
 pub mod limiter;
+pub mod line;
 pub mod token_bucket;
 pub mod upstream_limits;
 pub mod usage;
@@ -23,6 +25,7 @@
 mod tests;
 
 pub use levels::LimitsUpdate;
+pub use line::{LineReport, Lines, LinesUpdate};
 pub use limiter::{Decision, Limiter, Refused, Scope};
 pub use upstream_limits::{
     StatedLimit, UpstreamLimits, UpstreamLimitsReport, UpstreamLimitsUpdate,
@@ -34,6 +37,8 @@
 pub struct SharedLimits {
     /// Limits of organisations.
     pub organisations: Limiter,
+    /// Requests that wait for the limits of organisations.
+    pub lines: Lines,
     /// Limits of upstreams.
     pub upstreams: UpstreamLimits,
 }
