--- a/src/entry/limit_queue.rs
+++ b/src/entry/limit_queue.rs
@@ -193,8 +193,8 @@
             }
             self.step();
             let with = |lines: &mut Lines, _: &mut Limiter, turn: &Turn<'_>| {
-                let is_first = lines.is_first(turn.now, turn.name, id);
-                let next_check_ms = lines.next_check_ms(turn.now, turn.name, id);
+                let is_first = lines.is_first(turn.name, id);
+                let next_check_ms = lines.next_check_ms(turn.name, id);
                 (lines.take_outcome(id), is_first, next_check_ms)
             };
             let Some((outcome, is_first, next_check_ms)) = with_lines(host, limited, with) else {
@@ -224,9 +224,8 @@
         if is_due != Some(true) {
             return;
         }
-        let step = |lines: &mut Lines, limiter: &mut Limiter, turn: &Turn<'_>| {
-            lines.step(turn, limiter)
-        };
+        let step =
+            |lines: &mut Lines, limiter: &mut Limiter, turn: &Turn<'_>| lines.step(turn, limiter);
         let decided = (0..MAX_DECISIONS)
             .map_while(|_| with_lines(self.host, self.limited, step).filter(|decided| *decided > 0))
             .sum::<usize>();
@@ -277,9 +276,8 @@
 
 /// Returns what waits at all hosts, for this host's reply to hosts that report to it.
 pub fn build_update<P: Platform>(host: &Host<P>) -> LinesUpdate {
-    let build = |lines: &mut Lines, limiter: &mut Limiter, now, _: &_| {
-        lines.build_update(now, limiter)
-    };
+    let build =
+        |lines: &mut Lines, limiter: &mut Limiter, now, _: &_| lines.build_update(now, limiter);
     with_all_lines(host, build).unwrap_or_default()
 }
 
@@ -304,7 +302,7 @@
 /// Logs the queues that became empty or non-empty, and records how much waits.
 fn log_changes<P: Platform>(host: &Host<P>) {
     let changed = with_all_lines(host, |lines, _, now, _| {
-        (lines.take_changes(now), lines.waiting(now))
+        (lines.take_changes(now), lines.waiting())
     });
     let Some((changes, (requests, tokens))) = changed else {
         return;
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -8,9 +8,7 @@
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use crate::rate_limit::limiter::Coverage;
-use crate::rate_limit::{
-    Decision, Limiter, LimitsUpdate, Refused, Scope, SharedLimits, Usage,
-};
+use crate::rate_limit::{Decision, Limiter, LimitsUpdate, Refused, Scope, SharedLimits, Usage};
 
 /// How long a request waits for newer limit levels from other hosts: the time of a few message
 /// exchanges with a relay and the orderer.
--- a/src/entry/tests/organisations.rs
+++ b/src/entry/tests/organisations.rs
@@ -1,8 +1,10 @@
 //! Requests of organisations: keys, names, revoked keys, and rate limits.
 
+use super::fake_platform::FakePlatform;
 use super::fake_upstream::Step::Write;
 use super::site::{Site, on_site, route};
-use crate::desired::{LimitUnit, Organisation, RateLimit, Repeat};
+use crate::desired::{LimitUnit, Organisation, RateLimit, Repeat, Route};
+use crate::entry::host::Host;
 use crate::identity::KeyDigest;
 use crate::prelude::*;
 use crate::test_support::{generation, member};
@@ -138,3 +140,76 @@
         assert!(upstream.arrivals.borrow().is_empty());
     });
 }
+
+/// A limit of tokens that one request of 100 uses up, and that refills it in a second.
+const TOKENS: RateLimit = RateLimit {
+    unit: LimitUnit::Tokens { uncounted: 100 },
+    per_s: 100.0,
+    burst: 100.0,
+};
+
+/// Puts two routes of different rank and an organisation with a limit into force. The first route
+/// allows a wait of two seconds.
+async fn apply_ranks(site: &Site) {
+    list_host(site);
+    let patient = Route {
+        rank: 1,
+        goal_ms: Millis(4_000),
+        ..route(Repeat::Once)
+    };
+    let urgent = Route {
+        path_prefix: "/b/".into(),
+        rank: 0,
+        ..route(Repeat::Once)
+    };
+    let organisations = Some(vec![organisation(&["k1"], Some(TOKENS))]);
+    site.publish_desired_for(1, vec![patient, urgent], organisations);
+    site.until_version(1).await;
+}
+
+// Guards against requests that are refused although they have time, or charged twice.
+#[test]
+fn a_request_beyond_the_limit_waits_where_routes_differ_in_rank() {
+    on_site(|site| async move {
+        apply_ranks(&site).await;
+        let scripts = (0..2).map(|_| vec![Write(WHOLE)]).collect();
+        let upstream = site.start_upstream("u1", scripts).await;
+        let asked = request("Key: k1\r\n");
+        assert_eq!(site.call(&asked).await.head.status, 200);
+        assert_eq!(site.call(&asked).await.head.status, 200);
+        let urgent = site.call(&asked.replace("/a/", "/b/")).await;
+        assert_eq!(urgent.head.status, 429);
+        assert!(urgent.head.headers.text("Retry-After").is_some());
+        assert_eq!(upstream.arrivals.borrow().len(), 2);
+    });
+}
+
+// Guards against requests of callers that left, which would use up the limit, and against requests
+// that keep a stopping host from ending.
+#[test]
+fn a_waiting_request_ends_when_its_caller_leaves_or_the_host_stops() {
+    on_site(|site| async move {
+        apply_ranks(&site).await;
+        let upstream = site.start_upstream("u1", vec![vec![Write(WHOLE)]]).await;
+        let asked = request("Key: k1\r\n");
+        assert_eq!(site.call(&asked).await.head.status, 200);
+        let waiting = |host: &Host<FakePlatform>| host.limits.borrow().lines.waiting().0;
+        let mut caller = site.connect().await;
+        caller.send(&asked).await;
+        site.until(|host| waiting(host) == 1).await;
+        drop(caller);
+        site.until(|host| waiting(host) == 0).await;
+        let mut caller = site.connect().await;
+        caller.send(&asked).await;
+        site.until(|host| waiting(host) == 1).await;
+        site.host.begin_stop();
+        let answer = caller.answer().await;
+        assert_eq!(answer.head.status, 503);
+        assert_eq!(
+            answer.head.headers.text("Retry-After").as_deref(),
+            Some("0")
+        );
+        assert_eq!(waiting(&site.host), 0);
+        assert_eq!(upstream.arrivals.borrow().len(), 1);
+    });
+}
--- a/src/rate_limit/limiter.rs
+++ b/src/rate_limit/limiter.rs
@@ -225,10 +225,7 @@
             Scope::Group => (self.covered_since + RESTART_SETTLE_MS).since(now).0 as f64,
         };
         // Spreads the retries of callers that are refused at the same time.
-        Err(Refused::after(
-            wait_ms * (1.0 + random_unit),
-            balance.scope,
-        ))
+        Err(Refused::after(wait_ms * (1.0 + random_unit), balance.scope))
     }
 
     /// Decides on a request, as [`Self::admit`] does, and returns whether little is left.
--- a/src/rate_limit/line/exchange.rs
+++ b/src/rate_limit/line/exchange.rs
@@ -32,7 +32,7 @@
                 true => line.own_use(now),
                 false => ByRank::default(),
             };
-            line.add_waiting(now, &mut own);
+            line.add_waiting(&mut own);
             own.iter().for_each(|sum| total.add(name, *sum));
         }
         self.children.add_to(now, &mut total);
--- a/src/rate_limit/line/mod.rs
+++ b/src/rate_limit/line/mod.rs
@@ -98,6 +98,8 @@
     /// This host's part of the refill that was not used yet; `None` until it is known how much
     /// waits at other hosts.
     credit: Option<f64>,
+    /// What requests that have waited long have of the refill in spite of more urgent ones.
+    aged_credit: Option<f64>,
     credit_at: Millis,
     /// When the queue was last looked at.
     stepped_at: Millis,
@@ -113,6 +115,7 @@
             queue: Queue::default(),
             waiting_since: Millis::ZERO,
             credit: None,
+            aged_credit: None,
             credit_at: Millis::ZERO,
             stepped_at: Millis::ZERO,
             recent_use: RecentUse::default(),
@@ -120,8 +123,8 @@
         }
     }
 
-    fn add_waiting(&self, now: Millis, total: &mut ByRank) {
-        for (rank, waiting_tokens) in self.queue.costs(now) {
+    fn add_waiting(&self, total: &mut ByRank) {
+        for (rank, waiting_tokens) in self.queue.costs() {
             total.add(RankSum {
                 rank,
                 waiting_tokens,
@@ -178,13 +181,18 @@
         limiter: &mut Limiter,
         request: &WaitingRequest,
     ) -> Result<(), Option<Refused>> {
-        let Turn { now, name, limit, random_unit } = *turn;
+        let Turn {
+            now,
+            name,
+            limit,
+            random_unit,
+        } = *turn;
         let view = self.view(now, limiter, name, limit);
-        if self.has_waiting_before(now, name, request, &view) {
+        if self.has_waiting_before(name, request, &view) {
             return Err(None);
         }
         if view.covers_all_hosts() && view.standing.is_recent {
-            if view.surplus(request.reserve_rank_at(now)) <= 0.0 {
+            if view.surplus(request.reserve_rank()) <= 0.0 {
                 return Err(None);
             }
             limiter.charge_rerun(now, name, limit, request.cost);
@@ -197,19 +205,15 @@
         Ok(())
     }
 
-    fn has_waiting_before(
-        &self,
-        now: Millis,
-        name: &Name,
-        request: &WaitingRequest,
-        view: &View,
-    ) -> bool {
-        let rank = request.rank_at(now);
-        let line = self.by_organisation.get(name);
-        let is_before = |entry: Entry| entry.request.rank_at(now) <= rank;
-        line.and_then(|line| line.queue.first(now))
-            .is_some_and(is_before)
-            || view.others.waiting_before(rank) + view.others.waiting_at(rank) > 0.0
+    /// Tells whether requests of the same rank or of a more urgent one wait anywhere, for more than
+    /// there is room for.
+    fn has_waiting_before(&self, name: &Name, request: &WaitingRequest, view: &View) -> bool {
+        let rank = request.rank();
+        let queue = self.by_organisation.get(name).map(|line| &line.queue);
+        let own = queue.map_or(0.0, |queue| queue.cost_up_to(rank));
+        let waiting = own + view.others.waiting_before(rank) + view.others.waiting_at(rank);
+        let room = view.surplus(request.reserve_rank()) - request.cost as f64;
+        waiting > 0.0 && waiting > room
     }
 
     /// Queues a request that did not begin at once, or refuses it if it cannot begin in time.
@@ -221,12 +225,17 @@
         request: &WaitingRequest,
         drawn: Option<Refused>,
     ) -> Entered {
-        let Turn { now, name, limit, random_unit } = *turn;
+        let Turn {
+            now,
+            name,
+            limit,
+            random_unit,
+        } = *turn;
         let view = self.view(now, limiter, name, limit);
         let line = self.by_organisation.get(name);
         if view.covers_all_hosts() {
             let queue = line.map(|line| &line.queue);
-            let place = queue.map(|queue| queue.place_of(now, u64::MAX, request));
+            let place = queue.map(|queue| queue.place_of(u64::MAX, request));
             let wait_ms = view.wait_ms(now, request, &place.unwrap_or_default());
             if now + wait_ms > request.leave_by {
                 return refused_after(wait_ms, Scope::Site, random_unit);
@@ -255,7 +264,12 @@
         limiter: &mut Limiter,
         request: &WaitingRequest,
     ) -> Outcome {
-        let Turn { now, name, limit, random_unit } = *turn;
+        let Turn {
+            now,
+            name,
+            limit,
+            random_unit,
+        } = *turn;
         match limiter.admit(now, name, limit, request.cost, random_unit) {
             Ok(()) => {
                 self.note_use(turn, request);
@@ -267,7 +281,9 @@
 
     /// Adds a request to the queue of its organisation and returns its id.
     fn push(&mut self, turn: &Turn<'_>, request: &WaitingRequest) -> u64 {
-        let Turn { now, name, limit, .. } = *turn;
+        let Turn {
+            now, name, limit, ..
+        } = *turn;
         self.last_id += 1;
         self.waiting += 1;
         let line = self
@@ -278,6 +294,7 @@
         if line.queue.is_empty() {
             line.waiting_since = now;
             line.credit = None;
+            line.aged_credit = None;
         }
         line.queue.push(Entry {
             id: self.last_id,
@@ -305,11 +322,11 @@
         let Some(line) = self.by_organisation.get(name) else {
             return;
         };
-        let Some(last) = line.queue.last(now) else {
+        let Some(last) = line.queue.last() else {
             return;
         };
         let view = self.view(now, limiter, name, &line.limit);
-        let place = line.queue.place_of(now, last.id, &last.request);
+        let place = line.queue.place_of(last.id, &last.request);
         let wait_ms = view.wait_ms(now, &last.request, &place);
         let refused = refused(wait_ms, view.standing.scope, random_unit);
         self.decide(name, last.id, Outcome::Refused(refused));
@@ -340,7 +357,9 @@
     }
 
     fn note_use(&mut self, turn: &Turn<'_>, request: &WaitingRequest) {
-        let Turn { now, name, limit, .. } = *turn;
+        let Turn {
+            now, name, limit, ..
+        } = *turn;
         if !self.by_organisation.contains_key(name)
             && self.by_organisation.len() >= MAX_ORGANISATIONS
         {
@@ -377,9 +396,9 @@
     }
 
     /// Returns the number of requests that wait and their cost.
-    pub fn waiting(&self, now: Millis) -> (usize, u64) {
+    pub fn waiting(&self) -> (usize, u64) {
         let queues = self.by_organisation.values().map(|line| &line.queue);
-        let costs = queues.flat_map(|queue| queue.costs(now));
+        let costs = queues.flat_map(|queue| queue.costs());
         let tokens = costs.fold(0, |sum: u64, (_, cost)| sum.saturating_add(cost));
         (self.waiting, tokens)
     }
@@ -397,7 +416,7 @@
                     requests: line.queue.len(),
                     tokens: line
                         .queue
-                        .costs(now)
+                        .costs()
                         .fold(0, |sum, (_, cost)| sum.saturating_add(cost)),
                 });
             }
--- a/src/rate_limit/line/prediction.rs
+++ b/src/rate_limit/line/prediction.rs
@@ -7,9 +7,9 @@
 
 /// The part of the burst that is at most reserved for more urgent ranks.
 const MAX_RESERVE_FRACTION: f64 = 0.25;
-/// The part of the refill that is at least left to a rank when the recent use of more urgent ranks
-/// is subtracted.
-const MIN_REFILL_FRACTION: f64 = 0.125;
+/// The part of the refill that a rank gets at least, however much more urgent ranks ask for. Without
+/// it, a most urgent rank that asks for more than the limit would keep all others from beginning.
+pub const MIN_REFILL_FRACTION: f64 = 1.0 / 16.0;
 
 /// What a host knows about the limit of one organisation and about the requests that wait for it.
 #[derive(Clone, Debug)]
@@ -39,6 +39,11 @@
         self.others.used_before(rank) + self.own_use.used_before(rank)
     }
 
+    /// Returns what requests of a rank used in the last second.
+    pub fn used_at(&self, rank: u8) -> f64 {
+        self.others.used_at(rank) + self.own_use.used_at(rank)
+    }
+
     /// Returns what a rank may use of the level.
     pub fn surplus(&self, reserve_rank: u8) -> f64 {
         self.standing.left - self.reserve(reserve_rank)
@@ -48,25 +53,32 @@
     /// rank at the same pace, so what is ahead of it here stands for the same part of what waits
     /// there.
     pub fn wait_ms(&self, now: Millis, request: &WaitingRequest, place: &Place) -> Millis {
-        let rank = request.rank_at(now);
+        let rank = request.rank();
         let cost = request.cost as f64;
-        let own = place.others_in_rank + cost;
+        let own = (place.others_in_rank + cost).max(1.0);
         let all = own + self.others.waiting_at(rank);
-        let in_rank = match own > 0.0 {
-            true => (place.ahead_in_rank + cost) * all / own - cost,
-            false => 0.0,
-        };
+        let in_rank = (place.ahead_in_rank + cost) * all / own - cost;
         let before = place.before_rank + self.others.waiting_before(rank);
-        let missing = before + in_rank - self.surplus(request.reserve_rank_at(now));
         let refill_per_s = self.standing.refill.per_s;
-        let left_per_s = refill_per_s - self.used_before(rank);
-        let per_s = left_per_s.max(refill_per_s * MIN_REFILL_FRACTION);
-        if missing <= 0.0 {
-            Millis::ZERO
-        } else if per_s > 0.0 {
-            Millis((missing * 1_000.0 / per_s) as u64)
-        } else {
-            Millis::NEVER
+        let floor_per_s = refill_per_s * MIN_REFILL_FRACTION;
+        let left_per_s = (refill_per_s - self.used_before(rank)).max(floor_per_s);
+        let missing = before + in_rank - self.surplus(request.reserve_rank());
+        let in_turn_ms = time_ms(missing, left_per_s);
+        if rank == 0 {
+            return in_turn_ms;
         }
+        let aged_in_ms = request.aged_at().since(now);
+        in_turn_ms.min(time_ms(in_rank + cost, floor_per_s).max(aged_in_ms))
+    }
+}
+
+/// Returns the time in which `tokens` are refilled.
+fn time_ms(tokens: f64, per_s: f64) -> Millis {
+    if tokens <= 0.0 {
+        Millis::ZERO
+    } else if per_s > 0.0 {
+        Millis((tokens * 1_000.0 / per_s) as u64)
+    } else {
+        Millis::NEVER
     }
 }
--- a/src/rate_limit/line/queue.rs
+++ b/src/rate_limit/line/queue.rs
@@ -21,24 +21,19 @@
 }
 
 impl WaitingRequest {
-    /// Returns the rank at which the request counts at present. It moves up one rank when half of
-    /// its time to wait has passed, one more after half of the rest, and so on, so that more urgent
-    /// requests cannot keep it from beginning for all of its time.
-    pub fn rank_at(&self, now: Millis) -> u8 {
-        let mut rank = self.rank.min(MAX_RANK);
-        let mut left_ms = self.leave_by.since(self.arrived_at).0;
-        let mut passed_ms = now.since(self.arrived_at).0;
-        while rank > 0 && left_ms > 1 && passed_ms >= left_ms / 2 {
-            rank -= 1;
-            passed_ms -= left_ms / 2;
-            left_ms -= left_ms / 2;
-        }
-        rank
+    /// Returns the rank, as far as ranks are told apart.
+    pub fn rank(&self) -> u8 {
+        self.rank.min(MAX_RANK)
     }
 
     /// Returns the rank whose reserve applies to the request.
-    pub fn reserve_rank_at(&self, now: Millis) -> u8 {
-        self.rank_at(now).saturating_sub(u8::from(self.is_promoted))
+    pub fn reserve_rank(&self) -> u8 {
+        self.rank().saturating_sub(u8::from(self.is_promoted))
+    }
+
+    /// Returns when half of the time that the request may wait has passed.
+    pub fn aged_at(&self) -> Millis {
+        self.arrived_at + Millis(self.leave_by.since(self.arrived_at).0 / 2)
     }
 }
 
@@ -92,17 +87,17 @@
 
     /// Returns the requests with their places, in the order in which they begin: by rank, then by
     /// the time until which they can be on time, then by arrival.
-    pub fn in_order(&self, now: Millis) -> Vec<(Entry, Place)> {
+    pub fn in_order(&self) -> Vec<(Entry, Place)> {
         let mut entries = self.entries.clone();
-        entries.sort_by_cached_key(|entry| order_key(entry, now));
+        entries.sort_by_key(|entry| order_key(entry));
         let mut by_rank = [0.0; MAX_RANK as usize + 1];
-        for (rank, cost) in self.costs(now) {
+        for (rank, cost) in self.costs() {
             by_rank[usize::from(rank)] += cost as f64;
         }
         let mut ahead = 0.0;
         let mut before = (0, 0.0);
         let place = |entry: Entry| {
-            let rank = entry.request.rank_at(now);
+            let rank = entry.request.rank();
             if rank != before.0 {
                 before = (rank, ahead);
             }
@@ -119,36 +114,47 @@
     }
 
     /// Returns the request that begins first.
-    pub fn first(&self, now: Millis) -> Option<Entry> {
+    pub fn first(&self) -> Option<Entry> {
         self.entries
             .iter()
-            .min_by_key(|entry| order_key(entry, now))
+            .min_by_key(|entry| order_key(entry))
+            .copied()
+    }
+
+    /// Returns the first of the requests that are not of the most urgent rank and have waited for
+    /// half of their time.
+    pub fn first_aged(&self, now: Millis) -> Option<Entry> {
+        let aged = self
+            .entries
+            .iter()
+            .filter(|entry| entry.request.rank() > 0 && now >= entry.request.aged_at());
+        aged.min_by_key(|entry| (entry.request.on_time_until, entry.id))
             .copied()
     }
 
     /// Returns the request that begins last.
-    pub fn last(&self, now: Millis) -> Option<Entry> {
+    pub fn last(&self) -> Option<Entry> {
         self.entries
             .iter()
-            .max_by_key(|entry| order_key(entry, now))
+            .max_by_key(|entry| order_key(entry))
             .copied()
     }
 
     /// Returns the place of a request that waits here or would wait here.
-    pub fn place_of(&self, now: Millis, id: u64, request: &WaitingRequest) -> Place {
+    pub fn place_of(&self, id: u64, request: &WaitingRequest) -> Place {
         let own = Entry {
             id,
             request: *request,
         };
-        let (rank, key) = (request.rank_at(now), order_key(&own, now));
+        let (rank, key) = (request.rank(), order_key(&own));
         let mut place = Place::default();
         for entry in self.entries.iter().filter(|entry| entry.id != id) {
             let cost = entry.request.cost as f64;
-            match entry.request.rank_at(now).cmp(&rank) {
+            match entry.request.rank().cmp(&rank) {
                 std::cmp::Ordering::Less => place.before_rank += cost,
                 std::cmp::Ordering::Equal => {
                     place.others_in_rank += cost;
-                    if order_key(entry, now) < key {
+                    if order_key(entry) < key {
                         place.ahead_in_rank += cost;
                     }
                 }
@@ -158,15 +164,21 @@
         place
     }
 
+    /// Returns the cost of the requests of this rank and of more urgent ones.
+    pub fn cost_up_to(&self, rank: u8) -> f64 {
+        let costs = self.costs().filter(|(other, _)| *other <= rank);
+        costs.map(|(_, cost)| cost as f64).sum()
+    }
+
     /// Returns rank and cost of each request.
-    pub fn costs(&self, now: Millis) -> impl Iterator<Item = (u8, u64)> {
+    pub fn costs(&self) -> impl Iterator<Item = (u8, u64)> {
         let entries = self.entries.iter();
-        entries.map(move |entry| (entry.request.rank_at(now), entry.request.cost))
+        entries.map(move |entry| (entry.request.rank(), entry.request.cost))
     }
 }
 
-fn order_key(entry: &Entry, now: Millis) -> (u8, Millis, Millis, u64) {
+fn order_key(entry: &Entry) -> (u8, Millis, Millis, u64) {
     let request = &entry.request;
-    let rank = request.rank_at(now);
+    let rank = request.rank();
     (rank, request.on_time_until, request.arrived_at, entry.id)
 }
--- a/src/rate_limit/line/release.rs
+++ b/src/rate_limit/line/release.rs
@@ -6,7 +6,7 @@
 
 use crate::prelude::*;
 use crate::rate_limit::limiter::Limiter;
-use crate::rate_limit::line::prediction::View;
+use crate::rate_limit::line::prediction::{MIN_REFILL_FRACTION, View};
 use crate::rate_limit::line::queue::Entry;
 use crate::rate_limit::line::{Line, Lines, Outcome, Turn, refused, unknown_until};
 
@@ -27,30 +27,41 @@
     /// ones begin, call again with another random number until nothing is decided. Returns the
     /// number of decisions.
     pub fn step(&mut self, turn: &Turn<'_>, limiter: &mut Limiter) -> usize {
-        let Turn { now, name, limit, random_unit } = *turn;
+        let Turn {
+            now,
+            name,
+            limit,
+            random_unit,
+        } = *turn;
         let view = self.view(now, limiter, name, limit);
         let has_sums = self.has_sums_of_waiting(now, name, &view);
         let Some(line) = self.by_organisation.get_mut(name) else {
             return 0;
         };
-        let Some(first) = line.queue.first(now) else {
+        let Some(first) = line.queue.first() else {
             return 0;
         };
         line.stepped_at = now;
-        line.earn(now, &view, &first, has_sums, random_unit);
+        let since_s = now.since(line.credit_at).0 as f64 / 1_000.0;
+        line.credit_at = now;
+        line.earn(since_s, &view, &first, has_sums, random_unit);
+        let aged = line
+            .queue
+            .first_aged(now)
+            .filter(|aged| view.is_starved(aged));
+        line.earn_aged(since_s, &view, aged.as_ref(), random_unit);
         if !view.covers_all_hosts() {
             return self.step_by_share(turn, limiter, &view);
         }
-        let is_due = line
-            .credit
-            .is_some_and(|credit| credit >= first.request.cost as f64)
-            && view.free_for(now, &first) > 0.0
-            && view.standing.is_recent;
-        if is_due {
-            line.spend(first.request.cost);
-            limiter.charge_rerun(now, name, limit, first.request.cost);
-            self.note_use(turn, &first.request);
-            self.decide(name, first.id, Outcome::Began);
+        if let Some((entry, credit)) = line.due(&view, &first, aged.as_ref()) {
+            let credit = match credit {
+                Credit::InTurn => line.credit.get_or_insert_default(),
+                Credit::Aged => line.aged_credit.get_or_insert_default(),
+            };
+            *credit = (*credit - entry.request.cost as f64).max(0.0);
+            limiter.charge_rerun(now, name, limit, entry.request.cost);
+            self.note_use(turn, &entry.request);
+            self.decide(name, entry.id, Outcome::Began);
             return 1;
         }
         self.refuse_late(now, name, &view, random_unit)
@@ -75,7 +86,7 @@
         let Some(line) = self.by_organisation.get_mut(name) else {
             return 0;
         };
-        let entries = line.queue.in_order(now);
+        let entries = line.queue.in_order();
         let expired = entries
             .iter()
             .find(|(entry, _)| now >= unknown_until(&entry.request));
@@ -87,8 +98,15 @@
         let Some((entry, is_final)) = chosen else {
             return 0;
         };
-        line.spend(entry.request.cost);
         let outcome = self.draw(turn, limiter, &entry.request);
+        // As for a share, what is left is used up by a draw that does not succeed.
+        let spent = match outcome {
+            Outcome::Began => entry.request.cost as f64,
+            Outcome::Refused(_) => view.standing.left.max(0.0),
+        };
+        if let Some(line) = self.by_organisation.get_mut(name) {
+            line.credit = line.credit.map(|credit| (credit - spent).max(0.0));
+        }
         if outcome != Outcome::Began && !is_final {
             return 0;
         }
@@ -103,7 +121,7 @@
         };
         let mut late = Vec::new();
         let mut refused_before = 0.0;
-        for (entry, mut place) in line.queue.in_order(now) {
+        for (entry, mut place) in line.queue.in_order() {
             place.ahead_in_rank = (place.ahead_in_rank - refused_before).max(0.0);
             let wait_ms = view.wait_ms(now, &entry.request, &place);
             let leave_by = entry.request.leave_by;
@@ -122,9 +140,9 @@
 
     /// Tells whether the request `id` is the first of its queue, so that it is the one to call
     /// [`Self::step`] frequently.
-    pub fn is_first(&self, now: Millis, name: &Name, id: u64) -> bool {
+    pub fn is_first(&self, name: &Name, id: u64) -> bool {
         let line = self.by_organisation.get(name);
-        let first = line.and_then(|line| line.queue.first(now));
+        let first = line.and_then(|line| line.queue.first());
         first.is_some_and(|first| first.id == id)
     }
 
@@ -133,62 +151,125 @@
     pub fn is_due(&self, now: Millis, name: &Name, id: u64) -> bool {
         let line = self.by_organisation.get(name);
         let is_late = |line: &Line| now.since(line.stepped_at) >= IDLE_CHECK_INTERVAL_MS;
-        self.is_first(now, name, id) || line.is_some_and(is_late)
+        self.is_first(name, id) || line.is_some_and(is_late)
     }
 
     /// Returns when the request `id` is to look at its queue again.
-    pub fn next_check_ms(&self, now: Millis, name: &Name, id: u64) -> Millis {
-        match self.is_first(now, name, id) {
+    pub fn next_check_ms(&self, name: &Name, id: u64) -> Millis {
+        match self.is_first(name, id) {
             true => CHECK_INTERVAL_MS,
             false => IDLE_CHECK_INTERVAL_MS,
         }
     }
 }
 
+/// What a request begins by.
+enum Credit {
+    /// The credit of the first request.
+    InTurn,
+    /// The credit of requests that have waited long.
+    Aged,
+}
+
 impl Line {
+    /// Returns the request that begins now, if any, and what it begins by.
+    fn due(&self, view: &View, first: &Entry, aged: Option<&Entry>) -> Option<(Entry, Credit)> {
+        if !view.standing.is_recent {
+            return None;
+        }
+        let has_credit = |credit: f64, entry: &Entry| credit >= entry.request.cost as f64;
+        let in_turn = self.credit.is_some_and(|credit| has_credit(credit, first));
+        if in_turn && view.free_for(first) > 0.0 || self.has_room_for_all(view, first) {
+            return Some((*first, Credit::InTurn));
+        }
+        let aged = aged.filter(|aged| {
+            self.aged_credit
+                .is_some_and(|credit| has_credit(credit, aged))
+        });
+        let aged = aged.filter(|_| view.standing.left > 0.0);
+        aged.map(|aged| (*aged, Credit::Aged))
+    }
+
+    /// Tells whether there is room for all requests that wait at the rank of the first one at any
+    /// host, so that all may begin at the same time.
+    fn has_room_for_all(&self, view: &View, first: &Entry) -> bool {
+        let rank = first.request.rank();
+        let waiting = self.queue.cost_up_to(rank) + view.others.waiting_at(rank);
+        self.credit.is_some() && view.free_for(first) >= waiting
+    }
+
+    /// Adds to the credit of requests that have waited long: this host's part of what each rank
+    /// gets at least.
+    fn earn_aged(&mut self, since_s: f64, view: &View, aged: Option<&Entry>, random_unit: f64) {
+        let Some(aged) = aged else {
+            self.aged_credit = None;
+            return;
+        };
+        let cost = aged.request.cost as f64;
+        let Some(credit) = self.aged_credit else {
+            self.aged_credit = self.credit.map(|_| random_unit * cost);
+            return;
+        };
+        if view.standing.is_recent {
+            let per_s = view.standing.refill.per_s * MIN_REFILL_FRACTION;
+            let earned = per_s * self.share(view, aged) * since_s;
+            self.aged_credit = Some((credit + earned).min(cost));
+        }
+    }
+
+    /// Returns the part of the tokens that wait at the rank of a request which wait here.
+    fn share(&self, view: &View, entry: &Entry) -> f64 {
+        let rank = entry.request.rank();
+        let own = self.queue.costs().filter(|(other, _)| *other == rank);
+        let own = own.map(|(_, cost)| cost as f64).sum::<f64>().max(1.0);
+        own / (own + view.others.waiting_at(rank))
+    }
+
     /// Adds this host's part of the refill since the last call, while there is room for the rank of
     /// the first request. Credit begins at a random part of a request's cost, so that hosts whose
     /// requests began to wait at the same time do not release them at the same time.
-    fn earn(&mut self, now: Millis, view: &View, first: &Entry, has_sums: bool, random_unit: f64) {
-        let since_s = now.since(self.credit_at).0 as f64 / 1_000.0;
-        self.credit_at = now;
+    fn earn(&mut self, since_s: f64, view: &View, first: &Entry, has_sums: bool, random_unit: f64) {
         let cost = first.request.cost as f64;
         let Some(credit) = self.credit else {
             self.credit = has_sums.then_some(random_unit * cost);
             return;
         };
-        let free = view.free_for(now, first);
+        let free = view.free_for(first);
         if free <= 0.0 || !view.standing.is_recent {
             return;
         }
-        let rank = first.request.rank_at(now);
-        let costs = self.queue.costs(now);
-        let own = costs.filter(|(other, _)| *other == rank);
-        let own = own.map(|(_, cost)| cost as f64).sum::<f64>().max(1.0);
-        let share = own / (own + view.others.waiting_at(rank));
         let per_s = view.standing.refill.per_s + free / SURPLUS_S;
-        self.credit = Some((credit + per_s * share * since_s).min(cost));
+        let earned = per_s * self.share(view, first) * since_s;
+        self.credit = Some((credit + earned).min(cost));
     }
 
-    fn spend(&mut self, cost: u64) {
-        self.credit = self.credit.map(|credit| (credit - cost as f64).max(0.0));
-    }
-
-    /// Tells whether the first request is to be decided on by the share: it holds the request's
-    /// cost, or as much as it can hold.
+    /// Tells whether the first request is to be decided on by the share: a share of this host alone
+    /// holds the request's cost, or as much as it can; of a share of several hosts this host has
+    /// earned its part.
     fn may_draw(&self, view: &View, first: &Entry) -> bool {
         let standing = &view.standing;
         let enough = (first.request.cost as f64).min(standing.refill.burst * FULL_SHARE_FRACTION);
-        let has_credit = standing.is_own || self.credit.is_some_and(|credit| credit >= enough);
-        standing.left > 0.0 && standing.left >= enough && has_credit
+        match standing.is_own {
+            true => standing.left > 0.0 && standing.left >= enough,
+            false => {
+                let has_credit = self.credit.is_some_and(|credit| credit >= enough);
+                standing.left > 0.0 && has_credit || self.has_room_for_all(view, first)
+            }
+        }
     }
 }
 
 impl View {
     /// Returns what a waiting request may use of the level: what is beyond the reserve and not
     /// awaited by more urgent requests at other hosts.
-    fn free_for(&self, now: Millis, entry: &Entry) -> f64 {
-        let before = self.others.waiting_before(entry.request.rank_at(now));
-        self.surplus(entry.request.reserve_rank_at(now)) - before
+    fn free_for(&self, entry: &Entry) -> f64 {
+        let before = self.others.waiting_before(entry.request.rank());
+        self.surplus(entry.request.reserve_rank()) - before
+    }
+
+    /// Tells whether the rank of a request used less in the last second than it gets at least.
+    fn is_starved(&self, entry: &Entry) -> bool {
+        let used = self.used_at(entry.request.rank());
+        used < self.standing.refill.per_s * MIN_REFILL_FRACTION
     }
 }
--- a/src/rate_limit/line/sums.rs
+++ b/src/rate_limit/line/sums.rs
@@ -86,6 +86,11 @@
         before.map(|(_, sum)| sum.waiting_tokens as f64).sum()
     }
 
+    /// Returns the tokens that one rank used in the last second.
+    pub fn used_at(&self, rank: u8) -> f64 {
+        self.0.get(&rank).map_or(0.0, |sum| sum.used_tokens as f64)
+    }
+
     /// Returns the tokens that ranks more urgent than `rank` used in the last second.
     pub fn used_before(&self, rank: u8) -> f64 {
         let before = self.0.range(..rank);
--- a/src/rate_limit/line/tests/model.rs
+++ b/src/rate_limit/line/tests/model.rs
@@ -17,8 +17,6 @@
 /// A kind of requests.
 pub struct Kind {
     pub cost: u64,
-    /// Its part of the tokens asked for.
-    pub weight: f64,
     pub on_time_ms: u64,
     pub leave_ms: u64,
 }
@@ -27,19 +25,16 @@
 pub const KINDS: [Kind; 3] = [
     Kind {
         cost: 830,
-        weight: 0.04,
         on_time_ms: 100,
         leave_ms: 667,
     },
     Kind {
         cost: 9_200,
-        weight: 0.48,
         on_time_ms: 500,
         leave_ms: 1_067,
     },
     Kind {
         cost: 9_200,
-        weight: 0.48,
         on_time_ms: 5_700,
         leave_ms: 8_000,
     },
@@ -61,7 +56,6 @@
     pub in_time: u32,
     pub late: u32,
     pub refused: u32,
-    pub refused_after_wait: u32,
 }
 
 impl Tally {
@@ -92,6 +86,8 @@
     /// The most tokens that waiting requests began with in one step.
     pub most_released: f64,
     pub most_in_window: f64,
+    /// The part of each rank in the tokens asked for.
+    pub weights: [f64; 3],
     rule: Rule,
     hosts: Vec<ModelHost>,
     relays: usize,
@@ -122,6 +118,7 @@
             used: 0.0,
             most_released: 0.0,
             most_in_window: 0.0,
+            weights: [0.04, 0.48, 0.48],
             rule,
             hosts: Vec::new(),
             relays: match hosts {
@@ -177,6 +174,11 @@
         }
     }
 
+    /// Returns the limit per second.
+    pub fn limit_per_s(&self) -> f64 {
+        self.limit.per_s
+    }
+
     /// Checks that the use in no window exceeded what is tolerated.
     pub fn check(&self, case: &str) {
         let window_s = WINDOW_MS.0 as f64 / 1_000.0;
@@ -186,13 +188,15 @@
         assert!(most <= bound, "{case}: used {most}, allowed {bound}");
     }
 
-    pub fn waiting(&self) -> usize {
-        self.hosts.iter().map(|host| host.waiting.len()).sum()
+    /// Forgets what was counted so far, except for the use in the present window.
+    pub fn reset_counts(&mut self) {
+        self.tallies = [Tally::default(); 3];
+        self.used = 0.0;
     }
 
     fn arrive(&mut self, times: f64) {
         for (rank, kind) in KINDS.iter().enumerate() {
-            let per_step = self.limit.per_s * times * kind.weight / kind.cost as f64
+            let per_step = self.limit.per_s * times * self.weights[rank] / kind.cost as f64
                 * (STEP_MS.0 as f64 / 1_000.0);
             let mut count = per_step as u32;
             if self.random.f64() < per_step.fract() {
@@ -253,16 +257,13 @@
         };
         let is_scarce = limiter.is_scarce(self.now, &organisation, &self.limit);
         self.hosts[n].is_urgent |= is_scarce;
-        self.note(rank, &request, outcome, false);
+        self.note(rank, &request, outcome);
     }
 
-    fn note(&mut self, rank: usize, request: &WaitingRequest, outcome: Outcome, waited: bool) {
+    fn note(&mut self, rank: usize, request: &WaitingRequest, outcome: Outcome) {
         let tally = &mut self.tallies[rank];
         match outcome {
-            Outcome::Refused(_) => {
-                tally.refused += 1;
-                tally.refused_after_wait += u32::from(waited);
-            }
+            Outcome::Refused(_) => tally.refused += 1,
             Outcome::Began => {
                 if self.now <= request.on_time_until {
                     tally.in_time += 1;
@@ -318,7 +319,7 @@
                 if outcome == Outcome::Began {
                     released += request.cost as f64;
                 }
-                self.note(rank, &request, outcome, true);
+                self.note(rank, &request, outcome);
             }
         }
         self.most_released = self.most_released.max(released);
@@ -363,8 +364,11 @@
             incarnation,
             ..
         } = &mut self.hosts[child];
-        let (usage, sums, incarnation) =
-            (limiter.report(now), lines.report(now, limiter), *incarnation);
+        let (usage, sums, incarnation) = (
+            limiter.report(now),
+            lines.report(now, limiter),
+            *incarnation,
+        );
         let host = &mut self.hosts[parent];
         host.reports.insert(child, (now, through));
         host.limiter.record_usage(now, &usage, &self.table);
--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -25,8 +25,8 @@
 mod tests;
 
 pub use levels::LimitsUpdate;
-pub use line::{LineReport, Lines, LinesUpdate};
 pub use limiter::{Decision, Limiter, Refused, Scope};
+pub use line::{LineReport, Lines, LinesUpdate};
 pub use upstream_limits::{
     StatedLimit, UpstreamLimits, UpstreamLimitsReport, UpstreamLimitsUpdate,
 };
