Predict waits under a rate limit from the credit that a host has earned

Cause: predictions ignored what a host had earned, so requests were refused shortly before they would have begun.

--- a/src/rate_limit/line/mod.rs
+++ b/src/rate_limit/line/mod.rs
@@ -26,7 +26,7 @@
 use crate::prelude::*;
 use crate::rate_limit::limiter::{Limiter, Refused, Scope};
 use crate::rate_limit::line::prediction::View;
-use crate::rate_limit::line::queue::{Entry, Queue};
+use crate::rate_limit::line::queue::{Earned, Entry, Queue};
 use crate::rate_limit::line::recent_use::RecentUse;
 use crate::rate_limit::line::sums::{ByRank, ChildSums, MAX_ORGANISATIONS, RankSum, Sums};
 
@@ -95,11 +95,9 @@
     queue: Queue,
     /// When the queue became non-empty.
     waiting_since: Millis,
-    /// This host's part of the refill that was not used yet; `None` until it is known how much
-    /// waits at other hosts.
-    credit: Option<f64>,
-    /// What requests that have waited long have of the refill in spite of more urgent ones.
-    aged_credit: Option<f64>,
+    /// This host's part of the refill that was not used yet; none until it is known how much waits
+    /// at other hosts.
+    earned: Earned,
     credit_at: Millis,
     /// When the queue was last looked at.
     stepped_at: Millis,
@@ -114,8 +112,7 @@
             limit,
             queue: Queue::default(),
             waiting_since: Millis::ZERO,
-            credit: None,
-            aged_credit: None,
+            earned: Earned::default(),
             credit_at: Millis::ZERO,
             stepped_at: Millis::ZERO,
             recent_use: RecentUse::default(),
@@ -236,7 +233,8 @@
         if view.covers_all_hosts() {
             let queue = line.map(|line| &line.queue);
             let place = queue.map(|queue| queue.place_of(u64::MAX, request));
-            let wait_ms = view.wait_ms(now, request, &place.unwrap_or_default());
+            let earned = line.map(|line| line.earned).unwrap_or_default();
+            let wait_ms = view.wait_ms(now, request, &place.unwrap_or_default(), &earned);
             if now + wait_ms > request.leave_by {
                 return refused_after(wait_ms, Scope::Site, random_unit);
             }
@@ -293,8 +291,7 @@
         line.limit = *limit;
         if line.queue.is_empty() {
             line.waiting_since = now;
-            line.credit = None;
-            line.aged_credit = None;
+            line.earned = Earned::default();
         }
         line.queue.push(Entry {
             id: self.last_id,
@@ -327,7 +324,7 @@
         };
         let view = self.view(now, limiter, name, &line.limit);
         let place = line.queue.place_of(last.id, &last.request);
-        let wait_ms = view.wait_ms(now, &last.request, &place);
+        let wait_ms = view.wait_ms(now, &last.request, &place, &line.earned);
         let refused = refused(wait_ms, view.standing.scope, random_unit);
         self.decide(name, last.id, Outcome::Refused(refused));
     }
--- a/src/rate_limit/line/prediction.rs
+++ b/src/rate_limit/line/prediction.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use crate::rate_limit::limiter::{Scope, Standing};
-use crate::rate_limit::line::queue::{Place, WaitingRequest};
+use crate::rate_limit::line::queue::{Earned, Place, WaitingRequest};
 use crate::rate_limit::line::sums::ByRank;
 
 /// The part of the burst that is at most reserved for more urgent ranks.
@@ -52,23 +52,34 @@
     /// Returns the predicted time until a request begins. Other hosts serve the requests of its
     /// rank at the same pace, so what is ahead of it here stands for the same part of what waits
     /// there.
-    pub fn wait_ms(&self, now: Millis, request: &WaitingRequest, place: &Place) -> Millis {
+    pub fn wait_ms(
+        &self,
+        now: Millis,
+        request: &WaitingRequest,
+        place: &Place,
+        earned: &Earned,
+    ) -> Millis {
         let rank = request.rank();
         let cost = request.cost as f64;
         let own = (place.others_in_rank + cost).max(1.0);
         let all = own + self.others.waiting_at(rank);
-        let in_rank = (place.ahead_in_rank + cost) * all / own - cost;
+        // A host begins to earn at a random part of a request's cost.
+        let in_rank = |credit: Option<f64>| {
+            let credit = credit.unwrap_or(cost / 2.0);
+            (place.ahead_in_rank + cost - credit).max(0.0) * all / own
+        };
         let before = place.before_rank + self.others.waiting_before(rank);
         let refill_per_s = self.standing.refill.per_s;
         let floor_per_s = refill_per_s * MIN_REFILL_FRACTION;
         let left_per_s = (refill_per_s - self.used_before(rank)).max(floor_per_s);
-        let missing = before + in_rank - self.surplus(request.reserve_rank());
+        let missing = before + in_rank(earned.credit) - self.surplus(request.reserve_rank());
         let in_turn_ms = time_ms(missing, left_per_s);
         if rank == 0 {
             return in_turn_ms;
         }
         let aged_in_ms = request.aged_at().since(now);
-        in_turn_ms.min(time_ms(in_rank + cost, floor_per_s).max(aged_in_ms))
+        let aged_ms = time_ms(in_rank(earned.aged_credit), floor_per_s);
+        in_turn_ms.min(aged_ms.max(aged_in_ms))
     }
 }
 
--- a/src/rate_limit/line/queue.rs
+++ b/src/rate_limit/line/queue.rs
@@ -57,6 +57,15 @@
     pub others_in_rank: f64,
 }
 
+/// Parts of the refill that a host has earned for its next request and has not used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Earned {
+    /// For its first request; none until it earns.
+    pub credit: Option<f64>,
+    /// For requests that have waited long.
+    pub aged_credit: Option<f64>,
+}
+
 /// The requests of one organisation that wait at one host.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
--- a/src/rate_limit/line/release.rs
+++ b/src/rate_limit/line/release.rs
@@ -55,8 +55,8 @@
         }
         if let Some((entry, credit)) = line.due(&view, &first, aged.as_ref()) {
             let credit = match credit {
-                Credit::InTurn => line.credit.get_or_insert_default(),
-                Credit::Aged => line.aged_credit.get_or_insert_default(),
+                Credit::InTurn => line.earned.credit.get_or_insert_default(),
+                Credit::Aged => line.earned.aged_credit.get_or_insert_default(),
             };
             *credit = (*credit - entry.request.cost as f64).max(0.0);
             limiter.charge_rerun(now, name, limit, entry.request.cost);
@@ -105,7 +105,7 @@
             Outcome::Refused(_) => view.standing.left.max(0.0),
         };
         if let Some(line) = self.by_organisation.get_mut(name) {
-            line.credit = line.credit.map(|credit| (credit - spent).max(0.0));
+            line.earned.credit = line.earned.credit.map(|credit| (credit - spent).max(0.0));
         }
         if outcome != Outcome::Began && !is_final {
             return 0;
@@ -123,7 +123,7 @@
         let mut refused_before = 0.0;
         for (entry, mut place) in line.queue.in_order() {
             place.ahead_in_rank = (place.ahead_in_rank - refused_before).max(0.0);
-            let wait_ms = view.wait_ms(now, &entry.request, &place);
+            let wait_ms = view.wait_ms(now, &entry.request, &place, &line.earned);
             let leave_by = entry.request.leave_by;
             if now >= leave_by || now + wait_ms > leave_by + REFUSAL_SLACK_MS {
                 late.push((entry.id, wait_ms));
@@ -178,12 +178,16 @@
             return None;
         }
         let has_credit = |credit: f64, entry: &Entry| credit >= entry.request.cost as f64;
-        let in_turn = self.credit.is_some_and(|credit| has_credit(credit, first));
+        let in_turn = self
+            .earned
+            .credit
+            .is_some_and(|credit| has_credit(credit, first));
         if in_turn && view.free_for(first) > 0.0 || self.has_room_for_all(view, first) {
             return Some((*first, Credit::InTurn));
         }
         let aged = aged.filter(|aged| {
-            self.aged_credit
+            self.earned
+                .aged_credit
                 .is_some_and(|credit| has_credit(credit, aged))
         });
         let aged = aged.filter(|_| view.standing.left > 0.0);
@@ -195,25 +199,25 @@
     fn has_room_for_all(&self, view: &View, first: &Entry) -> bool {
         let rank = first.request.rank();
         let waiting = self.queue.cost_up_to(rank) + view.others.waiting_at(rank);
-        self.credit.is_some() && view.free_for(first) >= waiting
+        self.earned.credit.is_some() && view.free_for(first) >= waiting
     }
 
     /// Adds to the credit of requests that have waited long: this host's part of what each rank
     /// gets at least.
     fn earn_aged(&mut self, since_s: f64, view: &View, aged: Option<&Entry>, random_unit: f64) {
         let Some(aged) = aged else {
-            self.aged_credit = None;
+            self.earned.aged_credit = None;
             return;
         };
         let cost = aged.request.cost as f64;
-        let Some(credit) = self.aged_credit else {
-            self.aged_credit = self.credit.map(|_| random_unit * cost);
+        let Some(credit) = self.earned.aged_credit else {
+            self.earned.aged_credit = self.earned.credit.map(|_| random_unit * cost);
             return;
         };
         if view.standing.is_recent {
             let per_s = view.standing.refill.per_s * MIN_REFILL_FRACTION;
             let earned = per_s * self.share(view, aged) * since_s;
-            self.aged_credit = Some((credit + earned).min(cost));
+            self.earned.aged_credit = Some((credit + earned).min(cost));
         }
     }
 
@@ -230,8 +234,8 @@
     /// requests began to wait at the same time do not release them at the same time.
     fn earn(&mut self, since_s: f64, view: &View, first: &Entry, has_sums: bool, random_unit: f64) {
         let cost = first.request.cost as f64;
-        let Some(credit) = self.credit else {
-            self.credit = has_sums.then_some(random_unit * cost);
+        let Some(credit) = self.earned.credit else {
+            self.earned.credit = has_sums.then_some(random_unit * cost);
             return;
         };
         let free = view.free_for(first);
@@ -240,7 +244,7 @@
         }
         let per_s = view.standing.refill.per_s + free / SURPLUS_S;
         let earned = per_s * self.share(view, first) * since_s;
-        self.credit = Some((credit + earned).min(cost));
+        self.earned.credit = Some((credit + earned).min(cost));
     }
 
     /// Tells whether the first request is to be decided on by the share: a share of this host alone
@@ -252,7 +256,7 @@
         match standing.is_own {
             true => standing.left > 0.0 && standing.left >= enough,
             false => {
-                let has_credit = self.credit.is_some_and(|credit| credit >= enough);
+                let has_credit = self.earned.credit.is_some_and(|credit| credit >= enough);
                 standing.left > 0.0 && has_credit || self.has_room_for_all(view, first)
             }
         }
