--- a/src/rate_limit/line/prediction.rs
+++ b/src/rate_limit/line/prediction.rs
@@ -9,7 +9,10 @@
 const MAX_RESERVE_FRACTION: f64 = 0.25;
 /// The part of the refill that a rank gets at least, however much more urgent ranks ask for. Without
 /// it, a most urgent rank that asks for more than the limit would keep all others from beginning.
-pub const MIN_REFILL_FRACTION: f64 = 1.0 / 16.0;
+pub const MIN_REFILL_FRACTION: f64 = 1.0 / 32.0;
+/// The part of the refill that requests of such a rank begin by once they have waited for half of
+/// their time. About half of those that wait have.
+pub const AGED_REFILL_FRACTION: f64 = 2.0 * MIN_REFILL_FRACTION;
 
 /// What a host knows about the limit of one organisation and about the requests that wait for it.
 #[derive(Clone, Debug)]
@@ -63,23 +66,22 @@
         let cost = request.cost as f64;
         let own = (place.others_in_rank + cost).max(1.0);
         let all = own + self.others.waiting_at(rank);
-        // A host begins to earn at a random part of a request's cost.
-        let in_rank = |credit: Option<f64>| {
-            let credit = credit.unwrap_or(cost / 2.0);
-            (place.ahead_in_rank + cost - credit).max(0.0) * all / own
-        };
+        let in_rank = |credit: f64| (place.ahead_in_rank + cost - credit).max(0.0) * all / own;
         let before = place.before_rank + self.others.waiting_before(rank);
         let refill_per_s = self.standing.refill.per_s;
-        let floor_per_s = refill_per_s * MIN_REFILL_FRACTION;
-        let left_per_s = (refill_per_s - self.used_before(rank)).max(floor_per_s);
-        let missing = before + in_rank(earned.credit) - self.surplus(request.reserve_rank());
+        let left_per_s = refill_per_s - self.used_before(rank);
+        let left_per_s = left_per_s.max(refill_per_s * MIN_REFILL_FRACTION);
+        // A host begins to earn at a random part of a request's cost.
+        let credit = earned.credit.unwrap_or(cost / 2.0);
+        let missing = before + in_rank(credit) - self.surplus(request.reserve_rank());
         let in_turn_ms = time_ms(missing, left_per_s);
         if rank == 0 {
             return in_turn_ms;
         }
         let aged_in_ms = request.aged_at().since(now);
-        let aged_ms = time_ms(in_rank(earned.aged_credit), floor_per_s);
-        in_turn_ms.min(aged_ms.max(aged_in_ms))
+        let aged_per_s = refill_per_s * AGED_REFILL_FRACTION;
+        let missing = in_rank(earned.aged_credit.unwrap_or(0.0));
+        in_turn_ms.min(aged_in_ms + time_ms(missing, aged_per_s))
     }
 }
 
--- a/src/rate_limit/line/release.rs
+++ b/src/rate_limit/line/release.rs
@@ -6,7 +6,7 @@
 
 use crate::prelude::*;
 use crate::rate_limit::limiter::Limiter;
-use crate::rate_limit::line::prediction::{MIN_REFILL_FRACTION, View};
+use crate::rate_limit::line::prediction::{AGED_REFILL_FRACTION, MIN_REFILL_FRACTION, View};
 use crate::rate_limit::line::queue::Entry;
 use crate::rate_limit::line::{Line, Lines, Outcome, Turn, refused, unknown_until};
 
@@ -215,7 +215,7 @@
             return;
         };
         if view.standing.is_recent {
-            let per_s = view.standing.refill.per_s * MIN_REFILL_FRACTION;
+            let per_s = view.standing.refill.per_s * AGED_REFILL_FRACTION;
             let earned = per_s * self.share(view, aged) * since_s;
             self.earned.aged_credit = Some((credit + earned).min(cost));
         }
