--- a/src/rate_limit/line/queue.rs
+++ b/src/rate_limit/line/queue.rs
@@ -98,7 +98,7 @@
     /// the time until which they can be on time, then by arrival.
     pub fn in_order(&self) -> Vec<(Entry, Place)> {
         let mut entries = self.entries.clone();
-        entries.sort_by_key(|entry| order_key(entry));
+        entries.sort_by_key(order_key);
         let mut by_rank = [0.0; MAX_RANK as usize + 1];
         for (rank, cost) in self.costs() {
             by_rank[usize::from(rank)] += cost as f64;
--- a/src/rate_limit/line/release.rs
+++ b/src/rate_limit/line/release.rs
@@ -42,7 +42,8 @@
             return 0;
         };
         line.stepped_at = now;
-        let since_s = now.since(line.credit_at).0 as f64 / 1_000.0;
+        let since_ms = now.since(line.credit_at).min(IDLE_CHECK_INTERVAL_MS);
+        let since_s = since_ms.0 as f64 / 1_000.0;
         line.credit_at = now;
         line.earn(since_s, &view, &first, has_sums, random_unit);
         let aged = line
@@ -217,7 +218,7 @@
         if view.standing.is_recent {
             let per_s = view.standing.refill.per_s * AGED_REFILL_FRACTION;
             let earned = per_s * self.share(view, aged) * since_s;
-            self.earned.aged_credit = Some((credit + earned).min(cost));
+            self.earned.aged_credit = Some(add_credit(credit, earned, cost));
         }
     }
 
@@ -244,7 +245,7 @@
         }
         let per_s = view.standing.refill.per_s + free / SURPLUS_S;
         let earned = per_s * self.share(view, first) * since_s;
-        self.earned.credit = Some((credit + earned).min(cost));
+        self.earned.credit = Some(add_credit(credit, earned, cost));
     }
 
     /// Tells whether the first request is to be decided on by the share: a share of this host alone
@@ -263,6 +264,15 @@
     }
 }
 
+/// Adds to a credit, of which one request's cost is kept. What was earned since the last look at the
+/// queue comes on top, so that several small requests may begin at once.
+fn add_credit(credit: f64, earned: f64, cost: f64) -> f64 {
+    match earned > 0.0 {
+        true => credit.min(cost) + earned,
+        false => credit,
+    }
+}
+
 impl View {
     /// Returns what a waiting request may use of the level: what is beyond the reserve and not
     /// awaited by more urgent requests at other hosts.
--- a/src/rate_limit/line/tests/model.rs
+++ b/src/rate_limit/line/tests/model.rs
@@ -333,7 +333,8 @@
             let phase = (n as u64 * 37) % self.interval_ms;
             let is_due = (self.now.0 + phase) % self.interval_ms < STEP_MS.0;
             // A host does not send more than every 100 ms, as a host with waiting requests does.
-            let is_urgent = self.hosts[n].is_urgent && (self.now.0 / STEP_MS.0 + n as u64) % 4 == 0;
+            let is_urgent =
+                self.hosts[n].is_urgent && (self.now.0 / STEP_MS.0 + n as u64).is_multiple_of(4);
             let Some(parent) = self.parent(n).filter(|_| is_due || is_urgent) else {
                 continue;
             };
