Count tokens that are set aside as waiting; test the sums at a relay

Cause: reservations for callers that retry need a place in the sums, and the relay's sums had no test.

--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -4,6 +4,7 @@
 use super::site::{Site, on_site, sync_request_from};
 use crate::desired::{LimitUnit, Organisation, RateLimit};
 use crate::entry::host::Host;
+use crate::entry::limit_queue;
 use crate::entry::limits;
 use crate::entry::platform::ModelRef;
 use crate::entry::sync::answer;
@@ -14,7 +15,10 @@
 use crate::ordering::published::{EngineView, EnginesUpdate};
 use crate::prelude::*;
 use crate::rate_limit::levels::Level;
-use crate::rate_limit::{LimitsUpdate, Scope, StatedLimit, UpstreamLimitsReport, Usage};
+use crate::rate_limit::line::sums::RankSum;
+use crate::rate_limit::{
+    LimitsUpdate, LineReport, LinesUpdate, Scope, StatedLimit, UpstreamLimitsReport, Usage,
+};
 use crate::retry::crash_ledger::CrashId;
 use crate::retry::message::{Crash, Evidence};
 use crate::retry::{CrashReport, RequestDigest};
@@ -246,6 +250,44 @@
     });
 }
 
+// Guards against hosts of one relay that release requests ahead of more urgent ones at another.
+#[test]
+fn relay_passes_on_what_waits_at_its_hosts_and_beyond() {
+    on_site(|site| async move {
+        site.publish_desired(1, vec![route(Repeat::Once)]);
+        site.until_version(1).await;
+        make_relay(&site.host);
+        let waiting = |waiting_tokens| {
+            let ranks = vec![RankSum {
+                rank: 2,
+                waiting_tokens,
+                used_tokens: 0,
+            }];
+            vec![LineReport {
+                organisation: "o".into(),
+                ranks,
+            }]
+        };
+        let from_orderer = LinesUpdate {
+            age_ms: Millis::ZERO,
+            sums: waiting(500),
+        };
+        limit_queue::apply_update(&site.host, site.host.now(), &from_orderer);
+        for (host, expected) in [(100, 530), (101, 560), (100, 560)] {
+            let request = SyncRequest {
+                incarnation: host,
+                lines: waiting(30),
+                ..sync_request()
+            };
+            let SyncReply::NoNews { totals } = answer(&site.host, request) else {
+                panic!("the relay must know of no orderer");
+            };
+            assert_eq!(totals.lines.sums, waiting(expected));
+        }
+        assert_eq!(limit_queue::report(&site.host), waiting(60));
+    });
+}
+
 #[test]
 fn relay_subtracts_usage_that_the_orderer_has_not_counted_from_its_limits() {
     on_site(|site| async move {
--- a/src/rate_limit/line/exchange.rs
+++ b/src/rate_limit/line/exchange.rs
@@ -35,6 +35,7 @@
             line.add_waiting(&mut own);
             own.iter().for_each(|sum| total.add(name, *sum));
         }
+        total.add_reports(&self.reserved.to_reports());
         self.children.add_to(now, &mut total);
         total
     }
--- a/src/rate_limit/line/mod.rs
+++ b/src/rate_limit/line/mod.rs
@@ -163,6 +163,8 @@
     waiting: usize,
     beyond: Option<BeyondSums>,
     children: ChildSums,
+    /// Tokens that are set aside here for requests which are to come.
+    reserved: Sums,
     /// The last report to the parent.
     sent: Vec<LineReport>,
 }
@@ -266,6 +268,9 @@
         let standing = limiter.standing(now, name, limit);
         let mut others = ByRank::default();
         self.children.add_of(now, name, &mut others);
+        if let Some(sums) = self.reserved.of(name) {
+            sums.iter().for_each(|sum| others.add(*sum));
+        }
         let beyond = self.fresh_beyond(now).filter(|_| !standing.is_own);
         if let Some(sums) = beyond.and_then(|beyond| beyond.sums.of(name)) {
             sums.iter().for_each(|sum| others.add(*sum));
@@ -278,6 +283,12 @@
         }
     }
 
+    /// Sets the tokens that are set aside at this host for requests which are to come within the next
+    /// second. They count as waiting, so that new requests do not take them.
+    pub fn set_reserved(&mut self, reserved: Sums) {
+        self.reserved = reserved;
+    }
+
     /// Tells whether any request waits here.
     pub fn has_waiting(&self) -> bool {
         self.waiting > 0
