--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -16,11 +16,13 @@
 //! - [`places`]: the reservations of one host.
 //! - [`schedules`]: the times for which reservations are made.
 //! - [`timed`]: entries that end at known times.
+//! - [`line`]: the requests that wait for a limit, by urgency.
 //! - [`upstream_limits`]: the limits that upstreams state in their answers.
 
 pub mod claimed_keys;
 pub mod levels;
 pub mod limiter;
+pub mod line;
 pub mod place;
 pub mod places;
 pub mod schedules;
@@ -34,6 +36,7 @@
 
 pub use levels::LimitsUpdate;
 pub use limiter::{Decision, Limiter, Refused, Scope};
+pub use line::{LineReport, Lines, LinesUpdate};
 pub use place::{Place, PlaceUpdate, SentPlace};
 pub use places::PlaceBook;
 pub use upstream_limits::{
@@ -46,6 +49,8 @@
 pub struct SharedLimits {
     /// Limits of organisations.
     pub organisations: Limiter,
+    /// Requests that wait for the limits of organisations.
+    pub lines: Lines,
     /// Limits of upstreams.
     pub upstreams: UpstreamLimits,
 }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -4,8 +4,8 @@
 mod admission_model;
 mod first_event;
 mod pick;
-mod service_wait;
 mod pick_slowness;
+mod service_wait;
 
 use crate::membership::message::{UpstreamEntry, UpstreamRole};
 use crate::prelude::*;
