--- a/src/entry/limit_queue.rs
+++ b/src/entry/limit_queue.rs
@@ -5,9 +5,11 @@
 use crate::entry::host::Host;
 use crate::entry::limits;
 use crate::entry::lines;
+use crate::entry::places;
 use crate::entry::platform::Platform;
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
+use crate::rate_limit::line::sums::{RankSum, Sums};
 use crate::rate_limit::line::{Entered, Outcome, Turn, WaitingRequest};
 use crate::rate_limit::{Limiter, LineReport, Lines, LinesUpdate, Refused};
 
@@ -58,7 +60,7 @@
         let leave_by = *arrived_at + Millis(time_ms.0 / WAIT_DIVISOR);
         let leave_by = leave_by.max(*arrived_at + start_within_ms(route));
         WaitingRequest {
-            rank: rank(self.request),
+            rank: self.request.rank(),
             arrived_at: first_arrived_at,
             on_time_until: first_arrived_at + start_within_ms(route),
             leave_by: leave_by.min(*first_byte_deadline_at),
@@ -68,13 +70,6 @@
     }
 }
 
-/// Returns the rank of a request: that of its organisation if it has one, else that of its route.
-pub fn rank(request: &ActiveRequest) -> u8 {
-    let organisation = request.identity.organisation();
-    let own = organisation.and_then(|organisation| organisation.rank);
-    own.unwrap_or(request.route.rank)
-}
-
 /// Returns how long after its arrival a request of a route can begin and still be on time.
 fn start_within_ms(route: &Route) -> Millis {
     match route.streams {
@@ -145,25 +140,46 @@
         }
         Outcome::Refused(refused) => {
             host.metrics.count_limit_queue(asked.rank, "refused");
-            Err(note_refused(host, limited, &asked, refused))
+            Err(note_refused(host, limited, refused))
         }
     }
 }
 
-/// Returns the precedence of a request that does not begin at once, if it was told to retry. Called
-/// once per request, before it enters the queue. Reservations are not implemented, so there is none.
-async fn precedence<P: Platform>(_host: &Host<P>, _request: &ActiveRequest) -> Option<Precedence> {
-    None
+/// Returns the precedence of a request that does not begin at once, if it was told to retry and comes
+/// at that time. Called once per request, before it enters the queue.
+async fn precedence<P: Platform>(host: &Host<P>, request: &ActiveRequest) -> Option<Precedence> {
+    let place = places::claim(host, request).await?;
+    Some(Precedence {
+        first_arrived_at: place.arrived_at,
+        is_promoted: true,
+    })
 }
 
-/// Returns the answer to a request that is refused for a rate limit. Its retry time is known here.
+/// Returns the answer to a request that is refused for a rate limit, with the time of a reservation.
 fn note_refused<P: Platform>(
-    _host: &Host<P>,
-    _limited: &LimitedRequest<'_>,
-    _asked: &WaitingRequest,
+    host: &Host<P>,
+    limited: &LimitedRequest<'_>,
     refused: Refused,
 ) -> Refusal {
-    limits::refusal(refused)
+    let retry_after_ms = places::keep(host, limited.request, refused.retry_after_ms);
+    limits::refusal(Refused {
+        retry_after_ms,
+        ..refused
+    })
+}
+
+/// Returns the tokens of reservations that are due soon.
+fn reserved<P: Platform>(host: &Host<P>) -> Sums {
+    let mut sums = Sums::default();
+    for due in places::due_tokens(host) {
+        let sum = RankSum {
+            rank: due.rank,
+            waiting_tokens: due.tokens,
+            ..RankSum::default()
+        };
+        sums.add(&due.organisation, sum);
+    }
+    sums
 }
 
 fn stopping() -> Refusal {
@@ -271,7 +287,12 @@
 /// or the orderer.
 pub fn report<P: Platform>(host: &Host<P>) -> Vec<LineReport> {
     log_changes(host);
-    with_all_lines(host, |lines, limiter, now, _| lines.report(now, limiter)).unwrap_or_default()
+    let reserved = reserved(host);
+    let report = |lines: &mut Lines, limiter: &mut Limiter, now, _: &_| {
+        lines.set_reserved(reserved);
+        lines.report(now, limiter)
+    };
+    with_all_lines(host, report).unwrap_or_default()
 }
 
 /// Returns what waits at all hosts, for this host's reply to hosts that report to it.
