--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -93,6 +93,7 @@
         usage: Vec::new(),
         crashes: CrashReport::default(),
         upstream_limits: UpstreamLimitsReport::default(),
+        loads: Vec::new(),
     }
 }
 
--- a/src/upstreams/tests/stated_loads.rs
+++ b/src/upstreams/tests/stated_loads.rs
@@ -20,11 +20,12 @@
     }
 }
 
-fn registry(ids: impl Iterator<Item = String>) -> Registry {
+/// Returns a registry of the upstreams `u0`, `u1` and so on.
+fn registry(count: usize) -> Registry {
     let mut registry = Registry::default();
-    ids.for_each(|id| {
-        registry.put(entry(&id));
-    });
+    for number in 0..count {
+        registry.put(entry(&format!("u{number}")));
+    }
     registry
 }
 
@@ -36,46 +37,46 @@
 /// Guards against a statement of a former process that steers requests to its successor.
 #[test]
 fn a_new_lifetime_has_stated_nothing() {
-    let mut registry = registry(["a".to_string()].into_iter());
-    registry.note_stated_load(Millis(10), &lifetime("a", 0), load(3));
-    assert_eq!(running(&registry, "a"), Some(3));
-    registry.note_restarted(&lifetime("a", 5));
-    assert_eq!(running(&registry, "a"), None);
-    registry.note_stated_load(Millis(20), &lifetime("a", 0), load(3));
-    assert_eq!(running(&registry, "a"), None);
+    let mut registry = registry(1);
+    registry.note_stated_load(Millis(10), &lifetime("u0", 0), load(3));
+    assert_eq!(running(&registry, "u0"), Some(3));
+    registry.note_restarted(&lifetime("u0", 5));
+    assert_eq!(running(&registry, "u0"), None);
+    registry.note_stated_load(Millis(20), &lifetime("u0", 0), load(3));
+    assert_eq!(running(&registry, "u0"), None);
 }
 
 /// Guards against a statement of another host that replaces a newer one, and against absurd values
 /// in a message.
 #[test]
 fn only_newer_and_plausible_statements_are_taken_from_others() {
-    let mut registry = registry(["a".to_string()].into_iter());
-    registry.note_stated_load(Millis(1_000), &lifetime("a", 0), load(1));
-    registry.merge_told_loads(Millis(1_200), &[told("a", 2, 300)], true);
-    assert_eq!(running(&registry, "a"), Some(1));
+    let mut registry = registry(1);
+    registry.note_stated_load(Millis(1_000), &lifetime("u0", 0), load(1));
+    registry.merge_told_loads(Millis(1_200), &[told("u0", 2, 300)], true);
+    assert_eq!(running(&registry, "u0"), Some(1));
     let absurd = ToldLoad {
         load: StatedLoad {
             slots: 0,
             ..load(9)
         },
-        ..told("a", 9, 10)
+        ..told("u0", 9, 10)
     };
-    registry.merge_told_loads(Millis(1_200), &[absurd, told("b", 2, 0)], true);
-    assert_eq!(running(&registry, "a"), Some(1));
-    registry.merge_told_loads(Millis(1_200), &[told("a", 2, 100)], true);
-    assert_eq!(running(&registry, "a"), Some(2));
-    registry.merge_told_loads(Millis(9_000), &[told("a", 3, 1_000)], true);
-    assert_eq!(running(&registry, "a"), Some(2));
+    registry.merge_told_loads(Millis(1_200), &[absurd, told("u1", 2, 0)], true);
+    assert_eq!(running(&registry, "u0"), Some(1));
+    registry.merge_told_loads(Millis(1_200), &[told("u0", 2, 100)], true);
+    assert_eq!(running(&registry, "u0"), Some(2));
+    registry.merge_told_loads(Millis(9_000), &[told("u0", 3, 1_000)], true);
+    assert_eq!(running(&registry, "u0"), Some(2));
 }
 
 /// Guards against messages that grow with the number of upstreams, repeat statements, or carry
 /// those of engines and old ones.
 #[test]
 fn messages_have_the_newest_statements_once() {
-    let ids = || (0..40).map(|number| format!("u{number}"));
-    let mut registry = registry(ids());
-    for (number, id) in ids().enumerate() {
-        registry.note_stated_load(Millis(number as u64), &lifetime(&id, 0), load(1));
+    let mut registry = registry(40);
+    for number in 0..40 {
+        let upstream = lifetime(&format!("u{number}"), 0);
+        registry.note_stated_load(Millis(number), &upstream, load(1));
     }
     let now = Millis(100);
     assert!(registry.loads_to_report(now, |_| false).is_empty());
