--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -94,6 +94,7 @@
         usage: Vec::new(),
         crashes: CrashReport::default(),
         upstream_limits: UpstreamLimitsReport::default(),
+        loads: Vec::new(),
     }
 }
 
