--- a/src/rate_limit/line/sums.rs
+++ b/src/rate_limit/line/sums.rs
@@ -167,7 +167,7 @@
     /// Stores the sums of one host, by the incarnation of its process.
     pub fn record(&mut self, now: Millis, host: u64, mut sums: Vec<LineReport>) {
         self.hosts.retain(|_, (at, _)| is_fresh(now, *at));
-        sums.truncate(MAX_SUMS);
+        truncate(&mut sums);
         if sums.is_empty() {
             self.hosts.swap_remove(&host);
         } else if self.hosts.len() < MAX_HOSTS || self.hosts.contains_key(&host) {
@@ -188,12 +188,23 @@
             let own = sums
                 .iter()
                 .filter(|report| &*report.organisation == organisation);
-            own.flat_map(|report| report.ranks.iter().take(MAX_SUMS))
+            own.flat_map(|report| &report.ranks)
                 .for_each(|sum| total.add(*sum));
         }
     }
 }
 
+/// Cuts a message to as many sums as one may have.
+fn truncate(reports: &mut Vec<LineReport>) {
+    let mut left = MAX_SUMS;
+    for report in reports.iter_mut() {
+        report.ranks.truncate(left);
+        report.ranks.shrink_to_fit();
+        left -= report.ranks.len();
+    }
+    reports.retain(|report| !report.ranks.is_empty());
+}
+
 fn is_fresh(now: Millis, at: Millis) -> bool {
     now.since(at) < REPORT_TTL_MS
 }
