--- a/src/rate_limit/line/tests/site.rs
+++ b/src/rate_limit/line/tests/site.rs
@@ -54,25 +54,6 @@
             let case = format!("{hosts} hosts, {per_s} a second");
             let former = simulate(hosts, per_s, Rule::Admit, &play);
             let queues = simulate(hosts, per_s, Rule::Queue, &play);
-            if std::env::var_os("LINE_FIGURES").is_some() {
-                for (rule, all) in [("arrival", &former), ("queue", &queues)] {
-                    print!(
-                        "{case}, {rule}: used {:.2} window {:.0} released {:.0}",
-                        all.used / per_s,
-                        all.most_in_window,
-                        all.most_released
-                    );
-                    for t in all.tallies {
-                        print!(
-                            " | {} {:.3}+{:.3}",
-                            t.asked,
-                            t.in_time(),
-                            t.served() - t.in_time()
-                        );
-                    }
-                    println!();
-                }
-            }
             check(&case, &former, &queues);
         }
     }
@@ -181,9 +162,6 @@
         model.run(20_000, HOT);
         let [chat, _, disputes] = model.tallies;
         let served = disputes.served();
-        if std::env::var_os("LINE_FIGURES").is_some() {
-            println!("{hosts} hosts, starving: {chat:?} {disputes:?}");
-        }
         assert!(served > 0.02, "{hosts} hosts: {disputes:?}");
         assert!(
             chat.served() >= served,
