--- a/src/rate_limit/line/tests/mod.rs
+++ b/src/rate_limit/line/tests/mod.rs
@@ -2,5 +2,6 @@
 //! host, and simulated sites.
 
 mod decisions;
+mod kinds;
 mod model;
 mod site;
--- a/src/rate_limit/line/tests/model.rs
+++ b/src/rate_limit/line/tests/model.rs
@@ -1,6 +1,7 @@
 //! Model of a site: hosts with limiters and queues exchange the real messages through relays with
 //! the orderer, while callers of one organisation send requests of three ranks to random hosts.
 
+use super::kinds::{KINDS, Tally};
 use crate::desired::{LimitUnit, RateLimit, RateLimitTable};
 use crate::prelude::*;
 use crate::rate_limit::limiter::{Coverage, Limiter, Scope};
@@ -14,32 +15,6 @@
 const EXCESS_FACTOR: f64 = 1.1;
 const TOLERANCE: f64 = 72_000.0;
 
-/// A kind of requests.
-pub struct Kind {
-    pub cost: u64,
-    pub on_time_ms: u64,
-    pub leave_ms: u64,
-}
-
-/// Chat, letters and disputes, by rank.
-pub const KINDS: [Kind; 3] = [
-    Kind {
-        cost: 830,
-        on_time_ms: 100,
-        leave_ms: 667,
-    },
-    Kind {
-        cost: 9_200,
-        on_time_ms: 500,
-        leave_ms: 1_067,
-    },
-    Kind {
-        cost: 9_200,
-        on_time_ms: 5_700,
-        leave_ms: 8_000,
-    },
-];
-
 /// Whether requests wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rule {
@@ -49,32 +24,6 @@
     Queue,
 }
 
-/// What became of the requests of one rank.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Tally {
-    pub asked: u32,
-    pub in_time: u32,
-    pub late: u32,
-    pub refused: u32,
-}
-
-impl Tally {
-    pub fn add(&mut self, other: &Self) {
-        self.asked += other.asked;
-        self.in_time += other.in_time;
-        self.late += other.late;
-        self.refused += other.refused;
-    }
-
-    pub fn served(&self) -> f64 {
-        f64::from(self.in_time + self.late) / f64::from(self.asked.max(1))
-    }
-
-    pub fn in_time(&self) -> f64 {
-        f64::from(self.in_time) / f64::from(self.asked.max(1))
-    }
-}
-
 struct ModelHost {
     limiter: Limiter,
     lines: Lines,
--- a/src/rate_limit/line/tests/site.rs
+++ b/src/rate_limit/line/tests/site.rs
@@ -2,7 +2,8 @@
 //! limit, or all hosts are restarted, or there is no orderer. Each is compared with the rule that
 //! admits requests in order of arrival.
 
-use super::model::{KINDS, Model, Rule, Tally};
+use super::kinds::{KINDS, Tally};
+use super::model::{Model, Rule};
 
 const HOSTS: [usize; 3] = [9, 73, 985];
 /// A limit of two long prompts a second over all hosts, and one of fifty, in tokens per second.
