--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -80,11 +80,11 @@
             .map(|organisation| &organisation.name)
     }
 
-    /// Returns the priority of the request: that of its organisation if it has one, else that of its
-    /// route. 0 is the most urgent.
+    /// Returns the priority of the request among those of its organisation: that of its route, 0
+    /// being the most urgent. The rank of an organisation is equal for all of its requests, so it
+    /// says nothing about their order.
     pub fn rank(&self) -> u8 {
-        let own = self.identity.organisation().and_then(|own| own.rank);
-        own.unwrap_or(self.route.rank)
+        self.route.rank
     }
 
     /// Returns the id of the last event that the caller has, if the request came from another host
