--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -1,8 +1,8 @@
 //! What a host replies to other hosts that ask it as a relay or as the orderer.
 
 use super::fake_platform::FakePlatform;
-use super::site::{Site, on_site, route, sync_request_from};
-use crate::desired::{LimitUnit, Organisation, RateLimit, Repeat};
+use super::site::{Site, on_site, sync_request_from};
+use crate::desired::{LimitUnit, Organisation, RateLimit};
 use crate::entry::host::Host;
 use crate::entry::limit_queue;
 use crate::entry::limits;
