--- a/src/entry/places.rs
+++ b/src/entry/places.rs
@@ -124,7 +124,7 @@
     let wanted = Wanted {
         key: place_key(&request.causes.digest),
         organisation: &organisation.name,
-        rank: organisation.rank.unwrap_or(request.route.rank),
+        rank: request.rank(),
         cost: limit.cost(request.facts.counted_tokens),
         arrived_at: request.arrived_at,
         retry_after_ms,
