--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -94,6 +94,7 @@
         usage: Vec::new(),
         crashes: CrashReport::default(),
         upstream_limits: UpstreamLimitsReport::default(),
+        lines: Vec::new(),
         loads: Vec::new(),
     }
 }
--- a/src/entry/limit_queue.rs
+++ b/src/entry/limit_queue.rs
@@ -60,7 +60,7 @@
         let leave_by = *arrived_at + Millis(time_ms.0 / WAIT_DIVISOR);
         let leave_by = leave_by.max(*arrived_at + start_within_ms(route));
         WaitingRequest {
-            rank: self.request.rank(),
+            rank: queue_rank(self.request),
             arrived_at: first_arrived_at,
             on_time_until: first_arrived_at + start_within_ms(route),
             leave_by: leave_by.min(*first_byte_deadline_at),
@@ -70,6 +70,15 @@
     }
 }
 
+/// Returns the rank of a request in its organisation's queue. Ranks order the kinds of requests of one
+/// service. A plain call costs a small part of a prompt, so it does not wait behind prompts.
+fn queue_rank(request: &ActiveRequest) -> u8 {
+    match request.at_engine {
+        true => request.rank(),
+        false => 0,
+    }
+}
+
 /// Returns how long after its arrival a request of a route can begin and still be on time.
 fn start_within_ms(route: &Route) -> Millis {
     match route.streams {
--- a/src/entry/sending/prediction.rs
+++ b/src/entry/sending/prediction.rs
@@ -13,8 +13,8 @@
 /// The prediction for a request that is sent to an engine now.
 #[derive(Clone, Copy, Debug)]
 pub struct Prediction {
-    /// The time until the engine begins to read the prompt.
-    pub wait_ms: Millis,
+    /// The wait for a slot and for space in the KV cache.
+    pub start_wait_ms: Millis,
     /// The time until the first event.
     pub first_event_ms: Millis,
     /// The same without what this host has learned from its answers.
@@ -35,7 +35,7 @@
     let unread_tokens = unread_tokens(host, request, engine);
     let factor = learned_factor(host, request);
     Some(Prediction {
-        wait_ms: backlog.wait_ms(factor),
+        start_wait_ms: backlog.start_wait_ms(),
         first_event_ms: backlog.first_event_ms(unread_tokens, factor),
         unlearned_ms: backlog.first_event_ms(unread_tokens, 1.0),
     })
--- a/src/entry/sending/waiting.rs
+++ b/src/entry/sending/waiting.rs
@@ -144,16 +144,19 @@
     own + host.orderer_state.borrow().work(upstream).long_prompts == 0
 }
 
-/// Returns a refusal if the request's first event is predicted to come after its caller has given
-/// up. The caller is told to retry when it would come in time.
+/// Returns a refusal if the request would begin after its caller has given up, as predicted from the
+/// engine's slots and KV cache. Prompts that wait there do not count: what hosts know of them is old,
+/// and much of them is cached, so that requests were refused which would have been in time.
 pub fn late_start_refusal<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
     upstream: &Name,
 ) -> Option<Refusal> {
-    let prediction = predict(host, request, upstream)?;
-    let left_ms = request.first_byte_deadline_at.since(host.now());
-    let excess_ms = prediction.first_event_ms.since(left_ms);
+    let start_wait_ms = predict(host, request, upstream)?.start_wait_ms;
+    let left_ms = request
+        .first_byte_deadline_at
+        .since(host.now() + FIRST_EVENT_MS);
+    let excess_ms = start_wait_ms.since(left_ms);
     if excess_ms == Millis::ZERO {
         return None;
     }
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -7,8 +7,8 @@
 //! loaded where its weights are cached, and the models with the least demand are unloaded to make
 //! room for it.
 //!
-//! Engines may work at different speeds. A copy on a slow engine counts as less than one copy, and
-//! models with demand are loaded on fast engines where the other costs are equal.
+//! Engines may work at different speeds. Models with demand are loaded on fast engines where the other
+//! costs are equal.
 
 use crate::desired::{EngineSpec, ModelSpec};
 use crate::entry::platform::ModelRef;
@@ -204,9 +204,7 @@
                 demand,
                 copies: holders.map_or(0, Holders::copies),
                 held: holders.map_or(0, Holders::held),
-                target: self
-                    .target_copies(spec, &demand, holders, most.max(1))
-                    .max(least),
+                target: self.target_copies(spec, &demand, most.max(1)).max(least),
             };
             (model, need)
         });
@@ -241,13 +239,7 @@
     }
 
     /// Returns how many engines should hold a model because of its demand.
-    fn target_copies(
-        &self,
-        spec: &ModelSpec,
-        demand: &ModelDemand,
-        holders: Option<&Holders>,
-        most: usize,
-    ) -> usize {
+    fn target_copies(&self, spec: &ModelSpec, demand: &ModelDemand, most: usize) -> usize {
         let requested_recently = demand
             .last_request_at
             .is_some_and(|at| self.now.since(at) < RECENT_REQUEST_MS);
@@ -262,7 +254,6 @@
         for_prompts
             .max(self.copies_for_slots(demand.running))
             .max(for_prompt_lengths)
-            .saturating_add(self.copies_lost_to_slowness(holders))
             .min(most)
     }
 
--- a/src/routing/first_event.rs
+++ b/src/routing/first_event.rs
@@ -83,10 +83,13 @@
 }
 
 impl EngineBacklog {
-    /// Returns how long the engine takes until it begins to read a further prompt, by the learned
-    /// `factor`.
-    pub fn wait_ms(&self, factor: f64) -> Millis {
-        self.bounded_ms(0.0, factor)
+    /// Returns the wait for a slot and for space in the KV cache.
+    pub fn start_wait_ms(&self) -> Millis {
+        let start = Self {
+            waiting_tokens: 0,
+            ..*self
+        };
+        start.bounded_ms(0.0, 1.0)
     }
 
     /// Returns the time until the first event of a request of whose prompt the engine has to read
