Spread reservations over this host's part of what waits; requests of a small cost go first; log the wait for a limit

Reservations divided the refill evenly among hosts, so few refused callers got one. Requests whose cost is at most 1/200 of the burst count as rank 0 in their organisation's queue: plain calls were refused behind prompts. End lines state limit_wait_ms.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -49,7 +49,10 @@
         Ok(version) => version,
         Err(refusal) => return refuse(host, request, out, log, refusal).await,
     };
-    let charge = match Charge::take(host, request).await {
+    let asked_at = host.now();
+    let charge = Charge::take(host, request).await;
+    log.summary.limit_wait_ms = host.now().since(asked_at);
+    let charge = match charge {
         Ok(charge) => charge,
         Err(refusal) => return refuse(host, request, out, log, refusal).await,
     };
--- a/src/entry/limit_queue.rs
+++ b/src/entry/limit_queue.rs
@@ -21,6 +21,8 @@
 const WAIT_DIVISOR: u64 = 3;
 /// The shortest time between two requests for newer levels while requests wait.
 const REFRESH_INTERVAL_MS: Millis = Millis(100);
+/// A request whose cost is at most this part of the burst is small.
+const SMALL_COST_DIVISOR: f64 = 200.0;
 /// Most requests that begin or are refused by one look at a queue.
 const MAX_DECISIONS: usize = 32;
 
@@ -47,6 +49,15 @@
 }
 
 impl LimitedRequest<'_> {
+    /// Returns the rank of the request in its organisation's queue. A request that costs a small part
+    /// of the burst takes hardly anything from those before it, so it does not wait behind prompts.
+    fn queue_rank(&self) -> u8 {
+        match self.cost as f64 * SMALL_COST_DIVISOR <= self.limit.burst {
+            true => 0,
+            false => self.request.rank(),
+        }
+    }
+
     /// Returns the request's place in the order. With a precedence it goes by its first arrival.
     pub fn waiting_request(&self, precedence: Option<Precedence>) -> WaitingRequest {
         let ActiveRequest {
@@ -60,7 +71,7 @@
         let leave_by = *arrived_at + Millis(time_ms.0 / WAIT_DIVISOR);
         let leave_by = leave_by.max(*arrived_at + start_within_ms(route));
         WaitingRequest {
-            rank: queue_rank(self.request),
+            rank: self.queue_rank(),
             arrived_at: first_arrived_at,
             on_time_until: first_arrived_at + start_within_ms(route),
             leave_by: leave_by.min(*first_byte_deadline_at),
@@ -70,15 +81,6 @@
     }
 }
 
-/// Returns the rank of a request in its organisation's queue. Ranks order the kinds of requests of one
-/// service. A plain call costs a small part of a prompt, so it does not wait behind prompts.
-fn queue_rank(request: &ActiveRequest) -> u8 {
-    match request.at_engine {
-        true => request.rank(),
-        false => 0,
-    }
-}
-
 /// Returns how long after its arrival a request of a route can begin and still be on time.
 fn start_within_ms(route: &Route) -> Millis {
     match route.streams {
@@ -170,6 +172,12 @@
     limited: &LimitedRequest<'_>,
     refused: Refused,
 ) -> Refusal {
+    let part = with_lines(host, limited, |lines, limiter, turn| {
+        lines.waiting_part(turn, limiter)
+    });
+    if let Some(part) = part.flatten() {
+        places::set_part(host, limited.organisation, part);
+    }
     let retry_after_ms = places::keep(host, limited.request, refused.retry_after_ms);
     limits::refusal(Refused {
         retry_after_ms,
--- a/src/rate_limit/line/mod.rs
+++ b/src/rate_limit/line/mod.rs
@@ -283,6 +283,16 @@
         }
     }
 
+    /// Returns the part of the tokens that wait for an organisation's limit over all hosts which wait
+    /// here; none if nothing waits here.
+    pub fn waiting_part(&self, turn: &Turn<'_>, limiter: &Limiter) -> Option<f64> {
+        let queue = &self.by_organisation.get(turn.name)?.queue;
+        let own: f64 = queue.costs().map(|(_, cost)| cost as f64).sum();
+        let others = self.view(turn.now, limiter, turn.name, turn.limit).others;
+        let others: f64 = others.iter().map(|sum| sum.waiting_tokens as f64).sum();
+        (own > 0.0).then(|| own / (own + others))
+    }
+
     /// Sets the tokens that are set aside at this host for requests which are to come within the next
     /// second. They count as waiting, so that new requests do not take them.
     pub fn set_reserved(&mut self, reserved: Sums) {
--- a/src/rate_limit/line/tests/decisions.rs
+++ b/src/rate_limit/line/tests/decisions.rs
@@ -366,3 +366,23 @@
         Ok(())
     });
 }
+
+/// Guards against reservations spread over an even part of the refill where few hosts have requests.
+#[test]
+fn part_of_a_host_is_what_waits_there_of_all_that_waits() {
+    let mut host = OneHost::new(Scope::Site, 1);
+    let name = "o0".into();
+    let part = |host: &OneHost| host.lines.waiting_part(&turn(NOW, &name), &host.limiter);
+    assert_eq!(part(&host), None);
+    let elsewhere = LineReport {
+        organisation: "o0".into(),
+        ranks: vec![RankSum {
+            rank: 1,
+            waiting_tokens: 700,
+            used_tokens: 0,
+        }],
+    };
+    host.lines.record(NOW, 7, vec![elsewhere]);
+    waits(host.ask(NOW, "o0", &request(NOW, 1, 300, 2_000)));
+    assert_eq!(part(&host), Some(0.3));
+}
