Requests wait for a limit only while they can be on time; returning ones that cannot go last

Requests that waited past their goal used up the limit and made those behind them late too. Half of the goal is now left for the answer.

--- a/src/entry/limit_queue.rs
+++ b/src/entry/limit_queue.rs
@@ -9,15 +9,14 @@
 use crate::entry::platform::Platform;
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
-use crate::rate_limit::line::sums::{RankSum, Sums};
+use crate::rate_limit::line::sums::{MAX_RANK, RankSum, Sums};
 use crate::rate_limit::line::{Entered, Outcome, Turn, WaitingRequest};
 use crate::rate_limit::{Limiter, LineReport, Lines, LinesUpdate, Refused};
 
-/// The usual time to the first event of a stream.
-const FIRST_EVENT_MS: Millis = Millis(300);
-/// The part of a plain call's goal that its answer usually takes.
-const PLAIN_CALL_GOAL_DIVISOR: u64 = 2;
-/// A request waits for at most this part of the time until its caller gives up.
+/// The part of a request's goal that is left for its answer: half. While a limit is reached, engines are
+/// busy too.
+const ANSWER_DIVISOR: u64 = 2;
+/// A late request waits for at most this part of the time until its caller gives up.
 const WAIT_DIVISOR: u64 = 3;
 /// The shortest time between two requests for newer levels while requests wait.
 const REFRESH_INTERVAL_MS: Millis = Millis(100);
@@ -58,7 +57,9 @@
         }
     }
 
-    /// Returns the request's place in the order. With a precedence it goes by its first arrival.
+    /// Returns the request's place in the order. With a precedence it goes by its first arrival. A
+    /// request waits only while it can be on time. One that comes back too late for that goes last: its
+    /// caller gains little, and it must not make others late.
     pub fn waiting_request(&self, precedence: Option<Precedence>) -> WaitingRequest {
         let ActiveRequest {
             route,
@@ -67,26 +68,26 @@
             ..
         } = self.request;
         let first_arrived_at = precedence.map_or(*arrived_at, |own| own.first_arrived_at);
+        let on_time_until = first_arrived_at + start_within_ms(route);
+        let is_late = on_time_until < *arrived_at;
         let time_ms = first_byte_deadline_at.since(*arrived_at);
-        let leave_by = *arrived_at + Millis(time_ms.0 / WAIT_DIVISOR);
-        let leave_by = leave_by.max(*arrived_at + start_within_ms(route));
         WaitingRequest {
-            rank: self.queue_rank(),
+            rank: if is_late { MAX_RANK } else { self.queue_rank() },
             arrived_at: first_arrived_at,
-            on_time_until: first_arrived_at + start_within_ms(route),
-            leave_by: leave_by.min(*first_byte_deadline_at),
+            on_time_until,
+            leave_by: match is_late {
+                true => *arrived_at + Millis(time_ms.0 / WAIT_DIVISOR),
+                false => on_time_until.min(*first_byte_deadline_at),
+            },
             cost: self.cost,
-            is_promoted: precedence.is_some_and(|own| own.is_promoted),
+            is_promoted: !is_late && precedence.is_some_and(|own| own.is_promoted),
         }
     }
 }
 
 /// Returns how long after its arrival a request of a route can begin and still be on time.
 fn start_within_ms(route: &Route) -> Millis {
-    match route.streams {
-        true => route.goal_ms - FIRST_EVENT_MS,
-        false => Millis(route.goal_ms.0 / PLAIN_CALL_GOAL_DIVISOR),
-    }
+    Millis(route.goal_ms.0 / ANSWER_DIVISOR)
 }
 
 /// Tells whether requests wait for rate limits at this host: its routes differ in rank.
