Do not look for unread prompt tokens where only the start is predicted

The check for late starts passed over the engines of the model once more for a prediction that it did not use. No decision changes: 14 tests of first_event, engine_refusals, engine_wait, answer_wait and waiting pass. The module's doc named a use that was removed.

--- a/src/entry/sending/prediction.rs
+++ b/src/entry/sending/prediction.rs
@@ -13,8 +13,6 @@
 /// The prediction for a request that is sent to an engine now.
 #[derive(Clone, Copy, Debug)]
 pub struct Prediction {
-    /// The wait for a slot and for space in the KV cache.
-    pub start_wait_ms: Millis,
     /// The time until the first event.
     pub first_event_ms: Millis,
     /// The same without what this host has learned from its answers.
@@ -35,12 +33,24 @@
     let unread_tokens = unread_tokens(host, request, engine);
     let factor = learned_factor(host, request);
     Some(Prediction {
-        start_wait_ms: backlog.start_wait_ms(),
         first_event_ms: backlog.first_event_ms(unread_tokens, factor),
         unlearned_ms: backlog.first_event_ms(unread_tokens, 1.0),
     })
 }
 
+/// Returns how long a request waits for a slot and for space in the KV cache of an engine; none for
+/// upstreams that are no engines or not known.
+pub fn start_wait_ms<P: Platform>(
+    host: &Host<P>,
+    request: &ActiveRequest,
+    engine: &Name,
+) -> Option<Millis> {
+    let backlog = request
+        .at_engine
+        .then(|| backlog(host, request, engine))??;
+    Some(backlog.start_wait_ms())
+}
+
 /// Returns what is ahead of a request at an engine: the requests of all hosts, or those of this
 /// host alone while it does not know of the others.
 fn backlog<P: Platform>(
--- a/src/entry/sending/waiting.rs
+++ b/src/entry/sending/waiting.rs
@@ -7,7 +7,7 @@
 use crate::entry::request_log::RequestLog;
 use crate::entry::sending::attempts::{Attempts, BUSY_RETRY_AFTER_MS, RETRY_AFTER_MS};
 use crate::entry::sending::choice::{choose, out_of_reach};
-use crate::entry::sending::prediction::predict;
+use crate::entry::sending::prediction::start_wait_ms;
 use crate::entry::sending::unavailable::unavailable;
 use crate::entry::sync;
 use crate::http1::client::with_timeout;
@@ -152,7 +152,7 @@
     request: &ActiveRequest,
     upstream: &Name,
 ) -> Option<Refusal> {
-    let start_wait_ms = predict(host, request, upstream)?.start_wait_ms;
+    let start_wait_ms = start_wait_ms(host, request, upstream)?;
     let left_ms = request
         .first_byte_deadline_at
         .since(host.now() + FIRST_EVENT_MS);
--- a/src/routing/first_event.rs
+++ b/src/routing/first_event.rs
@@ -1,8 +1,8 @@
 //! Predicts when the first event of a request comes at an engine, and learns how far such
 //! predictions are off.
 //!
-//! Handles engines that get more prompts than they read: a request that is sent to one, or held
-//! back from it, needs to know how long the prompts ahead of it take.
+//! Handles engines that get more prompts than they read: whether a stream without an answer stays at
+//! its engine depends on how long the prompts ahead of it take.
 
 use crate::prelude::*;
 use crate::routing::pick::PREFILL_TOKENS_PER_MS;
