Log how far a host is behind the newest desired state, and by whom it was told

Hosts state the version in force in their reports and in all replies to them; nothing follows from it yet. Event 404 and mangovale_entry_desired_behind_ms show a host that is behind, 305 names the peer. The protocol between hosts is mangovale-order/8.

--- a/bench/src/fleet/exchange.rs
+++ b/bench/src/fleet/exchange.rs
@@ -89,6 +89,7 @@
         demand: Vec::new(),
         event_gaps: Vec::new(),
         work: Vec::new(),
+        desired_version: Some(1),
         upstreams_from: Some(Position::new(Era::default(), u64::from(u32::MAX))),
         through: 0,
         usage: Vec::new(),
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -26,6 +26,7 @@
     repeat_share_hosts: Gauge<u64>,
     store_calls: Counter<u64>,
     outdated_tables: Counter<u64>,
+    desired_behind_ms: Gauge<u64>,
     held_causes: Gauge<u64>,
     refused_for_shared_cause: Counter<u64>,
     refused_in_vain: Counter<u64>,
@@ -70,6 +71,7 @@
                 .build(),
             store_calls: meter.u64_counter("mangovale_entry_store_calls").build(),
             outdated_tables: meter.u64_counter("mangovale_entry_outdated_tables").build(),
+            desired_behind_ms: meter.u64_gauge("mangovale_entry_desired_behind_ms").build(),
             held_causes: meter.u64_gauge("mangovale_entry_held_causes").build(),
             refused_for_shared_cause: meter
                 .u64_counter("mangovale_entry_refused_for_shared_cause")
@@ -136,6 +138,12 @@
             .add(1, &[KeyValue::new("table", table.name())]);
     }
 
+    /// Records for how long this host has known that another host has a newer desired state; zero if
+    /// it knows of none.
+    pub fn set_behind_ms(&self, known_ms: Millis) {
+        self.desired_behind_ms.record(known_ms.0, &[]);
+    }
+
     /// Records how many causes that requests share are held back.
     pub fn set_held_causes(&self, count: usize) {
         self.held_causes.record(count as u64, &[]);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 pub mod caller;
 pub mod crashes;
 pub mod desired_copy;
+pub mod desired_exchange;
 pub mod directory;
 pub mod engine_calls;
 pub mod follow;
--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -23,6 +23,7 @@
 use crate::prelude::*;
 use crate::upstreams::Registry;
 use smol::{LocalExecutor, Timer};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// How long the orderer waits for new demand before it plans anyway.
@@ -191,9 +192,15 @@
     pub error: &'a str,
 }
 
+#[derive(Serialize)]
+struct PeerRefusedLine<'a> {
+    peer: SocketAddr,
+    error: &'a str,
+}
+
 /// Writes the log line that a connection of another host was refused.
-pub fn log_peer_refused(error: &str) {
-    lines::write(LogEvent::PeerRefused, &ErrorLine { error });
+pub fn log_peer_refused(peer: SocketAddr, error: &str) {
+    lines::write(LogEvent::PeerRefused, &PeerRefusedLine { peer, error });
 }
 
 /// Plans and sends orders while this host holds the lease. Runs until the process ends.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -38,7 +38,7 @@
 /// The server name in every certificate; only the fingerprint tells hosts apart.
 const SERVER_NAME: &str = "host.mangovale";
 /// The name and version of the protocol, as negotiated by ALPN in the TLS handshake.
-const ALPN: &[u8] = b"mangovale-order/7";
+const ALPN: &[u8] = b"mangovale-order/8";
 /// The name and version of the protocol of handed requests. They have connections of their own, so
 /// that a slow answer never holds up the calls.
 const HANDOFF_ALPN: &[u8] = b"mangovale-handoff/2";
@@ -216,13 +216,14 @@
         let (host, served, streams) = (host.clone(), served.clone(), streams.clone());
         let tasks = executor.clone();
         let serve = async move {
+            let peer = incoming.remote_address();
             match incoming.await {
                 Ok(connection) if is_for_handoffs(&connection) => {
                     server::serve_connection(host, connection, tasks, served).await
                 }
                 Ok(connection) => serve_connection(host, streams, connection, tasks).await,
                 Err(error) => {
-                    orderer::log_peer_refused(&error.to_string());
+                    orderer::log_peer_refused(peer, &error.to_string());
                     host.note_unknown_peer();
                 }
             }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -13,7 +13,8 @@
 use crate::entry::settings::EntrySettings;
 use crate::entry::table_sources::TableSources;
 use crate::entry::{
-    budgeted_log, caller, follow, lease_manager, lines, orderer, places, stop, sync, table_rows,
+    budgeted_log, caller, desired_exchange, follow, lease_manager, lines, orderer, places, stop,
+    sync, table_rows,
 };
 use crate::group::Member;
 use crate::prelude::*;
@@ -230,6 +231,7 @@
         host.pool.expire(now);
         handoffs.expire(now);
         streams.sweep(&host);
+        desired_exchange::report_behind(&host);
         places::sweep(&host);
         let expired = host.upstreams.borrow_mut().expire(now);
         for id in &expired {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -2,12 +2,14 @@
 //! demand and work; the orderer replies with the state of the engines.
 
 use crate::entry::crashes::exchange;
+use crate::entry::desired_exchange;
 use crate::entry::host::Host;
 use crate::entry::limit_queue;
 use crate::entry::limits;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
 use crate::entry::stated_loads;
+use crate::entry::table_rows::active_version;
 use crate::entry::upstream_limits;
 use crate::group::Member;
 use crate::group::parents::{ORDERER_STALE_MS, Parent};
@@ -31,6 +33,7 @@
 
 /// Answers another host's report: as the orderer, or as a relay with the orderer's last state.
 pub fn answer<P: Platform>(host: &Host<P>, request: SyncRequest) -> SyncReply {
+    desired_exchange::note_request(host, &request);
     match (
         host.is_orderer(),
         host.is_relay() && !request.is_for_orderer,
@@ -43,6 +46,7 @@
             SyncReply::NotOrderer {
                 holder: orders.holder().cloned(),
                 resignation: orders.lease.resignation(host.now()),
+                desired_version: active_version(host),
                 crashes: exchange::build_update(host, request.crashes.known),
             }
         }
@@ -57,7 +61,10 @@
     let totals = totals(host, &request);
     let mut orders = host.orders.borrow_mut();
     let Some(holding) = orders.lease.holding().cloned() else {
-        return SyncReply::NoNews { totals };
+        return SyncReply::NoNews {
+            desired_version: active_version(host),
+            totals,
+        };
     };
     let has_waiting = request.demand.iter().any(|(_, count)| count.waiting > 0);
     let mut report = request.take_report();
@@ -100,7 +107,10 @@
     let state = host.orderer_state.borrow();
     let orderer = host.orders.borrow().holder().cloned();
     let (Some(answered_at), Some(orderer)) = (state.answered_at, orderer) else {
-        return SyncReply::NoNews { totals };
+        return SyncReply::NoNews {
+            desired_version: active_version(host),
+            totals,
+        };
     };
     let mut work = own_work(host);
     aggregate.add_work(Some(request.incarnation), &mut work);
@@ -174,7 +184,7 @@
     request: SyncRequest,
 ) -> bool {
     if host.is_orderer() {
-        apply_reply(host, asked_at, answer(host, request));
+        apply_reply(host, asked_at, me, answer(host, request));
         return true;
     }
     if host.is_unknown_to_others(me) {
@@ -196,14 +206,14 @@
         if let Some(orderer) = orderer
             && let Some(reply) = call_peer(peers, orderer.peer_address, request).await
         {
-            apply_reply(host, asked_at, reply);
+            apply_reply(host, asked_at, &orderer, reply);
         }
         return true;
     };
     let reply = call_peer(peers, relay.peer_address, request).await;
     note_relay_answer(host, &relay, reply.as_ref())
         && reply.is_some_and(|reply| {
-            apply_reply(host, asked_at, reply);
+            apply_reply(host, asked_at, &relay, reply);
             true
         })
 }
@@ -238,7 +248,7 @@
         ..request.clone()
     };
     match call_peer(peers, collector.peer_address, counts_only).await {
-        Some(SyncReply::NoNews { totals }) => apply_totals(host, asked_at, totals),
+        Some(SyncReply::NoNews { totals, .. }) => apply_totals(host, asked_at, totals),
         Some(SyncReply::News(update)) => apply_totals(host, asked_at, update.totals),
         // In a small site the collector is no relay, and returns only the requests that crash
         // upstreams.
@@ -340,6 +350,7 @@
         work: work.into_iter().collect(),
         demand,
         event_gaps,
+        desired_version: active_version(host),
         upstreams_from: host.replication.next_position(),
         through,
         usage: limits::report(host),
@@ -350,9 +361,10 @@
     }
 }
 
-fn apply_reply<P: Platform>(host: &Host<P>, asked_at: Millis, reply: SyncReply) {
+fn apply_reply<P: Platform>(host: &Host<P>, asked_at: Millis, replier: &Member, reply: SyncReply) {
+    desired_exchange::note_reply(host, replier, &reply);
     match reply {
-        SyncReply::NoNews { totals } => apply_totals(host, asked_at, totals),
+        SyncReply::NoNews { totals, .. } => apply_totals(host, asked_at, totals),
         SyncReply::NotOrderer {
             resignation,
             crashes,
--- a/src/entry/table_rows.rs
+++ b/src/entry/table_rows.rs
@@ -124,6 +124,7 @@
     }
     host.replication
         .share_desired(serves_tables(host).then(|| state.clone()));
+    host.newer_versions.borrow_mut().note_taken(state.version);
     let table = RouteTable::new(Arc::unwrap_or_clone(state));
     let line = DesiredLine {
         version: table.version,
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -358,6 +358,7 @@
         demand: Vec::new(),
         event_gaps: Vec::new(),
         work: Vec::new(),
+        desired_version: None,
         upstreams_from: None,
         through: 0,
         usage: Vec::new(),
--- a/src/entry/tests/stated_loads.rs
+++ b/src/entry/tests/stated_loads.rs
@@ -64,11 +64,11 @@
             loads: vec![told],
             ..sync_request_from(7)
         };
-        let SyncReply::NoNews { totals } = answer(&site.host, request) else {
+        let SyncReply::NoNews { totals, .. } = answer(&site.host, request) else {
             panic!("a relay without an orderer has no news");
         };
         assert!(totals.loads.is_empty(), "the host knows its own statement");
-        let SyncReply::NoNews { totals } = answer(&site.host, sync_request_from(8)) else {
+        let SyncReply::NoNews { totals, .. } = answer(&site.host, sync_request_from(8)) else {
             panic!("a relay without an orderer has no news");
         };
         assert_eq!(totals.loads[0].load, load);
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -234,7 +234,9 @@
                 ..sync_request()
             };
             match answer(&site.host, request) {
-                SyncReply::NoNews { totals } => totals.limits.expect("a desired state is in force"),
+                SyncReply::NoNews { totals, .. } => {
+                    totals.limits.expect("a desired state is in force")
+                }
                 other => panic!("{other:?}"),
             }
         };
@@ -280,7 +282,7 @@
                 lines: waiting(30),
                 ..sync_request()
             };
-            let SyncReply::NoNews { totals } = answer(&site.host, request) else {
+            let SyncReply::NoNews { totals, .. } = answer(&site.host, request) else {
                 panic!("the relay must know of no orderer");
             };
             assert_eq!(totals.lines.sums, waiting(expected));
@@ -310,7 +312,7 @@
             usage: used(100),
             ..sync_request()
         };
-        let SyncReply::NoNews { totals } = answer(&site.host, request) else {
+        let SyncReply::NoNews { totals, .. } = answer(&site.host, request) else {
             panic!("the relay must know of no orderer");
         };
         let limits = totals.limits.expect("a desired state is in force");
@@ -383,7 +385,7 @@
             ..sync_request()
         };
         answer(&site.host, report);
-        let SyncReply::NoNews { totals } = answer(&site.host, sync_request_from(8)) else {
+        let SyncReply::NoNews { totals, .. } = answer(&site.host, sync_request_from(8)) else {
             panic!("the relay must know of no orderer");
         };
         assert_eq!(totals.crashes.evidence[0].digest, digest);
@@ -422,7 +424,7 @@
             upstream_limits,
             ..sync_request()
         };
-        let SyncReply::NoNews { totals } = answer(&site.host, request) else {
+        let SyncReply::NoNews { totals, .. } = answer(&site.host, request) else {
             panic!("a relay without an orderer has no news");
         };
         let passed_on = &totals.upstream_limits.rejections;
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -71,6 +71,8 @@
     EditInForce = 402,
     /// A version of the desired state is in force at this host.
     DesiredTaken = 403,
+    /// Another host has a newer desired state than this one, and this one has not taken it yet.
+    DesiredBehind = 404,
     /// The load of a model was decided.
     LoadDecided = 500,
     /// A copy of a model is ready for requests.
@@ -192,6 +194,7 @@
         Self::EditRejected,
         Self::EditInForce,
         Self::DesiredTaken,
+        Self::DesiredBehind,
         Self::LoadDecided,
         Self::CopyReady,
         Self::LoadFailed,
@@ -257,6 +260,7 @@
             | Self::Paused
             | Self::PeerSuspected
             | Self::PeerRefused
+            | Self::DesiredBehind
             | Self::LoadFailed
             | Self::UpstreamSilent
             | Self::UpstreamCrashed
--- a/src/group/members.rs
+++ b/src/group/members.rs
@@ -85,6 +85,13 @@
         self.list.contains(host)
     }
 
+    /// Returns the listed host whose process has this incarnation.
+    pub fn find(&self, incarnation: u64) -> Option<&Member> {
+        self.list
+            .iter()
+            .find(|host| host.incarnation == incarnation)
+    }
+
     /// Returns the number of hosts that may admit requests under their share of a rate limit: the
     /// listed ones and those that left recently. Returns `None` if the list is not known yet, or if
     /// this host had no contact for so long that the others may no longer count it.
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`member`]: the entry of one host.
 //! - [`members`]: the member list, and updates for hosts with an older list.
+//! - [`desired_versions`]: which hosts have a newer desired state.
 //! - [`departed`]: hosts that left the list and may still serve callers.
 //! - [`read_policy`]: when a host reads the list from the store itself.
 //! - [`tree`]: which hosts relay for others.
@@ -15,6 +16,7 @@
 //! - [`parents`]: which relay, or the orderer, a host syncs with.
 
 pub mod departed;
+pub mod desired_versions;
 pub mod generation;
 pub mod keepers;
 pub mod member;
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -108,6 +108,8 @@
     pub work: Vec<(Name, UpstreamLoad)>,
     /// The time between events of streams that ended since the sender's last message.
     pub event_gaps: Vec<GapSample>,
+    /// The version of the desired state in force at the sender.
+    pub desired_version: Option<u64>,
     /// The offset from which the sender needs rows of the list of upstreams.
     pub upstreams_from: Option<Position>,
     /// How many other hosts report through the sender, if it is a relay.
@@ -258,11 +260,15 @@
         holder: Option<Member>,
         /// Set if the called host was the orderer and has given up its lease.
         resignation: Option<Resignation>,
+        /// The version of the desired state in force at the called host.
+        desired_version: Option<u64>,
         /// The requests that are known to crash upstreams.
         crashes: CrashUpdate,
     },
     /// The called host is a relay that has no answer of an orderer yet.
     NoNews {
+        /// The version of the desired state in force at the relay.
+        desired_version: Option<u64>,
         /// Values that the relay aggregates over its hosts.
         totals: Totals,
     },
