Spread the newest desired state between hosts, whichever of them the store answers

Cause: a host learned of a desired state only by the way that was cut. Beside the store there was one way, from a relay to the hosts behind it. A site without relays, a relay itself and the orderer had none; and nothing travelled up, so an orderer that the store turned away announced what it had, and no other host was told.

Now every host states its version in its reports and in its replies, and serves the state to any host. Whoever hears of a newer version fetches it from the host that has it: at once where the store does not answer, else 150 ms after the store was asked, so that sites in which all is well read as before. A host that takes a version which its relay or the orderer lacks reports at once. Without a recent state of the orderer, hosts also exchange versions with three neighbours, fixed by rendezvous hashing. The version decides, so nothing older replaces a newer one; the position in the table is taken over only if it is later.

--- a/src/entry/desired_copy.rs
+++ b/src/entry/desired_copy.rs
@@ -1,14 +1,16 @@
-//! The newest desired state, fetched by a host that is behind from a relay instead of the
+//! The newest desired state, fetched by a host that is behind from another host instead of the
 //! platform's store.
 //!
 //! Desired states can follow each other quickly before hundreds of hosts. If each host read every
 //! version from the store, its calls and bytes would grow with hosts times versions, and a host
-//! that the store refuses would go on serving by an old version.
+//! that the store refuses would go on serving by an old version. So hosts behind a relay ask it
+//! first, and every host answers one that is behind.
 
 use crate::desired::DesiredState;
 use crate::entry::host::Host;
+use crate::entry::peers::Peers;
 use crate::entry::platform::{Platform, Table};
-use crate::entry::table_sources::{TableSources, serves_tables};
+use crate::entry::table_sources::TableSources;
 use crate::group::Member;
 use crate::ordering::message::{PeerCall, PeerReply};
 use crate::prelude::*;
@@ -17,20 +19,16 @@
 /// A desired state, and where the table is to be followed after it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DesiredCopy {
-    /// The newest desired state that the relay has.
+    /// The desired state in force at the other host.
     pub state: Arc<DesiredState>,
-    /// The position after the last record that the relay had read.
+    /// The position after the last record that it had read, or that another host had read for it.
     pub end: Position,
-    /// How old the relay's knowledge of the end is at most.
+    /// How old its knowledge of the end is at most.
     pub age_ms: Millis,
 }
 
-/// Answers a host that is behind. Returns nothing when this host neither orders nor relays, or has
-/// read no desired state since it does.
+/// Answers a host that is behind. Returns nothing when no desired state is in force here.
 pub fn answer<P: Platform>(host: &Host<P>) -> Option<DesiredCopy> {
-    if !serves_tables(host) {
-        return None;
-    }
     let state = host.replication.shared_desired()?;
     let table = host.replication.end(host.now(), Table::Desired)?;
     Some(DesiredCopy {
@@ -49,7 +47,7 @@
     newer_than: Position,
 ) -> Option<(SocketAddr, DesiredCopy)> {
     for relay in sources.relays(host)? {
-        let copy = fetch_from(sources, &relay).await;
+        let copy = fetch_from(&sources.peers, &relay).await;
         if let Some(copy) = copy.filter(|copy| copy.end > newer_than) {
             return Some((relay.peer_address, copy));
         }
@@ -57,15 +55,15 @@
     None
 }
 
-/// Fetches the desired state that another host passes on; nothing if it does not answer or passes on
-/// none.
-pub async fn fetch_from(sources: &TableSources, other: &Member) -> Option<DesiredCopy> {
-    let reply = sources.peers.call(other.peer_address, &PeerCall::Desired);
+/// Fetches the desired state in force at another host; nothing if it does not answer or has none.
+pub async fn fetch_from(peers: &Peers, other: &Member) -> Option<DesiredCopy> {
+    let reply = peers.call(other.peer_address, &PeerCall::Desired);
     match reply.await? {
         PeerReply::Desired(copy) => copy,
         PeerReply::Sync(_)
         | PeerReply::AppendedLease(_)
         | PeerReply::List(_)
+        | PeerReply::Version(_)
         | PeerReply::KeptStreams
         | PeerReply::Stream(_)
         | PeerReply::KeptPlaces(_)
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -3,7 +3,8 @@
 //! The orderer reads them often. The other hosts read only while the orderer does not report to
 //! them how fresh their copies of the tables are.
 
-use crate::entry::desired_copy::{self, DesiredCopy};
+use crate::entry::desired_copy;
+use crate::entry::desired_exchange::apply_copy;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::list_copy::{self, ListCopy};
@@ -11,15 +12,11 @@
     ChangesQuery, PageSize, Platform, StoreCall, StoreError, Table, TablePage, TableRow,
 };
 use crate::entry::replication::NextStep;
-use crate::entry::table_rows::{
-    DesiredOrigin, TableLine, UpstreamList, activate_desired_state, active_version, apply_list,
-    apply_row, apply_table,
-};
-use crate::entry::table_sources::{RELAY_RETRY_PAUSE_MS, TableSources, serves_tables};
+use crate::entry::table_rows::{TableLine, UpstreamList, apply_list, apply_row, apply_table};
+use crate::entry::table_sources::{TableSources, serves_tables};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use smol::Timer;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// The fraction of the contact time for which a host pauses after a page of changes of the list of
@@ -127,6 +124,9 @@
         is_cut: false,
     };
     loop {
+        if table == Table::Desired {
+            adopt_position(&host, &mut cursor);
+        }
         let read = match cursor.next {
             None => load_table(&host, &mut cursor, sources.as_ref()).await,
             Some(at) if cursor.is_cut => read_more(&host, &mut cursor, at, sources.as_ref()).await,
@@ -136,16 +136,12 @@
                     read_changes(&host, &mut cursor, from, size).await
                 }
                 Due::CatchUp => catch_up(&host, &mut cursor, from, sources.as_ref()).await,
-                Due::NewerVersion => {
-                    take_newer_version(&host, sources.as_ref()).await;
-                    continue;
-                }
                 Due::Nothing => continue,
             },
         };
         match read {
             Ok(has_changes) => {
-                note_success(&mut cursor);
+                note_success(&host, &mut cursor);
                 let pauses = has_changes && !cursor.is_cut && !host.is_orderer();
                 if pauses && table == Table::Upstreams {
                     cursor.paused_ms = pause_after_change_ms(host.settings().bounds.contact_ms);
@@ -169,7 +165,7 @@
             }
             Err(StoreError::Restored { era }) => note_restored(&host, &mut cursor, era),
             Err(error) => {
-                note_failure(&mut cursor, &error);
+                note_failure(&host, &mut cursor, &error);
                 if table == Table::Upstreams {
                     host.upstreams.borrow_mut().note_list_unreachable();
                 }
@@ -232,26 +228,6 @@
     apply_list(host, list);
 }
 
-fn apply_desired_copy<P: Platform>(
-    host: &Host<P>,
-    cursor: &mut Cursor,
-    asked_at: Millis,
-    (from, copy): (SocketAddr, DesiredCopy),
-) {
-    let DesiredCopy {
-        state, end, age_ms, ..
-    } = copy;
-    let origin = DesiredOrigin {
-        from: Some(from),
-        position: end,
-    };
-    activate_desired_state(host, state, origin);
-    note_era_of_copy(host, cursor, end);
-    cursor.next = Some(end);
-    host.replication
-        .note_read(cursor.table, asked_at - age_ms, end);
-}
-
 /// Catches up with a table that has rows which the orderer did not send: fetches the table from a
 /// relay, or else reads the changes from the store. Hundreds of hosts that fell behind together
 /// would otherwise keep the store at its limit, and fall further behind.
@@ -322,7 +298,9 @@
         Table::Desired => {
             let copy = desired_copy::fetch(host, sources, from).await;
             let Some(copy) = copy else { return false };
-            apply_desired_copy(host, cursor, asked_at, copy);
+            let (from, copy) = copy;
+            apply_copy(host, asked_at, from, copy);
+            adopt_position(host, cursor);
         }
     }
     cursor.is_cut = false;
@@ -337,9 +315,6 @@
     Read,
     /// Catch up: the orderer knows of rows that it did not send.
     CatchUp,
-    /// Take a newer desired state from the host that offers it, although this host has all that the
-    /// table has: the store lost the state when it was restored from a copy.
-    NewerVersion,
 }
 
 /// Waits until something has to be done about the table. Applies rows that the orderer sent
@@ -368,9 +343,6 @@
                 host.replication.note_applied(cursor.table, end);
                 return Due::Nothing;
             }
-            NextStep::WaitUntil(_) if cursor.table == Table::Desired && is_newer_offered(host) => {
-                return Due::NewerVersion;
-            }
             NextStep::WaitUntil(due_at) => {
                 cursor.is_confirmed_by_orderer = true;
                 with_timeout(due_at.since(now), update).await;
@@ -379,27 +351,16 @@
     }
 }
 
-/// Tells whether the orderer or the relay passes on a newer desired state than this host has.
-fn is_newer_offered<P: Platform>(host: &Host<P>) -> bool {
-    host.replication.offered_version() > active_version(host)
-}
-
-/// Takes a newer desired state from a host that offers one, or pauses if none could be fetched. A
-/// version that the store acknowledged is in force, also while a restored store does not have it.
-async fn take_newer_version<P: Platform>(host: &Host<P>, sources: Option<&TableSources>) {
-    let asked = sources.map_or_else(Vec::new, |sources| sources.desired_sources(host));
-    for other in asked {
-        let Some(sources) = sources else { break };
-        let copy = desired_copy::fetch_from(sources, &other).await;
-        if let Some(copy) = copy.filter(|copy| Some(copy.state.version) > active_version(host)) {
-            let origin = DesiredOrigin {
-                from: Some(other.peer_address),
-                position: copy.end,
-            };
-            return activate_desired_state(host, copy.state, origin);
-        }
+/// Goes on after the end of a copy of the desired state that another host passed on meanwhile, if
+/// that is later than the end of this host's own reads.
+fn adopt_position<P: Platform>(host: &Host<P>, cursor: &mut Cursor) {
+    let known = cursor.next.max(cursor.outdated_at);
+    let copied = host.replication.position(cursor.table);
+    if let Some(end) = copied.filter(|_| copied > known) {
+        note_era_of_copy(host, cursor, end);
+        cursor.next = Some(end);
+        cursor.partial = None;
     }
-    Timer::after(RELAY_RETRY_PAUSE_MS.to_duration()).await;
 }
 
 /// Buffers rows that the orderer sent, for the hosts behind this relay. The rows may begin
@@ -491,7 +452,8 @@
     }
 }
 
-fn note_success(cursor: &mut Cursor) {
+fn note_success<P: Platform>(host: &Host<P>, cursor: &mut Cursor) {
+    host.replication.set_answered(cursor.table, true);
     if cursor.failures > 1 {
         let table = cursor.table.name();
         lines::write(LogEvent::LogBack, &TableLine { table, error: "" });
@@ -499,7 +461,9 @@
     cursor.failures = 0;
 }
 
-fn note_failure(cursor: &mut Cursor, error: &StoreError) {
+fn note_failure<P: Platform>(host: &Host<P>, cursor: &mut Cursor, error: &StoreError) {
+    host.replication.set_answered(cursor.table, false);
+    host.version_exchange.note_heard();
     cursor.failures += 1;
     // A single failure is a poll whose connection was closed; two in a row are an outage.
     if cursor.failures == 2 {
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::desired::RouteTable;
+use crate::entry::desired_exchange::VersionExchange;
 use crate::entry::metrics::EntryMetrics;
 use crate::entry::orderer::OrderingState;
 use crate::entry::peers::AcceptedFingerprints;
@@ -11,7 +12,6 @@
 use crate::entry::sending::pool::Pool;
 use crate::entry::settings::EntrySettings;
 use crate::entry::stop::STOP_ACCEPT_MS;
-use crate::group::desired_versions::NewerVersions;
 use crate::group::parents::{ORDERER_STALE_MS, ParentSelector};
 use crate::group::read_policy::may_have_many_unlisted;
 use crate::group::{Member, Members, RelayTree};
@@ -49,10 +49,8 @@
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// The upstreams that this host knows, with their health and load.
     pub upstreams: Rc<RefCell<Registry>>,
-    /// The hosts that said they have a newer desired state than this one.
-    pub newer_versions: RefCell<NewerVersions>,
-    /// When this host last logged that it is behind the newest desired state.
-    pub behind_logged_at: Cell<Millis>,
+    /// What other hosts said about the versions of the desired state that they have.
+    pub version_exchange: VersionExchange,
     /// How up to date this host's copies of the platform's tables are.
     pub replication: ReplicationState,
     /// Whether the list of upstreams has been read since the start.
@@ -133,8 +131,7 @@
             pool: Pool::default(),
             routes: RefCell::default(),
             upstreams: Rc::default(),
-            newer_versions: RefCell::default(),
-            behind_logged_at: Cell::new(Millis::ZERO),
+            version_exchange: VersionExchange::default(),
             replication: ReplicationState::default(),
             upstreams_known: Cell::new(false),
             members: RefCell::default(),
--- a/src/entry/list_copy.rs
+++ b/src/entry/list_copy.rs
@@ -158,6 +158,7 @@
         PeerReply::Sync(_)
         | PeerReply::AppendedLease(_)
         | PeerReply::Desired(_)
+        | PeerReply::Version(_)
         | PeerReply::KeptStreams
         | PeerReply::Stream(_)
         | PeerReply::KeptPlaces(_)
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -27,6 +27,7 @@
     store_calls: Counter<u64>,
     outdated_tables: Counter<u64>,
     desired_behind_ms: Gauge<u64>,
+    desired_fetches: Counter<u64>,
     held_causes: Gauge<u64>,
     refused_for_shared_cause: Counter<u64>,
     refused_in_vain: Counter<u64>,
@@ -72,6 +73,7 @@
             store_calls: meter.u64_counter("mangovale_entry_store_calls").build(),
             outdated_tables: meter.u64_counter("mangovale_entry_outdated_tables").build(),
             desired_behind_ms: meter.u64_gauge("mangovale_entry_desired_behind_ms").build(),
+            desired_fetches: meter.u64_counter("mangovale_entry_desired_fetches").build(),
             held_causes: meter.u64_gauge("mangovale_entry_held_causes").build(),
             refused_for_shared_cause: meter
                 .u64_counter("mangovale_entry_refused_for_shared_cause")
@@ -144,6 +146,12 @@
         self.desired_behind_ms.record(known_ms.0, &[]);
     }
 
+    /// Counts a desired state that was fetched from another host because that host has a newer one.
+    pub fn count_desired_fetch(&self, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.desired_fetches.add(1, &labels);
+    }
+
     /// Records how many causes that requests share are held back.
     pub fn set_held_causes(&self, count: usize) {
         self.held_causes.record(count as u64, &[]);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -12,7 +12,7 @@
 use crate::entry::platform::Platform;
 use crate::entry::resumption::streams::Streams;
 use crate::entry::run::EntryError;
-use crate::entry::{desired_copy, lease_manager, list_copy, places, sync};
+use crate::entry::{desired_copy, desired_exchange, lease_manager, list_copy, places, sync};
 use crate::handoff::MAX_OPEN_PER_PEER;
 use crate::http1::client::with_timeout;
 use crate::ordering::message::{PeerCall, PeerReply};
@@ -261,6 +261,9 @@
     match call {
         PeerCall::Sync(request) => PeerReply::Sync(sync::answer(host, request)),
         PeerCall::Desired => PeerReply::Desired(desired_copy::answer(host)),
+        PeerCall::Version { from, version } => {
+            PeerReply::Version(desired_exchange::answer(host, from, version))
+        }
         PeerCall::List(request) => PeerReply::List(list_copy::answer(host, request)),
         PeerCall::AppendLease { end, record } => {
             PeerReply::AppendedLease(lease_manager::append_for_peer(host, end, &record).await)
--- a/src/entry/places.rs
+++ b/src/entry/places.rs
@@ -210,6 +210,7 @@
         | PeerReply::AppendedLease(_)
         | PeerReply::List(_)
         | PeerReply::Desired(_)
+        | PeerReply::Version(_)
         | PeerReply::KeptStreams
         | PeerReply::Stream(_)
         | PeerReply::KeptPlaces(_) => return None,
--- a/src/entry/replication.rs
+++ b/src/entry/replication.rs
@@ -50,7 +50,7 @@
 pub struct TablesUpdate {
     /// The end of the table of desired states; none when the sender has not read it.
     pub desired: Option<TableEnd>,
-    /// The version of the desired state that the sender passes on; none when it keeps none for others.
+    /// The version of the desired state in force at the sender.
     pub desired_version: Option<u64>,
     /// The end of the list of upstreams; none when the sender has not read it.
     pub upstreams: Option<TableEnd>,
@@ -70,6 +70,8 @@
     announced: Option<(Position, Millis)>,
     /// Since when updates name a later end than this copy has.
     behind_since: Option<Millis>,
+    /// Whether this host's last read of the table failed.
+    is_refused: bool,
 }
 
 impl TableCopy {
@@ -87,13 +89,11 @@
     updated_at: Option<Millis>,
     desired: TableCopy,
     upstreams: TableCopy,
-    /// The version of the desired state that the sender of the newest update passes on.
-    offered_version: Option<u64>,
     /// The rows of the newest update, until they are applied.
     update_rows: Vec<UpstreamRow>,
     /// The rows for other hosts, at the orderer and at relays.
     buffered: Option<BufferedRows>,
-    /// The newest desired state for other hosts, at the orderer and at relays.
+    /// The desired state in force, for other hosts.
     shared_desired: Option<Arc<DesiredState>>,
 }
 
@@ -202,21 +202,29 @@
         self.state.borrow_mut().buffered = None;
     }
 
-    /// Keeps the newest desired state for other hosts; `None` drops an older one, at a host from
-    /// which no others fetch it.
-    pub fn share_desired(&self, state: Option<Arc<DesiredState>>) {
-        self.state.borrow_mut().shared_desired = state;
+    /// Keeps the desired state in force for other hosts.
+    pub fn share_desired(&self, state: Arc<DesiredState>) {
+        self.state.borrow_mut().shared_desired = Some(state);
     }
 
-    /// Returns the newest desired state, if it was kept for other hosts.
+    /// Returns the desired state in force.
     pub fn shared_desired(&self) -> Option<Arc<DesiredState>> {
         self.state.borrow().shared_desired.clone()
     }
 
-    /// Returns the version of the desired state that the orderer or the relay passes on, if it passes
-    /// one on.
-    pub fn offered_version(&self) -> Option<u64> {
-        self.state.borrow().offered_version
+    /// Records whether the store answered this host's last read of a table.
+    pub fn set_answered(&self, table: Table, is_answered: bool) {
+        self.state.borrow_mut().copy(table).is_refused = !is_answered;
+    }
+
+    /// Tells whether the store answered this host's last read of a table.
+    pub fn is_answered(&self, table: Table) -> bool {
+        !self.state.borrow_mut().copy(table).is_refused
+    }
+
+    /// Returns the position after the last row that this host has of a table.
+    pub fn position(&self, table: Table) -> Option<Position> {
+        self.state.borrow_mut().copy(table).next
     }
 
     /// Returns where this host's copy of a table ends, and how old that information is.
@@ -272,7 +280,6 @@
             false => Vec::new(),
         };
         state.updated_at = state.updated_at.max(Some(asked_at));
-        state.offered_version = update.desired_version;
         let mut is_confirmed = false;
         for (table, said) in [
             (Table::Desired, update.desired),
--- a/src/entry/resumption/streams.rs
+++ b/src/entry/resumption/streams.rs
@@ -141,6 +141,7 @@
                 | PeerReply::AppendedLease(_)
                 | PeerReply::List(_)
                 | PeerReply::Desired(_)
+                | PeerReply::Version(_)
                 | PeerReply::KeptStreams
                 | PeerReply::KeptPlaces(_)
                 | PeerReply::Place { .. } => None,
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -191,6 +191,13 @@
         executor.spawn(sweep(host.clone(), handoffs.clone(), streams.clone())),
         executor.spawn(orderer::plan(host.clone(), me.clone(), executor.clone())),
         executor.spawn(sync::sync(host.clone(), peers.clone(), me.clone())),
+        executor.spawn(desired_exchange::fetch_newer(host.clone(), peers.clone())),
+        executor.spawn(desired_exchange::exchange_with_neighbours(
+            host.clone(),
+            peers.clone(),
+            me.clone(),
+            executor.clone(),
+        )),
         executor.spawn(peers::serve(
             host.clone(),
             peers.clone(),
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -247,7 +247,11 @@
         event_gaps: Vec::new(),
         ..request.clone()
     };
-    match call_peer(peers, collector.peer_address, counts_only).await {
+    let reply = call_peer(peers, collector.peer_address, counts_only).await;
+    if let Some(reply) = &reply {
+        desired_exchange::note_reply(host, &collector, reply);
+    }
+    match reply {
         Some(SyncReply::NoNews { totals, .. }) => apply_totals(host, asked_at, totals),
         Some(SyncReply::News(update)) => apply_totals(host, asked_at, update.totals),
         // In a small site the collector is no relay, and returns only the requests that crash
@@ -273,6 +277,7 @@
         PeerReply::AppendedLease(_)
         | PeerReply::List(_)
         | PeerReply::Desired(_)
+        | PeerReply::Version(_)
         | PeerReply::KeptStreams
         | PeerReply::Stream(_)
         | PeerReply::KeptPlaces(_)
--- a/src/entry/table_rows.rs
+++ b/src/entry/table_rows.rs
@@ -4,7 +4,6 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{Platform, RowValue, Table, TableRow};
-use crate::entry::table_sources::serves_tables;
 use crate::prelude::*;
 use crate::upstreams::UpstreamEntry;
 use crate::upstreams::registry::Change;
@@ -122,9 +121,7 @@
     if former.is_some_and(|former| former >= state.version) {
         return;
     }
-    host.replication
-        .share_desired(serves_tables(host).then(|| state.clone()));
-    host.newer_versions.borrow_mut().note_taken(state.version);
+    host.replication.share_desired(state.clone());
     let table = RouteTable::new(Arc::unwrap_or_clone(state));
     let line = DesiredLine {
         version: table.version,
@@ -140,6 +137,9 @@
         .organisations
         .retain_limited(&table.rate_limits);
     *host.routes.borrow_mut() = Some(Rc::new(table));
+    if host.version_exchange.note_taken(line.version) && !host.is_orderer() {
+        host.request_sync();
+    }
     lines::write(LogEvent::DesiredTaken, &line);
     host.note_change();
 }
--- a/src/entry/table_sources.rs
+++ b/src/entry/table_sources.rs
@@ -37,19 +37,9 @@
         let relays: Vec<Member> = relays.cloned().collect();
         (!relays.is_empty()).then_some(relays)
     }
-
-    /// Returns the hosts from which this one learns of desired states: its relays, or the orderer
-    /// where it has none.
-    pub fn desired_sources<P: Platform>(&self, host: &Host<P>) -> Vec<Member> {
-        let relays = self.relays(host).unwrap_or_default();
-        if !relays.is_empty() || host.is_orderer() {
-            return relays;
-        }
-        host.orders.borrow().holder().cloned().into_iter().collect()
-    }
 }
 
-/// Tells whether other hosts may fetch from this one what it read of the store's tables.
+/// Tells whether other hosts may fetch the list of upstreams from this one.
 pub fn serves_tables<P: Platform>(host: &Host<P>) -> bool {
     host.is_relay() || host.is_orderer()
 }
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -79,6 +79,12 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Refuses every call from now on, also those that wait for a change.
+    pub fn turn_away(&self) {
+        self.is_down.set(true);
+        self.changed.notify(usize::MAX);
+    }
+
     fn check(&self) -> Result<(), StoreError> {
         match self.is_down.get() {
             true => Err(StoreError::Refused { status: 503 }),
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -13,6 +13,8 @@
 //! - [`read_policy`]: when a host reads the list from the store itself.
 //! - [`tree`]: which hosts relay for others.
 //! - [`keepers`]: which hosts keep state for a key.
+//! - [`neighbours`]: with which hosts a host exchanges versions of the desired state without an
+//!   orderer.
 //! - [`parents`]: which relay, or the orderer, a host syncs with.
 
 pub mod departed;
@@ -21,6 +23,7 @@
 pub mod keepers;
 pub mod member;
 pub mod members;
+pub mod neighbours;
 pub mod parents;
 pub mod read_policy;
 pub mod tree;
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -193,8 +193,15 @@
     },
     /// Requests a part of the list of upstreams.
     List(ListRequest),
-    /// Requests the newest desired state.
+    /// Requests the desired state in force.
     Desired,
+    /// States a host's version of the desired state, and asks for that of the called host.
+    Version {
+        /// The incarnation of the sender.
+        from: u64,
+        /// The version in force at the sender.
+        version: Option<u64>,
+    },
     /// Keeps records of streams; at most [`MAX_BATCH_RECORDS`] of them.
     ///
     /// [`MAX_BATCH_RECORDS`]: crate::resumption::message::MAX_BATCH_RECORDS
@@ -230,9 +237,10 @@
     /// The answer to [`PeerCall::List`]; `None` if the called host does not have the list itself or
     /// is no relay.
     List(Option<ListPart>),
-    /// The answer to [`PeerCall::Desired`]; `None` if the called host is no relay, or has read no
-    /// desired state since it became one.
+    /// The answer to [`PeerCall::Desired`]; `None` if no desired state is in force at the called host.
     Desired(Option<DesiredCopy>),
+    /// The answer to [`PeerCall::Version`].
+    Version(Option<u64>),
     /// The answer to [`PeerCall::KeepStreams`].
     KeptStreams,
     /// The answer to [`PeerCall::FindStream`]; `None` if the called host has no record.
