Accept connections of hosts whose membership lapsed

Cause: the store takes no renewals of a host that it turns away, so the group drops it after 2.2 s, and from then on every other host refuses its new connections ("the certificate is no member's"). The host that other hosts drop is the one that needs them.

Hosts now go on accepting the certificate of a member for ten minutes after it left the list, unless a process at its address is listed again, and find it by its incarnation. They are the same records that already count which hosts may still admit requests under a rate limit; at most 4,096.

--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -306,13 +306,14 @@
         self.peer_refused.listen()
     }
 
-    /// Accepts connections from the members, and from `orderer` even if the group does not list it
-    /// yet. All other hosts are refused from now on.
+    /// Accepts connections from the members, also for some minutes after the group no longer lists
+    /// them, and from `orderer` even if the group does not list it yet. All other hosts are refused
+    /// from now on.
     pub fn set_accepted_peers(&self, orderer: Option<&Member>) {
         let members = self.members.borrow();
-        let listed = members.iter().chain(orderer);
+        let accepted = members.accepted().chain(orderer);
         self.known_hosts
-            .replace(listed.map(|member| member.fingerprint.clone()).collect());
+            .replace(accepted.map(|member| member.fingerprint.clone()).collect());
     }
 
     /// Applies a changed list of members: rebuilds the tree of relays and accepts connections from
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -177,6 +177,14 @@
         both.map(|udp| udp.bytes + 28 * udp.datagrams).sum()
     }
 
+    /// Closes the connections that this process made; the next calls open new ones.
+    #[cfg(test)]
+    pub fn close_connections(&self) {
+        for (_, connection) in self.connections.borrow_mut().drain(..) {
+            connection.close(0u32.into(), b"");
+        }
+    }
+
     /// Closes all connections, so that the other hosts need not find out that this process ends.
     pub fn close(&self) {
         self.endpoint.close(0u32.into(), b"");
--- a/src/entry/tests/desired_exchange.rs
+++ b/src/entry/tests/desired_exchange.rs
@@ -81,6 +81,23 @@
     });
 }
 
+/// Guards against a refused host that all others refuse too, once its membership has lapsed and its
+/// connections have ended.
+#[test]
+fn host_whose_membership_lapsed_still_takes_the_desired_state_of_the_orderer() {
+    on_exchanging_hosts(&[0; 3], Vec::new(), |site| async move {
+        site.start_all();
+        site.make_orderer(0).await;
+        site.publish(1);
+        site.until_version_everywhere(1).await;
+        site.turn_away(&[2]);
+        site.drop_from_lists(2);
+        site.close_connections();
+        site.publish(2);
+        site.until_version_everywhere(2).await;
+    });
+}
+
 /// Guards against an older desired state that comes over another host and replaces a newer one.
 #[test]
 fn older_desired_state_of_another_host_never_replaces_a_newer_one() {
--- a/src/entry/tests/exchanging_hosts.rs
+++ b/src/entry/tests/exchanging_hosts.rs
@@ -188,4 +188,21 @@
             self.hosts[*number].store.turn_away();
         }
     }
+
+    /// Removes a host from the lists of all hosts, as when its membership has lapsed.
+    pub fn drop_from_lists(&self, number: usize) {
+        let lapsed = &self.hosts[number].me;
+        let mut list = self.members();
+        list.shift_remove(lapsed);
+        for one in &self.hosts {
+            one.replace_members(list.clone());
+        }
+    }
+
+    /// Closes the connections between hosts.
+    pub fn close_connections(&self) {
+        for one in &self.hosts {
+            one.peers.close_connections();
+        }
+    }
 }
--- a/src/group/departed.rs
+++ b/src/group/departed.rs
@@ -4,7 +4,11 @@
 //! two seconds, but callers still reach it, and it continues to admit requests under its share of
 //! each rate limit. If the other hosts took over that share at once, all together would admit more
 //! than the limit.
+//!
+//! A host that the store turns away is removed from the list as well, but reaches the other hosts.
+//! They go on accepting its connections, so that it learns what they know.
 
+use crate::group::Member;
 use crate::group::members::MembersChange;
 use crate::prelude::*;
 use std::net::SocketAddr;
@@ -17,30 +21,45 @@
 /// or, directly or through a relay, the orderer.
 pub const ISOLATED_ADMIT_MS: Millis = Millis(20_000);
 
-/// The times at which hosts left the list, by caller address.
+/// How long a host is remembered after it left the list: longer than outages of the store usually
+/// last.
+const REMEMBERED_MS: Millis = Millis(600_000);
+/// The most hosts that are remembered: more than a site has.
+const MAX_REMEMBERED: usize = 4_096;
+
+/// The hosts that left the list, by caller address, with the time. The latest is at the end.
 #[derive(Clone, Debug, Default)]
 pub struct Departed {
-    left_at: IndexMap<SocketAddr, Millis>,
+    left: IndexMap<SocketAddr, (Member, Millis)>,
 }
 
 impl Departed {
     /// Records a change of the list. A restarted process is listed under its former address.
     pub fn note(&mut self, now: Millis, change: &MembersChange) {
-        self.left_at
-            .retain(|_, left_at| now.since(*left_at) < DEPARTED_SERVE_MS);
+        self.left
+            .retain(|_, (_, left_at)| now.since(*left_at) < REMEMBERED_MS);
         for member in &change.left {
-            self.left_at.insert(member.caller_address, now);
+            self.left.shift_remove(&member.caller_address);
+            self.left
+                .insert(member.caller_address, (member.clone(), now));
         }
         for member in &change.joined {
-            self.left_at.swap_remove(&member.caller_address);
+            self.left.shift_remove(&member.caller_address);
         }
+        let beyond = self.left.len().saturating_sub(MAX_REMEMBERED);
+        self.left.drain(..beyond);
+    }
+
+    /// Iterates over the remembered hosts.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> + Clone {
+        self.left.values().map(|(member, _)| member)
     }
 
     /// Returns the number of hosts that may still serve and are not in `listed`.
     pub fn count(&self, now: Millis, listed: &IndexSet<SocketAddr>) -> usize {
-        let may_serve = |(address, left_at): &(&SocketAddr, &Millis)| {
-            now.since(**left_at) < DEPARTED_SERVE_MS && !listed.contains(*address)
+        let may_serve = |(address, (_, left_at)): &(&SocketAddr, &(Member, Millis))| {
+            now.since(*left_at) < DEPARTED_SERVE_MS && !listed.contains(*address)
         };
-        self.left_at.iter().filter(may_serve).count()
+        self.left.iter().filter(may_serve).count()
     }
 }
--- a/src/group/members.rs
+++ b/src/group/members.rs
@@ -85,11 +85,15 @@
         self.list.contains(host)
     }
 
-    /// Returns the listed host whose process has this incarnation.
+    /// Iterates over the listed hosts and those that left the list within some minutes, whose
+    /// connections are accepted.
+    pub fn accepted(&self) -> impl Iterator<Item = &Member> + Clone {
+        self.list.iter().chain(self.departed.iter())
+    }
+
+    /// Returns the accepted host whose process has this incarnation.
     pub fn find(&self, incarnation: u64) -> Option<&Member> {
-        self.list
-            .iter()
-            .find(|host| host.incarnation == incarnation)
+        self.accepted().find(|host| host.incarnation == incarnation)
     }
 
     /// Returns the number of hosts that may admit requests under their share of a rate limit: the
