Wait for changes of the desired state at the store while the orderer cannot read it

Callers saw: a change in force at the hosts that the store answers only 0.75 to 1.5 s after it was published, of the 2 s that are allowed, when the store turned the orderer away. One read that fails takes that over the bound.

Cause: a host that the orderer answers takes its copy of the table as confirmed and reads the store once in 1.5 s, without waiting for a change. An orderer that cannot read confirmed nothing any more, but went on answering.

An orderer whose reads fail no longer states an end of the table. Three hosts, the collectors, then read one after the other and wait for a change; the others go on as before and get the version from them. Refused hosts that exchange state with others retry every 1.5 s instead of each second, so the store is asked about as often.

Evidence: host_waits_for_a_change_at_the_store_while_the_orderer_cannot fails without the choice of readers (20 s).

The store of the tests now ends a read after the wait that was asked for.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -42,6 +42,9 @@
 /// costs more calls than a calm day. The longest pause still lets a table be read well within the
 /// contact time after an outage.
 const RETRY_PAUSES_MS: [Millis; 4] = [Millis(100), Millis(250), Millis(500), Millis(1_000)];
+/// The pause after failed reads of the desired state by a host that exchanges state with others, which
+/// tell it of changes.
+const RETRY_PAUSE_WHILE_TOLD_MS: Millis = Millis(1_500);
 /// The most pages in one read of a whole table; at 500 rows each, far more than any site has.
 const MAX_PAGES: usize = 1_000;
 
@@ -169,7 +172,7 @@
                 if table == Table::Upstreams {
                     host.upstreams.borrow_mut().note_list_unreachable();
                 }
-                let pause_ms = RETRY_PAUSES_MS[cursor.failures.min(RETRY_PAUSES_MS.len()) - 1];
+                let pause_ms = retry_pause_ms(&host, &cursor);
                 Timer::after(with_jitter(pause_ms).to_duration()).await;
             }
         }
@@ -343,6 +346,9 @@
                 host.replication.note_applied(cursor.table, end);
                 return Due::Nothing;
             }
+            NextStep::WaitUntil(_) if is_to_read_for_others(host, cursor, now, within_ms) => {
+                return Due::Read;
+            }
             NextStep::WaitUntil(due_at) => {
                 cursor.is_confirmed_by_orderer = true;
                 with_timeout(due_at.since(now), update).await;
@@ -363,6 +369,22 @@
     }
 }
 
+/// Tells whether this host is one of the few whose reads of the desired state follow each other and wait
+/// for a change while the orderer cannot read it. The other hosts read once within `within_ms`, and
+/// otherwise learn of a change from these few.
+fn is_to_read_for_others<P: Platform>(
+    host: &Host<P>,
+    cursor: &Cursor,
+    now: Millis,
+    within_ms: Millis,
+) -> bool {
+    cursor.table == Table::Desired
+        && !host
+            .replication
+            .is_read_by_sender(now, cursor.table, within_ms)
+        && host.tree.borrow().is_collector(host.incarnation)
+}
+
 /// Buffers rows that the orderer sent, for the hosts behind this relay. The rows may begin
 /// before the end of this host's copy.
 fn buffer_for_followers<P: Platform>(
@@ -475,6 +497,17 @@
     }
 }
 
+fn retry_pause_ms<P: Platform>(host: &Host<P>, cursor: &Cursor) -> Millis {
+    let is_told = cursor.table == Table::Desired
+        && cursor.failures > RETRY_PAUSES_MS.len()
+        && host.members.borrow().count() > 1
+        && host.has_recent_orderer_answer(host.now());
+    match is_told {
+        true => RETRY_PAUSE_WHILE_TOLD_MS,
+        false => RETRY_PAUSES_MS[cursor.failures.min(RETRY_PAUSES_MS.len()) - 1],
+    }
+}
+
 /// Returns the pause with random jitter, so that hosts which were refused together do not retry
 /// together.
 fn with_jitter(pause_ms: Millis) -> Millis {
--- a/src/entry/replication.rs
+++ b/src/entry/replication.rs
@@ -351,6 +351,13 @@
         }
     }
 
+    /// Tells whether the sender of the last update has itself read the table, or been told of it, within
+    /// a time.
+    pub fn is_read_by_sender(&self, now: Millis, table: Table, within_ms: Millis) -> bool {
+        let announced = self.state.borrow_mut().copy(table).announced;
+        announced.is_some_and(|(_, read_at)| now < read_at + within_ms)
+    }
+
     /// Records that rows from the orderer were applied up to a position.
     pub fn note_applied(&self, table: Table, next: Position) {
         let mut state = self.state.borrow_mut();
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -7,7 +7,7 @@
 use crate::entry::limit_queue;
 use crate::entry::limits;
 use crate::entry::peers::Peers;
-use crate::entry::platform::Platform;
+use crate::entry::platform::{Platform, Table};
 use crate::entry::stated_loads;
 use crate::entry::table_rows::active_version;
 use crate::entry::upstream_limits;
@@ -76,6 +76,11 @@
     }
     orders.publish(now, &host.upstreams.borrow(), &host.orderer_state.borrow());
     let ready_at = orders.ready_at.iter();
+    let mut tables = host.replication.update_for(now, request.upstreams_from);
+    // What another host told this one confirms no copy, so that hosts read the store themselves.
+    if !host.replication.is_answered(Table::Desired) {
+        tables.desired = None;
+    }
     SyncReply::News(Box::new(OrdererUpdate {
         age_ms: Millis::ZERO,
         lease_end: Some(holding.end),
@@ -86,7 +91,7 @@
             .map(|(model_ref, at)| (model_ref.clone(), at.since(now)))
             .collect(),
         separate: orders.separate.clone(),
-        tables: host.replication.update_for(now, request.upstreams_from),
+        tables,
         members: host
             .members
             .borrow()
--- a/src/entry/tests/desired_exchange.rs
+++ b/src/entry/tests/desired_exchange.rs
@@ -1,6 +1,7 @@
 //! Which hosts get a new desired state while the store turns some of them away.
 
 use super::exchanging_hosts::{absent_hosts, on_exchanging_hosts};
+use super::relay_pair::until;
 
 /// Guards against a host without relays that keeps an old desired state while the store refuses it.
 #[test]
@@ -98,6 +99,22 @@
     });
 }
 
+/// Guards against hosts that read the desired state only once in a while, and without waiting for a
+/// change, because an orderer which cannot read it goes on answering.
+#[test]
+fn host_waits_for_a_change_at_the_store_while_the_orderer_cannot() {
+    on_exchanging_hosts(&[0; 3], Vec::new(), |site| async move {
+        site.start_all();
+        site.make_orderer(0).await;
+        site.publish(1);
+        site.until_version_everywhere(1).await;
+        let reader = &site.hosts[1];
+        until(|| reader.store.waiting_reads.get() == 0).await;
+        site.turn_away(&[0]);
+        until(|| reader.store.waiting_reads.get() > 0).await;
+    });
+}
+
 /// Guards against an older desired state that comes over another host and replaces a newer one.
 #[test]
 fn older_desired_state_of_another_host_never_replaces_a_newer_one() {
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -1,8 +1,10 @@
 //! A platform in memory: tables, a group, and a stream of leases that several hosts can share.
 
+use crate::clock::Clock;
 use crate::desired::DesiredState;
 use crate::entry::platform::*;
 use crate::group::Generation;
+use crate::http1::client::with_timeout;
 use crate::http1::{Headers, RequestHead, ResponseHead};
 use crate::identity::{Credential, KeyDigest};
 use crate::ordering::message::{EngineReport, Order, OrderAnswer};
@@ -37,6 +39,8 @@
     pub pages_until_refusal: Cell<Option<usize>>,
     /// How many changes of tables were read.
     pub changes_read: Cell<usize>,
+    /// How many reads of changes wait for one.
+    pub waiting_reads: Cell<usize>,
     changed: Wakeup,
 }
 
@@ -276,6 +280,8 @@
             PageSize::Full => usize::MAX,
             PageSize::Short => SHORT_PAGE_ROWS,
         };
+        let clock = Clock::start();
+        let until = clock.now() + query.wait_ms;
         loop {
             let changed = self.0.changed.listen();
             self.0.check()?;
@@ -300,7 +306,19 @@
                     is_truncated: next < end,
                 });
             }
-            changed.await;
+            let waiting = &self.0.waiting_reads;
+            waiting.set(waiting.get() + 1);
+            let left_ms = until - clock.now();
+            let has_changed = with_timeout(left_ms, changed).await.is_some();
+            waiting.set(waiting.get() - 1);
+            if !has_changed {
+                return Ok(TablePage {
+                    rows: Vec::new(),
+                    end: from,
+                    more_after: None,
+                    is_truncated: false,
+                });
+            }
         }
     }
 
--- a/src/entry/tests/replication.rs
+++ b/src/entry/tests/replication.rs
@@ -72,6 +72,22 @@
     assert_eq!(next, NextStep::Read);
 }
 
+/// Guards against a host that takes the answers of an orderer which cannot read the desired state for a
+/// sign that it reads it.
+#[test]
+fn orderer_that_cannot_read_a_table_is_told_from_one_that_does() {
+    let orderer = ReplicationState::default();
+    orderer.note_read(Table::Desired, Millis(1_000), at(5));
+    let host = ReplicationState::default();
+    host.note_read(Table::Desired, Millis(9_990), at(5));
+    host.apply_update(Millis(9_980), orderer.update_for(Millis(10_000), None));
+    assert!(!host.is_read_by_sender(Millis(10_010), Table::Desired, WITHIN_MS));
+
+    orderer.note_read(Table::Desired, Millis(9_900), at(5));
+    host.apply_update(Millis(9_990), orderer.update_for(Millis(10_000), None));
+    assert!(host.is_read_by_sender(Millis(10_010), Table::Desired, WITHIN_MS));
+}
+
 /// A table that grows, an orderer that reads it with a delay, and a host that receives the
 /// orderer's updates late, not at all or out of order.
 struct Site {
--- a/src/group/tree.rs
+++ b/src/group/tree.rs
@@ -92,6 +92,12 @@
         &self.collectors
     }
 
+    /// Returns whether the host with this incarnation is one of the collectors.
+    pub fn is_collector(&self, incarnation: u64) -> bool {
+        let mut collectors = self.collectors.iter();
+        collectors.any(|collector| collector.incarnation == incarnation)
+    }
+
     /// Returns the number of hosts that sync with the orderer directly.
     pub fn direct_hosts(&self) -> usize {
         match self.relays.values().map(Vec::len).sum() {
