--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod filling;
 pub mod plan;
 pub mod restoring;
+pub mod spreading;
 pub mod start;
 pub mod streams;
 mod text;
@@ -91,6 +92,12 @@
     streams::measure(&World::new(size), seed)
 }
 
+/// Measures only how a desired state spreads while the store turns hosts away, in each scenario and
+/// way.
+pub fn measure_spreading(size: Size, seed: u64) -> Vec<spreading::Measured> {
+    spreading::measure_all(&World::new(size), seed)
+}
+
 /// Measures only a restoration of the store.
 pub fn measure_restoring(size: Size, seed: u64) -> restoring::Restoring {
     restoring::measure(&World::new(size), seed)
--- a/bench/src/fleet/desired.rs
+++ b/bench/src/fleet/desired.rs
@@ -52,7 +52,8 @@
     Millis((bits / link_mbps / 1_000.0).ceil() as u64)
 }
 
-fn state(world: &World) -> DesiredState {
+/// Returns a desired state of the usual size.
+pub fn state(world: &World) -> DesiredState {
     let service = Service {
         max_connections: 2_200,
         engine: Some(world.spec.clone()),
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -43,6 +43,9 @@
     /// measure only the records of streams, a line of JSON for each size
     #[argh(switch)]
     streams: bool,
+    /// measure only how a desired state spreads while the store turns hosts away, lines of JSON
+    #[argh(switch)]
+    spreading: bool,
     /// measure only the evidence on crashes, a line of JSON for each size
     #[argh(switch)]
     crashes: bool,
@@ -269,6 +272,11 @@
         sizes.for_each(|size| print(&fleet::measure_streams(size, options.seed)));
         return Ok(());
     }
+    if options.spreading {
+        let all = sizes.flat_map(|size| fleet::measure_spreading(size, options.seed));
+        all.for_each(|one| print(&one));
+        return Ok(());
+    }
     if options.crashes {
         sizes.for_each(|size| print(&fleet::measure_crashes(size)));
         return Ok(());
--- a/src/entry/desired_exchange.rs
+++ b/src/entry/desired_exchange.rs
@@ -32,7 +32,7 @@
 /// state of the orderer exchanges versions with its neighbours.
 const STALE_INTERVALS: u64 = 3;
 /// The most calls to neighbours at once.
-const MAX_OPEN_CALLS: usize = 8;
+const MAX_OPEN_CALLS: usize = 16;
 /// How long a host is behind before it logs that.
 const LOG_AFTER_MS: Millis = Millis(1_000);
 /// How often a host that stays behind logs that again.
@@ -72,6 +72,11 @@
         self.heard.notify(usize::MAX);
     }
 
+    /// Records a changed list of hosts.
+    pub fn note_members<'a>(&self, members: impl Iterator<Item = &'a Member>) {
+        self.neighbours.borrow_mut().retain_listed(members);
+    }
+
     /// Records a version that is now in force. Returns whether the orderer or the relay is to be told
     /// of it at once.
     pub fn note_taken(&self, version: u64) -> bool {
@@ -209,7 +214,7 @@
             let mut neighbours = host.version_exchange.neighbours.borrow_mut();
             match has_taken {
                 true => neighbours.all(now, members.iter(), &me),
-                false => Vec::from_iter(neighbours.next(now, members.iter(), &me)),
+                false => neighbours.next(now, members.iter(), &me),
             }
         };
         for neighbour in asked {
@@ -218,6 +223,9 @@
                 break;
             }
             open_calls.set(open_calls.get() + 1);
+            let mut neighbours = host.version_exchange.neighbours.borrow_mut();
+            neighbours.note_asked(&neighbour);
+            drop(neighbours);
             let (host, peers, from) = (host.clone(), peers.clone(), me.incarnation);
             let call = async move { call_neighbour(&host, &peers, from, &neighbour).await };
             executor.spawn(call).detach();
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -320,6 +320,8 @@
     /// the members and the orderer.
     pub fn apply_member_list(&self) {
         *self.tree.borrow_mut() = RelayTree::new(self.members.borrow().iter());
+        self.version_exchange
+            .note_members(self.members.borrow().iter());
         let orderer = self.orders.borrow().holder().cloned();
         self.set_accepted_peers(orderer.as_ref());
     }
