--- a/src/entry/tests/desired_exchange.rs
+++ b/src/entry/tests/desired_exchange.rs
@@ -7,10 +7,7 @@
 #[test]
 fn host_refused_by_the_store_takes_the_desired_state_of_the_orderer() {
     on_exchanging_hosts(&[0; 3], Vec::new(), |site| async move {
-        site.start_all();
-        site.make_orderer(0).await;
-        site.publish(1);
-        site.until_version_everywhere(1).await;
+        site.start_with_orderer(0).await;
         site.turn_away(&[2]);
         site.publish(2);
         site.until_version_everywhere(2).await;
@@ -22,10 +19,7 @@
 #[test]
 fn orderer_refused_by_the_store_takes_the_desired_state_of_a_reporting_host() {
     on_exchanging_hosts(&[0; 4], Vec::new(), |site| async move {
-        site.start_all();
-        site.make_orderer(0).await;
-        site.publish(1);
-        site.until_version_everywhere(1).await;
+        site.start_with_orderer(0).await;
         site.turn_away(&[0, 1, 2]);
         for version in [2, 3] {
             site.publish(version);
@@ -39,11 +33,8 @@
 #[test]
 fn relay_refused_by_the_store_takes_the_desired_state_of_the_orderer() {
     on_exchanging_hosts(&[120, 500, 120], absent_hosts(), |site| async move {
-        site.start_all();
+        site.start_with_orderer(0).await;
         assert!(site.hosts[1].host.is_relay());
-        site.make_orderer(0).await;
-        site.publish(1);
-        site.until_version_everywhere(1).await;
         site.turn_away(&[1, 2]);
         site.publish(2);
         site.until_version_everywhere(2).await;
@@ -87,10 +78,7 @@
 #[test]
 fn host_whose_membership_lapsed_still_takes_the_desired_state_of_the_orderer() {
     on_exchanging_hosts(&[0; 3], Vec::new(), |site| async move {
-        site.start_all();
-        site.make_orderer(0).await;
-        site.publish(1);
-        site.until_version_everywhere(1).await;
+        site.start_with_orderer(0).await;
         site.turn_away(&[2]);
         site.drop_from_lists(2);
         site.close_connections();
@@ -104,10 +92,7 @@
 #[test]
 fn host_waits_for_a_change_at_the_store_while_the_orderer_cannot() {
     on_exchanging_hosts(&[0; 3], Vec::new(), |site| async move {
-        site.start_all();
-        site.make_orderer(0).await;
-        site.publish(1);
-        site.until_version_everywhere(1).await;
+        site.start_with_orderer(0).await;
         let reader = &site.hosts[1];
         until(|| reader.store.waiting_reads.get() == 0).await;
         site.turn_away(&[0]);
--- a/src/entry/tests/exchanging_hosts.rs
+++ b/src/entry/tests/exchanging_hosts.rs
@@ -150,6 +150,14 @@
         (0..self.hosts.len()).for_each(|number| self.start(number));
     }
 
+    /// Starts all hosts with this orderer, and puts version 1 in force everywhere.
+    pub async fn start_with_orderer(&self, number: usize) {
+        self.start_all();
+        self.make_orderer(number).await;
+        self.publish(1);
+        self.until_version_everywhere(1).await;
+    }
+
     /// Lets a host become the orderer, and the others know it.
     pub async fn make_orderer(&self, number: usize) {
         let one = &self.hosts[number];
