Tests of requests that wait for a rate limit: the host is the orderer

The test is wrong, not the host: the host of the test knew no orderer, so it decided by its share. A share of this limit holds 70 tokens and a request costs 100, and a share that holds less than one request admits it with a probability of what is left divided by the cost.

Now the host holds the lease in the two tests that use this limit, so it decides by the level of the whole site, where nothing is drawn. What the tests demand of answers and upstreams is unchanged; the wait that the route allows is 4 s, not 2. The loop that reports hosts to an orderer is shared with the harness of several hosts.

--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -197,18 +197,8 @@
             one.handoffs.clone(),
         );
         self.executor.spawn(manage).detach();
-        let incarnations: Vec<u64> = self.hosts.iter().map(|one| one.host.incarnation).collect();
-        let orderer = one.host.clone();
-        let report = async move {
-            loop {
-                for incarnation in &incarnations {
-                    let mut orders = orderer.orders.borrow_mut();
-                    let report = HostReport::default();
-                    orders.demand.record(orderer.now(), *incarnation, report);
-                }
-                Timer::after(Millis(50).to_duration()).await;
-            }
-        };
+        let incarnations = self.hosts.iter().map(|one| one.host.incarnation).collect();
+        let report = report_hosts(one.host.clone(), incarnations);
         self.executor.spawn(report).detach();
     }
 
@@ -391,3 +381,15 @@
     let _is_pending = rustix::net::connect(&stream, &address);
     stream
 }
+
+/// Reports these hosts to the orderer, for as long as the future is polled.
+pub async fn report_hosts(orderer: Rc<Host<FakePlatform>>, incarnations: Vec<u64>) {
+    loop {
+        for incarnation in &incarnations {
+            let mut orders = orderer.orders.borrow_mut();
+            let report = HostReport::default();
+            orders.demand.record(orderer.now(), *incarnation, report);
+        }
+        Timer::after(Millis(50).to_duration()).await;
+    }
+}
--- a/src/entry/tests/organisations.rs
+++ b/src/entry/tests/organisations.rs
@@ -2,12 +2,17 @@
 
 use super::fake_platform::FakePlatform;
 use super::fake_upstream::Step::Write;
-use super::site::{Site, on_site, route};
+use super::hosts::report_hosts;
+use super::site::{Site, as_member, bind_peers, on_site, route};
 use crate::desired::{LimitUnit, Organisation, RateLimit, Repeat, Route};
+use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
+use crate::entry::lease_manager::manage_lease;
+use crate::group::Member;
 use crate::identity::KeyDigest;
 use crate::prelude::*;
 use crate::test_support::{generation, member};
+use std::rc::Rc;
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 4\r\n\r\n{id}";
 /// A limit that does not refill noticeably during a test.
@@ -36,11 +41,13 @@
 
 /// Makes the host the only member of its group.
 fn list_host(site: &Site) {
+    list(site, member(site.host.incarnation, "here", 120));
+}
+
+fn list(site: &Site, me: Member) {
     let host = &site.host;
-    let me = member(host.incarnation, "here", 120);
-    let list = IndexSet::from([me]);
     let mut members = host.members.borrow_mut();
-    members.replace(host.now(), generation(1), list);
+    members.replace(host.now(), generation(1), [me].into_iter().collect());
     members.note_contact(host.now());
 }
 
@@ -148,13 +155,26 @@
     burst: 100.0,
 };
 
+/// Makes the only host the orderer, which decides by the level of the whole site.
+async fn become_orderer(site: &Site) {
+    let peers = bind_peers(&Arc::new(smol::Executor::new()));
+    let me = as_member(&site.host, &peers, 0);
+    list(site, me.clone());
+    let handoffs = Rc::new(Handoffs::new(peers.clone(), me.clone()));
+    let manage = manage_lease(site.host.clone(), peers, me, handoffs);
+    site.executor.spawn(manage).detach();
+    let report = report_hosts(site.host.clone(), vec![site.host.incarnation]);
+    site.executor.spawn(report).detach();
+    site.until(|host| host.is_orderer()).await;
+}
+
 /// Puts two routes of different rank and an organisation with a limit into force. The first route
-/// allows a wait of two seconds.
+/// allows a wait of four seconds.
 async fn apply_ranks(site: &Site) {
-    list_host(site);
+    become_orderer(site).await;
     let patient = Route {
         rank: 1,
-        goal_ms: Millis(4_000),
+        goal_ms: Millis(8_000),
         ..route(Repeat::Once)
     };
     let urgent = Route {
