Send changes of the list of upstreams up, so that hosts refused by the store get them

What callers saw: while the store turned half of the hosts away, the orderer among them, these hosts went on with the list of upstreams from before.

Rows of the list travel down from the orderer only; an orderer that the store turns away has none, and nobody tells it. The other hosts read once in 1.5 s for themselves.

Now a host whose copy is ahead of the end that its parent stated adds the rows to its report. An orderer or relay that the store does not answer applies and passes them on, also while its own read waits for an answer and between two tries. Reported rows say nothing about how fresh a copy is, since it is not known when a report was sent, so each host still reads as often as before. The collectors wait for changes at the store while the orderer cannot, as they do for the desired state.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -16,7 +16,9 @@
 use crate::entry::table_sources::{TableSources, serves_tables};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
+use futures_lite::future;
 use smol::Timer;
+use std::pin::pin;
 use std::rc::Rc;
 
 /// The fraction of the contact time for which a host pauses after a page of changes of the list of
@@ -76,6 +78,8 @@
     trims: usize,
     /// How long the host paused before the next read.
     paused_ms: Millis,
+    /// Until when the store is not asked again after a failed read.
+    retry_at: Millis,
     /// Whether the orderer, and not the store, last confirmed or changed this copy.
     is_confirmed_by_orderer: bool,
     /// The pages of the whole table that were read before one failed, or before a relay is asked
@@ -122,6 +126,7 @@
         failures: 0,
         trims: 0,
         paused_ms: Millis::ZERO,
+        retry_at: Millis::ZERO,
         is_confirmed_by_orderer: false,
         partial: None,
         is_cut: false,
@@ -172,8 +177,12 @@
                 if table == Table::Upstreams {
                     host.upstreams.borrow_mut().note_list_unreachable();
                 }
-                let pause_ms = retry_pause_ms(&host, &cursor);
-                Timer::after(with_jitter(pause_ms).to_duration()).await;
+                let pause_ms = with_jitter(retry_pause_ms(&host, &cursor));
+                cursor.retry_at = host.now() + pause_ms;
+                // A host that follows the table applies what other hosts send meanwhile.
+                if cursor.next.is_none() || cursor.is_cut {
+                    Timer::after(pause_ms.to_duration()).await;
+                }
             }
         }
     }
@@ -320,32 +329,27 @@
     CatchUp,
 }
 
-/// Waits until something has to be done about the table. Applies rows that the orderer sent
+/// Waits until something has to be done about the table. Applies rows that other hosts sent
 /// meanwhile.
 async fn wait_until_due<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> Due {
     loop {
         let update = host.replication.next_update();
         let now = host.now();
+        if apply_reported(host, cursor) {
+            return Due::Nothing;
+        }
         let within_ms = longest_wait_ms(host, cursor.table, Millis::ZERO);
-        // The orderer reads the store; another host reads it until the orderer says how fresh its
-        // copy is.
-        let next = match host.is_orderer() {
-            true => NextStep::Read,
-            false => host.replication.next(now, cursor.table, within_ms),
-        };
-        match next {
-            NextStep::Read => return Due::Read,
-            NextStep::CatchUp => return Due::CatchUp,
+        match next_step(host, cursor.table, now, within_ms) {
             NextStep::Apply(rows, end) => {
-                if let Some(from) = cursor.next.filter(|_| host.is_relay()) {
-                    buffer_for_followers(host, from, &rows, end);
-                }
-                apply_rows(host, cursor, cursor.next, rows);
-                cursor.next = Some(end);
-                cursor.is_confirmed_by_orderer = true;
-                host.replication.note_applied(cursor.table, end);
+                apply_update(host, cursor, rows, end);
                 return Due::Nothing;
             }
+            NextStep::Read | NextStep::CatchUp if now < cursor.retry_at => {
+                with_timeout(cursor.retry_at.since(now), update).await;
+                return Due::Nothing;
+            }
+            NextStep::Read => return Due::Read,
+            NextStep::CatchUp => return Due::CatchUp,
             NextStep::WaitUntil(_) if is_to_read_for_others(host, cursor, now, within_ms) => {
                 return Due::Read;
             }
@@ -357,6 +361,59 @@
     }
 }
 
+/// The orderer reads the store; another host reads it until the orderer says how fresh its copy is.
+fn next_step<P: Platform>(
+    host: &Host<P>,
+    table: Table,
+    now: Millis,
+    within_ms: Millis,
+) -> NextStep {
+    match host.is_orderer() {
+        true => NextStep::Read,
+        false => host.replication.next(now, table, within_ms),
+    }
+}
+
+/// Applies rows of the list of upstreams that a host which reports to this one read. Returns whether
+/// there were any.
+fn apply_reported<P: Platform>(host: &Host<P>, cursor: &mut Cursor) -> bool {
+    if cursor.table != Table::Upstreams {
+        return false;
+    }
+    let Some((rows, end)) = host.replication.take_reported() else {
+        return false;
+    };
+    apply_sent_rows(host, cursor, rows, end);
+    host.replication.note_partial_read(cursor.table, end);
+    true
+}
+
+/// Applies rows up to `end` that the orderer or a relay sent.
+fn apply_update<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    rows: Vec<TableRow>,
+    end: Position,
+) {
+    apply_sent_rows(host, cursor, rows, end);
+    cursor.is_confirmed_by_orderer = true;
+    host.replication.note_applied(cursor.table, end);
+}
+
+/// Applies rows up to `end` that another host sent.
+fn apply_sent_rows<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    rows: Vec<TableRow>,
+    end: Position,
+) {
+    if let Some(from) = cursor.next.filter(|_| serves_tables(host)) {
+        buffer_for_followers(host, from, &rows, end);
+    }
+    apply_rows(host, cursor, cursor.next, rows);
+    cursor.next = Some(end);
+}
+
 /// Goes on after the end of a copy of the desired state that another host passed on meanwhile, if
 /// that is later than the end of this host's own reads.
 fn adopt_position<P: Platform>(host: &Host<P>, cursor: &mut Cursor) {
@@ -369,8 +426,8 @@
     }
 }
 
-/// Tells whether this host is one of the few whose reads of the desired state follow each other and wait
-/// for a change while the orderer cannot read it. The other hosts read once within `within_ms`, and
+/// Tells whether this host is one of the few whose reads of a table follow each other and wait for a
+/// change while the orderer cannot read it. The other hosts read once within `within_ms`, and
 /// otherwise learn of a change from these few.
 fn is_to_read_for_others<P: Platform>(
     host: &Host<P>,
@@ -378,15 +435,22 @@
     now: Millis,
     within_ms: Millis,
 ) -> bool {
-    cursor.table == Table::Desired
-        && !host
-            .replication
-            .is_read_by_sender(now, cursor.table, within_ms)
+    is_unread_by_orderer(host, cursor.table, now, within_ms)
         && host.tree.borrow().is_collector(host.incarnation)
 }
 
-/// Buffers rows that the orderer sent, for the hosts behind this relay. The rows may begin
-/// before the end of this host's copy.
+/// Tells whether the orderer that this host hears of has not read a table within `within_ms`.
+fn is_unread_by_orderer<P: Platform>(
+    host: &Host<P>,
+    table: Table,
+    now: Millis,
+    within_ms: Millis,
+) -> bool {
+    !host.replication.is_read_by_sender(now, table, within_ms)
+}
+
+/// Buffers rows that another host sent, for the hosts that this one serves. The rows may begin before
+/// the end of this host's copy.
 fn buffer_for_followers<P: Platform>(
     host: &Host<P>,
     from: Position,
@@ -597,6 +661,7 @@
     size: PageSize,
 ) -> Result<bool, StoreError> {
     let asked_at = host.now();
+    let within_ms = longest_wait_ms(host, cursor.table, Millis::ZERO);
     let query = ChangesQuery {
         from,
         wait_ms: next_wait_ms(host, cursor),
@@ -604,19 +669,21 @@
         size,
     };
     let read = host.platform.follow_table(cursor.table, query);
-    let page = host.count_call(StoreCall::FollowTable, read).await?;
+    let read = host.count_call(StoreCall::FollowTable, read);
     let TablePage {
         rows,
         end,
         is_truncated,
         ..
-    } = page;
-    cursor.next = Some(end);
+    } = apply_sent_meanwhile(host, cursor, read).await?;
+    let reached = cursor.next.map_or(end, |next| next.max(end));
+    cursor.next = Some(reached);
     cursor.is_cut = is_truncated;
     cursor.trims = 0;
     if cursor.table == Table::Upstreams {
         host.upstreams.borrow_mut().note_list_reached(host.now());
-        match serves_tables(host) {
+        match serves_tables(host) || is_unread_by_orderer(host, cursor.table, host.now(), within_ms)
+        {
             true => {
                 let listed = host.upstreams.borrow().count();
                 host.replication.buffer_rows(from, &rows, end, listed);
@@ -628,12 +695,40 @@
     apply_rows(host, cursor, Some(from), rows);
     // The log lines of applied rows say for how long this host was behind.
     match is_truncated {
-        true => host.replication.note_partial_read(cursor.table, end),
-        false => host.replication.note_read(cursor.table, asked_at, end),
+        true => host.replication.note_partial_read(cursor.table, reached),
+        false => host.replication.note_read(cursor.table, asked_at, reached),
     }
     Ok(has_changes)
 }
 
+/// Waits for the answer to a read. After a failed read, applies rows that other hosts send meanwhile:
+/// a store that is silent takes as long as the read may wait.
+async fn apply_sent_meanwhile<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    read: impl Future<Output = Result<TablePage, StoreError>>,
+) -> Result<TablePage, StoreError> {
+    let mut read = pin!(read);
+    while cursor.failures > 0 {
+        let update = host.replication.next_update();
+        let within_ms = longest_wait_ms(host, cursor.table, Millis::ZERO);
+        if !apply_reported(host, cursor)
+            && let NextStep::Apply(rows, end) = next_step(host, cursor.table, host.now(), within_ms)
+        {
+            apply_update(host, cursor, rows, end);
+        }
+        let answer = async { Some(read.as_mut().await) };
+        let update = async {
+            update.await;
+            None
+        };
+        if let Some(page) = future::or(answer, update).await {
+            return page;
+        }
+    }
+    read.await
+}
+
 /// Applies rows in order. Skips those before `from`, and those that are no newer than the row
 /// already known under their key.
 fn apply_rows<P: Platform>(
--- a/src/entry/replication.rs
+++ b/src/entry/replication.rs
@@ -91,6 +91,9 @@
     upstreams: TableCopy,
     /// The rows of the newest update, until they are applied.
     update_rows: Vec<UpstreamRow>,
+    /// Rows that a host which reports to this one read, until they are applied, and the position that
+    /// they lead up to.
+    reported: Option<(Vec<UpstreamRow>, Position)>,
     /// The rows for other hosts, at the orderer and at relays.
     buffered: Option<BufferedRows>,
     /// The desired state in force, for other hosts.
@@ -127,6 +130,18 @@
 }
 
 impl State {
+    /// Returns the buffered rows from a position; nothing if some are missing or they are too many.
+    fn rows_from(&self, from: Position) -> Vec<UpstreamRow> {
+        let Some(buffered) = self.buffered.as_ref().filter(|rows| rows.from <= from) else {
+            return Vec::new();
+        };
+        let first = buffered.rows.partition_point(|row| row.position < from);
+        match buffered.rows.len() - first <= MAX_UPDATE_ROWS {
+            true => buffered.rows.range(first..).cloned().collect(),
+            false => Vec::new(),
+        }
+    }
+
     fn copy(&mut self, table: Table) -> &mut TableCopy {
         match table {
             Table::Desired => &mut self.desired,
@@ -248,24 +263,55 @@
     /// Returns the update for a host that needs rows of the list from a position.
     pub fn update_for(&self, now: Millis, next_position: Option<Position>) -> TablesUpdate {
         let state = self.state.borrow();
-        let rows = match (next_position, &state.buffered) {
-            (Some(from), Some(buffered)) if buffered.from <= from => {
-                let first = buffered.rows.partition_point(|row| row.position < from);
-                match buffered.rows.len() - first <= MAX_UPDATE_ROWS {
-                    true => buffered.rows.range(first..).cloned().collect(),
-                    false => Vec::new(),
-                }
-            }
-            _ => Vec::new(),
-        };
+        let rows = next_position.map(|from| state.rows_from(from));
         TablesUpdate {
             desired: state.desired.end(now),
             desired_version: state.shared_desired.as_ref().map(|desired| desired.version),
             upstreams: state.upstreams.end(now),
-            rows,
+            rows: rows.unwrap_or_default(),
+        }
+    }
+
+    /// Returns the rows of the list of upstreams that the orderer or the relay lacks, by the end that
+    /// it last stated; nothing unless this host has all of them.
+    pub fn rows_for_parent(&self) -> Vec<UpstreamRow> {
+        let state = self.state.borrow();
+        let stated = state.upstreams.announced.map(|(end, _)| end);
+        match stated.filter(|end| state.upstreams.next > Some(*end)) {
+            Some(end) => state.rows_from(end),
+            None => Vec::new(),
         }
     }
 
+    /// Records rows that a host which reports to this one read. They say nothing about how fresh the
+    /// copy is, since it is not known when the report was sent. Rows that do not continue the copy are
+    /// dropped.
+    pub fn note_reported(&self, rows: Vec<UpstreamRow>) {
+        let mut state = self.state.borrow_mut();
+        let next = state.upstreams.next;
+        let (Some(first), Some(last)) = (rows.first(), rows.last()) else {
+            return;
+        };
+        let end = last.position.next();
+        let known = state.reported.as_ref().map(|(_, end)| *end).max(next);
+        if Some(first.position) > next || Some(end) <= known {
+            return;
+        }
+        state.reported = Some((rows, end));
+        drop(state);
+        self.updated.notify(usize::MAX);
+    }
+
+    /// Takes the rows that were reported and go beyond this host's copy of the list, and the position
+    /// that they lead up to.
+    pub fn take_reported(&self) -> Option<(Vec<TableRow>, Position)> {
+        let mut state = self.state.borrow_mut();
+        let (rows, end) = state.reported.take()?;
+        let next = state.upstreams.next;
+        let continues_copy = rows.first().map(|row| row.position) <= next && Some(end) > next;
+        continues_copy.then(|| (rows.into_iter().map(table_row).collect(), end))
+    }
+
     /// Records an update, in reply to a call sent at `asked_at`. Returns whether it confirmed the
     /// copy of the list of upstreams.
     pub fn apply_update(&self, asked_at: Millis, update: TablesUpdate) -> bool {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -8,8 +8,10 @@
 use crate::entry::limits;
 use crate::entry::peers::Peers;
 use crate::entry::platform::{Platform, Table};
+use crate::entry::replication::UpstreamRow;
 use crate::entry::stated_loads;
 use crate::entry::table_rows::active_version;
+use crate::entry::table_sources::serves_tables;
 use crate::entry::upstream_limits;
 use crate::group::Member;
 use crate::group::parents::{ORDERER_STALE_MS, Parent};
@@ -32,8 +34,9 @@
 const MIN_SYNC_INTERVAL_MS: Millis = Millis(4);
 
 /// Answers another host's report: as the orderer, or as a relay with the orderer's last state.
-pub fn answer<P: Platform>(host: &Host<P>, request: SyncRequest) -> SyncReply {
+pub fn answer<P: Platform>(host: &Host<P>, mut request: SyncRequest) -> SyncReply {
     desired_exchange::note_request(host, &request);
+    note_rows(host, std::mem::take(&mut request.upstream_rows));
     match (
         host.is_orderer(),
         host.is_relay() && !request.is_for_orderer,
@@ -53,6 +56,14 @@
     }
 }
 
+/// Keeps rows of the list of upstreams that a reporting host read, if this host passes the list on and
+/// the store does not answer it.
+fn note_rows<P: Platform>(host: &Host<P>, rows: Vec<UpstreamRow>) {
+    if serves_tables(host) && !host.replication.is_answered(Table::Upstreams) {
+        host.replication.note_reported(rows);
+    }
+}
+
 fn answer_as_orderer<P: Platform>(host: &Host<P>, mut request: SyncRequest) -> SyncReply {
     let now = host.now();
     if request.incarnation != host.incarnation {
@@ -250,6 +261,7 @@
         demand: Vec::new(),
         work: Vec::new(),
         event_gaps: Vec::new(),
+        upstream_rows: Vec::new(),
         ..request.clone()
     };
     let reply = call_peer(peers, collector.peer_address, counts_only).await;
@@ -362,6 +374,7 @@
         event_gaps,
         desired_version: active_version(host),
         upstreams_from: host.replication.next_position(),
+        upstream_rows: host.replication.rows_for_parent(),
         through,
         usage: limits::report(host),
         lines: limit_queue::report(host),
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -18,6 +18,7 @@
 mod hosts;
 mod lease_manager;
 mod list_copy;
+mod list_exchange;
 mod notices;
 mod organisations;
 mod peers;
--- a/src/entry/tests/exchanging_hosts.rs
+++ b/src/entry/tests/exchanging_hosts.rs
@@ -3,7 +3,7 @@
 
 use super::fake_platform::{FakePlatform, FakeStore};
 use super::relay_pair::until;
-use super::site::{LIST_KNOWN_MS, as_member, bind_peers, settings};
+use super::site::{LIST_KNOWN_MS, as_member, bind_peers, entry, settings};
 use crate::clock::Clock;
 use crate::desired::DesiredState;
 use crate::entry::desired_exchange;
@@ -120,7 +120,7 @@
         present.chain(self.absent.iter().cloned()).collect()
     }
 
-    /// Starts all tasks of a host that have to do with the desired state.
+    /// Starts all tasks of a host that have to do with tables.
     pub fn start(&self, number: usize) {
         let one = &self.hosts[number];
         let sources = TableSources {
@@ -128,8 +128,10 @@
             me: one.me.clone(),
         };
         let (host, tasks) = (one.host.clone(), &self.executor);
-        let follow = follow(host.clone(), Table::Desired, Some(sources));
-        tasks.spawn(follow).detach();
+        for table in [Table::Desired, Table::Upstreams] {
+            let follow = follow(host.clone(), table, Some(sources.clone()));
+            tasks.spawn(follow).detach();
+        }
         let sync = sync::sync(host.clone(), one.peers.clone(), one.me.clone());
         tasks.spawn(sync).detach();
         let fetch = desired_exchange::fetch_newer(host.clone(), one.peers.clone());
@@ -183,6 +185,22 @@
         }
     }
 
+    /// Lists an upstream in the stores of all hosts, or removes it from there.
+    pub fn list_upstream(&self, id: &str, is_listed: bool) {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let entry = is_listed.then(|| entry(id, address));
+        for one in &self.hosts {
+            one.store.write_upstream(id, entry.clone());
+        }
+    }
+
+    /// Waits until every host lists an upstream, or none does.
+    pub async fn until_listed_everywhere(&self, id: &str, is_listed: bool) {
+        for one in &self.hosts {
+            until(|| one.host.upstreams.borrow().get(id).is_some() == is_listed).await;
+        }
+    }
+
     /// Waits until a version is in force at every host.
     pub async fn until_version_everywhere(&self, version: u64) {
         for one in &self.hosts {
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -360,6 +360,7 @@
         work: Vec::new(),
         desired_version: None,
         upstreams_from: None,
+        upstream_rows: Vec::new(),
         through: 0,
         usage: Vec::new(),
         lines: Vec::new(),
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -3,7 +3,7 @@
 use crate::entry::desired_copy::DesiredCopy;
 use crate::entry::list_copy::{ListPart, ListRequest};
 use crate::entry::platform::{AppendOutcome, ModelRef};
-use crate::entry::replication::TablesUpdate;
+use crate::entry::replication::{TablesUpdate, UpstreamRow};
 use crate::group::members::MembersUpdate;
 use crate::group::{Generation, Member};
 use crate::ordering::demand::RequestCounts;
@@ -112,6 +112,8 @@
     pub desired_version: Option<u64>,
     /// The offset from which the sender needs rows of the list of upstreams.
     pub upstreams_from: Option<Position>,
+    /// The rows of that list which the sender has and the receiver lacks, as far as the sender knows.
+    pub upstream_rows: Vec<UpstreamRow>,
     /// How many other hosts report through the sender, if it is a relay.
     pub through: u32,
     /// What organisations used at these hosts and was not reported before.
