Count a renewal of the lease through another host as contact with the store

What callers saw: while the store turned the orderer away, and it alone, all requests under rate limits were refused at all hosts, 20 s after that began.

A host without contact to the store or the orderer stops admitting after 20 s, as the others count it no longer. An orderer has no orderer to hear of, so the store alone was its contact, although it renewed the lease through other hosts all the time. It then took its share of each limit to be none, and it decides for the whole site.

Now a renewal that the store acknowledged is contact, whoever appended it. A host that is cut off from all others cannot renew, so it still stops in time.

--- a/src/entry/lease_manager.rs
+++ b/src/entry/lease_manager.rs
@@ -156,7 +156,12 @@
         return;
     };
     let record = encode_record(&holding.record(false, learned));
-    match renew(host, peers, &holding, record).await {
+    let renewed = renew(host, peers, &holding, record).await;
+    if renewed.is_ok() {
+        // Through another host, the store's answer is contact with that host as well.
+        host.members.borrow_mut().note_contact(now);
+    }
+    match renewed {
         Ok(AppendOutcome::Appended(position)) => {
             let answered_at = host.now();
             let lease = &mut host.orders.borrow_mut().lease;
--- a/src/entry/tests/lease_manager.rs
+++ b/src/entry/tests/lease_manager.rs
@@ -1,13 +1,14 @@
 //! The lease while the store does not answer its holder, and what it passes on to later holders.
 
-use super::fake_platform::FakePlatform;
-use super::site::{another_host, as_member, bind_peers, on_site};
+use super::fake_platform::{FakePlatform, FakeStore};
+use super::site::{Site, another_host, as_member, bind_peers, on_site};
 use crate::entry::handoff::Handoffs;
 use crate::entry::host::Host;
 use crate::entry::lease_manager::{append_for_peer, manage_lease};
 use crate::entry::peers::{self, Peers};
 use crate::entry::resumption::streams::Streams;
 use crate::group::Member;
+use crate::group::departed::ISOLATED_ADMIT_MS;
 use crate::prelude::*;
 use crate::retry::interrupted_requests::InterruptedRun;
 use crate::retry::{RequestCauses, RequestDigest, SharedCause, VersionTag};
@@ -25,10 +26,11 @@
     manage_lease(host.clone(), peers, me, handoffs)
 }
 
-/// Guards against an orderer that loses the lease because it alone is cut off from the store:
-/// without another host's help nobody could order loads for the engines' lease time.
-#[test]
-fn holder_refused_by_the_store_renews_through_another_host() {
+/// Runs a test on a site whose host holds the lease and that the store then turns away, while it
+/// answers another host. The test gets the site and the store as the other host reaches it.
+fn on_site_with_refused_holder<F: Future<Output = ()>>(
+    test: impl FnOnce(Site, Rc<FakeStore>) -> F,
+) {
     on_site(|site| async move {
         let shared = Arc::new(smol::Executor::new());
         let (own, other) = (bind_peers(&shared), bind_peers(&shared));
@@ -62,14 +64,37 @@
         let test = async {
             site.until(|host| host.is_orderer()).await;
             site.store.is_down.set(true);
-            let before = store.lease_records();
-            site.until(|_| store.lease_records() > before + 1).await;
-            assert!(site.host.is_orderer());
+            test(site, store).await;
         };
         shared.run(test).await;
     });
 }
 
+/// Guards against an orderer that loses the lease because it alone is cut off from the store:
+/// without another host's help nobody could order loads for the engines' lease time.
+#[test]
+fn holder_refused_by_the_store_renews_through_another_host() {
+    on_site_with_refused_holder(|site, store| async move {
+        let before = store.lease_records();
+        site.until(|_| store.lease_records() > before + 1).await;
+        assert!(site.host.is_orderer());
+    });
+}
+
+/// Guards against rate limits that no host has room under because an orderer which the store refuses
+/// counts as cut off from all others.
+#[test]
+fn holder_that_renews_through_another_host_is_in_contact() {
+    on_site_with_refused_holder(|site, store| async move {
+        let refused_at = site.host.now();
+        let before = store.lease_records();
+        site.until(|_| store.lease_records() > before + 1).await;
+        let members = site.host.members.borrow();
+        let serving = members.count_serving(refused_at + ISOLATED_ADMIT_MS);
+        assert_eq!(serving, Some(2));
+    });
+}
+
 #[test]
 fn only_lease_records_are_appended_for_another_host() {
     on_site(|site| async move {
