Send changes of the group up, so that a refused orderer accepts processes that start

What callers saw: while the store turned the orderer away, processes that started got no state of the orderer until the store answered it again, so requests that need it came later or were refused.

Changes of the member list travel down from the orderer only, and it cannot read them; it refuses connections of processes that it does not know. The others wait for up to four seconds to be told of a change before they read the list themselves.

Now the orderer and relays state the generation of their list, and a host that has a newer one adds the changes to its report, as long as the orderer cannot read the store: hosts that start together before an orderer that can do not all send theirs. The three collectors then read a changed list at once.

--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -4,6 +4,7 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::{Joined, Platform, StoreCall, StoreError};
+use crate::entry::table_sources::orderer_cannot_read;
 use crate::group::members::{MembersChange, MembersUpdate};
 use crate::group::read_policy::{MIN_READ_INTERVAL_MS, ReadConditions, Role};
 use crate::group::{Generation, Member};
@@ -145,12 +146,14 @@
 }
 
 fn role<P: Platform>(host: &Host<P>, now: Millis) -> Role {
+    let is_collector = host.tree.borrow().is_collector(host.incarnation);
     match (
         host.is_orderer(),
         host.has_recent_orderer_answer(now),
         host.is_relay(),
     ) {
         (true, _, _) => Role::Orderer,
+        (false, true, _) if is_collector && orderer_cannot_read(host, now) => Role::Collector,
         (false, true, true) => Role::Relay,
         (false, true, false) => Role::Follower,
         (false, false, _) => Role::WithoutOrderer,
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -11,9 +11,10 @@
 use crate::entry::replication::UpstreamRow;
 use crate::entry::stated_loads;
 use crate::entry::table_rows::active_version;
-use crate::entry::table_sources::serves_tables;
+use crate::entry::table_sources::{orderer_cannot_read, serves_tables};
 use crate::entry::upstream_limits;
 use crate::group::Member;
+use crate::group::members::MembersUpdate;
 use crate::group::parents::{ORDERER_STALE_MS, Parent};
 use crate::ordering::message::{
     OrdererUpdate, PeerCall, PeerReply, SyncReply, SyncRequest, Totals,
@@ -37,6 +38,9 @@
 pub fn answer<P: Platform>(host: &Host<P>, mut request: SyncRequest) -> SyncReply {
     desired_exchange::note_request(host, &request);
     note_rows(host, std::mem::take(&mut request.upstream_rows));
+    if let Some(members) = request.members.take() {
+        host.apply_members_update(members);
+    }
     match (
         host.is_orderer(),
         host.is_relay() && !request.is_for_orderer,
@@ -103,6 +107,7 @@
             .collect(),
         separate: orders.separate.clone(),
         tables,
+        members_generation: host.members.borrow().generation(),
         members: host
             .members
             .borrow()
@@ -140,6 +145,7 @@
         ready_in_ms: state.ready_in_ms(now),
         separate: state.separate(),
         tables: host.replication.update_for(now, request.upstreams_from),
+        members_generation: host.members.borrow().generation(),
         members: host
             .members
             .borrow()
@@ -262,6 +268,7 @@
         work: Vec::new(),
         event_gaps: Vec::new(),
         upstream_rows: Vec::new(),
+        members: None,
         ..request.clone()
     };
     let reply = call_peer(peers, collector.peer_address, counts_only).await;
@@ -369,6 +376,7 @@
         is_urgent,
         view_version: host.orderer_state.borrow().version(),
         members_generation: host.members.borrow().update_base_generation(),
+        members: members_for_parent(host),
         work: work.into_iter().collect(),
         demand,
         event_gaps,
@@ -384,6 +392,14 @@
     }
 }
 
+/// Returns the changes of the member list that the orderer or the relay lacks while the orderer cannot
+/// read the list. Otherwise it reads them soon, and hosts that start need not all send them.
+fn members_for_parent<P: Platform>(host: &Host<P>) -> Option<MembersUpdate> {
+    orderer_cannot_read(host, host.now())
+        .then(|| host.members.borrow().update_for_parent())
+        .flatten()
+}
+
 fn apply_reply<P: Platform>(host: &Host<P>, asked_at: Millis, replier: &Member, reply: SyncReply) {
     desired_exchange::note_reply(host, replier, &reply);
     match reply {
@@ -424,6 +440,7 @@
         ready_in_ms,
         separate,
         tables,
+        members_generation,
         members,
         totals,
     } = update;
@@ -444,6 +461,7 @@
         if let Some(members) = members {
             host.apply_members_update(members);
         }
+        host.members.borrow_mut().note_parent(members_generation);
     }
     let mut state = host.orderer_state.borrow_mut();
     state.answered_at = state.answered_at.max(Some(now - age_ms));
--- a/src/entry/table_sources.rs
+++ b/src/entry/table_sources.rs
@@ -2,7 +2,7 @@
 
 use crate::entry::host::Host;
 use crate::entry::peers::Peers;
-use crate::entry::platform::Platform;
+use crate::entry::platform::{Platform, Table};
 use crate::group::Member;
 use crate::group::parents::MAX_RELAYS;
 use crate::prelude::*;
@@ -43,3 +43,12 @@
 pub fn serves_tables<P: Platform>(host: &Host<P>) -> bool {
     host.is_relay() || host.is_orderer()
 }
+
+/// Tells whether the orderer of which this host hears has not read the desired state for so long that
+/// changes of it may not be in force in time there.
+pub fn orderer_cannot_read<P: Platform>(host: &Host<P>, now: Millis) -> bool {
+    let within_ms = host.settings().bounds.apply_ms;
+    !host
+        .replication
+        .is_read_by_sender(now, Table::Desired, within_ms)
+}
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -19,6 +19,7 @@
 mod lease_manager;
 mod list_copy;
 mod list_exchange;
+mod members_exchange;
 mod notices;
 mod organisations;
 mod peers;
--- a/src/entry/tests/exchanging_hosts.rs
+++ b/src/entry/tests/exchanging_hosts.rs
@@ -18,7 +18,7 @@
 use crate::entry::sync;
 use crate::entry::table_rows::active_version;
 use crate::entry::table_sources::TableSources;
-use crate::group::Member;
+use crate::group::{Member, Members};
 use crate::http1::client::with_timeout;
 use crate::prelude::*;
 use crate::test_support::{generation, member};
@@ -215,6 +215,25 @@
         }
     }
 
+    /// Lets all other hosts know a list without this host, as before its process joined the group.
+    pub fn forget(&self, number: usize) {
+        let mut list = self.members();
+        list.shift_remove(&self.hosts[number].me);
+        for one in self
+            .hosts
+            .iter()
+            .filter(|one| one.me != self.hosts[number].me)
+        {
+            *one.host.members.borrow_mut() = Members::default();
+            one.replace_members(list.clone());
+        }
+    }
+
+    /// Lets a host read the list of all hosts.
+    pub fn read_members(&self, number: usize) {
+        self.hosts[number].replace_members(self.members());
+    }
+
     /// Removes a host from the lists of all hosts, as when its membership has lapsed.
     pub fn drop_from_lists(&self, number: usize) {
         let lapsed = &self.hosts[number].me;
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -361,6 +361,7 @@
         desired_version: None,
         upstreams_from: None,
         upstream_rows: Vec::new(),
+        members: None,
         through: 0,
         usage: Vec::new(),
         lines: Vec::new(),
--- a/src/group/members.rs
+++ b/src/group/members.rs
@@ -61,6 +61,8 @@
     known_since: Option<Millis>,
     /// Whether the last update failed verification, so that the full list is needed.
     needs_full_list: bool,
+    /// The generation of the list at the orderer or the relay, as last stated.
+    parent_generation: Option<Generation>,
     /// When the store or the orderer last answered.
     contact_at: Option<Millis>,
     /// The caller addresses of the listed hosts, without duplicates: after a restart both processes
@@ -177,6 +179,19 @@
         })
     }
 
+    /// Records the generation of the list at the orderer or the relay.
+    pub fn note_parent(&mut self, generation: Generation) {
+        self.parent_generation = Some(generation);
+    }
+
+    /// Returns the update for the orderer or the relay, if its list is older than this one.
+    pub fn update_for_parent(&self) -> Option<MembersUpdate> {
+        let known = self.parent_generation?;
+        (known < self.generation)
+            .then(|| self.update_since(known))
+            .flatten()
+    }
+
     /// Applies an update from another host and returns the difference. Returns `None` and leaves
     /// the list as it is if the update is older than the list, if it holds only changes while no
     /// list is known yet, or if the result fails verification. This host requests the full list
--- a/src/group/read_policy.rs
+++ b/src/group/read_policy.rs
@@ -51,6 +51,8 @@
 pub enum Role {
     /// It is the orderer.
     Orderer,
+    /// It is in contact with an orderer that cannot read the store, and reads for all hosts.
+    Collector,
     /// It is in contact with the orderer and relays for other hosts.
     Relay,
     /// It is in contact with the orderer, directly or through a relay, and relays for none.
@@ -70,6 +72,7 @@
         }
         match self.role {
             Role::Orderer => list_age_ms >= MIN_READ_INTERVAL_MS,
+            Role::Collector => true,
             Role::Relay => self.outdated_ms >= RELAY_MAX_UPDATE_WAIT_MS,
             Role::Follower => self.outdated_ms >= MAX_UPDATE_WAIT_MS,
             Role::WithoutOrderer => list_age_ms >= self.read_interval_without_orderer(),
--- a/src/group/tests/read_policy.rs
+++ b/src/group/tests/read_policy.rs
@@ -93,3 +93,16 @@
     };
     assert!(orderer.is_due());
 }
+
+/// Guards against processes that start and that no host knows for seconds, because the orderer cannot
+/// read the list and the others wait to be told.
+#[test]
+fn a_collector_reads_a_changed_list_at_once_while_the_orderer_cannot() {
+    let collector = ReadConditions {
+        list_age_ms: Some(Millis(100)),
+        outdated_ms: Millis::ZERO,
+        role: Role::Collector,
+        ..starting()
+    };
+    assert!(collector.is_due());
+}
--- a/src/ordering/message.rs
+++ b/src/ordering/message.rs
@@ -102,6 +102,8 @@
     pub view_version: EnginesVersion,
     /// The generation of the member list that the sender has.
     pub members_generation: Generation,
+    /// The changes of the member list that the receiver lacks, if it cannot read the list itself.
+    pub members: Option<MembersUpdate>,
     /// The requests of the sender's callers since its last message.
     pub demand: Vec<(ModelRef, RequestCounts)>,
     /// The sender's own request load on each engine.
@@ -160,6 +162,8 @@
     pub separate: Vec<Name>,
     /// How far the store's tables reach, and their newest rows.
     pub tables: TablesUpdate,
+    /// The generation of the member list that the sender has.
+    pub members_generation: Generation,
     /// The changes of the member list, if the receiver has an older generation.
     pub members: Option<MembersUpdate>,
     /// Values that are aggregated over hosts, with or without an orderer.
