Split the module that follows tables

No behaviour changed: items moved to modules by what they do (the progress of a table, reads of the store, rows that other hosts send, waits), a constructor for Cursor.

--- /dev/null
+++ b/src/entry/follow/reads.rs
@@ -0,0 +1,169 @@
+//! Reads of a table in the store, page by page.
+
+use super::cursor::{Cursor, PartialTable};
+use super::sent::{apply_reported, apply_rows, apply_update, is_unread_by_orderer, next_step};
+use super::waits::{ANSWER_TIMEOUT_MS, longest_wait_ms, next_wait_ms};
+use crate::entry::host::Host;
+use crate::entry::platform::{
+    ChangesQuery, PageSize, Platform, StoreCall, StoreError, Table, TablePage,
+};
+use crate::entry::replication::NextStep;
+use crate::entry::table_rows::apply_table;
+use crate::entry::table_sources::serves_tables;
+use crate::prelude::*;
+use futures_lite::future;
+use std::pin::pin;
+
+/// The most pages in one read of a whole table; at 500 rows each, far more than any site has.
+pub(super) const MAX_PAGES: usize = 1_000;
+
+/// Reads the first page of a table's newest rows, unless it was read before.
+pub(super) async fn read_first_page<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+) -> Result<(), StoreError> {
+    if cursor.partial.is_some() {
+        return Ok(());
+    }
+    let asked_at = host.now();
+    let first = read_page(host, cursor.table, None).await?;
+    cursor.partial = Some(PartialTable {
+        asked_at,
+        end: first.end,
+        rows: first.rows,
+        after: first.more_after,
+    });
+    Ok(())
+}
+
+/// Reads the remaining pages, and applies the whole table. The pages are no snapshot, so the table
+/// is then followed from the end that the first page gave; rows that come again are no newer than
+/// what is known, and are skipped. After a failed page, the next attempt continues with that page:
+/// if hundreds of hosts began anew, they would keep the store at its limit. Returns false, since no
+/// pause is due.
+pub(super) async fn read_remaining_pages<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+) -> Result<bool, StoreError> {
+    let Some(mut partial) = cursor.partial.take() else {
+        return Ok(false);
+    };
+    for _ in 0..MAX_PAGES {
+        let Some(key) = &partial.after else { break };
+        match read_page(host, cursor.table, Some(key)).await {
+            Ok(page) if page.end.era != partial.end.era => {
+                let era = page.end.era;
+                return Err(StoreError::Restored { era });
+            }
+            Ok(page) => {
+                partial.rows.extend(page.rows);
+                partial.after = page.more_after;
+            }
+            Err(error) => {
+                cursor.partial = Some(partial);
+                return Err(error);
+            }
+        }
+    }
+    let PartialTable {
+        asked_at,
+        end: next,
+        rows,
+        ..
+    } = partial;
+    cursor.newest_rows = rows
+        .iter()
+        .map(|row| (row.key.clone(), row.position))
+        .collect();
+    cursor.next = Some(next);
+    if cursor.table == Table::Upstreams {
+        host.replication.clear_buffered_rows();
+    }
+    apply_table(host, cursor.table, rows);
+    host.replication.note_read(cursor.table, asked_at, next);
+    Ok(false)
+}
+
+pub(super) async fn read_page<P: Platform>(
+    host: &Host<P>,
+    table: Table,
+    after: Option<&str>,
+) -> Result<TablePage, StoreError> {
+    let read = host.platform.read_table(table, after);
+    host.count_call(StoreCall::ReadTable, read).await
+}
+
+pub(super) async fn read_changes<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    from: Position,
+    size: PageSize,
+) -> Result<bool, StoreError> {
+    let asked_at = host.now();
+    let within_ms = longest_wait_ms(host, cursor.table, Millis::ZERO);
+    let query = ChangesQuery {
+        from,
+        wait_ms: next_wait_ms(host, cursor),
+        answer_ms: ANSWER_TIMEOUT_MS,
+        size,
+    };
+    let read = host.platform.follow_table(cursor.table, query);
+    let read = host.count_call(StoreCall::FollowTable, read);
+    let TablePage {
+        rows,
+        end,
+        is_truncated,
+        ..
+    } = apply_sent_meanwhile(host, cursor, read).await?;
+    let reached = cursor.next.map_or(end, |next| next.max(end));
+    cursor.next = Some(reached);
+    cursor.is_cut = is_truncated;
+    cursor.trims = 0;
+    if cursor.table == Table::Upstreams {
+        host.upstreams.borrow_mut().note_list_reached(host.now());
+        match serves_tables(host) || is_unread_by_orderer(host, cursor.table, host.now(), within_ms)
+        {
+            true => {
+                let listed = host.upstreams.borrow().count();
+                host.replication.buffer_rows(from, &rows, end, listed);
+            }
+            false => host.replication.clear_buffered_rows(),
+        }
+    }
+    let has_changes = !rows.is_empty();
+    apply_rows(host, cursor, Some(from), rows);
+    // The log lines of applied rows say for how long this host was behind.
+    match is_truncated {
+        true => host.replication.note_partial_read(cursor.table, reached),
+        false => host.replication.note_read(cursor.table, asked_at, reached),
+    }
+    Ok(has_changes)
+}
+
+/// Waits for the answer to a read. After a failed read, applies rows that other hosts send meanwhile:
+/// a store that is silent takes as long as the read may wait.
+pub(super) async fn apply_sent_meanwhile<P: Platform>(
+    host: &Host<P>,
+    cursor: &mut Cursor,
+    read: impl Future<Output = Result<TablePage, StoreError>>,
+) -> Result<TablePage, StoreError> {
+    let mut read = pin!(read);
+    while cursor.failures > 0 {
+        let update = host.replication.next_update();
+        let within_ms = longest_wait_ms(host, cursor.table, Millis::ZERO);
+        if !apply_reported(host, cursor)
+            && let NextStep::Apply(rows, end) = next_step(host, cursor.table, host.now(), within_ms)
+        {
+            apply_update(host, cursor, rows, end);
+        }
+        let answer = async { Some(read.as_mut().await) };
+        let update = async {
+            update.await;
+            None
+        };
+        if let Some(page) = future::or(answer, update).await {
+            return page;
+        }
+    }
+    read.await
+}
