Report rows of the list only to a parent that does not read it, and never miss one

A host ahead of the end that its parent stated sent up to 4,096 rows with each report, also to an orderer that reads the list itself and is only slower. When a large site starts, relays are ahead of it for seconds. Now rows are reported only once the list was not read at the parent for drain_ms. Test: rows_are_reported_once_the_orderer_has_not_read_the_list_for_some_time.

A host that serves no others dropped rows that it read while the orderer still counted as reading; the first change after the store turned the orderer away could so be missed for good, and all later ones with it. Now all rows that a host reads itself are kept, as many as the list has or 4,096.

The tests of the list failed now and then with the first change (2 s is longer than a lease holds): the two hosts that their orderer asks to renew the lease were refused or absent, so the lease ended.

--- a/src/entry/follow/reads.rs
+++ b/src/entry/follow/reads.rs
@@ -1,7 +1,7 @@
 //! Reads of a table in the store, page by page.
 
 use super::cursor::{Cursor, PartialTable};
-use super::sent::{apply_reported, apply_rows, apply_update, is_unread_by_orderer, next_step};
+use super::sent::{apply_reported, apply_rows, apply_update, next_step};
 use super::waits::{ANSWER_TIMEOUT_MS, longest_wait_ms, next_wait_ms};
 use crate::entry::host::Host;
 use crate::entry::platform::{
@@ -9,7 +9,6 @@
 };
 use crate::entry::replication::NextStep;
 use crate::entry::table_rows::apply_table;
-use crate::entry::table_sources::serves_tables;
 use crate::prelude::*;
 use futures_lite::future;
 use std::pin::pin;
@@ -100,7 +99,6 @@
     size: PageSize,
 ) -> Result<bool, StoreError> {
     let asked_at = host.now();
-    let within_ms = longest_wait_ms(host, cursor.table, Millis::ZERO);
     let query = ChangesQuery {
         from,
         wait_ms: next_wait_ms(host, cursor),
@@ -121,14 +119,9 @@
     cursor.trims = 0;
     if cursor.table == Table::Upstreams {
         host.upstreams.borrow_mut().note_list_reached(host.now());
-        match serves_tables(host) || is_unread_by_orderer(host, cursor.table, host.now(), within_ms)
-        {
-            true => {
-                let listed = host.upstreams.borrow().count();
-                host.replication.buffer_rows(from, &rows, end, listed);
-            }
-            false => host.replication.clear_buffered_rows(),
-        }
+        // Also a host that serves no other may have to send what it read up to its parent.
+        let listed = host.upstreams.borrow().count();
+        host.replication.buffer_rows(from, &rows, end, listed);
     }
     let has_changes = !rows.is_empty();
     apply_rows(host, cursor, Some(from), rows);
--- a/src/entry/follow/sent.rs
+++ b/src/entry/follow/sent.rs
@@ -70,20 +70,12 @@
     now: Millis,
     within_ms: Millis,
 ) -> bool {
-    is_unread_by_orderer(host, cursor.table, now, within_ms)
+    !host
+        .replication
+        .is_read_by_sender(now, cursor.table, within_ms)
         && host.tree.borrow().is_collector(host.incarnation)
 }
 
-/// Tells whether the orderer that this host hears of has not read a table within `within_ms`.
-pub(super) fn is_unread_by_orderer<P: Platform>(
-    host: &Host<P>,
-    table: Table,
-    now: Millis,
-    within_ms: Millis,
-) -> bool {
-    !host.replication.is_read_by_sender(now, table, within_ms)
-}
-
 /// Buffers rows that another host sent, for the hosts that this one serves. The rows may begin before
 /// the end of this host's copy.
 pub(super) fn buffer_for_followers<P: Platform>(
--- a/src/entry/replication.rs
+++ b/src/entry/replication.rs
@@ -94,7 +94,7 @@
     /// Rows that a host which reports to this one read, until they are applied, and the position that
     /// they lead up to.
     reported: Option<(Vec<UpstreamRow>, Position)>,
-    /// The rows for other hosts, at the orderer and at relays.
+    /// The rows for other hosts: those that this host read, and at a relay those that it was sent.
     buffered: Option<BufferedRows>,
     /// The desired state in force, for other hosts.
     shared_desired: Option<Arc<DesiredState>>,
@@ -211,8 +211,8 @@
         state.buffered = Some(buffered);
     }
 
-    /// Drops the rows that are buffered for other hosts, when this host no longer orders or relays
-    /// or has read the whole table anew.
+    /// Drops the rows that are buffered for other hosts, when this host has read the whole table
+    /// anew.
     pub fn clear_buffered_rows(&self) {
         self.state.borrow_mut().buffered = None;
     }
@@ -273,12 +273,16 @@
     }
 
     /// Returns the rows of the list of upstreams that the orderer or the relay lacks, by the end that
-    /// it last stated; nothing unless this host has all of them.
-    pub fn rows_for_parent(&self) -> Vec<UpstreamRow> {
+    /// it last stated. Returns nothing unless this host has all of them, and while the list was read
+    /// within `within_ms` there: it is then read there again.
+    pub fn rows_for_parent(&self, now: Millis, within_ms: Millis) -> Vec<UpstreamRow> {
         let state = self.state.borrow();
-        let stated = state.upstreams.announced.map(|(end, _)| end);
-        match stated.filter(|end| state.upstreams.next > Some(*end)) {
-            Some(end) => state.rows_from(end),
+        let unread = state
+            .upstreams
+            .announced
+            .filter(|(_, read_at)| now >= *read_at + within_ms);
+        match unread.filter(|(end, _)| state.upstreams.next > Some(*end)) {
+            Some((end, _)) => state.rows_from(end),
             None => Vec::new(),
         }
     }
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -382,7 +382,9 @@
         event_gaps,
         desired_version: active_version(host),
         upstreams_from: host.replication.next_position(),
-        upstream_rows: host.replication.rows_for_parent(),
+        upstream_rows: host
+            .replication
+            .rows_for_parent(host.now(), host.settings().bounds.drain_ms),
         through,
         usage: limits::report(host),
         lines: limit_queue::report(host),
--- a/src/entry/tests/exchanging_hosts.rs
+++ b/src/entry/tests/exchanging_hosts.rs
@@ -234,6 +234,15 @@
         self.hosts[number].replace_members(self.members());
     }
 
+    /// Lets the store turn these hosts away while the orderer among them keeps the lease, whichever
+    /// hosts it asks to renew it.
+    pub fn turn_away_but_renew(&self, numbers: &[usize]) {
+        for number in numbers {
+            self.hosts[*number].store.appends_leases.set(true);
+        }
+        self.turn_away(numbers);
+    }
+
     /// Removes a host from the lists of all hosts, as when its membership has lapsed.
     pub fn drop_from_lists(&self, number: usize) {
         let lapsed = &self.hosts[number].me;
--- a/src/entry/tests/fake_platform.rs
+++ b/src/entry/tests/fake_platform.rs
@@ -29,6 +29,8 @@
     pub era: Cell<Era>,
     /// Whether every call is refused.
     pub is_down: Cell<bool>,
+    /// Whether leases are appended although every other call is refused, as through another host.
+    pub appends_leases: Cell<bool>,
     /// The offset of the oldest upstream record that is not trimmed.
     pub kept_from: Cell<u64>,
     /// The most rows in a page of a whole table; zero for no limit.
@@ -351,7 +353,9 @@
         end: Position,
         record: &[u8],
     ) -> Result<AppendOutcome, StoreError> {
-        self.0.check()?;
+        if !self.0.appends_leases.get() {
+            self.0.check()?;
+        }
         let mut leases = self.0.leases.borrow_mut();
         let present = self.0.position(leases.len());
         if end.offset != present.offset {
--- a/src/entry/tests/replication.rs
+++ b/src/entry/tests/replication.rs
@@ -319,3 +319,44 @@
     let next = host.next(Millis(1_030), Table::Upstreams, WITHIN_MS);
     assert!(matches!(next, NextStep::Apply(rows, end) if rows.len() == 3_000 && end == at(3_000)));
 }
+
+/// Returns a host that read up to row 8 and was told that the list ends before row 5.
+fn host_ahead_of_its_orderer() -> ReplicationState {
+    let host = orderer(Millis(9_950), 4, 8);
+    let stated = orderer(Millis(9_900), 0, 5).update_for(Millis(10_000), host.next_position());
+    host.apply_update(Millis(9_990), stated);
+    host
+}
+
+/// Guards against hosts that all send their rows to an orderer which reads the same rows itself.
+#[test]
+fn rows_are_reported_once_the_orderer_has_not_read_the_list_for_some_time() {
+    let host = host_ahead_of_its_orderer();
+    assert_eq!(host.rows_for_parent(Millis(11_000), WITHIN_MS), []);
+    let reported = host.rows_for_parent(Millis(11_500), WITHIN_MS);
+    let positions: Vec<Position> = reported.iter().map(|row| row.position).collect();
+    assert_eq!(positions, [at(5), at(6), at(7)]);
+}
+
+/// Guards against lost rows, rows that are applied again, and a copy that counts as fresh although
+/// nobody knows when the report was sent.
+#[test]
+fn reported_rows_are_taken_once_where_they_continue_the_copy() {
+    let host = host_ahead_of_its_orderer();
+    let reported = || host.rows_for_parent(Millis(11_500), WITHIN_MS);
+    let refused = orderer(Millis(9_900), 0, 5);
+    refused.note_reported(reported());
+    assert_eq!(refused.take_reported(), Some((rows(5..8), at(8))));
+    assert_eq!(refused.take_reported(), None);
+    let age_ms = |host: &ReplicationState| {
+        let end = host.end(Millis(11_600), Table::Upstreams);
+        end.map(|end| end.age_ms)
+    };
+    refused.note_partial_read(Table::Upstreams, at(8));
+    assert_eq!(age_ms(&refused), Some(Millis(1_700)));
+    refused.note_reported(reported());
+    assert_eq!(refused.take_reported(), None);
+    let behind = orderer(Millis(9_900), 0, 4);
+    behind.note_reported(reported());
+    assert_eq!(behind.take_reported(), None);
+}
