--- a/src/entry/tests/exchanging_hosts.rs
+++ b/src/entry/tests/exchanging_hosts.rs
@@ -162,16 +162,22 @@
 
     /// Lets a host become the orderer, and the others know it.
     pub async fn make_orderer(&self, number: usize) {
+        self.claim_lease(number).await;
+        let one = &self.hosts[number];
+        for other in self.hosts.iter().filter(|other| other.me != one.me) {
+            let mut orders = other.host.orders.borrow_mut();
+            orders.note_named_orderer(one.me.clone());
+        }
+    }
+
+    /// Lets a host become the orderer once the lease is free.
+    pub async fn claim_lease(&self, number: usize) {
         let one = &self.hosts[number];
         let handoffs = Rc::new(Handoffs::new(one.peers.clone(), one.me.clone()));
         let (host, peers) = (one.host.clone(), one.peers.clone());
         let manage = lease_manager::manage_lease(host, peers, one.me.clone(), handoffs);
         self.executor.spawn(manage).detach();
         until(|| one.host.is_orderer()).await;
-        for other in self.hosts.iter().filter(|other| other.me != one.me) {
-            let mut orders = other.host.orders.borrow_mut();
-            orders.note_named_orderer(one.me.clone());
-        }
     }
 
     /// Publishes a desired state in the stores of all hosts.
--- a/src/entry/tests/list_exchange.rs
+++ b/src/entry/tests/list_exchange.rs
@@ -31,3 +31,15 @@
         expect_changes_everywhere(&site).await;
     });
 }
+
+/// Guards against refused hosts that get no changes any more, because they do not learn which host
+/// holds the lease after that of a refused orderer ended.
+#[test]
+fn refused_hosts_get_the_list_of_the_next_orderer() {
+    on_exchanging_hosts(&[500, 500, 500, 120], Vec::new(), |site| async move {
+        site.start_with_orderer(0).await;
+        site.turn_away(&[0, 1, 2]);
+        site.claim_lease(3).await;
+        expect_changes_everywhere(&site).await;
+    });
+}
