Test of the bytes of a call: count them where no packet was sent again

The test is wrong: on a busy machine packets of the handshake are sent again, which the model that it checks does not count.

Now each of five new connections is counted, and the least of them compared; what a call needs it needs on each of them.

--- a/src/entry/tests/places.rs
+++ b/src/entry/tests/places.rs
@@ -87,6 +87,9 @@
     });
 }
 
+/// On how many new connections calls are counted.
+const CONNECTIONS: usize = 5;
+
 // Guards against a model that counts fewer bytes than calls need.
 #[test]
 fn a_call_takes_no_more_bytes_than_the_model_of_messages_counts() {
@@ -106,7 +109,13 @@
             Timer::after(Millis(100).to_duration()).await;
             asking.peers.transferred_bytes() - before
         };
-        let (first, second) = (bytes().await, bytes().await);
+        // A busy machine delays packets so that some are sent again, which the model does not count.
+        let (mut first, mut second) = (u64::MAX, u64::MAX);
+        for _ in 0..CONNECTIONS {
+            asking.peers.close_connections();
+            first = first.min(bytes().await);
+            second = second.min(bytes().await);
+        }
         println!("{first} bytes with a handshake, {second} without");
         assert!(first <= FIRST_CALL_BYTES && second <= CALL_BYTES);
     });
