--- a/review/standin/spoiled_event.rs
+++ b/review/standin/spoiled_event.rs
@@ -52,11 +52,27 @@
 struct Server {
     name: String,
     is_faulty: bool,
+    /// Whether events end within characters; then a faulty answer only breaks off.
+    is_text: bool,
     random: Mutex<Random>,
 }
 
-fn event(id: u64) -> Vec<u8> {
-    format!("id: {id}\ndata: piece {id} of the review\n\n").into_bytes()
+/// The text of a review whose characters have three bytes each, from the ninth event on.
+const TEXT: &str = "研修医の症例報告は評価の基準を満たしており署名に進むことができると判断する";
+/// How many bytes of it an event holds: an event ends where its tokens end, also within a character.
+const TEXT_BYTES: usize = 5;
+
+fn event(id: u64, is_text: bool) -> Vec<u8> {
+    let mut event = format!("id: {id}\ndata: ").into_bytes();
+    match is_text && id > 2 * AT_ONCE {
+        true => {
+            let from = (id - 2 * AT_ONCE - 1) as usize * TEXT_BYTES;
+            event.extend(TEXT.bytes().cycle().skip(from).take(TEXT_BYTES));
+        }
+        false => event.extend_from_slice(format!("piece {id} of the review").as_bytes()),
+    }
+    event.extend_from_slice(b"\n\n");
+    event
 }
 
 fn chunk(bytes: &[u8]) -> Vec<u8> {
@@ -96,13 +112,15 @@
         while next <= EVENTS {
             thread::sleep(STEP);
             let last = (next + AT_ONCE - 1).min(EVENTS);
-            let mut bytes: Vec<u8> = (next..last).flat_map(event).collect();
+            let mut bytes: Vec<u8> = (next..last).flat_map(|id| event(id, server.is_text)).collect();
             let ends_here = is_spoiled && last == 3 * AT_ONCE;
-            let mut tail = event(last);
+            let mut tail = event(last, server.is_text);
             if ends_here {
                 // Wrong bytes within the event: 0xff is in no text.
                 let at = tail.len() - 6;
-                tail[at] = 0xff;
+                if !server.is_text {
+                    tail[at] = 0xff;
+                }
                 tail.extend_from_slice(format!("id: {}\nda", last + 1).as_bytes());
             }
             bytes.extend_from_slice(&tail);
@@ -171,6 +189,7 @@
     let arguments: Vec<String> = std::env::args().collect();
     let (root, folder, out) = (PathBuf::from(&arguments[1]), PathBuf::from(&arguments[2]), PathBuf::from(&arguments[3]));
     let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let is_text = std::env::var("VARIANT").is_ok_and(|text| text == "text");
     let seed: u64 = std::env::var("SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
     let began = Instant::now();
     let record = Arc::new(Record::default());
@@ -181,6 +200,7 @@
         let server = Arc::new(Server {
             name: name.clone(),
             is_faulty: has_trouble && index == 0,
+            is_text,
             random: Mutex::new(Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)),
         });
         let record = record.clone();
