--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -381,6 +381,7 @@
     pub caller: SocketAddr,
     pub ready: SocketAddr,
     pub peer: SocketAddr,
+    pub directory: SocketAddr,
     pub settings: PathBuf,
 }
 
@@ -411,7 +412,22 @@
             .expect("the entry host starts");
         let _ = fs::write(folder.join(format!("{name}.pid")), child.id().to_string());
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        Self { child, caller: address(ports[0]), ready: address(ports[2]), peer: address(ports[3]), settings }
+        Self { child, caller: address(ports[0]), ready: address(ports[2]), peer: address(ports[3]), directory: address(ports[1]), settings }
+    }
+
+    /// Starts the process again with the same settings, as the platform does after it ended.
+    pub fn start_again(&mut self, root: &Path, folder: &Path, name: &str) {
+        let log = fs::OpenOptions::new().append(true).open(folder.join(format!("{name}.log"))).expect("a log file");
+        let errors = log.try_clone().expect("a second handle");
+        self.child = Command::new(root.join("target/release/mangovale-entry"))
+            .current_dir(root)
+            .env("MANGOVALE_CONFIG", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .expect("the entry host starts");
+        let _ = fs::write(folder.join(format!("{name}.pid")), self.child.id().to_string());
     }
 
     /// Waits until the platform's readiness probe is answered with 200.
