Send no request twice on a connection: a late copy of its rejection was taken for its answer

Cause: a request that every upstream rejected waits and becomes eligible for the same upstreams again. The pool gave it the very connection on which the upstream had rejected it. A request keeps the id that its caller gave it, so a second copy of the rejection, which the upstream sends late, has the id of the second send. The host took it for the answer: "not run", and the upstream ran the request.

The same cause: another request with the same id on a kept connection; and an answer without an id, which counted as the request's own on any connection.

Now a connection remembers the requests that it has carried (256 at most, then it is closed) and is not given to a request whose id is among them. An answer without an id counts only where a single request was sent on the connection, and that connection is not kept. With it, the id in an answer names one send on its connection, so a copy can never be taken for another send's answer, whoever sends: a caller's request, the same one after a wait, a hand-over that comes back, a resumption.

The three tests fail before (200 expected, 503 or the first answer given) and pass now.

--- a/src/entry/active_request.rs
+++ b/src/entry/active_request.rs
@@ -73,6 +73,11 @@
 }
 
 impl ActiveRequest {
+    /// Returns the id that upstreams repeat in their answers; empty if the request has none.
+    pub fn id(&self) -> &str {
+        self.facts.id.as_deref().unwrap_or_default()
+    }
+
     /// Returns the name of the organisation that sent the request, if it sent a key of one.
     pub fn organisation(&self) -> Option<&Name> {
         self.identity
--- a/src/entry/sending/exchange.rs
+++ b/src/entry/sending/exchange.rs
@@ -46,6 +46,7 @@
     in_flight: &mut InFlight,
 ) -> Result<Exchanged, ReadError> {
     let bytes = request_bytes(request, &headers);
+    connection.carried.note(request.id());
     write_request(connection, &bytes).await?;
     let head = read_matching_head(host, request, upstream, connection).await?;
     let note_first_byte = || {
@@ -176,8 +177,15 @@
         if (100..200).contains(&head.status) {
             continue;
         }
-        let is_own = facts.request_id.is_none() || facts.request_id == request.facts.id;
+        // An upstream repeats the id of a request, and may repeat an answer.
+        let is_own = match &facts.request_id {
+            Some(_) => facts.request_id == request.facts.id,
+            None => connection.carried.is_single(),
+        };
         if is_own {
+            if facts.request_id.is_none() {
+                connection.ends_after_answer = true;
+            }
             return Ok(head);
         }
         connection.ends_after_answer = true;
--- a/src/entry/sending/pool.rs
+++ b/src/entry/sending/pool.rs
@@ -5,6 +5,7 @@
 use crate::http1::client::connect;
 use crate::prelude::*;
 use futures_lite::future::poll_once;
+use rapidhash::v3::rapidhash_v3;
 use smol::net::TcpStream;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -18,11 +19,45 @@
 /// Most idle connections that are kept to each upstream.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
+/// Most requests that one connection carries, so that the record of their ids stays small.
+const MAX_CARRIED: usize = 256;
+
+/// The requests that a connection has carried. An id tells the answers of a connection apart only as
+/// long as the connection carries no two sends with the same id: a request is sent again with the id
+/// that its caller gave it, and an upstream may repeat an answer at any time.
+#[derive(Debug, Default)]
+pub struct CarriedRequests {
+    id_hashes: Vec<u64>,
+}
+
+impl CarriedRequests {
+    /// Records that a request with this id is sent.
+    pub fn note(&mut self, id: &str) {
+        self.id_hashes.push(rapidhash_v3(id.as_bytes()));
+    }
+
+    /// Tells whether a request with this id was sent.
+    pub fn contains(&self, id: &str) -> bool {
+        self.id_hashes.contains(&rapidhash_v3(id.as_bytes()))
+    }
+
+    /// Tells whether a single request was sent, so that no answer can be meant for another one.
+    pub fn is_single(&self) -> bool {
+        self.id_hashes.len() == 1
+    }
+
+    fn is_full(&self) -> bool {
+        self.id_hashes.len() >= MAX_CARRIED
+    }
+}
+
 /// A connection to an upstream.
 #[derive(Debug)]
 pub struct UpstreamConnection {
     /// Reads and writes HTTP/1.1 messages.
     pub io: Connection<TcpStream>,
+    /// The requests that were sent on it.
+    pub carried: CarriedRequests,
     /// Whether an earlier request used it.
     pub is_reused: bool,
     /// Whether it must not be reused, because a request on it is incomplete or further answers may
@@ -35,6 +70,7 @@
 #[derive(Debug)]
 struct Idle {
     io: Connection<TcpStream>,
+    carried: CarriedRequests,
     opened_at: Millis,
     since: Millis,
     until: Millis,
@@ -47,16 +83,18 @@
 }
 
 impl Pool {
-    /// Takes an open connection that has been idle for no longer than `max_idle_ms`, if there is
-    /// one. Expired and closed connections that are met on the way are discarded.
+    /// Takes an open connection that has been idle for no longer than `max_idle_ms` and has carried no
+    /// request with the id `request_id`, if there is one. Expired and closed connections that are met
+    /// on the way are discarded.
     pub async fn take(
         &self,
         now: Millis,
         id: &str,
+        request_id: &str,
         max_idle_ms: Millis,
     ) -> Option<UpstreamConnection> {
         loop {
-            let mut idle = self.pop(id)?;
+            let mut idle = self.pop(id, request_id)?;
             let is_fresh = now < idle.until && now.since(idle.since) <= max_idle_ms;
             // Bytes that arrive while no request is under way belong to no answer, and an end means
             // that the upstream closed: the connection is discarded in both cases.
@@ -64,6 +102,7 @@
             if is_quiet {
                 return Some(UpstreamConnection {
                     io: idle.io,
+                    carried: idle.carried,
                     is_reused: true,
                     ends_after_answer: false,
                     opened_at: idle.opened_at,
@@ -84,6 +123,7 @@
     ) -> std::io::Result<UpstreamConnection> {
         Ok(UpstreamConnection {
             io: connect(address).await?,
+            carried: CarriedRequests::default(),
             is_reused: false,
             ends_after_answer: false,
             opened_at: clock.now(),
@@ -99,7 +139,7 @@
         connection: UpstreamConnection,
         keep_ms: Option<Millis>,
     ) {
-        if connection.io.has_buffered_bytes() {
+        if connection.io.has_buffered_bytes() || connection.carried.is_full() {
             return;
         }
         let keep_ms = keep_ms.map_or(DEFAULT_IDLE_TIMEOUT_MS, |keep_ms| keep_ms - CLOSE_MARGIN_MS);
@@ -108,6 +148,7 @@
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(Idle {
                 io: connection.io,
+                carried: connection.carried,
                 opened_at: connection.opened_at,
                 since: now,
                 until: now + keep_ms,
@@ -129,7 +170,11 @@
         pool.retain(|_, idle| !idle.is_empty());
     }
 
-    fn pop(&self, id: &str) -> Option<Idle> {
-        self.idle.borrow_mut().get_mut(id)?.pop()
+    fn pop(&self, id: &str, request_id: &str) -> Option<Idle> {
+        let mut pool = self.idle.borrow_mut();
+        let idle = pool.get_mut(id)?;
+        let may_carry = |idle: &Idle| !idle.carried.contains(request_id);
+        let newest = idle.iter().rposition(may_carry)?;
+        Some(idle.remove(newest))
     }
 }
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -381,7 +381,8 @@
         Repeat::Once => MAX_IDLE_ONCE_MS,
         Repeat::Idempotent | Repeat::Resumable => MAX_IDLE_REPEATABLE_MS,
     };
-    if let Some(idle) = host.pool.take(now, &upstream.id, max_idle_ms).await {
+    let idle = host.pool.take(now, &upstream.id, request.id(), max_idle_ms);
+    if let Some(idle) = idle.await {
         return Some(idle);
     }
     let address = host.upstreams.borrow().get(&upstream.id)?.address();
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -22,6 +22,7 @@
 mod members_exchange;
 mod notices;
 mod organisations;
+mod own_answers;
 mod peers;
 mod places;
 mod rejections;
--- a/src/entry/tests/fake_upstream.rs
+++ b/src/entry/tests/fake_upstream.rs
@@ -5,7 +5,6 @@
 use crate::http1::{BodyReader, Connection, RequestHead};
 use crate::prelude::*;
 use event_listener::Event;
-use futures_lite::AsyncWriteExt;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
@@ -21,6 +20,9 @@
 pub enum Step {
     /// Writes bytes; `{id}` stands for the request's id.
     Write(&'static str),
+    /// Writes once more what was written in answer to the previous request of the connection; nothing
+    /// on a new one.
+    RepeatPrevious,
     /// Waits until the test sets the flag.
     Wait(Rc<Cell<bool>>),
     /// Closes the connection.
@@ -135,6 +137,7 @@
             clock,
         } = self;
         let mut connection = Connection::new(stream);
+        let mut previous = Vec::new();
         while let Ok(Some(head)) = connection.read_request_head(16 << 10).await {
             let mut reader = BodyReader::new(head.framing);
             let mut body = Vec::new();
@@ -146,12 +149,18 @@
             let nth = arrivals.borrow().len().min(scripts.len() - 1);
             let at = clock.now();
             arrivals.borrow_mut().push(Arrival { head, body, at });
+            let mut written = Vec::new();
             for step in &scripts[nth] {
                 match step {
                     Step::Write(text) => {
                         let text = text.replace("{id}", &id);
-                        let mut writer = connection.stream().clone();
-                        if writer.write_all(text.as_bytes()).await.is_err() {
+                        if connection.write(text.as_bytes()).await.is_err() {
+                            return;
+                        }
+                        written.extend_from_slice(text.as_bytes());
+                    }
+                    Step::RepeatPrevious => {
+                        if connection.write(&previous).await.is_err() {
                             return;
                         }
                     }
@@ -183,6 +192,7 @@
                     }
                 }
             }
+            previous = written;
         }
     }
 }
