Take from answers to earlier requests only that the upstream leaves

What callers saw: after a late copy of an old rejection with a request for rest, an upstream that serves got no request for as long as the copy asked, and with all upstreams so, callers were refused with 503.

Cause: the host recorded rest, load and limits before it looked whether the answer was the request's own. A copy of an answer states what held when it was first sent.

Now only the own answer is recorded; that an upstream leaves is still taken from any answer, since a lifetime that leaves does not come back, and an answer that belongs to no request may be the first to say so.

Evidence: the test fails before (503 "every upstream that could serve the request has asked for rest") and passes.

--- a/src/entry/sending/exchange.rs
+++ b/src/entry/sending/exchange.rs
@@ -4,13 +4,13 @@
 use crate::entry::host::Host;
 use crate::entry::notices;
 use crate::entry::paths;
-use crate::entry::platform::Platform;
+use crate::entry::platform::{AnswerFacts, Platform};
 use crate::entry::sending::in_flight::InFlight;
 use crate::entry::sending::pool::UpstreamConnection;
 use crate::http1::client::MAX_HEAD_BYTES;
 use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
 use crate::routing::roles::is_long;
-use crate::upstreams::Lifetime;
+use crate::upstreams::{Lifetime, Notice};
 use futures_lite::{AsyncRead, AsyncWrite};
 
 /// Answers up to this length are read completely before the caller gets their first byte, so that
@@ -146,9 +146,9 @@
     }
 }
 
-/// Reads answers until the head of the one that carries this request's id. Late or extra answers to
-/// earlier requests on the connection are read and discarded. What any of them states about the
-/// upstream is recorded.
+/// Reads answers until the head of the one that carries this request's id, and records what it states
+/// about the upstream. Late or extra answers to earlier requests on the connection are read and
+/// discarded. What they state may be out of date, unless it is that the upstream leaves.
 async fn read_matching_head<P: Platform>(
     host: &Host<P>,
     request: &ActiveRequest,
@@ -161,22 +161,12 @@
             .io
             .read_response_head(MAX_HEAD_BYTES, is_head_request)
             .await?;
-        let facts = host.platform.read_answer(&head, &upstream.id);
         paths::note_answered(host);
         host.upstreams.borrow_mut().note_heard(host.now(), upstream);
-        host.upstreams.borrow_mut().note_rejection_limit(
-            host.now(),
-            upstream,
-            facts.max_rejections_per_s,
-        );
-        if let Some(load) = facts.load {
-            let mut upstreams = host.upstreams.borrow_mut();
-            upstreams.note_stated_load(host.now(), upstream, load);
-        }
-        notices::note_answer(host, upstream, facts.notice);
         if (100..200).contains(&head.status) {
             continue;
         }
+        let facts = host.platform.read_answer(&head, &upstream.id);
         // An upstream repeats the id of a request, and may repeat an answer.
         let is_own = match &facts.request_id {
             Some(_) => facts.request_id == request.facts.id,
@@ -186,11 +176,30 @@
             if facts.request_id.is_none() {
                 connection.ends_after_answer = true;
             }
+            note_statements(host, upstream, &facts);
             return Ok(head);
         }
         connection.ends_after_answer = true;
+        let lasting = Notice {
+            rest_ms: None,
+            ..facts.notice
+        };
+        notices::note_answer(host, upstream, lasting);
         let mut reader = BodyReader::new(head.framing);
         while reader.next(&mut connection.io).await?.is_some() {}
     }
     Err(ReadError::Malformed)
 }
+
+/// Records what an answer states about its upstream.
+fn note_statements<P: Platform>(host: &Host<P>, upstream: &Lifetime, facts: &AnswerFacts) {
+    let now = host.now();
+    {
+        let mut upstreams = host.upstreams.borrow_mut();
+        upstreams.note_rejection_limit(now, upstream, facts.max_rejections_per_s);
+        if let Some(load) = facts.load {
+            upstreams.note_stated_load(now, upstream, load);
+        }
+    }
+    notices::note_answer(host, upstream, facts.notice);
+}
--- a/src/entry/tests/own_answers.rs
+++ b/src/entry/tests/own_answers.rs
@@ -3,7 +3,6 @@
 use super::fake_upstream::Step::{RepeatPrevious, Write};
 use super::site::{on_site, route};
 use crate::desired::Repeat;
-use crate::prelude::*;
 
 const REQUEST: &str =
     "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\nContent-Length: 3\r\n\r\nabc";
@@ -51,3 +50,18 @@
         assert_eq!(upstream.arrivals.borrow().len(), 2);
     });
 }
+
+// Guards against acting on a statement that is out of date: an old copy of a rejection asks for rest.
+#[test]
+fn an_answer_to_an_earlier_request_does_not_ask_for_rest() {
+    on_site(|site| async move {
+        site.apply_route(route(Repeat::Once)).await;
+        let old = "HTTP/1.1 503 Busy\r\nId: i0\r\nNot-Run: 1\r\nRest-Ms: 60000\r\nRunning: 4\r\nMax-Rejections: 1\r\nContent-Length: 0\r\n\r\n";
+        let scripts = vec![vec![Write(WHOLE)], vec![Write(old), Write(WHOLE)]];
+        site.start_upstream("u1", scripts).await;
+        for id in ["i1", "i2", "i3"] {
+            let answer = site.call(&REQUEST.replace("i1", id)).await;
+            assert_eq!((answer.head.status, &*answer.body), (200, "ok"), "{id}");
+        }
+    });
+}
