Go on writing a request while answers to earlier ones arrive

Read, not shown by a run: writing a request stopped at the first bytes that came from the upstream, also where they were a late answer to an earlier request or an interim answer. A request that did not fit into the socket's buffers would have stayed half written, and its caller without an answer until the deadline. A test with a body of 4 MiB and a copy that arrives before the body is read passed on the code before, too: the buffers took the whole body.

Now the request is written while answers are read, and writing stops only at the head of its own answer; as before, such a connection is not used again.

--- a/src/entry/sending/exchange.rs
+++ b/src/entry/sending/exchange.rs
@@ -11,7 +11,9 @@
 use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
 use crate::routing::roles::is_long;
 use crate::upstreams::{Lifetime, Notice};
-use futures_lite::{AsyncRead, AsyncWrite};
+use futures_lite::future::pending;
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use std::cell::Cell;
 
 /// Answers up to this length are read completely before the caller gets their first byte, so that
 /// one that breaks off can be replaced by another attempt.
@@ -47,8 +49,7 @@
 ) -> Result<Exchanged, ReadError> {
     let bytes = request_bytes(request, &headers);
     connection.carried.note(request.id());
-    write_request(connection, &bytes).await?;
-    let head = read_matching_head(host, request, upstream, connection).await?;
+    let head = write_and_read_head(host, request, upstream, connection, &bytes).await?;
     let note_first_byte = || {
         in_flight.note_first_byte();
         if is_long(request.facts.prompt_tokens) {
@@ -121,29 +122,33 @@
     bytes
 }
 
-/// Writes a request. If the upstream answers before it has read the whole request, writing stops
-/// and the connection is not reused, because the rest of the body is missing on it.
-async fn write_request(connection: &mut UpstreamConnection, bytes: &[u8]) -> Result<(), ReadError> {
+/// Writes a request and reads the head of its answer. If the answer comes before the whole request was
+/// written, writing stops and the connection is not reused, because the rest of the body is missing on
+/// it. Answers to other requests do not stop it.
+async fn write_and_read_head<P: Platform>(
+    host: &Host<P>,
+    request: &ActiveRequest,
+    upstream: &Lifetime,
+    connection: &mut UpstreamConnection,
+    bytes: &[u8],
+) -> Result<ResponseHead, ReadError> {
     let mut writer = connection.io.stream().clone();
+    let is_written = Cell::new(false);
     let write = async {
-        let written = futures_lite::AsyncWriteExt::write_all(&mut writer, bytes).await;
-        written.map(|()| true)
-    };
-    let listen = async {
-        match connection.io.read_more().await {
-            Ok(()) => Ok(false),
-            Err(ReadError::Broken { source }) => Err(source),
-            Err(_) => Err(std::io::ErrorKind::ConnectionReset.into()),
+        match writer.write_all(bytes).await {
+            Ok(()) => {
+                is_written.set(true);
+                pending().await
+            }
+            Err(source) => Err(ReadError::Broken { source }),
         }
     };
-    match futures_lite::future::or(write, listen).await {
-        Ok(true) => Ok(()),
-        Ok(false) => {
-            connection.ends_after_answer = true;
-            Ok(())
-        }
-        Err(source) => Err(ReadError::Broken { source }),
+    let read = read_matching_head(host, request, upstream, connection);
+    let head = futures_lite::future::or(write, read).await?;
+    if !is_written.get() {
+        connection.ends_after_answer = true;
     }
+    Ok(head)
 }
 
 /// Reads answers until the head of the one that carries this request's id, and records what it states
