Tell the answers to orders and report reads apart: an extra answer shifted every later one

What callers saw: nothing at once. The orderer read an engine's extra answer as that to its next call: an order's 202 as a report ("EOF while parsing"), a report's 200 as an order that already holds, and each later answer of the connection belonged to the call before.

Cause: the client of these calls matched no id, and took an idle connection without looking whether bytes wait on it. An interim answer ended a call as well.

Now each call has an id of its own, in the header whose value servers repeat. An answer with another id is skipped (64 KiB at most, four answers); one without an id counts only on a connection that has carried no other call, and that connection is not kept, so an engine that repeats no ids is called on new connections.

--- a/src/entry/sending/pool.rs
+++ b/src/entry/sending/pool.rs
@@ -4,7 +4,6 @@
 use crate::http1::Connection;
 use crate::http1::client::connect;
 use crate::prelude::*;
-use futures_lite::future::poll_once;
 use rapidhash::v3::rapidhash_v3;
 use smol::net::TcpStream;
 use std::cell::RefCell;
@@ -98,7 +97,7 @@
             let is_fresh = now < idle.until && now.since(idle.since) <= max_idle_ms;
             // Bytes that arrive while no request is under way belong to no answer, and an end means
             // that the upstream closed: the connection is discarded in both cases.
-            let is_quiet = is_fresh && poll_once(idle.io.read_more()).await.is_none();
+            let is_quiet = is_fresh && idle.io.is_quiet().await;
             if is_quiet {
                 return Some(UpstreamConnection {
                     io: idle.io,
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -1,7 +1,7 @@
 //! A client for calls to other HTTP services, with complete requests, complete answers and a pool
 //! of idle connections; also the TCP options and the time-outs of all connections.
 
-use crate::http1::{BodyReader, Connection, Headers, ReadError};
+use crate::http1::{BodyReader, Connection, Headers, ReadError, ResponseHead};
 use crate::prelude::*;
 use smol::Timer;
 use smol::net::TcpStream;
@@ -12,8 +12,13 @@
 
 /// Longest head of an answer.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Longest body of an answer to a call; pages of the log have up to 2 MiB.
+/// Longest body of an answer to a call unless the client is given another bound; pages of the log have
+/// up to 2 MiB.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Longest body of an answer to another call that is read to reach the answer to this one.
+const MAX_FOREIGN_BODY_BYTES: usize = 64 << 10;
+/// Most answers that are skipped before the answer to a call: interim ones and those to other calls.
+const MAX_SKIPPED_ANSWERS: u32 = 4;
 /// Most idle connections to one address; usually no more than three calls run at the same time.
 const MAX_IDLE: usize = 4;
 /// Time for which sent data may be unacknowledged before the kernel closes a connection. A peer
@@ -50,9 +55,12 @@
         /// The error from reading the head or the body.
         source: ReadError,
     },
-    /// The body of the answer is longer than 16 MiB.
+    /// The body of the answer is longer than the client allows.
     #[snafu(display("the answer is longer than allowed"))]
     TooLong,
+    /// Too many answers, or too long ones, came that belong to no call or to another one.
+    #[snafu(display("answers to other calls came instead"))]
+    NotOwn,
     /// The answer was not complete within the time-out of the call.
     #[snafu(display("no answer in time"))]
     TimedOut,
@@ -86,18 +94,47 @@
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
+    /// The header with the id of a call, where answers repeat it.
+    id_header: Option<&'static str>,
+    max_body_bytes: usize,
     idle: RefCell<Vec<Connection<TcpStream>>>,
 }
 
+/// A connection, and whether it has carried an earlier call.
+struct Taken {
+    connection: Connection<TcpStream>,
+    is_reused: bool,
+}
+
 impl Client {
     /// Creates a client without connections.
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            id_header: None,
+            max_body_bytes: MAX_BODY_BYTES,
             idle: RefCell::default(),
         }
     }
 
+    /// Sends an id of its own with each call in this header. An answer with another id is skipped. One
+    /// without an id counts only on a connection that has carried no other call, and that connection
+    /// is not used again.
+    pub fn with_ids(self, header: &'static str) -> Self {
+        Self {
+            id_header: Some(header),
+            ..self
+        }
+    }
+
+    /// Sets the longest body of an answer.
+    pub fn with_max_body_bytes(self, max_body_bytes: usize) -> Self {
+        Self {
+            max_body_bytes,
+            ..self
+        }
+    }
+
     /// Returns the address that is called.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -115,31 +152,20 @@
     }
 
     async fn exchange(&self, call: &Call<'_>) -> Result<CallAnswer, CallError> {
-        let pooled = self.idle.borrow_mut().pop();
-        let mut connection = match pooled {
-            Some(connection) => connection,
-            None => connect(self.address)
-                .await
-                .map_err(|source| CallError::Connect { source })?,
-        };
-        connection
-            .write(&self.request_bytes(call))
+        let mut taken = self.take_or_connect().await?;
+        let id = self
+            .id_header
+            .map(|_| format!("{:016x}", fastrand::u64(..)));
+        taken
+            .connection
+            .write(&self.request_bytes(call, id.as_deref()))
             .await
             .map_err(|source| CallError::Send { source })?;
-        let read = |source| CallError::Read { source };
-        let head = connection
-            .read_response_head(MAX_HEAD_BYTES, false)
-            .await
-            .map_err(read)?;
-        let mut reader = BodyReader::new(head.framing);
-        let mut body = Vec::new();
-        while let Some(piece) = reader.next(&mut connection).await.map_err(read)? {
-            body.extend_from_slice(&piece);
-            if body.len() > MAX_BODY_BYTES {
-                return Err(CallError::TooLong);
-            }
+        let OwnHead { head, may_be_kept } = self.read_own_head(&mut taken, id.as_deref()).await?;
+        let body = read_body(&head, &mut taken.connection, self.max_body_bytes).await?;
+        if may_be_kept {
+            self.return_to_pool(taken.connection);
         }
-        self.return_to_pool(connection, head.keep_alive);
         Ok(CallAnswer {
             status: head.status,
             headers: head.headers,
@@ -147,9 +173,69 @@
         })
     }
 
-    fn request_bytes(&self, call: &Call<'_>) -> Vec<u8> {
+    /// Takes an idle connection, or opens one. An idle one on which bytes wait, or that has ended, is
+    /// discarded: the bytes belong to no answer.
+    async fn take_or_connect(&self) -> Result<Taken, CallError> {
+        loop {
+            let pooled = self.idle.borrow_mut().pop();
+            let Some(mut connection) = pooled else {
+                let opened = connect(self.address).await;
+                return Ok(Taken {
+                    connection: opened.map_err(|source| CallError::Connect { source })?,
+                    is_reused: false,
+                });
+            };
+            if connection.is_quiet().await {
+                return Ok(Taken {
+                    connection,
+                    is_reused: true,
+                });
+            }
+        }
+    }
+
+    /// Reads answers until the head of the one to the call with this id.
+    async fn read_own_head(
+        &self,
+        taken: &mut Taken,
+        id: Option<&str>,
+    ) -> Result<OwnHead, CallError> {
+        let mut has_skipped = false;
+        for _ in 0..MAX_SKIPPED_ANSWERS {
+            let connection = &mut taken.connection;
+            let head = connection.read_response_head(MAX_HEAD_BYTES, false).await;
+            let head = head.map_err(|source| CallError::Read { source })?;
+            if (100..200).contains(&head.status) {
+                continue;
+            }
+            let stated = self.id_header.and_then(|name| head.headers.text(name));
+            let is_own = match stated {
+                Some(_) => stated == id,
+                None => id.is_none() || !taken.is_reused,
+            };
+            if is_own {
+                let is_told_apart = id.is_none() || stated.is_some();
+                return Ok(OwnHead {
+                    may_be_kept: head.keep_alive && is_told_apart && !has_skipped,
+                    head,
+                });
+            }
+            has_skipped = true;
+            let skipped = read_body(&head, connection, MAX_FOREIGN_BODY_BYTES).await;
+            skipped.map_err(|error| match error {
+                CallError::TooLong => CallError::NotOwn,
+                other => other,
+            })?;
+        }
+        Err(CallError::NotOwn)
+    }
+
+    fn request_bytes(&self, call: &Call<'_>, id: Option<&str>) -> Vec<u8> {
         let Call { method, target, .. } = call;
         let mut head = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
+        if let (Some(name), Some(id)) = (self.id_header, id) {
+            head.push_str(&format!("{name}: {id}\r\n"));
+        }
         for (name, value) in &call.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -159,14 +245,38 @@
         bytes
     }
 
-    fn return_to_pool(&self, connection: Connection<TcpStream>, keep_alive: bool) {
+    fn return_to_pool(&self, connection: Connection<TcpStream>) {
         let mut idle = self.idle.borrow_mut();
-        if keep_alive && !connection.has_buffered_bytes() && idle.len() < MAX_IDLE {
+        if !connection.has_buffered_bytes() && idle.len() < MAX_IDLE {
             idle.push(connection);
         }
     }
 }
 
+/// The head of the answer to a call.
+struct OwnHead {
+    head: ResponseHead,
+    /// Whether the connection may carry another call after the answer.
+    may_be_kept: bool,
+}
+
+async fn read_body(
+    head: &ResponseHead,
+    connection: &mut Connection<TcpStream>,
+    max_bytes: usize,
+) -> Result<Vec<u8>, CallError> {
+    let mut reader = BodyReader::new(head.framing);
+    let mut body = Vec::new();
+    let read = |source| CallError::Read { source };
+    while let Some(piece) = reader.next(connection).await.map_err(read)? {
+        body.extend_from_slice(&piece);
+        if body.len() > max_bytes {
+            return Err(CallError::TooLong);
+        }
+    }
+    Ok(body)
+}
+
 /// Opens a TCP connection with the options of [`set_socket_options`].
 ///
 /// # Errors
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -1,6 +1,7 @@
 //! A connection with a buffer of bytes that were read from it and not consumed yet.
 
 use crate::http1::head::{HeadError, RequestHead, ResponseHead};
+use futures_lite::future::poll_once;
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use snafu::Snafu;
 use std::future::poll_fn;
@@ -175,6 +176,12 @@
         .await
     }
 
+    /// Tells whether nothing waits to be read: neither bytes, which would belong to no answer, nor the
+    /// end of the stream.
+    pub async fn is_quiet(&mut self) -> bool {
+        self.buffer.is_empty() && poll_once(self.read_more()).await.is_none()
+    }
+
     /// Returns the number of bytes that were read and are not consumed yet.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.len()
