mangovaled: call other systems on new connections, so that no answer is that to the call before

What callers saw: shown at orders only. On a kept connection a further answer to the call before was taken for the answer to the next one: a running order counted as done. The same connections carried the first attempt of repeatable requests: a plain service's answer of another request would have been passed on, and a rejection taken for the request's own.

Cause: the client library takes a kept connection without looking at what waits on it, and neither the orders nor plain services' answers or rejections carry an id.

Now each call of mangovaled to an upstream, an engine, the log and the stores opens a connection, as attempts that must not be repeated did before; the choice between kept and new ones is gone, with the table of clients.

Evidence: edge::tests fails before (order 2 "Done" instead of "Running") and passes. The price in connections was not measured.

--- a/src/attempt/message.rs
+++ b/src/attempt/message.rs
@@ -71,16 +71,6 @@
     pub prefix_hashes: Vec<u64>,
 }
 
-/// Which connection to the upstream an attempt uses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ConnectionChoice {
-    /// An idle connection from the pool, or a new one if there is none.
-    Kept,
-    /// A new connection, because an idle one may have failed without notice.
-    New,
-}
-
 /// An attempt to have one upstream run a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Attempt {
@@ -92,8 +82,6 @@
     pub upstream: Arc<str>,
     /// The address of the upstream.
     pub address: SocketAddr,
-    /// Whether the attempt may use an idle connection.
-    pub connection: ConnectionChoice,
     /// The latest time at which the attempt may start. If that time has passed, the host was paused
     /// since it chose the upstream, and the attempt must not start.
     pub begin_by: Millis,
--- a/src/daemon/dispatch_flow.rs
+++ b/src/daemon/dispatch_flow.rs
@@ -1,6 +1,6 @@
 //! Dispatch of waiting requests to upstreams: which request is sent next, and to which upstream.
 
-use crate::attempt::message::{Attempt, ConnectionChoice, Repeatable, RequestId};
+use crate::attempt::message::{Attempt, Repeatable, RequestId};
 use crate::attempt::requests::{MAX_FAILURES, Phase, TrackedRequest};
 use crate::daemon::node::Node;
 use crate::daemon::request_flow::RETRY_AFTER_MS;
@@ -165,11 +165,6 @@
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
-        let retried = request.attempts > 0;
-        let connection = match request.head.repeatable {
-            Repeatable::Yes if !retried => ConnectionChoice::Kept,
-            Repeatable::Yes | Repeatable::No => ConnectionChoice::New,
-        };
         request.attempts += 1;
         request.answer_began_at = None;
         let upstream = chosen.name.clone();
@@ -179,7 +174,6 @@
             number: request.attempts,
             upstream: chosen.name.clone(),
             address: chosen.address,
-            connection,
             begin_by: now + MAX_BEGIN_DELAY_MS,
             deadline_at: request.deadline_at,
             first_byte_ms,
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -9,7 +9,6 @@
 use crate::daemon::event::Event;
 use crate::daemon::metrics::Metrics;
 use crate::edge::answer::{error_body, json_answer, refuse, upstream_answer};
-use crate::edge::connections::UpstreamConnections;
 use crate::edge::event_loop_handle::{EventLoopHandle, Instruction, OpenRequest};
 use crate::edge::pipe::{ChunkWriter, pipe};
 use crate::edge::request_reader::{
@@ -23,6 +22,7 @@
 use serde_json::json;
 use std::time::Duration;
 use trillium::{Body, Conn, Method};
+use trillium_client::Client;
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const ENTRY_PATH: &str = "/v1/entry";
@@ -37,8 +37,8 @@
     pub event_loop: Arc<EventLoopHandle>,
     /// The clock of the process.
     pub clock: Clock,
-    /// The connections to upstreams.
-    pub connections: Arc<UpstreamConnections>,
+    /// The client of upstreams.
+    pub client: Client,
     /// The incarnation of this process, which begins every request id.
     pub incarnation: Incarnation,
     /// The limits on requests and answers, from the settings.
@@ -212,7 +212,7 @@
             let call = UpstreamCall {
                 attempt,
                 outgoing: outgoing.clone(),
-                connections: self.connections.clone(),
+                client: self.client.clone(),
                 event_loop: self.event_loop.clone(),
                 clock: self.clock,
             };
--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -105,14 +105,11 @@
     smol::future::or(async { Some(future.await) }, timeout).await
 }
 
-/// Creates a client that keeps connections alive for reuse.
+/// Creates a client that opens a new connection for each call. On a connection that carried an earlier
+/// call, a further answer to that one could not be told from the answer to the next, and the library
+/// cannot detect that the other end no longer responds.
 pub fn client() -> Client {
-    Client::new(BoundedConnector(ClientConfig::new().with_nodelay(true)))
-}
-
-/// Creates a client that opens a new connection for each call.
-pub fn new_connection_client() -> Client {
-    client().without_keepalive()
+    Client::new(BoundedConnector(ClientConfig::new().with_nodelay(true))).without_keepalive()
 }
 
 /// Converts a client error, by whether bytes of the request may have been sent.
@@ -174,7 +171,6 @@
         .read_string()
         .await
         .map_err(|error| classify_error(&error))?;
-    conn.recycle().await;
     Ok(JsonAnswer {
         status,
         body: serde_json::from_str(&text).ok(),
--- a/src/edge/log_service.rs
+++ b/src/edge/log_service.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's append-only log, over HTTP.
 
-use crate::edge::http::{CallError, JsonAnswer, call_json, client, new_connection_client};
+use crate::edge::http::{CallError, JsonAnswer, call_json, client};
 use crate::edge::{BoxFuture, LogService};
 use crate::prelude::*;
 use crate::shared_log::codec::encode;
@@ -17,9 +17,6 @@
 #[derive(Debug)]
 pub struct HttpLog {
     client: Client,
-    /// For appends: on a kept-alive connection that the log closed, their outcome would be unknown.
-    /// Also for the second try of a read.
-    no_reuse_client: Client,
     records_url: String,
 }
 
@@ -44,7 +41,6 @@
         let base = log_url.trim_end_matches('/');
         Self {
             client: client(),
-            no_reuse_client: new_connection_client(),
             records_url: format!("{base}/streams/{stream}/records"),
         }
     }
@@ -56,9 +52,8 @@
         );
         let timeout = wait_ms.to_duration() + READ_TIMEOUT;
         let answer = match get_page(&self.client, &url, timeout).await {
-            // Reads again once: a lost answer or a closed connection does not mean that the log
-            // cannot be reached.
-            Err(CallError::Broken { .. }) => get_page(&self.no_reuse_client, &url, timeout).await,
+            // Reads again once: a lost answer does not mean that the log cannot be reached.
+            Err(CallError::Broken { .. }) => get_page(&self.client, &url, timeout).await,
             other => other,
         };
         let answer = answer.map_err(|_| LogCallError::Refused)?;
@@ -76,14 +71,8 @@
         let records = encoded.map_err(|_| LogCallError::Refused)?;
         let body = AppendBody { records };
         let url = &self.records_url;
-        let answer: Result<JsonAnswer<AppendAnswer>, CallError> = call_json(
-            &self.no_reuse_client,
-            Method::Post,
-            url,
-            Some(&body),
-            APPEND_TIMEOUT,
-        )
-        .await;
+        let answer: Result<JsonAnswer<AppendAnswer>, CallError> =
+            call_json(&self.client, Method::Post, url, Some(&body), APPEND_TIMEOUT).await;
         match answer {
             Ok(answer) if answer.status == 200 => Ok(()),
             Ok(answer) if (400..500).contains(&answer.status) => Err(LogCallError::Refused),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -6,7 +6,6 @@
 
 pub mod answer;
 pub mod caller;
-pub mod connections;
 pub mod digest;
 pub mod engine;
 pub mod event_loop_handle;
@@ -23,6 +22,9 @@
 pub mod stream;
 pub mod upstream;
 
+#[cfg(test)]
+mod tests;
+
 use crate::membership::message::{HostEntry, PlatformList};
 use crate::placement::message::{EngineOrder, EngineReport, OrderAnswer, StoreReport};
 use crate::prelude::*;
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -146,10 +146,7 @@
     let silence_timeout = call.attempt.first_byte_ms.to_duration();
     match with_timeout(silence_timeout.min(time_to_deadline), body.read(buffer)).await {
         None if time_to_deadline <= silence_timeout => Err(RelayEnd::DeadlinePassed),
-        None => {
-            call.connections.drop_keep_alive(call.attempt.address);
-            Err(RelayEnd::Failed("the upstream went silent".into()))
-        }
+        None => Err(RelayEnd::Failed("the upstream went silent".into())),
         Some(Err(error)) => Err(RelayEnd::Failed(error.to_string())),
         Some(Ok(count)) => Ok(count),
     }
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -1,10 +1,9 @@
 //! Sends one attempt of a request to an upstream over HTTP.
 
-use crate::attempt::message::{Attempt, AttemptOutcome, ConnectionChoice, Repeatable, TargetKind};
+use crate::attempt::message::{Attempt, AttemptOutcome, Repeatable, TargetKind};
 use crate::attempt::stream_validator::is_complete_own_answer;
 use crate::clock::Clock;
 use crate::daemon::event::Event;
-use crate::edge::connections::UpstreamConnections;
 use crate::edge::event_loop_handle::EventLoopHandle;
 use crate::edge::http::{CallError, classify_error, with_timeout};
 use crate::event_stream::BodyKind;
@@ -12,7 +11,7 @@
 use crate::prelude::*;
 use crate::upstreams::Notice;
 use std::time::Duration;
-use trillium_client::{Conn, Headers, KnownHeaderName, Method, ResponseBody};
+use trillium_client::{Client, Conn, Headers, KnownHeaderName, Method, ResponseBody};
 
 /// The answer header by which an upstream says that it ran nothing of the request.
 pub const RUN_HEADER: &str = "x-mangovale-run";
@@ -94,8 +93,8 @@
     pub attempt: Attempt,
     /// The request that it sends.
     pub outgoing: OutgoingRequest,
-    /// The connections to upstreams.
-    pub connections: Arc<UpstreamConnections>,
+    /// The client of upstreams.
+    pub client: Client,
     /// The event loop, which learns what answers state.
     pub event_loop: Arc<EventLoopHandle>,
     /// The clock by which deadlines are measured.
@@ -124,11 +123,10 @@
             let why = "this host was paused before the attempt";
             return Err(AttemptOutcome::NotRun(why.into()));
         }
-        self.send(self.attempt.connection, None).await
+        self.send(None).await
     }
 
-    /// Asks the upstream, over a new connection, to send an interrupted answer from event `from`
-    /// on.
+    /// Asks the upstream to send an interrupted answer from event `from` on.
     ///
     /// # Errors
     ///
@@ -136,7 +134,7 @@
     pub async fn resume(&self, from: u32) -> Result<AnswerStart, AttemptOutcome> {
         let attempt_id = self.attempt_id();
         let resume = ResumePoint { attempt_id, from };
-        let started = self.send(ConnectionChoice::New, Some(resume)).await?;
+        let started = self.send(Some(resume)).await?;
         if started.status == 200 && started.is_event_stream() {
             return Ok(started);
         }
@@ -144,18 +142,13 @@
         Err(AttemptOutcome::Unknown(why))
     }
 
-    async fn send(
-        &self,
-        connection: ConnectionChoice,
-        resume: Option<ResumePoint>,
-    ) -> Result<AnswerStart, AttemptOutcome> {
+    async fn send(&self, resume: Option<ResumePoint>) -> Result<AnswerStart, AttemptOutcome> {
         let sent_at = self.clock.now();
         let first_byte_timeout = self.attempt.first_byte_ms.to_duration();
         let timeout = first_byte_timeout.min(self.time_to_deadline());
-        let conn = self.build_request(connection, resume);
+        let conn = self.build_request(resume);
         match with_timeout(timeout, conn.into_future()).await {
             None => {
-                self.connections.drop_keep_alive(self.attempt.address);
                 let upstream = &self.attempt.upstream;
                 let why = format!(
                     "{upstream} sent no answer within {} ms",
@@ -184,11 +177,11 @@
         self.event_loop.send(stated).await;
     }
 
-    fn build_request(&self, connection: ConnectionChoice, resume: Option<ResumePoint>) -> Conn {
+    fn build_request(&self, resume: Option<ResumePoint>) -> Conn {
         let outgoing = &self.outgoing;
         let url = format!("http://{}{}", self.attempt.address, outgoing.path);
-        let client = self.connections.client(self.attempt.address, connection);
-        let mut conn = client
+        let mut conn = self
+            .client
             .build_conn(outgoing.method, url)
             .with_request_header("content-type", outgoing.content_type.to_string());
         conn = match resume {
@@ -270,7 +263,7 @@
         }
         let address = self.attempt.address;
         let url = format!("http://{address}/cancel/{}", self.attempt_id());
-        let client = self.connections.client(address, ConnectionChoice::New);
+        let client = self.client.clone();
         smol::spawn(async move {
             let conn = client.build_conn(Method::Post, url);
             with_timeout(CANCEL_TIMEOUT, conn.into_future()).await;
