Confirm a list of the group only by the newest known one: the next orderer never read the group again

Cause: a host reports changes of the list that its parent lacks while the orderer cannot read the store; it goes by the generation that the parent last stated. Once it holds the lease it has no parent, but went on to report, several times a second, what the former holder lacked: to itself. Applied, the update changes nothing, but made the list count as confirmed just now, and the holder reads only a list that was confirmed 500 ms ago or earlier.

Now the orderer reports no changes of the list to itself. And nothing confirms a list while the store has stated a newer generation to this host: neither an update that changes nothing, nor one of a host that is behind as well.

--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -119,7 +119,11 @@
         is_listed,
     } = renewal.joined;
     let now = host.now();
-    host.members.borrow_mut().note_contact(now);
+    {
+        let mut members = host.members.borrow_mut();
+        members.note_contact(now);
+        members.note_store_generation(generation);
+    }
     let refused_unlisted_peer = host.has_unknown_peer.take();
     if generation == host.members.borrow().generation() {
         renewal.behind_since = None;
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -395,9 +395,10 @@
 }
 
 /// Returns the changes of the member list that the orderer or the relay lacks while the orderer cannot
-/// read the list. Otherwise it reads them soon, and hosts that start need not all send them.
+/// read the list. Otherwise it reads them soon, and hosts that start need not all send them. The orderer
+/// itself has none: an update of its own would confirm its list.
 fn members_for_parent<P: Platform>(host: &Host<P>) -> Option<MembersUpdate> {
-    orderer_cannot_read(host, host.now())
+    (!host.is_orderer() && orderer_cannot_read(host, host.now()))
         .then(|| host.members.borrow().update_for_parent())
         .flatten()
 }
--- a/src/group/members.rs
+++ b/src/group/members.rs
@@ -57,6 +57,8 @@
     list: IndexSet<Member>,
     changes: VecDeque<MembersChange>,
     confirmed_at: Option<Millis>,
+    /// The generation of the list on the store, as last stated to this host.
+    store_generation: Generation,
     /// Since when a list is known.
     known_since: Option<Millis>,
     /// Whether the last update failed verification, so that the full list is needed.
@@ -137,7 +139,17 @@
         }
     }
 
-    /// Returns when the list was last read, updated or confirmed as current.
+    /// Records the generation of the list on the store. Nothing confirms an older list from now on.
+    pub fn note_store_generation(&mut self, generation: Generation) {
+        self.store_generation = generation;
+    }
+
+    /// Returns the generation of the list on the store, as last stated to this host.
+    pub fn store_generation(&self) -> Generation {
+        self.store_generation
+    }
+
+    /// Returns when the list was last read, updated or confirmed while none newer was known.
     pub fn confirmed_at(&self) -> Option<Millis> {
         self.confirmed_at
     }
@@ -236,7 +248,7 @@
             self.needs_full_list = true;
             return None;
         }
-        self.confirmed_at = Some(now);
+        self.note_confirmed(now);
         Some(MembersChange {
             from: self.generation,
             to: self.generation,
@@ -244,13 +256,20 @@
         })
     }
 
+    /// Records that the list is current, unless the store has a newer one.
+    fn note_confirmed(&mut self, now: Millis) {
+        if self.generation >= self.store_generation || self.confirmed_at.is_none() {
+            self.confirmed_at = Some(now);
+        }
+    }
+
     fn record_change(&mut self, now: Millis, change: MembersChange) {
         self.needs_full_list = false;
-        self.confirmed_at = Some(now);
         self.known_since.get_or_insert(now);
         self.addresses = self.list.iter().map(|host| host.caller_address).collect();
         self.departed.note(now, &change);
         self.generation = change.to;
+        self.note_confirmed(now);
         if change.is_empty() && change.from == change.to {
             return;
         }
--- a/src/group/tests/members.rs
+++ b/src/group/tests/members.rs
@@ -2,6 +2,7 @@
 //! updates are lost, late or overtaken by the receiver's own reads.
 
 use crate::group::members::MembersUpdate;
+use crate::group::read_policy::MIN_READ_INTERVAL_MS;
 use crate::group::{Generation, Member, Members};
 use crate::prelude::*;
 use crate::test_support::{generation, member, run_seeded};
@@ -254,3 +255,65 @@
     assert!(host.apply(now, outdated.expect("a full list")).is_none());
     assert_eq!(host.count(), 2);
 }
+
+/// Guards against a list that looks fresh although the store is known to have a newer one, so that the
+/// orderer never reads it again.
+#[test]
+fn no_update_confirms_a_list_while_the_store_is_known_to_have_a_newer_one() {
+    const STEP_MS: u64 = 100;
+    let read = run_seeded(200, |u| {
+        let mut group = Group::default();
+        (0..4).for_each(|_| group.join());
+        let mut hosts = vec![Members::default(); 4];
+        let mut noted = vec![(group.generation, Millis(1)); 4];
+        for host in &mut hosts {
+            group.read(Millis(1), host);
+        }
+        let (mut orderer, mut reads) = (0, 0);
+        for step in 0..300 {
+            let now = Millis(STEP_MS * (step + 1));
+            let from = u.choose_index(hosts.len())?;
+            let to = u.choose_index(hosts.len())?;
+            match u.int_in_range(0..=11u8)? {
+                0 => group.join(),
+                1 if group.list.len() > 1 => group.leave(u.arbitrary()?),
+                // The lease moves, and the next orderer knows what the one before stated.
+                2 => orderer = to,
+                3..=5 => {
+                    let update = hosts[from].update_since(hosts[to].update_base_generation());
+                    update.and_then(|update| hosts[to].apply(now, update));
+                }
+                // An update for an orderer with an older list comes late or to another host, perhaps
+                // to its sender.
+                6..=8 => {
+                    let older = u.int_in_range(1..=group.generation.number)?;
+                    hosts[from].note_parent(generation(older));
+                    let update = hosts[from].update_for_parent();
+                    update.and_then(|update| hosts[to].apply(now, update));
+                }
+                _ => {
+                    let host = &mut hosts[to];
+                    host.note_store_generation(group.generation);
+                    if noted[to].0 != group.generation {
+                        noted[to] = (group.generation, now);
+                    }
+                    let is_older = host.generation() != group.generation;
+                    let list_age_ms = host.confirmed_at().map(|at| now.since(at));
+                    let is_due = list_age_ms >= Some(MIN_READ_INTERVAL_MS);
+                    if is_older && to == orderer && is_due {
+                        group.read(now, host);
+                        reads += 1;
+                    }
+                    let is_known_for = now.since(noted[to].1);
+                    let may_wait = is_known_for < MIN_READ_INTERVAL_MS;
+                    assert!(
+                        to != orderer || may_wait || host.generation() == group.generation,
+                        "the orderer does not read a list that changed {is_known_for:?} ms ago"
+                    );
+                }
+            }
+        }
+        Ok(reads)
+    });
+    assert!(read.iter().sum::<u64>() > 200, "{read:?}");
+}
