Read the position of a stream from bytes: one byte that is no text sent it back to an older event

Cause: the position to resume after was read out of all events of one read as text. If a single byte among them was no UTF-8, also where an event ended within a character, none was found, the older one was kept, and the events were passed on all the same.

The position is that after the last complete event. Where no id names that event, because it has data and none, an empty one, or one that is no text, the stream is broken off instead of resumed after an older one. What was scanned is not scanned again, which an event of 1 MiB in small pieces cost before.

Evidence: both tests of the relay fail before (Resume-After is "1" where 2 was sent; the stream without an id was resumed) and pass.

--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -6,7 +6,7 @@
 use crate::edge::http::with_timeout;
 use crate::edge::pipe::{ChunkWriter, ReaderGone};
 use crate::edge::upstream::{AnswerStart, UpstreamCall};
-use crate::event_stream::{MAX_EVENT_BYTES, end_of_events};
+use crate::event_stream::{EventScanner, MAX_EVENT_BYTES};
 use smol::io::AsyncReadExt;
 use std::time::Duration;
 use trillium_client::ResponseBody;
@@ -109,6 +109,7 @@
     let AnswerStart { kind, mut body, .. } = started;
     let mut buffer = vec![0; READ_BUFFER_BYTES];
     let mut unwritten = Vec::new();
+    let mut scanner = EventScanner::default();
     let mut has_events = false;
     loop {
         let count = match read(call, &mut body, &mut buffer).await {
@@ -117,7 +118,8 @@
             Err(end) => return end,
         };
         unwritten.extend_from_slice(&buffer[..count]);
-        if let Some(end) = end_of_events(&unwritten) {
+        if let Some(end) = scanner.scan(&unwritten) {
+            scanner.consume(end);
             let rest = unwritten.split_off(end);
             let events = std::mem::replace(&mut unwritten, rest);
             has_events = true;
--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -19,7 +19,7 @@
 use crate::entry::sending::choice::{choose, out_of_reach};
 use crate::entry::sending::send::{SendOutcome, StartedAnswer};
 use crate::entry::upstream_limits;
-use crate::event_stream::{MAX_EVENT_BYTES, count_events, end_of_events, last_event_id};
+use crate::event_stream::{BYTE_ORDER_MARK, EventScanner, MAX_EVENT_BYTES, StreamPosition};
 use crate::http1::client::with_timeout;
 use crate::http1::{Framing, ReadError};
 use crate::ordering::event_gaps::{EventGaps, GapSample, MAX_HOST_SAMPLES};
@@ -37,7 +37,8 @@
     attempts: &'a mut Attempts,
     /// Bytes that were read and not yet written: an incomplete event after each write.
     buffer: Vec<u8>,
-    last_event_id: Option<String>,
+    /// Finds the events in the buffer, and the position after those that were written.
+    scanner: EventScanner,
     /// The software version that sent the first event, as far as this host knows.
     software_version: Option<StreamVersion>,
     /// Whether the caller was sent the head of the answer.
@@ -75,7 +76,7 @@
             request,
             attempts,
             buffer: Vec::new(),
-            last_event_id: None,
+            scanner: EventScanner::default(),
             software_version: None,
             has_begun: false,
             started_at: host.now(),
@@ -126,6 +127,10 @@
                 Some(next) => {
                     answer = next;
                     self.buffer = std::mem::take(&mut answer.body_start);
+                    if self.buffer.starts_with(BYTE_ORDER_MARK) {
+                        self.buffer.drain(..BYTE_ORDER_MARK.len());
+                    }
+                    self.scanner.go_on();
                 }
                 None => return self.broken(why),
             }
@@ -166,16 +171,15 @@
         log: &mut RequestLog<'_, P>,
         answer: &StartedAnswer,
     ) -> std::io::Result<()> {
-        let Some(end) = end_of_events(&self.buffer) else {
+        let before = self.scanner.events();
+        let Some(end) = self.scanner.scan(&self.buffer) else {
             return Ok(());
         };
         let rest = self.buffer.split_off(end);
         let events = std::mem::replace(&mut self.buffer, rest);
-        if let Some(id) = last_event_id(&events) {
-            self.last_event_id = Some(id);
-        }
+        self.scanner.consume(end);
         self.begin(out, log, answer).await?;
-        let count = count_events(&events);
+        let count = self.scanner.events() - before;
         self.gaps.note(boot_us(), count);
         log.summary.events += count;
         let now = self.host.now();
@@ -282,8 +286,11 @@
         if holding::quarantine(self.host, self.request, self.attempts).is_some() {
             return None;
         }
-        let resumed_before = || self.request.resume_after().map(str::to_string);
-        let after = self.last_event_id.clone().or_else(resumed_before)?;
+        let after = match self.scanner.position() {
+            StreamPosition::Start => self.request.resume_after()?.to_string(),
+            StreamPosition::After(id) => id.clone(),
+            StreamPosition::Unknown => return None,
+        };
         self.attempts.note_may_have_run(from.clone());
         let version = self.needed_version().await;
         let resumed = match &version {
--- a/src/entry/tests/answer_ends.rs
+++ b/src/entry/tests/answer_ends.rs
@@ -1,7 +1,7 @@
 //! Streams that upstreams break off in each framing, and what their callers see of it.
 
 use super::fake_upstream::FakeUpstream;
-use super::fake_upstream::Step::{Close, Reset, Wait, Write};
+use super::fake_upstream::Step::{Close, Reset, Wait, Write, WriteBytes};
 use super::hosts::{Cut, on_hosts};
 use super::site::{Answer, Site, on_site, route};
 use crate::desired::{Repeat, Route};
@@ -171,3 +171,41 @@
         assert_eq!(answer.body, FIRST);
     });
 }
+
+// Guards against resuming a stream after too old an event because the last one held a byte that is no
+// text: the caller gets pieces twice.
+#[test]
+fn a_stream_whose_last_event_is_no_text_goes_on_after_that_event() {
+    on_site(|site| async move {
+        site.apply_route(streams(Repeat::Resumable)).await;
+        let is_second_known = Rc::new(Cell::new(false));
+        let events = b"id: 1\ndata: a\n\nid: 2\ndata: \xff\n\nid: 3\nda";
+        let script = vec![
+            Write("HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\n"),
+            WriteBytes(events),
+            Wait(is_second_known.clone()),
+            Close,
+        ];
+        let broken = site.start_upstream("u1", vec![script]).await;
+        let mut caller = site.connect().await;
+        caller.send(REQUEST).await;
+        site.until(|_| broken.arrivals.borrow().len() == 1).await;
+        let second = site.start_upstream("u2", vec![vec![Write(REST)]]).await;
+        is_second_known.set(true);
+        caller.answer_bytes().await;
+        let arrival = second.arrivals.borrow()[0].clone();
+        assert_eq!(arrival.head.headers.text("Resume-After"), Some("2"));
+    });
+}
+
+// Guards against resuming a stream at a guess after an event that no id names.
+#[test]
+fn a_stream_whose_last_event_has_no_id_is_broken_off() {
+    on_site(|site| async move {
+        let cut =
+            "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\nid: 1\ndata: a\n\ndata: b\n\nid: 3\nda";
+        let (answer, second) = call_while_first_breaks(&site, Repeat::Resumable, cut).await;
+        assert!(!answer.is_whole);
+        assert!(second.arrivals.borrow().is_empty());
+    });
+}
--- a/src/entry/tests/fake_upstream.rs
+++ b/src/entry/tests/fake_upstream.rs
@@ -20,6 +20,8 @@
 pub enum Step {
     /// Writes bytes; `{id}` stands for the request's id.
     Write(&'static str),
+    /// Writes bytes as they are.
+    WriteBytes(&'static [u8]),
     /// Writes once more what was written in answer to the previous request of the connection; nothing
     /// on a new one.
     RepeatPrevious,
@@ -159,6 +161,11 @@
                         }
                         written.extend_from_slice(text.as_bytes());
                     }
+                    Step::WriteBytes(bytes) => {
+                        if connection.write(bytes).await.is_err() {
+                            return;
+                        }
+                    }
                     Step::RepeatPrevious => {
                         if connection.write(&previous).await.is_err() {
                             return;
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -261,9 +261,24 @@
         self.try_answer().await.expect("an answer")
     }
 
+    /// Reads an answer whose body need not be text, and returns its body as far as it came.
+    pub async fn answer_bytes(&mut self) -> Vec<u8> {
+        let head = self.0.read_response_head(64 << 10, false).await;
+        self.read_body(&head.expect("an answer")).await.0
+    }
+
     /// Reads an answer, or returns why there is none.
     pub async fn try_answer(&mut self) -> Result<Answer, ReadError> {
         let head = self.0.read_response_head(64 << 10, false).await?;
+        let (body, is_whole) = self.read_body(&head).await;
+        Ok(Answer {
+            head,
+            body: String::from_utf8(body).expect("text"),
+            is_whole,
+        })
+    }
+
+    async fn read_body(&mut self, head: &ResponseHead) -> (Vec<u8>, bool) {
         let mut reader = BodyReader::new(head.framing);
         let mut body = Vec::new();
         let is_whole = loop {
@@ -273,11 +288,7 @@
                 Err(_) => break false,
             }
         };
-        Ok(Answer {
-            head,
-            body: String::from_utf8(body).expect("text"),
-            is_whole,
-        })
+        (body, is_whole)
     }
 }
 
