Yield while a peer always has data ready, and take small chunks together

Cause: a time-out polls the call first. A socket that always has data ready never let the timer be looked at, nor another task run; each small chunk was an allocation, a move of the whole buffer and a write of its own.

Now a connection yields after four reads in a row that did not have to wait, so every time-out over a read is looked at and other tasks run at least each 32 KiB, on every way that reads HTTP. The buffer is consumed by an offset, and chunks that were read together are passed on together; the end of a body is still reported by itself.

--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -53,7 +53,7 @@
         match error {
             ReadError::Ended => Self::ConnectionClosed,
             ReadError::Broken { .. } => Self::ConnectionBroken,
-            ReadError::Head { .. } | ReadError::Malformed => Self::Malformed,
+            ReadError::Head { .. } | ReadError::Malformed | ReadError::NotOwn => Self::Malformed,
         }
     }
 }
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -1,16 +1,20 @@
 //! A connection with a buffer of bytes that were read from it and not consumed yet.
 
 use crate::http1::head::{HeadError, RequestHead, ResponseHead};
-use futures_lite::future::poll_once;
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use snafu::Snafu;
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::task::{Context, Poll};
 
 /// Most bytes in one read of a socket. A usual answer or event fits into one read, and the hundreds
 /// of connections of a host need little memory.
 const READ_BYTES: usize = 8 << 10;
 
+/// Most reads of a socket in a row that find data ready. Then the task yields, so that a time-out of the
+/// reader is looked at and other tasks get their turn, however fast the peer sends.
+const MAX_READY_READS: u32 = 4;
+
 /// Why a read from a connection failed.
 #[derive(Debug, Snafu)]
 pub enum ReadError {
@@ -32,6 +36,9 @@
     /// A chunk is malformed, or a line of the chunk framing is too long.
     #[snafu(display("a chunk is malformed"))]
     Malformed,
+    /// Bytes came that are no part of the awaited answer, more of them or for longer than is read.
+    #[snafu(display("other bytes came in place of the answer"))]
+    NotOwn,
 }
 
 /// A byte stream in both directions, with a buffer of bytes that were read and not consumed.
@@ -39,6 +46,10 @@
 pub struct Connection<S> {
     stream: S,
     buffer: Vec<u8>,
+    /// The bytes at the beginning of the buffer that were consumed.
+    consumed: usize,
+    /// The reads in a row that found data ready.
+    ready_reads: u32,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Connection<S> {
@@ -47,6 +58,8 @@
         Self {
             stream,
             buffer: Vec::new(),
+            consumed: 0,
+            ready_reads: 0,
         }
     }
 
@@ -58,7 +71,24 @@
     /// Returns whether bytes were read that are not consumed yet. After a complete answer they mean
     /// that the connection must not be reused.
     pub fn has_buffered_bytes(&self) -> bool {
-        !self.buffer.is_empty()
+        !self.buffered().is_empty()
+    }
+
+    fn buffered(&self) -> &[u8] {
+        &self.buffer[self.consumed..]
+    }
+
+    /// Returns the next buffered byte without consuming it.
+    pub fn next_byte(&self) -> Option<u8> {
+        self.buffered().first().copied()
+    }
+
+    fn consume(&mut self, length: usize) {
+        self.consumed += length;
+        if self.consumed == self.buffer.len() {
+            self.buffer.clear();
+            self.consumed = 0;
+        }
     }
 
     /// Reads the head of a request of at most `max_bytes`. Returns `None` if the peer closed the
@@ -72,13 +102,13 @@
         max_bytes: usize,
     ) -> Result<Option<RequestHead>, ReadError> {
         loop {
-            let parsed = RequestHead::parse(&self.buffer, max_bytes);
+            let parsed = RequestHead::parse(self.buffered(), max_bytes);
             if let Some((head, length)) = parsed.map_err(|source| ReadError::Head { source })? {
-                self.buffer.drain(..length);
+                self.consume(length);
                 return Ok(Some(head));
             }
             match self.read_more().await {
-                Err(ReadError::Ended) if self.buffer.is_empty() => return Ok(None),
+                Err(ReadError::Ended) if !self.has_buffered_bytes() => return Ok(None),
                 other => other?,
             }
         }
@@ -96,50 +126,62 @@
         to_head_request: bool,
     ) -> Result<ResponseHead, ReadError> {
         loop {
-            let parsed = ResponseHead::parse(&self.buffer, max_bytes, to_head_request);
+            let parsed = ResponseHead::parse(self.buffered(), max_bytes, to_head_request);
             if let Some((head, length)) = parsed.map_err(|source| ReadError::Head { source })? {
-                self.buffer.drain(..length);
+                self.consume(length);
                 return Ok(head);
             }
             self.read_more().await?;
         }
     }
 
+    /// Consumes at most `most` of the buffered bytes and returns them; nothing if none are buffered.
+    pub fn take_buffered(&mut self, most: u64) -> Option<Vec<u8>> {
+        let buffered = self.buffered().len();
+        let length = usize::try_from(most).map_or(buffered, |most| most.min(buffered));
+        if length == 0 {
+            return None;
+        }
+        if self.consumed == 0 && length == self.buffer.len() {
+            return Some(std::mem::take(&mut self.buffer));
+        }
+        let taken = self.buffered()[..length].to_vec();
+        self.consume(length);
+        Some(taken)
+    }
+
     /// Consumes at least one byte and at most `most` bytes.
     ///
     /// # Errors
     ///
     /// Returns errors of the connection if no byte is buffered and none can be read.
     pub async fn read_some(&mut self, most: u64) -> Result<Vec<u8>, ReadError> {
-        if self.buffer.is_empty() {
+        loop {
+            if let Some(bytes) = self.take_buffered(most) {
+                return Ok(bytes);
+            }
             self.read_more().await?;
         }
-        let take = usize::try_from(most).unwrap_or(usize::MAX);
-        if take >= self.buffer.len() {
-            return Ok(std::mem::take(&mut self.buffer));
-        }
-        let rest = self.buffer.split_off(take);
-        Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
-    /// Consumes a line and returns it without its line break (CR LF).
+    /// Consumes a buffered line and returns it without its line break (CR LF); nothing if no complete
+    /// line is buffered.
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Malformed`] if more than `max_bytes` bytes have no line break, and
-    /// errors of the connection.
-    pub async fn read_line(&mut self, max_bytes: usize) -> Result<Vec<u8>, ReadError> {
-        loop {
-            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
-                let mut line: Vec<u8> = self.buffer.drain(..end + 2).collect();
-                line.truncate(end);
-                return Ok(line);
-            }
-            if self.buffer.len() > max_bytes {
-                return Err(ReadError::Malformed);
-            }
-            self.read_more().await?;
-        }
+    /// Returns [`ReadError::Malformed`] if more than `max_bytes` bytes have no line break.
+    pub fn take_line(&mut self, max_bytes: usize) -> Result<Option<Vec<u8>>, ReadError> {
+        let buffered = self.buffered();
+        let searched = &buffered[..buffered.len().min(max_bytes + 2)];
+        let Some(end) = searched.windows(2).position(|pair| pair == b"\r\n") else {
+            return match buffered.len() > max_bytes {
+                true => Err(ReadError::Malformed),
+                false => Ok(None),
+            };
+        };
+        let line = buffered[..end].to_vec();
+        self.consume(end + 2);
+        Ok(Some(line))
     }
 
     /// Writes all bytes to the stream.
@@ -153,25 +195,25 @@
 
     /// Waits for bytes from the stream and adds them to the buffer. The future can be dropped
     /// without data loss, because bytes enter the buffer in the same poll in which they are read.
-    /// The array of that read is on the stack of the poll, so a waiting task needs no memory for
-    /// it.
+    /// After [`MAX_READY_READS`] reads that did not have to wait it yields once.
     ///
     /// # Errors
     ///
     /// Returns [`ReadError::Ended`] at the end of the stream and [`ReadError::Broken`] if it fails.
     pub async fn read_more(&mut self) -> Result<(), ReadError> {
-        let Self { stream, buffer } = self;
         poll_fn(|context| {
-            let mut piece = [0; READ_BYTES];
-            let read = Pin::new(&mut *stream).poll_read(context, &mut piece);
-            read.map(|read| match read {
-                Ok(0) => Err(ReadError::Ended),
-                Ok(length) => {
-                    buffer.extend_from_slice(&piece[..length]);
-                    Ok(())
-                }
-                Err(source) => Err(ReadError::Broken { source }),
-            })
+            if self.ready_reads >= MAX_READY_READS {
+                self.ready_reads = 0;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            let read = self.poll_read(context);
+            self.ready_reads = if read.is_ready() {
+                self.ready_reads + 1
+            } else {
+                0
+            };
+            read
         })
         .await
     }
@@ -179,11 +221,29 @@
     /// Tells whether nothing waits to be read: neither bytes, which would belong to no answer, nor the
     /// end of the stream.
     pub async fn is_quiet(&mut self) -> bool {
-        self.buffer.is_empty() && poll_once(self.read_more()).await.is_none()
+        let read = poll_fn(|context| Poll::Ready(self.poll_read(context))).await;
+        read.is_pending() && !self.has_buffered_bytes()
+    }
+
+    /// Reads the stream once. The array of the read is on the stack of the poll, so a waiting task needs
+    /// no memory for it.
+    fn poll_read(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ReadError>> {
+        let mut piece = [0; READ_BYTES];
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut piece);
+        read.map(|read| match read {
+            Ok(0) => Err(ReadError::Ended),
+            Ok(length) => {
+                self.buffer.drain(..self.consumed);
+                self.consumed = 0;
+                self.buffer.extend_from_slice(&piece[..length]);
+                Ok(())
+            }
+            Err(source) => Err(ReadError::Broken { source }),
+        })
     }
 
     /// Returns the number of bytes that were read and are not consumed yet.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffer.len()
+        self.buffered().len()
     }
 }
