Bound what is read of an answer to another request

What callers saw: a repeatable request behind an endless answer to another request took 2.5 s in the test, the time-out of its attempt, and megabytes were read.

Now 64 KiB or 250 ms of such a body are read; then the connection ends, and the request goes on elsewhere where it may. What may have run stays so. mangovale_entry_foreign_answers counts the answers that were skipped or cut off.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -22,6 +22,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     sends: Counter<u64>,
+    foreign_answers: Counter<u64>,
     repeats: Counter<u64>,
     repeat_share_hosts: Gauge<u64>,
     store_calls: Counter<u64>,
@@ -66,6 +67,7 @@
         Ok(Self {
             requests: meter.u64_counter("mangovale_entry_requests").build(),
             sends: meter.u64_counter("mangovale_entry_sends").build(),
+            foreign_answers: meter.u64_counter("mangovale_entry_foreign_answers").build(),
             repeats: meter.u64_counter("mangovale_entry_repeats").build(),
             repeat_share_hosts: meter
                 .u64_gauge("mangovale_entry_repeat_share_hosts")
@@ -117,6 +119,11 @@
         self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an answer that came in place of a request's own.
+    pub fn count_foreign_answer(&self) {
+        self.foreign_answers.add(1, &[]);
+    }
+
     /// Counts a repeated send that the retry budget allowed or not. `hosts` is the number of hosts
     /// among which the budget's slack was divided; zero if this host had no share of it.
     pub fn count_repeat(&self, is_allowed: bool, hosts: usize) {
--- a/src/entry/sending/exchange.rs
+++ b/src/entry/sending/exchange.rs
@@ -7,8 +7,9 @@
 use crate::entry::platform::{AnswerFacts, Platform};
 use crate::entry::sending::in_flight::InFlight;
 use crate::entry::sending::pool::UpstreamConnection;
-use crate::http1::client::MAX_HEAD_BYTES;
+use crate::http1::client::{MAX_HEAD_BYTES, with_timeout};
 use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
+use crate::prelude::*;
 use crate::routing::roles::is_long;
 use crate::upstreams::{Lifetime, Notice};
 use futures_lite::future::pending;
@@ -18,6 +19,10 @@
 /// Answers up to this length are read completely before the caller gets their first byte, so that
 /// one that breaks off can be replaced by another attempt.
 const BUFFERED_ANSWER_BYTES: u64 = 64 << 10;
+/// Longest body of an answer to another request that is read to reach this request's own answer, and
+/// the longest time for it.
+const MAX_FOREIGN_BODY_BYTES: usize = 64 << 10;
+const FOREIGN_BODY_TIMEOUT_MS: Millis = Millis(250);
 /// Most answers to other requests that are skipped before this request's own answer; an upstream
 /// sends at most one extra answer to each request.
 const MAX_FOREIGN_ANSWERS: u32 = 4;
@@ -190,10 +195,28 @@
             ..facts.notice
         };
         notices::note_answer(host, upstream, lasting);
-        let mut reader = BodyReader::new(head.framing);
-        while reader.next(&mut connection.io).await?.is_some() {}
+        host.metrics.count_foreign_answer();
+        let skip = skip_body(&head, &mut connection.io);
+        let skipped = with_timeout(FOREIGN_BODY_TIMEOUT_MS, skip).await;
+        skipped.unwrap_or(Err(ReadError::NotOwn))?;
     }
-    Err(ReadError::Malformed)
+    Err(ReadError::NotOwn)
+}
+
+/// Reads the body of an answer to another request to its end.
+async fn skip_body<S: AsyncRead + AsyncWrite + Unpin>(
+    head: &ResponseHead,
+    connection: &mut Connection<S>,
+) -> Result<(), ReadError> {
+    let mut reader = BodyReader::new(head.framing);
+    let mut skipped_bytes = 0;
+    while let Some(piece) = reader.next(connection).await? {
+        skipped_bytes += piece.len();
+        if skipped_bytes > MAX_FOREIGN_BODY_BYTES {
+            return Err(ReadError::NotOwn);
+        }
+    }
+    Ok(())
 }
 
 /// Records what an answer states about its upstream.
