Hold deadlines while an answer never ends

What callers saw: a caller of a stream whose first event never ended was refused 103 ms after its deadline; an endless stream of comments went on for 0.9 s beyond it, in the tests.

Now a caller that has got nothing is refused before its deadline; only an answer that has begun has the grace, and is broken off. An answer that was still coming when its time was over counts as a failure of its upstream, where it is no stream or no event of it had ended. An event has 256 KiB at most instead of 1 MiB, so that hundreds of them at a time fit into a host's memory. mangovaled looks at the deadline before each read.

--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -145,6 +145,10 @@
     buffer: &mut [u8],
 ) -> Result<usize, RelayEnd> {
     let time_to_deadline = call.time_to_deadline();
+    // Data that is always ready would win against a time-out.
+    if time_to_deadline.is_zero() {
+        return Err(RelayEnd::DeadlinePassed);
+    }
     let silence_timeout = call.attempt.first_byte_ms.to_duration();
     match with_timeout(silence_timeout.min(time_to_deadline), body.read(buffer)).await {
         None if time_to_deadline <= silence_timeout => Err(RelayEnd::DeadlinePassed),
--- a/src/entry/answer/event_relay.rs
+++ b/src/entry/answer/event_relay.rs
@@ -6,7 +6,7 @@
 use crate::entry::answer::caller_writer::{BodyFraming, CallerWriter};
 use crate::entry::answer::relay::{GRACE_MS, RelayOutcome, note_first_byte};
 use crate::entry::crashes::holding;
-use crate::entry::forward::try_upstream;
+use crate::entry::forward::{ANSWER_MARGIN_MS, try_upstream};
 use crate::entry::handoff::{HandedOff, Outgoing, hand_off};
 use crate::entry::host::Host;
 use crate::entry::limits;
@@ -110,6 +110,9 @@
                 }
                 Piece::DeadlineReached => {
                     self.note_gaps(&answer);
+                    if !self.has_begun && !self.buffer.is_empty() {
+                        answer.note_endless(self.host);
+                    }
                     return self.broken("the time limit was reached");
                 }
                 Piece::Failed(why) => why,
@@ -141,7 +144,11 @@
     /// memory preempts a stream and continues it seconds later. An upstream that is gone resets the
     /// connection or leaves its keep-alive probes unanswered.
     async fn next_piece(&self, answer: &mut StartedAnswer, log: &mut RequestLog<'_, P>) -> Piece {
-        let ends_at = self.request.deadline_at + GRACE_MS;
+        // A caller that has got nothing is refused in time for its deadline.
+        let ends_at = match self.has_begun {
+            true => self.request.deadline_at + GRACE_MS,
+            false => self.request.deadline_at - ANSWER_MARGIN_MS,
+        };
         let left_ms = ends_at.since(self.host.now());
         let next = with_timeout(left_ms, answer.next_piece()).await;
         let end = match &next {
--- a/src/entry/answer/relay.rs
+++ b/src/entry/answer/relay.rs
@@ -126,7 +126,10 @@
     loop {
         let left_ms = (request.deadline_at + GRACE_MS).since(host.now());
         match with_timeout(left_ms, answer.next_piece()).await {
-            None => return RelayOutcome::Truncated("the time limit was reached"),
+            None => {
+                answer.note_endless(host);
+                return RelayOutcome::Truncated("the time limit was reached");
+            }
             Some(Err(error)) => {
                 log.summary.note_body_end(BodyEnd::of_error(&error), 0);
                 answer.note_broken(host, request).await;
--- a/src/entry/sending/send.rs
+++ b/src/entry/sending/send.rs
@@ -163,6 +163,14 @@
         );
     }
 
+    /// Records in the upstream's health that the answer had not ended when its time was over. If another
+    /// host passed it on, that host records it.
+    pub fn note_endless<P: Platform>(&self, host: &Host<P>) {
+        if self.is_from_upstream() {
+            note_failure(host, &self.upstream, host.now(), false);
+        }
+    }
+
     /// Tells whether an upstream answered this host itself.
     pub fn is_from_upstream(&self) -> bool {
         matches!(self.connection, AnswerConnection::Upstream(_))
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod desired_copy;
 mod desired_exchange;
+mod endless_answers;
 mod engine_refusals;
 mod engine_speed;
 mod engine_wait;
--- a/src/entry/tests/fake_upstream.rs
+++ b/src/entry/tests/fake_upstream.rs
@@ -15,6 +15,11 @@
 /// For how long an upstream that crashes slowly still accepts connections.
 const SLOW_CRASH: Duration = Duration::from_millis(15);
 
+/// The bytes that an endless answer writes at once.
+const ENDLESS_PIECE_BYTES: usize = 16 << 10;
+/// The pause between two pieces of an answer that trickles.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
+
 /// What an upstream does with a request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -22,6 +27,10 @@
     Write(&'static str),
     /// Writes bytes as they are.
     WriteBytes(&'static [u8]),
+    /// Writes text again and again until the connection is closed.
+    WriteEndlessly(&'static str),
+    /// Writes a text with pauses until the connection is closed.
+    Trickle(&'static str),
     /// Writes once more what was written in answer to the previous request of the connection; nothing
     /// on a new one.
     RepeatPrevious,
@@ -59,7 +68,7 @@
     pub address: SocketAddr,
     /// The requests that reached it, in the order of their arrival.
     pub arrivals: Rc<RefCell<Vec<Arrival>>>,
-    /// The number of connections that the host closed during a [`Step::Hang`].
+    /// The number of connections that the host closed during a [`Step::Hang`] or an endless step.
     pub disconnects: Rc<RefCell<usize>>,
     /// Whether a step ended it.
     pub has_crashed: Rc<Cell<bool>>,
@@ -166,6 +175,21 @@
                             return;
                         }
                     }
+                    Step::WriteEndlessly(text) => {
+                        let piece = text.repeat(ENDLESS_PIECE_BYTES.div_ceil(text.len()));
+                        while connection.write(piece.as_bytes()).await.is_ok() {
+                            futures_lite::future::yield_now().await;
+                        }
+                        *disconnects.borrow_mut() += 1;
+                        return;
+                    }
+                    Step::Trickle(text) => {
+                        while connection.write(text.as_bytes()).await.is_ok() {
+                            Timer::after(TRICKLE_PAUSE).await;
+                        }
+                        *disconnects.borrow_mut() += 1;
+                        return;
+                    }
                     Step::RepeatPrevious => {
                         if connection.write(&previous).await.is_err() {
                             return;
--- a/src/entry/tests/site.rs
+++ b/src/entry/tests/site.rs
@@ -267,6 +267,20 @@
         self.read_body(&head.expect("an answer")).await.0
     }
 
+    /// Reads an answer and drops its body; tells whether the body was complete.
+    pub async fn skip_answer(&mut self) -> bool {
+        let head = self.0.read_response_head(64 << 10, false).await;
+        let mut reader = BodyReader::new(head.expect("an answer").framing);
+        loop {
+            match reader.next(&mut self.0).await {
+                // Leaves the host a turn, as another process would.
+                Ok(Some(_)) => futures_lite::future::yield_now().await,
+                Ok(None) => return true,
+                Err(_) => return false,
+            }
+        }
+    }
+
     /// Reads an answer, or returns why there is none.
     pub async fn try_answer(&mut self) -> Result<Answer, ReadError> {
         let head = self.0.read_response_head(64 << 10, false).await?;
--- a/src/event_stream.rs
+++ b/src/event_stream.rs
@@ -3,7 +3,7 @@
 use crate::http1::Framing;
 
 /// The length of the longest event of a stream.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
 /// The length of the longest id of an event from which a stream is resumed.
 const MAX_EVENT_ID_BYTES: usize = 1 << 10;
 /// What may stand before the first line of a stream.
