--- a/src/event_stream/tests.rs
+++ b/src/event_stream/tests.rs
@@ -87,7 +87,7 @@
         if u.arbitrary()? {
             stream.extend_from_slice(BYTE_ORDER_MARK);
         }
-        let line_end: &[u8] = *u.choose(&[&b"\n"[..], b"\r\n", b"\r"])?;
+        let line_end = u.choose(&["\n", "\r\n", "\r"])?.as_bytes();
         for id in 1..=u.int_in_range(1..=12u32)? {
             for _ in 0..u.int_in_range(0..=2u8)? {
                 let is_byte_of_text = |byte: &u8| !matches!(byte, b'\n' | b'\r' | 0);
--- a/src/group/tests/members.rs
+++ b/src/group/tests/members.rs
@@ -264,8 +264,8 @@
     let read = run_seeded(200, |u| {
         let mut group = Group::default();
         (0..4).for_each(|_| group.join());
-        let mut hosts = vec![Members::default(); 4];
-        let mut noted = vec![(group.generation, Millis(1)); 4];
+        let mut hosts = [(); 4].map(|()| Members::default());
+        let mut noted = [(group.generation, Millis(1)); 4];
         for host in &mut hosts {
             group.read(Millis(1), host);
         }
