--- a/src/entry/tests/own_answers.rs
+++ b/src/entry/tests/own_answers.rs
@@ -1,8 +1,9 @@
 //! Whether each answer that a host acts on is the answer to that very send.
 
-use super::fake_upstream::Step::{RepeatPrevious, Write};
+use super::fake_upstream::Step::{self, Close, RepeatPrevious, Write};
 use super::site::{on_site, route};
 use crate::desired::Repeat;
+use crate::test_support::run_seeded;
 
 const REQUEST: &str =
     "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\nContent-Length: 3\r\n\r\nabc";
@@ -65,3 +66,95 @@
         }
     });
 }
+
+/// What an upstream does with a request of the property test.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Runs,
+    Rejects,
+    /// It runs the request, and its answer is cut.
+    RunsAndCuts,
+}
+
+/// Draws the answer to the nth request that reaches the upstream, with what is sent beside it.
+fn draw_script(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+    nth: usize,
+) -> arbtest::arbitrary::Result<(Outcome, Vec<Step>)> {
+    const OTHER: [&str; 3] = [
+        "HTTP/1.1 503 Busy\r\nId: other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: other\r\nSeal: s\r\nContent-Length: 5\r\n\r\nother",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+    ];
+    let mut steps = Vec::new();
+    if u.arbitrary()? {
+        steps.push(RepeatPrevious);
+    }
+    if u.ratio(1, 4)? {
+        steps.push(Write(u.choose(&OTHER)?));
+    }
+    let id = if u.ratio(1, 5)? { "" } else { "Id: {id}\r\n" };
+    let ran = format!("HTTP/1.1 200 OK\r\n{id}Seal: s\r\nContent-Length: 4\r\n\r\nt{nth:03}");
+    let rejected = format!("HTTP/1.1 503 Busy\r\n{id}Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    let outcome = *u.choose(&[Outcome::Runs, Outcome::Rejects, Outcome::RunsAndCuts])?;
+    let answer = match outcome {
+        Outcome::Rejects => rejected,
+        Outcome::Runs | Outcome::RunsAndCuts => ran,
+    };
+    let answer: &'static str = answer.leak();
+    match outcome {
+        Outcome::RunsAndCuts => {
+            steps.push(Write(&answer[..u.int_in_range(0..=answer.len() - 1)?]));
+            steps.push(Close);
+        }
+        Outcome::Runs | Outcome::Rejects => steps.push(Write(answer)),
+    }
+    if u.ratio(1, 4)? {
+        steps.push(Write(u.choose(&OTHER)?));
+    }
+    Ok((outcome, steps))
+}
+
+// Guards against any further way in which an answer is taken for that to another send: whatever is sent
+// beside answers, and wherever they are cut, a caller gets the answer to a send of its own request.
+#[test]
+fn whatever_an_upstream_sends_beside_its_answers_each_caller_gets_that_to_its_own_send() {
+    const CALLS: usize = 8;
+    run_seeded(60, |u| {
+        let draws = (0..4 * CALLS).map(|nth| draw_script(u, nth));
+        let draws: Vec<_> = draws.collect::<Result<_, _>>()?;
+        let ids: Vec<u8> = (0..CALLS)
+            .map(|_| u.int_in_range(0..=3))
+            .collect::<Result<_, _>>()?;
+        on_site(|site| async move {
+            site.apply_route(route(Repeat::Once)).await;
+            let scripts = draws.iter().map(|(_, steps)| steps.clone()).collect();
+            let upstream = site.start_upstream("u1", scripts).await;
+            for id in ids {
+                let before = upstream.arrivals.borrow().len();
+                let request = REQUEST
+                    .replace("i1", &format!("i{id}"))
+                    .replace("5000", "300");
+                let answer = site.call(&request).await;
+                let sends = before..upstream.arrivals.borrow().len();
+                let runs = sends
+                    .clone()
+                    .filter(|nth| draws[*nth].0 != Outcome::Rejects);
+                let runs: Vec<usize> = runs.collect();
+                assert!(runs.len() <= 1, "{runs:?}");
+                match answer.head.status {
+                    200 => {
+                        let own = runs.iter().map(|nth| format!("t{nth:03}"));
+                        assert!(
+                            own.clone().any(|own| own == answer.body),
+                            "{answer:?} {runs:?}"
+                        );
+                    }
+                    503 => assert_eq!(runs, [0; 0], "{answer:?}"),
+                    _ => {}
+                }
+            }
+        });
+        Ok(())
+    });
+}
