Refuse answers whose status is no status, and name the rule that a broken head breaks

Callers got answers with the statuses 000 and 099 as they came, `HTTP/1.1 0 OK`; 600 and 999 too. Repeatable requests were not tried elsewhere.

Cause: ResponseHead::parse took whatever the tokenizer takes, and httparse takes any three digits as a status. RFC 9110, section 15: values outside 100 to 599 are invalid.

The head is refused after the tokenizer, for each reader of answers that parses heads there: answers of upstreams, calls to store and engines, answers of other hosts. The attempt fails as for any other broken answer: perhaps run, one failure in the upstream's health, the connection closed.

HeadError names the broken rule, and the error of an answer quotes the line, escaped, at most 100 bytes of it; the log line of the attempt has both. Heads of requests are not quoted, they may hold credentials.

Evidence: an_answer_with_an_invalid_status_reaches_no_caller failed before (200 of 502 expected, "HTTP/1.1 000 OK"). Rows of malformed field lines (a blank or a control byte in the name, before the colon, in the value, a folded line, no colon) and of ambiguous framings held before; their tests stay.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -194,9 +194,9 @@
     match head {
         Some(Ok(Some(head))) => Some(Ok(head)),
         Some(Ok(None)) => None,
-        Some(Err(error @ ReadError::Head { .. })) => Some(Err(error)),
+        Some(Err(error @ ReadError::RequestHead { .. })) => Some(Err(error)),
         Some(Err(_)) => None,
-        None => Some(Err(ReadError::Malformed)),
+        None => Some(Err(ReadError::Ended)),
     }
 }
 
@@ -306,10 +306,10 @@
 
 fn read_refusal(error: &ReadError) -> Refusal {
     match error {
-        ReadError::Head {
+        ReadError::RequestHead {
             source: HeadError::TooLarge,
         } => Refusal::new(ErrorKind::HeadTooLarge, error.to_string()),
-        ReadError::Head { .. } => Refusal::new(ErrorKind::BadRequest, error.to_string()),
+        ReadError::RequestHead { .. } => Refusal::new(ErrorKind::BadRequest, error.to_string()),
         _ => incomplete(),
     }
 }
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -53,7 +53,10 @@
         match error {
             ReadError::Ended => Self::ConnectionClosed,
             ReadError::Broken { .. } => Self::ConnectionBroken,
-            ReadError::Head { .. } | ReadError::Malformed | ReadError::NotOwn => Self::Malformed,
+            ReadError::RequestHead { .. }
+            | ReadError::AnswerHead { .. }
+            | ReadError::Malformed
+            | ReadError::NotOwn => Self::Malformed,
         }
     }
 }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -3,6 +3,7 @@
 mod answer_ends;
 mod answers;
 mod authority;
+mod broken_answers;
 mod callers;
 mod choice;
 mod crashes;
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -1,6 +1,6 @@
 //! A connection with a buffer of bytes that were read from it and not consumed yet.
 
-use crate::http1::head::{HeadError, RequestHead, ResponseHead};
+use crate::http1::head::{HeadError, RequestHead, ResponseHead, quote_broken_line};
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use snafu::Snafu;
 use std::future::poll_fn;
@@ -27,12 +27,20 @@
         /// The error of the socket.
         source: std::io::Error,
     },
-    /// The head is malformed, too large or has an ambiguous framing.
+    /// The head of a request breaks a rule. It is not quoted, since it may hold credentials.
     #[snafu(display("{source}"))]
-    Head {
-        /// What is wrong with the head.
+    RequestHead {
+        /// The rule.
         source: HeadError,
     },
+    /// The head of an answer breaks a rule.
+    #[snafu(display("{source}: \"{line}\""))]
+    AnswerHead {
+        /// The rule.
+        source: HeadError,
+        /// The line that breaks it, escaped and cut.
+        line: Box<str>,
+    },
     /// A chunk is malformed, or a line of the chunk framing is too long.
     #[snafu(display("a chunk is malformed"))]
     Malformed,
@@ -96,14 +104,15 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Head`] for an invalid head, and errors of the connection.
+    /// Returns [`ReadError::RequestHead`] for an invalid head, and errors of the connection.
     pub async fn read_request_head(
         &mut self,
         max_bytes: usize,
     ) -> Result<Option<RequestHead>, ReadError> {
         loop {
             let parsed = RequestHead::parse(self.buffered(), max_bytes);
-            if let Some((head, length)) = parsed.map_err(|source| ReadError::Head { source })? {
+            let parsed = parsed.map_err(|source| ReadError::RequestHead { source })?;
+            if let Some((head, length)) = parsed {
                 self.consume(length);
                 return Ok(Some(head));
             }
@@ -119,7 +128,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Head`] for an invalid head, and errors of the connection.
+    /// Returns [`ReadError::AnswerHead`] for an invalid head, and errors of the connection.
     pub async fn read_response_head(
         &mut self,
         max_bytes: usize,
@@ -127,7 +136,11 @@
     ) -> Result<ResponseHead, ReadError> {
         loop {
             let parsed = ResponseHead::parse(self.buffered(), max_bytes, to_head_request);
-            if let Some((head, length)) = parsed.map_err(|source| ReadError::Head { source })? {
+            let parsed = parsed.map_err(|source| ReadError::AnswerHead {
+                source,
+                line: quote_broken_line(self.buffered(), source),
+            })?;
+            if let Some((head, length)) = parsed {
                 self.consume(length);
                 return Ok(head);
             }
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -4,18 +4,38 @@
 
 /// Most header lines in one head; a head of 16 KiB rarely has more than 60.
 const MAX_HEADERS: usize = 128;
+/// Most bytes of a broken line that an error quotes.
+const MAX_QUOTED_BYTES: usize = 100;
 
-/// Why a head is refused.
+/// The statuses that RFC 9110, section 15, defines; all others are invalid.
+const VALID_STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
+
+/// The rule of RFC 9110 or RFC 9112 that a head breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum HeadError {
-    /// The head violates the grammar of HTTP/1.1.
-    #[snafu(display("the head is malformed"))]
-    Malformed,
     /// The head has too many bytes or more than 128 header lines.
     #[snafu(display("the head is longer than allowed"))]
     TooLarge,
-    /// The framing of the body is ambiguous: two parsers could disagree about where the request
-    /// ends, which allows request smuggling.
+    /// The first line is no request line or status line (RFC 9112, sections 3 and 4).
+    #[snafu(display("the first line is malformed"))]
+    StartLine,
+    /// The version is neither HTTP/1.0 nor HTTP/1.1.
+    #[snafu(display("the version is neither HTTP/1.0 nor HTTP/1.1"))]
+    Version,
+    /// The status is not between 100 and 599 (RFC 9110, section 15).
+    #[snafu(display("the status is not between 100 and 599"))]
+    Status,
+    /// The name of a field is not a token that a colon follows (RFC 9112, section 5).
+    #[snafu(display("the name of a field is malformed"))]
+    FieldName,
+    /// The value of a field has a control byte (RFC 9110, section 5.5).
+    #[snafu(display("the value of a field has a control byte"))]
+    FieldValue,
+    /// A line does not end with CR LF, or has another CR (RFC 9112, section 2.2).
+    #[snafu(display("a line does not end with CR LF"))]
+    LineEnd,
+    /// The framing of the body is ambiguous: two parsers could disagree about where the message
+    /// ends, which allows request smuggling (RFC 9112, section 6.3).
     #[snafu(display("the body's framing is ambiguous"))]
     AmbiguousFraming,
 }
@@ -234,8 +254,11 @@
             httparse::Status::Partial => return incomplete(bytes, max_bytes),
             httparse::Status::Complete(length) => length,
         };
-        let headers = copy_headers(response.headers);
         let status = response.code.unwrap_or_default();
+        if !VALID_STATUSES.contains(&status) {
+            return Err(HeadError::Status);
+        }
+        let headers = copy_headers(response.headers);
         let head = Self {
             status,
             reason: response.reason.unwrap_or_default().into(),
@@ -247,6 +270,51 @@
     }
 }
 
+/// Returns the line of a head that breaks a rule, escaped, or as much of it as [`MAX_QUOTED_BYTES`]
+/// allows. Without a line that can be told apart it is the first one.
+pub fn quote_broken_line(head: &[u8], broken: HeadError) -> Box<str> {
+    let lines = head.split(|byte| *byte == b'\n');
+    let mut lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let first = lines.next().unwrap_or_default();
+    let line = match broken {
+        HeadError::FieldName | HeadError::FieldValue | HeadError::LineEnd => {
+            lines.find(|line| !is_field_line(line))
+        }
+        HeadError::AmbiguousFraming => lines.find(|line| {
+            let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+            name.eq_ignore_ascii_case(b"content-length")
+                || name.eq_ignore_ascii_case(b"transfer-encoding")
+        }),
+        _ => None,
+    };
+    let line = line.unwrap_or(first);
+    let quoted = &line[..line.len().min(MAX_QUOTED_BYTES)];
+    quoted.escape_ascii().to_string().into()
+}
+
+/// Tells whether a line without its line end is a field line (RFC 9112, section 5).
+fn is_field_line(line: &[u8]) -> bool {
+    match line.iter().position(|byte| *byte == b':') {
+        Some(colon) => {
+            let (name, value) = line.split_at(colon);
+            is_token(name) && value.iter().all(|byte| is_text_byte(*byte))
+        }
+        None => false,
+    }
+}
+
+/// Tells whether bytes are a token (RFC 9110, section 5.6.2).
+fn is_token(bytes: &[u8]) -> bool {
+    let is_token_byte =
+        |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
+    !bytes.is_empty() && bytes.iter().all(is_token_byte)
+}
+
+/// Tells whether a byte may be part of a field's value (RFC 9110, section 5.5).
+fn is_text_byte(byte: u8) -> bool {
+    byte == b'\t' || !byte.is_ascii_control()
+}
+
 fn incomplete<T>(bytes: &[u8], max_bytes: usize) -> Result<Option<T>, HeadError> {
     match bytes.len() > max_bytes {
         true => Err(HeadError::TooLarge),
@@ -257,7 +325,11 @@
 fn head_error(error: httparse::Error) -> HeadError {
     match error {
         httparse::Error::TooManyHeaders => HeadError::TooLarge,
-        _ => HeadError::Malformed,
+        httparse::Error::HeaderName => HeadError::FieldName,
+        httparse::Error::HeaderValue => HeadError::FieldValue,
+        httparse::Error::NewLine => HeadError::LineEnd,
+        httparse::Error::Version => HeadError::Version,
+        httparse::Error::Status | httparse::Error::Token => HeadError::StartLine,
     }
 }
 
@@ -293,7 +365,7 @@
 
 /// Returns the framing that the headers declare. A length together with a transfer coding, two
 /// different lengths, more than one coding line and an unknown coding are refused: parsers that
-/// interpret them differently would see different requests.
+/// interpret them differently would see different messages.
 fn declared_framing(headers: &Headers) -> Result<Option<Framing>, HeadError> {
     let mut codings = headers.values("transfer-encoding");
     let mut lengths = headers.values("content-length");
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -50,7 +50,7 @@
 fn a_space_before_the_colon_and_a_folded_line_are_refused() {
     for line in ["Content-Length : 5\r\n", "X-A: 1\r\n  folded\r\n"] {
         let head = format!("POST /a/ HTTP/1.1\r\nHost: x\r\n{line}\r\n");
-        assert_eq!(parse(&head), Err(HeadError::Malformed), "{line}");
+        assert_eq!(parse(&head), Err(HeadError::FieldName), "{line}");
     }
 }
 
@@ -165,3 +165,36 @@
     );
     assert!(gives_up_ms <= Millis(5_000), "{gives_up_ms:?}");
 }
+
+// Guards against a broken answer that operators cannot tell from the log, and against one that fills it.
+#[test]
+fn the_error_of_an_answer_quotes_the_line_that_breaks_a_rule() {
+    let long = format!(
+        "HTTP/1.1 200 OK\r\nX-A: 1\r\nX\u{1}B: {}\r\n\r\n",
+        "a".repeat(999)
+    );
+    for (answer, text) in [
+        (
+            "HTTP/1.1 000 OK\r\n\r\n",
+            r#"the status is not between 100 and 599: "HTTP/1.1 000 OK""#,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nX-A: 1\r\nX B: 1\r\n\r\n",
+            r#"the name of a field is malformed: "X B: 1""#,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            r#"the body's framing is ambiguous: "Content-Length: -1""#,
+        ),
+        (
+            &long,
+            &format!(
+                r#"the name of a field is malformed: "X\x01B: {}""#,
+                "a".repeat(95)
+            ),
+        ),
+    ] {
+        let read = block_on(connection(answer.as_bytes()).read_response_head(4096, false));
+        assert_eq!(read.expect_err("it breaks a rule").to_string(), text);
+    }
+}
