Refuse an answer that switches the protocol without a request for it

Callers could get bytes that were no answer to them: after a 101 the host went on to read answers of HTTP/1.1, although the upstream had said that another protocol follows. RFC 9110, sections 7.8 and 15.2.2: a server must not switch to a protocol that the request did not name, and hosts forward no Upgrade field.

Cause: 101 was skipped with the interim answers. It is refused where heads are parsed, so for all readers.

Evidence: an_answer_that_switches_the_protocol_unasked_reaches_no_caller failed before (200 "no" where 502 was expected).

--- a/src/entry/tests/broken_answers.rs
+++ b/src/entry/tests/broken_answers.rs
@@ -32,6 +32,11 @@
     "HTTP/1.1 200 OK\r\n X-A: 1\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
 ];
 
+/// A protocol that no request asked for: RFC 9110, sections 7.8 and 15.2.2.
+const SWITCHES: &[&str] = &[
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
+];
+
 /// Framings in which parsers may disagree: RFC 9112, sections 6.1 and 6.3.
 const FRAMINGS: &[&str] = &[
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nno",
@@ -111,6 +116,12 @@
     check_kept_from_callers(FIELD_LINES);
 }
 
+// Guards against bytes of another protocol that are read as an answer.
+#[test]
+fn an_answer_that_switches_the_protocol_unasked_reaches_no_caller() {
+    check_kept_from_callers(SWITCHES);
+}
+
 // Guards against a body that ends elsewhere for the caller than for the host.
 #[test]
 fn an_answer_with_an_ambiguous_framing_reaches_no_caller() {
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -10,6 +10,9 @@
 /// The statuses that RFC 9110, section 15, defines; all others are invalid.
 const VALID_STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 
+/// The status by which a server leaves HTTP/1.1 for a protocol that the request named.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// The rule of RFC 9110 or RFC 9112 that a head breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum HeadError {
@@ -25,6 +28,10 @@
     /// The status is not between 100 and 599 (RFC 9110, section 15).
     #[snafu(display("the status is not between 100 and 599"))]
     Status,
+    /// The status says that the connection leaves HTTP/1.1, which no request asked for (RFC 9110,
+    /// section 7.8).
+    #[snafu(display("the protocol is switched without a request for it"))]
+    UnrequestedSwitch,
     /// The name of a field is not a token that a colon follows (RFC 9112, section 5).
     #[snafu(display("the name of a field is malformed"))]
     FieldName,
@@ -258,6 +265,9 @@
         if !VALID_STATUSES.contains(&status) {
             return Err(HeadError::Status);
         }
+        if status == SWITCHING_PROTOCOLS {
+            return Err(HeadError::UnrequestedSwitch);
+        }
         let headers = copy_headers(response.headers);
         let head = Self {
             status,
