Refuse messages of HTTP/1.0 with a transfer coding

Callers got the bytes of an answer of HTTP/1.0 as a chunked body. RFC 9112, section 6.1: HTTP/1.0 has no transfer codings, and a message of it with one is faulty in its framing. The same held for requests, which were passed on; and a caller of HTTP/1.0 was sent 100 Continue, which it does not know (RFC 9110, section 10.1.1). A connection that says both close and keep-alive closes.

Cause: the framing was taken from the header lines without the version.

Evidence: an_answer_of_http_1_0_with_a_transfer_coding_reaches_no_caller failed before (200 where 502 was expected).

--- a/src/entry/tests/broken_answers.rs
+++ b/src/entry/tests/broken_answers.rs
@@ -37,6 +37,12 @@
     "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
 ];
 
+/// Framings that do not go with the version: RFC 9112, section 6.1.
+const CODED_IN_HTTP_10: &[&str] = &[
+    "HTTP/1.0 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nno",
+];
+
 /// Framings in which parsers may disagree: RFC 9112, sections 6.1 and 6.3.
 const FRAMINGS: &[&str] = &[
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nno",
@@ -122,6 +128,12 @@
     check_kept_from_callers(SWITCHES);
 }
 
+// Guards against chunks of a version that has none.
+#[test]
+fn an_answer_of_http_1_0_with_a_transfer_coding_reaches_no_caller() {
+    check_kept_from_callers(CODED_IN_HTTP_10);
+}
+
 // Guards against a body that ends elsewhere for the caller than for the host.
 #[test]
 fn an_answer_with_an_ambiguous_framing_reaches_no_caller() {
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -45,6 +45,18 @@
     /// ends, which allows request smuggling (RFC 9112, section 6.3).
     #[snafu(display("the body's framing is ambiguous"))]
     AmbiguousFraming,
+    /// A message of HTTP/1.0 has a transfer coding (RFC 9112, section 6.1).
+    #[snafu(display("a message of HTTP/1.0 has a transfer coding"))]
+    CodingInHttp10,
+}
+
+/// The version of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Version {
+    /// HTTP/1.0, which has neither chunks nor interim answers.
+    Http10,
+    /// HTTP/1.1.
+    Http11,
 }
 
 /// How the end of a body is determined.
@@ -190,13 +202,15 @@
             }
             httparse::Status::Complete(length) => length,
         };
+        let version = version(request.version);
         let headers = copy_headers(request.headers);
-        let keep_alive = keeps_alive(request.version, &headers);
+        let keep_alive = keeps_alive(version, &headers);
         let head = Self {
             method: request.method.unwrap_or_default().into(),
             target: request.path.unwrap_or_default().into(),
-            framing: request_framing(&headers)?,
-            expects_continue: headers.has_token("expect", "100-continue"),
+            framing: request_framing(version, &headers)?,
+            expects_continue: version == Version::Http11
+                && headers.has_token("expect", "100-continue"),
             keep_alive,
             headers,
         };
@@ -268,12 +282,13 @@
         if status == SWITCHING_PROTOCOLS {
             return Err(HeadError::UnrequestedSwitch);
         }
+        let version = version(response.version);
         let headers = copy_headers(response.headers);
         let head = Self {
             status,
             reason: response.reason.unwrap_or_default().into(),
-            framing: response_framing(status, &headers, to_head_request)?,
-            keep_alive: keeps_alive(response.version, &headers),
+            framing: response_framing(version, status, &headers, to_head_request)?,
+            keep_alive: keeps_alive(version, &headers),
             headers,
         };
         Ok(Some((head, length)))
@@ -290,7 +305,7 @@
         HeadError::FieldName | HeadError::FieldValue | HeadError::LineEnd => {
             lines.find(|line| !is_field_line(line))
         }
-        HeadError::AmbiguousFraming => lines.find(|line| {
+        HeadError::AmbiguousFraming | HeadError::CodingInHttp10 => lines.find(|line| {
             let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
             name.eq_ignore_ascii_case(b"content-length")
                 || name.eq_ignore_ascii_case(b"transfer-encoding")
@@ -348,21 +363,30 @@
     Headers(lines.iter().map(copy).collect())
 }
 
-fn keeps_alive(version: Option<u8>, headers: &Headers) -> bool {
+fn version(minor: Option<u8>) -> Version {
+    match minor {
+        Some(1) => Version::Http11,
+        _ => Version::Http10,
+    }
+}
+
+fn keeps_alive(version: Version, headers: &Headers) -> bool {
+    let closes = headers.has_token("connection", "close");
     match version {
-        Some(1) => !headers.has_token("connection", "close"),
-        _ => headers.has_token("connection", "keep-alive"),
+        Version::Http11 => !closes,
+        Version::Http10 => !closes && headers.has_token("connection", "keep-alive"),
     }
 }
 
-fn request_framing(headers: &Headers) -> Result<Framing, HeadError> {
-    Ok(match declared_framing(headers)? {
+fn request_framing(version: Version, headers: &Headers) -> Result<Framing, HeadError> {
+    Ok(match declared_framing(version, headers)? {
         Some(Framing::Length(0)) | None => Framing::Empty,
         Some(framing) => framing,
     })
 }
 
 fn response_framing(
+    version: Version,
     status: u16,
     headers: &Headers,
     to_head_request: bool,
@@ -370,13 +394,13 @@
     if to_head_request || status < 200 || status == 204 || status == 304 {
         return Ok(Framing::Empty);
     }
-    Ok(declared_framing(headers)?.unwrap_or(Framing::UntilClose))
+    Ok(declared_framing(version, headers)?.unwrap_or(Framing::UntilClose))
 }
 
 /// Returns the framing that the headers declare. A length together with a transfer coding, two
 /// different lengths, more than one coding line and an unknown coding are refused: parsers that
 /// interpret them differently would see different messages.
-fn declared_framing(headers: &Headers) -> Result<Option<Framing>, HeadError> {
+fn declared_framing(version: Version, headers: &Headers) -> Result<Option<Framing>, HeadError> {
     let mut codings = headers.values("transfer-encoding");
     let mut lengths = headers.values("content-length");
     let length = lengths.next().map(parse_length).transpose()?;
@@ -388,6 +412,9 @@
     let Some(coding) = codings.next() else {
         return Ok(length.map(Framing::Length));
     };
+    if version == Version::Http10 {
+        return Err(HeadError::CodingInHttp10);
+    }
     let chunked = coding.trim_ascii().eq_ignore_ascii_case(b"chunked");
     if !chunked || codings.next().is_some() || length.is_some() {
         return Err(HeadError::AmbiguousFraming);
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -46,6 +46,17 @@
     }
 }
 
+// Guards against a request of HTTP/1.0 whose length another parser finds elsewhere, and against an
+// interim answer to its caller, which knows none.
+#[test]
+fn a_request_of_http_1_0_has_neither_chunks_nor_expectations() {
+    let coded = "POST /a/ HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(parse(coded), Err(HeadError::CodingInHttp10));
+    let expecting = "POST /a/ HTTP/1.0\r\nHost: x\r\nExpect: 100-continue\r\n\r\n";
+    let head = parse(expecting).expect("the head is valid");
+    assert!(!head.expects_continue);
+}
+
 #[test]
 fn a_space_before_the_colon_and_a_folded_line_are_refused() {
     for line in ["Content-Length : 5\r\n", "X-A: 1\r\n  folded\r\n"] {
