Refuse heads with lines that do not end with CR LF

Callers got answers whose lines ended with a lone LF, wholly or in part, or that began with an empty line. For another parser such a line goes on, and takes the next field or the whole body's length with it. RFC 9112, section 2.2, allows a recipient to take a lone LF for a line end and does not ask for it; section 2.1 has no empty line before an answer.

Cause: the tokenizer ends lines at CR LF and at LF, and skips empty lines before answers as before requests.

Evidence: an_answer_whose_lines_do_not_end_with_cr_lf_reaches_no_caller failed before (200 where 502 was expected); the rows for requests are parsed the same way.

--- a/src/entry/tests/broken_answers.rs
+++ b/src/entry/tests/broken_answers.rs
@@ -32,6 +32,14 @@
     "HTTP/1.1 200 OK\r\n X-A: 1\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
 ];
 
+/// Lines that end otherwise than with CR LF, and an empty line first: RFC 9112, sections 2.1 and 2.2.
+const LINE_ENDS: &[&str] = &[
+    "HTTP/1.1 200 OK\nId: {id}\nSeal: s\nContent-Length: 2\n\nno",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX-A: 1\nContent-Length: 2\r\n\r\nno",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\nno",
+    "\r\nHTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
+];
+
 /// A protocol that no request asked for: RFC 9110, sections 7.8 and 15.2.2.
 const SWITCHES: &[&str] = &[
     "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
@@ -122,6 +130,12 @@
     check_kept_from_callers(FIELD_LINES);
 }
 
+// Guards against lines that end for one parser and go on for the next.
+#[test]
+fn an_answer_whose_lines_do_not_end_with_cr_lf_reaches_no_caller() {
+    check_kept_from_callers(LINE_ENDS);
+}
+
 // Guards against bytes of another protocol that are read as an answer.
 #[test]
 fn an_answer_that_switches_the_protocol_unasked_reaches_no_caller() {
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -202,6 +202,7 @@
             }
             httparse::Status::Complete(length) => length,
         };
+        check_line_ends(&bytes[..length])?;
         let version = version(request.version);
         let headers = copy_headers(request.headers);
         let keep_alive = keeps_alive(version, &headers);
@@ -275,6 +276,11 @@
             httparse::Status::Partial => return incomplete(bytes, max_bytes),
             httparse::Status::Complete(length) => length,
         };
+        check_line_ends(&bytes[..length])?;
+        // The tokenizer skips empty lines, which may come before a request only.
+        if !bytes.starts_with(b"HTTP/") {
+            return Err(HeadError::StartLine);
+        }
         let status = response.code.unwrap_or_default();
         if !VALID_STATUSES.contains(&status) {
             return Err(HeadError::Status);
@@ -358,6 +364,18 @@
     }
 }
 
+/// Checks that each line of a head ends with CR LF. A lone LF or CR could be part of a line for one
+/// parser and the end of it for another.
+fn check_line_ends(head: &[u8]) -> Result<(), HeadError> {
+    let mut rest = head;
+    while let Some(end) = rest.iter().position(|byte| matches!(byte, b'\r' | b'\n')) {
+        rest = rest[end..]
+            .strip_prefix(b"\r\n")
+            .ok_or(HeadError::LineEnd)?;
+    }
+    Ok(())
+}
+
 fn copy_headers(lines: &[httparse::Header<'_>]) -> Headers {
     let copy = |line: &httparse::Header<'_>| (line.name.into(), line.value.into());
     Headers(lines.iter().map(copy).collect())
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -57,6 +57,19 @@
     assert!(!head.expects_continue);
 }
 
+// Guards against a request that holds another one for a parser that ends lines elsewhere.
+#[test]
+fn a_request_whose_lines_do_not_end_with_cr_lf_is_refused() {
+    for head in [
+        "GET /a/ HTTP/1.1\nHost: x\n\n",
+        "GET /a/ HTTP/1.1\r\nHost: x\r\nX-A: 1\nX-B: 2\r\n\r\n",
+        "GET /a/ HTTP/1.1\r\nHost: x\r\n\n",
+    ] {
+        assert_eq!(parse(head), Err(HeadError::LineEnd), "{head:?}");
+    }
+    assert!(parse("\r\nGET /a/ HTTP/1.1\r\nHost: x\r\n\r\n").is_ok());
+}
+
 #[test]
 fn a_space_before_the_colon_and_a_folded_line_are_refused() {
     for line in ["Content-Length : 5\r\n", "X-A: 1\r\n  folded\r\n"] {
