Check chunk sizes, extensions and trailers of answers and requests

Callers got bodies as complete whose chunk framing was malformed: blanks around a chunk's size, control bytes in an extension, and trailers of any bytes. An answer that lacked the blank line after its last chunk swallowed the next answer of the connection as a trailer and counted as whole.

Cause: sizes were trimmed, extensions not looked at, and lines after the last chunk dropped unread. RFC 9112, section 7.1: the line is a size and extensions, the trailers are field lines.

ChunkError names the broken rule for the log. Bytes where the line end after a chunk belongs are refused at once instead of after 256 bytes.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -242,8 +242,8 @@
         match with_timeout(BODY_READ_TIMEOUT_MS, reader.next(connection)).await {
             Some(Ok(Some(piece))) => body.extend_from_slice(&piece),
             Some(Ok(None)) => return Ok(body),
-            Some(Err(ReadError::Malformed)) => {
-                return Err(Refusal::new(ErrorKind::BadRequest, "a chunk is malformed"));
+            Some(Err(error @ ReadError::Chunk { .. })) => {
+                return Err(Refusal::new(ErrorKind::BadRequest, error.to_string()));
             }
             Some(Err(_)) | None => return Err(incomplete()),
         }
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -55,7 +55,7 @@
             ReadError::Broken { .. } => Self::ConnectionBroken,
             ReadError::RequestHead { .. }
             | ReadError::AnswerHead { .. }
-            | ReadError::Malformed
+            | ReadError::Chunk { .. }
             | ReadError::NotOwn => Self::Malformed,
         }
     }
--- a/src/entry/tests/broken_answers.rs
+++ b/src/entry/tests/broken_answers.rs
@@ -59,6 +59,20 @@
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 ];
 
+/// Chunk lines and trailers: RFC 9112, sections 7.1 to 7.1.2.
+const CHUNKS: &[&str] = &[
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n 2\r\nno\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\nno\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2;\u{1}\r\nno\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2;a=\"b\r\nno\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX A: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX-A: \u{1}\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nnono\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n0x2\r\nno\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\nno\n0\n\n",
+];
+
 /// Sends requests until the upstream `u1` has got one; another upstream answers each soundly. Returns
 /// the answer to the request that `u1` got.
 async fn call_until_sent_to_first(site: &Site, broken: &'static str) -> (u16, String) {
@@ -153,3 +167,9 @@
 fn an_answer_with_an_ambiguous_framing_reaches_no_caller() {
     check_kept_from_callers(FRAMINGS);
 }
+
+// Guards against a body that counts as complete although its chunks or trailers are malformed.
+#[test]
+fn an_answer_with_malformed_chunks_or_trailers_reaches_no_caller() {
+    check_kept_from_callers(CHUNKS);
+}
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -1,14 +1,35 @@
 //! Incremental reading of a body with any framing.
 
 use crate::http1::connection::{Connection, ReadError};
-use crate::http1::head::Framing;
+use crate::http1::head::{Framing, is_field_line, is_text_byte, is_token};
 use futures_lite::{AsyncRead, AsyncWrite};
+use snafu::Snafu;
 
 /// Longest line before a chunk, including chunk extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Longest block of trailers after the last chunk.
 const MAX_TRAILER_BYTES: usize = 4 << 10;
 
+/// The rule of RFC 9112, section 7.1, that the framing of a chunked body breaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum ChunkError {
+    /// A line of the framing, or the lines after the last chunk, are longer than is read.
+    #[snafu(display("a line of the chunk framing is longer than allowed"))]
+    TooLong,
+    /// The size of a chunk is no hexadecimal number, or too large a one.
+    #[snafu(display("the size of a chunk is malformed"))]
+    Size,
+    /// What follows the size of a chunk in its line is no list of chunk extensions.
+    #[snafu(display("a chunk extension is malformed"))]
+    Extension,
+    /// The bytes of a chunk are not followed by a line end.
+    #[snafu(display("a chunk does not end after its size"))]
+    End,
+    /// A line after the last chunk is no field line.
+    #[snafu(display("a trailer field is malformed"))]
+    Trailer,
+}
+
 /// The position of a reader within the framing of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -21,7 +42,7 @@
     },
     /// The line break after the bytes of a chunk.
     ChunkEnd,
-    Malformed,
+    Malformed(ChunkError),
     /// The lines after the last chunk.
     Trailers {
         read: usize,
@@ -60,7 +81,7 @@
     /// # Errors
     ///
     /// Returns [`ReadError::Ended`] if the connection ends before the body does,
-    /// [`ReadError::Malformed`] for an invalid chunk, and errors of the connection.
+    /// [`ReadError::Chunk`] for an invalid chunk, and errors of the connection.
     pub async fn next<S>(&mut self, from: &mut Connection<S>) -> Result<Option<Vec<u8>>, ReadError>
     where
         S: AsyncRead + AsyncWrite + Unpin,
@@ -98,12 +119,11 @@
                 Ok(Step::Bytes(piece)) if bytes.is_empty() => bytes = piece,
                 Ok(Step::Bytes(piece)) => bytes.extend_from_slice(&piece),
                 Ok(Step::Framing) => {}
-                Err(error) => {
-                    self.state = State::Malformed;
-                    return if bytes.is_empty() {
-                        Err(error)
-                    } else {
-                        Ok(Some(bytes))
+                Err(source) => {
+                    self.state = State::Malformed(source);
+                    return match bytes.is_empty() {
+                        true => Err(ReadError::Chunk { source }),
+                        false => Ok(Some(bytes)),
                     };
                 }
                 Ok(Step::Wait) => return Ok((!bytes.is_empty()).then_some(bytes)),
@@ -112,14 +132,14 @@
     }
 
     /// Takes the next part of the body or its framing out of the buffer.
-    fn step<S>(&mut self, from: &mut Connection<S>) -> Result<Step, ReadError>
+    fn step<S>(&mut self, from: &mut Connection<S>) -> Result<Step, ChunkError>
     where
         S: AsyncRead + AsyncWrite + Unpin,
     {
         let bytes = |taken: Option<Vec<u8>>| taken.map_or(Step::Wait, Step::Bytes);
         match self.state {
             State::Done => Ok(Step::Wait),
-            State::Malformed => Err(ReadError::Malformed),
+            State::Malformed(broken) => Err(broken),
             State::UntilClose => Ok(bytes(from.take_buffered(u64::MAX))),
             State::Bytes { left } => {
                 let taken = from.take_buffered(left);
@@ -137,17 +157,23 @@
                 };
                 Ok(bytes(taken))
             }
-            State::ChunkLine | State::ChunkEnd => {
+            State::ChunkLine => {
                 let Some(line) = from.take_line(MAX_CHUNK_LINE_BYTES)? else {
                     return Ok(Step::Wait);
                 };
-                self.state = match self.state {
-                    State::ChunkLine => match chunk_length(&line)? {
-                        0 => State::Trailers { read: 0 },
-                        left => State::ChunkBytes { left },
-                    },
-                    _ if line.is_empty() => State::ChunkLine,
-                    _ => return Err(ReadError::Malformed),
+                self.state = match chunk_length(&line)? {
+                    0 => State::Trailers { read: 0 },
+                    left => State::ChunkBytes { left },
+                };
+                Ok(Step::Framing)
+            }
+            State::ChunkEnd => {
+                let Some(line) = from.take_line(0).map_err(|_| ChunkError::End)? else {
+                    return Ok(Step::Wait);
+                };
+                self.state = match line.is_empty() {
+                    true => State::ChunkLine,
+                    false => return Err(ChunkError::End),
                 };
                 Ok(Step::Framing)
             }
@@ -157,11 +183,12 @@
                 };
                 let read = read + line.len();
                 if read > MAX_TRAILER_BYTES {
-                    return Err(ReadError::Malformed);
+                    return Err(ChunkError::TooLong);
                 }
                 self.state = match line.is_empty() {
                     true => State::Done,
-                    false => State::Trailers { read },
+                    false if is_field_line(&line) => State::Trailers { read },
+                    false => return Err(ChunkError::Trailer),
                 };
                 Ok(Step::Framing)
             }
@@ -181,13 +208,68 @@
     taken.as_ref().map_or(0, |taken| taken.len() as u64)
 }
 
-fn chunk_length(line: &[u8]) -> Result<u64, ReadError> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    let digits = digits.trim_ascii();
-    let is_hex = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
-    let text = std::str::from_utf8(digits).map_err(|_| ReadError::Malformed)?;
-    match is_hex {
-        true => u64::from_str_radix(text, 16).map_err(|_| ReadError::Malformed),
-        false => Err(ReadError::Malformed),
+/// Reads the size of a chunk from its line, and checks the extensions after it.
+fn chunk_length(line: &[u8]) -> Result<u64, ChunkError> {
+    if !line.iter().all(|byte| is_text_byte(*byte)) {
+        return Err(ChunkError::Extension);
+    }
+    let is_digit = |byte: &u8| byte.is_ascii_hexdigit();
+    let end = line.iter().position(|byte| !is_digit(byte));
+    let (digits, extensions) = line.split_at(end.unwrap_or(line.len()));
+    let text = std::str::from_utf8(digits).map_err(|_| ChunkError::Size)?;
+    let length = u64::from_str_radix(text, 16).map_err(|_| ChunkError::Size)?;
+    match are_extensions(extensions) {
+        true => Ok(length),
+        false => Err(ChunkError::Extension),
+    }
+}
+
+/// Tells whether bytes are chunk extensions (RFC 9112, section 7.1.1): names, each after a semicolon and
+/// with or without a value.
+fn are_extensions(bytes: &[u8]) -> bool {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let Some(named) = rest.trim_ascii_start().strip_prefix(b";") else {
+            return false;
+        };
+        let named = named.trim_ascii_start();
+        let (name, after) = named.split_at(end_of_token(named));
+        if !is_token(name) {
+            return false;
+        }
+        rest = after;
+        if let Some(value) = after.trim_ascii_start().strip_prefix(b"=") {
+            let value = value.trim_ascii_start();
+            let end = match value.first() {
+                Some(b'"') => end_of_quoted(value),
+                _ => Some(end_of_token(value)).filter(|end| *end > 0),
+            };
+            let Some(end) = end else {
+                return false;
+            };
+            rest = &value[end..];
+        }
+    }
+    true
+}
+
+/// Returns the length of the token that bytes begin with.
+fn end_of_token(bytes: &[u8]) -> usize {
+    let is_outside = |byte: &u8| !is_token(std::slice::from_ref(byte));
+    bytes.iter().position(is_outside).unwrap_or(bytes.len())
+}
+
+/// Returns the length of the quoted string that bytes begin with (RFC 9110, section 5.6.4).
+fn end_of_quoted(bytes: &[u8]) -> Option<usize> {
+    let mut is_escaped = false;
+    for (at, byte) in bytes.iter().enumerate().skip(1) {
+        match byte {
+            byte if !is_text_byte(*byte) => return None,
+            _ if is_escaped => is_escaped = false,
+            b'\\' => is_escaped = true,
+            b'"' => return Some(at + 1),
+            _ => {}
+        }
     }
+    None
 }
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -1,5 +1,6 @@
 //! A connection with a buffer of bytes that were read from it and not consumed yet.
 
+use crate::http1::body::ChunkError;
 use crate::http1::head::{HeadError, RequestHead, ResponseHead, quote_broken_line};
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use snafu::Snafu;
@@ -41,9 +42,12 @@
         /// The line that breaks it, escaped and cut.
         line: Box<str>,
     },
-    /// A chunk is malformed, or a line of the chunk framing is too long.
-    #[snafu(display("a chunk is malformed"))]
-    Malformed,
+    /// The framing of a chunked body breaks a rule.
+    #[snafu(display("{source}"))]
+    Chunk {
+        /// The rule.
+        source: ChunkError,
+    },
     /// Bytes came that are no part of the awaited answer, more of them or for longer than is read.
     #[snafu(display("other bytes came in place of the answer"))]
     NotOwn,
@@ -182,13 +186,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Malformed`] if more than `max_bytes` bytes have no line break.
-    pub fn take_line(&mut self, max_bytes: usize) -> Result<Option<Vec<u8>>, ReadError> {
+    /// Returns [`ChunkError::TooLong`] if more than `max_bytes` bytes have no line break.
+    pub fn take_line(&mut self, max_bytes: usize) -> Result<Option<Vec<u8>>, ChunkError> {
         let buffered = self.buffered();
         let searched = &buffered[..buffered.len().min(max_bytes + 2)];
         let Some(end) = searched.windows(2).position(|pair| pair == b"\r\n") else {
-            return match buffered.len() > max_bytes {
-                true => Err(ReadError::Malformed),
+            return match buffered.len() >= max_bytes + 2 {
+                true => Err(ChunkError::TooLong),
                 false => Ok(None),
             };
         };
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -324,7 +324,7 @@
 }
 
 /// Tells whether a line without its line end is a field line (RFC 9112, section 5).
-fn is_field_line(line: &[u8]) -> bool {
+pub fn is_field_line(line: &[u8]) -> bool {
     match line.iter().position(|byte| *byte == b':') {
         Some(colon) => {
             let (name, value) = line.split_at(colon);
@@ -335,14 +335,14 @@
 }
 
 /// Tells whether bytes are a token (RFC 9110, section 5.6.2).
-fn is_token(bytes: &[u8]) -> bool {
+pub fn is_token(bytes: &[u8]) -> bool {
     let is_token_byte =
         |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
     !bytes.is_empty() && bytes.iter().all(is_token_byte)
 }
 
 /// Tells whether a byte may be part of a field's value (RFC 9110, section 5.5).
-fn is_text_byte(byte: u8) -> bool {
+pub fn is_text_byte(byte: u8) -> bool {
     byte == b'\t' || !byte.is_ascii_control()
 }
 
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -12,6 +12,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use body::BodyReader;
+pub use body::{BodyReader, ChunkError};
 pub use connection::{Connection, ReadError};
 pub use head::{Framing, HeadError, Headers, RequestHead, ResponseHead};
--- a/src/http1/tests.rs
+++ b/src/http1/tests.rs
@@ -141,7 +141,7 @@
         &b"3\r\nabcd\r\n"[..],
     ] {
         let read = read_body(Framing::Chunked, &mut connection(bytes));
-        assert!(matches!(read, Err(ReadError::Malformed)));
+        assert!(matches!(read, Err(ReadError::Chunk { .. })));
     }
 }
 
