Take the close of a connection for the end of an answer only if the request was written whole

Callers got a part of an answer as a complete 200: the upstream answered a long upload at once without a length, sent a part of the body, ended its direction of the connection and reset it 20 ms later, while the upload was still being written.

Cause, in two places: the reader of the body did not learn that the request was incomplete, and read the end of the connection as the end of the body. And the request mostly counted as written although the upstream had received little of it: the kernel's send buffer grows to 4 MB and took an upload of 3 MB in one go.

write_while_reading, for the sends of entry hosts and the calls to store and engines, tells how much was written; a body without length is then never whole, whether a reset follows or not. The send buffer of connections to upstreams is bounded, so that "written" means received but for 128 KiB and the upstream's own buffer. An upload that fits into these still cannot be told apart; RFC 9112, section 8, counts such an answer as complete.

Evidence: an_answer_without_length_to_a_part_of_a_request_is_never_complete, the tests beside it for repeatable requests and over another host, and the one of calls failed before (200 "half of the bo"); they failed as well without the bounded send buffer. With an immediate reset it held before.

--- a/src/entry/handoff/mod.rs
+++ b/src/entry/handoff/mod.rs
@@ -28,7 +28,7 @@
     TRANSIT_MS,
 };
 use crate::http1::client::{MAX_HEAD_BYTES, with_timeout};
-use crate::http1::{Connection, ReadError};
+use crate::http1::{BodyReader, Connection, ReadError};
 use crate::prelude::*;
 use crate::retry::VersionTag;
 use crate::upstreams::{Lifetime, Upstream};
@@ -430,5 +430,6 @@
     let head = connection
         .read_response_head(MAX_HEAD_BYTES, is_head_request)
         .await?;
-    read_start(request, head, connection, || {}).await
+    let reader = BodyReader::new(head.framing);
+    read_start(request, head, reader, connection, || {}).await
 }
--- a/src/entry/sending/exchange.rs
+++ b/src/entry/sending/exchange.rs
@@ -7,14 +7,14 @@
 use crate::entry::platform::{AnswerFacts, Platform};
 use crate::entry::sending::in_flight::InFlight;
 use crate::entry::sending::pool::UpstreamConnection;
-use crate::http1::client::{MAX_HEAD_BYTES, with_timeout};
-use crate::http1::{BodyReader, Connection, Framing, Headers, ReadError, ResponseHead};
+use crate::http1::client::{MAX_HEAD_BYTES, skip_body, with_timeout};
+use crate::http1::{
+    BodyReader, Connection, Framing, Headers, ReadError, ResponseHead, Written, write_while_reading,
+};
 use crate::prelude::*;
 use crate::routing::roles::is_long;
 use crate::upstreams::{Lifetime, Notice};
-use futures_lite::future::pending;
-use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
-use std::cell::Cell;
+use futures_lite::{AsyncRead, AsyncWrite};
 
 /// Answers up to this length are read completely before the caller gets their first byte, so that
 /// one that breaks off can be replaced by another attempt.
@@ -54,14 +54,16 @@
 ) -> Result<Exchanged, ReadError> {
     let bytes = request_bytes(request, &headers);
     connection.carried.note(request.id());
-    let head = write_and_read_head(host, request, upstream, connection, &bytes).await?;
+    let head = write_and_read_head(host, request, upstream, connection, &bytes);
+    let (head, written) = head.await?;
     let note_first_byte = || {
         in_flight.note_first_byte();
         if is_long(request.facts.prompt_tokens) {
             host.request_sync();
         }
     };
-    read_start(request, head, &mut connection.io, note_first_byte).await
+    let reader = BodyReader::of_answer(head.framing, written);
+    read_start(request, head, reader, &mut connection.io, note_first_byte).await
 }
 
 /// Reads the first piece of an answer's body, calls `note_first_byte`, and reads a short answer on
@@ -73,10 +75,10 @@
 pub async fn read_start<S: AsyncRead + AsyncWrite + Unpin>(
     request: &ActiveRequest,
     head: ResponseHead,
+    mut reader: BodyReader,
     connection: &mut Connection<S>,
     note_first_byte: impl FnOnce(),
 ) -> Result<Exchanged, ReadError> {
-    let mut reader = BodyReader::new(head.framing);
     let mut body_start = Vec::new();
     if let Some(piece) = reader.next(connection).await? {
         body_start.extend_from_slice(&piece);
@@ -136,24 +138,14 @@
     upstream: &Lifetime,
     connection: &mut UpstreamConnection,
     bytes: &[u8],
-) -> Result<ResponseHead, ReadError> {
-    let mut writer = connection.io.stream().clone();
-    let is_written = Cell::new(false);
-    let write = async {
-        match writer.write_all(bytes).await {
-            Ok(()) => {
-                is_written.set(true);
-                pending().await
-            }
-            Err(source) => Err(ReadError::Broken { source }),
-        }
-    };
+) -> Result<(ResponseHead, Written), ReadError> {
+    let stream = connection.io.stream().clone();
     let read = read_matching_head(host, request, upstream, connection);
-    let head = futures_lite::future::or(write, read).await?;
-    if !is_written.get() {
+    let (head, written) = write_while_reading(&stream, bytes, read).await?;
+    if written == Written::Part {
         connection.ends_after_answer = true;
     }
-    Ok(head)
+    Ok((head, written))
 }
 
 /// Reads answers until the head of the one that carries this request's id, and records what it states
@@ -196,29 +188,14 @@
         };
         notices::note_answer(host, upstream, lasting);
         host.metrics.count_foreign_answer();
-        let skip = skip_body(&head, &mut connection.io);
+        let reader = BodyReader::new(head.framing);
+        let skip = skip_body(reader, &mut connection.io, MAX_FOREIGN_BODY_BYTES);
         let skipped = with_timeout(FOREIGN_BODY_TIMEOUT_MS, skip).await;
         skipped.unwrap_or(Err(ReadError::NotOwn))?;
     }
     Err(ReadError::NotOwn)
 }
 
-/// Reads the body of an answer to another request to its end.
-async fn skip_body<S: AsyncRead + AsyncWrite + Unpin>(
-    head: &ResponseHead,
-    connection: &mut Connection<S>,
-) -> Result<(), ReadError> {
-    let mut reader = BodyReader::new(head.framing);
-    let mut skipped_bytes = 0;
-    while let Some(piece) = reader.next(connection).await? {
-        skipped_bytes += piece.len();
-        if skipped_bytes > MAX_FOREIGN_BODY_BYTES {
-            return Err(ReadError::NotOwn);
-        }
-    }
-    Ok(())
-}
-
 /// Records what an answer states about its upstream.
 fn note_statements<P: Platform>(host: &Host<P>, upstream: &Lifetime, facts: &AnswerFacts) {
     let now = host.now();
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod desired_copy;
 mod desired_exchange;
+mod early_answers;
 mod endless_answers;
 mod engine_orders;
 mod engine_refusals;
--- /dev/null
+++ b/src/entry/tests/early_answers.rs
@@ -0,0 +1,99 @@
+//! Upstreams that answer a long upload before they have read it, and what their callers get.
+
+use super::fake_upstream::Step::Write;
+use super::hosts::{Cut, on_hosts};
+use super::site::{Answer, Site, entry, on_site, route};
+use crate::desired::{Repeat, Route};
+use crate::test_support::early_upstream::{self, End, UPLOAD_BYTES};
+use smol::LocalExecutor;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+/// An answer that ends with its connection, up to the middle of its body.
+const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nId: i1\r\nSeal: s\r\n\r\nhalf of the bo";
+/// A stream that ends with its connection, up to its first event.
+const STREAM: &str = "HTTP/1.1 200 OK\r\nId: i1\r\nSeal: s\r\n\r\nid: 1\ndata: a\n\n";
+/// Starts an upstream that answers each request early.
+async fn start_upstream(
+    executor: &Rc<LocalExecutor<'static>>,
+    answer: &'static str,
+    end: End,
+) -> SocketAddr {
+    let (listener, address) = early_upstream::listen().await;
+    executor
+        .spawn(early_upstream::serve(listener, answer, end))
+        .detach();
+    address
+}
+
+fn upload() -> String {
+    let body = "a".repeat(UPLOAD_BYTES);
+    format!(
+        "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n{body}"
+    )
+}
+
+fn streams() -> Route {
+    Route {
+        streams: true,
+        ..route(Repeat::Once)
+    }
+}
+
+/// Uploads to an upstream that answers early.
+async fn call_early(site: &Site, route: Route, answer: &'static str, end: End) -> Answer {
+    site.apply_route(route).await;
+    let address = start_upstream(&site.executor, answer, end).await;
+    site.store.write_upstream("u1", Some(entry("u1", address)));
+    site.until(|host| host.upstreams.borrow().get("u1").is_some())
+        .await;
+    site.call(&upload()).await
+}
+
+// Guards against a part of an answer without length that counts as complete because its connection ended
+// while the request was still being written.
+#[test]
+fn an_answer_without_length_to_a_part_of_a_request_is_never_complete() {
+    for end in [End::ShutDownThenReset, End::Reset] {
+        on_site(|site| async move {
+            let answer = call_early(&site, route(Repeat::Once), WITHOUT_LENGTH, end).await;
+            assert_eq!(answer.head.status, 502, "{end:?}: {answer:?}");
+        });
+        on_site(|site| async move {
+            let answer = call_early(&site, streams(), STREAM, end).await;
+            assert!(
+                answer.head.status == 502 || !answer.is_whole,
+                "{end:?}: {answer:?}"
+            );
+        });
+    }
+}
+
+// Guards against the same where the request may be repeated: it goes on elsewhere.
+#[test]
+fn a_repeatable_upload_with_an_unproven_answer_goes_on_elsewhere() {
+    on_site(|site| async move {
+        site.apply_route(route(Repeat::Idempotent)).await;
+        let address = start_upstream(&site.executor, WITHOUT_LENGTH, End::ShutDownThenReset).await;
+        site.store.write_upstream("u1", Some(entry("u1", address)));
+        site.start_upstream("u2", vec![vec![Write(WHOLE)]]).await;
+        for _ in 0..20 {
+            let answer = site.call(&upload()).await;
+            assert_eq!((answer.head.status, &*answer.body), (200, "ok"));
+        }
+    });
+}
+
+// Guards against the same at a host that passes on what another host got.
+#[test]
+fn an_unproven_answer_at_another_host_does_not_look_complete() {
+    on_hosts(2, |hosts| async move {
+        hosts.apply_route(route(Repeat::Once)).await;
+        let address = start_upstream(&hosts.executor, WITHOUT_LENGTH, End::ShutDownThenReset).await;
+        hosts.hosts[1].list(entry("u1", address)).await;
+        hosts.cut(0, "u1", Cut::Refuses).await;
+        let answer = hosts.call(0, &upload()).await;
+        assert_eq!(answer.head.status, 502, "{answer:?}");
+    });
+}
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -1,6 +1,7 @@
 //! Incremental reading of a body with any framing.
 
 use crate::http1::connection::{Connection, ReadError};
+use crate::http1::exchange::Written;
 use crate::http1::head::{Framing, is_field_line, is_text_byte, is_token};
 use futures_lite::{AsyncRead, AsyncWrite};
 use snafu::Snafu;
@@ -47,7 +48,10 @@
     Trailers {
         read: usize,
     },
-    UntilClose,
+    UntilClose {
+        /// Whether the close of the connection is the end of the body.
+        is_end: bool,
+    },
     Done,
 }
 
@@ -64,11 +68,21 @@
             Framing::Empty | Framing::Length(0) => State::Done,
             Framing::Length(left) => State::Bytes { left },
             Framing::Chunked => State::ChunkLine,
-            Framing::UntilClose => State::UntilClose,
+            Framing::UntilClose => State::UntilClose { is_end: true },
         };
         Self { state }
     }
 
+    /// Creates a reader of the body of an answer, of whose request this much was written.
+    pub fn of_answer(framing: Framing, written: Written) -> Self {
+        match (framing, written) {
+            (Framing::UntilClose, Written::Part) => Self {
+                state: State::UntilClose { is_end: false },
+            },
+            _ => Self::new(framing),
+        }
+    }
+
     /// Returns whether the body was read to its end.
     pub fn is_done(&self) -> bool {
         self.state == State::Done
@@ -94,7 +108,7 @@
                 return Ok(None);
             }
             match from.read_more().await {
-                Err(ReadError::Ended) if self.state == State::UntilClose => {
+                Err(ReadError::Ended) if self.state == (State::UntilClose { is_end: true }) => {
                     self.state = State::Done;
                 }
                 other => other?,
@@ -140,7 +154,7 @@
         match self.state {
             State::Done => Ok(Step::Wait),
             State::Malformed(broken) => Err(broken),
-            State::UntilClose => Ok(bytes(from.take_buffered(u64::MAX))),
+            State::UntilClose { .. } => Ok(bytes(from.take_buffered(u64::MAX))),
             State::Bytes { left } => {
                 let taken = from.take_buffered(left);
                 self.state = match left - length_of(&taken) {
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -2,9 +2,11 @@
 //! of idle connections; also the TCP options and the time-outs of all connections.
 
 use crate::http1::write_permit::WritePermit;
-use crate::http1::{BodyReader, Connection, Headers, ReadError, ResponseHead};
+use crate::http1::{
+    BodyReader, Connection, Headers, ReadError, ResponseHead, Written, write_while_reading,
+};
 use crate::prelude::*;
-use futures_lite::AsyncWrite;
+use futures_lite::{AsyncRead, AsyncWrite};
 use smol::Timer;
 use smol::net::TcpStream;
 use snafu::Snafu;
@@ -39,6 +41,11 @@
 /// Interval between keep-alive probes, in whole seconds too.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Size of the kernel's buffer for bytes that are sent on a connection to an upstream. A request counts
+/// as written when its last byte is in this buffer; with the kernel's own size, which grows to megabytes,
+/// a request would count as written of which the upstream has received little.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+
 /// Why a call has no complete answer.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -63,9 +70,6 @@
     /// The body of the answer is longer than the client allows.
     #[snafu(display("the answer is longer than allowed"))]
     TooLong,
-    /// Too many answers, or too long ones, came that belong to no call or to another one.
-    #[snafu(display("answers to other calls came instead"))]
-    NotOwn,
     /// The answer was not complete within the time-out of the call.
     #[snafu(display("no answer in time"))]
     TimedOut,
@@ -198,19 +202,26 @@
             .id_header
             .map(|_| format!("{:016x}", fastrand::u64(..)));
         let request = self.request_bytes(call, id.as_deref());
-        match permit {
-            Some(permit) => write_while(&taken.connection, &request, permit).await?,
+        let stream = taken.connection.stream().clone();
+        let (own, written) = match permit {
+            Some(permit) => {
+                write_while(&taken.connection, &request, permit).await?;
+                let own = self.read_own_head(&mut taken, id.as_deref()).await;
+                own.map(|own| (own, Written::Whole))
+            }
             None => {
-                let written = taken.connection.write(&request).await;
-                written.map_err(|source| CallError::Send { source })?;
+                let read = self.read_own_head(&mut taken, id.as_deref());
+                write_while_reading(&stream, &request, read).await
             }
         }
-        let OwnHead { head, may_be_kept } = self.read_own_head(&mut taken, id.as_deref()).await?;
-        let body = read_body(&head, &mut taken.connection, self.max_body_bytes).await?;
+        .map_err(|source| CallError::Read { source })?;
+        let OwnHead { head, may_be_kept } = own;
+        let reader = BodyReader::of_answer(head.framing, written);
+        let body = read_body(reader, &mut taken.connection, self.max_body_bytes).await?;
         // A connection that cannot be set to close as usual is not used again.
         let closes_as_usual =
             permit.is_none() || set_abort_on_close(&taken.connection, false).is_ok();
-        if may_be_kept && closes_as_usual {
+        if may_be_kept && closes_as_usual && written == Written::Whole {
             self.return_to_pool(taken.connection);
         }
         Ok(CallAnswer {
@@ -246,12 +257,11 @@
         &self,
         taken: &mut Taken,
         id: Option<&str>,
-    ) -> Result<OwnHead, CallError> {
+    ) -> Result<OwnHead, ReadError> {
         let mut has_skipped = false;
         for _ in 0..MAX_SKIPPED_ANSWERS {
             let connection = &mut taken.connection;
-            let head = connection.read_response_head(MAX_HEAD_BYTES, false).await;
-            let head = head.map_err(|source| CallError::Read { source })?;
+            let head = connection.read_response_head(MAX_HEAD_BYTES, false).await?;
             if (100..200).contains(&head.status) {
                 continue;
             }
@@ -268,13 +278,10 @@
                 });
             }
             has_skipped = true;
-            let skipped = read_body(&head, connection, MAX_FOREIGN_BODY_BYTES).await;
-            skipped.map_err(|error| match error {
-                CallError::TooLong => CallError::NotOwn,
-                other => other,
-            })?;
+            let reader = BodyReader::new(head.framing);
+            skip_body(reader, connection, MAX_FOREIGN_BODY_BYTES).await?;
         }
-        Err(CallError::NotOwn)
+        Err(ReadError::NotOwn)
     }
 
     fn request_bytes(&self, call: &Call<'_>, id: Option<&str>) -> Vec<u8> {
@@ -349,11 +356,10 @@
 }
 
 async fn read_body(
-    head: &ResponseHead,
+    mut reader: BodyReader,
     connection: &mut Connection<TcpStream>,
     max_bytes: usize,
 ) -> Result<Vec<u8>, CallError> {
-    let mut reader = BodyReader::new(head.framing);
     let mut body = Vec::new();
     let read = |source| CallError::Read { source };
     while let Some(piece) = reader.next(connection).await.map_err(read)? {
@@ -365,7 +371,28 @@
     Ok(body)
 }
 
-/// Opens a TCP connection with the options of [`set_socket_options`].
+/// Reads the body of an answer to another request to its end.
+///
+/// # Errors
+///
+/// Returns [`ReadError::NotOwn`] for a body of more than `max_bytes`, and why the connection broke.
+pub async fn skip_body<S: AsyncRead + AsyncWrite + Unpin>(
+    mut reader: BodyReader,
+    connection: &mut Connection<S>,
+    max_bytes: usize,
+) -> Result<(), ReadError> {
+    let mut skipped_bytes = 0;
+    while let Some(piece) = reader.next(connection).await? {
+        skipped_bytes += piece.len();
+        if skipped_bytes > max_bytes {
+            return Err(ReadError::NotOwn);
+        }
+    }
+    Ok(())
+}
+
+/// Opens a TCP connection to an upstream with the options of [`set_socket_options`] and a bounded send
+/// buffer.
 ///
 /// # Errors
 ///
@@ -373,6 +400,7 @@
 pub async fn connect(address: SocketAddr) -> std::io::Result<Connection<TcpStream>> {
     let stream = TcpStream::connect(address).await?;
     set_socket_options(&stream)?;
+    rustix::net::sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES)?;
     Ok(Connection::new(stream))
 }
 
--- a/src/http1/exchange.rs
+++ b/src/http1/exchange.rs
@@ -18,12 +18,11 @@
     Part,
 }
 
-/// Writes a request until `read` has read the start of its answer. An answer that arrived counts also
-/// if the connection broke while the request was being written.
+/// Writes a request until `read` has read the start of its answer.
 ///
 /// # Errors
 ///
-/// Returns why the request could not be written, if there is no answer, and errors of `read`.
+/// Returns why the request could not be written, and errors of `read`.
 pub async fn write_while_reading<T>(
     stream: &TcpStream,
     request: &[u8],
@@ -32,26 +31,22 @@
     let mut writer = stream.clone();
     let mut write = pin!(writer.write_all(request));
     let mut read = pin!(read);
-    let mut written = None;
+    let mut is_written = false;
     poll_fn(|context| {
-        if written.is_none()
-            && let Poll::Ready(result) = write.as_mut().poll(context)
-        {
-            written = Some(result);
+        if !is_written && let Poll::Ready(result) = write.as_mut().poll(context) {
+            match result {
+                Ok(()) => is_written = true,
+                Err(source) => return Poll::Ready(Err(ReadError::Broken { source })),
+            }
         }
-        read.as_mut().poll(context).map(|answer| match answer {
-            Ok(answer) => Ok((
-                answer,
-                match written {
-                    Some(Ok(())) => Written::Whole,
-                    Some(Err(_)) | None => Written::Part,
-                },
-            )),
-            Err(error) => Err(match written.take() {
-                Some(Err(source)) => ReadError::Broken { source },
-                Some(Ok(())) | None => error,
-            }),
-        })
+        let written = if is_written {
+            Written::Whole
+        } else {
+            Written::Part
+        };
+        read.as_mut()
+            .poll(context)
+            .map_ok(|answer| (answer, written))
     })
     .await
 }
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod client;
 pub mod connection;
+pub mod exchange;
 pub mod head;
 pub mod write_permit;
 
@@ -14,4 +15,5 @@
 
 pub use body::{BodyReader, ChunkError};
 pub use connection::{Connection, ReadError};
+pub use exchange::{Written, write_while_reading};
 pub use head::{Framing, HeadError, Headers, RequestHead, ResponseHead};
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -4,6 +4,7 @@
 use crate::http1::client::{Call, CallAnswer, CallError, Client};
 use crate::http1::write_permit::{WritePermit, WriteRight};
 use crate::prelude::*;
+use crate::test_support::early_upstream::{self, End, UPLOAD_BYTES};
 use futures_lite::{AsyncReadExt, future};
 use rustix::net::{AddressFamily, SocketType, sockopt};
 use smol::Async;
@@ -261,3 +262,28 @@
         future::zip(serve, calls).await;
     });
 }
+
+/// Makes a call with a long body to a peer that answers early.
+fn call_early(answer: &'static str, end: End) -> Result<CallAnswer, CallError> {
+    block_on(async {
+        let (listener, address) = early_upstream::listen().await;
+        let client = Client::new(address);
+        let upload = call(UPLOAD_BYTES);
+        let called = client.call(&upload, LONG_MS);
+        let serve = async {
+            early_upstream::serve(listener, answer, end).await;
+            future::pending().await
+        };
+        future::or(called, serve).await
+    })
+}
+
+// Guards against a part of an answer that counts as complete because its connection ended while the call
+// was still being written.
+#[test]
+fn an_answer_without_length_to_a_part_of_a_call_is_never_complete() {
+    for end in [End::Reset, End::ShutDownThenReset] {
+        let answer = call_early("HTTP/1.1 200 OK\r\n\r\nhalf of the bo", end);
+        assert!(matches!(answer, Err(CallError::Read { .. })), "{answer:?}");
+    }
+}
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -1,5 +1,7 @@
 //! Helpers for the tests of several modules.
 
+pub mod early_upstream;
+
 use crate::desired::{Repeat, Route, Target};
 use crate::group::{Generation, Member};
 use crate::prelude::*;
