Read an answer that arrived before the connection broke while its request was written

A whole early answer, a 413 say, was lost when the upstream reset the connection with the rest of the upload unread. Its caller was told 502, outcome unknown.

Cause: the error of the write was looked at before the answer that lay ready in the receive buffer. After such an error the answer is now read first; without one, the error counts as before. An answer without length is still no proof then.

Evidence: with the send buffer bounded, a_whole_answer_to_a_part_of_a_request_reaches_its_caller failed without this (502 where 413 was expected); so did the one of calls to store and engines.

--- a/src/entry/tests/early_answers.rs
+++ b/src/entry/tests/early_answers.rs
@@ -14,6 +14,8 @@
 const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nId: i1\r\nSeal: s\r\n\r\nhalf of the bo";
 /// A stream that ends with its connection, up to its first event.
 const STREAM: &str = "HTTP/1.1 200 OK\r\nId: i1\r\nSeal: s\r\n\r\nid: 1\ndata: a\n\n";
+const TOO_LARGE: &str =
+    "HTTP/1.1 413 Too Large\r\nId: i1\r\nSeal: s\r\nContent-Length: 9\r\n\r\ntoo large";
 /// Starts an upstream that answers each request early.
 async fn start_upstream(
     executor: &Rc<LocalExecutor<'static>>,
@@ -97,3 +99,17 @@
         assert_eq!(answer.head.status, 502, "{answer:?}");
     });
 }
+
+// Guards against a whole early answer that is lost because the rest of the request could not be written.
+#[test]
+fn a_whole_answer_to_a_part_of_a_request_reaches_its_caller() {
+    for end in [End::ShutDownThenReset, End::Reset] {
+        for number in 0..10 {
+            on_site(|site| async move {
+                let answer = call_early(&site, route(Repeat::Once), TOO_LARGE, end).await;
+                assert_eq!(answer.head.status, 413, "{end:?} {number}: {answer:?}");
+                assert_eq!(answer.body, "too large");
+            });
+        }
+    }
+}
--- a/src/http1/exchange.rs
+++ b/src/http1/exchange.rs
@@ -18,11 +18,12 @@
     Part,
 }
 
-/// Writes a request until `read` has read the start of its answer.
+/// Writes a request until `read` has read the start of its answer. An answer that arrived counts also
+/// if the connection broke while the request was being written.
 ///
 /// # Errors
 ///
-/// Returns why the request could not be written, and errors of `read`.
+/// Returns why the request could not be written, if there is no answer, and errors of `read`.
 pub async fn write_while_reading<T>(
     stream: &TcpStream,
     request: &[u8],
@@ -31,22 +32,26 @@
     let mut writer = stream.clone();
     let mut write = pin!(writer.write_all(request));
     let mut read = pin!(read);
-    let mut is_written = false;
+    let mut written = None;
     poll_fn(|context| {
-        if !is_written && let Poll::Ready(result) = write.as_mut().poll(context) {
-            match result {
-                Ok(()) => is_written = true,
-                Err(source) => return Poll::Ready(Err(ReadError::Broken { source })),
-            }
+        if written.is_none()
+            && let Poll::Ready(result) = write.as_mut().poll(context)
+        {
+            written = Some(result);
         }
-        let written = if is_written {
-            Written::Whole
-        } else {
-            Written::Part
-        };
-        read.as_mut()
-            .poll(context)
-            .map_ok(|answer| (answer, written))
+        read.as_mut().poll(context).map(|answer| match answer {
+            Ok(answer) => Ok((
+                answer,
+                match written {
+                    Some(Ok(())) => Written::Whole,
+                    Some(Err(_)) | None => Written::Part,
+                },
+            )),
+            Err(error) => Err(match written.take() {
+                Some(Err(source)) => ReadError::Broken { source },
+                Some(Ok(())) | None => error,
+            }),
+        })
     })
     .await
 }
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -287,3 +287,13 @@
         assert!(matches!(answer, Err(CallError::Read { .. })), "{answer:?}");
     }
 }
+
+// Guards against a whole early answer that is lost because the rest of the call could not be written.
+#[test]
+fn a_whole_answer_to_a_part_of_a_call_is_read() {
+    for end in [End::Reset, End::ShutDownThenReset] {
+        let refusal = "HTTP/1.1 413 Too Large\r\nContent-Length: 9\r\n\r\ntoo large";
+        let answer = call_early(refusal, end).expect("an answer");
+        assert_eq!((answer.status, &*answer.body), (413, &b"too large"[..]));
+    }
+}
