Write no length into answers with 204, and the upstream's length into those with 304

Callers got a Content-Length of 0 with each 204 and 304: a field that a 204 must not have (RFC 9110, section 8.6), and a wrong length of what was not modified.

Cause: a body that was read to its end was written with its length, also where the status has no body.

Evidence: an_answer_without_content_states_no_length and an_answer_that_nothing_was_modified_keeps_its_length failed before (Content-Length: 0 in both).

--- a/src/entry/answer/caller_writer.rs
+++ b/src/entry/answer/caller_writer.rs
@@ -2,6 +2,7 @@
 
 use crate::handoff::AnswerStart;
 use crate::handoff::message::to_frame;
+use crate::http1::head::has_no_length;
 use crate::http1::{Headers, ResponseHead};
 use crate::prelude::*;
 use crate::resumption::StreamVersion;
@@ -232,6 +233,9 @@
         let mut headers = head.headers.clone();
         headers.remove_hop_by_hop();
         match form {
+            BodyFraming::HeadOnly if has_no_length(head.status) => {
+                headers.remove("content-length");
+            }
             BodyFraming::HeadOnly => {}
             BodyFraming::Length(length) => {
                 headers.remove("content-length");
--- a/src/entry/answer/relay.rs
+++ b/src/entry/answer/relay.rs
@@ -13,6 +13,7 @@
 use crate::entry::sending::send::StartedAnswer;
 use crate::http1::Framing;
 use crate::http1::client::with_timeout;
+use crate::http1::head::has_no_body;
 use crate::prelude::*;
 
 /// How long after the request's deadline an answer is still relayed, since its last piece may be on
@@ -88,9 +89,10 @@
     answer.in_flight = None;
     out.note_version(host.now(), answer.software_version.as_ref());
     let body = std::mem::take(&mut answer.body_start);
-    let form = match &*request.head.method {
-        "HEAD" => BodyFraming::HeadOnly,
-        _ => BodyFraming::Length(body.len() as u64),
+    let has_body = &*request.head.method != "HEAD" && !has_no_body(answer.head.status);
+    let form = match has_body {
+        true => BodyFraming::Length(body.len() as u64),
+        false => BodyFraming::HeadOnly,
     };
     note_first_byte(host, request, log);
     log.summary
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -30,6 +30,7 @@
 mod orderer_metrics;
 mod organisations;
 mod own_answers;
+mod passed_on;
 mod peers;
 mod places;
 mod rejections;
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -12,6 +12,8 @@
 
 /// The status by which a server leaves HTTP/1.1 for a protocol that the request named.
 const SWITCHING_PROTOCOLS: u16 = 101;
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
 
 /// The rule of RFC 9110 or RFC 9112 that a head breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -301,6 +303,18 @@
     }
 }
 
+/// Tells whether an answer with this status has no body, whatever its header lines say (RFC 9112,
+/// section 6.3).
+pub fn has_no_body(status: u16) -> bool {
+    has_no_length(status) || status == NOT_MODIFIED
+}
+
+/// Tells whether an answer with this status must not state the length of a body (RFC 9110, section
+/// 8.6).
+pub fn has_no_length(status: u16) -> bool {
+    status < 200 || status == NO_CONTENT
+}
+
 /// Returns the line of a head that breaks a rule, escaped, or as much of it as [`MAX_QUOTED_BYTES`]
 /// allows. Without a line that can be told apart it is the first one.
 pub fn quote_broken_line(head: &[u8], broken: HeadError) -> Box<str> {
@@ -409,7 +423,7 @@
     headers: &Headers,
     to_head_request: bool,
 ) -> Result<Framing, HeadError> {
-    if to_head_request || status < 200 || status == 204 || status == 304 {
+    if to_head_request || has_no_body(status) {
         return Ok(Framing::Empty);
     }
     Ok(declared_framing(version, headers)?.unwrap_or(Framing::UntilClose))
