Check the framing of answers without a body, and pass a repeated length on once

Callers got two different lengths, or a length beside a transfer coding, with the answer to a HEAD request and with a 304; equal lengths were passed on as often as they came. RFC 9110, section 8.6: repeated lengths are refused or replaced by one.

Cause: the framing fields were looked at only where a body follows. They are checked in every head now. The connection of a 204 that declares a body is not used again, since its bytes belong to no answer.

Evidence: an_ambiguous_length_is_refused_also_without_a_body and a_repeated_length_is_passed_on_once failed before.

--- a/src/entry/tests/passed_on.rs
+++ b/src/entry/tests/passed_on.rs
@@ -1,7 +1,7 @@
 //! What callers get of answers with unusual heads: the bytes of the upstream, and nothing that it did not
 //! send.
 
-use super::fake_upstream::Step::Write;
+use super::fake_upstream::Step::{Close, Write};
 use super::site::{on_site, route};
 use crate::desired::Repeat;
 use crate::http1::ResponseHead;
@@ -64,6 +64,41 @@
     assert!(lengths(&head_of("GET", without)).is_empty());
 }
 
+// Guards against a length that is passed on twice.
+#[test]
+fn a_repeated_length_is_passed_on_once() {
+    let twice =
+        "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 7\r\nContent-Length: 7\r\n\r\n";
+    assert_eq!(lengths(&head_of("HEAD", twice)), [b"7"]);
+}
+
+// Guards against an ambiguous length that is passed on because the answer has no body.
+#[test]
+fn an_ambiguous_length_is_refused_also_without_a_body() {
+    for (method, answer) in [
+        (
+            "HEAD",
+            "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 7\r\nContent-Length: 8\r\n\r\n",
+        ),
+        (
+            "HEAD",
+            "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 7\r\nTransfer-Encoding: chunked\r\n\r\n",
+        ),
+        (
+            "GET",
+            "HTTP/1.1 304 Not Modified\r\nId: {id}\r\nSeal: s\r\nContent-Length: -7\r\n\r\n",
+        ),
+    ] {
+        on_site(|site| async move {
+            site.apply_route(route(Repeat::Once)).await;
+            site.start_upstream("u1", vec![vec![Write(answer), Close]])
+                .await;
+            let answered = site.call(&request(method, "i1")).await;
+            assert_eq!(answered.head.status, 502, "{answer:?}");
+        });
+    }
+}
+
 // Guards against a status line without the blank before its empty reason, which not every caller reads.
 #[test]
 fn a_missing_reason_is_passed_on_as_an_empty_one() {
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -74,6 +74,13 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Tells whether there are no bytes of a body.
+    fn is_empty(self) -> bool {
+        matches!(self, Self::Empty | Self::Length(0))
+    }
+}
+
 /// Header lines in the order of the head, with names as received.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers(Vec<(Box<str>, Box<[u8]>)>);
@@ -102,6 +109,14 @@
         self.0.push((name.into(), value.as_bytes().into()));
     }
 
+    /// Removes all lines of a header but the first one.
+    fn remove_repeated(&mut self, name: &str) {
+        let mut is_repeated = false;
+        self.0.retain(|(header, _)| {
+            !header.eq_ignore_ascii_case(name) || !std::mem::replace(&mut is_repeated, true)
+        });
+    }
+
     /// Removes all lines of a header.
     pub fn remove(&mut self, name: &str) {
         self.0
@@ -206,12 +221,14 @@
         };
         check_line_ends(&bytes[..length])?;
         let version = version(request.version);
-        let headers = copy_headers(request.headers);
+        let mut headers = copy_headers(request.headers);
         let keep_alive = keeps_alive(version, &headers);
+        let framing = request_framing(version, &headers)?;
+        headers.remove_repeated("content-length");
         let head = Self {
             method: request.method.unwrap_or_default().into(),
             target: request.path.unwrap_or_default().into(),
-            framing: request_framing(version, &headers)?,
+            framing,
             expects_continue: version == Version::Http11
                 && headers.has_token("expect", "100-continue"),
             keep_alive,
@@ -291,12 +308,20 @@
             return Err(HeadError::UnrequestedSwitch);
         }
         let version = version(response.version);
-        let headers = copy_headers(response.headers);
+        let mut headers = copy_headers(response.headers);
+        let declared = declared_framing(version, &headers)?;
+        headers.remove_repeated("content-length");
+        // The bytes of a body that must not be there belong to no answer.
+        let has_false_body = status == NO_CONTENT && declared.is_some_and(|body| !body.is_empty());
+        let framing = match to_head_request || has_no_body(status) {
+            true => Framing::Empty,
+            false => declared.unwrap_or(Framing::UntilClose),
+        };
         let head = Self {
             status,
             reason: response.reason.unwrap_or_default().into(),
-            framing: response_framing(version, status, &headers, to_head_request)?,
-            keep_alive: keeps_alive(version, &headers),
+            framing,
+            keep_alive: keeps_alive(version, &headers) && !has_false_body,
             headers,
         };
         Ok(Some((head, length)))
@@ -417,18 +442,6 @@
     })
 }
 
-fn response_framing(
-    version: Version,
-    status: u16,
-    headers: &Headers,
-    to_head_request: bool,
-) -> Result<Framing, HeadError> {
-    if to_head_request || has_no_body(status) {
-        return Ok(Framing::Empty);
-    }
-    Ok(declared_framing(version, headers)?.unwrap_or(Framing::UntilClose))
-}
-
 /// Returns the framing that the headers declare. A length together with a transfer coding, two
 /// different lengths, more than one coding line and an unknown coding are refused: parsers that
 /// interpret them differently would see different messages.
