Refuse requests for a tunnel

A CONNECT request with a path was sent on to an upstream. Its success means that the connection carries another protocol from then on (RFC 9110, section 9.3.6), which hosts read as an answer of HTTP/1.1.

Evidence: a_request_for_a_tunnel_is_refused failed before (200 of the upstream).

--- a/src/entry/tests/broken_requests.rs
+++ b/src/entry/tests/broken_requests.rs
@@ -33,6 +33,12 @@
     ]);
 }
 
+// Guards against a tunnel that an upstream would open with its answer (RFC 9110, section 9.3.6).
+#[test]
+fn a_request_for_a_tunnel_is_refused() {
+    check_refused(&["CONNECT /a/1 HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\n\r\n"]);
+}
+
 // Guards against heads that an upstream may read otherwise than the host (RFC 9112, sections 2.2, 5, 6.1
 // and 6.3).
 #[test]
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -53,6 +53,9 @@
     /// The `Host` field is missing, repeated or invalid (RFC 9112, section 3.2).
     #[snafu(display("the Host field is missing, repeated or invalid"))]
     Host,
+    /// The request asks for a tunnel (RFC 9110, section 9.3.6).
+    #[snafu(display("the method CONNECT is not served"))]
+    Tunnel,
 }
 
 /// The version of a message.
@@ -226,11 +229,15 @@
         let version = version(request.version);
         let mut headers = copy_headers(request.headers);
         check_host(version, &headers)?;
+        let method = request.method.unwrap_or_default();
+        if method == "CONNECT" {
+            return Err(HeadError::Tunnel);
+        }
         let keep_alive = keeps_alive(version, &headers);
         let framing = request_framing(version, &headers)?;
         headers.remove_repeated("content-length");
         let head = Self {
-            method: request.method.unwrap_or_default().into(),
+            method: method.into(),
             target: request.path.unwrap_or_default().into(),
             framing,
             expects_continue: version == Version::Http11
