--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -9,7 +9,7 @@
 };
 use crate::cli::render::{columns, format_bytes, print, print_line};
 use crate::cli::site::http_url;
-use crate::edge::http::{call_json, client};
+use crate::edge::exchange::call_json;
 use crate::error::Ran;
 use crate::membership::members::Members;
 use crate::placement::copies::Placement;
@@ -18,7 +18,7 @@
 use serde_json::{Value, json};
 use snafu::ResultExt;
 use std::time::Duration;
-use trillium_client::Method;
+use trillium::Method;
 
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(5);
 const SERVING_STATE: &str = "serving";
@@ -31,14 +31,7 @@
 pub async fn health(options: &HealthOptions) -> Result<Exit, CliError> {
     let url = http_url("--host", &options.host)?;
     let health_url = format!("{url}/healthz");
-    let answer = call_json::<Value>(
-        &client(),
-        Method::Get,
-        &health_url,
-        None::<&()>,
-        HEALTH_TIMEOUT,
-    )
-    .await;
+    let answer = call_json::<Value>(Method::Get, &health_url, None::<&()>, HEALTH_TIMEOUT).await;
     let answer = answer.context(CallSnafu { url: &url })?;
     let body = answer.body.unwrap_or_default();
     let state = body["state"].as_str().unwrap_or("unknown").to_string();
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -37,7 +37,7 @@
         Self {
             log: Arc::new(HttpLog::new(&platform.log_url, &platform.stream)),
             hosts: Arc::new(HttpHostList::new(&platform.hosts_url)),
-            engines: Arc::new(HttpEngines::new()),
+            engines: Arc::new(HttpEngines),
             store: store.map(|url| Arc::new(HttpStore::new(url)) as Arc<dyn WeightStore>),
             entry: config.entry.clone(),
         }
--- a/src/daemon/servers.rs
+++ b/src/daemon/servers.rs
@@ -5,7 +5,7 @@
 use crate::daemon::run::{ListenSnafu, RunError};
 use crate::edge::caller::CallerServer;
 use crate::edge::event_loop_handle::EventLoopHandle;
-use crate::edge::http::{client, with_timeout};
+use crate::edge::http::with_timeout;
 use crate::edge::operator::OperatorServer;
 use crate::edge::stall::StallAcceptor;
 use crate::prelude::*;
@@ -36,7 +36,6 @@
     let edge = Arc::new(CallerServer {
         event_loop: gate.clone(),
         clock,
-        client: client(),
         incarnation: me,
         bounds: settings.bounds.clone(),
         metrics: metrics.clone(),
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -22,7 +22,6 @@
 use serde_json::json;
 use std::time::Duration;
 use trillium::{Body, Conn, Method};
-use trillium_client::Client;
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const ENTRY_PATH: &str = "/v1/entry";
@@ -37,8 +36,6 @@
     pub event_loop: Arc<EventLoopHandle>,
     /// The clock of the process.
     pub clock: Clock,
-    /// The client of upstreams.
-    pub client: Client,
     /// The incarnation of this process, which begins every request id.
     pub incarnation: Incarnation,
     /// The limits on requests and answers, from the settings.
@@ -212,7 +209,6 @@
             let call = UpstreamCall {
                 attempt,
                 outgoing: outgoing.clone(),
-                client: self.client.clone(),
                 event_loop: self.event_loop.clone(),
                 clock: self.clock,
             };
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -1,12 +1,13 @@
 //! Client of the control interface of model engines, over HTTP.
 
-use crate::edge::http::{CallError, JsonAnswer, call_json, client};
+use crate::edge::exchange::{JsonAnswer, call_json};
+use crate::edge::http::CallError;
 use crate::edge::{BoxFuture, EngineControl};
 use crate::placement::message::{EngineOrder, EngineReport, OrderAnswer};
 use crate::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
-use trillium_client::{Client, Method};
+use trillium::Method;
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 /// The error text of an engine that is leaving and accepts no more loads.
@@ -14,10 +15,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Model engines over HTTP, as `docs/design/platform-protocols.md` specifies them.
-#[derive(Debug)]
-pub struct HttpEngines {
-    client: Client,
-}
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HttpEngines;
 
 #[derive(Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -34,14 +33,9 @@
 }
 
 impl HttpEngines {
-    /// Creates a client for all engines, without any connection yet.
-    pub fn new() -> Self {
-        Self { client: client() }
-    }
-
     async fn fetch_report(&self, address: SocketAddr) -> Option<EngineReport> {
         let url = format!("http://{address}/state");
-        let answer = call_json(&self.client, Method::Get, &url, None::<&()>, REPORT_TIMEOUT)
+        let answer = call_json(Method::Get, &url, None::<&()>, REPORT_TIMEOUT)
             .await
             .ok()?;
         if answer.status != 200 {
@@ -52,30 +46,17 @@
 
     async fn send_order(&self, address: SocketAddr, order: EngineOrder) -> OrderAnswer {
         let url = format!("http://{address}/orders");
-        let answer = call_json(
-            &self.client,
-            Method::Post,
-            &url,
-            Some(&order),
-            ORDER_TIMEOUT,
-        )
-        .await;
+        let answer = call_json(Method::Post, &url, Some(&order), ORDER_TIMEOUT).await;
         to_order_answer(answer)
     }
 
     async fn fetch_order_state(&self, address: SocketAddr, order: Offset) -> OrderAnswer {
         let url = format!("http://{address}/orders/{}", order.0);
-        let answer = call_json(&self.client, Method::Get, &url, None::<&()>, ORDER_TIMEOUT).await;
+        let answer = call_json(Method::Get, &url, None::<&()>, ORDER_TIMEOUT).await;
         to_order_answer(answer)
     }
 }
 
-impl Default for HttpEngines {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 fn to_order_answer(answer: Result<JsonAnswer<OrderBody>, CallError>) -> OrderAnswer {
     let answer = match answer {
         Ok(answer) => answer,
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -2,11 +2,9 @@
 //! rules as those that `mangovale-entry` reads.
 
 use crate::edge::http::{CONNECT_TIMEOUT, CallError, with_timeout};
-use crate::http1::client::MAX_HEAD_BYTES;
+use crate::http1::client::{MAX_HEAD_BYTES, bound_send_buffer};
 use crate::http1::head::is_text_byte;
-use crate::http1::{
-    BodyReader, Connection, Headers, ReadError, ResponseHead, write_while_reading,
-};
+use crate::http1::{BodyReader, Connection, Headers, ReadError, ResponseHead, write_while_reading};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
@@ -131,9 +129,10 @@
         }
         Some(connected) => connected.map_err(|error| failed(error.to_string()))?,
     };
-    stream
+    let set = stream
         .set_nodelay(true)
-        .map_err(|error| failed(error.to_string()))?;
+        .and_then(|()| bound_send_buffer(&stream));
+    set.map_err(|error| failed(error.to_string()))?;
     Ok(stream)
 }
 
--- a/src/edge/hosts.rs
+++ b/src/edge/hosts.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's host list, over HTTP.
 
-use crate::edge::http::{call_json, client};
+use crate::edge::exchange::call_json;
 use crate::edge::{BoxFuture, HostDirectory};
 use crate::membership::message::{
     HostEntry, ListedHost, PlatformList, UpstreamEntry, UpstreamRole,
@@ -8,14 +8,13 @@
 use crate::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
-use trillium_client::{Client, Method};
+use trillium::Method;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The host list over HTTP, as `docs/design/platform-protocols.md` specifies it.
 #[derive(Debug)]
 pub struct HttpHostList {
-    client: Client,
     hosts_url: String,
 }
 
@@ -64,20 +63,12 @@
     pub fn new(hosts_url: &str) -> Self {
         let base = hosts_url.trim_end_matches('/');
         Self {
-            client: client(),
             hosts_url: format!("{base}/hosts"),
         }
     }
 
     async fn read_list(&self) -> Option<PlatformList> {
-        let answer = call_json(
-            &self.client,
-            Method::Get,
-            &self.hosts_url,
-            None::<&()>,
-            CALL_TIMEOUT,
-        )
-        .await;
+        let answer = call_json(Method::Get, &self.hosts_url, None::<&()>, CALL_TIMEOUT).await;
         let answer: ListAnswer = answer.ok()?.body?;
         let mut list = PlatformList::default();
         for listed in answer.hosts {
@@ -100,7 +91,6 @@
         };
         // A failed renewal is ignored, as the next one follows within a second.
         let _ = call_json::<IgnoredAnswer>(
-            &self.client,
             Method::Post,
             &self.hosts_url,
             Some(&registration),
@@ -111,14 +101,7 @@
 
     async fn unregister_entry(&self, name: Name) {
         let url = format!("{}/{name}", self.hosts_url);
-        let _ = call_json::<IgnoredAnswer>(
-            &self.client,
-            Method::Delete,
-            &url,
-            None::<&()>,
-            CALL_TIMEOUT,
-        )
-        .await;
+        let _ = call_json::<IgnoredAnswer>(Method::Delete, &url, None::<&()>, CALL_TIMEOUT).await;
     }
 }
 
--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -1,21 +1,18 @@
-//! HTTP client for calls to other systems: connections, timeouts and errors.
+//! The HTTP client of the command-line and load tools; the timeouts and errors of calls. What the daemon
+//! calls, it calls by [`crate::edge::exchange`].
 
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use trillium_client::{Client, Conn, Method};
+use trillium_client::Client;
 use trillium_server_common::url::Url;
 use trillium_server_common::{Connector, Destination};
 use trillium_smol::ClientConfig;
 
 /// The longest time to establish a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// The longest answer of [`call_json`].
-pub const MAX_CONTROL_ANSWER_BYTES: u64 = 16 << 20;
 
 /// The reason for which a call failed.
 #[derive(Debug, Snafu)]
@@ -126,53 +123,3 @@
         why: error.to_string(),
     }
 }
-
-/// The answer of [`call_json`].
-#[derive(Debug)]
-pub struct JsonAnswer<T> {
-    /// The HTTP status.
-    pub status: u16,
-    /// The decoded body, or `None` if it is not JSON of the expected type.
-    pub body: Option<T>,
-}
-
-/// Makes a call with an optional JSON body, and decodes the answer as JSON, whatever its status.
-///
-/// # Errors
-///
-/// Returns the reason if no complete answer arrives within the timeout.
-pub async fn call_json<T: DeserializeOwned>(
-    client: &Client,
-    method: Method,
-    url: &str,
-    body: Option<&impl Serialize>,
-    limit: Duration,
-) -> Result<JsonAnswer<T>, CallError> {
-    let mut conn = client.build_conn(method, url);
-    if let Some(body) = body {
-        let text = serde_json::to_string(body).map_err(|error| CallError::Malformed {
-            why: error.to_string(),
-        })?;
-        conn = conn
-            .with_request_header("content-type", "application/json")
-            .with_body(text);
-    }
-    match with_timeout(limit, send_and_decode(conn)).await {
-        None => Err(CallError::TimedOut { limit }),
-        Some(outcome) => outcome,
-    }
-}
-
-async fn send_and_decode<T: DeserializeOwned>(conn: Conn) -> Result<JsonAnswer<T>, CallError> {
-    let mut conn = conn.await.map_err(|error| classify_error(&error))?;
-    let status = conn.status().map_or(0, |status| status as u16);
-    let body = conn.response_body().with_max_len(MAX_CONTROL_ANSWER_BYTES);
-    let text = body
-        .read_string()
-        .await
-        .map_err(|error| classify_error(&error))?;
-    Ok(JsonAnswer {
-        status,
-        body: serde_json::from_str(&text).ok(),
-    })
-}
--- a/src/edge/log_service.rs
+++ b/src/edge/log_service.rs
@@ -1,12 +1,13 @@
 //! Client of the platform's append-only log, over HTTP.
 
-use crate::edge::http::{CallError, JsonAnswer, call_json, client};
+use crate::edge::exchange::{JsonAnswer, call_json};
+use crate::edge::http::CallError;
 use crate::edge::{BoxFuture, LogService};
 use crate::prelude::*;
 use crate::shared_log::codec::encode;
 use crate::shared_log::driver::{LogCallError, LogPage, MAX_READ_RECORDS};
 use std::time::Duration;
-use trillium_client::{Client, Method};
+use trillium::Method;
 
 /// The longest time for an append; after it, the outcome of the append counts as unknown.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -16,7 +17,6 @@
 /// One stream of the log over HTTP, as `docs/design/platform-protocols.md` specifies it.
 #[derive(Debug)]
 pub struct HttpLog {
-    client: Client,
     records_url: String,
 }
 
@@ -40,7 +40,6 @@
     pub fn new(log_url: &str, stream: &str) -> Self {
         let base = log_url.trim_end_matches('/');
         Self {
-            client: client(),
             records_url: format!("{base}/streams/{stream}/records"),
         }
     }
@@ -51,9 +50,9 @@
             self.records_url, from.0, wait_ms.0
         );
         let timeout = wait_ms.to_duration() + READ_TIMEOUT;
-        let answer = match get_page(&self.client, &url, timeout).await {
+        let answer = match get_page(&url, timeout).await {
             // Reads again once: a lost answer does not mean that the log cannot be reached.
-            Err(CallError::Broken { .. }) => get_page(&self.client, &url, timeout).await,
+            Err(CallError::Broken { .. }) => get_page(&url, timeout).await,
             other => other,
         };
         let answer = answer.map_err(|_| LogCallError::Refused)?;
@@ -72,7 +71,7 @@
         let body = AppendBody { records };
         let url = &self.records_url;
         let answer: Result<JsonAnswer<AppendAnswer>, CallError> =
-            call_json(&self.client, Method::Post, url, Some(&body), APPEND_TIMEOUT).await;
+            call_json(Method::Post, url, Some(&body), APPEND_TIMEOUT).await;
         match answer {
             Ok(answer) if answer.status == 200 => Ok(()),
             Ok(answer) if (400..500).contains(&answer.status) => Err(LogCallError::Refused),
@@ -82,12 +81,8 @@
     }
 }
 
-async fn get_page(
-    client: &Client,
-    url: &str,
-    timeout: Duration,
-) -> Result<JsonAnswer<ReadAnswer>, CallError> {
-    call_json(client, Method::Get, url, None::<&()>, timeout).await
+async fn get_page(url: &str, timeout: Duration) -> Result<JsonAnswer<ReadAnswer>, CallError> {
+    call_json(Method::Get, url, None::<&()>, timeout).await
 }
 
 impl LogService for HttpLog {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 pub mod digest;
 pub mod engine;
 pub mod event_loop_handle;
+pub mod exchange;
 pub mod hosts;
 pub mod http;
 pub mod log_service;
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -1,17 +1,16 @@
 //! Client of the weight store, over HTTP.
 
-use crate::edge::http::{call_json, client};
+use crate::edge::exchange::call_json;
 use crate::edge::{BoxFuture, WeightStore};
 use crate::placement::message::StoreReport;
 use std::time::Duration;
-use trillium_client::{Client, Method};
+use trillium::Method;
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The weight store over HTTP, as `docs/design/platform-protocols.md` specifies it.
 #[derive(Debug)]
 pub struct HttpStore {
-    client: Client,
     state_url: String,
 }
 
@@ -20,19 +19,12 @@
     pub fn new(store_url: &str) -> Self {
         let base = store_url.trim_end_matches('/');
         Self {
-            client: client(),
             state_url: format!("{base}/state"),
         }
     }
 
     async fn fetch_report(&self) -> Option<StoreReport> {
-        let call = call_json(
-            &self.client,
-            Method::Get,
-            &self.state_url,
-            None::<&()>,
-            REPORT_TIMEOUT,
-        );
+        let call = call_json(Method::Get, &self.state_url, None::<&()>, REPORT_TIMEOUT);
         call.await.ok()?.body
     }
 }
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -3,21 +3,18 @@
 
 use crate::attempt::message::{AttemptOutcome, TargetKind};
 use crate::attempt::stream_validator::{StreamStep, StreamValidator};
+use crate::edge::exchange::AnswerBody;
 use crate::edge::http::with_timeout;
 use crate::edge::pipe::{ChunkWriter, ReaderGone};
 use crate::edge::upstream::{AnswerStart, UpstreamCall};
 use crate::event_stream::{EventScanner, MAX_EVENT_BYTES};
-use smol::io::AsyncReadExt;
 use std::time::Duration;
-use trillium_client::ResponseBody;
 
 /// The longest time for which a caller may leave its answer unread.
 pub const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The most times that one answer is resumed.
 pub const MAX_RESUMPTIONS: u32 = 3;
 
-const READ_BUFFER_BYTES: usize = 16 * 1024;
-
 /// How the relay of an answer, or of its part from one connection, ended.
 enum RelayEnd {
     Complete,
@@ -51,7 +48,7 @@
 
 async fn relay_with_resumption(
     call: &UpstreamCall,
-    body: ResponseBody<'static>,
+    body: AnswerBody,
     caller: &ChunkWriter,
 ) -> RelayEnd {
     let mut events = StreamValidator::new(call.attempt_id());
@@ -76,11 +73,10 @@
 
 async fn relay_part(
     call: &UpstreamCall,
-    mut body: ResponseBody<'static>,
+    mut body: AnswerBody,
     events: &mut StreamValidator,
     caller: &ChunkWriter,
 ) -> RelayEnd {
-    let mut buffer = vec![0; READ_BUFFER_BYTES];
     loop {
         while let Some(step) = events.next_step() {
             let (bytes, is_end) = match step {
@@ -95,9 +91,9 @@
                 return RelayEnd::Complete;
             }
         }
-        match read(call, &mut body, &mut buffer).await {
-            Ok(0) => return RelayEnd::Failed("the stream ended before its end mark".into()),
-            Ok(count) => events.push(&buffer[..count]),
+        match read(call, &mut body).await {
+            Ok(None) => return RelayEnd::Failed("the stream ended before its end mark".into()),
+            Ok(Some(piece)) => events.push(&piece),
             Err(end) => return end,
         }
     }
@@ -107,17 +103,16 @@
 /// error event after a stream that breaks off stands for itself.
 async fn relay_events(call: &UpstreamCall, started: AnswerStart, caller: &ChunkWriter) -> RelayEnd {
     let AnswerStart { kind, mut body, .. } = started;
-    let mut buffer = vec![0; READ_BUFFER_BYTES];
     let mut unwritten = Vec::new();
     let mut scanner = EventScanner::default();
     let mut has_events = false;
     loop {
-        let count = match read(call, &mut body, &mut buffer).await {
-            Ok(0) => break,
-            Ok(count) => count,
+        let piece = match read(call, &mut body).await {
+            Ok(None) => break,
+            Ok(Some(piece)) => piece,
             Err(end) => return end,
         };
-        unwritten.extend_from_slice(&buffer[..count]);
+        unwritten.extend_from_slice(&piece);
         if let Some(end) = scanner.scan(&unwritten) {
             scanner.consume(end);
             let rest = unwritten.split_off(end);
@@ -139,22 +134,18 @@
     }
 }
 
-async fn read(
-    call: &UpstreamCall,
-    body: &mut ResponseBody<'static>,
-    buffer: &mut [u8],
-) -> Result<usize, RelayEnd> {
+async fn read(call: &UpstreamCall, body: &mut AnswerBody) -> Result<Option<Vec<u8>>, RelayEnd> {
     let time_to_deadline = call.time_to_deadline();
     // Data that is always ready would win against a time-out.
     if time_to_deadline.is_zero() {
         return Err(RelayEnd::DeadlinePassed);
     }
     let silence_timeout = call.attempt.first_byte_ms.to_duration();
-    match with_timeout(silence_timeout.min(time_to_deadline), body.read(buffer)).await {
+    match with_timeout(silence_timeout.min(time_to_deadline), body.next()).await {
         None if time_to_deadline <= silence_timeout => Err(RelayEnd::DeadlinePassed),
         None => Err(RelayEnd::Failed("the upstream went silent".into())),
         Some(Err(error)) => Err(RelayEnd::Failed(error.to_string())),
-        Some(Ok(count)) => Ok(count),
+        Some(Ok(piece)) => Ok(piece),
     }
 }
 
--- a/src/edge/tests.rs
+++ b/src/edge/tests.rs
@@ -1,5 +1,7 @@
 //! Clients of other systems at a server that sends further answers.
 
+mod answers;
+
 use super::EngineControl;
 use super::engine::HttpEngines;
 use crate::http1::{BodyReader, Connection};
@@ -42,7 +44,7 @@
             }
         })
         .detach();
-        let engines = HttpEngines::new();
+        let engines = HttpEngines;
         let first = engines.order_state(address, Offset(1)).await;
         assert!(matches!(first, OrderAnswer::Done), "{first:?}");
         let second = engines.order_state(address, Offset(2)).await;
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -5,13 +5,13 @@
 use crate::clock::Clock;
 use crate::daemon::event::Event;
 use crate::edge::event_loop_handle::EventLoopHandle;
-use crate::edge::http::{CallError, classify_error, with_timeout};
+use crate::edge::exchange::{Answer, AnswerBody, Request, exchange};
+use crate::edge::http::{CallError, with_timeout};
 use crate::event_stream::BodyKind;
-use crate::http1::Framing;
 use crate::prelude::*;
 use crate::upstreams::Notice;
 use std::time::Duration;
-use trillium_client::{Client, Conn, Headers, KnownHeaderName, Method, ResponseBody};
+use trillium::{Method, Status};
 
 /// The answer header by which an upstream says that it ran nothing of the request.
 pub const RUN_HEADER: &str = "x-mangovale-run";
@@ -76,7 +76,7 @@
     /// The time from sending the request to the head of the answer.
     pub first_byte_ms: Millis,
     /// The body, still to be read.
-    pub body: ResponseBody<'static>,
+    pub body: AnswerBody,
 }
 
 impl AnswerStart {
@@ -93,8 +93,6 @@
     pub attempt: Attempt,
     /// The request that it sends.
     pub outgoing: OutgoingRequest,
-    /// The client of upstreams.
-    pub client: Client,
     /// The event loop, which learns what answers state.
     pub event_loop: Arc<EventLoopHandle>,
     /// The clock by which deadlines are measured.
@@ -146,8 +144,7 @@
         let sent_at = self.clock.now();
         let first_byte_timeout = self.attempt.first_byte_ms.to_duration();
         let timeout = first_byte_timeout.min(self.time_to_deadline());
-        let conn = self.build_request(resume);
-        match with_timeout(timeout, conn.into_future()).await {
+        match with_timeout(timeout, self.exchange(resume)).await {
             None => {
                 let upstream = &self.attempt.upstream;
                 let why = format!(
@@ -156,10 +153,10 @@
                 );
                 Err(AttemptOutcome::Silent(why))
             }
-            Some(Err(error)) => Err(outcome_of_error(&classify_error(&error))),
-            Some(Ok(conn)) => {
-                self.report_notice(read_notice(&conn)).await;
-                self.check_answer_start(conn, self.clock.now().since(sent_at))
+            Some(Err(error)) => Err(outcome_of_error(&error)),
+            Some(Ok(answer)) => {
+                self.report_notice(read_notice(&answer)).await;
+                self.check_answer_start(answer, self.clock.now().since(sent_at))
             }
         }
     }
@@ -177,33 +174,37 @@
         self.event_loop.send(stated).await;
     }
 
-    fn build_request(&self, resume: Option<ResumePoint>) -> Conn {
+    async fn exchange(&self, resume: Option<ResumePoint>) -> Result<Answer, CallError> {
         let outgoing = &self.outgoing;
         let url = format!("http://{}{}", self.attempt.address, outgoing.path);
-        let mut conn = self
-            .client
-            .build_conn(outgoing.method, url)
-            .with_request_header("content-type", outgoing.content_type.to_string());
-        conn = match resume {
-            None => conn.with_request_header(ATTEMPT_ID_HEADER, self.attempt_id().to_string()),
-            Some(resume) => conn
-                .with_request_header(RESUME_ATTEMPT_HEADER, resume.attempt_id.to_string())
-                .with_request_header(RESUME_FROM_HEADER, resume.from.to_string()),
-        };
+        let mut headers = vec![("Content-Type", outgoing.content_type.to_string())];
+        match resume {
+            None => headers.push((ATTEMPT_ID_HEADER, self.attempt_id().to_string())),
+            Some(resume) => headers.extend([
+                (RESUME_ATTEMPT_HEADER, resume.attempt_id.to_string()),
+                (RESUME_FROM_HEADER, resume.from.to_string()),
+            ]),
+        }
         if let Some(operation_id) = &outgoing.operation_id {
-            conn = conn.with_request_header(OPERATION_HEADER, operation_id.to_string());
+            headers.push((OPERATION_HEADER, operation_id.to_string()));
         }
-        conn.with_body(outgoing.body.to_vec())
+        let request = Request {
+            method: outgoing.method,
+            url: &url,
+            headers,
+            body: &outgoing.body,
+        };
+        exchange(&request).await
     }
 
     fn check_answer_start(
         &self,
-        mut conn: Conn,
+        answer: Answer,
         first_byte_ms: Millis,
     ) -> Result<AnswerStart, AttemptOutcome> {
-        let status = conn.status().map_or(0, |status| status as u16);
-        let headers = conn.response_headers();
-        let not_run = headers.get_str(RUN_HEADER) == Some(NOT_RUN);
+        let Answer { head, body } = answer;
+        let (status, headers) = (head.status, &head.headers);
+        let not_run = headers.text(RUN_HEADER) == Some(NOT_RUN);
         if not_run && !REQUEST_FAULTS.contains(&status) {
             let why = format!("{} answered {status}", self.attempt.upstream);
             return Err(match status {
@@ -211,11 +212,12 @@
                 _ => AttemptOutcome::NotRun(why),
             });
         }
-        let content_type = headers.get_str("content-type").map(str::to_owned);
-        let kind = BodyKind::new(content_type.as_deref(), framing(headers));
-        let Some(body) = conn.take_response_body() else {
-            return Err(AttemptOutcome::Unknown("the answer has no body".into()));
-        };
+        if Status::try_from(status).is_err() {
+            let why = format!("{} answered {status}", self.attempt.upstream);
+            return Err(AttemptOutcome::Unknown(why));
+        }
+        let content_type = headers.text("content-type").map(str::to_owned);
+        let kind = BodyKind::new(content_type.as_deref(), head.framing);
         Ok(AnswerStart {
             status,
             content_type,
@@ -237,9 +239,10 @@
         max_bytes: u64,
     ) -> Result<Vec<u8>, AttemptOutcome> {
         let AnswerStart { kind, body, .. } = started;
-        let body = body.with_max_len(max_bytes);
+        let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+        let body = body.read_to_end(max_bytes);
         let unknown = |why: String| Err(AttemptOutcome::Unknown(why));
-        let bytes = match with_timeout(self.time_to_deadline(), body.read_bytes()).await {
+        let bytes = match with_timeout(self.time_to_deadline(), body).await {
             None => return unknown("the answer stopped half-way".into()),
             Some(Err(error)) => return unknown(error.to_string()),
             Some(Ok(bytes)) => bytes,
@@ -263,34 +266,27 @@
         }
         let address = self.attempt.address;
         let url = format!("http://{address}/cancel/{}", self.attempt_id());
-        let client = self.client.clone();
         smol::spawn(async move {
-            let conn = client.build_conn(Method::Post, url);
-            with_timeout(CANCEL_TIMEOUT, conn.into_future()).await;
+            let request = Request {
+                method: Method::Post,
+                url: &url,
+                headers: Vec::new(),
+                body: &[],
+            };
+            with_timeout(CANCEL_TIMEOUT, exchange(&request)).await;
         })
         .detach();
     }
 }
 
-/// Returns how the end of a body is told.
-fn framing(headers: &Headers) -> Framing {
-    let length = headers.get_str(KnownHeaderName::ContentLength);
-    match length.and_then(|length| length.parse().ok()) {
-        _ if headers.has_header(KnownHeaderName::TransferEncoding) => Framing::Chunked,
-        Some(length) => Framing::Length(length),
-        None => Framing::UntilClose,
-    }
-}
-
 /// Reads what an upstream's answer states about further requests.
-fn read_notice(conn: &Conn) -> Notice {
-    let headers = conn.response_headers();
-    let status = conn.status().map_or(0, |status| status as u16);
+fn read_notice(answer: &Answer) -> Notice {
+    let headers = &answer.head.headers;
     let rest_s = headers
-        .get_str(KnownHeaderName::RetryAfter)
-        .filter(|_| status == UNAVAILABLE);
+        .text("retry-after")
+        .filter(|_| answer.head.status == UNAVAILABLE);
     Notice {
-        is_leaving: headers.get_str(LEAVING_HEADER) == Some("1"),
+        is_leaving: headers.text(LEAVING_HEADER) == Some("1"),
         rest_ms: rest_s.and_then(Notice::parse_rest),
     }
 }
--- a/src/entry/tests/broken_answers.rs
+++ b/src/entry/tests/broken_answers.rs
@@ -3,76 +3,14 @@
 use super::fake_upstream::Step::{Close, Write};
 use super::site::{Site, on_site, route};
 use crate::desired::{Repeat, Route};
+use crate::test_support::broken_answers::{
+    CHUNKS, CODED_IN_HTTP_10, FIELD_LINES, FRAMINGS, LINE_ENDS, STATUSES, SWITCHES,
+};
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
 const REQUEST: &str =
     "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\nContent-Length: 3\r\n\r\nabc";
 
-/// Statuses that are no status: RFC 9110, section 15.
-const STATUSES: &[&str] = &[
-    "HTTP/1.1 000 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 099 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 600 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 999 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 20 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 2000 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-];
-
-/// Field lines that are none: RFC 9110, sections 5.5 and 5.6.2; RFC 9112, sections 5 to 5.2.
-const FIELD_LINES: &[&str] = &[
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX A: 1\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX\u{1}A: 1\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX\0A: 1\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length : 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n: 1\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nno colon\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX-A: 1\u{7f}\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX-A: 1\r\n 2\r\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\n X-A: 1\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-];
-
-/// Lines that end otherwise than with CR LF, and an empty line first: RFC 9112, sections 2.1 and 2.2.
-const LINE_ENDS: &[&str] = &[
-    "HTTP/1.1 200 OK\nId: {id}\nSeal: s\nContent-Length: 2\n\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX-A: 1\nContent-Length: 2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\nno",
-    "\r\nHTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-];
-
-/// A protocol that no request asked for: RFC 9110, sections 7.8 and 15.2.2.
-const SWITCHES: &[&str] = &[
-    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno",
-];
-
-/// Framings that do not go with the version: RFC 9112, section 6.1.
-const CODED_IN_HTTP_10: &[&str] = &[
-    "HTTP/1.0 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
-    "HTTP/1.0 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nno",
-];
-
-/// Framings in which parsers may disagree: RFC 9112, sections 6.1 and 6.3.
-const FRAMINGS: &[&str] = &[
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: +2\r\n\r\nno",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
-];
-
-/// Chunk lines and trailers: RFC 9112, sections 7.1 to 7.1.2.
-const CHUNKS: &[&str] = &[
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n 2\r\nno\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\nno\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2;\u{1}\r\nno\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2;a=\"b\r\nno\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX A: 1\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX-A: \u{1}\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nnono\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n0x2\r\nno\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\nno\n0\n\n",
-];
-
 /// Sends requests until the upstream `u1` has got one; another upstream answers each soundly. Returns
 /// the answer to the request that `u1` got.
 async fn call_until_sent_to_first(site: &Site, broken: &'static str) -> (u16, String) {
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -400,10 +400,20 @@
 pub async fn connect(address: SocketAddr) -> std::io::Result<Connection<TcpStream>> {
     let stream = TcpStream::connect(address).await?;
     set_socket_options(&stream)?;
-    rustix::net::sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES)?;
+    bound_send_buffer(&stream)?;
     Ok(Connection::new(stream))
 }
 
+/// Bounds the bytes that the kernel takes for a connection before the upstream has received them.
+///
+/// # Errors
+///
+/// Returns the error of the socket.
+pub fn bound_send_buffer(stream: &TcpStream) -> std::io::Result<()> {
+    rustix::net::sockopt::set_socket_send_buffer_size(stream, SEND_BUFFER_BYTES)?;
+    Ok(())
+}
+
 /// Sets the TCP options of a host's connections: small writes are sent without delay, and an
 /// unreachable peer is detected by a user time-out and by keep-alive probes.
 ///
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -1,5 +1,6 @@
 //! Helpers for the tests of several modules.
 
+pub mod broken_answers;
 pub mod early_upstream;
 
 use crate::desired::{Repeat, Route, Target};
