Refuse a request that cannot be expected to end within a planned stop

Cause: only the time of arrival was looked at.

While it stops, a request that has not run and whose expected end and deadline both lie beyond the end of the stop is refused as stopping, not run, to come back at once: its caller goes on at another host. What may not be repeated is expected to take as long as the slowest answer, the rest as long as the median; where nothing was learned, the deadline decides. The stop takes no longer.

Weighed: handing such requests to another host. Its answer would pass through this host, and end with it.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -21,7 +21,7 @@
 use crate::entry::sending::send::{self, SendOutcome, StartedAnswer};
 use crate::entry::sending::unavailable::{Unavailable, unavailable};
 use crate::entry::sending::waiting::{late_start_refusal, wait_for_turn, wait_for_upstream};
-use crate::entry::upstream_limits;
+use crate::entry::{stop, upstream_limits};
 use crate::error::Ran;
 use crate::prelude::*;
 use crate::routing::roles::is_long;
@@ -102,6 +102,11 @@
                 _ => end(host, request, out, log, attempts).await,
             };
         }
+        if attempts.runs == 0
+            && let Some(refusal) = stop::refusal(host, request)
+        {
+            return refuse(host, request, out, log, refusal).await;
+        }
         if let Some(refusal) = version_gone(host, request, &attempts) {
             return match attempts.runs {
                 0 => refuse(host, request, out, log, refusal).await,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -22,6 +22,7 @@
 use crate::prelude::*;
 use crate::rate_limit::{Limiter, Lines, SharedLimits, UpstreamLimits};
 use crate::retry::{RetryBudget, RetryState};
+use crate::routing::answer_durations::AnswerDurations;
 use crate::routing::first_event::ReadingRatio;
 use crate::routing::occupancy::Occupancy;
 use crate::upstreams::Registry;
@@ -81,6 +82,8 @@
     pub places: Places,
     /// How long requests of each service occupy an engine slot, averaged over this host's answers.
     pub occupancy: RefCell<IndexMap<Name, Occupancy>>,
+    /// How long requests of each route take, learned from this host's answers.
+    pub answer_durations: RefCell<AnswerDurations>,
     /// How long first events of each service take, as a multiple of the predicted time, learned from
     /// this host's answers.
     pub reading_ratios: RefCell<IndexMap<Name, ReadingRatio>>,
@@ -145,6 +148,7 @@
             event_gaps: RefCell::default(),
             retries: RefCell::default(),
             occupancy: RefCell::default(),
+            answer_durations: RefCell::default(),
             reading_ratios: RefCell::default(),
             stop_requested_at: Cell::new(None),
             active_requests: Cell::new(0),
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -230,6 +230,12 @@
         host.active_requests.set(host.active_requests.get() - 1);
         self.summary.whole_ms = host.now().since(self.arrived_at);
         let outcome = self.outcome.unwrap_or("caller_gone");
+        if let ("answered", Some(route)) = (outcome, &self.summary.route)
+            && self.summary.status < 500
+        {
+            let mut durations = host.answer_durations.borrow_mut();
+            durations.note(route, self.summary.whole_ms);
+        }
         self.count_served(outcome);
         let RequestSummary {
             first_byte_ms,
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -1,6 +1,7 @@
 //! A planned stop: the host first accepts no new callers, then waits until its requests have ended,
 //! for as long as the platform allows.
 
+use crate::entry::active_request::ActiveRequest;
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::Platform;
@@ -13,6 +14,9 @@
 /// How long before the platform kills the process it exits by itself. Answers under way are cut off
 /// in both cases, but a process that exits by itself can still write its last log line.
 const EXIT_MARGIN_MS: Millis = Millis(500);
+/// How long before the process exits the requests that are still open are ended, so that their callers
+/// get an answer.
+const ANSWER_MARGIN_MS: Millis = Millis(250);
 /// How often the number of active requests is checked.
 const POLL_MS: Millis = Millis(50);
 
@@ -22,6 +26,31 @@
     took_ms: Millis,
 }
 
+fn exit_at<P: Platform>(host: &Host<P>, requested_at: Millis) -> Millis {
+    requested_at + host.settings().bounds.stop_ms() - EXIT_MARGIN_MS
+}
+
+/// Returns when the requests that are still open are ended; none unless the host stops.
+fn requests_end_at<P: Platform>(host: &Host<P>) -> Option<Millis> {
+    let requested_at = host.stop_requested_at.get()?;
+    Some(exit_at(host, requested_at) - ANSWER_MARGIN_MS)
+}
+
+/// Returns the refusal of a request that was not sent yet, if the host stops and the request cannot be
+/// expected to end before. Its caller goes on at another host, instead of losing the answer.
+pub fn refusal<P: Platform>(host: &Host<P>, request: &ActiveRequest) -> Option<Refusal> {
+    let end_at = requests_end_at(host)?;
+    let route = &request.route;
+    let durations = host.answer_durations.borrow();
+    let expected_ms = durations.expected_ms(&route.name, route.repeat);
+    let expected_at = expected_ms.map_or(Millis::NEVER, |took_ms| host.now() + took_ms);
+    let is_too_late = expected_at.min(request.deadline_at) > end_at;
+    is_too_late.then(|| {
+        let why = "this host ends before the request would";
+        Refusal::new(ErrorKind::Stopping, why).with_retry_after(Millis::ZERO)
+    })
+}
+
 /// Waits for a planned stop to begin, and then until no request is active or the time allowed by
 /// the platform is nearly over. Callers first get [`STOP_ACCEPT_MS`] to move to other hosts.
 pub async fn wait<P: Platform>(host: &Host<P>) {
@@ -37,7 +66,7 @@
         took_ms: host.now().since(requested_at),
     };
     lines::write(LogEvent::StopBegan, &line(host));
-    let exit_at = requested_at + host.settings().bounds.stop_ms() - EXIT_MARGIN_MS;
+    let exit_at = exit_at(host, requested_at);
     loop {
         let now = host.now();
         let is_idle = host.active_requests.get() == 0 && now >= requested_at + STOP_ACCEPT_MS;
--- a/src/entry/tests/stop.rs
+++ b/src/entry/tests/stop.rs
@@ -1,14 +1,78 @@
 //! A planned stop of a host.
 
-use super::fake_upstream::Step::Write;
-use super::site::{on_site, route};
-use crate::desired::Repeat;
+use super::fake_upstream::FakeUpstream;
+use super::fake_upstream::Step::{self, Wait, Write};
+use super::site::{Site, on_site, route};
+use crate::desired::{Repeat, Route};
+use crate::entry::settings::{EntrySettings, PlatformBounds};
 use crate::entry::stop::STOP_ACCEPT_MS;
 use crate::prelude::*;
+use smol::Timer;
+use std::cell::Cell;
+use std::rc::Rc;
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
 const REQUEST: &str = "GET /a/ HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\n\r\n";
 
+/// The time that the platform gives a host to stop, in seconds, in tests that wait for it.
+const SHORT_STOP_S: f64 = 2.0;
+/// How long requests last that cannot end in the second half of such a stop.
+const LONG_MS: Millis = Millis(1_000);
+
+/// Starts a site with a short time to stop, a route with this repeat rule and an upstream.
+async fn start(site: &Site, route: Route, scripts: Vec<Vec<Step>>) -> FakeUpstream {
+    let settings = EntrySettings {
+        bounds: PlatformBounds {
+            stop_s: SHORT_STOP_S,
+            ..site.host.settings().bounds
+        },
+        ..(*site.host.settings()).clone()
+    };
+    *site.host.settings.borrow_mut() = Rc::new(settings);
+    site.apply_route(route).await;
+    site.start_upstream("u1", scripts).await
+}
+
+// Guards against a late request that is passed on although it lasts longer than what is left of the stop,
+// and is cut without an answer.
+#[test]
+fn a_request_that_cannot_end_within_the_stop_is_refused_as_not_run() {
+    for repeat in [Repeat::Once, Repeat::Idempotent] {
+        on_site(|site| async move {
+            let may_answer = Rc::new(Cell::new(false));
+            let slow = vec![Wait(may_answer.clone()), Write(WHOLE)];
+            let upstream = start(&site, route(repeat), vec![slow]).await;
+            let mut caller = site.connect().await;
+            caller.send(REQUEST).await;
+            Timer::after(LONG_MS.to_duration()).await;
+            may_answer.set(true);
+            assert_eq!(caller.answer().await.head.status, 200);
+            site.host.begin_stop();
+            Timer::after(LONG_MS.to_duration()).await;
+            let sent_at = site.host.now();
+            let answer = site.call(REQUEST).await;
+            assert_eq!(answer.head.status, 503, "{repeat:?}: {}", answer.body);
+            assert!(answer.body.contains("stopping"), "{}", answer.body);
+            assert!(site.host.now().since(sent_at) < Millis(300));
+            assert_eq!(upstream.arrivals.borrow().len(), 1);
+        });
+    }
+}
+
+// Guards against the same where nothing is known of how long such requests last.
+#[test]
+fn a_request_of_unknown_length_is_served_in_a_stop_only_if_its_deadline_is_within() {
+    on_site(|site| async move {
+        let upstream = start(&site, route(Repeat::Once), vec![vec![Write(WHOLE)]]).await;
+        site.host.begin_stop();
+        let answer = site.call(REQUEST).await;
+        assert_eq!(answer.head.status, 503, "{}", answer.body);
+        assert!(upstream.arrivals.borrow().is_empty());
+        let short = REQUEST.replace("Wait-Ms: 5000", "Wait-Ms: 500");
+        assert_eq!(site.call(&short).await.head.status, 200);
+    });
+}
+
 #[test]
 fn a_stopping_host_is_not_ready_but_serves_early_requests_and_closes_their_connections() {
     on_site(|site| async move {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Selection of the upstream that serves a request.
 
+pub mod answer_durations;
 pub mod answer_wait;
 pub mod first_byte;
 pub mod first_event;
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of first-byte timeouts and of the schedule of engine reports.
 
+mod answer_durations;
 mod first_event;
 mod pick;
 mod pick_slowness;
