Answer requests that are still open when a planned stop ends

Callers whose requests were open at the end of a planned stop found their connection closed without an answer, also for requests that may not be repeated.

Cause: the process ended under them. An answer that has begun is broken off, so it does not look complete. The upstream's connection is closed with it. The stop takes no longer.

A request that another host handed to this one ends with the connection between the two at the exit, as before; that host answers its caller.

Evidence: a_request_that_is_open_at_the_end_of_a_stop_gets_an_answer and a_stream_that_is_open_at_the_end_of_a_stop_ends_as_cut failed before (no end of either by the end of the stop).

--- a/src/entry/answer/caller_writer.rs
+++ b/src/entry/answer/caller_writer.rs
@@ -54,6 +54,8 @@
     output: Output,
     /// Whether the connection closes after the answer.
     pub closes: bool,
+    /// Whether any byte of the answer may have been written.
+    pub has_begun: bool,
     form: BodyFraming,
     /// The bytes of the announced length that were not written yet.
     left_bytes: u64,
@@ -67,6 +69,7 @@
         Self {
             output: Output::Caller(stream),
             closes: false,
+            has_begun: false,
             form: BodyFraming::HeadOnly,
             left_bytes: 0,
             software_version: None,
@@ -94,6 +97,7 @@
         Self {
             output: Output::Host(stream),
             closes: false,
+            has_begun: false,
             form: BodyFraming::HeadOnly,
             left_bytes: 0,
             software_version: None,
@@ -134,6 +138,7 @@
         if form != BodyFraming::HeadOnly {
             bytes.extend_from_slice(body);
         }
+        self.has_begun = true;
         self.output.write_all(&bytes).await
     }
 
@@ -150,6 +155,7 @@
         };
         let mut bytes = self.output.answer_start(self.software_version.take())?;
         bytes.extend(self.head_bytes(head, form));
+        self.has_begun = true;
         self.output.write_all(&bytes).await
     }
 
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -8,6 +8,7 @@
 use crate::entry::platform::{Platform, RequestFacts};
 use crate::entry::request_log::{AnswerEnd, RequestLog};
 use crate::entry::sending::attempts::BUSY_RETRY_AFTER_MS;
+use crate::entry::stop;
 use crate::http1::client::{set_socket_options, with_timeout};
 use crate::http1::{BodyReader, Connection, HeadError, ReadError, RequestHead};
 use crate::prelude::*;
@@ -126,6 +127,7 @@
         }
     };
     writer.closes = !head.keep_alive || host.is_stopping();
+    writer.has_begun = false;
     let prepared = active_request::prepare(
         host,
         head,
@@ -133,15 +135,51 @@
         arrived_at,
         Origin::Caller(context.clone()),
     );
-    let answered = async { Some(answer(host, prepared, writer, &mut log).await) };
+    let answered = async { Ended::Answered(answer(host, prepared, writer, &mut log).await) };
     let disconnected = async {
         wait_for_disconnect(connection).await;
-        None
+        Ended::CallerGone
+    };
+    let stopped = async {
+        stop::wait_for_end_of_requests(host).await;
+        Ended::HostEnds
     };
     // Nothing is sent for a caller that has left by the time its request is looked at.
-    let ended = futures_lite::future::or(disconnected, answered).await;
-    drop(log);
-    ended == Some(AnswerEnd::Complete) && !writer.closes
+    let served = futures_lite::future::or(answered, stopped);
+    match futures_lite::future::or(disconnected, served).await {
+        Ended::Answered(AnswerEnd::Complete) => !writer.closes,
+        Ended::Answered(AnswerEnd::Broken) | Ended::CallerGone => false,
+        Ended::HostEnds => {
+            end_open_request(host, writer, &mut log).await;
+            false
+        }
+    }
+}
+
+/// How serving a request ended.
+enum Ended {
+    Answered(AnswerEnd),
+    CallerGone,
+    /// The host ends before the answer does.
+    HostEnds,
+}
+
+/// Ends a request that is still open when its host ends: with an answer if there is none yet, else by
+/// breaking the answer off.
+async fn end_open_request<P: Platform>(
+    host: &Host<P>,
+    writer: &mut CallerWriter,
+    log: &mut RequestLog<'_, P>,
+) {
+    if writer.has_begun {
+        log.outcome = Some("broken");
+        log.summary.why = Some("this host ends");
+        return;
+    }
+    writer.closes = true;
+    let refusal = stop::last_answer(&log.summary);
+    let id = log.summary.request.clone();
+    forward::answer_refusal(host, id.as_deref(), writer, log, &refusal).await;
 }
 
 async fn answer<P: Platform>(
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -5,6 +5,7 @@
 use crate::entry::host::Host;
 use crate::entry::lines;
 use crate::entry::platform::Platform;
+use crate::entry::request_log::RequestSummary;
 use crate::prelude::*;
 use smol::Timer;
 
@@ -51,6 +52,33 @@
     })
 }
 
+/// Waits until a stopping host ends the requests that are still open.
+pub async fn wait_for_end_of_requests<P: Platform>(host: &Host<P>) {
+    loop {
+        let begins = host.next_stop();
+        let Some(end_at) = requests_end_at(host) else {
+            begins.await;
+            continue;
+        };
+        let left_ms = end_at.since(host.now());
+        if left_ms == Millis::ZERO {
+            return;
+        }
+        Timer::after(left_ms.to_duration()).await;
+    }
+}
+
+/// Returns the answer to a request that is still open when its host ends.
+pub fn last_answer(summary: &RequestSummary) -> Refusal {
+    match summary.sends.is_empty() {
+        true => Refusal::new(ErrorKind::Stopping, "this host ends").with_retry_after(Millis::ZERO),
+        false => Refusal::new(
+            ErrorKind::OutcomeUnknown,
+            "this host ends before the answer",
+        ),
+    }
+}
+
 /// Waits for a planned stop to begin, and then until no request is active or the time allowed by
 /// the platform is nearly over. Callers first get [`STOP_ACCEPT_MS`] to move to other hosts.
 pub async fn wait<P: Platform>(host: &Host<P>) {
--- a/src/entry/tests/stop.rs
+++ b/src/entry/tests/stop.rs
@@ -1,11 +1,11 @@
 //! A planned stop of a host.
 
 use super::fake_upstream::FakeUpstream;
-use super::fake_upstream::Step::{self, Wait, Write};
-use super::site::{Site, on_site, route};
+use super::fake_upstream::Step::{self, Hang, Wait, Write};
+use super::site::{Answer, Site, on_site, route};
 use crate::desired::{Repeat, Route};
 use crate::entry::settings::{EntrySettings, PlatformBounds};
-use crate::entry::stop::STOP_ACCEPT_MS;
+use crate::entry::stop::{self, STOP_ACCEPT_MS};
 use crate::prelude::*;
 use smol::Timer;
 use std::cell::Cell;
@@ -33,6 +33,29 @@
     site.start_upstream("u1", scripts).await
 }
 
+/// Sends a request, begins a stop while it runs, and waits for the end of the stop. Returns the answer as
+/// far as it came.
+async fn call_over_stop(site: &Site, upstream: &FakeUpstream) -> Answer {
+    let mut caller = site.connect().await;
+    caller.send(REQUEST).await;
+    site.until(|_| upstream.arrivals.borrow().len() == 1).await;
+    site.host.begin_stop();
+    let began_at = site.host.now();
+    let host = site.host.clone();
+    let stopped = site.executor.spawn(async move {
+        stop::wait(&*host).await;
+        host.now()
+    });
+    let answer = caller.answer().await;
+    let answered_at = site.host.now();
+    let stopped_at = stopped.await;
+    assert!(answered_at <= stopped_at, "{answered_at:?}, {stopped_at:?}");
+    let stop_ms = stopped_at.since(began_at);
+    let allowed_ms = site.host.settings().bounds.stop_ms();
+    assert!(stop_ms < allowed_ms, "{stop_ms:?}");
+    answer
+}
+
 // Guards against a late request that is passed on although it lasts longer than what is left of the stop,
 // and is cut without an answer.
 #[test]
@@ -73,6 +96,36 @@
     });
 }
 
+// Guards against a request whose caller's connection is closed without an answer at the end of a stop.
+#[test]
+fn a_request_that_is_open_at_the_end_of_a_stop_gets_an_answer() {
+    for repeat in [Repeat::Once, Repeat::Idempotent, Repeat::Resumable] {
+        on_site(|site| async move {
+            let upstream = start(&site, route(repeat), vec![vec![Hang]]).await;
+            let answer = call_over_stop(&site, &upstream).await;
+            assert_eq!(answer.head.status, 502, "{repeat:?}: {}", answer.body);
+            assert!(answer.is_whole && !answer.head.keep_alive);
+            site.until(|_| *upstream.disconnects.borrow() == 1).await;
+        });
+    }
+}
+
+// Guards against a stream that looks complete because its host stopped.
+#[test]
+fn a_stream_that_is_open_at_the_end_of_a_stop_ends_as_cut() {
+    on_site(|site| async move {
+        let streams = Route {
+            streams: true,
+            ..route(Repeat::Once)
+        };
+        let begun = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\nid: 1\ndata: a\n\n";
+        let upstream = start(&site, streams, vec![vec![Write(begun), Hang]]).await;
+        let answer = call_over_stop(&site, &upstream).await;
+        assert_eq!((answer.head.status, answer.is_whole), (200, false));
+        assert_eq!(answer.body, "id: 1\ndata: a\n\n");
+    });
+}
+
 #[test]
 fn a_stopping_host_is_not_ready_but_serves_early_requests_and_closes_their_connections() {
     on_site(|site| async move {
