Test: hosts that stood still or were cut off from the others while a new version joined

Nothing else changes for it.

The hosts of such tests have executors of their own, which can be paused.

--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -30,6 +30,7 @@
 mod notices;
 mod orderer_metrics;
 mod organisations;
+mod out_of_step;
 mod own_answers;
 mod passed_on;
 mod peers;
--- a/src/entry/tests/fake_upstream.rs
+++ b/src/entry/tests/fake_upstream.rs
@@ -20,6 +20,12 @@
 /// The pause between two pieces of an answer that trickles.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
 
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+const FIRST_EVENT: &str = "d\r\nid:1\ndata:a\n\n\r\n";
+const SECOND_EVENT: &str = "d\r\nid:2\ndata:b\n\n\r\n";
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
 /// What an upstream does with a request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -34,6 +40,9 @@
     /// Writes once more what was written in answer to the previous request of the connection; nothing
     /// on a new one.
     RepeatPrevious,
+    /// Streams the first of two events and closes the connection once the test sets the flag; a request
+    /// that goes on after an event gets the second one.
+    Stream(Rc<Cell<bool>>),
     /// Waits until the test sets the flag.
     Wait(Rc<Cell<bool>>),
     /// Closes the connection.
@@ -157,6 +166,9 @@
             }
             let id = head.headers.text("Id").unwrap_or_default().to_string();
             let parts = read_parts(&head.headers);
+            let goes_on = ["Last-Event-Id", "Resume-After"]
+                .iter()
+                .any(|name| head.headers.text(name).is_some());
             let nth = arrivals.borrow().len().min(scripts.len() - 1);
             let at = clock.now();
             arrivals.borrow_mut().push(Arrival { head, body, at });
@@ -195,6 +207,22 @@
                             return;
                         }
                     }
+                    Step::Stream(may_break) => {
+                        let (event, end) = match goes_on {
+                            true => (SECOND_EVENT, LAST_CHUNK),
+                            false => (FIRST_EVENT, ""),
+                        };
+                        let text = format!("{STREAM_HEAD}{event}{end}").replace("{id}", &id);
+                        if connection.write(text.as_bytes()).await.is_err() {
+                            return;
+                        }
+                        while !goes_on && !may_break.get() {
+                            Timer::after(Duration::from_millis(1)).await;
+                        }
+                        if !goes_on {
+                            return;
+                        }
+                    }
                     Step::Wait(may_go_on) => {
                         while !may_go_on.get() {
                             Timer::after(Duration::from_millis(1)).await;
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -32,9 +32,13 @@
 use crate::upstreams::UpstreamEntry;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Task, Timer};
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 
 /// The time limit of a test, longer than any test needs.
 const TEST_MS: Millis = Millis(20_000);
@@ -61,6 +65,7 @@
     pub streams: Rc<Streams>,
     /// The platform's store as it reaches it.
     pub store: Rc<FakeStore>,
+    executors: Executors,
     tasks: Vec<Task<()>>,
 }
 
@@ -70,36 +75,91 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// The hosts.
     pub hosts: Vec<OneHost>,
-    quic: Arc<smol::Executor<'static>>,
     unreachable: Unreachable,
 }
 
+/// What of a host stands still.
+#[derive(Clone, Copy, Debug)]
+pub enum Standstill {
+    /// The whole host, as a process that is stopped.
+    Host,
+    /// What it sends to other hosts and gets from them.
+    LinksToHosts,
+}
+
+/// Lets the tasks of an executor stand still for a while.
+#[derive(Debug, Default)]
+struct Pause {
+    is_paused: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Pause {
+    fn set(&self, is_paused: bool) {
+        self.is_paused.set(is_paused);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Polls a future except while it is to stand still.
+    async fn hold<F: Future<Output = ()>>(self: Rc<Self>, future: F) {
+        let mut future = pin!(future);
+        poll_fn(|context| match self.is_paused.get() {
+            true => {
+                *self.waker.borrow_mut() = Some(context.waker().clone());
+                Poll::Pending
+            }
+            false => future.as_mut().poll(context),
+        })
+        .await;
+    }
+}
+
+/// The executors of one host.
+struct Executors {
+    own: Rc<LocalExecutor<'static>>,
+    quic: Arc<smol::Executor<'static>>,
+    pauses: [Rc<Pause>; 2],
+}
+
+impl Executors {
+    /// Creates the executors and runs them on that of the test.
+    fn run_on(executor: &LocalExecutor<'static>) -> Self {
+        let executors = Self {
+            own: Rc::new(LocalExecutor::new()),
+            quic: Arc::new(smol::Executor::new()),
+            pauses: Default::default(),
+        };
+        let (own, quic) = (executors.own.clone(), executors.quic.clone());
+        let [of_own, of_quic] = executors.pauses.clone();
+        let run_own = async move { own.run(std::future::pending()).await };
+        let run_quic = async move { quic.run(std::future::pending()).await };
+        executor.spawn(of_own.hold(run_own)).detach();
+        executor.spawn(of_quic.hold(run_quic)).detach();
+        executors
+    }
+}
+
 /// Runs a test on hosts that follow the tables, accept callers and call each other.
 pub fn on_hosts<F: Future<Output = ()>>(count: usize, test: impl FnOnce(Hosts) -> F) {
     let executor = Rc::new(LocalExecutor::new());
-    let shared = Arc::new(smol::Executor::new());
     let tasks = executor.clone();
-    let quic = shared.clone();
     let run = executor.run(async move {
-        let hosts = Hosts::start(tasks, &quic, count).await;
+        let hosts = Hosts::start(tasks, count).await;
         let done = with_timeout(TEST_MS, test(hosts)).await;
         assert!(done.is_some(), "the test did not end within its time limit");
     });
-    smol::block_on(shared.run(run));
+    smol::block_on(run);
 }
 
 impl Hosts {
-    async fn start(
-        executor: Rc<LocalExecutor<'static>>,
-        shared: &Arc<smol::Executor<'static>>,
-        count: usize,
-    ) -> Self {
+    async fn start(executor: Rc<LocalExecutor<'static>>, count: usize) -> Self {
         let first = FakeStore::default();
         let stores = (0..count).map(|_| Rc::new(first.sharing_stored()));
         let mut hosts = Self {
             executor,
             hosts: Vec::new(),
-            quic: shared.clone(),
             unreachable: Unreachable::new(),
         };
         hosts.start_on(stores.collect()).await;
@@ -111,12 +171,13 @@
         let mut listeners = Vec::new();
         for store in stores {
             let (listener, address) = listen().await;
-            self.hosts.push(OneHost::new(address, store, &self.quic));
+            let executors = Executors::run_on(&self.executor);
+            self.hosts.push(OneHost::new(address, store, executors));
             listeners.push(listener);
         }
         self.list_members();
         for (one, listener) in self.hosts.iter_mut().zip(listeners) {
-            one.run(&self.executor, listener);
+            one.run(listener);
         }
     }
 
@@ -149,12 +210,13 @@
         for number in lost {
             let (listener, address) = listen().await;
             let store = self.hosts[*number].store.clone();
-            self.hosts[*number] = OneHost::new(address, store, &self.quic);
+            let executors = Executors::run_on(&self.executor);
+            self.hosts[*number] = OneHost::new(address, store, executors);
             listeners.push(listener);
         }
         self.list_members();
         for (number, listener) in lost.iter().zip(listeners) {
-            self.hosts[*number].run(&self.executor, listener);
+            self.hosts[*number].run(listener);
         }
     }
 
@@ -299,8 +361,8 @@
 }
 
 impl OneHost {
-    fn new(address: SocketAddr, store: Rc<FakeStore>, quic: &Arc<smol::Executor<'static>>) -> Self {
-        let peers = bind_peers(quic);
+    fn new(address: SocketAddr, store: Rc<FakeStore>, executors: Executors) -> Self {
+        let peers = bind_peers(&executors.quic);
         let host = Host::new(
             settings(address),
             FakePlatform(store.clone()),
@@ -320,11 +382,23 @@
             peers,
             address,
             store,
+            executors,
             tasks: Vec::new(),
         }
     }
 
-    fn run(&mut self, executor: &Rc<LocalExecutor<'static>>, listener: TcpListener) {
+    /// Lets the host, or its links to the others, stand still or go on.
+    pub fn set_standing_still(&self, what: Standstill, stands_still: bool) {
+        let [own, quic] = &self.executors.pauses;
+        quic.set(stands_still);
+        match what {
+            Standstill::Host => own.set(stands_still),
+            Standstill::LinksToHosts => {}
+        }
+    }
+
+    fn run(&mut self, listener: TcpListener) {
+        let executor = self.executors.own.clone();
         let (host, streams) = (self.host.clone(), self.streams.clone());
         let context = CallerContext {
             handoffs: Some(self.handoffs.clone()),
