Test: sound answers with a few bytes changed reach callers exactly or not at all

A generator by seed changes one to three places of sound answers with each framing. What the caller gets is read to the end of its connection by a reader that shares no code with the product: it is the answer that the changed bytes are by RFC 9110 and RFC 9112, or a refusal of the host, or visibly cut. This checks what the writer puts on the wire, too.

--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -27,6 +27,7 @@
 mod list_exchange;
 mod lost_hosts;
 mod members_exchange;
+mod mutated_answers;
 mod notices;
 mod orderer_metrics;
 mod organisations;
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -2,6 +2,7 @@
 
 pub mod broken_answers;
 pub mod early_upstream;
+pub mod reference_answer;
 
 use crate::desired::{Repeat, Route, Target};
 use crate::group::{Generation, Member};
