Send no chunks to callers of HTTP/1.0

A caller of HTTP/1.0 got streams and long answers in chunks, and took the chunk framing for a part of the body. RFC 9112, section 6.1: no transfer coding towards a caller of HTTP/1.0.

Cause: the writer of answers did not know the version of the request. Such an answer now ends with the connection, and one that is cut ends with a reset, since nothing else tells its caller.

Evidence: a_caller_of_http_1_0_gets_no_chunks and a_cut_answer_to_a_caller_of_http_1_0_ends_with_a_reset failed before.

--- a/src/entry/answer/caller_writer.rs
+++ b/src/entry/answer/caller_writer.rs
@@ -3,13 +3,14 @@
 use crate::handoff::AnswerStart;
 use crate::handoff::message::to_frame;
 use crate::http1::head::has_no_length;
-use crate::http1::{Headers, ResponseHead};
+use crate::http1::{Headers, ResponseHead, Version};
 use crate::prelude::*;
 use crate::resumption::StreamVersion;
 use crate::resumption::message::SentVersion;
 use futures_lite::AsyncWriteExt;
 use quinn::SendStream;
 use smol::net::TcpStream;
+use std::time::Duration;
 
 /// How the end of an answer's body is marked for the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +21,8 @@
     Length(u64),
     /// By the chunked transfer coding.
     Chunked,
+    /// By the close of the connection, for a caller that knows no chunks.
+    UntilClose,
 }
 
 /// Where the bytes of an answer go.
@@ -56,6 +59,8 @@
     pub closes: bool,
     /// Whether any byte of the answer may have been written.
     pub has_begun: bool,
+    /// The version of the request.
+    pub version: Version,
     form: BodyFraming,
     /// The bytes of the announced length that were not written yet.
     left_bytes: u64,
@@ -70,6 +75,7 @@
             output: Output::Caller(stream),
             closes: false,
             has_begun: false,
+            version: Version::Http11,
             form: BodyFraming::HeadOnly,
             left_bytes: 0,
             software_version: None,
@@ -98,6 +104,7 @@
             output: Output::Host(stream),
             closes: false,
             has_begun: false,
+            version: Version::Http11,
             form: BodyFraming::HeadOnly,
             left_bytes: 0,
             software_version: None,
@@ -148,10 +155,15 @@
     ///
     /// Returns why the connection broke.
     pub async fn begin(&mut self, head: &ResponseHead, form: BodyFraming) -> std::io::Result<()> {
+        let form = match (form, self.version) {
+            (BodyFraming::Chunked, Version::Http10) => BodyFraming::UntilClose,
+            (form, _) => form,
+        };
         self.form = form;
+        self.closes |= form == BodyFraming::UntilClose;
         self.left_bytes = match form {
             BodyFraming::Length(length) => length,
-            BodyFraming::HeadOnly | BodyFraming::Chunked => 0,
+            BodyFraming::HeadOnly | BodyFraming::Chunked | BodyFraming::UntilClose => 0,
         };
         let mut bytes = self.output.answer_start(self.software_version.take())?;
         bytes.extend(self.head_bytes(head, form));
@@ -176,6 +188,7 @@
                 bytes.extend_from_slice(b"\r\n");
                 self.output.write_all(&bytes).await
             }
+            BodyFraming::UntilClose => self.output.write_all(piece).await,
             BodyFraming::Length(_) | BodyFraming::HeadOnly => {
                 let left_bytes = self.left_bytes.checked_sub(piece.len() as u64);
                 self.left_bytes = left_bytes.ok_or_else(not_announced_length)?;
@@ -196,7 +209,16 @@
             BodyFraming::Length(_) | BodyFraming::HeadOnly if self.left_bytes > 0 => {
                 Err(not_announced_length())
             }
-            BodyFraming::Length(_) | BodyFraming::HeadOnly => Ok(()),
+            BodyFraming::Length(_) | BodyFraming::HeadOnly | BodyFraming::UntilClose => Ok(()),
+        }
+    }
+
+    /// Ends an answer that is cut, so that it does not look complete: where only the close of the connection
+    /// tells the end of the body, the connection is reset when it is closed.
+    pub fn cut(&self) {
+        if let (Output::Caller(stream), BodyFraming::UntilClose) = (&self.output, self.form) {
+            // It fails only on a connection that has ended.
+            let _is_open = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
         }
     }
 
@@ -247,6 +269,7 @@
                 headers.remove("content-length");
                 headers.push("Content-Length", &length.to_string());
             }
+            BodyFraming::UntilClose => headers.remove("content-length"),
             BodyFraming::Chunked => {
                 headers.remove("content-length");
                 headers.push("Transfer-Encoding", "chunked");
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -128,6 +128,7 @@
     };
     writer.closes = !head.keep_alive || host.is_stopping();
     writer.has_begun = false;
+    writer.version = head.version;
     let prepared = active_request::prepare(
         host,
         head,
@@ -148,7 +149,11 @@
     let served = futures_lite::future::or(answered, stopped);
     match futures_lite::future::or(disconnected, served).await {
         Ended::Answered(AnswerEnd::Complete) => !writer.closes,
-        Ended::Answered(AnswerEnd::Broken) | Ended::CallerGone => false,
+        Ended::Answered(AnswerEnd::Broken) => {
+            writer.cut();
+            false
+        }
+        Ended::CallerGone => false,
         Ended::HostEnds => {
             end_open_request(host, writer, &mut log).await;
             false
@@ -174,6 +179,7 @@
     if writer.has_begun {
         log.outcome = Some("broken");
         log.summary.why = Some("this host ends");
+        writer.cut();
         return;
     }
     writer.closes = true;
--- a/src/entry/tests/passed_on.rs
+++ b/src/entry/tests/passed_on.rs
@@ -1,10 +1,10 @@
 //! What callers get of answers with unusual heads: the bytes of the upstream, and nothing that it did not
 //! send.
 
-use super::fake_upstream::Step::{Close, Write};
+use super::fake_upstream::Step::{self, Close, Write};
 use super::site::{on_site, route};
-use crate::desired::Repeat;
-use crate::http1::ResponseHead;
+use crate::desired::{Repeat, Route};
+use crate::http1::{ReadError, ResponseHead};
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
 
@@ -112,3 +112,48 @@
         assert!(bytes.starts_with(b"HTTP/1.1 200 \r\n"), "{bytes:?}");
     });
 }
+
+/// Returns what a caller of HTTP/1.0 gets of a stream, and how its connection ended.
+fn stream_to_http_1_0(script: &'static [Step]) -> (Vec<u8>, ReadError) {
+    let (sender, receiver) = smol::channel::bounded(1);
+    on_site(|site| async move {
+        site.apply_route(Route {
+            streams: true,
+            ..route(Repeat::Once)
+        })
+        .await;
+        site.start_upstream("u1", vec![script.to_vec()]).await;
+        let mut caller = site.connect().await;
+        caller
+            .send("GET /a/1 HTTP/1.0\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\n\r\n")
+            .await;
+        let mut bytes = Vec::new();
+        let end = loop {
+            match caller.0.read_some(u64::MAX).await {
+                Ok(piece) => bytes.extend(piece),
+                Err(end) => break end,
+            }
+        };
+        sender.try_send((bytes, end)).expect("there is room");
+    });
+    receiver.try_recv().expect("the bytes")
+}
+
+const EVENT: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid:1\ndata:a\n\n\r\n";
+
+// Guards against chunks that a caller of HTTP/1.0 takes for the body (RFC 9112, section 6.1).
+#[test]
+fn a_caller_of_http_1_0_gets_no_chunks() {
+    let (bytes, end) = stream_to_http_1_0(&[Write(EVENT), Write("0\r\n\r\n")]);
+    let text = String::from_utf8(bytes).expect("text");
+    assert!(text.ends_with("\r\n\r\nid:1\ndata:a\n\n"), "{text}");
+    assert!(!text.to_lowercase().contains("transfer-encoding"), "{text}");
+    assert!(matches!(end, ReadError::Ended), "{end}");
+}
+
+// Guards against a cut answer that looks complete, since only its connection's end tells its end.
+#[test]
+fn a_cut_answer_to_a_caller_of_http_1_0_ends_with_a_reset() {
+    let (_, end) = stream_to_http_1_0(&[Write(EVENT), Close]);
+    assert!(matches!(end, ReadError::Broken { .. }), "{end}");
+}
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -190,6 +190,8 @@
     pub method: Box<str>,
     /// The path and query as received.
     pub target: Box<str>,
+    /// The version of the request.
+    pub version: Version,
     /// The header lines, including hop-by-hop headers.
     pub headers: Headers,
     /// How the end of the body is determined.
@@ -239,6 +241,7 @@
         let head = Self {
             method: method.into(),
             target: request.path.unwrap_or_default().into(),
+            version,
             framing,
             expects_continue: version == Version::Http11
                 && headers.has_token("expect", "100-continue"),
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -16,4 +16,4 @@
 pub use body::{BodyReader, ChunkError};
 pub use connection::{Connection, ReadError};
 pub use exchange::{Written, write_while_reading};
-pub use head::{Framing, HeadError, Headers, RequestHead, ResponseHead};
+pub use head::{Framing, HeadError, Headers, RequestHead, ResponseHead, Version};
