--- a/src/entry/handoff/mod.rs
+++ b/src/entry/handoff/mod.rs
@@ -12,6 +12,7 @@
 use crate::entry::forward::ANSWER_MARGIN_MS;
 use crate::entry::handoff::peer_stream::PeerStream;
 use crate::entry::host::Host;
+use crate::entry::lines;
 use crate::entry::paths;
 use crate::entry::peers::Peers;
 use crate::entry::platform::Platform;
@@ -356,6 +357,13 @@
     }
 }
 
+#[derive(Serialize)]
+struct LostAnswerLine<'a> {
+    request: Option<&'a str>,
+    from_host: &'a str,
+    why: &'a str,
+}
+
 /// How a request that a host accepted ended there.
 enum Passed {
     Ended(HandedOff),
@@ -393,13 +401,22 @@
     let mut connection = Connection::new(stream);
     let read = read_answer(request, &mut connection);
     let left_ms = answer_by.since(host.now());
-    let Some(Ok(Exchanged {
+    let Exchanged {
         head,
         body_start,
         reader,
-    })) = with_timeout(left_ms, read).await
-    else {
-        return lost();
+    } = match with_timeout(left_ms, read).await {
+        Some(Ok(exchanged)) => exchanged,
+        Some(Err(error)) => {
+            let line = LostAnswerLine {
+                request: request.facts.id.as_deref(),
+                from_host: name,
+                why: &error.to_string(),
+            };
+            lines::write(LogEvent::AttemptFailed, &line);
+            return lost();
+        }
+        None => return lost(),
     };
     Passed::Ended(HandedOff::Answered(Box::new(StartedAnswer {
         upstream: Lifetime {
