--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -21,6 +21,7 @@
 mod fake_upstream;
 mod follow;
 mod handoff;
+mod host_executors;
 mod hosts;
 mod lease_manager;
 mod list_copy;
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -2,6 +2,7 @@
 
 use super::fake_platform::{FakePlatform, FakeStore};
 use super::fake_upstream::{FakeUpstream, Step};
+use super::host_executors::{HostExecutors, Standstill};
 use super::site::{
     Answer, Caller, LIST_KNOWN_MS, as_member, bind_peers, entry, entry_of, settings,
 };
@@ -32,13 +33,9 @@
 use crate::upstreams::UpstreamEntry;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Task, Timer};
-use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
 
 /// The time limit of a test, longer than any test needs.
 const TEST_MS: Millis = Millis(20_000);
@@ -65,7 +62,7 @@
     pub streams: Rc<Streams>,
     /// The platform's store as it reaches it.
     pub store: Rc<FakeStore>,
-    executors: Executors,
+    executors: HostExecutors,
     tasks: Vec<Task<()>>,
 }
 
@@ -78,69 +75,6 @@
     unreachable: Unreachable,
 }
 
-/// What of a host stands still.
-#[derive(Clone, Copy, Debug)]
-pub enum Standstill {
-    /// The whole host, as a process that is stopped.
-    Host,
-    /// What it sends to other hosts and gets from them.
-    LinksToHosts,
-}
-
-/// Lets the tasks of an executor stand still for a while.
-#[derive(Debug, Default)]
-struct Pause {
-    is_paused: Cell<bool>,
-    waker: RefCell<Option<Waker>>,
-}
-
-impl Pause {
-    fn set(&self, is_paused: bool) {
-        self.is_paused.set(is_paused);
-        if let Some(waker) = self.waker.borrow_mut().take() {
-            waker.wake();
-        }
-    }
-
-    /// Polls a future except while it is to stand still.
-    async fn hold<F: Future<Output = ()>>(self: Rc<Self>, future: F) {
-        let mut future = pin!(future);
-        poll_fn(|context| match self.is_paused.get() {
-            true => {
-                *self.waker.borrow_mut() = Some(context.waker().clone());
-                Poll::Pending
-            }
-            false => future.as_mut().poll(context),
-        })
-        .await;
-    }
-}
-
-/// The executors of one host.
-struct Executors {
-    own: Rc<LocalExecutor<'static>>,
-    quic: Arc<smol::Executor<'static>>,
-    pauses: [Rc<Pause>; 2],
-}
-
-impl Executors {
-    /// Creates the executors and runs them on that of the test.
-    fn run_on(executor: &LocalExecutor<'static>) -> Self {
-        let executors = Self {
-            own: Rc::new(LocalExecutor::new()),
-            quic: Arc::new(smol::Executor::new()),
-            pauses: Default::default(),
-        };
-        let (own, quic) = (executors.own.clone(), executors.quic.clone());
-        let [of_own, of_quic] = executors.pauses.clone();
-        let run_own = async move { own.run(std::future::pending()).await };
-        let run_quic = async move { quic.run(std::future::pending()).await };
-        executor.spawn(of_own.hold(run_own)).detach();
-        executor.spawn(of_quic.hold(run_quic)).detach();
-        executors
-    }
-}
-
 /// Runs a test on hosts that follow the tables, accept callers and call each other.
 pub fn on_hosts<F: Future<Output = ()>>(count: usize, test: impl FnOnce(Hosts) -> F) {
     let executor = Rc::new(LocalExecutor::new());
@@ -171,7 +105,7 @@
         let mut listeners = Vec::new();
         for store in stores {
             let (listener, address) = listen().await;
-            let executors = Executors::run_on(&self.executor);
+            let executors = HostExecutors::run_on(&self.executor);
             self.hosts.push(OneHost::new(address, store, executors));
             listeners.push(listener);
         }
@@ -210,7 +144,7 @@
         for number in lost {
             let (listener, address) = listen().await;
             let store = self.hosts[*number].store.clone();
-            let executors = Executors::run_on(&self.executor);
+            let executors = HostExecutors::run_on(&self.executor);
             self.hosts[*number] = OneHost::new(address, store, executors);
             listeners.push(listener);
         }
@@ -361,7 +295,7 @@
 }
 
 impl OneHost {
-    fn new(address: SocketAddr, store: Rc<FakeStore>, executors: Executors) -> Self {
+    fn new(address: SocketAddr, store: Rc<FakeStore>, executors: HostExecutors) -> Self {
         let peers = bind_peers(&executors.quic);
         let host = Host::new(
             settings(address),
@@ -389,12 +323,7 @@
 
     /// Lets the host, or its links to the others, stand still or go on.
     pub fn set_standing_still(&self, what: Standstill, stands_still: bool) {
-        let [own, quic] = &self.executors.pauses;
-        quic.set(stands_still);
-        match what {
-            Standstill::Host => own.set(stands_still),
-            Standstill::LinksToHosts => {}
-        }
+        self.executors.set_standing_still(what, stands_still);
     }
 
     fn run(&mut self, listener: TcpListener) {
--- a/src/entry/tests/out_of_step.rs
+++ b/src/entry/tests/out_of_step.rs
@@ -2,7 +2,8 @@
 //! and that is asked meanwhile and afterwards to go on with streams that began through other hosts.
 
 use super::fake_upstream::{FakeUpstream, Step};
-use super::hosts::{Hosts, Standstill, on_hosts, until};
+use super::host_executors::Standstill;
+use super::hosts::{Hosts, on_hosts, until};
 use super::site::{Caller, entry_of};
 use super::versions::{REQUEST, SECOND, TAKE_UP, resumable};
 use crate::desired::Route;
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -4,6 +4,9 @@
 use crate::http1::client::{Call, CallAnswer, CallError, Client};
 use crate::http1::write_permit::{WritePermit, WriteRight};
 use crate::prelude::*;
+use crate::test_support::broken_answers::{
+    CHUNKS, CODED_IN_HTTP_10, FIELD_LINES, FRAMINGS, LINE_ENDS, STATUSES, SWITCHES,
+};
 use crate::test_support::early_upstream::{self, End, UPLOAD_BYTES};
 use futures_lite::{AsyncReadExt, future};
 use rustix::net::{AddressFamily, SocketType, sockopt};
@@ -297,3 +300,24 @@
         assert_eq!((answer.status, &*answer.body), (413, &b"too large"[..]));
     }
 }
+
+// Guards against a broken answer that counts as the answer to a call to the store or an engine.
+#[test]
+fn a_broken_answer_is_no_answer_to_a_call() {
+    let all = [
+        STATUSES,
+        FIELD_LINES,
+        LINE_ENDS,
+        SWITCHES,
+        CODED_IN_HTTP_10,
+        FRAMINGS,
+        CHUNKS,
+    ];
+    for broken in all.into_iter().flatten() {
+        let answer = call_early(broken, End::ShutDownThenReset);
+        assert!(
+            matches!(answer, Err(CallError::Read { .. })),
+            "{broken:?}: {answer:?}"
+        );
+    }
+}
