--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -3,7 +3,7 @@
 
 use crate::edge::http::{CONNECT_TIMEOUT, CallError, with_timeout};
 use crate::http1::client::{MAX_HEAD_BYTES, bound_send_buffer};
-use crate::http1::head::is_text_byte;
+use crate::http1::syntax::is_text_byte;
 use crate::http1::{BodyReader, Connection, Headers, ReadError, ResponseHead, write_while_reading};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -2,7 +2,8 @@
 
 use crate::http1::connection::{Connection, ReadError};
 use crate::http1::exchange::Written;
-use crate::http1::head::{Framing, is_field_line, is_text_byte, is_token};
+use crate::http1::head::Framing;
+use crate::http1::syntax::{is_field_line, is_text_byte, is_token};
 use futures_lite::{AsyncRead, AsyncWrite};
 use snafu::Snafu;
 
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -1,7 +1,8 @@
 //! A connection with a buffer of bytes that were read from it and not consumed yet.
 
 use crate::http1::body::ChunkError;
-use crate::http1::head::{HeadError, RequestHead, ResponseHead, quote_broken_line};
+use crate::http1::head::{HeadError, RequestHead, ResponseHead};
+use crate::http1::syntax::quote_broken_line;
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use snafu::Snafu;
 use std::future::poll_fn;
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -8,6 +8,7 @@
 pub mod connection;
 pub mod exchange;
 pub mod head;
+pub mod syntax;
 pub mod write_permit;
 
 #[cfg(test)]
