--- /dev/null
+++ b/review/standin-2/src/hosts.rs
@@ -0,0 +1,116 @@
+//! Entry hosts: the real program, one process a host, started with the command of the deploy file.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub struct EntryHost {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    program: PathBuf,
+    child: Option<Child>,
+}
+
+fn free_port() -> SocketAddr {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("its address");
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+impl EntryHost {
+    pub fn start(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        directory: &Path,
+    ) -> std::io::Result<Self> {
+        let [callers, directory_listen, ready, peer, metrics] =
+            std::array::from_fn(|_| free_port());
+        // As deploy/settings.toml.template renders the settings of a small deployment.
+        let text = format!(
+            "name = \"{name}\"\ndata_centre = \"{zone}\"\ncaller_listen = \"{callers}\"\n\
+             directory_listen = \"{directory_listen}\"\nready_listen = \"{ready}\"\npeer_listen = \"{peer}\"\n\
+             metrics_listen = \"{metrics}\"\nstore = \"{store}\"\nmax_descriptors = 4100\ncpu_share = 0.25\n\
+             cpu_speed = 1\n\n[bounds]\nstop_s = 8\ncontact_ms = 3000\napply_ms = 2000\ndrain_ms = 2000\n\
+             retry_ratio = 0.2\nretry_slack = 54\nretry_window_s = 10\norder_lease_ms = 3000\n\
+             directory_ttl_s = 5\nmember_lapse_ms = 1000\n"
+        );
+        let settings = directory.join(format!("{name}.toml"));
+        std::fs::write(&settings, text)?;
+        let mut host = Self {
+            callers,
+            ready,
+            settings,
+            log: directory.join(format!("{name}.log")),
+            program: std::env::current_dir()?.join("target/release/mangovale-entry"),
+            child: None,
+        };
+        host.run()?;
+        Ok(host)
+    }
+
+    pub fn run(&mut self) -> std::io::Result<()> {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        let mut command = Command::new(&self.program);
+        command
+            .env("MANGOVALE_CONFIG", &self.settings)
+            .stdin(Stdio::null());
+        self.child = Some(command.stdout(log.try_clone()?).stderr(log).spawn()?);
+        Ok(())
+    }
+
+    pub fn wait_until_ready(&self) -> bool {
+        let until = Instant::now() + Duration::from_secs(15);
+        while Instant::now() < until {
+            let head = "GET /-/readyz HTTP/1.1\r\nHost: ready\r\n\r\n";
+            if crate::http::call(self.ready, head, b"", Duration::from_secs(1))
+                .is_ok_and(|answer| answer.status() == 200)
+            {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    pub fn has_ended(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        Some(status.to_string())
+    }
+
+    pub fn signal(&self, signal: &str) {
+        if let Some(pid) = self.pid() {
+            let _ = Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(pid.to_string())
+                .status();
+        }
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for EntryHost {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
