--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -10,4 +10,4 @@
         exit 2
     fi
 done
-exec target/review-2/standin-2 earlier-start "$here"
+exec target/review-2/standin-2 late-order "$here"
--- a/review/standin-2/src/engine.rs
+++ b/review/standin-2/src/engine.rs
@@ -7,6 +7,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Stands for the status of an order that makes it crash.
+const OVERLOAD: u16 = 1;
+
 struct State {
     id: String,
     born: u64,
@@ -15,11 +18,19 @@
     models: Vec<String>,
     loading: Option<(String, Instant)>,
     channels: Vec<TcpStream>,
+    /// The order count that the order which gets no answer names; nothing once it has come.
+    withholds: Option<u64>,
+    /// The order that got no answer.
+    withheld: Option<String>,
+    /// The models that it has held before; they lie on its own disk.
+    on_disk: Vec<String>,
 }
 
 pub struct Engine {
     pub address: SocketAddr,
     load: Duration,
+    /// For how long it loads a model from its own disk.
+    disk_load: Duration,
     /// The memory for weights, and the size of each model, in MB.
     memory: Option<(f64, Vec<(String, f64)>)>,
     /// For how long a stream lasts, in ten events.
@@ -61,10 +72,14 @@
             models: Vec::new(),
             loading: None,
             channels: Vec::new(),
+            withholds: None,
+            withheld: None,
+            on_disk: Vec::new(),
         };
         let engine = Arc::new(Self {
             address: listener.local_addr()?,
             load,
+            disk_load: load.min(Duration::from_millis(500)),
             memory,
             stream,
             state: Mutex::new(state),
@@ -142,7 +157,81 @@
 
     /// Lets it hold a model from the start.
     pub fn place(&self, model: &str) {
-        self.state.lock().unwrap().models.push(model.to_string());
+        let mut state = self.state.lock().unwrap();
+        state.models.push(model.to_string());
+        state.on_disk.push(model.to_string());
+    }
+
+    /// Leaves the next load that names this order count unanswered.
+    pub fn withhold(&self, count: u64) {
+        self.state.lock().unwrap().withholds = Some(count);
+    }
+
+    /// The order that it has left unanswered.
+    pub fn withheld(&self) -> Option<String> {
+        self.state.lock().unwrap().withheld.clone()
+    }
+
+    /// Carries out an order that it has left unanswered; looks at the precondition now.
+    pub fn carry_out(&self, text: &str) {
+        let mut state = self.state.lock().unwrap();
+        Self::settle(&mut state);
+        let (count, held) = (state.seq, state.models.join(" and "));
+        let status = match state.is_down {
+            true => 0,
+            false => self.order(&mut state, text),
+        };
+        let outcome = match status {
+            0 => "nothing: it is down".to_string(),
+            OVERLOAD => "it crashes".to_string(),
+            status => format!("{status}, sent to nobody"),
+        };
+        self.record.note(&format!(
+            "engine {}, order count {count}, holding {held}, carries out the late order {text}: {outcome}",
+            state.id
+        ));
+        drop(state);
+        if status == OVERLOAD {
+            self.crash();
+        }
+    }
+
+    /// Returns the status of an order, and begins it if that is 202.
+    fn order(&self, state: &mut State, text: &str) -> u16 {
+        let order = Json::parse(text).unwrap_or(Json::Null);
+        let field = |name: &str| {
+            let text = order.get(name).and_then(Json::text);
+            text.unwrap_or_default().to_string()
+        };
+        let model = field("model");
+        let expected = order.get("precondition").and_then(Json::number);
+        match field("op").as_str() {
+            _ if expected.is_some_and(|expected| expected != state.seq as f64) => 409,
+            _ if state.loading.is_some() => 409,
+            "load" if state.models.contains(&model) => 200,
+            "load" if self.is_too_much(state, &model) => {
+                self.overloads.lock().unwrap().push(text.to_string());
+                OVERLOAD
+            }
+            "load" => {
+                let takes = match state.on_disk.contains(&model) {
+                    true => self.disk_load,
+                    false => self.load,
+                };
+                if !state.on_disk.contains(&model) {
+                    state.on_disk.push(model.clone());
+                }
+                state.loading = Some((model, Instant::now() + takes));
+                state.seq += 1;
+                202
+            }
+            "unload" => {
+                state.models.retain(|own| *own != model);
+                state.seq += 1;
+                202
+            }
+            _ => 400,
+        }
     }
 
     fn settle(state: &mut State) {
@@ -214,40 +303,28 @@
             }
             ("POST", "/-/order") => {
                 let text = String::from_utf8_lossy(&request.body).into_owned();
-                let order = Json::parse(&text).unwrap_or(Json::Null);
-                let field = |name: &str| {
-                    order
-                        .get(name)
-                        .and_then(Json::text)
-                        .unwrap_or_default()
-                        .to_string()
-                };
-                let model = field("model");
-                let expected = order.get("precondition").and_then(Json::number);
-                let status = match field("op").as_str() {
-                    _ if expected.is_some_and(|expected| expected != state.seq as f64) => 409,
-                    _ if state.loading.is_some() => 409,
-                    "load" if state.models.contains(&model) => 200,
-                    "load" if self.is_too_much(&state, &model) => {
-                        let held = state.models.join(" and ");
-                        self.record.note(&format!("engine {} holds {held} and is ordered to load {model}: more than its memory, it crashes", state.id));
-                        self.overloads.lock().unwrap().push(text);
-                        drop(state);
-                        self.crash();
-                        return false;
-                    }
-                    "load" => {
-                        state.loading = Some((model, Instant::now() + self.load));
-                        state.seq += 1;
-                        202
-                    }
-                    "unload" => {
-                        state.models.retain(|own| *own != model);
-                        state.seq += 1;
-                        202
+                let named = format!("\"precondition\":{},", state.withholds.unwrap_or(u64::MAX));
+                if text.contains("\"load\"") && text.contains(&named) {
+                    self.record.note(&format!(
+                        "engine {} gives no answer to the order {text}",
+                        state.id
+                    ));
+                    state.withholds = None;
+                    state.withheld = Some(text);
+                    drop(state);
+                    while !self.state.lock().unwrap().is_down {
+                        std::thread::sleep(Duration::from_millis(5));
                     }
-                    _ => 400,
-                };
+                    return false;
+                }
+                let held = state.models.join(" and ");
+                let status = self.order(&mut state, &text);
+                if status == OVERLOAD {
+                    self.record.note(&format!("engine {} holds {held} and is ordered {text}: more than its memory, it crashes", state.id));
+                    drop(state);
+                    self.crash();
+                    return false;
+                }
                 self.record.note(&format!(
                     "engine {} answers {status} to the order {text}",
                     state.id
--- a/review/standin-2/src/hosts.rs
+++ b/review/standin-2/src/hosts.rs
@@ -83,24 +83,6 @@
         false
     }
 
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
-    pub fn has_ended(&mut self) -> Option<String> {
-        let status = self.child.as_mut()?.try_wait().ok()??;
-        Some(status.to_string())
-    }
-
-    pub fn signal(&self, signal: &str) {
-        if let Some(pid) = self.pid() {
-            let _ = Command::new("kill")
-                .arg(format!("-{signal}"))
-                .arg(pid.to_string())
-                .status();
-        }
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,7 @@
 mod hosts;
 mod http;
 mod json;
+mod late_order;
 mod passed_on;
 mod record;
 mod removed_model;
@@ -35,6 +36,7 @@
         (Err(error), _) => Ok(Verdict::CouldNotRun(error.to_string())),
         (_, "passed-on") => passed_on::run(&directory, &work, has_trouble),
         (_, "earlier-start") => earlier_start::run(&directory, &work, has_trouble),
+        (_, "late-order") => late_order::run(&directory, &work, has_trouble),
         (_, "removed-model") => removed_model::run(&directory, &work, has_trouble),
         (_, other) => Ok(Verdict::CouldNotRun(format!("no case {other}"))),
     };
--- a/review/standin-2/src/service.rs
+++ b/review/standin-2/src/service.rs
@@ -100,12 +100,6 @@
         self.channels.lock().unwrap().clear();
     }
 
-    /// Starts it again.
-    pub fn begin(&self) {
-        self.is_leaving.store(false, Ordering::SeqCst);
-        self.is_down.store(false, Ordering::SeqCst);
-    }
-
     fn answer(&self, channel: &mut Channel, request: &Message) -> bool {
         let own = self.id.lock().unwrap().clone();
         let id = request
