--- a/review/standin-2/src/hosts.rs
+++ b/review/standin-2/src/hosts.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 pub struct EntryHost {
@@ -14,11 +15,16 @@
     child: Option<Child>,
 }
 
+/// The next port to try. Ports for outgoing connections are taken from 32768 on, so that none of those takes a host's
+/// port before the host listens.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 fn free_port() -> SocketAddr {
+    let first = 20_000 + (std::process::id() % 1_000) as u16 * 10;
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("its address");
-        if UdpSocket::bind(address).is_ok() {
+        let port = first + NEXT_PORT.fetch_add(1, Ordering::SeqCst) % 2_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
