Count what an engine holds as memory in use whatever the desired state lists

Cause: the size of what an engine holds was looked up in the present desired state, and a model that is not there took 0 MB. It was no candidate for an unload either, since it has no demand entry.

Change: each host remembers the sizes that the desired states of its life have stated, and each copy keeps the size that was stated when it was loaded, also if a later version states less. A copy of a size that no host was told, as after a restart of all hosts or by a foreign report, leaves no known free memory: it is unloaded before anything is loaded there. A model that is not listed is unloaded before any listed one, unless requests run on it. An unload that the engine refuses as invalid is not ordered again while it holds the model or adapter.

--- a/src/entry/orderer.rs
+++ b/src/entry/orderer.rs
@@ -17,6 +17,7 @@
 use crate::ordering::event_gaps::{GapSample, MAX_RELAY_SAMPLES};
 use crate::ordering::lease::Lease;
 use crate::ordering::message::{Action, Order};
+use crate::ordering::model_sizes::ModelSizes;
 use crate::ordering::planner::{PlannedOrder, Planner};
 use crate::ordering::published::{EngineView, PublishedEngines};
 use crate::ordering::store_load_limiter::StoreLoadLimiter;
@@ -44,6 +45,8 @@
     pub lease: Lease,
     /// What the engines hold by their reports, and the orders they were sent.
     pub inventory: EngineInventory,
+    /// The sizes of the services' models, in this desired state and former ones.
+    pub model_sizes: Rc<IndexMap<Name, ModelSizes>>,
     /// The state of the engines as sent to the hosts, versioned so that a host gets changes only.
     pub published: PublishedEngines,
     /// The versions of the list of upstreams and of the desired state at the last update of the
@@ -107,6 +110,17 @@
         }
     }
 
+    /// Records the sizes of the models in a new desired state.
+    pub fn note_desired(&mut self, table: &RouteTable) {
+        let services = &table.services;
+        let sizes = Rc::make_mut(&mut self.model_sizes);
+        sizes.retain(|service, _| services.contains_key(service));
+        for (service, spec) in engine_specs(table) {
+            let of_service = sizes.entry(service.into()).or_default();
+            of_service.note_spec(spec);
+        }
+    }
+
     /// Returns the orderer as far as this host knows: the one that another host named or the one in
     /// the lease as read, whichever came last.
     pub fn holder(&self) -> Option<&Member> {
@@ -310,6 +324,8 @@
         .iter()
         .filter(|upstream| is_engine(&upstream.entry.service))
         .map(|upstream| (upstream.lifetime(), upstream.entry.service.clone()));
+    let sizes = orders.model_sizes.clone();
+    orders.inventory.set_sizes(sizes);
     orders.inventory.set_engines(now, engines);
     let starts = upstreams
         .iter()
--- a/src/entry/table_rows.rs
+++ b/src/entry/table_rows.rs
@@ -165,6 +165,7 @@
         .borrow_mut()
         .organisations
         .retain_limited(&table.rate_limits);
+    host.orders.borrow_mut().note_desired(&table);
     *host.routes.borrow_mut() = Some(Rc::new(table));
     if host.version_exchange.note_taken(line.version) && !host.is_orderer() {
         host.request_sync();
--- a/src/ordering/adapters.rs
+++ b/src/ordering/adapters.rs
@@ -97,10 +97,9 @@
             });
         }
         let candidates = holding().filter_map(|engine| {
-            let idle = engine
-                .adapters
-                .iter()
-                .filter(|(_, ready_at)| **ready_at != Millis::NEVER);
+            let idle = engine.adapters.iter().filter(|(other, ready_at)| {
+                **ready_at != Millis::NEVER && !engine.refused_unloads.contains(*other)
+            });
             let idle = idle.map(|(other, _)| (other, self.demand.demand_for(other)));
             let idle = idle.filter(|(_, demand)| demand.running == 0 && demand.waiting == 0);
             let least_recent = idle.min_by_key(|(_, demand)| demand.last_request_at)?;
--- a/src/ordering/engine.rs
+++ b/src/ordering/engine.rs
@@ -1,11 +1,11 @@
 //! One engine as the orderer knows it: what it holds, what it is loading or unloading, and its
 //! unanswered order.
 
-use crate::desired::EngineSpec;
 use crate::entry::platform::ModelRef;
 use crate::ordering::copy::{LoadProgress, ModelCopy};
-use crate::ordering::late_orders::{FormerOrders, FormerStartOrders, LateOrders};
+use crate::ordering::late_orders::{FormerOrders, LateOrders};
 use crate::ordering::message::{EngineReport, Order};
+use crate::ordering::model_sizes::ModelSize;
 use crate::ordering::published::EngineView;
 use crate::prelude::*;
 use crate::upstreams::{FormerStart, HeldModel, Lifetime};
@@ -44,6 +44,12 @@
     /// The adapters on the engine, with the time from which each can run; [`Millis::NEVER`] if the
     /// order that loads it is not answered.
     pub adapters: IndexMap<ModelRef, Millis>,
+    /// The sizes of the copies, as far as they are known.
+    pub(super) sizes: IndexMap<Name, ModelSize>,
+    /// The size of the largest model that the desired states of this process's life had.
+    pub(super) largest_mb: f64,
+    /// Models and adapters whose unload this start of the engine has refused as invalid.
+    pub(super) refused_unloads: IndexSet<ModelRef>,
     /// When this host's orders finished loading models.
     pub loaded_at: IndexMap<Name, Millis>,
     /// Models whose weights the engine has cached in memory or on disk.
@@ -96,6 +102,9 @@
             service,
             copies: IndexMap::new(),
             adapters: IndexMap::new(),
+            sizes: IndexMap::new(),
+            largest_mb: 0.0,
+            refused_unloads: IndexSet::new(),
             loaded_at: IndexMap::new(),
             cached_models: IndexSet::new(),
             pending: None,
@@ -209,38 +218,6 @@
                 .is_some_and(|reserved_for| &**reserved_for == model)
     }
 
-    /// Returns the memory in use, including models and adapters that are being loaded, those that an
-    /// unanswered order may load, and room for what a former holder's order to an earlier start may
-    /// load.
-    pub fn used_mb(&self, now: Millis, spec: &EngineSpec) -> f64 {
-        let mb = |model: &str| spec.models.get(model).map_or(0.0, |model| model.weights_mb);
-        let adapter_mb = |model_ref: &ModelRef| {
-            let model = spec.models.get(&model_ref.model);
-            model.map_or(0.0, |model| model.adapter_mb)
-        };
-        let models: f64 = self.copies.keys().map(|model| mb(model)).sum();
-        let adapters: f64 = self.adapters.keys().map(adapter_mb).sum();
-        let late_loads = self.late_loads(now).map(|ask| match ask.adapter {
-            Some(_) => adapter_mb(ask),
-            None => mb(&ask.model),
-        });
-        let late_loads: f64 = late_loads.sum();
-        let reserved = match self.former_start_orders(now) {
-            FormerStartOrders::Possible => spec.largest_model_mb(),
-            FormerStartOrders::None | FormerStartOrders::Expected => 0.0,
-        };
-        models + adapters + late_loads + reserved
-    }
-
-    /// Returns the adapter slots in use, including adapters that are being loaded and those that an
-    /// order to an earlier start may still load.
-    pub fn used_adapter_slots(&self, now: Millis) -> usize {
-        let late_loads = self.late_loads(now);
-        let late_slots = late_loads.filter(|ask| ask.adapter.is_some()).count();
-        let is_reserved = self.former_start_orders(now) == FormerStartOrders::Possible;
-        self.adapters.len() + late_slots + usize::from(is_reserved)
-    }
-
     /// Returns the adapters of a model on the engine.
     pub fn adapters_of<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a ModelRef> {
         self.adapters
@@ -283,6 +260,7 @@
         late_orders.begin_lifetime();
         *self = Self {
             late_orders,
+            sizes: std::mem::take(&mut self.sizes),
             former_orders: self.former_orders.map(|former| FormerOrders {
                 are_void: false,
                 ..former
@@ -420,6 +398,13 @@
             let ready_at = former.get(&model_ref).copied().unwrap_or(Millis::ZERO);
             self.adapters.entry(model_ref).or_insert(ready_at);
         }
+        let Self {
+            copies, adapters, ..
+        } = self;
+        self.refused_unloads.retain(|ask| match ask.adapter {
+            Some(_) => adapters.contains_key(ask),
+            None => copies.contains_key(&ask.model),
+        });
     }
 
     /// Returns the state of the engine that hosts are sent.
--- a/src/ordering/engine_inventory.rs
+++ b/src/ordering/engine_inventory.rs
@@ -14,10 +14,12 @@
 use crate::ordering::failed_loads::FailedLoads;
 use crate::ordering::late_orders::{FormerOrders, LATE_ORDER_MS, LateOrders};
 use crate::ordering::message::{Action, EngineReport, Order, OrderAnswer};
+use crate::ordering::model_sizes::ModelSizes;
 use crate::ordering::published::EngineView;
 use crate::prelude::*;
 use crate::upstreams::{FormerStart, Lifetime};
 use std::cell::Cell;
+use std::rc::Rc;
 
 /// How long freed memory stays reserved for the model that it was freed for. The unload waits for
 /// running requests.
@@ -70,6 +72,8 @@
     former_orders: Option<FormerOrders>,
     /// The unanswered orders to engines that are not listed, with the start that each engine had.
     unlisted_late_orders: IndexMap<Name, (Millis, LateOrders)>,
+    /// The sizes of the services' models.
+    sizes: Rc<IndexMap<Name, ModelSizes>>,
     engines_visited: Cell<u64>,
 }
 
@@ -80,6 +84,9 @@
         self.index.remove(engine);
         let former = engine.lifetime();
         let result = with(engine);
+        if let Some(sizes) = self.sizes.get(&engine.service) {
+            engine.note_sizes(sizes);
+        }
         self.index.add(engine);
         if engine.born_at != former.born_at {
             self.gone.push(former);
@@ -200,6 +207,11 @@
         }
     }
 
+    /// Sets the sizes of the services' models. The copies that are known keep theirs.
+    pub fn set_sizes(&mut self, sizes: Rc<IndexMap<Name, ModelSizes>>) {
+        self.sizes = sizes;
+    }
+
     /// Sets the software versions of the engines.
     pub fn set_versions(&mut self, versions: impl Iterator<Item = (Name, Name)>) {
         self.versions = versions.collect();
--- a/src/ordering/engine_orders.rs
+++ b/src/ordering/engine_orders.rs
@@ -76,6 +76,9 @@
                 self.pending = None;
                 self.forget_own_adapters(&order.ask);
                 self.undo(order);
+                if answer == OrderAnswer::Invalid && order.action == Action::Unload {
+                    self.refused_unloads.insert(order.ask.clone());
+                }
                 if order.action == Action::Load && order.ask.adapter.is_none() {
                     // The unload that should have freed the memory is not done yet; the reservation
                     // stays.
--- a/src/ordering/late_orders.rs
+++ b/src/ordering/late_orders.rs
@@ -98,6 +98,11 @@
         self.0.is_empty()
     }
 
+    /// Returns whether an order concerns a model.
+    pub(super) fn concern(&self, model: &str) -> bool {
+        self.0.iter().any(|late| *late.order.ask.model == *model)
+    }
+
     /// Returns what orders to earlier starts may still load at an engine that has accepted
     /// `order_count` orders. An engine refuses an order that names fewer.
     fn loads(&self, now: Millis, order_count: u64) -> impl Iterator<Item = &ModelRef> {
--- a/src/ordering/planner.rs
+++ b/src/ordering/planner.rs
@@ -57,6 +57,10 @@
 /// that held it last, where interrupted streams of it cannot go on.
 const OTHER_VERSION_COST: f64 = 4_000.0;
 
+/// The cost of the unload of a model that is not in the desired state, in prompt tokens per second, for
+/// each request that runs on it.
+const UNLISTED_REQUEST_COST: f64 = 1_000.0;
+
 /// If the engines' memory is at least this many times the weights of all models, each model is
 /// loaded on at least two engines.
 const AMPLE_MEMORY_FACTOR: f64 = 16.0;
@@ -401,27 +405,37 @@
         if missing_mb <= 0.0 {
             return Some((Vec::new(), 0.0));
         }
+        if missing_mb == f64::INFINITY {
+            return Some((self.unknown_victims(engine)?, 0.0));
+        }
         let held = engine
             .copies
             .iter()
             // The memory of a model that a late order may load again does not become free.
             .filter(|(model, copy)| {
                 **copy == ModelCopy::Held && !engine.may_load_late(self.now, model)
-            });
+            })
+            .filter(|(model, _)| !engine.refuses_to_unload(model));
         let mut candidates: Vec<(f64, &Name)> = held
             .filter(|(model, _)| {
                 let loaded_at = engine.loaded_at.get(*model);
                 loaded_at.is_none_or(|at| self.now.since(*at) >= MIN_RESIDENCY_MS)
             })
-            .filter_map(|(model, _)| Some((self.value(engine, needs.get(model)?, need)?, model)))
+            .filter_map(|(model, _)| {
+                let value = match needs.get(model) {
+                    Some(held) => self.value(engine, held, need)?,
+                    None => self.value_of_unlisted(model),
+                };
+                Some((value, model))
+            })
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (mut freed_mb, mut lost_demand, mut victims) = (0.0, 0.0, Vec::new());
         for (value, model) in candidates {
             let adapters = engine.adapters_of(model).count() as f64;
-            let spec = self.spec.models.get(model);
-            freed_mb += spec.map_or(0.0, |spec| spec.weights_mb + adapters * spec.adapter_mb);
-            lost_demand += value;
+            let size = engine.size_of(model, self.spec);
+            freed_mb += size.map_or(0.0, |size| size.weights_mb + adapters * size.adapter_mb);
+            lost_demand += value.max(0.0);
             victims.push(model.clone());
             if freed_mb >= missing_mb {
                 return Some((victims, lost_demand));
@@ -430,6 +444,29 @@
         None
     }
 
+    /// Returns the models to unload before it is known how much memory an engine has: those of unknown
+    /// size. None if one of them must stay.
+    fn unknown_victims(&self, engine: &Engine) -> Option<Vec<Name>> {
+        let unknown = engine.copies_of_unknown_size(self.spec);
+        let victims = unknown.map(|(model, copy)| {
+            let may_go = *copy == ModelCopy::Held && !engine.refuses_to_unload(model);
+            may_go.then(|| model.clone())
+        });
+        let victims: Vec<Name> = victims.collect::<Option<_>>()?;
+        (!victims.is_empty()).then_some(victims)
+    }
+
+    /// Returns the value of a copy of a model that is not in the desired state. Without running requests
+    /// it is below that of any other. An unload waits for those that run.
+    fn value_of_unlisted(&self, model: &Name) -> f64 {
+        let demands = self.demand.iter();
+        let of_model = demands.filter(|(ask, _)| ask.model == *model);
+        match of_model.map(|(_, demand)| demand.running).sum::<u32>() {
+            0 => -1.0,
+            running => f64::from(running) * UNLISTED_REQUEST_COST,
+        }
+    }
+
     /// Returns the value of a model's copy on an engine in prompt tokens per second; `None` if it
     /// must stay.
     fn value(&self, engine: &Engine, held: &Need<'_>, need: &Need<'_>) -> Option<f64> {
--- a/src/ordering/tests.rs
+++ b/src/ordering/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the ordering decisions, which need no network.
 
 mod cached_orderer_state;
+mod edited_models;
 mod engine_inventory;
 mod engine_speeds;
 mod fake_engine;
--- a/src/ordering/tests/fake_engine.rs
+++ b/src/ordering/tests/fake_engine.rs
@@ -48,6 +48,8 @@
     pub born_at: Millis,
     count: u64,
     models: IndexSet<Name>,
+    /// The sizes of the copies that were loaded by orders.
+    loaded_mb: IndexMap<Name, f64>,
     adapters: IndexSet<ModelRef>,
     /// The adapters that requests use.
     in_use: IndexSet<ModelRef>,
@@ -66,6 +68,7 @@
             born_at: Millis::ZERO,
             count: 0,
             models: models.iter().map(|model| Name::from(*model)).collect(),
+            loaded_mb: IndexMap::new(),
             adapters: IndexSet::new(),
             in_use: IndexSet::new(),
             leaving: IndexSet::new(),
@@ -117,6 +120,8 @@
             }
             (None, Action::Load) => {
                 self.loads += 1;
+                let weights_mb = self.spec.models[&order.ask.model].weights_mb;
+                self.loaded_mb.insert(order.ask.model.clone(), weights_mb);
                 self.changing = Some((order.clone(), now + Millis(500)));
             }
             (None, Action::Unload) => self.changing = Some((order.clone(), now + Millis(100))),
@@ -125,6 +130,15 @@
         OrderAnswer::Accepted
     }
 
+    /// Sets the size that a model has when it is loaded from now on.
+    pub fn resize(&mut self, model: &str, weights_mb: f64) {
+        for held in &self.models {
+            let size = self.spec.models[held].weights_mb;
+            self.loaded_mb.entry(held.clone()).or_insert(size);
+        }
+        self.spec.models[model].weights_mb = weights_mb;
+    }
+
     /// Returns how many orders the engine has accepted since its start.
     pub fn count(&self) -> u64 {
         self.count
@@ -185,7 +199,10 @@
     }
 
     fn check(&self) {
-        let mb = |model: &Name| self.spec.models[model].weights_mb;
+        let mb = |model: &Name| match self.loaded_mb.get(model) {
+            Some(loaded_mb) => *loaded_mb,
+            None => self.spec.models[model].weights_mb,
+        };
         let coming = self
             .changing
             .iter()
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -5,7 +5,7 @@
 use crate::placement::message::OrderOutcome;
 use crate::placement::test_site::{A, B, C, MEMORY_BYTES, TestLog};
 use crate::prelude::*;
-use crate::table::message::{Change, StoreLimits};
+use crate::table::message::{Change, Model, StoreLimits};
 
 #[test]
 fn concurrent_loads_of_a_model_create_one_copy() {
@@ -159,6 +159,30 @@
     log.accept(A, body);
 }
 
+/// Guards against a load over an engine's memory after the table states a smaller size for a model that
+/// the engine holds: a copy keeps what its load reserved.
+#[test]
+fn a_copy_keeps_its_memory_when_its_model_shrinks_in_the_table() {
+    let mut log = TestLog::new();
+    for model in ["m", "n", "o"] {
+        log.put_model(model, "1", None, 1);
+    }
+    for model in ["m", "n"] {
+        let copy = log.load(A, model, "checks");
+        log.end(A, copy, OrderOutcome::Done);
+    }
+    let model = Model {
+        version: "1".into(),
+        reserved_bytes: 1,
+        checkpoint_bytes: 1,
+        base: None,
+    };
+    let name = "m".into();
+    log.edit(vec![Change::PutModel { name, model }]);
+    let load = log.load_body("o", 0, "checks");
+    assert_eq!(log.reject(A, load), Rejection::NoMemory);
+}
+
 #[test]
 fn a_leaving_engine_gets_no_load() {
     let mut log = TestLog::new();
