Look for a reset before the close of a connection ends an answer without length

What callers saw: an upload was answered at once, without length; the upstream ended its direction of the connection in the middle of the body and reset it 20 ms later.

Cause: the close counted as the end of the body once the request was written as a whole, but that says only that the buffers of the connection have taken it. The upstream had read the head. The reset shows that it gave the rest up, and it came after the end, at which the host no longer looked.

Change: where more than 4 KiB were written, so that the upstream may not have read all, the close ends the body only if the connection has not failed 100 ms later. A reset within that time makes the answer incomplete, as one without an end of its own direction did before. It is in the body reader that both programs use, for answers to callers, also over another host, and to calls to the store and engines.

Price: an answer without length to a request of more than 4 KiB ends 100 ms later. Its bytes are passed on as they come.

Held already: a reset without an end before it, and status 000, at callers, attempts, orders and calls (early_answers, broken_answers, edge::tests::answers, http1::tests::client). What is left: a reset later than 100 ms after the end cannot be told from a sound one.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -89,7 +89,7 @@
 pub async fn exchange(request: &Request<'_>) -> Result<Answer, CallError> {
     let bytes = request_bytes(request)?;
     let stream = connect(request.authority).await?;
-    let mut connection = Connection::new(stream.clone());
+    let mut connection = Connection::to_upstream(stream.clone());
     let is_head_request = request.method == Method::Head;
     let read = read_final_head(&mut connection, is_head_request);
     let (head, written) = write_while_reading(&stream, &bytes, read)
--- a/src/edge/tests/answers.rs
+++ b/src/edge/tests/answers.rs
@@ -14,7 +14,7 @@
 use crate::test_support::broken_answers::{
     CHUNKS, CODED_IN_HTTP_10, FIELD_LINES, FRAMINGS, LINE_ENDS, STATUSES, SWITCHES,
 };
-use crate::test_support::early_upstream::{self, End, UPLOAD_BYTES};
+use crate::test_support::early_upstream::{self, BUFFERED_UPLOADS_BYTES, End, UPLOAD_BYTES};
 use smol::net::{TcpListener, TcpStream};
 use std::net::SocketAddr;
 use trillium::Method;
@@ -175,6 +175,25 @@
     }
 }
 
+// Guards against a part of an answer without length that counts as complete because the upstream ended its
+// direction of the connection before it reset it, with a request unread that was written as a whole.
+#[test]
+fn an_answer_without_length_that_is_reset_after_its_end_is_never_complete() {
+    for bytes in BUFFERED_UPLOADS_BYTES {
+        smol::block_on(async {
+            let (listener, address) = early_upstream::listen().await;
+            let half = "HTTP/1.1 200 OK\r\n\r\nhalf of the bo";
+            let upstream = early_upstream::serve(listener, half, End::ShutDownThenReset);
+            smol::spawn(upstream).detach();
+            let answered = read_answer(&attempt_at(address, bytes)).await;
+            assert!(
+                matches!(answered, Err(AttemptOutcome::Unknown(_))),
+                "{bytes}: {answered:?}"
+            );
+        });
+    }
+}
+
 // Guards against a whole early answer that is lost because the rest of the request could not be written.
 #[test]
 fn a_whole_answer_to_a_part_of_an_attempt_is_read() {
--- a/src/entry/tests/early_answers.rs
+++ b/src/entry/tests/early_answers.rs
@@ -4,7 +4,7 @@
 use super::hosts::{Cut, on_hosts};
 use super::site::{Answer, Site, entry, on_site, route};
 use crate::desired::{Repeat, Route};
-use crate::test_support::early_upstream::{self, End, UPLOAD_BYTES};
+use crate::test_support::early_upstream::{self, BUFFERED_UPLOADS_BYTES, End, UPLOAD_BYTES};
 use smol::LocalExecutor;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,9 +30,13 @@
 }
 
 fn upload() -> String {
-    let body = "a".repeat(UPLOAD_BYTES);
+    upload_of(UPLOAD_BYTES)
+}
+
+fn upload_of(bytes: usize) -> String {
+    let body = "a".repeat(bytes);
     format!(
-        "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n{body}"
+        "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: i1\r\nWait-Ms: 5000\r\nContent-Length: {bytes}\r\n\r\n{body}"
     )
 }
 
@@ -45,12 +49,16 @@
 
 /// Uploads to an upstream that answers early.
 async fn call_early(site: &Site, route: Route, answer: &'static str, end: End) -> Answer {
+    start_early(site, route, answer, end).await;
+    site.call(&upload()).await
+}
+
+async fn start_early(site: &Site, route: Route, answer: &'static str, end: End) {
     site.apply_route(route).await;
     let address = start_upstream(&site.executor, answer, end).await;
     site.store.write_upstream("u1", Some(entry("u1", address)));
     site.until(|host| host.upstreams.borrow().get("u1").is_some())
         .await;
-    site.call(&upload()).await
 }
 
 // Guards against a part of an answer without length that counts as complete because its connection ended
@@ -72,6 +80,41 @@
     }
 }
 
+// Guards against a part of an answer without length that counts as complete because the upstream ended its
+// direction of the connection before it reset it, with an upload unread that was written as a whole.
+#[test]
+fn an_answer_without_length_that_is_reset_after_its_end_is_never_complete() {
+    for bytes in BUFFERED_UPLOADS_BYTES {
+        on_site(|site| async move {
+            let end = End::ShutDownThenReset;
+            start_early(&site, route(Repeat::Once), WITHOUT_LENGTH, end).await;
+            let answer = site.call(&upload_of(bytes)).await;
+            assert_eq!(answer.head.status, 502, "{bytes}: {answer:?}");
+        });
+        on_site(|site| async move {
+            start_early(&site, streams(), STREAM, End::ShutDownThenReset).await;
+            let answer = site.call(&upload_of(bytes)).await;
+            assert!(
+                answer.head.status == 502 || !answer.is_whole,
+                "{bytes}: {answer:?}"
+            );
+        });
+    }
+}
+
+// Guards against a sound early answer that is lost: its upstream ends its direction, and reads on.
+#[test]
+fn an_answer_without_length_that_ends_without_a_reset_is_complete() {
+    for bytes in BUFFERED_UPLOADS_BYTES {
+        on_site(|site| async move {
+            start_early(&site, route(Repeat::Once), WITHOUT_LENGTH, End::ShutDown).await;
+            let answer = site.call(&upload_of(bytes)).await;
+            assert_eq!(answer.head.status, 200, "{bytes}: {answer:?}");
+            assert_eq!(answer.body, "half of the bo");
+        });
+    }
+}
+
 // Guards against the same where the request may be repeated: it goes on elsewhere.
 #[test]
 fn a_repeatable_upload_with_an_unproven_answer_goes_on_elsewhere() {
@@ -95,8 +138,10 @@
         let address = start_upstream(&hosts.executor, WITHOUT_LENGTH, End::ShutDownThenReset).await;
         hosts.hosts[1].list(entry("u1", address)).await;
         hosts.cut(0, "u1", Cut::Refuses).await;
-        let answer = hosts.call(0, &upload()).await;
-        assert_eq!(answer.head.status, 502, "{answer:?}");
+        for bytes in [UPLOAD_BYTES].into_iter().chain(BUFFERED_UPLOADS_BYTES) {
+            let answer = hosts.call(0, &upload_of(bytes)).await;
+            assert_eq!(answer.head.status, 502, "{bytes}: {answer:?}");
+        }
     });
 }
 
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -4,7 +4,9 @@
 use crate::http1::exchange::Written;
 use crate::http1::head::Framing;
 use crate::http1::syntax::{is_field_line, is_text_byte, is_token};
+use crate::prelude::*;
 use futures_lite::{AsyncRead, AsyncWrite};
+use smol::Timer;
 use snafu::Snafu;
 
 /// Longest line before a chunk, including chunk extensions.
@@ -12,6 +14,10 @@
 /// Longest block of trailers after the last chunk.
 const MAX_TRAILER_BYTES: usize = 4 << 10;
 
+/// How often, and at which interval, a connection is looked at for a reset after its end.
+const RESET_LOOKS: u32 = 20;
+const RESET_LOOK_INTERVAL_MS: Millis = Millis(5);
+
 /// The rule of RFC 9112, section 7.1, that the framing of a chunked body breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum ChunkError {
@@ -49,13 +55,21 @@
     Trailers {
         read: usize,
     },
-    UntilClose {
-        /// Whether the close of the connection is the end of the body.
-        is_end: bool,
-    },
+    UntilClose(Close),
     Done,
 }
 
+/// What the close of a connection says of a body without length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// The body has ended.
+    End,
+    /// The body has ended if no reset follows. This many looks for one are left.
+    EndUnlessReset { looks: u32 },
+    /// Nothing.
+    NoProof,
+}
+
 /// The state of reading one body.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyReader {
@@ -69,18 +83,25 @@
             Framing::Empty | Framing::Length(0) => State::Done,
             Framing::Length(left) => State::Bytes { left },
             Framing::Chunked => State::ChunkLine,
-            Framing::UntilClose => State::UntilClose { is_end: true },
+            Framing::UntilClose => State::UntilClose(Close::End),
         };
         Self { state }
     }
 
     /// Creates a reader of the body of an answer, of whose request this much was written.
     pub fn of_answer(framing: Framing, written: Written) -> Self {
-        match (framing, written) {
-            (Framing::UntilClose, Written::Part) => Self {
-                state: State::UntilClose { is_end: false },
-            },
-            _ => Self::new(framing),
+        let close = match (framing, written) {
+            (Framing::UntilClose, Written::Part) => Close::NoProof,
+            (Framing::UntilClose, Written::Buffered) => {
+                Close::EndUnlessReset { looks: RESET_LOOKS }
+            }
+            (Framing::UntilClose, Written::Whole) => Close::End,
+            (Framing::Empty | Framing::Length(_) | Framing::Chunked, _) => {
+                return Self::new(framing);
+            }
+        };
+        Self {
+            state: State::UntilClose(close),
         }
     }
 
@@ -109,14 +130,29 @@
                 return Ok(None);
             }
             match from.read_more().await {
-                Err(ReadError::Ended) if self.state == (State::UntilClose { is_end: true }) => {
-                    self.state = State::Done;
-                }
+                Err(ReadError::Ended) => self.note_close(from).await?,
                 other => other?,
             }
         }
     }
 
+    /// Takes the end of the connection for that of the body, where it is. May have to be called several
+    /// times until the body is done.
+    async fn note_close<S>(&mut self, from: &Connection<S>) -> Result<(), ReadError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        self.state = match self.state {
+            State::UntilClose(Close::End | Close::EndUnlessReset { looks: 0 }) => State::Done,
+            State::UntilClose(Close::EndUnlessReset { looks }) if !from.has_failed() => {
+                Timer::after(RESET_LOOK_INTERVAL_MS.to_duration()).await;
+                State::UntilClose(Close::EndUnlessReset { looks: looks - 1 })
+            }
+            _ => return Err(ReadError::Ended),
+        };
+        Ok(())
+    }
+
     /// Returns the bytes of the body that are buffered; nothing if there are none. An error after some
     /// bytes is returned by the next call.
     fn take_buffered<S>(&mut self, from: &mut Connection<S>) -> Result<Option<Vec<u8>>, ReadError>
@@ -155,7 +191,7 @@
         match self.state {
             State::Done => Ok(Step::Wait),
             State::Malformed(broken) => Err(broken),
-            State::UntilClose { .. } => Ok(bytes(from.take_buffered(u64::MAX))),
+            State::UntilClose(_) => Ok(bytes(from.take_buffered(u64::MAX))),
             State::Bytes { left } => {
                 let taken = from.take_buffered(left);
                 self.state = match left - length_of(&taken) {
--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -231,7 +231,7 @@
         // A connection that cannot be set to close as usual is not used again.
         let closes_as_usual =
             permit.is_none() || set_abort_on_close(&taken.connection, false).is_ok();
-        if may_be_kept && closes_as_usual && written == Written::Whole {
+        if may_be_kept && closes_as_usual && written != Written::Part {
             self.return_to_pool(taken.connection);
         }
         Ok(CallAnswer {
@@ -411,7 +411,7 @@
     let stream = TcpStream::connect(address).await?;
     set_socket_options(&stream)?;
     bound_send_buffer(&stream)?;
-    Ok(Connection::new(stream))
+    Ok(Connection::to_upstream(stream))
 }
 
 /// Bounds the bytes that the kernel takes for a connection before the upstream has received them.
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -4,6 +4,8 @@
 use crate::http1::head::{HeadError, RequestHead, ResponseHead};
 use crate::http1::syntax::quote_broken_line;
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use rustix::net::sockopt;
+use smol::net::TcpStream;
 use snafu::Snafu;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -58,6 +60,8 @@
 #[derive(Debug)]
 pub struct Connection<S> {
     stream: S,
+    /// The socket under the stream, where its state is of use.
+    socket: Option<TcpStream>,
     buffer: Vec<u8>,
     /// The bytes at the beginning of the buffer that were consumed.
     consumed: usize,
@@ -65,11 +69,29 @@
     ready_reads: u32,
 }
 
+impl Connection<TcpStream> {
+    /// Wraps an open connection to an upstream.
+    pub fn to_upstream(stream: TcpStream) -> Self {
+        Self {
+            socket: Some(stream.clone()),
+            ..Self::new(stream)
+        }
+    }
+}
+
 impl<S: AsyncRead + AsyncWrite + Unpin> Connection<S> {
+    /// Returns whether the socket has failed, as by a reset. It may after the peer ended its direction,
+    /// when reads find the end only. Without a known socket it has not.
+    pub fn has_failed(&self) -> bool {
+        let socket = self.socket.as_ref();
+        socket.is_some_and(|socket| !matches!(sockopt::socket_error(socket), Ok(Ok(()))))
+    }
+
     /// Wraps an open stream.
     pub fn new(stream: S) -> Self {
         Self {
             stream,
+            socket: None,
             buffer: Vec::new(),
             consumed: 0,
             ready_reads: 0,
--- a/src/http1/exchange.rs
+++ b/src/http1/exchange.rs
@@ -8,11 +8,18 @@
 use std::pin::pin;
 use std::task::Poll;
 
+/// The longest request that counts as read when its answer begins. An upstream reads the head of a request
+/// before it answers, and a read of usual length takes the rest of a short request with it.
+const ONE_READ_BYTES: usize = 4 << 10;
+
 /// How much of a request was written when its answer began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Written {
     /// All of it.
     Whole,
+    /// All of it, into the buffers of the connection. The upstream may not have read all, and resets the
+    /// connection if it closes it then, perhaps after the end of its own direction.
+    Buffered,
     /// A part. Nothing more is written, so the connection cannot carry another request, and its close
     /// is no proof of the answer's end: the upstream may as well have given the request up.
     Part,
@@ -43,7 +50,8 @@
             Ok(answer) => Ok((
                 answer,
                 match written {
-                    Some(Ok(())) => Written::Whole,
+                    Some(Ok(())) if request.len() <= ONE_READ_BYTES => Written::Whole,
+                    Some(Ok(())) => Written::Buffered,
                     Some(Err(_)) | None => Written::Part,
                 },
             )),
--- a/src/http1/tests/client.rs
+++ b/src/http1/tests/client.rs
@@ -7,7 +7,7 @@
 use crate::test_support::broken_answers::{
     CHUNKS, CODED_IN_HTTP_10, FIELD_LINES, FRAMINGS, LINE_ENDS, STATUSES, SWITCHES,
 };
-use crate::test_support::early_upstream::{self, End, UPLOAD_BYTES};
+use crate::test_support::early_upstream::{self, BUFFERED_UPLOADS_BYTES, End, UPLOAD_BYTES};
 use futures_lite::{AsyncReadExt, future};
 use rustix::net::{AddressFamily, SocketType, sockopt};
 use smol::Async;
@@ -268,10 +268,18 @@
 
 /// Makes a call with a long body to a peer that answers early.
 fn call_early(answer: &'static str, end: End) -> Result<CallAnswer, CallError> {
+    call_early_with(UPLOAD_BYTES, answer, end)
+}
+
+fn call_early_with(
+    body_bytes: usize,
+    answer: &'static str,
+    end: End,
+) -> Result<CallAnswer, CallError> {
     block_on(async {
         let (listener, address) = early_upstream::listen().await;
         let client = Client::new(address);
-        let upload = call(UPLOAD_BYTES);
+        let upload = call(body_bytes);
         let called = client.call(&upload, LONG_MS);
         let serve = async {
             early_upstream::serve(listener, answer, end).await;
@@ -291,6 +299,17 @@
     }
 }
 
+// Guards against a part of an answer that counts as complete because the peer ended its direction of the
+// connection before it reset it, with a call unread that was written as a whole.
+#[test]
+fn an_answer_without_length_to_a_call_that_is_reset_after_its_end_is_never_complete() {
+    for bytes in BUFFERED_UPLOADS_BYTES {
+        let half = "HTTP/1.1 200 OK\r\n\r\nhalf of the bo";
+        let answer = call_early_with(bytes, half, End::ShutDownThenReset);
+        assert!(matches!(answer, Err(CallError::Read { .. })), "{answer:?}");
+    }
+}
+
 // Guards against a whole early answer that is lost because the rest of the call could not be written.
 #[test]
 fn a_whole_answer_to_a_part_of_a_call_is_read() {
--- a/src/test_support/early_upstream.rs
+++ b/src/test_support/early_upstream.rs
@@ -8,6 +8,9 @@
 
 /// The body of an upload that is longer than the buffers of a connection hold.
 pub const UPLOAD_BYTES: usize = 3 << 20;
+/// The bodies of uploads that the buffers of a connection hold as a whole, so that they count as written
+/// although the upstream leaves them unread.
+pub const BUFFERED_UPLOADS_BYTES: [usize; 2] = [20 << 10, 200 << 10];
 /// How long after the end of its own direction a connection is reset.
 const RESET_AFTER: Duration = Duration::from_millis(20);
 
@@ -18,6 +21,8 @@
     Reset,
     /// It ends its own direction first, and resets the connection later.
     ShutDownThenReset,
+    /// It ends its own direction, reads the request on, and closes the connection.
+    ShutDown,
 }
 
 /// Listens at a free port of this machine.
@@ -40,11 +45,24 @@
     if !matches!(head, Ok(Some(_))) || connection.write(answer.as_bytes()).await.is_err() {
         return;
     }
-    let stream = connection.stream();
-    if let End::ShutDownThenReset = end {
-        stream.shutdown(Shutdown::Write).expect("it is open");
-        Timer::after(RESET_AFTER).await;
+    match end {
+        End::Reset => {}
+        End::ShutDownThenReset => {
+            shut_down(&connection);
+            Timer::after(RESET_AFTER).await;
+        }
+        End::ShutDown => {
+            shut_down(&connection);
+            while connection.read_some(u64::MAX).await.is_ok() {}
+            return;
+        }
     }
+    let stream = connection.stream();
     let linger = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
     linger.expect("the option is supported");
 }
+
+fn shut_down(connection: &Connection<TcpStream>) {
+    let stream = connection.stream();
+    stream.shutdown(Shutdown::Write).expect("it is open");
+}
